--- /dev/null
+++ b/crates/agent/src/admin.rs
@@ -0,0 +1,33 @@
+//! Health, readiness and metrics of an agent.
+
+use std::sync::Arc;
+
+use axum::Router;
+use axum::extract::State;
+use axum::http::StatusCode;
+use axum::routing::get;
+
+use crate::peers::Shared;
+
+pub(crate) fn app(shared: Arc<Shared>) -> Router {
+    Router::new()
+        .route("/healthz", get(|| async { "ok" }))
+        .route("/readyz", get(ready))
+        .route("/metrics", get(metrics))
+        .with_state(shared)
+}
+
+async fn ready(State(shared): State<Arc<Shared>>) -> (StatusCode, &'static str) {
+    let view = shared.view.borrow();
+    match (&view.config, &view.hosts) {
+        (Some(_), Some(_)) => (StatusCode::OK, "ready"),
+        (None, _) => (StatusCode::SERVICE_UNAVAILABLE, "no configuration yet"),
+        (_, None) => (StatusCode::SERVICE_UNAVAILABLE, "no host list yet"),
+    }
+}
+
+async fn metrics(State(shared): State<Arc<Shared>>) -> String {
+    let version = shared.view.borrow().config_version();
+    shared.metrics.gauge("config_version", "", version.0 as f64);
+    shared.metrics.render()
+}
--- /dev/null
+++ b/crates/agent/src/peers.rs
@@ -0,0 +1,150 @@
+//! Answers routers and other agents over tarpc.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use chalkrock_process::Metrics;
+use chalkrock_proto::{
+    AgentApi, ByteCount, Hello, KnownView, PROTOCOL_VERSION, PeerError, Purpose, SlotAnswer,
+    SlotAsk, SlotReturns, ViewUpdate, transport,
+};
+use futures::StreamExt;
+use tarpc::context::Context;
+use tarpc::server::{BaseChannel, Channel};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+use crate::view::AgentView;
+
+const PART: &str = "agent.peers";
+/// A watch without news is answered after this time, as a heartbeat.
+pub(crate) const HEARTBEAT: Duration = Duration::from_millis(1_000);
+/// Calls of one connection that run at once.
+const CALLS_MAX: usize = 256;
+
+/// What all connections share.
+pub(crate) struct Shared {
+    pub(crate) fleet_key_sha256: Arc<str>,
+    pub(crate) view: watch::Receiver<Arc<AgentView>>,
+    pub(crate) metrics: Metrics,
+    pub(crate) bytes: Mutex<HashMap<Purpose, Vec<Arc<ByteCount>>>>,
+}
+
+/// One connection.
+#[derive(Clone)]
+struct Connection {
+    shared: Arc<Shared>,
+    peer: SocketAddr,
+    hello: Arc<Mutex<Option<Hello>>>,
+    count: Arc<ByteCount>,
+}
+
+/// Accepts connections until dropped.
+pub(crate) async fn serve(listener: TcpListener, shared: Arc<Shared>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, peer)) => {
+                tokio::spawn(serve_connection(stream, peer, shared.clone()));
+            }
+            Err(error) => {
+                log::warn!(target: PART, "Accept failed: {error}.");
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection(stream: TcpStream, peer: SocketAddr, shared: Arc<Shared>) {
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!(target: PART, "No nodelay for {peer}: {error}.");
+    }
+    let count = Arc::new(ByteCount::default());
+    let connection = Connection {
+        shared,
+        peer,
+        hello: Arc::new(Mutex::new(None)),
+        count: count.clone(),
+    };
+    let metrics = connection.shared.metrics.clone();
+    let channel = BaseChannel::with_defaults(transport(stream, count));
+    let calls = channel
+        .requests()
+        .map(|request| request.map(|r| r.execute(connection.clone().serve())));
+    calls
+        .for_each_concurrent(CALLS_MAX, |call| async {
+            match call {
+                Ok(answering) => answering.await,
+                Err(error) => {
+                    log::warn!(target: PART, "Garbage from {peer}: {error}.");
+                    metrics.count("peers_refused_total", "why=\"garbage\"", 1);
+                }
+            }
+        })
+        .await;
+}
+
+impl Connection {
+    fn refuse(&self, why: PeerError, label: &str) -> PeerError {
+        log::warn!(target: PART, "Peer {} refused: {why}.", self.peer);
+        let labels = format!("why=\"{label}\"");
+        self.shared.metrics.count("peers_refused_total", &labels, 1);
+        why
+    }
+
+    fn check(&self, purpose: Purpose) -> Result<Hello, PeerError> {
+        let hello = self
+            .hello
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone();
+        match hello {
+            Some(hello) if hello.purpose == purpose => Ok(hello),
+            _ => Err(self.refuse(PeerError::NoHello, "no-hello")),
+        }
+    }
+}
+
+impl AgentApi for Connection {
+    async fn hello(self, _: Context, hello: Hello) -> Result<(), PeerError> {
+        if hello.protocol_version != PROTOCOL_VERSION {
+            return Err(self.refuse(PeerError::WrongVersion, "version"));
+        }
+        if hello.fleet_key_sha256 != self.shared.fleet_key_sha256 {
+            return Err(self.refuse(PeerError::WrongFleet, "fleet"));
+        }
+        let mut bytes = self
+            .shared
+            .bytes
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        bytes
+            .entry(hello.purpose)
+            .or_default()
+            .push(self.count.clone());
+        *self.hello.lock().unwrap_or_else(PoisonError::into_inner) = Some(hello);
+        Ok(())
+    }
+
+    async fn watch_view(self, _: Context, known: KnownView) -> Result<ViewUpdate, PeerError> {
+        self.check(Purpose::View)?;
+        let mut view = self.shared.view.clone();
+        let newer = view.wait_for(|view| view.newer_than(known).is_some());
+        let news = match tokio::time::timeout(HEARTBEAT, newer).await {
+            Ok(Ok(view)) => view.newer_than(known),
+            _ => None,
+        };
+        Ok(news.unwrap_or_default())
+    }
+
+    async fn ask_slot(self, _: Context, _ask: SlotAsk) -> Result<SlotAnswer, PeerError> {
+        self.check(Purpose::Slots)?;
+        Ok(SlotAnswer::NotOwner)
+    }
+
+    async fn return_slots(self, _: Context, _returns: SlotReturns) -> Result<(), PeerError> {
+        self.check(Purpose::Slots)?;
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/agent/src/start.rs
@@ -0,0 +1,94 @@
+//! Starts an agent's parts and ends them together.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use chalkrock_core::key_digest;
+use chalkrock_platform::HttpPlatform;
+use chalkrock_process::Metrics;
+use kameo::actor::Spawn;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+
+use crate::admin;
+use crate::peers::{self, Shared};
+use crate::platform_reads::Reads;
+use crate::settings::AgentSettings;
+use crate::view::{AgentView, ViewKeeper};
+
+/// A running agent; its parts end when this is dropped.
+pub struct RunningAgent {
+    address: SocketAddr,
+    admin_address: SocketAddr,
+    view: watch::Receiver<Arc<AgentView>>,
+    _tasks: JoinSet<()>,
+}
+
+impl RunningAgent {
+    /// Where routers and other agents connect.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Where health and metrics are.
+    pub fn admin_address(&self) -> SocketAddr {
+        self.admin_address
+    }
+
+    /// The view at this moment.
+    pub fn view(&self) -> Arc<AgentView> {
+        self.view.borrow().clone()
+    }
+}
+
+/// Starts an agent.
+///
+/// # Errors
+///
+/// If an address can't be bound, or the platform's address is no URL.
+pub async fn start_agent(settings: AgentSettings) -> eyre::Result<RunningAgent> {
+    let platform = HttpPlatform::new(&settings.platform_url)?;
+    let listener = TcpListener::bind(settings.listen).await?;
+    let address = listener.local_addr()?;
+    let admin_listener = TcpListener::bind(settings.admin_listen).await?;
+    let admin_address = admin_listener.local_addr()?;
+
+    let metrics = Metrics::default();
+    let (published, view) = watch::channel(Arc::new(AgentView::default()));
+    let keeper = ViewKeeper::spawn(published);
+    let shared = Arc::new(Shared {
+        fleet_key_sha256: key_digest(&settings.fleet_key).into(),
+        view: view.clone(),
+        metrics: metrics.clone(),
+        bytes: Default::default(),
+    });
+    let reads = Reads {
+        platform,
+        keeper,
+        view: view.clone(),
+        metrics,
+    };
+
+    let mut tasks = JoinSet::new();
+    tasks.spawn(peers::serve(listener, shared.clone()));
+    tasks.spawn(async move {
+        if let Err(error) = axum::serve(admin_listener, admin::app(shared)).await {
+            log::error!(target: "agent.admin", "Server ended: {error}.");
+        }
+    });
+    tasks.spawn(
+        reads
+            .clone()
+            .follow_config(Duration::from_millis(settings.config_poll_ms)),
+    );
+    tasks.spawn(reads.follow_hosts(Duration::from_millis(settings.hosts_poll_ms)));
+    log::info!(target: "agent", "Host {} listens on {address}.", settings.host);
+    Ok(RunningAgent {
+        address,
+        admin_address,
+        view,
+        _tasks: tasks,
+    })
+}
--- /dev/null
+++ b/crates/core/src/keys.rs
@@ -0,0 +1,19 @@
+//! Digests of keys: only these are stored.
+
+use sha2::{Digest, Sha256};
+
+/// The SHA-256 digest of a key, as 64 lower-case hexadecimal digits.
+///
+/// # Example
+///
+/// ```
+/// assert!(chalkrock_core::key_digest("abc").starts_with("ba7816bf"));
+/// ```
+pub fn key_digest(key: &str) -> String {
+    use std::fmt::Write;
+    let mut digits = String::new();
+    for byte in Sha256::digest(key.as_bytes()) {
+        let _ = write!(digits, "{byte:02x}");
+    }
+    digits
+}
--- /dev/null
+++ b/crates/core/src/rendezvous.rs
@@ -0,0 +1,66 @@
+//! Weighted rendezvous hashing: who comes first for a key.
+//!
+//! Every party that knows the same members gets the same order, and a member
+//! that joins or leaves moves only the keys that it wins or held. We use it
+//! for an engine's owner among the hosts and for a chat's home among engines.
+
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+/// The hash of a member's name, computed once when a view is built.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct MemberHash(pub u64);
+
+impl MemberHash {
+    /// Hashes a member's name.
+    pub fn of(name: &str) -> Self {
+        Self(xxh3_64(name.as_bytes()))
+    }
+}
+
+/// The hash of a key that is to be placed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct KeyHash(pub u64);
+
+impl KeyHash {
+    /// Hashes a key.
+    pub fn of(key: &[u8]) -> Self {
+        Self(xxh3_64(key))
+    }
+}
+
+/// The score of a member for a key: the highest wins.
+///
+/// `-weight / ln(u)` with `u` uniform in (0, 1) gives each member a share of
+/// the keys in proportion to its weight.
+pub fn score(key: KeyHash, member: MemberHash, weight: f64) -> f64 {
+    const MANTISSA_BITS: u32 = 53;
+    let hash = xxh3_64_with_seed(&member.0.to_le_bytes(), key.0);
+    let whole = (hash >> (u64::BITS - MANTISSA_BITS)) as f64;
+    let unit = (whole + 0.5) / (1u64 << MANTISSA_BITS) as f64;
+    -weight / unit.ln()
+}
+
+/// The index of the member that comes first for a key, or `None` if there
+/// are no members. Members are pairs of hash and weight.
+///
+/// # Example
+///
+/// ```
+/// use chalkrock_core::rendezvous::{first, KeyHash, MemberHash};
+///
+/// let members = ["a", "b", "c"].map(|name| (MemberHash::of(name), 1.0));
+/// let key = KeyHash::of(b"chat-1");
+/// assert_eq!(first(key, members), first(key, members));
+/// ```
+pub fn first(key: KeyHash, members: impl IntoIterator<Item = (MemberHash, f64)>) -> Option<usize> {
+    let mut best = None;
+    let mut best_score = f64::NEG_INFINITY;
+    for (i, (member, weight)) in members.into_iter().enumerate() {
+        let s = score(key, member, weight);
+        if s > best_score {
+            best = Some(i);
+            best_score = s;
+        }
+    }
+    best
+}
--- /dev/null
+++ b/crates/ctl/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operator's command line.
--- /dev/null
+++ b/crates/e2e/src/cluster.rs
@@ -0,0 +1,283 @@
+//! A fleet of real routers and agents before embedded stand-ins.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use chalkrock_core::{
+    ChangeId, ConfigVersion, Endpoint, EndpointKind, FleetConfig, Host, HostList, HostState,
+    Incarnation, Organisation, Pool, PoolKind, key_digest,
+};
+use chalkrock_platform::{Change, ConfigStore, HttpPlatform};
+use chalkrock_standin::{
+    EngineHandle, EngineSettings, PlatformHandle, PlatformSettings, ServiceHandle, ServiceSettings,
+    start_engine, start_platform, start_service,
+};
+use eyre::bail;
+
+use crate::program::Program;
+
+/// The model that the engines serve.
+pub const MODEL: &str = "test-model";
+/// The plain service.
+pub const SERVICE: &str = "ledger";
+/// The key of the organisation `caller`.
+pub const ORGANISATION_KEY: &str = "key-caller";
+/// The operators' key.
+pub const OPERATOR_KEY: &str = "key-operator";
+const FLEET_KEY: &str = "test-fleet-key";
+const READY_TIMEOUT: Duration = Duration::from_secs(30);
+const READY_PAUSE: Duration = Duration::from_millis(20);
+
+/// How many parts a cluster has, and how its engines behave.
+#[derive(Clone, Copy, Debug)]
+pub struct ClusterSize {
+    /// Hosts, each with a router and an agent.
+    pub hosts: usize,
+    /// Engines.
+    pub engines: usize,
+    /// Replicas of the plain service.
+    pub services: usize,
+}
+
+/// One host: an agent and a router.
+#[derive(Debug)]
+pub struct HostPrograms {
+    /// Its agent.
+    pub agent: Program,
+    /// Its router.
+    pub router: Program,
+}
+
+/// A running fleet; all of it ends when this is dropped.
+pub struct Cluster {
+    /// The platform.
+    pub platform: PlatformHandle,
+    /// The engines.
+    pub engines: Vec<EngineHandle>,
+    /// The service's replicas.
+    pub services: Vec<ServiceHandle>,
+    /// The hosts.
+    pub hosts: Vec<HostPrograms>,
+    /// For calls of the test.
+    pub client: reqwest::Client,
+    list: HostList,
+}
+
+impl Cluster {
+    /// Starts a cluster whose engines answer at once.
+    ///
+    /// # Errors
+    ///
+    /// If a part can't start.
+    pub async fn start(size: ClusterSize) -> eyre::Result<Self> {
+        Self::start_with(size, EngineSettings::default()).await
+    }
+
+    /// Starts a cluster with settings for its engines.
+    ///
+    /// # Errors
+    ///
+    /// If a part can't start.
+    pub async fn start_with(size: ClusterSize, engine: EngineSettings) -> eyre::Result<Self> {
+        let platform = start_platform(PlatformSettings::default()).await?;
+        let mut engines = Vec::new();
+        for _ in 0..size.engines {
+            engines.push(start_engine(engine.clone()).await?);
+        }
+        let mut services = Vec::new();
+        for _ in 0..size.services {
+            services.push(start_service(ServiceSettings::default()).await?);
+        }
+        let mut cluster = Self {
+            platform,
+            engines,
+            services,
+            hosts: Vec::new(),
+            client: reqwest::Client::builder().no_proxy().build()?,
+            list: HostList::default(),
+        };
+        cluster
+            .submit(&cluster.first_config(), ConfigVersion(0), "first")
+            .await?;
+        cluster.list.endpoints = cluster.endpoints();
+        cluster.publish_list();
+        for _ in 0..size.hosts {
+            cluster.add_host()?;
+        }
+        cluster.wait_until_ready().await?;
+        Ok(cluster)
+    }
+
+    /// Starts one more host and lists it.
+    ///
+    /// # Errors
+    ///
+    /// If a program can't start.
+    pub fn add_host(&mut self) -> eyre::Result<()> {
+        let i = self.hosts.len();
+        let agent = Program::start("chalkrock-agent", &self.agent_settings(i))?;
+        let router = Program::start("chalkrock-router", &router_settings(i, agent.address(0)))?;
+        self.list.hosts.push(Host {
+            name: host_name(i).as_str().into(),
+            zone: "zone-a".into(),
+            agent_address: agent.address(0),
+            incarnation: Incarnation(1),
+            state: HostState::Live,
+        });
+        self.hosts.push(HostPrograms { agent, router });
+        self.publish_list();
+        Ok(())
+    }
+
+    /// The list that the platform shows.
+    pub fn list_mut(&mut self) -> &mut HostList {
+        &mut self.list
+    }
+
+    /// Shows the list as it is now.
+    pub fn publish_list(&self) {
+        self.platform.set_hosts(self.list.clone());
+    }
+
+    /// Submits a configuration.
+    ///
+    /// # Errors
+    ///
+    /// If it is not accepted.
+    pub async fn submit(
+        &self,
+        config: &FleetConfig,
+        expect: ConfigVersion,
+        change: &str,
+    ) -> eyre::Result<ConfigVersion> {
+        let store = ConfigStore::new(HttpPlatform::new(&self.platform.url())?);
+        let change = Change {
+            id: ChangeId::new(change),
+            author: "test".to_owned(),
+            reason: "test".to_owned(),
+            submitted_at_ms: 0,
+        };
+        Ok(store.submit(config, expect, change).await?.version)
+    }
+
+    /// The configuration that a cluster starts with.
+    pub fn first_config(&self) -> FleetConfig {
+        let organisation = Organisation {
+            name: "caller".into(),
+            weight: 1,
+            key_sha256: vec![key_digest(ORGANISATION_KEY)],
+        };
+        let engines = Pool {
+            name: "chat".into(),
+            kind: PoolKind::Engines {
+                models: vec![MODEL.into()],
+            },
+            load_multiple: 1.5,
+            deadline_ms: 60_000,
+        };
+        let service = Pool {
+            name: SERVICE.into(),
+            kind: PoolKind::Service {
+                unsafe_to_repeat: true,
+            },
+            load_multiple: 1.5,
+            deadline_ms: 10_000,
+        };
+        FleetConfig {
+            organisations: vec![organisation],
+            pools: vec![engines, service],
+        }
+    }
+
+    /// The configuration version in force at a router, from its metrics.
+    pub async fn version_at(&self, host: usize) -> Option<u64> {
+        let url = format!("http://{}/metrics", self.hosts[host].router.address(1));
+        let text = self.client.get(url).send().await.ok()?.text().await.ok()?;
+        let line = text
+            .lines()
+            .find(|line| line.starts_with("chalkrock_config_version{"))?;
+        line.rsplit(' ').next()?.parse().ok()
+    }
+
+    /// Waits until each router is ready.
+    ///
+    /// # Errors
+    ///
+    /// If one is not within half a minute.
+    pub async fn wait_until_ready(&self) -> eyre::Result<()> {
+        let waiting = async {
+            for host in &self.hosts {
+                let url = format!("http://{}/readyz", host.router.address(1));
+                while !self.is_ok(&url).await {
+                    tokio::time::sleep(READY_PAUSE).await;
+                }
+            }
+        };
+        if tokio::time::timeout(READY_TIMEOUT, waiting).await.is_err() {
+            bail!("the routers did not become ready");
+        }
+        Ok(())
+    }
+
+    async fn is_ok(&self, url: &str) -> bool {
+        let answer = self.client.get(url).send().await;
+        answer.is_ok_and(|response| response.status().is_success())
+    }
+
+    fn endpoints(&self) -> Vec<Endpoint> {
+        let engines = self.engines.iter().enumerate().map(|(i, engine)| {
+            endpoint(
+                &format!("engine-{i}"),
+                EndpointKind::Engine,
+                "chat",
+                engine.address(),
+            )
+        });
+        let services = self.services.iter().enumerate().map(|(i, service)| {
+            endpoint(
+                &format!("{SERVICE}-{i}"),
+                EndpointKind::Service,
+                SERVICE,
+                service.address(),
+            )
+        });
+        engines.chain(services).collect()
+    }
+
+    fn agent_settings(&self, i: usize) -> String {
+        format!(
+            "host: {}\nzone: zone-a\nlisten: 127.0.0.1:0\nadmin_listen: 127.0.0.1:0\n\
+             platform_url: {}\nfleet_key: {FLEET_KEY}\nconfig_poll_ms: 100\nhosts_poll_ms: 100\n\
+             logs: {{level: warn}}\n",
+            host_name(i),
+            self.platform.url(),
+        )
+    }
+}
+
+fn router_settings(i: usize, agent: SocketAddr) -> String {
+    format!(
+        "host: {}\nzone: zone-a\nlisten: 127.0.0.1:0\noperator_listen: 127.0.0.1:0\n\
+         agent_address: {agent}\nfleet_key: {FLEET_KEY}\nbody_max_bytes: 100000\n\
+         operator_key_sha256: [{}]\nlogs: {{level: warn}}\n",
+        host_name(i),
+        key_digest(OPERATOR_KEY),
+    )
+}
+
+fn host_name(i: usize) -> String {
+    format!("host-{i}")
+}
+
+fn endpoint(name: &str, kind: EndpointKind, pool: &str, address: SocketAddr) -> Endpoint {
+    Endpoint {
+        name: name.into(),
+        kind,
+        pool: pool.into(),
+        zone: "zone-a".into(),
+        address,
+        slots: 64,
+        incarnation: Incarnation(1),
+        state: HostState::Live,
+    }
+}
--- /dev/null
+++ b/crates/proto/src/agent_api.rs
@@ -0,0 +1,152 @@
+//! What an agent answers: to its own router, to other hosts' routers, and to
+//! other agents.
+
+use std::sync::Arc;
+
+use chalkrock_core::{ConfigVersion, EndpointId, HostId, HostList, RequestId};
+use serde::{Deserialize, Serialize};
+
+/// The version of these messages. Peers with another one are refused.
+pub const PROTOCOL_VERSION: u32 = 1;
+
+/// What a connection is for. Each purpose has connections of its own, so that
+/// its bytes can be counted at the socket.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Purpose {
+    /// A router follows its own agent's view.
+    View,
+    /// A router asks an owner for slots and gives them back.
+    Slots,
+    /// Agents exchange loads, versions and leaving endpoints.
+    Exchange,
+    /// An agent sends claims to the agent that writes them.
+    Claims,
+}
+
+impl Purpose {
+    /// The label of the purpose in metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Purpose::View => "view",
+            Purpose::Slots => "slots",
+            Purpose::Exchange => "exchange",
+            Purpose::Claims => "claims",
+        }
+    }
+}
+
+/// The first call on each connection.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Hello {
+    /// The caller's protocol version.
+    pub protocol_version: u32,
+    /// Digest of the fleet's key, hexadecimal.
+    pub fleet_key_sha256: Arc<str>,
+    /// The calling host.
+    pub host: HostId,
+    /// What the connection is for.
+    pub purpose: Purpose,
+}
+
+/// Why an agent refuses a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, thiserror::Error)]
+pub enum PeerError {
+    /// The peer speaks another protocol version.
+    #[error("the peer speaks another protocol version")]
+    WrongVersion,
+    /// The peer holds another fleet's key.
+    #[error("the peer holds another fleet's key")]
+    WrongFleet,
+    /// The connection was not opened with a hello for this purpose.
+    #[error("the connection was not opened for this call")]
+    NoHello,
+}
+
+/// What a router already has of its agent's view.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KnownView {
+    /// The configuration in force at the router.
+    pub config_version: ConfigVersion,
+    /// The number of the last host list taken over.
+    pub hosts_number: u64,
+}
+
+/// A configuration as it travels: its version and its JSON text.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigBody {
+    /// Its version.
+    pub version: ConfigVersion,
+    /// The document, JSON. bincode can't carry tagged enums, and the text is
+    /// what the object store holds.
+    pub json: Arc<str>,
+}
+
+/// A host list as it travels to the router.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HostsBody {
+    /// Counts up with each change that the agent saw.
+    pub number: u64,
+    /// Hosts and endpoints with their states.
+    pub list: HostList,
+}
+
+/// What has changed in the agent's view.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ViewUpdate {
+    /// A newer configuration, if there is one.
+    pub config: Option<ConfigBody>,
+    /// A newer host list, if there is one.
+    pub hosts: Option<HostsBody>,
+}
+
+/// A router asks the owner of an engine for a slot there.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct SlotAsk {
+    /// The engine.
+    pub endpoint: EndpointId,
+    /// The request that would run there.
+    pub request: RequestId,
+}
+
+/// The owner's answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum SlotAnswer {
+    /// A slot is held for the request until it is given back.
+    Granted {
+        /// Requests on the engine, this one included.
+        in_progress: u32,
+    },
+    /// The engine is at its bound.
+    AtBound {
+        /// Requests on the engine.
+        in_progress: u32,
+    },
+    /// The engine takes no new work.
+    Leaving,
+    /// This agent does not own the engine, or has owned it too short a time.
+    NotOwner,
+}
+
+/// Slots that a router gives back.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct SlotReturns {
+    /// The endpoint of each, once for each slot.
+    pub requests: Vec<SlotAsk>,
+}
+
+/// What an agent answers.
+#[tarpc::service]
+pub trait AgentApi {
+    /// Opens the connection. Any other call before it is refused.
+    async fn hello(hello: Hello) -> Result<(), PeerError>;
+
+    /// Answers with what is newer than `known`, at once if there is anything,
+    /// else after the heartbeat interval with nothing.
+    async fn watch_view(known: KnownView) -> Result<ViewUpdate, PeerError>;
+
+    /// Asks for a slot.
+    async fn ask_slot(ask: SlotAsk) -> Result<SlotAnswer, PeerError>;
+
+    /// Gives slots back.
+    async fn return_slots(returns: SlotReturns) -> Result<(), PeerError>;
+}
--- /dev/null
+++ b/crates/proto/src/lib.rs
@@ -0,0 +1,38 @@
+//! Messages and tarpc services between chalkrock's processes.
+//!
+//! A router follows its agent's view and asks owners for slots; agents talk
+//! to each other. All of it is one service, [`AgentApi`], over connections
+//! that each serve one [`Purpose`] and count their bytes. Use this crate to
+//! write another client of an agent.
+//!
+//! # Example
+//!
+//! ```no_run
+//! use std::sync::Arc;
+//! use chalkrock_proto::{ByteCount, Hello, KnownView, PROTOCOL_VERSION, Purpose, connect};
+//!
+//! # async fn follow() -> Result<(), Box<dyn std::error::Error>> {
+//! let hello = Hello {
+//!     protocol_version: PROTOCOL_VERSION,
+//!     fleet_key_sha256: "…".into(),
+//!     host: "host-1".into(),
+//!     purpose: Purpose::View,
+//! };
+//! let count = Arc::new(ByteCount::default());
+//! let agent = connect("127.0.0.1:7101".parse()?, hello, count).await?;
+//! let update = agent.watch_view(tarpc::context::current(), KnownView::default()).await??;
+//! println!("{:?}", update.config);
+//! # Ok(())
+//! # }
+//! ```
+
+mod agent_api;
+mod counted;
+mod transport;
+
+pub use agent_api::{
+    AgentApi, AgentApiClient, ConfigBody, Hello, HostsBody, KnownView, PROTOCOL_VERSION, PeerError,
+    Purpose, SlotAnswer, SlotAsk, SlotReturns, ViewUpdate,
+};
+pub use counted::{ByteCount, Counted};
+pub use transport::{ConnectError, CountedTransport, FRAME_MAX_BYTES, connect, transport};
--- /dev/null
+++ b/crates/quickstart/src/config.rs
@@ -0,0 +1,52 @@
+//! The configuration that the quickstart submits.
+
+use chalkrock_core::{FleetConfig, Organisation, Pool, PoolKind, key_digest};
+
+/// The model that the engines serve.
+pub const MODEL: &str = "stand-in-7b";
+/// The plain service.
+pub const SERVICE: &str = "finder";
+/// Organisations and their keys.
+pub const ORGANISATION_KEYS: [(&str, &str); 3] = [
+    ("dispatch", "key-dispatch"),
+    ("drivers", "key-drivers"),
+    ("roadside", "key-roadside"),
+];
+/// The operators' key.
+pub const OPERATOR_KEY: &str = "key-operator";
+/// The secret of this fleet.
+pub(crate) const FLEET_KEY: &str = "quickstart-fleet-key";
+/// The pool of engines.
+pub(crate) const POOL: &str = "chat";
+
+/// The first configuration.
+pub(crate) fn first_config() -> FleetConfig {
+    let organisations = ORGANISATION_KEYS
+        .iter()
+        .map(|(name, key)| Organisation {
+            name: (*name).into(),
+            weight: 1,
+            key_sha256: vec![key_digest(key)],
+        })
+        .collect();
+    let engines = Pool {
+        name: POOL.into(),
+        kind: PoolKind::Engines {
+            models: vec![MODEL.into()],
+        },
+        load_multiple: 1.25,
+        deadline_ms: 60_000,
+    };
+    let service = Pool {
+        name: SERVICE.into(),
+        kind: PoolKind::Service {
+            unsafe_to_repeat: false,
+        },
+        load_multiple: 1.25,
+        deadline_ms: 10_000,
+    };
+    FleetConfig {
+        organisations,
+        pools: vec![engines, service],
+    }
+}
--- /dev/null
+++ b/crates/router/src/api.rs
@@ -0,0 +1,145 @@
+//! The callers' API: routes, and what each request passes on entry.
+
+use std::sync::Arc;
+
+use axum::Json;
+use axum::Router;
+use axum::body::{Body, BodyDataStream};
+use axum::extract::State as Extract;
+use axum::http::{HeaderMap, StatusCode, Uri};
+use axum::response::{IntoResponse, Response};
+use axum::routing::{any, get, post};
+use bytes::{Bytes, BytesMut};
+use chalkrock_core::{OrganisationId, PoolKind, Reason, key_digest};
+use futures::StreamExt;
+use serde_json::json;
+
+use crate::chat;
+use crate::explain::Explanation;
+use crate::operators;
+use crate::refusal::Refusal;
+use crate::service_calls;
+use crate::state::State;
+use crate::view::RouterView;
+
+/// Bytes of a refused body that are read so that its caller gets the answer.
+const DISCARD_MAX_BYTES: usize = 16 * 1024 * 1024;
+
+/// The callers' routes.
+pub(crate) fn app(state: Arc<State>) -> Router {
+    Router::new()
+        .route("/v1/chat/completions", post(chat::chat))
+        .route("/v1/models", get(models))
+        .route("/services/{name}", any(service_calls::call))
+        .route("/services/{name}/{*path}", any(service_calls::call))
+        .route("/healthz", get(operators::health))
+        .route("/readyz", get(operators::ready))
+        .fallback(not_found)
+        .with_state(state)
+}
+
+/// What entry establishes.
+pub(crate) struct Entered {
+    pub(crate) view: Arc<RouterView>,
+    pub(crate) organisation: OrganisationId,
+}
+
+/// Admits a caller: the host serves, its view is recent, the key is known.
+pub(crate) async fn enter(
+    state: &State,
+    explanation: &mut Explanation,
+    headers: &HeaderMap,
+) -> Result<Entered, Refusal> {
+    if state.stop.is_asked() {
+        return Err(Refusal::new(
+            Reason::Leaving,
+            "this host is leaving, ask another one",
+        ));
+    }
+    let view = state.view.load_full();
+    if !view.is_complete() {
+        return Err(Refusal::new(
+            Reason::NoView,
+            "this host has no view of the fleet yet",
+        ));
+    }
+    let organisation = organisation_of(&view, headers)?;
+    explanation.organisation = Some(organisation.clone());
+    Ok(Entered { view, organisation })
+}
+
+fn organisation_of(view: &RouterView, headers: &HeaderMap) -> Result<OrganisationId, Refusal> {
+    let unknown = |detail: &str| Refusal::new(Reason::UnknownKey, detail);
+    let key = bearer(headers).ok_or_else(|| unknown("send Authorization: Bearer KEY"))?;
+    let digest = key_digest(key);
+    let organisation = view.config.organisation_of_key(&digest);
+    let organisation = organisation.ok_or_else(|| unknown("no organisation holds this key"))?;
+    Ok(organisation.name.clone())
+}
+
+/// The key of a request.
+pub(crate) fn bearer(headers: &HeaderMap) -> Option<&str> {
+    headers
+        .get("authorization")?
+        .to_str()
+        .ok()?
+        .strip_prefix("Bearer ")
+}
+
+/// Reads a body up to the limit.
+pub(crate) async fn body_of(state: &State, body: Body) -> Result<Bytes, Refusal> {
+    let limit = state.settings.body_max_bytes;
+    let mut chunks = body.into_data_stream();
+    let mut read = BytesMut::new();
+    while let Some(chunk) = chunks.next().await {
+        let broken = |_| Refusal::new(Reason::InvalidRequest, "the body broke off");
+        let chunk = chunk.map_err(broken)?;
+        if read.len() + chunk.len() > limit {
+            discard(chunks).await;
+            return Err(Refusal::new(
+                Reason::BodyTooLarge,
+                format!("at most {limit} bytes"),
+            ));
+        }
+        read.extend_from_slice(&chunk);
+    }
+    Ok(read.freeze())
+}
+
+/// Reads the rest of a refused body and forgets it. A caller that is still
+/// writing would else see a broken connection in place of its answer. What it
+/// sends past the bound is not worth the answer.
+pub(crate) async fn discard(mut chunks: BodyDataStream) {
+    let mut left_bytes = DISCARD_MAX_BYTES;
+    while let Some(Ok(chunk)) = chunks.next().await {
+        left_bytes = left_bytes.saturating_sub(chunk.len());
+        if left_bytes == 0 {
+            return;
+        }
+    }
+}
+
+async fn models(Extract(state): Extract<Arc<State>>, headers: HeaderMap) -> Response {
+    let request = state.request_id();
+    let view = state.view.load_full();
+    if let Err(refusal) = organisation_of(&view, &headers) {
+        return refusal.into_answer(&request);
+    }
+    let mut data = Vec::new();
+    for pool in &view.config.pools {
+        if let PoolKind::Engines { models } = &pool.kind {
+            data.extend(
+                models
+                    .iter()
+                    .map(|model| json!({"id": model, "object": "model", "owned_by": pool.name})),
+            );
+        }
+    }
+    Json(json!({"object": "list", "data": data})).into_response()
+}
+
+async fn not_found(uri: Uri) -> Response {
+    let message = format!("nothing at {}", uri.path());
+    let body = json!({"error": {"type": "not-found", "message": message, "outcome": "not-run"}});
+    (StatusCode::NOT_FOUND, Json(body)).into_response()
+}
--- /dev/null
+++ b/crates/router/src/chat.rs
@@ -0,0 +1,371 @@
+//! `POST /v1/chat/completions`: one chat request from entry to answer.
+
+use std::sync::Arc;
+
+use axum::body::Body;
+use axum::extract::State as Extract;
+use axum::http::{HeaderMap, HeaderValue};
+use axum::response::sse::{KeepAlive, Sse};
+use axum::response::{IntoResponse, Response};
+use bytes::Bytes;
+use chalkrock_core::rendezvous::{KeyHash, first};
+use chalkrock_core::{Endpoint, HomeHint, OrganisationId, Outcome, Pool, Reason, StreamPlace};
+use reqwest::Method;
+use serde::Deserialize;
+use tokio::time::Instant;
+use tracing::Instrument;
+
+use crate::api::{Entered, body_of, discard, enter};
+use crate::dispatch::{Attempt, send};
+use crate::explain::{Candidate, CandidateRole, Explanation};
+use crate::refusal::{Refusal, mark};
+use crate::relay::Relay;
+use crate::state::State;
+use crate::view::ViewEndpoint;
+
+/// The affinity hint, in both directions.
+const AFFINITY: &str = "chalkrock-affinity";
+const CHAT_PATH: &str = "/v1/chat/completions";
+/// Endpoints tried for one request while none has started it.
+const ATTEMPTS_MAX: usize = 3;
+
+/// What the router reads of a chat request. The engine gets the body as the
+/// caller sent it.
+#[derive(Debug, Deserialize)]
+struct ChatRequest {
+    model: String,
+    messages: Vec<Message>,
+    #[serde(default)]
+    stream: bool,
+}
+
+#[derive(Debug, Deserialize)]
+struct Message {
+    #[serde(default)]
+    content: serde_json::Value,
+}
+
+/// Handles a chat request.
+pub(crate) async fn chat(
+    Extract(state): Extract<Arc<State>>,
+    headers: HeaderMap,
+    body: Body,
+) -> Response {
+    let span = tracing::info_span!("chat");
+    chalkrock_process::remote_parent(&span, &headers);
+    let request = state.request_id();
+    let mut explanation = Explanation::new(request.clone(), chalkrock_process::trace_id(&span));
+    let served = serve(&state, &mut explanation, &headers, body)
+        .instrument(span)
+        .await;
+    match served {
+        Ok(Served::Stream {
+            endpoint,
+            place,
+            response,
+            from,
+            home,
+        }) => {
+            let relay = Relay::new(state, explanation, *endpoint, place, response, from);
+            let events = Sse::new(relay.into_events()).keep_alive(KeepAlive::default());
+            let mut answer = events.into_response();
+            mark(answer.headers_mut(), &request, Outcome::Ran);
+            answer.headers_mut().insert(AFFINITY, home);
+            answer
+        }
+        Ok(Served::Whole { response, home }) => {
+            let mut answer = response;
+            mark(answer.headers_mut(), &request, Outcome::Ran);
+            answer.headers_mut().insert(AFFINITY, home);
+            state.record(explanation, Outcome::Ran, None);
+            answer
+        }
+        Err(refusal) => {
+            state.record(explanation, refusal.reason.outcome(), Some(refusal.reason));
+            refusal.into_answer(&request)
+        }
+    }
+}
+
+/// An endpoint's answer that is ready to be passed on.
+enum Served {
+    Stream {
+        endpoint: Box<Endpoint>,
+        place: String,
+        response: reqwest::Response,
+        from: u64,
+        home: HeaderValue,
+    },
+    Whole {
+        response: Response,
+        home: HeaderValue,
+    },
+}
+
+async fn serve(
+    state: &Arc<State>,
+    explanation: &mut Explanation,
+    headers: &HeaderMap,
+    body: Body,
+) -> Result<Served, Refusal> {
+    let entered = match enter(state, explanation, headers).await {
+        Ok(entered) => entered,
+        Err(refusal) => {
+            discard(body.into_data_stream()).await;
+            return Err(refusal);
+        }
+    };
+    let body = body_of(state, body).await?;
+    let chat: ChatRequest = serde_json::from_slice(&body)
+        .map_err(|error| Refusal::new(Reason::InvalidRequest, error.to_string()))?;
+    let pool = entered.view.config.pool_of_model(&chat.model);
+    let pool = pool.ok_or_else(|| {
+        Refusal::new(
+            Reason::UnknownModel,
+            format!("no pool serves {:?}", chat.model),
+        )
+    })?;
+    explanation.pool = Some(pool.name.clone());
+    if let Some(last) = headers.get("last-event-id") {
+        return resume(state, explanation, &entered, last).await;
+    }
+    let home = home_of(state, headers, &entered.organisation)?;
+    let (endpoint, response) = dispatch(
+        state,
+        explanation,
+        &entered,
+        pool,
+        chat_key(&entered, &chat),
+        home,
+        body,
+    )
+    .await?;
+    pass_on(
+        state,
+        explanation,
+        &entered,
+        endpoint,
+        response,
+        chat.stream,
+    )
+    .await
+}
+
+/// A chat is known by its first words: they stay while it grows.
+fn chat_key(entered: &Entered, chat: &ChatRequest) -> KeyHash {
+    const FIRST_MESSAGES: usize = 2;
+    let mut text = format!("{}\n{}\n", entered.organisation, chat.model);
+    for message in chat
+        .messages
+        .iter()
+        .take(FIRST_MESSAGES.min(chat.messages.len()))
+    {
+        text.push_str(&message.content.to_string());
+    }
+    KeyHash::of(text.as_bytes())
+}
+
+/// The home that the caller's hint names. A hint is only a hint: one that
+/// can't be read is an error of the caller's, told at once.
+fn home_of(
+    state: &State,
+    headers: &HeaderMap,
+    caller: &OrganisationId,
+) -> Result<Option<HomeHint>, Refusal> {
+    let Some(hint) = headers.get(AFFINITY) else {
+        return Ok(None);
+    };
+    let refused = |error: String| Refusal::new(Reason::TokenRefused, error);
+    let hint = hint.to_str().map_err(|error| refused(error.to_string()))?;
+    let home = state.tokens.read_home(hint, caller);
+    home.map(Some).map_err(|error| refused(error.to_string()))
+}
+
+/// Chooses an endpoint and sends, on to another one while none has started.
+async fn dispatch(
+    state: &State,
+    explanation: &mut Explanation,
+    entered: &Entered,
+    pool: &Pool,
+    key: KeyHash,
+    home: Option<HomeHint>,
+    body: Bytes,
+) -> Result<(Endpoint, reqwest::Response), Refusal> {
+    let mut live: Vec<&ViewEndpoint> = entered.view.live_in(&pool.name).iter().collect();
+    let mut refusal = Refusal::new(
+        Reason::NoEndpoint,
+        format!("{} has no live engine", pool.name),
+    );
+    let mut hinted = home.map(|home| home.endpoint);
+    for attempt in 0..ATTEMPTS_MAX {
+        let hint = hinted.take();
+        let at_hint = live
+            .iter()
+            .position(|e| Some(&e.endpoint.name) == hint.as_ref());
+        let ranked = || {
+            first(
+                key,
+                live.iter().map(|e| (e.hash, f64::from(e.endpoint.slots))),
+            )
+        };
+        let Some(chosen) = at_hint.or_else(ranked) else {
+            break;
+        };
+        let chosen = live.remove(chosen);
+        let role = match (attempt, at_hint) {
+            (0, Some(_)) => CandidateRole::Hint,
+            (0, None) => CandidateRole::FirstRank,
+            _ => CandidateRole::Retry,
+        };
+        let start = Instant::now();
+        let sent = send(
+            state,
+            Attempt {
+                request: &explanation.request,
+                endpoint: &chosen.endpoint,
+                method: Method::POST,
+                path: CHAT_PATH,
+                headers: json_headers(),
+                body: body.clone(),
+            },
+        );
+        let sent = sent.await;
+        explanation.hop("dispatch", start);
+        let answer = sent
+            .as_ref()
+            .map_or_else(|refusal| refusal.reason.code(), |_| "answered");
+        let endpoint = chosen.endpoint.name.clone();
+        explanation.candidates.push(Candidate {
+            endpoint,
+            role,
+            answer,
+            in_progress: None,
+        });
+        match sent {
+            Ok(response) => {
+                explanation.chosen = Some(chosen.endpoint.name.clone());
+                return Ok((chosen.endpoint.clone(), response));
+            }
+            Err(failed) if failed.reason.outcome() == Outcome::NotRun => refusal = failed,
+            Err(failed) => return Err(failed),
+        }
+    }
+    Err(refusal)
+}
+
+fn json_headers() -> HeaderMap {
+    let mut headers = HeaderMap::new();
+    headers.insert("content-type", HeaderValue::from_static("application/json"));
+    headers
+}
+
+/// Turns the endpoint's answer into the caller's.
+async fn pass_on(
+    state: &State,
+    explanation: &mut Explanation,
+    entered: &Entered,
+    endpoint: Endpoint,
+    response: reqwest::Response,
+    stream: bool,
+) -> Result<Served, Refusal> {
+    let hint = HomeHint {
+        organisation: entered.organisation.clone(),
+        endpoint: endpoint.name.clone(),
+    };
+    let home = HeaderValue::from_str(&state.tokens.sign_home(&hint))
+        .unwrap_or_else(|_| HeaderValue::from_static(""));
+    if stream && response.status().is_success() {
+        let place = state.tokens.sign_place(&StreamPlace {
+            organisation: entered.organisation.clone(),
+            request: explanation.request.clone(),
+            endpoint: endpoint.name.clone(),
+        });
+        return Ok(Served::Stream {
+            endpoint: Box::new(endpoint),
+            place,
+            response,
+            from: 0,
+            home,
+        });
+    }
+    let start = Instant::now();
+    let status = response.status();
+    let lost = |_| {
+        Refusal::new(
+            Reason::EndpointLost,
+            format!("{} stopped answering", endpoint.name),
+        )
+    };
+    let body = response.bytes().await.map_err(lost)?;
+    explanation.hop("answer", start);
+    if serde_json::from_slice::<serde::de::IgnoredAny>(&body).is_err() {
+        let detail = format!("{}: the answer is not JSON", endpoint.name);
+        return Err(Refusal::new(Reason::EndpointGarbage, detail));
+    }
+    let response = (status, [("content-type", "application/json")], body).into_response();
+    Ok(Served::Whole { response, home })
+}
+
+/// Goes on with a stream that another router began.
+async fn resume(
+    state: &State,
+    explanation: &mut Explanation,
+    entered: &Entered,
+    last: &HeaderValue,
+) -> Result<Served, Refusal> {
+    let refused = |detail: &str| Refusal::new(Reason::TokenRefused, detail);
+    let last = last
+        .to_str()
+        .map_err(|_| refused("Last-Event-ID is not text"))?;
+    let (number, token) = last
+        .split_once('.')
+        .ok_or_else(|| refused("Last-Event-ID is not one of ours"))?;
+    let number: u64 = number
+        .parse()
+        .map_err(|_| refused("Last-Event-ID has no number"))?;
+    let place = state
+        .tokens
+        .read_place(token, &entered.organisation)
+        .map_err(|error| refused(&error.to_string()))?;
+    let listed = entered
+        .view
+        .hosts
+        .endpoints
+        .iter()
+        .find(|e| e.name == place.endpoint);
+    let endpoint = listed
+        .cloned()
+        .ok_or_else(|| Refusal::new(Reason::EndpointLost, format!("{} is gone", place.endpoint)))?;
+    let from = number + 1;
+    // The stream keeps the id under which the engine knows it.
+    explanation.request = place.request.clone();
+    explanation.chosen = Some(endpoint.name.clone());
+    let path = format!("/v1/streams/{}?offset={from}", place.request);
+    let attempt = Attempt {
+        request: &place.request,
+        endpoint: &endpoint,
+        method: Method::GET,
+        path: &path,
+        headers: HeaderMap::new(),
+        body: Bytes::new(),
+    };
+    let response = send(state, attempt).await?;
+    if !response.status().is_success() {
+        let detail = format!("{} no longer has the stream", endpoint.name);
+        return Err(Refusal::new(Reason::EndpointLost, detail));
+    }
+    let hint = HomeHint {
+        organisation: entered.organisation.clone(),
+        endpoint: endpoint.name.clone(),
+    };
+    let home = HeaderValue::from_str(&state.tokens.sign_home(&hint))
+        .unwrap_or_else(|_| HeaderValue::from_static(""));
+    let token = token.to_owned();
+    Ok(Served::Stream {
+        endpoint: Box::new(endpoint),
+        place: token,
+        response,
+        from,
+        home,
+    })
+}
--- /dev/null
+++ b/crates/router/src/lib.rs
@@ -0,0 +1,36 @@
+//! Serves callers: decides, dispatches, streams and explains.
+//!
+//! A router takes chat completions and calls of plain services, chooses an
+//! endpoint by the decisions of `chalkrock-core`, and passes the answer on.
+//! Its view of the fleet comes from the agent beside it.
+//!
+//! # Example
+//!
+//! ```no_run
+//! use chalkrock_router::{RouterSettings, start_router};
+//!
+//! # async fn start() -> eyre::Result<()> {
+//! let settings: RouterSettings = chalkrock_process::load_settings("router.yaml".as_ref())?;
+//! let router = start_router(settings).await?;
+//! println!("callers connect to {}", router.address());
+//! # Ok(())
+//! # }
+//! ```
+
+mod api;
+mod chat;
+mod dispatch;
+mod explain;
+mod follow;
+mod operators;
+mod refusal;
+mod relay;
+mod service_calls;
+mod settings;
+mod start;
+mod state;
+mod view;
+
+pub use explain::{Candidate, Explanation, Hop};
+pub use settings::RouterSettings;
+pub use start::{RunningRouter, start_router};
--- /dev/null
+++ b/crates/router/src/operators.rs
@@ -0,0 +1,86 @@
+//! The operators' port: health, readiness, metrics, explanations.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::Json;
+use axum::Router;
+use axum::extract::{Path, State as Extract};
+use axum::http::{HeaderMap, StatusCode};
+use axum::response::{IntoResponse, Response};
+use axum::routing::get;
+use chalkrock_core::{RequestId, key_digest};
+
+use crate::api::bearer;
+use crate::explain::Lookup;
+use crate::refusal::operator_error;
+use crate::state::State;
+
+/// A router whose agent is away longer than this is not ready.
+const AGENT_AWAY_MAX: Duration = Duration::from_secs(30);
+
+pub(crate) fn app(state: Arc<State>) -> Router {
+    Router::new()
+        .route("/healthz", get(health))
+        .route("/readyz", get(ready))
+        .route("/metrics", get(metrics))
+        .route("/debug/requests/{id}", get(explain))
+        .with_state(state)
+}
+
+/// The process answers.
+pub(crate) async fn health() -> &'static str {
+    "ok"
+}
+
+/// The balancer may send callers here.
+pub(crate) async fn ready(Extract(state): Extract<Arc<State>>) -> (StatusCode, &'static str) {
+    let unavailable = StatusCode::SERVICE_UNAVAILABLE;
+    let view = state.view.load();
+    if state.stop.is_asked() {
+        return (unavailable, "leaving");
+    }
+    if !view.is_complete() {
+        return (unavailable, "no view yet");
+    }
+    if view.confirmed_at.elapsed() > AGENT_AWAY_MAX {
+        return (unavailable, "agent away");
+    }
+    (StatusCode::OK, "ready")
+}
+
+async fn metrics(Extract(state): Extract<Arc<State>>) -> String {
+    let version = state.view.load().config_version;
+    state.metrics.gauge("config_version", "", version.0 as f64);
+    state.metrics.render()
+}
+
+async fn explain(
+    Extract(state): Extract<Arc<State>>,
+    Path(id): Path<String>,
+    headers: HeaderMap,
+) -> Response {
+    let known = |key: &str| {
+        state
+            .settings
+            .operator_key_sha256
+            .contains(&key_digest(key))
+    };
+    if !bearer(&headers).is_some_and(known) {
+        return operator_error(
+            StatusCode::UNAUTHORIZED,
+            "send Authorization: Bearer OPERATOR_KEY",
+        );
+    }
+    match state.recorder.ask(Lookup(RequestId::new(id))).await {
+        Ok(Some(explanation)) => Json(&*explanation).into_response(),
+        Ok(None) => operator_error(
+            StatusCode::NOT_FOUND,
+            "no such request is kept on this host",
+        ),
+        Err(_) => operator_error(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "the recorder does not answer",
+        ),
+    }
+}
--- /dev/null
+++ b/crates/router/src/refusal.rs
@@ -0,0 +1,88 @@
+//! Final answers that are not an endpoint's: typed JSON errors, sent at once.
+
+use axum::Json;
+use axum::http::{HeaderValue, StatusCode};
+use axum::response::{IntoResponse, Response};
+use chalkrock_core::{Outcome, Reason, RequestId};
+use serde::Serialize;
+
+/// The header that names a request.
+pub(crate) const REQUEST_ID: &str = "x-request-id";
+/// The header that tells whether the request ran.
+pub(crate) const OUTCOME: &str = "chalkrock-outcome";
+
+/// A final answer without an endpoint's answer.
+#[derive(Clone, Debug)]
+pub(crate) struct Refusal {
+    pub(crate) reason: Reason,
+    pub(crate) detail: String,
+}
+
+#[derive(Debug, Serialize)]
+struct Body<'a> {
+    error: BodyError<'a>,
+}
+
+#[derive(Debug, Serialize)]
+struct BodyError<'a> {
+    #[serde(rename = "type")]
+    kind: &'static str,
+    message: &'a str,
+    outcome: Outcome,
+    request_id: &'a str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    retry_after_s: Option<u32>,
+}
+
+impl Refusal {
+    pub(crate) fn new(reason: Reason, detail: impl Into<String>) -> Self {
+        Self {
+            reason,
+            detail: detail.into(),
+        }
+    }
+
+    /// The JSON body, the same in an answer and in a stream's last event.
+    pub(crate) fn body(&self, request: &RequestId) -> String {
+        let body = Body {
+            error: BodyError {
+                kind: self.reason.code(),
+                message: &self.detail,
+                outcome: self.reason.outcome(),
+                request_id: request.as_str(),
+                retry_after_s: self.reason.retry_after_s(),
+            },
+        };
+        serde_json::to_string(&body).unwrap_or_default()
+    }
+
+    /// The whole answer.
+    pub(crate) fn into_answer(self, request: &RequestId) -> Response {
+        let status = StatusCode::from_u16(self.reason.status());
+        let status = status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+        let body = self.body(request);
+        let mut response = (status, [("content-type", "application/json")], body).into_response();
+        let headers = response.headers_mut();
+        if let Some(seconds) = self.reason.retry_after_s() {
+            headers.insert("retry-after", HeaderValue::from(seconds));
+        }
+        mark(headers, request, self.reason.outcome());
+        response
+    }
+}
+
+/// Names the request and its outcome in an answer's headers.
+pub(crate) fn mark(headers: &mut axum::http::HeaderMap, request: &RequestId, outcome: Outcome) {
+    if let Ok(id) = HeaderValue::from_str(request.as_str()) {
+        headers.insert(REQUEST_ID, id);
+    }
+    if let Ok(outcome) = HeaderValue::from_str(&outcome.to_string()) {
+        headers.insert(OUTCOME, outcome);
+    }
+}
+
+/// A typed JSON error of the operators' port.
+pub(crate) fn operator_error(status: StatusCode, message: &str) -> Response {
+    let body = serde_json::json!({"error": {"type": "operator", "message": message}});
+    (status, Json(body)).into_response()
+}
--- /dev/null
+++ b/crates/router/src/relay.rs
@@ -0,0 +1,297 @@
+//! Passes an engine's stream on to the caller: in order, whole, and its own.
+//!
+//! Events carry their number. A repeat is dropped; a gap or a break is closed
+//! by asking the same engine for the stream again from the first missing
+//! event. What can't be closed ends with an error event, never with `[DONE]`.
+
+use std::convert::Infallible;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::response::sse::Event;
+use bytes::Bytes;
+use chalkrock_core::{Arrival, Endpoint, Outcome, Reason, StreamOrder};
+use eventsource_stream::{Event as SourceEvent, EventStreamError, Eventsource};
+use futures::{Stream, StreamExt};
+use reqwest::{Method, Response};
+use serde::Deserialize;
+use serde_json::json;
+use tokio::time::Instant;
+
+use crate::dispatch::{Attempt, send};
+use crate::explain::{Explanation, Record};
+use crate::refusal::Refusal;
+use crate::state::State;
+
+/// The end of an OpenAI-style stream.
+const DONE: &str = "[DONE]";
+/// How often one stream is asked for again.
+const RESUMES_MAX: u32 = 3;
+/// Pause before a stream is asked for again.
+const RESUME_PAUSE: Duration = Duration::from_millis(20);
+/// Longest event that is passed on.
+const EVENT_MAX_BYTES: usize = 1024 * 1024;
+
+type SourceError = EventStreamError<reqwest::Error>;
+type Source = Pin<Box<dyn Stream<Item = Result<SourceEvent, SourceError>> + Send>>;
+
+/// A stream on its way to the caller. Dropped before its end, the caller went
+/// away: the engine's connection closes with it, and the engine cancels.
+pub(crate) struct Relay {
+    state: Arc<State>,
+    explanation: Option<Explanation>,
+    endpoint: Endpoint,
+    /// The token that lets another router go on; part of each event's id.
+    place: String,
+    source: Source,
+    order: StreamOrder,
+    resumes: u32,
+    started_at: Instant,
+    first_event: bool,
+    phase: Phase,
+}
+
+enum Phase {
+    Streaming,
+    Closing,
+    Ended,
+}
+
+/// What the relay reads of a chunk.
+#[derive(Deserialize)]
+struct Chunk {
+    usage: Option<Usage>,
+}
+
+#[derive(Deserialize)]
+struct Usage {
+    prompt_tokens_details: Option<PromptDetails>,
+}
+
+#[derive(Deserialize)]
+struct PromptDetails {
+    cached_tokens: Option<u64>,
+}
+
+/// How one event from the engine is handled.
+enum Step {
+    Send(Event),
+    Skip,
+    Resume,
+    Fail(Refusal),
+}
+
+fn source_of(response: Response) -> Source {
+    Box::pin(response.bytes_stream().eventsource())
+}
+
+impl Relay {
+    pub(crate) fn new(
+        state: Arc<State>,
+        explanation: Explanation,
+        endpoint: Endpoint,
+        place: String,
+        response: Response,
+        from: u64,
+    ) -> Self {
+        Self {
+            state,
+            explanation: Some(explanation),
+            endpoint,
+            place,
+            source: source_of(response),
+            order: StreamOrder::starting_at(from),
+            resumes: 0,
+            started_at: Instant::now(),
+            first_event: true,
+            phase: Phase::Streaming,
+        }
+    }
+
+    /// The events for the caller.
+    pub(crate) fn into_events(self) -> impl Stream<Item = Result<Event, Infallible>> {
+        futures::stream::unfold(self, |mut relay| async move {
+            let event = relay.next().await?;
+            Some((Ok(event), relay))
+        })
+    }
+
+    async fn next(&mut self) -> Option<Event> {
+        match self.phase {
+            Phase::Streaming => {}
+            Phase::Closing => {
+                self.phase = Phase::Ended;
+                self.finish(Outcome::Ran, None);
+                return Some(Event::default().data(DONE));
+            }
+            Phase::Ended => return None,
+        }
+        loop {
+            let step = match self.source.next().await {
+                Some(Ok(event)) => self.take(event),
+                Some(Err(_)) | None => Step::Resume,
+            };
+            match step {
+                Step::Send(event) => return Some(event),
+                Step::Skip => {}
+                Step::Resume => {
+                    if let Err(refusal) = self.resume().await {
+                        return Some(self.fail(refusal));
+                    }
+                }
+                Step::Fail(refusal) => return Some(self.fail(refusal)),
+            }
+        }
+    }
+
+    fn take(&mut self, event: SourceEvent) -> Step {
+        if event.data == DONE {
+            self.phase = Phase::Closing;
+            return Step::Send(self.outcome_event());
+        }
+        if event.data.len() > EVENT_MAX_BYTES {
+            return self.garbage("an event is too long");
+        }
+        let Ok(number) = event.id.parse::<u64>() else {
+            return self.garbage("an event has no number");
+        };
+        match self.order.arrive(number) {
+            Arrival::Forward => {}
+            Arrival::Repeat => return Step::Skip,
+            Arrival::Gap { .. } => return Step::Resume,
+        }
+        let Ok(chunk) = serde_json::from_str::<Chunk>(&event.data) else {
+            return self.garbage("an event is not JSON");
+        };
+        self.note(chunk);
+        let id = format!("{number}.{}", self.place);
+        Step::Send(Event::default().id(id).data(event.data))
+    }
+
+    fn note(&mut self, chunk: Chunk) {
+        let Some(explanation) = &mut self.explanation else {
+            return;
+        };
+        if self.first_event {
+            self.first_event = false;
+            explanation.hop("first event", self.started_at);
+            let pool = explanation.pool.as_ref().map_or("", |pool| pool.as_str());
+            let labels = format!("pool=\"{pool}\"");
+            let latency = explanation.entered_at().elapsed();
+            self.state.metrics.latency("first_event", &labels, latency);
+        }
+        let details = chunk.usage.and_then(|usage| usage.prompt_tokens_details);
+        if let Some(cached) = details.and_then(|details| details.cached_tokens) {
+            explanation.cached_tokens = Some(cached);
+        }
+    }
+
+    fn garbage(&self, what: &str) -> Step {
+        let detail = format!("{}: {what}", self.endpoint.name);
+        Step::Fail(Refusal::new(Reason::EndpointGarbage, detail))
+    }
+
+    /// Asks the engine for the stream again, from the first missing event.
+    async fn resume(&mut self) -> Result<(), Refusal> {
+        let lost = || {
+            let detail = format!("{} stopped in the stream", self.endpoint.name);
+            Refusal::new(Reason::EndpointLost, detail)
+        };
+        let Some(explanation) = &mut self.explanation else {
+            return Err(lost());
+        };
+        while self.resumes < RESUMES_MAX {
+            self.resumes += 1;
+            let start = Instant::now();
+            let path = format!(
+                "/v1/streams/{}?offset={}",
+                explanation.request,
+                self.order.next()
+            );
+            let attempt = Attempt {
+                request: &explanation.request,
+                endpoint: &self.endpoint,
+                method: Method::GET,
+                path: &path,
+                headers: Default::default(),
+                body: Bytes::new(),
+            };
+            let answer = send(&self.state, attempt).await;
+            explanation.hop("resume", start);
+            match answer {
+                Ok(response) if response.status().is_success() => {
+                    self.source = source_of(response);
+                    return Ok(());
+                }
+                _ => tokio::time::sleep(RESUME_PAUSE).await,
+            }
+        }
+        Err(lost())
+    }
+
+    /// Tells the outcome in a chunk without choices, as clients know from
+    /// the usage chunk.
+    fn outcome_event(&self) -> Event {
+        let request = self.explanation.as_ref().map_or("", |e| e.request.as_str());
+        let chunk = json!({
+            "id": request,
+            "object": "chat.completion.chunk",
+            "choices": [],
+            "chalkrock": {"outcome": Outcome::Ran},
+        });
+        Event::default().data(chunk.to_string())
+    }
+
+    fn fail(&mut self, refusal: Refusal) -> Event {
+        self.phase = Phase::Ended;
+        let request = self.explanation.as_ref().map(|e| e.request.clone());
+        let body = request.map_or_else(String::new, |request| refusal.body(&request));
+        self.finish(refusal.reason.outcome(), Some(refusal.reason));
+        Event::default().data(body)
+    }
+
+    fn finish(&mut self, outcome: Outcome, reason: Option<Reason>) {
+        if let Some(mut explanation) = self.explanation.take() {
+            explanation.hop("stream", self.started_at);
+            self.state.record(explanation, outcome, reason);
+        }
+    }
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        // The caller went away. What ran, ran.
+        self.finish(Outcome::Ran, None);
+    }
+}
+
+impl State {
+    /// Keeps a request's explanation and counts its end.
+    pub(crate) fn record(
+        &self,
+        mut explanation: Explanation,
+        outcome: Outcome,
+        reason: Option<Reason>,
+    ) {
+        explanation.outcome = Some(outcome);
+        explanation.reason = reason;
+        let pool = explanation
+            .pool
+            .as_ref()
+            .map_or("none", |pool| pool.as_str());
+        let reason = reason.map_or("none", Reason::code);
+        let labels = format!("pool=\"{pool}\",outcome=\"{outcome}\",reason=\"{reason}\"");
+        self.metrics.count("requests_total", &labels, 1);
+        let organisation = explanation
+            .organisation
+            .as_ref()
+            .map_or("none", |o| o.as_str());
+        let labels = format!("organisation=\"{organisation}\"");
+        self.metrics
+            .count("organisation_requests_total", &labels, 1);
+        if let Err(error) = self.recorder.tell(Record(explanation)).try_send() {
+            log::debug!(target: "router.explain", "Explanation dropped: {error}.");
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/service_calls.rs
@@ -0,0 +1,171 @@
+//! `/services/{name}/{path}`: calls of plain services.
+
+use std::sync::Arc;
+
+use axum::body::Body;
+use axum::extract::{Path, Request, State as Extract};
+use axum::http::HeaderMap;
+use axum::response::Response;
+use bytes::Bytes;
+use chalkrock_core::rendezvous::{KeyHash, first};
+use chalkrock_core::{Outcome, PoolKind, Reason, RequestId};
+use tokio::time::Instant;
+use tracing::Instrument;
+
+use crate::api::{body_of, discard, enter};
+use crate::dispatch::{Attempt, send};
+use crate::explain::{Candidate, CandidateRole, Explanation};
+use crate::refusal::{Refusal, mark};
+use crate::state::State;
+use crate::view::ViewEndpoint;
+
+/// Endpoints tried for one call while none has started it.
+const ATTEMPTS_MAX: usize = 3;
+/// Headers that end at the router: they speak of one connection, or carry the
+/// caller's key.
+const NOT_PASSED_ON: [&str; 9] = [
+    "authorization",
+    "connection",
+    "content-length",
+    "expect",
+    "host",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Handles a call.
+pub(crate) async fn call(
+    Extract(state): Extract<Arc<State>>,
+    Path(parts): Path<Vec<String>>,
+    call: Request,
+) -> Response {
+    let span = tracing::info_span!("service call");
+    chalkrock_process::remote_parent(&span, call.headers());
+    let request = state.request_id();
+    let mut explanation = Explanation::new(request.clone(), chalkrock_process::trace_id(&span));
+    let name = parts.first().map_or("", String::as_str);
+    let served = serve(&state, &mut explanation, name, call)
+        .instrument(span)
+        .await;
+    match served {
+        Ok(mut answer) => {
+            mark(answer.headers_mut(), &request, Outcome::Ran);
+            state.record(explanation, Outcome::Ran, None);
+            answer
+        }
+        Err(refusal) => {
+            state.record(explanation, refusal.reason.outcome(), Some(refusal.reason));
+            refusal.into_answer(&request)
+        }
+    }
+}
+
+async fn serve(
+    state: &State,
+    explanation: &mut Explanation,
+    name: &str,
+    call: Request,
+) -> Result<Response, Refusal> {
+    let (head, body) = call.into_parts();
+    let entered = match enter(state, explanation, &head.headers).await {
+        Ok(entered) => entered,
+        Err(refusal) => {
+            discard(body.into_data_stream()).await;
+            return Err(refusal);
+        }
+    };
+    let pool = entered.view.config.pool_of_service(name);
+    let pool =
+        pool.ok_or_else(|| Refusal::new(Reason::UnknownService, format!("no service {name:?}")))?;
+    explanation.pool = Some(pool.name.clone());
+    let body = body_of(state, body).await?;
+    let prefix = format!("/services/{name}");
+    let whole = head.uri.path_and_query().map_or("/", |path| path.as_str());
+    let path = whole
+        .strip_prefix(&prefix)
+        .filter(|path| path.starts_with('/'))
+        .unwrap_or("/");
+    let repeat_safe = match pool.kind {
+        PoolKind::Service { unsafe_to_repeat } => !unsafe_to_repeat && head.method.is_idempotent(),
+        PoolKind::Engines { .. } => false,
+    };
+    let mut live: Vec<&ViewEndpoint> = entered.view.live_in(&pool.name).iter().collect();
+    let mut refusal = Refusal::new(Reason::NoEndpoint, format!("{name} has no live replica"));
+    for attempt in 0..ATTEMPTS_MAX {
+        let key = KeyHash::of(explanation.request.as_str().as_bytes());
+        let Some(chosen) = first(key, live.iter().map(|e| (e.hash, 1.0))) else {
+            break;
+        };
+        let chosen = live.remove(chosen);
+        let role = if attempt == 0 {
+            CandidateRole::FirstRank
+        } else {
+            CandidateRole::Retry
+        };
+        let start = Instant::now();
+        let one = Attempt {
+            request: &explanation.request,
+            endpoint: &chosen.endpoint,
+            method: head.method.clone(),
+            path,
+            headers: passed_on(&head.headers),
+            body: body.clone(),
+        };
+        let sent = send(state, one).await;
+        explanation.hop("dispatch", start);
+        let answer = sent
+            .as_ref()
+            .map_or_else(|refusal| refusal.reason.code(), |_| "answered");
+        let endpoint = chosen.endpoint.name.clone();
+        explanation.candidates.push(Candidate {
+            endpoint,
+            role,
+            answer,
+            in_progress: None,
+        });
+        match sent {
+            Ok(response) => {
+                explanation.chosen = Some(chosen.endpoint.name.clone());
+                return whole_answer(&explanation.request, response).await;
+            }
+            Err(failed) if failed.reason.outcome() == Outcome::NotRun || repeat_safe => {
+                refusal = failed;
+            }
+            Err(failed) => return Err(failed),
+        }
+    }
+    Err(refusal)
+}
+
+fn passed_on(headers: &HeaderMap) -> HeaderMap {
+    let mut passed = headers.clone();
+    for name in NOT_PASSED_ON {
+        passed.remove(name);
+    }
+    passed
+}
+
+/// The service's answer, read whole before the caller gets its first byte: so
+/// that the outcome in the head is true.
+async fn whole_answer(
+    request: &RequestId,
+    response: reqwest::Response,
+) -> Result<Response, Refusal> {
+    let status = response.status();
+    let mut headers = response.headers().clone();
+    for name in NOT_PASSED_ON {
+        headers.remove(name);
+    }
+    let body: Bytes = response.bytes().await.map_err(|_| {
+        Refusal::new(
+            Reason::EndpointLost,
+            format!("the answer to {request} broke off"),
+        )
+    })?;
+    let mut answer = Response::new(Body::from(body));
+    *answer.status_mut() = status;
+    *answer.headers_mut() = headers;
+    Ok(answer)
+}
--- /dev/null
+++ b/crates/router/src/state.rs
@@ -0,0 +1,65 @@
+//! What all requests of a router share.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use arc_swap::ArcSwap;
+use chalkrock_core::{RequestId, TokenKey, key_digest};
+use chalkrock_process::{Metrics, Stop};
+use kameo::actor::{ActorRef, Spawn};
+
+use crate::explain::Recorder;
+use crate::settings::RouterSettings;
+use crate::view::RouterView;
+
+/// Idle connections kept to each endpoint.
+const IDLE_CONNECTIONS: usize = 256;
+/// How long connecting to an endpoint may take.
+const CONNECT_TIMEOUT: std::time::Duration = std::time::Duration::from_secs(1);
+
+pub(crate) struct State {
+    pub(crate) settings: RouterSettings,
+    pub(crate) fleet_key_sha256: Arc<str>,
+    pub(crate) tokens: TokenKey,
+    pub(crate) view: ArcSwap<RouterView>,
+    pub(crate) endpoints: reqwest::Client,
+    pub(crate) recorder: ActorRef<Recorder>,
+    pub(crate) metrics: Metrics,
+    pub(crate) stop: Stop,
+    next_request: AtomicU64,
+    life: u64,
+}
+
+impl State {
+    pub(crate) fn new(settings: RouterSettings, stop: Stop) -> eyre::Result<Self> {
+        let endpoints = reqwest::Client::builder()
+            .no_proxy()
+            .tcp_nodelay(true)
+            .pool_max_idle_per_host(IDLE_CONNECTIONS)
+            .connect_timeout(CONNECT_TIMEOUT)
+            .redirect(reqwest::redirect::Policy::none())
+            .build()?;
+        Ok(Self {
+            fleet_key_sha256: key_digest(&settings.fleet_key).into(),
+            tokens: TokenKey::new(settings.fleet_key.as_bytes()),
+            view: ArcSwap::from_pointee(RouterView::empty()),
+            endpoints,
+            recorder: Recorder::spawn(settings.explanations_kept),
+            metrics: Metrics::default(),
+            stop,
+            next_request: AtomicU64::new(0),
+            life: uuid::Uuid::new_v4().as_u64_pair().0,
+            settings,
+        })
+    }
+
+    /// A request id that names the host, so that an operator's tool knows
+    /// where to ask, and the router's life, so that a restart repeats none.
+    pub(crate) fn request_id(&self) -> RequestId {
+        let number = self.next_request.fetch_add(1, Ordering::Relaxed);
+        RequestId::new(format!(
+            "{}.{:016x}.{number}",
+            self.settings.host, self.life
+        ))
+    }
+}
--- /dev/null
+++ b/crates/router/src/view.rs
@@ -0,0 +1,67 @@
+//! The router's view of the fleet, prepared for decisions.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use chalkrock_core::rendezvous::MemberHash;
+use chalkrock_core::{ConfigVersion, Endpoint, FleetConfig, HostList, HostState, PoolId};
+use tokio::time::Instant;
+
+/// An endpoint with what decisions need of it.
+#[derive(Clone, Debug)]
+pub(crate) struct ViewEndpoint {
+    pub(crate) endpoint: Endpoint,
+    pub(crate) hash: MemberHash,
+}
+
+/// The fleet as this router sees it.
+#[derive(Clone, Debug)]
+pub(crate) struct RouterView {
+    pub(crate) config_version: ConfigVersion,
+    pub(crate) config: Arc<FleetConfig>,
+    pub(crate) hosts_number: u64,
+    pub(crate) hosts: Arc<HostList>,
+    /// Endpoints that take new work, by pool.
+    pub(crate) live: HashMap<PoolId, Vec<ViewEndpoint>>,
+    /// When the agent last confirmed it.
+    pub(crate) confirmed_at: Instant,
+}
+
+impl RouterView {
+    pub(crate) fn empty() -> Self {
+        Self {
+            config_version: ConfigVersion(0),
+            config: Arc::default(),
+            hosts_number: 0,
+            hosts: Arc::default(),
+            live: HashMap::new(),
+            confirmed_at: Instant::now(),
+        }
+    }
+
+    /// Whether both halves have come at least once.
+    pub(crate) fn is_complete(&self) -> bool {
+        self.config_version > ConfigVersion(0) && self.hosts_number > 0
+    }
+
+    /// The live endpoints of a pool.
+    pub(crate) fn live_in(&self, pool: &PoolId) -> &[ViewEndpoint] {
+        self.live.get(pool).map_or(&[], Vec::as_slice)
+    }
+
+    pub(crate) fn set_hosts(&mut self, number: u64, list: HostList) {
+        let mut live: HashMap<PoolId, Vec<ViewEndpoint>> = HashMap::new();
+        for endpoint in list.endpoints.iter().filter(|e| e.state == HostState::Live) {
+            let prepared = ViewEndpoint {
+                hash: MemberHash::of(endpoint.name.as_str()),
+                endpoint: endpoint.clone(),
+            };
+            live.entry(endpoint.pool.clone())
+                .or_default()
+                .push(prepared);
+        }
+        self.hosts_number = number;
+        self.hosts = Arc::new(list);
+        self.live = live;
+    }
+}
--- /dev/null
+++ b/crates/standin/src/engine/runs.rs
@@ -0,0 +1,222 @@
+//! What an engine runs: its slots, cache, counts and load report.
+
+use std::collections::{HashMap, VecDeque};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::time::Instant;
+
+use super::EngineSettings;
+use super::answer::Answer;
+use crate::prefix_cache::{PrefixCache, prefix_hashes};
+
+/// Answers kept for resumption.
+const KEPT_ANSWERS: usize = 4_096;
+/// Load samples kept to answer late.
+const KEPT_LOADS: usize = 1_024;
+
+/// Counts of an engine since it started.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineCounts {
+    /// Requests that began to run.
+    pub started: u64,
+    /// Requests that ran to their end.
+    pub finished: u64,
+    /// Requests whose caller went away.
+    pub cancelled: u64,
+    /// Requests that found at least half of their prompt cached.
+    pub warm: u64,
+    /// Requests running or waiting now.
+    pub in_progress: usize,
+}
+
+/// A load report.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct LoadReport {
+    /// Requests running or waiting.
+    pub(super) in_progress: usize,
+    /// Requests that can run at once.
+    pub(super) slots: usize,
+    /// Whether it takes no new work.
+    pub(super) leaving: bool,
+}
+
+#[derive(Debug)]
+pub(super) struct Runs {
+    pub(super) settings: EngineSettings,
+    slots: Arc<Semaphore>,
+    leaving: AtomicBool,
+    started: AtomicU64,
+    finished: AtomicU64,
+    cancelled: AtomicU64,
+    warm: AtomicU64,
+    in_progress: AtomicUsize,
+    state: Mutex<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    cache: PrefixCache,
+    by_request: HashMap<String, u32>,
+    answers: HashMap<String, Arc<Answer>>,
+    answer_order: VecDeque<String>,
+    loads: VecDeque<(Instant, usize)>,
+}
+
+/// A request that runs; dropped before its end, it counts as cancelled.
+#[derive(Debug)]
+pub(super) struct Run {
+    runs: Arc<Runs>,
+    finished: bool,
+    _slot: Option<OwnedSemaphorePermit>,
+}
+
+impl Runs {
+    pub(super) fn new(settings: EngineSettings) -> Arc<Self> {
+        let cache = PrefixCache::new(settings.cache_bytes);
+        Arc::new(Self {
+            slots: Arc::new(Semaphore::new(settings.slots)),
+            settings,
+            leaving: AtomicBool::new(false),
+            started: AtomicU64::new(0),
+            finished: AtomicU64::new(0),
+            cancelled: AtomicU64::new(0),
+            warm: AtomicU64::new(0),
+            in_progress: AtomicUsize::new(0),
+            state: Mutex::new(State {
+                cache,
+                by_request: HashMap::new(),
+                answers: HashMap::new(),
+                answer_order: VecDeque::new(),
+                loads: VecDeque::new(),
+            }),
+        })
+    }
+
+    /// Begins a run, or `None` if the engine is leaving.
+    pub(super) fn begin(self: &Arc<Self>, request: &str) -> Option<Run> {
+        if self.leaving.load(Ordering::SeqCst) {
+            return None;
+        }
+        self.started.fetch_add(1, Ordering::SeqCst);
+        self.change_load(1);
+        *self
+            .state()
+            .by_request
+            .entry(request.to_owned())
+            .or_default() += 1;
+        Some(Run {
+            runs: self.clone(),
+            finished: false,
+            _slot: None,
+        })
+    }
+
+    /// Looks a prompt up in the cache, and takes it in. Returns the bytes
+    /// that were cached.
+    pub(super) fn take_prompt(&self, messages: &[String]) -> usize {
+        let prefixes = prefix_hashes(messages.iter().map(String::as_str));
+        let total: usize = prefixes.iter().map(|(_, bytes)| bytes).sum();
+        let mut state = self.state();
+        let cached = state.cache.look_up(&prefixes);
+        state.cache.insert(&prefixes);
+        if cached * 2 >= total && cached > 0 {
+            self.warm.fetch_add(1, Ordering::SeqCst);
+        }
+        cached
+    }
+
+    pub(super) fn keep_answer(&self, request: &str, answer: Arc<Answer>) {
+        let mut state = self.state();
+        state.answers.insert(request.to_owned(), answer);
+        state.answer_order.push_back(request.to_owned());
+        if state.answer_order.len() > KEPT_ANSWERS
+            && let Some(oldest) = state.answer_order.pop_front()
+        {
+            state.answers.remove(&oldest);
+        }
+    }
+
+    pub(super) fn answer_of(&self, request: &str) -> Option<Arc<Answer>> {
+        self.state().answers.get(request).cloned()
+    }
+
+    pub(super) fn runs_of(&self, request: &str) -> u32 {
+        self.state().by_request.get(request).copied().unwrap_or(0)
+    }
+
+    pub(super) fn leave(&self) {
+        self.leaving.store(true, Ordering::SeqCst);
+    }
+
+    pub(super) fn counts(&self) -> EngineCounts {
+        EngineCounts {
+            started: self.started.load(Ordering::SeqCst),
+            finished: self.finished.load(Ordering::SeqCst),
+            cancelled: self.cancelled.load(Ordering::SeqCst),
+            warm: self.warm.load(Ordering::SeqCst),
+            in_progress: self.in_progress.load(Ordering::SeqCst),
+        }
+    }
+
+    /// The load as it was `report_lag_ms` ago. Leaving is told without lag.
+    pub(super) fn report(&self) -> LoadReport {
+        let lag = Duration::from_millis(self.settings.report_lag_ms);
+        let now = Instant::now();
+        let state = self.state();
+        let then = state
+            .loads
+            .iter()
+            .rev()
+            .find(|(at, _)| now.duration_since(*at) >= lag);
+        LoadReport {
+            in_progress: then.map_or(0, |(_, load)| *load),
+            slots: self.settings.slots,
+            leaving: self.leaving.load(Ordering::SeqCst),
+        }
+    }
+
+    fn change_load(&self, by: isize) {
+        let mut state = self.state();
+        let load = self
+            .in_progress
+            .load(Ordering::SeqCst)
+            .saturating_add_signed(by);
+        self.in_progress.store(load, Ordering::SeqCst);
+        state.loads.push_back((Instant::now(), load));
+        if state.loads.len() > KEPT_LOADS {
+            state.loads.pop_front();
+        }
+    }
+
+    fn state(&self) -> std::sync::MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Run {
+    /// Waits for a slot of the batch.
+    pub(super) async fn take_slot(&mut self) {
+        self._slot = self.runs.slots.clone().acquire_owned().await.ok();
+    }
+
+    /// The run came to its end.
+    pub(super) fn finish(mut self) {
+        self.finished = true;
+    }
+}
+
+impl Drop for Run {
+    fn drop(&mut self) {
+        self.runs.change_load(-1);
+        let counter = if self.finished {
+            &self.runs.finished
+        } else {
+            &self.runs.cancelled
+        };
+        counter.fetch_add(1, Ordering::SeqCst);
+    }
+}
