--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -29,8 +29,12 @@
 mod hosts;
 mod ids;
 mod keys;
+mod load_table;
 mod membership;
 mod outcome;
+mod owner;
+mod placement;
+mod slots;
 mod stream;
 mod token;
 
@@ -42,7 +46,11 @@
     RequestId, ZoneId,
 };
 pub use keys::key_digest;
+pub use load_table::{HostLoad, LoadEntry, LoadTable};
 pub use membership::Membership;
 pub use outcome::{Outcome, Reason};
+pub use owner::{Authority, OwnedEngine, Owner};
+pub use placement::{AskAnswer, Home, PlaceOption, Placement, PlacementRules, Step};
+pub use slots::{EngineSlots, MEAN_FLOOR, SlotDecision, SlotRules};
 pub use stream::{Arrival, StreamOrder};
 pub use token::{HomeHint, StreamPlace, TokenKey};
--- /dev/null
+++ b/crates/core/src/placement.rs
@@ -0,0 +1,287 @@
+//! Where one request goes: event in, step out.
+//!
+//! The chat's home is asked first. If its owner refuses, or the chat is new, a
+//! few others are asked at once, and the least loaded that grants wins; the rest is given
+//! back. A home that is only just at its bound is worth a short wait if the
+//! prompt is long: a slot frees up sooner than the prefix is computed again.
+
+use crate::rendezvous::{KeyHash, MemberHash, score};
+
+/// An engine that a request may go to.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PlaceOption {
+    /// The hash of its name.
+    pub hash: MemberHash,
+    /// Its size against others.
+    pub weight: f64,
+}
+
+/// How placements are searched in a pool.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PlacementRules {
+    /// Others asked at once when the home refuses.
+    pub others: usize,
+    /// Rounds of others, before a pause.
+    pub rounds: usize,
+    /// How long the home's owner may hold an ask until a slot frees up. Worth
+    /// no more than the prefill that a warm engine saves.
+    pub home_wait_ms: u64,
+    /// Pause after all rounds were refused.
+    pub retry_pause_ms: u64,
+    /// Pauses at most; then the request is refused.
+    pub retry_pauses: usize,
+}
+
+impl Default for PlacementRules {
+    fn default() -> Self {
+        Self {
+            others: 3,
+            rounds: 2,
+            home_wait_ms: 400,
+            retry_pause_ms: 100,
+            retry_pauses: 5,
+        }
+    }
+}
+
+/// Where a chat's prefix is, before the search.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Home {
+    /// The caller's hint names this engine.
+    Hinted(usize),
+    /// The chat returns without a hint: its first rank is the best guess.
+    FirstRank,
+    /// The chat is new. Its prefix is nowhere, so it may go to the least
+    /// loaded of a few: this is what keeps the homes balanced.
+    Nowhere,
+}
+
+/// What an owner answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AskAnswer {
+    /// It grants a slot; the load includes it.
+    Granted {
+        /// Requests on the engine.
+        load: u32,
+    },
+    /// The engine is at its bound.
+    AtBound {
+        /// Requests on the engine.
+        load: u32,
+    },
+    /// No answer in time, not its owner, or the engine is leaving.
+    Absent,
+}
+
+/// What to do next. Engines are named by their index in the options.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Ask the owners of these, then call [`Placement::answered`] for each.
+    Ask {
+        /// The engines.
+        engines: Vec<usize>,
+        /// How long an owner may hold the ask until a slot frees up.
+        wait_ms: u64,
+    },
+    /// Send the request here, and give the other slots back.
+    Dispatch {
+        /// The engine.
+        to: usize,
+        /// Engines whose slots are given back.
+        give_back: Vec<usize>,
+    },
+    /// Call [`Placement::resume`] after this time.
+    Pause {
+        /// How long.
+        pause_ms: u64,
+    },
+    /// Every engine that was asked is at its bound.
+    RefuseAtBound,
+    /// No owner answered: fall back to the estimate.
+    NoOwner,
+    /// Other answers are still to come.
+    Await,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    Home,
+    Others { round: usize },
+}
+
+/// The search for one request's engine.
+///
+/// # Example
+///
+/// ```
+/// use chalkrock_core::rendezvous::{KeyHash, MemberHash};
+/// use chalkrock_core::{AskAnswer, Home, PlaceOption, Placement, PlacementRules, Step};
+///
+/// let options = ["a", "b"].map(|n| PlaceOption { hash: MemberHash::of(n), weight: 1.0 });
+/// let chat = KeyHash::of(b"chat");
+/// let mut placement = Placement::new(PlacementRules::default(), chat, Home::FirstRank);
+/// let Step::Ask { engines, .. } = placement.start(&options) else { panic!() };
+/// let step = placement.answered(&options, engines[0], AskAnswer::Granted { load: 1 });
+/// assert_eq!(step, Step::Dispatch { to: engines[0], give_back: vec![] });
+/// ```
+#[derive(Clone, Debug)]
+pub struct Placement {
+    rules: PlacementRules,
+    key: KeyHash,
+    home: Home,
+    phase: Phase,
+    waiting: usize,
+    granted: Vec<(usize, u32)>,
+    asked: Vec<usize>,
+    ranks: Vec<usize>,
+    any_answer: bool,
+    pauses: usize,
+}
+
+impl Placement {
+    /// A search for the chat `key`.
+    pub fn new(rules: PlacementRules, key: KeyHash, home: Home) -> Self {
+        Self {
+            rules,
+            key,
+            home,
+            phase: Phase::Home,
+            waiting: 0,
+            granted: Vec::new(),
+            asked: Vec::new(),
+            ranks: Vec::new(),
+            any_answer: false,
+            pauses: 0,
+        }
+    }
+
+    /// Begins the search.
+    pub fn start(&mut self, options: &[PlaceOption]) -> Step {
+        let home = match self.home {
+            Home::Hinted(home) => Some(home).filter(|home| *home < options.len()),
+            Home::FirstRank => {
+                self.rank(options);
+                self.ranks.first().copied()
+            }
+            Home::Nowhere => None,
+        };
+        match home {
+            Some(home) => {
+                self.phase = Phase::Home;
+                self.ask(vec![home], self.rules.home_wait_ms)
+            }
+            None => self.ask_others(options, 0),
+        }
+    }
+
+    /// Takes an owner's answer.
+    pub fn answered(&mut self, options: &[PlaceOption], engine: usize, answer: AskAnswer) -> Step {
+        self.waiting = self.waiting.saturating_sub(1);
+        match answer {
+            AskAnswer::Granted { load } => {
+                self.any_answer = true;
+                self.granted.push((engine, load));
+            }
+            AskAnswer::AtBound { .. } => self.any_answer = true,
+            AskAnswer::Absent => {}
+        }
+        if self.waiting > 0 {
+            return Step::Await;
+        }
+        if let Some(step) = self.dispatch(options) {
+            return step;
+        }
+        self.refused(options)
+    }
+
+    /// Goes on after a pause: from the start.
+    pub fn resume(&mut self, options: &[PlaceOption]) -> Step {
+        self.asked.clear();
+        self.start(options)
+    }
+
+    fn ask(&mut self, engines: Vec<usize>, wait_ms: u64) -> Step {
+        self.waiting = engines.len();
+        self.asked.extend(&engines);
+        Step::Ask { engines, wait_ms }
+    }
+
+    /// The least loaded engine that granted, by its weight.
+    fn dispatch(&mut self, options: &[PlaceOption]) -> Option<Step> {
+        let relative = |(engine, load): &(usize, u32)| f64::from(*load) / options[*engine].weight;
+        let least = self
+            .granted
+            .iter()
+            .min_by(|a, b| relative(a).total_cmp(&relative(b)))?
+            .0;
+        let others = self.granted.iter().map(|(engine, _)| *engine);
+        let give_back = others.filter(|engine| *engine != least).collect();
+        Some(Step::Dispatch {
+            to: least,
+            give_back,
+        })
+    }
+
+    fn refused(&mut self, options: &[PlaceOption]) -> Step {
+        match self.phase {
+            Phase::Home => self.ask_others(options, 0),
+            Phase::Others { round } => self.ask_others(options, round + 1),
+        }
+    }
+
+    /// Asks a round of others, or ends the search if there is none left.
+    fn ask_others(&mut self, options: &[PlaceOption], round: usize) -> Step {
+        if round < self.rules.rounds {
+            self.phase = Phase::Others { round };
+            let others = self.next_others(options);
+            if !others.is_empty() {
+                return self.ask(others, 0);
+            }
+        }
+        if !self.any_answer {
+            return Step::NoOwner;
+        }
+        if self.pauses < self.rules.retry_pauses {
+            self.pauses += 1;
+            return Step::Pause {
+                pause_ms: self.rules.retry_pause_ms,
+            };
+        }
+        Step::RefuseAtBound
+    }
+
+    /// The next ranks of the chat among engines not asked yet. Ranks spread
+    /// as well as random picks and bring a chat back to where it once was.
+    fn next_others(&mut self, options: &[PlaceOption]) -> Vec<usize> {
+        self.rank(options);
+        let not_asked = self
+            .ranks
+            .iter()
+            .filter(|engine| !self.asked.contains(engine));
+        not_asked.take(self.rules.others).copied().collect()
+    }
+
+    /// Ranks the engines, once, as far as the search may go.
+    fn rank(&mut self, options: &[PlaceOption]) {
+        if self.ranks.is_empty() {
+            let most = 1 + self.rules.others * self.rules.rounds;
+            self.ranks = best_ranks(self.key, options, most);
+        }
+    }
+}
+
+/// The first `most` ranks of a chat, best first, in one pass.
+fn best_ranks(key: KeyHash, options: &[PlaceOption], most: usize) -> Vec<usize> {
+    let mut best: Vec<(f64, usize)> = Vec::with_capacity(most + 1);
+    for (i, option) in options.iter().enumerate() {
+        let s = score(key, option.hash, option.weight);
+        let is_full = best.len() == most;
+        if is_full && best.last().is_none_or(|(worst, _)| s <= *worst) {
+            continue;
+        }
+        let at = best.partition_point(|(better, _)| *better >= s);
+        best.insert(at, (s, i));
+        best.truncate(most);
+    }
+    best.into_iter().map(|(_, i)| i).collect()
+}
--- /dev/null
+++ b/crates/core/tests/owner.rs
@@ -0,0 +1,110 @@
+//! Who may grant: views that change, split and come back.
+
+use chalkrock_core::{Authority, OwnedEngine, Owner, SlotDecision, SlotRules};
+use googletest::prelude::*;
+
+const HOSTS: [u8; 8] = [0, 1, 2, 3, 4, 5, 6, 7];
+const ENGINE: &str = "engine";
+const MINUTES_MS: u64 = 300_000;
+
+fn owner_of_engine(now_ms: u64) -> Owner<u8, &'static str> {
+    let mut owner = Owner::new(0, SlotRules::promising(1.25));
+    owner.take_view(&HOSTS, &owned(), &[], now_ms);
+    owner.skip_settling();
+    owner
+}
+
+fn owned() -> [OwnedEngine<&'static str>; 1] {
+    [OwnedEngine {
+        engine: ENGINE,
+        weight: 1.0,
+    }]
+}
+
+#[test]
+fn authority_counts_hosts_of_the_last_minute() {
+    for (seen, authority) in [
+        (8, Authority::Whole),
+        (7, Authority::Whole),
+        (5, Authority::Whole),
+        (4, Authority::Shared),
+        (3, Authority::None),
+    ] {
+        let mut owner = owner_of_engine(0);
+        owner.take_view(&HOSTS[..seen], &owned(), &[], MINUTES_MS);
+        assert_that!(
+            owner.authority(MINUTES_MS + 1),
+            eq(authority),
+            "sees {seen} of 8"
+        );
+    }
+}
+
+#[test]
+fn authority_returns_when_the_lost_hosts_are_forgotten() {
+    let mut owner = owner_of_engine(0);
+    owner.take_view(&HOSTS[..3], &owned(), &[], 1_000);
+    assert_that!(owner.authority(2_000), eq(Authority::None));
+    assert_that!(owner.authority(120_000), eq(Authority::Whole));
+}
+
+#[test]
+fn authority_is_shared_for_a_while_after_a_split() {
+    let mut owner = owner_of_engine(0);
+    owner.take_view(&HOSTS[..4], &owned(), &[], 1_000);
+    owner.take_view(&HOSTS, &owned(), &[], 6_000);
+    assert_that!(owner.authority(6_001), eq(Authority::Shared));
+    assert_that!(owner.authority(30_000), eq(Authority::Whole));
+}
+
+#[test]
+fn ask_at_a_host_in_the_minority_is_not_answered() {
+    let mut owner = owner_of_engine(0);
+    owner.take_view(&HOSTS[..3], &owned(), &[], 1_000);
+    assert_that!(owner.ask(&ENGINE, 1, 2_000), none());
+}
+
+#[test]
+fn ask_of_an_engine_that_moved_here_settles_first() {
+    let mut owner = owner_of_engine(0);
+    owner.take_view(&HOSTS, &[], &[ENGINE], 1_000);
+    assert_that!(owner.ask(&ENGINE, 1, 1_500), none());
+    owner.take_view(&HOSTS, &owned(), &[], 2_000);
+    assert_that!(
+        owner.ask(&ENGINE, 1, 2_500),
+        some(eq(SlotDecision::Settling))
+    );
+}
+
+#[test]
+fn ask_of_a_new_engine_need_not_settle() {
+    let mut owner: Owner<u8, &str> = Owner::new(0, SlotRules::promising(1.25));
+    owner.take_view(&HOSTS, &[], &[], 0);
+    owner.take_view(&HOSTS, &owned(), &[], 1_000);
+    assert_that!(
+        owner.ask(&ENGINE, 1, 1_001),
+        some(eq(SlotDecision::Granted { load: 1 }))
+    );
+}
+
+#[test]
+fn flapping_engine_keeps_its_ledger() {
+    let mut owner = owner_of_engine(0);
+    owner.ask(&ENGINE, 1, 10);
+    owner.take_view(&HOSTS, &[], &[], 1_000);
+    assert_that!(owner.ask(&ENGINE, 1, 1_500), none());
+    owner.take_view(&HOSTS, &owned(), &[], 4_000);
+    assert_that!(
+        owner.ask(&ENGINE, 1, 4_001),
+        some(eq(SlotDecision::Granted { load: 2 }))
+    );
+}
+
+#[test]
+fn adopt_ahead_of_the_view_is_kept() {
+    let mut owner: Owner<u8, &str> = Owner::new(0, SlotRules::promising(1.25));
+    owner.take_view(&HOSTS, &[], &[], 0);
+    owner.adopt(&ENGINE, 1, 3, 500);
+    owner.take_view(&HOSTS, &owned(), &[], 1_000);
+    assert_that!(owner.load(&ENGINE), some(eq(3)));
+}
--- /dev/null
+++ b/crates/core/tests/placement.rs
@@ -0,0 +1,123 @@
+//! The search for an engine, answer by answer.
+
+use chalkrock_core::rendezvous::{KeyHash, MemberHash};
+use chalkrock_core::{AskAnswer, Home, PlaceOption, Placement, PlacementRules, Step};
+use googletest::prelude::*;
+
+const AT_BOUND: AskAnswer = AskAnswer::AtBound { load: 10 };
+
+fn options(count: usize) -> Vec<PlaceOption> {
+    let option = |i| PlaceOption {
+        hash: MemberHash::of(&format!("engine-{i}")),
+        weight: 1.0,
+    };
+    (0..count).map(option).collect()
+}
+
+fn search(home: Home) -> Placement {
+    Placement::new(PlacementRules::default(), KeyHash::of(b"chat"), home)
+}
+
+fn asked(step: Step) -> Vec<usize> {
+    match step {
+        Step::Ask { engines, .. } => engines,
+        other => panic!("asks, not {other:?}"),
+    }
+}
+
+#[test]
+fn start_asks_the_hinted_home() {
+    let step = search(Home::Hinted(3)).start(&options(8));
+    assert_that!(
+        step,
+        eq(&Step::Ask {
+            engines: vec![3],
+            wait_ms: 400
+        })
+    );
+}
+
+#[test]
+fn start_of_a_new_chat_asks_a_few_at_once() {
+    assert_that!(asked(search(Home::Nowhere).start(&options(8))).len(), eq(3));
+}
+
+#[test]
+fn start_without_engines_finds_no_owner() {
+    assert_that!(search(Home::Nowhere).start(&[]), eq(&Step::NoOwner));
+    assert_that!(search(Home::Hinted(2)).start(&[]), eq(&Step::NoOwner));
+}
+
+#[test]
+fn refused_home_leads_to_the_least_loaded_other() {
+    let options = options(8);
+    let mut placement = search(Home::Hinted(0));
+    placement.start(&options);
+    let others = asked(placement.answered(&options, 0, AT_BOUND));
+    assert_that!(others, not(contains(eq(&0))));
+    let granted = |load| AskAnswer::Granted { load };
+    assert_that!(
+        placement.answered(&options, others[0], granted(7)),
+        eq(&Step::Await)
+    );
+    assert_that!(
+        placement.answered(&options, others[1], granted(5)),
+        eq(&Step::Await)
+    );
+    let step = placement.answered(&options, others[2], AT_BOUND);
+    assert_that!(
+        step,
+        eq(&Step::Dispatch {
+            to: others[1],
+            give_back: vec![others[0]]
+        })
+    );
+}
+
+#[test]
+fn least_loaded_is_judged_by_weight() {
+    let mut options = options(3);
+    options[2].weight = 4.0;
+    let mut placement = search(Home::Nowhere);
+    let engines = asked(placement.start(&options));
+    let mut last = Step::Await;
+    for engine in engines {
+        let load = if engine == 2 { 8 } else { 4 };
+        last = placement.answered(&options, engine, AskAnswer::Granted { load });
+    }
+    assert_that!(last, matches_pattern!(Step::Dispatch { to: eq(&2), .. }));
+}
+
+#[test]
+fn all_at_bound_pauses_and_then_refuses() {
+    let options = options(4);
+    let mut placement = search(Home::Hinted(0));
+    let mut step = placement.start(&options);
+    let mut pauses = 0;
+    while step != Step::RefuseAtBound {
+        step = match step {
+            Step::Ask { engines, .. } => {
+                let answer = |engine| placement.answered(&options, engine, AT_BOUND);
+                engines.into_iter().map(answer).last().unwrap()
+            }
+            Step::Pause { .. } => {
+                pauses += 1;
+                placement.resume(&options)
+            }
+            other => panic!("unexpected {other:?}"),
+        };
+    }
+    assert_that!(pauses, eq(PlacementRules::default().retry_pauses));
+}
+
+#[test]
+fn no_answer_at_all_is_no_owner() {
+    let options = options(4);
+    let mut placement = search(Home::Hinted(0));
+    let mut step = placement.start(&options);
+    while let Step::Ask { engines, .. } = step {
+        let answer = |engine| placement.answered(&options, engine, AskAnswer::Absent);
+        step = engines.into_iter().map(answer).last().unwrap();
+    }
+    assert_that!(step, eq(&Step::NoOwner));
+}
--- /dev/null
+++ b/crates/core/tests/slots.rs
@@ -0,0 +1,166 @@
+//! One engine's ledger: limits, late reports, adoption, lost give-backs.
+
+use std::collections::HashMap;
+
+use chalkrock_core::{EngineSlots, SlotDecision, SlotRules};
+use googletest::prelude::*;
+use proptest::prelude::*;
+
+fn rules() -> SlotRules {
+    SlotRules {
+        settle_ms: 0,
+        ..SlotRules::promising(1.25)
+    }
+}
+
+fn grant(slots: &mut EngineSlots<u8>, holder: u8, now_ms: u64, mean: f64) -> bool {
+    let decision = slots.ask(holder, now_ms, mean, false, &rules());
+    matches!(decision, SlotDecision::Granted { .. })
+}
+
+#[test]
+fn limit_lies_above_the_mean() {
+    for mean in [0.0, 1.0, 4.0, 4.9, 8.0, 42.0] {
+        let limit = rules().limit(mean, 1.0);
+        assert_that!(f64::from(limit), gt(mean.max(4.0)));
+        assert_that!(f64::from(limit), le(1.25 * mean.max(4.0)));
+    }
+}
+
+#[test]
+fn ask_stops_at_the_limit() {
+    let mut slots = EngineSlots::new(1.0, 0);
+    let granted = (0..20).filter(|_| grant(&mut slots, 1, 10, 8.0)).count();
+    assert_that!(granted, eq(rules().limit(8.0, 1.0) as usize));
+}
+
+#[test]
+fn ask_before_settling_is_not_granted() {
+    let rules = SlotRules::promising(1.25);
+    let mut slots = EngineSlots::new(1.0, 1_000);
+    let early = slots.ask(1, 1_000 + rules.settle_ms - 1, 8.0, false, &rules);
+    assert_that!(early, eq(SlotDecision::Settling));
+    let later = slots.ask(1, 1_000 + rules.settle_ms, 8.0, false, &rules);
+    assert_that!(later, eq(SlotDecision::Granted { load: 1 }));
+}
+
+#[test]
+fn report_shows_load_that_others_granted() {
+    let mut slots = EngineSlots::<u8>::new(1.0, 0);
+    slots.report(20_000, 7, &rules());
+    assert_that!(slots.load(), eq(7));
+}
+
+#[test]
+fn report_that_is_late_does_not_count_grants_twice() {
+    let mut slots = EngineSlots::new(1.0, 0);
+    for _ in 0..6 {
+        grant(&mut slots, 1, 10_000, 8.0);
+    }
+    // It speaks of some moment of the last seconds: any value from 0 to 6 fits.
+    for in_progress in [0, 3, 6] {
+        slots.report(11_000, in_progress, &rules());
+        assert_that!(slots.load(), eq(6), "report {in_progress}");
+    }
+}
+
+#[test]
+fn report_frees_slots_that_were_never_given_back() {
+    let mut slots = EngineSlots::new(1.0, 0);
+    for _ in 0..6 {
+        grant(&mut slots, 1, 1_000, 8.0);
+    }
+    slots.report(30_000, 2, &rules());
+    assert_that!(slots.load(), eq(2));
+}
+
+#[test]
+fn adopt_before_any_report_is_news() {
+    let mut slots = EngineSlots::new(1.0, 0);
+    slots.adopt(1, 100, 5);
+    assert_that!(slots.load(), eq(5));
+}
+
+#[test]
+fn adopt_after_a_report_moves_foreign_load() {
+    let mut slots = EngineSlots::new(1.0, 0);
+    slots.report(20_000, 5, &rules());
+    slots.adopt(1, 20_100, 5);
+    assert_that!(slots.load(), eq(5));
+    assert_that!(slots.granted(), eq(5));
+}
+
+#[test]
+fn shared_owners_together_stay_under_the_limit() {
+    let (mut a, mut b) = (EngineSlots::new(1.0, 0), EngineSlots::new(1.0, 0));
+    let limit = rules().limit(8.0, 1.0);
+    for slots in [&mut a, &mut b] {
+        slots.report(20_000, 2, &rules());
+    }
+    let mut total = 2;
+    for now_ms in 20_001..20_100 {
+        for slots in [&mut a, &mut b] {
+            let decision = slots.ask(1, now_ms, 8.0, true, &rules());
+            total += u32::from(matches!(decision, SlotDecision::Granted { .. }));
+        }
+    }
+    assert_that!(total, le(limit));
+    assert_that!(total, gt(2));
+}
+
+#[derive(Clone, Debug)]
+enum Op {
+    Ask(u8),
+    GiveBack(u8),
+    HolderGone(u8),
+    Wait(u64),
+}
+
+fn op() -> impl Strategy<Value = Op> {
+    prop_oneof![
+        4 => (0..4u8).prop_map(Op::Ask),
+        3 => (0..4u8).prop_map(Op::GiveBack),
+        1 => (0..4u8).prop_map(Op::HolderGone),
+        1 => (0..500u64).prop_map(Op::Wait),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 2_000,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(7),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Whatever happens, the ledger equals a plain count of what each holder
+    /// holds, and no grant passes the limit.
+    #[test]
+    fn ledger_matches_a_plain_count(ops in prop::collection::vec(op(), 1..200)) {
+        let mut slots = EngineSlots::new(1.0, 0);
+        let mut held: HashMap<u8, u32> = HashMap::new();
+        let mut now_ms = 0;
+        for op in ops {
+            match op {
+                Op::Ask(holder) => {
+                    if grant(&mut slots, holder, now_ms, 6.0) {
+                        *held.entry(holder).or_default() += 1;
+                        prop_assert!(slots.load() <= rules().limit(6.0, 1.0));
+                    }
+                }
+                Op::GiveBack(holder) => {
+                    slots.give_back(&holder, now_ms, 1);
+                    if let Some(count) = held.get_mut(&holder) {
+                        *count = count.saturating_sub(1);
+                    }
+                }
+                Op::HolderGone(holder) => {
+                    slots.holder_gone(&holder, now_ms);
+                    held.remove(&holder);
+                }
+                Op::Wait(ms) => now_ms += ms,
+            }
+            prop_assert_eq!(slots.granted(), held.values().sum::<u32>());
+        }
+    }
+}
