--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -18,9 +18,12 @@
 //! ```
 
 mod admin;
+mod exchange;
 mod peers;
 mod platform_reads;
+mod probes;
 mod settings;
+mod slots;
 mod start;
 mod view;
 
--- a/crates/agent/src/peers.rs
+++ b/crates/agent/src/peers.rs
@@ -1,22 +1,24 @@
 //! Answers routers and other agents over tarpc.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use chalkrock_process::Metrics;
 use chalkrock_proto::{
-    AgentApi, ByteCount, Hello, KnownView, PROTOCOL_VERSION, PeerError, Purpose, SlotAnswer,
-    SlotAsk, SlotReturns, ViewUpdate, transport,
+    AgentApi, ByteCount, ConfigBody, Hello, KnownView, News, PROTOCOL_VERSION, PeerError, Purpose,
+    SlotAnswer, SlotAsk, SlotCount, Traffic, ViewUpdate, transport,
 };
 use futures::StreamExt;
+use kameo::actor::ActorRef;
 use tarpc::context::Context;
 use tarpc::server::{BaseChannel, Channel};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
-use crate::view::AgentView;
+use crate::exchange::{news_of, take_news};
+use crate::slots::Slots;
+use crate::view::{AgentView, ViewKeeper};
 
 const PART: &str = "agent.peers";
 /// A watch without news is answered after this time, as a heartbeat.
@@ -29,7 +31,9 @@
     pub(crate) fleet_key_sha256: Arc<str>,
     pub(crate) view: watch::Receiver<Arc<AgentView>>,
     pub(crate) metrics: Metrics,
-    pub(crate) bytes: Mutex<HashMap<Purpose, Vec<Arc<ByteCount>>>>,
+    pub(crate) slots: Arc<Slots>,
+    pub(crate) keeper: ActorRef<ViewKeeper>,
+    pub(crate) traffic: Arc<Traffic>,
 }
 
 /// One connection.
@@ -114,15 +118,12 @@
         if hello.fleet_key_sha256 != self.shared.fleet_key_sha256 {
             return Err(self.refuse(PeerError::WrongFleet, "fleet"));
         }
-        let mut bytes = self
-            .shared
-            .bytes
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        bytes
-            .entry(hello.purpose)
-            .or_default()
-            .push(self.count.clone());
+        if hello.purpose == Purpose::Slots {
+            self.shared.slots.holder_anew(&hello.host);
+        }
+        self.shared
+            .traffic
+            .attach(hello.purpose, self.count.clone());
         *self.hello.lock().unwrap_or_else(PoisonError::into_inner) = Some(hello);
         Ok(())
     }
@@ -138,13 +139,45 @@
         Ok(news.unwrap_or_default())
     }
 
-    async fn ask_slot(self, _: Context, _ask: SlotAsk) -> Result<SlotAnswer, PeerError> {
-        self.check(Purpose::Slots)?;
-        Ok(SlotAnswer::NotOwner)
+    async fn ask_slot(self, _: Context, ask: SlotAsk) -> Result<SlotAnswer, PeerError> {
+        let hello = self.check(Purpose::Slots)?;
+        let answer = self.shared.slots.ask(ask, &hello.host).await;
+        self.shared
+            .metrics
+            .count("slot_asks_total", slot_label(answer), 1);
+        Ok(answer)
+    }
+
+    async fn return_slots(self, _: Context, returns: Vec<SlotCount>) -> Result<(), PeerError> {
+        let hello = self.check(Purpose::Slots)?;
+        self.shared.slots.give_back(&returns, &hello.host);
+        Ok(())
     }
 
-    async fn return_slots(self, _: Context, _returns: SlotReturns) -> Result<(), PeerError> {
-        self.check(Purpose::Slots)?;
+    async fn adopt_slots(self, _: Context, held: Vec<SlotCount>) -> Result<(), PeerError> {
+        let hello = self.check(Purpose::Slots)?;
+        self.shared.slots.adopt(&held, &hello.host);
         Ok(())
     }
+
+    async fn exchange(self, _: Context, news: News) -> Result<News, PeerError> {
+        self.check(Purpose::Exchange)?;
+        take_news(&news, &self.shared.slots, &self.shared.keeper).await;
+        let view = self.shared.view.borrow().clone();
+        Ok(news_of(&view, &self.shared.slots))
+    }
+
+    async fn config_body(self, _: Context) -> Result<Option<ConfigBody>, PeerError> {
+        self.check(Purpose::Exchange)?;
+        Ok(self.shared.view.borrow().config.clone())
+    }
+}
+
+fn slot_label(answer: SlotAnswer) -> &'static str {
+    match answer {
+        SlotAnswer::Granted { .. } => "answer=\"granted\"",
+        SlotAnswer::AtBound { .. } => "answer=\"at-bound\"",
+        SlotAnswer::Leaving => "answer=\"leaving\"",
+        SlotAnswer::NotOwner => "answer=\"not-owner\"",
+    }
 }
--- a/crates/agent/src/settings.rs
+++ b/crates/agent/src/settings.rs
@@ -28,6 +28,13 @@
     /// Time between two reads of the host list.
     #[serde(default = "default_hosts_poll_ms")]
     pub hosts_poll_ms: u64,
+    /// Time between two probes of an endpoint that this host owns.
+    #[serde(default = "default_probe_ms")]
+    pub probe_ms: u64,
+    /// A new owner grants no slots for this long: longer than the host list
+    /// may reach one host later than another.
+    #[serde(default = "default_settle_ms")]
+    pub settle_ms: u64,
     /// Logs.
     #[serde(default)]
     pub logs: LogSettings,
@@ -43,3 +50,11 @@
 fn default_hosts_poll_ms() -> u64 {
     1_000
 }
+
+fn default_probe_ms() -> u64 {
+    1_000
+}
+
+fn default_settle_ms() -> u64 {
+    3_000
+}
--- a/crates/agent/src/start.rs
+++ b/crates/agent/src/start.rs
@@ -7,15 +7,19 @@
 use chalkrock_core::key_digest;
 use chalkrock_platform::HttpPlatform;
 use chalkrock_process::Metrics;
+use chalkrock_proto::Traffic;
 use kameo::actor::Spawn;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
 use crate::admin;
+use crate::exchange::Exchange;
 use crate::peers::{self, Shared};
 use crate::platform_reads::Reads;
+use crate::probes::Probes;
 use crate::settings::AgentSettings;
+use crate::slots::Slots;
 use crate::view::{AgentView, ViewKeeper};
 
 /// A running agent; its parts end when this is dropped.
@@ -58,12 +62,31 @@
     let metrics = Metrics::default();
     let (published, view) = watch::channel(Arc::new(AgentView::default()));
     let keeper = ViewKeeper::spawn(published);
+    let fleet_key_sha256: Arc<str> = key_digest(&settings.fleet_key).into();
+    let slots = Arc::new(Slots::new(settings.host.clone(), settings.settle_ms));
+    let traffic = Arc::new(Traffic::default());
     let shared = Arc::new(Shared {
-        fleet_key_sha256: key_digest(&settings.fleet_key).into(),
+        fleet_key_sha256: fleet_key_sha256.clone(),
         view: view.clone(),
         metrics: metrics.clone(),
-        bytes: Default::default(),
+        slots: slots.clone(),
+        keeper: keeper.clone(),
+        traffic: traffic.clone(),
     });
+    let probes = Probes {
+        slots: slots.clone(),
+        keeper: keeper.clone(),
+        view: view.clone(),
+        every: Duration::from_millis(settings.probe_ms),
+    };
+    let exchange = Exchange {
+        host: settings.host.clone(),
+        fleet_key_sha256,
+        slots,
+        keeper: keeper.clone(),
+        view: view.clone(),
+        traffic,
+    };
     let reads = Reads {
         platform,
         keeper,
@@ -84,6 +107,8 @@
             .follow_config(Duration::from_millis(settings.config_poll_ms)),
     );
     tasks.spawn(reads.follow_hosts(Duration::from_millis(settings.hosts_poll_ms)));
+    tasks.spawn(probes.run());
+    tasks.spawn(exchange.run());
     log::info!(target: "agent", "Host {} listens on {address}.", settings.host);
     Ok(RunningAgent {
         address,
--- a/crates/core/src/owner.rs
+++ b/crates/core/src/owner.rs
@@ -16,6 +16,7 @@
 use std::hash::Hash;
 
 use crate::load_table::{HostLoad, LoadTable};
+use crate::rendezvous::{KeyHash, MemberHash, first};
 use crate::slots::{EngineSlots, SlotDecision, SlotRules};
 
 /// Hosts seen in this time count when a host asks whether it sees enough.
@@ -23,6 +24,11 @@
 /// A ledger outlives its engine in the view this long: engines flap.
 const LEDGER_KEPT_MS: u64 = 60_000;
 
+/// The index of the host that owns an engine, `None` if there are no hosts.
+pub fn owner_index(engine: MemberHash, hosts: &[MemberHash]) -> Option<usize> {
+    first(KeyHash(engine.0), hosts.iter().map(|host| (*host, 1.0)))
+}
+
 /// An engine of the view, as its owner needs it.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct OwnedEngine<E> {
@@ -103,6 +109,11 @@
         }
     }
 
+    /// Grants by other rules from now on.
+    pub fn set_rules(&mut self, rules: SlotRules) {
+        self.rules = rules;
+    }
+
     /// Takes a new view over: the live hosts, the engines that this host owns
     /// among them, and those that others own, whose ledgers end here.
     pub fn take_view(&mut self, hosts: &[H], owned: &[OwnedEngine<E>], others: &[E], now_ms: u64) {
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -1,9 +1,11 @@
 //! Where one request goes: event in, step out.
 //!
 //! The chat's home is asked first. If its owner refuses, or the chat is new, a
-//! few others are asked at once, and the least loaded that grants wins; the rest is given
-//! back. A home that is only just at its bound is worth a short wait if the
-//! prompt is long: a slot frees up sooner than the prefix is computed again.
+//! few others are asked at once, and the least loaded that grants wins; the
+//! rest is given back. A home at its bound is asked once more, and its owner
+//! may hold that ask: a slot often frees up sooner than the prefix is computed
+//! again. The first ask is never held, so that a dead owner is found out at
+//! once.
 
 use crate::rendezvous::{KeyHash, MemberHash, score};
 
@@ -106,7 +108,11 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Phase {
     Home,
-    Others { round: usize },
+    /// The home is at its bound, and its owner holds the ask for a while.
+    HomeHeld,
+    Others {
+        round: usize,
+    },
 }
 
 /// The search for one request's engine.
@@ -168,7 +174,7 @@
         match home {
             Some(home) => {
                 self.phase = Phase::Home;
-                self.ask(vec![home], self.rules.home_wait_ms)
+                self.ask(vec![home], 0)
             }
             None => self.ask_others(options, 0),
         }
@@ -191,7 +197,7 @@
         if let Some(step) = self.dispatch(options) {
             return step;
         }
-        self.refused(options)
+        self.refused(options, engine, answer)
     }
 
     /// Goes on after a pause: from the start.
@@ -222,9 +228,14 @@
         })
     }
 
-    fn refused(&mut self, options: &[PlaceOption]) -> Step {
+    fn refused(&mut self, options: &[PlaceOption], engine: usize, last: AskAnswer) -> Step {
+        let is_at_bound = matches!(last, AskAnswer::AtBound { .. });
         match self.phase {
-            Phase::Home => self.ask_others(options, 0),
+            Phase::Home if is_at_bound && self.rules.home_wait_ms > 0 => {
+                self.phase = Phase::HomeHeld;
+                self.ask(vec![engine], self.rules.home_wait_ms)
+            }
+            Phase::Home | Phase::HomeHeld => self.ask_others(options, 0),
             Phase::Others { round } => self.ask_others(options, round + 1),
         }
     }
@@ -270,6 +281,34 @@
     }
 }
 
+/// Chooses without any owner, by one router's own requests alone: the home
+/// while it stays under the multiple of this router's mean, else the engine
+/// with the fewest. Routers that each keep their own share balanced keep the
+/// sum balanced, up to one request for each router.
+pub fn local_choice(
+    options: &[PlaceOption],
+    home: Home,
+    key: KeyHash,
+    own_loads: &[u32],
+    load_multiple: f64,
+) -> Option<usize> {
+    let total: u32 = own_loads.iter().sum();
+    let weight: f64 = options.iter().map(|option| option.weight).sum();
+    let mean = f64::from(total + 1) / weight;
+    let is_under = |index: &usize| {
+        let limit = (load_multiple * mean * options[*index].weight).ceil();
+        f64::from(own_loads[*index] + 1) <= limit
+    };
+    let home = match home {
+        Home::Hinted(index) => Some(index),
+        Home::FirstRank => best_ranks(key, options, 1).first().copied(),
+        Home::Nowhere => None,
+    };
+    let relative = |index: usize| f64::from(own_loads[index]) / options[index].weight;
+    let least = (0..options.len()).min_by(|a, b| relative(*a).total_cmp(&relative(*b)));
+    home.filter(is_under).or(least)
+}
+
 /// The first `most` ranks of a chat, best first, in one pass.
 fn best_ranks(key: KeyHash, options: &[PlaceOption], most: usize) -> Vec<usize> {
     let mut best: Vec<(f64, usize)> = Vec::with_capacity(most + 1);
--- a/crates/core/tests/placement.rs
+++ b/crates/core/tests/placement.rs
@@ -32,7 +32,7 @@
         step,
         eq(&Step::Ask {
             engines: vec![3],
-            wait_ms: 400
+            wait_ms: 0
         })
     );
 }
@@ -53,6 +53,14 @@
     let options = options(8);
     let mut placement = search(Home::Hinted(0));
     placement.start(&options);
+    let held = placement.answered(&options, 0, AT_BOUND);
+    assert_that!(
+        held,
+        eq(&Step::Ask {
+            engines: vec![0],
+            wait_ms: 400
+        })
+    );
     let others = asked(placement.answered(&options, 0, AT_BOUND));
     assert_that!(others, not(contains(eq(&0))));
     let granted = |load| AskAnswer::Granted { load };
@@ -121,3 +129,12 @@
     }
     assert_that!(step, eq(&Step::NoOwner));
 }
+
+#[test]
+fn absent_home_is_not_asked_again() {
+    let options = options(8);
+    let mut placement = search(Home::Hinted(0));
+    placement.start(&options);
+    let others = asked(placement.answered(&options, 0, AskAnswer::Absent));
+    assert_that!(others, not(contains(eq(&0))));
+}
--- a/crates/e2e/src/cluster.rs
+++ b/crates/e2e/src/cluster.rs
@@ -248,6 +248,7 @@
         format!(
             "host: {}\nzone: zone-a\nlisten: 127.0.0.1:0\nadmin_listen: 127.0.0.1:0\n\
              platform_url: {}\nfleet_key: {FLEET_KEY}\nconfig_poll_ms: 100\nhosts_poll_ms: 100\n\
+             probe_ms: 200\nsettle_ms: 500\n\
              logs: {{level: warn}}\n",
             host_name(i),
             self.platform.url(),
@@ -259,6 +260,7 @@
     format!(
         "host: {}\nzone: zone-a\nlisten: 127.0.0.1:0\noperator_listen: 127.0.0.1:0\n\
          agent_address: {agent}\nfleet_key: {FLEET_KEY}\nbody_max_bytes: 100000\n\
+         ask_timeout_ms: 500\n\
          operator_key_sha256: [{}]\nlogs: {{level: warn}}\n",
         host_name(i),
         key_digest(OPERATOR_KEY),
--- a/crates/measure/src/decisions/views.rs
+++ b/crates/measure/src/decisions/views.rs
@@ -1,7 +1,7 @@
 //! What hosts believe: which engines exist, and who owns each.
 
-use chalkrock_core::PlaceOption;
-use chalkrock_core::rendezvous::{KeyHash, MemberHash, first};
+use chalkrock_core::rendezvous::MemberHash;
+use chalkrock_core::{PlaceOption, owner_index};
 
 use super::engines::{Engine, EngineId};
 
@@ -28,8 +28,7 @@
     /// A view of the live engines, owned by the hosts given.
     pub(crate) fn new(number: u64, all: &[Engine], hosts: &[HostNumber]) -> Self {
         let engines: Vec<EngineId> = (0..all.len()).filter(|id| all[*id].live).collect();
-        let members: Vec<(HostNumber, MemberHash)> =
-            hosts.iter().map(|host| (*host, host_hash(*host))).collect();
+        let hashes: Vec<MemberHash> = hosts.iter().map(|host| host_hash(*host)).collect();
         let mut index_of = vec![None; all.len()];
         let mut options = Vec::with_capacity(engines.len());
         let mut owners = Vec::with_capacity(engines.len());
@@ -40,9 +39,7 @@
                 hash: engine.hash,
                 weight: engine.weight,
             });
-            let key = KeyHash(engine.hash.0);
-            let owner = first(key, members.iter().map(|(_, hash)| (*hash, 1.0)));
-            owners.push(owner.map_or(0, |i| members[i].0));
+            owners.push(owner_index(engine.hash, &hashes).map_or(0, |i| hosts[i]));
         }
         Self {
             number,
--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -15,3 +15,4 @@
 //! ```
 
 pub mod decisions;
+pub mod live;
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -3,6 +3,7 @@
 use std::process::ExitCode;
 
 use chalkrock_measure::decisions::{self, Measure, Policy, Setup, Site, Trouble};
+use chalkrock_measure::live::{self, Load};
 use clap::builder::PossibleValuesParser;
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 
@@ -12,6 +13,7 @@
         .version(env!("CARGO_PKG_VERSION"))
         .subcommand_required(true)
         .subcommand(decisions_command())
+        .subcommand(live_command())
 }
 
 fn names<T>(all: &[(&'static str, T)]) -> PossibleValuesParser {
@@ -93,13 +95,73 @@
         )
 }
 
+fn live_command() -> Command {
+    let text = |name: &'static str, default: &'static str, help: &'static str| {
+        Arg::new(name).long(name).default_value(default).help(help)
+    };
+    let number = |name: &'static str, default: &'static str, help: &'static str| {
+        text(name, default, help).value_parser(value_parser!(u64).range(1..))
+    };
+    Command::new("live")
+        .about("Loads a router, or an engine directly, over HTTP")
+        .arg(
+            Arg::new("target")
+                .long("target")
+                .required(true)
+                .help("Base URL"),
+        )
+        .arg(text("key", "key-dispatch", "An organisation's key"))
+        .arg(text("model", "stand-in-7b", "The model asked for"))
+        .arg(number("requests", "1000", "Requests in all"))
+        .arg(number("parallel", "50", "Requests at once"))
+        .arg(number("tokens", "16", "Tokens of each answer"))
+        .arg(
+            Arg::new("whole")
+                .long("whole")
+                .action(ArgAction::SetTrue)
+                .help("Do not stream"),
+        )
+}
+
+fn run_live(matches: &ArgMatches) -> eyre::Result<ExitCode> {
+    let text = |name: &str| matches.get_one::<String>(name).cloned().unwrap_or_default();
+    let number = |name: &str| matches.get_one::<u64>(name).copied().unwrap_or(1);
+    let load = Load {
+        target: text("target"),
+        key: text("key"),
+        model: text("model"),
+        requests: number("requests"),
+        parallel: number("parallel"),
+        tokens: number("tokens"),
+        stream: !matches.get_flag("whole"),
+    };
+    let requests = load.requests;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()?;
+    let result = runtime.block_on(live::run(load))?;
+    println!("{}", serde_json::to_string(&result)?);
+    let all_whole = result.whole == requests;
+    Ok(if all_whole {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    })
+}
+
 fn main() -> ExitCode {
     let matches = command().get_matches();
     match matches.subcommand() {
-        Some(("decisions", matches)) => run_decisions(matches),
-        _ => return ExitCode::FAILURE,
+        Some(("decisions", matches)) => {
+            run_decisions(matches);
+            ExitCode::SUCCESS
+        }
+        Some(("live", matches)) => run_live(matches).unwrap_or_else(|error| {
+            eprintln!("{error:#}");
+            ExitCode::FAILURE
+        }),
+        _ => ExitCode::FAILURE,
     }
-    ExitCode::SUCCESS
 }
 
 /// One run's setup with the names it is printed under.
--- a/crates/proto/src/agent_api.rs
+++ b/crates/proto/src/agent_api.rs
@@ -3,7 +3,7 @@
 
 use std::sync::Arc;
 
-use chalkrock_core::{ConfigVersion, EndpointId, HostId, HostList, RequestId};
+use chalkrock_core::{ConfigVersion, EndpointId, HostId, HostList, Incarnation};
 use serde::{Deserialize, Serialize};
 
 /// The version of these messages. Peers with another one are refused.
@@ -24,6 +24,14 @@
 }
 
 impl Purpose {
+    /// Each purpose.
+    pub const ALL: [Purpose; 4] = [
+        Purpose::View,
+        Purpose::Slots,
+        Purpose::Exchange,
+        Purpose::Claims,
+    ];
+
     /// The label of the purpose in metrics.
     pub fn label(self) -> &'static str {
         match self {
@@ -99,13 +107,14 @@
     pub hosts: Option<HostsBody>,
 }
 
-/// A router asks the owner of an engine for a slot there.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+/// A router asks the owner of an engine for a slot there. Names travel as
+/// their hashes: asks are most of the control traffic.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 pub struct SlotAsk {
-    /// The engine.
-    pub endpoint: EndpointId,
-    /// The request that would run there.
-    pub request: RequestId,
+    /// The hash of the engine's name.
+    pub engine: u64,
+    /// How long the owner may hold the ask until a slot frees up.
+    pub wait_ms: u16,
 }
 
 /// The owner's answer.
@@ -127,11 +136,49 @@
     NotOwner,
 }
 
-/// Slots that a router gives back.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
-pub struct SlotReturns {
-    /// The endpoint of each, once for each slot.
-    pub requests: Vec<SlotAsk>,
+/// Slots of one engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SlotCount {
+    /// The hash of the engine's name.
+    pub engine: u64,
+    /// How many slots.
+    pub count: u32,
+}
+
+/// One host's total for one pool, as it travels. Hosts and pools are named by
+/// the low half of their names' hashes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadBody {
+    /// The pool.
+    pub pool: u32,
+    /// The host.
+    pub host: u32,
+    /// Requests in progress on the engines it owns.
+    pub in_progress: u32,
+    /// The weight of these engines.
+    pub weight: u32,
+    /// How long ago the host said so.
+    pub age_ms: u32,
+}
+
+/// An endpoint that was seen to leave.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeavingBody {
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// The life that leaves.
+    pub incarnation: Incarnation,
+}
+
+/// One round of the exchange, the same in both directions.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct News {
+    /// The version in force at the sender.
+    pub config_version: ConfigVersion,
+    /// The freshest totals that it knows.
+    pub loads: Vec<LoadBody>,
+    /// Endpoints that it lately saw leaving.
+    pub leaving: Vec<LeavingBody>,
 }
 
 /// What an agent answers.
@@ -148,5 +195,14 @@
     async fn ask_slot(ask: SlotAsk) -> Result<SlotAnswer, PeerError>;
 
     /// Gives slots back.
-    async fn return_slots(returns: SlotReturns) -> Result<(), PeerError>;
+    async fn return_slots(returns: Vec<SlotCount>) -> Result<(), PeerError>;
+
+    /// Tells a new owner what the router holds of its engines.
+    async fn adopt_slots(held: Vec<SlotCount>) -> Result<(), PeerError>;
+
+    /// Exchanges news with another agent.
+    async fn exchange(news: News) -> Result<News, PeerError>;
+
+    /// The configuration in force here, for an agent that has an older one.
+    async fn config_body() -> Result<Option<ConfigBody>, PeerError>;
 }
--- a/crates/proto/src/lib.rs
+++ b/crates/proto/src/lib.rs
@@ -28,11 +28,13 @@
 
 mod agent_api;
 mod counted;
+mod traffic;
 mod transport;
 
 pub use agent_api::{
-    AgentApi, AgentApiClient, ConfigBody, Hello, HostsBody, KnownView, PROTOCOL_VERSION, PeerError,
-    Purpose, SlotAnswer, SlotAsk, SlotReturns, ViewUpdate,
+    AgentApi, AgentApiClient, ConfigBody, Hello, HostsBody, KnownView, LeavingBody, LoadBody, News,
+    PROTOCOL_VERSION, PeerError, Purpose, SlotAnswer, SlotAsk, SlotCount, ViewUpdate,
 };
 pub use counted::{ByteCount, Counted};
+pub use traffic::{Traffic, TrafficBytes};
 pub use transport::{ConnectError, CountedTransport, FRAME_MAX_BYTES, connect, transport};
--- a/crates/quickstart/src/fleet.rs
+++ b/crates/quickstart/src/fleet.rs
@@ -210,6 +210,8 @@
         fleet_key: FLEET_KEY.to_owned(),
         config_poll_ms: POLL_MS,
         hosts_poll_ms: POLL_MS,
+        probe_ms: 1_000,
+        settle_ms: 500,
         logs: Default::default(),
         spans: Default::default(),
     }
@@ -227,6 +229,7 @@
         body_max_bytes: 4 * 1024 * 1024,
         explanations_kept: 1_000,
         view_max_age_ms: 3_000,
+        ask_timeout_ms: 100,
         drain_max_ms: 10_000,
         logs: Default::default(),
         spans: Default::default(),
--- a/crates/quickstart/src/tour.rs
+++ b/crates/quickstart/src/tour.rs
@@ -63,7 +63,10 @@
     if let Some(hint) = hint {
         call = call.header("chalkrock-affinity", hint);
     }
-    let response = call.send().await?.error_for_status()?;
+    let response = call.send().await?;
+    if !response.status().is_success() {
+        return Err(eyre!("refused: {}", response.text().await?));
+    }
     let header = |name: &str| {
         let value = response
             .headers()
--- a/crates/router/src/api.rs
+++ b/crates/router/src/api.rs
@@ -1,6 +1,7 @@
 //! The callers' API: routes, and what each request passes on entry.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use axum::Json;
 use axum::Router;
@@ -13,6 +14,7 @@
 use chalkrock_core::{OrganisationId, PoolKind, Reason, key_digest};
 use futures::StreamExt;
 use serde_json::json;
+use tokio::time::Instant;
 
 use crate::chat;
 use crate::explain::Explanation;
@@ -22,6 +24,8 @@
 use crate::state::State;
 use crate::view::RouterView;
 
+/// How long a request waits for a view that is recent enough.
+const YOUNGER_VIEW_TIMEOUT: Duration = Duration::from_millis(500);
 /// Bytes of a refused body that are read so that its caller gets the answer.
 const DISCARD_MAX_BYTES: usize = 16 * 1024 * 1024;
 
@@ -56,18 +60,37 @@
             "this host is leaving, ask another one",
         ));
     }
-    let view = state.view.load_full();
-    if !view.is_complete() {
-        return Err(Refusal::new(
-            Reason::NoView,
-            "this host has no view of the fleet yet",
-        ));
-    }
+    let view = recent_view(state).await?;
     let organisation = organisation_of(&view, headers)?;
     explanation.organisation = Some(organisation.clone());
     Ok(Entered { view, organisation })
 }
 
+/// The view, if it is recent. A router that was frozen, or that lost its
+/// agent, waits for a younger one: endpoints may have left meanwhile.
+async fn recent_view(state: &State) -> Result<Arc<RouterView>, Refusal> {
+    let age_max = Duration::from_millis(state.settings.view_max_age_ms);
+    let is_recent =
+        |view: &RouterView| view.is_complete() && view.confirmed_at.elapsed() <= age_max;
+    let give_up_at = Instant::now() + YOUNGER_VIEW_TIMEOUT;
+    loop {
+        let confirmed = state.view_confirmed.notified();
+        let view = state.view.load_full();
+        if is_recent(&view) {
+            return Ok(view);
+        }
+        if tokio::time::timeout_at(give_up_at, confirmed)
+            .await
+            .is_err()
+        {
+            return Err(Refusal::new(
+                Reason::NoView,
+                "this host has no recent view of the fleet",
+            ));
+        }
+    }
+}
+
 fn organisation_of(view: &RouterView, headers: &HeaderMap) -> Result<OrganisationId, Refusal> {
     let unknown = |detail: &str| Refusal::new(Reason::UnknownKey, detail);
     let key = bearer(headers).ok_or_else(|| unknown("send Authorization: Bearer KEY"))?;
--- a/crates/router/src/chat.rs
+++ b/crates/router/src/chat.rs
@@ -8,7 +8,7 @@
 use axum::response::sse::{KeepAlive, Sse};
 use axum::response::{IntoResponse, Response};
 use bytes::Bytes;
-use chalkrock_core::rendezvous::{KeyHash, first};
+use chalkrock_core::rendezvous::KeyHash;
 use chalkrock_core::{Endpoint, HomeHint, OrganisationId, Outcome, Pool, Reason, StreamPlace};
 use reqwest::Method;
 use serde::Deserialize;
@@ -17,11 +17,12 @@
 
 use crate::api::{Entered, body_of, discard, enter};
 use crate::dispatch::{Attempt, send};
-use crate::explain::{Candidate, CandidateRole, Explanation};
+use crate::explain::Explanation;
+use crate::owners::OnEngine;
+use crate::place::{ChatPlace, Placed, place};
 use crate::refusal::{Refusal, mark};
-use crate::relay::Relay;
+use crate::relay::{Begun, Relay};
 use crate::state::State;
-use crate::view::ViewEndpoint;
 
 /// The affinity hint, in both directions.
 const AFFINITY: &str = "chalkrock-affinity";
@@ -41,6 +42,8 @@
 
 #[derive(Debug, Deserialize)]
 struct Message {
+    #[serde(default)]
+    role: String,
     #[serde(default)]
     content: serde_json::Value,
 }
@@ -59,14 +62,8 @@
         .instrument(span)
         .await;
     match served {
-        Ok(Served::Stream {
-            endpoint,
-            place,
-            response,
-            from,
-            home,
-        }) => {
-            let relay = Relay::new(state, explanation, *endpoint, place, response, from);
+        Ok(Served::Stream { begun, home }) => {
+            let relay = Relay::new(state, explanation, *begun);
             let events = Sse::new(relay.into_events()).keep_alive(KeepAlive::default());
             let mut answer = events.into_response();
             mark(answer.headers_mut(), &request, Outcome::Ran);
@@ -90,10 +87,7 @@
 /// An endpoint's answer that is ready to be passed on.
 enum Served {
     Stream {
-        endpoint: Box<Endpoint>,
-        place: String,
-        response: reqwest::Response,
-        from: u64,
+        begun: Box<Begun>,
         home: HeaderValue,
     },
     Whole {
@@ -130,25 +124,25 @@
         return resume(state, explanation, &entered, last).await;
     }
     let home = home_of(state, headers, &entered.organisation)?;
-    let (endpoint, response) = dispatch(
-        state,
-        explanation,
-        &entered,
-        pool,
-        chat_key(&entered, &chat),
-        home,
-        body,
-    )
-    .await?;
-    pass_on(
-        state,
-        explanation,
-        &entered,
-        endpoint,
-        response,
-        chat.stream,
-    )
-    .await
+    let place = ChatPlace {
+        key: chat_key(&entered, &chat),
+        hint: home.map(|home| home.endpoint),
+        returns: chat
+            .messages
+            .iter()
+            .any(|message| message.role == "assistant"),
+        home_wait_ms: worth_waiting_ms(body.len()),
+    };
+    let dispatched = dispatch(state, explanation, &entered, pool, &place, body).await?;
+    pass_on(state, explanation, &entered, dispatched, chat.stream).await
+}
+
+/// How long a warm engine is worth waiting for: no longer than it would take
+/// to process the prompt anew, as far as its length tells.
+fn worth_waiting_ms(prompt_bytes: usize) -> u64 {
+    const PROMPT_BYTES_PER_MS: usize = 40;
+    const WAIT_MAX_MS: u64 = 400;
+    WAIT_MAX_MS.min((prompt_bytes / PROMPT_BYTES_PER_MS) as u64)
 }
 
 /// A chat is known by its first words: they stay while it grows.
@@ -181,78 +175,62 @@
     home.map(Some).map_err(|error| refused(error.to_string()))
 }
 
-/// Chooses an endpoint and sends, on to another one while none has started.
+/// Finds an engine and sends, on to another one while none has started it.
 async fn dispatch(
     state: &State,
     explanation: &mut Explanation,
     entered: &Entered,
     pool: &Pool,
-    key: KeyHash,
-    home: Option<HomeHint>,
+    chat: &ChatPlace,
     body: Bytes,
-) -> Result<(Endpoint, reqwest::Response), Refusal> {
-    let mut live: Vec<&ViewEndpoint> = entered.view.live_in(&pool.name).iter().collect();
+) -> Result<Dispatched, Refusal> {
+    let mut engines = entered.view.live_in(&pool.name).to_vec();
     let mut refusal = Refusal::new(
         Reason::NoEndpoint,
         format!("{} has no live engine", pool.name),
     );
-    let mut hinted = home.map(|home| home.endpoint);
-    for attempt in 0..ATTEMPTS_MAX {
-        let hint = hinted.take();
-        let at_hint = live
-            .iter()
-            .position(|e| Some(&e.endpoint.name) == hint.as_ref());
-        let ranked = || {
-            first(
-                key,
-                live.iter().map(|e| (e.hash, f64::from(e.endpoint.slots))),
-            )
-        };
-        let Some(chosen) = at_hint.or_else(ranked) else {
+    for _ in 0..ATTEMPTS_MAX {
+        if engines.is_empty() {
             break;
-        };
-        let chosen = live.remove(chosen);
-        let role = match (attempt, at_hint) {
-            (0, Some(_)) => CandidateRole::Hint,
-            (0, None) => CandidateRole::FirstRank,
-            _ => CandidateRole::Retry,
-        };
+        }
+        let Placed { engine, on_engine } = place(state, explanation, pool, chat, &engines).await?;
         let start = Instant::now();
-        let sent = send(
-            state,
-            Attempt {
-                request: &explanation.request,
-                endpoint: &chosen.endpoint,
-                method: Method::POST,
-                path: CHAT_PATH,
-                headers: json_headers(),
-                body: body.clone(),
-            },
-        );
-        let sent = sent.await;
+        let attempt = Attempt {
+            request: &explanation.request,
+            endpoint: &engine.endpoint,
+            method: Method::POST,
+            path: CHAT_PATH,
+            headers: json_headers(),
+            body: body.clone(),
+        };
+        let sent = send(state, attempt).await;
         explanation.hop("dispatch", start);
-        let answer = sent
-            .as_ref()
-            .map_or_else(|refusal| refusal.reason.code(), |_| "answered");
-        let endpoint = chosen.endpoint.name.clone();
-        explanation.candidates.push(Candidate {
-            endpoint,
-            role,
-            answer,
-            in_progress: None,
-        });
         match sent {
             Ok(response) => {
-                explanation.chosen = Some(chosen.endpoint.name.clone());
-                return Ok((chosen.endpoint.clone(), response));
+                explanation.chosen = Some(engine.endpoint.name.clone());
+                return Ok(Dispatched {
+                    endpoint: engine.endpoint,
+                    on_engine,
+                    response,
+                });
+            }
+            Err(failed) if failed.reason.outcome() == Outcome::NotRun => {
+                engines.retain(|other| other.hash != engine.hash);
+                refusal = failed;
             }
-            Err(failed) if failed.reason.outcome() == Outcome::NotRun => refusal = failed,
             Err(failed) => return Err(failed),
         }
     }
     Err(refusal)
 }
 
+/// A request that an engine runs.
+struct Dispatched {
+    endpoint: Endpoint,
+    on_engine: OnEngine,
+    response: reqwest::Response,
+}
+
 fn json_headers() -> HeaderMap {
     let mut headers = HeaderMap::new();
     headers.insert("content-type", HeaderValue::from_static("application/json"));
@@ -264,10 +242,14 @@
     state: &State,
     explanation: &mut Explanation,
     entered: &Entered,
-    endpoint: Endpoint,
-    response: reqwest::Response,
+    dispatched: Dispatched,
     stream: bool,
 ) -> Result<Served, Refusal> {
+    let Dispatched {
+        endpoint,
+        on_engine,
+        response,
+    } = dispatched;
     let hint = HomeHint {
         organisation: entered.organisation.clone(),
         endpoint: endpoint.name.clone(),
@@ -280,11 +262,15 @@
             request: explanation.request.clone(),
             endpoint: endpoint.name.clone(),
         });
-        return Ok(Served::Stream {
-            endpoint: Box::new(endpoint),
+        let begun = Begun {
+            endpoint,
+            on_engine: Some(on_engine),
             place,
             response,
             from: 0,
+        };
+        return Ok(Served::Stream {
+            begun: Box::new(begun),
             home,
         });
     }
@@ -361,11 +347,15 @@
     let home = HeaderValue::from_str(&state.tokens.sign_home(&hint))
         .unwrap_or_else(|_| HeaderValue::from_static(""));
     let token = token.to_owned();
-    Ok(Served::Stream {
-        endpoint: Box::new(endpoint),
+    let begun = Begun {
+        endpoint,
+        on_engine: None,
         place: token,
         response,
         from,
+    };
+    Ok(Served::Stream {
+        begun: Box::new(begun),
         home,
     })
 }
--- a/crates/router/src/follow.rs
+++ b/crates/router/src/follow.rs
@@ -1,11 +1,12 @@
 //! Follows the agent's view, and reconnects when the agent restarts.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use chalkrock_core::{FleetConfig, HostId};
 use chalkrock_proto::{
-    AgentApiClient, ByteCount, Hello, KnownView, PROTOCOL_VERSION, Purpose, ViewUpdate, connect,
+    AgentApiClient, Hello, KnownView, PROTOCOL_VERSION, Purpose, ViewUpdate, connect,
 };
 use tokio::time::Instant;
 
@@ -15,6 +16,10 @@
 const PART: &str = "router.view";
 /// Pause after a failed connection.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(100);
+/// An agent that is silent longer is away: it answers each second.
+const WATCH_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// How long another host's agent is followed before the own one is tried.
+const FOLLOW_OTHER_FOR: Duration = Duration::from_secs(5);
 
 /// The hello of this router for a purpose.
 pub(crate) fn hello(host: &HostId, fleet_key_sha256: &Arc<str>, purpose: Purpose) -> Hello {
@@ -26,41 +31,62 @@
     }
 }
 
-/// Follows the agent until dropped.
+/// Follows the agent beside this router until dropped; while that one is
+/// away, the agent of another host of the last view.
 pub(crate) async fn follow(state: Arc<State>) {
-    let count = Arc::new(ByteCount::default());
+    let own = state.settings.agent_address;
     loop {
-        let hello = hello(&state.settings.host, &state.fleet_key_sha256, Purpose::View);
-        match connect(state.settings.agent_address, hello, count.clone()).await {
-            Ok(agent) => {
-                log::info!(target: PART, "Agent connected.");
-                follow_connected(&state, &agent).await;
-                log::warn!(target: PART, "Agent lost. Serving on the last view.");
+        for address in [Some(own), other_agent(&state, own)].into_iter().flatten() {
+            let hello = hello(&state.settings.host, &state.fleet_key_sha256, Purpose::View);
+            let count = state.traffic.open(Purpose::View);
+            match connect(address, hello, count).await {
+                Ok(agent) => {
+                    log::info!(target: PART, "Following agent {address}.");
+                    follow_connected(&state, &agent, address == own).await;
+                    log::warn!(target: PART, "Agent {address} lost. Serving on the last view.");
+                }
+                Err(error) => log::debug!(target: PART, "No agent: {error}."),
             }
-            Err(error) => log::debug!(target: PART, "No agent: {error}."),
         }
         tokio::time::sleep(RECONNECT_PAUSE).await;
     }
 }
 
-/// Follows one connection until it breaks.
-async fn follow_connected(state: &State, agent: &AgentApiClient) {
+fn other_agent(state: &State, own: SocketAddr) -> Option<SocketAddr> {
+    let view = state.view.load();
+    let others = view.hosts.hosts.iter().map(|host| host.agent_address);
+    let others: Vec<_> = others.filter(|address| *address != own).collect();
+    // Routers spread over the agents by their own name.
+    let turn = chalkrock_core::rendezvous::MemberHash::of(state.settings.host.as_str()).0;
+    let pick = (turn as usize).checked_rem(others.len())?;
+    others.get(pick).copied()
+}
+
+/// Follows one connection until it breaks; another host's agent only for a
+/// while, so that the own one is tried again.
+async fn follow_connected(state: &State, agent: &AgentApiClient, is_own: bool) {
     // A restarted agent counts its host lists anew.
     let mut known = KnownView {
         config_version: state.view.load().config_version,
         hosts_number: 0,
     };
-    loop {
-        match agent.watch_view(tarpc::context::current(), known).await {
-            Ok(Ok(update)) => take(state, update, &mut known),
-            Ok(Err(error)) => {
+    let since = Instant::now();
+    while is_own || since.elapsed() < FOLLOW_OTHER_FOR {
+        let watch = agent.watch_view(tarpc::context::current(), known);
+        match tokio::time::timeout(WATCH_TIMEOUT, watch).await {
+            Ok(Ok(Ok(update))) => take(state, update, &mut known),
+            Ok(Ok(Err(error))) => {
                 log::warn!(target: PART, "Agent refused: {error}.");
                 return;
             }
-            Err(error) => {
+            Ok(Err(error)) => {
                 log::debug!(target: PART, "Agent connection: {error}.");
                 return;
             }
+            Err(_) => {
+                log::debug!(target: PART, "Agent does not answer.");
+                return;
+            }
         }
     }
 }
@@ -89,6 +115,8 @@
     if let Some(hosts) = update.hosts {
         known.hosts_number = hosts.number;
         view.set_hosts(hosts.number, hosts.list);
+        state.owners.take_view(&view);
     }
     state.view.store(Arc::new(view));
+    state.view_confirmed.notify_waiters();
 }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -23,6 +23,8 @@
 mod explain;
 mod follow;
 mod operators;
+mod owners;
+mod place;
 mod refusal;
 mod relay;
 mod service_calls;
--- a/crates/router/src/operators.rs
+++ b/crates/router/src/operators.rs
@@ -10,6 +10,7 @@
 use axum::response::{IntoResponse, Response};
 use axum::routing::get;
 use chalkrock_core::{RequestId, key_digest};
+use chalkrock_proto::Purpose;
 
 use crate::api::bearer;
 use crate::explain::Lookup;
@@ -43,6 +44,9 @@
     if !view.is_complete() {
         return (unavailable, "no view yet");
     }
+    if !view.has_endpoints() {
+        return (unavailable, "no live endpoint");
+    }
     if view.confirmed_at.elapsed() > AGENT_AWAY_MAX {
         return (unavailable, "agent away");
     }
@@ -52,6 +56,18 @@
 async fn metrics(Extract(state): Extract<Arc<State>>) -> String {
     let version = state.view.load().config_version;
     state.metrics.gauge("config_version", "", version.0 as f64);
+    for purpose in Purpose::ALL {
+        let bytes = state.traffic.bytes(purpose);
+        let label = |way: &str| format!("purpose=\"{}\",way=\"{way}\"", purpose.label());
+        state
+            .metrics
+            .gauge("control_bytes_total", &label("in"), bytes.read_bytes as f64);
+        state.metrics.gauge(
+            "control_bytes_total",
+            &label("out"),
+            bytes.written_bytes as f64,
+        );
+    }
     state.metrics.render()
 }
 
--- /dev/null
+++ b/crates/router/src/place.rs
@@ -0,0 +1,191 @@
+//! Finds the engine of one request, by the core's search.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use chalkrock_core::rendezvous::KeyHash;
+use chalkrock_core::{
+    AskAnswer, EndpointId, Home, PlaceOption, Placement, PlacementRules, Pool, Reason, Step,
+    local_choice,
+};
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
+use tokio::time::Instant;
+
+use crate::explain::{Candidate, CandidateRole, Explanation};
+use crate::owners::OnEngine;
+use crate::refusal::Refusal;
+use crate::state::State;
+use crate::view::ViewEndpoint;
+
+/// What is known of a chat before its engine is chosen.
+#[derive(Clone, Debug)]
+pub(crate) struct ChatPlace {
+    pub(crate) key: KeyHash,
+    /// The engine that the caller's hint names.
+    pub(crate) hint: Option<EndpointId>,
+    /// Whether it has turns behind it.
+    pub(crate) returns: bool,
+    /// How long a warm engine is worth waiting for.
+    pub(crate) home_wait_ms: u64,
+}
+
+/// An engine that was found, and the request's place on it.
+pub(crate) struct Placed {
+    pub(crate) engine: ViewEndpoint,
+    pub(crate) on_engine: OnEngine,
+}
+
+/// Finds an engine among those given.
+///
+/// # Errors
+///
+/// If there is none, or all that answered are at their bound.
+pub(crate) async fn place(
+    state: &State,
+    explanation: &mut Explanation,
+    pool: &Pool,
+    chat: &ChatPlace,
+    engines: &[ViewEndpoint],
+) -> Result<Placed, Refusal> {
+    let start = Instant::now();
+    let mut search = Search::new(state, explanation, chat, engines);
+    let found = search.run(pool).await;
+    explanation.hop("place", start);
+    found
+}
+
+struct Search<'a> {
+    state: &'a State,
+    explanation: &'a mut Explanation,
+    engines: &'a [ViewEndpoint],
+    options: Vec<PlaceOption>,
+    home: Home,
+    key: KeyHash,
+    placement: Placement,
+}
+
+impl<'a> Search<'a> {
+    fn new(
+        state: &'a State,
+        explanation: &'a mut Explanation,
+        chat: &ChatPlace,
+        engines: &'a [ViewEndpoint],
+    ) -> Self {
+        let option = |e: &ViewEndpoint| PlaceOption {
+            hash: e.hash,
+            weight: f64::from(e.endpoint.slots),
+        };
+        let hint = chat.hint.as_ref();
+        let hinted = hint.and_then(|hint| engines.iter().position(|e| e.endpoint.name == *hint));
+        let home = match (hinted, chat.returns) {
+            (Some(index), _) => Home::Hinted(index),
+            (None, true) => Home::FirstRank,
+            (None, false) => Home::Nowhere,
+        };
+        let rules = PlacementRules {
+            home_wait_ms: chat.home_wait_ms,
+            ..Default::default()
+        };
+        Self {
+            state,
+            explanation,
+            engines,
+            options: engines.iter().map(option).collect(),
+            home,
+            key: chat.key,
+            placement: Placement::new(rules, chat.key, home),
+        }
+    }
+
+    async fn run(&mut self, pool: &Pool) -> Result<Placed, Refusal> {
+        let mut step = self.placement.start(&self.options);
+        loop {
+            step = match step {
+                Step::Ask { engines, wait_ms } => self.ask(engines, wait_ms).await,
+                Step::Pause { pause_ms } => {
+                    tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+                    self.placement.resume(&self.options)
+                }
+                Step::Dispatch { to, give_back } => {
+                    for index in give_back {
+                        self.state.owners.give_back(self.engines[index].hash.0);
+                    }
+                    return Ok(self.placed(to, true));
+                }
+                Step::RefuseAtBound => {
+                    let detail = format!("all engines asked in {} are at their bound", pool.name);
+                    return Err(Refusal::new(Reason::AtBound, detail));
+                }
+                Step::NoOwner => return self.without_owner(pool),
+                Step::Await => {
+                    let detail = "the search waits for an answer that came";
+                    return Err(Refusal::new(Reason::NoEndpoint, detail));
+                }
+            };
+        }
+    }
+
+    /// Asks owners at once, and gives the search each answer as it comes.
+    async fn ask(&mut self, indexes: Vec<usize>, wait_ms: u64) -> Step {
+        let owners: &Arc<_> = &self.state.owners;
+        let engines = self.engines;
+        let mut asks: FuturesUnordered<_> = indexes
+            .into_iter()
+            .map(|index| async move { (index, owners.ask(&engines[index], wait_ms).await) })
+            .collect();
+        let mut step = Step::Await;
+        while let Some((index, answer)) = asks.next().await {
+            self.note(index, answer);
+            step = self.placement.answered(&self.options, index, answer);
+        }
+        step
+    }
+
+    /// No owner answers: the router holds the bound over its own requests.
+    /// What each router keeps balanced is balanced in sum.
+    fn without_owner(&mut self, pool: &Pool) -> Result<Placed, Refusal> {
+        let busy = self.state.owners.busy_on(self.engines);
+        let chosen = local_choice(
+            &self.options,
+            self.home,
+            self.key,
+            &busy,
+            pool.load_multiple,
+        );
+        let Some(index) = chosen else {
+            let detail = format!("{} has no live engine", pool.name);
+            return Err(Refusal::new(Reason::NoEndpoint, detail));
+        };
+        self.state
+            .metrics
+            .count("placed_without_owner_total", "", 1);
+        Ok(self.placed(index, false))
+    }
+
+    fn placed(&self, index: usize, holds_slot: bool) -> Placed {
+        let engine = self.engines[index].clone();
+        let on_engine = self.state.owners.enter(engine.hash.0, holds_slot);
+        Placed { engine, on_engine }
+    }
+
+    fn note(&mut self, index: usize, answer: AskAnswer) {
+        let (answer, in_progress) = match answer {
+            AskAnswer::Granted { load } => ("granted", Some(load)),
+            AskAnswer::AtBound { load } => ("at its bound", Some(load)),
+            AskAnswer::Absent => ("no owner", None),
+        };
+        let role = match self.home {
+            Home::Hinted(home) if home == index => CandidateRole::Hint,
+            Home::FirstRank if self.explanation.candidates.is_empty() => CandidateRole::FirstRank,
+            _ => CandidateRole::Other,
+        };
+        let endpoint = self.engines[index].endpoint.name.clone();
+        self.explanation.candidates.push(Candidate {
+            endpoint,
+            role,
+            answer,
+            in_progress,
+        });
+    }
+}
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -21,6 +21,7 @@
 
 use crate::dispatch::{Attempt, send};
 use crate::explain::{Explanation, Record};
+use crate::owners::OnEngine;
 use crate::refusal::Refusal;
 use crate::state::State;
 
@@ -42,6 +43,7 @@
     state: Arc<State>,
     explanation: Option<Explanation>,
     endpoint: Endpoint,
+    _on_engine: Option<OnEngine>,
     /// The token that lets another router go on; part of each event's id.
     place: String,
     source: Source,
@@ -52,6 +54,18 @@
     phase: Phase,
 }
 
+/// A stream that an engine has begun.
+pub(crate) struct Begun {
+    pub(crate) endpoint: Endpoint,
+    /// The request's place on the engine; a resumed stream has none here.
+    pub(crate) on_engine: Option<OnEngine>,
+    /// The token that lets another router go on.
+    pub(crate) place: String,
+    pub(crate) response: Response,
+    /// The first event that the caller wants.
+    pub(crate) from: u64,
+}
+
 enum Phase {
     Streaming,
     Closing,
@@ -87,21 +101,15 @@
 }
 
 impl Relay {
-    pub(crate) fn new(
-        state: Arc<State>,
-        explanation: Explanation,
-        endpoint: Endpoint,
-        place: String,
-        response: Response,
-        from: u64,
-    ) -> Self {
+    pub(crate) fn new(state: Arc<State>, explanation: Explanation, begun: Begun) -> Self {
         Self {
             state,
             explanation: Some(explanation),
-            endpoint,
-            place,
-            source: source_of(response),
-            order: StreamOrder::starting_at(from),
+            endpoint: begun.endpoint,
+            _on_engine: begun.on_engine,
+            place: begun.place,
+            source: source_of(begun.response),
+            order: StreamOrder::starting_at(begun.from),
             resumes: 0,
             started_at: Instant::now(),
             first_event: true,
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -34,6 +34,9 @@
     /// A view older than this is refreshed before the next dispatch.
     #[serde(default = "default_view_max_age_ms")]
     pub view_max_age_ms: u64,
+    /// An owner that does not answer an ask by then is passed over.
+    #[serde(default = "default_ask_timeout_ms")]
+    pub ask_timeout_ms: u64,
     /// How long a planned stop waits for requests in progress.
     #[serde(default = "default_drain_max_ms")]
     pub drain_max_ms: u64,
@@ -60,3 +63,7 @@
 fn default_drain_max_ms() -> u64 {
     120_000
 }
+
+fn default_ask_timeout_ms() -> u64 {
+    10
+}
--- a/crates/router/src/start.rs
+++ b/crates/router/src/start.rs
@@ -66,6 +66,7 @@
 
     let mut tasks = JoinSet::new();
     tasks.spawn(follow(state.clone()));
+    tasks.spawn(state.owners.clone().return_slots());
     let operators = operators::app(state.clone());
     tasks.spawn(async move {
         if let Err(error) = axum::serve(operator_listener, operators).await {
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -2,20 +2,25 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use chalkrock_core::{RequestId, TokenKey, key_digest};
 use chalkrock_process::{Metrics, Stop};
+use chalkrock_proto::{Purpose, Traffic};
 use kameo::actor::{ActorRef, Spawn};
+use tokio::sync::Notify;
 
 use crate::explain::Recorder;
+use crate::follow::hello;
+use crate::owners::Owners;
 use crate::settings::RouterSettings;
 use crate::view::RouterView;
 
 /// Idle connections kept to each endpoint.
 const IDLE_CONNECTIONS: usize = 256;
 /// How long connecting to an endpoint may take.
-const CONNECT_TIMEOUT: std::time::Duration = std::time::Duration::from_secs(1);
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
 pub(crate) struct State {
     pub(crate) settings: RouterSettings,
@@ -25,6 +30,10 @@
     pub(crate) endpoints: reqwest::Client,
     pub(crate) recorder: ActorRef<Recorder>,
     pub(crate) metrics: Metrics,
+    pub(crate) owners: Arc<Owners>,
+    pub(crate) traffic: Arc<Traffic>,
+    /// Wakes whoever waits for a younger view.
+    pub(crate) view_confirmed: Notify,
     pub(crate) stop: Stop,
     next_request: AtomicU64,
     life: u64,
@@ -39,8 +48,15 @@
             .connect_timeout(CONNECT_TIMEOUT)
             .redirect(reqwest::redirect::Policy::none())
             .build()?;
+        let fleet_key_sha256: Arc<str> = key_digest(&settings.fleet_key).into();
+        let traffic = Arc::new(Traffic::default());
+        let hello = hello(&settings.host, &fleet_key_sha256, Purpose::Slots);
+        let ask_timeout = Duration::from_millis(settings.ask_timeout_ms);
         Ok(Self {
-            fleet_key_sha256: key_digest(&settings.fleet_key).into(),
+            owners: Owners::new(hello, traffic.clone(), ask_timeout),
+            traffic,
+            view_confirmed: Notify::new(),
+            fleet_key_sha256,
             tokens: TokenKey::new(settings.fleet_key.as_bytes()),
             view: ArcSwap::from_pointee(RouterView::empty()),
             endpoints,
--- a/crates/router/src/view.rs
+++ b/crates/router/src/view.rs
@@ -1,10 +1,13 @@
 //! The router's view of the fleet, prepared for decisions.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use chalkrock_core::rendezvous::MemberHash;
-use chalkrock_core::{ConfigVersion, Endpoint, FleetConfig, HostList, HostState, PoolId};
+use chalkrock_core::{
+    ConfigVersion, Endpoint, FleetConfig, Host, HostList, HostState, PoolId, owner_index,
+};
 use tokio::time::Instant;
 
 /// An endpoint with what decisions need of it.
@@ -12,6 +15,8 @@
 pub(crate) struct ViewEndpoint {
     pub(crate) endpoint: Endpoint,
     pub(crate) hash: MemberHash,
+    /// Where the agent answers that grants its slots.
+    pub(crate) owner: Option<SocketAddr>,
 }
 
 /// The fleet as this router sees it.
@@ -44,17 +49,35 @@
         self.config_version > ConfigVersion(0) && self.hosts_number > 0
     }
 
+    /// Whether there is a live endpoint to send anything to. A first list
+    /// may be from before the endpoints joined.
+    pub(crate) fn has_endpoints(&self) -> bool {
+        self.config.pools.is_empty() || !self.live.is_empty()
+    }
+
     /// The live endpoints of a pool.
     pub(crate) fn live_in(&self, pool: &PoolId) -> &[ViewEndpoint] {
         self.live.get(pool).map_or(&[], Vec::as_slice)
     }
 
     pub(crate) fn set_hosts(&mut self, number: u64, list: HostList) {
+        let hosts: Vec<&Host> = list
+            .hosts
+            .iter()
+            .filter(|h| h.state == HostState::Live)
+            .collect();
+        let hashes: Vec<_> = hosts
+            .iter()
+            .map(|h| MemberHash::of(h.name.as_str()))
+            .collect();
         let mut live: HashMap<PoolId, Vec<ViewEndpoint>> = HashMap::new();
         for endpoint in list.endpoints.iter().filter(|e| e.state == HostState::Live) {
+            let hash = MemberHash::of(endpoint.name.as_str());
+            let owner = owner_index(hash, &hashes).map(|i| hosts[i].agent_address);
             let prepared = ViewEndpoint {
-                hash: MemberHash::of(endpoint.name.as_str()),
                 endpoint: endpoint.clone(),
+                hash,
+                owner,
             };
             live.entry(endpoint.pool.clone())
                 .or_default()
--- a/crates/standin/src/serve.rs
+++ b/crates/standin/src/serve.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 
 use axum::Router;
+use axum::serve::ListenerExt;
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 
@@ -23,6 +24,12 @@
     pub async fn start(listen: SocketAddr, app: Router) -> io::Result<Self> {
         let listener = TcpListener::bind(listen).await?;
         let address = listener.local_addr()?;
+        // Without this, small writes wait 40 ms for a delayed acknowledgement.
+        let listener = listener.tap_io(|stream| {
+            if let Err(error) = stream.set_nodelay(true) {
+                log::debug!(target: "standin", "No nodelay: {error}.");
+            }
+        });
         let task = tokio::spawn(async move {
             if let Err(error) = axum::serve(listener, app).await {
                 log::error!(target: "standin", "Server ended: {error}.");
