Run keyed requests at most once, and streams whole under failure

A claim is a row of the platform's table, written by one of four agents that group claims; the table decides. Streams resume at the same engine, at another router by the caller's token, and for safe requests at another engine from the text the caller has.

--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -18,6 +18,7 @@
 //! ```
 
 mod admin;
+mod claims;
 mod exchange;
 mod peers;
 mod platform_reads;
--- a/crates/agent/src/peers.rs
+++ b/crates/agent/src/peers.rs
@@ -6,8 +6,9 @@
 
 use chalkrock_process::Metrics;
 use chalkrock_proto::{
-    AgentApi, ByteCount, ConfigBody, Hello, KnownView, News, PROTOCOL_VERSION, PeerError, Purpose,
-    SlotAnswer, SlotAsk, SlotCount, Traffic, ViewUpdate, transport,
+    AgentApi, ByteCount, ClaimAnswer, ClaimWrite, ConfigBody, Hello, KnownView, News,
+    PROTOCOL_VERSION, PeerError, Purpose, SlotAnswer, SlotAsk, SlotCount, Traffic, ViewUpdate,
+    transport,
 };
 use futures::StreamExt;
 use kameo::actor::ActorRef;
@@ -16,6 +17,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
+use crate::claims::Claims;
 use crate::exchange::{news_of, take_news};
 use crate::slots::Slots;
 use crate::view::{AgentView, ViewKeeper};
@@ -32,6 +34,7 @@
     pub(crate) view: watch::Receiver<Arc<AgentView>>,
     pub(crate) metrics: Metrics,
     pub(crate) slots: Arc<Slots>,
+    pub(crate) claims: Claims,
     pub(crate) keeper: ActorRef<ViewKeeper>,
     pub(crate) traffic: Arc<Traffic>,
 }
@@ -167,6 +170,11 @@
         Ok(news_of(&view, &self.shared.slots))
     }
 
+    async fn write_claim(self, _: Context, write: ClaimWrite) -> Result<ClaimAnswer, PeerError> {
+        self.check(Purpose::Claims)?;
+        Ok(self.shared.claims.write(write).await)
+    }
+
     async fn config_body(self, _: Context) -> Result<Option<ConfigBody>, PeerError> {
         self.check(Purpose::Exchange)?;
         Ok(self.shared.view.borrow().config.clone())
--- a/crates/agent/src/start.rs
+++ b/crates/agent/src/start.rs
@@ -14,6 +14,7 @@
 use tokio::task::JoinSet;
 
 use crate::admin;
+use crate::claims::Claims;
 use crate::exchange::Exchange;
 use crate::peers::{self, Shared};
 use crate::platform_reads::Reads;
@@ -70,6 +71,7 @@
         view: view.clone(),
         metrics: metrics.clone(),
         slots: slots.clone(),
+        claims: Claims::start(platform.clone(), metrics.clone()),
         keeper: keeper.clone(),
         traffic: traffic.clone(),
     });
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -24,6 +24,7 @@
 
 pub mod rendezvous;
 
+mod claims;
 mod config;
 mod error;
 mod hosts;
@@ -38,6 +39,7 @@
 mod stream;
 mod token;
 
+pub use claims::{CLAIM_KEY_MAX_BYTES, ClaimDecision, ClaimRow, ClaimState, claim_row_key};
 pub use config::{FleetConfig, LOAD_MULTIPLE_MAX, LOAD_MULTIPLE_MIN, Organisation, Pool, PoolKind};
 pub use error::{Error, ErrorKind};
 pub use hosts::{Endpoint, EndpointKind, Host, HostList, HostState};
--- a/crates/core/src/token.rs
+++ b/crates/core/src/token.rs
@@ -47,6 +47,9 @@
     pub request: RequestId,
     /// The engine that runs it.
     pub endpoint: EndpointId,
+    /// The caller's number of the engine's first event: above 0 if another
+    /// engine began the stream.
+    pub base: u64,
 }
 
 impl TokenKey {
--- a/crates/core/tests/tokens.rs
+++ b/crates/core/tests/tokens.rs
@@ -29,6 +29,7 @@
         organisation: a.clone(),
         request: "r".into(),
         endpoint: "engine-1".into(),
+        base: 0,
     };
     let cases = [
         ("another organisation's", key.sign_home(&home("b"))),
--- a/crates/e2e/src/cluster.rs
+++ b/crates/e2e/src/cluster.rs
@@ -22,6 +22,8 @@
 pub const SERVICE: &str = "ledger";
 /// The key of the organisation `caller`.
 pub const ORGANISATION_KEY: &str = "key-caller";
+/// The key of the organisation `other`.
+pub const OTHER_KEY: &str = "key-other";
 /// The operators' key.
 pub const OPERATOR_KEY: &str = "key-operator";
 const FLEET_KEY: &str = "test-fleet-key";
@@ -129,6 +131,56 @@
         Ok(())
     }
 
+    /// Starts a host's agent anew, as after a crash, and lists its new address.
+    ///
+    /// # Errors
+    ///
+    /// If it can't start.
+    pub fn restart_agent(&mut self, i: usize) -> eyre::Result<()> {
+        let listen = self.hosts[i].agent.address(0);
+        let settings = self
+            .agent_settings(i)
+            .replace("listen: 127.0.0.1:0", &format!("listen: {listen}"));
+        let settings = settings.replacen(
+            &format!("admin_listen: {listen}"),
+            "admin_listen: 127.0.0.1:0",
+            1,
+        );
+        self.hosts[i].agent = Program::start("chalkrock-agent", &settings)?;
+        Ok(())
+    }
+
+    /// Starts a host's router anew, at an address of its own.
+    ///
+    /// # Errors
+    ///
+    /// If it can't start.
+    pub fn restart_router(&mut self, i: usize) -> eyre::Result<()> {
+        let agent = self.hosts[i].agent.address(0);
+        self.hosts[i].router = Program::start("chalkrock-router", &router_settings(i, agent))?;
+        Ok(())
+    }
+
+    /// Waits until something holds.
+    ///
+    /// # Errors
+    ///
+    /// If it does not within half a minute.
+    pub async fn wait_until<F>(&self, what: &str, holds: impl Fn() -> F) -> eyre::Result<()>
+    where
+        F: Future<Output = bool>,
+    {
+        let waiting = async {
+            while !holds().await {
+                tokio::time::sleep(READY_PAUSE).await;
+            }
+        };
+        if tokio::time::timeout(READY_TIMEOUT, waiting).await.is_err() {
+            bail!("{what} did not come");
+        }
+        Ok(())
+    }
+
     /// The list that the platform shows.
     pub fn list_mut(&mut self) -> &mut HostList {
         &mut self.list
@@ -181,21 +233,30 @@
                 unsafe_to_repeat: true,
             },
             load_multiple: 1.5,
-            deadline_ms: 10_000,
+            deadline_ms: 1_500,
+        };
+        let other = Organisation {
+            name: "other".into(),
+            weight: 1,
+            key_sha256: vec![key_digest(OTHER_KEY)],
         };
         FleetConfig {
-            organisations: vec![organisation],
+            organisations: vec![organisation, other],
             pools: vec![engines, service],
         }
     }
 
     /// The configuration version in force at a router, from its metrics.
     pub async fn version_at(&self, host: usize) -> Option<u64> {
+        self.gauge_at(host, "config_version").await
+    }
+
+    /// A gauge of a router, from its metrics.
+    pub async fn gauge_at(&self, host: usize, name: &str) -> Option<u64> {
         let url = format!("http://{}/metrics", self.hosts[host].router.address(1));
         let text = self.client.get(url).send().await.ok()?.text().await.ok()?;
-        let line = text
-            .lines()
-            .find(|line| line.starts_with("chalkrock_config_version{"))?;
+        let prefix = format!("chalkrock_{name}{{");
+        let line = text.lines().find(|line| line.starts_with(&prefix))?;
         line.rsplit(' ').next()?.parse().ok()
     }
 
@@ -206,9 +267,8 @@
     /// If one is not within half a minute.
     pub async fn wait_until_ready(&self) -> eyre::Result<()> {
         let waiting = async {
-            for host in &self.hosts {
-                let url = format!("http://{}/readyz", host.router.address(1));
-                while !self.is_ok(&url).await {
+            for host in 0..self.hosts.len() {
+                while !self.is_ready(host).await {
                     tokio::time::sleep(READY_PAUSE).await;
                 }
             }
@@ -219,9 +279,12 @@
         Ok(())
     }
 
-    async fn is_ok(&self, url: &str) -> bool {
+    /// Ready, with all hosts in its view.
+    async fn is_ready(&self, host: usize) -> bool {
+        let url = format!("http://{}/readyz", self.hosts[host].router.address(1));
         let answer = self.client.get(url).send().await;
-        answer.is_ok_and(|response| response.status().is_success())
+        let ready = answer.is_ok_and(|response| response.status().is_success());
+        ready && self.gauge_at(host, "view_hosts").await == Some(self.hosts.len() as u64)
     }
 
     fn endpoints(&self) -> Vec<Endpoint> {
--- a/crates/e2e/src/lib.rs
+++ b/crates/e2e/src/lib.rs
@@ -23,6 +23,6 @@
 
 pub use calls::{ChatAnswer, Told, read_chat};
 pub use cluster::{
-    Cluster, ClusterSize, HostPrograms, MODEL, OPERATOR_KEY, ORGANISATION_KEY, SERVICE,
+    Cluster, ClusterSize, HostPrograms, MODEL, OPERATOR_KEY, ORGANISATION_KEY, OTHER_KEY, SERVICE,
 };
 pub use program::Program;
--- a/crates/proto/src/agent_api.rs
+++ b/crates/proto/src/agent_api.rs
@@ -181,6 +181,49 @@
     pub leaving: Vec<LeavingBody>,
 }
 
+/// What the write of a claim expects to find.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ClaimExpect {
+    /// No row.
+    Absent,
+    /// The row at this version.
+    Version(u64),
+}
+
+/// A row of a claim that is to be written.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClaimWrite {
+    /// The row's key.
+    pub key: String,
+    /// The row, JSON.
+    pub value: String,
+    /// What it replaces.
+    pub expect: ClaimExpect,
+}
+
+/// What became of the write of a claim.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ClaimAnswer {
+    /// It is in the table.
+    Written {
+        /// The row's version.
+        version: u64,
+    },
+    /// Another row is in its way; nothing was written.
+    Found {
+        /// That row's version.
+        version: u64,
+        /// That row, JSON.
+        value: String,
+    },
+    /// The row that it should replace is gone; nothing was written.
+    Gone,
+    /// The table does not answer; nothing was written.
+    Unavailable,
+    /// It may have been written.
+    Unsettled,
+}
+
 /// What an agent answers.
 #[tarpc::service]
 pub trait AgentApi {
@@ -203,6 +246,9 @@
     /// Exchanges news with another agent.
     async fn exchange(news: News) -> Result<News, PeerError>;
 
+    /// Writes a claim, together with others.
+    async fn write_claim(write: ClaimWrite) -> Result<ClaimAnswer, PeerError>;
+
     /// The configuration in force here, for an agent that has an older one.
     async fn config_body() -> Result<Option<ConfigBody>, PeerError>;
 }
--- a/crates/proto/src/lib.rs
+++ b/crates/proto/src/lib.rs
@@ -32,8 +32,9 @@
 mod transport;
 
 pub use agent_api::{
-    AgentApi, AgentApiClient, ConfigBody, Hello, HostsBody, KnownView, LeavingBody, LoadBody, News,
-    PROTOCOL_VERSION, PeerError, Purpose, SlotAnswer, SlotAsk, SlotCount, ViewUpdate,
+    AgentApi, AgentApiClient, ClaimAnswer, ClaimExpect, ClaimWrite, ConfigBody, Hello, HostsBody,
+    KnownView, LeavingBody, LoadBody, News, PROTOCOL_VERSION, PeerError, Purpose, SlotAnswer,
+    SlotAsk, SlotCount, ViewUpdate,
 };
 pub use counted::{ByteCount, Counted};
 pub use traffic::{Traffic, TrafficBytes};
--- a/crates/router/src/api.rs
+++ b/crates/router/src/api.rs
@@ -24,6 +24,8 @@
 use crate::state::State;
 use crate::view::RouterView;
 
+/// The header by which a caller marks a request as unsafe to repeat.
+const UNSAFE: &str = "chalkrock-unsafe";
 /// How long a request waits for a view that is recent enough.
 const YOUNGER_VIEW_TIMEOUT: Duration = Duration::from_millis(500);
 /// Bytes of a refused body that are read so that its caller gets the answer.
@@ -100,6 +102,11 @@
     Ok(organisation.name.clone())
 }
 
+/// Whether the caller marks the request as one that may run at most once.
+pub(crate) fn is_marked_unsafe(headers: &HeaderMap) -> bool {
+    headers.get(UNSAFE).is_some_and(|value| value == "true")
+}
+
 /// The key of a request.
 pub(crate) fn bearer(headers: &HeaderMap) -> Option<&str> {
     headers
--- a/crates/router/src/chat.rs
+++ b/crates/router/src/chat.rs
@@ -15,18 +15,19 @@
 use tokio::time::Instant;
 use tracing::Instrument;
 
-use crate::api::{Entered, body_of, discard, enter};
+use crate::api::{Entered, body_of, discard, enter, is_marked_unsafe};
+use crate::claims::{Claim, claim};
 use crate::dispatch::{Attempt, send};
 use crate::explain::Explanation;
 use crate::owners::OnEngine;
 use crate::place::{ChatPlace, Placed, place};
 use crate::refusal::{Refusal, mark};
-use crate::relay::{Begun, Relay};
+use crate::relay::{Begun, Elsewhere, Relay};
 use crate::state::State;
 
 /// The affinity hint, in both directions.
 const AFFINITY: &str = "chalkrock-affinity";
-const CHAT_PATH: &str = "/v1/chat/completions";
+pub(crate) const CHAT_PATH: &str = "/v1/chat/completions";
 /// Endpoints tried for one request while none has started it.
 const ATTEMPTS_MAX: usize = 3;
 
@@ -133,8 +134,37 @@
             .any(|message| message.role == "assistant"),
         home_wait_ms: worth_waiting_ms(body.len()),
     };
-    let dispatched = dispatch(state, explanation, &entered, pool, &place, body).await?;
-    pass_on(state, explanation, &entered, dispatched, chat.stream).await
+    let claim = claim(
+        state,
+        explanation,
+        &entered,
+        headers,
+        &body,
+        pool.deadline_ms,
+    )
+    .await?;
+    let repeat_safe = claim.is_none() && !is_marked_unsafe(headers);
+    let sent = Chat {
+        place,
+        body,
+        repeat_safe,
+    };
+    let served = match dispatch(state, explanation, &entered, pool, &sent).await {
+        Ok(dispatched) => {
+            pass_on(
+                state,
+                explanation,
+                &entered,
+                pool,
+                &sent,
+                dispatched,
+                chat.stream,
+            )
+            .await
+        }
+        Err(refusal) => Err(refusal),
+    };
+    settle_claim(state, claim, served)
 }
 
 /// How long a warm engine is worth waiting for: no longer than it would take
@@ -181,8 +211,7 @@
     explanation: &mut Explanation,
     entered: &Entered,
     pool: &Pool,
-    chat: &ChatPlace,
-    body: Bytes,
+    chat: &Chat,
 ) -> Result<Dispatched, Refusal> {
     let mut engines = entered.view.live_in(&pool.name).to_vec();
     let mut refusal = Refusal::new(
@@ -193,7 +222,8 @@
         if engines.is_empty() {
             break;
         }
-        let Placed { engine, on_engine } = place(state, explanation, pool, chat, &engines).await?;
+        let Placed { engine, on_engine } =
+            place(state, explanation, pool, &chat.place, &engines).await?;
         let start = Instant::now();
         let attempt = Attempt {
             request: &explanation.request,
@@ -201,7 +231,7 @@
             method: Method::POST,
             path: CHAT_PATH,
             headers: json_headers(),
-            body: body.clone(),
+            body: chat.body.clone(),
         };
         let sent = send(state, attempt).await;
         explanation.hop("dispatch", start);
@@ -214,7 +244,7 @@
                     response,
                 });
             }
-            Err(failed) if failed.reason.outcome() == Outcome::NotRun => {
+            Err(failed) if failed.reason.outcome() == Outcome::NotRun || chat.repeat_safe => {
                 engines.retain(|other| other.hash != engine.hash);
                 refusal = failed;
             }
@@ -224,6 +254,36 @@
     Err(refusal)
 }
 
+/// Ends the claim of a request that is over; a stream takes it along.
+fn settle_claim(
+    state: &Arc<State>,
+    claim: Option<Claim>,
+    served: Result<Served, Refusal>,
+) -> Result<Served, Refusal> {
+    match (served, claim) {
+        (Ok(Served::Stream { mut begun, home }), claim) => {
+            begun.claim = claim;
+            Ok(Served::Stream { begun, home })
+        }
+        (served, Some(claim)) => {
+            let outcome = served
+                .as_ref()
+                .map_or_else(|r| r.reason.outcome(), |_| Outcome::Ran);
+            claim.end(state, outcome);
+            served
+        }
+        (served, None) => served,
+    }
+}
+
+/// A chat request on its way to an engine.
+struct Chat {
+    place: ChatPlace,
+    body: Bytes,
+    /// Whether it may be sent again after an attempt of unknown outcome.
+    repeat_safe: bool,
+}
+
 /// A request that an engine runs.
 struct Dispatched {
     endpoint: Endpoint,
@@ -231,7 +291,7 @@
     response: reqwest::Response,
 }
 
-fn json_headers() -> HeaderMap {
+pub(crate) fn json_headers() -> HeaderMap {
     let mut headers = HeaderMap::new();
     headers.insert("content-type", HeaderValue::from_static("application/json"));
     headers
@@ -242,6 +302,8 @@
     state: &State,
     explanation: &mut Explanation,
     entered: &Entered,
+    pool: &Pool,
+    sent: &Chat,
     dispatched: Dispatched,
     stream: bool,
 ) -> Result<Served, Refusal> {
@@ -261,13 +323,27 @@
             organisation: entered.organisation.clone(),
             request: explanation.request.clone(),
             endpoint: endpoint.name.clone(),
+            base: 0,
+        });
+        let elsewhere = sent.repeat_safe.then(|| Elsewhere {
+            pool: pool.clone(),
+            chat: ChatPlace {
+                hint: None,
+                ..sent.place.clone()
+            },
+            body: sent.body.clone(),
+            text: String::new(),
+            lost: Vec::new(),
         });
         let begun = Begun {
             endpoint,
             on_engine: Some(on_engine),
+            claim: None,
             place,
             response,
             from: 0,
+            base: 0,
+            elsewhere,
         };
         return Ok(Served::Stream {
             begun: Box::new(begun),
@@ -326,7 +402,10 @@
     // The stream keeps the id under which the engine knows it.
     explanation.request = place.request.clone();
     explanation.chosen = Some(endpoint.name.clone());
-    let path = format!("/v1/streams/{}?offset={from}", place.request);
+    let offset = from
+        .checked_sub(place.base)
+        .ok_or_else(|| refused("the number is too low"))?;
+    let path = format!("/v1/streams/{}?offset={offset}", place.request);
     let attempt = Attempt {
         request: &place.request,
         endpoint: &endpoint,
@@ -350,9 +429,12 @@
     let begun = Begun {
         endpoint,
         on_engine: None,
+        claim: None,
         place: token,
         response,
         from,
+        base: place.base,
+        elsewhere: None,
     };
     Ok(Served::Stream {
         begun: Box::new(begun),
--- /dev/null
+++ b/crates/router/src/claims.rs
@@ -0,0 +1,289 @@
+//! Claims of requests with an idempotency key: at most one of them runs.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use axum::http::HeaderMap;
+use chalkrock_core::rendezvous::{self, KeyHash, MemberHash};
+use chalkrock_core::{
+    CLAIM_KEY_MAX_BYTES, ClaimDecision, ClaimRow, ClaimState, Host, Outcome, Reason, claim_row_key,
+    key_digest,
+};
+use chalkrock_proto::{
+    AgentApiClient, ClaimAnswer, ClaimExpect, ClaimWrite, Hello, Purpose, connect,
+};
+use tarpc::context;
+
+use crate::api::Entered;
+use crate::explain::Explanation;
+use crate::refusal::Refusal;
+use crate::state::State;
+use crate::view::RouterView;
+
+const PART: &str = "router.claims";
+/// The header of a caller's key (IETF draft "The Idempotency-Key HTTP Header
+/// Field").
+const IDEMPOTENCY_KEY: &str = "idempotency-key";
+/// Agents that write claims. Each writes one batch in 50 ms.
+const WRITERS: u64 = 4;
+/// Agents that are tried before the own one.
+const WRITERS_TRIED: usize = 3;
+/// How long a claim may take, its settlement included.
+const CLAIM_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// How often the end of a claim is written.
+const END_TRIES: u32 = 5;
+const END_PAUSE: Duration = Duration::from_millis(500);
+/// How often a claim that may have been written is withdrawn: for a minute.
+const ABANDON_TRIES: u32 = 120;
+
+/// A claim that this router holds. Its end must be told by [`Claim::end`];
+/// one that is dropped stays running in the table, and its outcome unknown.
+#[derive(Debug)]
+pub(crate) struct Claim {
+    row_key: String,
+    row: ClaimRow,
+    version: u64,
+}
+
+/// Claims the request's key, if it has one.
+///
+/// # Errors
+///
+/// If the key was used before, or the table does not answer. The request has
+/// not run, and will not run under this claim.
+pub(crate) async fn claim(
+    state: &Arc<State>,
+    explanation: &mut Explanation,
+    entered: &Entered,
+    headers: &HeaderMap,
+    body: &[u8],
+    deadline_ms: u64,
+) -> Result<Option<Claim>, Refusal> {
+    let Some(key) = headers.get(IDEMPOTENCY_KEY) else {
+        return Ok(None);
+    };
+    let invalid = || {
+        let detail = format!("Idempotency-Key: 1 to {CLAIM_KEY_MAX_BYTES} visible characters");
+        Refusal::new(Reason::InvalidRequest, detail)
+    };
+    let key = key.to_str().map_err(|_| invalid())?;
+    if key.is_empty() || key.len() > CLAIM_KEY_MAX_BYTES {
+        return Err(invalid());
+    }
+    let start = tokio::time::Instant::now();
+    let row = ClaimRow {
+        request: explanation.request.clone(),
+        host: state.settings.host.clone(),
+        body_sha256: key_digest(&String::from_utf8_lossy(body)),
+        deadline_at_ms: unix_ms() + deadline_ms,
+        state: ClaimState::Running,
+    };
+    let row_key = claim_row_key(&entered.organisation, key);
+    let claimed = insert(state, &entered.view, row_key, row).await;
+    explanation.hop("claim", start);
+    claimed.map(Some)
+}
+
+async fn insert(
+    state: &Arc<State>,
+    view: &RouterView,
+    row_key: String,
+    row: ClaimRow,
+) -> Result<Claim, Refusal> {
+    let mut expect = ClaimExpect::Absent;
+    // Twice: the row of a request that did not run may be replaced once.
+    for _ in 0..2 {
+        match write(state, view, &row_key, &row, expect).await {
+            ClaimAnswer::Written { version } => {
+                return Ok(Claim {
+                    row_key,
+                    row,
+                    version,
+                });
+            }
+            ClaimAnswer::Found { version, value } => match decide(&row, &value)? {
+                ClaimDecision::Own => {
+                    return Ok(Claim {
+                        row_key,
+                        row,
+                        version,
+                    });
+                }
+                ClaimDecision::Replace => expect = ClaimExpect::Version(version),
+                ClaimDecision::Refuse(reason, outcome) => {
+                    let detail = format!("a request with this key came first: {outcome}");
+                    return Err(Refusal::new(reason, detail));
+                }
+            },
+            ClaimAnswer::Unsettled => {
+                abandon(state, row_key, row);
+                break;
+            }
+            ClaimAnswer::Gone | ClaimAnswer::Unavailable => break,
+        }
+    }
+    let detail = "the claim could not be written, so the request was not run";
+    Err(Refusal::new(Reason::ClaimsUnavailable, detail))
+}
+
+/// A claim that may or may not be in the table, for a request that is refused.
+/// It is marked as not run, or the caller's repeat would find it running.
+fn abandon(state: &Arc<State>, row_key: String, mut row: ClaimRow) {
+    let state = state.clone();
+    row.state = ClaimState::Ended(Outcome::NotRun);
+    tokio::spawn(async move {
+        let mut expect = ClaimExpect::Absent;
+        for _ in 0..ABANDON_TRIES {
+            let view = state.view.load_full();
+            match write(&state, &view, &row_key, &row, expect).await {
+                ClaimAnswer::Written { .. } => return,
+                ClaimAnswer::Found { version, value } => match decide(&row, &value) {
+                    Ok(ClaimDecision::Own) => expect = ClaimExpect::Version(version),
+                    _ => return,
+                },
+                ClaimAnswer::Gone => expect = ClaimExpect::Absent,
+                ClaimAnswer::Unavailable | ClaimAnswer::Unsettled => {
+                    tokio::time::sleep(END_PAUSE).await;
+                }
+            }
+        }
+        log::warn!(target: PART, "Claim of {} not withdrawn.", row.request);
+    });
+}
+
+fn decide(row: &ClaimRow, found: &str) -> Result<ClaimDecision, Refusal> {
+    let found: ClaimRow = serde_json::from_str(found).map_err(|error| {
+        log::error!(target: PART, "A claim's row can't be read: {error}.");
+        Refusal::new(Reason::ClaimsUnavailable, "the key's claim can't be read")
+    })?;
+    Ok(found.decide(&row.request, &row.body_sha256, unix_ms()))
+}
+
+async fn write(
+    state: &State,
+    view: &RouterView,
+    row_key: &str,
+    row: &ClaimRow,
+    expect: ClaimExpect,
+) -> ClaimAnswer {
+    let Ok(value) = serde_json::to_string(row) else {
+        return ClaimAnswer::Unavailable;
+    };
+    let Some(writer) = writer(state, view, row_key).await else {
+        return ClaimAnswer::Unavailable;
+    };
+    let write = ClaimWrite {
+        key: row_key.to_owned(),
+        value,
+        expect,
+    };
+    let writing = writer.write_claim(context::current(), write);
+    match tokio::time::timeout(CLAIM_TIMEOUT, writing).await {
+        Ok(Ok(Ok(answer))) => answer,
+        Ok(Ok(Err(error))) => {
+            log::warn!(target: PART, "Writer refused: {error}.");
+            ClaimAnswer::Unavailable
+        }
+        Ok(Err(_)) | Err(_) => {
+            state.claim_writers.forget(row_key);
+            ClaimAnswer::Unsettled
+        }
+    }
+}
+
+/// The agent that writes this key's claims; the next in rank if it is away,
+/// and at last the own one: a first host list may show no host yet.
+async fn writer(state: &State, view: &RouterView, row_key: &str) -> Option<AgentApiClient> {
+    if let Some(client) = state.claim_writers.get(row_key) {
+        return Some(client);
+    }
+    for address in writers_by_rank(state, view, row_key) {
+        let hello = Hello {
+            purpose: Purpose::Claims,
+            ..state.hello.clone()
+        };
+        let count = state.traffic.open(Purpose::Claims);
+        match connect(address, hello, count).await {
+            Ok(client) => {
+                state.claim_writers.keep(row_key, client.clone());
+                return Some(client);
+            }
+            Err(error) => log::debug!(target: PART, "{error}."),
+        }
+    }
+    None
+}
+
+fn writers_by_rank(state: &State, view: &RouterView, row_key: &str) -> Vec<SocketAddr> {
+    let group = MemberHash::of(&format!("claim-writer-{}", ClaimWriters::group(row_key)));
+    let rank = |host: &Host| {
+        let hash = MemberHash::of(host.name.as_str());
+        rendezvous::score(KeyHash(group.0), hash, 1.0)
+    };
+    let mut hosts: Vec<&Host> = view.hosts.hosts.iter().collect();
+    hosts.sort_by(|a, b| rank(b).total_cmp(&rank(a)));
+    let ranked = hosts.into_iter().map(|host| host.agent_address);
+    ranked
+        .take(WRITERS_TRIED)
+        .chain([state.settings.agent_address])
+        .collect()
+}
+
+impl Claim {
+    /// Tells the table how the request ended. It is tried again for a while:
+    /// until it is told, a repeat hears that the outcome is unknown.
+    pub(crate) fn end(mut self, state: &Arc<State>, outcome: Outcome) {
+        let state = state.clone();
+        self.row.state = ClaimState::Ended(outcome);
+        tokio::spawn(async move {
+            for _ in 0..END_TRIES {
+                let view = state.view.load_full();
+                let expect = ClaimExpect::Version(self.version);
+                match write(&state, &view, &self.row_key, &self.row, expect).await {
+                    ClaimAnswer::Written { .. } => return,
+                    ClaimAnswer::Found { .. } | ClaimAnswer::Gone => break,
+                    ClaimAnswer::Unavailable | ClaimAnswer::Unsettled => {
+                        tokio::time::sleep(END_PAUSE).await;
+                    }
+                }
+            }
+            log::warn!(target: PART, "End of {} not written: {outcome}.", self.row.request);
+        });
+    }
+}
+
+/// Connections to the agents that write claims, one a group.
+#[derive(Default)]
+pub(crate) struct ClaimWriters(Mutex<HashMap<u64, AgentApiClient>>);
+
+impl ClaimWriters {
+    fn group(row_key: &str) -> u64 {
+        KeyHash::of(row_key.as_bytes()).0 % WRITERS
+    }
+
+    fn map(&self) -> MutexGuard<'_, HashMap<u64, AgentApiClient>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn get(&self, row_key: &str) -> Option<AgentApiClient> {
+        self.map().get(&Self::group(row_key)).cloned()
+    }
+
+    fn keep(&self, row_key: &str, client: AgentApiClient) {
+        self.map().insert(Self::group(row_key), client);
+    }
+
+    fn forget(&self, row_key: &str) {
+        self.map().remove(&Self::group(row_key));
+    }
+}
+
+/// Milliseconds of Unix time. Claims outlive routers, so that their deadlines
+/// are by the wall clock; a skewed one only changes when a repeat hears
+/// `key-used` in place of `key-in-use`.
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis() as u64)
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -19,6 +19,7 @@
 
 mod api;
 mod chat;
+mod claims;
 mod dispatch;
 mod explain;
 mod follow;
--- a/crates/router/src/operators.rs
+++ b/crates/router/src/operators.rs
@@ -54,8 +54,16 @@
 }
 
 async fn metrics(Extract(state): Extract<Arc<State>>) -> String {
-    let version = state.view.load().config_version;
-    state.metrics.gauge("config_version", "", version.0 as f64);
+    let view = state.view.load();
+    state
+        .metrics
+        .gauge("config_version", "", view.config_version.0 as f64);
+    state
+        .metrics
+        .gauge("view_hosts", "", view.hosts.hosts.len() as f64);
+    state
+        .metrics
+        .gauge("view_endpoints", "", view.hosts.endpoints.len() as f64);
     for purpose in Purpose::ALL {
         let bytes = state.traffic.bytes(purpose);
         let label = |way: &str| format!("purpose=\"{}\",way=\"{way}\"", purpose.label());
--- a/crates/router/src/service_calls.rs
+++ b/crates/router/src/service_calls.rs
@@ -1,6 +1,7 @@
 //! `/services/{name}/{path}`: calls of plain services.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use axum::body::Body;
 use axum::extract::{Path, Request, State as Extract};
@@ -8,11 +9,13 @@
 use axum::response::Response;
 use bytes::Bytes;
 use chalkrock_core::rendezvous::{KeyHash, first};
-use chalkrock_core::{Outcome, PoolKind, Reason, RequestId};
+use chalkrock_core::{Outcome, Pool, PoolKind, Reason, RequestId};
+use reqwest::Method;
 use tokio::time::Instant;
 use tracing::Instrument;
 
-use crate::api::{body_of, discard, enter};
+use crate::api::{Entered, body_of, discard, enter, is_marked_unsafe};
+use crate::claims::claim;
 use crate::dispatch::{Attempt, send};
 use crate::explain::{Candidate, CandidateRole, Explanation};
 use crate::refusal::{Refusal, mark};
@@ -63,7 +66,7 @@
 }
 
 async fn serve(
-    state: &State,
+    state: &Arc<State>,
     explanation: &mut Explanation,
     name: &str,
     call: Request,
@@ -87,10 +90,66 @@
         .strip_prefix(&prefix)
         .filter(|path| path.starts_with('/'))
         .unwrap_or("/");
-    let repeat_safe = match pool.kind {
-        PoolKind::Service { unsafe_to_repeat } => !unsafe_to_repeat && head.method.is_idempotent(),
-        PoolKind::Engines { .. } => false,
+    let claim = claim(
+        state,
+        explanation,
+        &entered,
+        &head.headers,
+        &body,
+        pool.deadline_ms,
+    )
+    .await?;
+    let marked_unsafe = matches!(
+        pool.kind,
+        PoolKind::Service {
+            unsafe_to_repeat: true
+        }
+    ) || is_marked_unsafe(&head.headers);
+    let repeat_safe = !marked_unsafe && claim.is_none() && head.method.is_idempotent();
+    let call = Call {
+        method: head.method,
+        path,
+        headers: &head.headers,
+        body,
+        repeat_safe,
     };
+    let deadline = Duration::from_millis(pool.deadline_ms);
+    let calling = dispatch(state, explanation, &entered, pool, call);
+    let served = tokio::time::timeout(deadline, calling)
+        .await
+        .unwrap_or_else(|_| {
+            Err(Refusal::new(
+                Reason::DeadlinePassed,
+                format!("{name} did not answer in time"),
+            ))
+        });
+    if let Some(claim) = claim {
+        let outcome = served
+            .as_ref()
+            .map_or_else(|r| r.reason.outcome(), |_| Outcome::Ran);
+        claim.end(state, outcome);
+    }
+    served
+}
+
+/// A call on its way to the service.
+struct Call<'a> {
+    method: Method,
+    path: &'a str,
+    headers: &'a HeaderMap,
+    body: Bytes,
+    /// Whether it may be sent again after an attempt of unknown outcome.
+    repeat_safe: bool,
+}
+
+async fn dispatch(
+    state: &State,
+    explanation: &mut Explanation,
+    entered: &Entered,
+    pool: &Pool,
+    call: Call<'_>,
+) -> Result<Response, Refusal> {
+    let name = &pool.name;
     let mut live: Vec<&ViewEndpoint> = entered.view.live_in(&pool.name).iter().collect();
     let mut refusal = Refusal::new(Reason::NoEndpoint, format!("{name} has no live replica"));
     for attempt in 0..ATTEMPTS_MAX {
@@ -108,10 +167,10 @@
         let one = Attempt {
             request: &explanation.request,
             endpoint: &chosen.endpoint,
-            method: head.method.clone(),
-            path,
-            headers: passed_on(&head.headers),
-            body: body.clone(),
+            method: call.method.clone(),
+            path: call.path,
+            headers: passed_on(call.headers),
+            body: call.body.clone(),
         };
         let sent = send(state, one).await;
         explanation.hop("dispatch", start);
@@ -130,7 +189,7 @@
                 explanation.chosen = Some(chosen.endpoint.name.clone());
                 return whole_answer(&explanation.request, response).await;
             }
-            Err(failed) if failed.reason.outcome() == Outcome::NotRun || repeat_safe => {
+            Err(failed) if failed.reason.outcome() == Outcome::NotRun || call.repeat_safe => {
                 refusal = failed;
             }
             Err(failed) => return Err(failed),
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -7,10 +7,11 @@
 use arc_swap::ArcSwap;
 use chalkrock_core::{RequestId, TokenKey, key_digest};
 use chalkrock_process::{Metrics, Stop};
-use chalkrock_proto::{Purpose, Traffic};
+use chalkrock_proto::{Hello, Purpose, Traffic};
 use kameo::actor::{ActorRef, Spawn};
 use tokio::sync::Notify;
 
+use crate::claims::ClaimWriters;
 use crate::explain::Recorder;
 use crate::follow::hello;
 use crate::owners::Owners;
@@ -32,6 +33,8 @@
     pub(crate) metrics: Metrics,
     pub(crate) owners: Arc<Owners>,
     pub(crate) traffic: Arc<Traffic>,
+    pub(crate) claim_writers: ClaimWriters,
+    pub(crate) hello: Hello,
     /// Wakes whoever waits for a younger view.
     pub(crate) view_confirmed: Notify,
     pub(crate) stop: Stop,
@@ -53,7 +56,9 @@
         let hello = hello(&settings.host, &fleet_key_sha256, Purpose::Slots);
         let ask_timeout = Duration::from_millis(settings.ask_timeout_ms);
         Ok(Self {
-            owners: Owners::new(hello, traffic.clone(), ask_timeout),
+            owners: Owners::new(hello.clone(), traffic.clone(), ask_timeout),
+            hello,
+            claim_writers: ClaimWriters::default(),
             traffic,
             view_confirmed: Notify::new(),
             fleet_key_sha256,
--- a/crates/standin/src/engine/runs.rs
+++ b/crates/standin/src/engine/runs.rs
@@ -29,6 +29,8 @@
     pub cancelled: u64,
     /// Requests that found at least half of their prompt cached.
     pub warm: u64,
+    /// Requests refused, since it leaves or by a fault.
+    pub refused: u64,
     /// Requests running or waiting now.
     pub in_progress: usize,
 }
@@ -52,6 +54,7 @@
     started: AtomicU64,
     finished: AtomicU64,
     cancelled: AtomicU64,
+    refused: AtomicU64,
     warm: AtomicU64,
     in_progress: AtomicUsize,
     state: Mutex<State>,
@@ -84,6 +87,7 @@
             started: AtomicU64::new(0),
             finished: AtomicU64::new(0),
             cancelled: AtomicU64::new(0),
+            refused: AtomicU64::new(0),
             warm: AtomicU64::new(0),
             in_progress: AtomicUsize::new(0),
             state: Mutex::new(State {
@@ -115,6 +119,11 @@
         })
     }
 
+    /// A request was refused.
+    pub(super) fn refuse(&self) {
+        self.refused.fetch_add(1, Ordering::SeqCst);
+    }
+
     /// Looks a prompt up in the cache, and takes it in. Returns the bytes
     /// that were cached.
     pub(super) fn take_prompt(&self, messages: &[String]) -> usize {
@@ -157,6 +166,7 @@
             started: self.started.load(Ordering::SeqCst),
             finished: self.finished.load(Ordering::SeqCst),
             cancelled: self.cancelled.load(Ordering::SeqCst),
+            refused: self.refused.load(Ordering::SeqCst),
             warm: self.warm.load(Ordering::SeqCst),
             in_progress: self.in_progress.load(Ordering::SeqCst),
         }
--- a/crates/standin/src/faults.rs
+++ b/crates/standin/src/faults.rs
@@ -23,7 +23,7 @@
     pub break_after: usize,
     /// Sends each event twice.
     pub duplicate_events: bool,
-    /// Leaves out one event in the middle of each stream.
+    /// Leaves out one event in the middle of each new stream.
     pub drop_event: bool,
 }
 
