--- a/crates/e2e/tests/changes.rs
+++ b/crates/e2e/tests/changes.rs
@@ -70,16 +70,9 @@
         ..Default::default()
     });
     let config = cluster.first_config();
-    // The object's write is unanswered too, and refused for it: nothing was
-    // changed. With the row's alone unanswered, the change is settled.
-    let submitted = cluster.submit(&config, ConfigVersion(1), "second").await;
+    let version = cluster.submit(&config, ConfigVersion(1), "second").await?;
+    assert_that!(version, eq(ConfigVersion(2)));
     cluster.platform.faults.set(Faults::default());
-    match submitted {
-        Ok(version) => assert_that!(version, eq(ConfigVersion(2))),
-        Err(_) => {
-            cluster.submit(&config, ConfigVersion(1), "second").await?;
-        }
-    }
     cluster
         .wait_until("version 2", async || all_at(&cluster, 2).await)
         .await?;
--- a/crates/platform/src/config_store.rs
+++ b/crates/platform/src/config_store.rs
@@ -113,6 +113,39 @@
         body.ok_or_else(|| PlatformError::Garbage(format!("object {key} is missing")))
     }
 
+    /// Reads and parses the document of a head.
+    ///
+    /// # Errors
+    ///
+    /// If the platform fails, or the document is missing or can't be read.
+    pub async fn read_config(&self, head: &ConfigHead) -> Result<FleetConfig, PlatformError> {
+        let body = self.read_body(head).await?;
+        serde_json::from_str(&body).map_err(|e| PlatformError::Garbage(e.to_string()))
+    }
+
+    /// The heads that were in force, newest first, as far as the newest one
+    /// remembers.
+    ///
+    /// # Errors
+    ///
+    /// If the platform fails, or a head is missing.
+    pub async fn read_history(&self) -> Result<Vec<ConfigHead>, PlatformError> {
+        let Some(newest) = self.read_head().await? else {
+            return Ok(Vec::new());
+        };
+        let mut history = vec![newest.clone()];
+        for (i, change) in newest.earlier.iter().enumerate() {
+            let version = ConfigVersion(newest.version.0 - 1 - i as u64);
+            let key = record_key(version, change);
+            let record = self.platform.read_object(&key).await?;
+            let record =
+                record.ok_or_else(|| PlatformError::Garbage(format!("object {key} is missing")))?;
+            let head = serde_json::from_str(&record);
+            history.push(head.map_err(|e| PlatformError::Garbage(e.to_string()))?);
+        }
+        Ok(history)
+    }
+
     /// Submits a document in place of version `expect` (0 for the first).
     ///
     /// # Errors
@@ -144,11 +177,35 @@
         let head = next_head(current, expect, change);
         let body =
             serde_json::to_string(config).map_err(|e| SubmitError::Garbage(e.to_string()))?;
-        let written = self.platform.write_object(&head.object_key(), body).await;
-        written.map_err(SubmitError::Platform)?;
+        let record = ConfigHead {
+            earlier: Vec::new(),
+            ..head.clone()
+        };
+        let record = serde_json::to_string(&record);
+        let record = record.map_err(|e| SubmitError::Garbage(e.to_string()))?;
+        let record_key = record_key(head.version, &head.change);
+        for (key, text) in [(head.object_key(), body), (record_key, record)] {
+            self.write_object(&key, text)
+                .await
+                .map_err(SubmitError::Platform)?;
+        }
         self.move_head(head, row.map(|row| row.version)).await
     }
 
+    /// Writes an object that never changes. An unanswered write is settled by
+    /// reading it back.
+    async fn write_object(&self, key: &str, text: String) -> Result<(), PlatformError> {
+        match self.platform.write_object(key, text.clone()).await {
+            Err(error) if error.may_have_taken_effect() => {
+                match self.platform.read_object(key).await? {
+                    Some(found) if found == text => Ok(()),
+                    _ => Err(error),
+                }
+            }
+            written => written,
+        }
+    }
+
     async fn move_head(
         &self,
         head: ConfigHead,
@@ -213,6 +270,11 @@
     }
 }
 
+/// The object that tells of a change after its head was replaced.
+fn record_key(version: ConfigVersion, change: &ChangeId) -> String {
+    format!("change-{}-{change}", version.0)
+}
+
 fn parse_head(row: &Row) -> Result<ConfigHead, PlatformError> {
     serde_json::from_str(&row.value).map_err(|e| PlatformError::Garbage(e.to_string()))
 }
--- /dev/null
+++ b/crates/platform/tests/contract.rs
@@ -0,0 +1,172 @@
+//! The contract of the platform's edge: the client against the stand-in,
+//! with fault cases in a table.
+
+use chalkrock_core::{ChangeId, ConfigVersion, FleetConfig};
+use chalkrock_platform::{
+    BatchAnswer, Change, ConfigStore, Expect, HttpPlatform, Platform, PlatformError, RowWrite,
+    SubmitError,
+};
+use chalkrock_standin::{Faults, PlatformHandle, PlatformSettings, start_platform};
+use googletest::prelude::*;
+
+async fn start() -> (PlatformHandle, HttpPlatform) {
+    let standin = start_platform(PlatformSettings::default())
+        .await
+        .expect("a free port");
+    let client = HttpPlatform::new(&standin.url()).expect("a URL");
+    (standin, client)
+}
+
+fn change(id: &str) -> Change {
+    Change {
+        id: ChangeId::new(id),
+        author: "ann".to_owned(),
+        reason: String::new(),
+        submitted_at_ms: 0,
+    }
+}
+
+#[tokio::test]
+async fn write_row_is_guarded_by_its_expectation() {
+    let (_standin, client) = start().await;
+    let first = client.write_row("k", "a", Expect::Absent).await.unwrap();
+    let again = client.write_row("k", "b", Expect::Absent).await;
+    assert_that!(
+        again,
+        err(matches_pattern!(PlatformError::Conflict(some(anything()))))
+    );
+    client
+        .write_row("k", "b", Expect::Version(first))
+        .await
+        .unwrap();
+    let stale = client.write_row("k", "c", Expect::Version(first)).await;
+    assert_that!(
+        stale,
+        err(matches_pattern!(PlatformError::Conflict(some(anything()))))
+    );
+    let row = client.read_row("k").await.unwrap().unwrap();
+    assert_that!(row.value, eq("b"));
+}
+
+#[tokio::test]
+async fn write_batch_answers_each_row() {
+    let (_standin, client) = start().await;
+    let write = |key: &str| RowWrite {
+        key: key.to_owned(),
+        value: "v".to_owned(),
+        expect: Expect::Absent,
+    };
+    client.write_batch(vec![write("a")]).await.unwrap();
+    let answers = client
+        .write_batch(vec![write("a"), write("b")])
+        .await
+        .unwrap();
+    assert_that!(
+        answers[0],
+        matches_pattern!(BatchAnswer::Conflict(some(anything())))
+    );
+    assert_that!(
+        answers[1],
+        matches_pattern!(BatchAnswer::Written(anything()))
+    );
+}
+
+#[tokio::test]
+async fn faults_are_sorted_by_what_they_prove() {
+    let cases = [
+        (
+            "down",
+            Faults {
+                down: true,
+                ..Default::default()
+            },
+            false,
+            false,
+        ),
+        (
+            "loses answers",
+            Faults {
+                lose_answers: true,
+                ..Default::default()
+            },
+            true,
+            true,
+        ),
+    ];
+    for (name, faults, may_have, did) in cases {
+        let (standin, client) = start().await;
+        standin.faults.set(faults);
+        let error = client
+            .write_row("k", "a", Expect::Absent)
+            .await
+            .unwrap_err();
+        assert_that!(error.may_have_taken_effect(), eq(may_have), "{name}");
+        standin.faults.set(Faults::default());
+        let row = client.read_row("k").await.unwrap();
+        assert_that!(row.is_some(), eq(did), "{name}");
+    }
+}
+
+#[tokio::test]
+async fn nobody_listening_proves_that_nothing_was_written() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    drop(listener);
+    let client = HttpPlatform::new(&format!("http://{address}")).unwrap();
+    let error = client
+        .write_row("k", "a", Expect::Absent)
+        .await
+        .unwrap_err();
+    assert_that!(error.may_have_taken_effect(), eq(false));
+}
+
+#[tokio::test]
+async fn limit_per_second_is_told() {
+    let settings = PlatformSettings {
+        writes_per_second: 2,
+        ..Default::default()
+    };
+    let standin = start_platform(settings).await.unwrap();
+    let client = HttpPlatform::new(&standin.url()).unwrap();
+    let mut throttled = 0;
+    for i in 0..5 {
+        let written = client
+            .write_row(&format!("k{i}"), "a", Expect::Absent)
+            .await;
+        throttled += u32::from(matches!(written, Err(PlatformError::Throttled)));
+    }
+    assert_that!(throttled, ge(1));
+}
+
+#[tokio::test]
+async fn submit_settles_a_lost_answer() {
+    let (standin, client) = start().await;
+    let store = ConfigStore::new(client);
+    standin.faults.set(Faults {
+        lose_answers: true,
+        ..Default::default()
+    });
+    let head = store
+        .submit(&FleetConfig::default(), ConfigVersion(0), change("c1"))
+        .await;
+    assert_that!(head.unwrap().version, eq(ConfigVersion(1)));
+    standin.faults.set(Faults::default());
+    let found = store.read_head().await.unwrap().unwrap();
+    assert_that!(found.change, eq(&ChangeId::new("c1")));
+}
+
+#[tokio::test]
+async fn submit_by_two_at_once_has_one_winner() {
+    let (_standin, client) = start().await;
+    let store = ConfigStore::new(client);
+    let config = FleetConfig::default();
+    let submits =
+        (0..10).map(|i| store.submit(&config, ConfigVersion(0), change(&format!("c{i}"))));
+    let results = futures::future::join_all(submits).await;
+    let lost = |result: &&Result<_, SubmitError>| matches!(result, Err(SubmitError::Conflict(_)));
+    assert_that!(
+        results.iter().filter(|result| result.is_ok()).count(),
+        eq(1)
+    );
+    assert_that!(results.iter().filter(lost).count(), eq(9));
+}
