Tell an organisation over its share after one round of asks

Cause of 5.8 KB/s of control traffic in a surge: each refused request asked its home and six others. What has its share of four engines has it of the pool.

--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -302,7 +302,14 @@
 
     /// Asks a round of others, or ends the search if there is none left.
     fn ask_others(&mut self, options: &[PlaceOption], round: usize) -> Step {
-        if round < self.rules.rounds {
+        // An organisation that has its share of the home and of three others
+        // has it of the pool: asking on would cost traffic when it is dearest.
+        let rounds = if self.over_share {
+            1
+        } else {
+            self.rules.rounds
+        };
+        if round < rounds {
             self.phase = Phase::Others { round };
             let others = self.next_others(options);
             if !others.is_empty() {
--- a/crates/core/tests/placement.rs
+++ b/crates/core/tests/placement.rs
@@ -192,3 +192,17 @@
         );
     }
 }
+
+#[test]
+fn organisation_over_its_share_is_told_after_one_round() {
+    let options = options(20);
+    let mut placement = search(Home::Hinted(0));
+    placement.start(&options);
+    let over_share = AskAnswer::OverShare { load: 9 };
+    let others = asked(placement.answered(&options, 0, over_share));
+    let answer = |engine| placement.answered(&options, engine, over_share);
+    assert_that!(
+        others.into_iter().map(answer).last(),
+        some(eq(&Step::RefuseOverShare))
+    );
+}
