--- a/crates/e2e/tests/bound.rs
+++ b/crates/e2e/tests/bound.rs
@@ -18,6 +18,9 @@
 const CALLERS: usize = 60;
 /// The pool's promise in the cluster's configuration.
 const LOAD_MULTIPLE: f64 = 1.5;
+/// Requests by which the mean falls before an owner hears of it, when all that
+/// ends is over within a second or two.
+const MEAN_FALLS: f64 = 3.0;
 /// New owners settle, and the callers fall out of step.
 const WARM_UP: Duration = Duration::from_secs(2);
 /// The host is off the list, its engines have new owners, and the requests that
@@ -36,14 +39,19 @@
     over: f64,
 }
 
-async fn call_until(cluster: &Cluster, stop: &Cell<bool>, caller: usize) -> u32 {
+async fn call_until(
+    cluster: &Cluster,
+    stop: &Cell<bool>,
+    caller: usize,
+    home: Option<&str>,
+) -> u32 {
     let mut answered = 0;
     let mut turn = caller;
     while !stop.get() {
         turn += 1;
         // Answers of many lengths, so that they do not all end at once.
         let tokens = 8 + (turn * 7 + caller * 11) % 40;
-        match call(cluster, turn % cluster.hosts.len(), tokens).await {
+        match call(cluster, turn % cluster.hosts.len(), tokens, home).await {
             Ok(200) => answered += 1,
             _ => tokio::time::sleep(Duration::from_millis(20)).await,
         }
@@ -51,18 +59,23 @@
     answered
 }
 
-async fn call(cluster: &Cluster, host: usize, tokens: usize) -> eyre::Result<u16> {
+async fn call(
+    cluster: &Cluster,
+    host: usize,
+    tokens: usize,
+    home: Option<&str>,
+) -> eyre::Result<u16> {
     let body = json!({
         "model": MODEL,
         "stream": true,
         "max_tokens": tokens,
         "messages": [{"role": "user", "content": format!("n{tokens}")}],
     });
-    let response = cluster
-        .chat_call(host, "n", true)
-        .json(&body)
-        .send()
-        .await?;
+    let mut call = cluster.chat_call(host, "n", true);
+    if let Some(home) = home {
+        call = call.header("chalkrock-affinity", home);
+    }
+    let response = call.json(&body).send().await?;
     let status = response.status().as_u16();
     response.bytes().await?;
     Ok(status)
@@ -93,10 +106,11 @@
 async fn load(
     cluster: &Cluster,
     from: Duration,
+    home: Option<&str>,
     upset: impl Future<Output = eyre::Result<()>>,
 ) -> eyre::Result<Worst> {
     let stop = Cell::new(false);
-    let callers = (0..CALLERS).map(|caller| call_until(cluster, &stop, caller));
+    let callers = (0..CALLERS).map(|caller| call_until(cluster, &stop, caller, home));
     let ending = async {
         let ended = upset.await;
         stop.set(true);
@@ -122,7 +136,7 @@
 #[tokio::test]
 async fn bound_holds_in_steady_load() -> eyre::Result<()> {
     let cluster = Cluster::start_with(SIZE, engine()).await?;
-    let worst = load(&cluster, WARM_UP, async {
+    let worst = load(&cluster, WARM_UP, None, async {
         tokio::time::sleep(Duration::from_secs(6)).await;
         Ok(())
     })
@@ -137,7 +151,7 @@
     let mut cluster = Cluster::start_with(SIZE, engine()).await?;
     let mut host = cluster.hosts.pop();
     let list = cluster.list_mut().clone();
-    let worst = load(&cluster, RECOVERED, async {
+    let worst = load(&cluster, RECOVERED, None, async {
         tokio::time::sleep(WARM_UP).await;
         if let Some(host) = &mut host {
             host.agent.kill()?;
@@ -155,3 +169,19 @@
     assert_that!(worst.over, le(IN_FLIGHT));
     Ok(())
 }
+
+/// All chats have the same home. Without a bound it gets them all, 45 more than
+/// the promise allows.
+#[tokio::test]
+async fn bound_holds_for_one_home_of_all_chats() -> eyre::Result<()> {
+    let cluster = Cluster::start_with(SIZE, engine()).await?;
+    let home = cluster.chat(0, "home", false).await?.affinity;
+    let worst = load(&cluster, WARM_UP, home.as_deref(), async {
+        tokio::time::sleep(Duration::from_secs(6)).await;
+        Ok(())
+    })
+    .await?;
+    assert_that!(worst.samples, gt(50));
+    assert_that!(worst.over, le(MEAN_FALLS));
+    Ok(())
+}
--- a/crates/e2e/tests/changes.rs
+++ b/crates/e2e/tests/changes.rs
@@ -186,6 +186,37 @@
     Ok(())
 }
 
+/// Services have no slots: the age of the view alone keeps a thawed router from
+/// a replica that left meanwhile.
+#[tokio::test]
+async fn leaving_service_gets_none_from_a_router_that_was_frozen() -> eyre::Result<()> {
+    let mut cluster = Cluster::start(ClusterSize {
+        services: 2,
+        ..SIZE
+    })
+    .await?;
+    cluster.hosts[1].router.freeze()?;
+    let leaving = cluster.engines.len();
+    cluster.list_mut().endpoints[leaving].state = HostState::Leaving;
+    cluster.publish_list();
+    tokio::time::sleep(LEFT_AFTER + Duration::from_secs(1)).await;
+    let calls = (0..40).map(|_| cluster.service_call(1, "entries").send());
+    let calling = futures::future::join_all(calls);
+    let thawing = async {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        cluster.hosts[1].router.thaw()
+    };
+    let (answers, thawed) = tokio::join!(calling, thawing);
+    thawed?;
+    assert_that!(
+        answers.iter().filter(|answer| answer.is_ok()).count(),
+        eq(40)
+    );
+    assert_that!(cluster.services[0].total_runs(), eq(0));
+    assert_that!(cluster.services[1].total_runs(), eq(40));
+    Ok(())
+}
+
 /// Sends streams through whichever router takes them, until told to stop.
 /// Returns how many were whole, and how many were cut.
 async fn load_until(cluster: &Cluster, stop: &std::cell::Cell<bool>) -> (u32, u32) {
