--- a/crates/agent/src/platform_reads.rs
+++ b/crates/agent/src/platform_reads.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use chalkrock_core::ConfigVersion;
-use chalkrock_platform::{ConfigStore, Platform, PlatformError};
+use chalkrock_platform::{ConfigStore, Platform, PlatformError, TaggedHosts};
 use chalkrock_process::Metrics;
 use chalkrock_proto::ConfigBody;
 use kameo::actor::ActorRef;
@@ -46,12 +46,19 @@
     /// Follows the host list, one read an interval.
     pub(crate) async fn follow_hosts(self, every: Duration) {
         let mut ticks = ticks(every);
+        let mut known: Option<TaggedHosts> = None;
         loop {
             ticks.tick().await;
-            match self.platform.read_hosts().await {
-                Ok(list) => {
+            let tag = known.as_ref().and_then(|known| known.tag.clone());
+            match self.platform.read_hosts(tag.as_deref()).await {
+                Ok(read) => {
                     self.count("hosts", "ok");
-                    let _keeper_gone = self.keeper.tell(TakeHosts(list)).await;
+                    known = read.or(known);
+                    // A list that stays counts too: what it does not show
+                    // departs after some lists.
+                    if let Some(known) = &known {
+                        let _keeper_gone = self.keeper.tell(TakeHosts(known.list.clone())).await;
+                    }
                 }
                 Err(error) => self.failed("hosts", &error),
             }
--- a/crates/ctl/src/fleet.rs
+++ b/crates/ctl/src/fleet.rs
@@ -56,7 +56,8 @@
     ///
     /// If the platform fails.
     pub async fn hosts(&self) -> Result<HostList, CtlError> {
-        Ok(self.platform.read_hosts().await?)
+        let read = self.platform.read_hosts(None).await?;
+        Ok(read.map(|read| read.list).unwrap_or_default())
     }
 
     /// The explanation of a request, from whichever router keeps it.
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -2,13 +2,12 @@
 
 use std::time::Duration;
 
-use chalkrock_core::HostList;
 use reqwest::header::{ETAG, IF_MATCH, IF_NONE_MATCH};
 use reqwest::{Client, Response, StatusCode, Url};
 use serde::de::DeserializeOwned;
 
 use crate::error::PlatformError;
-use crate::table::{BatchAnswer, Expect, Platform, Row, RowVersion, RowWrite};
+use crate::table::{BatchAnswer, Expect, Platform, Row, RowVersion, RowWrite, TaggedHosts};
 
 /// How long one call may take before its answer counts as lost.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
@@ -147,15 +146,25 @@
         }
     }
 
-    async fn read_hosts(&self) -> Result<HostList, PlatformError> {
-        let response = self
-            .client
-            .get(self.url(&["hosts"]))
-            .send()
-            .await
-            .map_err(transport_error)?;
+    async fn read_hosts(&self, known: Option<&str>) -> Result<Option<TaggedHosts>, PlatformError> {
+        let mut request = self.client.get(self.url(&["hosts"]));
+        if let Some(tag) = known {
+            request = request.header(IF_NONE_MATCH, tag);
+        }
+        let response = request.send().await.map_err(transport_error)?;
         match response.status() {
-            StatusCode::OK => json(response).await,
+            StatusCode::OK => {
+                let tag = response
+                    .headers()
+                    .get(ETAG)
+                    .and_then(|tag| tag.to_str().ok());
+                let tag = tag.map(str::to_owned);
+                Ok(Some(TaggedHosts {
+                    list: json(response).await?,
+                    tag,
+                }))
+            }
+            StatusCode::NOT_MODIFIED => Ok(None),
             status => Err(status_error(status)),
         }
     }
--- a/crates/platform/src/table.rs
+++ b/crates/platform/src/table.rs
@@ -52,6 +52,15 @@
     Conflict(Option<Row>),
 }
 
+/// A host list with the tag that names this state of it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TaggedHosts {
+    /// The list.
+    pub list: HostList,
+    /// Its tag, if the platform gives one.
+    pub tag: Option<String>,
+}
+
 /// The platform as chalkrock needs it.
 pub trait Platform: Send + Sync + 'static {
     /// Reads a row.
@@ -87,6 +96,12 @@
         body: String,
     ) -> impl Future<Output = Result<(), PlatformError>> + Send;
 
-    /// Reads the lagging list of hosts and endpoints.
-    fn read_hosts(&self) -> impl Future<Output = Result<HostList, PlatformError>> + Send;
+    /// Reads the lagging list of hosts and endpoints; `None` if it is still
+    /// the one with the tag `known`. At 370 hosts and 690 engines the list is
+    /// 136 KB, and reading it anew each second would cost a host 27 times its
+    /// budget.
+    fn read_hosts(
+        &self,
+        known: Option<&str>,
+    ) -> impl Future<Output = Result<Option<TaggedHosts>, PlatformError>> + Send;
 }
--- a/crates/platform/tests/contract.rs
+++ b/crates/platform/tests/contract.rs
@@ -1,7 +1,7 @@
 //! The contract of the platform's edge: the client against the stand-in,
 //! with fault cases in a table.
 
-use chalkrock_core::{ChangeId, ConfigVersion, FleetConfig};
+use chalkrock_core::{ChangeId, ConfigVersion, FleetConfig, Host, HostState, Incarnation};
 use chalkrock_platform::{
     BatchAnswer, Change, ConfigStore, Expect, HttpPlatform, Platform, PlatformError, RowWrite,
     SubmitError,
@@ -170,3 +170,24 @@
     );
     assert_that!(results.iter().filter(lost).count(), eq(9));
 }
+
+#[tokio::test]
+async fn hosts_are_sent_again_only_when_they_changed() {
+    let (standin, client) = start().await;
+    let first = client.read_hosts(None).await.unwrap().unwrap();
+    assert_that!(
+        client.read_hosts(first.tag.as_deref()).await.unwrap(),
+        none()
+    );
+    let mut list = first.list.clone();
+    list.hosts.push(Host {
+        name: "host-1".into(),
+        zone: "zone-a".into(),
+        agent_address: ([127, 0, 0, 1], 1).into(),
+        incarnation: Incarnation(1),
+        state: HostState::Live,
+    });
+    standin.set_hosts(list.clone());
+    let second = client.read_hosts(first.tag.as_deref()).await.unwrap();
+    assert_that!(second.map(|hosts| hosts.list), some(eq(&list)));
+}
--- a/crates/standin/src/platform/api.rs
+++ b/crates/standin/src/platform/api.rs
@@ -1,5 +1,6 @@
 //! The platform's HTTP API: rows guarded by conditional requests.
 
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 
 use axum::extract::{Path, Request, State};
@@ -93,8 +94,19 @@
     StatusCode::OK
 }
 
-async fn hosts(State(api): State<Api>) -> Json<HostList> {
-    Json(api.store.hosts())
+async fn hosts(State(api): State<Api>, headers: HeaderMap) -> Response {
+    let list = api.store.hosts();
+    let text = serde_json::to_string(&list).unwrap_or_default();
+    let mut hasher = DefaultHasher::new();
+    text.hash(&mut hasher);
+    let tag = format!("\"{:016x}\"", hasher.finish());
+    if headers
+        .get(IF_NONE_MATCH)
+        .is_some_and(|known| known == tag.as_str())
+    {
+        return StatusCode::NOT_MODIFIED.into_response();
+    }
+    ([(ETAG, tag)], text).into_response()
 }
 
 async fn set_hosts(State(api): State<Api>, Json(hosts): Json<HostList>) -> StatusCode {
