Tell a stream's outcome at its end only

Cause: the head of a streamed answer said ran before the engine had, and a stream that failed later ended with unknown under it. The head names the request; the last event the outcome. The tests read it there.

--- a/crates/e2e/src/calls.rs
+++ b/crates/e2e/src/calls.rs
@@ -93,16 +93,19 @@
 ///
 /// If the connection breaks.
 pub async fn read_chat(response: Response) -> eyre::Result<ChatAnswer> {
-    let told = Told::of(&response);
+    let mut told = Told::of(&response);
     let affinity = response.headers().get("chalkrock-affinity");
     let affinity = affinity
         .and_then(|value| value.to_str().ok())
         .map(str::to_owned);
     let body = response.text().await?;
-    let text = if body.starts_with('{') {
-        whole_text(&body)?
-    } else {
-        stream_text(&body)?
+    let text = match body.starts_with('{') {
+        true => whole_text(&body)?,
+        false => {
+            let (text, outcome) = stream_text(&body)?;
+            told.outcome = outcome;
+            text
+        }
     };
     Ok(ChatAnswer {
         told,
@@ -120,17 +123,22 @@
         .to_owned())
 }
 
-/// The text of a stream that came to its end; an error if it did not.
-fn stream_text(body: &str) -> eyre::Result<String> {
+/// The text of a stream that came to its end, and the outcome that it tells;
+/// an error if it did not.
+fn stream_text(body: &str) -> eyre::Result<(String, Option<Outcome>)> {
     let mut text = String::new();
+    let mut outcome = None;
     for line in body.lines() {
         let Some(data) = line.strip_prefix("data: ") else {
             continue;
         };
         if data == "[DONE]" {
-            return Ok(text);
+            return Ok((text, outcome));
         }
         let chunk: Value = serde_json::from_str(data)?;
+        if let Some(told) = chunk.get("chalkrock") {
+            outcome = serde_json::from_value(told["outcome"].clone()).ok();
+        }
         if let Some(content) = chunk["choices"][0]["delta"]["content"].as_str() {
             text.push_str(content);
         }
--- a/crates/e2e/tests/whole_path.rs
+++ b/crates/e2e/tests/whole_path.rs
@@ -1,7 +1,7 @@
 //! The whole path in separate processes, and what bad input gets.
 
 use chalkrock_core::Outcome;
-use chalkrock_e2e::{Cluster, ClusterSize, OPERATOR_KEY, read_chat};
+use chalkrock_e2e::{Cluster, ClusterSize, OPERATOR_KEY, Told, read_chat};
 use googletest::prelude::*;
 use serde_json::{Value, json};
 
@@ -27,6 +27,18 @@
     Ok(())
 }
 
+#[tokio::test]
+async fn chat_streamed_tells_no_outcome_before_its_end() -> eyre::Result<()> {
+    let cluster = Cluster::start(SMALL).await?;
+    let response = cluster.chat_call(0, "n1", true).send().await?;
+    assert_that!(Told::of(&response).outcome, none());
+    assert_that!(
+        read_chat(response).await?.told.outcome,
+        some(eq(Outcome::Ran))
+    );
+    Ok(())
+}
+
 #[tokio::test]
 async fn chat_returning_finds_its_prefix() -> eyre::Result<()> {
     let cluster = Cluster::start(SMALL).await?;
--- a/crates/router/src/chat.rs
+++ b/crates/router/src/chat.rs
@@ -21,7 +21,7 @@
 use crate::explain::Explanation;
 use crate::owners::OnEngine;
 use crate::place::{ChatPlace, Placed, place};
-use crate::refusal::{Refusal, mark};
+use crate::refusal::{Refusal, mark, name};
 use crate::relay::{Begun, Elsewhere, Relay};
 use crate::state::State;
 
@@ -67,7 +67,8 @@
             let relay = Relay::new(state, explanation, *begun);
             let events = Sse::new(relay.into_events()).keep_alive(KeepAlive::default());
             let mut answer = events.into_response();
-            mark(answer.headers_mut(), &request, Outcome::Ran);
+            // How it ended is told by the stream's last event.
+            name(answer.headers_mut(), &request);
             answer.headers_mut().insert(AFFINITY, home);
             answer
         }
--- a/crates/router/src/refusal.rs
+++ b/crates/router/src/refusal.rs
@@ -1,7 +1,7 @@
 //! Final answers that are not an endpoint's: typed JSON errors, sent at once.
 
 use axum::Json;
-use axum::http::{HeaderValue, StatusCode};
+use axum::http::{HeaderMap, HeaderValue, StatusCode};
 use axum::response::{IntoResponse, Response};
 use chalkrock_core::{Outcome, Reason, RequestId};
 use serde::Serialize;
@@ -71,11 +71,16 @@
     }
 }
 
-/// Names the request and its outcome in an answer's headers.
-pub(crate) fn mark(headers: &mut axum::http::HeaderMap, request: &RequestId, outcome: Outcome) {
+/// Names the request in an answer's headers.
+pub(crate) fn name(headers: &mut HeaderMap, request: &RequestId) {
     if let Ok(id) = HeaderValue::from_str(request.as_str()) {
         headers.insert(REQUEST_ID, id);
     }
+}
+
+/// Names the request and its outcome in an answer's headers.
+pub(crate) fn mark(headers: &mut HeaderMap, request: &RequestId, outcome: Outcome) {
+    name(headers, request);
     if let Ok(outcome) = HeaderValue::from_str(&outcome.to_string()) {
         headers.insert(OUTCOME, outcome);
     }
