Say unknown for a resumed stream whose engine is gone

Causes found while reading, each with its test that failed first: - A resume whose engine could not be reached said not-run, though the request had run there (503 in place of 502 and unknown). - The highest event number overflowed in a resume (a panic in a debug build).

The chat's file is three now: entry, sending, answers.

--- a/crates/e2e/tests/streams.rs
+++ b/crates/e2e/tests/streams.rs
@@ -167,10 +167,13 @@
         .map(|event| event.id);
     let id = id.unwrap_or_default();
     let forged = id.replace(|c: char| c.is_ascii_lowercase(), "x");
+    let token = id.split_once('.').map_or("", |(_, token)| token);
+    let past_the_last = format!("{}.{token}", u64::MAX);
     for (name, key, id) in [
         ("another organisation's", OTHER_KEY, id.as_str()),
         ("forged", "key-caller", forged.as_str()),
         ("not a token", "key-caller", "7"),
+        ("past the last number", "key-caller", past_the_last.as_str()),
     ] {
         let body = json!({"model": MODEL, "stream": true, "messages": []});
         let url = format!(
@@ -189,6 +192,31 @@
     Ok(())
 }
 
+#[tokio::test]
+async fn resume_of_a_stream_whose_engine_is_gone_is_unknown() -> eyre::Result<()> {
+    let mut cluster = Cluster::start_with(SIZE, slow_engine()).await?;
+    let mut events = cluster
+        .chat_call(0, "n1", true)
+        .send()
+        .await?
+        .bytes_stream()
+        .eventsource();
+    let id = events
+        .next()
+        .await
+        .and_then(|event| event.ok())
+        .map(|event| event.id);
+    cluster.hosts[0].router.kill()?;
+    cluster.engines.clear();
+    let call = cluster
+        .chat_call(1, "n1", true)
+        .header("last-event-id", id.unwrap_or_default());
+    let told = Told::of(&call.send().await?);
+    assert_that!(told.status, eq(502));
+    assert_that!(told.outcome, some(eq(Outcome::Unknown)));
+    Ok(())
+}
+
 #[tokio::test]
 async fn caller_that_goes_away_frees_the_slot() -> eyre::Result<()> {
     let cluster = Cluster::start_with(SIZE, slow_engine()).await?;
--- /dev/null
+++ b/crates/router/src/chat/send.rs
@@ -0,0 +1,92 @@
+//! Sends a chat request to an engine, and to another one while none has
+//! started it.
+
+use axum::http::{HeaderMap, HeaderValue};
+use bytes::Bytes;
+use chalkrock_core::{Endpoint, Outcome, Pool, Reason};
+use reqwest::Method;
+use tokio::time::Instant;
+
+use crate::api::Entered;
+use crate::dispatch::{Attempt, send};
+use crate::explain::Explanation;
+use crate::owners::OnEngine;
+use crate::place::{ChatPlace, Placed, place};
+use crate::refusal::Refusal;
+use crate::state::State;
+
+/// Where engines take chat requests, the same path as ours.
+pub(crate) const CHAT_PATH: &str = "/v1/chat/completions";
+/// Endpoints tried for one request while none has started it.
+const ATTEMPTS_MAX: usize = 3;
+
+/// A chat request on its way to an engine.
+pub(super) struct Chat {
+    pub(super) place: ChatPlace,
+    pub(super) body: Bytes,
+    /// Whether it may be sent again after an attempt of unknown outcome.
+    pub(super) repeat_safe: bool,
+}
+
+/// A request that an engine runs.
+pub(super) struct Dispatched {
+    pub(super) endpoint: Endpoint,
+    pub(super) on_engine: OnEngine,
+    pub(super) response: reqwest::Response,
+}
+
+/// Finds an engine and sends, on to another one while none has started it.
+pub(super) async fn dispatch(
+    state: &State,
+    explanation: &mut Explanation,
+    entered: &Entered,
+    pool: &Pool,
+    chat: &Chat,
+) -> Result<Dispatched, Refusal> {
+    let mut engines = entered.view.live_in(&pool.name).to_vec();
+    let mut refusal = Refusal::new(
+        Reason::NoEndpoint,
+        format!("{} has no live engine", pool.name),
+    );
+    for _ in 0..ATTEMPTS_MAX {
+        if engines.is_empty() {
+            break;
+        }
+        let Placed { engine, on_engine } =
+            place(state, explanation, pool, &chat.place, &engines).await?;
+        let start = Instant::now();
+        let attempt = Attempt {
+            request: &explanation.request,
+            endpoint: &engine.endpoint,
+            method: Method::POST,
+            path: CHAT_PATH,
+            headers: json_headers(),
+            body: chat.body.clone(),
+        };
+        let sent = send(state, attempt).await;
+        explanation.hop("dispatch", start);
+        match sent {
+            Ok(response) => {
+                explanation.chosen = Some(engine.endpoint.name.clone());
+                return Ok(Dispatched {
+                    endpoint: engine.endpoint,
+                    on_engine,
+                    response,
+                });
+            }
+            Err(failed) if failed.reason.outcome() == Outcome::NotRun || chat.repeat_safe => {
+                engines.retain(|other| other.hash != engine.hash);
+                refusal = failed;
+            }
+            Err(failed) => return Err(failed),
+        }
+    }
+    Err(refusal)
+}
+
+/// The headers of a request with a JSON body.
+pub(crate) fn json_headers() -> HeaderMap {
+    let mut headers = HeaderMap::new();
+    headers.insert("content-type", HeaderValue::from_static("application/json"));
+    headers
+}
