--- a/crates/e2e/src/lib.rs
+++ b/crates/e2e/src/lib.rs
@@ -25,4 +25,4 @@
 pub use cluster::{
     Cluster, ClusterSize, HostPrograms, MODEL, OPERATOR_KEY, ORGANISATION_KEY, OTHER_KEY, SERVICE,
 };
-pub use program::Program;
+pub use program::{Program, program_path};
--- a/crates/e2e/src/program.rs
+++ b/crates/e2e/src/program.rs
@@ -30,7 +30,11 @@
 }
 
 /// The path of one of our programs: beside the running test.
-pub(crate) fn program_path(name: &str) -> eyre::Result<PathBuf> {
+///
+/// # Errors
+///
+/// If the running test has no folder.
+pub fn program_path(name: &str) -> eyre::Result<PathBuf> {
     let test = std::env::current_exe()?;
     let folder = test.parent().and_then(|deps| deps.parent());
     let folder = folder.ok_or_else(|| eyre!("the test has no folder"))?;
