Bound retries by a budget, and read the owner's view in steps

An outage is not multiplied: at most 20 saved retries, and one more for ten requests that succeed at once. Engines that were away for ten minutes count as new, so that the set of known ones does not grow for ever.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -35,6 +35,7 @@
 mod outcome;
 mod owner;
 mod placement;
+mod retry;
 mod slots;
 mod stream;
 mod token;
@@ -55,6 +56,7 @@
 pub use placement::{
     AskAnswer, Home, PlaceOption, Placement, PlacementRules, Step, has_own_room, local_choice,
 };
+pub use retry::RetryBudget;
 pub use slots::{
     AskContext, EngineSlots, Holder, MEAN_FLOOR, OPEN_SHARE, OrganisationKey, SlotDecision,
     SlotRules, Weights,
--- a/crates/core/src/owner.rs
+++ b/crates/core/src/owner.rs
@@ -27,6 +27,8 @@
 /// A sampled mean counts for a little less than it says: it is noisy, and only
 /// a rise that the table does not show yet should pass it.
 const SAMPLED_MARGIN: f64 = 0.95;
+/// An engine that was away this long counts as new.
+const KNOWN_MS: u64 = 600_000;
 /// A ledger outlives its engine in the view this long: engines flap.
 const LEDGER_KEPT_MS: u64 = 60_000;
 
@@ -99,11 +101,14 @@
     ledgers: HashMap<E, Ledger<H>>,
     table: LoadTable<H>,
     sampled: LoadSampler,
+    /// When each host was last in the view.
     seen_at_ms: HashMap<H, u64>,
+    /// The hosts of the view.
     hosts: Vec<H>,
+    /// Until then other hosts may hold slots that this one does not know of.
     shared_until_ms: u64,
-    /// Engines that were ever in the view.
-    known: HashSet<E>,
+    /// When each engine was last in the view.
+    known: HashMap<E, u64>,
 }
 
 impl<H: Clone + Eq + Hash + Ord, E: Clone + Eq + Hash> Owner<H, E> {
@@ -118,7 +123,7 @@
             seen_at_ms: HashMap::new(),
             hosts: Vec::new(),
             shared_until_ms: 0,
-            known: HashSet::new(),
+            known: HashMap::new(),
         }
     }
 
@@ -138,25 +143,17 @@
         if !self.hosts.is_empty() && self.authority_by_view(now_ms) != Authority::Whole {
             self.shared_until_ms = now_ms + self.rules.settle_ms + self.rules.report_lag_max_ms;
         }
-        let before = std::mem::replace(&mut self.hosts, hosts.to_vec());
-        let hosts_changed = before != hosts;
-        let first_view = before.is_empty();
-        self.table.keep_only(hosts);
-        // Hosts of the view before were seen until this moment.
-        for host in before.iter().chain(hosts) {
-            self.seen_at_ms.insert(host.clone(), now_ms);
-        }
-        self.seen_at_ms
-            .retain(|_, at_ms| now_ms < *at_ms + RECENT_MS);
+        let before = self.take_hosts(hosts, now_ms);
+        let same_hosts = !before.is_empty() && before == hosts;
         for engine in others {
             self.ledgers.remove(engine);
-            self.known.insert(engine.clone());
+            self.known.insert(engine.clone(), now_ms);
         }
         let owned_before = self.release_all();
         for one in owned {
-            let is_new = self.known.insert(one.engine.clone());
-            let ledger = self
-                .ledgers
+            let is_new = self.known.insert(one.engine.clone(), now_ms).is_none();
+            let ledgers = &mut self.ledgers;
+            let ledger = ledgers
                 .entry(one.engine.clone())
                 .or_insert_with(|| Ledger::new(now_ms));
             ledger.owned = true;
@@ -165,15 +162,29 @@
                 ledger.slots.begin(one.weight, now_ms);
                 // An engine that no host has seen before is idle, and with
                 // the same hosts all views agree on its owner.
-                if is_new && !hosts_changed && !first_view {
+                if is_new && same_hosts {
                     ledger.slots.skip_settling();
                 }
             }
         }
+        self.known.retain(|_, at_ms| now_ms < *at_ms + KNOWN_MS);
         self.ledgers
             .retain(|_, ledger| ledger.owned || now_ms < ledger.in_view_at_ms + LEDGER_KEPT_MS);
     }
 
+    /// Takes the hosts of a view over, and gives those of the one before.
+    fn take_hosts(&mut self, hosts: &[H], now_ms: u64) -> Vec<H> {
+        let before = std::mem::replace(&mut self.hosts, hosts.to_vec());
+        self.table.keep_only(hosts);
+        // Hosts of the view before were seen until this moment.
+        for host in before.iter().chain(hosts) {
+            self.seen_at_ms.insert(host.clone(), now_ms);
+        }
+        self.seen_at_ms
+            .retain(|_, at_ms| now_ms < *at_ms + RECENT_MS);
+        before
+    }
+
     /// Marks all ledgers as not owned, and names those that were.
     fn release_all(&mut self) -> HashSet<E> {
         let mut owned = HashSet::new();
--- /dev/null
+++ b/crates/core/tests/retry.rs
@@ -0,0 +1,29 @@
+//! The retry budget in an outage, and after it.
+
+use chalkrock_core::RetryBudget;
+use googletest::prelude::*;
+
+fn taken(budget: &mut RetryBudget, tries: usize) -> usize {
+    (0..tries).filter(|_| budget.take()).count()
+}
+
+#[test]
+fn budget_ends_in_an_outage() {
+    let mut budget = RetryBudget::default();
+    assert_that!(taken(&mut budget, 1_000), eq(20));
+}
+
+#[test]
+fn budget_grows_by_a_tenth_of_the_successes() {
+    let mut budget = RetryBudget::default();
+    taken(&mut budget, 1_000);
+    (0..101).for_each(|_| budget.success());
+    assert_that!(taken(&mut budget, 1_000), eq(10));
+}
+
+#[test]
+fn budget_does_not_grow_without_end() {
+    let mut budget = RetryBudget::default();
+    (0..10_000).for_each(|_| budget.success());
+    assert_that!(taken(&mut budget, 1_000), eq(20));
+}
--- a/crates/router/src/chat/send.rs
+++ b/crates/router/src/chat/send.rs
@@ -48,14 +48,14 @@
         Reason::NoEndpoint,
         format!("{} has no live engine", pool.name),
     );
-    for _ in 0..ATTEMPTS_MAX {
-        if engines.is_empty() {
+    for attempt in 0..ATTEMPTS_MAX {
+        if engines.is_empty() || (attempt > 0 && !state.may_retry()) {
             break;
         }
         let Placed { engine, on_engine } =
             place(state, explanation, pool, &chat.place, &engines).await?;
         let start = Instant::now();
-        let attempt = Attempt {
+        let one = Attempt {
             request: &explanation.request,
             endpoint: &engine.endpoint,
             method: Method::POST,
@@ -63,10 +63,13 @@
             headers: json_headers(),
             body: chat.body.clone(),
         };
-        let sent = send(state, attempt).await;
+        let sent = send(state, one).await;
         explanation.hop("dispatch", start);
         match sent {
             Ok(response) => {
+                if attempt == 0 {
+                    state.first_try_succeeded();
+                }
                 explanation.chosen = Some(engine.endpoint.name.clone());
                 return Ok(Dispatched {
                     endpoint: engine.endpoint,
--- a/crates/router/src/service_calls.rs
+++ b/crates/router/src/service_calls.rs
@@ -153,6 +153,9 @@
     let mut live: Vec<&ViewEndpoint> = entered.view.live_in(&pool.name).iter().collect();
     let mut refusal = Refusal::new(Reason::NoEndpoint, format!("{name} has no live replica"));
     for attempt in 0..ATTEMPTS_MAX {
+        if attempt > 0 && !state.may_retry() {
+            break;
+        }
         let key = KeyHash::of(explanation.request.as_str().as_bytes());
         let Some(chosen) = first(key, live.iter().map(|e| (e.hash, 1.0))) else {
             break;
@@ -186,6 +189,9 @@
         });
         match sent {
             Ok(response) => {
+                if attempt == 0 {
+                    state.first_try_succeeded();
+                }
                 explanation.chosen = Some(chosen.endpoint.name.clone());
                 return whole_answer(&explanation.request, response).await;
             }
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -1,11 +1,11 @@
 //! What all requests of a router share.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use chalkrock_core::{RequestId, TokenKey, key_digest};
+use chalkrock_core::{RequestId, RetryBudget, TokenKey, key_digest};
 use chalkrock_process::{Metrics, Stop};
 use chalkrock_proto::{Hello, Purpose, Traffic};
 use kameo::actor::{ActorRef, Spawn};
@@ -34,6 +34,7 @@
     pub(crate) owners: Arc<Owners>,
     pub(crate) traffic: Arc<Traffic>,
     pub(crate) claim_writers: ClaimWriters,
+    retries: Mutex<RetryBudget>,
     pub(crate) hello: Hello,
     /// Wakes whoever waits for a younger view.
     pub(crate) view_confirmed: Notify,
@@ -59,6 +60,7 @@
             owners: Owners::new(hello.clone(), traffic.clone(), ask_timeout),
             hello,
             claim_writers: ClaimWriters::default(),
+            retries: Mutex::default(),
             traffic,
             view_confirmed: Notify::new(),
             fleet_key_sha256,
@@ -74,6 +76,30 @@
         })
     }
 
+    /// Whether one more try of a request is within the budget.
+    pub(crate) fn may_retry(&self) -> bool {
+        let may = self
+            .retries
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .take();
+        let label = if may {
+            "result=\"made\""
+        } else {
+            "result=\"over budget\""
+        };
+        self.metrics.count("retries_total", label, 1);
+        may
+    }
+
+    /// A request was answered at its first try.
+    pub(crate) fn first_try_succeeded(&self) {
+        self.retries
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .success();
+    }
+
     /// A request id that names the host, so that an operator's tool knows
     /// where to ask, and the router's life, so that a restart repeats none.
     pub(crate) fn request_id(&self) -> RequestId {
