Keep a stale exchange from stopping the pool

Cause, shown by the failed try before: old entries lost all their weight over 15 s, the mean fell below the loads, engines stood over their limits and refused, and the mean fell further. They lose a twentieth now.

Margins of a twentieth and a tenth were weighed beside three fortieths; the figures are in decision 0003.

--- a/crates/core/src/load_table.rs
+++ b/crates/core/src/load_table.rs
@@ -91,6 +91,8 @@
 /// An entry that is older than this no longer counts: its host is gone, and
 /// another one owns its engines.
 const ENTRY_AGE_MAX_MS: u64 = 15_000;
+/// Share of its load that an entry of the highest age no longer counts.
+const TRUST_LOST: f64 = 0.05;
 
 impl<H: Clone + Eq + Hash + Ord> LoadTable<H> {
     /// A table of a host that knows nothing of others.
@@ -172,15 +174,17 @@
 
     /// Mean load by unit of weight over the hosts that are known.
     ///
-    /// An entry's load counts less the older it is: a host that died leaves
-    /// its last entry, while its engines empty. A mean that is too low refuses
-    /// a little; one that is too high breaks the bound.
+    /// An entry's load counts a little less the older it is: a host that died
+    /// leaves its last entry, while its engines empty. It may count only a
+    /// little less, or the mean falls below the loads themselves: engines then
+    /// stand over their limits, refuse, and lower the mean further. With all
+    /// trust lost over the age, rounds of some seconds refused 43 %.
     pub fn mean(&self, now_ms: u64) -> f64 {
         let (mut in_progress, mut weight) = (0.0, 0.0);
         for known in self.entries.values() {
             let age_ms = now_ms.saturating_sub(known.said_at_ms);
             if age_ms <= ENTRY_AGE_MAX_MS {
-                let trust = 1.0 - age_ms as f64 / ENTRY_AGE_MAX_MS as f64;
+                let trust = 1.0 - TRUST_LOST * age_ms as f64 / ENTRY_AGE_MAX_MS as f64;
                 in_progress += trust * f64::from(known.load.in_progress);
                 weight += known.load.weight;
             }
--- a/crates/core/src/slots.rs
+++ b/crates/core/src/slots.rs
@@ -55,10 +55,10 @@
 impl SlotRules {
     /// Rules for a pool that promises `load_multiple`.
     ///
-    /// The margin is a twentieth of what the multiple leaves above the mean; see
+    /// The margin is three fortieths of what the multiple leaves above the mean; see
     /// `docs/decisions/0003-slots.md` for the measurement.
     pub fn promising(load_multiple: f64) -> Self {
-        const MARGIN: f64 = 0.05;
+        const MARGIN: f64 = 0.075;
         Self {
             grant_multiple: 1.0 + (load_multiple - 1.0) * (1.0 - MARGIN),
             report_lag_min_ms: 0,
