Keep what two processes share in one place

The short hash that names organisations on the wire stood once in the agent and once in the router; it is MemberHash::short now. A caller that is not admitted had its body read away in two handlers; entering does it. The labels of control bytes stood in both metrics pages; Traffic gives them. Behaviour is as it was.

--- a/crates/agent/src/admin.rs
+++ b/crates/agent/src/admin.rs
@@ -7,8 +7,6 @@
 use axum::http::StatusCode;
 use axum::routing::get;
 
-use chalkrock_proto::Purpose;
-
 use crate::peers::Shared;
 
 pub(crate) fn app(shared: Arc<Shared>) -> Router {
@@ -31,16 +29,10 @@
 async fn metrics(State(shared): State<Arc<Shared>>) -> String {
     let version = shared.view.borrow().config_version();
     shared.metrics.gauge("config_version", "", version.0 as f64);
-    for purpose in Purpose::ALL {
-        let bytes = shared.traffic.bytes(purpose);
-        let label = |way: &str| format!("purpose=\"{}\",way=\"{way}\"", purpose.label());
-        let gauge = |way: &str, bytes: u64| {
-            shared
-                .metrics
-                .gauge("control_bytes_total", &label(way), bytes as f64);
-        };
-        gauge("in", bytes.read_bytes);
-        gauge("out", bytes.written_bytes);
+    for (labels, bytes) in shared.traffic.labelled() {
+        shared
+            .metrics
+            .gauge("control_bytes_total", &labels, bytes as f64);
     }
     for (engine, load) in shared.slots.engine_loads() {
         shared.metrics.gauge(
--- a/crates/agent/src/slots.rs
+++ b/crates/agent/src/slots.rs
@@ -24,9 +24,8 @@
 /// An engine: the hash of its name.
 type EngineKey = u64;
 
-/// The low half of a name's hash.
-pub(crate) fn short_hash(name: &str) -> u32 {
-    MemberHash::of(name).0 as u32
+fn short_hash(name: &str) -> u32 {
+    MemberHash::of(name).short()
 }
 
 fn weights_of(config: &FleetConfig) -> Weights {
--- a/crates/core/src/rendezvous.rs
+++ b/crates/core/src/rendezvous.rs
@@ -15,6 +15,12 @@
     pub fn of(name: &str) -> Self {
         Self(xxh3_64(name.as_bytes()))
     }
+
+    /// The low half of the hash: how organisations, hosts and pools are named
+    /// between our processes, where bytes are dear.
+    pub fn short(self) -> u32 {
+        self.0 as u32
+    }
 }
 
 /// The hash of a key that is to be placed.
--- a/crates/proto/src/traffic.rs
+++ b/crates/proto/src/traffic.rs
@@ -60,6 +60,18 @@
         total
     }
 
+    /// All bytes so far, with the labels of metrics.
+    pub fn labelled(&self) -> Vec<(String, u64)> {
+        let mut labelled = Vec::new();
+        for purpose in Purpose::ALL {
+            let bytes = self.bytes(purpose);
+            let label = |way: &str| format!("purpose=\"{}\",way=\"{way}\"", purpose.label());
+            labelled.push((label("in"), bytes.read_bytes));
+            labelled.push((label("out"), bytes.written_bytes));
+        }
+        labelled
+    }
+
     fn state(&self) -> MutexGuard<'_, State> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/router/src/api.rs
+++ b/crates/router/src/api.rs
@@ -50,11 +50,27 @@
     pub(crate) organisation: OrganisationId,
 }
 
-/// Admits a caller: the host serves, its view is recent, the key is known.
+/// Admits a caller: the host serves, its view is recent, the key is known. The
+/// body of a caller that is not admitted is read and forgotten.
 pub(crate) async fn enter(
     state: &State,
     explanation: &mut Explanation,
     headers: &HeaderMap,
+    body: Body,
+) -> Result<(Entered, Body), Refusal> {
+    match admit(state, explanation, headers).await {
+        Ok(entered) => Ok((entered, body)),
+        Err(refusal) => {
+            discard(body.into_data_stream()).await;
+            Err(refusal)
+        }
+    }
+}
+
+async fn admit(
+    state: &State,
+    explanation: &mut Explanation,
+    headers: &HeaderMap,
 ) -> Result<Entered, Refusal> {
     if state.stop.is_asked() {
         return Err(Refusal::new(
@@ -139,7 +155,7 @@
 /// Reads the rest of a refused body and forgets it. A caller that is still
 /// writing would else see a broken connection in place of its answer. What it
 /// sends past the bound is not worth the answer.
-pub(crate) async fn discard(mut chunks: BodyDataStream) {
+async fn discard(mut chunks: BodyDataStream) {
     let mut left_bytes = DISCARD_MAX_BYTES;
     while let Some(Ok(chunk)) = chunks.next().await {
         left_bytes = left_bytes.saturating_sub(chunk.len());
--- a/crates/router/src/chat/mod.rs
+++ b/crates/router/src/chat/mod.rs
@@ -12,7 +12,7 @@
 use serde::Deserialize;
 use tracing::Instrument;
 
-use crate::api::{Entered, body_of, discard, enter, is_marked_unsafe};
+use crate::api::{Entered, body_of, enter, is_marked_unsafe};
 use crate::claims::claim;
 use crate::explain::Explanation;
 use crate::place::ChatPlace;
@@ -91,13 +91,7 @@
     headers: &HeaderMap,
     body: Body,
 ) -> Result<Served, Refusal> {
-    let entered = match enter(state, explanation, headers).await {
-        Ok(entered) => entered,
-        Err(refusal) => {
-            discard(body.into_data_stream()).await;
-            return Err(refusal);
-        }
-    };
+    let (entered, body) = enter(state, explanation, headers, body).await?;
     let body = body_of(state, body).await?;
     let chat: ChatRequest = serde_json::from_slice(&body)
         .map_err(|error| Refusal::new(Reason::InvalidRequest, error.to_string()))?;
@@ -115,7 +109,7 @@
     let home = home_of(state, headers, &entered.organisation)?;
     let place = ChatPlace {
         key: chat_key(&entered, &chat),
-        organisation: MemberHash::of(entered.organisation.as_str()).0 as u32,
+        organisation: MemberHash::of(entered.organisation.as_str()).short(),
         hint: home.map(|home| home.endpoint),
         returns: chat
             .messages
--- a/crates/router/src/operators.rs
+++ b/crates/router/src/operators.rs
@@ -10,7 +10,6 @@
 use axum::response::{IntoResponse, Response};
 use axum::routing::get;
 use chalkrock_core::{RequestId, key_digest};
-use chalkrock_proto::Purpose;
 
 use crate::api::bearer;
 use crate::explain::Lookup;
@@ -64,17 +63,10 @@
     state
         .metrics
         .gauge("view_endpoints", "", view.hosts.endpoints.len() as f64);
-    for purpose in Purpose::ALL {
-        let bytes = state.traffic.bytes(purpose);
-        let label = |way: &str| format!("purpose=\"{}\",way=\"{way}\"", purpose.label());
+    for (labels, bytes) in state.traffic.labelled() {
         state
             .metrics
-            .gauge("control_bytes_total", &label("in"), bytes.read_bytes as f64);
-        state.metrics.gauge(
-            "control_bytes_total",
-            &label("out"),
-            bytes.written_bytes as f64,
-        );
+            .gauge("control_bytes_total", &labels, bytes as f64);
     }
     state.metrics.render()
 }
--- a/crates/router/src/service_calls.rs
+++ b/crates/router/src/service_calls.rs
@@ -14,7 +14,7 @@
 use tokio::time::Instant;
 use tracing::Instrument;
 
-use crate::api::{Entered, body_of, discard, enter, is_marked_unsafe};
+use crate::api::{Entered, body_of, enter, is_marked_unsafe};
 use crate::claims::claim;
 use crate::dispatch::{Attempt, send};
 use crate::explain::{Candidate, CandidateRole, Explanation};
@@ -72,13 +72,7 @@
     call: Request,
 ) -> Result<Response, Refusal> {
     let (head, body) = call.into_parts();
-    let entered = match enter(state, explanation, &head.headers).await {
-        Ok(entered) => entered,
-        Err(refusal) => {
-            discard(body.into_data_stream()).await;
-            return Err(refusal);
-        }
-    };
+    let (entered, body) = enter(state, explanation, &head.headers, body).await?;
     let pool = entered.view.config.pool_of_service(name);
     let pool =
         pool.ok_or_else(|| Refusal::new(Reason::UnknownService, format!("no service {name:?}")))?;
