--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -37,6 +37,8 @@
     InvalidRequest,
     /// The body is larger than the limit.
     BodyTooLarge,
+    /// The request did not arrive in time.
+    RequestTooSlow,
     /// No key, or a key that no organisation holds.
     UnknownKey,
     /// No pool serves the model.
@@ -79,9 +81,10 @@
 
 impl Reason {
     /// Each reason, for documents and tests that go through all.
-    pub const ALL: [Reason; 21] = [
+    pub const ALL: [Reason; 22] = [
         Reason::InvalidRequest,
         Reason::BodyTooLarge,
+        Reason::RequestTooSlow,
         Reason::UnknownKey,
         Reason::UnknownModel,
         Reason::UnknownService,
@@ -108,6 +111,7 @@
         match self {
             Reason::InvalidRequest => "invalid-request",
             Reason::BodyTooLarge => "body-too-large",
+            Reason::RequestTooSlow => "request-too-slow",
             Reason::UnknownKey => "unknown-key",
             Reason::UnknownModel => "unknown-model",
             Reason::UnknownService => "unknown-service",
@@ -135,6 +139,7 @@
         match self {
             Reason::InvalidRequest => 400,
             Reason::BodyTooLarge => 413,
+            Reason::RequestTooSlow => 408,
             Reason::UnknownKey => 401,
             Reason::UnknownModel | Reason::UnknownService => 404,
             Reason::TokenRefused => 403,
@@ -165,6 +170,7 @@
             }
             Reason::InvalidRequest
             | Reason::BodyTooLarge
+            | Reason::RequestTooSlow
             | Reason::UnknownKey
             | Reason::UnknownModel
             | Reason::UnknownService
@@ -193,6 +199,7 @@
             Reason::ClaimsUnavailable => Some(5),
             Reason::InvalidRequest
             | Reason::BodyTooLarge
+            | Reason::RequestTooSlow
             | Reason::UnknownKey
             | Reason::UnknownModel
             | Reason::UnknownService
--- /dev/null
+++ b/crates/gateway/src/answer.rs
@@ -0,0 +1,105 @@
+//! Bodies and answers for callers.
+
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use chalkrock_core::{Outcome, Reason, RequestId};
+use futures::Stream;
+use http_body_util::Full;
+use hyper::Response;
+use hyper::body::{Body, Frame, SizeHint};
+
+use crate::edge::{Edge, Refusal};
+
+/// The answer breaks off here: the caller's connection closes without an end
+/// of the body, so that what came can't be taken for the whole.
+#[derive(Debug, thiserror::Error)]
+#[error("the answer breaks off")]
+pub(crate) struct BrokenOff;
+
+/// Events of a stream on their way to the caller.
+pub(crate) type Events = Pin<Box<dyn Stream<Item = Result<Bytes, BrokenOff>> + Send>>;
+
+/// A body for a caller.
+pub(crate) enum CallerBody {
+    /// The whole body is there.
+    Whole(Full<Bytes>),
+    /// It comes by and by.
+    Events(Events),
+}
+
+impl Body for CallerBody {
+    type Data = Bytes;
+    type Error = BrokenOff;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
+        match self.get_mut() {
+            CallerBody::Whole(body) => Pin::new(body)
+                .poll_frame(cx)
+                .map_err(|never| match never {}),
+            CallerBody::Events(events) => events
+                .as_mut()
+                .poll_next(cx)
+                .map(|next| next.map(|event| event.map(Frame::data))),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            CallerBody::Whole(body) => body.size_hint(),
+            CallerBody::Events(_) => SizeHint::default(),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            CallerBody::Whole(body) => body.is_end_stream(),
+            CallerBody::Events(_) => false,
+        }
+    }
+}
+
+impl Refusal {
+    /// A refusal with the usual time to come back.
+    pub(crate) fn new(reason: Reason, detail: impl Into<String>) -> Self {
+        Self {
+            reason,
+            detail: detail.into(),
+            retry_after_ms: retry_after_ms(reason),
+        }
+    }
+
+    /// What it promises of the request.
+    pub(crate) fn outcome(&self) -> Outcome {
+        self.reason.outcome()
+    }
+
+    /// The answer that tells it.
+    pub(crate) fn into_answer(self, edge: &dyn Edge, id: Option<&RequestId>) -> Response<CallerBody> {
+        let answer = edge.refusal(id, &self);
+        answer.map(|body| CallerBody::Whole(Full::new(body)))
+    }
+}
+
+/// When a repeat of a request that did not run makes sense. A host that
+/// leaves or knows nothing yet is not the only one: another may be asked at
+/// once. Endpoints that are full need a few requests' time.
+fn retry_after_ms(reason: Reason) -> Option<u64> {
+    const ELSEWHERE_MS: u64 = 10;
+    const FULL_MS: u64 = 200;
+    const NONE_LIVE_MS: u64 = 500;
+    match reason {
+        Reason::Leaving => Some(ELSEWHERE_MS),
+        Reason::NoView | Reason::NoEndpoint => Some(NONE_LIVE_MS),
+        Reason::AtBound
+        | Reason::OverShare
+        | Reason::EndpointRefused
+        | Reason::EndpointUnreachable
+        | Reason::DeadlineTooClose => Some(FULL_MS),
+        other => other.retry_after_s().map(|s| u64::from(s) * 1_000),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/call.rs
@@ -0,0 +1,166 @@
+//! A request as it was asked: read whole, its route and organisation found.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use chalkrock_core::rendezvous::KeyHash;
+use chalkrock_core::{PoolId, Reason};
+use chalkrock_routing::{Caller, CallerLimits, Repeatable, Route, RulesVersion, StopPhase};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::{Body, Incoming};
+use hyper::header::HeaderMap;
+use hyper::{Method, Request, Uri, http};
+use tokio::time::Instant;
+
+use crate::clock::{left_ms, ms};
+use crate::edge::{CallHead, Refusal, remove_connection_headers};
+use crate::shared::Shared;
+
+/// A request that may be dispatched.
+#[derive(Debug)]
+pub(crate) struct Call {
+    pub(crate) head: CallHead,
+    pub(crate) method: Method,
+    /// Path and query as the caller sent them.
+    pub(crate) target: Uri,
+    /// The caller's headers, without those of its connection.
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    pub(crate) route: Arc<Route>,
+    pub(crate) pool: PoolId,
+    pub(crate) caller: Option<Caller>,
+    pub(crate) rules: RulesVersion,
+    pub(crate) entered_at: Instant,
+    /// When the caller or the route gives up, whichever comes first.
+    pub(crate) deadline: Instant,
+    /// The prefix that it shares with other requests.
+    pub(crate) key: Option<KeyHash>,
+    /// A number of its own.
+    pub(crate) draw: u64,
+}
+
+impl Call {
+    /// Whether it may run more than once.
+    pub(crate) fn repeatable(&self) -> Repeatable {
+        Repeatable::of(self.route.kind)
+    }
+
+    /// Its rank: the organisation's before the route's.
+    pub(crate) fn priority(&self) -> u8 {
+        const RANKS_OF_ROUTE: u8 = 3;
+        const LAST: u8 = 9;
+        let of_caller = self.caller.as_ref().map_or(0, |caller| caller.priority);
+        let of_route = self.route.priority.min(RANKS_OF_ROUTE - 1);
+        (of_caller.saturating_mul(RANKS_OF_ROUTE).saturating_add(of_route)).min(LAST)
+    }
+
+    /// How long it may still take.
+    pub(crate) fn left_ms(&self) -> u64 {
+        left_ms(self.deadline)
+    }
+}
+
+/// Reads a request whole and finds what it asks for.
+pub(crate) async fn enter(
+    shared: &Arc<Shared>,
+    request: Request<Incoming>,
+    head: CallHead,
+    entered_at: Instant,
+) -> Result<Call, Refusal> {
+    let (parts, body) = request.into_parts();
+    let limits = shared
+        .rules()
+        .map_or_else(CallerLimits::default, |rules| *rules.limits());
+    let body = read_body(body, &limits).await?;
+    if matches!(shared.stop_phase(), Some(StopPhase::Drains | StopPhase::Ends)) {
+        return Err(Refusal::new(Reason::Leaving, "the host is stopping"));
+    }
+    let rules = shared
+        .rules()
+        .filter(|_| shared.has_view())
+        .ok_or_else(|| Refusal::new(Reason::NoView, "the host knows no rules yet"))?;
+    let path = parts.uri.path();
+    let route = rules
+        .route(&head.host, path)
+        .ok_or_else(|| Refusal::new(Reason::UnknownService, "no route takes this path"))?
+        .clone();
+    let caller = head.key.as_deref().and_then(|key| rules.caller(key));
+    if caller.is_none() && rules.needs_key() && !route.is_public {
+        return Err(Refusal::new(Reason::UnknownKey, "no organisation holds the key"));
+    }
+    let draw = rand::random();
+    let pool = pool_of(shared, &route, draw)
+        .ok_or_else(|| Refusal::new(Reason::NoEndpoint, "the route has no pool"))?;
+    let most_ms = head
+        .deadline_ms
+        .map_or(route.timeout_ms, |ms| ms.min(route.timeout_ms));
+    Ok(Call {
+        key: shared_prefix(&head),
+        caller: caller.cloned(),
+        rules: rules.version(),
+        method: parts.method.clone(),
+        target: target_of(&parts)?,
+        headers: end_to_end(parts.headers),
+        deadline: entered_at + ms(most_ms),
+        head,
+        body,
+        route,
+        pool,
+        entered_at,
+        draw,
+    })
+}
+
+/// The pool of a draw; another one of the route's if that one has no live
+/// endpoint.
+fn pool_of(shared: &Shared, route: &Route, draw: u64) -> Option<PoolId> {
+    let drawn = route.pool_of(draw)?;
+    let fleet = shared.fleet();
+    let is_live = |pool: &PoolId| !fleet.endpoints.live(pool).is_empty();
+    if is_live(drawn) {
+        return Some(drawn.clone());
+    }
+    let others = route.backends.iter().filter(|backend| backend.weight > 0);
+    let mut others = others.map(|backend| &backend.pool);
+    Some(others.find(|pool| is_live(pool)).unwrap_or(drawn).clone())
+}
+
+/// The longest prefix that other requests may share: all but the last part,
+/// which is the request's own or its session's.
+fn shared_prefix(head: &CallHead) -> Option<KeyHash> {
+    let (last, shared) = head.prefix.split_last()?;
+    let key = shared.last().unwrap_or(last);
+    Some(KeyHash(key.hash))
+}
+
+fn target_of(parts: &http::request::Parts) -> Result<Uri, Refusal> {
+    let target = parts.uri.path_and_query().cloned();
+    let target = target.ok_or_else(|| Refusal::new(Reason::InvalidRequest, "no path"))?;
+    Ok(Uri::from(target))
+}
+
+fn end_to_end(mut headers: HeaderMap) -> HeaderMap {
+    remove_connection_headers(&mut headers);
+    headers.remove(hyper::header::CONTENT_LENGTH);
+    headers.remove(hyper::header::EXPECT);
+    headers
+}
+
+async fn read_body(body: Incoming, limits: &CallerLimits) -> Result<Bytes, Refusal> {
+    if body.is_end_stream() {
+        return Ok(Bytes::new());
+    }
+    let too_large = || Refusal::new(Reason::BodyTooLarge, "the body is over the limit");
+    if body.size_hint().lower() > limits.body_max_bytes as u64 {
+        return Err(too_large());
+    }
+    let reading = Limited::new(body, limits.body_max_bytes).collect();
+    let timeout = Duration::from_millis(limits.idle_timeout_ms);
+    match tokio::time::timeout(timeout, reading).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(too_large()),
+        Ok(Err(_)) => Err(Refusal::new(Reason::InvalidRequest, "the body broke off")),
+        Err(_) => Err(Refusal::new(Reason::RequestTooSlow, "the body did not arrive")),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/config.rs
@@ -0,0 +1,115 @@
+//! Settings of a gateway, whatever file they came from.
+
+use std::net::SocketAddr;
+
+use chalkrock_core::{HostId, ZoneId};
+use chalkrock_routing::{BudgetRules, SpreadRules};
+
+/// The settings of one gateway.
+#[derive(Clone, Debug)]
+pub struct GatewayConfig {
+    pub(crate) host: HostId,
+    pub(crate) zone: ZoneId,
+    pub(crate) listen: SocketAddr,
+    pub(crate) ready_listen: Option<SocketAddr>,
+    pub(crate) metrics_listen: Option<SocketAddr>,
+    pub(crate) peer_listen: Option<SocketAddr>,
+    pub(crate) peer_seeds: Vec<SocketAddr>,
+    pub(crate) grace_ms: u64,
+    pub(crate) spread: SpreadRules,
+    pub(crate) budget: BudgetRules,
+    pub(crate) connections_max: usize,
+}
+
+impl GatewayConfig {
+    /// Begins with the host's name, its availability zone, and where callers
+    /// connect.
+    pub fn builder(
+        host: impl Into<HostId>,
+        zone: impl Into<ZoneId>,
+        listen: SocketAddr,
+    ) -> GatewayConfigBuilder {
+        GatewayConfigBuilder(Self {
+            host: host.into(),
+            zone: zone.into(),
+            listen,
+            ready_listen: None,
+            metrics_listen: None,
+            peer_listen: None,
+            peer_seeds: Vec::new(),
+            grace_ms: 8_000,
+            spread: SpreadRules::default(),
+            budget: BudgetRules {
+                ratio: 0.1,
+                slack: 20.0,
+                window_ms: 10_000,
+            },
+            connections_max: 2_000,
+        })
+    }
+
+    /// The host's name.
+    pub fn host(&self) -> &HostId {
+        &self.host
+    }
+}
+
+/// Builds a [`GatewayConfig`].
+#[derive(Clone, Debug)]
+pub struct GatewayConfigBuilder(GatewayConfig);
+
+impl GatewayConfigBuilder {
+    /// Where the entry balancer asks whether the host is ready.
+    pub fn ready_listen(mut self, address: SocketAddr) -> Self {
+        self.0.ready_listen = Some(address);
+        self
+    }
+
+    /// Where metrics are told.
+    pub fn metrics_listen(mut self, address: SocketAddr) -> Self {
+        self.0.metrics_listen = Some(address);
+        self
+    }
+
+    /// Where other hosts are heard, over UDP and TCP; without it the host
+    /// talks to no other.
+    pub fn peer_listen(mut self, address: SocketAddr) -> Self {
+        self.0.peer_listen = Some(address);
+        self
+    }
+
+    /// Hosts to talk to first; they may be gone.
+    pub fn peer_seeds(mut self, seeds: Vec<SocketAddr>) -> Self {
+        self.0.peer_seeds = seeds;
+        self
+    }
+
+    /// Time from the signal to stop until the process is killed.
+    pub fn grace_ms(mut self, grace_ms: u64) -> Self {
+        self.0.grace_ms = grace_ms;
+        self
+    }
+
+    /// Most load of an endpoint over the mean of its pool.
+    pub fn load_multiple(mut self, multiple: f64) -> Self {
+        self.0.spread.load_multiple = multiple;
+        self
+    }
+
+    /// The bound on sends beyond each request's first.
+    pub fn retry_budget(mut self, budget: BudgetRules) -> Self {
+        self.0.budget = budget;
+        self
+    }
+
+    /// Most connections of callers at once.
+    pub fn connections_max(mut self, most: usize) -> Self {
+        self.0.connections_max = most;
+        self
+    }
+
+    /// The settings.
+    pub fn build(self) -> GatewayConfig {
+        self.0
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/dispatch.rs
@@ -0,0 +1,432 @@
+//! Sends a request to an endpoint, and to another one where that is allowed.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use chalkrock_core::{Endpoint, Outcome, Reason};
+use chalkrock_routing::{AttemptEnd, Next, Repeatable, RouteKind, Sign, next_step};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode, http};
+use tokio::time::Instant;
+
+use crate::call::Call;
+use crate::edge::{AnswerHead, Refusal, SendHead};
+use crate::fleet::{Choice, Wanted};
+use crate::journal::{AttemptRecord, Event};
+use crate::shared::{OnEndpoint, Shared};
+use crate::upstream::{Connection, SentBody, connect};
+
+/// Largest answer that is read whole.
+const ANSWER_MAX_BYTES: usize = 8 * 1024 * 1024;
+/// How often a wait for an answer looks at the endpoint's health.
+const LOOK_EVERY: Duration = Duration::from_millis(150);
+/// Objectives after which a request that may be repeated is not left waiting.
+const PATIENCE_OBJECTIVES: u32 = 4;
+/// What is kept of a deadline for the answer to reach the caller.
+const DEADLINE_RESERVE_MS: u64 = 10;
+
+/// What was done for a request so far.
+#[derive(Debug)]
+pub(crate) struct Progress {
+    /// Endpoints that had it, by short hash.
+    tried: Vec<u32>,
+    /// Endpoints that took it in.
+    sent: u32,
+    /// The worst that the attempts prove.
+    worst: Outcome,
+    pub(crate) attempts: Vec<AttemptRecord>,
+}
+
+impl Default for Progress {
+    fn default() -> Self {
+        Self {
+            tried: Vec::new(),
+            sent: 0,
+            worst: Outcome::NotRun,
+            attempts: Vec::new(),
+        }
+    }
+}
+
+/// An answer that was read whole.
+#[derive(Debug)]
+pub(crate) struct Whole {
+    pub(crate) head: http::response::Parts,
+    pub(crate) body: Bytes,
+}
+
+/// A stream that an endpoint has begun.
+pub(crate) struct OpenStream {
+    pub(crate) head: http::response::Parts,
+    pub(crate) body: Incoming,
+    pub(crate) endpoint: Arc<Endpoint>,
+    pub(crate) short: u32,
+    /// Kept while the stream runs; dropped, the endpoint stops.
+    pub(crate) connection: Connection,
+    pub(crate) on_endpoint: OnEndpoint,
+    pub(crate) answer: AnswerHead,
+}
+
+/// What an endpoint gave.
+pub(crate) enum Opened {
+    Whole(Whole),
+    Stream(Box<OpenStream>),
+}
+
+/// An attempt that brought no answer to pass on at once.
+struct Failure {
+    end: AttemptEnd,
+    /// The endpoint's own answer, if it gave one.
+    answer: Option<Whole>,
+}
+
+impl Failure {
+    fn of(end: AttemptEnd) -> Self {
+        Self { end, answer: None }
+    }
+}
+
+/// Finds endpoints and sends until one answers or no more may be tried.
+pub(crate) async fn dispatch(
+    shared: &Arc<Shared>,
+    call: &Call,
+    progress: &mut Progress,
+    resume_after: Option<u64>,
+) -> Result<Opened, Refusal> {
+    loop {
+        if call.left_ms() <= DEADLINE_RESERVE_MS {
+            return Err(too_late(progress));
+        }
+        let Some(choice) = place(shared, call, progress) else {
+            return Err(none_left(progress));
+        };
+        let short = choice.member.hash.short();
+        progress.tried.push(short);
+        progress.attempts.push(AttemptRecord {
+            endpoint: choice.member.endpoint.name.clone(),
+            load: choice.load,
+            at_ms: call.entered_at.elapsed().as_millis() as u64,
+            end: None,
+        });
+        let failure = match attempt(shared, call, progress, &choice, resume_after).await {
+            Ok(opened) => return Ok(opened),
+            Err(failure) => failure,
+        };
+        match after(shared, call, progress, &choice, &failure) {
+            Next::Elsewhere => {}
+            Next::GiveUp(reason) => {
+                let detail = choice.member.endpoint.name.to_string();
+                return failure
+                    .answer
+                    .map(Opened::Whole)
+                    .ok_or_else(|| Refusal::new(reason, detail));
+            }
+        }
+    }
+}
+
+fn place(shared: &Shared, call: &Call, progress: &Progress) -> Option<Choice> {
+    let wanted = Wanted {
+        pool: &call.pool,
+        key: call.key,
+        tried: &progress.tried,
+        draw: call.draw,
+    };
+    let now_ms = shared.clock.now_ms();
+    shared.fleet().place(&wanted, now_ms)
+}
+
+/// Takes note of a failure and says what comes next.
+fn after(
+    shared: &Shared,
+    call: &Call,
+    progress: &mut Progress,
+    choice: &Choice,
+    failure: &Failure,
+) -> Next {
+    let end = failure.end;
+    if let Some(record) = progress.attempts.last_mut() {
+        record.end = Some(end.into());
+    }
+    if end.arrived() {
+        progress.sent += 1;
+    }
+    let now_ms = shared.clock.now_ms();
+    let mut fleet = shared.fleet();
+    if let Some(sign) = sign_of(end)
+        && fleet.see(choice.member.hash.short(), sign, now_ms)
+    {
+        shared.journal.tell(&Event::Suspect {
+            endpoint: &choice.member.endpoint.name,
+            end: end.into(),
+        });
+    }
+    let next = next_step(
+        end,
+        progress.worst,
+        call.repeatable(),
+        progress.sent,
+        call.route.attempts_max,
+        || {
+            let hosts = 1 + fleet.load.hosts_heard(now_ms);
+            fleet.budget(&call.pool).take(now_ms, hosts)
+        },
+    );
+    if end.outcome() != Outcome::NotRun {
+        progress.worst = Outcome::Unknown;
+    }
+    next
+}
+
+fn sign_of(end: AttemptEnd) -> Option<Sign> {
+    match end {
+        AttemptEnd::NotSent | AttemptEnd::Broken => Some(Sign::Break),
+        AttemptEnd::Silent => Some(Sign::Silence),
+        AttemptEnd::Failed | AttemptEnd::Garbage => Some(Sign::Failure),
+        AttemptEnd::Refused | AttemptEnd::NotTheEndpoint => None,
+    }
+}
+
+fn too_late(progress: &Progress) -> Refusal {
+    match progress.worst {
+        Outcome::NotRun => Refusal::new(Reason::DeadlineTooClose, "no time is left"),
+        Outcome::Ran | Outcome::Unknown => Refusal::new(Reason::DeadlinePassed, "no time is left"),
+    }
+}
+
+fn none_left(progress: &Progress) -> Refusal {
+    match progress.worst {
+        Outcome::NotRun => Refusal::new(Reason::NoEndpoint, "no endpoint takes new work"),
+        Outcome::Ran | Outcome::Unknown => {
+            Refusal::new(Reason::EndpointLost, "no other endpoint takes new work")
+        }
+    }
+}
+
+/// Sends once, to one endpoint.
+async fn attempt(
+    shared: &Arc<Shared>,
+    call: &Call,
+    progress: &Progress,
+    choice: &Choice,
+    resume_after: Option<u64>,
+) -> Result<Opened, Failure> {
+    let short = choice.member.hash.short();
+    let endpoint = &choice.member.endpoint;
+    let on_endpoint = OnEndpoint::begin(shared, short);
+    let may_repeat = call.repeatable() == Repeatable::Yes;
+    let (connection, response) =
+        send(shared, call, choice, may_repeat, resume_after, progress).await?;
+    let (head, body) = response.into_parts();
+    let answer = shared.edge.read_answer(&head);
+    if let Some(end) = not_an_answer(call, &head, &answer) {
+        return Err(Failure::of(end));
+    }
+    let is_stream = matches!(call.route.kind, RouteKind::Stream { .. }) && head.status.is_success();
+    if is_stream {
+        return Ok(Opened::Stream(Box::new(OpenStream {
+            head,
+            body,
+            endpoint: endpoint.clone(),
+            short,
+            connection,
+            on_endpoint,
+            answer,
+        })));
+    }
+    let whole = read_whole(call, head, body).await?;
+    if !answer.closes {
+        shared
+            .upstream
+            .keep(short, connection, answer.keep_alive_s);
+    }
+    if whole.head.status.is_server_error() {
+        return Err(failed(call, whole));
+    }
+    let now_ms = shared.clock.now_ms();
+    shared.fleet().see(short, Sign::Answer, now_ms);
+    Ok(Opened::Whole(whole))
+}
+
+/// Why a head is not the answer to this request, if it is not.
+fn not_an_answer(
+    call: &Call,
+    head: &http::response::Parts,
+    answer: &AnswerHead,
+) -> Option<AttemptEnd> {
+    if answer.id != call.head.id {
+        return Some(AttemptEnd::Garbage);
+    }
+    if answer.is_other_endpoint {
+        return Some(AttemptEnd::NotTheEndpoint);
+    }
+    if answer.says_not_run && !head.status.is_success() {
+        return Some(AttemptEnd::Refused);
+    }
+    let is_unsigned_success = head.status.is_success() && !answer.is_signed;
+    is_unsigned_success.then_some(AttemptEnd::Garbage)
+}
+
+/// An endpoint's own failure. One whose status would promise the caller that
+/// the request did not run is not passed on for a request that may not be
+/// repeated, since the endpoint promised nothing.
+fn failed(call: &Call, whole: Whole) -> Failure {
+    let promises = whole.head.status == StatusCode::SERVICE_UNAVAILABLE;
+    let answer = (!promises || call.repeatable() == Repeatable::Yes).then_some(whole);
+    Failure {
+        end: AttemptEnd::Failed,
+        answer,
+    }
+}
+
+/// Sends over a kept connection or a new one. A kept one that turns out to be
+/// closed before anything was written is followed by a new one.
+async fn send(
+    shared: &Arc<Shared>,
+    call: &Call,
+    choice: &Choice,
+    may_repeat: bool,
+    resume_after: Option<u64>,
+    progress: &Progress,
+) -> Result<(Connection, Response<Incoming>), Failure> {
+    let short = choice.member.hash.short();
+    let endpoint = &choice.member.endpoint;
+    loop {
+        let kept = shared.upstream.take(short, may_repeat);
+        let mut connection = match kept {
+            Some(connection) => connection,
+            None => {
+                shared.metrics.count("endpoint_connections_total", "", 1);
+                let opened = connect(endpoint.address).await;
+                opened.ok_or_else(|| Failure::of(AttemptEnd::NotSent))?
+            }
+        };
+        let request = request_for(shared, call, endpoint, resume_after);
+        let now_ms = shared.clock.now_ms();
+        {
+            let mut fleet = shared.fleet();
+            fleet.health(short).wait(now_ms);
+            if progress.sent == 0 {
+                fleet.budget(&call.pool).request(now_ms);
+            }
+        }
+        let answered = answer_of(shared, call, short, &mut connection, request).await;
+        let heard_at_ms = shared.clock.now_ms();
+        {
+            let mut fleet = shared.fleet();
+            let health = fleet.health(short);
+            health.wait_over(now_ms);
+            if answered.is_ok() {
+                health.heard(heard_at_ms);
+            }
+        }
+        match answered {
+            Ok(response) => return Ok((connection, response)),
+            Err(AttemptEnd::NotSent) if connection.is_kept => {}
+            Err(end) => return Err(Failure::of(end)),
+        }
+    }
+}
+
+fn request_for(
+    shared: &Shared,
+    call: &Call,
+    endpoint: &Endpoint,
+    resume_after: Option<u64>,
+) -> Request<SentBody> {
+    let send = SendHead {
+        organisation: call.caller.as_ref().map(|caller| &caller.organisation),
+        endpoint: &endpoint.name,
+        deadline_ms: call.left_ms(),
+        priority: call.priority(),
+        resume_after,
+    };
+    let mut request = Request::new(Full::new(call.body.clone()));
+    *request.method_mut() = call.method.clone();
+    *request.uri_mut() = call.target.clone();
+    *request.headers_mut() = shared.edge.endpoint_headers(&call.headers, &send);
+    request
+}
+
+/// Waits for the head of the answer. A request that may be repeated is not
+/// left with an endpoint that has gone silent.
+async fn answer_of(
+    shared: &Shared,
+    call: &Call,
+    short: u32,
+    connection: &mut Connection,
+    request: Request<SentBody>,
+) -> Result<Response<Incoming>, AttemptEnd> {
+    let sent_at = Instant::now();
+    let patience = Duration::from_millis(call.route.objective_ms) * PATIENCE_OBJECTIVES;
+    let mut answer = std::pin::pin!(connection.sender.try_send_request(request));
+    loop {
+        let look_at = call.deadline.min(Instant::now() + LOOK_EVERY);
+        match tokio::time::timeout_at(look_at, &mut answer).await {
+            Ok(Ok(response)) => return Ok(response),
+            Ok(Err(mut error)) => {
+                return Err(match error.take_message() {
+                    Some(_unsent) => AttemptEnd::NotSent,
+                    None if error.error().is_parse() => AttemptEnd::Garbage,
+                    None => AttemptEnd::Broken,
+                });
+            }
+            Err(_) => {}
+        }
+        if Instant::now() >= call.deadline {
+            return Err(AttemptEnd::Silent);
+        }
+        let now_ms = shared.clock.now_ms();
+        let is_silent = shared.fleet().health(short).is_silent(now_ms);
+        let is_late = is_silent || sent_at.elapsed() >= patience;
+        if is_late && call.repeatable() == Repeatable::Yes {
+            return Err(AttemptEnd::Silent);
+        }
+    }
+}
+
+/// Reads an answer whole before a byte of it is passed on.
+async fn read_whole(
+    call: &Call,
+    head: http::response::Parts,
+    body: Incoming,
+) -> Result<Whole, Failure> {
+    let reading = Limited::new(body, ANSWER_MAX_BYTES).collect();
+    match tokio::time::timeout_at(call.deadline, reading).await {
+        Ok(Ok(body)) => Ok(Whole {
+            head,
+            body: body.to_bytes(),
+        }),
+        Ok(Err(_)) => Err(Failure::of(AttemptEnd::Broken)),
+        Err(_) => Err(Failure::of(AttemptEnd::Silent)),
+    }
+}
+
+impl Progress {
+    /// The endpoint that began a stream was lost in it. Says whether another
+    /// one may go on.
+    pub(crate) fn lost_midway(&mut self, shared: &Shared, call: &Call) -> bool {
+        let end = AttemptEnd::Broken;
+        if let Some(record) = self.attempts.last_mut() {
+            record.end = Some(end.into());
+        }
+        self.sent += 1;
+        let now_ms = shared.clock.now_ms();
+        let mut fleet = shared.fleet();
+        let next = next_step(
+            end,
+            self.worst,
+            call.repeatable(),
+            self.sent,
+            call.route.attempts_max,
+            || {
+                let hosts = 1 + fleet.load.hosts_heard(now_ms);
+                fleet.budget(&call.pool).take(now_ms, hosts)
+            },
+        );
+        self.worst = Outcome::Unknown;
+        next == Next::Elsewhere
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/front.rs
@@ -0,0 +1,251 @@
+//! Callers' connections: accepts them, serves each request, ends them when
+//! the host stops.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use chalkrock_core::{Outcome, Reason};
+use chalkrock_routing::{CallerLimits, StopPhase};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HeaderValue};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, http};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+use tokio::time::Instant;
+
+use crate::answer::CallerBody;
+use crate::call::{Call, enter};
+use crate::dispatch::{Opened, Progress, Whole, dispatch};
+use crate::edge::{CallHead, Refusal, remove_connection_headers};
+use crate::journal::{AttemptRecord, Event, RequestRecord};
+use crate::relay::Relay;
+use crate::shared::Shared;
+
+/// Pause after the system could not accept a connection.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Header lines that a head may have.
+const HEADERS_MAX: usize = 64;
+
+/// Accepts callers until the host ends.
+pub(crate) async fn accept(shared: Arc<Shared>, listener: TcpListener) {
+    let places = Arc::new(Semaphore::new(shared.config.connections_max));
+    loop {
+        let Ok(place) = places.clone().acquire_owned().await else {
+            return;
+        };
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let shared = shared.clone();
+                tokio::spawn(async move {
+                    connection(shared, stream).await;
+                    drop(place);
+                });
+            }
+            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+        }
+    }
+}
+
+/// Serves one connection until either side ends it.
+async fn connection(shared: Arc<Shared>, stream: TcpStream) {
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let limits = shared
+        .rules()
+        .map_or_else(CallerLimits::default, |rules| *rules.limits());
+    let service = service_fn(|request| {
+        let shared = shared.clone();
+        async move { Ok::<_, Infallible>(serve(shared, request).await) }
+    });
+    // The library's timer for a head runs while a kept connection rests too,
+    // so it is the time that a connection may rest.
+    let mut served = std::pin::pin!(
+        http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(Duration::from_millis(limits.idle_timeout_ms))
+            .max_buf_size(limits.head_max_bytes.max(MIN_BUFFER_BYTES))
+            .max_headers(HEADERS_MAX)
+            .serve_connection(TokioIo::new(stream), service)
+    );
+    tokio::select! {
+        _ = served.as_mut() => return,
+        () = shared.stop_reached(StopPhase::Drains) => {}
+    }
+    served.as_mut().graceful_shutdown();
+    let _callers_may_break_off = served.await;
+}
+
+/// The least buffer that the HTTP library takes.
+const MIN_BUFFER_BYTES: usize = 8 * 1024;
+
+/// Serves one request.
+async fn serve(shared: Arc<Shared>, request: Request<Incoming>) -> Response<CallerBody> {
+    let entered_at = Instant::now();
+    let running = shared.run();
+    let (parts, body) = request.into_parts();
+    let read = shared.edge.read_call(&parts);
+    let request = Request::from_parts(parts, body);
+    let head = match read {
+        Ok(head) => head,
+        Err(refusal) => return refuse(&shared, &CallHead::default(), entered_at, refusal),
+    };
+    let kept_head = head.clone();
+    let call = match enter(&shared, request, head, entered_at).await {
+        Ok(call) => Arc::new(call),
+        Err(refusal) => return refuse(&shared, &kept_head, entered_at, refusal),
+    };
+    let mut leaving = TellsLeaving::new(shared.clone(), call.clone());
+    let mut progress = Progress::default();
+    let resume_after = call.head.resume_after;
+    let opened = dispatch(&shared, &call, &mut progress, resume_after).await;
+    leaving.is_over = true;
+    let response = match opened {
+        Ok(Opened::Whole(whole)) => {
+            let status = whole.head.status.as_u16();
+            record(&shared, &call, progress.attempts, Some(status), Outcome::Ran, None);
+            whole_answer(&shared, whole)
+        }
+        Ok(Opened::Stream(stream)) => {
+            let relay = Relay::new(shared.clone(), call, progress, stream, running);
+            stream_answer(&shared, relay)
+        }
+        Err(refusal) => {
+            let attempts = progress.attempts;
+            let (reason, outcome) = (refusal.reason, refusal.outcome());
+            let id = call.head.id.clone();
+            let answer = refusal.into_answer(&*shared.edge, id.as_ref());
+            let status = answer.status().as_u16();
+            record(&shared, &call, attempts, Some(status), outcome, Some(reason));
+            answer
+        }
+    };
+    last_if_stopping(&shared, response)
+}
+
+fn whole_answer(shared: &Shared, whole: Whole) -> Response<CallerBody> {
+    let mut response = Response::new(CallerBody::Whole(Full::new(whole.body)));
+    *response.status_mut() = whole.head.status;
+    *response.headers_mut() = caller_headers(shared, &whole.head);
+    response
+}
+
+fn stream_answer(shared: &Shared, relay: Relay) -> Response<CallerBody> {
+    let (status, headers) = relay
+        .head()
+        .map(|head| (head.status, caller_headers(shared, head)))
+        .unwrap_or_default();
+    let mut response = Response::new(CallerBody::Events(relay.into_events()));
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    response
+}
+
+fn caller_headers(shared: &Shared, head: &http::response::Parts) -> http::HeaderMap {
+    let mut headers = shared.edge.caller_headers(&head.headers);
+    remove_connection_headers(&mut headers);
+    headers.remove(hyper::header::CONTENT_LENGTH);
+    headers
+}
+
+fn refuse(
+    shared: &Shared,
+    head: &CallHead,
+    entered_at: Instant,
+    refusal: Refusal,
+) -> Response<CallerBody> {
+    let record = RequestRecord {
+        id: head.id.clone(),
+        route: None,
+        organisation: None,
+        rules: shared.rules().map(|rules| rules.version()).unwrap_or_default(),
+        attempts: Vec::new(),
+        status: Some(refusal.reason.status()),
+        outcome: refusal.outcome(),
+        reason: Some(refusal.reason),
+        detail: refusal.detail.clone(),
+        took_ms: entered_at.elapsed().as_millis() as u64,
+    };
+    shared.journal.tell(&Event::Request(&record));
+    count(shared, Some(refusal.reason), refusal.outcome());
+    let answer = refusal.into_answer(&*shared.edge, head.id.as_ref());
+    last_if_stopping(shared, answer)
+}
+
+/// A host that stops ends each connection with its next answer.
+fn last_if_stopping(
+    shared: &Shared,
+    mut response: Response<CallerBody>,
+) -> Response<CallerBody> {
+    if shared.stop_phase().is_some() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
+    response
+}
+
+/// Tells how a request ended.
+pub(crate) fn record(
+    shared: &Shared,
+    call: &Call,
+    attempts: Vec<AttemptRecord>,
+    status: Option<u16>,
+    outcome: Outcome,
+    reason: Option<Reason>,
+) {
+    let took = call.entered_at.elapsed();
+    let record = RequestRecord {
+        id: call.head.id.clone(),
+        route: Some(call.route.name.clone()),
+        organisation: call.caller.as_ref().map(|caller| caller.organisation.clone()),
+        rules: call.rules,
+        attempts,
+        status,
+        outcome,
+        reason,
+        detail: String::new(),
+        took_ms: took.as_millis() as u64,
+    };
+    shared.journal.tell(&Event::Request(&record));
+    shared.metrics.latency("request", "", took);
+    count(shared, reason, outcome);
+}
+
+fn count(shared: &Shared, reason: Option<Reason>, outcome: Outcome) {
+    let reason = reason.map_or("none", Reason::code);
+    let labels = format!("outcome=\"{outcome}\",reason=\"{reason}\"");
+    shared.metrics.count("requests_total", &labels, 1);
+}
+
+/// Tells that the caller left, if it did so before an answer began.
+struct TellsLeaving {
+    shared: Arc<Shared>,
+    call: Arc<Call>,
+    is_over: bool,
+}
+
+impl TellsLeaving {
+    fn new(shared: Arc<Shared>, call: Arc<Call>) -> Self {
+        Self {
+            shared,
+            call,
+            is_over: false,
+        }
+    }
+}
+
+impl Drop for TellsLeaving {
+    fn drop(&mut self) {
+        if !self.is_over {
+            self.shared.journal.tell(&Event::CallerLeft {
+                id: self.call.head.id.as_ref(),
+                took_ms: self.call.entered_at.elapsed().as_millis() as u64,
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/journal.rs
@@ -0,0 +1,182 @@
+//! Structured lines on standard output: what was decided, on what ground.
+//!
+//! A line is one JSON object. Lines are handed over through a bounded queue
+//! and written together a few times a second by one task, so that neither a
+//! request nor a slow reader waits for the other; a line that finds the queue
+//! full is dropped, and how many were is told. log4rs' appenders write where
+//! they are called, and would hold requests up while the reader is slow.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use chalkrock_core::{EndpointId, HostId, OrganisationId, Outcome, Reason, RequestId};
+use chalkrock_routing::{AttemptEnd, RulesVersion};
+use serde::Serialize;
+use tokio::io::AsyncWriteExt;
+use tokio::sync::mpsc;
+
+/// Lines that wait to be written.
+const QUEUE_LINES: usize = 1_024;
+/// How long lines are gathered before they are written.
+const GATHER: Duration = Duration::from_millis(200);
+
+/// One attempt at an endpoint, as told.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct AttemptRecord {
+    pub(crate) endpoint: EndpointId,
+    /// Requests on it over the fleet when it was chosen.
+    pub(crate) load: u32,
+    /// When it was chosen, from the request's entry.
+    pub(crate) at_ms: u64,
+    /// How it ended; `None` for an answer that was passed on.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) end: Option<AttemptEndName>,
+}
+
+/// The name of an attempt's end.
+#[derive(Clone, Copy, Debug, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub(crate) enum AttemptEndName {
+    NotSent,
+    Refused,
+    NotTheEndpoint,
+    Failed,
+    Broken,
+    Garbage,
+    Silent,
+}
+
+impl From<AttemptEnd> for AttemptEndName {
+    fn from(end: AttemptEnd) -> Self {
+        match end {
+            AttemptEnd::NotSent => AttemptEndName::NotSent,
+            AttemptEnd::Refused => AttemptEndName::Refused,
+            AttemptEnd::NotTheEndpoint => AttemptEndName::NotTheEndpoint,
+            AttemptEnd::Failed => AttemptEndName::Failed,
+            AttemptEnd::Broken => AttemptEndName::Broken,
+            AttemptEnd::Garbage => AttemptEndName::Garbage,
+            AttemptEnd::Silent => AttemptEndName::Silent,
+        }
+    }
+}
+
+/// How a request ended, and all that it was decided by.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct RequestRecord {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) id: Option<RequestId>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) route: Option<std::sync::Arc<str>>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) organisation: Option<OrganisationId>,
+    pub(crate) rules: RulesVersion,
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub(crate) attempts: Vec<AttemptRecord>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) status: Option<u16>,
+    pub(crate) outcome: Outcome,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) reason: Option<Reason>,
+    #[serde(skip_serializing_if = "String::is_empty")]
+    pub(crate) detail: String,
+    pub(crate) took_ms: u64,
+}
+
+/// What is told.
+#[derive(Debug, Serialize)]
+#[serde(tag = "event", rename_all = "kebab-case")]
+pub(crate) enum Event<'a> {
+    /// The process began.
+    Start { version: &'a str },
+    /// It may be given requests, or no longer.
+    Ready { is_ready: bool },
+    /// It was asked to stop, or has come further in stopping.
+    Stop { phase: &'a str, running: usize },
+    /// Settings were read again.
+    Reload,
+    /// Rules came into force.
+    Rules { version: RulesVersion, from: &'a str },
+    /// The list of endpoints changed.
+    Endpoints { version: u64, live: usize, leaving: usize, from: &'a str },
+    /// A dependency was lost or is back.
+    Dependency { name: &'a str, is_up: bool, detail: &'a str },
+    /// Another host was heard first, or has fallen silent.
+    Peer { address: std::net::SocketAddr, is_up: bool },
+    /// An endpoint came under suspicion.
+    Suspect { endpoint: &'a EndpointId, end: AttemptEndName },
+    /// A request ended.
+    Request(&'a RequestRecord),
+    /// The caller left before the end.
+    CallerLeft { id: Option<&'a RequestId>, took_ms: u64 },
+    /// A stream went on at another endpoint, or could not.
+    Resume { id: Option<&'a RequestId>, after: Option<u64>, went_on: bool },
+}
+
+#[derive(Serialize)]
+struct Line<'a> {
+    unix_ms: u64,
+    host: &'a HostId,
+    #[serde(flatten)]
+    event: &'a Event<'a>,
+}
+
+/// Takes lines.
+#[derive(Debug)]
+pub(crate) struct Journal {
+    host: HostId,
+    lines: mpsc::Sender<Vec<u8>>,
+    dropped: AtomicU64,
+}
+
+impl Journal {
+    /// A journal, and what its writer reads from.
+    pub(crate) fn new(host: HostId) -> (Self, mpsc::Receiver<Vec<u8>>) {
+        let (lines, written) = mpsc::channel(QUEUE_LINES);
+        let journal = Self {
+            host,
+            lines,
+            dropped: AtomicU64::new(0),
+        };
+        (journal, written)
+    }
+
+    /// Tells an event, unless the queue is full.
+    pub(crate) fn tell(&self, event: &Event<'_>) {
+        let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+        let line = Line {
+            unix_ms: since_epoch.map_or(0, |since| since.as_millis() as u64),
+            host: &self.host,
+            event,
+        };
+        let Ok(mut bytes) = serde_json::to_vec(&line) else {
+            return;
+        };
+        bytes.push(b'\n');
+        if self.lines.try_send(bytes).is_err() {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
+    /// How many lines were dropped so far.
+    pub(crate) fn dropped(&self) -> u64 {
+        self.dropped.load(Ordering::Relaxed)
+    }
+}
+
+/// Writes lines to standard output until the journal is gone.
+pub(crate) async fn write_lines(mut lines: mpsc::Receiver<Vec<u8>>) {
+    let mut stdout = tokio::io::stdout();
+    let mut gathered = Vec::new();
+    while let Some(line) = lines.recv().await {
+        gathered.extend_from_slice(&line);
+        tokio::time::sleep(GATHER).await;
+        while let Ok(line) = lines.try_recv() {
+            gathered.extend_from_slice(&line);
+        }
+        let written = stdout.write_all(&gathered).await;
+        if written.is_err() || stdout.flush().await.is_err() {
+            return;
+        }
+        gathered.clear();
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,50 @@
+//! Serves general requests by the decisions of `chalkrock-routing`.
+//!
+//! A gateway takes requests over HTTP, finds their route and organisation,
+//! sends each to an endpoint and passes the answer on. It follows the
+//! platform's lists through a [`Source`], tells the other hosts what it has in
+//! progress, and takes from them what it can't read itself. How requests,
+//! answers and rows are spelled is an [`Edge`]'s business: the gateway knows
+//! no header by name. Use it to put chalkrock before back ends of your own;
+//! implement the two traits and call [`run`].
+//!
+//! The way of a request runs one way through the modules: `front` (sockets),
+//! `call` (what is asked), `dispatch` (attempts), `upstream` (connections),
+//! `relay` (streams).
+//!
+//! # Example
+//!
+//! ```
+//! use chalkrock_gateway::GatewayConfig;
+//!
+//! let listen = "127.0.0.1:8080".parse().unwrap();
+//! let config = GatewayConfig::builder("host-1", "zone-a", listen)
+//!     .grace_ms(8_000)
+//!     .load_multiple(1.8)
+//!     .build();
+//! assert_eq!(config.host().as_str(), "host-1");
+//! ```
+
+mod answer;
+mod call;
+mod clock;
+mod config;
+mod dispatch;
+mod edge;
+mod fleet;
+mod follow;
+mod front;
+mod journal;
+mod metrics;
+mod peers;
+mod relay;
+mod run;
+mod shared;
+mod source;
+mod status;
+mod upstream;
+
+pub use config::{GatewayConfig, GatewayConfigBuilder};
+pub use edge::{AnswerHead, CallHead, Edge, PrefixPart, Refusal, SendHead};
+pub use run::run;
+pub use source::{HostRow, News, Row, Source, SourceError, StoreVersion, Topic};
--- /dev/null
+++ b/crates/gateway/src/metrics.rs
@@ -0,0 +1,16 @@
+//! The gateway's figures as text.
+
+use crate::shared::Shared;
+
+/// All metrics, with those that are read off at the moment of asking.
+pub(crate) fn render(shared: &Shared) -> String {
+    let now_ms = shared.clock.now_ms();
+    let metrics = &shared.metrics;
+    metrics.gauge("requests_running", "", shared.running() as f64);
+    metrics.gauge("journal_lines_dropped", "", shared.journal.dropped() as f64);
+    let fleet = shared.fleet();
+    metrics.gauge("peers_heard", "", fleet.load.hosts_heard(now_ms) as f64);
+    metrics.gauge("endpoints_version", "", fleet.endpoints_version.0 as f64);
+    drop(fleet);
+    metrics.render()
+}
--- /dev/null
+++ b/crates/gateway/src/peers/message.rs
@@ -0,0 +1,23 @@
+//! The datagram that hosts send each other.
+
+use std::net::SocketAddr;
+
+use chalkrock_routing::{HostReport, RulesVersion};
+use serde::{Deserialize, Serialize};
+
+use crate::source::StoreVersion;
+
+/// What one host tells the others.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Beat {
+    /// Its requests in progress.
+    pub(crate) report: HostReport,
+    /// The rules that it has in force.
+    pub(crate) rules: RulesVersion,
+    /// The newest change of the list of endpoints that it knows.
+    pub(crate) endpoints: StoreVersion,
+    /// Short hashes of endpoints that are leaving.
+    pub(crate) leaving: Vec<u32>,
+    /// Some hosts that it hears.
+    pub(crate) hosts: Vec<SocketAddr>,
+}
--- /dev/null
+++ b/crates/gateway/src/relay.rs
@@ -0,0 +1,240 @@
+//! Passes a stream on to the caller: in order, whole, and its own.
+//!
+//! A stream that may be resumed is passed on event by event. Where its
+//! endpoint breaks off or falls silent, another one goes on after the last
+//! event that was passed on, under the first one's head. What can't be closed
+//! breaks the caller's connection off: it never looks complete.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use chalkrock_core::{Outcome, Reason};
+use chalkrock_routing::{EventFrames, Repeatable, Sign};
+use http_body_util::BodyExt;
+use hyper::http;
+use tokio::time::Instant;
+
+use crate::answer::{BrokenOff, Events};
+use crate::call::Call;
+use crate::dispatch::{OpenStream, Opened, Progress, dispatch};
+use crate::journal::Event;
+use crate::shared::{Running, Shared};
+use crate::front::record;
+
+/// Silence in a stream after which its endpoint is looked at.
+const LOOK_EVERY: Duration = Duration::from_millis(200);
+
+/// What came of the endpoint.
+enum Arrived {
+    Bytes(Bytes),
+    End,
+    Broken,
+    /// Nothing, and its deadline has passed.
+    TooLate,
+}
+
+/// A stream on its way to the caller. Dropped before its end, the caller went
+/// away: the connection to the endpoint closes with it.
+pub(crate) struct Relay {
+    shared: Arc<Shared>,
+    call: Arc<Call>,
+    progress: Progress,
+    stream: Option<Box<OpenStream>>,
+    frames: EventFrames,
+    /// The last event that was passed on.
+    last_id: Option<u64>,
+    /// When the endpoint was last heard.
+    heard_at: Instant,
+    status: u16,
+    is_over: bool,
+    _running: Running,
+}
+
+impl Relay {
+    pub(crate) fn new(
+        shared: Arc<Shared>,
+        call: Arc<Call>,
+        progress: Progress,
+        stream: Box<OpenStream>,
+        running: Running,
+    ) -> Self {
+        Self {
+            last_id: call.head.resume_after,
+            status: stream.head.status.as_u16(),
+            shared,
+            call,
+            progress,
+            stream: Some(stream),
+            frames: EventFrames::default(),
+            heard_at: Instant::now(),
+            is_over: false,
+            _running: running,
+        }
+    }
+
+    /// The head of the first endpoint's answer.
+    pub(crate) fn head(&self) -> Option<&http::response::Parts> {
+        self.stream.as_ref().map(|stream| &stream.head)
+    }
+
+    /// The bytes for the caller.
+    pub(crate) fn into_events(self) -> Events {
+        Box::pin(futures::stream::unfold(self, |mut relay| async move {
+            let next = relay.next().await?;
+            Some((next, relay))
+        }))
+    }
+
+    async fn next(&mut self) -> Option<Result<Bytes, BrokenOff>> {
+        while !self.is_over {
+            match self.arrived().await {
+                Arrived::Bytes(bytes) => {
+                    let bytes = self.pass(bytes);
+                    if !bytes.is_empty() {
+                        return Some(Ok(bytes));
+                    }
+                }
+                Arrived::End if self.frames.rest().is_empty() => {
+                    self.complete();
+                    return None;
+                }
+                Arrived::End | Arrived::Broken => {
+                    if !self.go_on_elsewhere().await {
+                        return Some(self.break_off(Reason::EndpointLost));
+                    }
+                }
+                Arrived::TooLate => return Some(self.break_off(Reason::DeadlinePassed)),
+            }
+        }
+        None
+    }
+
+    /// Waits for the endpoint.
+    async fn arrived(&mut self) -> Arrived {
+        let Some(stream) = &mut self.stream else {
+            return Arrived::Broken;
+        };
+        loop {
+            let look_at = self.call.deadline.min(Instant::now() + LOOK_EVERY);
+            match tokio::time::timeout_at(look_at, stream.body.frame()).await {
+                Ok(Some(Ok(frame))) => {
+                    self.heard_at = Instant::now();
+                    if let Ok(bytes) = frame.into_data() {
+                        let now_ms = self.shared.clock.now_ms();
+                        self.shared.fleet().health(stream.short).heard(now_ms);
+                        return Arrived::Bytes(bytes);
+                    }
+                }
+                Ok(Some(Err(_))) => return Arrived::Broken,
+                Ok(None) => return Arrived::End,
+                Err(_) if Instant::now() >= self.call.deadline => return Arrived::TooLate,
+                Err(_) => {
+                    let is_silent = self.heard_at.elapsed() >= silence(&self.call);
+                    if is_silent && self.call.repeatable() == Repeatable::Yes {
+                        return Arrived::Broken;
+                    }
+                }
+            }
+        }
+    }
+
+    /// What of the bytes may go to the caller now.
+    fn pass(&mut self, bytes: Bytes) -> Bytes {
+        if self.call.repeatable() == Repeatable::No {
+            return bytes;
+        }
+        self.frames.push(&bytes);
+        let mut whole = BytesMut::new();
+        while let Some(frame) = self.frames.next() {
+            let is_repeat = frame.id.is_some() && frame.id <= self.last_id;
+            if is_repeat {
+                continue;
+            }
+            self.last_id = frame.id.or(self.last_id);
+            whole.extend_from_slice(&frame.bytes);
+        }
+        whole.freeze()
+    }
+
+    /// Goes on at another endpoint after the last event that was passed on.
+    async fn go_on_elsewhere(&mut self) -> bool {
+        let Some(lost) = self.stream.take() else {
+            return false;
+        };
+        let now_ms = self.shared.clock.now_ms();
+        self.shared.fleet().see(lost.short, Sign::Break, now_ms);
+        drop(lost);
+        let _partial_event = self.frames.take_rest();
+        if !self.progress.lost_midway(&self.shared, &self.call) {
+            return false;
+        }
+        let opened = dispatch(&self.shared, &self.call, &mut self.progress, self.last_id).await;
+        let went_on = match opened {
+            Ok(Opened::Stream(stream)) => {
+                self.stream = Some(stream);
+                self.heard_at = Instant::now();
+                true
+            }
+            Ok(Opened::Whole(_)) | Err(_) => false,
+        };
+        self.shared.journal.tell(&Event::Resume {
+            id: self.call.head.id.as_ref(),
+            after: self.last_id,
+            went_on,
+        });
+        went_on
+    }
+
+    /// The endpoint ended the stream as it should.
+    fn complete(&mut self) {
+        self.is_over = true;
+        let Some(stream) = self.stream.take() else {
+            return;
+        };
+        let now_ms = self.shared.clock.now_ms();
+        self.shared.fleet().see(stream.short, Sign::Answer, now_ms);
+        let OpenStream {
+            connection,
+            answer,
+            short,
+            ..
+        } = *stream;
+        if !answer.closes {
+            self.shared
+                .upstream
+                .keep(short, connection, answer.keep_alive_s);
+        }
+        self.tell(Outcome::Ran, None);
+    }
+
+    fn break_off(&mut self, reason: Reason) -> Result<Bytes, BrokenOff> {
+        self.is_over = true;
+        self.stream = None;
+        self.tell(Outcome::Unknown, Some(reason));
+        Err(BrokenOff)
+    }
+
+    fn tell(&mut self, outcome: Outcome, reason: Option<Reason>) {
+        let attempts = std::mem::take(&mut self.progress.attempts);
+        record(&self.shared, &self.call, attempts, Some(self.status), outcome, reason);
+    }
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        if !self.is_over {
+            self.shared.journal.tell(&Event::CallerLeft {
+                id: self.call.head.id.as_ref(),
+                took_ms: self.call.entered_at.elapsed().as_millis() as u64,
+            });
+        }
+    }
+}
+
+/// The silence in a stream that no endpoint in order makes.
+fn silence(call: &Call) -> Duration {
+    const SILENCE_MIN_MS: u64 = 1_000;
+    const OBJECTIVES: u64 = 3;
+    Duration::from_millis(SILENCE_MIN_MS.max(OBJECTIVES * call.route.objective_ms))
+}
--- /dev/null
+++ b/crates/gateway/src/run.rs
@@ -0,0 +1,142 @@
+//! Composes a gateway and runs it until it has stopped.
+
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use chalkrock_process::Stop;
+use chalkrock_routing::StopPhase;
+use eyre::WrapErr;
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::sync::mpsc;
+
+use crate::config::GatewayConfig;
+use crate::edge::Edge;
+use crate::follow::follow;
+use crate::front::accept;
+use crate::journal::{Event, Journal, write_lines};
+use crate::peers::{Peers, hear, pull_when_behind, serve_pulls, tell};
+use crate::shared::Shared;
+use crate::source::{HostRow, Source, Topic};
+use crate::status::answer_status;
+
+/// How often kept connections are looked through.
+const SWEEP_EVERY: Duration = Duration::from_secs(1);
+/// How often a stop is looked at.
+const STOP_STEP: Duration = Duration::from_millis(50);
+/// How long the last answers may take to leave the process.
+const LAST_BYTES: Duration = Duration::from_millis(60);
+/// Pauses between tries to record the host.
+const JOIN_PAUSE: Duration = Duration::from_secs(2);
+
+/// Serves until a stop was asked for and has come to its end. Settings that
+/// may change while it runs arrive through `reloads`.
+///
+/// # Errors
+///
+/// If an address can't be listened on.
+pub async fn run<S: Source>(
+    config: GatewayConfig,
+    edge: Box<dyn Edge>,
+    source: S,
+    stop: Stop,
+    reloads: mpsc::Receiver<GatewayConfig>,
+) -> eyre::Result<()> {
+    let (journal, lines) = Journal::new(config.host.clone());
+    let written = tokio::spawn(write_lines(lines));
+    let shared = Shared::new(config, edge, journal);
+    let source = Arc::new(source);
+    shared.journal.tell(&Event::Start {
+        version: env!("CARGO_PKG_VERSION"),
+    });
+    for topic in [Topic::Rules, Topic::Endpoints] {
+        tokio::spawn(follow(shared.clone(), source.clone(), topic));
+    }
+    start_peers(&shared, &source).await?;
+    for address in [shared.config.ready_listen, shared.config.metrics_listen] {
+        if let Some(address) = address {
+            let listener = listen(address).await?;
+            tokio::spawn(answer_status(shared.clone(), listener));
+        }
+    }
+    let listener = listen(shared.config.listen).await?;
+    tokio::spawn(accept(shared.clone(), listener));
+    tokio::spawn(sweep(shared.clone()));
+    tokio::spawn(take_reloads(shared.clone(), reloads));
+    stop.asked().await;
+    end(&shared).await;
+    written.abort();
+    Ok(())
+}
+
+async fn listen(address: std::net::SocketAddr) -> eyre::Result<TcpListener> {
+    TcpListener::bind(address)
+        .await
+        .wrap_err_with(|| format!("can't listen on {address}"))
+}
+
+async fn start_peers<S: Source>(shared: &Arc<Shared>, source: &Arc<S>) -> eyre::Result<()> {
+    let Some(own) = shared.config.peer_listen else {
+        return Ok(());
+    };
+    let socket = UdpSocket::bind(own)
+        .await
+        .wrap_err_with(|| format!("can't hear other hosts on {own}"))?;
+    let socket = Arc::new(socket);
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    let incarnation = since_epoch.map_or(0, |since| since.as_micros() as u64);
+    let peers = Peers::new(own, incarnation);
+    peers.add(shared.config.peer_seeds.iter().copied());
+    tokio::spawn(tell(shared.clone(), peers.clone(), socket.clone()));
+    tokio::spawn(hear(shared.clone(), peers.clone(), socket));
+    tokio::spawn(serve_pulls(shared.clone(), listen(own).await?));
+    tokio::spawn(pull_when_behind(shared.clone(), peers.clone()));
+    tokio::spawn(join(shared.clone(), source.clone(), peers));
+    Ok(())
+}
+
+/// Records the host and learns of the others, once.
+async fn join<S: Source>(shared: Arc<Shared>, source: Arc<S>, peers: Arc<Peers>) {
+    let Some(peer_address) = shared.config.peer_listen else {
+        return;
+    };
+    let own = HostRow {
+        host: shared.config.host.clone(),
+        peer_address,
+    };
+    loop {
+        match source.join(&own).await {
+            Ok(rows) => {
+                peers.add(rows.into_iter().map(|row| row.peer_address));
+                return;
+            }
+            Err(_) => tokio::time::sleep(JOIN_PAUSE).await,
+        }
+    }
+}
+
+async fn sweep(shared: Arc<Shared>) {
+    loop {
+        tokio::time::sleep(SWEEP_EVERY).await;
+        shared.upstream.sweep();
+    }
+}
+
+async fn take_reloads(shared: Arc<Shared>, mut reloads: mpsc::Receiver<GatewayConfig>) {
+    while let Some(config) = reloads.recv().await {
+        shared.fleet().set_bounds(config.spread, config.budget);
+        shared.journal.tell(&Event::Reload);
+    }
+}
+
+/// Takes the host through its stop.
+async fn end(shared: &Arc<Shared>) {
+    shared.ask_stop();
+    loop {
+        shared.update_stop();
+        if shared.stop_phase() == Some(StopPhase::Ends) {
+            break;
+        }
+        tokio::time::sleep(STOP_STEP).await;
+    }
+    tokio::time::sleep(LAST_BYTES).await;
+}
--- /dev/null
+++ b/crates/gateway/src/shared.rs
@@ -0,0 +1,207 @@
+//! What all requests of a gateway share.
+
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
+
+use arc_swap::ArcSwapOption;
+use chalkrock_process::Metrics;
+use chalkrock_routing::{Rules, RulesDocument, StopPhase, StopPlan};
+use tokio::sync::{Notify, watch};
+use tokio::time::Instant;
+
+use crate::clock::Clock;
+use crate::config::GatewayConfig;
+use crate::edge::Edge;
+use crate::fleet::Fleet;
+use crate::journal::{Event, Journal};
+use crate::upstream::Upstream;
+
+pub(crate) struct Shared {
+    pub(crate) config: GatewayConfig,
+    pub(crate) clock: Clock,
+    pub(crate) edge: Box<dyn Edge>,
+    pub(crate) journal: Journal,
+    pub(crate) metrics: Metrics,
+    pub(crate) upstream: Upstream,
+    rules: ArcSwapOption<Rules>,
+    fleet: Mutex<Fleet>,
+    /// Requests that were read and have no whole answer yet.
+    running: AtomicUsize,
+    stop_asked_at: OnceLock<Instant>,
+    stop: watch::Sender<Option<StopPhase>>,
+    /// A peer knows more than the platform has told: read it again.
+    pub(crate) read_again: Notify,
+    /// Whether the list of endpoints was read once, from anyone.
+    knows_endpoints: watch::Sender<bool>,
+}
+
+impl Shared {
+    pub(crate) fn new(config: GatewayConfig, edge: Box<dyn Edge>, journal: Journal) -> Arc<Self> {
+        let fleet = Fleet::new(config.zone.clone(), config.spread, config.budget);
+        Arc::new(Self {
+            config,
+            clock: Clock::start(),
+            edge,
+            journal,
+            metrics: Metrics::default(),
+            upstream: Upstream::default(),
+            rules: ArcSwapOption::empty(),
+            fleet: Mutex::new(fleet),
+            running: AtomicUsize::new(0),
+            stop_asked_at: OnceLock::new(),
+            stop: watch::channel(None).0,
+            read_again: Notify::new(),
+            knows_endpoints: watch::channel(false).0,
+        })
+    }
+
+    /// The beliefs about endpoints. Never held over an await.
+    pub(crate) fn fleet(&self) -> MutexGuard<'_, Fleet> {
+        self.fleet.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The rules in force, if any are known.
+    pub(crate) fn rules(&self) -> Option<Arc<Rules>> {
+        self.rules.load_full()
+    }
+
+    /// Puts rules into force, unless newer ones are. Returns whether they are
+    /// new.
+    pub(crate) fn take_rules(&self, document: RulesDocument, from: &str) -> bool {
+        let known = self.rules.load();
+        if known
+            .as_ref()
+            .is_some_and(|known| known.version() >= document.version)
+        {
+            return false;
+        }
+        let version = document.version;
+        self.rules.store(Some(Arc::new(Rules::new(document))));
+        self.metrics.gauge("rules_version", "", version.0 as f64);
+        self.journal.tell(&Event::Rules { version, from });
+        true
+    }
+
+    /// The list of endpoints was read.
+    pub(crate) fn endpoints_known(&self) {
+        self.knows_endpoints.send_replace(true);
+    }
+
+    /// Whether the host can serve: it knows rules and endpoints.
+    pub(crate) fn has_view(&self) -> bool {
+        self.rules.load().is_some() && *self.knows_endpoints.borrow()
+    }
+
+    /// Whether new connections may be sent here.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.has_view() && self.stop_asked_at.get().is_none()
+    }
+
+    /// A stop was asked for.
+    pub(crate) fn ask_stop(&self) {
+        if self.stop_asked_at.set(Instant::now()).is_ok() {
+            self.update_stop();
+        }
+    }
+
+    /// How far a stop has come, if one was asked for.
+    pub(crate) fn stop_phase(&self) -> Option<StopPhase> {
+        let asked_at = self.stop_asked_at.get()?;
+        let elapsed_ms = asked_at.elapsed().as_millis() as u64;
+        let plan = StopPlan::new(self.config.grace_ms);
+        Some(plan.phase(elapsed_ms, self.running()))
+    }
+
+    /// Tells those that wait how far a stop has come.
+    pub(crate) fn update_stop(&self) {
+        let phase = self.stop_phase();
+        let is_news = self.stop.send_if_modified(|known| {
+            let is_news = *known != phase;
+            *known = phase;
+            is_news
+        });
+        if let Some(phase) = phase.filter(|_| is_news) {
+            let phase = match phase {
+                StopPhase::TakesLast => "takes-last",
+                StopPhase::Drains => "drains",
+                StopPhase::Ends => "ends",
+            };
+            let running = self.running();
+            self.journal.tell(&Event::Stop { phase, running });
+        }
+    }
+
+    /// Waits until a stop has come as far as `phase`.
+    pub(crate) async fn stop_reached(&self, phase: StopPhase) {
+        let order = |phase: &StopPhase| match phase {
+            StopPhase::TakesLast => 0,
+            StopPhase::Drains => 1,
+            StopPhase::Ends => 2,
+        };
+        let mut stop = self.stop.subscribe();
+        let reached = |known: &Option<StopPhase>| {
+            known
+                .as_ref()
+                .is_some_and(|known| order(known) >= order(&phase))
+        };
+        let _never_closed = stop.wait_for(reached).await;
+    }
+
+    pub(crate) fn running(&self) -> usize {
+        self.running.load(Ordering::Relaxed)
+    }
+
+    /// Counts a request as running until the guard is dropped.
+    pub(crate) fn run(self: &Arc<Self>) -> Running {
+        self.running.fetch_add(1, Ordering::Relaxed);
+        Running(self.clone())
+    }
+}
+
+/// A request that has no whole answer yet.
+pub(crate) struct Running(Arc<Shared>);
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.0.running.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// A request in progress on an endpoint, counted until this is dropped.
+pub(crate) struct OnEndpoint {
+    shared: Arc<Shared>,
+    endpoint: u32,
+}
+
+impl OnEndpoint {
+    pub(crate) fn begin(shared: &Arc<Shared>, endpoint: u32) -> Self {
+        shared.fleet().load.begin(endpoint);
+        Self {
+            shared: shared.clone(),
+            endpoint,
+        }
+    }
+}
+
+impl Drop for OnEndpoint {
+    fn drop(&mut self) {
+        self.shared.fleet().load.end(self.endpoint);
+    }
+}
+
+impl Shared {
+    /// Tells that the list of endpoints changed.
+    pub(crate) fn tell_endpoints(&self, from: &str) {
+        let fleet = self.fleet();
+        let leaving = fleet.endpoints.leaving().len();
+        let listed = fleet.endpoints.listed().len();
+        let version = fleet.endpoints_version.0;
+        drop(fleet);
+        self.journal.tell(&Event::Endpoints {
+            version,
+            live: listed - leaving,
+            leaving,
+            from,
+        });
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/source.rs
@@ -0,0 +1,88 @@
+//! Where the rules and the lists of endpoints and hosts come from.
+
+use std::net::SocketAddr;
+
+use chalkrock_core::{Endpoint, EndpointId, HostId};
+use chalkrock_routing::RulesDocument;
+use serde::{Deserialize, Serialize};
+
+/// A place in the platform's history.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct StoreVersion(pub u64);
+
+/// What can be read and followed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Topic {
+    /// The rules that operators write.
+    Rules,
+    /// The list of endpoints.
+    Endpoints,
+}
+
+/// A host of the fleet as it recorded itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HostRow {
+    /// Its name.
+    pub host: HostId,
+    /// Where other hosts reach it.
+    pub peer_address: SocketAddr,
+}
+
+/// One thing that was read.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Row {
+    /// The rules in force.
+    Rules(Box<RulesDocument>),
+    /// An endpoint, new or changed.
+    Endpoint(Endpoint),
+    /// An endpoint that is no longer listed.
+    EndpointGone(EndpointId),
+}
+
+/// What was read of a topic.
+#[derive(Clone, Debug, PartialEq)]
+pub struct News {
+    /// The place in history up to which this goes.
+    pub version: StoreVersion,
+    /// The newest change among the rows.
+    pub newest_row: StoreVersion,
+    /// The rows, oldest change first.
+    pub rows: Vec<Row>,
+}
+
+/// Why nothing was read.
+#[derive(Debug, thiserror::Error)]
+pub enum SourceError {
+    /// The history since the version asked for is gone: read the whole topic.
+    #[error("the history is gone")]
+    HistoryGone,
+    /// The platform does not answer, or refuses.
+    #[error("the platform does not serve: {0}")]
+    Unavailable(String),
+    /// What the platform answered can't be read.
+    #[error("the platform's answer can't be read: {0}")]
+    Garbage(String),
+}
+
+/// The platform, as far as a gateway reads it.
+pub trait Source: Send + Sync + 'static {
+    /// Reads a whole topic.
+    fn read(&self, topic: Topic) -> impl Future<Output = Result<News, SourceError>> + Send;
+
+    /// Waits for changes of a topic after a version, up to `wait_ms`.
+    fn changes(
+        &self,
+        topic: Topic,
+        since: StoreVersion,
+        wait_ms: u64,
+    ) -> impl Future<Output = Result<News, SourceError>> + Send;
+
+    /// Records this host and returns all that are recorded.
+    fn join(&self, own: &HostRow) -> impl Future<Output = Result<Vec<HostRow>, SourceError>> + Send;
+
+    /// Takes this host's record away.
+    fn leave(&self, own: &HostRow) -> impl Future<Output = Result<(), SourceError>> + Send;
+}
--- /dev/null
+++ b/crates/gateway/src/status.rs
@@ -0,0 +1,62 @@
+//! What the entry balancer and operators' tools ask: readiness and metrics.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode, body};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::TcpListener;
+
+use crate::shared::Shared;
+
+/// The longest that a connection rests between two questions.
+const REST: Duration = Duration::from_secs(30);
+/// Where metrics are told.
+const METRICS_PATH: &str = "/metrics";
+
+/// Answers on one address until the process ends.
+pub(crate) async fn answer_status(shared: Arc<Shared>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            continue;
+        };
+        let shared = shared.clone();
+        tokio::spawn(async move {
+            let service = service_fn(|request: Request<body::Incoming>| {
+                let answer = answer(&shared, request.uri().path());
+                async move { Ok::<_, Infallible>(answer) }
+            });
+            let served = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(REST)
+                .serve_connection(TokioIo::new(stream), service);
+            let _askers_may_break_off = served.await;
+        });
+    }
+}
+
+fn answer(shared: &Shared, path: &str) -> Response<Full<Bytes>> {
+    if path == shared.edge.ready_path() {
+        return with_status(if shared.is_ready() {
+            StatusCode::OK
+        } else {
+            StatusCode::SERVICE_UNAVAILABLE
+        });
+    }
+    if path == METRICS_PATH {
+        return Response::new(Full::new(Bytes::from(crate::metrics::render(shared))));
+    }
+    with_status(StatusCode::NOT_FOUND)
+}
+
+fn with_status(status: StatusCode) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::default());
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/routing/src/attempt.rs
@@ -0,0 +1,124 @@
+//! What the end of an attempt proves, and what it allows next.
+//!
+//! Every ending of every kind of request is sorted here, in one place. Not run
+//! is a promise to the caller: it is said only if no byte of the request was
+//! written, or the endpoint itself said so.
+
+use chalkrock_core::{Outcome, Reason};
+
+use crate::route::RouteKind;
+
+/// How one attempt at an endpoint ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AttemptEnd {
+    /// No connection, or a connection that closed before anything was written.
+    NotSent,
+    /// The endpoint said that it did not run the request.
+    Refused,
+    /// The endpoint is not the one that was meant; it did not run the request.
+    NotTheEndpoint,
+    /// The endpoint answered that it failed; it ran the request.
+    Failed,
+    /// The connection broke, or what came was not the answer.
+    Broken,
+    /// What came is not an answer to this request.
+    Garbage,
+    /// No answer in time.
+    Silent,
+}
+
+impl AttemptEnd {
+    /// What this proves of the attempt.
+    pub fn outcome(self) -> Outcome {
+        match self {
+            AttemptEnd::NotSent | AttemptEnd::Refused | AttemptEnd::NotTheEndpoint => {
+                Outcome::NotRun
+            }
+            AttemptEnd::Failed => Outcome::Ran,
+            AttemptEnd::Broken | AttemptEnd::Garbage | AttemptEnd::Silent => Outcome::Unknown,
+        }
+    }
+
+    /// Whether the endpoint took the request in, so that the attempt counts
+    /// against the route's most and against the retry budget.
+    pub fn arrived(self) -> bool {
+        !matches!(self, AttemptEnd::NotSent | AttemptEnd::NotTheEndpoint)
+    }
+
+    /// What the caller is told if nothing comes after it.
+    pub fn reason(self) -> Reason {
+        match self {
+            AttemptEnd::NotSent | AttemptEnd::NotTheEndpoint => Reason::EndpointUnreachable,
+            AttemptEnd::Refused => Reason::EndpointRefused,
+            AttemptEnd::Failed | AttemptEnd::Broken => Reason::EndpointLost,
+            AttemptEnd::Garbage => Reason::EndpointGarbage,
+            AttemptEnd::Silent => Reason::DeadlinePassed,
+        }
+    }
+}
+
+/// Whether a request may run again after it may have run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Repeatable {
+    /// It may.
+    Yes,
+    /// It may not.
+    No,
+}
+
+impl Repeatable {
+    /// Whether requests of a kind may be repeated: calls that are safe, and
+    /// streams that can be resumed.
+    pub fn of(kind: RouteKind) -> Self {
+        match kind {
+            RouteKind::Safe | RouteKind::Stream { resumable: true } => Repeatable::Yes,
+            RouteKind::Unsafe | RouteKind::Stream { resumable: false } => Repeatable::No,
+        }
+    }
+}
+
+/// What to do after an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Next {
+    /// Send it to another endpoint.
+    Elsewhere,
+    /// Give up, with this answer at once.
+    GiveUp(Reason),
+}
+
+/// What to do after an attempt that brought no answer to pass on.
+///
+/// `sent` counts the endpoints that took the request in, this one included;
+/// `is_paid` tells whether the retry budget pays for one more, and is asked
+/// only if one is needed. An earlier attempt that may have run is not undone
+/// by a later one that did not: `earlier` is the worst of those before.
+pub fn next_step(
+    end: AttemptEnd,
+    earlier: Outcome,
+    repeatable: Repeatable,
+    sent: u32,
+    attempts_max: u32,
+    is_paid: impl FnOnce() -> bool,
+) -> Next {
+    let worst = worst(earlier, end.outcome());
+    let may_run_again = worst == Outcome::NotRun || repeatable == Repeatable::Yes;
+    let may_send = sent < attempts_max.max(1) && may_run_again;
+    if may_send && (!end.arrived() || is_paid()) {
+        return Next::Elsewhere;
+    }
+    // Only what surely did not run is told so; a request that may be repeated
+    // may be told so as well, since no one is harmed if it did run.
+    let reason = end.reason();
+    if worst != Outcome::NotRun && reason.outcome() == Outcome::NotRun {
+        return Next::GiveUp(Reason::EndpointLost);
+    }
+    Next::GiveUp(reason)
+}
+
+fn worst(a: Outcome, b: Outcome) -> Outcome {
+    match (a, b) {
+        (Outcome::NotRun, Outcome::NotRun) => Outcome::NotRun,
+        (Outcome::Ran, _) | (_, Outcome::Ran) => Outcome::Ran,
+        _ => Outcome::Unknown,
+    }
+}
--- /dev/null
+++ b/crates/routing/src/endpoints.rs
@@ -0,0 +1,195 @@
+//! Which endpoints exist and which of them may be given new work.
+//!
+//! The list comes from the platform, whole or by changes, and from other
+//! hosts. Within one incarnation leaving is sticky: an endpoint that has
+//! begun to leave is never taken back, however late, reordered or stale the
+//! next word of it is. An endpoint that is merely no longer listed may be
+//! listed again, since a platform in trouble drops entries of endpoints that
+//! live; until then it takes no new work.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use chalkrock_core::rendezvous::MemberHash;
+use chalkrock_core::{Endpoint, EndpointId, HostState, PoolId};
+
+/// How long an endpoint that left is remembered, so that a late word can't
+/// bring it back.
+const REMEMBERED_MS: u64 = 120_000;
+
+/// Whether an endpoint may be given new work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// Listed and live.
+    Live,
+    /// It said that it leaves, or another host heard it say so.
+    Leaving,
+    /// No longer listed.
+    Unlisted,
+}
+
+/// An endpoint that takes new work.
+#[derive(Clone, Debug)]
+pub struct Member {
+    /// The endpoint.
+    pub endpoint: Arc<Endpoint>,
+    /// The hash of its name, for ranks and for reports.
+    pub hash: MemberHash,
+}
+
+#[derive(Clone, Debug)]
+struct Known {
+    member: Member,
+    is_listed: bool,
+    unlisted_at_ms: u64,
+}
+
+impl Known {
+    fn standing(&self) -> Standing {
+        if self.member.endpoint.state == HostState::Leaving {
+            Standing::Leaving
+        } else if self.is_listed {
+            Standing::Live
+        } else {
+            Standing::Unlisted
+        }
+    }
+}
+
+/// All endpoints as one host knows them.
+///
+/// # Example
+///
+/// ```
+/// use chalkrock_core::PoolId;
+/// use chalkrock_routing::EndpointTable;
+///
+/// let mut table = EndpointTable::default();
+/// table.replace(Vec::new(), 0);
+/// assert!(table.live(&PoolId::from("chat")).is_empty());
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct EndpointTable {
+    known: HashMap<EndpointId, Known>,
+    live: HashMap<PoolId, Arc<[Member]>>,
+}
+
+impl EndpointTable {
+    /// Takes the whole list: whoever is not on it is unlisted.
+    pub fn replace(&mut self, endpoints: Vec<Endpoint>, now_ms: u64) {
+        for known in self.known.values_mut().filter(|known| known.is_listed) {
+            known.is_listed = false;
+            known.unlisted_at_ms = now_ms;
+        }
+        for endpoint in endpoints {
+            self.merge(endpoint);
+        }
+        self.forget_old(now_ms);
+        self.rebuild();
+    }
+
+    /// Takes one endpoint's entry, new or changed.
+    pub fn upsert(&mut self, endpoint: Endpoint) {
+        self.merge(endpoint);
+        self.rebuild();
+    }
+
+    /// An endpoint is no longer listed.
+    pub fn remove(&mut self, name: &EndpointId, now_ms: u64) {
+        if let Some(known) = self.known.get_mut(name) {
+            known.is_listed = false;
+            known.unlisted_at_ms = now_ms;
+        }
+        self.forget_old(now_ms);
+        self.rebuild();
+    }
+
+    /// Another host heard these endpoints say that they leave. Returns
+    /// whether that was news.
+    pub fn mark_leaving(&mut self, hashes: &[u32]) -> bool {
+        let mut is_news = false;
+        for known in self.known.values_mut() {
+            let is_live = known.member.endpoint.state == HostState::Live;
+            if is_live && hashes.contains(&known.member.hash.short()) {
+                let mut endpoint = Endpoint::clone(&known.member.endpoint);
+                endpoint.state = HostState::Leaving;
+                known.member.endpoint = Arc::new(endpoint);
+                is_news = true;
+            }
+        }
+        if is_news {
+            self.rebuild();
+        }
+        is_news
+    }
+
+    /// The endpoints of a pool that may be given new work, by name.
+    pub fn live(&self, pool: &PoolId) -> Arc<[Member]> {
+        self.live.get(pool).cloned().unwrap_or_default()
+    }
+
+    /// Whether an endpoint may be given new work; `None` if it is not known.
+    pub fn standing(&self, name: &EndpointId) -> Option<Standing> {
+        self.known.get(name).map(Known::standing)
+    }
+
+    /// Short hashes of the endpoints that are leaving and still listed.
+    pub fn leaving(&self) -> Vec<u32> {
+        let leaving = self
+            .known
+            .values()
+            .filter(|known| known.standing() == Standing::Leaving && known.is_listed);
+        leaving.map(|known| known.member.hash.short()).collect()
+    }
+
+    /// The endpoints that are listed, to pass on.
+    pub fn listed(&self) -> Vec<Endpoint> {
+        let listed = self.known.values().filter(|known| known.is_listed);
+        let mut listed: Vec<Endpoint> = listed
+            .map(|known| Endpoint::clone(&known.member.endpoint))
+            .collect();
+        listed.sort_by(|a, b| a.name.cmp(&b.name));
+        listed
+    }
+
+    fn merge(&mut self, mut endpoint: Endpoint) {
+        if let Some(known) = self.known.get(&endpoint.name) {
+            endpoint.state = endpoint.state.max(known.member.endpoint.state);
+        }
+        let known = Known {
+            member: Member {
+                hash: MemberHash::of(endpoint.name.as_str()),
+                endpoint: Arc::new(endpoint),
+            },
+            is_listed: true,
+            unlisted_at_ms: 0,
+        };
+        self.known
+            .insert(known.member.endpoint.name.clone(), known);
+    }
+
+    fn forget_old(&mut self, now_ms: u64) {
+        self.known.retain(|_, known| {
+            known.is_listed || now_ms.saturating_sub(known.unlisted_at_ms) < REMEMBERED_MS
+        });
+    }
+
+    fn rebuild(&mut self) {
+        let mut live: HashMap<PoolId, Vec<Member>> = HashMap::new();
+        let takes_work = self
+            .known
+            .values()
+            .filter(|known| known.standing() == Standing::Live);
+        for known in takes_work {
+            let pool = known.member.endpoint.pool.clone();
+            live.entry(pool).or_default().push(known.member.clone());
+        }
+        self.live = live
+            .into_iter()
+            .map(|(pool, mut members)| {
+                members.sort_by(|a, b| a.endpoint.name.cmp(&b.endpoint.name));
+                (pool, members.into())
+            })
+            .collect();
+    }
+}
--- /dev/null
+++ b/crates/routing/src/lib.rs
@@ -0,0 +1,54 @@
+//! Decisions about one general request, free of I/O.
+//!
+//! A request here is anything that a route takes: a call of a plain service
+//! that may or may not be repeated, or a generation that streams. This crate
+//! says which route and organisation it belongs to ([`Rules`]), which
+//! endpoints may take it ([`EndpointTable`]), how loaded they are over the
+//! whole fleet ([`FleetLoad`]), which one it goes to ([`choose`]), what the end of an
+//! attempt allows next ([`next_step`]), whether a retry is paid for
+//! ([`WindowBudget`]) and what a host that is stopping still takes
+//! ([`StopPlan`]). Use it alone to drive these decisions from a simulator; use
+//! `chalkrock-gateway` to serve by them.
+//!
+//! Time is an argument, in milliseconds of any steady clock.
+//!
+//! # Example
+//!
+//! ```
+//! use chalkrock_core::rendezvous::{KeyHash, MemberHash};
+//! use chalkrock_routing::{Candidate, SpreadRules, choose};
+//!
+//! let idle = |name: &str| Candidate {
+//!     hash: MemberHash::of(name),
+//!     load: 0,
+//!     slots: 8,
+//!     is_near: true,
+//!     is_suspect: false,
+//! };
+//! let candidates = [idle("engine-a"), idle("engine-b")];
+//! let key = KeyHash::of(b"prefix-1");
+//! let first = choose(&candidates, Some(key), &SpreadRules::default(), 0);
+//! assert_eq!(first, choose(&candidates, Some(key), &SpreadRules::default(), 7));
+//! ```
+
+mod attempt;
+mod budget;
+mod endpoints;
+mod event_frames;
+mod fleet_load;
+mod health;
+mod route;
+mod rules;
+mod spread;
+mod stop_plan;
+
+pub use attempt::{AttemptEnd, Next, Repeatable, next_step};
+pub use budget::{BudgetRules, WindowBudget};
+pub use endpoints::{EndpointTable, Member, Standing};
+pub use event_frames::{EventFrame, EventFrames};
+pub use fleet_load::{EndpointCount, FleetLoad, HostReport, Merged, REPORT_AGE_MAX_MS};
+pub use health::{EndpointHealth, Sign};
+pub use route::{Backend, Route, RouteKind};
+pub use rules::{Caller, CallerLimits, OrganisationRules, Rules, RulesDocument, RulesVersion};
+pub use spread::{Candidate, SpreadRules, choose};
+pub use stop_plan::{StopPhase, StopPlan};
