Take a prefix from its other holder rather than read it again

An engine takes memory from another one for a tenth of the price of reading, so each send names the first other rank of the prefix, engines that are leaving included.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use chalkrock_core::{Endpoint, Outcome, Reason};
+use chalkrock_core::{Outcome, Reason};
 use chalkrock_routing::{AttemptEnd, Next, Repeatable, RouteKind, Sign, next_step};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -61,11 +61,11 @@
 pub(crate) struct OpenStream {
     pub(crate) head: http::response::Parts,
     pub(crate) body: Incoming,
-    pub(crate) endpoint: Arc<Endpoint>,
     pub(crate) short: u32,
     /// Kept while the stream runs; dropped, the endpoint stops.
     pub(crate) connection: Connection,
-    pub(crate) on_endpoint: OnEndpoint,
+    /// Counts the stream while it runs.
+    pub(crate) _on_endpoint: OnEndpoint,
     pub(crate) answer: AnswerHead,
 }
 
@@ -214,7 +214,6 @@
     resume_after: Option<u64>,
 ) -> Result<Opened, Failure> {
     let short = choice.member.hash.short();
-    let endpoint = &choice.member.endpoint;
     let on_endpoint = OnEndpoint::begin(shared, short);
     let may_repeat = call.repeatable() == Repeatable::Yes;
     let (connection, response) =
@@ -229,10 +228,9 @@
         return Ok(Opened::Stream(Box::new(OpenStream {
             head,
             body,
-            endpoint: endpoint.clone(),
             short,
             connection,
-            on_endpoint,
+            _on_endpoint: on_endpoint,
             answer,
         })));
     }
@@ -303,7 +301,7 @@
                 opened.ok_or_else(|| Failure::of(AttemptEnd::NotSent))?
             }
         };
-        let request = request_for(shared, call, endpoint, resume_after);
+        let request = request_for(shared, call, choice, resume_after);
         let now_ms = shared.clock.now_ms();
         {
             let mut fleet = shared.fleet();
@@ -333,15 +331,17 @@
 fn request_for(
     shared: &Shared,
     call: &Call,
-    endpoint: &Endpoint,
+    choice: &Choice,
     resume_after: Option<u64>,
 ) -> Request<SentBody> {
+    let endpoint = &choice.member.endpoint;
     let send = SendHead {
         organisation: call.caller.as_ref().map(|caller| &caller.organisation),
         endpoint: &endpoint.name,
         deadline_ms: call.left_ms(),
         priority: call.priority(),
         resume_after,
+        holder: choice.holder,
     };
     let mut request = Request::new(Full::new(call.body.clone()));
     *request.method_mut() = call.method.clone();
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -4,6 +4,7 @@
 //! gateway's decisions into heads for endpoints and callers. It decides
 //! nothing and keeps nothing.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -50,6 +51,8 @@
     pub priority: u8,
     /// The event after which a stream is to go on.
     pub resume_after: Option<u64>,
+    /// Another endpoint that may hold the prompt's prefix in memory.
+    pub holder: Option<SocketAddr>,
 }
 
 /// What an endpoint's head says.
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
-use chalkrock_core::rendezvous::KeyHash;
+use chalkrock_core::rendezvous::{KeyHash, score};
 use chalkrock_core::{Endpoint, EndpointId, PoolId, ZoneId};
 use chalkrock_routing::{
     BudgetRules, Candidate, EndpointHealth, EndpointTable, FleetLoad, Member, Sign, SpreadRules,
@@ -29,6 +29,8 @@
     pub(crate) member: Member,
     /// Requests on it over the fleet, without this one.
     pub(crate) load: u32,
+    /// Who else may hold the prefix in memory.
+    pub(crate) holder: Option<SocketAddr>,
 }
 
 /// The beliefs of one host.
@@ -80,12 +82,42 @@
             .map(|member| self.candidate(member, now_ms))
             .collect();
         let index = choose(&candidates, wanted.key, &self.spread, wanted.draw)?;
+        let member = untried[index].clone();
+        let holder = wanted
+            .key
+            .and_then(|key| self.other_holder(wanted.pool, key, &member, now_ms));
         Some(Choice {
-            member: untried[index].clone(),
             load: candidates[index].load,
+            member,
+            holder,
         })
     }
 
+    /// The first rank of a prefix but for the endpoint that was chosen: where
+    /// the prefix lies if that one is new to it. One that is leaving counts,
+    /// since it held the prefix until now.
+    fn other_holder(
+        &self,
+        pool: &PoolId,
+        key: KeyHash,
+        chosen: &Member,
+        now_ms: u64,
+    ) -> Option<SocketAddr> {
+        let live = self.endpoints.live(pool);
+        let parting = self.endpoints.parting(pool);
+        let is_sound = |member: &&Member| {
+            let health = self.health.get(&member.hash.short());
+            member.hash != chosen.hash && !health.is_some_and(|health| health.is_suspect(now_ms))
+        };
+        let rank = |member: &&Member| score(key, member.hash, 1.0);
+        let first = live
+            .iter()
+            .chain(parting.iter())
+            .filter(is_sound)
+            .max_by(|a, b| rank(a).total_cmp(&rank(b)))?;
+        Some(first.endpoint.address)
+    }
+
     fn candidate(&self, member: &Member, now_ms: u64) -> Candidate {
         let short = member.hash.short();
         let health = self.health.get(&short);
--- a/crates/gateway/src/journal.rs
+++ b/crates/gateway/src/journal.rs
@@ -88,8 +88,6 @@
 pub(crate) enum Event<'a> {
     /// The process began.
     Start { version: &'a str },
-    /// It may be given requests, or no longer.
-    Ready { is_ready: bool },
     /// It was asked to stop, or has come further in stopping.
     Stop { phase: &'a str, running: usize },
     /// Settings were read again.
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -52,11 +52,10 @@
         tokio::spawn(follow(shared.clone(), source.clone(), topic));
     }
     start_peers(&shared, &source).await?;
-    for address in [shared.config.ready_listen, shared.config.metrics_listen] {
-        if let Some(address) = address {
-            let listener = listen(address).await?;
-            tokio::spawn(answer_status(shared.clone(), listener));
-        }
+    let status = [shared.config.ready_listen, shared.config.metrics_listen];
+    for address in status.into_iter().flatten() {
+        let listener = listen(address).await?;
+        tokio::spawn(answer_status(shared.clone(), listener));
     }
     let listener = listen(shared.config.listen).await?;
     tokio::spawn(accept(shared.clone(), listener));
--- a/crates/routing/src/endpoints.rs
+++ b/crates/routing/src/endpoints.rs
@@ -72,6 +72,8 @@
 pub struct EndpointTable {
     known: HashMap<EndpointId, Known>,
     live: HashMap<PoolId, Arc<[Member]>>,
+    /// Those that are leaving and still listed.
+    parting: HashMap<PoolId, Arc<[Member]>>,
 }
 
 impl EndpointTable {
@@ -128,6 +130,12 @@
         self.live.get(pool).cloned().unwrap_or_default()
     }
 
+    /// The endpoints of a pool that take no new work and are still there: what
+    /// they hold in memory can be copied until they go.
+    pub fn parting(&self, pool: &PoolId) -> Arc<[Member]> {
+        self.parting.get(pool).cloned().unwrap_or_default()
+    }
+
     /// Whether an endpoint may be given new work; `None` if it is not known.
     pub fn standing(&self, name: &EndpointId) -> Option<Standing> {
         self.known.get(name).map(Known::standing)
@@ -175,21 +183,21 @@
     }
 
     fn rebuild(&mut self) {
-        let mut live: HashMap<PoolId, Vec<Member>> = HashMap::new();
-        let takes_work = self
-            .known
-            .values()
-            .filter(|known| known.standing() == Standing::Live);
-        for known in takes_work {
+        self.live = self.by_pool(|known| known.standing() == Standing::Live);
+        self.parting =
+            self.by_pool(|known| known.standing() == Standing::Leaving && known.is_listed);
+    }
+
+    fn by_pool(&self, belongs: impl Fn(&Known) -> bool) -> HashMap<PoolId, Arc<[Member]>> {
+        let mut pools: HashMap<PoolId, Vec<Member>> = HashMap::new();
+        for known in self.known.values().filter(|known| belongs(known)) {
             let pool = known.member.endpoint.pool.clone();
-            live.entry(pool).or_default().push(known.member.clone());
+            pools.entry(pool).or_default().push(known.member.clone());
         }
-        self.live = live
-            .into_iter()
-            .map(|(pool, mut members)| {
-                members.sort_by(|a, b| a.endpoint.name.cmp(&b.endpoint.name));
-                (pool, members.into())
-            })
-            .collect();
+        let sorted = pools.into_iter().map(|(pool, mut members)| {
+            members.sort_by(|a, b| a.endpoint.name.cmp(&b.endpoint.name));
+            (pool, members.into())
+        });
+        sorted.collect()
     }
 }
