Find who holds a prefix by what hosts saw, and by rank where nothing is known

The first parts of prompts, shared by many prefixes, lie on many engines and were copied only if the rank of the deepest part happened to hold them.

Hosts now note what an engine holds when it begins to answer, and tell each other what is new in their datagrams. What to copy from is looked up by part, the deepest first; after a start, when nothing is known, by rank.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use chalkrock_core::rendezvous::KeyHash;
 use chalkrock_core::{PoolId, Reason};
 use chalkrock_routing::{Caller, CallerLimits, Repeatable, Route, RulesVersion, StopPhase};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -34,8 +33,8 @@
     pub(crate) entered_at: Instant,
     /// When the caller or the route gives up, whichever comes first.
     pub(crate) deadline: Instant,
-    /// The prefix that it shares with other requests.
-    pub(crate) key: Option<KeyHash>,
+    /// The parts of its prompt that it shares with others, in order.
+    pub(crate) shared_parts: Vec<u32>,
     /// A number of its own.
     pub(crate) draw: u64,
 }
@@ -96,7 +95,7 @@
         .deadline_ms
         .map_or(route.timeout_ms, |ms| ms.min(route.timeout_ms));
     Ok(Call {
-        key: shared_prefix(&head),
+        shared_parts: shared_parts(&head),
         caller: caller.cloned(),
         rules: rules.version(),
         method: parts.method.clone(),
@@ -126,12 +125,18 @@
     Some(others.find(|pool| is_live(pool)).unwrap_or(drawn).clone())
 }
 
-/// The longest prefix that other requests may share: all but the last part,
-/// which is the request's own or its session's.
-fn shared_prefix(head: &CallHead) -> Option<KeyHash> {
-    let (last, shared) = head.prefix.split_last()?;
-    let key = shared.last().unwrap_or(last);
-    Some(KeyHash(key.hash))
+/// The parts that other requests may share: all but the last, which is the
+/// request's own or its session's; that one too if it is the only one.
+fn shared_parts(head: &CallHead) -> Vec<u32> {
+    const OWN_PARTS: usize = 1;
+    let shared = head.prefix.len().saturating_sub(OWN_PARTS).max(OWN_PARTS);
+    let parts = head.prefix.iter().take(shared);
+    parts.map(|part| short_hash(part.hash)).collect()
+}
+
+/// Half of a hash, folded: what travels between hosts is kept small.
+fn short_hash(hash: u64) -> u32 {
+    (hash ^ (hash >> u32::BITS)) as u32
 }
 
 fn target_of(parts: &http::request::Parts) -> Result<Uri, Refusal> {
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -130,7 +130,7 @@
 fn place(shared: &Shared, call: &Call, progress: &Progress) -> Option<Choice> {
     let wanted = Wanted {
         pool: &call.pool,
-        key: call.key,
+        shared_parts: &call.shared_parts,
         tried: &progress.tried,
         draw: call.draw,
     };
@@ -225,6 +225,10 @@
     }
     let is_stream = matches!(call.route.kind, RouteKind::Stream { .. }) && head.status.is_success();
     if is_stream {
+        let now_ms = shared.clock.now_ms();
+        let mut fleet = shared.fleet();
+        fleet.note_prefix(&call.shared_parts, short, now_ms);
+        drop(fleet);
         return Ok(Opened::Stream(Box::new(OpenStream {
             head,
             body,
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -6,8 +6,8 @@
 use chalkrock_core::rendezvous::{KeyHash, score};
 use chalkrock_core::{Endpoint, EndpointId, PoolId, ZoneId};
 use chalkrock_routing::{
-    BudgetRules, Candidate, EndpointHealth, EndpointTable, FleetLoad, Member, Sign, SpreadRules,
-    WindowBudget, choose,
+    BudgetRules, Candidate, EndpointHealth, EndpointTable, FleetLoad, Holding, Member, PrefixMap, Sign,
+    SpreadRules, WindowBudget, choose,
 };
 
 use crate::source::StoreVersion;
@@ -16,8 +16,8 @@
 #[derive(Debug)]
 pub(crate) struct Wanted<'a> {
     pub(crate) pool: &'a PoolId,
-    /// The prefix that it shares with others.
-    pub(crate) key: Option<KeyHash>,
+    /// The parts of its prompt that it shares with others, in order.
+    pub(crate) shared_parts: &'a [u32],
     /// Endpoints that had it already.
     pub(crate) tried: &'a [u32],
     pub(crate) draw: u64,
@@ -45,6 +45,9 @@
     budget: BudgetRules,
     health: HashMap<u32, EndpointHealth>,
     budgets: HashMap<PoolId, WindowBudget>,
+    prefixes: PrefixMap,
+    /// What the other hosts are to be told of prefixes.
+    untold: Vec<Holding>,
 }
 
 impl Fleet {
@@ -58,9 +61,41 @@
             budget,
             health: HashMap::new(),
             budgets: HashMap::new(),
+            prefixes: PrefixMap::default(),
+            untold: Vec::new(),
         }
     }
 
+    /// An endpoint answers a request, and so holds the parts of its prompt.
+    pub(crate) fn note_prefix(&mut self, parts: &[u32], endpoint: u32, now_ms: u64) {
+        for &part in parts {
+            let holding = Holding { part, endpoint };
+            if self.prefixes.note(holding, now_ms) {
+                self.untold.push(holding);
+            }
+        }
+    }
+
+    /// Another host told what endpoints hold.
+    pub(crate) fn hear_prefixes(&mut self, holdings: &[Holding], now_ms: u64) {
+        for holding in holdings {
+            self.prefixes.hear(*holding, now_ms);
+        }
+    }
+
+    /// What to tell the other hosts of prefixes, once.
+    pub(crate) fn take_untold(&mut self, most: usize) -> Vec<Holding> {
+        let from = self.untold.len().saturating_sub(most);
+        let told = self.untold.split_off(from);
+        self.untold.clear();
+        told
+    }
+
+    /// Drops what is no longer true, now and then.
+    pub(crate) fn expire(&mut self, now_ms: u64) {
+        self.prefixes.expire(now_ms);
+    }
+
     /// Takes bounds that were read again.
     pub(crate) fn set_bounds(&mut self, spread: SpreadRules, budget: BudgetRules) {
         self.spread = spread;
@@ -73,19 +108,19 @@
     /// Chooses an endpoint of a pool.
     pub(crate) fn place(&self, wanted: &Wanted<'_>, now_ms: u64) -> Option<Choice> {
         let members = self.endpoints.live(wanted.pool);
+        let deepest = wanted.shared_parts.last().copied();
+        let key = deepest.map(|part| KeyHash(u64::from(part)));
         let untried: Vec<&Member> = members
             .iter()
             .filter(|member| !wanted.tried.contains(&member.hash.short()))
             .collect();
         let candidates: Vec<Candidate> = untried
             .iter()
-            .map(|member| self.candidate(member, now_ms))
+            .map(|member| self.candidate(member, deepest, now_ms))
             .collect();
-        let index = choose(&candidates, wanted.key, &self.spread, wanted.draw)?;
+        let index = choose(&candidates, key, &self.spread, wanted.draw)?;
         let member = untried[index].clone();
-        let holder = wanted
-            .key
-            .and_then(|key| self.other_holder(wanted.pool, key, &member, now_ms));
+        let holder = self.other_holder(wanted, &member, now_ms);
         Some(Choice {
             load: candidates[index].load,
             member,
@@ -93,32 +128,45 @@
         })
     }
 
-    /// The first rank of a prefix but for the endpoint that was chosen: where
-    /// the prefix lies if that one is new to it. One that is leaving counts,
-    /// since it held the prefix until now.
+    /// Who else holds the prompt's prefix, or most of it: the endpoint may copy
+    /// it from there. One that is leaving counts, until it goes.
     fn other_holder(
         &self,
-        pool: &PoolId,
-        key: KeyHash,
+        wanted: &Wanted<'_>,
         chosen: &Member,
         now_ms: u64,
     ) -> Option<SocketAddr> {
-        let live = self.endpoints.live(pool);
-        let parting = self.endpoints.parting(pool);
-        let is_sound = |member: &&Member| {
-            let health = self.health.get(&member.hash.short());
-            member.hash != chosen.hash && !health.is_some_and(|health| health.is_suspect(now_ms))
+        let live = self.endpoints.live(wanted.pool);
+        let parting = self.endpoints.parting(wanted.pool);
+        let address_of = |endpoint: u32| {
+            let mut members = live.iter().chain(parting.iter());
+            let member = members.find(|member| member.hash.short() == endpoint)?;
+            let health = self.health.get(&endpoint);
+            let is_sound = !health.is_some_and(|health| health.is_suspect(now_ms));
+            is_sound.then_some(member.endpoint.address)
         };
-        let rank = |member: &&Member| score(key, member.hash, 1.0);
-        let first = live
-            .iter()
-            .chain(parting.iter())
-            .filter(is_sound)
-            .max_by(|a, b| rank(a).total_cmp(&rank(b)))?;
-        Some(first.endpoint.address)
+        for &part in wanted.shared_parts.iter().rev() {
+            if self.prefixes.holds(part, chosen.hash.short(), now_ms) {
+                return None;
+            }
+            let mut holders = self.prefixes.holders(part, now_ms);
+            if let Some(address) = holders.find_map(address_of) {
+                return Some(address);
+            }
+        }
+        // Nothing is known, as after a start: the prefix lies where it would
+        // have gone without the endpoint that was chosen.
+        let deepest = KeyHash(u64::from(*wanted.shared_parts.last()?));
+        let others = live.iter().chain(parting.iter());
+        let others = others.filter(|member| member.hash != chosen.hash);
+        let first = others.max_by(|a, b| {
+            let rank = |member: &Member| score(deepest, member.hash, 1.0);
+            rank(a).total_cmp(&rank(b))
+        })?;
+        address_of(first.hash.short())
     }
 
-    fn candidate(&self, member: &Member, now_ms: u64) -> Candidate {
+    fn candidate(&self, member: &Member, deepest: Option<u32>, now_ms: u64) -> Candidate {
         let short = member.hash.short();
         let health = self.health.get(&short);
         Candidate {
@@ -127,6 +175,7 @@
             slots: member.endpoint.slots,
             is_near: member.endpoint.zone == self.zone,
             is_suspect: health.is_some_and(|health| health.is_suspect(now_ms)),
+            holds_prefix: deepest.is_some_and(|part| self.prefixes.holds(part, short, now_ms)),
         }
     }
 
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use chalkrock_routing::{HostReport, RulesVersion};
+use chalkrock_routing::{Holding, HostReport, RulesVersion};
 use serde::{Deserialize, Serialize};
 
 use crate::source::StoreVersion;
@@ -18,6 +18,8 @@
     pub(crate) endpoints: StoreVersion,
     /// Short hashes of endpoints that are leaving.
     pub(crate) leaving: Vec<u32>,
+    /// What it newly saw endpoints hold.
+    pub(crate) holdings: Vec<Holding>,
     /// Some hosts that it hears.
     pub(crate) hosts: Vec<SocketAddr>,
 }
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -37,6 +37,8 @@
 const FORGET_AFTER: Duration = Duration::from_secs(120);
 /// Hosts that a datagram names, so that all find each other.
 const NAMED_MAX: usize = 4;
+/// Prefixes that a datagram names.
+const HOLDINGS_MAX: usize = 64;
 /// Largest datagram that is read.
 const DATAGRAM_MAX_BYTES: usize = 16 * 1024;
 
@@ -186,7 +188,9 @@
 
 fn beat_of(shared: &Shared, peers: &Peers, sequence: u64, named: Vec<SocketAddr>) -> Beat {
     let mut fleet = shared.fleet();
-    fleet.load.expire(shared.clock.now_ms());
+    let now_ms = shared.clock.now_ms();
+    fleet.load.expire(now_ms);
+    fleet.expire(now_ms);
     Beat {
         report: HostReport {
             incarnation: peers.incarnation,
@@ -196,6 +200,7 @@
         rules: shared.rules().map(|rules| rules.version()).unwrap_or_default(),
         endpoints: fleet.endpoints_version,
         leaving: fleet.endpoints.leaving(),
+        holdings: fleet.take_untold(HOLDINGS_MAX),
         hosts: named,
     }
 }
@@ -228,6 +233,7 @@
     if fleet.load.merge(address, beat.report, now_ms) == Merged::Old {
         return;
     }
+    fleet.hear_prefixes(&beat.holdings, now_ms);
     if fleet.endpoints.mark_leaving(&beat.leaving) {
         shared.metrics.count("leaving_heard_from_peers_total", "", 1);
     }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -24,6 +24,7 @@
 //!     slots: 8,
 //!     is_near: true,
 //!     is_suspect: false,
+//!     holds_prefix: false,
 //! };
 //! let candidates = [idle("engine-a"), idle("engine-b")];
 //! let key = KeyHash::of(b"prefix-1");
@@ -37,6 +38,7 @@
 mod event_frames;
 mod fleet_load;
 mod health;
+mod prefix_map;
 mod route;
 mod rules;
 mod spread;
@@ -48,6 +50,7 @@
 pub use event_frames::{EventFrame, EventFrames};
 pub use fleet_load::{EndpointCount, FleetLoad, HostReport, Merged, REPORT_AGE_MAX_MS};
 pub use health::{EndpointHealth, Sign};
+pub use prefix_map::{Holding, PrefixMap};
 pub use route::{Backend, Route, RouteKind};
 pub use rules::{Caller, CallerLimits, OrganisationRules, Rules, RulesDocument, RulesVersion};
 pub use spread::{Candidate, SpreadRules, choose};
--- a/crates/routing/src/spread.rs
+++ b/crates/routing/src/spread.rs
@@ -22,6 +22,8 @@
     pub is_near: bool,
     /// Whether late answers speak against it.
     pub is_suspect: bool,
+    /// Whether it was seen to hold the request's prefix.
+    pub holds_prefix: bool,
 }
 
 /// Bounds on placement.
@@ -45,8 +47,9 @@
 
 /// The endpoint for a request, as an index; `None` if there is no candidate.
 ///
-/// With a key, the first rank of the key under the bound. Without one, the
-/// least loaded by its slots, near ones first among equals. `draw` is any
+/// With a key, the least loaded of those that hold the prefix and are under the
+/// bound; without any, the first rank of the key under the bound. Without a
+/// key, the least loaded by its slots, near ones first among equals. `draw` is any
 /// number and breaks what ties are left, so that hosts with the same view do
 /// not all pick the same endpoint.
 pub fn choose(
@@ -57,17 +60,26 @@
 ) -> Option<usize> {
     let usable = usable(candidates);
     let limit = limit(candidates, rules);
-    let by_rank = key.and_then(|key| {
-        let ranked = usable.iter().copied().filter(|&i| {
+    let by_prefix = key.and_then(|key| {
+        let has_room = usable.iter().copied().filter(|&i| {
             let candidate = &candidates[i];
             f64::from(candidate.load + 1) <= limit && candidate.load < candidate.slots
         });
-        ranked.max_by(|&a, &b| {
-            let score_of = |i: usize| score(key, candidates[i].hash, 1.0);
-            score_of(a).total_cmp(&score_of(b))
-        })
+        let has_room: Vec<usize> = has_room.collect();
+        let rank = |i: usize| score(key, candidates[i].hash, 1.0);
+        let best = |indices: &mut dyn Iterator<Item = usize>| {
+            indices.max_by(|&a, &b| rank(a).total_cmp(&rank(b)))
+        };
+        let home = best(&mut usable.iter().copied());
+        let holders = has_room
+            .iter()
+            .copied()
+            .filter(|&i| candidates[i].holds_prefix);
+        home.filter(|home| has_room.contains(home))
+            .or_else(|| best(&mut holders.into_iter()))
+            .or_else(|| best(&mut has_room.iter().copied()))
     });
-    by_rank.or_else(|| least_loaded(candidates, &usable, draw))
+    by_prefix.or_else(|| least_loaded(candidates, &usable, draw))
 }
 
 /// Those that nothing speaks against; all, if something speaks against each.
