Test the decisions about one general request

Found while writing them: a host whose clock had stepped back at its restart was not believed until its clock caught up, since lives are told apart by a time of day.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -79,7 +79,11 @@
     }
 
     /// The answer that tells it.
-    pub(crate) fn into_answer(self, edge: &dyn Edge, id: Option<&RequestId>) -> Response<CallerBody> {
+    pub(crate) fn into_answer(
+        self,
+        edge: &dyn Edge,
+        id: Option<&RequestId>,
+    ) -> Response<CallerBody> {
         let answer = edge.refusal(id, &self);
         answer.map(|body| CallerBody::Whole(Full::new(body)))
     }
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -51,7 +51,10 @@
         const LAST: u8 = 9;
         let of_caller = self.caller.as_ref().map_or(0, |caller| caller.priority);
         let of_route = self.route.priority.min(RANKS_OF_ROUTE - 1);
-        (of_caller.saturating_mul(RANKS_OF_ROUTE).saturating_add(of_route)).min(LAST)
+        (of_caller
+            .saturating_mul(RANKS_OF_ROUTE)
+            .saturating_add(of_route))
+        .min(LAST)
     }
 
     /// How long it may still take.
@@ -72,7 +75,10 @@
         .rules()
         .map_or_else(CallerLimits::default, |rules| *rules.limits());
     let body = read_body(body, &limits).await?;
-    if matches!(shared.stop_phase(), Some(StopPhase::Drains | StopPhase::Ends)) {
+    if matches!(
+        shared.stop_phase(),
+        Some(StopPhase::Drains | StopPhase::Ends)
+    ) {
         return Err(Refusal::new(Reason::Leaving, "the host is stopping"));
     }
     let rules = shared
@@ -86,7 +92,10 @@
         .clone();
     let caller = head.key.as_deref().and_then(|key| rules.caller(key));
     if caller.is_none() && rules.needs_key() && !route.is_public {
-        return Err(Refusal::new(Reason::UnknownKey, "no organisation holds the key"));
+        return Err(Refusal::new(
+            Reason::UnknownKey,
+            "no organisation holds the key",
+        ));
     }
     let draw = rand::random();
     let pool = pool_of(shared, &route, draw)
@@ -166,6 +175,9 @@
         Ok(Ok(body)) => Ok(body.to_bytes()),
         Ok(Err(error)) if error.is::<LengthLimitError>() => Err(too_large()),
         Ok(Err(_)) => Err(Refusal::new(Reason::InvalidRequest, "the body broke off")),
-        Err(_) => Err(Refusal::new(Reason::RequestTooSlow, "the body did not arrive")),
+        Err(_) => Err(Refusal::new(
+            Reason::RequestTooSlow,
+            "the body did not arrive",
+        )),
     }
 }
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -240,9 +240,7 @@
     }
     let whole = read_whole(call, head, body).await?;
     if !answer.closes {
-        shared
-            .upstream
-            .keep(short, connection, answer.keep_alive_s);
+        shared.upstream.keep(short, connection, answer.keep_alive_s);
     }
     if whole.head.status.is_server_error() {
         return Err(failed(call, whole));
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -6,8 +6,8 @@
 use chalkrock_core::rendezvous::{KeyHash, score};
 use chalkrock_core::{Endpoint, EndpointId, PoolId, ZoneId};
 use chalkrock_routing::{
-    BudgetRules, Candidate, EndpointHealth, EndpointTable, FleetLoad, Holding, Member, PrefixMap, Sign,
-    SpreadRules, WindowBudget, choose,
+    BudgetRules, Candidate, EndpointHealth, EndpointTable, FleetLoad, Holding, Member, PrefixMap,
+    Sign, SpreadRules, WindowBudget, choose,
 };
 
 use crate::source::StoreVersion;
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -108,7 +108,14 @@
     let response = match opened {
         Ok(Opened::Whole(whole)) => {
             let status = whole.head.status.as_u16();
-            record(&shared, &call, progress.attempts, Some(status), Outcome::Ran, None);
+            record(
+                &shared,
+                &call,
+                progress.attempts,
+                Some(status),
+                Outcome::Ran,
+                None,
+            );
             whole_answer(&shared, whole)
         }
         Ok(Opened::Stream(stream)) => {
@@ -121,7 +128,14 @@
             let id = call.head.id.clone();
             let answer = refusal.into_answer(&*shared.edge, id.as_ref());
             let status = answer.status().as_u16();
-            record(&shared, &call, attempts, Some(status), outcome, Some(reason));
+            record(
+                &shared,
+                &call,
+                attempts,
+                Some(status),
+                outcome,
+                Some(reason),
+            );
             answer
         }
     };
@@ -163,7 +177,10 @@
         id: head.id.clone(),
         route: None,
         organisation: None,
-        rules: shared.rules().map(|rules| rules.version()).unwrap_or_default(),
+        rules: shared
+            .rules()
+            .map(|rules| rules.version())
+            .unwrap_or_default(),
         attempts: Vec::new(),
         status: Some(refusal.reason.status()),
         outcome: refusal.outcome(),
@@ -178,10 +195,7 @@
 }
 
 /// A host that stops ends each connection with its next answer.
-fn last_if_stopping(
-    shared: &Shared,
-    mut response: Response<CallerBody>,
-) -> Response<CallerBody> {
+fn last_if_stopping(shared: &Shared, mut response: Response<CallerBody>) -> Response<CallerBody> {
     if shared.stop_phase().is_some() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
@@ -202,7 +216,10 @@
     let record = RequestRecord {
         id: call.head.id.clone(),
         route: Some(call.route.name.clone()),
-        organisation: call.caller.as_ref().map(|caller| caller.organisation.clone()),
+        organisation: call
+            .caller
+            .as_ref()
+            .map(|caller| caller.organisation.clone()),
         rules: call.rules,
         attempts,
         status,
--- a/crates/gateway/src/journal.rs
+++ b/crates/gateway/src/journal.rs
@@ -93,21 +93,46 @@
     /// Settings were read again.
     Reload,
     /// Rules came into force.
-    Rules { version: RulesVersion, from: &'a str },
+    Rules {
+        version: RulesVersion,
+        from: &'a str,
+    },
     /// The list of endpoints changed.
-    Endpoints { version: u64, live: usize, leaving: usize, from: &'a str },
+    Endpoints {
+        version: u64,
+        live: usize,
+        leaving: usize,
+        from: &'a str,
+    },
     /// A dependency was lost or is back.
-    Dependency { name: &'a str, is_up: bool, detail: &'a str },
+    Dependency {
+        name: &'a str,
+        is_up: bool,
+        detail: &'a str,
+    },
     /// Another host was heard first, or has fallen silent.
-    Peer { address: std::net::SocketAddr, is_up: bool },
+    Peer {
+        address: std::net::SocketAddr,
+        is_up: bool,
+    },
     /// An endpoint came under suspicion.
-    Suspect { endpoint: &'a EndpointId, end: AttemptEndName },
+    Suspect {
+        endpoint: &'a EndpointId,
+        end: AttemptEndName,
+    },
     /// A request ended.
     Request(&'a RequestRecord),
     /// The caller left before the end.
-    CallerLeft { id: Option<&'a RequestId>, took_ms: u64 },
+    CallerLeft {
+        id: Option<&'a RequestId>,
+        took_ms: u64,
+    },
     /// A stream went on at another endpoint, or could not.
-    Resume { id: Option<&'a RequestId>, after: Option<u64>, went_on: bool },
+    Resume {
+        id: Option<&'a RequestId>,
+        after: Option<u64>,
+        went_on: bool,
+    },
 }
 
 #[derive(Serialize)]
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,7 +6,7 @@
 //! progress, and takes from them what it can't read itself. How requests,
 //! answers and rows are spelled is an [`Edge`]'s business: the gateway knows
 //! no header by name. Use it to put chalkrock before back ends of your own;
-//! implement the two traits and call [`run`].
+//! implement the two traits and call [`start`].
 //!
 //! The way of a request runs one way through the modules: `front` (sockets),
 //! `call` (what is asked), `dispatch` (attempts), `upstream` (connections),
@@ -46,5 +46,5 @@
 
 pub use config::{GatewayConfig, GatewayConfigBuilder};
 pub use edge::{AnswerHead, CallHead, Edge, PrefixPart, Refusal, SendHead};
-pub use run::run;
+pub use run::{RunningGateway, start};
 pub use source::{HostRow, News, Row, Source, SourceError, StoreVersion, Topic};
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -197,7 +197,10 @@
             sequence,
             counts: fleet.load.own_counts(),
         },
-        rules: shared.rules().map(|rules| rules.version()).unwrap_or_default(),
+        rules: shared
+            .rules()
+            .map(|rules| rules.version())
+            .unwrap_or_default(),
         endpoints: fleet.endpoints_version,
         leaving: fleet.endpoints.leaving(),
         holdings: fleet.take_untold(HOLDINGS_MAX),
@@ -235,11 +238,16 @@
     }
     fleet.hear_prefixes(&beat.holdings, now_ms);
     if fleet.endpoints.mark_leaving(&beat.leaving) {
-        shared.metrics.count("leaving_heard_from_peers_total", "", 1);
+        shared
+            .metrics
+            .count("leaving_heard_from_peers_total", "", 1);
     }
     let knows_newer_list = beat.endpoints > fleet.endpoints_version;
     drop(fleet);
-    let own_rules = shared.rules().map(|rules| rules.version()).unwrap_or_default();
+    let own_rules = shared
+        .rules()
+        .map(|rules| rules.version())
+        .unwrap_or_default();
     if knows_newer_list || beat.rules > own_rules {
         *peers.ahead.lock().unwrap_or_else(PoisonError::into_inner) = Some(address);
         peers.is_behind.notify_one();
--- a/crates/gateway/src/peers/pull.rs
+++ b/crates/gateway/src/peers/pull.rs
@@ -112,7 +112,10 @@
 
 fn have(shared: &Shared) -> Have {
     Have {
-        rules: shared.rules().map(|rules| rules.version()).unwrap_or_default(),
+        rules: shared
+            .rules()
+            .map(|rules| rules.version())
+            .unwrap_or_default(),
         endpoints: shared.fleet().endpoints_version,
     }
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -18,9 +18,9 @@
 use crate::answer::{BrokenOff, Events};
 use crate::call::Call;
 use crate::dispatch::{OpenStream, Opened, Progress, dispatch};
+use crate::front::record;
 use crate::journal::Event;
 use crate::shared::{Running, Shared};
-use crate::front::record;
 
 /// Silence in a stream after which its endpoint is looked at.
 const LOOK_EVERY: Duration = Duration::from_millis(200);
@@ -217,7 +217,14 @@
 
     fn tell(&mut self, outcome: Outcome, reason: Option<Reason>) {
         let attempts = std::mem::take(&mut self.progress.attempts);
-        record(&self.shared, &self.call, attempts, Some(self.status), outcome, reason);
+        record(
+            &self.shared,
+            &self.call,
+            attempts,
+            Some(self.status),
+            outcome,
+            reason,
+        );
     }
 }
 
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -1,5 +1,6 @@
 //! Composes a gateway and runs it until it has stopped.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -8,6 +9,7 @@
 use eyre::WrapErr;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::mpsc;
+use tokio::task::{AbortHandle, JoinHandle};
 
 use crate::config::GatewayConfig;
 use crate::edge::Edge;
@@ -28,55 +30,119 @@
 /// Pauses between tries to record the host.
 const JOIN_PAUSE: Duration = Duration::from_secs(2);
 
-/// Serves until a stop was asked for and has come to its end. Settings that
-/// may change while it runs arrive through `reloads`.
+/// A gateway that serves.
+#[derive(Debug)]
+pub struct RunningGateway {
+    front: SocketAddr,
+    status: Vec<SocketAddr>,
+    peer: Option<SocketAddr>,
+    ended: JoinHandle<()>,
+}
+
+impl RunningGateway {
+    /// Where callers connect.
+    pub fn front_address(&self) -> SocketAddr {
+        self.front
+    }
+
+    /// Where readiness and metrics are asked, in the order of the settings.
+    pub fn status_addresses(&self) -> &[SocketAddr] {
+        &self.status
+    }
+
+    /// Where other hosts are heard.
+    pub fn peer_address(&self) -> Option<SocketAddr> {
+        self.peer
+    }
+
+    /// Waits until a stop was asked for and has come to its end.
+    pub async fn ended(self) {
+        let _a_panic_ends_it_too = self.ended.await;
+    }
+}
+
+/// Starts a gateway. It serves until a stop was asked for and has come to its
+/// end. Settings that may change while it runs arrive through `reloads`.
 ///
 /// # Errors
 ///
 /// If an address can't be listened on.
-pub async fn run<S: Source>(
+pub async fn start<S: Source>(
     config: GatewayConfig,
     edge: Box<dyn Edge>,
     source: S,
     stop: Stop,
     reloads: mpsc::Receiver<GatewayConfig>,
-) -> eyre::Result<()> {
+) -> eyre::Result<RunningGateway> {
     let (journal, lines) = Journal::new(config.host.clone());
-    let written = tokio::spawn(write_lines(lines));
+    let mut tasks = Tasks::default();
+    tasks.spawn(write_lines(lines));
     let shared = Shared::new(config, edge, journal);
     let source = Arc::new(source);
     shared.journal.tell(&Event::Start {
         version: env!("CARGO_PKG_VERSION"),
     });
     for topic in [Topic::Rules, Topic::Endpoints] {
-        tokio::spawn(follow(shared.clone(), source.clone(), topic));
+        tasks.spawn(follow(shared.clone(), source.clone(), topic));
     }
-    start_peers(&shared, &source).await?;
-    let status = [shared.config.ready_listen, shared.config.metrics_listen];
-    for address in status.into_iter().flatten() {
+    let peer = start_peers(&mut tasks, &shared, &source).await?;
+    let mut status = Vec::new();
+    let asked = [shared.config.ready_listen, shared.config.metrics_listen];
+    for address in asked.into_iter().flatten() {
         let listener = listen(address).await?;
-        tokio::spawn(answer_status(shared.clone(), listener));
+        status.push(listener.local_addr()?);
+        tasks.spawn(answer_status(shared.clone(), listener));
     }
     let listener = listen(shared.config.listen).await?;
-    tokio::spawn(accept(shared.clone(), listener));
-    tokio::spawn(sweep(shared.clone()));
-    tokio::spawn(take_reloads(shared.clone(), reloads));
-    stop.asked().await;
-    end(&shared).await;
-    written.abort();
-    Ok(())
+    let front = listener.local_addr()?;
+    tasks.spawn(accept(shared.clone(), listener));
+    tasks.spawn(sweep(shared.clone()));
+    tasks.spawn(take_reloads(shared.clone(), reloads));
+    let ended = tokio::spawn(async move {
+        stop.asked().await;
+        end(&shared).await;
+        drop(tasks);
+    });
+    Ok(RunningGateway {
+        front,
+        status,
+        peer,
+        ended,
+    })
 }
 
-async fn listen(address: std::net::SocketAddr) -> eyre::Result<TcpListener> {
+/// Tasks that end with the gateway.
+#[derive(Default)]
+struct Tasks(Vec<AbortHandle>);
+
+impl Tasks {
+    fn spawn(&mut self, task: impl Future<Output = ()> + Send + 'static) {
+        self.0.push(tokio::spawn(task).abort_handle());
+    }
+}
+
+impl Drop for Tasks {
+    fn drop(&mut self) {
+        self.0.iter().for_each(AbortHandle::abort);
+    }
+}
+
+async fn listen(address: SocketAddr) -> eyre::Result<TcpListener> {
     TcpListener::bind(address)
         .await
         .wrap_err_with(|| format!("can't listen on {address}"))
 }
 
-async fn start_peers<S: Source>(shared: &Arc<Shared>, source: &Arc<S>) -> eyre::Result<()> {
-    let Some(own) = shared.config.peer_listen else {
-        return Ok(());
+async fn start_peers<S: Source>(
+    tasks: &mut Tasks,
+    shared: &Arc<Shared>,
+    source: &Arc<S>,
+) -> eyre::Result<Option<SocketAddr>> {
+    let Some(wanted) = shared.config.peer_listen else {
+        return Ok(None);
     };
+    let listener = listen(wanted).await?;
+    let own = listener.local_addr()?;
     let socket = UdpSocket::bind(own)
         .await
         .wrap_err_with(|| format!("can't hear other hosts on {own}"))?;
@@ -85,23 +151,20 @@
     let incarnation = since_epoch.map_or(0, |since| since.as_micros() as u64);
     let peers = Peers::new(own, incarnation);
     peers.add(shared.config.peer_seeds.iter().copied());
-    tokio::spawn(tell(shared.clone(), peers.clone(), socket.clone()));
-    tokio::spawn(hear(shared.clone(), peers.clone(), socket));
-    tokio::spawn(serve_pulls(shared.clone(), listen(own).await?));
-    tokio::spawn(pull_when_behind(shared.clone(), peers.clone()));
-    tokio::spawn(join(shared.clone(), source.clone(), peers));
-    Ok(())
+    tasks.spawn(tell(shared.clone(), peers.clone(), socket.clone()));
+    tasks.spawn(hear(shared.clone(), peers.clone(), socket));
+    tasks.spawn(serve_pulls(shared.clone(), listener));
+    tasks.spawn(pull_when_behind(shared.clone(), peers.clone()));
+    let row = HostRow {
+        host: shared.config.host.clone(),
+        peer_address: own,
+    };
+    tasks.spawn(join(source.clone(), row, peers));
+    Ok(Some(own))
 }
 
 /// Records the host and learns of the others, once.
-async fn join<S: Source>(shared: Arc<Shared>, source: Arc<S>, peers: Arc<Peers>) {
-    let Some(peer_address) = shared.config.peer_listen else {
-        return;
-    };
-    let own = HostRow {
-        host: shared.config.host.clone(),
-        peer_address,
-    };
+async fn join<S: Source>(source: Arc<S>, own: HostRow, peers: Arc<Peers>) {
     loop {
         match source.join(&own).await {
             Ok(rows) => {
--- a/crates/gateway/src/source.rs
+++ b/crates/gateway/src/source.rs
@@ -7,9 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 /// A place in the platform's history.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct StoreVersion(pub u64);
 
@@ -81,7 +79,8 @@
     ) -> impl Future<Output = Result<News, SourceError>> + Send;
 
     /// Records this host and returns all that are recorded.
-    fn join(&self, own: &HostRow) -> impl Future<Output = Result<Vec<HostRow>, SourceError>> + Send;
+    fn join(&self, own: &HostRow)
+    -> impl Future<Output = Result<Vec<HostRow>, SourceError>> + Send;
 
     /// Takes this host's record away.
     fn leave(&self, own: &HostRow) -> impl Future<Output = Result<(), SourceError>> + Send;
--- a/crates/routing/src/endpoints.rs
+++ b/crates/routing/src/endpoints.rs
@@ -172,8 +172,7 @@
             is_listed: true,
             unlisted_at_ms: 0,
         };
-        self.known
-            .insert(known.member.endpoint.name.clone(), known);
+        self.known.insert(known.member.endpoint.name.clone(), known);
     }
 
     fn forget_old(&mut self, now_ms: u64) {
--- a/crates/routing/src/event_frames.rs
+++ b/crates/routing/src/event_frames.rs
@@ -42,7 +42,10 @@
     }
 
     /// The next whole event, if there is one.
-    #[expect(clippy::should_implement_trait, reason = "an event may follow after `None`")]
+    #[expect(
+        clippy::should_implement_trait,
+        reason = "an event may follow after `None`"
+    )]
     pub fn next(&mut self) -> Option<EventFrame> {
         let end = self.end_of_event()?;
         let bytes = self.buffer.split_to(end).freeze();
--- a/crates/routing/src/fleet_load.rs
+++ b/crates/routing/src/fleet_load.rs
@@ -125,10 +125,13 @@
         counts
     }
 
-    /// Takes a host's report, if it is the newest of that host.
+    /// Takes a host's report, if it is the newest of that host. Lives are told
+    /// apart by a time of day, which may step back: a life that seems earlier
+    /// is believed once the later one has fallen silent.
     pub fn merge(&mut self, host: H, report: HostReport, now_ms: u64) -> Merged {
         let of = |report: &HostReport| (report.incarnation, report.sequence);
         if let Some(known) = self.hosts.get(&host)
+            && is_recent(known, now_ms)
             && of(&known.report) >= of(&report)
         {
             return Merged::Old;
--- a/crates/routing/src/spread.rs
+++ b/crates/routing/src/spread.rs
@@ -113,6 +113,8 @@
     usable.iter().copied().min_by(|&a, &b| {
         let by_load = share(a).total_cmp(&share(b));
         let by_zone = || candidates[b].is_near.cmp(&candidates[a].is_near);
-        by_load.then_with(by_zone).then_with(|| tie(b).total_cmp(&tie(a)))
+        by_load
+            .then_with(by_zone)
+            .then_with(|| tie(b).total_cmp(&tie(a)))
     })
 }
--- /dev/null
+++ b/crates/routing/tests/endpoints.rs
@@ -0,0 +1,167 @@
+//! Endpoints over lists that lag, lose entries and come from several hosts.
+
+use chalkrock_core::rendezvous::MemberHash;
+use chalkrock_core::{Endpoint, EndpointKind, HostState, Incarnation, PoolId};
+use chalkrock_routing::{EndpointTable, Standing};
+use googletest::prelude::*;
+use proptest::prelude::*;
+
+const POOL: &str = "chat";
+
+fn endpoint(name: &str, state: HostState) -> Endpoint {
+    Endpoint {
+        name: name.into(),
+        kind: EndpointKind::Service,
+        pool: POOL.into(),
+        zone: "zone-a".into(),
+        address: "127.0.0.1:9".parse().expect("an address"),
+        slots: 4,
+        incarnation: Incarnation(0),
+        state,
+    }
+}
+
+fn live(name: &str) -> Endpoint {
+    endpoint(name, HostState::Live)
+}
+
+fn leaving(name: &str) -> Endpoint {
+    endpoint(name, HostState::Leaving)
+}
+
+fn live_names(table: &EndpointTable) -> Vec<String> {
+    let members = table.live(&PoolId::from(POOL));
+    members.iter().map(|m| m.endpoint.name.to_string()).collect()
+}
+
+fn standing(table: &EndpointTable, name: &str) -> Option<Standing> {
+    table.standing(&name.into())
+}
+
+#[test]
+fn table_never_takes_back_what_is_leaving() {
+    let mut table = EndpointTable::default();
+    table.replace(vec![live("a"), live("b")], 0);
+    table.upsert(leaving("a"));
+    table.upsert(live("a"));
+    table.replace(vec![live("a"), live("b")], 10);
+    assert_that!(live_names(&table), elements_are![eq("b")]);
+    assert_that!(standing(&table, "a"), some(eq(Standing::Leaving)));
+}
+
+#[test]
+fn table_never_takes_back_what_left_and_is_listed_late() {
+    let mut table = EndpointTable::default();
+    table.upsert(leaving("a"));
+    table.remove(&"a".into(), 1_000);
+    table.upsert(live("a"));
+    assert_that!(live_names(&table), is_empty());
+}
+
+#[test]
+fn table_gives_no_work_to_what_is_unlisted() {
+    let mut table = EndpointTable::default();
+    table.upsert(live("a"));
+    table.remove(&"a".into(), 0);
+    assert_that!(live_names(&table), is_empty());
+    assert_that!(standing(&table, "a"), some(eq(Standing::Unlisted)));
+}
+
+#[test]
+fn table_takes_back_what_a_troubled_platform_dropped() {
+    let mut table = EndpointTable::default();
+    table.upsert(live("a"));
+    table.remove(&"a".into(), 0);
+    table.upsert(live("a"));
+    assert_that!(live_names(&table), elements_are![eq("a")]);
+}
+
+#[test]
+fn table_believes_other_hosts_that_an_endpoint_leaves() {
+    let mut table = EndpointTable::default();
+    table.replace(vec![live("a"), live("b")], 0);
+    let hash = MemberHash::of("a").short();
+    assert_that!(table.mark_leaving(&[hash]), eq(true));
+    assert_that!(table.mark_leaving(&[hash]), eq(false));
+    assert_that!(live_names(&table), elements_are![eq("b")]);
+    assert_that!(table.leaving(), eq(&[hash]));
+}
+
+#[test]
+fn table_names_the_parting_until_they_are_unlisted() {
+    let mut table = EndpointTable::default();
+    table.upsert(leaving("a"));
+    assert_that!(table.parting(&POOL.into()).len(), eq(1));
+    table.remove(&"a".into(), 0);
+    assert_that!(table.parting(&POOL.into()).len(), eq(0));
+}
+
+#[test]
+fn table_forgets_what_left_long_ago() {
+    let mut table = EndpointTable::default();
+    table.upsert(leaving("a"));
+    table.remove(&"a".into(), 0);
+    table.replace(vec![live("b")], 200_000);
+    assert_that!(standing(&table, "a"), none());
+}
+
+#[derive(Clone, Debug)]
+enum Word {
+    Listed(usize, bool),
+    Dropped(usize),
+    Peer(usize),
+    Whole(Vec<bool>),
+}
+
+fn word() -> impl Strategy<Value = Word> {
+    prop_oneof![
+        (0..4usize, any::<bool>()).prop_map(|(i, leaves)| Word::Listed(i, leaves)),
+        (0..4usize).prop_map(Word::Dropped),
+        (0..4usize).prop_map(Word::Peer),
+        proptest::collection::vec(any::<bool>(), 4).prop_map(Word::Whole),
+    ]
+}
+
+const NAMES: [&str; 4] = ["a", "b", "c", "d"];
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: proptest::test_runner::RngSeed::Fixed(7),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn table_is_sticky_over_any_words(words in proptest::collection::vec(word(), 1..40)) {
+        let mut table = EndpointTable::default();
+        let mut left = [false; NAMES.len()];
+        let mut known = [false; NAMES.len()];
+        for (now_ms, word) in words.into_iter().enumerate() {
+            let now_ms = now_ms as u64;
+            match word {
+                Word::Listed(i, leaves) => {
+                    let state = if leaves { HostState::Leaving } else { HostState::Live };
+                    table.upsert(endpoint(NAMES[i], state));
+                    left[i] |= leaves;
+                    known[i] = true;
+                }
+                Word::Dropped(i) => table.remove(&NAMES[i].into(), now_ms),
+                Word::Peer(i) => {
+                    table.mark_leaving(&[MemberHash::of(NAMES[i]).short()]);
+                    left[i] |= known[i];
+                }
+                Word::Whole(present) => {
+                    let list = NAMES.iter().zip(&present).filter(|(_, is)| **is);
+                    table.replace(list.map(|(name, _)| live(name)).collect(), now_ms);
+                    for (known, present) in known.iter_mut().zip(present) {
+                        *known |= present;
+                    }
+                }
+            }
+            for name in live_names(&table) {
+                let i = NAMES.iter().position(|known| **known == name).expect("a known name");
+                prop_assert!(!left[i], "{name} was leaving and takes work again");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/routing/tests/prefix_map.rs
@@ -0,0 +1,68 @@
+//! Who holds which part, over time and a flood.
+
+use chalkrock_routing::{Holding, PrefixMap};
+use googletest::prelude::*;
+
+fn holding(part: u32, endpoint: u32) -> Holding {
+    Holding { part, endpoint }
+}
+
+fn holders(map: &PrefixMap, part: u32, now_ms: u64) -> Vec<u32> {
+    map.holders(part, now_ms).collect()
+}
+
+#[test]
+fn map_tells_what_is_new_once_and_then_now_and_then() {
+    let mut map = PrefixMap::default();
+    assert_that!(map.note(holding(1, 2), 0), eq(true));
+    assert_that!(map.note(holding(1, 2), 4_999), eq(false));
+    assert_that!(map.note(holding(1, 2), 5_000), eq(true));
+}
+
+#[test]
+fn map_does_not_tell_what_another_host_told() {
+    let mut map = PrefixMap::default();
+    map.hear(holding(1, 2), 0);
+    assert_that!(map.note(holding(1, 2), 100), eq(false));
+    assert_that!(holders(&map, 1, 100), eq(&[2]));
+}
+
+#[test]
+fn map_forgets_what_is_not_used() {
+    let mut map = PrefixMap::default();
+    map.note(holding(1, 2), 0);
+    assert_that!(map.holds(1, 2, 20_000), eq(true));
+    assert_that!(map.holds(1, 2, 20_001), eq(false));
+    map.expire(20_001);
+    assert_that!(map.note(holding(1, 2), 20_002), eq(true));
+}
+
+#[test]
+fn map_forgets_an_endpoint() {
+    let mut map = PrefixMap::default();
+    map.note(holding(1, 2), 0);
+    map.note(holding(1, 3), 0);
+    map.forget_endpoint(2);
+    assert_that!(holders(&map, 1, 0), eq(&[3]));
+}
+
+#[test]
+fn map_keeps_the_holders_used_last() {
+    let mut map = PrefixMap::default();
+    for endpoint in 0..10 {
+        map.note(holding(1, endpoint), u64::from(endpoint));
+    }
+    let mut kept = holders(&map, 1, 10);
+    kept.sort_unstable();
+    assert_that!(kept, eq(&[4, 5, 6, 7, 8, 9]));
+}
+
+#[test]
+fn map_stays_bounded_in_a_flood() {
+    let mut map = PrefixMap::default();
+    for part in 0..100_000 {
+        map.note(holding(part, 1), 0);
+    }
+    let kept = (0..100_000).filter(|part| map.holds(*part, 1, 0)).count();
+    assert_that!(kept, eq(16_384));
+}
--- /dev/null
+++ b/crates/routing/tests/rules.rs
@@ -0,0 +1,92 @@
+//! Routes and callers of one version of the rules.
+
+use std::sync::Arc;
+
+use chalkrock_core::PoolId;
+use chalkrock_routing::{
+    Backend, OrganisationRules, Route, RouteKind, Rules, RulesDocument, RulesVersion,
+};
+use googletest::prelude::*;
+
+fn route(name: &str, host: &str, path_prefix: &str, pools: &[(&str, u32)]) -> Route {
+    let backends = pools.iter().map(|(pool, weight)| Backend {
+        pool: PoolId::from(*pool),
+        weight: *weight,
+    });
+    Route {
+        name: name.into(),
+        host: host.into(),
+        path_prefix: path_prefix.into(),
+        backends: backends.collect(),
+        kind: RouteKind::Safe,
+        timeout_ms: 1_000,
+        objective_ms: 100,
+        attempts_max: 1,
+        priority: 0,
+        is_public: false,
+    }
+}
+
+fn rules() -> Rules {
+    Rules::new(RulesDocument {
+        version: RulesVersion(7),
+        routes: vec![
+            route("all", "a.example", "/", &[("p", 1)]),
+            route("chat", "a.example", "/chat/", &[("p", 1)]),
+            route("deep", "a.example", "/chat/deep/", &[("p", 90), ("q", 10)]),
+            route("other", "b.example", "/chat/", &[]),
+        ],
+        organisations: vec![OrganisationRules {
+            name: "dispatch".into(),
+            priority: 1,
+            keys: vec![Arc::from("key-1"), Arc::from("key-2")],
+        }],
+        ..RulesDocument::default()
+    })
+}
+
+#[test]
+fn route_with_the_longest_prefix_wins() {
+    let cases = [
+        ("a.example", "/chat/deep/x", Some("deep")),
+        ("a.example", "/chat/deep", Some("chat")),
+        ("a.example", "/chat/", Some("chat")),
+        ("a.example", "/chatter", Some("all")),
+        ("a.example", "/", Some("all")),
+        ("b.example", "/chat/x", Some("other")),
+        ("b.example", "/", None),
+        ("c.example", "/chat/", None),
+        ("", "", None),
+    ];
+    let rules = rules();
+    for (host, path, expected) in cases {
+        let found = rules.route(host, path).map(|route| &*route.name);
+        assert_that!(found, eq(expected), "{host}{path}");
+    }
+}
+
+#[test]
+fn caller_by_any_of_its_keys() {
+    let rules = rules();
+    for key in ["key-1", "key-2"] {
+        let caller = rules.caller(key).expect("a known key");
+        assert_that!(caller.organisation.as_str(), eq("dispatch"));
+    }
+    assert_that!(rules.caller("key-3"), none());
+    assert_that!(rules.needs_key(), eq(true));
+}
+
+#[test]
+fn pool_by_weight() {
+    let rules = rules();
+    let route = rules.route("a.example", "/chat/deep/").expect("a route");
+    let of_p = (0..1_000).filter(|draw| route.pool_of(*draw).is_some_and(|p| p.as_str() == "p"));
+    assert_that!(of_p.count(), eq(900));
+}
+
+#[test]
+fn pool_of_a_route_without_any() {
+    let rules = rules();
+    let route = rules.route("b.example", "/chat/").expect("a route");
+    assert_that!(route.pool_of(3), none());
+}
