--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -312,7 +312,7 @@
                 fleet.budget(&call.pool).request(now_ms);
             }
         }
-        let answered = answer_of(shared, call, short, &mut connection, request).await;
+        let answered = answer_of(shared, call, progress, short, &mut connection, request).await;
         let heard_at_ms = shared.clock.now_ms();
         {
             let mut fleet = shared.fleet();
@@ -357,6 +357,7 @@
 async fn answer_of(
     shared: &Shared,
     call: &Call,
+    progress: &Progress,
     short: u32,
     connection: &mut Connection,
     request: Request<SentBody>,
@@ -383,7 +384,7 @@
         let now_ms = shared.clock.now_ms();
         let is_silent = shared.fleet().health(short).is_silent(now_ms);
         let is_late = is_silent || sent_at.elapsed() >= patience;
-        if is_late && call.repeatable() == Repeatable::Yes {
+        if is_late && progress.may_leave(shared, call) {
             return Err(AttemptEnd::Silent);
         }
     }
@@ -407,6 +408,22 @@
 }
 
 impl Progress {
+    /// Whether an endpoint that keeps a request waiting may be left for another:
+    /// only if there is one, and the request may be sent there.
+    pub(crate) fn may_leave(&self, shared: &Shared, call: &Call) -> bool {
+        let may_send = self.sent + 1 < call.route.attempts_max;
+        if !may_send || call.repeatable() == Repeatable::No {
+            return false;
+        }
+        if place(shared, call, self).is_none() {
+            return false;
+        }
+        let now_ms = shared.clock.now_ms();
+        let mut fleet = shared.fleet();
+        let hosts = 1 + fleet.load.hosts_heard(now_ms);
+        fleet.budget(&call.pool).has_left(now_ms, hosts)
+    }
+
     /// The endpoint that began a stream was lost in it. Says whether another
     /// one may go on.
     pub(crate) fn lost_midway(&mut self, shared: &Shared, call: &Call) -> bool {
--- a/crates/gateway/src/peers/pull.rs
+++ b/crates/gateway/src/peers/pull.rs
@@ -27,7 +27,8 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Have {
     pub(crate) rules: RulesVersion,
-    pub(crate) endpoints: StoreVersion,
+    /// `None` if it has no list at all: an empty one is a list too.
+    pub(crate) endpoints: Option<StoreVersion>,
 }
 
 /// The list of endpoints as one host knows it.
@@ -57,10 +58,12 @@
     async fn missing(self, _: tarpc::context::Context, have: Have) -> Missing {
         let rules = self.0.rules().filter(|rules| rules.version() > have.rules);
         let fleet = self.0.fleet();
-        let is_newer = fleet.endpoints_version > have.endpoints;
+        let is_newer = have
+            .endpoints
+            .is_none_or(|known| fleet.endpoints_version > known);
         Missing {
             rules: rules.map(|rules| RulesDocument::clone(rules.document())),
-            endpoints: is_newer.then(|| EndpointList {
+            endpoints: (is_newer && self.0.knows_endpoints()).then(|| EndpointList {
                 version: fleet.endpoints_version,
                 endpoints: fleet.endpoints.listed(),
             }),
@@ -116,7 +119,9 @@
             .rules()
             .map(|rules| rules.version())
             .unwrap_or_default(),
-        endpoints: shared.fleet().endpoints_version,
+        endpoints: shared
+            .knows_endpoints()
+            .then(|| shared.fleet().endpoints_version),
     }
 }
 
@@ -136,7 +141,7 @@
     if let Some(list) = missing.endpoints {
         let now_ms = shared.clock.now_ms();
         let mut fleet = shared.fleet();
-        if list.version > fleet.endpoints_version {
+        if list.version > fleet.endpoints_version || !shared.knows_endpoints() {
             fleet.replace(list.endpoints, list.version, now_ms);
             is_news = true;
             drop(fleet);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -131,7 +131,7 @@
                 Err(_) if Instant::now() >= self.call.deadline => return Arrived::TooLate,
                 Err(_) => {
                     let is_silent = self.heard_at.elapsed() >= silence(&self.call);
-                    if is_silent && self.call.repeatable() == Repeatable::Yes {
+                    if is_silent && self.progress.may_leave(&self.shared, &self.call) {
                         return Arrived::Broken;
                     }
                 }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -1,6 +1,6 @@
 //! What all requests of a gateway share.
 
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 
 use arc_swap::ArcSwapOption;
@@ -32,7 +32,7 @@
     /// A peer knows more than the platform has told: read it again.
     pub(crate) read_again: Notify,
     /// Whether the list of endpoints was read once, from anyone.
-    knows_endpoints: watch::Sender<bool>,
+    knows_endpoints: AtomicBool,
 }
 
 impl Shared {
@@ -51,7 +51,7 @@
             stop_asked_at: OnceLock::new(),
             stop: watch::channel(None).0,
             read_again: Notify::new(),
-            knows_endpoints: watch::channel(false).0,
+            knows_endpoints: AtomicBool::new(false),
         })
     }
 
@@ -84,12 +84,17 @@
 
     /// The list of endpoints was read.
     pub(crate) fn endpoints_known(&self) {
-        self.knows_endpoints.send_replace(true);
+        self.knows_endpoints.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether the list of endpoints was read, be it empty.
+    pub(crate) fn knows_endpoints(&self) -> bool {
+        self.knows_endpoints.load(Ordering::Relaxed)
     }
 
     /// Whether the host can serve: it knows rules and endpoints.
     pub(crate) fn has_view(&self) -> bool {
-        self.rules.load().is_some() && *self.knows_endpoints.borrow()
+        self.rules.load().is_some() && self.knows_endpoints()
     }
 
     /// Whether new connections may be sent here.
--- /dev/null
+++ b/crates/gateway/tests/attempts.rs
@@ -0,0 +1,171 @@
+//! What a caller is told and how often its request ran, for each kind of
+//! request and each way in which an endpoint can fail it.
+
+mod support;
+
+use googletest::prelude::*;
+use support::{Behaviour, Call, TestGateway};
+
+/// What a route does about one failure at its first endpoint, while the other
+/// endpoint is sound.
+struct Case {
+    name: &'static str,
+    first: Behaviour,
+    path: &'static str,
+    status: u16,
+    runs: usize,
+}
+
+const fn case(
+    name: &'static str,
+    first: Behaviour,
+    path: &'static str,
+    status: u16,
+    runs: usize,
+) -> Case {
+    Case {
+        name,
+        first,
+        path,
+        status,
+        runs,
+    }
+}
+
+/// `safe` and `unsafe` may be sent to two endpoints, `once` to one.
+const CASES: [Case; 28] = [
+    case("sound", Behaviour::Answer, "/safe/", 200, 1),
+    case("sound", Behaviour::Answer, "/unsafe/", 200, 1),
+    case("unframed", Behaviour::Unframed, "/unsafe/", 200, 1),
+    case("failed", Behaviour::Fail, "/safe/", 200, 2),
+    case("failed", Behaviour::Fail, "/unsafe/", 500, 1),
+    case("failed busy", Behaviour::FailBusy, "/safe/", 200, 2),
+    case("failed busy", Behaviour::FailBusy, "/unsafe/", 502, 1),
+    case("shed", Behaviour::Shed, "/safe/", 200, 2),
+    case("shed", Behaviour::Shed, "/unsafe/", 200, 2),
+    case("shed", Behaviour::Shed, "/once/", 503, 1),
+    case("other endpoint", Behaviour::OtherEndpoint, "/safe/", 200, 2),
+    case("other endpoint", Behaviour::OtherEndpoint, "/once/", 200, 2),
+    case("reset", Behaviour::Reset, "/safe/", 200, 2),
+    case("reset", Behaviour::Reset, "/unsafe/", 502, 1),
+    case("reset", Behaviour::Reset, "/once/", 502, 1),
+    case("garbage", Behaviour::Garbage, "/safe/", 200, 2),
+    case("garbage", Behaviour::Garbage, "/unsafe/", 502, 1),
+    case("other answer", Behaviour::OtherAnswer, "/safe/", 200, 2),
+    case("other answer", Behaviour::OtherAnswer, "/unsafe/", 502, 1),
+    case("extra answer", Behaviour::ExtraAnswer, "/safe/", 200, 1),
+    case("extra answer", Behaviour::ExtraAnswer, "/unsafe/", 200, 1),
+    case("cut body", Behaviour::CutBody, "/safe/", 200, 2),
+    case("cut body", Behaviour::CutBody, "/unsafe/", 502, 1),
+    case("unsigned", Behaviour::Unsigned, "/safe/", 200, 2),
+    case("unsigned", Behaviour::Unsigned, "/unsafe/", 502, 1),
+    case("silent", Behaviour::Silent, "/safe/", 200, 2),
+    case("silent", Behaviour::Silent, "/unsafe/", 504, 1),
+    case("reset", Behaviour::Reset, "/stream/", 502, 1),
+];
+
+#[tokio::test]
+async fn attempts_end_as_the_table_says() {
+    for case in &CASES {
+        let gateway = TestGateway::before(2, Behaviour::Answer).await;
+        gateway.script.next([case.first.clone()]);
+        let call = Call::post(case.path, b"body")
+            .id("r-1")
+            .header("deadline", "1500");
+        let received = gateway.call(call).await;
+        let told = format!("{} on {}", case.name, case.path);
+        assert_that!(received.status, eq(case.status), "{told}");
+        assert_that!(gateway.runs_of("r-1"), eq(case.runs), "{told}");
+        if received.status == 200 {
+            assert_that!(received.body, eq(b"body"), "{told}");
+            assert_that!(received.is_whole, eq(true), "{told}");
+            assert_that!(received.header("id"), some(eq("r-1")), "{told}");
+        }
+    }
+}
+
+#[tokio::test]
+async fn attempts_refuse_at_once_and_say_when_to_come_back() {
+    let gateway = TestGateway::before(2, Behaviour::Shed).await;
+    let received = gateway.call(Call::post("/unsafe/", b"x").id("r-1")).await;
+    assert_that!(received.status, eq(503));
+    assert_that!(received.header("come-back"), some(anything()));
+    assert_that!(received.header("id"), some(eq("r-1")));
+}
+
+#[tokio::test]
+async fn attempts_never_promise_not_run_after_one_that_may_have() {
+    let gateway = TestGateway::before(2, Behaviour::Shed).await;
+    gateway.script.next([Behaviour::Reset]);
+    let received = gateway.call(Call::get("/safe/").id("r-1")).await;
+    assert_that!(received.status, eq(502));
+}
+
+#[tokio::test]
+async fn attempts_pass_over_endpoints_that_are_not_there() {
+    let gateway = TestGateway::before(1, Behaviour::Answer).await;
+    let mut gone = gateway.endpoints[0].endpoint.clone();
+    for i in 0..3 {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+        gone.name = format!("gone-{i}").as_str().into();
+        gone.address = listener.local_addr().expect("an address");
+        drop(listener);
+        gateway.source.list(gone.clone());
+    }
+    for i in 0..20 {
+        let id = format!("r-{i}");
+        let received = gateway.call(Call::post("/once/", b"x").id(&id)).await;
+        assert_that!(received.status, eq(200), "{id}");
+        assert_that!(gateway.runs_of(&id), eq(1));
+    }
+}
+
+#[tokio::test]
+async fn attempts_use_no_connection_that_its_endpoint_closed() {
+    let gateway = TestGateway::before(1, Behaviour::AnswerThenClose).await;
+    for i in 0..50 {
+        let id = format!("r-{i}");
+        let received = gateway.call(Call::post("/once/", b"x").id(&id)).await;
+        assert_that!(received.status, eq(200), "{id}");
+    }
+}
+
+#[tokio::test]
+async fn attempts_use_no_connection_with_an_extra_answer() {
+    let gateway = TestGateway::before(1, Behaviour::ExtraAnswer).await;
+    for i in 0..30 {
+        let id = format!("r-{i}");
+        let received = gateway.call(Call::post("/once/", b"x").id(&id)).await;
+        assert_that!(received.status, eq(200), "{id}");
+        assert_that!(received.header("id"), some(eq(id.as_str())));
+    }
+}
+
+#[tokio::test]
+async fn attempts_keep_connections_between_requests() {
+    let gateway = TestGateway::before(1, Behaviour::Answer).await;
+    for i in 0..20 {
+        gateway
+            .call(Call::get("/safe/").id(&format!("r-{i}")))
+            .await;
+    }
+    assert_that!(gateway.endpoints[0].connections(), lt(5));
+}
+
+#[tokio::test]
+async fn attempts_end_when_the_caller_leaves() {
+    let gateway = TestGateway::before(1, Behaviour::Silent).await;
+    let call = Call::post("/once/", b"x").id("r-1").bytes();
+    let address = gateway.running.front_address();
+    let mut stream = tokio::net::TcpStream::connect(address)
+        .await
+        .expect("a connection");
+    tokio::io::AsyncWriteExt::write_all(&mut stream, &call)
+        .await
+        .expect("a request");
+    while gateway.runs_of("r-1") == 0 {
+        tokio::time::sleep(std::time::Duration::from_millis(1)).await;
+    }
+    drop(stream);
+    gateway.endpoints[0].was_left().await;
+}
--- /dev/null
+++ b/crates/gateway/tests/calls.rs
@@ -0,0 +1,240 @@
+//! Requests at the front: what is taken in, refused and passed on unchanged.
+
+mod support;
+
+use std::time::Duration;
+
+use chalkrock_routing::{CallerLimits, RulesVersion};
+use googletest::prelude::*;
+use support::{Behaviour, Call, TestGateway, TestSource, receive, rules};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+
+async fn raw(gateway: &TestGateway, bytes: &[u8]) -> support::Received {
+    let address = gateway.running.front_address();
+    let mut stream = TcpStream::connect(address).await.expect("a connection");
+    stream.write_all(bytes).await.expect("a request");
+    receive(&mut stream).await
+}
+
+#[tokio::test]
+async fn call_reaches_the_endpoint_unchanged() {
+    let gateway = TestGateway::before(1, Behaviour::Answer).await;
+    let body = vec![b'x'; 100_000];
+    let call = Call::post("/unsafe/a%20b/c?q=1&r=%2F", &body)
+        .id("r-1")
+        .header("kept", "as it is")
+        .header("deadline", "900");
+    let received = gateway.call(call).await;
+    assert_that!(received.status, eq(200));
+    let seen = gateway.endpoints[0].seen();
+    let line = seen[0].head.lines().next();
+    assert_that!(line, some(eq("POST /unsafe/a%20b/c?q=1&r=%2F HTTP/1.1")));
+    assert_that!(seen[0].body, eq(&body));
+    assert_that!(seen[0].header("kept"), some(eq("as it is")));
+    assert_that!(seen[0].header("endpoint"), some(eq("endpoint-0")));
+    assert_that!(seen[0].header("organisation"), some(eq("dispatch")));
+    assert_that!(seen[0].header("key"), none());
+    let deadline_ms = seen[0]
+        .header("deadline")
+        .and_then(|ms| ms.parse::<u64>().ok());
+    assert_that!(deadline_ms, some(le(900)));
+}
+
+#[tokio::test]
+async fn call_with_a_body_in_chunks_arrives_whole() {
+    let gateway = TestGateway::before(1, Behaviour::Answer).await;
+    let request = b"POST /unsafe/ HTTP/1.1\r\nhost: a.example\r\nid: r-1\r\nkey: key-1\r\n\
+        transfer-encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+    let received = raw(&gateway, request).await;
+    assert_that!(received.status, eq(200));
+    assert_that!(gateway.endpoints[0].seen()[0].body, eq(b"abcde"));
+}
+
+#[tokio::test]
+async fn call_that_no_rule_allows_is_refused() {
+    let gateway = TestGateway::before(1, Behaviour::Answer).await;
+    let cases = [
+        ("unknown path", Call::get("/nowhere/"), 404),
+        (
+            "unknown host",
+            Call::get("/safe/").header("host", "c.example"),
+            404,
+        ),
+        (
+            "unknown key",
+            Call::get("/safe/").header("key", "key-9"),
+            401,
+        ),
+        ("no key", Call::get("/safe/").header("key", ""), 401),
+    ];
+    for (name, call, status) in cases {
+        let received = gateway.call(call.id("r-1")).await;
+        assert_that!(received.status, eq(status), "{name}");
+        assert_that!(received.header("id"), some(eq("r-1")), "{name}");
+    }
+    assert_that!(gateway.runs_of("r-1"), eq(0));
+}
+
+#[tokio::test]
+async fn call_is_refused_while_nothing_is_known() {
+    let gateway = TestGateway::with(TestSource::default(), "host-1", Vec::new()).await;
+    let received = gateway.call(Call::get("/safe/").id("r-1")).await;
+    assert_that!(received.status, eq(503));
+    assert_that!(received.header("come-back"), some(anything()));
+    assert_that!(gateway.ready_status().await, eq(503));
+}
+
+#[tokio::test]
+async fn call_is_refused_while_its_pool_is_empty() {
+    let gateway = TestGateway::before(0, Behaviour::Answer).await;
+    let received = gateway.call(Call::get("/safe/").id("r-1")).await;
+    assert_that!(received.status, eq(503));
+}
+
+#[tokio::test]
+async fn call_is_given_up_at_its_deadline() {
+    let gateway = TestGateway::before(1, Behaviour::Silent).await;
+    let call = Call::post("/once/", b"x")
+        .id("r-1")
+        .header("deadline", "200");
+    assert_that!(gateway.call(call).await.status, eq(504));
+}
+
+#[tokio::test]
+async fn call_with_bad_bytes_is_never_passed_on() {
+    let gateway = TestGateway::before(1, Behaviour::Answer).await;
+    let long_header = format!(
+        "GET /safe/ HTTP/1.1\r\nhost: a.example\r\nid: r-1\r\nkey: key-1\r\nx: {}\r\n\r\n",
+        "y".repeat(200_000)
+    );
+    let cases: [(&str, &[u8], &[u16]); 7] = [
+        ("no protocol", b"hello\r\n\r\n", &[400]),
+        ("binary", b"\x00\x01\x02\x03\r\n\r\n", &[400]),
+        ("long head", long_header.as_bytes(), &[0, 431]),
+        (
+            "two lengths",
+            b"POST /unsafe/ HTTP/1.1\r\nhost: a.example\r\nid: r-1\r\nkey: key-1\r\n\
+              content-length: 3\r\ncontent-length: 5\r\n\r\nabcde",
+            &[400],
+        ),
+        (
+            "no number",
+            b"POST /unsafe/ HTTP/1.1\r\nhost: a.example\r\nid: r-1\r\nkey: key-1\r\n\
+              content-length: x\r\n\r\nabc",
+            &[400],
+        ),
+        (
+            "bad chunk",
+            b"POST /unsafe/ HTTP/1.1\r\nhost: a.example\r\nid: r-1\r\nkey: key-1\r\n\
+              transfer-encoding: chunked\r\n\r\nzz\r\nabc\r\n",
+            &[0, 400],
+        ),
+        (
+            "huge body",
+            b"POST /unsafe/ HTTP/1.1\r\nhost: a.example\r\nid: r-1\r\nkey: key-1\r\n\
+              content-length: 99999999999\r\n\r\nabc",
+            &[413],
+        ),
+    ];
+    for (name, bytes, statuses) in cases {
+        let received = raw(&gateway, bytes).await;
+        assert_that!(
+            statuses.contains(&received.status),
+            eq(true),
+            "{name}: {received:?}"
+        );
+    }
+    assert_that!(gateway.endpoints[0].seen(), is_empty());
+    let received = gateway.call(Call::get("/safe/").id("r-2")).await;
+    assert_that!(received.status, eq(200));
+}
+
+#[tokio::test]
+async fn call_with_length_and_chunks_is_not_smuggled() {
+    let gateway = TestGateway::before(1, Behaviour::Answer).await;
+    let request = b"POST /unsafe/ HTTP/1.1\r\nhost: a.example\r\nid: r-1\r\nkey: key-1\r\n\
+        content-length: 4\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n\
+        GET /safe/ HTTP/1.1\r\nhost: a.example\r\nid: r-2\r\nkey: key-1\r\n\r\n";
+    raw(&gateway, request).await;
+    for seen in gateway.endpoints[0].seen() {
+        assert_that!(seen.header("content-length"), any![none(), some(eq("0"))]);
+        assert_that!(seen.header("transfer-encoding"), none());
+    }
+}
+
+#[tokio::test]
+async fn call_over_the_limits_of_the_rules_is_refused() {
+    let source = TestSource::default();
+    let mut small = rules(1);
+    small.limits = CallerLimits {
+        body_max_bytes: 10,
+        ..CallerLimits::default()
+    };
+    source.set_rules(small);
+    let gateway = TestGateway::with(source, "host-1", Vec::new()).await;
+    gateway.ready().await;
+    let large = Call::post("/unsafe/", b"eleven byte").id("r-1");
+    assert_that!(gateway.call(large).await.status, eq(413));
+    let chunked = b"POST /unsafe/ HTTP/1.1\r\nhost: a.example\r\nid: r-1\r\nkey: key-1\r\n\
+        transfer-encoding: chunked\r\n\r\nb\r\neleven byte\r\n0\r\n\r\n";
+    assert_that!(raw(&gateway, chunked).await.status, eq(413));
+}
+
+#[tokio::test]
+async fn rules_come_into_force_and_never_revert() {
+    let gateway = TestGateway::before(1, Behaviour::Answer).await;
+    let mut newer = rules(5);
+    newer.routes.retain(|route| &*route.name != "safe");
+    gateway.source.set_rules(newer);
+    while gateway.call(Call::get("/safe/").id("r")).await.status != 404 {
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+    gateway.source.set_rules(rules(4));
+    // What follows the older version has been read when its successor holds.
+    let mut newest = rules(6);
+    newest.routes.retain(|route| &*route.name != "once");
+    newest.routes.retain(|route| &*route.name != "safe");
+    gateway.source.set_rules(newest);
+    while gateway
+        .call(Call::post("/once/", b"x").id("r"))
+        .await
+        .status
+        != 404
+    {
+        assert_that!(
+            gateway.call(Call::get("/safe/").id("r")).await.status,
+            eq(404)
+        );
+    }
+    let metrics = gateway.metrics().await;
+    let version = RulesVersion(6).0;
+    assert_that!(
+        metrics,
+        contains_substring(format!("chalkrock_rules_version{{}} {version}"))
+    );
+}
+
+#[tokio::test]
+async fn endpoint_that_leaves_gets_no_new_work() {
+    let gateway = TestGateway::before(2, Behaviour::Answer).await;
+    let leaving = &gateway.endpoints[0];
+    gateway.source.list(leaving.leaving());
+    let is_known = async || {
+        let metrics = gateway.metrics().await;
+        let version = metrics
+            .lines()
+            .find(|l| l.starts_with("chalkrock_endpoints_version"));
+        version.is_some_and(|line| line.ends_with(" 4"))
+    };
+    while !is_known().await {
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+    let before = leaving.seen().len();
+    for i in 0..40 {
+        gateway
+            .call(Call::get("/safe/").id(&format!("r-{i}")))
+            .await;
+    }
+    assert_that!(leaving.seen().len(), eq(before));
+}
--- /dev/null
+++ b/crates/gateway/tests/stops.rs
@@ -0,0 +1,67 @@
+//! A planned stop cuts off nothing that runs.
+
+mod support;
+
+use googletest::prelude::*;
+use support::{Behaviour, Call, TestGateway, receive};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+
+#[tokio::test]
+async fn stop_lets_what_runs_end() {
+    let gateway = TestGateway::before(1, Behaviour::AnswerAfter(1_200)).await;
+    let address = gateway.running.front_address();
+    let running = tokio::spawn(async move { Call::get("/safe/").id("r-1").to(address).await });
+    while gateway.runs_of("r-1") == 0 {
+        tokio::time::sleep(std::time::Duration::from_millis(1)).await;
+    }
+    gateway.stop.stop();
+    let received = running.await.expect("the caller");
+    assert_that!(received.status, eq(200));
+    gateway.running.ended().await;
+}
+
+#[tokio::test]
+async fn stop_is_told_at_once_to_the_entry_and_to_callers() {
+    let gateway = TestGateway::before(1, Behaviour::Answer).await;
+    gateway.stop.stop();
+    while gateway.ready_status().await != 503 {
+        tokio::task::yield_now().await;
+    }
+    let received = gateway.call(Call::get("/safe/").id("r-1")).await;
+    assert_that!(received.status, eq(200));
+    assert_that!(received.header("connection"), some(eq("close")));
+}
+
+#[tokio::test]
+async fn stop_refuses_late_requests_and_sends_callers_elsewhere() {
+    let gateway = TestGateway::before(1, Behaviour::Answer).await;
+    gateway.endpoints[0].usually(Behaviour::Silent);
+    let address = gateway.running.front_address();
+    // Something runs on, so that the host does not end before it refuses.
+    let _held = tokio::spawn(async move { Call::get("/safe/").id("held").to(address).await });
+    gateway.stop.stop();
+    loop {
+        let call = Call::get("/safe/").id("r-1").header("deadline", "50");
+        let received = gateway.call(call).await;
+        if received.header("come-back") == Some("10") {
+            assert_that!(received.status, eq(503));
+            assert_that!(received.header("connection"), some(eq("close")));
+            return;
+        }
+    }
+}
+
+#[tokio::test]
+async fn stop_closes_connections_that_rest() {
+    let gateway = TestGateway::before(1, Behaviour::Answer).await;
+    let address = gateway.running.front_address();
+    let mut stream = TcpStream::connect(address).await.expect("a connection");
+    let call = Call::get("/safe/").id("r-1").bytes();
+    stream.write_all(&call).await.expect("a request");
+    assert_that!(receive(&mut stream).await.status, eq(200));
+    gateway.stop.stop();
+    // Nothing more comes, and the connection ends.
+    assert_that!(receive(&mut stream).await.status, eq(0));
+    gateway.running.ended().await;
+}
--- /dev/null
+++ b/crates/gateway/tests/streams.rs
@@ -0,0 +1,173 @@
+//! Streams: passed on whole and in order, resumed where they may be, and
+//! never made to look complete where they are not.
+
+mod support;
+
+use googletest::prelude::*;
+use support::{Behaviour, Call, TestGateway, event};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+
+const LAST: u64 = 9;
+
+fn whole_stream() -> Behaviour {
+    Behaviour::Stream {
+        last: LAST,
+        cut_at: None,
+    }
+}
+
+fn cut_stream(cut_at: u64) -> Behaviour {
+    Behaviour::Stream {
+        last: LAST,
+        cut_at: Some(cut_at),
+    }
+}
+
+fn all_events() -> Vec<u64> {
+    (0..=LAST).collect()
+}
+
+#[tokio::test]
+async fn stream_is_passed_on_whole_and_unchanged() {
+    for path in ["/stream/", "/resumable/"] {
+        let gateway = TestGateway::before(2, whole_stream()).await;
+        let received = gateway.call(Call::post(path, b"x").id("r-1")).await;
+        let bytes: Vec<u8> = (0..=LAST).flat_map(event).collect();
+        assert_that!(received.status, eq(200), "{path}");
+        assert_that!(received.is_whole, eq(true), "{path}");
+        assert_that!(received.body, eq(&bytes), "{path}");
+        assert_that!(gateway.runs_of("r-1"), eq(1), "{path}");
+    }
+}
+
+#[tokio::test]
+async fn stream_that_breaks_off_goes_on_elsewhere_if_it_may() {
+    for cut_at in [0, 1, 5, LAST] {
+        let gateway = TestGateway::before(2, whole_stream()).await;
+        gateway.script.next([cut_stream(cut_at)]);
+        let received = gateway
+            .call(Call::post("/resumable/", b"x").id("r-1"))
+            .await;
+        assert_that!(received.events(), eq(&all_events()), "cut at {cut_at}");
+        assert_that!(received.is_whole, eq(true), "cut at {cut_at}");
+        assert_that!(gateway.runs_of("r-1"), eq(2), "cut at {cut_at}");
+    }
+}
+
+#[tokio::test]
+async fn stream_goes_on_more_than_once() {
+    let gateway = TestGateway::before(3, whole_stream()).await;
+    gateway.script.next([cut_stream(2), cut_stream(6)]);
+    let received = gateway
+        .call(Call::post("/resumable/", b"x").id("r-1"))
+        .await;
+    assert_that!(received.events(), eq(&all_events()));
+    assert_that!(received.is_whole, eq(true));
+}
+
+#[tokio::test]
+async fn stream_that_falls_silent_goes_on_elsewhere_if_it_may() {
+    let gateway = TestGateway::before(2, whole_stream()).await;
+    gateway
+        .script
+        .next([Behaviour::StreamThenSilence { last: 3 }]);
+    let received = gateway
+        .call(Call::post("/resumable/", b"x").id("r-1"))
+        .await;
+    assert_that!(received.events(), eq(&all_events()));
+    assert_that!(received.is_whole, eq(true));
+}
+
+#[tokio::test]
+async fn stream_that_may_not_be_resumed_breaks_off_and_is_not_run_again() {
+    let gateway = TestGateway::before(2, whole_stream()).await;
+    gateway.script.next([cut_stream(4)]);
+    let received = gateway.call(Call::post("/stream/", b"x").id("r-1")).await;
+    assert_that!(received.events().len(), le(5));
+    assert_that!(received.is_whole, eq(false));
+    assert_that!(gateway.runs_of("r-1"), eq(1));
+}
+
+#[tokio::test]
+async fn stream_that_breaks_off_everywhere_does_not_look_complete() {
+    let gateway = TestGateway::before(3, cut_stream(4)).await;
+    let received = gateway
+        .call(Call::post("/resumable/", b"x").id("r-1"))
+        .await;
+    assert_that!(received.events(), eq(&[0, 1, 2, 3]));
+    assert_that!(received.is_whole, eq(false));
+}
+
+#[tokio::test]
+async fn stream_is_not_sent_to_more_endpoints_than_its_route_allows() {
+    let gateway = TestGateway::before(6, cut_stream(4)).await;
+    gateway
+        .call(Call::post("/resumable/", b"x").id("r-1"))
+        .await;
+    assert_that!(gateway.runs_of("r-1"), eq(3));
+}
+
+#[tokio::test]
+async fn stream_of_a_failed_endpoint_begins_elsewhere_if_it_may() {
+    let gateway = TestGateway::before(2, whole_stream()).await;
+    gateway.script.next([Behaviour::Fail]);
+    let received = gateway
+        .call(Call::post("/resumable/", b"x").id("r-1"))
+        .await;
+    assert_that!(received.events(), eq(&all_events()));
+    assert_that!(received.is_whole, eq(true));
+}
+
+#[tokio::test]
+async fn stream_goes_on_after_the_event_that_the_caller_names() {
+    let gateway = TestGateway::before(2, whole_stream()).await;
+    gateway.script.next([cut_stream(7)]);
+    let call = Call::post("/resumable/", b"x")
+        .id("r-1")
+        .header("after", "5");
+    let received = gateway.call(call).await;
+    assert_that!(received.events(), eq(&[6, 7, 8, 9]));
+}
+
+#[tokio::test]
+async fn stream_ends_when_the_caller_leaves() {
+    for path in ["/stream/", "/resumable/"] {
+        let gateway = TestGateway::before(1, Behaviour::StreamThenSilence { last: 3 }).await;
+        let call = Call::post(path, b"x").id("r-1").bytes();
+        let address = gateway.running.front_address();
+        let mut stream = tokio::net::TcpStream::connect(address)
+            .await
+            .expect("a connection");
+        stream.write_all(&call).await.expect("a request");
+        let mut first = [0; 16];
+        stream.read_exact(&mut first).await.expect("a head");
+        drop(stream);
+        gateway.endpoints[0].was_left().await;
+        assert_that!(gateway.runs_of("r-1"), eq(1), "{path}");
+    }
+}
+
+#[tokio::test]
+async fn stream_tells_where_its_prefix_lies() {
+    let gateway = TestGateway::before(4, whole_stream()).await;
+    let call = |id: &str| {
+        Call::post("/stream/", b"x")
+            .id(id)
+            .header("parts", "7,8,99")
+    };
+    gateway.call(call("r-1")).await;
+    let home = gateway.endpoints.iter().position(|e| e.runs_of("r-1") == 1);
+    let home = home.expect("it ran");
+    gateway.source.list(gateway.endpoints[home].leaving());
+    loop {
+        gateway.call(call("r-2")).await;
+        let elsewhere = gateway.endpoints.iter().enumerate();
+        let mut elsewhere = elsewhere.filter(|(i, e)| *i != home && e.runs_of("r-2") > 0);
+        if let Some((_, endpoint)) = elsewhere.next() {
+            let seen = endpoint.seen();
+            let held = gateway.endpoints[home].endpoint.address.to_string();
+            assert_that!(seen[0].header("holder"), some(eq(held.as_str())));
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/support/edge.rs
@@ -0,0 +1,90 @@
+//! The spelling that the tests use.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use chalkrock_core::RequestId;
+use chalkrock_gateway::{AnswerHead, CallHead, Edge, PrefixPart, Refusal, SendHead};
+use hyper::header::{HeaderMap, HeaderValue};
+use hyper::{Response, StatusCode, http};
+
+/// Plain headers: `id`, `key`, `deadline`, `parts`, `after`, `endpoint`.
+#[derive(Clone, Copy, Debug)]
+pub struct TestEdge;
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+fn put(headers: &mut HeaderMap, name: &'static str, value: &str) {
+    headers.insert(name, HeaderValue::from_str(value).expect("a header"));
+}
+
+impl Edge for TestEdge {
+    fn read_call(&self, head: &http::request::Parts) -> Result<CallHead, Refusal> {
+        let headers = &head.headers;
+        let host = text(headers, "host").unwrap_or_default();
+        let parts = text(headers, "parts").unwrap_or_default().split(',');
+        Ok(CallHead {
+            id: text(headers, "id").map(RequestId::from),
+            host: host.split(':').next().unwrap_or_default().into(),
+            key: text(headers, "key").map(Arc::from),
+            deadline_ms: text(headers, "deadline").and_then(|ms| ms.parse().ok()),
+            prefix: parts
+                .filter_map(|part| part.parse().ok())
+                .map(|hash| PrefixPart { hash, tokens: 100 })
+                .collect(),
+            resume_after: text(headers, "after").and_then(|id| id.parse().ok()),
+        })
+    }
+
+    fn endpoint_headers(&self, caller: &HeaderMap, send: &SendHead<'_>) -> HeaderMap {
+        let mut headers = caller.clone();
+        headers.remove("key");
+        headers.remove("after");
+        put(&mut headers, "endpoint", send.endpoint.as_str());
+        put(&mut headers, "deadline", &send.deadline_ms.to_string());
+        put(&mut headers, "priority", &send.priority.to_string());
+        if let Some(organisation) = send.organisation {
+            put(&mut headers, "organisation", organisation.as_str());
+        }
+        if let Some(after) = send.resume_after {
+            put(&mut headers, "after", &after.to_string());
+        }
+        if let Some(holder) = send.holder {
+            put(&mut headers, "holder", &holder.to_string());
+        }
+        headers
+    }
+
+    fn read_answer(&self, head: &http::response::Parts) -> AnswerHead {
+        AnswerHead {
+            id: text(&head.headers, "id").map(RequestId::from),
+            is_signed: head.headers.contains_key("signature"),
+            says_not_run: head.headers.contains_key("not-run"),
+            is_other_endpoint: head.status == StatusCode::MISDIRECTED_REQUEST,
+            keep_alive_s: None,
+            closes: head.headers.contains_key("connection"),
+        }
+    }
+
+    fn caller_headers(&self, endpoint: &HeaderMap) -> HeaderMap {
+        endpoint.clone()
+    }
+
+    fn refusal(&self, id: Option<&RequestId>, refusal: &Refusal) -> Response<Bytes> {
+        let mut response = Response::new(Bytes::from(refusal.reason.code()));
+        *response.status_mut() = StatusCode::from_u16(refusal.reason.status()).expect("a status");
+        if let Some(id) = id {
+            put(response.headers_mut(), "id", id.as_str());
+        }
+        if let Some(after_ms) = refusal.retry_after_ms {
+            put(response.headers_mut(), "come-back", &after_ms.to_string());
+        }
+        response
+    }
+
+    fn ready_path(&self) -> &str {
+        "/ready"
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/support/fleet.rs
@@ -0,0 +1,316 @@
+//! One gateway and what a caller of it receives.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use chalkrock_core::PoolId;
+use chalkrock_gateway::{GatewayConfig, RunningGateway, start};
+use chalkrock_process::{StopHandle, stop_pair};
+use chalkrock_routing::{
+    Backend, BudgetRules, OrganisationRules, Route, RouteKind, RulesDocument, RulesVersion,
+};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+
+use super::{Behaviour, Script, ScriptedEndpoint, TestEdge, TestSource};
+
+/// A key of the organisation `dispatch`.
+pub const KEY: &str = "key-1";
+const READY_PAUSE: Duration = Duration::from_millis(5);
+
+/// The routes of all tests: one a kind, on the pool `pool`.
+pub fn route(name: &str, kind: RouteKind, attempts_max: u32) -> Route {
+    Route {
+        name: name.into(),
+        host: "a.example".into(),
+        path_prefix: format!("/{name}/").into(),
+        backends: vec![Backend {
+            pool: PoolId::from("pool"),
+            weight: 1,
+        }],
+        kind,
+        timeout_ms: 3_000,
+        objective_ms: 300,
+        attempts_max,
+        priority: 1,
+        is_public: false,
+    }
+}
+
+/// The rules of all tests.
+pub fn rules(version: u64) -> RulesDocument {
+    RulesDocument {
+        version: RulesVersion(version),
+        routes: vec![
+            route("safe", RouteKind::Safe, 2),
+            route("unsafe", RouteKind::Unsafe, 2),
+            route("once", RouteKind::Unsafe, 1),
+            route("stream", RouteKind::Stream { resumable: false }, 1),
+            route("resumable", RouteKind::Stream { resumable: true }, 3),
+        ],
+        organisations: vec![OrganisationRules {
+            name: "dispatch".into(),
+            priority: 1,
+            keys: vec![Arc::from(KEY)],
+        }],
+        ..RulesDocument::default()
+    }
+}
+
+/// A running gateway.
+pub struct TestGateway {
+    pub running: RunningGateway,
+    pub stop: StopHandle,
+    pub source: TestSource,
+    pub endpoints: Vec<ScriptedEndpoint>,
+    /// What its endpoints do next.
+    pub script: Script,
+}
+
+impl TestGateway {
+    /// A gateway before so many endpoints, ready to serve.
+    pub async fn before(endpoints: usize, usual: Behaviour) -> Self {
+        let source = TestSource::default();
+        source.set_rules(rules(1));
+        let script = Script::default();
+        let mut started = Vec::new();
+        for i in 0..endpoints {
+            let name = format!("endpoint-{i}");
+            let endpoint =
+                ScriptedEndpoint::start(&name, "pool", usual.clone(), script.clone()).await;
+            source.list(endpoint.endpoint.clone());
+            started.push(endpoint);
+        }
+        let gateway = Self::with(source, "host-1", Vec::new()).await;
+        gateway.ready().await;
+        Self {
+            endpoints: started,
+            script,
+            ..gateway
+        }
+    }
+
+    /// A gateway of a source, which may know nothing yet.
+    pub async fn with(source: TestSource, host: &str, seeds: Vec<SocketAddr>) -> Self {
+        const GRACE_MS: u64 = 2_000;
+        let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
+        let config = GatewayConfig::builder(host, "zone-a", any)
+            .ready_listen(any)
+            .metrics_listen(any)
+            .peer_listen(any)
+            .peer_seeds(seeds)
+            .grace_ms(GRACE_MS)
+            .retry_budget(BudgetRules {
+                ratio: 0.2,
+                slack: 100.0,
+                window_ms: 10_000,
+            })
+            .build();
+        let (stop, asked) = stop_pair();
+        let (_, reloads) = mpsc::channel(1);
+        let running = start(config, Box::new(TestEdge), source.clone(), asked, reloads)
+            .await
+            .expect("the gateway starts");
+        Self {
+            running,
+            stop,
+            source,
+            endpoints: Vec::new(),
+            script: Script::default(),
+        }
+    }
+
+    /// Waits until it says that it is ready.
+    pub async fn ready(&self) {
+        while self.ready_status().await != 200 {
+            tokio::time::sleep(READY_PAUSE).await;
+        }
+    }
+
+    /// What it says when it is asked whether it is ready.
+    pub async fn ready_status(&self) -> u16 {
+        let address = self.running.status_addresses()[0];
+        let answer = Call::get("/ready").to(address).await;
+        answer.status
+    }
+
+    /// Its metrics.
+    pub async fn metrics(&self) -> String {
+        let address = self.running.status_addresses()[1];
+        let answer = Call::get("/metrics").to(address).await;
+        String::from_utf8_lossy(&answer.body).into_owned()
+    }
+
+    /// Sends a call.
+    pub async fn call(&self, call: Call) -> Received {
+        call.to(self.running.front_address()).await
+    }
+
+    /// How often a request ran, over all endpoints.
+    pub fn runs_of(&self, id: &str) -> usize {
+        self.endpoints.iter().map(|e| e.runs_of(id)).sum()
+    }
+}
+
+/// A caller's request.
+#[derive(Clone, Debug)]
+pub struct Call {
+    method: &'static str,
+    path: String,
+    headers: Vec<(String, String)>,
+    body: Vec<u8>,
+}
+
+/// What a caller received on its connection until it was closed or, for an
+/// answer with a length, until the answer was whole.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Received {
+    /// 0 if the connection closed without a head.
+    pub status: u16,
+    pub head: String,
+    pub body: Vec<u8>,
+    /// Whether the body has the end that its framing asks for.
+    pub is_whole: bool,
+}
+
+impl Received {
+    /// A header's value.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let mut lines = self.head.lines().skip(1);
+        lines.find_map(|line| {
+            let (known, value) = line.split_once(':')?;
+            known.eq_ignore_ascii_case(name).then(|| value.trim())
+        })
+    }
+
+    /// The numbers of the events in the body.
+    pub fn events(&self) -> Vec<u64> {
+        let text = String::from_utf8_lossy(&self.body).into_owned();
+        let ids = text.lines().filter_map(|line| line.strip_prefix("id: "));
+        ids.filter_map(|id| id.parse().ok()).collect()
+    }
+}
+
+impl Call {
+    /// A `GET` with a key.
+    pub fn get(path: &str) -> Self {
+        Self {
+            method: "GET",
+            path: path.to_owned(),
+            headers: vec![
+                ("host".to_owned(), "a.example".to_owned()),
+                ("key".to_owned(), KEY.to_owned()),
+            ],
+            body: Vec::new(),
+        }
+    }
+
+    /// A `POST` with a key.
+    pub fn post(path: &str, body: &[u8]) -> Self {
+        Self {
+            method: "POST",
+            body: body.to_vec(),
+            ..Self::get(path)
+        }
+    }
+
+    /// Names the request.
+    pub fn id(self, id: &str) -> Self {
+        self.header("id", id)
+    }
+
+    /// Sets a header, or takes it away if it is empty.
+    pub fn header(mut self, name: &str, value: &str) -> Self {
+        self.headers.retain(|(known, _)| known != name);
+        if !value.is_empty() {
+            self.headers.push((name.to_owned(), value.to_owned()));
+        }
+        self
+    }
+
+    /// The bytes of the request.
+    pub fn bytes(&self) -> Vec<u8> {
+        let mut text = format!("{} {} HTTP/1.1\r\n", self.method, self.path);
+        for (name, value) in &self.headers {
+            text.push_str(&format!("{name}: {value}\r\n"));
+        }
+        if !self.body.is_empty() {
+            text.push_str(&format!("content-length: {}\r\n", self.body.len()));
+        }
+        text.push_str("\r\n");
+        [text.as_bytes(), &self.body].concat()
+    }
+
+    /// Sends it on a new connection.
+    pub async fn to(&self, address: SocketAddr) -> Received {
+        let mut stream = TcpStream::connect(address).await.expect("a connection");
+        stream.write_all(&self.bytes()).await.expect("a request");
+        receive(&mut stream).await
+    }
+}
+
+/// Receives one answer.
+pub async fn receive(stream: &mut TcpStream) -> Received {
+    let mut bytes = Vec::new();
+    loop {
+        if let Some(received) = parse(&bytes, false) {
+            return received;
+        }
+        match stream.read_buf(&mut bytes).await {
+            Ok(0) | Err(_) => break,
+            Ok(_) => {}
+        }
+    }
+    parse(&bytes, true).unwrap_or(Received {
+        status: 0,
+        head: String::new(),
+        body: bytes,
+        is_whole: false,
+    })
+}
+
+/// Parses an answer; one that is not whole only if the connection has closed.
+fn parse(bytes: &[u8], is_closed: bool) -> Option<Received> {
+    let end = bytes.windows(4).position(|window| window == b"\r\n\r\n")?;
+    let head = String::from_utf8_lossy(&bytes[..end]).into_owned();
+    let status = head.split(' ').nth(1)?.parse().ok()?;
+    let rest = &bytes[end + 4..];
+    let mut received = Received {
+        status,
+        head,
+        body: Vec::new(),
+        is_whole: false,
+    };
+    if received.header("transfer-encoding").is_some() {
+        (received.body, received.is_whole) = dechunk(rest);
+    } else {
+        let length = received.header("content-length");
+        let length: usize = length.and_then(|length| length.parse().ok()).unwrap_or(0);
+        received.is_whole = rest.len() >= length;
+        received.body = rest[..rest.len().min(length)].to_vec();
+    }
+    (received.is_whole || is_closed).then_some(received)
+}
+
+fn dechunk(mut rest: &[u8]) -> (Vec<u8>, bool) {
+    let mut body = Vec::new();
+    while let Some(end) = rest.windows(2).position(|window| window == b"\r\n") {
+        let size = String::from_utf8_lossy(&rest[..end]).into_owned();
+        let Ok(size) = usize::from_str_radix(&size, 16) else {
+            return (body, false);
+        };
+        if size == 0 {
+            return (body, true);
+        }
+        let from = end + 2;
+        if rest.len() < from + size + 2 {
+            body.extend_from_slice(&rest[from..rest.len().min(from + size)]);
+            return (body, false);
+        }
+        body.extend_from_slice(&rest[from..from + size]);
+        rest = &rest[from + size + 2..];
+    }
+    (body, false)
+}
--- /dev/null
+++ b/crates/gateway/tests/support/source.rs
@@ -0,0 +1,147 @@
+//! A platform in memory that can be switched off.
+
+use std::sync::{Arc, Mutex, PoisonError};
+
+use chalkrock_core::{Endpoint, EndpointId};
+use chalkrock_gateway::{HostRow, News, Row, Source, SourceError, StoreVersion, Topic};
+use chalkrock_routing::RulesDocument;
+use tokio::sync::watch;
+
+#[derive(Default)]
+struct State {
+    is_down: bool,
+    version: u64,
+    rules: Option<(u64, RulesDocument)>,
+    endpoints: Vec<(u64, EndpointId, Option<Endpoint>)>,
+    hosts: Vec<HostRow>,
+}
+
+/// A platform that several gateways may share.
+#[derive(Clone)]
+pub struct TestSource {
+    state: Arc<Mutex<State>>,
+    changed: Arc<watch::Sender<u64>>,
+}
+
+impl Default for TestSource {
+    fn default() -> Self {
+        Self {
+            state: Arc::default(),
+            changed: Arc::new(watch::channel(0).0),
+        }
+    }
+}
+
+impl TestSource {
+    fn change(&self, change: impl FnOnce(&mut State, u64)) {
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        state.version += 1;
+        let version = state.version;
+        change(&mut state, version);
+        drop(state);
+        self.changed.send_replace(version);
+    }
+
+    /// Puts rules into force.
+    pub fn set_rules(&self, rules: RulesDocument) {
+        self.change(|state, version| state.rules = Some((version, rules)));
+    }
+
+    /// Lists an endpoint, new or changed.
+    pub fn list(&self, endpoint: Endpoint) {
+        self.change(|state, version| {
+            state
+                .endpoints
+                .retain(|(_, name, _)| *name != endpoint.name);
+            let name = endpoint.name.clone();
+            state.endpoints.push((version, name, Some(endpoint)));
+        });
+    }
+
+    /// Lists an endpoint no longer.
+    pub fn unlist(&self, name: &EndpointId) {
+        self.change(|state, version| {
+            state.endpoints.retain(|(_, known, _)| known != name);
+            state.endpoints.push((version, name.clone(), None));
+        });
+    }
+
+    /// Answers nothing from now on, or answers again.
+    pub fn set_down(&self, is_down: bool) {
+        self.change(|state, _| state.is_down = is_down);
+    }
+
+    fn rows(&self, topic: Topic, since: Option<u64>) -> Result<News, SourceError> {
+        let state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        if state.is_down {
+            return Err(SourceError::Unavailable("switched off".to_owned()));
+        }
+        let is_new = |version: u64| since.is_none_or(|since| version > since);
+        let mut rows = Vec::new();
+        let mut newest = 0;
+        match topic {
+            Topic::Rules => {
+                if let Some((version, rules)) = state.rules.as_ref().filter(|r| is_new(r.0)) {
+                    newest = *version;
+                    rows.push(Row::Rules(Box::new(rules.clone())));
+                }
+            }
+            Topic::Endpoints => {
+                for (version, name, endpoint) in state.endpoints.iter().filter(|e| is_new(e.0)) {
+                    newest = newest.max(*version);
+                    rows.extend(match endpoint {
+                        Some(endpoint) => Some(Row::Endpoint(endpoint.clone())),
+                        None => since.map(|_| Row::EndpointGone(name.clone())),
+                    });
+                }
+            }
+        }
+        Ok(News {
+            version: StoreVersion(state.version),
+            newest_row: StoreVersion(newest),
+            rows,
+        })
+    }
+}
+
+impl Source for TestSource {
+    async fn read(&self, topic: Topic) -> Result<News, SourceError> {
+        self.rows(topic, None)
+    }
+
+    async fn changes(
+        &self,
+        topic: Topic,
+        since: StoreVersion,
+        wait_ms: u64,
+    ) -> Result<News, SourceError> {
+        let mut changed = self.changed.subscribe();
+        let news = self.rows(topic, Some(since.0))?;
+        if !news.rows.is_empty() {
+            return Ok(news);
+        }
+        let wait = std::time::Duration::from_millis(wait_ms);
+        let _nothing_may_change = tokio::time::timeout(wait, changed.changed()).await;
+        self.rows(topic, Some(since.0))
+    }
+
+    async fn join(&self, own: &HostRow) -> Result<Vec<HostRow>, SourceError> {
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        if state.is_down {
+            return Err(SourceError::Unavailable("switched off".to_owned()));
+        }
+        state
+            .hosts
+            .retain(|row| row.peer_address != own.peer_address);
+        state.hosts.push(own.clone());
+        Ok(state.hosts.clone())
+    }
+
+    async fn leave(&self, own: &HostRow) -> Result<(), SourceError> {
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        state
+            .hosts
+            .retain(|row| row.peer_address != own.peer_address);
+        Ok(())
+    }
+}
--- a/crates/routing/src/budget.rs
+++ b/crates/routing/src/budget.rs
@@ -66,16 +66,21 @@
     /// Takes one retry, if there is one left. `hosts` is how many hosts share
     /// the slack, this one among them.
     pub fn take(&mut self, now_ms: u64, hosts: usize) -> bool {
+        if !self.has_left(now_ms, hosts) {
+            return false;
+        }
+        self.step(now_ms).retries += 1;
+        true
+    }
+
+    /// Whether a retry is left to take.
+    pub fn has_left(&mut self, now_ms: u64, hosts: usize) -> bool {
         let slack = USED * self.rules.slack / hosts.max(1) as f64;
         let ratio = USED * self.rules.ratio;
         self.step(now_ms);
         let requests: u32 = self.steps.iter().map(|step| step.requests).sum();
         let retries: u32 = self.steps.iter().map(|step| step.retries).sum();
-        if f64::from(retries + 1) > ratio * f64::from(requests) + slack {
-            return false;
-        }
-        self.step(now_ms).retries += 1;
-        true
+        f64::from(retries + 1) <= ratio * f64::from(requests) + slack
     }
 
     /// The sub-window of now; those that have left the window are dropped.
--- a/crates/routing/tests/budget.rs
+++ b/crates/routing/tests/budget.rs
@@ -59,7 +59,10 @@
 
 #[test]
 fn budget_without_slack_pays_from_requests_alone() {
-    let rules = BudgetRules { slack: 0.0, ..RULES };
+    let rules = BudgetRules {
+        slack: 0.0,
+        ..RULES
+    };
     let mut budget = WindowBudget::new(rules);
     assert_that!(taken(&mut budget, 0, 8, 100), eq(0));
     (0..100).for_each(|_| budget.request(0));
--- a/crates/routing/tests/endpoints.rs
+++ b/crates/routing/tests/endpoints.rs
@@ -31,7 +31,10 @@
 
 fn live_names(table: &EndpointTable) -> Vec<String> {
     let members = table.live(&PoolId::from(POOL));
-    members.iter().map(|m| m.endpoint.name.to_string()).collect()
+    members
+        .iter()
+        .map(|m| m.endpoint.name.to_string())
+        .collect()
 }
 
 fn standing(table: &EndpointTable, name: &str) -> Option<Standing> {
--- a/crates/routing/tests/fleet_load.rs
+++ b/crates/routing/tests/fleet_load.rs
@@ -51,7 +51,10 @@
     load.merge("b", report(9, 50, 9), 0);
     assert_that!(load.merge("b", report(8, 1, 2), 100), eq(Merged::Old));
     let later_ms = REPORT_AGE_MAX_MS + 1;
-    assert_that!(load.merge("b", report(8, 9, 2), later_ms), eq(Merged::Taken));
+    assert_that!(
+        load.merge("b", report(8, 9, 2), later_ms),
+        eq(Merged::Taken)
+    );
     assert_that!(load.of(ENDPOINT), eq(2));
 }
 
--- a/crates/routing/tests/health.rs
+++ b/crates/routing/tests/health.rs
@@ -36,7 +36,11 @@
 fn health_bears_the_failures_of_an_ordinary_day() {
     let mut health = EndpointHealth::default();
     for i in 0..1_000 {
-        let sign = if i % 7 == 0 { Sign::Failure } else { Sign::Answer };
+        let sign = if i % 7 == 0 {
+            Sign::Failure
+        } else {
+            Sign::Answer
+        };
         health.see(sign, i);
         assert_that!(health.is_suspect(i), eq(false), "answer {i}");
     }
--- a/crates/routing/tests/spread.rs
+++ b/crates/routing/tests/spread.rs
@@ -63,7 +63,10 @@
     assert_that!(choose(&candidates, Some(key), &RULES, 0), some(eq(home)));
     // Mean 11.2, limit 22.2: one more would be 23.
     candidates[home].load = 22;
-    assert_that!(choose(&candidates, Some(key), &RULES, 0), some(not(eq(home))));
+    assert_that!(
+        choose(&candidates, Some(key), &RULES, 0),
+        some(not(eq(home)))
+    );
 }
 
 #[test]
@@ -99,14 +102,20 @@
     let mut candidates = idle(4);
     let home = home(&candidates, key);
     candidates[home].is_suspect = true;
-    assert_that!(choose(&candidates, Some(key), &RULES, 0), some(not(eq(home))));
+    assert_that!(
+        choose(&candidates, Some(key), &RULES, 0),
+        some(not(eq(home)))
+    );
 }
 
 #[test]
 fn choose_a_suspect_if_all_are() {
     let mut candidates = idle(4);
     candidates.iter_mut().for_each(|c| c.is_suspect = true);
-    assert_that!(choose(&candidates, Some(KeyHash(5)), &RULES, 0), some(anything()));
+    assert_that!(
+        choose(&candidates, Some(KeyHash(5)), &RULES, 0),
+        some(anything())
+    );
 }
 
 #[test]
--- a/crates/routing/tests/stop_plan.rs
+++ b/crates/routing/tests/stop_plan.rs
@@ -30,6 +30,10 @@
     for grace_ms in [0, 100, 300, 1_000, 3_000, 60_000] {
         let plan = StopPlan::new(grace_ms);
         let last_ms = grace_ms.saturating_sub(250);
-        assert_that!(plan.phase(last_ms, 9), eq(StopPhase::Ends), "grace {grace_ms}");
+        assert_that!(
+            plan.phase(last_ms, 9),
+            eq(StopPhase::Ends),
+            "grace {grace_ms}"
+        );
     }
 }
