Let a few hosts read the platform, and the others take what is new from them

An eighth of the hosts, two or more a zone and eight at least, now read; each host works out from what it hears whether it is one. Others pull what is new, as changes since the version that they have, from a host of their own zone where one knows it. A host that hears too few readers reads. Fleets of up to 12 read as a whole: little would be saved there, and a third of the hosts turned away may be all readers.

Changes that come within 150 ms are one answer.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -1,16 +1,19 @@
 //! What a host believes of endpoints and of the other hosts' requests.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 
 use chalkrock_core::rendezvous::{KeyHash, score};
-use chalkrock_core::{Endpoint, EndpointId, PoolId, ZoneId};
+use chalkrock_core::{Endpoint, PoolId, ZoneId};
 use chalkrock_routing::{
     BudgetRules, Candidate, EndpointHealth, EndpointTable, FleetLoad, Holding, Member, PrefixMap,
     Sign, SpreadRules, WindowBudget, choose,
 };
 
-use crate::source::StoreVersion;
+use crate::source::{EndpointChange, EndpointRow, StoreVersion};
+
+/// Changes of the list that are kept to pass on.
+const CHANGES_MAX: usize = 256;
 
 /// What a request wants of placement.
 #[derive(Debug)]
@@ -39,6 +42,10 @@
     pub(crate) endpoints: EndpointTable,
     /// The newest change of the list that is known.
     pub(crate) endpoints_version: StoreVersion,
+    /// The last changes of the list, to pass on.
+    changes: VecDeque<EndpointRow>,
+    /// The version from which on `changes` holds each change.
+    changes_since: StoreVersion,
     pub(crate) load: FleetLoad<SocketAddr>,
     zone: ZoneId,
     spread: SpreadRules,
@@ -55,6 +62,8 @@
         Self {
             endpoints: EndpointTable::default(),
             endpoints_version: StoreVersion::default(),
+            changes: VecDeque::new(),
+            changes_since: StoreVersion::default(),
             load: FleetLoad::default(),
             zone,
             spread,
@@ -205,22 +214,49 @@
             .expect("the budget was inserted just now")
     }
 
-    /// Takes the whole list of endpoints.
+    /// Takes the whole list of endpoints, as of a version.
     pub(crate) fn replace(&mut self, list: Vec<Endpoint>, version: StoreVersion, now_ms: u64) {
         self.endpoints.replace(list, now_ms);
         self.endpoints_version = self.endpoints_version.max(version);
+        self.changes.clear();
+        self.changes_since = self.endpoints_version;
         self.forget_health();
     }
 
-    /// Takes one entry of the list.
-    pub(crate) fn upsert(&mut self, endpoint: Endpoint) {
-        self.endpoints.upsert(endpoint);
+    /// Takes changes of the list, oldest first. One that is known already
+    /// changes nothing. Returns whether any was news.
+    pub(crate) fn take_changes(&mut self, rows: Vec<EndpointRow>, now_ms: u64) -> bool {
+        let mut is_news = false;
+        for row in rows {
+            if row.version <= self.endpoints_version {
+                continue;
+            }
+            is_news = true;
+            self.endpoints_version = row.version;
+            match &row.change {
+                EndpointChange::Listed(endpoint) => self.endpoints.upsert(endpoint.clone()),
+                EndpointChange::Gone(name) => self.endpoints.remove(name, now_ms),
+            }
+            self.changes.push_back(row);
+        }
+        while self.changes.len() > CHANGES_MAX {
+            if let Some(oldest) = self.changes.pop_front() {
+                self.changes_since = oldest.version;
+            }
+        }
+        if is_news {
+            self.forget_health();
+        }
+        is_news
     }
 
-    /// Takes one entry away.
-    pub(crate) fn remove(&mut self, name: &EndpointId, now_ms: u64) {
-        self.endpoints.remove(name, now_ms);
-        self.forget_health();
+    /// The changes since a version; `None` if they are not all known.
+    pub(crate) fn changes_after(&self, version: StoreVersion) -> Option<Vec<EndpointRow>> {
+        if version < self.changes_since {
+            return None;
+        }
+        let after = self.changes.iter().filter(|row| row.version > version);
+        Some(after.cloned().collect())
     }
 
     fn forget_health(&mut self) {
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -12,13 +12,17 @@
 
 use crate::journal::Event;
 use crate::shared::Shared;
-use crate::source::{News, Row, Source, SourceError, StoreVersion, Topic};
+use crate::source::{
+    EndpointChange, EndpointRow, News, Row, Source, SourceError, StoreVersion, Topic,
+};
 
 /// How long one wait for changes lasts. It bounds how long a lost answer goes
 /// unnoticed, and each wait is a call that is paid for.
 const WAIT_MS: u64 = 4_000;
 /// What an answer may be late.
 const LATE: Duration = Duration::from_millis(1_000);
+/// Pause after an answer, so that changes that come together are one answer.
+const GATHER: Duration = Duration::from_millis(150);
 /// How long a whole read may take.
 const READ_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Pauses after failures: the first, and the longest.
@@ -26,17 +30,20 @@
 const PAUSE_MAX_MS: u64 = 1_000;
 const FROM: &str = "platform";
 
-/// Follows one topic until the process ends.
+/// Follows one topic until the process ends, while it is this host's to read.
 pub(crate) async fn follow<S: Source>(shared: Arc<Shared>, source: Arc<S>, topic: Topic) {
     let mut trouble = Trouble::new(topic);
     let mut since = None;
     loop {
+        if since.is_some() {
+            shared.reading.wait_for_turn(topic).await;
+        }
         let answer = match since {
             None => read(&*source, topic).await,
             Some(version) => {
                 tokio::select! {
                     answer = changes(&*source, topic, version) => answer,
-                    () = shared.read_again.notified() => {
+                    () = shared.reading.again(topic) => {
                         since = None;
                         continue;
                     }
@@ -45,13 +52,18 @@
         };
         match answer {
             Ok(news) => {
+                shared.reading.answered(topic, true);
                 trouble.over(&shared);
                 let is_whole = since.is_none();
                 since = Some(news.version);
                 take(&shared, topic, news, is_whole);
+                tokio::time::sleep(GATHER).await;
             }
             Err(SourceError::HistoryGone) => since = None,
-            Err(error) => trouble.pause(&shared, &error).await,
+            Err(error) => {
+                shared.reading.answered(topic, false);
+                trouble.pause(&shared, &error).await;
+            }
         }
     }
 }
@@ -76,43 +88,42 @@
 }
 
 fn take(shared: &Shared, topic: Topic, news: News, is_whole: bool) {
-    match topic {
-        Topic::Rules => {
-            for row in news.rows {
-                if let Row::Rules(document) = row {
-                    shared.take_rules(*document, FROM);
-                }
-            }
-        }
-        Topic::Endpoints => {
-            if !news.rows.is_empty() || is_whole {
-                take_endpoints(shared, news, is_whole);
-                shared.tell_endpoints(FROM);
-            }
-            shared.endpoints_known();
+    let mut changes = Vec::new();
+    let mut is_news = false;
+    for row in news.rows {
+        match row {
+            Row::Rules(document) => is_news |= shared.take_rules(*document, FROM),
+            Row::Endpoint(row) => changes.push(row),
         }
     }
+    if topic == Topic::Endpoints {
+        is_news |= take_endpoints(shared, changes, is_whole);
+        shared.endpoints_known();
+    }
+    if is_news {
+        shared.tell_peers_now.notify_one();
+    }
 }
 
-fn take_endpoints(shared: &Shared, news: News, is_whole: bool) {
+fn take_endpoints(shared: &Shared, changes: Vec<EndpointRow>, is_whole: bool) -> bool {
     let now_ms = shared.clock.now_ms();
     let mut fleet = shared.fleet();
-    if is_whole {
-        let listed = news.rows.into_iter().filter_map(|row| match row {
-            Row::Endpoint(endpoint) => Some(endpoint),
-            Row::Rules(_) | Row::EndpointGone(_) => None,
+    let is_news = if is_whole {
+        let newest = changes.iter().map(|row| row.version).max();
+        let listed = changes.into_iter().filter_map(|row| match row.change {
+            EndpointChange::Listed(endpoint) => Some(endpoint),
+            EndpointChange::Gone(_) => None,
         });
-        fleet.replace(listed.collect(), news.newest_row, now_ms);
-        return;
-    }
-    for row in news.rows {
-        match row {
-            Row::Endpoint(endpoint) => fleet.upsert(endpoint),
-            Row::EndpointGone(name) => fleet.remove(&name, now_ms),
-            Row::Rules(_) => {}
-        }
+        fleet.replace(listed.collect(), newest.unwrap_or_default(), now_ms);
+        true
+    } else {
+        fleet.take_changes(changes, now_ms)
+    };
+    drop(fleet);
+    if is_news {
+        shared.tell_endpoints(FROM);
     }
-    fleet.endpoints_version = fleet.endpoints_version.max(news.newest_row);
+    is_news
 }
 
 /// Failures in a row, and whether they were told.
--- a/crates/gateway/src/journal.rs
+++ b/crates/gateway/src/journal.rs
@@ -115,6 +115,8 @@
         address: std::net::SocketAddr,
         is_up: bool,
     },
+    /// It is this host's to read the platform, or no longer.
+    Reads { has_turn: bool },
     /// An endpoint came under suspicion.
     Suspect {
         endpoint: &'a EndpointId,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -37,6 +37,7 @@
 mod journal;
 mod metrics;
 mod peers;
+mod reading;
 mod relay;
 mod run;
 mod shared;
@@ -47,4 +48,6 @@
 pub use config::{GatewayConfig, GatewayConfigBuilder};
 pub use edge::{AnswerHead, CallHead, Edge, PrefixPart, Refusal, SendHead};
 pub use run::{RunningGateway, start};
-pub use source::{HostRow, News, Row, Source, SourceError, StoreVersion, Topic};
+pub use source::{
+    EndpointChange, EndpointRow, HostRow, News, Row, Source, SourceError, StoreVersion, Topic,
+};
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use chalkrock_routing::{Holding, HostReport, RulesVersion};
+use chalkrock_routing::{Holding, HostReport, Reading, RulesVersion};
 use serde::{Deserialize, Serialize};
 
 use crate::source::StoreVersion;
@@ -10,6 +10,10 @@
 /// What one host tells the others.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Beat {
+    /// The short hash of its availability zone.
+    pub(crate) zone: u32,
+    /// How it stands to the platform.
+    pub(crate) reading: Reading,
     /// Its requests in progress.
     pub(crate) report: HostReport,
     /// The rules that it has in force.
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -15,7 +15,9 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use chalkrock_routing::{HostReport, Merged};
+use chalkrock_core::ZoneId;
+use chalkrock_core::rendezvous::MemberHash;
+use chalkrock_routing::{HeardHost, HostReport, Merged, Reading, reads_platform};
 use rand::seq::IndexedRandom;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
@@ -42,12 +44,21 @@
 /// Largest datagram that is read.
 const DATAGRAM_MAX_BYTES: usize = 16 * 1024;
 
+/// A host that knows more than this one.
+#[derive(Clone, Copy, Debug)]
+struct Ahead {
+    address: SocketAddr,
+    is_near: bool,
+}
+
 #[derive(Clone, Debug)]
 struct Peer {
     added_at: Instant,
     heard_at: Option<Instant>,
     told_at: Option<Instant>,
     is_up: bool,
+    zone: u32,
+    reading: Reading,
 }
 
 impl Peer {
@@ -57,6 +68,8 @@
             heard_at: None,
             told_at: None,
             is_up: false,
+            zone: 0,
+            reading: Reading::No,
         }
     }
 
@@ -80,16 +93,19 @@
     /// Which life of the host this is.
     incarnation: u64,
     known: Mutex<HashMap<SocketAddr, Peer>>,
+    /// The short hash of this host's availability zone.
+    zone: u32,
     /// Who knows more than this host.
-    ahead: Mutex<Option<SocketAddr>>,
+    ahead: Mutex<Option<Ahead>>,
     pub(crate) is_behind: Notify,
 }
 
 impl Peers {
-    pub(crate) fn new(own: SocketAddr, incarnation: u64) -> Arc<Self> {
+    pub(crate) fn new(own: SocketAddr, zone: &ZoneId, incarnation: u64) -> Arc<Self> {
         Arc::new(Self {
             own,
             incarnation,
+            zone: MemberHash::of(zone.as_str()).short(),
             known: Mutex::default(),
             ahead: Mutex::default(),
             is_behind: Notify::new(),
@@ -118,7 +134,37 @@
 
     fn take_ahead(&self) -> Option<SocketAddr> {
         let mut ahead = self.ahead.lock().unwrap_or_else(PoisonError::into_inner);
-        ahead.take()
+        ahead.take().map(|ahead| ahead.address)
+    }
+
+    /// A host knows more than this one. One of the same zone is rather asked.
+    fn set_ahead(&self, address: SocketAddr, zone: u32) {
+        let found = Ahead {
+            address,
+            is_near: zone == self.zone,
+        };
+        let mut ahead = self.ahead.lock().unwrap_or_else(PoisonError::into_inner);
+        if ahead.is_none_or(|known| !known.is_near) {
+            *ahead = Some(found);
+        }
+        drop(ahead);
+        self.is_behind.notify_one();
+    }
+
+    /// Whether it is this host's to read the platform.
+    fn reads_platform(&self, reading: Reading) -> bool {
+        let known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
+        let heard = |address: &SocketAddr, zone, reading| HeardHost {
+            hash: MemberHash::of(&address.to_string()),
+            zone,
+            reading,
+        };
+        let up = known.iter().filter(|(_, peer)| peer.is_up);
+        let others: Vec<HeardHost> = up
+            .map(|(address, peer)| heard(address, peer.zone, peer.reading))
+            .collect();
+        drop(known);
+        reads_platform(&heard(&self.own, self.zone, reading), &others)
     }
 
     /// The hosts to tell now, and some that they may not know.
@@ -150,11 +196,13 @@
         (due, named)
     }
 
-    fn heard(&self, shared: &Shared, address: SocketAddr) {
+    fn heard(&self, shared: &Shared, address: SocketAddr, beat: &Beat) {
         let now = Instant::now();
         let mut known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
         let peer = known.entry(address).or_insert_with(|| Peer::new(now));
         peer.heard_at = Some(now);
+        peer.zone = beat.zone;
+        peer.reading = beat.reading;
         if !peer.is_up {
             peer.is_up = true;
             // It may not know this host yet: tell it at the next round.
@@ -173,8 +221,15 @@
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut sequence = 0;
     loop {
-        ticks.tick().await;
+        tokio::select! {
+            _ = ticks.tick() => {}
+            () = shared.tell_peers_now.notified() => {}
+        }
         sequence += 1;
+        let has_turn = peers.reads_platform(shared.reading.told());
+        if shared.reading.set_turn(has_turn) {
+            shared.journal.tell(&Event::Reads { has_turn });
+        }
         let (due, named) = peers.due(&shared);
         let beat = beat_of(&shared, &peers, sequence, named);
         let Ok(datagram) = postcard::to_stdvec(&beat) else {
@@ -192,6 +247,8 @@
     fleet.load.expire(now_ms);
     fleet.expire(now_ms);
     Beat {
+        zone: peers.zone,
+        reading: shared.reading.told(),
         report: HostReport {
             incarnation: peers.incarnation,
             sequence,
@@ -229,7 +286,7 @@
     if address == peers.own {
         return;
     }
-    peers.heard(shared, address);
+    peers.heard(shared, address, &beat);
     peers.add(beat.hosts);
     let now_ms = shared.clock.now_ms();
     let mut fleet = shared.fleet();
@@ -249,7 +306,6 @@
         .map(|rules| rules.version())
         .unwrap_or_default();
     if knows_newer_list || beat.rules > own_rules {
-        *peers.ahead.lock().unwrap_or_else(PoisonError::into_inner) = Some(address);
-        peers.is_behind.notify_one();
+        peers.set_ahead(address, beat.zone);
     }
 }
--- a/crates/gateway/src/peers/pull.rs
+++ b/crates/gateway/src/peers/pull.rs
@@ -14,10 +14,13 @@
 
 use crate::peers::Peers;
 use crate::shared::Shared;
-use crate::source::StoreVersion;
+use crate::source::{EndpointRow, StoreVersion};
 
 /// The platform is given this long to tell by itself.
 const PATIENCE: Duration = Duration::from_millis(300);
+/// A host that does not read the platform waits this long, so that a host of
+/// its own zone may be heard to know as much.
+const GATHER: Duration = Duration::from_millis(80);
 /// How long a pull may take.
 const PULL_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// How often a host that knows nothing asks.
@@ -33,16 +36,21 @@
 
 /// The list of endpoints as one host knows it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub(crate) struct EndpointList {
-    pub(crate) version: StoreVersion,
-    pub(crate) endpoints: Vec<Endpoint>,
+pub(crate) enum EndpointNews {
+    /// The whole list, as of a version.
+    Whole {
+        version: StoreVersion,
+        endpoints: Vec<Endpoint>,
+    },
+    /// Its changes since the version that was asked for.
+    Changes(Vec<EndpointRow>),
 }
 
 /// What another host is missing.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub(crate) struct Missing {
     pub(crate) rules: Option<RulesDocument>,
-    pub(crate) endpoints: Option<EndpointList>,
+    pub(crate) endpoints: Option<EndpointNews>,
 }
 
 #[tarpc::service]
@@ -57,20 +65,33 @@
 impl PeerApi for Answers {
     async fn missing(self, _: tarpc::context::Context, have: Have) -> Missing {
         let rules = self.0.rules().filter(|rules| rules.version() > have.rules);
-        let fleet = self.0.fleet();
-        let is_newer = have
-            .endpoints
-            .is_none_or(|known| fleet.endpoints_version > known);
         Missing {
             rules: rules.map(|rules| RulesDocument::clone(rules.document())),
-            endpoints: (is_newer && self.0.knows_endpoints()).then(|| EndpointList {
-                version: fleet.endpoints_version,
-                endpoints: fleet.endpoints.listed(),
-            }),
+            endpoints: endpoint_news(&self.0, have.endpoints),
         }
     }
 }
 
+/// What another host is missing of the list, given the version that it has.
+fn endpoint_news(shared: &Shared, have: Option<StoreVersion>) -> Option<EndpointNews> {
+    if !shared.knows_endpoints() {
+        return None;
+    }
+    let fleet = shared.fleet();
+    let whole = || EndpointNews::Whole {
+        version: fleet.endpoints_version,
+        endpoints: fleet.endpoints.listed(),
+    };
+    let Some(have) = have else {
+        return Some(whole());
+    };
+    if fleet.endpoints_version <= have {
+        return None;
+    }
+    let changes = fleet.changes_after(have).map(EndpointNews::Changes);
+    Some(changes.unwrap_or_else(whole))
+}
+
 /// Answers other hosts, until the process ends.
 pub(crate) async fn serve_pulls(shared: Arc<Shared>, listener: TcpListener) {
     loop {
@@ -98,7 +119,8 @@
         let asked = tokio::time::timeout(ASK_EVERY, peers.is_behind.notified());
         let knows_of_more = asked.await.is_ok();
         if knows_of_more {
-            tokio::time::sleep(PATIENCE).await;
+            let is_reader = shared.reading.has_turn();
+            tokio::time::sleep(if is_reader { PATIENCE } else { GATHER }).await;
         } else if shared.has_view() {
             continue;
         }
@@ -107,8 +129,10 @@
         };
         let have = have(&shared);
         let pulled = tokio::time::timeout(PULL_TIMEOUT, pull(address, have)).await;
-        if let Ok(Some(missing)) = pulled {
-            take(&shared, missing);
+        match pulled {
+            Ok(Some(missing)) => take(&shared, missing),
+            // Whoever knows more can't be reached: the platform may be.
+            Ok(None) | Err(_) => shared.reading.read_again(),
         }
     }
 }
@@ -134,23 +158,29 @@
 
 fn take(shared: &Shared, missing: Missing) {
     const FROM: &str = "peer";
-    let mut is_news = false;
     if let Some(rules) = missing.rules {
-        is_news |= shared.take_rules(rules, FROM);
+        shared.take_rules(rules, FROM);
     }
-    if let Some(list) = missing.endpoints {
-        let now_ms = shared.clock.now_ms();
-        let mut fleet = shared.fleet();
-        if list.version > fleet.endpoints_version || !shared.knows_endpoints() {
-            fleet.replace(list.endpoints, list.version, now_ms);
-            is_news = true;
-            drop(fleet);
+    if let Some(news) = missing.endpoints {
+        if take_endpoints(shared, news) {
             shared.tell_endpoints(FROM);
-            shared.endpoints_known();
         }
+        shared.endpoints_known();
     }
-    // The platform did not tell in time: what it tells next may be late too.
-    if is_news {
-        shared.read_again.notify_waiters();
+}
+
+fn take_endpoints(shared: &Shared, news: EndpointNews) -> bool {
+    let now_ms = shared.clock.now_ms();
+    let knew_any = shared.knows_endpoints();
+    let mut fleet = shared.fleet();
+    match news {
+        EndpointNews::Whole { version, endpoints } => {
+            let is_news = version > fleet.endpoints_version || !knew_any;
+            if is_news {
+                fleet.replace(endpoints, version, now_ms);
+            }
+            is_news
+        }
+        EndpointNews::Changes(rows) => fleet.take_changes(rows, now_ms),
     }
 }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -149,7 +149,7 @@
     let socket = Arc::new(socket);
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
     let incarnation = since_epoch.map_or(0, |since| since.as_micros() as u64);
-    let peers = Peers::new(own, incarnation);
+    let peers = Peers::new(own, &shared.config.zone, incarnation);
     peers.add(shared.config.peer_seeds.iter().copied());
     tasks.spawn(tell(shared.clone(), peers.clone(), socket.clone()));
     tasks.spawn(hear(shared.clone(), peers.clone(), socket));
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -14,6 +14,7 @@
 use crate::edge::Edge;
 use crate::fleet::Fleet;
 use crate::journal::{Event, Journal};
+use crate::reading::ReadingState;
 use crate::upstream::Upstream;
 
 pub(crate) struct Shared {
@@ -29,8 +30,9 @@
     running: AtomicUsize,
     stop_asked_at: OnceLock<Instant>,
     stop: watch::Sender<Option<StopPhase>>,
-    /// A peer knows more than the platform has told: read it again.
-    pub(crate) read_again: Notify,
+    pub(crate) reading: ReadingState,
+    /// What was read is news to the other hosts.
+    pub(crate) tell_peers_now: Notify,
     /// Whether the list of endpoints was read once, from anyone.
     knows_endpoints: AtomicBool,
 }
@@ -50,7 +52,8 @@
             running: AtomicUsize::new(0),
             stop_asked_at: OnceLock::new(),
             stop: watch::channel(None).0,
-            read_again: Notify::new(),
+            reading: ReadingState::default(),
+            tell_peers_now: Notify::new(),
             knows_endpoints: AtomicBool::new(false),
         })
     }
--- a/crates/gateway/src/source.rs
+++ b/crates/gateway/src/source.rs
@@ -34,10 +34,26 @@
 pub enum Row {
     /// The rules in force.
     Rules(Box<RulesDocument>),
-    /// An endpoint, new or changed.
-    Endpoint(Endpoint),
-    /// An endpoint that is no longer listed.
-    EndpointGone(EndpointId),
+    /// A change of the list of endpoints.
+    Endpoint(EndpointRow),
+}
+
+/// What became of an endpoint's entry.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum EndpointChange {
+    /// It is new or changed.
+    Listed(Endpoint),
+    /// It is no longer listed.
+    Gone(EndpointId),
+}
+
+/// A change of the list of endpoints.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct EndpointRow {
+    /// When it was made.
+    pub version: StoreVersion,
+    /// What was changed.
+    pub change: EndpointChange,
 }
 
 /// What was read of a topic.
@@ -45,8 +61,6 @@
 pub struct News {
     /// The place in history up to which this goes.
     pub version: StoreVersion,
-    /// The newest change among the rows.
-    pub newest_row: StoreVersion,
     /// The rows, oldest change first.
     pub rows: Vec<Row>,
 }
--- a/crates/gateway/tests/attempts.rs
+++ b/crates/gateway/tests/gateway/attempts.rs
@@ -1,10 +1,8 @@
 //! What a caller is told and how often its request ran, for each kind of
 //! request and each way in which an endpoint can fail it.
 
-mod support;
-
+use crate::support::{Behaviour, Call, TestGateway};
 use googletest::prelude::*;
-use support::{Behaviour, Call, TestGateway};
 
 /// What a route does about one failure at its first endpoint, while the other
 /// endpoint is sound.
--- a/crates/gateway/tests/calls.rs
+++ b/crates/gateway/tests/gateway/calls.rs
@@ -1,16 +1,14 @@
 //! Requests at the front: what is taken in, refused and passed on unchanged.
 
-mod support;
-
 use std::time::Duration;
 
+use crate::support::{Behaviour, Call, TestGateway, TestSource, receive, rules};
 use chalkrock_routing::{CallerLimits, RulesVersion};
 use googletest::prelude::*;
-use support::{Behaviour, Call, TestGateway, TestSource, receive, rules};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
-async fn raw(gateway: &TestGateway, bytes: &[u8]) -> support::Received {
+async fn raw(gateway: &TestGateway, bytes: &[u8]) -> crate::support::Received {
     let address = gateway.running.front_address();
     let mut stream = TcpStream::connect(address).await.expect("a connection");
     stream.write_all(bytes).await.expect("a request");
@@ -238,3 +236,17 @@
     }
     assert_that!(leaving.seen().len(), eq(before));
 }
+
+#[tokio::test]
+async fn endpoint_that_is_unlisted_gets_no_work_until_it_is_listed_again() {
+    let gateway = TestGateway::before(1, Behaviour::Answer).await;
+    let endpoint = &gateway.endpoints[0];
+    gateway.source.unlist(&endpoint.endpoint.name);
+    while gateway.call(Call::get("/safe/").id("r-1")).await.status != 503 {
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+    gateway.source.list(endpoint.endpoint.clone());
+    while gateway.call(Call::get("/safe/").id("r-2")).await.status != 200 {
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/gateway/main.rs
@@ -0,0 +1,8 @@
+//! The gateway before scripted endpoints, over loopback.
+
+mod attempts;
+mod calls;
+mod peers;
+mod stops;
+mod streams;
+mod support;
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/gateway/peers.rs
@@ -1,11 +1,9 @@
 //! Hosts tell each other what the platform can't.
 
-mod support;
-
 use std::time::Duration;
 
+use crate::support::{Behaviour, Call, Script, ScriptedEndpoint, TestGateway, TestSource, rules};
 use googletest::prelude::*;
-use support::{Behaviour, Call, Script, ScriptedEndpoint, TestGateway, TestSource, rules};
 
 const PAUSE: Duration = Duration::from_millis(5);
 
--- a/crates/gateway/tests/stops.rs
+++ b/crates/gateway/tests/gateway/stops.rs
@@ -1,9 +1,7 @@
 //! A planned stop cuts off nothing that runs.
 
-mod support;
-
+use crate::support::{Behaviour, Call, TestGateway, receive};
 use googletest::prelude::*;
-use support::{Behaviour, Call, TestGateway, receive};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
--- a/crates/gateway/tests/streams.rs
+++ b/crates/gateway/tests/gateway/streams.rs
@@ -1,10 +1,8 @@
 //! Streams: passed on whole and in order, resumed where they may be, and
 //! never made to look complete where they are not.
 
-mod support;
-
+use crate::support::{Behaviour, Call, TestGateway, event};
 use googletest::prelude::*;
-use support::{Behaviour, Call, TestGateway, event};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 const LAST: u64 = 9;
--- a/crates/gateway/tests/support/edge.rs
+++ b/crates/gateway/tests/gateway/support/edge.rs
@@ -10,7 +10,7 @@
 
 /// Plain headers: `id`, `key`, `deadline`, `parts`, `after`, `endpoint`.
 #[derive(Clone, Copy, Debug)]
-pub struct TestEdge;
+pub(crate) struct TestEdge;
 
 fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
--- a/crates/gateway/tests/support/endpoint.rs
+++ b/crates/gateway/tests/gateway/support/endpoint.rs
@@ -12,7 +12,7 @@
 
 /// What an endpoint does to one request.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Behaviour {
+pub(crate) enum Behaviour {
     /// Answers 200 with the request's own body, or its id without one.
     Answer,
     /// Answers after a time.
@@ -52,14 +52,14 @@
 
 /// A request as it arrived.
 #[derive(Clone, Debug)]
-pub struct Seen {
-    pub head: String,
-    pub body: Vec<u8>,
+pub(crate) struct Seen {
+    pub(crate) head: String,
+    pub(crate) body: Vec<u8>,
 }
 
 impl Seen {
     /// A header's value.
-    pub fn header(&self, name: &str) -> Option<&str> {
+    pub(crate) fn header(&self, name: &str) -> Option<&str> {
         let mut lines = self.head.lines().skip(1);
         lines.find_map(|line| {
             let (known, value) = line.split_once(':')?;
@@ -70,11 +70,11 @@
 
 /// What is done to the next requests, at whichever endpoint they arrive.
 #[derive(Clone, Debug, Default)]
-pub struct Script(Arc<Mutex<VecDeque<Behaviour>>>);
+pub(crate) struct Script(Arc<Mutex<VecDeque<Behaviour>>>);
 
 impl Script {
     /// Adds to it.
-    pub fn next(&self, behaviours: impl IntoIterator<Item = Behaviour>) {
+    pub(crate) fn next(&self, behaviours: impl IntoIterator<Item = Behaviour>) {
         let mut next = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         next.extend(behaviours);
     }
@@ -92,8 +92,8 @@
 
 /// A scripted endpoint.
 #[derive(Clone)]
-pub struct ScriptedEndpoint {
-    pub endpoint: Endpoint,
+pub(crate) struct ScriptedEndpoint {
+    pub(crate) endpoint: Endpoint,
     state: Arc<Mutex<State>>,
     script: Script,
     /// Connections that the other side closed while a request was worked on.
@@ -103,7 +103,7 @@
 
 impl ScriptedEndpoint {
     /// Starts one.
-    pub async fn start(name: &str, pool: &str, usual: Behaviour, script: Script) -> Self {
+    pub(crate) async fn start(name: &str, pool: &str, usual: Behaviour, script: Script) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("an address");
         let scripted = Self {
@@ -127,28 +127,28 @@
     }
 
     /// What it does to requests that the script leaves to it.
-    pub fn usually(&self, behaviour: Behaviour) {
+    pub(crate) fn usually(&self, behaviour: Behaviour) {
         self.state().usual = behaviour;
     }
 
     /// The requests that arrived.
-    pub fn seen(&self) -> Vec<Seen> {
+    pub(crate) fn seen(&self) -> Vec<Seen> {
         self.state().seen.clone()
     }
 
     /// How many requests arrived with an id.
-    pub fn runs_of(&self, id: &str) -> usize {
+    pub(crate) fn runs_of(&self, id: &str) -> usize {
         let seen = self.seen();
         seen.iter().filter(|s| s.header("id") == Some(id)).count()
     }
 
     /// How many connections were opened to it.
-    pub fn connections(&self) -> usize {
+    pub(crate) fn connections(&self) -> usize {
         *self.connections.borrow()
     }
 
     /// Waits until the other side has left a request that was worked on.
-    pub async fn was_left(&self) {
+    pub(crate) async fn was_left(&self) {
         let mut left = self.left.subscribe();
         left.wait_for(|count| *count > 0)
             .await
@@ -156,7 +156,7 @@
     }
 
     /// Its entry, leaving.
-    pub fn leaving(&self) -> Endpoint {
+    pub(crate) fn leaving(&self) -> Endpoint {
         Endpoint {
             state: HostState::Leaving,
             ..self.endpoint.clone()
@@ -308,7 +308,7 @@
 }
 
 /// The bytes of an event.
-pub fn event(number: u64) -> Vec<u8> {
+pub(crate) fn event(number: u64) -> Vec<u8> {
     format!("id: {number}\ndata: event {number}\n\n").into_bytes()
 }
 
--- a/crates/gateway/tests/support/fleet.rs
+++ b/crates/gateway/tests/gateway/support/fleet.rs
@@ -17,11 +17,11 @@
 use super::{Behaviour, Script, ScriptedEndpoint, TestEdge, TestSource};
 
 /// A key of the organisation `dispatch`.
-pub const KEY: &str = "key-1";
+pub(crate) const KEY: &str = "key-1";
 const READY_PAUSE: Duration = Duration::from_millis(5);
 
 /// The routes of all tests: one a kind, on the pool `pool`.
-pub fn route(name: &str, kind: RouteKind, attempts_max: u32) -> Route {
+pub(crate) fn route(name: &str, kind: RouteKind, attempts_max: u32) -> Route {
     Route {
         name: name.into(),
         host: "a.example".into(),
@@ -40,7 +40,7 @@
 }
 
 /// The rules of all tests.
-pub fn rules(version: u64) -> RulesDocument {
+pub(crate) fn rules(version: u64) -> RulesDocument {
     RulesDocument {
         version: RulesVersion(version),
         routes: vec![
@@ -60,18 +60,18 @@
 }
 
 /// A running gateway.
-pub struct TestGateway {
-    pub running: RunningGateway,
-    pub stop: StopHandle,
-    pub source: TestSource,
-    pub endpoints: Vec<ScriptedEndpoint>,
+pub(crate) struct TestGateway {
+    pub(crate) running: RunningGateway,
+    pub(crate) stop: StopHandle,
+    pub(crate) source: TestSource,
+    pub(crate) endpoints: Vec<ScriptedEndpoint>,
     /// What its endpoints do next.
-    pub script: Script,
+    pub(crate) script: Script,
 }
 
 impl TestGateway {
     /// A gateway before so many endpoints, ready to serve.
-    pub async fn before(endpoints: usize, usual: Behaviour) -> Self {
+    pub(crate) async fn before(endpoints: usize, usual: Behaviour) -> Self {
         let source = TestSource::default();
         source.set_rules(rules(1));
         let script = Script::default();
@@ -93,7 +93,7 @@
     }
 
     /// A gateway of a source, which may know nothing yet.
-    pub async fn with(source: TestSource, host: &str, seeds: Vec<SocketAddr>) -> Self {
+    pub(crate) async fn with(source: TestSource, host: &str, seeds: Vec<SocketAddr>) -> Self {
         const GRACE_MS: u64 = 2_000;
         let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
         let config = GatewayConfig::builder(host, "zone-a", any)
@@ -123,40 +123,40 @@
     }
 
     /// Waits until it says that it is ready.
-    pub async fn ready(&self) {
+    pub(crate) async fn ready(&self) {
         while self.ready_status().await != 200 {
             tokio::time::sleep(READY_PAUSE).await;
         }
     }
 
     /// What it says when it is asked whether it is ready.
-    pub async fn ready_status(&self) -> u16 {
+    pub(crate) async fn ready_status(&self) -> u16 {
         let address = self.running.status_addresses()[0];
         let answer = Call::get("/ready").to(address).await;
         answer.status
     }
 
     /// Its metrics.
-    pub async fn metrics(&self) -> String {
+    pub(crate) async fn metrics(&self) -> String {
         let address = self.running.status_addresses()[1];
         let answer = Call::get("/metrics").to(address).await;
         String::from_utf8_lossy(&answer.body).into_owned()
     }
 
     /// Sends a call.
-    pub async fn call(&self, call: Call) -> Received {
+    pub(crate) async fn call(&self, call: Call) -> Received {
         call.to(self.running.front_address()).await
     }
 
     /// How often a request ran, over all endpoints.
-    pub fn runs_of(&self, id: &str) -> usize {
+    pub(crate) fn runs_of(&self, id: &str) -> usize {
         self.endpoints.iter().map(|e| e.runs_of(id)).sum()
     }
 }
 
 /// A caller's request.
 #[derive(Clone, Debug)]
-pub struct Call {
+pub(crate) struct Call {
     method: &'static str,
     path: String,
     headers: Vec<(String, String)>,
@@ -166,18 +166,18 @@
 /// What a caller received on its connection until it was closed or, for an
 /// answer with a length, until the answer was whole.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Received {
+pub(crate) struct Received {
     /// 0 if the connection closed without a head.
-    pub status: u16,
-    pub head: String,
-    pub body: Vec<u8>,
+    pub(crate) status: u16,
+    pub(crate) head: String,
+    pub(crate) body: Vec<u8>,
     /// Whether the body has the end that its framing asks for.
-    pub is_whole: bool,
+    pub(crate) is_whole: bool,
 }
 
 impl Received {
     /// A header's value.
-    pub fn header(&self, name: &str) -> Option<&str> {
+    pub(crate) fn header(&self, name: &str) -> Option<&str> {
         let mut lines = self.head.lines().skip(1);
         lines.find_map(|line| {
             let (known, value) = line.split_once(':')?;
@@ -186,7 +186,7 @@
     }
 
     /// The numbers of the events in the body.
-    pub fn events(&self) -> Vec<u64> {
+    pub(crate) fn events(&self) -> Vec<u64> {
         let text = String::from_utf8_lossy(&self.body).into_owned();
         let ids = text.lines().filter_map(|line| line.strip_prefix("id: "));
         ids.filter_map(|id| id.parse().ok()).collect()
@@ -195,7 +195,7 @@
 
 impl Call {
     /// A `GET` with a key.
-    pub fn get(path: &str) -> Self {
+    pub(crate) fn get(path: &str) -> Self {
         Self {
             method: "GET",
             path: path.to_owned(),
@@ -208,7 +208,7 @@
     }
 
     /// A `POST` with a key.
-    pub fn post(path: &str, body: &[u8]) -> Self {
+    pub(crate) fn post(path: &str, body: &[u8]) -> Self {
         Self {
             method: "POST",
             body: body.to_vec(),
@@ -217,12 +217,12 @@
     }
 
     /// Names the request.
-    pub fn id(self, id: &str) -> Self {
+    pub(crate) fn id(self, id: &str) -> Self {
         self.header("id", id)
     }
 
     /// Sets a header, or takes it away if it is empty.
-    pub fn header(mut self, name: &str, value: &str) -> Self {
+    pub(crate) fn header(mut self, name: &str, value: &str) -> Self {
         self.headers.retain(|(known, _)| known != name);
         if !value.is_empty() {
             self.headers.push((name.to_owned(), value.to_owned()));
@@ -231,7 +231,7 @@
     }
 
     /// The bytes of the request.
-    pub fn bytes(&self) -> Vec<u8> {
+    pub(crate) fn bytes(&self) -> Vec<u8> {
         let mut text = format!("{} {} HTTP/1.1\r\n", self.method, self.path);
         for (name, value) in &self.headers {
             text.push_str(&format!("{name}: {value}\r\n"));
@@ -244,7 +244,7 @@
     }
 
     /// Sends it on a new connection.
-    pub async fn to(&self, address: SocketAddr) -> Received {
+    pub(crate) async fn to(&self, address: SocketAddr) -> Received {
         let mut stream = TcpStream::connect(address).await.expect("a connection");
         stream.write_all(&self.bytes()).await.expect("a request");
         receive(&mut stream).await
@@ -252,7 +252,7 @@
 }
 
 /// Receives one answer.
-pub async fn receive(stream: &mut TcpStream) -> Received {
+pub(crate) async fn receive(stream: &mut TcpStream) -> Received {
     let mut bytes = Vec::new();
     loop {
         if let Some(received) = parse(&bytes, false) {
--- a/crates/gateway/tests/support/source.rs
+++ b/crates/gateway/tests/gateway/support/source.rs
@@ -3,7 +3,9 @@
 use std::sync::{Arc, Mutex, PoisonError};
 
 use chalkrock_core::{Endpoint, EndpointId};
-use chalkrock_gateway::{HostRow, News, Row, Source, SourceError, StoreVersion, Topic};
+use chalkrock_gateway::{
+    EndpointChange, EndpointRow, HostRow, News, Row, Source, SourceError, StoreVersion, Topic,
+};
 use chalkrock_routing::RulesDocument;
 use tokio::sync::watch;
 
@@ -18,7 +20,7 @@
 
 /// A platform that several gateways may share.
 #[derive(Clone)]
-pub struct TestSource {
+pub(crate) struct TestSource {
     state: Arc<Mutex<State>>,
     changed: Arc<watch::Sender<u64>>,
 }
@@ -43,12 +45,12 @@
     }
 
     /// Puts rules into force.
-    pub fn set_rules(&self, rules: RulesDocument) {
+    pub(crate) fn set_rules(&self, rules: RulesDocument) {
         self.change(|state, version| state.rules = Some((version, rules)));
     }
 
     /// Lists an endpoint, new or changed.
-    pub fn list(&self, endpoint: Endpoint) {
+    pub(crate) fn list(&self, endpoint: Endpoint) {
         self.change(|state, version| {
             state
                 .endpoints
@@ -59,7 +61,7 @@
     }
 
     /// Lists an endpoint no longer.
-    pub fn unlist(&self, name: &EndpointId) {
+    pub(crate) fn unlist(&self, name: &EndpointId) {
         self.change(|state, version| {
             state.endpoints.retain(|(_, known, _)| known != name);
             state.endpoints.push((version, name.clone(), None));
@@ -67,7 +69,7 @@
     }
 
     /// Answers nothing from now on, or answers again.
-    pub fn set_down(&self, is_down: bool) {
+    pub(crate) fn set_down(&self, is_down: bool) {
         self.change(|state, _| state.is_down = is_down);
     }
 
@@ -78,27 +80,25 @@
         }
         let is_new = |version: u64| since.is_none_or(|since| version > since);
         let mut rows = Vec::new();
-        let mut newest = 0;
         match topic {
             Topic::Rules => {
-                if let Some((version, rules)) = state.rules.as_ref().filter(|r| is_new(r.0)) {
-                    newest = *version;
+                if let Some((_, rules)) = state.rules.as_ref().filter(|r| is_new(r.0)) {
                     rows.push(Row::Rules(Box::new(rules.clone())));
                 }
             }
             Topic::Endpoints => {
                 for (version, name, endpoint) in state.endpoints.iter().filter(|e| is_new(e.0)) {
-                    newest = newest.max(*version);
-                    rows.extend(match endpoint {
-                        Some(endpoint) => Some(Row::Endpoint(endpoint.clone())),
-                        None => since.map(|_| Row::EndpointGone(name.clone())),
-                    });
+                    let change = match endpoint {
+                        Some(endpoint) => Some(EndpointChange::Listed(endpoint.clone())),
+                        None => since.map(|_| EndpointChange::Gone(name.clone())),
+                    };
+                    let version = StoreVersion(*version);
+                    rows.extend(change.map(|c| Row::Endpoint(EndpointRow { version, change: c })));
                 }
             }
         }
         Ok(News {
             version: StoreVersion(state.version),
-            newest_row: StoreVersion(newest),
             rows,
         })
     }
--- a/crates/routing/tests/event_frames.rs
+++ b/crates/routing/tests/event_frames.rs
@@ -4,7 +4,10 @@
 use googletest::prelude::*;
 use proptest::prelude::*;
 
-fn cut(chunks: &[&[u8]]) -> (Vec<(Vec<u8>, Option<u64>)>, Vec<u8>) {
+/// Events as bytes and number, and the bytes that are left.
+type Cut = (Vec<(Vec<u8>, Option<u64>)>, Vec<u8>);
+
+fn cut(chunks: &[&[u8]]) -> Cut {
     let mut frames = EventFrames::default();
     let mut events = Vec::new();
     for chunk in chunks {
