Let zones tell each other sums by relays

Cause: each host told each other one five times a second.

Above 12 hosts a host tells those of its zone; the two that come first of a zone tell the other zones its sum, and the zone theirs. One relay's sum of a zone counts, that of the one who hears most; what came second hand is not passed on, since relays would keep each other's word alive.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -12,6 +12,8 @@
 
 use crate::source::{EndpointChange, EndpointRow, StoreVersion};
 
+/// Prefixes that wait to be told.
+const UNTOLD_MAX: usize = 2_048;
 /// Changes of the list that are kept to pass on.
 const CHANGES_MAX: usize = 256;
 
@@ -36,6 +38,15 @@
     pub(crate) holder: Option<SocketAddr>,
 }
 
+/// What the other hosts are to be told of prefixes.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Untold {
+    /// Those that this host tells of itself.
+    pub(crate) near: Vec<Holding>,
+    /// The other zones, if this host is a relay.
+    pub(crate) far: Vec<Holding>,
+}
+
 /// The beliefs of one host.
 #[derive(Debug)]
 pub(crate) struct Fleet {
@@ -53,8 +64,7 @@
     health: HashMap<u32, EndpointHealth>,
     budgets: HashMap<PoolId, WindowBudget>,
     prefixes: PrefixMap,
-    /// What the other hosts are to be told of prefixes.
-    untold: Vec<Holding>,
+    untold: Untold,
 }
 
 impl Fleet {
@@ -71,7 +81,7 @@
             health: HashMap::new(),
             budgets: HashMap::new(),
             prefixes: PrefixMap::default(),
-            untold: Vec::new(),
+            untold: Untold::default(),
         }
     }
 
@@ -80,24 +90,43 @@
         for &part in parts {
             let holding = Holding { part, endpoint };
             if self.prefixes.note(holding, now_ms) {
-                self.untold.push(holding);
+                self.untold.near.push(holding);
+                self.untold.far.push(holding);
+            }
+        }
+    }
+
+    /// A host told what endpoints hold; the other zones may not know it.
+    pub(crate) fn hear_near_prefixes(&mut self, holdings: &[Holding], now_ms: u64) {
+        for holding in holdings {
+            if self.prefixes.hear(*holding, now_ms) {
+                self.untold.far.push(*holding);
             }
         }
     }
 
-    /// Another host told what endpoints hold.
-    pub(crate) fn hear_prefixes(&mut self, holdings: &[Holding], now_ms: u64) {
+    /// Another zone told what endpoints hold; this zone may not know it.
+    pub(crate) fn hear_far_prefixes(&mut self, holdings: &[Holding], now_ms: u64) {
         for holding in holdings {
-            self.prefixes.hear(*holding, now_ms);
+            if self.prefixes.hear(*holding, now_ms) {
+                self.untold.near.push(*holding);
+            }
         }
     }
 
-    /// What to tell the other hosts of prefixes, once.
-    pub(crate) fn take_untold(&mut self, most: usize) -> Vec<Holding> {
-        let from = self.untold.len().saturating_sub(most);
-        let told = self.untold.split_off(from);
-        self.untold.clear();
-        told
+    /// What to tell of prefixes, once: so many of them, the rest later. What
+    /// waits is bounded, and the oldest of it is never told.
+    pub(crate) fn take_untold(&mut self, most: usize) -> Untold {
+        let take = |waiting: &mut Vec<Holding>| {
+            let too_old = waiting.len().saturating_sub(UNTOLD_MAX);
+            waiting.drain(..too_old);
+            let now = most.min(waiting.len());
+            waiting.drain(..now).collect()
+        };
+        Untold {
+            near: take(&mut self.untold.near),
+            far: take(&mut self.untold.far),
+        }
     }
 
     /// Drops what is no longer true, now and then.
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -1,29 +1,61 @@
-//! The datagram that hosts send each other.
+//! The datagrams that hosts send each other.
 
 use std::net::SocketAddr;
 
-use chalkrock_routing::{Holding, HostReport, Reading, RulesVersion};
+use chalkrock_routing::{Holding, HostReport, Reading, RulesVersion, ZoneSum};
 use serde::{Deserialize, Serialize};
 
 use crate::source::StoreVersion;
 
-/// What one host tells the others.
+/// A datagram.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct Beat {
-    /// The short hash of its availability zone.
-    pub(crate) zone: u32,
-    /// How it stands to the platform.
-    pub(crate) reading: Reading,
-    /// Its requests in progress.
-    pub(crate) report: HostReport,
+pub(crate) enum Datagram {
+    /// From a host to those that it tells of itself.
+    Beat(Beat),
+    /// From a relay of one zone to those of another.
+    ZoneBeat(ZoneBeat),
+}
+
+/// What a host knows, for others to compare with.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Knowledge {
     /// The rules that it has in force.
     pub(crate) rules: RulesVersion,
     /// The newest change of the list of endpoints that it knows.
     pub(crate) endpoints: StoreVersion,
     /// Short hashes of endpoints that are leaving.
     pub(crate) leaving: Vec<u32>,
-    /// What it newly saw endpoints hold.
+    /// What endpoints were newly seen to hold.
     pub(crate) holdings: Vec<Holding>,
+}
+
+/// A host that another one names.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct NamedHost {
+    pub(crate) address: SocketAddr,
+    /// The short hash of its availability zone.
+    pub(crate) zone: u32,
+}
+
+/// What one host tells of itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Beat {
+    /// The short hash of its availability zone.
+    pub(crate) zone: u32,
+    /// How it stands to the platform.
+    pub(crate) reading: Reading,
+    /// Its requests in progress.
+    pub(crate) report: HostReport,
+    pub(crate) knowledge: Knowledge,
     /// Some hosts that it hears.
-    pub(crate) hosts: Vec<SocketAddr>,
+    pub(crate) hosts: Vec<NamedHost>,
+    /// The other zones' requests, if it is a relay.
+    pub(crate) far: Vec<ZoneSum>,
+}
+
+/// What a relay tells the other zones of its own.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct ZoneBeat {
+    pub(crate) sum: ZoneSum,
+    pub(crate) knowledge: Knowledge,
 }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -16,7 +16,7 @@
 use crate::follow::follow;
 use crate::front::accept;
 use crate::journal::{Event, Journal, write_lines};
-use crate::peers::{Peers, hear, pull_when_behind, serve_pulls, tell};
+use crate::peers::{Peers, hear, pull_when_behind, serve_pulls, tell, zone_hash};
 use crate::shared::Shared;
 use crate::source::{HostRow, Source, Topic};
 use crate::status::answer_status;
@@ -150,13 +150,15 @@
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
     let incarnation = since_epoch.map_or(0, |since| since.as_micros() as u64);
     let peers = Peers::new(own, &shared.config.zone, incarnation);
-    peers.add(shared.config.peer_seeds.iter().copied());
+    let seeds = shared.config.peer_seeds.iter();
+    peers.add(seeds.map(|address| (*address, None)));
     tasks.spawn(tell(shared.clone(), peers.clone(), socket.clone()));
     tasks.spawn(hear(shared.clone(), peers.clone(), socket));
     tasks.spawn(serve_pulls(shared.clone(), listener));
     tasks.spawn(pull_when_behind(shared.clone(), peers.clone()));
     let row = HostRow {
         host: shared.config.host.clone(),
+        zone: shared.config.zone.clone(),
         peer_address: own,
     };
     tasks.spawn(join(source.clone(), row, peers));
@@ -168,7 +170,10 @@
     loop {
         match source.join(&own).await {
             Ok(rows) => {
-                peers.add(rows.into_iter().map(|row| row.peer_address));
+                peers.add(
+                    rows.iter()
+                        .map(|row| (row.peer_address, Some(zone_hash(&row.zone)))),
+                );
                 return;
             }
             Err(_) => tokio::time::sleep(JOIN_PAUSE).await,
--- a/crates/gateway/src/source.rs
+++ b/crates/gateway/src/source.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use chalkrock_core::{Endpoint, EndpointId, HostId};
+use chalkrock_core::{Endpoint, EndpointId, HostId, ZoneId};
 use chalkrock_routing::RulesDocument;
 use serde::{Deserialize, Serialize};
 
@@ -25,6 +25,8 @@
 pub struct HostRow {
     /// Its name.
     pub host: HostId,
+    /// Its availability zone.
+    pub zone: ZoneId,
     /// Where other hosts reach it.
     pub peer_address: SocketAddr,
 }
--- a/crates/routing/src/fleet_load.rs
+++ b/crates/routing/src/fleet_load.rs
@@ -2,7 +2,9 @@
 //!
 //! Each host counts its own and tells the others a few times a second. A
 //! report replaces the one before it; counts of a host that has fallen silent
-//! stop counting after [`REPORT_AGE_MAX_MS`]. Counts belong to an endpoint's
+//! stop counting after [`REPORT_AGE_MAX_MS`]. In a large fleet a host hears the
+//! hosts of its own availability zone, and of the other zones only sums, each
+//! from several relays; one relay's sum of a zone counts, never two. Counts belong to an endpoint's
 //! incarnation, whose name is its own, and outlive its entry in the list: a
 //! request that runs on an endpoint that is no longer listed is still there.
 
@@ -35,6 +37,16 @@
     pub counts: Vec<EndpointCount>,
 }
 
+/// How a zone's sum came.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SumPath {
+    /// From a relay of that zone.
+    Direct,
+    /// From a relay of this zone, which had it from one of that zone. It is
+    /// not passed on: relays would keep each other's word alive for ever.
+    PassedOn,
+}
+
 /// Whether a report was taken.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Merged {
@@ -44,12 +56,30 @@
     Old,
 }
 
+/// The sum of one zone's requests, as a relay tells it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ZoneSum {
+    /// The short hash of the zone.
+    pub zone: u32,
+    /// Hosts that are summed up.
+    pub hosts: u32,
+    /// Their requests by endpoint.
+    pub counts: Vec<EndpointCount>,
+}
+
 #[derive(Clone, Debug)]
 struct Known {
     report: HostReport,
     heard_at_ms: u64,
 }
 
+#[derive(Clone, Debug)]
+struct KnownZone {
+    sum: ZoneSum,
+    heard_at_ms: u64,
+    path: SumPath,
+}
+
 /// The load of each endpoint as one host knows it.
 ///
 /// # Example
@@ -67,6 +97,8 @@
 pub struct FleetLoad<H> {
     own: HashMap<u32, u32>,
     hosts: HashMap<H, Known>,
+    /// Sums of other zones, by zone and by who told them.
+    zones: HashMap<u32, HashMap<H, KnownZone>>,
     /// The sum of the reports that count.
     others: HashMap<u32, u32>,
 }
@@ -76,12 +108,13 @@
         Self {
             own: HashMap::new(),
             hosts: HashMap::new(),
+            zones: HashMap::new(),
             others: HashMap::new(),
         }
     }
 }
 
-impl<H: Eq + Hash> FleetLoad<H> {
+impl<H: Clone + Eq + Hash + Ord> FleetLoad<H> {
     /// A request of this host begins on an endpoint.
     pub fn begin(&mut self, endpoint: u32) {
         *self.own.entry(endpoint).or_default() += 1;
@@ -114,15 +147,7 @@
 
     /// This host's counts, to report.
     pub fn own_counts(&self) -> Vec<EndpointCount> {
-        let counts = self.own.iter();
-        let mut counts: Vec<_> = counts
-            .map(|(&endpoint, &in_progress)| EndpointCount {
-                endpoint,
-                in_progress,
-            })
-            .collect();
-        counts.sort_by_key(|count| count.endpoint);
-        counts
+        sorted(&self.own)
     }
 
     /// Takes a host's report, if it is the newest of that host. Lives are told
@@ -145,15 +170,61 @@
         Merged::Taken
     }
 
+    /// Takes a zone's sum from a relay.
+    pub fn merge_zone(&mut self, relay: H, sum: ZoneSum, path: SumPath, now_ms: u64) {
+        let known = KnownZone {
+            heard_at_ms: now_ms,
+            sum,
+            path,
+        };
+        let of_zone = self.zones.entry(known.sum.zone).or_default();
+        of_zone.insert(relay, known);
+        self.sum(now_ms);
+    }
+
+    /// The sum of this host and those that it hears itself, for other zones.
+    pub fn zone_sum(&self, zone: u32, now_ms: u64) -> ZoneSum {
+        let mut counts = self.own.clone();
+        let heard = self.hosts.values().filter(|known| is_recent(known, now_ms));
+        let mut hosts = 1;
+        for known in heard {
+            hosts += 1;
+            add(&mut counts, &known.report.counts);
+        }
+        ZoneSum {
+            zone,
+            hosts,
+            counts: sorted(&counts),
+        }
+    }
+
+    /// The sums of the other zones that came from there, to pass on.
+    pub fn far_sums(&self, now_ms: u64) -> Vec<ZoneSum> {
+        let direct = |known: &KnownZone| known.path == SumPath::Direct;
+        let zones = self.zones.values();
+        let counted = zones.filter_map(|of| counted(of, now_ms, direct));
+        let mut sums: Vec<ZoneSum> = counted.cloned().collect();
+        sums.sort_by_key(|sum| sum.zone);
+        sums
+    }
+
     /// Drops the counts of hosts that have fallen silent.
     pub fn expire(&mut self, now_ms: u64) {
         self.sum(now_ms);
     }
 
+    /// How many hosts of other zones are known by their zones' sums.
+    pub fn far_hosts(&self, now_ms: u64) -> usize {
+        let zones = self.zones.values();
+        let far = zones.filter_map(|of| counted(of, now_ms, ANY));
+        far.map(|sum| sum.hosts as usize).sum()
+    }
+
     /// How many other hosts were heard of late.
     pub fn hosts_heard(&self, now_ms: u64) -> usize {
         let heard = self.hosts.values();
-        heard.filter(|known| is_recent(known, now_ms)).count()
+        let near = heard.filter(|known| is_recent(known, now_ms)).count();
+        near + self.far_hosts(now_ms)
     }
 
     /// Adds the recent reports up anew. With bounded fan-out a host hears few
@@ -162,13 +233,55 @@
     fn sum(&mut self, now_ms: u64) {
         self.others.clear();
         for known in self.hosts.values().filter(|known| is_recent(known, now_ms)) {
-            for count in &known.report.counts {
-                *self.others.entry(count.endpoint).or_default() += count.in_progress;
+            add(&mut self.others, &known.report.counts);
+        }
+        for of_zone in self.zones.values() {
+            if let Some(sum) = counted(of_zone, now_ms, ANY) {
+                add(&mut self.others, &sum.counts);
             }
         }
     }
 }
 
+/// Any sum may count.
+const ANY: fn(&KnownZone) -> bool = |_| true;
+
+/// The sum of a zone that counts: of the relays that were heard of late, the
+/// one that sums up most hosts.
+fn counted<H: Ord>(
+    of_zone: &HashMap<H, KnownZone>,
+    now_ms: u64,
+    may_count: impl Fn(&KnownZone) -> bool,
+) -> Option<&ZoneSum> {
+    let recent = of_zone.iter().filter(|(_, known)| {
+        let age_ms = now_ms.saturating_sub(known.heard_at_ms);
+        age_ms <= REPORT_AGE_MAX_MS && may_count(known)
+    });
+    let most = recent.max_by(|(a, known_a), (b, known_b)| {
+        let by_hosts = known_a.sum.hosts.cmp(&known_b.sum.hosts);
+        by_hosts.then_with(|| a.cmp(b))
+    });
+    most.map(|(_, known)| &known.sum)
+}
+
+fn add(counts: &mut HashMap<u32, u32>, more: &[EndpointCount]) {
+    for count in more {
+        *counts.entry(count.endpoint).or_default() += count.in_progress;
+    }
+}
+
+fn sorted(counts: &HashMap<u32, u32>) -> Vec<EndpointCount> {
+    let mut sorted: Vec<EndpointCount> = counts
+        .iter()
+        .map(|(&endpoint, &in_progress)| EndpointCount {
+            endpoint,
+            in_progress,
+        })
+        .collect();
+    sorted.sort_by_key(|count| count.endpoint);
+    sorted
+}
+
 fn is_recent(known: &Known, now_ms: u64) -> bool {
     now_ms.saturating_sub(known.heard_at_ms) <= REPORT_AGE_MAX_MS
 }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -49,10 +49,12 @@
 pub use budget::{BudgetRules, WindowBudget};
 pub use endpoints::{EndpointTable, Member, Standing};
 pub use event_frames::{EventFrame, EventFrames};
-pub use fleet_load::{EndpointCount, FleetLoad, HostReport, Merged, REPORT_AGE_MAX_MS};
+pub use fleet_load::{
+    EndpointCount, FleetLoad, HostReport, Merged, REPORT_AGE_MAX_MS, SumPath, ZoneSum,
+};
 pub use health::{EndpointHealth, Sign};
 pub use prefix_map::{Holding, PrefixMap};
-pub use readers::{HeardHost, Reading, readers_wanted, reads_platform};
+pub use readers::{HeardHost, Reading, ZoneView, readers_wanted};
 pub use route::{Backend, Route, RouteKind};
 pub use rules::{Caller, CallerLimits, OrganisationRules, Rules, RulesDocument, RulesVersion};
 pub use spread::{Candidate, SpreadRules, choose};
--- a/crates/routing/src/prefix_map.rs
+++ b/crates/routing/src/prefix_map.rs
@@ -14,7 +14,7 @@
 /// again that no one used for ten seconds costs nothing but its time.
 const USED_WITHIN_MS: u64 = 20_000;
 /// An entry that was told is told again after this.
-const TELL_AGAIN_MS: u64 = 5_000;
+const TELL_AGAIN_MS: u64 = 8_000;
 /// Parts that are remembered; the rest of a flood is not.
 const PARTS_MAX: usize = 16_384;
 /// Endpoints that are remembered for one part.
@@ -72,12 +72,10 @@
         is_due
     }
 
-    /// Another host told that an endpoint holds a part.
-    pub fn hear(&mut self, holding: Holding, now_ms: u64) {
-        if let Some(holder) = self.holder(holding, now_ms) {
-            holder.used_at_ms = now_ms;
-            holder.told_at_ms = Some(now_ms);
-        }
+    /// Another host told that an endpoint holds a part. Returns whether hosts
+    /// that did not hear it should be told.
+    pub fn hear(&mut self, holding: Holding, now_ms: u64) -> bool {
+        self.note(holding, now_ms)
     }
 
     /// Whether an endpoint holds a part.
--- a/crates/routing/src/readers.rs
+++ b/crates/routing/src/readers.rs
@@ -1,5 +1,5 @@
 //! Which hosts read the platform themselves, so that it is not asked the same
-//! by all.
+//! by all; and which hosts of a zone tell the other zones.
 //!
 //! A small fleet reads as a whole. In a larger one some hosts of each
 //! availability zone read and the others take from them what is new. Nothing
@@ -30,17 +30,18 @@
     Unanswered,
 }
 
-/// A host that is heard.
+/// A host of the own zone that is heard.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct HeardHost {
     /// The hash of its name.
     pub hash: MemberHash,
-    /// The short hash of its availability zone.
-    pub zone: u32,
     /// How it stands to the platform.
     pub reading: Reading,
 }
 
+/// Relays of a zone: one that falls silent is missed by none.
+const RELAYS: usize = 2;
+
 /// How many hosts of so many read.
 pub fn readers_wanted(hosts: usize) -> usize {
     if hosts <= ALL_UP_TO {
@@ -49,57 +50,73 @@
     hosts.div_ceil(ONE_IN).max(LEAST)
 }
 
-/// Whether a host reads the platform, by what it hears of the others.
-///
-/// # Example
-///
-/// ```
-/// use chalkrock_core::rendezvous::MemberHash;
-/// use chalkrock_routing::{HeardHost, Reading, reads_platform};
-///
-/// let own = HeardHost { hash: MemberHash::of("host-1"), zone: 1, reading: Reading::No };
-/// assert!(reads_platform(&own, &[]));
-/// ```
-pub fn reads_platform(own: &HeardHost, others: &[HeardHost]) -> bool {
-    let wanted = readers_wanted(others.len() + 1);
-    if wanted > others.len() {
-        return true;
+/// A zone as one of its hosts knows it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ZoneView<'a> {
+    /// The other hosts of the zone that are heard.
+    pub others: &'a [HeardHost],
+    /// Hosts of all zones, as far as they are known.
+    pub hosts: usize,
+    /// Zones, as far as they are known.
+    pub zones: usize,
+}
+
+impl ZoneView<'_> {
+    /// Whether the fleet is so large that zones tell each other only sums.
+    pub fn is_large(&self) -> bool {
+        self.hosts > ALL_UP_TO
+    }
+
+    /// Whether a host reads the platform.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use chalkrock_core::rendezvous::MemberHash;
+    /// use chalkrock_routing::{HeardHost, Reading, ZoneView};
+    ///
+    /// let own = HeardHost { hash: MemberHash::of("host-1"), reading: Reading::No };
+    /// let alone = ZoneView { others: &[], hosts: 1, zones: 1 };
+    /// assert!(alone.reads_platform(&own));
+    /// ```
+    pub fn reads_platform(&self, own: &HeardHost) -> bool {
+        let wanted = readers_wanted(self.hosts).div_ceil(self.zones.max(1));
+        if !self.is_large() || wanted > self.others.len() {
+            return true;
+        }
+        let answered = self
+            .others
+            .iter()
+            .filter(|host| host.reading == Reading::Answered);
+        if answered.count() < wanted.div_ceil(2) {
+            return true;
+        }
+        // One that is not answered does not count among the first, but goes on
+        // trying, since it may be the only one to know.
+        let may_read = self
+            .others
+            .iter()
+            .filter(|host| host.reading != Reading::Unanswered);
+        is_among_first(own, may_read, wanted)
     }
-    let answered = others
-        .iter()
-        .filter(|host| host.reading == Reading::Answered);
-    if answered.count() < wanted / 2 {
-        return true;
+
+    /// Whether a host tells the other zones of this one, and this one of them.
+    pub fn is_relay(&self, own: &HeardHost) -> bool {
+        is_among_first(own, self.others.iter(), RELAYS)
     }
-    // One that is not answered does not count among the first, but goes on
-    // trying, since it may be the only one to know.
-    let may_read = others
-        .iter()
-        .filter(|host| host.reading != Reading::Unanswered);
-    let mut ranked: Vec<&HeardHost> = may_read.chain([own]).collect();
-    ranked.sort_by(|a, b| rank(b).total_cmp(&rank(a)));
-    first_by_zone(&ranked, wanted).contains(&own.hash)
+}
+
+/// Whether fewer than `wanted` of the others come before a host.
+fn is_among_first<'a>(
+    own: &HeardHost,
+    others: impl Iterator<Item = &'a HeardHost>,
+    wanted: usize,
+) -> bool {
+    let before = others.filter(|host| rank(host) > rank(own));
+    before.count() < wanted
 }
 
 fn rank(host: &HeardHost) -> f64 {
     const READERS: KeyHash = KeyHash(0);
     score(READERS, host.hash, 1.0)
 }
-
-/// The first hosts, one of each zone in turn.
-fn first_by_zone(ranked: &[&HeardHost], wanted: usize) -> Vec<MemberHash> {
-    let mut zones: Vec<u32> = ranked.iter().map(|host| host.zone).collect();
-    zones.sort_unstable();
-    zones.dedup();
-    let mut chosen = Vec::with_capacity(wanted);
-    let mut round = 0;
-    while chosen.len() < wanted && round < ranked.len() {
-        for zone in &zones {
-            let mut of_zone = ranked.iter().filter(|host| host.zone == *zone);
-            chosen.extend(of_zone.nth(round).map(|host| host.hash));
-        }
-        round += 1;
-    }
-    chosen.truncate(wanted);
-    chosen
-}
