Keep the datagrams of hosts under 1 KB, and tell no zone what it told

Cause: prefixes and far sums made a relay's datagrams several KB long, and those did not arrive: with 30, 64 and 256 prefixes a datagram as much was read again. Sums and prefixes now travel in datagrams of their own. What was passed on is not told on.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -45,6 +45,8 @@
     pub(crate) near: Vec<Holding>,
     /// The other zones, if this host is a relay.
     pub(crate) far: Vec<Holding>,
+    /// What the other zones told, for the hosts of this one.
+    pub(crate) passed_on: Vec<Holding>,
 }
 
 /// The beliefs of one host.
@@ -109,11 +111,18 @@
     pub(crate) fn hear_far_prefixes(&mut self, holdings: &[Holding], now_ms: u64) {
         for holding in holdings {
             if self.prefixes.hear(*holding, now_ms) {
-                self.untold.near.push(*holding);
+                self.untold.passed_on.push(*holding);
             }
         }
     }
 
+    /// A relay of this zone passed on what endpoints hold.
+    pub(crate) fn hear_passed_on_prefixes(&mut self, holdings: &[Holding], now_ms: u64) {
+        for holding in holdings {
+            self.prefixes.hear(*holding, now_ms);
+        }
+    }
+
     /// What to tell of prefixes, once: so many of them, the rest later. What
     /// waits is bounded, and the oldest of it is never told.
     pub(crate) fn take_untold(&mut self, most: usize) -> Untold {
@@ -126,6 +135,7 @@
         Untold {
             near: take(&mut self.untold.near),
             far: take(&mut self.untold.far),
+            passed_on: take(&mut self.untold.passed_on),
         }
     }
 
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -4,19 +4,21 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use chalkrock_routing::{HostReport, Merged, SumPath, ZoneSum};
+use chalkrock_routing::{Holding, HostReport, Merged, WordPath, ZoneSum};
 use tokio::net::UdpSocket;
 use tokio::time::MissedTickBehavior;
 
 use crate::journal::Event;
 use crate::peers::known::{PeerNews, Peers, Round};
-use crate::peers::message::{Beat, Datagram, Knowledge, ZoneBeat};
+use crate::peers::message::{Beat, Datagram, Holdings, Knowledge, ZoneBeat};
 use crate::shared::Shared;
 
 /// How often a host tells the others.
 const TELL_EVERY: Duration = Duration::from_millis(200);
-/// Prefixes that a datagram names: a relay's stays under 4 KB with them.
-const HOLDINGS_MAX: usize = 256;
+/// Prefixes that a datagram names: about 1 KB.
+const HOLDINGS_A_DATAGRAM: usize = 96;
+/// Datagrams of prefixes in a round.
+const HOLDING_DATAGRAMS: usize = 3;
 /// Largest datagram that is read.
 const DATAGRAM_MAX_BYTES: usize = 60 * 1024;
 
@@ -34,10 +36,12 @@
         let far_hosts = far_hosts(&shared);
         let round = peers.round(shared.reading.told(), far_hosts);
         take_round(&shared, &round);
-        let (beat, zone_beat) = datagrams(&shared, &peers, sequence, &round);
-        send(&socket, &Datagram::Beat(beat), &round.due);
-        if let Some(zone_beat) = zone_beat {
-            send(&socket, &Datagram::ZoneBeat(zone_beat), &round.far);
+        let said = said(&shared, &peers, sequence, &round);
+        for datagram in said.near {
+            send(&socket, &datagram, &round.due);
+        }
+        for datagram in said.far {
+            send(&socket, &datagram, &round.far);
         }
     }
 }
@@ -71,13 +75,16 @@
     });
 }
 
+/// The datagrams of a round.
+struct Said {
+    /// To the hosts that are told of this one.
+    near: Vec<Datagram>,
+    /// To relays of other zones, if this host is one.
+    far: Vec<Datagram>,
+}
+
 /// What to tell of this host and, if it is a relay, of its zone.
-fn datagrams(
-    shared: &Shared,
-    peers: &Peers,
-    sequence: u64,
-    round: &Round,
-) -> (Beat, Option<ZoneBeat>) {
+fn said(shared: &Shared, peers: &Peers, sequence: u64, round: &Round) -> Said {
     let now_ms = shared.clock.now_ms();
     let rules = shared
         .rules()
@@ -86,14 +93,10 @@
     let mut fleet = shared.fleet();
     fleet.load.expire(now_ms);
     fleet.expire(now_ms);
-    let untold = fleet.take_untold(HOLDINGS_MAX);
-    let leaving = fleet.endpoints.leaving();
-    let endpoints = fleet.endpoints_version;
-    let knowledge = |holdings| Knowledge {
+    let knowledge = Knowledge {
         rules,
-        endpoints,
-        leaving: leaving.clone(),
-        holdings,
+        endpoints: fleet.endpoints_version,
+        leaving: fleet.endpoints.leaving(),
     };
     let beat = Beat {
         zone: peers.zone,
@@ -103,19 +106,38 @@
             sequence,
             counts: fleet.load.own_counts(),
         },
-        knowledge: knowledge(untold.near),
+        knowledge: knowledge.clone(),
         hosts: round.named.clone(),
-        far: if round.is_relay {
-            fleet.load.far_sums(now_ms)
-        } else {
-            Vec::new()
-        },
     };
-    let zone_beat = round.is_relay.then(|| ZoneBeat {
-        sum: fleet.load.zone_sum(peers.zone, now_ms),
-        knowledge: knowledge(untold.far),
-    });
-    (beat, zone_beat)
+    let untold = fleet.take_untold(HOLDINGS_A_DATAGRAM * HOLDING_DATAGRAMS);
+    let mut near = vec![Datagram::Beat(beat)];
+    near.extend(holdings(peers.zone, WordPath::Direct, &untold.near));
+    let mut far = Vec::new();
+    if round.is_relay {
+        near.extend(
+            fleet
+                .load
+                .far_sums(now_ms)
+                .into_iter()
+                .map(Datagram::FarSum),
+        );
+        let sum = fleet.load.zone_sum(peers.zone, now_ms);
+        far.push(Datagram::ZoneBeat(ZoneBeat { sum, knowledge }));
+        far.extend(holdings(peers.zone, WordPath::Direct, &untold.far));
+        near.extend(holdings(peers.zone, WordPath::PassedOn, &untold.passed_on));
+    }
+    Said { near, far }
+}
+
+fn holdings(zone: u32, path: WordPath, all: &[Holding]) -> impl Iterator<Item = Datagram> {
+    let datagrams = all.chunks(HOLDINGS_A_DATAGRAM);
+    datagrams.map(move |some| {
+        Datagram::Holdings(Holdings {
+            zone,
+            path,
+            holdings: some.to_vec(),
+        })
+    })
 }
 
 /// Hears the others, until the process ends.
@@ -132,6 +154,8 @@
         match postcard::from_bytes(&buffer[..length]) {
             Ok(Datagram::Beat(beat)) => take_beat(&shared, &peers, address, beat),
             Ok(Datagram::ZoneBeat(beat)) => take_zone_beat(&shared, &peers, address, beat),
+            Ok(Datagram::FarSum(sum)) => take_far_sum(&shared, &peers, address, sum),
+            Ok(Datagram::Holdings(told)) => take_holdings(&shared, &peers, &told),
             // What can't be read is not from a host of this fleet and version.
             Err(_) => shared.metrics.count("peer_garbage_total", "", 1),
         }
@@ -155,12 +179,6 @@
         if fleet.load.merge(address, beat.report, now_ms) == Merged::Old {
             return;
         }
-        for sum in beat.far {
-            fleet
-                .load
-                .merge_zone(address, sum, SumPath::PassedOn, now_ms);
-        }
-        fleet.hear_near_prefixes(&beat.knowledge.holdings, now_ms);
     }
     take_knowledge(shared, peers, address, beat.zone, &beat.knowledge);
 }
@@ -174,12 +192,36 @@
     let now_ms = shared.clock.now_ms();
     let mut fleet = shared.fleet();
     let sum: ZoneSum = beat.sum;
-    fleet.load.merge_zone(address, sum, SumPath::Direct, now_ms);
-    fleet.hear_far_prefixes(&beat.knowledge.holdings, now_ms);
+    fleet
+        .load
+        .merge_zone(address, sum, WordPath::Direct, now_ms);
     drop(fleet);
     take_knowledge(shared, peers, address, zone, &beat.knowledge);
 }
 
+fn take_far_sum(shared: &Shared, peers: &Peers, relay: SocketAddr, sum: ZoneSum) {
+    if sum.zone == peers.zone {
+        return;
+    }
+    let now_ms = shared.clock.now_ms();
+    let mut fleet = shared.fleet();
+    fleet
+        .load
+        .merge_zone(relay, sum, WordPath::PassedOn, now_ms);
+}
+
+fn take_holdings(shared: &Shared, peers: &Peers, told: &Holdings) {
+    let now_ms = shared.clock.now_ms();
+    let mut fleet = shared.fleet();
+    match told.path {
+        WordPath::PassedOn => fleet.hear_passed_on_prefixes(&told.holdings, now_ms),
+        WordPath::Direct if told.zone == peers.zone => {
+            fleet.hear_near_prefixes(&told.holdings, now_ms);
+        }
+        WordPath::Direct => fleet.hear_far_prefixes(&told.holdings, now_ms),
+    }
+}
+
 fn take_knowledge(
     shared: &Shared,
     peers: &Peers,
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use chalkrock_routing::{Holding, HostReport, Reading, RulesVersion, ZoneSum};
+use chalkrock_routing::{Holding, HostReport, Reading, RulesVersion, WordPath, ZoneSum};
 use serde::{Deserialize, Serialize};
 
 use crate::source::StoreVersion;
@@ -14,6 +14,21 @@
     Beat(Beat),
     /// From a relay of one zone to those of another.
     ZoneBeat(ZoneBeat),
+    /// From a relay to the hosts of its zone: another zone's requests.
+    FarSum(ZoneSum),
+    /// What endpoints were newly seen to hold.
+    Holdings(Holdings),
+}
+
+/// What endpoints were newly seen to hold, in a datagram of its own, so that
+/// none becomes larger than what a link carries in one piece.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Holdings {
+    /// The short hash of the zone where it was seen.
+    pub(crate) zone: u32,
+    /// Whether this comes second hand.
+    pub(crate) path: WordPath,
+    pub(crate) holdings: Vec<Holding>,
 }
 
 /// What a host knows, for others to compare with.
@@ -25,8 +40,6 @@
     pub(crate) endpoints: StoreVersion,
     /// Short hashes of endpoints that are leaving.
     pub(crate) leaving: Vec<u32>,
-    /// What endpoints were newly seen to hold.
-    pub(crate) holdings: Vec<Holding>,
 }
 
 /// A host that another one names.
@@ -49,8 +62,6 @@
     pub(crate) knowledge: Knowledge,
     /// Some hosts that it hears.
     pub(crate) hosts: Vec<NamedHost>,
-    /// The other zones' requests, if it is a relay.
-    pub(crate) far: Vec<ZoneSum>,
 }
 
 /// What a relay tells the other zones of its own.
--- a/crates/routing/src/fleet_load.rs
+++ b/crates/routing/src/fleet_load.rs
@@ -37,9 +37,9 @@
     pub counts: Vec<EndpointCount>,
 }
 
-/// How a zone's sum came.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum SumPath {
+/// How the word of another zone came.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum WordPath {
     /// From a relay of that zone.
     Direct,
     /// From a relay of this zone, which had it from one of that zone. It is
@@ -77,7 +77,7 @@
 struct KnownZone {
     sum: ZoneSum,
     heard_at_ms: u64,
-    path: SumPath,
+    path: WordPath,
 }
 
 /// The load of each endpoint as one host knows it.
@@ -171,7 +171,7 @@
     }
 
     /// Takes a zone's sum from a relay.
-    pub fn merge_zone(&mut self, relay: H, sum: ZoneSum, path: SumPath, now_ms: u64) {
+    pub fn merge_zone(&mut self, relay: H, sum: ZoneSum, path: WordPath, now_ms: u64) {
         let known = KnownZone {
             heard_at_ms: now_ms,
             sum,
@@ -200,7 +200,7 @@
 
     /// The sums of the other zones that came from there, to pass on.
     pub fn far_sums(&self, now_ms: u64) -> Vec<ZoneSum> {
-        let direct = |known: &KnownZone| known.path == SumPath::Direct;
+        let direct = |known: &KnownZone| known.path == WordPath::Direct;
         let zones = self.zones.values();
         let counted = zones.filter_map(|of| counted(of, now_ms, direct));
         let mut sums: Vec<ZoneSum> = counted.cloned().collect();
--- a/crates/routing/src/prefix_map.rs
+++ b/crates/routing/src/prefix_map.rs
@@ -12,9 +12,9 @@
 
 /// An entry that was not used for this long no longer counts. Reading a part
 /// again that no one used for ten seconds costs nothing but its time.
-const USED_WITHIN_MS: u64 = 20_000;
+const USED_WITHIN_MS: u64 = 30_000;
 /// An entry that was told is told again after this.
-const TELL_AGAIN_MS: u64 = 8_000;
+const TELL_AGAIN_MS: u64 = 12_000;
 /// Parts that are remembered; the rest of a flood is not.
 const PARTS_MAX: usize = 16_384;
 /// Endpoints that are remembered for one part.
--- a/crates/routing/tests/fleet_load.rs
+++ b/crates/routing/tests/fleet_load.rs
@@ -1,7 +1,7 @@
 //! Loads that hosts tell each other: late, twice, out of order, or not at all.
 
 use chalkrock_routing::{
-    EndpointCount, FleetLoad, HostReport, Merged, REPORT_AGE_MAX_MS, SumPath, ZoneSum,
+    EndpointCount, FleetLoad, HostReport, Merged, REPORT_AGE_MAX_MS, WordPath, ZoneSum,
 };
 use googletest::prelude::*;
 use proptest::prelude::*;
@@ -93,9 +93,9 @@
 #[test]
 fn load_counts_one_relay_of_a_zone() {
     let mut load = FleetLoad::default();
-    load.merge_zone("relay-1", zone_sum(1, 20, 40), SumPath::Direct, 0);
-    load.merge_zone("relay-2", zone_sum(1, 20, 41), SumPath::Direct, 0);
-    load.merge_zone("relay-3", zone_sum(2, 10, 5), SumPath::Direct, 0);
+    load.merge_zone("relay-1", zone_sum(1, 20, 40), WordPath::Direct, 0);
+    load.merge_zone("relay-2", zone_sum(1, 20, 41), WordPath::Direct, 0);
+    load.merge_zone("relay-3", zone_sum(2, 10, 5), WordPath::Direct, 0);
     assert_that!(load.of(ENDPOINT), eq(46));
     assert_that!(load.hosts_heard(0), eq(30));
 }
@@ -103,13 +103,13 @@
 #[test]
 fn load_counts_the_relay_that_hears_most() {
     let mut load = FleetLoad::default();
-    load.merge_zone("relay-1", zone_sum(1, 20, 40), SumPath::Direct, 0);
-    load.merge_zone("relay-2", zone_sum(1, 3, 7), SumPath::Direct, 0);
+    load.merge_zone("relay-1", zone_sum(1, 20, 40), WordPath::Direct, 0);
+    load.merge_zone("relay-2", zone_sum(1, 3, 7), WordPath::Direct, 0);
     assert_that!(load.of(ENDPOINT), eq(40));
     load.merge_zone(
         "relay-2",
         zone_sum(1, 3, 7),
-        SumPath::Direct,
+        WordPath::Direct,
         REPORT_AGE_MAX_MS + 1,
     );
     assert_that!(load.of(ENDPOINT), eq(7));
@@ -120,7 +120,7 @@
     let mut load = FleetLoad::default();
     load.begin(ENDPOINT);
     load.merge("near", report(1, 1, 3), 0);
-    load.merge_zone("far", zone_sum(2, 9, 50), SumPath::Direct, 0);
+    load.merge_zone("far", zone_sum(2, 9, 50), WordPath::Direct, 0);
     assert_that!(load.zone_sum(1, 0), eq(&zone_sum(1, 2, 4)));
     assert_that!(load.far_sums(0), eq(&[zone_sum(2, 9, 50)]));
     let later_ms = REPORT_AGE_MAX_MS + 1;
@@ -131,7 +131,7 @@
 #[test]
 fn load_passes_on_only_what_came_from_the_zone_itself() {
     let mut load = FleetLoad::default();
-    load.merge_zone("relay-1", zone_sum(1, 20, 40), SumPath::PassedOn, 0);
+    load.merge_zone("relay-1", zone_sum(1, 20, 40), WordPath::PassedOn, 0);
     assert_that!(load.of(ENDPOINT), eq(40));
     assert_that!(load.far_sums(0), is_empty());
 }
--- a/crates/routing/tests/prefix_map.rs
+++ b/crates/routing/tests/prefix_map.rs
@@ -15,8 +15,8 @@
 fn map_tells_what_is_new_once_and_then_now_and_then() {
     let mut map = PrefixMap::default();
     assert_that!(map.note(holding(1, 2), 0), eq(true));
-    assert_that!(map.note(holding(1, 2), 7_999), eq(false));
-    assert_that!(map.note(holding(1, 2), 8_000), eq(true));
+    assert_that!(map.note(holding(1, 2), 11_999), eq(false));
+    assert_that!(map.note(holding(1, 2), 12_000), eq(true));
 }
 
 #[test]
@@ -31,10 +31,10 @@
 fn map_forgets_what_is_not_used() {
     let mut map = PrefixMap::default();
     map.note(holding(1, 2), 0);
-    assert_that!(map.holds(1, 2, 20_000), eq(true));
-    assert_that!(map.holds(1, 2, 20_001), eq(false));
-    map.expire(20_001);
-    assert_that!(map.note(holding(1, 2), 20_002), eq(true));
+    assert_that!(map.holds(1, 2, 30_000), eq(true));
+    assert_that!(map.holds(1, 2, 30_001), eq(false));
+    map.expire(30_001);
+    assert_that!(map.note(holding(1, 2), 30_002), eq(true));
 }
 
 #[test]
