Tell a request's story from the lines of all hosts

Tests of a fleet of 16 hosts in two zones: requests of the other zone are counted, and all learn what eight hosts read.

--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -75,6 +75,19 @@
                 .about("Shows why a request went where it went")
                 .arg(Arg::new("request").value_name("REQUEST").required(true)),
         )
+        .subcommand(
+            Command::new("story")
+                .about("Tells a request's story from the lines that hosts wrote")
+                .arg(Arg::new("request").value_name("REQUEST").required(true))
+                .arg(
+                    Arg::new("logs")
+                        .value_name("FILE")
+                        .num_args(1..)
+                        .required(true)
+                        .value_parser(value_parser!(PathBuf))
+                        .help("Files with the lines of hosts"),
+                ),
+        )
 }
 
 fn apply() -> Command {
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -22,9 +22,11 @@
 mod error;
 mod fleet;
 mod output;
+mod story;
 
 pub use command::command;
 pub use config::{Applied, Current, Submission};
 pub use error::CtlError;
 pub use fleet::Session;
 pub use output::{Output, print};
+pub use story::Story;
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use chalkrock_core::ConfigVersion;
-use chalkrockctl::{CtlError, Output, Session, Submission, command, print};
+use chalkrockctl::{CtlError, Output, Session, Story, Submission, command, print};
 use clap::ArgMatches;
 use eyre::WrapErr;
 
@@ -53,6 +53,7 @@
         }
         "hosts" => print(&session.hosts().await?.hosts, output),
         "engines" => print(&session.hosts().await?.endpoints, output),
+        "story" => println!("{}", story(matches)?),
         "explain" => print(&session.explain(&text(matches, "request")).await?, output),
         _ => {}
     }
@@ -100,6 +101,22 @@
     }
 }
 
+fn story(matches: &ArgMatches) -> eyre::Result<Story> {
+    let mut logs = String::new();
+    for file in matches.get_many::<PathBuf>("logs").unwrap_or_default() {
+        let log = std::fs::read(file);
+        let log = log.wrap_err_with(|| format!("{} can't be read", file.display()))?;
+        logs.push_str(&String::from_utf8_lossy(&log));
+        logs.push('\n');
+    }
+    let request = text(matches, "request");
+    let story = Story::of(&request, logs.lines());
+    if story.is_empty() {
+        return Err(CtlError::NoLines(request).into());
+    }
+    Ok(story)
+}
+
 fn text(matches: &ArgMatches, name: &str) -> String {
     matches.get_one::<String>(name).cloned().unwrap_or_default()
 }
--- a/crates/gateway/src/peers/known.rs
+++ b/crates/gateway/src/peers/known.rs
@@ -196,7 +196,7 @@
         let now = Instant::now();
         let mut known = self.known();
         known.retain(|_, peer| !peer.is_forgotten(now));
-        let gone = silence(&mut known, now);
+        let gone = silence(&mut known, self.zone, now);
         let view = self.view(&known, far_hosts);
         let zone_view = ZoneView {
             others: &view.others,
@@ -325,16 +325,20 @@
     score(KeyHash(0), MemberHash::of(&address.to_string()), 1.0)
 }
 
-fn silence(known: &mut HashMap<SocketAddr, Peer>, now: Instant) -> Vec<PeerNews> {
+/// Marks hosts that have fallen silent. Those of other zones are no news: in a
+/// large fleet they are heard by their relays.
+fn silence(known: &mut HashMap<SocketAddr, Peer>, zone: u32, now: Instant) -> Vec<PeerNews> {
     let mut gone = Vec::new();
     for (address, peer) in known {
         let is_silent = peer.heard_at.is_none_or(|at| now - at > SILENT_AFTER);
         if peer.is_up && is_silent {
             peer.is_up = false;
-            gone.push(PeerNews {
-                address: *address,
-                is_up: false,
-            });
+            if peer.zone == Some(zone) {
+                gone.push(PeerNews {
+                    address: *address,
+                    is_up: false,
+                });
+            }
         }
     }
     gone
--- a/crates/gateway/tests/gateway/peers.rs
+++ b/crates/gateway/tests/gateway/peers.rs
@@ -107,3 +107,82 @@
     let on_each: Vec<usize> = endpoints.iter().map(|e| e.seen().len()).collect();
     assert_that!(on_each, each(eq(&3)));
 }
+
+/// More hosts than those that all tell each other, in two zones of one
+/// platform.
+async fn large_fleet() -> Vec<TestGateway> {
+    const HOSTS: usize = 16;
+    let source = TestSource::default();
+    source.set_rules(rules(1));
+    let mut hosts = Vec::new();
+    for i in 0..HOSTS {
+        let zone = ["zone-a", "zone-b"][i % 2];
+        let host = format!("host-{i}");
+        hosts.push(TestGateway::in_zone(zone, source.clone(), &host, Vec::new()).await);
+    }
+    hosts
+}
+
+#[tokio::test]
+async fn peers_of_a_large_fleet_count_the_requests_of_other_zones() {
+    let hosts = large_fleet().await;
+    let mut endpoints = Vec::new();
+    for name in ["endpoint-0", "endpoint-1"] {
+        let usual = Behaviour::AnswerAfter(60_000);
+        let endpoint = ScriptedEndpoint::start(name, "pool", usual, Script::default()).await;
+        hosts[0].source.list(endpoint.endpoint.clone());
+        endpoints.push(endpoint);
+    }
+    for host in &hosts {
+        until(async || host.metrics().await.contains("chalkrock_peers_heard{} 15")).await;
+    }
+    // Zones speak by sums alone, once hosts of the other zone have fallen silent.
+    let of_sums = "chalkrock_hosts_known_by_sums{} 8";
+    for host in &hosts {
+        until(async || host.metrics().await.contains(of_sums)).await;
+    }
+    let address = hosts[0].running.front_address();
+    tokio::spawn(async move { Call::get("/safe/").id("held").to(address).await });
+    let arrived = || endpoints.iter().map(|e| e.seen().len()).sum::<usize>();
+    until(async || arrived() == 1).await;
+    let busy = endpoints.iter().position(|e| e.seen().len() == 1);
+    // A host of the other zone knows of it, and prefers the idle endpoint.
+    let far = hosts[1].running.front_address();
+    until(async || {
+        hosts[1]
+            .metrics()
+            .await
+            .contains("chalkrock_fleet_requests{} 1")
+    })
+    .await;
+    tokio::spawn(async move { Call::get("/safe/").id("next").to(far).await });
+    until(async || arrived() == 2).await;
+    let idle = &endpoints[1 - busy.expect("one is busy")];
+    assert_that!(idle.seen().len(), eq(1));
+}
+
+#[tokio::test]
+async fn peers_of_a_large_fleet_all_learn_what_a_few_read() {
+    let hosts = large_fleet().await;
+    for host in &hosts {
+        until(async || host.metrics().await.contains("chalkrock_peers_heard{} 15")).await;
+    }
+    let readers = async || {
+        let mut readers = 0;
+        for host in &hosts {
+            readers += usize::from(
+                host.metrics()
+                    .await
+                    .contains("chalkrock_reads_platform{} 1"),
+            );
+        }
+        readers
+    };
+    until(async || readers().await == 8).await;
+    let mut newer = rules(2);
+    newer.routes.retain(|route| &*route.name != "safe");
+    hosts[0].source.set_rules(newer);
+    for host in &hosts {
+        until(async || host.metrics().await.contains("chalkrock_rules_version{} 2")).await;
+    }
+}
--- a/crates/gateway/tests/gateway/support/fleet.rs
+++ b/crates/gateway/tests/gateway/support/fleet.rs
@@ -94,9 +94,19 @@
 
     /// A gateway of a source, which may know nothing yet.
     pub(crate) async fn with(source: TestSource, host: &str, seeds: Vec<SocketAddr>) -> Self {
+        Self::in_zone("zone-a", source, host, seeds).await
+    }
+
+    /// A gateway in a zone.
+    pub(crate) async fn in_zone(
+        zone: &str,
+        source: TestSource,
+        host: &str,
+        seeds: Vec<SocketAddr>,
+    ) -> Self {
         const GRACE_MS: u64 = 2_000;
         let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
-        let config = GatewayConfig::builder(host, "zone-a", any)
+        let config = GatewayConfig::builder(host, zone, any)
             .ready_listen(any)
             .metrics_listen(any)
             .peer_listen(any)
--- a/crates/routing/src/fleet_load.rs
+++ b/crates/routing/src/fleet_load.rs
@@ -145,6 +145,11 @@
         self.own.values().sum()
     }
 
+    /// All requests of the fleet.
+    pub fn total(&self) -> u32 {
+        self.own_total() + self.others.values().sum::<u32>()
+    }
+
     /// This host's counts, to report.
     pub fn own_counts(&self) -> Vec<EndpointCount> {
         sorted(&self.own)
