Note silence of each request's own wait, and let one request try

A host kept a list of the requests that wait at an endpoint; one whose caller left, or that was dropped otherwise, was never taken off it, and an endpoint that is given no work is never heard again. Requests that may not be repeated kept an endpoint suspect as well, up to their deadline of ten seconds. Found by counting the requests of each endpoint from the hosts' own lines: none at all on six, from 28 s on.

Change: silence is judged by each waiting request of its own wait; there is no list. A suspicion ends by itself, then one request tries the endpoint while the others stay away; after a silence it is one that may be repeated. What was sent before a suspicion does not renew it.

Tests: attempts_come_back_to_an_endpoint_whose_caller_left (0 of 40 requests before), health_* of tries and silences.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -160,19 +160,13 @@
         };
         let request = request_for(shared, call, choice, resume_after);
         let now_ms = shared.clock.now_ms();
-        shared.fleet().health(short).wait(now_ms);
-        let answered = answer_of(shared, progress, short, &mut connection, request).await;
-        let heard_at_ms = shared.clock.now_ms();
-        {
-            let mut fleet = shared.fleet();
-            let health = fleet.health(short);
-            health.wait_over(now_ms);
-            if answered.is_ok() {
-                health.heard(heard_at_ms);
+        shared.fleet().health(short).sent(now_ms);
+        match answer_of(shared, progress, short, &mut connection, request).await {
+            Ok(response) => {
+                let now_ms = shared.clock.now_ms();
+                shared.fleet().health(short).heard(now_ms);
+                return Ok((connection, response));
             }
-        }
-        match answered {
-            Ok(response) => return Ok((connection, response)),
             Err(AttemptEnd::NotSent) if connection.is_kept => {}
             Err(end) => return Err(Failure::of(end)),
         }
@@ -212,6 +206,7 @@
 ) -> Result<Response<Incoming>, AttemptEnd> {
     let call = progress.call();
     let sent_at = Instant::now();
+    let sent_at_ms = shared.clock.now_ms();
     let patience = Duration::from_millis(call.route.objective_ms) * PATIENCE_OBJECTIVES;
     let mut answer = std::pin::pin!(connection.sender.try_send_request(request));
     loop {
@@ -231,7 +226,10 @@
             return Err(AttemptEnd::Silent);
         }
         let now_ms = shared.clock.now_ms();
-        let is_silent = shared.fleet().health(short).is_silent(now_ms);
+        let is_silent = shared.fleet().health(short).is_silent(sent_at_ms, now_ms);
+        if is_silent {
+            progress.suspect(AttemptEnd::Silent);
+        }
         let is_late = is_silent || sent_at.elapsed() >= patience;
         if is_late && progress.may_leave() {
             return Err(AttemptEnd::Silent);
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -7,7 +7,7 @@
 use chalkrock_core::{Endpoint, PoolId, ZoneId};
 use chalkrock_routing::{
     BudgetRules, Candidate, EndpointHealth, EndpointTable, FleetLoad, Holding, Member, PrefixMap,
-    Sign, SpreadRules, WindowBudget, choose,
+    Repeatable, Sign, SpreadRules, WindowBudget, choose,
 };
 
 use crate::source::{EndpointChange, EndpointRow, StoreVersion};
@@ -25,6 +25,7 @@
     pub(crate) shared_parts: &'a [u32],
     /// Endpoints that had it already.
     pub(crate) tried: &'a [u32],
+    pub(crate) repeatable: Repeatable,
     pub(crate) draw: u64,
 }
 
@@ -164,7 +165,7 @@
             .collect();
         let candidates: Vec<Candidate> = untried
             .iter()
-            .map(|member| self.candidate(member, deepest, now_ms))
+            .map(|member| self.candidate(member, wanted, now_ms))
             .collect();
         let index = choose(&candidates, key, &self.spread, wanted.draw)?;
         let member = untried[index].clone();
@@ -214,15 +215,19 @@
         address_of(first.hash.short())
     }
 
-    fn candidate(&self, member: &Member, deepest: Option<u32>, now_ms: u64) -> Candidate {
+    fn candidate(&self, member: &Member, wanted: &Wanted<'_>, now_ms: u64) -> Candidate {
         let short = member.hash.short();
-        let health = self.health.get(&short);
+        let deepest = wanted.shared_parts.last().copied();
+        let stays_away = |health: &EndpointHealth| match wanted.repeatable {
+            Repeatable::Yes => health.is_suspect(now_ms),
+            Repeatable::No => health.is_suspect(now_ms) || health.is_doubtful(now_ms),
+        };
         Candidate {
             hash: member.hash,
             load: self.load.of(short),
             slots: member.endpoint.slots,
             is_near: member.endpoint.zone == self.zone,
-            is_suspect: health.is_some_and(|health| health.is_suspect(now_ms)),
+            is_suspect: self.health.get(&short).is_some_and(stays_away),
             holds_prefix: deepest.is_some_and(|part| self.prefixes.holds(part, short, now_ms)),
         }
     }
--- a/crates/gateway/src/progress.rs
+++ b/crates/gateway/src/progress.rs
@@ -22,6 +22,8 @@
     /// The worst that the attempts prove.
     worst: Outcome,
     attempts: Vec<AttemptRecord>,
+    /// When the last attempt began, on the shared clock.
+    sent_at_ms: u64,
 }
 
 impl Progress {
@@ -37,6 +39,7 @@
             sent: 0,
             worst: Outcome::NotRun,
             attempts: Vec::new(),
+            sent_at_ms: now_ms,
         }
     }
 
@@ -51,6 +54,7 @@
             pool: &self.call.pool,
             shared_parts: &self.call.shared_parts,
             tried: &self.tried,
+            repeatable: self.call.repeatable(),
             draw: self.call.draw,
         };
         let now_ms = self.shared.clock.now_ms();
@@ -59,6 +63,7 @@
 
     /// An attempt begins.
     pub(crate) fn begin(&mut self, choice: &Choice) {
+        self.sent_at_ms = self.shared.clock.now_ms();
         self.tried.push(choice.member.hash.short());
         self.attempts.push(AttemptRecord {
             endpoint: choice.member.endpoint.name.clone(),
@@ -128,8 +133,9 @@
         std::mem::take(&mut self.attempts)
     }
 
-    fn suspect(&self, end: AttemptEnd) {
-        let (Some(sign), Some(short)) = (sign_of(end), self.tried.last()) else {
+    /// Takes note of what an end, or a wait that goes on, says of the endpoint.
+    pub(crate) fn suspect(&self, end: AttemptEnd) {
+        let (Some(sign), Some(short)) = (self.sign_of(end), self.tried.last()) else {
             return;
         };
         let now_ms = self.shared.clock.now_ms();
@@ -142,6 +148,17 @@
         }
     }
 
+    fn sign_of(&self, end: AttemptEnd) -> Option<Sign> {
+        match end {
+            AttemptEnd::NotSent | AttemptEnd::Broken => Some(Sign::Break),
+            AttemptEnd::Silent => Some(Sign::Silence {
+                sent_at_ms: self.sent_at_ms,
+            }),
+            AttemptEnd::Failed | AttemptEnd::Garbage => Some(Sign::Failure),
+            AttemptEnd::Refused | AttemptEnd::NotTheEndpoint => None,
+        }
+    }
+
     fn take_retry(&self) -> bool {
         let now_ms = self.shared.clock.now_ms();
         let mut fleet = self.shared.fleet();
@@ -154,12 +171,3 @@
 fn hosts(fleet: &Fleet, now_ms: u64) -> usize {
     1 + fleet.load.hosts_heard(now_ms)
 }
-
-fn sign_of(end: AttemptEnd) -> Option<Sign> {
-    match end {
-        AttemptEnd::NotSent | AttemptEnd::Broken => Some(Sign::Break),
-        AttemptEnd::Silent => Some(Sign::Silence),
-        AttemptEnd::Failed | AttemptEnd::Garbage => Some(Sign::Failure),
-        AttemptEnd::Refused | AttemptEnd::NotTheEndpoint => None,
-    }
-}
--- a/crates/gateway/tests/gateway/attempts.rs
+++ b/crates/gateway/tests/gateway/attempts.rs
@@ -205,3 +205,33 @@
     drop(stream);
     gateway.endpoints[0].was_left().await;
 }
+
+/// A caller that leaves an endpoint which said nothing yet proves nothing, and
+/// a silence that is over is found out.
+#[tokio::test]
+async fn attempts_come_back_to_an_endpoint_whose_caller_left() {
+    let gateway = TestGateway::before(2, Behaviour::Answer).await;
+    gateway.script.next([Behaviour::Silent]);
+    let call = Call::post("/once/", b"x").id("left").bytes();
+    let address = gateway.running.front_address();
+    let mut stream = tokio::net::TcpStream::connect(address)
+        .await
+        .expect("a connection");
+    tokio::io::AsyncWriteExt::write_all(&mut stream, &call)
+        .await
+        .expect("a request");
+    until(async || gateway.runs_of("left") > 0).await;
+    drop(stream);
+    let left = gateway.endpoints.iter().find(|e| e.runs_of("left") > 0);
+    let left = left.expect("an endpoint that was left");
+    left.was_left().await;
+    let silence = std::time::Duration::from_millis(1_000);
+    tokio::time::sleep(silence).await;
+    for i in 0..40 {
+        gateway
+            .call(Call::get("/safe/").id(&format!("r-{i}")))
+            .await;
+    }
+    let runs: usize = (0..40).map(|i| left.runs_of(&format!("r-{i}"))).sum();
+    assert_that!(runs, gt(5));
+}
--- a/crates/routing/src/health.rs
+++ b/crates/routing/src/health.rs
@@ -1,14 +1,25 @@
 //! What answers and silences say of an endpoint, learned without probes.
 //!
-//! An endpoint is suspected when it can't be reached, breaks off, or fails
-//! much more than it should, and is tried again after a time that doubles
-//! with each failure in a row. Suspicion only moves new work to others that
+//! An endpoint is suspected when it can't be reached, breaks off, falls silent
+//! or fails much more than it should. Suspicion ends by itself after a time
+//! that doubles with each that follows, and then one request tries the
+//! endpoint, while the others still stay away: if it is heard, all is well; if
+//! not, suspicion is renewed. Suspicion only moves new work to others that
 //! are as good; it never leaves a pool without endpoints.
+//!
+//! What is noted of silence is noted by the request that waits, of its own
+//! wait. An earlier form kept a list of all that waited: a request whose
+//! caller left stayed on it, and its endpoint, given no more work, was never
+//! heard again; and requests that may not be repeated kept an endpoint suspect
+//! to the end of their deadline, long after it had come back.
 
 /// The first time of suspicion.
 const SUSPECT_FIRST_MS: u64 = 500;
 /// The longest time of suspicion.
 const SUSPECT_MAX_MS: u64 = 4_000;
+/// How long after a suspicion a silent endpoint is left for those requests to
+/// try that may be repeated.
+const DOUBT_MS: u64 = 2_000;
 /// Weight of a new answer in the share of failures.
 const FAILURE_STEP: f64 = 0.15;
 /// Share of failures from which an endpoint is suspected. Services fail a
@@ -27,8 +38,11 @@
     Failure,
     /// It could not be reached, or its connection broke.
     Break,
-    /// It gave no answer in time.
-    Silence,
+    /// It gave no answer in time to a request.
+    Silence {
+        /// When the request was sent.
+        sent_at_ms: u64,
+    },
 }
 
 /// What is known of one endpoint.
@@ -46,12 +60,16 @@
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct EndpointHealth {
-    breaks_in_row: u32,
+    /// Suspicions in a row.
+    in_row: u32,
     failure_share: f64,
+    suspected_at_ms: u64,
     suspect_until_ms: u64,
     heard_at_ms: u64,
-    /// When the requests that still wait for a first byte were sent.
-    waiting_since_ms: Vec<u64>,
+    /// A request tries whether a suspicion still holds.
+    is_tried: bool,
+    /// When silence was last noted, if nothing was heard since.
+    silent_at_ms: Option<u64>,
 }
 
 impl EndpointHealth {
@@ -59,10 +77,8 @@
     pub fn see(&mut self, sign: Sign, now_ms: u64) {
         match sign {
             Sign::Answer => {
-                self.heard_at_ms = now_ms;
-                self.breaks_in_row = 0;
                 self.failure_share -= FAILURE_STEP * self.failure_share;
-                self.suspect_until_ms = 0;
+                self.trust(now_ms);
             }
             Sign::Failure => {
                 self.heard_at_ms = now_ms;
@@ -71,42 +87,70 @@
                     self.suspect_until_ms = now_ms + SUSPECT_FIRST_MS;
                 }
             }
-            Sign::Break | Sign::Silence => {
-                let doubled = SUSPECT_FIRST_MS << self.breaks_in_row.min(6);
-                self.breaks_in_row += 1;
-                self.suspect_until_ms = now_ms + doubled.min(SUSPECT_MAX_MS);
+            Sign::Break if self.is_tried || now_ms >= self.suspect_until_ms => {
+                self.suspect(now_ms);
             }
+            // What was sent before the last suspicion is part of its cause.
+            Sign::Silence { sent_at_ms }
+                if self.in_row == 0 || sent_at_ms >= self.suspected_at_ms =>
+            {
+                self.suspect(now_ms);
+                self.silent_at_ms = Some(now_ms);
+            }
+            Sign::Break | Sign::Silence { .. } => {}
+        }
+    }
+
+    /// A request is sent. The first one after a suspicion tries the endpoint.
+    pub fn sent(&mut self, now_ms: u64) {
+        if self.in_row > 0 && now_ms >= self.suspect_until_ms {
+            self.is_tried = true;
+            self.suspect_until_ms = now_ms + SILENCE_MS;
         }
     }
 
     /// A byte of an answer arrived.
     pub fn heard(&mut self, now_ms: u64) {
         self.heard_at_ms = now_ms;
+        self.silent_at_ms = None;
+        if self.is_tried {
+            self.trust(now_ms);
+        }
     }
 
-    /// A request was sent and waits for its first byte.
-    pub fn wait(&mut self, now_ms: u64) {
-        self.waiting_since_ms.push(now_ms);
+    /// Whether new work should rather go to others.
+    pub fn is_suspect(&self, now_ms: u64) -> bool {
+        now_ms < self.suspect_until_ms
     }
 
-    /// A request that was sent at `since_ms` waits no longer.
-    pub fn wait_over(&mut self, since_ms: u64) {
-        let place = self.waiting_since_ms.iter().position(|at| *at == since_ms);
-        if let Some(place) = place {
-            self.waiting_since_ms.swap_remove(place);
-        }
+    /// Whether it fell silent and was not heard since. A request that may be
+    /// repeated should try it rather than one that may not, unless none comes.
+    pub fn is_doubtful(&self, now_ms: u64) -> bool {
+        self.silent_at_ms.is_some() && now_ms < self.suspect_until_ms + DOUBT_MS
     }
 
-    /// Whether new work should rather go to others.
-    pub fn is_suspect(&self, now_ms: u64) -> bool {
-        now_ms < self.suspect_until_ms || self.is_silent(now_ms)
+    /// Whether a request that was sent at `sent_at_ms` waits in vain: it has
+    /// waited long and nothing at all has been heard of the endpoint since, or
+    /// another one did that was sent before.
+    pub fn is_silent(&self, sent_at_ms: u64, now_ms: u64) -> bool {
+        let own_ms = now_ms.saturating_sub(sent_at_ms.max(self.heard_at_ms));
+        own_ms >= SILENCE_MS || self.silent_at_ms.is_some_and(|at_ms| at_ms >= sent_at_ms)
     }
 
-    /// Whether a request waits and nothing at all has been heard since.
-    pub fn is_silent(&self, now_ms: u64) -> bool {
-        let oldest = self.waiting_since_ms.iter().min();
-        oldest.is_some_and(|&since_ms| {
-            now_ms.saturating_sub(since_ms.max(self.heard_at_ms)) >= SILENCE_MS
-        })
+    fn suspect(&mut self, now_ms: u64) {
+        const DOUBLINGS_MAX: u32 = 6;
+        let doubled = SUSPECT_FIRST_MS << self.in_row.min(DOUBLINGS_MAX);
+        self.in_row += 1;
+        self.is_tried = false;
+        self.suspected_at_ms = now_ms;
+        self.suspect_until_ms = now_ms + doubled.min(SUSPECT_MAX_MS);
+    }
+
+    fn trust(&mut self, now_ms: u64) {
+        self.heard_at_ms = now_ms;
+        self.in_row = 0;
+        self.is_tried = false;
+        self.silent_at_ms = None;
+        self.suspect_until_ms = 0;
     }
 }
