Refuse at once what would come too late, and keep prefixes at home in a full pool

Cause: the gateway took everything in. From the hosts' lines: each engine had 100 requests on 64 slots, and a slot that had just come free was given another home's request, so that every prefix was read everywhere and no engine had the memory for them. The pool did not come out of it.

Change, in the core: (1) admission: by Little's law the wait of a newcomer is the mean stay times the part of what is in progress that is beyond the places; it is held against the request's objective, urgent ranks and organisations within their share first, none under 0.4 of the first's chance. (2) placement: a full home's request goes to another only if that has slots to spare, or if the home's queue is long. The refusal says what it was decided by, and those refused come back spread over 0.7 s.

Tests: chance_*, wait_*, shares, choose_* of full pools, attempts_are_refused_at_once_when_they_would_come_too_late.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -9,6 +9,7 @@
 use http_body_util::Full;
 use hyper::Response;
 use hyper::body::{Body, Frame, SizeHint};
+use rand::RngExt;
 
 use crate::edge::{Edge, Refusal};
 
@@ -91,19 +92,20 @@
 
 /// When a repeat of a request that did not run makes sense. A host that
 /// leaves or knows nothing yet is not the only one: another may be asked at
-/// once. Endpoints that are full need a few requests' time.
+/// once. Endpoints that are full need a few requests' time, and a pool that is
+/// overrun some more; those that it refused together don't come back together.
 fn retry_after_ms(reason: Reason) -> Option<u64> {
     const ELSEWHERE_MS: u64 = 10;
     const FULL_MS: u64 = 200;
     const NONE_LIVE_MS: u64 = 500;
+    const OVERRUN_MS: std::ops::Range<u64> = 300..1_000;
     match reason {
         Reason::Leaving => Some(ELSEWHERE_MS),
         Reason::NoView | Reason::NoEndpoint => Some(NONE_LIVE_MS),
-        Reason::AtBound
-        | Reason::OverShare
-        | Reason::EndpointRefused
-        | Reason::EndpointUnreachable
-        | Reason::DeadlineTooClose => Some(FULL_MS),
+        Reason::AtBound | Reason::OverShare => Some(rand::rng().random_range(OVERRUN_MS)),
+        Reason::EndpointRefused | Reason::EndpointUnreachable | Reason::DeadlineTooClose => {
+            Some(FULL_MS)
+        }
         other => other.retry_after_s().map(|s| u64::from(s) * 1_000),
     }
 }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use chalkrock_core::Outcome;
 use chalkrock_routing::{AttemptEnd, Repeatable, RouteKind, Sign};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -71,13 +72,17 @@
 ) -> Result<Opened, Failure> {
     let call = &**progress.call();
     let short = choice.member.hash.short();
-    let on_endpoint = OnEndpoint::begin(shared, short);
-    let (connection, response) = send(shared, progress, choice, resume_after).await?;
-    let (head, body) = response.into_parts();
-    let answer = shared.edge.read_answer(&head);
-    if let Some(end) = not_an_answer(call, &head, &answer) {
-        return Err(Failure::of(end));
-    }
+    let on_endpoint = OnEndpoint::begin(shared, &call.pool, short);
+    let answered = answered(shared, progress, choice, resume_after).await;
+    let (connection, head, body, answer) = match answered {
+        Ok(answered) => answered,
+        Err(failure) => {
+            if failure.end.outcome() == Outcome::NotRun {
+                on_endpoint.turned_away();
+            }
+            return Err(failure);
+        }
+    };
     let is_stream = matches!(call.route.kind, RouteKind::Stream { .. }) && head.status.is_success();
     if is_stream {
         let now_ms = shared.clock.now_ms();
@@ -105,6 +110,22 @@
     Ok(Opened::Whole(whole))
 }
 
+/// Sends and waits for the head of this request's answer.
+async fn answered(
+    shared: &Arc<Shared>,
+    progress: &Progress,
+    choice: &Choice,
+    resume_after: Option<u64>,
+) -> Result<(Connection, http::response::Parts, Incoming, AnswerHead), Failure> {
+    let (connection, response) = send(shared, progress, choice, resume_after).await?;
+    let (head, body) = response.into_parts();
+    let answer = shared.edge.read_answer(&head);
+    match not_an_answer(progress.call(), &head, &answer) {
+        Some(end) => Err(Failure::of(end)),
+        None => Ok((connection, head, body, answer)),
+    }
+}
+
 /// Why a head is not the answer to this request, if it is not.
 fn not_an_answer(
     call: &Call,
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -18,6 +18,7 @@
     progress: &mut Progress,
     resume_after: Option<u64>,
 ) -> Result<Opened, Refusal> {
+    progress.admit()?;
     loop {
         if progress.call().left_ms() <= DEADLINE_RESERVE_MS {
             return Err(progress.too_late());
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -6,8 +6,8 @@
 use chalkrock_core::rendezvous::{KeyHash, score};
 use chalkrock_core::{Endpoint, PoolId, ZoneId};
 use chalkrock_routing::{
-    BudgetRules, Candidate, EndpointHealth, EndpointTable, FleetLoad, Holding, Member, PrefixMap,
-    Repeatable, Sign, SpreadRules, WindowBudget, choose,
+    BudgetRules, Candidate, EndpointHealth, EndpointTable, FleetLoad, Fullness, Holding, MeanStay,
+    Member, PrefixMap, Repeatable, Shares, Sign, SpreadRules, WindowBudget, choose,
 };
 
 use crate::source::{EndpointChange, EndpointRow, StoreVersion};
@@ -66,6 +66,9 @@
     budget: BudgetRules,
     health: HashMap<u32, EndpointHealth>,
     budgets: HashMap<PoolId, WindowBudget>,
+    stays: HashMap<PoolId, MeanStay>,
+    /// What organisations have in progress on this host.
+    pub(crate) shares: Shares,
     prefixes: PrefixMap,
     untold: Untold,
 }
@@ -83,6 +86,8 @@
             budget,
             health: HashMap::new(),
             budgets: HashMap::new(),
+            stays: HashMap::new(),
+            shares: Shares::default(),
             prefixes: PrefixMap::default(),
             untold: Untold::default(),
         }
@@ -258,6 +263,35 @@
             .expect("the budget was inserted just now")
     }
 
+    /// How full a pool is, but for endpoints that are suspect.
+    pub(crate) fn fullness(&self, pool: &PoolId, now_ms: u64) -> Fullness {
+        let members = self.endpoints.live(pool);
+        let takes_work = members.iter().filter(|member| {
+            let health = self.health.get(&member.hash.short());
+            !health.is_some_and(|health| health.is_suspect(now_ms))
+        });
+        let (places, in_progress) = takes_work.fold((0, 0), |(places, in_progress), member| {
+            let load = self.load.of(member.hash.short());
+            (places + member.endpoint.slots, in_progress + load)
+        });
+        Fullness {
+            places,
+            in_progress,
+            stay_ms: self.stays.get(pool).map_or(0.0, MeanStay::ms),
+        }
+    }
+
+    /// A request left an endpoint of a pool after so long.
+    pub(crate) fn note_stay(&mut self, pool: &PoolId, stayed_ms: u64) {
+        if let Some(stay) = self.stays.get_mut(pool) {
+            stay.note(stayed_ms);
+            return;
+        }
+        let mut stay = MeanStay::default();
+        stay.note(stayed_ms);
+        self.stays.insert(pool.clone(), stay);
+    }
+
     /// Takes the whole list of endpoints, as of a version.
     pub(crate) fn replace(&mut self, list: Vec<Endpoint>, version: StoreVersion, now_ms: u64) {
         self.endpoints.replace(list, now_ms);
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -5,7 +5,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use chalkrock_core::Outcome;
 use chalkrock_routing::{CallerLimits, StopPhase};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -26,7 +25,7 @@
 use crate::progress::Progress;
 use crate::relay::Relay;
 use crate::shared::Shared;
-use crate::told::{TellsLeaving, record, record_refusal};
+use crate::told::{Ending, TellsLeaving, record, record_refusal};
 
 /// Pause after the system could not accept a connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -114,9 +113,7 @@
                 &shared,
                 &call,
                 progress.take_attempts(),
-                Some(status),
-                Outcome::Ran,
-                None,
+                Ending::answered(status),
             );
             whole_answer(&shared, whole)
         }
@@ -125,19 +122,15 @@
             stream_answer(&shared, relay)
         }
         Err(refusal) => {
-            let attempts = progress.take_attempts();
-            let (reason, outcome) = (refusal.reason, refusal.outcome());
-            let id = call.head.id.clone();
-            let answer = refusal.into_answer(&*shared.edge, id.as_ref());
-            let status = answer.status().as_u16();
-            record(
-                &shared,
-                &call,
-                attempts,
-                Some(status),
-                outcome,
-                Some(reason),
-            );
+            let mut ending = Ending {
+                status: 0,
+                outcome: refusal.outcome(),
+                reason: Some(refusal.reason),
+                detail: refusal.detail.clone(),
+            };
+            let answer = refusal.into_answer(&*shared.edge, call.head.id.as_ref());
+            ending.status = answer.status().as_u16();
+            record(&shared, &call, progress.take_attempts(), ending);
             answer
         }
     };
--- a/crates/gateway/src/progress.rs
+++ b/crates/gateway/src/progress.rs
@@ -3,13 +3,13 @@
 use std::sync::Arc;
 
 use chalkrock_core::{Outcome, Reason};
-use chalkrock_routing::{AttemptEnd, Next, Repeatable, Sign, next_step};
+use chalkrock_routing::{AttemptEnd, Newcomer, Next, Repeatable, Sign, is_admitted, next_step};
 
 use crate::call::Call;
 use crate::edge::Refusal;
 use crate::fleet::{Choice, Fleet, Wanted};
 use crate::journal::{AttemptRecord, Event};
-use crate::shared::Shared;
+use crate::shared::{OfOrganisation, Shared};
 
 /// The attempts of one request.
 pub(crate) struct Progress {
@@ -22,6 +22,8 @@
     /// The worst that the attempts prove.
     worst: Outcome,
     attempts: Vec<AttemptRecord>,
+    /// Its part of what its organisation has in progress.
+    _share: Option<OfOrganisation>,
     /// When the last attempt began, on the shared clock.
     sent_at_ms: u64,
 }
@@ -32,7 +34,9 @@
     pub(crate) fn new(shared: Arc<Shared>, call: Arc<Call>) -> Self {
         let now_ms = shared.clock.now_ms();
         shared.fleet().budget(&call.pool).request(now_ms);
+        let organisation = call.caller.as_ref().map(|caller| &caller.organisation);
         Self {
+            _share: organisation.map(|name| OfOrganisation::begin(&shared, name)),
             shared,
             call,
             tried: Vec::new(),
@@ -47,6 +51,40 @@
         &self.call
     }
 
+    /// Refuses the request if its pool is so full that it would come too late.
+    /// One that was sent already is not refused any more.
+    pub(crate) fn admit(&self) -> Result<(), Refusal> {
+        if !self.tried.is_empty() {
+            return Ok(());
+        }
+        let organisation = self.call.caller.as_ref().map(|caller| &caller.organisation);
+        let now_ms = self.shared.clock.now_ms();
+        let fleet = self.shared.fleet();
+        let fullness = fleet.fullness(&self.call.pool, now_ms);
+        let newcomer = Newcomer {
+            rank: self.call.priority(),
+            objective_ms: self.call.route.objective_ms,
+            is_over_share: organisation.is_some_and(|name| fleet.shares.is_over(name)),
+        };
+        drop(fleet);
+        if is_admitted(&fullness, &newcomer, rand::random()) {
+            return Ok(());
+        }
+        let detail = format!(
+            "{} in progress on {} places, each for {:.0} ms; a wait of {:.0} ms",
+            fullness.in_progress,
+            fullness.places,
+            fullness.stay_ms,
+            fullness.wait_ms()
+        );
+        let reason = if newcomer.is_over_share {
+            Reason::OverShare
+        } else {
+            Reason::AtBound
+        };
+        Err(Refusal::new(reason, detail))
+    }
+
     /// The endpoint for the next attempt, among those that did not have the
     /// request yet.
     pub(crate) fn place(&self) -> Option<Choice> {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -22,7 +22,7 @@
 use crate::journal::Event;
 use crate::progress::Progress;
 use crate::shared::{Running, Shared};
-use crate::told::record;
+use crate::told::{Ending, record};
 
 /// Silence in a stream after which its endpoint is looked at.
 const LOOK_EVERY: Duration = Duration::from_millis(200);
@@ -205,26 +205,24 @@
                 .upstream
                 .keep(short, connection, answer.keep_alive_s);
         }
-        self.tell(Outcome::Ran, None);
+        self.tell(Ending::answered(self.status));
     }
 
     fn break_off(&mut self, reason: Reason) -> Result<Bytes, BrokenOff> {
         self.is_over = true;
         self.stream = None;
-        self.tell(Outcome::Unknown, Some(reason));
+        self.tell(Ending {
+            status: self.status,
+            outcome: Outcome::Unknown,
+            reason: Some(reason),
+            detail: String::new(),
+        });
         Err(BrokenOff)
     }
 
-    fn tell(&mut self, outcome: Outcome, reason: Option<Reason>) {
+    fn tell(&mut self, ending: Ending) {
         let attempts = self.progress.take_attempts();
-        record(
-            &self.shared,
-            &self.call,
-            attempts,
-            Some(self.status),
-            outcome,
-            reason,
-        );
+        record(&self.shared, &self.call, attempts, ending);
     }
 }
 
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 
 use arc_swap::ArcSwapOption;
+use chalkrock_core::{OrganisationId, PoolId};
 use chalkrock_process::Metrics;
 use chalkrock_routing::{Rules, RulesDocument, StopPhase, StopPlan};
 use tokio::sync::{Notify, watch};
@@ -178,22 +179,61 @@
 /// A request in progress on an endpoint, counted until this is dropped.
 pub(crate) struct OnEndpoint {
     shared: Arc<Shared>,
+    pool: PoolId,
     endpoint: u32,
+    since: Instant,
+    /// It was never worked on, so that its stay says nothing of the pool.
+    was_turned_away: bool,
 }
 
 impl OnEndpoint {
-    pub(crate) fn begin(shared: &Arc<Shared>, endpoint: u32) -> Self {
+    pub(crate) fn begin(shared: &Arc<Shared>, pool: &PoolId, endpoint: u32) -> Self {
         shared.fleet().load.begin(endpoint);
         Self {
             shared: shared.clone(),
+            pool: pool.clone(),
             endpoint,
+            since: Instant::now(),
+            was_turned_away: false,
         }
     }
+
+    /// The endpoint did not take the request in.
+    pub(crate) fn turned_away(mut self) {
+        self.was_turned_away = true;
+    }
 }
 
 impl Drop for OnEndpoint {
     fn drop(&mut self) {
-        self.shared.fleet().load.end(self.endpoint);
+        let mut fleet = self.shared.fleet();
+        fleet.load.end(self.endpoint);
+        if !self.was_turned_away {
+            let stayed_ms = self.since.elapsed().as_millis() as u64;
+            fleet.note_stay(&self.pool, stayed_ms);
+        }
+    }
+}
+
+/// An organisation's request, counted until this is dropped.
+pub(crate) struct OfOrganisation {
+    shared: Arc<Shared>,
+    organisation: OrganisationId,
+}
+
+impl OfOrganisation {
+    pub(crate) fn begin(shared: &Arc<Shared>, organisation: &OrganisationId) -> Self {
+        shared.fleet().shares.begin(organisation);
+        Self {
+            shared: shared.clone(),
+            organisation: organisation.clone(),
+        }
+    }
+}
+
+impl Drop for OfOrganisation {
+    fn drop(&mut self) {
+        self.shared.fleet().shares.end(&self.organisation);
     }
 }
 
--- a/crates/gateway/src/told.rs
+++ b/crates/gateway/src/told.rs
@@ -36,15 +36,35 @@
     count(shared, Some(refusal.reason), refusal.outcome());
 }
 
+/// How a request ended for its caller.
+pub(crate) struct Ending {
+    pub(crate) status: u16,
+    pub(crate) outcome: Outcome,
+    pub(crate) reason: Option<Reason>,
+    /// What the reason rests on.
+    pub(crate) detail: String,
+}
+
+impl Ending {
+    /// An endpoint's answer was passed on whole.
+    pub(crate) fn answered(status: u16) -> Self {
+        Self {
+            status,
+            outcome: Outcome::Ran,
+            reason: None,
+            detail: String::new(),
+        }
+    }
+}
+
 /// Tells how a request ended.
-pub(crate) fn record(
-    shared: &Shared,
-    call: &Call,
-    attempts: Vec<AttemptRecord>,
-    status: Option<u16>,
-    outcome: Outcome,
-    reason: Option<Reason>,
-) {
+pub(crate) fn record(shared: &Shared, call: &Call, attempts: Vec<AttemptRecord>, ending: Ending) {
+    let Ending {
+        status,
+        outcome,
+        reason,
+        detail,
+    } = ending;
     let took = call.entered_at.elapsed();
     let record = RequestRecord {
         id: call.head.id.clone(),
@@ -55,10 +75,10 @@
             .map(|caller| caller.organisation.clone()),
         rules: call.rules,
         attempts,
-        status,
+        status: Some(status),
         outcome,
         reason,
-        detail: String::new(),
+        detail,
         took_ms: took.as_millis() as u64,
     };
     shared.journal.tell(&Event::Request(&record));
--- a/crates/gateway/tests/gateway/attempts.rs
+++ b/crates/gateway/tests/gateway/attempts.rs
@@ -235,3 +235,35 @@
     let runs: usize = (0..40).map(|i| left.runs_of(&format!("r-{i}"))).sum();
     assert_that!(runs, gt(5));
 }
+
+/// Eight requests on two places, each for 400 ms: a ninth would wait for 300.
+#[tokio::test]
+async fn attempts_are_refused_at_once_when_they_would_come_too_late() {
+    let source = TestSource::default();
+    source.set_rules(rules(1));
+    let script = Script::default();
+    let usual = Behaviour::Answer;
+    let endpoint = ScriptedEndpoint::start("endpoint", "pool", usual, script.clone()).await;
+    let mut row = endpoint.endpoint.clone();
+    row.slots = 2;
+    source.list(row);
+    let gateway = TestGateway::with(source, "host-1", Vec::new()).await;
+    gateway.ready().await;
+    let address = gateway.running.front_address();
+    let mut waiting = Vec::new();
+    for i in 0..8 {
+        script.next([Behaviour::Silent]);
+        let id = format!("waits-{i}");
+        let call = Call::post("/once/", b"x").id(&id);
+        waiting.push(tokio::spawn(async move { call.to(address).await }));
+        until(async || endpoint.runs_of(&id) == 1).await;
+    }
+    script.next([Behaviour::AnswerAfter(400)]);
+    let stays = gateway.call(Call::post("/once/", b"x").id("stays")).await;
+    assert_that!(stays.status, eq(200));
+    let late = gateway.call(Call::post("/once/", b"x").id("late")).await;
+    assert_that!(late.status, eq(503));
+    assert_that!(late.header("come-back"), some(anything()));
+    assert_that!(endpoint.runs_of("late"), eq(0));
+    waiting.iter().for_each(tokio::task::JoinHandle::abort);
+}
--- /dev/null
+++ b/crates/routing/src/admission.rs
@@ -0,0 +1,121 @@
+//! Whether a request is taken in while its pool is overloaded.
+//!
+//! Endpoints queue what they have no place for, and a queue that is longer
+//! than callers wait is worse than none: each request in it is late or given
+//! up, and places are spent on it all the same. So the wait that a newcomer
+//! has to expect is estimated and held against its objective. Where it is too
+//! long, the request is refused at once, and told when to come back.
+//!
+//! The estimate needs no word of the endpoints. By Little's law, what is in
+//! progress on a pool, over the time that each request stays there, is the
+//! rate at which the pool serves; a newcomer waits until the pool has served
+//! all that is in progress beyond its places. Tried before: to take in while
+//! more than an endpoint's places are filled by a fixed part. Places of short
+//! calls turn over ten times within their objective and may well queue, those
+//! of long streams may not; one part fits only one of them.
+//!
+//! Urgent requests bear a longer wait than others before they are refused, so
+//! that the least urgent go first; but none falls below a part of what the
+//! most urgent get, so that no kind starves.
+
+/// Rank of the least urgent request; ranks beyond it are like it.
+const RANK_LAST: u8 = 2;
+/// Parts of the objective that the expected wait may take, by rank: up to the
+/// first every request is taken in, from the second on only the floor is.
+const WAIT_PARTS: [(f64, f64); 3] = [(0.30, 0.90), (0.20, 0.70), (0.10, 0.50)];
+/// The least chance, as a part of the chance of the most urgent.
+const FLOOR: f64 = 0.4;
+/// Weight of a new stay in the mean.
+const STAY_STEP: f64 = 0.05;
+
+/// The mean time that requests stay on a pool's endpoints.
+///
+/// # Example
+///
+/// ```
+/// use chalkrock_routing::MeanStay;
+///
+/// let mut stay = MeanStay::default();
+/// stay.note(200);
+/// assert_eq!(stay.ms(), 200.0);
+/// ```
+#[derive(Clone, Copy, Debug, Default)]
+pub struct MeanStay(Option<f64>);
+
+impl MeanStay {
+    /// A request left after so long.
+    pub fn note(&mut self, stayed_ms: u64) {
+        let stayed_ms = stayed_ms as f64;
+        let mean = self.0.get_or_insert(stayed_ms);
+        *mean += STAY_STEP * (stayed_ms - *mean);
+    }
+
+    /// The mean in milliseconds, 0 while none has left.
+    pub fn ms(&self) -> f64 {
+        self.0.unwrap_or(0.0)
+    }
+}
+
+/// How full a pool is.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Fullness {
+    /// Requests that the endpoints which take work can work on at once.
+    pub places: u32,
+    /// Requests in progress on them, over the fleet.
+    pub in_progress: u32,
+    /// How long requests stay, in the mean.
+    pub stay_ms: f64,
+}
+
+impl Fullness {
+    /// How long a newcomer has to wait for a place.
+    pub fn wait_ms(&self) -> f64 {
+        if self.in_progress <= self.places {
+            return 0.0;
+        }
+        let served_first = f64::from(self.in_progress - self.places);
+        self.stay_ms * served_first / f64::from(self.in_progress)
+    }
+}
+
+/// Who asks to be taken in.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Newcomer {
+    /// Its rank, 0 the most urgent.
+    pub rank: u8,
+    /// The time in which an answer is wanted.
+    pub objective_ms: u64,
+    /// Whether its organisation has more than its share in progress.
+    pub is_over_share: bool,
+}
+
+/// The chance with which a newcomer is taken in, 0 to 1.
+pub fn chance(fullness: &Fullness, newcomer: &Newcomer) -> f64 {
+    let waits = fullness.wait_ms() / newcomer.objective_ms.max(1) as f64;
+    let behind = u8::from(newcomer.is_over_share);
+    let rank = newcomer.rank.saturating_add(behind).min(RANK_LAST);
+    let floor = FLOOR * chance_of_rank(waits, 0);
+    chance_of_rank(waits, rank).max(floor)
+}
+
+/// Whether a newcomer is taken in; `draw` is from 0 up to 1.
+///
+/// # Example
+///
+/// ```
+/// use chalkrock_routing::{Fullness, Newcomer, is_admitted};
+///
+/// let newcomer = Newcomer { rank: 0, objective_ms: 400, is_over_share: false };
+/// let full = Fullness { places: 64, in_progress: 64, stay_ms: 1_000.0 };
+/// assert!(is_admitted(&full, &newcomer, 0.99));
+/// let overrun = Fullness { in_progress: 128, ..full };
+/// assert!(!is_admitted(&overrun, &newcomer, 0.0));
+/// ```
+pub fn is_admitted(fullness: &Fullness, newcomer: &Newcomer, draw: f64) -> bool {
+    draw < chance(fullness, newcomer)
+}
+
+fn chance_of_rank(waits: f64, rank: u8) -> f64 {
+    let (all_up_to, none_from) = WAIT_PARTS[usize::from(rank.min(RANK_LAST))];
+    ((none_from - waits) / (none_from - all_up_to)).clamp(0.0, 1.0)
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -32,6 +32,7 @@
 //! assert_eq!(first, choose(&candidates, Some(key), &SpreadRules::default(), 7));
 //! ```
 
+mod admission;
 mod attempt;
 mod budget;
 mod endpoints;
@@ -42,9 +43,11 @@
 mod readers;
 mod route;
 mod rules;
+mod shares;
 mod spread;
 mod stop_plan;
 
+pub use admission::{Fullness, MeanStay, Newcomer, chance, is_admitted};
 pub use attempt::{AttemptEnd, Next, Repeatable, next_step};
 pub use budget::{BudgetRules, WindowBudget};
 pub use endpoints::{EndpointTable, Member, Standing};
@@ -57,5 +60,6 @@
 pub use readers::{HeardHost, Reading, ZoneView, readers_wanted};
 pub use route::{Backend, Route, RouteKind};
 pub use rules::{Caller, CallerLimits, OrganisationRules, Rules, RulesDocument, RulesVersion};
+pub use shares::Shares;
 pub use spread::{Candidate, SpreadRules, choose};
 pub use stop_plan::{StopPhase, StopPlan};
--- a/crates/routing/src/rules.rs
+++ b/crates/routing/src/rules.rs
@@ -75,7 +75,7 @@
 pub struct Caller {
     /// The organisation.
     pub organisation: OrganisationId,
-    /// Its rank, 0 first.
+    /// How far its rank is behind the first organisation's.
     pub priority: u8,
 }
 
@@ -110,10 +110,12 @@
             routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
         }
         let mut by_key = HashMap::new();
+        let ranks = document.organisations.iter().map(|o| o.priority);
+        let first = ranks.min().unwrap_or_default();
         for organisation in &document.organisations {
             let caller = Caller {
                 organisation: organisation.name.clone(),
-                priority: organisation.priority,
+                priority: organisation.priority - first,
             };
             let keys = organisation.keys.iter().cloned();
             by_key.extend(keys.map(|key| (key, caller.clone())));
--- a/crates/routing/src/spread.rs
+++ b/crates/routing/src/spread.rs
@@ -26,6 +26,20 @@
     pub holds_prefix: bool,
 }
 
+/// The part of its slots up to which an endpoint has slots to spare.
+const ROOMY: f64 = 0.75;
+/// The part from which it has no free slot.
+const FULL: f64 = 1.0;
+/// The part up to which its queue is short.
+const QUEUED: f64 = 1.15;
+
+impl Candidate {
+    /// Whether less than a part of its slots is taken.
+    fn is_below(&self, part: f64) -> bool {
+        f64::from(self.load) < part * f64::from(self.slots)
+    }
+}
+
 /// Bounds on placement.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct SpreadRules {
@@ -47,11 +61,19 @@
 
 /// The endpoint for a request, as an index; `None` if there is no candidate.
 ///
-/// With a key, the least loaded of those that hold the prefix and are under the
-/// bound; without any, the first rank of the key under the bound. Without a
-/// key, the least loaded by its slots, near ones first among equals. `draw` is any
-/// number and breaks what ties are left, so that hosts with the same view do
-/// not all pick the same endpoint.
+/// With a key, its home: the first rank, if it has a free slot and is under
+/// the bound. Else the first that holds the prefix, or the first, of those
+/// that are under the bound and have slots to spare. Where none has, the home
+/// queues it, if its queue is short, and else one with a free slot takes it.
+/// Once, a slot that had just come free was enough
+/// to be given another's request; in a pool that was full for a moment all
+/// prefixes were then read everywhere, until no engine had the memory for
+/// them, and a pool that could bear six times the load of a day stayed full.
+///
+/// Without a key, or where all are over the bound, the least loaded by its
+/// slots, near ones first among equals. `draw` is any number and breaks what
+/// ties are left, so that hosts with the same view do not all pick the same
+/// endpoint.
 pub fn choose(
     candidates: &[Candidate],
     key: Option<KeyHash>,
@@ -60,28 +82,49 @@
 ) -> Option<usize> {
     let usable = usable(candidates);
     let limit = limit(candidates, rules);
+    let under = |i: &usize| f64::from(candidates[*i].load + 1) <= limit;
+    let bounded: Vec<usize> = usable.iter().copied().filter(under).collect();
+    let with_room = |part: f64| -> Vec<usize> {
+        let has_room = |i: &usize| candidates[*i].is_below(part);
+        bounded.iter().copied().filter(has_room).collect()
+    };
     let by_prefix = key.and_then(|key| {
-        let has_room = usable.iter().copied().filter(|&i| {
-            let candidate = &candidates[i];
-            f64::from(candidate.load + 1) <= limit && candidate.load < candidate.slots
-        });
-        let has_room: Vec<usize> = has_room.collect();
-        let rank = |i: usize| score(key, candidates[i].hash, 1.0);
-        let best = |indices: &mut dyn Iterator<Item = usize>| {
-            indices.max_by(|&a, &b| rank(a).total_cmp(&rank(b)))
-        };
-        let home = best(&mut usable.iter().copied());
-        let holders = has_room
-            .iter()
-            .copied()
-            .filter(|&i| candidates[i].holds_prefix);
-        home.filter(|home| has_room.contains(home))
-            .or_else(|| best(&mut holders.into_iter()))
-            .or_else(|| best(&mut has_room.iter().copied()))
+        let ranks = Ranks { candidates, key };
+        let home = ranks.first(&usable).filter(|home| bounded.contains(home));
+        let home_below = |part: f64| home.filter(|&home| candidates[home].is_below(part));
+        home_below(FULL)
+            .or_else(|| ranks.spill(&with_room(ROOMY)))
+            .or_else(|| home_below(QUEUED))
+            .or_else(|| ranks.spill(&with_room(FULL)))
+            .or(home)
+            .or_else(|| ranks.spill(&bounded))
     });
     by_prefix.or_else(|| least_loaded(candidates, &usable, draw))
 }
 
+/// The ranks of candidates for one key.
+struct Ranks<'a> {
+    candidates: &'a [Candidate],
+    key: KeyHash,
+}
+
+impl Ranks<'_> {
+    fn first(&self, among: &[usize]) -> Option<usize> {
+        let rank = |i: usize| score(self.key, self.candidates[i].hash, 1.0);
+        among
+            .iter()
+            .copied()
+            .max_by(|&a, &b| rank(a).total_cmp(&rank(b)))
+    }
+
+    /// The first that holds the prefix, else the first.
+    fn spill(&self, among: &[usize]) -> Option<usize> {
+        let holds = |i: &usize| self.candidates[*i].holds_prefix;
+        let holders: Vec<usize> = among.iter().copied().filter(holds).collect();
+        self.first(&holders).or_else(|| self.first(among))
+    }
+}
+
 /// Those that nothing speaks against; all, if something speaks against each.
 fn usable(candidates: &[Candidate]) -> Vec<usize> {
     let trusted: Vec<usize> = (0..candidates.len())
--- /dev/null
+++ b/crates/routing/tests/admission.rs
@@ -0,0 +1,91 @@
+//! Who is taken in while a pool is overloaded.
+
+use chalkrock_routing::{Fullness, MeanStay, Newcomer, chance};
+use googletest::prelude::*;
+use proptest::prelude::*;
+
+const PLACES: u32 = 100;
+
+fn fullness(in_progress: u32, stay_ms: f64) -> Fullness {
+    Fullness {
+        places: PLACES,
+        in_progress,
+        stay_ms,
+    }
+}
+
+fn newcomer(rank: u8, objective_ms: u64) -> Newcomer {
+    Newcomer {
+        rank,
+        objective_ms,
+        is_over_share: false,
+    }
+}
+
+#[test]
+fn wait_is_what_is_served_first() {
+    for (in_progress, wait_ms) in [(0, 0.0), (100, 0.0), (125, 200.0), (200, 500.0)] {
+        assert_that!(fullness(in_progress, 1_000.0).wait_ms(), eq(wait_ms));
+    }
+}
+
+#[test]
+fn chance_is_whole_while_places_are_free() {
+    for rank in 0..=9 {
+        assert_that!(chance(&fullness(99, 60_000.0), &newcomer(rank, 1)), eq(1.0));
+    }
+}
+
+/// Short calls may queue several times over, long streams may not.
+#[test]
+fn chance_depends_on_the_wait_and_not_on_the_queue() {
+    let asks = newcomer(0, 300);
+    assert_that!(chance(&fullness(200, 60.0), &asks), eq(1.0));
+    assert_that!(chance(&fullness(200, 2_000.0), &asks), eq(0.0));
+}
+
+#[test]
+fn chance_falls_for_the_least_urgent_first_and_starves_none() {
+    let busy = fullness(112, 1_500.0);
+    let chances = [0, 1, 2, 9].map(|rank| chance(&busy, &newcomer(rank, 400)));
+    assert_that!(chances[0], gt(chances[1]));
+    assert_that!(chances[1], gt(chances[2]));
+    assert_that!(chances[2], eq(chances[3]));
+    assert_that!(chances[2], ge(0.4 * chances[0]));
+}
+
+#[test]
+fn chance_is_less_for_who_has_more_than_its_share() {
+    let busy = fullness(112, 1_500.0);
+    let asks = newcomer(0, 400);
+    let over = Newcomer {
+        is_over_share: true,
+        ..asks
+    };
+    assert_that!(chance(&busy, &over), lt(chance(&busy, &asks)));
+}
+
+#[test]
+fn stay_follows_what_is_seen() {
+    let mut stay = MeanStay::default();
+    assert_that!(stay.ms(), eq(0.0));
+    stay.note(100);
+    (0..200).for_each(|_| stay.note(900));
+    assert_that!(stay.ms(), gt(890.0));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: prop::test_runner::RngSeed::Fixed(11), ..ProptestConfig::default() })]
+
+    #[test]
+    fn chance_never_rises_with_load(
+        in_progress in 0_u32..1_000, more in 0_u32..100, stay_ms in 0.0..10_000.0,
+        rank in 0_u8..12, objective_ms in 0_u64..10_000,
+    ) {
+        let asks = newcomer(rank, objective_ms);
+        let less = chance(&fullness(in_progress, stay_ms), &asks);
+        let greater = chance(&fullness(in_progress + more, stay_ms), &asks);
+        prop_assert!((0.0..=1.0).contains(&less));
+        prop_assert!(greater <= less);
+    }
+}
--- a/crates/routing/tests/spread.rs
+++ b/crates/routing/tests/spread.rs
@@ -142,3 +142,44 @@
     }
     assert_that!(seen.to_vec(), each(gt(&50)));
 }
+
+/// Candidates with 64 slots: the home of a key and nine others, by load.
+fn home_and_others(key: KeyHash, home_load: u32, others_load: u32) -> (usize, Vec<Candidate>) {
+    let home = home(&idle(10), key);
+    let loads = (0..10).map(|i| if i == home { home_load } else { others_load });
+    let candidates = loads.enumerate().map(|(i, load)| candidate(i, load));
+    (home, candidates.collect())
+}
+
+/// In a pool that is full throughout, prefixes stay where they are held.
+#[test]
+fn choose_the_home_of_a_full_pool_though_a_slot_came_free() {
+    let key = KeyHash(5);
+    for others_load in [60, 63, 66] {
+        let (home, candidates) = home_and_others(key, 66, others_load);
+        let chosen = choose(&candidates, Some(key), &RULES, 1);
+        assert_that!(chosen, some(eq(home)), "others have {others_load}");
+    }
+}
+
+#[test]
+fn choose_for_a_full_home_one_with_slots_to_spare_that_holds_the_prefix() {
+    let key = KeyHash(5);
+    let (home, mut candidates) = home_and_others(key, 64, 40);
+    let spilled = choose(&candidates, Some(key), &RULES, 1).expect("there is one");
+    assert_that!(spilled, not(eq(home)));
+    let holder = (0..10)
+        .find(|&i| i != home && i != spilled)
+        .expect("there is one");
+    candidates[holder].holds_prefix = true;
+    let chosen = choose(&candidates, Some(key), &RULES, 1);
+    assert_that!(chosen, some(eq(holder)));
+}
+
+#[test]
+fn choose_a_free_slot_rather_than_a_long_queue_at_home() {
+    let key = KeyHash(5);
+    let (home, candidates) = home_and_others(key, 80, 60);
+    let chosen = choose(&candidates, Some(key), &RULES, 1);
+    assert_that!(chosen, some(not(eq(home))));
+}
--- a/tools/vary_site.py
+++ b/tools/vary_site.py
@@ -130,6 +130,9 @@
     "bounds-loose": loosen,
     "store-slow": slow_store,
     "traffic-third-more": lambda site: scale_traffic(site, 1.33),
+    "traffic-twice": lambda site: scale_traffic(site, 2),
+    "traffic-thrice": lambda site: scale_traffic(site, 3),
+    "traffic-six-times": lambda site: scale_traffic(site, 6),
 }
 
 
