Bound a head by a time of its own, from its first byte

Now a stream of our own bounds the head; the library's timer bounds the rest. It is counted and told.

Tests: call_with_a_slow_head_loses_its_connection (fails without the count and, before, held on for the idle time), call_with_an_endless_body_is_cut_off and call_with_an_endless_head_is_cut_off (memory stays flat: what is read of either is bounded; these held before).

--- /dev/null
+++ b/crates/gateway/src/caller_stream.rs
@@ -0,0 +1,176 @@
+//! A caller's connection, on which each head has to arrive in time.
+//!
+//! The HTTP library has one timer for a head, which also runs while a kept
+//! connection rests. Callers may rest for long and must not take as long over
+//! a head: slow ones would hold connections for next to nothing. So the
+//! library's timer bounds the rest, and this stream the head, from its first
+//! byte on.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::body::{Body, Frame, SizeHint};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::time::{Instant, Sleep};
+
+use crate::answer::{BrokenOff, CallerBody};
+
+/// Whose turn it is on a connection.
+#[derive(Debug, Default)]
+pub(crate) struct Turn {
+    /// Heads that have arrived.
+    heads: AtomicU64,
+    /// A request was read and its answer has not been sent whole.
+    is_serving: AtomicBool,
+    /// A head took too long.
+    was_late: AtomicBool,
+}
+
+impl Turn {
+    /// Whether the connection ended over a head that took too long.
+    pub(crate) fn was_late(&self) -> bool {
+        self.was_late.load(Ordering::Relaxed)
+    }
+
+    /// A head has arrived. It is the host's turn until the guard is dropped.
+    pub(crate) fn serve(self: &Arc<Self>) -> Serving {
+        self.heads.fetch_add(1, Ordering::Relaxed);
+        self.is_serving.store(true, Ordering::Relaxed);
+        Serving(self.clone())
+    }
+}
+
+/// It is the host's turn.
+#[derive(Debug)]
+pub(crate) struct Serving(Arc<Turn>);
+
+impl Drop for Serving {
+    fn drop(&mut self) {
+        self.0.is_serving.store(false, Ordering::Relaxed);
+    }
+}
+
+/// A body during which it is the host's turn.
+pub(crate) struct ServedBody {
+    pub(crate) body: CallerBody,
+    pub(crate) _serving: Serving,
+}
+
+impl Body for ServedBody {
+    type Data = Bytes;
+    type Error = BrokenOff;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
+        Pin::new(&mut self.get_mut().body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+/// A caller's connection.
+#[derive(Debug)]
+pub(crate) struct CallerStream {
+    stream: TcpStream,
+    turn: Arc<Turn>,
+    head_timeout: Duration,
+    /// The number of the head that began to arrive.
+    begun: Option<u64>,
+    deadline: Pin<Box<Sleep>>,
+}
+
+impl CallerStream {
+    pub(crate) fn new(stream: TcpStream, turn: Arc<Turn>, head_timeout: Duration) -> Self {
+        Self {
+            stream,
+            turn,
+            head_timeout,
+            begun: None,
+            deadline: Box::pin(tokio::time::sleep(head_timeout)),
+        }
+    }
+
+    /// The number of the head that is awaited, if one is.
+    fn awaited(&self) -> Option<u64> {
+        let is_serving = self.turn.is_serving.load(Ordering::Relaxed);
+        (!is_serving).then(|| self.turn.heads.load(Ordering::Relaxed))
+    }
+
+    fn take_note_of_bytes(&mut self) {
+        let awaited = self.awaited();
+        if awaited.is_some() && self.begun != awaited {
+            self.begun = awaited;
+            let deadline = Instant::now() + self.head_timeout;
+            self.deadline.as_mut().reset(deadline);
+        }
+    }
+
+    fn is_late(&mut self, cx: &mut Context<'_>) -> bool {
+        let is_arriving = self.begun.is_some() && self.begun == self.awaited();
+        is_arriving && self.deadline.as_mut().poll(cx).is_ready()
+    }
+}
+
+impl AsyncRead for CallerStream {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let this = self.get_mut();
+        let before = buffer.filled().len();
+        let read = Pin::new(&mut this.stream).poll_read(cx, buffer);
+        if buffer.filled().len() > before {
+            this.take_note_of_bytes();
+        }
+        if this.is_late(cx) {
+            this.turn.was_late.store(true, Ordering::Relaxed);
+            return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
+        }
+        read
+    }
+}
+
+impl AsyncWrite for CallerStream {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.get_mut().stream).poll_write(cx, bytes)
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_shutdown(cx)
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffers: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.get_mut().stream).poll_write_vectored(cx, buffers)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+}
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -20,8 +20,10 @@
 use crate::answer::CallerBody;
 use crate::attempt::{Opened, Whole};
 use crate::call::enter;
+use crate::caller_stream::{CallerStream, ServedBody, Turn};
 use crate::dispatch::dispatch;
 use crate::edge::{CallHead, Refusal, remove_connection_headers};
+use crate::journal::Event;
 use crate::progress::Progress;
 use crate::relay::Relay;
 use crate::shared::Shared;
@@ -60,12 +62,20 @@
     let limits = shared
         .rules()
         .map_or_else(CallerLimits::default, |rules| *rules.limits());
+    let turn = Arc::new(Turn::default());
+    let head_timeout = Duration::from_millis(limits.head_timeout_ms);
+    let stream = CallerStream::new(stream, turn.clone(), head_timeout);
     let service = service_fn(|request| {
         let shared = shared.clone();
-        async move { Ok::<_, Infallible>(serve(shared, request).await) }
+        let serving = turn.serve();
+        async move {
+            let response = serve(shared, request).await;
+            Ok::<_, Infallible>(response.map(|body| ServedBody {
+                body,
+                _serving: serving,
+            }))
+        }
     });
-    // The library's timer for a head runs while a kept connection rests too,
-    // so it is the time that a connection may rest.
     let mut served = std::pin::pin!(
         http1::Builder::new()
             .timer(TokioTimer::new())
@@ -74,12 +84,20 @@
             .max_headers(HEADERS_MAX)
             .serve_connection(TokioIo::new(stream), service)
     );
-    tokio::select! {
-        _ = served.as_mut() => return,
-        () = shared.stop_reached(StopPhase::Drains) => {}
+    let is_over = tokio::select! {
+        _callers_may_break_off = served.as_mut() => true,
+        () = shared.stop_reached(StopPhase::Drains) => false,
+    };
+    if !is_over {
+        served.as_mut().graceful_shutdown();
+        let _callers_may_break_off = served.await;
+    }
+    if turn.was_late() {
+        shared.metrics.count("slow_heads_total", "", 1);
+        shared.journal.tell(&Event::SlowHead {
+            after_ms: limits.head_timeout_ms,
+        });
     }
-    served.as_mut().graceful_shutdown();
-    let _callers_may_break_off = served.await;
 }
 
 /// The least buffer that the HTTP library takes.
--- a/crates/gateway/src/journal.rs
+++ b/crates/gateway/src/journal.rs
@@ -102,6 +102,8 @@
         id: Option<&'a RequestId>,
         took_ms: u64,
     },
+    /// A caller's connection was closed, since a head took this long.
+    SlowHead { after_ms: u64 },
     /// A stream went on at another endpoint, or could not.
     Resume {
         id: Option<&'a RequestId>,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -28,6 +28,7 @@
 mod answer;
 mod attempt;
 mod call;
+mod caller_stream;
 mod clock;
 mod config;
 mod dispatch;
--- a/crates/gateway/tests/gateway/calls.rs
+++ b/crates/gateway/tests/gateway/calls.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::support::{Behaviour, Call, TestGateway, TestSource, receive, rules};
+use crate::support::{Behaviour, Call, TestGateway, TestSource, receive, rules, until};
 use chalkrock_routing::{CallerLimits, RulesVersion};
 use googletest::prelude::*;
 use tokio::io::AsyncWriteExt;
@@ -250,3 +250,81 @@
         tokio::time::sleep(Duration::from_millis(2)).await;
     }
 }
+
+/// A caller that takes longer over its head than it may, while it may rest for
+/// long between requests.
+#[tokio::test]
+async fn call_with_a_slow_head_loses_its_connection() {
+    let gateway = TestGateway::before(1, Behaviour::Answer).await;
+    let mut slow = rules(2);
+    slow.limits.head_timeout_ms = 100;
+    gateway.source.set_rules(slow);
+    until(async || {
+        gateway
+            .metrics()
+            .await
+            .contains("chalkrock_rules_version{} 2")
+    })
+    .await;
+    let address = gateway.running.front_address();
+    let mut stream = TcpStream::connect(address).await.expect("a connection");
+    let call = Call::get("/safe/").id("r-1").bytes();
+    stream.write_all(&call).await.expect("a request");
+    assert_that!(receive(&mut stream).await.status, eq(200));
+    let rest = Duration::from_millis(300);
+    tokio::time::sleep(rest).await;
+    stream
+        .write_all(&call)
+        .await
+        .expect("a request after a rest");
+    assert_that!(receive(&mut stream).await.status, eq(200));
+    stream
+        .write_all(&call[..20])
+        .await
+        .expect("a part of a head");
+    assert_that!(receive(&mut stream).await.status, eq(0));
+    let metrics = gateway.metrics().await;
+    assert_that!(
+        metrics,
+        contains_substring("chalkrock_slow_heads_total{} 1")
+    );
+}
+
+/// A body without an end is not read beyond the limit.
+#[tokio::test]
+async fn call_with_an_endless_body_is_cut_off() {
+    let gateway = TestGateway::before(1, Behaviour::Answer).await;
+    let address = gateway.running.front_address();
+    let mut stream = TcpStream::connect(address).await.expect("a connection");
+    let mut head = String::from_utf8(Call::get("/safe/").id("r-1").bytes()).expect("text");
+    head.truncate(head.len() - 2);
+    head.push_str("transfer-encoding: chunked\r\n\r\n");
+    stream.write_all(head.as_bytes()).await.expect("a head");
+    let chunk = [b"10000\r\n".as_slice(), &[b'x'; 0x1_0000], b"\r\n"].concat();
+    const LIMIT_BYTES: usize = 4 * 1024 * 1024;
+    /// What the two sockets may hold beside what was read.
+    const IN_FLIGHT_BYTES: usize = 12 * 1024 * 1024;
+    let mut written = 0;
+    while stream.write_all(&chunk).await.is_ok() {
+        written += chunk.len();
+        assert_that!(written, le(LIMIT_BYTES + IN_FLIGHT_BYTES));
+    }
+    assert_that!(gateway.runs_of("r-1"), eq(0));
+}
+
+#[tokio::test]
+async fn call_with_an_endless_head_is_cut_off() {
+    let gateway = TestGateway::before(1, Behaviour::Answer).await;
+    let address = gateway.running.front_address();
+    let mut stream = TcpStream::connect(address).await.expect("a connection");
+    stream
+        .write_all(b"GET /safe/ HTTP/1.1\r\nx: ")
+        .await
+        .expect("a head");
+    const IN_FLIGHT_BYTES: usize = 12 * 1024 * 1024;
+    let mut written = 0;
+    while stream.write_all(&[b'x'; 0x1_0000]).await.is_ok() {
+        written += 0x1_0000;
+        assert_that!(written, le(IN_FLIGHT_BYTES));
+    }
+}
