--- a/tools/switch_off.py
+++ b/tools/switch_off.py
@@ -10,7 +10,9 @@
 """
 
 import argparse
+import os
 import pathlib
+import signal
 import subprocess
 import sys
 import tempfile
@@ -21,15 +23,19 @@
 
 
 def run(command, folder, most_s):
-    """The exit status of a command and its output; None if it did not end."""
+    """The exit status of a command and its output; None if it did not end. What
+    the command started ends with it."""
+    started = subprocess.Popen(
+        command, cwd=folder, text=True, start_new_session=True,
+        stdout=subprocess.PIPE, stderr=subprocess.STDOUT,
+    )
     try:
-        ended = subprocess.run(
-            command, cwd=folder, timeout=most_s, text=True,
-            stdout=subprocess.PIPE, stderr=subprocess.STDOUT, check=False,
-        )
+        output, _ = started.communicate(timeout=most_s)
+        return started.returncode, output
     except subprocess.TimeoutExpired:
+        os.killpg(started.pid, signal.SIGKILL)
+        started.communicate()
         return None, ""
-    return ended.returncode, ended.stdout
 
 
 def failed_tests(output):
