Cut a zone's sum into datagrams that each stand for itself

Now a sum goes in parts of 128 replicas, each with the range of hashes that it is about, so that a part that is lost or late leaves the others right.

Tests: zone_sum_is_the_same_from_its_parts_in_any_order, zone_sum_without_one_part_keeps_the_others, zone_sum_forgets_parts_that_were_told_before_a_silence.

--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -17,6 +17,8 @@
 const TELL_EVERY: Duration = Duration::from_millis(200);
 /// Prefixes that a datagram names: about 1 KB.
 const HOLDINGS_A_DATAGRAM: usize = 96;
+/// Endpoints whose requests a datagram counts: about 1 KB.
+const COUNTS_A_DATAGRAM: usize = 128;
 /// Datagrams of prefixes in a round.
 const HOLDING_DATAGRAMS: usize = 3;
 /// Largest datagram that is read.
@@ -113,15 +115,15 @@
     near.extend(holdings(peers.zone, WordPath::Direct, &untold.near));
     let mut far = Vec::new();
     if round.is_relay {
-        near.extend(
-            fleet
-                .load
-                .far_sums(now_ms)
-                .into_iter()
-                .map(Datagram::FarSum),
-        );
+        let sums = fleet.load.far_sums(now_ms).into_iter();
+        let parts = sums.flat_map(|sum| sum.split(COUNTS_A_DATAGRAM));
+        near.extend(parts.map(Datagram::FarSum));
         let sum = fleet.load.zone_sum(peers.zone, now_ms);
-        far.push(Datagram::ZoneBeat(ZoneBeat { sum, knowledge }));
+        let parts = sum.split(COUNTS_A_DATAGRAM).into_iter();
+        far.extend(parts.map(|sum| {
+            let knowledge = knowledge.clone();
+            Datagram::ZoneBeat(ZoneBeat { sum, knowledge })
+        }));
         far.extend(holdings(peers.zone, WordPath::Direct, &untold.far));
         near.extend(holdings(peers.zone, WordPath::PassedOn, &untold.passed_on));
     }
--- a/crates/routing/src/fleet_load.rs
+++ b/crates/routing/src/fleet_load.rs
@@ -56,17 +56,78 @@
     Old,
 }
 
-/// The sum of one zone's requests, as a relay tells it.
+/// Short hashes from one to another, both included.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HashRange {
+    /// The first of them.
+    pub first: u32,
+    /// The last of them.
+    pub last: u32,
+}
+
+impl HashRange {
+    /// All short hashes.
+    pub const ALL: Self = Self {
+        first: 0,
+        last: u32::MAX,
+    };
+
+    fn contains(self, hash: u32) -> bool {
+        (self.first..=self.last).contains(&hash)
+    }
+}
+
+/// The sum of one zone's requests, or a part of it, as a relay tells it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ZoneSum {
     /// The short hash of the zone.
     pub zone: u32,
     /// Hosts that are summed up.
     pub hosts: u32,
-    /// Their requests by endpoint.
+    /// The endpoints that this is about; what is not named of them has none.
+    pub range: HashRange,
+    /// Requests by endpoint, in the order of their hashes.
     pub counts: Vec<EndpointCount>,
 }
 
+impl ZoneSum {
+    /// Cuts a sum into parts of at most so many endpoints. Each part stands
+    /// for itself: one that is lost leaves the others right.
+    ///
+    /// # Panics
+    ///
+    /// If `most` is 0.
+    pub fn split(self, most: usize) -> Vec<ZoneSum> {
+        let mut parts = Vec::new();
+        let mut first = self.range.first;
+        let mut chunks = self.counts.chunks(most).peekable();
+        while let Some(chunk) = chunks.next() {
+            let is_last = chunks.peek().is_none();
+            let last = chunk.last().map_or(first, |count| count.endpoint);
+            let last = if is_last { self.range.last } else { last };
+            parts.push(ZoneSum {
+                range: HashRange { first, last },
+                counts: chunk.to_vec(),
+                ..self
+            });
+            first = last.wrapping_add(1);
+        }
+        if parts.is_empty() {
+            parts.push(self);
+        }
+        parts
+    }
+
+    /// Takes a newer part of the same zone's sum.
+    fn take(&mut self, part: ZoneSum) {
+        self.hosts = part.hosts;
+        self.counts
+            .retain(|count| !part.range.contains(count.endpoint));
+        self.counts.extend(part.counts);
+        self.counts.sort_by_key(|count| count.endpoint);
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Known {
     report: HostReport,
@@ -80,6 +141,12 @@
     path: WordPath,
 }
 
+impl KnownZone {
+    fn is_recent(&self, now_ms: u64) -> bool {
+        now_ms.saturating_sub(self.heard_at_ms) <= REPORT_AGE_MAX_MS
+    }
+}
+
 /// The load of each endpoint as one host knows it.
 ///
 /// # Example
@@ -178,14 +245,26 @@
         Merged::Taken
     }
 
-    /// Takes a zone's sum from a relay.
-    pub fn merge_zone(&mut self, relay: H, sum: ZoneSum, path: WordPath, now_ms: u64) {
+    /// Takes a zone's sum, or a part of it, from a relay.
+    pub fn merge_zone(&mut self, relay: H, part: ZoneSum, path: WordPath, now_ms: u64) {
+        let of_zone = self.zones.entry(part.zone).or_default();
+        let earlier = of_zone
+            .remove(&relay)
+            .filter(|known| known.is_recent(now_ms));
+        let mut sum = earlier.map_or_else(
+            || ZoneSum {
+                range: HashRange::ALL,
+                counts: Vec::new(),
+                ..part
+            },
+            |known| known.sum,
+        );
+        sum.take(part);
         let known = KnownZone {
             heard_at_ms: now_ms,
             sum,
             path,
         };
-        let of_zone = self.zones.entry(known.sum.zone).or_default();
         of_zone.insert(relay, known);
         self.sum(now_ms);
     }
@@ -202,6 +281,7 @@
         ZoneSum {
             zone,
             hosts,
+            range: HashRange::ALL,
             counts: sorted(&counts),
         }
     }
@@ -261,10 +341,9 @@
     now_ms: u64,
     may_count: impl Fn(&KnownZone) -> bool,
 ) -> Option<&ZoneSum> {
-    let recent = of_zone.iter().filter(|(_, known)| {
-        let age_ms = now_ms.saturating_sub(known.heard_at_ms);
-        age_ms <= REPORT_AGE_MAX_MS && may_count(known)
-    });
+    let recent = of_zone
+        .iter()
+        .filter(|(_, known)| known.is_recent(now_ms) && may_count(known));
     let most = recent.max_by(|(a, known_a), (b, known_b)| {
         let by_hosts = known_a.sum.hosts.cmp(&known_b.sum.hosts);
         by_hosts.then_with(|| a.cmp(b))
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -53,7 +53,7 @@
 pub use endpoints::{EndpointTable, Member, Standing};
 pub use event_frames::{EventFrame, EventFrames};
 pub use fleet_load::{
-    EndpointCount, FleetLoad, HostReport, Merged, REPORT_AGE_MAX_MS, WordPath, ZoneSum,
+    EndpointCount, FleetLoad, HashRange, HostReport, Merged, REPORT_AGE_MAX_MS, WordPath, ZoneSum,
 };
 pub use health::{EndpointHealth, Sign};
 pub use prefix_map::{Holding, PrefixMap};
--- a/crates/routing/tests/fleet_load.rs
+++ b/crates/routing/tests/fleet_load.rs
@@ -1,7 +1,7 @@
 //! Loads that hosts tell each other: late, twice, out of order, or not at all.
 
 use chalkrock_routing::{
-    EndpointCount, FleetLoad, HostReport, Merged, REPORT_AGE_MAX_MS, WordPath, ZoneSum,
+    EndpointCount, FleetLoad, HashRange, HostReport, Merged, REPORT_AGE_MAX_MS, WordPath, ZoneSum,
 };
 use googletest::prelude::*;
 use proptest::prelude::*;
@@ -86,6 +86,7 @@
     ZoneSum {
         zone,
         hosts,
+        range: HashRange::ALL,
         counts: report(1, 1, in_progress).counts,
     }
 }
@@ -136,6 +137,61 @@
     assert_that!(load.far_sums(0), is_empty());
 }
 
+/// A sum of so many endpoints, each with a load of its own.
+fn wide_sum(endpoints: u32, hosts: u32) -> ZoneSum {
+    const SPACING: u32 = 1_000;
+    let counts = (1..=endpoints).map(|i| EndpointCount {
+        endpoint: i * SPACING,
+        in_progress: i,
+    });
+    ZoneSum {
+        counts: counts.collect(),
+        ..zone_sum(1, hosts, 0)
+    }
+}
+
+#[test]
+fn zone_sum_is_the_same_from_its_parts_in_any_order() {
+    for endpoints in [0, 1, 128, 129, 690] {
+        let parts = wide_sum(endpoints, 20).split(128);
+        assert_that!(parts.iter().all(|part| part.counts.len() <= 128), eq(true));
+        let mut load = FleetLoad::default();
+        for part in parts.into_iter().rev() {
+            load.merge_zone("relay", part, WordPath::Direct, 0);
+        }
+        assert_that!(load.far_sums(0), eq(&[wide_sum(endpoints, 20)]));
+        assert_that!(load.far_hosts(), eq(20));
+    }
+}
+
+#[test]
+fn zone_sum_without_one_part_keeps_the_others() {
+    let mut load = FleetLoad::default();
+    for part in wide_sum(300, 20).split(128) {
+        load.merge_zone("relay", part, WordPath::Direct, 0);
+    }
+    let ended = ZoneSum {
+        counts: Vec::new(),
+        ..wide_sum(300, 20).split(128).swap_remove(1)
+    };
+    load.merge_zone("relay", ended, WordPath::Direct, 100);
+    let loads = [128, 129, 256, 257].map(|i| load.of(i * 1_000));
+    assert_that!(loads, eq([128, 0, 0, 257]));
+}
+
+#[test]
+fn zone_sum_forgets_parts_that_were_told_before_a_silence() {
+    let mut load = FleetLoad::default();
+    for part in wide_sum(300, 20).split(128) {
+        load.merge_zone("relay", part, WordPath::Direct, 0);
+    }
+    let later_ms = REPORT_AGE_MAX_MS + 1;
+    let first = wide_sum(300, 20).split(128).swap_remove(0);
+    load.merge_zone("relay", first, WordPath::Direct, later_ms);
+    assert_that!(load.of(1_000), eq(1));
+    assert_that!(load.of(300_000), eq(0));
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         rng_seed: proptest::test_runner::RngSeed::Fixed(11),
