Show that what faces outside bears any bytes

Reading the code for them showed that counts which are none would overflow; they are added up to a most now (load_bears_counts_that_are_none, which failed).

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -272,7 +272,10 @@
         });
         let (places, in_progress) = takes_work.fold((0, 0), |(places, in_progress), member| {
             let load = self.load.of(member.hash.short());
-            (places + member.endpoint.slots, in_progress + load)
+            (
+                places + member.endpoint.slots,
+                load.saturating_add(in_progress),
+            )
         });
         Fullness {
             places,
--- a/crates/gateway/tests/gateway/peers.rs
+++ b/crates/gateway/tests/gateway/peers.rs
@@ -6,6 +6,7 @@
     Behaviour, Call, Script, ScriptedEndpoint, TestGateway, TestSource, rules, until,
 };
 use googletest::prelude::*;
+use rand::{RngExt, SeedableRng};
 
 const PAUSE: Duration = Duration::from_millis(5);
 
@@ -182,3 +183,30 @@
         until(async || host.metrics().await.contains("chalkrock_rules_version{} 2")).await;
     }
 }
+
+/// What is not from a host of the fleet changes nothing and harms nothing.
+#[tokio::test]
+async fn peers_bear_any_datagrams() {
+    const SEED: u64 = 23;
+    let (first, second) = two_hosts().await;
+    let mut random = rand::rngs::StdRng::seed_from_u64(SEED);
+    let socket = tokio::net::UdpSocket::bind("127.0.0.1:0")
+        .await
+        .expect("a socket");
+    let address = second.running.peer_address().expect("an address");
+    for length in 0..400 {
+        let mut bytes = vec![0_u8; length];
+        random.fill(&mut bytes[..]);
+        // The first byte tells which datagram it is said to be.
+        if let Some(kind) = bytes.first_mut() {
+            *kind %= 5;
+        }
+        socket.send_to(&bytes, address).await.expect("it is sent");
+    }
+    let endpoint =
+        ScriptedEndpoint::start("endpoint-0", "pool", Behaviour::Answer, Script::default()).await;
+    first.source.list(endpoint.endpoint.clone());
+    second.ready().await;
+    let call = Call::get("/safe/").id("r-1");
+    until(async || second.call(call.clone()).await.status == 200).await;
+}
--- a/crates/routing/src/fleet_load.rs
+++ b/crates/routing/src/fleet_load.rs
@@ -207,7 +207,8 @@
 
     /// Requests of the whole fleet on an endpoint.
     pub fn of(&self, endpoint: u32) -> u32 {
-        self.own(endpoint) + self.others.get(&endpoint).copied().unwrap_or(0)
+        let others = self.others.get(&endpoint).copied().unwrap_or(0);
+        self.own(endpoint).saturating_add(others)
     }
 
     /// All of this host's requests.
@@ -217,7 +218,8 @@
 
     /// All requests of the fleet.
     pub fn total(&self) -> u32 {
-        self.own_total() + self.others.values().sum::<u32>()
+        let others = self.others.values().copied();
+        others.fold(self.own_total(), u32::saturating_add)
     }
 
     /// This host's counts, to report.
@@ -353,7 +355,9 @@
 
 fn add(counts: &mut HashMap<u32, u32>, more: &[EndpointCount]) {
     for count in more {
-        *counts.entry(count.endpoint).or_default() += count.in_progress;
+        let sum = counts.entry(count.endpoint).or_default();
+        // What was told is not checked, and may be no count at all.
+        *sum = sum.saturating_add(count.in_progress);
     }
 }
 
--- a/crates/routing/src/spread.rs
+++ b/crates/routing/src/spread.rs
@@ -82,7 +82,7 @@
 ) -> Option<usize> {
     let usable = usable(candidates);
     let limit = limit(candidates, rules);
-    let under = |i: &usize| f64::from(candidates[*i].load + 1) <= limit;
+    let under = |i: &usize| f64::from(candidates[*i].load) + 1.0 <= limit;
     let bounded: Vec<usize> = usable.iter().copied().filter(under).collect();
     let with_room = |part: f64| -> Vec<usize> {
         let has_room = |i: &usize| candidates[*i].is_below(part);
@@ -139,8 +139,8 @@
 
 /// The most load that one endpoint may have after this request.
 fn limit(candidates: &[Candidate], rules: &SpreadRules) -> f64 {
-    let total: u32 = candidates.iter().map(|candidate| candidate.load).sum();
-    let mean = f64::from(total) / candidates.len().max(1) as f64;
+    let loads = candidates.iter().map(|candidate| f64::from(candidate.load));
+    let mean = loads.sum::<f64>() / candidates.len().max(1) as f64;
     rules.load_multiple * mean + rules.allowance
 }
 
--- a/crates/routing/tests/fleet_load.rs
+++ b/crates/routing/tests/fleet_load.rs
@@ -82,6 +82,16 @@
     assert_that!(load.own_counts(), is_empty());
 }
 
+#[test]
+fn load_bears_counts_that_are_none() {
+    let mut load = FleetLoad::default();
+    load.begin(ENDPOINT);
+    load.merge("b", report(1, 1, u32::MAX), 0);
+    load.merge("c", report(1, 1, u32::MAX), 0);
+    assert_that!(load.of(ENDPOINT), eq(u32::MAX));
+    assert_that!(load.total(), eq(u32::MAX));
+}
+
 fn zone_sum(zone: u32, hosts: u32, in_progress: u32) -> ZoneSum {
     ZoneSum {
         zone,
