Let two tests notice when their mechanism is off

The first asserts now that the datagram told it, the second that the older rules were taken before it looks.

--- a/crates/gateway/tests/gateway/calls.rs
+++ b/crates/gateway/tests/gateway/calls.rs
@@ -189,7 +189,11 @@
         tokio::time::sleep(Duration::from_millis(2)).await;
     }
     gateway.source.set_rules(rules(4));
-    // What follows the older version has been read when its successor holds.
+    until(async || gateway.source.are_rules_taken()).await;
+    assert_that!(
+        gateway.call(Call::get("/safe/").id("r")).await.status,
+        eq(404)
+    );
     let mut newest = rules(6);
     newest.routes.retain(|route| &*route.name != "once");
     newest.routes.retain(|route| &*route.name != "safe");
--- a/crates/gateway/tests/gateway/peers.rs
+++ b/crates/gateway/tests/gateway/peers.rs
@@ -70,7 +70,10 @@
         };
         tokio::time::sleep(PAUSE).await;
     }
-    assert_that!(to_other, eq(30));
+    // The datagram told it, before the change of the list was pulled.
+    let metrics = second.metrics().await;
+    let heard = "chalkrock_leaving_heard_from_peers_total{} 1";
+    assert_that!(metrics, contains_substring(heard));
 }
 
 #[tokio::test]
--- a/crates/gateway/tests/gateway/support/source.rs
+++ b/crates/gateway/tests/gateway/support/source.rs
@@ -16,6 +16,8 @@
     rules: Option<(u64, RulesDocument)>,
     endpoints: Vec<(u64, EndpointId, Option<Endpoint>)>,
     hosts: Vec<HostRow>,
+    /// The version up to which changes of the rules were taken.
+    rules_taken: u64,
 }
 
 /// A platform that several gateways may share.
@@ -49,6 +51,14 @@
         self.change(|state, version| state.rules = Some((version, rules)));
     }
 
+    /// Whether a gateway has taken the rules that were set last, be it to
+    /// disregard them.
+    pub(crate) fn are_rules_taken(&self) -> bool {
+        let state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        let set = state.rules.as_ref().map(|(version, _)| *version);
+        set.is_some_and(|version| state.rules_taken >= version)
+    }
+
     /// Lists an endpoint, new or changed.
     pub(crate) fn list(&self, endpoint: Endpoint) {
         self.change(|state, version| {
@@ -115,6 +125,10 @@
         since: StoreVersion,
         wait_ms: u64,
     ) -> Result<News, SourceError> {
+        if topic == Topic::Rules {
+            let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+            state.rules_taken = state.rules_taken.max(since.0);
+        }
         let mut changed = self.changed.subscribe();
         let news = self.rows(topic, Some(since.0))?;
         if !news.rows.is_empty() {
