--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -87,7 +87,7 @@
     if is_stream {
         let now_ms = shared.clock.now_ms();
         let mut fleet = shared.fleet();
-        fleet.note_prefix(&call.shared_parts, short, now_ms);
+        fleet.prefixes.note(&call.shared_parts, short, now_ms);
         drop(fleet);
         return Ok(Opened::Stream(Box::new(OpenStream {
             head,
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -6,14 +6,13 @@
 use chalkrock_core::rendezvous::{KeyHash, score};
 use chalkrock_core::{Endpoint, PoolId, ZoneId};
 use chalkrock_routing::{
-    BudgetRules, Candidate, EndpointHealth, EndpointTable, FleetLoad, Fullness, Holding, MeanStay,
-    Member, PrefixMap, Repeatable, Shares, Sign, SpreadRules, WindowBudget, choose,
+    BudgetRules, Candidate, EndpointHealth, EndpointTable, FleetLoad, Fullness, MeanStay, Member,
+    Repeatable, Shares, Sign, SpreadRules, WindowBudget, choose,
 };
 
+use crate::prefixes::Prefixes;
 use crate::source::{EndpointChange, EndpointRow, StoreVersion};
 
-/// Prefixes that wait to be told.
-const UNTOLD_MAX: usize = 2_048;
 /// Changes of the list that are kept to pass on.
 const CHANGES_MAX: usize = 256;
 
@@ -39,17 +38,6 @@
     pub(crate) holder: Option<SocketAddr>,
 }
 
-/// What the other hosts are to be told of prefixes.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct Untold {
-    /// Those that this host tells of itself.
-    pub(crate) near: Vec<Holding>,
-    /// The other zones, if this host is a relay.
-    pub(crate) far: Vec<Holding>,
-    /// What the other zones told, for the hosts of this one.
-    pub(crate) passed_on: Vec<Holding>,
-}
-
 /// The beliefs of one host.
 #[derive(Debug)]
 pub(crate) struct Fleet {
@@ -69,8 +57,7 @@
     stays: HashMap<PoolId, MeanStay>,
     /// What organisations have in progress on this host.
     pub(crate) shares: Shares,
-    prefixes: PrefixMap,
-    untold: Untold,
+    pub(crate) prefixes: Prefixes,
 }
 
 impl Fleet {
@@ -88,68 +75,10 @@
             budgets: HashMap::new(),
             stays: HashMap::new(),
             shares: Shares::default(),
-            prefixes: PrefixMap::default(),
-            untold: Untold::default(),
-        }
-    }
-
-    /// An endpoint answers a request, and so holds the parts of its prompt.
-    pub(crate) fn note_prefix(&mut self, parts: &[u32], endpoint: u32, now_ms: u64) {
-        for &part in parts {
-            let holding = Holding { part, endpoint };
-            if self.prefixes.note(holding, now_ms) {
-                self.untold.near.push(holding);
-                self.untold.far.push(holding);
-            }
+            prefixes: Prefixes::default(),
         }
     }
 
-    /// A host told what endpoints hold; the other zones may not know it.
-    pub(crate) fn hear_near_prefixes(&mut self, holdings: &[Holding], now_ms: u64) {
-        for holding in holdings {
-            if self.prefixes.hear(*holding, now_ms) {
-                self.untold.far.push(*holding);
-            }
-        }
-    }
-
-    /// Another zone told what endpoints hold; this zone may not know it.
-    pub(crate) fn hear_far_prefixes(&mut self, holdings: &[Holding], now_ms: u64) {
-        for holding in holdings {
-            if self.prefixes.hear(*holding, now_ms) {
-                self.untold.passed_on.push(*holding);
-            }
-        }
-    }
-
-    /// A relay of this zone passed on what endpoints hold.
-    pub(crate) fn hear_passed_on_prefixes(&mut self, holdings: &[Holding], now_ms: u64) {
-        for holding in holdings {
-            self.prefixes.hear(*holding, now_ms);
-        }
-    }
-
-    /// What to tell of prefixes, once: so many of them, the rest later. What
-    /// waits is bounded, and the oldest of it is never told.
-    pub(crate) fn take_untold(&mut self, most: usize) -> Untold {
-        let take = |waiting: &mut Vec<Holding>| {
-            let too_old = waiting.len().saturating_sub(UNTOLD_MAX);
-            waiting.drain(..too_old);
-            let now = most.min(waiting.len());
-            waiting.drain(..now).collect()
-        };
-        Untold {
-            near: take(&mut self.untold.near),
-            far: take(&mut self.untold.far),
-            passed_on: take(&mut self.untold.passed_on),
-        }
-    }
-
-    /// Drops what is no longer true, now and then.
-    pub(crate) fn expire(&mut self, now_ms: u64) {
-        self.prefixes.expire(now_ms);
-    }
-
     /// Takes bounds that were read again.
     pub(crate) fn set_bounds(&mut self, spread: SpreadRules, budget: BudgetRules) {
         self.spread = spread;
@@ -200,10 +129,10 @@
             is_sound.then_some(member.endpoint.address)
         };
         for &part in wanted.shared_parts.iter().rev() {
-            if self.prefixes.holds(part, chosen.hash.short(), now_ms) {
+            if self.prefixes.map().holds(part, chosen.hash.short(), now_ms) {
                 return None;
             }
-            let mut holders = self.prefixes.holders(part, now_ms);
+            let mut holders = self.prefixes.map().holders(part, now_ms);
             if let Some(address) = holders.find_map(address_of) {
                 return Some(address);
             }
@@ -233,7 +162,8 @@
             slots: member.endpoint.slots,
             is_near: member.endpoint.zone == self.zone,
             is_suspect: self.health.get(&short).is_some_and(stays_away),
-            holds_prefix: deepest.is_some_and(|part| self.prefixes.holds(part, short, now_ms)),
+            holds_prefix: deepest
+                .is_some_and(|part| self.prefixes.map().holds(part, short, now_ms)),
         }
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -39,6 +39,7 @@
 mod journal;
 mod metrics;
 mod peers;
+mod prefixes;
 mod progress;
 mod reading;
 mod relay;
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -93,7 +93,7 @@
         .unwrap_or_default();
     let mut fleet = shared.fleet();
     fleet.load.expire(now_ms);
-    fleet.expire(now_ms);
+    fleet.prefixes.expire(now_ms);
     let knowledge = Knowledge {
         rules,
         endpoints: fleet.endpoints_version,
@@ -110,7 +110,9 @@
         knowledge: knowledge.clone(),
         hosts: round.named.clone(),
     };
-    let untold = fleet.take_untold(HOLDINGS_A_DATAGRAM * HOLDING_DATAGRAMS);
+    let untold = fleet
+        .prefixes
+        .take_untold(HOLDINGS_A_DATAGRAM * HOLDING_DATAGRAMS);
     let mut near = vec![Datagram::Beat(beat)];
     near.extend(holdings(peers.zone, WordPath::Direct, &untold.near));
     let mut far = Vec::new();
@@ -215,11 +217,11 @@
     let now_ms = shared.clock.now_ms();
     let mut fleet = shared.fleet();
     match told.path {
-        WordPath::PassedOn => fleet.hear_passed_on_prefixes(&told.holdings, now_ms),
+        WordPath::PassedOn => fleet.prefixes.hear_passed_on(&told.holdings, now_ms),
         WordPath::Direct if told.zone == peers.zone => {
-            fleet.hear_near_prefixes(&told.holdings, now_ms);
+            fleet.prefixes.hear_near(&told.holdings, now_ms);
         }
-        WordPath::Direct => fleet.hear_far_prefixes(&told.holdings, now_ms),
+        WordPath::Direct => fleet.prefixes.hear_far(&told.holdings, now_ms),
     }
 }
 
--- /dev/null
+++ b/crates/gateway/src/prefixes.rs
@@ -0,0 +1,88 @@
+//! What a host believes of prefixes, and what of it the others don't know.
+
+use chalkrock_routing::{Holding, PrefixMap};
+
+/// Prefixes that wait to be told.
+const UNTOLD_MAX: usize = 2_048;
+
+/// What the other hosts are to be told of prefixes.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Untold {
+    /// Those that this host tells of itself.
+    pub(crate) near: Vec<Holding>,
+    /// The other zones, if this host is a relay.
+    pub(crate) far: Vec<Holding>,
+    /// What the other zones told, for the hosts of this one.
+    pub(crate) passed_on: Vec<Holding>,
+}
+
+/// Prefixes and who holds them.
+#[derive(Debug, Default)]
+pub(crate) struct Prefixes {
+    map: PrefixMap,
+    untold: Untold,
+}
+
+impl Prefixes {
+    /// Who holds what.
+    pub(crate) fn map(&self) -> &PrefixMap {
+        &self.map
+    }
+
+    /// An endpoint answers a request, and so holds the parts of its prompt.
+    pub(crate) fn note(&mut self, parts: &[u32], endpoint: u32, now_ms: u64) {
+        for &part in parts {
+            let holding = Holding { part, endpoint };
+            if self.map.note(holding, now_ms) {
+                self.untold.near.push(holding);
+                self.untold.far.push(holding);
+            }
+        }
+    }
+
+    /// A host told what endpoints hold; the other zones may not know it.
+    pub(crate) fn hear_near(&mut self, holdings: &[Holding], now_ms: u64) {
+        for holding in holdings {
+            if self.map.hear(*holding, now_ms) {
+                self.untold.far.push(*holding);
+            }
+        }
+    }
+
+    /// Another zone told what endpoints hold; this zone may not know it.
+    pub(crate) fn hear_far(&mut self, holdings: &[Holding], now_ms: u64) {
+        for holding in holdings {
+            if self.map.hear(*holding, now_ms) {
+                self.untold.passed_on.push(*holding);
+            }
+        }
+    }
+
+    /// A relay of this zone passed on what endpoints hold.
+    pub(crate) fn hear_passed_on(&mut self, holdings: &[Holding], now_ms: u64) {
+        for holding in holdings {
+            self.map.hear(*holding, now_ms);
+        }
+    }
+
+    /// What to tell, once: so many of each kind, the rest later. What waits is
+    /// bounded, and the oldest of it is never told.
+    pub(crate) fn take_untold(&mut self, most: usize) -> Untold {
+        let take = |waiting: &mut Vec<Holding>| {
+            let too_old = waiting.len().saturating_sub(UNTOLD_MAX);
+            waiting.drain(..too_old);
+            let now = most.min(waiting.len());
+            waiting.drain(..now).collect()
+        };
+        Untold {
+            near: take(&mut self.untold.near),
+            far: take(&mut self.untold.far),
+            passed_on: take(&mut self.untold.passed_on),
+        }
+    }
+
+    /// Drops what is no longer true, now and then.
+    pub(crate) fn expire(&mut self, now_ms: u64) {
+        self.map.expire(now_ms);
+    }
+}
