--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -30,7 +30,7 @@
 /// The rest of a connection whose endpoint names none.
 const REST_DEFAULT: Duration = Duration::from_millis(900);
 /// The rest after which a connection is not used for what may not be repeated.
-const REST_ONCE: Duration = Duration::from_millis(400);
+const REST_ONCE: Duration = Duration::from_millis(1_500);
 /// Connections kept to one endpoint.
 const KEPT_MAX: usize = 16;
 
--- a/crates/routing/src/spread.rs
+++ b/crates/routing/src/spread.rs
@@ -65,10 +65,10 @@
 /// the bound. Else the first that holds the prefix, or the first, of those
 /// that are under the bound and have slots to spare. Where none has, the home
 /// queues it, if its queue is short, and else one with a free slot takes it.
-/// Once, a slot that had just come free was enough
-/// to be given another's request; in a pool that was full for a moment all
-/// prefixes were then read everywhere, until no engine had the memory for
-/// them, and a pool that could bear six times the load of a day stayed full.
+/// Once, a slot that had just come free was enough to be given another's
+/// request; in a pool that was full for a moment all prefixes were then read
+/// everywhere, until no engine had the memory for them, and a pool that could
+/// have served nearly all stayed full.
 ///
 /// Without a key, or where all are over the bound, the least loaded by its
 /// slots, near ones first among equals. `draw` is any number and breaks what
