Keep places for new callers, and send them elsewhere from a host that is behind

From half of the places on, an answer now ends its connection.

Tried first: a host whose timers are late refuses (kept: a weak host has no other sign).

Tests: call_on_a_crowded_host_is_the_last_of_its_connection (none was the last before), chance_behind_grows_with_the_lag_and_leaves_a_tenth.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -74,6 +74,14 @@
         }
     }
 
+    /// A refusal of what another host may take at once.
+    pub(crate) fn elsewhere(reason: Reason, detail: impl Into<String>) -> Self {
+        Self {
+            retry_after_ms: Some(ELSEWHERE_MS),
+            ..Self::new(reason, detail)
+        }
+    }
+
     /// What it promises of the request.
     pub(crate) fn outcome(&self) -> Outcome {
         self.reason.outcome()
@@ -90,12 +98,14 @@
     }
 }
 
+/// When another host may be asked.
+const ELSEWHERE_MS: u64 = 10;
+
 /// When a repeat of a request that did not run makes sense. A host that
 /// leaves or knows nothing yet is not the only one: another may be asked at
 /// once. Endpoints that are full need a few requests' time, and a pool that is
 /// overrun some more; those that it refused together don't come back together.
 fn retry_after_ms(reason: Reason) -> Option<u64> {
-    const ELSEWHERE_MS: u64 = 10;
     const FULL_MS: u64 = 200;
     const NONE_LIVE_MS: u64 = 500;
     const OVERRUN_MS: std::ops::Range<u64> = 300..1_000;
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -5,7 +5,9 @@
 
 use bytes::Bytes;
 use chalkrock_core::{PoolId, Reason};
-use chalkrock_routing::{Caller, CallerLimits, Repeatable, Route, RulesVersion, StopPhase};
+use chalkrock_routing::{
+    Caller, CallerLimits, Repeatable, Route, RulesVersion, StopPhase, chance_behind,
+};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::header::HeaderMap;
@@ -83,6 +85,13 @@
     ) {
         return Err(Refusal::new(Reason::Leaving, "the host is stopping"));
     }
+    let lag_ms = shared.lag.ms();
+    if rand::random::<f64>() < chance_behind(lag_ms) {
+        return Err(Refusal::elsewhere(
+            Reason::AtBound,
+            format!("the host is behind by {lag_ms} ms"),
+        ));
+    }
     let rules = shared
         .rules()
         .filter(|_| shared.has_view())
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -14,7 +14,6 @@
 use hyper::{Request, Response, http};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Semaphore;
 use tokio::time::Instant;
 
 use crate::answer::CallerBody;
@@ -36,9 +35,8 @@
 
 /// Accepts callers until the host ends.
 pub(crate) async fn accept(shared: Arc<Shared>, listener: TcpListener) {
-    let places = Arc::new(Semaphore::new(shared.config.connections_max));
     loop {
-        let Ok(place) = places.clone().acquire_owned().await else {
+        let Ok(place) = shared.caller_places.clone().acquire_owned().await else {
             return;
         };
         match listener.accept().await {
@@ -152,7 +150,7 @@
             answer
         }
     };
-    last_if_stopping(&shared, response)
+    last_if_due(&shared, response)
 }
 
 fn whole_answer(shared: &Shared, whole: Whole) -> Response<CallerBody> {
@@ -188,12 +186,17 @@
 ) -> Response<CallerBody> {
     record_refusal(shared, head, entered_at, &refusal);
     let answer = refusal.into_answer(&*shared.edge, head.id.as_ref());
-    last_if_stopping(shared, answer)
+    last_if_due(shared, answer)
 }
 
-/// A host that stops ends each connection with its next answer.
-fn last_if_stopping(shared: &Shared, mut response: Response<CallerBody>) -> Response<CallerBody> {
-    if shared.stop_phase().is_some() {
+/// A host that stops ends each connection with its next answer, and so does one
+/// whose places for connections are half taken: connections that rest would
+/// come to take them all, and new callers would wait to be accepted while
+/// nothing is done.
+fn last_if_due(shared: &Shared, mut response: Response<CallerBody>) -> Response<CallerBody> {
+    let free = shared.caller_places.available_permits();
+    let is_crowded = free < shared.config.connections_max / 2;
+    if is_crowded || shared.stop_phase().is_some() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -37,6 +37,7 @@
 mod follow;
 mod front;
 mod journal;
+mod lag;
 mod metrics;
 mod peers;
 mod prefixes;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -15,6 +15,9 @@
     metrics.gauge("fleet_requests", "", f64::from(fleet.load.total()));
     let reads = shared.reading.has_turn();
     metrics.gauge("reads_platform", "", f64::from(u8::from(reads)));
+    let free = shared.caller_places.available_permits();
+    metrics.gauge("caller_places_free", "", free as f64);
+    metrics.gauge("lag_ms", "", shared.lag.ms() as f64);
     let live = fleet.endpoints.live_count();
     metrics.gauge("endpoints_live", "", live as f64);
     metrics.gauge("endpoints_version", "", fleet.endpoints_version.0 as f64);
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -16,6 +16,7 @@
 use crate::follow::follow;
 use crate::front::accept;
 use crate::journal::{Event, Journal, write_lines};
+use crate::lag::measure_lag;
 use crate::peers::{Peers, hear, pull_when_behind, serve_pulls, tell, zone_hash};
 use crate::shared::Shared;
 use crate::source::{HostRow, Source, Topic};
@@ -97,6 +98,7 @@
     let front = listener.local_addr()?;
     tasks.spawn(accept(shared.clone(), listener));
     tasks.spawn(sweep(shared.clone()));
+    tasks.spawn(measure_lag(shared.clone()));
     tasks.spawn(take_reloads(shared.clone(), reloads));
     let ended = tokio::spawn(async move {
         stop.asked().await;
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -7,7 +7,7 @@
 use chalkrock_core::{OrganisationId, PoolId};
 use chalkrock_process::Metrics;
 use chalkrock_routing::{Rules, RulesDocument, StopPhase, StopPlan};
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, Semaphore, watch};
 use tokio::time::Instant;
 
 use crate::clock::Clock;
@@ -15,6 +15,7 @@
 use crate::edge::Edge;
 use crate::fleet::Fleet;
 use crate::journal::{Event, Journal};
+use crate::lag::Lag;
 use crate::reading::ReadingState;
 use crate::upstream::Upstream;
 
@@ -25,6 +26,9 @@
     pub(crate) journal: Journal,
     pub(crate) metrics: Metrics,
     pub(crate) upstream: Upstream,
+    pub(crate) lag: Lag,
+    /// Places for callers' connections.
+    pub(crate) caller_places: Arc<Semaphore>,
     rules: ArcSwapOption<Rules>,
     fleet: Mutex<Fleet>,
     /// Requests that were read and have no whole answer yet.
@@ -41,6 +45,7 @@
 impl Shared {
     pub(crate) fn new(config: GatewayConfig, edge: Box<dyn Edge>, journal: Journal) -> Arc<Self> {
         let fleet = Fleet::new(config.zone.clone(), config.spread, config.budget);
+        let caller_places = Arc::new(Semaphore::new(config.connections_max));
         Arc::new(Self {
             config,
             clock: Clock::start(),
@@ -48,6 +53,8 @@
             journal,
             metrics: Metrics::default(),
             upstream: Upstream::default(),
+            lag: Lag::default(),
+            caller_places,
             rules: ArcSwapOption::empty(),
             fleet: Mutex::new(fleet),
             running: AtomicUsize::new(0),
--- a/crates/gateway/tests/gateway/calls.rs
+++ b/crates/gateway/tests/gateway/calls.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use crate::support::{Behaviour, Call, TestGateway, TestSource, receive, rules, until};
+use crate::support::{
+    Behaviour, Call, Script, ScriptedEndpoint, TestGateway, TestSource, receive, rules, until,
+};
 use chalkrock_routing::{CallerLimits, RulesVersion};
 use googletest::prelude::*;
 use tokio::io::AsyncWriteExt;
@@ -332,3 +334,28 @@
         assert_that!(written, le(IN_FLIGHT_BYTES));
     }
 }
+
+/// Connections that rest do not keep new callers out.
+#[tokio::test]
+async fn call_on_a_crowded_host_is_the_last_of_its_connection() {
+    let source = TestSource::default();
+    source.set_rules(rules(1));
+    let endpoint =
+        ScriptedEndpoint::start("endpoint", "pool", Behaviour::Answer, Script::default()).await;
+    source.list(endpoint.endpoint.clone());
+    let gateway = TestGateway::with_places(source, 4).await;
+    gateway.ready().await;
+    let address = gateway.running.front_address();
+    let mut resting = Vec::new();
+    for i in 0..10 {
+        let mut stream = TcpStream::connect(address).await.expect("a connection");
+        let call = Call::get("/safe/").id(&format!("r-{i}"));
+        stream.write_all(&call.bytes()).await.expect("a request");
+        let received = receive(&mut stream).await;
+        assert_that!(received.status, eq(200));
+        let is_last = received.header("connection") == Some("close");
+        // Two of four places are left: one of them waits for the next caller.
+        assert_that!(is_last, eq(i >= 1), "connection {i}");
+        resting.push(stream);
+    }
+}
--- a/crates/gateway/tests/gateway/support/fleet.rs
+++ b/crates/gateway/tests/gateway/support/fleet.rs
@@ -125,6 +125,12 @@
         Self::configured(config.retry_budget(budget).build(), source).await
     }
 
+    /// A gateway with so many places for callers' connections.
+    pub(crate) async fn with_places(source: TestSource, connections_max: usize) -> Self {
+        let config = config("zone-a", "host-1", Vec::new());
+        Self::configured(config.connections_max(connections_max).build(), source).await
+    }
+
     /// A gateway in a zone.
     pub(crate) async fn in_zone(
         zone: &str,
--- a/crates/routing/src/admission.rs
+++ b/crates/routing/src/admission.rs
@@ -115,6 +115,26 @@
     draw < chance(fullness, newcomer)
 }
 
+/// The chance with which a host that is behind its own work by so long refuses
+/// a request. It still takes a tenth, so that a fleet which is behind as a
+/// whole serves what it can.
+///
+/// # Example
+///
+/// ```
+/// use chalkrock_routing::chance_behind;
+///
+/// assert_eq!(chance_behind(100), 0.0);
+/// assert_eq!(chance_behind(5_000), 0.9);
+/// ```
+pub fn chance_behind(lag_ms: u64) -> f64 {
+    const NONE_UP_TO_MS: f64 = 250.0;
+    const MOST_FROM_MS: f64 = 1_000.0;
+    const MOST: f64 = 0.9;
+    let part = (lag_ms as f64 - NONE_UP_TO_MS) / (MOST_FROM_MS - NONE_UP_TO_MS);
+    MOST * part.clamp(0.0, 1.0)
+}
+
 fn chance_of_rank(waits: f64, rank: u8) -> f64 {
     let (all_up_to, none_from) = WAIT_PARTS[usize::from(rank.min(RANK_LAST))];
     ((none_from - waits) / (none_from - all_up_to)).clamp(0.0, 1.0)
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -47,7 +47,7 @@
 mod spread;
 mod stop_plan;
 
-pub use admission::{Fullness, MeanStay, Newcomer, chance, is_admitted};
+pub use admission::{Fullness, MeanStay, Newcomer, chance, chance_behind, is_admitted};
 pub use attempt::{AttemptEnd, Next, Repeatable, next_step};
 pub use budget::{BudgetRules, WindowBudget};
 pub use endpoints::{EndpointTable, Member, Standing};
--- a/crates/routing/tests/admission.rs
+++ b/crates/routing/tests/admission.rs
@@ -1,6 +1,6 @@
 //! Who is taken in while a pool is overloaded.
 
-use chalkrock_routing::{Fullness, MeanStay, Newcomer, chance};
+use chalkrock_routing::{Fullness, MeanStay, Newcomer, chance, chance_behind};
 use googletest::prelude::*;
 use proptest::prelude::*;
 
@@ -78,6 +78,19 @@
     assert_that!(chance(&busy, &over), lt(chance(&busy, &asks)));
 }
 
+#[test]
+fn chance_behind_grows_with_the_lag_and_leaves_a_tenth() {
+    for (lag_ms, chance) in [
+        (0, 0.0),
+        (250, 0.0),
+        (625, 0.45),
+        (1_000, 0.9),
+        (9_000, 0.9),
+    ] {
+        assert_that!(chance_behind(lag_ms), eq(chance), "{lag_ms}");
+    }
+}
+
 #[test]
 fn stay_follows_what_is_seen() {
     let mut stay = MeanStay::default();
