Look up a prefix's holders once a request, and keep endpoints in order

At 3,000 endpoints a request looked each one up among the holders of its prefix, and each change of the list sorted all of them again. Behaviour is the same.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -97,9 +97,12 @@
             .iter()
             .filter(|member| !wanted.tried.contains(&member.hash.short()))
             .collect();
+        let holders: Vec<u32> = deepest
+            .map(|part| self.prefixes.map().holders(part, now_ms).collect())
+            .unwrap_or_default();
         let candidates: Vec<Candidate> = untried
             .iter()
-            .map(|member| self.candidate(member, wanted, now_ms))
+            .map(|member| self.candidate(member, wanted.repeatable, &holders, now_ms))
             .collect();
         let index = choose(&candidates, key, &self.spread, wanted.draw)?;
         let member = untried[index].clone();
@@ -149,10 +152,16 @@
         address_of(first.hash.short())
     }
 
-    fn candidate(&self, member: &Member, wanted: &Wanted<'_>, now_ms: u64) -> Candidate {
+    /// An endpoint as a candidate; `holders` are those that hold the prefix.
+    fn candidate(
+        &self,
+        member: &Member,
+        repeatable: Repeatable,
+        holders: &[u32],
+        now_ms: u64,
+    ) -> Candidate {
         let short = member.hash.short();
-        let deepest = wanted.shared_parts.last().copied();
-        let stays_away = |health: &EndpointHealth| match wanted.repeatable {
+        let stays_away = |health: &EndpointHealth| match repeatable {
             Repeatable::Yes => health.is_suspect(now_ms),
             Repeatable::No => health.is_suspect(now_ms) || health.is_doubtful(now_ms),
         };
@@ -162,8 +171,7 @@
             slots: member.endpoint.slots,
             is_near: member.endpoint.zone == self.zone,
             is_suspect: self.health.get(&short).is_some_and(stays_away),
-            holds_prefix: deepest
-                .is_some_and(|part| self.prefixes.map().holds(part, short, now_ms)),
+            holds_prefix: holders.contains(&short),
         }
     }
 
--- a/crates/routing/src/endpoints.rs
+++ b/crates/routing/src/endpoints.rs
@@ -7,7 +7,7 @@
 //! listed again, since a platform in trouble drops entries of endpoints that
 //! live; until then it takes no new work.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
 
 use chalkrock_core::rendezvous::MemberHash;
@@ -70,7 +70,8 @@
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct EndpointTable {
-    known: HashMap<EndpointId, Known>,
+    /// By name, so that pools need no sorting whenever one changes.
+    known: BTreeMap<EndpointId, Known>,
     live: HashMap<PoolId, Arc<[Member]>>,
     /// Those that are leaving and still listed.
     parting: HashMap<PoolId, Arc<[Member]>>,
@@ -161,11 +162,9 @@
     /// The endpoints that are listed, to pass on.
     pub fn listed(&self) -> Vec<Endpoint> {
         let listed = self.known.values().filter(|known| known.is_listed);
-        let mut listed: Vec<Endpoint> = listed
-            .map(|known| Endpoint::clone(&known.member.endpoint))
-            .collect();
-        listed.sort_by(|a, b| a.name.cmp(&b.name));
         listed
+            .map(|known| Endpoint::clone(&known.member.endpoint))
+            .collect()
     }
 
     /// Short hashes of the endpoints that are listed.
@@ -207,10 +206,9 @@
             let pool = known.member.endpoint.pool.clone();
             pools.entry(pool).or_default().push(known.member.clone());
         }
-        let sorted = pools.into_iter().map(|(pool, mut members)| {
-            members.sort_by(|a, b| a.endpoint.name.cmp(&b.endpoint.name));
-            (pool, members.into())
-        });
-        sorted.collect()
+        let pools = pools.into_iter();
+        pools
+            .map(|(pool, members)| (pool, members.into()))
+            .collect()
     }
 }
--- a/tools/switch_off.py
+++ b/tools/switch_off.py
@@ -1,7 +1,7 @@
 #!/usr/bin/env python3
 """Switches mechanisms off, one at a time, and says whether a test notices.
 
-    tools/switch_off.py [--promise LIMIT] [--most-s 60]
+    tools/switch_off.py [--promises LIMIT,GONE] [--most-s 60]
 
 Works on a scratch copy of the last commit, by the table in
 tools/mechanisms.toml. A mechanism whose text is not found, whose copy can't be
@@ -68,11 +68,12 @@
 
 def main():
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
-    parser.add_argument("--promise", help="only mechanisms of this promise")
+    parser.add_argument("--promises", help="only these, with commas between")
     parser.add_argument("--most-s", type=float, default=60, help="for the tests of one mechanism")
     options = parser.parse_args()
     table = tomllib.loads((ROOT / "tools" / "mechanisms.toml").read_text())["mechanism"]
-    wanted = [one for one in table if options.promise in (None, one["promise"])]
+    only = options.promises.split(",") if options.promises else None
+    wanted = [one for one in table if only is None or one["promise"] in only]
     is_well = True
     with tempfile.TemporaryDirectory() as folder:
         copy = pathlib.Path(folder) / "copy"
