--- a/crates/gateway/tests/gateway/attempts.rs
+++ b/crates/gateway/tests/gateway/attempts.rs
@@ -188,10 +188,11 @@
     assert_that!(gateway.endpoints[0].connections(), lt(5));
 }
 
+/// They end with the caller, and not with the time of their route.
 #[tokio::test]
 async fn attempts_end_when_the_caller_leaves() {
     let gateway = TestGateway::before(1, Behaviour::Silent).await;
-    let call = Call::post("/once/", b"x").id("r-1").bytes();
+    let call = Call::post("/patient/", b"x").id("r-1").bytes();
     let address = gateway.running.front_address();
     let mut stream = tokio::net::TcpStream::connect(address)
         .await
--- a/crates/gateway/tests/gateway/support/fleet.rs
+++ b/crates/gateway/tests/gateway/support/fleet.rs
@@ -47,6 +47,10 @@
             route("safe", RouteKind::Safe, 2),
             route("unsafe", RouteKind::Unsafe, 2),
             route("once", RouteKind::Unsafe, 1),
+            Route {
+                timeout_ms: 600_000,
+                ..route("patient", RouteKind::Unsafe, 1)
+            },
             route("stream", RouteKind::Stream { resumable: false }, 1),
             route("resumable", RouteKind::Stream { resumable: true }, 3),
         ],
