--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -46,15 +46,15 @@
 mod shares;
 mod spread;
 mod stop_plan;
+mod totals;
+mod zone_loads;
 
 pub use admission::{Fullness, MeanStay, Newcomer, chance, chance_behind, is_admitted};
 pub use attempt::{AttemptEnd, Next, Repeatable, next_step};
 pub use budget::{BudgetRules, WindowBudget};
 pub use endpoints::{EndpointTable, Member, Standing};
 pub use event_frames::{EventFrame, EventFrames};
-pub use fleet_load::{
-    EndpointCount, FleetLoad, HashRange, HostReport, Merged, REPORT_AGE_MAX_MS, WordPath, ZoneSum,
-};
+pub use fleet_load::{FleetLoad, HostReport, Merged};
 pub use health::{EndpointHealth, Sign};
 pub use prefix_map::{Holding, PrefixMap};
 pub use readers::{HeardHost, Reading, ZoneView, readers_wanted};
@@ -63,3 +63,5 @@
 pub use shares::Shares;
 pub use spread::{Candidate, SpreadRules, choose};
 pub use stop_plan::{StopPhase, StopPlan};
+pub use totals::{EndpointCount, REPORT_AGE_MAX_MS};
+pub use zone_loads::{HashRange, WordPath, ZoneSum};
