--- a/crates/gateway/tests/gateway/calls.rs
+++ b/crates/gateway/tests/gateway/calls.rs
@@ -359,3 +359,20 @@
         resting.push(stream);
     }
 }
+
+/// A caller that leaves before its request is whole asked for nothing.
+#[tokio::test]
+async fn call_whose_caller_leaves_in_it_is_never_passed_on() {
+    let gateway = TestGateway::before(1, Behaviour::Answer).await;
+    let address = gateway.running.front_address();
+    let whole = Call::post("/unsafe/", b"0123456789").id("r-1").bytes();
+    for length in [1, 20, whole.len() - 10, whole.len() - 1] {
+        let mut stream = TcpStream::connect(address).await.expect("a connection");
+        let part = &whole[..length];
+        stream.write_all(part).await.expect("a part of a request");
+        stream.shutdown().await.expect("it is closed");
+        let received = receive(&mut stream).await;
+        assert_that!(received.status, any![eq(0), eq(400)], "{length}");
+    }
+    assert_that!(gateway.runs_of("r-1"), eq(0));
+}
