--- a/crates/e2e/tests/streams.rs
+++ b/crates/e2e/tests/streams.rs
@@ -34,6 +34,14 @@
     }
 }
 
+/// A stream that has begun and stays open, and the id of its first event.
+async fn begun(cluster: &Cluster) -> eyre::Result<(impl Sized + use<>, String)> {
+    let answer = cluster.chat_call(0, "n1", true).send().await?;
+    let mut events = answer.bytes_stream().eventsource();
+    let first = events.next().await.and_then(|event| event.ok());
+    Ok((events, first.map(|event| event.id).unwrap_or_default()))
+}
+
 #[tokio::test]
 async fn stream_under_faults_of_the_engine_is_whole() -> eyre::Result<()> {
     let cluster = Cluster::start(SIZE).await?;
@@ -154,18 +162,7 @@
 #[tokio::test]
 async fn resume_refuses_foreign_and_forged_tokens() -> eyre::Result<()> {
     let cluster = Cluster::start(SIZE).await?;
-    let mut events = cluster
-        .chat_call(0, "n1", true)
-        .send()
-        .await?
-        .bytes_stream()
-        .eventsource();
-    let id = events
-        .next()
-        .await
-        .and_then(|event| event.ok())
-        .map(|event| event.id);
-    let id = id.unwrap_or_default();
+    let (_events, id) = begun(&cluster).await?;
     let forged = id.replace(|c: char| c.is_ascii_lowercase(), "x");
     let token = id.split_once('.').map_or("", |(_, token)| token);
     let past_the_last = format!("{}.{token}", u64::MAX);
@@ -195,22 +192,10 @@
 #[tokio::test]
 async fn resume_of_a_stream_whose_engine_is_gone_is_unknown() -> eyre::Result<()> {
     let mut cluster = Cluster::start_with(SIZE, slow_engine()).await?;
-    let mut events = cluster
-        .chat_call(0, "n1", true)
-        .send()
-        .await?
-        .bytes_stream()
-        .eventsource();
-    let id = events
-        .next()
-        .await
-        .and_then(|event| event.ok())
-        .map(|event| event.id);
+    let (_events, id) = begun(&cluster).await?;
     cluster.hosts[0].router.kill()?;
     cluster.engines.clear();
-    let call = cluster
-        .chat_call(1, "n1", true)
-        .header("last-event-id", id.unwrap_or_default());
+    let call = cluster.chat_call(1, "n1", true).header("last-event-id", id);
     let told = Told::of(&call.send().await?);
     assert_that!(told.status, eq(502));
     assert_that!(told.outcome, some(eq(Outcome::Unknown)));
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -202,7 +202,7 @@
 ) -> Request<SentBody> {
     let endpoint = &choice.member.endpoint;
     let send = SendHead {
-        organisation: call.caller.as_ref().map(|caller| &caller.organisation),
+        organisation: call.organisation(),
         endpoint: &endpoint.name,
         deadline_ms: call.left_ms(),
         priority: call.priority(),
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use chalkrock_core::{PoolId, Reason};
+use chalkrock_core::{OrganisationId, PoolId, Reason};
 use chalkrock_routing::{
     Caller, CallerLimits, Repeatable, Route, RulesVersion, StopPhase, chance_behind,
 };
@@ -49,6 +49,11 @@
         Repeatable::of(self.route.kind)
     }
 
+    /// The organisation that asks.
+    pub(crate) fn organisation(&self) -> Option<&OrganisationId> {
+        self.caller.as_ref().map(|caller| &caller.organisation)
+    }
+
     /// Its rank: the organisation's before the route's.
     pub(crate) fn priority(&self) -> u8 {
         const RANKS_OF_ROUTE: u8 = 3;
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -127,8 +127,7 @@
         let address_of = |endpoint: u32| {
             let mut members = live.iter().chain(parting.iter());
             let member = members.find(|member| member.hash.short() == endpoint)?;
-            let health = self.health.get(&endpoint);
-            let is_sound = !health.is_some_and(|health| health.is_suspect(now_ms));
+            let is_sound = !self.is_suspect(endpoint, now_ms);
             is_sound.then_some(member.endpoint.address)
         };
         for &part in wanted.shared_parts.iter().rev() {
@@ -175,6 +174,11 @@
         }
     }
 
+    fn is_suspect(&self, endpoint: u32, now_ms: u64) -> bool {
+        let health = self.health.get(&endpoint);
+        health.is_some_and(|health| health.is_suspect(now_ms))
+    }
+
     /// What is known of an endpoint's health.
     pub(crate) fn health(&mut self, endpoint: u32) -> &mut EndpointHealth {
         self.health.entry(endpoint).or_default()
@@ -192,22 +196,16 @@
     /// The retry budget of a pool.
     pub(crate) fn budget(&mut self, pool: &PoolId) -> &mut WindowBudget {
         let rules = self.budget;
-        let budgets = &mut self.budgets;
-        if !budgets.contains_key(pool) {
-            budgets.insert(pool.clone(), WindowBudget::new(rules));
-        }
-        budgets
-            .get_mut(pool)
-            .expect("the budget was inserted just now")
+        let budget = self.budgets.entry(pool.clone());
+        budget.or_insert_with(|| WindowBudget::new(rules))
     }
 
     /// How full a pool is, but for endpoints that are suspect.
     pub(crate) fn fullness(&self, pool: &PoolId, now_ms: u64) -> Fullness {
         let members = self.endpoints.live(pool);
-        let takes_work = members.iter().filter(|member| {
-            let health = self.health.get(&member.hash.short());
-            !health.is_some_and(|health| health.is_suspect(now_ms))
-        });
+        let takes_work = members
+            .iter()
+            .filter(|member| !self.is_suspect(member.hash.short(), now_ms));
         let (places, in_progress) = takes_work.fold((0, 0), |(places, in_progress), member| {
             let load = self.load.of(member.hash.short());
             (
@@ -224,13 +222,8 @@
 
     /// A request left an endpoint of a pool after so long.
     pub(crate) fn note_stay(&mut self, pool: &PoolId, stayed_ms: u64) {
-        if let Some(stay) = self.stays.get_mut(pool) {
-            stay.note(stayed_ms);
-            return;
-        }
-        let mut stay = MeanStay::default();
+        let stay = self.stays.entry(pool.clone()).or_default();
         stay.note(stayed_ms);
-        self.stays.insert(pool.clone(), stay);
     }
 
     /// Takes the whole list of endpoints, as of a version.
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use chalkrock_core::RequestId;
 use chalkrock_routing::{CallerLimits, StopPhase};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -21,7 +22,7 @@
 use crate::call::enter;
 use crate::caller_stream::{CallerStream, ServedBody, Turn};
 use crate::dispatch::dispatch;
-use crate::edge::{CallHead, Refusal, remove_connection_headers};
+use crate::edge::{Refusal, remove_connection_headers};
 use crate::journal::Event;
 use crate::progress::Progress;
 use crate::relay::Relay;
@@ -110,12 +111,12 @@
     let request = Request::from_parts(parts, body);
     let head = match read {
         Ok(head) => head,
-        Err(refusal) => return refuse(&shared, &CallHead::default(), entered_at, refusal),
+        Err(refusal) => return refuse(&shared, None, entered_at, refusal),
     };
-    let kept_head = head.clone();
+    let id = head.id.clone();
     let call = match enter(&shared, request, head, entered_at).await {
         Ok(call) => Arc::new(call),
-        Err(refusal) => return refuse(&shared, &kept_head, entered_at, refusal),
+        Err(refusal) => return refuse(&shared, id.as_ref(), entered_at, refusal),
     };
     let mut leaving = TellsLeaving::new(shared.clone(), call.clone());
     let mut progress = Progress::new(shared.clone(), call.clone());
@@ -180,12 +181,12 @@
 
 fn refuse(
     shared: &Shared,
-    head: &CallHead,
+    id: Option<&RequestId>,
     entered_at: Instant,
     refusal: Refusal,
 ) -> Response<CallerBody> {
-    record_refusal(shared, head, entered_at, &refusal);
-    let answer = refusal.into_answer(&*shared.edge, head.id.as_ref());
+    record_refusal(shared, id, entered_at, &refusal);
+    let answer = refusal.into_answer(&*shared.edge, id);
     last_if_due(shared, answer)
 }
 
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -35,7 +35,7 @@
             () = shared.tell_peers_now.notified() => {}
         }
         sequence += 1;
-        let far_hosts = far_hosts(&shared);
+        let far_hosts = shared.fleet().load.far_hosts();
         let round = peers.round(shared.reading.told(), far_hosts);
         take_round(&shared, &round);
         let said = said(&shared, &peers, sequence, &round);
@@ -57,10 +57,6 @@
     }
 }
 
-fn far_hosts(shared: &Shared) -> usize {
-    shared.fleet().load.far_hosts()
-}
-
 fn take_round(shared: &Shared, round: &Round) {
     round.gone.iter().for_each(|news| tell_peer(shared, *news));
     let has_turn = round.reads_platform;
@@ -176,13 +172,13 @@
         .map(|host| (host.address, Some(host.zone)));
     peers.add(named);
     let now_ms = shared.clock.now_ms();
-    let far_hosts = far_hosts(shared);
-    if peers.counts_alone(beat.zone, far_hosts) {
-        let mut fleet = shared.fleet();
-        if fleet.load.merge(address, beat.report, now_ms) == Merged::Old {
-            return;
-        }
+    let mut fleet = shared.fleet();
+    if peers.counts_alone(beat.zone, fleet.load.far_hosts())
+        && fleet.load.merge(address, beat.report, now_ms) == Merged::Old
+    {
+        return;
     }
+    drop(fleet);
     take_knowledge(shared, peers, address, beat.zone, &beat.knowledge);
 }
 
--- a/crates/gateway/src/progress.rs
+++ b/crates/gateway/src/progress.rs
@@ -34,7 +34,7 @@
     pub(crate) fn new(shared: Arc<Shared>, call: Arc<Call>) -> Self {
         let now_ms = shared.clock.now_ms();
         shared.fleet().budget(&call.pool).request(now_ms);
-        let organisation = call.caller.as_ref().map(|caller| &caller.organisation);
+        let organisation = call.organisation();
         Self {
             _share: organisation.map(|name| OfOrganisation::begin(&shared, name)),
             shared,
@@ -57,7 +57,7 @@
         if !self.tried.is_empty() {
             return Ok(());
         }
-        let organisation = self.call.caller.as_ref().map(|caller| &caller.organisation);
+        let organisation = self.call.organisation();
         let now_ms = self.shared.clock.now_ms();
         let fleet = self.shared.fleet();
         let fullness = fleet.fullness(&self.call.pool, now_ms);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -22,7 +22,7 @@
 use crate::journal::Event;
 use crate::progress::Progress;
 use crate::shared::{Running, Shared};
-use crate::told::{Ending, record};
+use crate::told::{Ending, record, record_leaving};
 
 /// Silence in a stream after which its endpoint is looked at.
 const LOOK_EVERY: Duration = Duration::from_millis(200);
@@ -229,10 +229,7 @@
 impl Drop for Relay {
     fn drop(&mut self) {
         if !self.is_over {
-            self.shared.journal.tell(&Event::CallerLeft {
-                id: self.call.head.id.as_ref(),
-                took_ms: self.call.entered_at.elapsed().as_millis() as u64,
-            });
+            record_leaving(&self.shared, &self.call);
         }
     }
 }
--- a/crates/gateway/src/told.rs
+++ b/crates/gateway/src/told.rs
@@ -2,23 +2,23 @@
 
 use std::sync::Arc;
 
-use chalkrock_core::{Outcome, Reason};
+use chalkrock_core::{Outcome, Reason, RequestId};
 use tokio::time::Instant;
 
 use crate::call::Call;
-use crate::edge::{CallHead, Refusal};
+use crate::edge::Refusal;
 use crate::journal::{AttemptRecord, Event, RequestRecord};
 use crate::shared::Shared;
 
 /// Tells that a request was refused before it was known what it asks for.
 pub(crate) fn record_refusal(
     shared: &Shared,
-    head: &CallHead,
+    id: Option<&RequestId>,
     entered_at: Instant,
     refusal: &Refusal,
 ) {
     let record = RequestRecord {
-        id: head.id.clone(),
+        id: id.cloned(),
         route: None,
         organisation: None,
         rules: shared
@@ -69,10 +69,7 @@
     let record = RequestRecord {
         id: call.head.id.clone(),
         route: Some(call.route.name.clone()),
-        organisation: call
-            .caller
-            .as_ref()
-            .map(|caller| caller.organisation.clone()),
+        organisation: call.organisation().cloned(),
         rules: call.rules,
         attempts,
         status: Some(status),
@@ -92,6 +89,14 @@
     shared.metrics.count("requests_total", &labels, 1);
 }
 
+/// Tells that the caller left before the end of the answer.
+pub(crate) fn record_leaving(shared: &Shared, call: &Call) {
+    shared.journal.tell(&Event::CallerLeft {
+        id: call.head.id.as_ref(),
+        took_ms: call.entered_at.elapsed().as_millis() as u64,
+    });
+}
+
 /// Tells that the caller left, if it did so before an answer began.
 pub(crate) struct TellsLeaving {
     shared: Arc<Shared>,
@@ -112,10 +117,7 @@
 impl Drop for TellsLeaving {
     fn drop(&mut self) {
         if !self.is_over {
-            self.shared.journal.tell(&Event::CallerLeft {
-                id: self.call.head.id.as_ref(),
-                took_ms: self.call.entered_at.elapsed().as_millis() as u64,
-            });
+            record_leaving(&self.shared, &self.call);
         }
     }
 }
--- a/crates/gateway/tests/gateway/attempts.rs
+++ b/crates/gateway/tests/gateway/attempts.rs
@@ -192,14 +192,8 @@
 #[tokio::test]
 async fn attempts_end_when_the_caller_leaves() {
     let gateway = TestGateway::before(1, Behaviour::Silent).await;
-    let call = Call::post("/patient/", b"x").id("r-1").bytes();
-    let address = gateway.running.front_address();
-    let mut stream = tokio::net::TcpStream::connect(address)
-        .await
-        .expect("a connection");
-    tokio::io::AsyncWriteExt::write_all(&mut stream, &call)
-        .await
-        .expect("a request");
+    let call = Call::post("/patient/", b"x").id("r-1");
+    let stream = call.send(gateway.running.front_address()).await;
     while gateway.runs_of("r-1") == 0 {
         tokio::time::sleep(std::time::Duration::from_millis(1)).await;
     }
@@ -213,14 +207,8 @@
 async fn attempts_come_back_to_an_endpoint_whose_caller_left() {
     let gateway = TestGateway::before(2, Behaviour::Answer).await;
     gateway.script.next([Behaviour::Silent]);
-    let call = Call::post("/once/", b"x").id("left").bytes();
-    let address = gateway.running.front_address();
-    let mut stream = tokio::net::TcpStream::connect(address)
-        .await
-        .expect("a connection");
-    tokio::io::AsyncWriteExt::write_all(&mut stream, &call)
-        .await
-        .expect("a request");
+    let call = Call::post("/once/", b"x").id("left");
+    let stream = call.send(gateway.running.front_address()).await;
     until(async || gateway.runs_of("left") > 0).await;
     drop(stream);
     let left = gateway.endpoints.iter().find(|e| e.runs_of("left") > 0);
--- a/crates/gateway/tests/gateway/calls.rs
+++ b/crates/gateway/tests/gateway/calls.rs
@@ -348,9 +348,8 @@
     let address = gateway.running.front_address();
     let mut resting = Vec::new();
     for i in 0..10 {
-        let mut stream = TcpStream::connect(address).await.expect("a connection");
         let call = Call::get("/safe/").id(&format!("r-{i}"));
-        stream.write_all(&call.bytes()).await.expect("a request");
+        let mut stream = call.send(address).await;
         let received = receive(&mut stream).await;
         assert_that!(received.status, eq(200));
         let is_last = received.header("connection") == Some("close");
--- a/crates/gateway/tests/gateway/streams.rs
+++ b/crates/gateway/tests/gateway/streams.rs
@@ -1,9 +1,9 @@
 //! Streams: passed on whole and in order, resumed where they may be, and
 //! never made to look complete where they are not.
 
-use crate::support::{Behaviour, Call, TestGateway, event};
+use crate::support::{Behaviour, Call, Received, TestGateway, event};
 use googletest::prelude::*;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::AsyncReadExt;
 
 const LAST: u64 = 9;
 
@@ -25,6 +25,12 @@
     (0..=LAST).collect()
 }
 
+/// Asks for a stream that may be resumed.
+async fn call_resumable(gateway: &TestGateway) -> Received {
+    let call = Call::post("/resumable/", b"x").id("r-1");
+    gateway.call(call).await
+}
+
 #[tokio::test]
 async fn stream_is_passed_on_whole_and_unchanged() {
     for path in ["/stream/", "/resumable/"] {
@@ -43,9 +49,7 @@
     for cut_at in [0, 1, 5, LAST] {
         let gateway = TestGateway::before(2, whole_stream()).await;
         gateway.script.next([cut_stream(cut_at)]);
-        let received = gateway
-            .call(Call::post("/resumable/", b"x").id("r-1"))
-            .await;
+        let received = call_resumable(&gateway).await;
         assert_that!(received.events(), eq(&all_events()), "cut at {cut_at}");
         assert_that!(received.is_whole, eq(true), "cut at {cut_at}");
         assert_that!(gateway.runs_of("r-1"), eq(2), "cut at {cut_at}");
@@ -56,9 +60,7 @@
 async fn stream_goes_on_more_than_once() {
     let gateway = TestGateway::before(3, whole_stream()).await;
     gateway.script.next([cut_stream(2), cut_stream(6)]);
-    let received = gateway
-        .call(Call::post("/resumable/", b"x").id("r-1"))
-        .await;
+    let received = call_resumable(&gateway).await;
     assert_that!(received.events(), eq(&all_events()));
     assert_that!(received.is_whole, eq(true));
 }
@@ -69,9 +71,7 @@
     gateway
         .script
         .next([Behaviour::StreamThenSilence { last: 3 }]);
-    let received = gateway
-        .call(Call::post("/resumable/", b"x").id("r-1"))
-        .await;
+    let received = call_resumable(&gateway).await;
     assert_that!(received.events(), eq(&all_events()));
     assert_that!(received.is_whole, eq(true));
 }
@@ -89,9 +89,7 @@
 #[tokio::test]
 async fn stream_that_breaks_off_everywhere_does_not_look_complete() {
     let gateway = TestGateway::before(3, cut_stream(4)).await;
-    let received = gateway
-        .call(Call::post("/resumable/", b"x").id("r-1"))
-        .await;
+    let received = call_resumable(&gateway).await;
     assert_that!(received.events(), eq(&[0, 1, 2, 3]));
     assert_that!(received.is_whole, eq(false));
 }
@@ -99,9 +97,7 @@
 #[tokio::test]
 async fn stream_is_not_sent_to_more_endpoints_than_its_route_allows() {
     let gateway = TestGateway::before(6, cut_stream(4)).await;
-    gateway
-        .call(Call::post("/resumable/", b"x").id("r-1"))
-        .await;
+    call_resumable(&gateway).await;
     assert_that!(gateway.runs_of("r-1"), eq(3));
 }
 
@@ -109,9 +105,7 @@
 async fn stream_of_a_failed_endpoint_begins_elsewhere_if_it_may() {
     let gateway = TestGateway::before(2, whole_stream()).await;
     gateway.script.next([Behaviour::Fail]);
-    let received = gateway
-        .call(Call::post("/resumable/", b"x").id("r-1"))
-        .await;
+    let received = call_resumable(&gateway).await;
     assert_that!(received.events(), eq(&all_events()));
     assert_that!(received.is_whole, eq(true));
 }
@@ -131,12 +125,8 @@
 async fn stream_ends_when_the_caller_leaves() {
     for path in ["/stream/", "/resumable/"] {
         let gateway = TestGateway::before(1, Behaviour::StreamThenSilence { last: 3 }).await;
-        let call = Call::post(path, b"x").id("r-1").bytes();
-        let address = gateway.running.front_address();
-        let mut stream = tokio::net::TcpStream::connect(address)
-            .await
-            .expect("a connection");
-        stream.write_all(&call).await.expect("a request");
+        let call = Call::post(path, b"x").id("r-1");
+        let mut stream = call.send(gateway.running.front_address()).await;
         let mut first = [0; 16];
         stream.read_exact(&mut first).await.expect("a head");
         drop(stream);
--- a/crates/gateway/tests/gateway/support/fleet.rs
+++ b/crates/gateway/tests/gateway/support/fleet.rs
@@ -283,9 +283,14 @@
 
     /// Sends it on a new connection.
     pub(crate) async fn to(&self, address: SocketAddr) -> Received {
+        receive(&mut self.send(address).await).await
+    }
+
+    /// Sends it on a new connection and waits for nothing.
+    pub(crate) async fn send(&self, address: SocketAddr) -> TcpStream {
         let mut stream = TcpStream::connect(address).await.expect("a connection");
         stream.write_all(&self.bytes()).await.expect("a request");
-        receive(&mut stream).await
+        stream
     }
 }
 
--- a/crates/router/src/chat/mod.rs
+++ b/crates/router/src/chat/mod.rs
@@ -13,7 +13,7 @@
 use tracing::Instrument;
 
 use crate::claims::claim;
-use crate::entry::{Entered, body_of, enter, is_marked_unsafe};
+use crate::entry::{Entered, body_of, enter, is_marked_unsafe, refuse};
 use crate::explain::Explanation;
 use crate::place::ChatPlace;
 use crate::refusal::{Refusal, mark, name};
@@ -77,10 +77,7 @@
             state.record(explanation, Outcome::Ran, None);
             answer
         }
-        Err(refusal) => {
-            state.record(explanation, refusal.reason.outcome(), Some(refusal.reason));
-            refusal.into_answer(&request)
-        }
+        Err(refusal) => refuse(&state, explanation, refusal, &request),
     }
 }
 
--- a/crates/router/src/entry.rs
+++ b/crates/router/src/entry.rs
@@ -6,8 +6,9 @@
 
 use axum::body::{Body, BodyDataStream};
 use axum::http::HeaderMap;
+use axum::response::Response;
 use bytes::{Bytes, BytesMut};
-use chalkrock_core::{OrganisationId, Reason, key_digest};
+use chalkrock_core::{OrganisationId, Reason, RequestId, key_digest};
 use futures::StreamExt;
 use tokio::time::Instant;
 
@@ -147,3 +148,14 @@
         }
     }
 }
+
+/// Explains a refusal and answers it.
+pub(crate) fn refuse(
+    state: &State,
+    explanation: Explanation,
+    refusal: Refusal,
+    request: &RequestId,
+) -> Response {
+    state.record(explanation, refusal.reason.outcome(), Some(refusal.reason));
+    refusal.into_answer(request)
+}
--- a/crates/router/src/service_calls.rs
+++ b/crates/router/src/service_calls.rs
@@ -16,7 +16,7 @@
 
 use crate::claims::claim;
 use crate::dispatch::{Attempt, send};
-use crate::entry::{Entered, body_of, enter, is_marked_unsafe};
+use crate::entry::{Entered, body_of, enter, is_marked_unsafe, refuse};
 use crate::explain::{Candidate, CandidateRole, Explanation};
 use crate::refusal::{Refusal, mark};
 use crate::state::State;
@@ -58,10 +58,7 @@
             state.record(explanation, Outcome::Ran, None);
             answer
         }
-        Err(refusal) => {
-            state.record(explanation, refusal.reason.outcome(), Some(refusal.reason));
-            refusal.into_answer(&request)
-        }
+        Err(refusal) => refuse(&state, explanation, refusal, &request),
     }
 }
 
--- a/crates/routing/src/fleet_load.rs
+++ b/crates/routing/src/fleet_load.rs
@@ -58,7 +58,7 @@
 /// ```
 #[derive(Clone, Debug)]
 pub struct FleetLoad<H> {
-    own: HashMap<u32, u32>,
+    own: Totals,
     hosts: HashMap<H, Known>,
     /// What was told of other zones.
     zones: HashMap<u32, ZoneLoads<H>>,
@@ -70,7 +70,7 @@
 impl<H> Default for FleetLoad<H> {
     fn default() -> Self {
         Self {
-            own: HashMap::new(),
+            own: Totals::default(),
             hosts: HashMap::new(),
             zones: HashMap::new(),
             others: Totals::default(),
@@ -81,22 +81,17 @@
 impl<H: Clone + Eq + Hash + Ord> FleetLoad<H> {
     /// A request of this host begins on an endpoint.
     pub fn begin(&mut self, endpoint: u32) {
-        *self.own.entry(endpoint).or_default() += 1;
+        self.own.begin(endpoint);
     }
 
     /// A request of this host ends.
     pub fn end(&mut self, endpoint: u32) {
-        if let Some(count) = self.own.get_mut(&endpoint) {
-            *count -= 1;
-            if *count == 0 {
-                self.own.remove(&endpoint);
-            }
-        }
+        self.own.end(endpoint);
     }
 
     /// Requests of this host on an endpoint.
     pub fn own(&self, endpoint: u32) -> u32 {
-        self.own.get(&endpoint).copied().unwrap_or(0)
+        self.own.of(endpoint)
     }
 
     /// Requests of the whole fleet on an endpoint.
@@ -106,7 +101,7 @@
 
     /// All of this host's requests.
     pub fn own_total(&self) -> u32 {
-        self.own.values().sum()
+        self.own.total()
     }
 
     /// All requests of the fleet.
@@ -116,16 +111,7 @@
 
     /// This host's counts, to report.
     pub fn own_counts(&self) -> Vec<EndpointCount> {
-        let counts = self
-            .own
-            .iter()
-            .map(|(&endpoint, &in_progress)| EndpointCount {
-                endpoint,
-                in_progress,
-            });
-        let mut counts: Vec<EndpointCount> = counts.collect();
-        counts.sort_by_key(|count| count.endpoint);
-        counts
+        self.own.counts()
     }
 
     /// Takes a host's report, if it is the newest of that host. Lives are told
@@ -158,8 +144,7 @@
 
     /// The sum of this host and those that it hears itself, for other zones.
     pub fn zone_sum(&self, zone: u32, now_ms: u64) -> ZoneSum {
-        let mut totals = Totals::default();
-        totals.add(&self.own_counts());
+        let mut totals = self.own.clone();
         let heard = self.hosts.values();
         let heard = heard.filter(|known| is_recent(known.heard_at_ms, now_ms));
         let mut hosts = 1;
--- a/crates/routing/src/spread.rs
+++ b/crates/routing/src/spread.rs
@@ -111,10 +111,9 @@
 impl Ranks<'_> {
     fn first(&self, among: &[usize]) -> Option<usize> {
         let rank = |i: usize| score(self.key, self.candidates[i].hash, 1.0);
-        among
-            .iter()
-            .copied()
-            .max_by(|&a, &b| rank(a).total_cmp(&rank(b)))
+        let ranked = among.iter().map(|&i| (rank(i), i));
+        let first = ranked.max_by(|(a, _), (b, _)| a.total_cmp(b));
+        first.map(|(_, i)| i)
     }
 
     /// The first that holds the prefix, else the first.
--- a/crates/routing/src/totals.rs
+++ b/crates/routing/src/totals.rs
@@ -27,7 +27,25 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Totals(HashMap<u32, u64>);
 
+/// One request on an endpoint.
+fn one(endpoint: u32) -> [EndpointCount; 1] {
+    [EndpointCount {
+        endpoint,
+        in_progress: 1,
+    }]
+}
+
 impl Totals {
+    /// A request begins.
+    pub(crate) fn begin(&mut self, endpoint: u32) {
+        self.add(&one(endpoint));
+    }
+
+    /// A request ends.
+    pub(crate) fn end(&mut self, endpoint: u32) {
+        self.remove(&one(endpoint));
+    }
+
     pub(crate) fn add(&mut self, counts: &[EndpointCount]) {
         for count in counts {
             *self.0.entry(count.endpoint).or_default() += u64::from(count.in_progress);
--- a/tools/compare_days.py
+++ b/tools/compare_days.py
@@ -10,21 +10,16 @@
 
 import argparse
 import concurrent.futures
-import json
-import pathlib
-import subprocess
-import tempfile
 
+from days import play
 
-def play(bench, site, day, seed, why):
+
+def play_day(bench, site, day, seed, why):
     """One day; returns its report, or None if it could not be played."""
-    with tempfile.TemporaryDirectory() as folder:
-        report = pathlib.Path(folder) / "report.json"
-        command = [bench, "run", site, day, "--no-cpu", "--report", str(report), "--why", why]
-        if seed:
-            command += ["--seed", str(seed)]
-        subprocess.run(command, stdout=subprocess.PIPE, stderr=subprocess.STDOUT, check=False)
-        return json.loads(report.read_text()) if report.exists() else None
+    command = [bench, "run", site, day, "--no-cpu", "--why", why]
+    if seed:
+        command += ["--seed", str(seed)]
+    return play(command)[0]
 
 
 def figures(report):
@@ -47,7 +42,7 @@
     days = arguments.days.split(",")
     with concurrent.futures.ThreadPoolExecutor(arguments.jobs) as pool:
         runs = {
-            (day, seed): pool.submit(play, arguments.bench, arguments.site, day, seed, arguments.why)
+            (day, seed): pool.submit(play_day, arguments.bench, arguments.site, day, seed, arguments.why)
             for day in days
             for seed in range(1, arguments.seeds + 1)
         }
--- a/tools/try_troubles.py
+++ b/tools/try_troubles.py
@@ -13,13 +13,13 @@
 
 import argparse
 import concurrent.futures
-import json
 import pathlib
 import random
-import subprocess
 import tempfile
 import tomllib
 
+from days import play, table
+
 # Troubles that may come on any deployment, whatever its site names.
 ANYWHERE = [
     {"kind": "srv_cut", "share": 0.3, "for_s": 5.0},
@@ -82,30 +82,14 @@
     return day
 
 
-def as_toml(value):
-    """A value as TOML, on one line."""
-    if isinstance(value, bool):
-        return "true" if value else "false"
-    if isinstance(value, (int, float)):
-        return repr(value)
-    if isinstance(value, str):
-        return json.dumps(value)
-    if isinstance(value, list):
-        return "[" + ", ".join(as_toml(entry) for entry in value) + "]"
-    return "{ " + ", ".join(f"{key} = {as_toml(entry)}" for key, entry in value.items()) + " }"
-
-
-def play(bench, site, day, why):
+def play_day(bench, site, day, why):
     """Plays a day; returns what is wrong with it, and its worth."""
     with tempfile.TemporaryDirectory() as folder:
         file = pathlib.Path(folder) / "day.toml"
-        file.write_text("".join(f"{key} = {as_toml(value)}\n" for key, value in day.items()))
-        report = pathlib.Path(folder) / "report.json"
-        command = [bench, "run", site, str(file), "--report", str(report), "--why", why]
-        run = subprocess.run(command, capture_output=True, text=True, check=False)
-        if not report.exists():
-            return ["not played: " + run.stdout[-300:] + run.stderr[-300:]], 0.0
-        told = json.loads(report.read_text())
+        file.write_text(table(day))
+        told, printed = play([bench, "run", site, str(file), "--why", why])
+    if told is None:
+        return ["not played: " + printed[-600:]], 0.0
     wrong = [str(told[key]) for key in ("breaks", "fault") if told.get(key)]
     return wrong, told["G"]
 
@@ -146,7 +130,7 @@
         entries = entries_of_pair(draw, troubles)
         days.append(day_of(site, f"pair-{arguments.seed}-{i}", draw.randrange(10**9), entries))
     with concurrent.futures.ThreadPoolExecutor(arguments.jobs) as pool:
-        runs = [pool.submit(play, arguments.bench, arguments.site, day, arguments.why) for day in days]
+        runs = [pool.submit(play_day, arguments.bench, arguments.site, day, arguments.why) for day in days]
     failed = 0
     for day, run in zip(days, runs):
         wrong, worth = run.result()
@@ -157,7 +141,7 @@
         print(f"{day['name']} worth {worth:.3f} {entries}: {wrong}")
         if arguments.keep:
             arguments.keep.mkdir(parents=True, exist_ok=True)
-            text = "".join(f"{key} = {as_toml(value)}\n" for key, value in day.items())
+            text = table(day)
             (arguments.keep / f"{day['name']}.toml").write_text(text)
     print(f"{len(days)} days, {failed} failed")
 
--- a/tools/vary_site.py
+++ b/tools/vary_site.py
@@ -16,6 +16,8 @@
 import pathlib
 import tomllib
 
+from days import table
+
 
 def places(site):
     """Every list of entries with a zone, over the site and its days."""
@@ -136,25 +138,9 @@
 }
 
 
-def inline(value):
-    """A value as TOML, on one line."""
-    if isinstance(value, bool):
-        return "true" if value else "false"
-    if isinstance(value, str):
-        return '"' + value.replace("\\", "\\\\").replace('"', '\\"') + '"'
-    if isinstance(value, list):
-        return "[" + ", ".join(map(inline, value)) + "]"
-    if isinstance(value, dict):
-        return "{ " + ", ".join(f"{key} = {inline(entry)}" for key, entry in value.items()) + " }"
-    return str(value)
-
-
 def as_toml(site):
     days = site.pop("day")
-    lines = [f"{key} = {inline(value)}" for key, value in site.items()]
-    for day in days:
-        lines += ["", "[[day]]", *(f"{key} = {inline(value)}" for key, value in day.items())]
-    return "\n".join(lines) + "\n"
+    return table(site) + "".join("\n[[day]]\n" + table(day) for day in days)
 
 
 def main():
