--- a/tools/try_troubles.py
+++ b/tools/try_troubles.py
@@ -1,14 +1,18 @@
 #!/usr/bin/env python3
 """Plays days of single troubles and of drawn pairs, and keeps those that fail.
 
-    tools/try_troubles.py BENCH SITE --why "..." [--pairs 20] [--seed 1] [--keep FOLDER]
+    tools/try_troubles.py BENCH SITE --why "..." [--pairs 20] [--mixes 0]
+        [--outages 0] [--seed 1] [--keep FOLDER]
 
 BENCH is the path of the users' bench, which stands outside this repository. A
 day is the site's first standard day with its plan and faults replaced: each
 trouble that the site names, and those that may come anywhere, alone and
 stronger than usual; then pairs, drawn by the seed, at the same moment, one
-right after the other, during a planned stop and at the start of traffic. A day
-with a broken rule or a fault is kept as a file that the bench can play again.
+right after the other, during a planned stop and at the start of traffic. With
+`--mixes`, days of three to six troubles of any kind and variant, each with a
+change of the configuration near it. With `--outages`, quiet days on which the
+store is out twice, in each of its ways, with a change near each. A day with a
+broken rule or a fault is kept as a file that the bench can play again.
 """
 
 import argparse
@@ -50,6 +54,38 @@
     {"kind": "herd_kill", "share": 1.0, "for_s": 2.0},
     {"kind": "roll_term", "share": 1.0, "x": 3.0, "gap_s": 1.0, "how": "busy"},
 ]
+# Every kind of trouble, with the variants (`how`) that it has on a site of the
+# platform's family, as the bench's verb `kinds` lists them. Drawn by `--mixes`.
+VARIANTS = {
+    "burst": [""], "shift": [""], "hot_key": [""], "hot_tenant": [""], "retry_abuse": [""],
+    "give_up": [""], "srv_crash": ["", "dark", "gone"],
+    "srv_grey": ["errors", "shed", "busy", "hang", "reset", "mute", "slow"],
+    "release": [""], "scale_out": [""], "scale_in": ["", "spot", "reclaim"],
+    "answer_lost": ["", "reset"], "garble": ["", "extra", "unframed", "early", "extra late"],
+    "node_kill": ["", "power", "leader", "leader race drain", "meet drain", "reader"],
+    "node_freeze": ["", "renewed"], "node_slow": [""],
+    "roll_term": ["", "busy", "remove"], "herd_kill": ["", "power"], "add_nodes": [""],
+    "after_ack_kill": ["", "kill", "timed"], "clock_step": ["back", "ahead"],
+    "core_cut": ["", "leader", "leader race", "leader refuse", "reader", "one_way", "meet"],
+    "node_cut": ["", "all", "servers", "reset", "reset revoke", "meet"], "lossy": [""],
+    "platform_down": [
+        "silent", "busy", "reset", "silent lapse", "busy lapse", "nodes silent revoke",
+        "nodes busy revoke meet", "nodes many revoke", "nodes reset revoke meet drain",
+        "nodes silent revoke leader",
+    ],
+    "platform_slow": [""], "platform_lost": ["", "late"], "platform_compact": ["", "drain"],
+    "config_change": ["route", "weights", "timeout", "tenant", "quota", "idle"],
+    "config_storm": [""], "big_config": [""], "revoke": ["", "last"], "srv_slow": [""],
+    "srv_cut": ["", "fronts", "some", "one_way", "reset"],
+    "replace_with_reuse": ["", "drain", "dark"], "hup": [""], "reset_conns": [""],
+}
+# Fields that a kind needs beside those that the bench fills in.
+FIELDS = {
+    "burst": {"x": 1.6}, "config_storm": {"gap_s": 0.3}, "big_config": {"count": 300},
+    "platform_slow": {"x": 50.0}, "lossy": {"x": 0.03}, "hot_tenant": {"x": 6.0},
+}
+# Ways in which the store may be out.
+OUTAGES = ["silent", "busy", "reset", "nodes silent"]
 PLANNED = {
     "add_nodes", "big_config", "config_change", "config_storm", "hup", "release", "revoke",
     "roll_term", "scale_in", "scale_out",
@@ -107,12 +143,42 @@
     return entries
 
 
+def change_near(draw, at_s):
+    """A change of the configuration around a moment."""
+    how = draw.choice(["route", "timeout", "tenant", "idle"])
+    return {"kind": "config_change", "how": how, "at": round(max(0.3, at_s + draw.uniform(-1.5, 6.0)), 2)}
+
+
+def entries_of_mix(draw):
+    """Three to six troubles of any kind and variant, a change near each."""
+    entries = []
+    for _ in range(draw.randint(3, 6)):
+        kind = draw.choice(sorted(VARIANTS))
+        at_s = round(draw.uniform(1.0, 22.0), 2)
+        entry = {"kind": kind, "at": at_s, "for_s": round(draw.uniform(2.0, 9.0), 1)}
+        how = draw.choice(VARIANTS[kind])
+        entry |= {"how": how} if how else {}
+        entries += [entry | FIELDS.get(kind, {}), change_near(draw, at_s)]
+    return entries
+
+
+def entries_of_outages(draw, how):
+    """The store out twice, with a change near each."""
+    entries = []
+    for at_s in (draw.uniform(3.0, 8.0), draw.uniform(17.0, 22.0)):
+        outage = {"kind": "platform_down", "how": how, "at": round(at_s, 2)}
+        entries += [outage | {"for_s": round(draw.uniform(2.0, 9.0), 1)}, change_near(draw, at_s)]
+    return entries
+
+
 def main():
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("bench")
     parser.add_argument("site")
     parser.add_argument("--why", required=True)
     parser.add_argument("--pairs", type=int, default=20)
+    parser.add_argument("--mixes", type=int, default=0)
+    parser.add_argument("--outages", type=int, default=0)
     parser.add_argument("--no-singles", action="store_true")
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--jobs", type=int, default=4)
@@ -129,6 +195,11 @@
     for i in range(arguments.pairs):
         entries = entries_of_pair(draw, troubles)
         days.append(day_of(site, f"pair-{arguments.seed}-{i}", draw.randrange(10**9), entries))
+    for i in range(arguments.mixes):
+        days.append(day_of(site, f"mix-{arguments.seed}-{i}", draw.randrange(10**9), entries_of_mix(draw)))
+    for i in range(arguments.outages):
+        entries = entries_of_outages(draw, OUTAGES[i % len(OUTAGES)])
+        days.append(day_of(site, f"outages-{arguments.seed}-{i}", draw.randrange(10**9), entries))
     with concurrent.futures.ThreadPoolExecutor(arguments.jobs) as pool:
         runs = [pool.submit(play_day, arguments.bench, arguments.site, day, arguments.why) for day in days]
     failed = 0
