Know of a silent store within the bounds that a deployment gives

Hosts now tell each other how long ago the store answered them. When it has answered none for a part of the bound, a host asks beside its wait with a call that is answered at once; after a failure only with such calls.

Tests with the clock paused: a silence at any point of a wait, 50 ms to 7 s, for one host and for four; they failed on the first form of the mend, in which an answer on one topic hid a lost wait for the other.

--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -3,7 +3,11 @@
 use std::net::SocketAddr;
 
 use chalkrock_core::{HostId, ZoneId};
-use chalkrock_routing::{BudgetRules, SpreadRules};
+use chalkrock_routing::{BudgetRules, FollowTimes, SpreadRules};
+
+/// Within how long after a silence of the store all hosts know what changed,
+/// if the settings name no bound.
+const FOLLOW_BOUND_MS: u64 = 3_000;
 
 /// The settings of one gateway.
 #[derive(Clone, Debug)]
@@ -19,6 +23,7 @@
     pub(crate) spread: SpreadRules,
     pub(crate) budget: BudgetRules,
     pub(crate) connections_max: usize,
+    pub(crate) follow: FollowTimes,
 }
 
 impl GatewayConfig {
@@ -45,6 +50,7 @@
                 window_ms: 10_000,
             },
             connections_max: 2_000,
+            follow: FollowTimes::within(FOLLOW_BOUND_MS),
         })
     }
 
@@ -108,6 +114,13 @@
         self
     }
 
+    /// Within how long after a silence of the store a host has to know what
+    /// changed meanwhile.
+    pub fn follow_bound_ms(mut self, bound_ms: u64) -> Self {
+        self.0.follow = FollowTimes::within(bound_ms);
+        self
+    }
+
     /// The settings.
     pub fn build(self) -> GatewayConfig {
         self.0
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -1,50 +1,71 @@
 //! Follows the platform's rules and list of endpoints.
 //!
-//! A topic is read whole once and then followed by waiting for changes. A wait
-//! that is not answered in time is given up with its connection, since a
-//! platform that lost one answer says nothing more on it. When the history is
-//! gone, or another host knows more, the topic is read whole again.
+//! A topic is read whole once and then followed by waiting for changes. When
+//! the history is gone, or another host knows more, it is read whole again.
+//!
+//! A wait may be lost in a silence of the platform, and a lost one can't be
+//! told from one that has nothing to say. So while the platform has answered no
+//! host for a while, it is asked beside the wait, with a call that is answered
+//! at once; and after a failure it is asked with such calls until it answers.
 
 use std::sync::Arc;
 use std::time::Duration;
 
+use chalkrock_routing::FollowTimes;
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
 use rand::RngExt;
 
+use crate::clock::ms;
 use crate::journal::Event;
 use crate::shared::Shared;
 use crate::source::{
     EndpointChange, EndpointRow, News, Row, Source, SourceError, StoreVersion, Topic,
 };
 
-/// How long one wait for changes lasts. It bounds how long a lost answer goes
-/// unnoticed, and each wait is a call that is paid for.
-const WAIT_MS: u64 = 4_000;
+/// How long one wait for changes lasts: each is a call that is paid for.
+const WAIT_MS: u64 = 5_000;
+/// The wait of a call that is to be answered at once.
+const POLL_WAIT_MS: u64 = 1;
 /// What an answer may be late.
 const LATE: Duration = Duration::from_millis(1_000);
 /// Pause after an answer, so that changes that come together are one answer.
 const GATHER: Duration = Duration::from_millis(150);
-/// How long a whole read may take.
-const READ_TIMEOUT: Duration = Duration::from_millis(2_500);
-/// Pauses after failures: the first, and the longest.
+/// The first pause after a failure; those that follow double.
 const PAUSE_FIRST_MS: u64 = 100;
-const PAUSE_MAX_MS: u64 = 1_000;
 const FROM: &str = "platform";
 
+/// What is asked of the platform next.
+#[derive(Clone, Copy)]
+enum Step {
+    /// The whole topic.
+    ReadWhole,
+    /// What changed since, to be answered at once.
+    Poll(StoreVersion),
+    /// The next change since, waited for so long.
+    Wait(StoreVersion, u64),
+}
+
 /// Follows one topic until the process ends, while it is this host's to read.
 pub(crate) async fn follow<S: Source>(shared: Arc<Shared>, source: Arc<S>, topic: Topic) {
-    let mut trouble = Trouble::new(topic);
-    let mut since = None;
+    let times = shared.config.follow;
+    let mut trouble = Trouble::new(topic, times);
+    let mut step = Step::ReadWhole;
+    // Hosts that start together shall not wait in step: while their waits end
+    // at different times, a silence shows soon.
+    let mut wait_ms = rand::rng().random_range(1..=WAIT_MS);
     loop {
-        if since.is_some() {
+        if !matches!(step, Step::ReadWhole) {
             shared.reading.wait_for_turn(topic).await;
         }
-        let answer = match since {
-            None => read(&*source, topic).await,
-            Some(version) => {
+        let answer = match step {
+            Step::ReadWhole => hedged(&times, || source.read(topic)).await,
+            Step::Poll(since) => poll(&*source, topic, since, &times).await,
+            Step::Wait(since, wait_ms) => {
                 tokio::select! {
-                    answer = changes(&*source, topic, version) => answer,
+                    answer = wait(&shared, &*source, topic, since, wait_ms) => answer,
                     () = shared.reading.again(topic) => {
-                        since = None;
+                        step = Step::ReadWhole;
                         continue;
                     }
                 }
@@ -54,33 +75,76 @@
             Ok(news) => {
                 shared.reading.answered(topic, true);
                 trouble.over(&shared);
-                let is_whole = since.is_none();
-                since = Some(news.version);
+                let is_whole = matches!(step, Step::ReadWhole);
+                step = Step::Wait(news.version, wait_ms);
+                wait_ms = WAIT_MS;
                 take(&shared, topic, news, is_whole);
                 tokio::time::sleep(GATHER).await;
             }
-            Err(SourceError::HistoryGone) => since = None,
+            Err(SourceError::HistoryGone) => step = Step::ReadWhole,
             Err(error) => {
                 shared.reading.answered(topic, false);
+                if let Step::Wait(since, _) = step {
+                    step = Step::Poll(since);
+                }
                 trouble.pause(&shared, &error).await;
             }
         }
     }
 }
 
-async fn read<S: Source>(source: &S, topic: Topic) -> Result<News, SourceError> {
-    let reading = tokio::time::timeout(READ_TIMEOUT, source.read(topic));
-    reading.await.unwrap_or_else(|_| Err(no_answer()))
+/// Waits for changes, and asks beside the wait while it may have been lost.
+async fn wait<S: Source>(
+    shared: &Shared,
+    source: &S,
+    topic: Topic,
+    since: StoreVersion,
+    wait_ms: u64,
+) -> Result<News, SourceError> {
+    let times = &shared.config.follow;
+    let most = ms(wait_ms) + LATE;
+    let waiting = tokio::time::timeout(most, source.changes(topic, since, wait_ms));
+    let mut waiting = std::pin::pin!(waiting);
+    loop {
+        tokio::select! {
+            answer = &mut waiting => return answer.unwrap_or_else(|_| Err(no_answer())),
+            () = shared.reading.stale(times) => {}
+        }
+        let news = poll(source, topic, since, times).await?;
+        if !news.rows.is_empty() {
+            return Ok(news);
+        }
+        shared.reading.answered(topic, true);
+        // Ends the doubt of the other hosts.
+        shared.tell_peers_now.notify_one();
+    }
 }
 
-async fn changes<S: Source>(
+/// Asks what changed, to be answered at once.
+async fn poll<S: Source>(
     source: &S,
     topic: Topic,
     since: StoreVersion,
+    times: &FollowTimes,
 ) -> Result<News, SourceError> {
-    let most = Duration::from_millis(WAIT_MS) + LATE;
-    let waiting = tokio::time::timeout(most, source.changes(topic, since, WAIT_MS));
-    waiting.await.unwrap_or_else(|_| Err(no_answer()))
+    hedged(times, || source.changes(topic, since, POLL_WAIT_MS)).await
+}
+
+/// Sends a call that is answered at once, and sends it again beside the first
+/// while no answer comes. The first answer counts.
+async fn hedged<F>(times: &FollowTimes, call: impl Fn() -> F) -> Result<News, SourceError>
+where
+    F: Future<Output = Result<News, SourceError>>,
+{
+    let mut calls = FuturesUnordered::new();
+    for _ in 0..FollowTimes::HEDGES {
+        calls.push(call());
+        let hedge_after = ms(times.hedge_after_ms);
+        if let Ok(Some(answer)) = tokio::time::timeout(hedge_after, calls.next()).await {
+            return answer;
+        }
+    }
+    Err(no_answer())
 }
 
 fn no_answer() -> SourceError {
@@ -130,26 +194,32 @@
 struct Trouble {
     name: &'static str,
     failures: u32,
+    times: FollowTimes,
 }
 
 impl Trouble {
-    fn new(topic: Topic) -> Self {
+    fn new(topic: Topic, times: FollowTimes) -> Self {
         let name = match topic {
             Topic::Rules => "platform-rules",
             Topic::Endpoints => "platform-endpoints",
         };
-        Self { name, failures: 0 }
+        Self {
+            name,
+            failures: 0,
+            times,
+        }
     }
 
     async fn pause(&mut self, shared: &Shared, error: &SourceError) {
         if self.failures == 0 {
             self.tell(shared, false, &error.to_string());
         }
-        let longest = (PAUSE_FIRST_MS << self.failures.min(8)).min(PAUSE_MAX_MS);
+        let doubled = PAUSE_FIRST_MS << self.failures.min(8);
+        let longest = doubled.min(self.times.pause_max_ms);
         self.failures += 1;
         // Hosts that failed together do not come back together.
         let pause_ms = rand::rng().random_range(longest / 2..=longest);
-        tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+        tokio::time::sleep(ms(pause_ms)).await;
     }
 
     fn over(&mut self, shared: &Shared) {
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -98,6 +98,7 @@
     let beat = Beat {
         zone: peers.zone,
         reading: shared.reading.told(),
+        answered_ago_ms: shared.reading.answered_ago_ms(),
         report: HostReport {
             incarnation: peers.incarnation,
             sequence,
@@ -171,6 +172,9 @@
         .iter()
         .map(|host| (host.address, Some(host.zone)));
     peers.add(named);
+    if let Some(ago_ms) = beat.answered_ago_ms {
+        shared.reading.peer_was_answered(ago_ms);
+    }
     let now_ms = shared.clock.now_ms();
     let mut fleet = shared.fleet();
     if peers.counts_alone(beat.zone, fleet.load.far_hosts())
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -57,6 +57,8 @@
     pub(crate) zone: u32,
     /// How it stands to the platform.
     pub(crate) reading: Reading,
+    /// How long ago the platform last answered it; `None` if it never did.
+    pub(crate) answered_ago_ms: Option<u32>,
     /// Its requests in progress.
     pub(crate) report: HostReport,
     pub(crate) knowledge: Knowledge,
--- a/crates/gateway/src/peers/pull.rs
+++ b/crates/gateway/src/peers/pull.rs
@@ -12,17 +12,14 @@
 use tarpc::server::{BaseChannel, Channel};
 use tokio::net::{TcpListener, TcpStream};
 
+use crate::clock::ms;
 use crate::peers::Peers;
 use crate::shared::Shared;
 use crate::source::{EndpointRow, StoreVersion};
 
-/// The platform is given this long to tell by itself.
-const PATIENCE: Duration = Duration::from_millis(300);
 /// A host that does not read the platform waits this long, so that a host of
 /// its own zone may be heard to know as much.
 const GATHER: Duration = Duration::from_millis(80);
-/// How long a pull may take.
-const PULL_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// How often a host that knows nothing asks.
 const ASK_EVERY: Duration = Duration::from_millis(500);
 
@@ -115,12 +112,15 @@
 
 /// Pulls from another host whenever one knows more, until the process ends.
 pub(crate) async fn pull_when_behind(shared: Arc<Shared>, peers: Arc<Peers>) {
+    // The platform is given a while to tell by itself.
+    let patience = ms(shared.config.follow.patience_ms);
+    let pull_timeout = ms(shared.config.follow.pull_timeout_ms);
     loop {
         let asked = tokio::time::timeout(ASK_EVERY, peers.is_behind.notified());
         let knows_of_more = asked.await.is_ok();
         if knows_of_more {
             let is_reader = shared.reading.has_turn();
-            tokio::time::sleep(if is_reader { PATIENCE } else { GATHER }).await;
+            tokio::time::sleep(if is_reader { patience } else { GATHER }).await;
         } else if shared.has_view() {
             continue;
         }
@@ -128,7 +128,7 @@
             continue;
         };
         let have = have(&shared);
-        let pulled = tokio::time::timeout(PULL_TIMEOUT, pull(address, have)).await;
+        let pulled = tokio::time::timeout(pull_timeout, pull(address, have)).await;
         match pulled {
             Ok(Some(missing)) => take(&shared, missing),
             // Whoever knows more can't be reached: the platform may be.
--- a/crates/gateway/src/reading.rs
+++ b/crates/gateway/src/reading.rs
@@ -1,10 +1,14 @@
 //! Whether this host reads the platform, and how the platform answers it.
 
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 
-use chalkrock_routing::Reading;
+use chalkrock_routing::{FollowTimes, Reading};
+use rand::RngExt;
 use tokio::sync::{Notify, watch};
+use tokio::time::Instant;
 
+use crate::clock::ms;
 use crate::source::Topic;
 
 /// Of one topic.
@@ -14,11 +18,22 @@
     again: Notify,
 }
 
+/// When the platform last answered, as far as this host knows.
+#[derive(Clone, Copy, Debug)]
+struct AnsweredAt {
+    own: Option<Instant>,
+    /// This host or one that it hears; at first, when this host started.
+    any: Instant,
+}
+
 /// This host as a reader.
 #[derive(Debug)]
 pub(crate) struct ReadingState {
     /// Whether it is this host's to read.
     has_turn: watch::Sender<bool>,
+    answered_at: Mutex<AnsweredAt>,
+    /// Grows when this host finds that no host was answered for long.
+    doubts: watch::Sender<u64>,
     rules: OfTopic,
     endpoints: OfTopic,
 }
@@ -28,6 +43,11 @@
     fn default() -> Self {
         Self {
             has_turn: watch::channel(true).0,
+            answered_at: Mutex::new(AnsweredAt {
+                own: None,
+                any: Instant::now(),
+            }),
+            doubts: watch::channel(0).0,
             rules: OfTopic::default(),
             endpoints: OfTopic::default(),
         }
@@ -77,6 +97,53 @@
     pub(crate) fn answered(&self, topic: Topic, is_answered: bool) {
         let of_topic = self.of(topic);
         of_topic.is_answered.store(is_answered, Ordering::Relaxed);
+        if is_answered {
+            let now = Instant::now();
+            let mut answered_at = self.answered_at();
+            answered_at.own = Some(now);
+            answered_at.any = now;
+        }
+    }
+
+    fn answered_at(&self) -> MutexGuard<'_, AnsweredAt> {
+        self.answered_at
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// How long ago the platform answered this host, as told to others.
+    pub(crate) fn answered_ago_ms(&self) -> Option<u32> {
+        let ago = self.answered_at().own?.elapsed();
+        u32::try_from(ago.as_millis()).ok()
+    }
+
+    /// The platform answered another host so long ago.
+    pub(crate) fn peer_was_answered(&self, ago_ms: u32) {
+        let Some(at) = Instant::now().checked_sub(ms(u64::from(ago_ms))) else {
+            return;
+        };
+        let mut answered_at = self.answered_at();
+        answered_at.any = answered_at.any.max(at);
+    }
+
+    /// Waits until the platform has answered no host for so long that this
+    /// one should ask whether it still does, on both topics: the first answer
+    /// ends the doubt for all, and a wait for the other topic may be lost.
+    pub(crate) async fn stale(&self, times: &FollowTimes) {
+        let delay_ms = rand::rng().random_range(0..=times.stale_spread_ms);
+        let patience = ms(times.stale_after_ms + delay_ms);
+        let mut doubts = self.doubts.subscribe();
+        loop {
+            let due = self.answered_at().any + patience;
+            if Instant::now() >= due {
+                self.doubts.send_modify(|doubts| *doubts += 1);
+                return;
+            }
+            tokio::select! {
+                () = tokio::time::sleep_until(due) => {}
+                _never_closed = doubts.changed() => return,
+            }
+        }
     }
 
     /// How this host stands to the platform, as told to others.
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod attempts;
 mod calls;
 mod peers;
+mod silences;
 mod stops;
 mod streams;
 mod support;
--- /dev/null
+++ b/crates/gateway/tests/gateway/silences.rs
@@ -0,0 +1,89 @@
+//! A platform that falls silent and comes back, with the clock paused.
+
+use std::time::Duration;
+
+use crate::support::{TestGateway, TestSource, rules};
+use googletest::prelude::*;
+use tokio::time::{Instant, sleep, sleep_until};
+
+/// Points of a wait for changes at which the silence begins.
+const STARTS_MS: [u64; 9] = [0, 450, 1_100, 1_900, 2_500, 3_200, 3_999, 4_300, 5_600];
+/// Lengths of the silence.
+const LENGTHS_MS: [u64; 4] = [50, 900, 2_600, 7_000];
+
+/// So many hosts of one platform that know each other and have a bound.
+async fn hosts(count: usize, bound_ms: u64) -> (TestSource, Vec<TestGateway>) {
+    let source = TestSource::default();
+    source.set_rules(rules(1));
+    let mut hosts: Vec<TestGateway> = Vec::new();
+    for i in 0..count {
+        let name = format!("host-{i}");
+        let others = hosts.iter();
+        let seeds = others
+            .filter_map(|host| host.running.peer_address())
+            .collect();
+        hosts.push(TestGateway::with_follow_bound(source.clone(), &name, seeds, bound_ms).await);
+    }
+    for host in &hosts {
+        host.ready().await;
+    }
+    (source, hosts)
+}
+
+async fn knows(host: &TestGateway, version: u64) -> bool {
+    let line = format!("chalkrock_rules_version{{}} {version}\n");
+    host.metrics().await.contains(&line)
+}
+
+/// Begins a silence after `start_ms`, changes the rules in its midst, ends it
+/// after `length_ms`, and looks at all hosts `bound_ms` later.
+async fn all_know_after(count: usize, bound_ms: u64, start_ms: u64, length_ms: u64) {
+    let case = format!("{count} hosts, {bound_ms}, {start_ms}, {length_ms}");
+    let (source, hosts) = hosts(count, bound_ms).await;
+    sleep(Duration::from_millis(start_ms)).await;
+    source.set_silent(true);
+    sleep(Duration::from_millis(length_ms / 2)).await;
+    source.set_rules(rules(2));
+    sleep(Duration::from_millis(length_ms / 2)).await;
+    source.set_silent(false);
+    let ended_at = Instant::now();
+    sleep_until(ended_at + Duration::from_millis(bound_ms)).await;
+    for host in &hosts {
+        assert_that!(knows(host, 2).await, eq(true), "{case}");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn silence_is_over_for_one_host_within_the_bound() {
+    for bound_ms in [1_500, 2_000, 3_000] {
+        for start_ms in STARTS_MS {
+            for length_ms in LENGTHS_MS {
+                all_know_after(1, bound_ms, start_ms, length_ms).await;
+            }
+        }
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn silence_is_over_for_all_hosts_within_the_bound() {
+    for start_ms in STARTS_MS {
+        for length_ms in LENGTHS_MS {
+            all_know_after(4, 1_500, start_ms, length_ms).await;
+        }
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn silence_is_watched_for_with_few_calls() {
+    const HOSTS: u32 = 8;
+    const CALM: Duration = Duration::from_secs(40);
+    /// Each host waits for two topics, five seconds at a time.
+    const WAITS: u32 = HOSTS * 2 * 40 / 5;
+    let (source, _hosts) = hosts(HOSTS as usize, 2_000).await;
+    let before = source.calls();
+    sleep(CALM).await;
+    let calls = source.calls() - before;
+    // Hosts that did not hear of each other's answers would ask 16 times a
+    // second. The waits' phases are drawn: 141 to 179 calls in 20 runs.
+    assert_that!(calls, le(2 * WAITS));
+}
--- a/crates/gateway/tests/gateway/support/fleet.rs
+++ b/crates/gateway/tests/gateway/support/fleet.rs
@@ -135,6 +135,18 @@
         Self::configured(config.connections_max(connections_max).build(), source).await
     }
 
+    /// A gateway that has to know within a bound what changed in a silence of
+    /// its source.
+    pub(crate) async fn with_follow_bound(
+        source: TestSource,
+        host: &str,
+        seeds: Vec<SocketAddr>,
+        bound_ms: u64,
+    ) -> Self {
+        let config = config("zone-a", host, seeds).follow_bound_ms(bound_ms);
+        Self::configured(config.build(), source).await
+    }
+
     /// A gateway in a zone.
     pub(crate) async fn in_zone(
         zone: &str,
--- a/crates/gateway/tests/gateway/support/source.rs
+++ b/crates/gateway/tests/gateway/support/source.rs
@@ -12,6 +12,10 @@
 #[derive(Default)]
 struct State {
     is_down: bool,
+    is_silent: bool,
+    /// Silences so far: an answer that was due in one never comes.
+    silences: u32,
+    calls: u32,
     version: u64,
     rules: Option<(u64, RulesDocument)>,
     endpoints: Vec<(u64, EndpointId, Option<Endpoint>)>,
@@ -83,6 +87,45 @@
         self.change(|state, _| state.is_down = is_down);
     }
 
+    /// Leaves calls unanswered from now on, those that wait among them for
+    /// ever, or answers new ones again.
+    pub(crate) fn set_silent(&self, is_silent: bool) {
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        state.is_silent = is_silent;
+        state.silences += u32::from(is_silent);
+    }
+
+    /// Calls so far, answered or not.
+    pub(crate) fn calls(&self) -> u32 {
+        let state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        state.calls
+    }
+
+    /// A call arrives; it is never answered if that is in a silence. Returns
+    /// how many there were.
+    async fn arrive(&self) -> u32 {
+        let (is_silent, silences) = {
+            let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+            state.calls += 1;
+            (state.is_silent, state.silences)
+        };
+        if is_silent {
+            std::future::pending::<()>().await;
+        }
+        silences
+    }
+
+    /// An answer is due: it is lost if a silence came since the call did.
+    async fn answer(&self, silences: u32) {
+        let is_lost = {
+            let state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+            state.silences != silences
+        };
+        if is_lost {
+            std::future::pending::<()>().await;
+        }
+    }
+
     fn rows(&self, topic: Topic, since: Option<u64>) -> Result<News, SourceError> {
         let state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
         if state.is_down {
@@ -116,6 +159,7 @@
 
 impl Source for TestSource {
     async fn read(&self, topic: Topic) -> Result<News, SourceError> {
+        self.arrive().await;
         self.rows(topic, None)
     }
 
@@ -125,6 +169,7 @@
         since: StoreVersion,
         wait_ms: u64,
     ) -> Result<News, SourceError> {
+        let silences = self.arrive().await;
         if topic == Topic::Rules {
             let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
             state.rules_taken = state.rules_taken.max(since.0);
@@ -136,6 +181,7 @@
         }
         let wait = std::time::Duration::from_millis(wait_ms);
         let _nothing_may_change = tokio::time::timeout(wait, changed.changed()).await;
+        self.answer(silences).await;
         self.rows(topic, Some(since.0))
     }
 
--- /dev/null
+++ b/crates/routing/src/follow_times.rs
@@ -0,0 +1,93 @@
+//! How long calls to the store and between hosts may take, worked out in one
+//! place from the bounds that a deployment gives.
+//!
+//! A store may fall silent: connections stay open, and a wait for changes that
+//! was sent into the silence is never answered. Long waits are cheap, since
+//! each is a call that is paid for, but a host can't tell a quiet store from a
+//! silent one by them. So hosts tell each other how long ago the store last
+//! answered them. While any host is answered, what is new reaches the others
+//! through it; once none has been for [`stale_after_ms`], each host, after a
+//! random delay of its own, asks with a call that is answered at once. The
+//! first answer ends the doubt for all, so that this costs next to nothing
+//! while hosts' waits end at different times.
+//!
+//! [`stale_after_ms`]: FollowTimes::stale_after_ms
+
+/// What a call that is answered at once takes at most while the store is in
+/// order: tens of milliseconds, and a slow host's own delay.
+const ANSWER_MS: u64 = 60;
+/// From an answer to the datagram that tells the others, and its way.
+const SEND_MS: u64 = 40;
+/// Parts of the bound. What a calm day costs falls with the first; the others
+/// are what calls and pauses need, and [`FollowTimes::worst_ms`] adds up to
+/// less than the bound.
+const STALE_PART: f64 = 0.45;
+const SPREAD_PART: f64 = 0.15;
+const HEDGE_PART: f64 = 0.16;
+const PAUSE_PART: f64 = 0.40;
+const PATIENCE_PART: f64 = 0.07;
+const PULL_PART: f64 = 0.20;
+
+/// Times of following the store, all in milliseconds.
+///
+/// # Example
+///
+/// ```
+/// use chalkrock_routing::FollowTimes;
+///
+/// let times = FollowTimes::within(3_000);
+/// assert!(times.worst_ms() < 3_000);
+/// ```
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FollowTimes {
+    /// Time without an answer of the store to any host after which one asks.
+    pub stale_after_ms: u64,
+    /// Most of the random delay that hosts add, so that one of them asks.
+    pub stale_spread_ms: u64,
+    /// Time without an answer after which a call is sent once more, beside the
+    /// first: one sent into a silence is lost, one to a slow store is not.
+    pub hedge_after_ms: u64,
+    /// Longest pause after a call that failed.
+    pub pause_max_ms: u64,
+    /// Time that the store is given to tell by itself what another host knows.
+    pub patience_ms: u64,
+    /// How long taking what is missing from another host may take.
+    pub pull_timeout_ms: u64,
+}
+
+impl FollowTimes {
+    /// Calls that are sent beside each other before all are given up.
+    pub const HEDGES: u32 = 3;
+    /// The least bound that can be kept: below, calls to a store in order
+    /// would be given up.
+    pub const BOUND_MIN_MS: u64 = 1_300;
+
+    /// Times that add up to less than a bound, or than
+    /// [`BOUND_MIN_MS`](Self::BOUND_MIN_MS) if that is more.
+    pub fn within(bound_ms: u64) -> Self {
+        let bound_ms = bound_ms.max(Self::BOUND_MIN_MS) as f64;
+        let part = |part: f64| (part * bound_ms) as u64;
+        Self {
+            stale_after_ms: part(STALE_PART),
+            stale_spread_ms: part(SPREAD_PART),
+            hedge_after_ms: part(HEDGE_PART),
+            pause_max_ms: part(PAUSE_PART),
+            patience_ms: part(PATIENCE_PART),
+            pull_timeout_ms: part(PULL_PART),
+        }
+    }
+
+    /// The longest time from the end of a silence until a host knows what
+    /// changed meanwhile, if other hosts ask first and taking it from one of
+    /// them fails once.
+    pub fn worst_ms(&self) -> u64 {
+        let until_a_host_asks = self.stale_after_ms + self.stale_spread_ms;
+        let until_a_lost_call_is_repeated = self.hedge_after_ms + self.pause_max_ms;
+        until_a_host_asks.max(until_a_lost_call_is_repeated)
+            + ANSWER_MS
+            + SEND_MS
+            + self.patience_ms
+            + self.pull_timeout_ms
+            + ANSWER_MS
+    }
+}
