Tell why each endpoint was chosen, and from where it may copy the prefix

Found missing while looking for the cause of copies: lines named the load of the endpoint that was chosen and not why it was chosen.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -6,8 +6,8 @@
 use chalkrock_core::rendezvous::{KeyHash, score};
 use chalkrock_core::{Endpoint, PoolId, ZoneId};
 use chalkrock_routing::{
-    BudgetRules, Candidate, EndpointHealth, EndpointTable, FleetLoad, Fullness, MeanStay, Member,
-    Repeatable, Shares, Sign, SpreadRules, WindowBudget, choose,
+    Basis, BudgetRules, Candidate, EndpointHealth, EndpointTable, FleetLoad, Fullness, MeanStay,
+    Member, Repeatable, Shares, Sign, SpreadRules, WindowBudget, choose,
 };
 
 use crate::prefixes::Prefixes;
@@ -36,6 +36,10 @@
     pub(crate) load: u32,
     /// Who else may hold the prefix in memory.
     pub(crate) holder: Option<SocketAddr>,
+    /// Why it was chosen.
+    pub(crate) basis: Basis,
+    /// Whether it was seen to hold the prefix.
+    pub(crate) holds_prefix: bool,
 }
 
 /// The beliefs of one host.
@@ -104,13 +108,16 @@
             .iter()
             .map(|member| self.candidate(member, wanted.repeatable, &holders, now_ms))
             .collect();
-        let index = choose(&candidates, key, &self.spread, wanted.draw)?;
-        let member = untried[index].clone();
+        let placement = choose(&candidates, key, &self.spread, wanted.draw)?;
+        let candidate = &candidates[placement.index];
+        let member = untried[placement.index].clone();
         let holder = self.other_holder(wanted, &member, now_ms);
         Some(Choice {
-            load: candidates[index].load,
+            load: candidate.load,
             member,
             holder,
+            basis: placement.basis,
+            holds_prefix: candidate.holds_prefix,
         })
     }
 
--- a/crates/gateway/src/journal.rs
+++ b/crates/gateway/src/journal.rs
@@ -6,11 +6,12 @@
 //! full is dropped, and how many were is told. log4rs' appenders write where
 //! they are called, and would hold requests up while the reader is slow.
 
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use chalkrock_core::{EndpointId, HostId, OrganisationId, Outcome, Reason, RequestId};
-use chalkrock_routing::{AttemptEnd, RulesVersion};
+use chalkrock_routing::{AttemptEnd, Basis, RulesVersion};
 use serde::Serialize;
 use tokio::io::AsyncWriteExt;
 use tokio::sync::mpsc;
@@ -26,6 +27,13 @@
     pub(crate) endpoint: EndpointId,
     /// Requests on it over the fleet when it was chosen.
     pub(crate) load: u32,
+    /// Why it was chosen.
+    pub(crate) basis: Basis,
+    /// Whether it was seen to hold the request's prefix.
+    pub(crate) holds_prefix: bool,
+    /// Another endpoint from which it may copy the prefix.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) copy_from: Option<SocketAddr>,
     /// When it was chosen, from the request's entry.
     pub(crate) at_ms: u64,
     /// How it ended; `None` for an answer that was passed on.
@@ -84,10 +92,7 @@
         detail: &'a str,
     },
     /// Another host was heard first, or has fallen silent.
-    Peer {
-        address: std::net::SocketAddr,
-        is_up: bool,
-    },
+    Peer { address: SocketAddr, is_up: bool },
     /// It is this host's to read the platform, or no longer.
     Reads { has_turn: bool },
     /// An endpoint came under suspicion.
--- a/crates/gateway/src/progress.rs
+++ b/crates/gateway/src/progress.rs
@@ -106,6 +106,9 @@
         self.attempts.push(AttemptRecord {
             endpoint: choice.member.endpoint.name.clone(),
             load: choice.load,
+            basis: choice.basis,
+            holds_prefix: choice.holds_prefix,
+            copy_from: choice.holder,
             at_ms: self.call.entered_at.elapsed().as_millis() as u64,
             end: None,
         });
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -63,7 +63,7 @@
 pub use route::{Backend, Route, RouteKind};
 pub use rules::{Caller, CallerLimits, OrganisationRules, Rules, RulesDocument, RulesVersion};
 pub use shares::Shares;
-pub use spread::{Candidate, SpreadRules, choose};
+pub use spread::{Basis, Candidate, Placement, SpreadRules, choose};
 pub use stop_plan::{StopPhase, StopPlan};
 pub use totals::{EndpointCount, REPORT_AGE_MAX_MS};
 pub use zone_loads::{HashRange, WordPath, ZoneSum};
--- a/crates/routing/src/spread.rs
+++ b/crates/routing/src/spread.rs
@@ -8,6 +8,7 @@
 //! so that the multiple is kept under what the operator promises.
 
 use chalkrock_core::rendezvous::{KeyHash, MemberHash, score};
+use serde::Serialize;
 
 /// An endpoint that a request may go to.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -40,6 +41,35 @@
     }
 }
 
+/// Why an endpoint was chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Basis {
+    /// It is the prefix's home and has a free slot.
+    Home,
+    /// The home has none, and this one has slots to spare.
+    Roomy,
+    /// It is the home and its queue is short.
+    HomeQueue,
+    /// The home's queue is long, and this one has a free slot.
+    FreeSlot,
+    /// It is the home, and no other has a free slot.
+    HomeLongQueue,
+    /// The home is over the bound and no other has a free slot.
+    UnderBound,
+    /// There is no prefix, or all are over the bound: it has the least load.
+    LeastLoaded,
+}
+
+/// An endpoint that was chosen, and why.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Placement {
+    /// Its index among the candidates.
+    pub index: usize,
+    /// Why it was chosen.
+    pub basis: Basis,
+}
+
 /// Bounds on placement.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct SpreadRules {
@@ -59,7 +89,7 @@
     }
 }
 
-/// The endpoint for a request, as an index; `None` if there is no candidate.
+/// The endpoint for a request; `None` if there is no candidate.
 ///
 /// With a key, its home: the first rank, if it has a free slot and is under
 /// the bound. Else the first that holds the prefix, or the first, of those
@@ -79,7 +109,7 @@
     key: Option<KeyHash>,
     rules: &SpreadRules,
     draw: u64,
-) -> Option<usize> {
+) -> Option<Placement> {
     let usable = usable(candidates);
     let limit = limit(candidates, rules);
     let under = |i: &usize| f64::from(candidates[*i].load) + 1.0 <= limit;
@@ -92,14 +122,20 @@
         let ranks = Ranks { candidates, key };
         let home = ranks.first(&usable).filter(|home| bounded.contains(home));
         let home_below = |part: f64| home.filter(|&home| candidates[home].is_below(part));
+        let on = |basis: Basis| move |index: usize| Placement { index, basis };
         home_below(FULL)
-            .or_else(|| ranks.spill(&with_room(ROOMY)))
-            .or_else(|| home_below(QUEUED))
-            .or_else(|| ranks.spill(&with_room(FULL)))
-            .or(home)
-            .or_else(|| ranks.spill(&bounded))
+            .map(on(Basis::Home))
+            .or_else(|| ranks.spill(&with_room(ROOMY)).map(on(Basis::Roomy)))
+            .or_else(|| home_below(QUEUED).map(on(Basis::HomeQueue)))
+            .or_else(|| ranks.spill(&with_room(FULL)).map(on(Basis::FreeSlot)))
+            .or_else(|| home.map(on(Basis::HomeLongQueue)))
+            .or_else(|| ranks.spill(&bounded).map(on(Basis::UnderBound)))
     });
-    by_prefix.or_else(|| least_loaded(candidates, &usable, draw))
+    by_prefix.or_else(|| {
+        let index = least_loaded(candidates, &usable, draw)?;
+        let basis = Basis::LeastLoaded;
+        Some(Placement { index, basis })
+    })
 }
 
 /// The ranks of candidates for one key.
--- a/crates/routing/tests/spread.rs
+++ b/crates/routing/tests/spread.rs
@@ -1,9 +1,19 @@
 //! Placement: the prefix's endpoint under the bound, and what else.
 
 use chalkrock_core::rendezvous::{KeyHash, MemberHash};
-use chalkrock_routing::{Candidate, SpreadRules, choose};
+use chalkrock_routing::{Candidate, SpreadRules};
 use googletest::prelude::*;
 
+/// The index of the endpoint that is chosen.
+fn choose(
+    candidates: &[Candidate],
+    key: Option<KeyHash>,
+    rules: &SpreadRules,
+    draw: u64,
+) -> Option<usize> {
+    chalkrock_routing::choose(candidates, key, rules, draw).map(|placement| placement.index)
+}
+
 const RULES: SpreadRules = SpreadRules {
     load_multiple: 1.8,
     allowance: 2.0,
