Let few hosts read the store, and whoever is in doubt ask it

Then 12 readers were told of each change, and each zone doubted for itself.

A host now pauses after its first read, mostly long enough to find that others read. Since whoever hears of no answer asks for itself, readers can be few: 3 of a small fleet (was all, up to 12), one in 50 and at least 4 of a large one (was one in 10, at least 8). Relays pass on between zones how long ago the store answered, at once where others are about to doubt; readers ask first. Pauses after failures grow with the hosts that share the asking, end with the first answer to any, and are a second or more where only this host is refused.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -15,9 +15,11 @@
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use rand::RngExt;
+use tokio::time::Instant;
 
 use crate::clock::ms;
 use crate::journal::Event;
+use crate::reading::Due;
 use crate::shared::Shared;
 use crate::source::{
     EndpointChange, EndpointRow, News, Row, Source, SourceError, StoreVersion, Topic,
@@ -29,10 +31,16 @@
 const POLL_WAIT_MS: u64 = 1;
 /// What an answer may be late.
 const LATE: Duration = Duration::from_millis(1_000);
-/// Pause after an answer, so that changes that come together are one answer.
-const GATHER: Duration = Duration::from_millis(150);
+/// Pause after the first answer of all: most hosts that start find meanwhile
+/// that others read, and wait for no change themselves.
+const START_PAUSE: Duration = Duration::from_millis(600);
 /// The first pause after a failure; those that follow double.
 const PAUSE_FIRST_MS: u64 = 100;
+/// Hosts that are heard for each time that pauses grow by themselves: the
+/// first that is answered tells the others.
+const HEARD_A_PAUSE: usize = 4;
+/// How often a host that is turned away tries while others are answered.
+const TURNED_AWAY_PAUSE_MS: u64 = 1_000;
 const FROM: &str = "platform";
 
 /// What is asked of the platform next.
@@ -54,10 +62,19 @@
     // Hosts that start together shall not wait in step: while their waits end
     // at different times, a silence shows soon.
     let mut wait_ms = rand::rng().random_range(1..=WAIT_MS);
+    let mut is_first = true;
     loop {
-        if !matches!(step, Step::ReadWhole) {
-            shared.reading.wait_for_turn(topic).await;
-        }
+        step = match step {
+            Step::ReadWhole => step,
+            Step::Poll(since) | Step::Wait(since, _) => {
+                match shared.reading.due(topic, &times).await {
+                    Due::Turn => step,
+                    Due::Again => Step::ReadWhole,
+                    Due::Doubt => Step::Poll(since),
+                }
+            }
+        };
+        let began_at = Instant::now();
         let answer = match step {
             Step::ReadWhole => hedged(&times, || source.read(topic)).await,
             Step::Poll(since) => poll(&*source, topic, since, &times).await,
@@ -79,7 +96,13 @@
                 step = Step::Wait(news.version, wait_ms);
                 wait_ms = WAIT_MS;
                 take(&shared, topic, news, is_whole);
-                tokio::time::sleep(GATHER).await;
+                let gather = if is_first {
+                    START_PAUSE
+                } else {
+                    ms(times.gather_ms)
+                };
+                is_first = false;
+                tokio::time::sleep(gather).await;
             }
             Err(SourceError::HistoryGone) => step = Step::ReadWhole,
             Err(error) => {
@@ -87,7 +110,7 @@
                 if let Step::Wait(since, _) = step {
                     step = Step::Poll(since);
                 }
-                trouble.pause(&shared, &error).await;
+                trouble.pause(&shared, &error, began_at).await;
             }
         }
     }
@@ -210,16 +233,36 @@
         }
     }
 
-    async fn pause(&mut self, shared: &Shared, error: &SourceError) {
+    /// Pauses after a failure of a call that began at an instant.
+    async fn pause(&mut self, shared: &Shared, error: &SourceError, began_at: Instant) {
         if self.failures == 0 {
             self.tell(shared, false, &error.to_string());
         }
         let doubled = PAUSE_FIRST_MS << self.failures.min(8);
-        let longest = doubled.min(self.times.pause_max_ms);
+        let reading = &shared.reading;
+        let sharing = 1 + reading.heard() / HEARD_A_PAUSE;
+        let longest = doubled.min(self.times.pause_max_ms) * sharing as u64;
+        let are_others_answered = reading.answered_since(began_at);
+        let longest = if are_others_answered {
+            longest.max(TURNED_AWAY_PAUSE_MS)
+        } else {
+            longest
+        };
         self.failures += 1;
-        // Hosts that failed together do not come back together.
-        let pause_ms = rand::rng().random_range(longest / 2..=longest);
-        tokio::time::sleep(ms(pause_ms)).await;
+        // Hosts that failed together shall not ask together again.
+        let pause_ms = rand::rng().random_range(PAUSE_FIRST_MS / 2..=longest);
+        let pause = tokio::time::sleep(ms(pause_ms));
+        if are_others_answered {
+            pause.await;
+            return;
+        }
+        tokio::select! {
+            () = pause => {}
+            () = reading.answered_after(began_at) => {
+                let soon_ms = rand::rng().random_range(0..=PAUSE_FIRST_MS);
+                tokio::time::sleep(ms(soon_ms)).await;
+            }
+        }
     }
 
     fn over(&mut self, shared: &Shared) {
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -11,6 +11,7 @@
 use crate::journal::Event;
 use crate::peers::known::{PeerNews, Peers, Round};
 use crate::peers::message::{Beat, Datagram, Holdings, Knowledge, ZoneBeat};
+use crate::reading::Whom;
 use crate::shared::Shared;
 
 /// How often a host tells the others.
@@ -59,6 +60,7 @@
 
 fn take_round(shared: &Shared, round: &Round) {
     round.gone.iter().for_each(|news| tell_peer(shared, *news));
+    shared.reading.set_round(round.heard, round.is_relay);
     let has_turn = round.reads_platform;
     if shared.reading.set_turn(has_turn) {
         shared.journal.tell(&Event::Reads { has_turn });
@@ -98,7 +100,11 @@
     let beat = Beat {
         zone: peers.zone,
         reading: shared.reading.told(),
-        answered_ago_ms: shared.reading.answered_ago_ms(),
+        answered_ago_ms: shared.reading.answered_ago_ms(Whom::Own),
+        far_answered_ago_ms: shared
+            .reading
+            .answered_ago_ms(Whom::Far)
+            .filter(|_| round.is_relay),
         report: HostReport {
             incarnation: peers.incarnation,
             sequence,
@@ -117,11 +123,16 @@
         let sums = fleet.load.far_sums(now_ms).into_iter();
         let parts = sums.flat_map(|sum| sum.split(COUNTS_A_DATAGRAM));
         near.extend(parts.map(Datagram::FarSum));
+        let answered_ago_ms = shared.reading.answered_ago_ms(Whom::Near);
         let sum = fleet.load.zone_sum(peers.zone, now_ms);
         let parts = sum.split(COUNTS_A_DATAGRAM).into_iter();
         far.extend(parts.map(|sum| {
             let knowledge = knowledge.clone();
-            Datagram::ZoneBeat(ZoneBeat { sum, knowledge })
+            Datagram::ZoneBeat(ZoneBeat {
+                sum,
+                answered_ago_ms,
+                knowledge,
+            })
         }));
         far.extend(holdings(peers.zone, WordPath::Direct, &untold.far));
         near.extend(holdings(peers.zone, WordPath::PassedOn, &untold.passed_on));
@@ -172,9 +183,8 @@
         .iter()
         .map(|host| (host.address, Some(host.zone)));
     peers.add(named);
-    if let Some(ago_ms) = beat.answered_ago_ms {
-        shared.reading.peer_was_answered(ago_ms);
-    }
+    take_answered(shared, Whom::Near, beat.answered_ago_ms);
+    take_answered(shared, Whom::Far, beat.far_answered_ago_ms);
     let now_ms = shared.clock.now_ms();
     let mut fleet = shared.fleet();
     if peers.counts_alone(beat.zone, fleet.load.far_hosts())
@@ -192,6 +202,7 @@
         return;
     }
     peers.heard_relay(address, zone);
+    take_answered(shared, Whom::Far, beat.answered_ago_ms);
     let now_ms = shared.clock.now_ms();
     let mut fleet = shared.fleet();
     let sum: ZoneSum = beat.sum;
@@ -202,6 +213,14 @@
     take_knowledge(shared, peers, address, zone, &beat.knowledge);
 }
 
+/// Another host tells how long ago the platform answered.
+fn take_answered(shared: &Shared, whom: Whom, ago_ms: Option<u32>) {
+    let times = &shared.config.follow;
+    if shared.reading.peer_was_answered(whom, ago_ms, times) {
+        shared.tell_peers_now.notify_one();
+    }
+}
+
 fn take_far_sum(shared: &Shared, peers: &Peers, relay: SocketAddr, sum: ZoneSum) {
     if sum.zone == peers.zone {
         return;
--- a/crates/gateway/src/peers/known.rs
+++ b/crates/gateway/src/peers/known.rs
@@ -85,6 +85,8 @@
     pub(crate) reads_platform: bool,
     pub(crate) is_relay: bool,
     pub(crate) gone: Vec<PeerNews>,
+    /// Hosts with which the readers' work is shared.
+    pub(crate) heard: usize,
 }
 
 /// The other hosts as this one knows them.
@@ -198,11 +200,7 @@
         known.retain(|_, peer| !peer.is_forgotten(now));
         let gone = silence(&mut known, self.zone, now);
         let view = self.view(&known, far_hosts);
-        let zone_view = ZoneView {
-            others: &view.others,
-            hosts: view.hosts,
-            zones: view.zones,
-        };
+        let zone_view = view.zone_view();
         let own = heard_host(&self.own, reading);
         let is_large = zone_view.is_large();
         let is_relay = is_large && zone_view.is_relay(&own);
@@ -217,6 +215,7 @@
             due: self.due(&mut known, now, is_large),
             is_relay,
             gone,
+            heard: view.others.len(),
         }
     }
 
@@ -228,19 +227,27 @@
 
     fn view(&self, known: &HashMap<SocketAddr, Peer>, far_hosts: usize) -> View {
         let up = || known.iter().filter(|(_, peer)| peer.is_up);
+        let heard = |(address, peer): (&SocketAddr, &Peer)| heard_host(address, peer.reading);
         let near = up().filter(|(_, peer)| peer.zone == Some(self.zone));
-        let others: Vec<HeardHost> = near
-            .map(|(address, peer)| heard_host(address, peer.reading))
-            .collect();
+        let others: Vec<HeardHost> = near.map(heard).collect();
         let mut zones: Vec<u32> = known.values().filter_map(|peer| peer.zone).collect();
         zones.push(self.zone);
         zones.sort_unstable();
         zones.dedup();
         let up_elsewhere = up().count() - others.len();
-        View {
+        let of_zones = View {
             hosts: 1 + others.len() + far_hosts.max(up_elsewhere),
             zones: zones.len(),
             others,
+        };
+        let is_large = of_zones.zone_view().is_large();
+        if is_large {
+            return of_zones;
+        }
+        View {
+            zones: 1,
+            others: up().map(heard).collect(),
+            ..of_zones
         }
     }
 
@@ -308,6 +315,16 @@
     zones: usize,
 }
 
+impl View {
+    fn zone_view(&self) -> ZoneView<'_> {
+        ZoneView {
+            others: &self.others,
+            hosts: self.hosts,
+            zones: self.zones,
+        }
+    }
+}
+
 /// The short hash by which hosts name a zone.
 pub(crate) fn zone_hash(zone: &ZoneId) -> u32 {
     MemberHash::of(zone.as_str()).short()
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -59,6 +59,8 @@
     pub(crate) reading: Reading,
     /// How long ago the platform last answered it; `None` if it never did.
     pub(crate) answered_ago_ms: Option<u32>,
+    /// How long ago it last answered a host of another zone, from a relay.
+    pub(crate) far_answered_ago_ms: Option<u32>,
     /// Its requests in progress.
     pub(crate) report: HostReport,
     pub(crate) knowledge: Knowledge,
@@ -70,5 +72,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct ZoneBeat {
     pub(crate) sum: ZoneSum,
+    /// How long ago the platform last answered a host of the zone.
+    pub(crate) answered_ago_ms: Option<u32>,
     pub(crate) knowledge: Knowledge,
 }
--- a/crates/gateway/src/reading.rs
+++ b/crates/gateway/src/reading.rs
@@ -1,7 +1,6 @@
 //! Whether this host reads the platform, and how the platform answers it.
 
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 
 use chalkrock_routing::{FollowTimes, Reading};
 use rand::RngExt;
@@ -18,12 +17,52 @@
     again: Notify,
 }
 
-/// When the platform last answered, as far as this host knows.
+/// Whom the platform answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Whom {
+    /// This host.
+    Own,
+    /// A host that told so itself.
+    Near,
+    /// A host of another zone, as relays told.
+    Far,
+}
+
+/// When the platform last answered, by whom.
 #[derive(Clone, Copy, Debug)]
 struct AnsweredAt {
     own: Option<Instant>,
-    /// This host or one that it hears; at first, when this host started.
-    any: Instant,
+    near: Option<Instant>,
+    far: Option<Instant>,
+    started: Instant,
+}
+
+impl AnsweredAt {
+    fn of(&mut self, whom: Whom) -> &mut Option<Instant> {
+        match whom {
+            Whom::Own => &mut self.own,
+            Whom::Near => &mut self.near,
+            Whom::Far => &mut self.far,
+        }
+    }
+
+    /// Any host; if none was, when this host started.
+    fn any(&self) -> Instant {
+        let all = [self.own, self.near, self.far];
+        let newest = all.into_iter().flatten().max();
+        newest.unwrap_or(self.started)
+    }
+}
+
+/// Why a topic is read now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Due {
+    /// It is this host's to read.
+    Turn,
+    /// Others know what this host does not: the whole has to be read.
+    Again,
+    /// No host was answered for long.
+    Doubt,
 }
 
 /// This host as a reader.
@@ -31,9 +70,13 @@
 pub(crate) struct ReadingState {
     /// Whether it is this host's to read.
     has_turn: watch::Sender<bool>,
-    answered_at: Mutex<AnsweredAt>,
+    answered_at: watch::Sender<AnsweredAt>,
     /// Grows when this host finds that no host was answered for long.
     doubts: watch::Sender<u64>,
+    /// Hosts that are heard and share the reading.
+    heard: AtomicUsize,
+    /// Whether this host tells other zones of its own.
+    is_relay: AtomicBool,
     rules: OfTopic,
     endpoints: OfTopic,
 }
@@ -41,13 +84,18 @@
 impl Default for ReadingState {
     /// A host reads until it knows of others who do.
     fn default() -> Self {
+        let answered_at = AnsweredAt {
+            own: None,
+            near: None,
+            far: None,
+            started: Instant::now(),
+        };
         Self {
             has_turn: watch::channel(true).0,
-            answered_at: Mutex::new(AnsweredAt {
-                own: None,
-                any: Instant::now(),
-            }),
+            answered_at: watch::channel(answered_at).0,
             doubts: watch::channel(0).0,
+            heard: AtomicUsize::new(0),
+            is_relay: AtomicBool::new(false),
             rules: OfTopic::default(),
             endpoints: OfTopic::default(),
         }
@@ -71,14 +119,16 @@
         })
     }
 
-    /// Waits until it is this host's to read, or it has to read once.
-    pub(crate) async fn wait_for_turn(&self, topic: Topic) {
+    /// Waits until a topic should be read.
+    pub(crate) async fn due(&self, topic: Topic, times: &FollowTimes) -> Due {
         let mut has_turn = self.has_turn.subscribe();
-        let again = &self.of(topic).again;
+        if *has_turn.borrow_and_update() {
+            return Due::Turn;
+        }
         tokio::select! {
-            _ = has_turn.wait_for(|has_turn| *has_turn) => {}
-            // Kept for the wait that follows, which reads the whole.
-            () = again.notified() => again.notify_one(),
+            _never_closed = has_turn.wait_for(|has_turn| *has_turn) => Due::Turn,
+            () = self.again(topic) => Due::Again,
+            () = self.stale(times) => Due::Doubt,
         }
     }
 
@@ -98,43 +148,94 @@
         let of_topic = self.of(topic);
         of_topic.is_answered.store(is_answered, Ordering::Relaxed);
         if is_answered {
-            let now = Instant::now();
-            let mut answered_at = self.answered_at();
-            answered_at.own = Some(now);
-            answered_at.any = now;
+            self.was_answered(Whom::Own, Some(0));
         }
     }
 
-    fn answered_at(&self) -> MutexGuard<'_, AnsweredAt> {
-        self.answered_at
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-    }
-
-    /// How long ago the platform answered this host, as told to others.
-    pub(crate) fn answered_ago_ms(&self) -> Option<u32> {
-        let ago = self.answered_at().own?.elapsed();
-        u32::try_from(ago.as_millis()).ok()
+    /// How long ago the platform answered, as told to others; `Near` is this
+    /// host or one that told so itself.
+    pub(crate) fn answered_ago_ms(&self, whom: Whom) -> Option<u32> {
+        let answered_at = *self.answered_at.borrow();
+        let at = match whom {
+            Whom::Own => answered_at.own,
+            Whom::Near => answered_at.own.max(answered_at.near),
+            Whom::Far => answered_at.far,
+        };
+        u32::try_from(at?.elapsed().as_millis()).ok()
     }
 
-    /// The platform answered another host so long ago.
-    pub(crate) fn peer_was_answered(&self, ago_ms: u32) {
-        let Some(at) = Instant::now().checked_sub(ms(u64::from(ago_ms))) else {
+    /// The platform answered someone so long ago.
+    pub(crate) fn was_answered(&self, whom: Whom, ago_ms: Option<u32>) {
+        let ago = ago_ms.map(|ago_ms| ms(u64::from(ago_ms)));
+        let Some(at) = ago.and_then(|ago| Instant::now().checked_sub(ago)) else {
             return;
         };
-        let mut answered_at = self.answered_at();
-        answered_at.any = answered_at.any.max(at);
+        self.answered_at_instant(whom, at);
+    }
+
+    /// As [`was_answered`](Self::was_answered), by another host. Returns
+    /// whether this host, as a relay, should tell it at once: other zones were
+    /// about to doubt.
+    pub(crate) fn peer_was_answered(
+        &self,
+        whom: Whom,
+        ago_ms: Option<u32>,
+        times: &FollowTimes,
+    ) -> bool {
+        let before = self.answered_at.borrow().any();
+        self.was_answered(whom, ago_ms);
+        let gained = self.answered_at.borrow().any() - before;
+        self.is_relay.load(Ordering::Relaxed) && gained >= ms(times.stale_after_ms / 2)
+    }
+
+    fn answered_at_instant(&self, whom: Whom, at: Instant) {
+        self.answered_at.send_if_modified(|answered_at| {
+            let known = answered_at.of(whom);
+            let is_newer = known.is_none_or(|known| at > known);
+            if is_newer {
+                *known = Some(at);
+            }
+            is_newer
+        });
+    }
+
+    /// Whether the platform answered any host since an instant.
+    pub(crate) fn answered_since(&self, since: Instant) -> bool {
+        self.answered_at.borrow().any() > since
+    }
+
+    /// Waits until the platform has answered any host since an instant.
+    pub(crate) async fn answered_after(&self, since: Instant) {
+        let mut answered_at = self.answered_at.subscribe();
+        let is_over = |answered_at: &AnsweredAt| answered_at.any() > since;
+        let _never_closed = answered_at.wait_for(is_over).await;
+    }
+
+    /// So many hosts are heard and share the reading; whether this one tells
+    /// other zones of its own.
+    pub(crate) fn set_round(&self, heard: usize, is_relay: bool) {
+        self.heard.store(heard, Ordering::Relaxed);
+        self.is_relay.store(is_relay, Ordering::Relaxed);
+    }
+
+    /// Hosts that are heard and share the reading.
+    pub(crate) fn heard(&self) -> usize {
+        self.heard.load(Ordering::Relaxed)
     }
 
     /// Waits until the platform has answered no host for so long that this
     /// one should ask whether it still does, on both topics: the first answer
     /// ends the doubt for all, and a wait for the other topic may be lost.
     pub(crate) async fn stale(&self, times: &FollowTimes) {
-        let delay_ms = rand::rng().random_range(0..=times.stale_spread_ms);
+        // Readers ask first: mostly one of them has ended the doubt before
+        // the others ask.
+        let half_ms = times.stale_spread_ms / 2;
+        let first_ms = if self.has_turn() { 0 } else { half_ms };
+        let delay_ms = first_ms + rand::rng().random_range(0..=half_ms);
         let patience = ms(times.stale_after_ms + delay_ms);
         let mut doubts = self.doubts.subscribe();
         loop {
-            let due = self.answered_at().any + patience;
+            let due = self.answered_at.borrow().any() + patience;
             if Instant::now() >= due {
                 self.doubts.send_modify(|doubts| *doubts += 1);
                 return;
--- a/crates/routing/src/follow_times.rs
+++ b/crates/routing/src/follow_times.rs
@@ -22,11 +22,12 @@
 /// are what calls and pauses need, and [`FollowTimes::worst_ms`] adds up to
 /// less than the bound.
 const STALE_PART: f64 = 0.45;
-const SPREAD_PART: f64 = 0.15;
+const SPREAD_PART: f64 = 0.10;
 const HEDGE_PART: f64 = 0.16;
 const PAUSE_PART: f64 = 0.40;
-const PATIENCE_PART: f64 = 0.07;
-const PULL_PART: f64 = 0.20;
+const GATHER_PART: f64 = 0.10;
+const PATIENCE_PART: f64 = 0.05;
+const PULL_PART: f64 = 0.18;
 
 /// Times of following the store, all in milliseconds.
 ///
@@ -49,6 +50,8 @@
     pub hedge_after_ms: u64,
     /// Longest pause after a call that failed.
     pub pause_max_ms: u64,
+    /// Pause after an answer, so that changes that come together are one.
+    pub gather_ms: u64,
     /// Time that the store is given to tell by itself what another host knows.
     pub patience_ms: u64,
     /// How long taking what is missing from another host may take.
@@ -60,7 +63,7 @@
     pub const HEDGES: u32 = 3;
     /// The least bound that can be kept: below, calls to a store in order
     /// would be given up.
-    pub const BOUND_MIN_MS: u64 = 1_300;
+    pub const BOUND_MIN_MS: u64 = 1_500;
 
     /// Times that add up to less than a bound, or than
     /// [`BOUND_MIN_MS`](Self::BOUND_MIN_MS) if that is more.
@@ -72,6 +75,7 @@
             stale_spread_ms: part(SPREAD_PART),
             hedge_after_ms: part(HEDGE_PART),
             pause_max_ms: part(PAUSE_PART),
+            gather_ms: part(GATHER_PART),
             patience_ms: part(PATIENCE_PART),
             pull_timeout_ms: part(PULL_PART),
         }
@@ -85,6 +89,7 @@
         let until_a_lost_call_is_repeated = self.hedge_after_ms + self.pause_max_ms;
         until_a_host_asks.max(until_a_lost_call_is_repeated)
             + ANSWER_MS
+            + self.gather_ms
             + SEND_MS
             + self.patience_ms
             + self.pull_timeout_ms
--- a/crates/routing/src/readers.rs
+++ b/crates/routing/src/readers.rs
@@ -1,8 +1,8 @@
 //! Which hosts read the platform themselves, so that it is not asked the same
 //! by all; and which hosts of a zone tell the other zones.
 //!
-//! A small fleet reads as a whole. In a larger one some hosts of each
-//! availability zone read and the others take from them what is new. Nothing
+//! Some hosts read and the others take from them what is new: in a small fleet
+//! some of all, in a larger one some of each availability zone. Nothing
 //! is agreed: each host ranks the hosts that it hears, and reads if it is
 //! among the first, or if too few seem to. Views that differ for a moment make
 //! a few readers more, or leave those of the other view; what never happens is
@@ -10,14 +10,16 @@
 
 use chalkrock_core::rendezvous::{KeyHash, MemberHash, score};
 
-/// Fleets up to this size read as a whole: what is saved is little, and each
-/// host alone needs no other.
-const ALL_UP_TO: usize = 12;
+/// Fleets up to this size tell each other as a whole, and not by zones.
+const SMALL_UP_TO: usize = 12;
+/// Readers of a small fleet: one may die and one be turned away at once. Each
+/// more is told each change by the platform, and each answer is paid for.
+const LEAST_OF_SMALL: usize = 3;
 /// Readers are one of so many hosts.
-const ONE_IN: usize = 10;
-/// Readers there are at least, so that a third of all hosts that the platform
-/// turns away does not take all of them.
-const LEAST: usize = 8;
+const ONE_IN: usize = 50;
+/// Readers that a large fleet has at least. Whoever hears of no answer of the
+/// platform asks it, reader or not, so that these may be few.
+const LEAST: usize = 4;
 
 /// How a host stands to the platform.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
@@ -44,27 +46,28 @@
 
 /// How many hosts of so many read.
 pub fn readers_wanted(hosts: usize) -> usize {
-    if hosts <= ALL_UP_TO {
-        return hosts;
+    if hosts <= SMALL_UP_TO {
+        return hosts.min(LEAST_OF_SMALL);
     }
     hosts.div_ceil(ONE_IN).max(LEAST)
 }
 
-/// A zone as one of its hosts knows it.
+/// A zone as one of its hosts knows it; of a small fleet, all of it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ZoneView<'a> {
-    /// The other hosts of the zone that are heard.
+    /// The other hosts of the zone that are heard; in a small fleet, all.
     pub others: &'a [HeardHost],
     /// Hosts of all zones, as far as they are known.
     pub hosts: usize,
-    /// Zones, as far as they are known.
+    /// Zones that share the readers, as far as they are known; 1 in a small
+    /// fleet.
     pub zones: usize,
 }
 
 impl ZoneView<'_> {
     /// Whether the fleet is so large that zones tell each other only sums.
     pub fn is_large(&self) -> bool {
-        self.hosts > ALL_UP_TO
+        self.hosts > SMALL_UP_TO
     }
 
     /// Whether a host reads the platform.
@@ -81,7 +84,7 @@
     /// ```
     pub fn reads_platform(&self, own: &HeardHost) -> bool {
         let wanted = readers_wanted(self.hosts).div_ceil(self.zones.max(1));
-        if !self.is_large() || wanted > self.others.len() {
+        if wanted > self.others.len() {
             return true;
         }
         let answered = self
