Bear a store that is slow, and tell of its return at once

Found in reading the diff: a store whose answers take longer than three hedged calls together (0.48 of the least bound) was never read while it was slow, and the first call that was answered after trouble was told to others only with the next heartbeat, up to 200 ms late. Each failure now adds a call, up to eight in all, and an answered poll or whole read is told at once.

silence_is_not_taken_for_slowness fails without the added calls at 800 ms an answer.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -43,6 +43,10 @@
 const TURNED_AWAY_PAUSE_MS: u64 = 1_000;
 const FROM: &str = "platform";
 
+/// Calls beside each other that failures add. With eight in all a whole read
+/// may take 1.28 times the least bound.
+const MORE_HEDGES_MAX: u32 = 5;
+
 /// What is asked of the platform next.
 #[derive(Clone, Copy)]
 enum Step {
@@ -76,8 +80,8 @@
         };
         let began_at = Instant::now();
         let answer = match step {
-            Step::ReadWhole => hedged(&times, || source.read(topic)).await,
-            Step::Poll(since) => poll(&*source, topic, since, &times).await,
+            Step::ReadWhole => hedged(&times, trouble.hedges(), || source.read(topic)).await,
+            Step::Poll(since) => poll(&*source, topic, since, &times, trouble.hedges()).await,
             Step::Wait(since, wait_ms) => {
                 tokio::select! {
                     answer = wait(&shared, &*source, topic, since, wait_ms) => answer,
@@ -92,6 +96,10 @@
             Ok(news) => {
                 shared.store_answered_after(shared.subscription.answered(topic));
                 trouble.over(&shared);
+                if !matches!(step, Step::Wait(..)) {
+                    // Ends the doubt of the other hosts, and their pauses.
+                    shared.tell_peers_now.notify_one();
+                }
                 let is_whole = matches!(step, Step::ReadWhole);
                 step = Step::Wait(news.version, wait_ms);
                 wait_ms = WAIT_MS;
@@ -133,7 +141,7 @@
             answer = &mut waiting => return answer.unwrap_or_else(|_| Err(no_answer())),
             () = shared.subscription.stale(times) => {}
         }
-        let news = poll(source, topic, since, times).await?;
+        let news = poll(source, topic, since, times, FollowTimes::HEDGES).await?;
         if !news.rows.is_empty() {
             return Ok(news);
         }
@@ -149,18 +157,23 @@
     topic: Topic,
     since: StoreVersion,
     times: &FollowTimes,
+    hedges: u32,
 ) -> Result<News, SourceError> {
-    hedged(times, || source.changes(topic, since, POLL_WAIT_MS)).await
+    hedged(times, hedges, || source.changes(topic, since, POLL_WAIT_MS)).await
 }
 
 /// Sends a call that is answered at once, and sends it again beside the first
-/// while no answer comes. The first answer counts.
-async fn hedged<F>(times: &FollowTimes, call: impl Fn() -> F) -> Result<News, SourceError>
+/// while no answer comes, up to `hedges` in all. The first answer counts.
+async fn hedged<F>(
+    times: &FollowTimes,
+    hedges: u32,
+    call: impl Fn() -> F,
+) -> Result<News, SourceError>
 where
     F: Future<Output = Result<News, SourceError>>,
 {
     let mut calls = FuturesUnordered::new();
-    for _ in 0..FollowTimes::HEDGES {
+    for _ in 0..hedges {
         calls.push(call());
         let hedge_after = ms(times.hedge_after_ms);
         if let Ok(Some(answer)) = tokio::time::timeout(hedge_after, calls.next()).await {
@@ -233,6 +246,12 @@
         }
     }
 
+    /// Calls that are sent beside each other before all are given up: more
+    /// after each failure, since a store may be slow rather than silent.
+    fn hedges(&self) -> u32 {
+        FollowTimes::HEDGES + self.failures.min(MORE_HEDGES_MAX)
+    }
+
     /// Pauses after a failure of a call that began at an instant.
     async fn pause(&mut self, shared: &Shared, error: &SourceError, began_at: Instant) {
         if self.failures == 0 {
--- a/crates/gateway/src/subscription.rs
+++ b/crates/gateway/src/subscription.rs
@@ -18,7 +18,7 @@
     again: Notify,
 }
 
-/// AnsweredHost the platform answered.
+/// Whom the platform answered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum AnsweredHost {
     /// This host.
--- a/crates/gateway/tests/gateway/silences.rs
+++ b/crates/gateway/tests/gateway/silences.rs
@@ -88,6 +88,23 @@
     assert_that!(calls, le(2 * WAITS));
 }
 
+/// A store that is slow is no silent one, also for a host that starts.
+#[tokio::test(start_paused = true)]
+async fn silence_is_not_taken_for_slowness() {
+    for answer_ms in [200, 800, 1_600] {
+        let source = TestSource::default();
+        source.set_rules(rules(1));
+        source.set_slow(answer_ms);
+        let host =
+            TestGateway::with_follow_bound(source.clone(), "host-1", Vec::new(), 1_500).await;
+        sleep(Duration::from_secs(20)).await;
+        assert_that!(knows(&host, 1).await, eq(true), "{answer_ms}");
+        source.set_rules(rules(2));
+        sleep(Duration::from_secs(20)).await;
+        assert_that!(knows(&host, 2).await, eq(true), "{answer_ms}");
+    }
+}
+
 /// What lapsed while the platform was away takes work until it should be back.
 #[tokio::test(start_paused = true)]
 async fn silence_in_which_entries_lapse_costs_no_request() {
--- a/crates/gateway/tests/gateway/support/source.rs
+++ b/crates/gateway/tests/gateway/support/source.rs
@@ -13,6 +13,8 @@
 struct State {
     is_down: bool,
     is_silent: bool,
+    /// How long each answer takes.
+    answer_ms: u64,
     /// Silences so far: an answer that was due in one never comes.
     silences: u32,
     calls: u32,
@@ -95,6 +97,12 @@
         state.silences += u32::from(is_silent);
     }
 
+    /// Takes so long for each answer from now on.
+    pub(crate) fn set_slow(&self, answer_ms: u64) {
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        state.answer_ms = answer_ms;
+    }
+
     /// Calls so far, answered or not.
     pub(crate) fn calls(&self) -> u32 {
         let state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
@@ -104,14 +112,17 @@
     /// A call arrives; it is never answered if that is in a silence. Returns
     /// how many there were.
     async fn arrive(&self) -> u32 {
-        let (is_silent, silences) = {
+        let (is_silent, silences, answer_ms) = {
             let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
             state.calls += 1;
-            (state.is_silent, state.silences)
+            (state.is_silent, state.silences, state.answer_ms)
         };
         if is_silent {
             std::future::pending::<()>().await;
         }
+        if answer_ms > 0 {
+            tokio::time::sleep(std::time::Duration::from_millis(answer_ms)).await;
+        }
         silences
     }
 
