--- a/crates/gateway/src/peers/known.rs
+++ b/crates/gateway/src/peers/known.rs
@@ -73,7 +73,7 @@
     pub(crate) is_up: bool,
 }
 
-/// AnsweredHost to tell in a round.
+/// The recipients of one gossip round.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct GossipRound {
     /// Hosts to tell of this one.
