--- a/crates/routing/src/admission.rs
+++ b/crates/routing/src/admission.rs
@@ -7,7 +7,7 @@
 //! long, the request is refused at once, and told when to come back.
 //!
 //! The estimate needs no word of the endpoints. By Little's law, what is in
-//! progress on a pool, over the time that each request service_times there, is the
+//! progress on a pool, over the time that each request stays there, is the
 //! rate at which the pool serves; a newcomer waits until the pool has served
 //! all that is in progress beyond its places. Tried before: to take in while
 //! more than an endpoint's places are filled by a fixed part. Places of short
--- a/crates/routing/src/spread.rs
+++ b/crates/routing/src/spread.rs
@@ -1,5 +1,5 @@
 //! Which endpoint takes a request: the one that holds its prefix, while its
-//! load service_times under the pool's bound; else the next rank, or the least loaded.
+//! load stays under the pool's bound; else the next rank, or the least loaded.
 //!
 //! All hosts rank the same endpoints the same way, so that a prefix has one
 //! home, and a second one when the first is full, without a word between
