Let a host that starts take all from one that serves

Cause. 295 hosts that start make 1,180 calls to the platform's store within half a second: two to read all, two to record themselves and find the others.

A host asks the hosts of its settings first, and reads by itself only when none tells it all in time; it records itself only if it hears no one, or if it reads for others. Where the whole fleet starts for the first time hosts wait up to four seconds, since callers are not there yet. Readers stay as hosts come that are no stronger, or each new one would read all anew.

--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -28,6 +28,7 @@
     pub(crate) connections_max: usize,
     pub(crate) follow: FollowTimes,
     pub(crate) capacity_millicores: u16,
+    pub(crate) is_first_start: bool,
 }
 
 impl GatewayConfig {
@@ -56,6 +57,7 @@
             connections_max: 2_000,
             follow: FollowTimes::within(FOLLOW_BOUND_MS),
             capacity_millicores: ONE_CORE_MILLICORES,
+            is_first_start: false,
         })
     }
 
@@ -133,6 +135,13 @@
         self
     }
 
+    /// Whether the whole fleet starts for the first time, so that no host
+    /// serves yet: hosts take more time to let a few read the platform for all.
+    pub fn is_first_start(mut self, is_first_start: bool) -> Self {
+        self.0.is_first_start = is_first_start;
+        self
+    }
+
     /// The settings.
     pub fn build(self) -> GatewayConfig {
         self.0
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -1,13 +1,16 @@
 //! Follows the platform's rules and list of endpoints.
 //!
 //! A topic is read whole once and then followed by waiting for changes. When
-//! the history is gone, or another host knows more, it is read whole again.
+//! the history is gone, or another host knows more, it is read whole again. A
+//! host that starts lets others tell it first: where one serves, it reads
+//! nothing until it is its turn.
 //!
 //! A wait may be lost in a silence of the platform, and a lost one can't be
 //! told from one that has nothing to say. So while the platform has answered no
 //! host for a while, it is asked beside the wait, with a call that is answered
 //! at once; and after a failure it is asked with such calls until it answers.
 
+use std::ops::RangeInclusive;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -34,6 +37,19 @@
 /// Pause after the first answer of all: most hosts that start find meanwhile
 /// that others read, and wait for no change themselves.
 const START_PAUSE: Duration = Duration::from_millis(600);
+/// Times, in milliseconds, that a host which starts gives others to tell it all
+/// before it reads itself; each host draws one. A host that serves answers in
+/// some tens of milliseconds; where all have restarted none does, and the first
+/// to read tell the others.
+const START_PATIENCE_MS: RangeInclusive<u64> = 50..=400;
+/// The same where the whole fleet starts for the first time and callers are not
+/// there yet: 295 hosts make 1,180 calls at once if each reads for itself.
+const FIRST_START_PATIENCE_MS: RangeInclusive<u64> = 50..=4_000;
+/// Pause after other hosts told all, until all hosts are heard and those begin
+/// to read that come first.
+const HEARD_PAUSE: Duration = Duration::from_millis(400);
+/// Pause of the others, until it is heard that these do.
+const READ_PAUSE: Duration = Duration::from_millis(1_000);
 /// The first pause after a failure; those that follow double.
 const PAUSE_FIRST_MS: u64 = 100;
 /// Hosts that are heard for each time that pauses grow by themselves: the
@@ -50,6 +66,8 @@
 /// What is asked of the platform next.
 #[derive(Clone, Copy)]
 enum Step {
+    /// Nothing yet: other hosts told it all.
+    Rest,
     /// The whole topic.
     ReadWhole,
     /// What changed since, to be answered at once.
@@ -62,7 +80,7 @@
 pub(crate) async fn follow<S: Source>(shared: Arc<Shared>, source: Arc<S>, topic: Topic) {
     let times = shared.config.follow;
     let mut trouble = Trouble::new(topic, times);
-    let mut step = Step::ReadWhole;
+    let mut step = first_step(&shared).await;
     // Hosts that start together shall not wait in step: while their waits end
     // at different times, a silence shows soon.
     let mut wait_ms = rand::rng().random_range(1..=WAIT_MS);
@@ -70,6 +88,10 @@
     loop {
         step = match step {
             Step::ReadWhole => step,
+            Step::Rest => {
+                shared.subscription.due(topic, &times).await;
+                Step::ReadWhole
+            }
             Step::Poll(since) | Step::Wait(since, _) => {
                 match shared.subscription.due(topic, &times).await {
                     Due::Turn => step,
@@ -80,7 +102,9 @@
         };
         let began_at = Instant::now();
         let answer = match step {
-            Step::ReadWhole => hedged(&times, trouble.hedges(), || source.read(topic)).await,
+            Step::Rest | Step::ReadWhole => {
+                hedged(&times, trouble.hedges(), || source.read(topic)).await
+            }
             Step::Poll(since) => poll(&*source, topic, since, &times, trouble.hedges()).await,
             Step::Wait(since, wait_ms) => {
                 tokio::select! {
@@ -124,6 +148,29 @@
     }
 }
 
+/// Gives other hosts time to tell all that a host which starts needs.
+async fn first_step(shared: &Shared) -> Step {
+    if shared.config.peer_seeds.is_empty() {
+        return Step::ReadWhole;
+    }
+    let range = if shared.config.is_first_start {
+        FIRST_START_PATIENCE_MS
+    } else {
+        START_PATIENCE_MS
+    };
+    let patience_ms = rand::rng().random_range(range);
+    if tokio::time::timeout(ms(patience_ms), shared.view_known())
+        .await
+        .is_err()
+    {
+        return Step::ReadWhole;
+    }
+    tokio::time::sleep(HEARD_PAUSE).await;
+    let first = shared.subscription.first_choice();
+    let _either_way_it_may_be_due = tokio::time::timeout(READ_PAUSE, first).await;
+    Step::Rest
+}
+
 /// Waits for changes, and asks beside the wait while it may have been lost.
 async fn wait<S: Source>(
     shared: &Shared,
--- a/crates/gateway/src/peers/known.rs
+++ b/crates/gateway/src/peers/known.rs
@@ -14,7 +14,7 @@
 use tokio::time::Instant;
 
 use crate::config::GatewayConfig;
-use crate::peers::message::{Heartbeat, RelaySummary, ZoneMember};
+use crate::peers::message::{Heartbeat, NamedHost, RelaySummary, ZoneMember};
 
 /// Silence after which a host counts as gone.
 const SILENT_AFTER: Duration = Duration::from_secs(2);
@@ -164,6 +164,21 @@
         up.choose(&mut rand::rng()).copied()
     }
 
+    /// The hosts that are up, this one included.
+    pub(crate) fn up(&self) -> Vec<NamedHost> {
+        let own = NamedHost {
+            address: self.own,
+            zone: self.zone,
+        };
+        let known = self.known();
+        let up = known.iter().filter(|(_, peer)| peer.is_up);
+        let up = up.filter_map(|(&address, peer)| {
+            let zone = peer.zone?;
+            Some(NamedHost { address, zone })
+        });
+        up.chain([own]).collect()
+    }
+
     /// Who knows more than this host, once.
     pub(crate) fn take_newer(&self) -> Option<SocketAddr> {
         let mut ahead = self.ahead.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -22,4 +22,4 @@
 
 pub(crate) use exchange::{hear, tell};
 pub(crate) use known::{Peers, zone_hash};
-pub(crate) use pull::{pull_when_behind, serve_pulls};
+pub(crate) use pull::{pull_at_start, pull_when_behind, serve_pulls};
--- a/crates/gateway/src/peers/pull.rs
+++ b/crates/gateway/src/peers/pull.rs
@@ -8,12 +8,14 @@
 use chalkrock_proto::{ByteCount, transport};
 use chalkrock_routing::{RulesDocument, RulesVersion};
 use futures::{Stream, StreamExt};
+use rand::seq::SliceRandom;
 use serde::{Deserialize, Serialize};
 use tarpc::server::{BaseChannel, Channel};
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::clock::ms;
 use crate::peers::Peers;
+use crate::peers::message::NamedHost;
 use crate::shared::Shared;
 use crate::source::{EndpointRow, StoreVersion};
 
@@ -22,6 +24,10 @@
 const GATHER: Duration = Duration::from_millis(80);
 /// How often a host that knows nothing asks.
 const ASK_EVERY: Duration = Duration::from_millis(500);
+/// How often a host that starts asks the hosts of its settings, one after the
+/// other, and how long it waits for one of them.
+const ASK_SEED_EVERY: Duration = Duration::from_millis(100);
+const SEED_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// What a host knows already.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -48,6 +54,8 @@
 pub(crate) struct Missing {
     pub(crate) rules: Option<RulesDocument>,
     pub(crate) endpoints: Option<EndpointNews>,
+    /// The hosts that are up, for one that knows nothing.
+    pub(crate) hosts: Vec<NamedHost>,
 }
 
 #[tarpc::service]
@@ -57,14 +65,24 @@
 }
 
 #[derive(Clone)]
-struct Answers(Arc<Shared>);
+struct Answers {
+    shared: Arc<Shared>,
+    peers: Arc<Peers>,
+}
 
 impl PeerApi for Answers {
     async fn missing(self, _: tarpc::context::Context, have: Have) -> Missing {
-        let rules = self.0.rules().filter(|rules| rules.version() > have.rules);
+        let rules = self.shared.rules();
+        let rules = rules.filter(|rules| rules.version() > have.rules);
+        let knows_nothing = have.endpoints.is_none();
         Missing {
             rules: rules.map(|rules| RulesDocument::clone(rules.document())),
-            endpoints: endpoint_news(&self.0, have.endpoints),
+            endpoints: endpoint_news(&self.shared, have.endpoints),
+            hosts: if knows_nothing {
+                self.peers.up()
+            } else {
+                Vec::new()
+            },
         }
     }
 }
@@ -90,7 +108,7 @@
 }
 
 /// Answers other hosts, until the process ends.
-pub(crate) async fn serve_pulls(shared: Arc<Shared>, listener: TcpListener) {
+pub(crate) async fn serve_pulls(shared: Arc<Shared>, peers: Arc<Peers>, listener: TcpListener) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             tokio::time::sleep(ASK_EVERY).await;
@@ -98,7 +116,11 @@
         };
         let framed = transport(stream, Arc::new(ByteCount::default()));
         let channel = BaseChannel::with_defaults(framed);
-        let answers = Answers(shared.clone()).serve();
+        let answers = Answers {
+            shared: shared.clone(),
+            peers: peers.clone(),
+        };
+        let answers = answers.serve();
         tokio::spawn(run_requests(channel.execute(answers)));
     }
 }
@@ -110,6 +132,29 @@
     }
 }
 
+/// Asks the hosts of the settings for all that they know, until this host can
+/// serve.
+pub(crate) async fn pull_at_start(shared: Arc<Shared>, peers: Arc<Peers>) {
+    let own = peers.own;
+    let mut seeds = shared.config.peer_seeds.clone();
+    seeds.retain(|seed| *seed != own);
+    seeds.shuffle(&mut rand::rng());
+    for seed in seeds.into_iter().cycle() {
+        let have = have(&shared);
+        if let Ok(Some(missing)) = tokio::time::timeout(SEED_TIMEOUT, pull(seed, have)).await {
+            take(&shared, &peers, missing);
+        }
+        let pause = tokio::time::sleep(ASK_SEED_EVERY);
+        tokio::select! {
+            biased;
+            () = shared.view_known() => break,
+            () = pause => {}
+        }
+    }
+    // The hosts that were named hear of this one at once.
+    shared.tell_peers_now.notify_one();
+}
+
 /// Pulls from another host whenever one knows more, until the process ends.
 pub(crate) async fn pull_when_behind(shared: Arc<Shared>, peers: Arc<Peers>) {
     // The platform is given a while to tell by itself.
@@ -119,8 +164,12 @@
         let asked = tokio::time::timeout(ASK_EVERY, peers.is_behind.notified());
         let knows_of_more = asked.await.is_ok();
         if knows_of_more {
-            let is_reader = shared.subscription.has_turn();
-            tokio::time::sleep(if is_reader { patience } else { GATHER }).await;
+            let pause = match (shared.has_view(), shared.subscription.has_turn()) {
+                (false, _) => Duration::ZERO,
+                (true, true) => patience,
+                (true, false) => GATHER,
+            };
+            tokio::time::sleep(pause).await;
         } else if shared.has_view() {
             continue;
         }
@@ -130,7 +179,7 @@
         let have = have(&shared);
         let pulled = tokio::time::timeout(pull_timeout, pull(address, have)).await;
         match pulled {
-            Ok(Some(missing)) => take(&shared, missing),
+            Ok(Some(missing)) => take(&shared, &peers, missing),
             // Whoever knows more can't be reached: the platform may be.
             Ok(None) | Err(_) => shared.subscription.read_again(),
         }
@@ -156,8 +205,10 @@
     client.missing(tarpc::context::current(), have).await.ok()
 }
 
-fn take(shared: &Shared, missing: Missing) {
+fn take(shared: &Shared, peers: &Peers, missing: Missing) {
     const FROM: &str = "peer";
+    let hosts = missing.hosts.iter();
+    peers.add(hosts.map(|host| (host.address, Some(host.zone))));
     if let Some(rules) = missing.rules {
         shared.take_rules(rules, FROM);
     }
--- a/crates/gateway/src/peers/round.rs
+++ b/crates/gateway/src/peers/round.rs
@@ -65,6 +65,8 @@
     /// Hosts of the zone to name to these.
     pub(crate) members: Vec<ZoneMember>,
     pub(crate) reads_platform: bool,
+    /// Whether this host comes among the first to read, whoever does so far.
+    pub(crate) is_first_choice: bool,
     pub(crate) is_relay: bool,
     /// Whether this host, as a relay, sums up the fleet for its zone.
     pub(crate) sums_up: bool,
@@ -77,6 +79,7 @@
     /// Works out whom to tell now.
     pub(crate) fn round(&self, input: &RoundInput) -> GossipRound {
         let now = Instant::now();
+        let named = self.named();
         let mut known = self.known();
         known.retain(|_, peer| !peer.is_forgotten(now));
         let gone = silence(&mut known, self.zone, now);
@@ -94,7 +97,8 @@
         self.set_sums_up(sums_up);
         let mut round = GossipRound {
             reads_platform: zone_view.reads_platform(&own),
-            named: named(&known),
+            is_first_choice: zone_view.is_first_choice(&own),
+            named,
             is_relay: place.is_some(),
             sums_up,
             gone,
@@ -113,6 +117,12 @@
         round
     }
 
+    /// Some hosts that are up, any of them.
+    fn named(&self) -> Vec<NamedHost> {
+        let up = self.up();
+        up.sample(&mut rand::rng(), NAMED_MAX).copied().collect()
+    }
+
     fn view(&self, known: &HashMap<SocketAddr, Peer>, hosts_known: usize) -> View {
         let up = || known.iter().filter(|(_, peer)| peer.is_up);
         let near = up().filter(|(_, peer)| peer.zone == Some(self.zone));
@@ -277,16 +287,3 @@
     const RELAYS: u32 = 2;
     (MemberHash::of(&address.to_string()).short() % RELAYS) as usize
 }
-
-fn named(known: &HashMap<SocketAddr, Peer>) -> Vec<NamedHost> {
-    let up = known.iter().filter(|(_, peer)| peer.is_up);
-    let up: Vec<NamedHost> = up
-        .filter_map(|(address, peer)| {
-            Some(NamedHost {
-                address: *address,
-                zone: peer.zone?,
-            })
-        })
-        .collect();
-    up.sample(&mut rand::rng(), NAMED_MAX).copied().collect()
-}
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -17,7 +17,7 @@
 use crate::follow::follow;
 use crate::front::accept;
 use crate::lag::measure_lag;
-use crate::peers::{Peers, hear, pull_when_behind, serve_pulls, tell, zone_hash};
+use crate::peers::{Peers, hear, pull_at_start, pull_when_behind, serve_pulls, tell, zone_hash};
 use crate::shared::Shared;
 use crate::source::{HostRow, Source, Topic};
 use crate::status::answer_status;
@@ -28,6 +28,13 @@
 const STOP_STEP: Duration = Duration::from_millis(50);
 /// How long the last answers may take to leave the process.
 const LAST_BYTES: Duration = Duration::from_millis(60);
+/// Time without a word of others after which a host that starts looks for them
+/// at the platform.
+const LONELY_AFTER: Duration = Duration::from_millis(1_000);
+/// How often it looks whether it hears any.
+const LONELY_LOOK: Duration = Duration::from_millis(100);
+/// Time after which a host that hears others knows who reads the platform.
+const SETTLED_AFTER: Duration = Duration::from_millis(2_000);
 /// Pauses between tries to record the host.
 const JOIN_PAUSE: Duration = Duration::from_secs(2);
 
@@ -156,17 +163,51 @@
     peers.add(seeds.map(|address| (*address, None)));
     tasks.spawn(tell(shared.clone(), peers.clone(), socket.clone()));
     tasks.spawn(hear(shared.clone(), peers.clone(), socket));
-    tasks.spawn(serve_pulls(shared.clone(), listener));
+    tasks.spawn(serve_pulls(shared.clone(), peers.clone(), listener));
+    tasks.spawn(pull_at_start(shared.clone(), peers.clone()));
     tasks.spawn(pull_when_behind(shared.clone(), peers.clone()));
     let row = HostRow {
         host: shared.config.host.clone(),
         zone: shared.config.zone.clone(),
         peer_address: own,
     };
-    tasks.spawn(join(source.clone(), row, peers));
+    tasks.spawn(join_when_needed(shared.clone(), source.clone(), row, peers));
     Ok(Some(own))
 }
 
+/// Records the host where others can't find it without: if it hears no one, or
+/// if it reads the platform for others. Hosts find each other through those of
+/// their settings; but these may all be gone, and hosts that know of different
+/// ones may not know of each other. Some of each such group read the platform,
+/// and so find the others.
+async fn join_when_needed<S: Source>(
+    shared: Arc<Shared>,
+    source: Arc<S>,
+    own: HostRow,
+    peers: Arc<Peers>,
+) {
+    let has_seeds = shared
+        .config
+        .peer_seeds
+        .iter()
+        .any(|seed| *seed != peers.own);
+    if has_seeds
+        && tokio::time::timeout(LONELY_AFTER, hears_any(&peers))
+            .await
+            .is_ok()
+    {
+        tokio::time::sleep(SETTLED_AFTER).await;
+        shared.subscription.turn().await;
+    }
+    join(source, own, peers).await;
+}
+
+async fn hears_any(peers: &Peers) {
+    while peers.any().is_none() {
+        tokio::time::sleep(LONELY_LOOK).await;
+    }
+}
+
 /// Records the host and learns of the others, once.
 async fn join<S: Source>(source: Arc<S>, own: HostRow, peers: Arc<Peers>) {
     loop {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -41,6 +41,8 @@
     pub(crate) tell_peers_now: Notify,
     /// Whether the list of endpoints was read once, from anyone.
     knows_endpoints: AtomicBool,
+    /// Whether the host can serve.
+    has_view: watch::Sender<bool>,
 }
 
 impl Shared {
@@ -68,6 +70,7 @@
             subscription: StoreSubscription::default(),
             tell_peers_now: Notify::new(),
             knows_endpoints: AtomicBool::new(false),
+            has_view: watch::channel(false).0,
         })
     }
 
@@ -95,12 +98,29 @@
         self.rules.store(Some(Arc::new(Rules::new(document))));
         self.metrics.gauge("rules_version", "", version.0 as f64);
         self.event_log.emit(&Event::Rules { version, from });
+        self.update_view();
         true
     }
 
     /// The list of endpoints was read.
     pub(crate) fn endpoints_known(&self) {
         self.knows_endpoints.store(true, Ordering::Relaxed);
+        self.update_view();
+    }
+
+    fn update_view(&self) {
+        let has_view = self.rules.load().is_some() && self.knows_endpoints();
+        self.has_view.send_if_modified(|known| {
+            let is_news = *known != has_view;
+            *known = has_view;
+            is_news
+        });
+    }
+
+    /// Waits until the host can serve.
+    pub(crate) async fn view_known(&self) {
+        let mut has_view = self.has_view.subscribe();
+        let _never_closed = has_view.wait_for(|has_view| *has_view).await;
     }
 
     /// Whether the list of endpoints was read, be it empty.
@@ -126,7 +146,7 @@
 
     /// Whether the host can serve: it knows rules and endpoints.
     pub(crate) fn has_view(&self) -> bool {
-        self.rules.load().is_some() && self.knows_endpoints()
+        *self.has_view.borrow()
     }
 
     /// Whether new connections may be sent here.
--- a/crates/gateway/src/subscription.rs
+++ b/crates/gateway/src/subscription.rs
@@ -71,6 +71,8 @@
 pub(crate) struct StoreSubscription {
     /// Whether it is this host's to read.
     has_turn: watch::Sender<bool>,
+    /// Whether it would be where no one reads yet.
+    is_first_choice: watch::Sender<bool>,
     answered_at: watch::Sender<AnsweredAt>,
     /// Grows when this host finds that no host was answered for long.
     doubts: watch::Sender<u64>,
@@ -93,6 +95,7 @@
         };
         Self {
             has_turn: watch::channel(true).0,
+            is_first_choice: watch::channel(false).0,
             answered_at: watch::channel(answered_at).0,
             doubts: watch::channel(0).0,
             heard: AtomicUsize::new(0),
@@ -120,6 +123,23 @@
         })
     }
 
+    /// Says whether it would be this host's to read where no one reads yet.
+    pub(crate) fn set_first_choice(&self, is_first_choice: bool) {
+        self.is_first_choice.send_replace(is_first_choice);
+    }
+
+    /// Waits until it would be this host's to read where no one reads yet.
+    pub(crate) async fn first_choice(&self) {
+        let mut is_first_choice = self.is_first_choice.subscribe();
+        let _never_closed = is_first_choice.wait_for(|is_first| *is_first).await;
+    }
+
+    /// Waits until it is this host's turn to read.
+    pub(crate) async fn turn(&self) {
+        let mut has_turn = self.has_turn.subscribe();
+        let _never_closed = has_turn.wait_for(|has_turn| *has_turn).await;
+    }
+
     /// Waits until a topic should be read.
     pub(crate) async fn due(&self, topic: Topic, times: &FollowTimes) -> Due {
         let mut has_turn = self.has_turn.subscribe();
--- a/crates/gateway/tests/gateway/peers.rs
+++ b/crates/gateway/tests/gateway/peers.rs
@@ -33,6 +33,52 @@
     until(async || second.call(Call::get("/safe/").id("r-1")).await.status == 200).await;
 }
 
+#[tokio::test]
+async fn peers_start_a_host_that_asks_the_platform_nothing() {
+    let source = TestSource::default();
+    source.set_rules(rules(1));
+    let first = TestGateway::with(source, "host-1", Vec::new()).await;
+    first.ready().await;
+    let seed = first.running.peer_address().expect("it hears others");
+    let endpoint =
+        ScriptedEndpoint::start("endpoint-0", "pool", Behaviour::Answer, Script::default()).await;
+    first.source.list(endpoint.endpoint.clone());
+    until(async || first.call(Call::get("/safe/").id("r-1")).await.status == 200).await;
+    let source = TestSource::default();
+    source.set_rules(rules(1));
+    let second = TestGateway::with(source, "host-2", vec![seed]).await;
+    second.ready().await;
+    assert_that!(
+        second.call(Call::get("/safe/").id("r-2")).await.status,
+        eq(200)
+    );
+    assert_that!(second.source.calls(), eq(0));
+}
+
+/// Hosts that start beside one that serves call the platform only where they
+/// come to read it for others: each would make four calls by itself, two for
+/// what it reads and two to find the others.
+#[tokio::test]
+async fn peers_of_a_fleet_that_starts_make_few_calls() {
+    const HOSTS: usize = 24;
+    let source = TestSource::default();
+    source.set_rules(rules(1));
+    let first = TestGateway::with(source.clone(), "host-0", Vec::new()).await;
+    first.ready().await;
+    let seed = first.running.peer_address().expect("it hears others");
+    let mut hosts = vec![first];
+    for i in 1..HOSTS {
+        let host = format!("host-{i}");
+        hosts.push(TestGateway::with(source.clone(), &host, vec![seed]).await);
+    }
+    until(async || hosts_with(&hosts, "peers_heard", (HOSTS - 1) as f64).await == HOSTS).await;
+    for host in &hosts {
+        host.ready().await;
+    }
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    assert_that!(source.calls(), lt(2 * HOSTS as u32));
+}
+
 #[tokio::test]
 async fn peers_pass_on_new_rules() {
     let (first, second) = two_hosts().await;
--- a/crates/routing/src/readers.rs
+++ b/crates/routing/src/readers.rs
@@ -4,7 +4,8 @@
 //! Some hosts read and the others take from them what is new: in a small fleet
 //! some of all, in a larger one some of each availability zone. Nothing
 //! is agreed: each host ranks the hosts that it hears, and reads if it is
-//! among the first, or if too few seem to. Views that differ for a moment make
+//! among the first, or if too few seem to; who reads goes on while hosts come
+//! that are no stronger. Views that differ for a moment make
 //! a few readers more, or leave those of the other view; what never happens is
 //! that a host hears no reader and does not read.
 
@@ -78,6 +79,17 @@
         self.hosts > SMALL_UP_TO
     }
 
+    /// Whether a host comes among the first to read, whoever does so far: where
+    /// no one reads yet, these begin and the others wait to hear of them.
+    pub fn is_first_choice(&self, own: &HeardHost) -> bool {
+        is_among_first(own, self.others.iter(), self.readers_wanted())
+    }
+
+    /// Readers of the zone; of a small fleet, all.
+    fn readers_wanted(&self) -> usize {
+        readers_wanted(self.hosts).div_ceil(self.zones.max(1))
+    }
+
     /// Whether a host reads the platform.
     ///
     /// # Example
@@ -95,24 +107,32 @@
     /// assert!(alone.reads_platform(&own));
     /// ```
     pub fn reads_platform(&self, own: &HeardHost) -> bool {
-        let wanted = readers_wanted(self.hosts).div_ceil(self.zones.max(1));
+        let wanted = self.readers_wanted();
         if wanted > self.others.len() {
             return true;
         }
-        let answered = self
-            .others
-            .iter()
-            .filter(|host| host.reading == SubscriptionRole::Answered);
-        if answered.count() < wanted.div_ceil(2) {
+        let answered = || {
+            let others = self.others.iter();
+            others.filter(|host| host.reading == SubscriptionRole::Answered)
+        };
+        if answered().count() < wanted.div_ceil(2) {
             return true;
         }
-        // One that is not answered does not count among the first, but goes on
-        // trying, since it may be the only one to know.
+        if own.reading == SubscriptionRole::Answered {
+            return is_among_first(own, answered(), wanted);
+        }
+        // Readers stay as hosts come, for each new one reads all anew; but a
+        // stronger host takes over.
+        let as_strong =
+            answered().filter(|host| host.capacity_millicores >= own.capacity_millicores);
+        let vacant = wanted.saturating_sub(as_strong.count());
+        // One that is not answered leaves its place to others, but goes on
+        // trying if it comes first, since it may be the only one to know.
         let may_read = self
             .others
             .iter()
-            .filter(|host| host.reading != SubscriptionRole::Unanswered);
-        is_among_first(own, may_read, wanted)
+            .filter(|host| host.reading == SubscriptionRole::No);
+        is_among_first(own, may_read, vacant)
     }
 
     /// The place of a host among the relays, which tell the other zones of this
--- a/crates/routing/tests/readers.rs
+++ b/crates/routing/tests/readers.rs
@@ -119,6 +119,28 @@
     assert_that!(answered.count(), ge(1));
 }
 
+#[test]
+fn readers_stay_while_hosts_come_that_are_no_stronger() {
+    let mut hosts = zone(20);
+    let first = readers(&hosts)[0];
+    let others = hosts.iter_mut().enumerate().filter(|(i, _)| *i != first);
+    others.for_each(|(_, host)| host.reading = SubscriptionRole::No);
+    let others_read = |hosts: &[HeardHost]| readers(hosts) != [first];
+    assert_that!(others_read(&hosts), eq(false));
+    for i in 20..200 {
+        hosts.push(HeardHost {
+            hash: MemberHash::of(&format!("host-{i}")),
+            reading: SubscriptionRole::No,
+            ..hosts[first]
+        });
+        let wanted = readers_wanted(hosts.len() * ZONES).div_ceil(ZONES);
+        assert_that!(readers(&hosts).len(), eq(wanted), "{i}");
+        assert_that!(readers(&hosts).contains(&first), eq(true), "{i}");
+    }
+    hosts[30].capacity_millicores = 500;
+    assert_that!(readers(&hosts).contains(&30), eq(true));
+}
+
 #[test]
 fn readers_are_all_when_no_one_is_answered() {
     for reading in [SubscriptionRole::No, SubscriptionRole::Unanswered] {
