--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -106,7 +106,9 @@
         return Err(failed(call, whole));
     }
     let now_ms = shared.clock.now_ms();
-    shared.fleet().see(short, HealthSignal::Answer, now_ms);
+    shared
+        .fleet()
+        .record_signal(short, HealthSignal::Answer, now_ms);
     Ok(AttemptResponse::Buffered(whole))
 }
 
--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -98,6 +98,12 @@
     Peer { address: SocketAddr, is_up: bool },
     /// It is this host's to read the platform, or no longer.
     Reads { has_turn: bool },
+    /// This host began or ceased to tell other zones of its own; `sums_up`:
+    /// and to tell the hosts of its zone the fleet's requests.
+    Relays { is_relay: bool, sums_up: bool },
+    /// This host began or ceased to go by the fleet's requests as relays of its
+    /// zone sum them up; so many hosts are known by then.
+    LoadSource { from_relays: bool, hosts: usize },
     /// An endpoint came under suspicion.
     Suspect {
         endpoint: &'a EndpointId,
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -134,16 +134,16 @@
     /// mean: by Little's law they send what they have in progress there once
     /// in each mean stay.
     fn unseen_arrivals(&self, pool: &PoolId, members: &[Member]) -> f64 {
-        let stay_ms = self.mean_stay_ms(pool);
-        if stay_ms <= 0.0 {
+        let service_ms = self.mean_service_ms(pool);
+        if service_ms <= 0.0 {
             return 0.0;
         }
         let of_others = |member: &Member| self.load.of_others(member.hash.short());
         let in_progress: u32 = members.iter().map(of_others).sum();
-        f64::from(in_progress) * self.load.report_age_ms() / stay_ms
+        f64::from(in_progress) * self.load.report_age_ms() / service_ms
     }
 
-    fn mean_stay_ms(&self, pool: &PoolId) -> f64 {
+    fn mean_service_ms(&self, pool: &PoolId) -> f64 {
         let stay = self.service_times.get(pool);
         stay.map_or(0.0, ServiceTimeEwma::ms)
     }
@@ -220,10 +220,15 @@
 
     /// Takes what was seen of an endpoint. Returns whether it has just come
     /// under suspicion.
-    pub(crate) fn see(&mut self, endpoint: u32, sign: HealthSignal, now_ms: u64) -> bool {
+    pub(crate) fn record_signal(
+        &mut self,
+        endpoint: u32,
+        signal: HealthSignal,
+        now_ms: u64,
+    ) -> bool {
         let health = self.health(endpoint);
         let was_suspect = health.is_suspect(now_ms);
-        health.see(sign, now_ms);
+        health.record(signal, now_ms);
         !was_suspect && health.is_suspect(now_ms)
     }
 
@@ -235,7 +240,7 @@
     }
 
     /// How full a pool is, but for endpoints that are suspect.
-    pub(crate) fn fullness(&self, pool: &PoolId, now_ms: u64) -> PoolOccupancy {
+    pub(crate) fn occupancy(&self, pool: &PoolId, now_ms: u64) -> PoolOccupancy {
         let members = self.endpoints.live(pool);
         let takes_work = members
             .iter()
@@ -250,14 +255,14 @@
         PoolOccupancy {
             places,
             in_progress,
-            stay_ms: self.mean_stay_ms(pool),
+            service_ms: self.mean_service_ms(pool),
         }
     }
 
     /// A request left an endpoint of a pool after so long.
     pub(crate) fn record_service_time(&mut self, pool: &PoolId, stayed_ms: u64) {
         let stay = self.service_times.entry(pool.clone()).or_default();
-        stay.note(stayed_ms);
+        stay.record(stayed_ms);
     }
 
     /// Takes the whole list of endpoints, as of a version.
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -127,7 +127,7 @@
                 trouble.over(&shared);
                 if !matches!(step, Step::Wait(..)) {
                     // Ends the doubt of the other hosts, and their pauses.
-                    shared.tell_peers_now.notify_one();
+                    shared.publish_now.notify_one();
                 }
                 let is_whole = matches!(step, Step::ReadWhole);
                 step = Step::Wait(news.version, wait_ms);
@@ -205,7 +205,7 @@
         }
         shared.store_answered_after(shared.subscription.answered(topic));
         // Ends the doubt of the other hosts.
-        shared.tell_peers_now.notify_one();
+        shared.publish_now.notify_one();
     }
 }
 
@@ -286,7 +286,7 @@
         shared.endpoints_known();
     }
     if is_news {
-        shared.tell_peers_now.notify_one();
+        shared.publish_now.notify_one();
     }
 }
 
@@ -306,7 +306,7 @@
     };
     drop(fleet);
     if is_news {
-        shared.tell_endpoints(FROM);
+        shared.log_endpoints(FROM);
     }
     is_news
 }
@@ -359,7 +359,7 @@
     /// Pauses after a failure of a call that began at an instant.
     async fn pause(&mut self, shared: &Shared, error: &SourceError, began_at: Instant) {
         if self.failures == 0 {
-            self.tell(shared, false, &error.to_string());
+            self.log(shared, false, &error.to_string());
         }
         let reading = &shared.subscription;
         let are_others_answered = reading.answered_since(began_at);
@@ -393,11 +393,11 @@
     fn over(&mut self, shared: &Shared) {
         if self.failures > 0 {
             self.failures = 0;
-            self.tell(shared, true, "");
+            self.log(shared, true, "");
         }
     }
 
-    fn tell(&self, shared: &Shared, is_up: bool, detail: &str) {
+    fn log(&self, shared: &Shared, is_up: bool, detail: &str) {
         shared.event_log.emit(&Event::Dependency {
             name: self.name,
             is_up,
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -4,12 +4,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use chalkrock_routing::{CacheEntry, Merged, OwnReport, REPORT_INTERVAL_MS, WordPath, ZoneSum};
+use chalkrock_routing::{CacheEntry, Merged, OwnReport, REPORT_INTERVAL_MS, SumPath, ZoneSum};
 use tokio::net::UdpSocket;
 use tokio::time::MissedTickBehavior;
 
 use crate::event_log::Event;
-use crate::peers::known::{PeerNews, Peers};
+use crate::peers::membership::{MemberChange, Membership};
 use crate::peers::message::{
     CacheEntries, Datagram, Heartbeat, Knowledge, RelaySummary, ZoneSummary,
 };
@@ -18,15 +18,15 @@
 use crate::subscription::AnsweredHost;
 
 /// How often a host tells the others.
-const TELL_EVERY: Duration = Duration::from_millis(REPORT_INTERVAL_MS);
+const ROUND_INTERVAL: Duration = Duration::from_millis(REPORT_INTERVAL_MS);
 /// Prefixes that a datagram names: about 1 KB.
-const HOLDINGS_A_DATAGRAM: usize = 96;
+const ENTRIES_PER_DATAGRAM: usize = 96;
 /// Endpoints whose requests a datagram counts: about 1 KB.
-const COUNTS_A_DATAGRAM: usize = 128;
+const COUNTS_PER_DATAGRAM: usize = 128;
 /// Datagrams of prefixes in a round.
-const HOLDING_DATAGRAMS: usize = 3;
+const ENTRY_DATAGRAMS: usize = 3;
 /// Datagrams of a relay's sum in one interval; a larger sum is told less often.
-const SUM_DATAGRAMS: usize = 4;
+const SUM_DATAGRAMS_PER_ROUND: usize = 4;
 /// Most intervals between two sums: what a host hears less often would be too
 /// old to go by before a lost one is replaced.
 const ROUNDS_A_SUM_MAX: u64 = 3;
@@ -34,45 +34,59 @@
 const DATAGRAM_MAX_BYTES: usize = 60 * 1024;
 
 /// Tells the others, until the process ends.
-pub(crate) async fn tell(shared: Arc<Shared>, peers: Arc<Peers>, socket: Arc<UdpSocket>) {
-    let mut ticks = tokio::time::interval(TELL_EVERY);
+pub(crate) async fn publish(shared: Arc<Shared>, peers: Arc<Membership>, socket: Arc<UdpSocket>) {
+    let mut ticks = tokio::time::interval(ROUND_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut sequence = 0;
     let mut number = 0;
     let mut rounds_a_sum = 1;
+    let mut from_relays = false;
     loop {
         let is_news = tokio::select! {
             _ = ticks.tick() => false,
-            () = shared.tell_peers_now.notified() => true,
+            () = shared.publish_now.notified() => true,
         };
         sequence += 1;
         number += u64::from(!is_news);
-        let round = peers.round(&round_input(&shared, number, is_news, rounds_a_sum));
-        take_round(&shared, &round);
-        let said = said(&shared, &peers, sequence, &round);
-        rounds_a_sum = rounds_for(said.sums.len());
-        send_round(&shared, &socket, &said, &round);
+        let input = round_input(&shared, number, is_news, rounds_a_sum);
+        if input.goes_by_totals != from_relays {
+            from_relays = input.goes_by_totals;
+            shared.event_log.emit(&Event::LoadSource {
+                from_relays,
+                hosts: input.hosts_known,
+            });
+        }
+        let round = peers.round(&input);
+        apply_round(&shared, &round);
+        let datagrams = datagrams_of(&shared, &peers, sequence, &round);
+        rounds_a_sum = rounds_for(datagrams.sums.len());
+        send_round(&shared, &socket, &datagrams, &round);
     }
 }
 
-fn send_round(shared: &Shared, socket: &UdpSocket, said: &Said, round: &GossipRound) {
+fn send_round(
+    shared: &Shared,
+    socket: &UdpSocket,
+    datagrams: &RoundDatagrams,
+    round: &GossipRound,
+) {
     let to_hosts = [
-        (&said.near, &round.due),
-        (&said.far, &round.far),
-        (&said.to_zone, &round.sum_to),
+        (&datagrams.near, &round.due),
+        (&datagrams.far, &round.far),
+        (&datagrams.to_zone, &round.sum_to),
     ];
     for (datagrams, to) in to_hosts {
         for datagram in datagrams {
             send(socket, datagram, to);
         }
     }
-    for datagram in &said.sums {
+    for datagram in &datagrams.sums {
         send_sum(shared, socket, datagram, &round.sum_to);
     }
     let of_hosts = to_hosts
         .iter()
         .map(|(datagrams, to)| datagrams.len() * to.len());
-    let sent = of_hosts.sum::<usize>() + said.sums.len() * round.sum_to.len();
+    let sent = of_hosts.sum::<usize>() + datagrams.sums.len() * round.sum_to.len();
     shared
         .metrics
         .count("peer_datagrams_sent_total", "", sent as u64);
@@ -84,7 +98,7 @@
         number,
         is_news,
         rounds_a_sum,
-        reading: shared.subscription.told(),
+        reading: shared.subscription.role(),
         hosts_known: fleet.load.hosts_known(),
         goes_by_totals: fleet.load.goes_by_totals(),
     }
@@ -92,7 +106,7 @@
 
 /// In how many rounds a sum of so many datagrams is told once.
 fn rounds_for(datagrams: usize) -> u64 {
-    let rounds = datagrams.div_ceil(SUM_DATAGRAMS).max(1) as u64;
+    let rounds = datagrams.div_ceil(SUM_DATAGRAMS_PER_ROUND).max(1) as u64;
     rounds.min(ROUNDS_A_SUM_MAX)
 }
 
@@ -123,19 +137,28 @@
     }
 }
 
-fn take_round(shared: &Shared, round: &GossipRound) {
-    round.gone.iter().for_each(|news| tell_peer(shared, *news));
+fn apply_round(shared: &Shared, round: &GossipRound) {
+    round
+        .gone
+        .iter()
+        .for_each(|news| log_member_change(shared, *news));
     shared
         .subscription
         .set_round(round.sharing, round.hosts, round.is_relay);
     shared.subscription.set_first_choice(round.is_first_choice);
+    if round.is_relay_news {
+        shared.event_log.emit(&Event::Relays {
+            is_relay: round.is_relay,
+            sums_up: round.sums_up,
+        });
+    }
     let has_turn = round.reads_platform;
     if shared.subscription.set_turn(has_turn) {
         shared.event_log.emit(&Event::Reads { has_turn });
     }
 }
 
-fn tell_peer(shared: &Shared, news: PeerNews) {
+fn log_member_change(shared: &Shared, news: MemberChange) {
     shared.event_log.emit(&Event::Peer {
         address: news.address,
         is_up: news.is_up,
@@ -144,7 +167,7 @@
 
 /// The datagrams of a round.
 #[derive(Default)]
-struct Said {
+struct RoundDatagrams {
     /// To the hosts that are told of this one.
     near: Vec<Datagram>,
     /// To relays of other zones, if this host is one.
@@ -156,7 +179,12 @@
 }
 
 /// What to tell of this host and, if it is a relay, of its zone.
-fn said(shared: &Shared, peers: &Peers, sequence: u64, round: &GossipRound) -> Said {
+fn datagrams_of(
+    shared: &Shared,
+    peers: &Membership,
+    sequence: u64,
+    round: &GossipRound,
+) -> RoundDatagrams {
     let now_ms = shared.clock.now_ms();
     let rules = shared
         .rules()
@@ -172,8 +200,8 @@
         leaving: fleet.endpoints.leaving(),
     };
     let answered_ago_ms = |whom| shared.subscription.answered_ago_ms(whom);
-    let reading = shared.subscription.told();
-    let beat = Heartbeat {
+    let reading = shared.subscription.role();
+    let heartbeat = Heartbeat {
         zone: peers.zone,
         reading,
         capacity_millicores: peers.capacity_millicores,
@@ -185,28 +213,29 @@
     };
     let pending = fleet
         .prefixes
-        .take_pending(HOLDINGS_A_DATAGRAM * HOLDING_DATAGRAMS);
-    let mut said = Said {
-        near: vec![Datagram::Heartbeat(beat)],
-        ..Said::default()
+        .take_pending(ENTRIES_PER_DATAGRAM * ENTRY_DATAGRAMS);
+    let mut datagrams = RoundDatagrams {
+        near: vec![Datagram::Heartbeat(heartbeat)],
+        ..RoundDatagrams::default()
     };
-    let own_holdings = || holdings(peers.zone, WordPath::Direct, &pending.near);
-    let passed_on = || holdings(peers.zone, WordPath::PassedOn, &pending.passed_on);
-    said.near.extend(own_holdings());
+    let own_entries = || cache_entries(peers.zone, SumPath::Direct, &pending.near);
+    let relayed = || cache_entries(peers.zone, SumPath::Relayed, &pending.relayed);
+    datagrams.near.extend(own_entries());
     if round.is_relay {
         let sum = fleet.load.zone_sum(peers.zone, now_ms);
-        said.far.extend(parts(sum).map(|sum| {
+        datagrams.far.extend(parts(sum).map(|sum| {
             Datagram::ZoneSummary(ZoneSummary {
                 sum,
                 answered_ago_ms: answered_ago_ms(AnsweredHost::Near),
                 knowledge: knowledge.clone(),
             })
         }));
-        said.far
-            .extend(holdings(peers.zone, WordPath::Direct, &pending.far));
+        datagrams
+            .far
+            .extend(cache_entries(peers.zone, SumPath::Direct, &pending.far));
     }
     if round.sums_up {
-        said.to_zone.push(Datagram::RelaySummary(RelaySummary {
+        datagrams.to_zone.push(Datagram::RelaySummary(RelaySummary {
             zone: peers.zone,
             reading,
             capacity_millicores: peers.capacity_millicores,
@@ -215,25 +244,27 @@
             knowledge,
             members: round.members.clone(),
         }));
-        said.to_zone.extend(own_holdings());
-        said.to_zone.extend(passed_on());
+        datagrams.to_zone.extend(own_entries());
+        datagrams.to_zone.extend(relayed());
         let sum = fleet.load.fleet_sum(peers.zone);
-        said.sums.extend(parts(sum).map(Datagram::FleetSum));
+        datagrams.sums.extend(parts(sum).map(Datagram::FleetSum));
     } else if round.is_relay {
         let sums = fleet.load.far_sums(now_ms).into_iter();
-        said.near.extend(sums.flat_map(parts).map(Datagram::FarSum));
-        said.near.extend(passed_on());
+        datagrams
+            .near
+            .extend(sums.flat_map(parts).map(Datagram::FarSum));
+        datagrams.near.extend(relayed());
     }
-    said
+    datagrams
 }
 
 /// A sum in parts of a datagram each.
 fn parts(sum: ZoneSum) -> impl Iterator<Item = ZoneSum> {
-    sum.split(COUNTS_A_DATAGRAM).into_iter()
+    sum.split(COUNTS_PER_DATAGRAM).into_iter()
 }
 
-fn holdings(zone: u32, path: WordPath, all: &[CacheEntry]) -> impl Iterator<Item = Datagram> {
-    let datagrams = all.chunks(HOLDINGS_A_DATAGRAM);
+fn cache_entries(zone: u32, path: SumPath, all: &[CacheEntry]) -> impl Iterator<Item = Datagram> {
+    let datagrams = all.chunks(ENTRIES_PER_DATAGRAM);
     datagrams.map(move |some| {
         Datagram::CacheEntries(CacheEntries {
             zone,
@@ -244,11 +275,11 @@
 }
 
 /// Hears the others, until the process ends.
-pub(crate) async fn hear(shared: Arc<Shared>, peers: Arc<Peers>, socket: Arc<UdpSocket>) {
+pub(crate) async fn receive(shared: Arc<Shared>, peers: Arc<Membership>, socket: Arc<UdpSocket>) {
     let mut buffer = vec![0; DATAGRAM_MAX_BYTES];
     loop {
         let Ok((length, address)) = socket.recv_from(&mut buffer).await else {
-            tokio::time::sleep(TELL_EVERY).await;
+            tokio::time::sleep(ROUND_INTERVAL).await;
             continue;
         };
         if address == peers.own {
@@ -260,36 +291,51 @@
             continue;
         };
         match datagram {
-            Datagram::Heartbeat(beat) => take_beat(&shared, &peers, address, beat),
-            Datagram::ZoneSummary(beat) => take_zone_beat(&shared, &peers, address, beat),
-            Datagram::FarSum(sum) => take_far_sum(&shared, &peers, address, sum),
-            Datagram::CacheEntries(told) => take_holdings(&shared, &peers, &told),
-            Datagram::RelaySummary(summary) => take_summary(&shared, &peers, address, &summary),
-            Datagram::FleetSum(sum) => take_fleet_sum(&shared, &peers, address, &sum, rest),
+            Datagram::Heartbeat(heartbeat) => merge_heartbeat(&shared, &peers, address, heartbeat),
+            Datagram::ZoneSummary(heartbeat) => {
+                merge_zone_summary(&shared, &peers, address, heartbeat)
+            }
+            Datagram::FarSum(sum) => merge_far_sum(&shared, &peers, address, sum),
+            Datagram::CacheEntries(told) => merge_cache_entries(&shared, &peers, &told),
+            Datagram::RelaySummary(summary) => {
+                merge_relay_summary(&shared, &peers, address, &summary)
+            }
+            Datagram::FleetSum(sum) => merge_fleet_sum(&shared, &peers, address, &sum, rest),
         }
     }
 }
 
 /// A relay of this host's zone told what the zone's hosts need to know.
-fn take_summary(shared: &Shared, peers: &Peers, relay: SocketAddr, summary: &RelaySummary) {
+fn merge_relay_summary(
+    shared: &Shared,
+    peers: &Membership,
+    relay: SocketAddr,
+    summary: &RelaySummary,
+) {
     if summary.zone != peers.zone {
         return;
     }
-    for news in peers.heard_summary(relay, summary) {
-        tell_peer(shared, news);
+    for news in peers.record_relay_summary(relay, summary) {
+        log_member_change(shared, news);
     }
     if !peers.sums_up() {
         // Relays hear first hand what each other's summaries say, and would
         // keep each other's word alive.
-        take_answered(shared, AnsweredHost::Near, summary.answered_ago_ms);
-        take_answered(shared, AnsweredHost::Far, summary.far_answered_ago_ms);
+        merge_answered(shared, AnsweredHost::Near, summary.answered_ago_ms);
+        merge_answered(shared, AnsweredHost::Far, summary.far_answered_ago_ms);
     }
-    take_knowledge(shared, peers, relay, summary.zone, &summary.knowledge);
+    merge_knowledge(shared, peers, relay, summary.zone, &summary.knowledge);
 }
 
 /// A relay of this host's zone told the fleet's requests; `rest` is the report
 /// of this host that the sum includes, if any.
-fn take_fleet_sum(shared: &Shared, peers: &Peers, relay: SocketAddr, sum: &ZoneSum, rest: &[u8]) {
+fn merge_fleet_sum(
+    shared: &Shared,
+    peers: &Membership,
+    relay: SocketAddr,
+    sum: &ZoneSum,
+    rest: &[u8],
+) {
     let Ok(includes) = postcard::from_bytes::<Option<OwnReport>>(rest) else {
         shared.metrics.count("peer_garbage_total", "", 1);
         return;
@@ -304,86 +350,87 @@
         .merge_totals(relay, sum, includes, now_ms);
 }
 
-fn take_beat(shared: &Shared, peers: &Peers, address: SocketAddr, beat: Heartbeat) {
-    let news = peers.heard(address, &beat);
-    if let Some(news) = news.filter(|_| beat.zone == peers.zone) {
-        tell_peer(shared, news);
+fn merge_heartbeat(shared: &Shared, peers: &Membership, address: SocketAddr, heartbeat: Heartbeat) {
+    let news = peers.record_heartbeat(address, &heartbeat);
+    if let Some(news) = news.filter(|_| heartbeat.zone == peers.zone) {
+        log_member_change(shared, news);
     }
-    let named = beat
+    let named = heartbeat
         .hosts
         .iter()
         .map(|host| (host.address, Some(host.zone)));
     peers.add(named);
-    take_answered(shared, AnsweredHost::Near, beat.answered_ago_ms);
-    take_answered(shared, AnsweredHost::Far, beat.far_answered_ago_ms);
+    merge_answered(shared, AnsweredHost::Near, heartbeat.answered_ago_ms);
+    merge_answered(shared, AnsweredHost::Far, heartbeat.far_answered_ago_ms);
     let now_ms = shared.clock.now_ms();
     let mut fleet = shared.fleet();
-    if peers.counts_alone(beat.zone, fleet.load.far_hosts())
-        && fleet.load.merge(address, beat.report, now_ms) == Merged::Old
+    if peers.counts_alone(heartbeat.zone, fleet.load.far_hosts())
+        && fleet.load.merge(address, heartbeat.report, now_ms) == Merged::Old
     {
         return;
     }
     drop(fleet);
-    take_knowledge(shared, peers, address, beat.zone, &beat.knowledge);
+    merge_knowledge(shared, peers, address, heartbeat.zone, &heartbeat.knowledge);
 }
 
-fn take_zone_beat(shared: &Shared, peers: &Peers, address: SocketAddr, beat: ZoneSummary) {
-    let zone = beat.sum.zone;
+fn merge_zone_summary(
+    shared: &Shared,
+    peers: &Membership,
+    address: SocketAddr,
+    heartbeat: ZoneSummary,
+) {
+    let zone = heartbeat.sum.zone;
     if zone == peers.zone {
         return;
     }
-    peers.heard_relay(address, zone);
-    take_answered(shared, AnsweredHost::Far, beat.answered_ago_ms);
+    peers.record_zone_relay(address, zone);
+    merge_answered(shared, AnsweredHost::Far, heartbeat.answered_ago_ms);
     let now_ms = shared.clock.now_ms();
     let mut fleet = shared.fleet();
-    let sum: ZoneSum = beat.sum;
-    fleet
-        .load
-        .merge_zone(address, sum, WordPath::Direct, now_ms);
+    let sum: ZoneSum = heartbeat.sum;
+    fleet.load.merge_zone(address, sum, SumPath::Direct, now_ms);
     drop(fleet);
-    take_knowledge(shared, peers, address, zone, &beat.knowledge);
+    merge_knowledge(shared, peers, address, zone, &heartbeat.knowledge);
 }
 
 /// Another host tells how long ago the platform answered.
-fn take_answered(shared: &Shared, whom: AnsweredHost, ago_ms: Option<u32>) {
+fn merge_answered(shared: &Shared, whom: AnsweredHost, ago_ms: Option<u32>) {
     let gained = shared.subscription.was_answered(whom, ago_ms);
     shared.store_answered_after(gained);
     if shared
         .subscription
         .is_due_to_relay(gained, &shared.config.follow)
     {
-        shared.tell_peers_now.notify_one();
+        shared.publish_now.notify_one();
     }
 }
 
-fn take_far_sum(shared: &Shared, peers: &Peers, relay: SocketAddr, sum: ZoneSum) {
+fn merge_far_sum(shared: &Shared, peers: &Membership, relay: SocketAddr, sum: ZoneSum) {
     if sum.zone == peers.zone {
         return;
     }
     let now_ms = shared.clock.now_ms();
     let mut fleet = shared.fleet();
-    fleet
-        .load
-        .merge_zone(relay, sum, WordPath::PassedOn, now_ms);
+    fleet.load.merge_zone(relay, sum, SumPath::Relayed, now_ms);
 }
 
-fn take_holdings(shared: &Shared, peers: &Peers, told: &CacheEntries) {
+fn merge_cache_entries(shared: &Shared, peers: &Membership, told: &CacheEntries) {
     let now_ms = shared.clock.now_ms();
     let mut fleet = shared.fleet();
     match told.path {
-        WordPath::PassedOn => fleet.prefixes.hear_passed_on(&told.holdings, now_ms),
-        WordPath::Direct if told.zone == peers.zone => {
+        SumPath::Relayed => fleet.prefixes.merge_relayed(&told.holdings, now_ms),
+        SumPath::Direct if told.zone == peers.zone => {
             fleet
                 .prefixes
-                .hear_near(&told.holdings, peers.sums_up(), now_ms);
+                .merge_near(&told.holdings, peers.sums_up(), now_ms);
         }
-        WordPath::Direct => fleet.prefixes.hear_far(&told.holdings, now_ms),
+        SumPath::Direct => fleet.prefixes.merge_far(&told.holdings, now_ms),
     }
 }
 
-fn take_knowledge(
+fn merge_knowledge(
     shared: &Shared,
-    peers: &Peers,
+    peers: &Membership,
     address: SocketAddr,
     zone: u32,
     knowledge: &Knowledge,
@@ -394,7 +441,7 @@
             .metrics
             .count("leaving_heard_from_peers_total", "", 1);
         if peers.sums_up() {
-            shared.tell_peers_now.notify_one();
+            shared.publish_now.notify_one();
         }
     }
     let knows_newer_list = knowledge.endpoints > fleet.endpoints_version;
--- a/crates/gateway/src/peers/known.rs
+++ b/crates/gateway/src/peers/membership.rs
@@ -33,13 +33,13 @@
 
 /// Another host.
 #[derive(Clone, Debug)]
-pub(super) struct Peer {
+pub(super) struct Member {
     added_at: Instant,
     /// When it was last heard itself.
     pub(super) heard_at: Option<Instant>,
     /// When a relay last named it among the hosts that it hears.
     named_at: Option<Instant>,
-    pub(super) told_at: Option<Instant>,
+    pub(super) sent_at: Option<Instant>,
     pub(super) is_up: bool,
     /// The short hash of its availability zone, if it is known.
     pub(super) zone: Option<u32>,
@@ -51,13 +51,13 @@
     pub(super) summed_up_at: Option<Instant>,
 }
 
-impl Peer {
+impl Member {
     fn new(now: Instant, zone: Option<u32>) -> Self {
         Self {
             added_at: now,
             heard_at: None,
             named_at: None,
-            told_at: None,
+            sent_at: None,
             is_up: false,
             zone,
             reading: SubscriptionRole::No,
@@ -95,13 +95,13 @@
 
 /// Whether a host has come up or gone silent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct PeerNews {
+pub(crate) struct MemberChange {
     pub(crate) address: SocketAddr,
     pub(crate) is_up: bool,
 }
 
 /// The other hosts as this one knows them.
-pub(crate) struct Peers {
+pub(crate) struct Membership {
     pub(crate) own: SocketAddr,
     /// The short hash of this host's availability zone.
     pub(crate) zone: u32,
@@ -109,14 +109,16 @@
     pub(crate) capacity_millicores: u16,
     /// Which life of the host this is.
     pub(crate) incarnation: u64,
-    known: Mutex<HashMap<SocketAddr, Peer>>,
+    known: Mutex<HashMap<SocketAddr, Member>>,
     /// Whether this host, as a relay, sums up the fleet for its zone.
     sums_up: AtomicBool,
-    ahead: Mutex<Option<NewerPeer>>,
-    pub(crate) is_behind: Notify,
+    /// Whether this host tells other zones of its own.
+    is_relay: AtomicBool,
+    newer: Mutex<Option<NewerPeer>>,
+    pub(crate) newer_known: Notify,
 }
 
-impl Peers {
+impl Membership {
     pub(crate) fn new(own: SocketAddr, config: &GatewayConfig, incarnation: u64) -> Arc<Self> {
         Arc::new(Self {
             own,
@@ -125,12 +127,13 @@
             incarnation,
             known: Mutex::default(),
             sums_up: AtomicBool::new(false),
-            ahead: Mutex::default(),
-            is_behind: Notify::new(),
+            is_relay: AtomicBool::new(false),
+            newer: Mutex::default(),
+            newer_known: Notify::new(),
         })
     }
 
-    pub(super) fn known(&self) -> MutexGuard<'_, HashMap<SocketAddr, Peer>> {
+    pub(super) fn known(&self) -> MutexGuard<'_, HashMap<SocketAddr, Member>> {
         self.known.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -139,8 +142,11 @@
         self.sums_up.load(Ordering::Relaxed)
     }
 
-    pub(super) fn set_sums_up(&self, sums_up: bool) {
-        self.sums_up.store(sums_up, Ordering::Relaxed);
+    /// Says what this host does as a relay. Returns whether that changed.
+    pub(super) fn set_relay(&self, is_relay: bool, sums_up: bool) -> bool {
+        let was_relay = self.is_relay.swap(is_relay, Ordering::Relaxed);
+        let summed_up = self.sums_up.swap(sums_up, Ordering::Relaxed);
+        was_relay != is_relay || summed_up != sums_up
     }
 
     /// Hosts that may be there, with their zones as far as they are known.
@@ -151,15 +157,17 @@
             if address == self.own {
                 continue;
             }
-            let peer = known.entry(address).or_insert_with(|| Peer::new(now, zone));
-            peer.zone = peer.zone.or(zone);
+            let member = known
+                .entry(address)
+                .or_insert_with(|| Member::new(now, zone));
+            member.zone = member.zone.or(zone);
         }
     }
 
     /// Any host that was heard of late.
     pub(crate) fn any(&self) -> Option<SocketAddr> {
         let known = self.known();
-        let up = known.iter().filter(|(_, peer)| peer.is_up);
+        let up = known.iter().filter(|(_, member)| member.is_up);
         let up: Vec<SocketAddr> = up.map(|(address, _)| *address).collect();
         up.choose(&mut rand::rng()).copied()
     }
@@ -171,9 +179,9 @@
             zone: self.zone,
         };
         let known = self.known();
-        let up = known.iter().filter(|(_, peer)| peer.is_up);
-        let up = up.filter_map(|(&address, peer)| {
-            let zone = peer.zone?;
+        let up = known.iter().filter(|(_, member)| member.is_up);
+        let up = up.filter_map(|(&address, member)| {
+            let zone = member.zone?;
             Some(NamedHost { address, zone })
         });
         up.chain([own]).collect()
@@ -181,8 +189,8 @@
 
     /// Who knows more than this host, once.
     pub(crate) fn take_newer(&self) -> Option<SocketAddr> {
-        let mut ahead = self.ahead.lock().unwrap_or_else(PoisonError::into_inner);
-        ahead.take().map(|ahead| ahead.address)
+        let mut newer = self.newer.lock().unwrap_or_else(PoisonError::into_inner);
+        newer.take().map(|newer| newer.address)
     }
 
     /// A host knows more than this one. One of the same zone is rather asked.
@@ -191,35 +199,39 @@
             address,
             is_near: zone == self.zone,
         };
-        let mut ahead = self.ahead.lock().unwrap_or_else(PoisonError::into_inner);
-        if ahead.is_none_or(|known| !known.is_near) {
-            *ahead = Some(found);
+        let mut newer = self.newer.lock().unwrap_or_else(PoisonError::into_inner);
+        if newer.is_none_or(|known| !known.is_near) {
+            *newer = Some(found);
         }
-        drop(ahead);
-        self.is_behind.notify_one();
+        drop(newer);
+        self.newer_known.notify_one();
     }
 
     /// A host told of itself. Returns whether it had not been heard of late.
-    pub(crate) fn heard(&self, address: SocketAddr, beat: &Heartbeat) -> Option<PeerNews> {
+    pub(crate) fn record_heartbeat(
+        &self,
+        address: SocketAddr,
+        heartbeat: &Heartbeat,
+    ) -> Option<MemberChange> {
         let now = Instant::now();
         let mut known = self.known();
-        let peer = known
+        let member = known
             .entry(address)
-            .or_insert_with(|| Peer::new(now, Some(beat.zone)));
-        peer.heard_at = Some(now);
-        peer.zone = Some(beat.zone);
-        peer.reading = beat.reading;
-        peer.capacity_millicores = beat.capacity_millicores;
-        come_up(address, peer)
+            .or_insert_with(|| Member::new(now, Some(heartbeat.zone)));
+        member.heard_at = Some(now);
+        member.zone = Some(heartbeat.zone);
+        member.reading = heartbeat.reading;
+        member.capacity_millicores = heartbeat.capacity_millicores;
+        mark_up(address, member)
     }
 
     /// A relay of this host's zone told what the zone's hosts need to know.
     /// Returns who of them had not been heard of late.
-    pub(crate) fn heard_summary(
+    pub(crate) fn record_relay_summary(
         &self,
         address: SocketAddr,
         summary: &RelaySummary,
-    ) -> Vec<PeerNews> {
+    ) -> Vec<MemberChange> {
         let now = Instant::now();
         let mut known = self.known();
         let relay = ZoneMember {
@@ -230,20 +242,20 @@
         let members = summary
             .members
             .iter()
-            .filter(|member| member.address != self.own);
+            .filter(|named| named.address != self.own);
         let mut news = Vec::new();
-        for member in members.chain([&relay]) {
-            let peer = known
-                .entry(member.address)
-                .or_insert_with(|| Peer::new(now, Some(summary.zone)));
-            peer.zone = Some(summary.zone);
+        for named in members.chain([&relay]) {
+            let member = known
+                .entry(named.address)
+                .or_insert_with(|| Member::new(now, Some(summary.zone)));
+            member.zone = Some(summary.zone);
             // What a host says itself goes before a relay's word of it.
-            if !peer.is_heard(now) || member.address == address {
-                peer.reading = member.reading;
-                peer.capacity_millicores = member.capacity_millicores;
+            if !member.is_heard(now) || named.address == address {
+                member.reading = named.reading;
+                member.capacity_millicores = named.capacity_millicores;
             }
-            peer.named_at = Some(now);
-            news.extend(come_up(member.address, peer));
+            member.named_at = Some(now);
+            news.extend(mark_up(named.address, member));
         }
         if let Some(relay) = known.get_mut(&address) {
             relay.heard_at = Some(now);
@@ -253,15 +265,15 @@
     }
 
     /// A host told of its whole zone.
-    pub(crate) fn heard_relay(&self, address: SocketAddr, zone: u32) {
+    pub(crate) fn record_zone_relay(&self, address: SocketAddr, zone: u32) {
         let now = Instant::now();
         let mut known = self.known();
-        let peer = known
+        let member = known
             .entry(address)
-            .or_insert_with(|| Peer::new(now, Some(zone)));
-        peer.heard_at = Some(now);
-        peer.zone = Some(zone);
-        peer.relayed_at = Some(now);
+            .or_insert_with(|| Member::new(now, Some(zone)));
+        member.heard_at = Some(now);
+        member.zone = Some(zone);
+        member.relayed_at = Some(now);
     }
 
     /// Whether a host of a zone speaks for itself alone: not if zones tell each
@@ -277,14 +289,14 @@
 }
 
 /// Notes that a host is up. Returns whether that is news.
-fn come_up(address: SocketAddr, peer: &mut Peer) -> Option<PeerNews> {
-    if peer.is_up {
+fn mark_up(address: SocketAddr, member: &mut Member) -> Option<MemberChange> {
+    if member.is_up {
         return None;
     }
-    peer.is_up = true;
+    member.is_up = true;
     // It may not know this host yet: it is told at the next round.
-    peer.told_at = None;
-    Some(PeerNews {
+    member.sent_at = None;
+    Some(MemberChange {
         address,
         is_up: true,
     })
@@ -292,17 +304,17 @@
 
 /// Marks hosts that have fallen silent. Those of other zones are no news: in a
 /// large fleet they are heard by their relays.
-pub(super) fn silence(
-    known: &mut HashMap<SocketAddr, Peer>,
+pub(super) fn mark_silent(
+    known: &mut HashMap<SocketAddr, Member>,
     zone: u32,
     now: Instant,
-) -> Vec<PeerNews> {
+) -> Vec<MemberChange> {
     let mut gone = Vec::new();
-    for (address, peer) in known {
-        if peer.is_up && peer.is_silent(now) {
-            peer.is_up = false;
-            if peer.zone == Some(zone) {
-                gone.push(PeerNews {
+    for (address, member) in known {
+        if member.is_up && member.is_silent(now) {
+            member.is_up = false;
+            if member.zone == Some(zone) {
+                gone.push(MemberChange {
                     address: *address,
                     is_up: false,
                 });
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -2,9 +2,7 @@
 
 use std::net::SocketAddr;
 
-use chalkrock_routing::{
-    CacheEntry, HostReport, RulesVersion, SubscriptionRole, WordPath, ZoneSum,
-};
+use chalkrock_routing::{CacheEntry, HostReport, RulesVersion, SubscriptionRole, SumPath, ZoneSum};
 use serde::{Deserialize, Serialize};
 
 use crate::source::StoreVersion;
@@ -65,7 +63,7 @@
     /// The short hash of the zone where it was seen.
     pub(crate) zone: u32,
     /// Whether this comes second hand.
-    pub(crate) path: WordPath,
+    pub(crate) path: SumPath,
     pub(crate) holdings: Vec<CacheEntry>,
 }
 
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -15,11 +15,11 @@
 //! any one relay is enough.
 
 mod exchange;
-mod known;
+mod membership;
 mod message;
 mod pull;
 mod round;
 
-pub(crate) use exchange::{hear, tell};
-pub(crate) use known::{Peers, zone_hash};
+pub(crate) use exchange::{publish, receive};
+pub(crate) use membership::{Membership, zone_hash};
 pub(crate) use pull::{pull_at_start, pull_when_behind, serve_pulls};
--- a/crates/gateway/src/peers/pull.rs
+++ b/crates/gateway/src/peers/pull.rs
@@ -14,7 +14,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::clock::ms;
-use crate::peers::Peers;
+use crate::peers::Membership;
 use crate::peers::message::NamedHost;
 use crate::shared::Shared;
 use crate::source::{EndpointRow, StoreVersion};
@@ -67,7 +67,7 @@
 #[derive(Clone)]
 struct Answers {
     shared: Arc<Shared>,
-    peers: Arc<Peers>,
+    peers: Arc<Membership>,
 }
 
 impl PeerApi for Answers {
@@ -108,7 +108,11 @@
 }
 
 /// Answers other hosts, until the process ends.
-pub(crate) async fn serve_pulls(shared: Arc<Shared>, peers: Arc<Peers>, listener: TcpListener) {
+pub(crate) async fn serve_pulls(
+    shared: Arc<Shared>,
+    peers: Arc<Membership>,
+    listener: TcpListener,
+) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             tokio::time::sleep(ASK_EVERY).await;
@@ -134,7 +138,7 @@
 
 /// Asks the hosts of the settings for all that they know, until this host can
 /// serve.
-pub(crate) async fn pull_at_start(shared: Arc<Shared>, peers: Arc<Peers>) {
+pub(crate) async fn pull_at_start(shared: Arc<Shared>, peers: Arc<Membership>) {
     while !shared.has_view() {
         pull_from_seeds(&shared, &peers).await;
         shared.subscription.seeds_asked();
@@ -144,12 +148,12 @@
         }
     }
     // The hosts that were named hear of this one at once.
-    shared.tell_peers_now.notify_one();
+    shared.publish_now.notify_one();
 }
 
 /// Asks all hosts of the settings together, until one tells all it takes to
 /// serve.
-async fn pull_from_seeds(shared: &Shared, peers: &Peers) {
+async fn pull_from_seeds(shared: &Shared, peers: &Membership) {
     let seeds = shared.config.peer_seeds.iter();
     let others = seeds.filter(|seed| **seed != peers.own);
     let pulls = others.map(|seed| tokio::time::timeout(SEED_TIMEOUT, pull(*seed, have(shared))));
@@ -165,12 +169,12 @@
 }
 
 /// Pulls from another host whenever one knows more, until the process ends.
-pub(crate) async fn pull_when_behind(shared: Arc<Shared>, peers: Arc<Peers>) {
+pub(crate) async fn pull_when_behind(shared: Arc<Shared>, peers: Arc<Membership>) {
     // The platform is given a while to tell by itself.
     let patience = ms(shared.config.follow.patience_ms);
     let pull_timeout = ms(shared.config.follow.pull_timeout_ms);
     'behind: loop {
-        let asked = tokio::time::timeout(ASK_EVERY, peers.is_behind.notified());
+        let asked = tokio::time::timeout(ASK_EVERY, peers.newer_known.notified());
         let knows_of_more = asked.await.is_ok();
         if knows_of_more {
             let pause = match (shared.has_view(), shared.subscription.has_turn()) {
@@ -218,7 +222,7 @@
     client.missing(tarpc::context::current(), have).await.ok()
 }
 
-fn take(shared: &Shared, peers: &Peers, missing: Missing) {
+fn take(shared: &Shared, peers: &Membership, missing: Missing) {
     const FROM: &str = "peer";
     let hosts = missing.hosts.iter();
     peers.add(hosts.map(|host| (host.address, Some(host.zone))));
@@ -227,13 +231,13 @@
     }
     if let Some(news) = missing.endpoints {
         if take_endpoints(shared, news) {
-            shared.tell_endpoints(FROM);
+            shared.log_endpoints(FROM);
         }
         shared.endpoints_known();
     }
     if shared.subscription.is_relay() {
         // The hosts of a large zone hear of it from their relays only.
-        shared.tell_peers_now.notify_one();
+        shared.publish_now.notify_one();
     }
 }
 
--- a/crates/gateway/src/peers/round.rs
+++ b/crates/gateway/src/peers/round.rs
@@ -15,14 +15,14 @@
 use rand::seq::IndexedRandom;
 use tokio::time::Instant;
 
-use crate::peers::known::{Peer, PeerNews, Peers, silence};
+use crate::peers::membership::{Member, MemberChange, Membership, mark_silent};
 use crate::peers::message::{NamedHost, ZoneMember};
 
 /// How often a host that does not answer is told.
-const TELL_SILENT_EVERY: Duration = Duration::from_secs(2);
+const SILENT_RESEND_INTERVAL: Duration = Duration::from_secs(2);
 /// How often a host of another zone, or of a zone that relays sum up, is told,
 /// so that the two do not forget each other.
-const TELL_FAR_EVERY: Duration = Duration::from_secs(30);
+const FAR_RESEND_INTERVAL: Duration = Duration::from_secs(30);
 /// Hosts that a datagram names, so that all find each other.
 const NAMED_MAX: usize = 4;
 /// Hosts of each other zone that a relay tells.
@@ -68,9 +68,11 @@
     /// Whether this host comes among the first to read, whoever does so far.
     pub(crate) is_first_choice: bool,
     pub(crate) is_relay: bool,
+    /// Whether what this host does as a relay has changed.
+    pub(crate) is_relay_news: bool,
     /// Whether this host, as a relay, sums up the fleet for its zone.
     pub(crate) sums_up: bool,
-    pub(crate) gone: Vec<PeerNews>,
+    pub(crate) gone: Vec<MemberChange>,
     /// Hosts that share the reading: all of a small fleet, the readers of a
     /// large one.
     pub(crate) sharing: usize,
@@ -78,14 +80,14 @@
     pub(crate) hosts: usize,
 }
 
-impl Peers {
+impl Membership {
     /// Works out whom to tell now.
     pub(crate) fn round(&self, input: &RoundInput) -> GossipRound {
         let now = Instant::now();
         let named = self.named();
         let mut known = self.known();
-        known.retain(|_, peer| !peer.is_forgotten(now));
-        let gone = silence(&mut known, self.zone, now);
+        known.retain(|_, member| !member.is_forgotten(now));
+        let gone = mark_silent(&mut known, self.zone, now);
         let view = self.view(&known, input.hosts_known);
         let zone_view = view.zone_view();
         let own = HeardHost {
@@ -97,12 +99,13 @@
         let place = zone_view.relay_place(&own).filter(|_| is_large);
         let is_relayed = zone_view.is_relayed(self.sums_up());
         let sums_up = place.is_some() && is_relayed;
-        self.set_sums_up(sums_up);
+        let is_relay_news = self.set_relay(place.is_some(), sums_up);
         let mut round = GossipRound {
             reads_platform: zone_view.reads_platform(&own),
             is_first_choice: zone_view.is_first_choice(&own),
             named,
             is_relay: place.is_some(),
+            is_relay_news,
             sums_up,
             gone,
             sharing: if is_large {
@@ -131,11 +134,11 @@
         up.sample(&mut rand::rng(), NAMED_MAX).copied().collect()
     }
 
-    fn view(&self, known: &HashMap<SocketAddr, Peer>, hosts_known: usize) -> View {
-        let up = || known.iter().filter(|(_, peer)| peer.is_up);
-        let near = up().filter(|(_, peer)| peer.zone == Some(self.zone));
+    fn view(&self, known: &HashMap<SocketAddr, Member>, hosts_known: usize) -> View {
+        let up = || known.iter().filter(|(_, member)| member.is_up);
+        let near = up().filter(|(_, member)| member.zone == Some(self.zone));
         let others: Vec<HeardHost> = near.map(heard_host).collect();
-        let mut zones: Vec<u32> = known.values().filter_map(|peer| peer.zone).collect();
+        let mut zones: Vec<u32> = known.values().filter_map(|member| member.zone).collect();
         zones.push(self.zone);
         zones.sort_unstable();
         zones.dedup();
@@ -157,26 +160,26 @@
 
     fn due(
         &self,
-        known: &mut HashMap<SocketAddr, Peer>,
+        known: &mut HashMap<SocketAddr, Member>,
         now: Instant,
         is_large: bool,
         reports_to_relays: bool,
     ) -> Vec<SocketAddr> {
         let mut due = Vec::new();
-        for (address, peer) in known {
-            let is_far = peer.zone.is_some_and(|zone| zone != self.zone);
-            let hears_by_relays = reports_to_relays && !peer.sums_up(now);
+        for (address, member) in known {
+            let is_far = member.zone.is_some_and(|zone| zone != self.zone);
+            let hears_by_relays = reports_to_relays && !member.sums_up(now);
             let pause = if is_large && is_far {
-                TELL_FAR_EVERY
-            } else if !peer.is_up {
-                TELL_SILENT_EVERY
+                FAR_RESEND_INTERVAL
+            } else if !member.is_up {
+                SILENT_RESEND_INTERVAL
             } else if hears_by_relays {
-                TELL_FAR_EVERY
+                FAR_RESEND_INTERVAL
             } else {
                 Duration::ZERO
             };
-            if peer.told_at.is_none_or(|told_at| now - told_at >= pause) {
-                peer.told_at = Some(now);
+            if member.sent_at.is_none_or(|sent_at| now - sent_at >= pause) {
+                member.sent_at = Some(now);
                 due.push(*address);
             }
         }
@@ -187,7 +190,7 @@
     /// goes by one of the two relays, and is told by the other now and then.
     fn sum_to(
         &self,
-        known: &HashMap<SocketAddr, Peer>,
+        known: &HashMap<SocketAddr, Member>,
         place: usize,
         input: &RoundInput,
     ) -> Vec<SocketAddr> {
@@ -195,8 +198,8 @@
         let is_turn = |rounds: u64| input.is_news || input.number.is_multiple_of(rounds);
         let is_turn_of_all = is_turn(STANDBY_ROUNDS * rounds_a_sum);
         let is_turn_of_own = is_turn(rounds_a_sum);
-        let near = known.iter().filter(|(_, peer)| peer.is_up);
-        let near = near.filter(|(_, peer)| peer.zone == Some(self.zone));
+        let near = known.iter().filter(|(_, member)| member.is_up);
+        let near = near.filter(|(_, member)| member.zone == Some(self.zone));
         let due = near.filter(|(address, _)| {
             let goes_by_this = relay_of(address) == place;
             is_turn_of_all || is_turn_of_own && goes_by_this
@@ -208,19 +211,19 @@
     /// itself, all in turn.
     fn members(
         &self,
-        known: &HashMap<SocketAddr, Peer>,
+        known: &HashMap<SocketAddr, Member>,
         number: u64,
         now: Instant,
     ) -> Vec<ZoneMember> {
-        let heard = known.iter().filter(|(_, peer)| {
-            let is_near = peer.zone == Some(self.zone);
-            is_near && peer.is_heard(now)
+        let heard = known.iter().filter(|(_, member)| {
+            let is_near = member.zone == Some(self.zone);
+            is_near && member.is_heard(now)
         });
         let mut heard: Vec<ZoneMember> = heard
-            .map(|(address, peer)| ZoneMember {
+            .map(|(address, member)| ZoneMember {
                 address: *address,
-                reading: peer.reading,
-                capacity_millicores: peer.capacity_millicores,
+                reading: member.reading,
+                capacity_millicores: member.capacity_millicores,
             })
             .collect();
         heard.sort_by_key(|member| member.address);
@@ -232,16 +235,16 @@
     /// The hosts of each other zone that pass on what they are told: those that
     /// spoke for it, else those that come first by rank, and one at random in
     /// case these are gone.
-    fn far_relays(&self, known: &HashMap<SocketAddr, Peer>, now: Instant) -> Vec<SocketAddr> {
-        let mut by_zone: BTreeMap<u32, Vec<(&SocketAddr, &Peer)>> = BTreeMap::new();
-        for (address, peer) in known {
-            if let Some(zone) = peer.zone.filter(|zone| *zone != self.zone) {
-                by_zone.entry(zone).or_default().push((address, peer));
+    fn far_relays(&self, known: &HashMap<SocketAddr, Member>, now: Instant) -> Vec<SocketAddr> {
+        let mut by_zone: BTreeMap<u32, Vec<(&SocketAddr, &Member)>> = BTreeMap::new();
+        for (address, member) in known {
+            if let Some(zone) = member.zone.filter(|zone| *zone != self.zone) {
+                by_zone.entry(zone).or_default().push((address, member));
             }
         }
         let mut told = Vec::new();
         for mut of_zone in by_zone.into_values() {
-            let relays = of_zone.iter().filter(|(_, peer)| peer.relays(now));
+            let relays = of_zone.iter().filter(|(_, member)| member.relays(now));
             let relays: Vec<SocketAddr> = relays.map(|(address, _)| **address).collect();
             if !relays.is_empty() {
                 told.extend(relays.into_iter().take(GOSSIP_FAN_OUT));
@@ -276,11 +279,11 @@
     }
 }
 
-fn heard_host((address, peer): (&SocketAddr, &Peer)) -> HeardHost {
+fn heard_host((address, member): (&SocketAddr, &Member)) -> HeardHost {
     HeardHost {
         hash: MemberHash::of(&address.to_string()),
-        reading: peer.reading,
-        capacity_millicores: peer.capacity_millicores,
+        reading: member.reading,
+        capacity_millicores: member.capacity_millicores,
     }
 }
 
--- a/crates/gateway/src/prefixes.rs
+++ b/crates/gateway/src/prefixes.rs
@@ -3,7 +3,7 @@
 use chalkrock_routing::{CacheEntry, PrefixDirectory};
 
 /// Prefixes that wait to be told.
-const UNTOLD_MAX: usize = 2_048;
+const PENDING_MAX: usize = 2_048;
 
 /// What the other hosts are to be told of prefixes.
 #[derive(Clone, Debug, Default)]
@@ -13,7 +13,7 @@
     /// The other zones, if this host is a relay.
     pub(crate) far: Vec<CacheEntry>,
     /// What the other zones told, for the hosts of this one.
-    pub(crate) passed_on: Vec<CacheEntry>,
+    pub(crate) relayed: Vec<CacheEntry>,
 }
 
 /// Prefixes and who holds them.
@@ -42,30 +42,30 @@
 
     /// A host told what endpoints hold; the other zones may not know it, nor
     /// may the hosts of this one if it is for this host to tell them.
-    pub(crate) fn hear_near(&mut self, holdings: &[CacheEntry], sums_up: bool, now_ms: u64) {
+    pub(crate) fn merge_near(&mut self, holdings: &[CacheEntry], sums_up: bool, now_ms: u64) {
         for holding in holdings {
-            if self.map.hear(*holding, now_ms) {
+            if self.map.merge(*holding, now_ms) {
                 self.pending.far.push(*holding);
                 if sums_up {
-                    self.pending.passed_on.push(*holding);
+                    self.pending.relayed.push(*holding);
                 }
             }
         }
     }
 
     /// Another zone told what endpoints hold; this zone may not know it.
-    pub(crate) fn hear_far(&mut self, holdings: &[CacheEntry], now_ms: u64) {
+    pub(crate) fn merge_far(&mut self, holdings: &[CacheEntry], now_ms: u64) {
         for holding in holdings {
-            if self.map.hear(*holding, now_ms) {
-                self.pending.passed_on.push(*holding);
+            if self.map.merge(*holding, now_ms) {
+                self.pending.relayed.push(*holding);
             }
         }
     }
 
     /// A relay of this zone passed on what endpoints hold.
-    pub(crate) fn hear_passed_on(&mut self, holdings: &[CacheEntry], now_ms: u64) {
+    pub(crate) fn merge_relayed(&mut self, holdings: &[CacheEntry], now_ms: u64) {
         for holding in holdings {
-            self.map.hear(*holding, now_ms);
+            self.map.merge(*holding, now_ms);
         }
     }
 
@@ -73,7 +73,7 @@
     /// bounded, and the oldest of it is never told.
     pub(crate) fn take_pending(&mut self, most: usize) -> PendingUpdates {
         let take = |waiting: &mut Vec<CacheEntry>| {
-            let too_old = waiting.len().saturating_sub(UNTOLD_MAX);
+            let too_old = waiting.len().saturating_sub(PENDING_MAX);
             waiting.drain(..too_old);
             let now = most.min(waiting.len());
             waiting.drain(..now).collect()
@@ -81,7 +81,7 @@
         PendingUpdates {
             near: take(&mut self.pending.near),
             far: take(&mut self.pending.far),
-            passed_on: take(&mut self.pending.passed_on),
+            relayed: take(&mut self.pending.relayed),
         }
     }
 
--- a/crates/gateway/src/progress.rs
+++ b/crates/gateway/src/progress.rs
@@ -62,24 +62,24 @@
         let organisation = self.call.organisation();
         let now_ms = self.shared.clock.now_ms();
         let fleet = self.shared.fleet();
-        let fullness = fleet.fullness(&self.call.pool, now_ms);
-        let newcomer = AdmissionRequest {
+        let occupancy = fleet.occupancy(&self.call.pool, now_ms);
+        let request = AdmissionRequest {
             rank: self.call.priority(),
             objective_ms: self.call.admission_objective_ms,
             is_over_share: organisation.is_some_and(|name| fleet.shares.is_over(name)),
         };
         drop(fleet);
-        if admits(&fullness, &newcomer, rand::random()) {
+        if admits(&occupancy, &request, rand::random()) {
             return Ok(());
         }
         let detail = format!(
             "{} in progress on {} places, each for {:.0} ms; a wait of {:.0} ms",
-            fullness.in_progress,
-            fullness.places,
-            fullness.stay_ms,
-            fullness.wait_ms()
+            occupancy.in_progress,
+            occupancy.places,
+            occupancy.service_ms,
+            occupancy.wait_ms()
         );
-        let reason = if newcomer.is_over_share {
+        let reason = if request.is_over_share {
             Reason::OverShare
         } else {
             Reason::AtBound
@@ -178,11 +178,11 @@
 
     /// Takes note of what an end, or a wait that goes on, says of the endpoint.
     pub(crate) fn suspect(&self, end: AttemptOutcome) {
-        let (Some(sign), Some(short)) = (self.signal_of(end), self.tried.last()) else {
+        let (Some(signal), Some(short)) = (self.signal_of(end), self.tried.last()) else {
             return;
         };
         let now_ms = self.shared.clock.now_ms();
-        let is_news = self.shared.fleet().see(*short, sign, now_ms);
+        let is_news = self.shared.fleet().record_signal(*short, signal, now_ms);
         if let Some(record) = self.attempts.last().filter(|_| is_news) {
             self.shared.event_log.emit(&Event::Suspect {
                 endpoint: &record.endpoint,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -198,7 +198,7 @@
         let now_ms = self.shared.clock.now_ms();
         self.shared
             .fleet()
-            .see(stream.short, HealthSignal::Answer, now_ms);
+            .record_signal(stream.short, HealthSignal::Answer, now_ms);
         let OpenStream {
             connection,
             answer,
@@ -210,13 +210,13 @@
                 .upstream
                 .keep(short, connection, answer.keep_alive_s);
         }
-        self.tell(Completion::answered(self.status));
+        self.record_completion(Completion::answered(self.status));
     }
 
     fn break_off(&mut self, reason: Reason) -> Result<Bytes, BrokenOff> {
         self.is_over = true;
         self.stream = None;
-        self.tell(Completion {
+        self.record_completion(Completion {
             status: self.status,
             outcome: Outcome::Unknown,
             reason: Some(reason),
@@ -225,7 +225,7 @@
         Err(BrokenOff)
     }
 
-    fn tell(&mut self, ending: Completion) {
+    fn record_completion(&mut self, ending: Completion) {
         let attempts = self.progress.take_attempts();
         record(&self.shared, &self.call, attempts, ending);
     }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -17,7 +17,9 @@
 use crate::follow::follow;
 use crate::front::accept;
 use crate::lag::measure_lag;
-use crate::peers::{Peers, hear, pull_at_start, pull_when_behind, serve_pulls, tell, zone_hash};
+use crate::peers::{
+    Membership, publish, pull_at_start, pull_when_behind, receive, serve_pulls, zone_hash,
+};
 use crate::shared::Shared;
 use crate::source::{HostRow, Source, Topic};
 use crate::status::answer_status;
@@ -154,15 +156,15 @@
     let own = listener.local_addr()?;
     let socket = UdpSocket::bind(own)
         .await
-        .wrap_err_with(|| format!("can't hear other hosts on {own}"))?;
+        .wrap_err_with(|| format!("can't receive other hosts on {own}"))?;
     let socket = Arc::new(socket);
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
     let incarnation = since_epoch.map_or(0, |since| since.as_micros() as u64);
-    let peers = Peers::new(own, &shared.config, incarnation);
+    let peers = Membership::new(own, &shared.config, incarnation);
     let seeds = shared.config.peer_seeds.iter();
     peers.add(seeds.map(|address| (*address, None)));
-    tasks.spawn(tell(shared.clone(), peers.clone(), socket.clone()));
-    tasks.spawn(hear(shared.clone(), peers.clone(), socket));
+    tasks.spawn(publish(shared.clone(), peers.clone(), socket.clone()));
+    tasks.spawn(receive(shared.clone(), peers.clone(), socket));
     tasks.spawn(serve_pulls(shared.clone(), peers.clone(), listener));
     tasks.spawn(pull_at_start(shared.clone(), peers.clone()));
     tasks.spawn(pull_when_behind(shared.clone(), peers.clone()));
@@ -184,7 +186,7 @@
     shared: Arc<Shared>,
     source: Arc<S>,
     own: HostRow,
-    peers: Arc<Peers>,
+    peers: Arc<Membership>,
 ) {
     let has_seeds = shared
         .config
@@ -202,14 +204,14 @@
     join(source, own, peers).await;
 }
 
-async fn hears_any(peers: &Peers) {
+async fn hears_any(peers: &Membership) {
     while peers.any().is_none() {
         tokio::time::sleep(LONELY_LOOK).await;
     }
 }
 
 /// Records the host and learns of the others, once.
-async fn join<S: Source>(source: Arc<S>, own: HostRow, peers: Arc<Peers>) {
+async fn join<S: Source>(source: Arc<S>, own: HostRow, peers: Arc<Membership>) {
     loop {
         match source.join(&own).await {
             Ok(rows) => {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -38,7 +38,7 @@
     stop: watch::Sender<Option<DrainPhase>>,
     pub(crate) subscription: StoreSubscription,
     /// What was read is news to the other hosts.
-    pub(crate) tell_peers_now: Notify,
+    pub(crate) publish_now: Notify,
     /// Whether the list of endpoints was read once, from anyone.
     knows_endpoints: AtomicBool,
     /// Whether the host can serve.
@@ -68,7 +68,7 @@
             stop_asked_at: OnceLock::new(),
             stop: watch::channel(None).0,
             subscription: StoreSubscription::default(),
-            tell_peers_now: Notify::new(),
+            publish_now: Notify::new(),
             knows_endpoints: AtomicBool::new(false),
             has_view: watch::channel(false).0,
         })
@@ -287,7 +287,7 @@
 
 impl Shared {
     /// Tells that the list of endpoints changed.
-    pub(crate) fn tell_endpoints(&self, from: &str) {
+    pub(crate) fn log_endpoints(&self, from: &str) {
         let fleet = self.fleet();
         let leaving = fleet.endpoints.leaving().len();
         let live = fleet.endpoints.live_count();
--- a/crates/gateway/src/subscription.rs
+++ b/crates/gateway/src/subscription.rs
@@ -300,7 +300,7 @@
     }
 
     /// How this host stands to the platform, as told to others.
-    pub(crate) fn told(&self) -> SubscriptionRole {
+    pub(crate) fn role(&self) -> SubscriptionRole {
         if !*self.has_turn.borrow() {
             return SubscriptionRole::No;
         }
--- a/crates/routing/src/admission.rs
+++ b/crates/routing/src/admission.rs
@@ -22,7 +22,7 @@
 const RANK_LAST: u8 = 2;
 /// Parts of the objective that the expected wait may take, by rank: up to the
 /// first every request is taken in, from the second on only the floor is.
-const WAIT_PARTS: [(f64, f64); 3] = [(0.40, 0.90), (0.30, 0.75), (0.25, 0.60)];
+const WAIT_THRESHOLDS: [(f64, f64); 3] = [(0.40, 0.90), (0.30, 0.75), (0.25, 0.60)];
 /// The least chance, as a part of the chance of the most urgent.
 const FLOOR: f64 = 0.4;
 /// Weight of a new stay in the mean.
@@ -36,7 +36,7 @@
 /// use chalkrock_routing::ServiceTimeEwma;
 ///
 /// let mut stay = ServiceTimeEwma::default();
-/// stay.note(200);
+/// stay.record(200);
 /// assert_eq!(stay.ms(), 200.0);
 /// ```
 #[derive(Clone, Copy, Debug, Default)]
@@ -44,7 +44,7 @@
 
 impl ServiceTimeEwma {
     /// A request left after so long.
-    pub fn note(&mut self, stayed_ms: u64) {
+    pub fn record(&mut self, stayed_ms: u64) {
         let stayed_ms = stayed_ms as f64;
         let mean = self.0.get_or_insert(stayed_ms);
         *mean += STAY_STEP * (stayed_ms - *mean);
@@ -64,7 +64,7 @@
     /// Requests in progress on them, over the fleet.
     pub in_progress: u32,
     /// How long requests stay, in the mean.
-    pub stay_ms: f64,
+    pub service_ms: f64,
 }
 
 impl PoolOccupancy {
@@ -74,7 +74,7 @@
             return 0.0;
         }
         let served_first = f64::from(self.in_progress - self.places);
-        self.stay_ms * served_first / f64::from(self.in_progress)
+        self.service_ms * served_first / f64::from(self.in_progress)
     }
 }
 
@@ -90,12 +90,12 @@
 }
 
 /// The chance with which a newcomer is taken in, 0 to 1.
-pub fn chance(fullness: &PoolOccupancy, newcomer: &AdmissionRequest) -> f64 {
-    let waits = fullness.wait_ms() / newcomer.objective_ms.max(1) as f64;
-    let behind = u8::from(newcomer.is_over_share);
-    let rank = newcomer.rank.saturating_add(behind).min(RANK_LAST);
-    let floor = FLOOR * chance_of_rank(waits, 0);
-    chance_of_rank(waits, rank).max(floor)
+pub fn admit_probability(occupancy: &PoolOccupancy, request: &AdmissionRequest) -> f64 {
+    let waits = occupancy.wait_ms() / request.objective_ms.max(1) as f64;
+    let behind = u8::from(request.is_over_share);
+    let rank = request.rank.saturating_add(behind).min(RANK_LAST);
+    let floor = FLOOR * probability_of_rank(waits, 0);
+    probability_of_rank(waits, rank).max(floor)
 }
 
 /// Whether a newcomer is taken in; `draw` is from 0 up to 1.
@@ -105,14 +105,14 @@
 /// ```
 /// use chalkrock_routing::{PoolOccupancy, AdmissionRequest, admits};
 ///
-/// let newcomer = AdmissionRequest { rank: 0, objective_ms: 400, is_over_share: false };
-/// let full = PoolOccupancy { places: 64, in_progress: 64, stay_ms: 1_000.0 };
-/// assert!(admits(&full, &newcomer, 0.99));
+/// let request = AdmissionRequest { rank: 0, objective_ms: 400, is_over_share: false };
+/// let full = PoolOccupancy { places: 64, in_progress: 64, service_ms: 1_000.0 };
+/// assert!(admits(&full, &request, 0.99));
 /// let overrun = PoolOccupancy { in_progress: 128, ..full };
-/// assert!(!admits(&overrun, &newcomer, 0.0));
+/// assert!(!admits(&overrun, &request, 0.0));
 /// ```
-pub fn admits(fullness: &PoolOccupancy, newcomer: &AdmissionRequest, draw: f64) -> bool {
-    draw < chance(fullness, newcomer)
+pub fn admits(occupancy: &PoolOccupancy, request: &AdmissionRequest, draw: f64) -> bool {
+    draw < admit_probability(occupancy, request)
 }
 
 /// The chance with which a host that is behind its own work by so long refuses
@@ -135,7 +135,7 @@
     MOST * part.clamp(0.0, 1.0)
 }
 
-fn chance_of_rank(waits: f64, rank: u8) -> f64 {
-    let (all_up_to, none_from) = WAIT_PARTS[usize::from(rank.min(RANK_LAST))];
+fn probability_of_rank(waits: f64, rank: u8) -> f64 {
+    let (all_up_to, none_from) = WAIT_THRESHOLDS[usize::from(rank.min(RANK_LAST))];
     ((none_from - waits) / (none_from - all_up_to)).clamp(0.0, 1.0)
 }
--- a/crates/routing/src/endpoints.rs
+++ b/crates/routing/src/endpoints.rs
@@ -50,7 +50,7 @@
 }
 
 impl Known {
-    fn standing(&self) -> EndpointState {
+    fn state(&self) -> EndpointState {
         if self.member.endpoint.state == HostState::Leaving {
             EndpointState::Leaving
         } else if self.is_listed {
@@ -63,7 +63,7 @@
     }
 
     fn takes_work(&self) -> bool {
-        matches!(self.standing(), EndpointState::Live | EndpointState::Lapsed)
+        matches!(self.state(), EndpointState::Live | EndpointState::Lapsed)
     }
 
     fn unlist(&mut self, is_lapsed: bool, now_ms: u64) {
@@ -172,8 +172,8 @@
     }
 
     /// Whether an endpoint may be given new work; `None` if it is not known.
-    pub fn standing(&self, name: &EndpointId) -> Option<EndpointState> {
-        self.known.get(name).map(Known::standing)
+    pub fn state(&self, name: &EndpointId) -> Option<EndpointState> {
+        self.known.get(name).map(Known::state)
     }
 
     /// Short hashes of the endpoints that are leaving and still listed.
@@ -181,7 +181,7 @@
         let leaving = self
             .known
             .values()
-            .filter(|known| known.standing() == EndpointState::Leaving && known.is_listed);
+            .filter(|known| known.state() == EndpointState::Leaving && known.is_listed);
         leaving.map(|known| known.member.hash.short()).collect()
     }
 
@@ -229,7 +229,7 @@
     fn rebuild(&mut self) {
         self.live = self.by_pool(Known::takes_work);
         self.parting =
-            self.by_pool(|known| known.standing() == EndpointState::Leaving && known.is_listed);
+            self.by_pool(|known| known.state() == EndpointState::Leaving && known.is_listed);
     }
 
     fn by_pool(&self, belongs: impl Fn(&Known) -> bool) -> HashMap<PoolId, Arc<[Member]>> {
--- a/crates/routing/src/fleet_load.rs
+++ b/crates/routing/src/fleet_load.rs
@@ -17,7 +17,7 @@
 
 use crate::fleet_totals::{FleetTotals, OwnReport};
 use crate::in_flight::{EndpointCount, InFlightCounters, REPORT_INTERVAL_MS, is_recent};
-use crate::zone_loads::{HashRange, WordPath, ZoneLoads, ZoneSum};
+use crate::zone_loads::{HashRange, SumPath, ZoneLoads, ZoneSum};
 
 /// What one host says of its own requests.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -179,7 +179,7 @@
     }
 
     /// Takes a zone's sum, or a part of it, from a relay.
-    pub fn merge_zone(&mut self, relay: H, part: ZoneSum, path: WordPath, now_ms: u64) {
+    pub fn merge_zone(&mut self, relay: H, part: ZoneSum, path: SumPath, now_ms: u64) {
         let of_zone = self.zones.entry(part.zone).or_default();
         of_zone.merge(relay, &part, path, now_ms, &mut self.others);
         self.choose_source();
--- a/crates/routing/src/fleet_totals.rs
+++ b/crates/routing/src/fleet_totals.rs
@@ -13,7 +13,7 @@
 
 use crate::fleet_load::HostReport;
 use crate::in_flight::InFlightCounters;
-use crate::zone_loads::{WordPath, ZoneLoads, ZoneSum};
+use crate::zone_loads::{SumPath, ZoneLoads, ZoneSum};
 
 /// Own reports that are remembered: those of some three seconds, longer than
 /// any sum counts.
@@ -83,7 +83,7 @@
             None => self.includes.remove(&relay),
         };
         self.relays
-            .merge(relay, part, WordPath::Direct, now_ms, &mut self.sum);
+            .merge(relay, part, SumPath::Direct, now_ms, &mut self.sum);
         self.find_own();
     }
 
--- a/crates/routing/src/health.rs
+++ b/crates/routing/src/health.rs
@@ -53,9 +53,9 @@
 /// use chalkrock_routing::{EndpointHealth, HealthSignal};
 ///
 /// let mut health = EndpointHealth::default();
-/// health.see(HealthSignal::Break, 0);
+/// health.record(HealthSignal::Break, 0);
 /// assert!(health.is_suspect(100));
-/// health.see(HealthSignal::Answer, 200);
+/// health.record(HealthSignal::Answer, 200);
 /// assert!(!health.is_suspect(200));
 /// ```
 #[derive(Clone, Debug, Default)]
@@ -74,8 +74,8 @@
 
 impl EndpointHealth {
     /// Takes what was seen.
-    pub fn see(&mut self, sign: HealthSignal, now_ms: u64) {
-        match sign {
+    pub fn record(&mut self, signal: HealthSignal, now_ms: u64) {
+        match signal {
             HealthSignal::Answer => {
                 self.failure_share -= FAILURE_STEP * self.failure_share;
                 self.trust(now_ms);
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -57,7 +57,7 @@
 mod zone_loads;
 
 pub use admission::{
-    AdmissionRequest, PoolOccupancy, ServiceTimeEwma, admits, chance, shed_probability,
+    AdmissionRequest, PoolOccupancy, ServiceTimeEwma, admit_probability, admits, shed_probability,
 };
 pub use attempt::{AttemptOutcome, Next, Repeatable, next_step};
 pub use budget::{BudgetRules, WindowBudget};
@@ -75,4 +75,4 @@
 pub use rules::{Caller, CallerLimits, OrganisationRules, Rules, RulesDocument, RulesVersion};
 pub use shares::Shares;
 pub use spread::{Basis, Candidate, Placement, PlacementRequest, SpreadRules, choose};
-pub use zone_loads::{HashRange, WordPath, ZoneSum};
+pub use zone_loads::{HashRange, SumPath, ZoneSum};
--- a/crates/routing/src/prefix_directory.rs
+++ b/crates/routing/src/prefix_directory.rs
@@ -14,7 +14,7 @@
 /// again that no one used for ten seconds costs nothing but its time.
 const USED_WITHIN_MS: u64 = 30_000;
 /// An entry that was told is told again after this.
-const TELL_AGAIN_MS: u64 = 12_000;
+const RESEND_AFTER_MS: u64 = 12_000;
 /// Parts that are remembered; the rest of a flood is not.
 const PARTS_MAX: usize = 16_384;
 /// Endpoints that are remembered for one part.
@@ -34,7 +34,7 @@
     endpoint: u32,
     used_at_ms: u64,
     /// When it was last told, if it was.
-    told_at_ms: Option<u64>,
+    sent_at_ms: Option<u64>,
 }
 
 /// Parts and their holders.
@@ -64,17 +64,17 @@
         };
         holder.used_at_ms = now_ms;
         let is_due = holder
-            .told_at_ms
-            .is_none_or(|told_at_ms| now_ms >= told_at_ms + TELL_AGAIN_MS);
+            .sent_at_ms
+            .is_none_or(|sent_at_ms| now_ms >= sent_at_ms + RESEND_AFTER_MS);
         if is_due {
-            holder.told_at_ms = Some(now_ms);
+            holder.sent_at_ms = Some(now_ms);
         }
         is_due
     }
 
     /// Another host told that an endpoint holds a part. Returns whether hosts
     /// that did not hear it should be told.
-    pub fn hear(&mut self, holding: CacheEntry, now_ms: u64) -> bool {
+    pub fn merge(&mut self, holding: CacheEntry, now_ms: u64) -> bool {
         self.note(holding, now_ms)
     }
 
@@ -120,7 +120,7 @@
         holders.push(Holder {
             endpoint: holding.endpoint,
             used_at_ms: now_ms,
-            told_at_ms: None,
+            sent_at_ms: None,
         });
         holders.last_mut()
     }
--- a/crates/routing/src/spread.rs
+++ b/crates/routing/src/spread.rs
@@ -28,11 +28,11 @@
 }
 
 /// The part of its slots up to which an endpoint has slots to spare.
-const ROOMY: f64 = 0.75;
+const LOW_UTILISATION: f64 = 0.75;
 /// The part from which it has no free slot.
 const FULL: f64 = 1.0;
 /// The part up to which its queue is short.
-const QUEUED: f64 = 1.15;
+const QUEUE_LIMIT: f64 = 1.15;
 
 impl Candidate {
     /// Whether less than a part of its slots is taken.
@@ -48,7 +48,7 @@
     /// It is the prefix's home and has a free slot.
     Home,
     /// The home has none, and this one has slots to spare.
-    Roomy,
+    LowUtilisation,
     /// It is the home and its queue is short.
     HomeQueue,
     /// The home's queue is long, and this one has a free slot.
@@ -134,11 +134,15 @@
         let on = |basis: Basis| move |index: usize| Placement { index, basis };
         home_below(FULL)
             .map(on(Basis::Home))
-            .or_else(|| ranks.spill(&with_room(ROOMY)).map(on(Basis::Roomy)))
-            .or_else(|| home_below(QUEUED).map(on(Basis::HomeQueue)))
-            .or_else(|| ranks.spill(&with_room(FULL)).map(on(Basis::FreeSlot)))
+            .or_else(|| {
+                ranks
+                    .overflow(&with_room(LOW_UTILISATION))
+                    .map(on(Basis::LowUtilisation))
+            })
+            .or_else(|| home_below(QUEUE_LIMIT).map(on(Basis::HomeQueue)))
+            .or_else(|| ranks.overflow(&with_room(FULL)).map(on(Basis::FreeSlot)))
             .or_else(|| home.map(on(Basis::HomeLongQueue)))
-            .or_else(|| ranks.spill(&bounded).map(on(Basis::UnderBound)))
+            .or_else(|| ranks.overflow(&bounded).map(on(Basis::UnderBound)))
     });
     by_prefix.or_else(|| {
         let index = spread_by_load(candidates, &usable, request)?;
@@ -162,7 +166,7 @@
     }
 
     /// The first that holds the prefix, else the first.
-    fn spill(&self, among: &[usize]) -> Option<usize> {
+    fn overflow(&self, among: &[usize]) -> Option<usize> {
         let holds = |i: &usize| self.candidates[*i].holds_prefix;
         let holders: Vec<usize> = among.iter().copied().filter(holds).collect();
         self.first(&holders).or_else(|| self.first(among))
--- a/crates/routing/src/zone_loads.rs
+++ b/crates/routing/src/zone_loads.rs
@@ -12,12 +12,12 @@
 
 /// How the word of another zone came.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum WordPath {
+pub enum SumPath {
     /// From a relay of that zone.
     Direct,
     /// From a relay of this zone, which had it from one of that zone. It is
     /// not passed on: relays would keep each other's word alive for ever.
-    PassedOn,
+    Relayed,
 }
 
 /// Short hashes from one to another, both included.
@@ -90,7 +90,7 @@
     hosts: u32,
     counts: BTreeMap<u32, u32>,
     heard_at_ms: u64,
-    path: WordPath,
+    path: SumPath,
 }
 
 impl KnownZone {
@@ -148,7 +148,7 @@
         &mut self,
         relay: H,
         part: &ZoneSum,
-        path: WordPath,
+        path: SumPath,
         now_ms: u64,
         others: &mut InFlightCounters,
     ) {
@@ -202,8 +202,7 @@
 
     /// What came from the zone itself, to pass on.
     pub(crate) fn direct(&self, zone: u32, now_ms: u64) -> Option<ZoneSum> {
-        let may_pass =
-            |known: &KnownZone| known.path == WordPath::Direct && known.is_recent(now_ms);
+        let may_pass = |known: &KnownZone| known.path == SumPath::Direct && known.is_recent(now_ms);
         let (_, known) = best(&self.relays, may_pass)?;
         Some(ZoneSum {
             zone,
--- a/crates/routing/tests/admission.rs
+++ b/crates/routing/tests/admission.rs
@@ -1,22 +1,22 @@
 //! Who is taken in while a pool is overloaded.
 
 use chalkrock_routing::{
-    AdmissionRequest, PoolOccupancy, ServiceTimeEwma, chance, shed_probability,
+    AdmissionRequest, PoolOccupancy, ServiceTimeEwma, admit_probability, shed_probability,
 };
 use googletest::prelude::*;
 use proptest::prelude::*;
 
 const PLACES: u32 = 100;
 
-fn fullness(in_progress: u32, stay_ms: f64) -> PoolOccupancy {
+fn occupancy(in_progress: u32, service_ms: f64) -> PoolOccupancy {
     PoolOccupancy {
         places: PLACES,
         in_progress,
-        stay_ms,
+        service_ms,
     }
 }
 
-fn newcomer(rank: u8, objective_ms: u64) -> AdmissionRequest {
+fn request(rank: u8, objective_ms: u64) -> AdmissionRequest {
     AdmissionRequest {
         rank,
         objective_ms,
@@ -27,14 +27,17 @@
 #[test]
 fn wait_is_what_is_served_first() {
     for (in_progress, wait_ms) in [(0, 0.0), (100, 0.0), (125, 200.0), (200, 500.0)] {
-        assert_that!(fullness(in_progress, 1_000.0).wait_ms(), eq(wait_ms));
+        assert_that!(occupancy(in_progress, 1_000.0).wait_ms(), eq(wait_ms));
     }
 }
 
 #[test]
 fn chance_is_whole_while_places_are_free() {
     for rank in 0..=9 {
-        assert_that!(chance(&fullness(99, 60_000.0), &newcomer(rank, 1)), eq(1.0));
+        assert_that!(
+            admit_probability(&occupancy(99, 60_000.0), &request(rank, 1)),
+            eq(1.0)
+        );
     }
 }
 
@@ -44,25 +47,25 @@
     let busy = PoolOccupancy {
         places: 6,
         in_progress: 10,
-        stay_ms: 47.0,
+        service_ms: 47.0,
     };
     for rank in 0..3 {
-        assert_that!(chance(&busy, &newcomer(rank, 150)), eq(1.0));
+        assert_that!(admit_probability(&busy, &request(rank, 150)), eq(1.0));
     }
 }
 
 /// Short calls may queue several times over, long streams may not.
 #[test]
 fn chance_depends_on_the_wait_and_not_on_the_queue() {
-    let asks = newcomer(0, 300);
-    assert_that!(chance(&fullness(200, 60.0), &asks), eq(1.0));
-    assert_that!(chance(&fullness(200, 2_000.0), &asks), eq(0.0));
+    let asks = request(0, 300);
+    assert_that!(admit_probability(&occupancy(200, 60.0), &asks), eq(1.0));
+    assert_that!(admit_probability(&occupancy(200, 2_000.0), &asks), eq(0.0));
 }
 
 #[test]
 fn chance_falls_for_the_least_urgent_first_and_starves_none() {
-    let busy = fullness(112, 1_500.0);
-    let chances = [0, 1, 2, 9].map(|rank| chance(&busy, &newcomer(rank, 400)));
+    let busy = occupancy(112, 1_500.0);
+    let chances = [0, 1, 2, 9].map(|rank| admit_probability(&busy, &request(rank, 400)));
     assert_that!(chances[0], gt(chances[1]));
     assert_that!(chances[1], gt(chances[2]));
     assert_that!(chances[2], eq(chances[3]));
@@ -71,25 +74,28 @@
 
 #[test]
 fn chance_is_less_for_who_has_more_than_its_share() {
-    let busy = fullness(112, 1_500.0);
-    let asks = newcomer(0, 400);
+    let busy = occupancy(112, 1_500.0);
+    let asks = request(0, 400);
     let over = AdmissionRequest {
         is_over_share: true,
         ..asks
     };
-    assert_that!(chance(&busy, &over), lt(chance(&busy, &asks)));
+    assert_that!(
+        admit_probability(&busy, &over),
+        lt(admit_probability(&busy, &asks))
+    );
 }
 
 #[test]
 fn chance_behind_grows_with_the_lag_and_leaves_a_tenth() {
-    for (lag_ms, chance) in [
+    for (lag_ms, admit_probability) in [
         (0, 0.0),
         (250, 0.0),
         (625, 0.45),
         (1_000, 0.9),
         (9_000, 0.9),
     ] {
-        assert_that!(shed_probability(lag_ms), eq(chance), "{lag_ms}");
+        assert_that!(shed_probability(lag_ms), eq(admit_probability), "{lag_ms}");
     }
 }
 
@@ -97,8 +103,8 @@
 fn stay_follows_what_is_seen() {
     let mut stay = ServiceTimeEwma::default();
     assert_that!(stay.ms(), eq(0.0));
-    stay.note(100);
-    (0..200).for_each(|_| stay.note(900));
+    stay.record(100);
+    (0..200).for_each(|_| stay.record(900));
     assert_that!(stay.ms(), gt(890.0));
 }
 
@@ -107,12 +113,12 @@
 
     #[test]
     fn chance_never_rises_with_load(
-        in_progress in 0_u32..1_000, more in 0_u32..100, stay_ms in 0.0..10_000.0,
+        in_progress in 0_u32..1_000, more in 0_u32..100, service_ms in 0.0..10_000.0,
         rank in 0_u8..12, objective_ms in 0_u64..10_000,
     ) {
-        let asks = newcomer(rank, objective_ms);
-        let less = chance(&fullness(in_progress, stay_ms), &asks);
-        let greater = chance(&fullness(in_progress + more, stay_ms), &asks);
+        let asks = request(rank, objective_ms);
+        let less = admit_probability(&occupancy(in_progress, service_ms), &asks);
+        let greater = admit_probability(&occupancy(in_progress + more, service_ms), &asks);
         prop_assert!((0.0..=1.0).contains(&less));
         prop_assert!(greater <= less);
     }
--- a/crates/routing/tests/endpoints.rs
+++ b/crates/routing/tests/endpoints.rs
@@ -37,8 +37,8 @@
         .collect()
 }
 
-fn standing(table: &EndpointTable, name: &str) -> Option<EndpointState> {
-    table.standing(&name.into())
+fn state(table: &EndpointTable, name: &str) -> Option<EndpointState> {
+    table.state(&name.into())
 }
 
 #[test]
@@ -49,7 +49,7 @@
     table.upsert(live("a"));
     table.replace(vec![live("a"), live("b")], 10);
     assert_that!(live_names(&table), elements_are![eq("b")]);
-    assert_that!(standing(&table, "a"), some(eq(EndpointState::Leaving)));
+    assert_that!(state(&table, "a"), some(eq(EndpointState::Leaving)));
 }
 
 #[test]
@@ -74,11 +74,11 @@
             table.remove(&"c".into(), 10);
         }
         assert_that!(live_names(&table), elements_are![eq("a"), eq("b")]);
-        assert_that!(standing(&table, "a"), some(eq(EndpointState::Lapsed)));
-        assert_that!(standing(&table, "c"), some(eq(EndpointState::Leaving)));
+        assert_that!(state(&table, "a"), some(eq(EndpointState::Lapsed)));
+        assert_that!(state(&table, "c"), some(eq(EndpointState::Leaving)));
         table.keep_lapsed(false);
         assert_that!(live_names(&table), elements_are![eq("b")]);
-        assert_that!(standing(&table, "a"), some(eq(EndpointState::Unlisted)));
+        assert_that!(state(&table, "a"), some(eq(EndpointState::Unlisted)));
     }
 }
 
@@ -109,7 +109,7 @@
     table.upsert(live("a"));
     table.remove(&"a".into(), 0);
     assert_that!(live_names(&table), is_empty());
-    assert_that!(standing(&table, "a"), some(eq(EndpointState::Unlisted)));
+    assert_that!(state(&table, "a"), some(eq(EndpointState::Unlisted)));
 }
 
 #[test]
@@ -147,7 +147,7 @@
     table.upsert(leaving("a"));
     table.remove(&"a".into(), 0);
     table.replace(vec![live("b")], 200_000);
-    assert_that!(standing(&table, "a"), none());
+    assert_that!(state(&table, "a"), none());
 }
 
 #[derive(Clone, Debug)]
--- a/crates/routing/tests/fleet_load.rs
+++ b/crates/routing/tests/fleet_load.rs
@@ -1,8 +1,8 @@
 //! Loads that hosts tell each other: late, twice, out of order, or not at all.
 
 use chalkrock_routing::{
-    EndpointCount, FleetLoad, HashRange, HostReport, Merged, OwnReport, REPORT_AGE_MAX_MS,
-    WordPath, ZoneSum,
+    EndpointCount, FleetLoad, HashRange, HostReport, Merged, OwnReport, REPORT_AGE_MAX_MS, SumPath,
+    ZoneSum,
 };
 use googletest::prelude::*;
 use proptest::prelude::*;
@@ -105,9 +105,9 @@
 #[test]
 fn load_counts_one_relay_of_a_zone() {
     let mut load = FleetLoad::default();
-    load.merge_zone("relay-1", zone_sum(1, 20, 40), WordPath::Direct, 0);
-    load.merge_zone("relay-2", zone_sum(1, 20, 41), WordPath::Direct, 0);
-    load.merge_zone("relay-3", zone_sum(2, 10, 5), WordPath::Direct, 0);
+    load.merge_zone("relay-1", zone_sum(1, 20, 40), SumPath::Direct, 0);
+    load.merge_zone("relay-2", zone_sum(1, 20, 41), SumPath::Direct, 0);
+    load.merge_zone("relay-3", zone_sum(2, 10, 5), SumPath::Direct, 0);
     assert_that!(load.of(ENDPOINT), eq(46));
     assert_that!(load.hosts_heard(0), eq(30));
 }
@@ -115,13 +115,13 @@
 #[test]
 fn load_counts_the_relay_that_hears_most() {
     let mut load = FleetLoad::default();
-    load.merge_zone("relay-1", zone_sum(1, 20, 40), WordPath::Direct, 0);
-    load.merge_zone("relay-2", zone_sum(1, 3, 7), WordPath::Direct, 0);
+    load.merge_zone("relay-1", zone_sum(1, 20, 40), SumPath::Direct, 0);
+    load.merge_zone("relay-2", zone_sum(1, 3, 7), SumPath::Direct, 0);
     assert_that!(load.of(ENDPOINT), eq(40));
     load.merge_zone(
         "relay-2",
         zone_sum(1, 3, 7),
-        WordPath::Direct,
+        SumPath::Direct,
         REPORT_AGE_MAX_MS + 1,
     );
     assert_that!(load.of(ENDPOINT), eq(7));
@@ -132,7 +132,7 @@
     let mut load = FleetLoad::default();
     load.begin(ENDPOINT);
     load.merge("near", report(1, 1, 3), 0);
-    load.merge_zone("far", zone_sum(2, 9, 50), WordPath::Direct, 0);
+    load.merge_zone("far", zone_sum(2, 9, 50), SumPath::Direct, 0);
     assert_that!(load.zone_sum(1, 0), eq(&zone_sum(1, 2, 4)));
     assert_that!(load.far_sums(0), eq(&[zone_sum(2, 9, 50)]));
     let later_ms = REPORT_AGE_MAX_MS + 1;
@@ -143,7 +143,7 @@
 #[test]
 fn load_passes_on_only_what_came_from_the_zone_itself() {
     let mut load = FleetLoad::default();
-    load.merge_zone("relay-1", zone_sum(1, 20, 40), WordPath::PassedOn, 0);
+    load.merge_zone("relay-1", zone_sum(1, 20, 40), SumPath::Relayed, 0);
     assert_that!(load.of(ENDPOINT), eq(40));
     assert_that!(load.far_sums(0), is_empty());
 }
@@ -168,7 +168,7 @@
         assert_that!(parts.iter().all(|part| part.counts.len() <= 128), eq(true));
         let mut load = FleetLoad::default();
         for part in parts.into_iter().rev() {
-            load.merge_zone("relay", part, WordPath::Direct, 0);
+            load.merge_zone("relay", part, SumPath::Direct, 0);
         }
         assert_that!(load.far_sums(0), eq(&[wide_sum(endpoints, 20)]));
         assert_that!(load.far_hosts(), eq(20));
@@ -179,13 +179,13 @@
 fn zone_sum_without_one_part_keeps_the_others() {
     let mut load = FleetLoad::default();
     for part in wide_sum(300, 20).split(128) {
-        load.merge_zone("relay", part, WordPath::Direct, 0);
+        load.merge_zone("relay", part, SumPath::Direct, 0);
     }
     let ended = ZoneSum {
         counts: Vec::new(),
         ..wide_sum(300, 20).split(128).swap_remove(1)
     };
-    load.merge_zone("relay", ended, WordPath::Direct, 100);
+    load.merge_zone("relay", ended, SumPath::Direct, 100);
     let loads = [128, 129, 256, 257].map(|i| load.of(i * 1_000));
     assert_that!(loads, eq([128, 0, 0, 257]));
 }
@@ -194,11 +194,11 @@
 fn zone_sum_forgets_parts_that_were_told_before_a_silence() {
     let mut load = FleetLoad::default();
     for part in wide_sum(300, 20).split(128) {
-        load.merge_zone("relay", part, WordPath::Direct, 0);
+        load.merge_zone("relay", part, SumPath::Direct, 0);
     }
     let later_ms = REPORT_AGE_MAX_MS + 1;
     let first = wide_sum(300, 20).split(128).swap_remove(0);
-    load.merge_zone("relay", first, WordPath::Direct, later_ms);
+    load.merge_zone("relay", first, SumPath::Direct, later_ms);
     assert_that!(load.of(1_000), eq(1));
     assert_that!(load.of(300_000), eq(0));
 }
@@ -264,7 +264,7 @@
     let mut load = FleetLoad::default();
     load.begin(ENDPOINT);
     load.merge("near", report(1, 5, 3), 0);
-    load.merge_zone("far", zone_sum(2, 9, 50), WordPath::Direct, 0);
+    load.merge_zone("far", zone_sum(2, 9, 50), SumPath::Direct, 0);
     load.merge_totals("other-relay", &zone_sum(1, 99, 900), None, 0);
     assert_that!(load.fleet_sum(1), eq(&zone_sum(1, 11, 54)));
     assert_that!(load.counted_report(&"near"), eq(own(5)));
@@ -326,13 +326,13 @@
                 counts: counts.collect(),
                 ..zone_sum(zone, u32::from(relay) + in_progress % 2, 0)
             };
-            load.merge_zone(relay, part, WordPath::Direct, now_ms);
+            load.merge_zone(relay, part, SumPath::Direct, now_ms);
             load.merge(relay, report(1, now_ms, in_progress), now_ms);
         }
         now_ms += REPORT_AGE_MAX_MS + 1;
         load.expire(now_ms);
         prop_assert_eq!(load.total(), 0);
-        load.merge_zone(0, zone_sum(0, 1, last), WordPath::Direct, now_ms);
+        load.merge_zone(0, zone_sum(0, 1, last), SumPath::Direct, now_ms);
         prop_assert_eq!(load.total(), last);
     }
 
--- a/crates/routing/tests/health.rs
+++ b/crates/routing/tests/health.rs
@@ -6,7 +6,7 @@
 /// Health after a break at a time.
 fn broken_at(now_ms: u64) -> EndpointHealth {
     let mut health = EndpointHealth::default();
-    health.see(HealthSignal::Break, now_ms);
+    health.record(HealthSignal::Break, now_ms);
     health
 }
 
@@ -34,7 +34,7 @@
         assert_that!(health.is_suspect(trusted_at_ms - 1), eq(true));
         assert_that!(health.is_suspect(trusted_at_ms), eq(false));
         health.sent(trusted_at_ms);
-        health.see(HealthSignal::Break, trusted_at_ms + 10);
+        health.record(HealthSignal::Break, trusted_at_ms + 10);
         trusted_at_ms += 10 + longer_ms;
     }
 }
@@ -42,7 +42,7 @@
 #[test]
 fn health_takes_breaks_that_come_together_as_one() {
     let mut health = EndpointHealth::default();
-    (0..50).for_each(|_| health.see(HealthSignal::Break, 10));
+    (0..50).for_each(|_| health.record(HealthSignal::Break, 10));
     assert_that!(health.is_suspect(510), eq(false));
 }
 
@@ -50,10 +50,10 @@
 fn health_trusts_again_after_an_answer() {
     let mut health = broken_at(0);
     health.sent(500);
-    health.see(HealthSignal::Break, 501);
-    health.see(HealthSignal::Answer, 510);
+    health.record(HealthSignal::Break, 501);
+    health.record(HealthSignal::Answer, 510);
     assert_that!(health.is_suspect(510), eq(false));
-    health.see(HealthSignal::Break, 520);
+    health.record(HealthSignal::Break, 520);
     assert_that!(health.is_suspect(1_020), eq(false));
 }
 
@@ -66,7 +66,7 @@
         } else {
             HealthSignal::Answer
         };
-        health.see(sign, i);
+        health.record(sign, i);
         assert_that!(health.is_suspect(i), eq(false), "answer {i}");
     }
 }
@@ -74,7 +74,7 @@
 #[test]
 fn health_suspects_who_mostly_fails() {
     let mut health = EndpointHealth::default();
-    (0..6).for_each(|_| health.see(HealthSignal::Failure, 0));
+    (0..6).for_each(|_| health.record(HealthSignal::Failure, 0));
     assert_that!(health.is_suspect(1), eq(true));
 }
 
@@ -99,20 +99,20 @@
 fn health_takes_silences_that_began_together_as_one() {
     let mut health = EndpointHealth::default();
     for sent_at_ms in 0..10 {
-        health.see(HealthSignal::Silence { sent_at_ms }, sent_at_ms + 700);
+        health.record(HealthSignal::Silence { sent_at_ms }, sent_at_ms + 700);
     }
     assert_that!(health.is_suspect(1_199), eq(true));
     assert_that!(health.is_suspect(1_200), eq(false));
-    health.see(HealthSignal::Silence { sent_at_ms: 20 }, 10_000);
+    health.record(HealthSignal::Silence { sent_at_ms: 20 }, 10_000);
     assert_that!(health.is_suspect(10_000), eq(false));
 }
 
 #[test]
 fn health_renews_suspicion_when_a_try_is_silent_too() {
     let mut health = EndpointHealth::default();
-    health.see(HealthSignal::Silence { sent_at_ms: 0 }, 700);
+    health.record(HealthSignal::Silence { sent_at_ms: 0 }, 700);
     health.sent(1_200);
-    health.see(HealthSignal::Silence { sent_at_ms: 1_200 }, 1_900);
+    health.record(HealthSignal::Silence { sent_at_ms: 1_200 }, 1_900);
     assert_that!(health.is_suspect(2_899), eq(true));
     assert_that!(health.is_suspect(2_900), eq(false));
 }
@@ -120,7 +120,7 @@
 #[test]
 fn health_ends_the_waits_of_all_when_one_was_in_vain() {
     let mut health = EndpointHealth::default();
-    health.see(HealthSignal::Silence { sent_at_ms: 0 }, 700);
+    health.record(HealthSignal::Silence { sent_at_ms: 0 }, 700);
     assert_that!(health.is_silent(600, 710), eq(true));
     assert_that!(health.is_silent(1_200, 1_210), eq(false));
     health.heard(720);
@@ -130,7 +130,7 @@
 #[test]
 fn health_leaves_tries_after_a_silence_to_what_may_be_repeated() {
     let mut health = EndpointHealth::default();
-    health.see(HealthSignal::Silence { sent_at_ms: 0 }, 700);
+    health.record(HealthSignal::Silence { sent_at_ms: 0 }, 700);
     assert_that!(health.is_suspect(1_200), eq(false));
     assert_that!(health.is_doubtful(1_200), eq(true));
     assert_that!(health.is_doubtful(3_200), eq(false));
--- a/crates/routing/tests/prefix_directory.rs
+++ b/crates/routing/tests/prefix_directory.rs
@@ -22,7 +22,7 @@
 #[test]
 fn map_does_not_tell_what_another_host_told() {
     let mut map = PrefixDirectory::default();
-    map.hear(holding(1, 2), 0);
+    map.merge(holding(1, 2), 0);
     assert_that!(map.note(holding(1, 2), 100), eq(false));
     assert_that!(holders(&map, 1, 100), eq(&[2]));
 }
