Let most readers take changes less often, and hosts find each other at a start

Each change of the list answers every reader that waits, six in 295 hosts.

Readers of the first two zones by hash take changes as before, the others hear of most from these and pause 0.3 of the bound. A host that knows of few asks the hosts of its settings for all that were heard of within 40 s, three times in its first 1.6 s.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -36,7 +36,7 @@
 const LATE: Duration = Duration::from_millis(1_000);
 /// Pause after the first answer of all: most hosts that start find meanwhile
 /// that others read, and wait for no change themselves.
-const START_PAUSE: Duration = Duration::from_millis(600);
+const START_PAUSE: Duration = Duration::from_millis(1_000);
 /// Time that a host which starts gives the hosts of its settings to tell it all
 /// before it reads itself. A host that serves answers in some ten milliseconds;
 /// where all have restarted they say at once that they know nothing. Waiting
@@ -135,6 +135,8 @@
                 take(&shared, topic, news, is_whole);
                 let gather = if is_first {
                     START_PAUSE
+                } else if shared.subscription.is_standby() {
+                    ms(times.standby_gather_ms)
                 } else {
                     ms(times.gather_ms)
                 };
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -146,6 +146,7 @@
         .subscription
         .set_round(round.sharing, round.hosts, round.is_relay);
     shared.subscription.set_first_choice(round.is_first_choice);
+    shared.subscription.set_standby(round.is_standby);
     if round.is_relay_news {
         shared.event_log.emit(&Event::Relays {
             is_relay: round.is_relay,
--- a/crates/gateway/src/peers/membership.rs
+++ b/crates/gateway/src/peers/membership.rs
@@ -21,6 +21,9 @@
 /// The same for a host that is known by relays' word only: a relay names each
 /// host of its zone once in three seconds at least.
 const UNNAMED_AFTER: Duration = Duration::from_secs(4);
+/// Time within which each live host is heard once, those of other zones among
+/// them.
+const RECENT_WITHIN: Duration = Duration::from_secs(40);
 /// Silence after which a host is forgotten, unless it speaks again.
 const FORGET_AFTER: Duration = Duration::from_secs(120);
 
@@ -82,6 +85,13 @@
         self.summed_up_at.is_some_and(|at| now - at <= SILENT_AFTER)
     }
 
+    /// Whether it was heard of within the time in which hosts of other zones
+    /// speak at least once.
+    fn is_recent(&self, now: Instant) -> bool {
+        let last = self.heard_at.max(self.named_at);
+        last.is_some_and(|at| now - at <= RECENT_WITHIN)
+    }
+
     fn is_silent(&self, now: Instant) -> bool {
         let is_named = self.named_at.is_some_and(|at| now - at <= UNNAMED_AFTER);
         !self.is_heard(now) && !is_named
@@ -174,17 +184,28 @@
 
     /// The hosts that are up, this one included.
     pub(crate) fn up(&self) -> Vec<NamedHost> {
+        self.named_if(|member| member.is_up)
+    }
+
+    /// The hosts of all zones that were heard of late, this one included. Those
+    /// of other zones speak rarely in a large fleet.
+    pub(crate) fn recent(&self) -> Vec<NamedHost> {
+        let now = Instant::now();
+        self.named_if(|member| member.is_recent(now))
+    }
+
+    fn named_if(&self, belongs: impl Fn(&Member) -> bool) -> Vec<NamedHost> {
         let own = NamedHost {
             address: self.own,
             zone: self.zone,
         };
         let known = self.known();
-        let up = known.iter().filter(|(_, member)| member.is_up);
-        let up = up.filter_map(|(&address, member)| {
+        let named = known.iter().filter(|(_, member)| belongs(member));
+        let named = named.filter_map(|(&address, member)| {
             let zone = member.zone?;
             Some(NamedHost { address, zone })
         });
-        up.chain([own]).collect()
+        named.chain([own]).collect()
     }
 
     /// Who knows more than this host, once.
--- a/crates/gateway/src/peers/pull.rs
+++ b/crates/gateway/src/peers/pull.rs
@@ -28,6 +28,15 @@
 /// waits for them.
 const ASK_SEEDS_EVERY: Duration = Duration::from_millis(100);
 const SEED_TIMEOUT: Duration = Duration::from_millis(200);
+/// When a host that has started asks once more which hosts there are: where all
+/// have restarted, none knew them at first.
+const ASK_HOSTS_AFTER: [Duration; 3] = [
+    Duration::from_millis(250),
+    Duration::from_millis(400),
+    Duration::from_millis(900),
+];
+/// A host that knows of no more than one in so many is told of all.
+const FEW_PART: usize = 2;
 
 /// What a host knows already.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -35,6 +44,8 @@
     pub(crate) rules: RulesVersion,
     /// `None` if it has no list at all: an empty one is a list too.
     pub(crate) endpoints: Option<StoreVersion>,
+    /// Hosts that it heard of, itself included.
+    pub(crate) hosts: usize,
 }
 
 /// The list of endpoints as one host knows it.
@@ -54,7 +65,7 @@
 pub(crate) struct Missing {
     pub(crate) rules: Option<RulesDocument>,
     pub(crate) endpoints: Option<EndpointNews>,
-    /// The hosts that are up, for one that knows nothing.
+    /// The hosts of the fleet, for one that knows of few.
     pub(crate) hosts: Vec<NamedHost>,
 }
 
@@ -74,15 +85,14 @@
     async fn missing(self, _: tarpc::context::Context, have: Have) -> Missing {
         let rules = self.shared.rules();
         let rules = rules.filter(|rules| rules.version() > have.rules);
-        let knows_nothing = have.endpoints.is_none();
+        let mut hosts = self.peers.recent();
+        if have.hosts > hosts.len() / FEW_PART {
+            hosts.clear();
+        }
         Missing {
             rules: rules.map(|rules| RulesDocument::clone(rules.document())),
             endpoints: endpoint_news(&self.shared, have.endpoints),
-            hosts: if knows_nothing {
-                self.peers.up()
-            } else {
-                Vec::new()
-            },
+            hosts,
         }
     }
 }
@@ -149,6 +159,11 @@
     }
     // The hosts that were named hear of this one at once.
     shared.publish_now.notify_one();
+    for pause in ASK_HOSTS_AFTER {
+        tokio::time::sleep(pause).await;
+        pull_from_seeds(&shared, &peers).await;
+        shared.publish_now.notify_one();
+    }
 }
 
 /// Asks all hosts of the settings together, until one tells all it takes to
@@ -156,7 +171,10 @@
 async fn pull_from_seeds(shared: &Shared, peers: &Membership) {
     let seeds = shared.config.peer_seeds.iter();
     let others = seeds.filter(|seed| **seed != peers.own);
-    let pulls = others.map(|seed| tokio::time::timeout(SEED_TIMEOUT, pull(*seed, have(shared))));
+    let pulls = others.map(|seed| {
+        let have = have(shared, peers);
+        tokio::time::timeout(SEED_TIMEOUT, pull(*seed, have))
+    });
     let mut pulls: FuturesUnordered<_> = pulls.collect();
     while let Some(pulled) = pulls.next().await {
         if let Ok(Some(missing)) = pulled {
@@ -192,7 +210,8 @@
         // Whoever knows more may have gone meanwhile; by now others know it too.
         let second = peers.any().filter(|address| *address != first);
         for address in [Some(first), second].into_iter().flatten() {
-            let pulled = tokio::time::timeout(pull_timeout, pull(address, have(&shared))).await;
+            let pulled =
+                tokio::time::timeout(pull_timeout, pull(address, have(&shared, &peers))).await;
             if let Ok(Some(missing)) = pulled {
                 take(&shared, &peers, missing);
                 continue 'behind;
@@ -203,8 +222,9 @@
     }
 }
 
-fn have(shared: &Shared) -> Have {
+fn have(shared: &Shared, peers: &Membership) -> Have {
     Have {
+        hosts: peers.recent().len(),
         rules: shared
             .rules()
             .map(|rules| rules.version())
--- a/crates/gateway/src/peers/round.rs
+++ b/crates/gateway/src/peers/round.rs
@@ -27,6 +27,9 @@
 const NAMED_MAX: usize = 4;
 /// Hosts of each other zone that a relay tells.
 const GOSSIP_FAN_OUT: usize = 2;
+/// Zones whose readers take changes as soon as they can; those of the others
+/// hear of most from these.
+const ZONES_READING_FIRST: usize = 2;
 /// Rounds in which a relay names all hosts of its zone.
 const ROUNDS_TO_NAME_ALL: usize = 5;
 /// Rounds in which a relay tells hosts once that go by another relay. They take
@@ -67,6 +70,8 @@
     pub(crate) reads_platform: bool,
     /// Whether this host comes among the first to read, whoever does so far.
     pub(crate) is_first_choice: bool,
+    /// Whether readers of other zones come first.
+    pub(crate) is_standby: bool,
     pub(crate) is_relay: bool,
     /// Whether what this host does as a relay has changed.
     pub(crate) is_relay_news: bool,
@@ -104,6 +109,7 @@
             reads_platform: zone_view.reads_platform(&own),
             is_first_choice: zone_view.is_first_choice(&own),
             named,
+            is_standby: view.zones_before >= ZONES_READING_FIRST,
             is_relay: place.is_some(),
             is_relay_news,
             sums_up,
@@ -145,6 +151,7 @@
         let of_zones = View {
             hosts: hosts_known.max(1 + up().count()),
             zones: zones.len(),
+            zones_before: zones.iter().filter(|zone| **zone < self.zone).count(),
             others,
         };
         let is_large = of_zones.zone_view().is_large();
@@ -153,6 +160,7 @@
         }
         View {
             zones: 1,
+            zones_before: 0,
             others: up().map(heard_host).collect(),
             ..of_zones
         }
@@ -267,6 +275,8 @@
     others: Vec<HeardHost>,
     hosts: usize,
     zones: usize,
+    /// Zones that come before the host's own, by their hashes.
+    zones_before: usize,
 }
 
 impl View {
--- a/crates/gateway/src/subscription.rs
+++ b/crates/gateway/src/subscription.rs
@@ -84,6 +84,8 @@
     hosts_known: AtomicUsize,
     /// Whether this host tells other zones of its own.
     is_relay: AtomicBool,
+    /// Whether readers of other zones come first.
+    is_standby: AtomicBool,
     rules: OfTopic,
     endpoints: OfTopic,
 }
@@ -106,6 +108,7 @@
             sharing: AtomicUsize::new(0),
             hosts_known: AtomicUsize::new(1),
             is_relay: AtomicBool::new(false),
+            is_standby: AtomicBool::new(false),
             rules: OfTopic::default(),
             endpoints: OfTopic::default(),
         }
@@ -255,6 +258,16 @@
         self.is_relay.store(is_relay, Ordering::Relaxed);
     }
 
+    /// Whether readers of other zones tell this host most changes first.
+    pub(crate) fn is_standby(&self) -> bool {
+        self.is_standby.load(Ordering::Relaxed)
+    }
+
+    /// Says whether readers of other zones come first.
+    pub(crate) fn set_standby(&self, is_standby: bool) {
+        self.is_standby.store(is_standby, Ordering::Relaxed);
+    }
+
     /// Hosts that share the reading.
     pub(crate) fn sharing(&self) -> usize {
         self.sharing.load(Ordering::Relaxed)
--- a/crates/routing/src/follow_times.rs
+++ b/crates/routing/src/follow_times.rs
@@ -29,6 +29,7 @@
 const HEDGE_PART: f64 = 0.16;
 const PAUSE_PART: f64 = 0.40;
 const GATHER_PART: f64 = 0.10;
+const STANDBY_GATHER_PART: f64 = 0.30;
 const PATIENCE_PART: f64 = 0.05;
 const PULL_PART: f64 = 0.18;
 
@@ -60,6 +61,10 @@
     pub pause_max_ms: u64,
     /// Pause after an answer, so that changes that come together are one.
     pub gather_ms: u64,
+    /// The same for a reader of a zone whose changes other zones' readers tell
+    /// it anyhow: each change is an answer to every reader that waits, and each
+    /// answer is paid for.
+    pub standby_gather_ms: u64,
     /// Time that the store is given to tell by itself what another host knows.
     pub patience_ms: u64,
     /// How long taking what is missing from another host may take.
@@ -86,6 +91,7 @@
             hedge_after_ms: part(HEDGE_PART),
             pause_max_ms: part(PAUSE_PART),
             gather_ms: part(GATHER_PART),
+            standby_gather_ms: part(STANDBY_GATHER_PART),
             patience_ms: part(PATIENCE_PART),
             pull_timeout_ms: part(PULL_PART),
         }
