--- a/crates/routing/src/spread.rs
+++ b/crates/routing/src/spread.rs
@@ -113,7 +113,9 @@
 /// everywhere, until no engine had the memory for them, and a pool that could
 /// have served nearly all stayed full.
 ///
-/// Without a key, or where all are over the bound, see [`spread_by_load`].
+/// Without a key, or where all are over the bound, the least loaded by its slots,
+/// near ones first among equals; where many arrivals are unseen, one drawn so
+/// that loads come out even.
 pub fn choose(
     candidates: &[Candidate],
     request: &PlacementRequest,
