--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -14,12 +14,14 @@
 //! but for that sum. Any host may be a relay, none is agreed on, and the sum of
 //! any one relay is enough.
 
-mod exchange;
 mod membership;
 mod message;
+mod publish;
 mod pull;
+mod receive;
 mod round;
 
-pub(crate) use exchange::{publish, receive};
 pub(crate) use membership::{Membership, zone_hash};
+pub(crate) use publish::publish;
 pub(crate) use pull::{pull_at_start, pull_when_behind, serve_pulls};
+pub(crate) use receive::receive;
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/publish.rs
@@ -1,10 +1,11 @@
-//! Tells the other hosts and hears them.
+//! Sends the other hosts what they need to know of this one and, from a relay,
+//! of its zone.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use chalkrock_routing::{CacheEntry, Merged, OwnReport, REPORT_INTERVAL_MS, SumPath, ZoneSum};
+use chalkrock_routing::{CacheEntry, REPORT_INTERVAL_MS, SumPath, ZoneSum};
 use tokio::net::UdpSocket;
 use tokio::time::MissedTickBehavior;
 
@@ -17,7 +18,7 @@
 use crate::shared::Shared;
 use crate::subscription::AnsweredHost;
 
-/// How often a host tells the others.
+/// How often a host sends a round.
 const ROUND_INTERVAL: Duration = Duration::from_millis(REPORT_INTERVAL_MS);
 /// Prefixes that a datagram names: about 1 KB.
 const ENTRIES_PER_DATAGRAM: usize = 96;
@@ -25,15 +26,14 @@
 const COUNTS_PER_DATAGRAM: usize = 128;
 /// Datagrams of prefixes in a round.
 const ENTRY_DATAGRAMS: usize = 3;
-/// Datagrams of a relay's sum in one interval; a larger sum is told less often.
+/// Datagrams of a relay's sum in one interval; a larger sum is sent less often.
 const SUM_DATAGRAMS_PER_ROUND: usize = 4;
 /// Most intervals between two sums: what a host hears less often would be too
 /// old to go by before a lost one is replaced.
 const ROUNDS_A_SUM_MAX: u64 = 3;
-/// Largest datagram that is read.
-const DATAGRAM_MAX_BYTES: usize = 60 * 1024;
 
-/// Tells the others, until the process ends.
+/// Sends rounds of datagrams until the process ends, one more whenever there is
+/// news.
 pub(crate) async fn publish(shared: Arc<Shared>, peers: Arc<Membership>, socket: Arc<UdpSocket>) {
     let mut ticks = tokio::time::interval(ROUND_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -104,7 +104,7 @@
     }
 }
 
-/// In how many rounds a sum of so many datagrams is told once.
+/// In how many rounds a sum of so many datagrams is sent once.
 fn rounds_for(datagrams: usize) -> u64 {
     let rounds = datagrams.div_ceil(SUM_DATAGRAMS_PER_ROUND).max(1) as u64;
     rounds.min(ROUNDS_A_SUM_MAX)
@@ -159,7 +159,7 @@
     }
 }
 
-fn log_member_change(shared: &Shared, news: MemberChange) {
+pub(super) fn log_member_change(shared: &Shared, news: MemberChange) {
     shared.event_log.emit(&Event::Peer {
         address: news.address,
         is_up: news.is_up,
@@ -169,7 +169,7 @@
 /// The datagrams of a round.
 #[derive(Default)]
 struct RoundDatagrams {
-    /// To the hosts that are told of this one.
+    /// To the hosts that receive this one's heartbeat.
     near: Vec<Datagram>,
     /// To relays of other zones, if this host is one.
     far: Vec<Datagram>,
@@ -179,7 +179,7 @@
     sums: Vec<Datagram>,
 }
 
-/// What to tell of this host and, if it is a relay, of its zone.
+/// What to send of this host and, if it is a relay, of its zone.
 fn datagrams_of(
     shared: &Shared,
     peers: &Membership,
@@ -274,184 +274,3 @@
         })
     })
 }
-
-/// Hears the others, until the process ends.
-pub(crate) async fn receive(shared: Arc<Shared>, peers: Arc<Membership>, socket: Arc<UdpSocket>) {
-    let mut buffer = vec![0; DATAGRAM_MAX_BYTES];
-    loop {
-        let Ok((length, address)) = socket.recv_from(&mut buffer).await else {
-            tokio::time::sleep(ROUND_INTERVAL).await;
-            continue;
-        };
-        if address == peers.own {
-            continue;
-        }
-        let Ok((datagram, rest)) = postcard::take_from_bytes(&buffer[..length]) else {
-            // What can't be read is not from a host of this fleet and version.
-            shared.metrics.count("peer_garbage_total", "", 1);
-            continue;
-        };
-        match datagram {
-            Datagram::Heartbeat(heartbeat) => merge_heartbeat(&shared, &peers, address, heartbeat),
-            Datagram::ZoneSummary(heartbeat) => {
-                merge_zone_summary(&shared, &peers, address, heartbeat)
-            }
-            Datagram::FarSum(sum) => merge_far_sum(&shared, &peers, address, sum),
-            Datagram::CacheEntries(told) => merge_cache_entries(&shared, &peers, &told),
-            Datagram::RelaySummary(summary) => {
-                merge_relay_summary(&shared, &peers, address, &summary)
-            }
-            Datagram::FleetSum(sum) => merge_fleet_sum(&shared, &peers, address, &sum, rest),
-        }
-    }
-}
-
-/// A relay of this host's zone told what the zone's hosts need to know.
-fn merge_relay_summary(
-    shared: &Shared,
-    peers: &Membership,
-    relay: SocketAddr,
-    summary: &RelaySummary,
-) {
-    if summary.zone != peers.zone {
-        return;
-    }
-    for news in peers.record_relay_summary(relay, summary) {
-        log_member_change(shared, news);
-    }
-    if !peers.sums_up() {
-        // Relays hear first hand what each other's summaries say, and would
-        // keep each other's word alive.
-        merge_answered(shared, AnsweredHost::Near, summary.answered_ago_ms);
-        merge_answered(shared, AnsweredHost::Far, summary.far_answered_ago_ms);
-    }
-    merge_knowledge(shared, peers, relay, summary.zone, &summary.knowledge);
-}
-
-/// A relay of this host's zone told the fleet's requests; `rest` is the report
-/// of this host that the sum includes, if any.
-fn merge_fleet_sum(
-    shared: &Shared,
-    peers: &Membership,
-    relay: SocketAddr,
-    sum: &ZoneSum,
-    rest: &[u8],
-) {
-    let Ok(includes) = postcard::from_bytes::<Option<OwnReport>>(rest) else {
-        shared.metrics.count("peer_garbage_total", "", 1);
-        return;
-    };
-    if sum.zone != peers.zone {
-        return;
-    }
-    let now_ms = shared.clock.now_ms();
-    shared
-        .fleet()
-        .load
-        .merge_totals(relay, sum, includes, now_ms);
-}
-
-fn merge_heartbeat(shared: &Shared, peers: &Membership, address: SocketAddr, heartbeat: Heartbeat) {
-    let news = peers.record_heartbeat(address, &heartbeat);
-    if let Some(news) = news.filter(|_| heartbeat.zone == peers.zone) {
-        log_member_change(shared, news);
-    }
-    let named = heartbeat
-        .hosts
-        .iter()
-        .map(|host| (host.address, Some(host.zone)));
-    peers.add(named);
-    merge_answered(shared, AnsweredHost::Near, heartbeat.answered_ago_ms);
-    merge_answered(shared, AnsweredHost::Far, heartbeat.far_answered_ago_ms);
-    let now_ms = shared.clock.now_ms();
-    let mut fleet = shared.fleet();
-    if peers.counts_alone(heartbeat.zone, fleet.load.far_hosts())
-        && fleet.load.merge(address, heartbeat.report, now_ms) == Merged::Old
-    {
-        return;
-    }
-    drop(fleet);
-    merge_knowledge(shared, peers, address, heartbeat.zone, &heartbeat.knowledge);
-}
-
-fn merge_zone_summary(
-    shared: &Shared,
-    peers: &Membership,
-    address: SocketAddr,
-    heartbeat: ZoneSummary,
-) {
-    let zone = heartbeat.sum.zone;
-    if zone == peers.zone {
-        return;
-    }
-    peers.record_zone_relay(address, zone);
-    merge_answered(shared, AnsweredHost::Far, heartbeat.answered_ago_ms);
-    let now_ms = shared.clock.now_ms();
-    let mut fleet = shared.fleet();
-    let sum: ZoneSum = heartbeat.sum;
-    fleet.load.merge_zone(address, sum, SumPath::Direct, now_ms);
-    drop(fleet);
-    merge_knowledge(shared, peers, address, zone, &heartbeat.knowledge);
-}
-
-/// Another host tells how long ago the platform answered.
-fn merge_answered(shared: &Shared, whom: AnsweredHost, ago_ms: Option<u32>) {
-    let gained = shared.subscription.was_answered(whom, ago_ms);
-    shared.store_answered_after(gained);
-    if shared
-        .subscription
-        .is_due_to_relay(gained, &shared.config.follow)
-    {
-        shared.publish_now.notify_one();
-    }
-}
-
-fn merge_far_sum(shared: &Shared, peers: &Membership, relay: SocketAddr, sum: ZoneSum) {
-    if sum.zone == peers.zone {
-        return;
-    }
-    let now_ms = shared.clock.now_ms();
-    let mut fleet = shared.fleet();
-    fleet.load.merge_zone(relay, sum, SumPath::Relayed, now_ms);
-}
-
-fn merge_cache_entries(shared: &Shared, peers: &Membership, told: &CacheEntries) {
-    let now_ms = shared.clock.now_ms();
-    let mut fleet = shared.fleet();
-    match told.path {
-        SumPath::Relayed => fleet.prefixes.merge_relayed(&told.holdings, now_ms),
-        SumPath::Direct if told.zone == peers.zone => {
-            fleet
-                .prefixes
-                .merge_near(&told.holdings, peers.sums_up(), now_ms);
-        }
-        SumPath::Direct => fleet.prefixes.merge_far(&told.holdings, now_ms),
-    }
-}
-
-fn merge_knowledge(
-    shared: &Shared,
-    peers: &Membership,
-    address: SocketAddr,
-    zone: u32,
-    knowledge: &Knowledge,
-) {
-    let mut fleet = shared.fleet();
-    if fleet.endpoints.mark_leaving(&knowledge.leaving) {
-        shared
-            .metrics
-            .count("leaving_heard_from_peers_total", "", 1);
-        if peers.sums_up() {
-            shared.publish_now.notify_one();
-        }
-    }
-    let knows_newer_list = knowledge.endpoints > fleet.endpoints_version;
-    drop(fleet);
-    let own_rules = shared
-        .rules()
-        .map(|rules| rules.version())
-        .unwrap_or_default();
-    if knows_newer_list || knowledge.rules > own_rules {
-        peers.record_newer(address, zone);
-    }
-}
--- a/crates/gateway/tests/gateway/peers.rs
+++ b/crates/gateway/tests/gateway/peers.rs
@@ -125,13 +125,7 @@
 #[tokio::test]
 async fn peers_count_each_others_requests() {
     let (first, second) = two_hosts().await;
-    let mut endpoints = Vec::new();
-    for name in ["endpoint-0", "endpoint-1"] {
-        let usual = Behaviour::AnswerAfter(2_000);
-        let endpoint = ScriptedEndpoint::start(name, "pool", usual, Script::default()).await;
-        first.source.list(endpoint.endpoint.clone());
-        endpoints.push(endpoint);
-    }
+    let endpoints = two_endpoints(&first.source, 2_000).await;
     second.ready().await;
     let running: usize = 6;
     until(async || first.metrics().await.contains("chalkrock_peers_heard{} 1")).await;
@@ -154,6 +148,18 @@
     assert_that!(on_each, each(eq(&3)));
 }
 
+/// Two endpoints of a platform, each of which answers after so long.
+async fn two_endpoints(source: &TestSource, answer_ms: u64) -> Vec<ScriptedEndpoint> {
+    let mut endpoints = Vec::new();
+    for name in ["endpoint-0", "endpoint-1"] {
+        let usual = Behaviour::AnswerAfter(answer_ms);
+        let endpoint = ScriptedEndpoint::start(name, "pool", usual, Script::default()).await;
+        source.list(endpoint.endpoint.clone());
+        endpoints.push(endpoint);
+    }
+    endpoints
+}
+
 /// More hosts than those that all tell each other, in two zones of one
 /// platform.
 async fn large_fleet() -> Vec<TestGateway> {
@@ -172,13 +178,7 @@
 #[tokio::test]
 async fn peers_of_a_large_fleet_count_the_requests_of_other_zones() {
     let hosts = large_fleet().await;
-    let mut endpoints = Vec::new();
-    for name in ["endpoint-0", "endpoint-1"] {
-        let usual = Behaviour::AnswerAfter(60_000);
-        let endpoint = ScriptedEndpoint::start(name, "pool", usual, Script::default()).await;
-        hosts[0].source.list(endpoint.endpoint.clone());
-        endpoints.push(endpoint);
-    }
+    let endpoints = two_endpoints(&hosts[0].source, 60_000).await;
     for host in &hosts {
         until(async || host.metrics().await.contains("chalkrock_peers_heard{} 15")).await;
     }
@@ -271,13 +271,7 @@
 #[tokio::test]
 async fn peers_of_a_large_zone_report_to_relays_and_know_the_fleet() {
     let hosts = large_zone().await;
-    let mut endpoints = Vec::new();
-    for name in ["endpoint-0", "endpoint-1"] {
-        let usual = Behaviour::AnswerAfter(60_000);
-        let endpoint = ScriptedEndpoint::start(name, "pool", usual, Script::default()).await;
-        hosts[0].source.list(endpoint.endpoint.clone());
-        endpoints.push(endpoint);
-    }
+    let endpoints = two_endpoints(&hosts[0].source, 60_000).await;
     until(async || hosts_with(&hosts, "goes_by_relay_sums", 1.0).await >= GO_BY_RELAYS).await;
     until(async || hosts_with(&hosts, "peers_heard", (LARGE_ZONE - 1) as f64).await == LARGE_ZONE)
         .await;
