Let requests wait for a host that has just started

Within 400 ms of its start a host that knows nothing yet lets requests wait until it does. After that it refuses at once, as before: it may know nothing for long.

To wait at any time: what can't be served would be held up while the store is down.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -18,6 +18,12 @@
 use crate::edge::{CallHead, Refusal, remove_connection_headers};
 use crate::shared::Shared;
 
+/// Time from its start within which a host that does not know rules and endpoints
+/// yet lets requests wait for them. Mostly it knows them within a tenth of a
+/// second, long before a caller that was refused comes back; a host that has
+/// learned nothing by then may not for long, and refuses at once.
+const VIEW_WAIT_MS: u64 = 400;
+
 /// A request that may be dispatched.
 #[derive(Debug)]
 pub(crate) struct Call {
@@ -97,6 +103,8 @@
             format!("the host is behind by {lag_ms} ms"),
         ));
     }
+    let wait_ms = VIEW_WAIT_MS.saturating_sub(shared.clock.now_ms());
+    let _known_or_refused_below = tokio::time::timeout(ms(wait_ms), shared.view_known()).await;
     let rules = shared
         .rules()
         .filter(|_| shared.has_view())
--- a/crates/gateway/tests/gateway/calls.rs
+++ b/crates/gateway/tests/gateway/calls.rs
@@ -85,6 +85,22 @@
     assert_that!(gateway.ready_status().await, eq(503));
 }
 
+/// A host that has just started learns all it needs before a caller that was
+/// refused would come back.
+#[tokio::test]
+async fn call_waits_for_a_host_that_starts() {
+    let source = TestSource::default();
+    source.set_rules(rules(1));
+    source.set_slow(100);
+    let endpoint =
+        ScriptedEndpoint::start("endpoint-0", "pool", Behaviour::Answer, Script::default()).await;
+    source.list(endpoint.endpoint.clone());
+    let gateway = TestGateway::with(source, "host-1", Vec::new()).await;
+    assert_that!(gateway.ready_status().await, eq(503));
+    let received = gateway.call(Call::get("/safe/").id("r-1")).await;
+    assert_that!(received.status, eq(200));
+}
+
 #[tokio::test]
 async fn call_is_refused_while_its_pool_is_empty() {
     let gateway = TestGateway::before(0, Behaviour::Answer).await;
