--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -335,7 +335,7 @@
         }
     }
 
-    /// How calls are sent now. After a failure the platform may be slow rather
+    /// How calls are sent after the failures so far. After one the platform may be slow rather
     /// than silent, so that more calls are waited for; they follow each other
     /// as pauses would, which finds the end of a silence as soon with two calls
     /// in place of five.
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -6,12 +6,12 @@
 //! that is lost is replaced by the next. A host that learns of a newer version
 //! takes it from the one that knows it.
 //!
-//! In a small fleet each host tells all others. In a large one it tells those
-//! of its availability zone, and two relays of each zone tell the other zones
-//! the sum: what crosses zones does not grow with the square of the hosts. In a
-//! large zone hosts tell their relays alone, and relays tell them the sum of
-//! the whole fleet: what a host sends and hears does not grow with the fleet
-//! but for that sum. Any host may be a relay, none is agreed on, and the sum of
+//! In a small fleet each host reports to all others. In a large one it reports to
+//! those of its availability zone, and two relays of each zone send the other
+//! zones the sum: what crosses zones does not grow with the square of the hosts.
+//! In a large zone hosts report to their relays alone, and relays send them the
+//! sum of the whole fleet: what a host sends and receives does not grow with the
+//! fleet but for that sum. Any host may be a relay, none is agreed on, and the sum of
 //! any one relay is enough.
 
 mod membership;
--- a/crates/gateway/src/peers/round.rs
+++ b/crates/gateway/src/peers/round.rs
@@ -1,4 +1,5 @@
-//! Whom a host tells in one round, and what it does for the others.
+//! The recipients of one gossip round, and what this host does for its zone: to
+//! read the platform, and to relay.
 //!
 //! In a large zone hosts report to relays only. Who sums up for whom follows
 //! from what each host hears, and nothing is agreed: a host that hears a relay
@@ -32,8 +33,8 @@
 const ZONES_READING_FIRST: usize = 2;
 /// Rounds in which a relay names all hosts of its zone.
 const ROUNDS_TO_NAME_ALL: usize = 5;
-/// Rounds in which a relay tells hosts once that go by another relay. They take
-/// its sum when that one falls silent.
+/// Rounds in which a relay sends its sum once to hosts that go by another relay.
+/// They fall back on it when that one is silent.
 const STANDBY_ROUNDS: u64 = 3;
 
 /// What a host knows and does as a round begins.
@@ -56,9 +57,9 @@
 /// The recipients of one gossip round.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct GossipRound {
-    /// Hosts to tell of this one.
+    /// Recipients of this host's heartbeat.
     pub(crate) due: Vec<SocketAddr>,
-    /// Hosts that they may not know.
+    /// Hosts to name to them, which they may not know.
     pub(crate) named: Vec<NamedHost>,
     /// Hosts of other zones to tell of this zone, if this host is a relay.
     pub(crate) far: Vec<SocketAddr>,
@@ -86,7 +87,7 @@
 }
 
 impl Membership {
-    /// Works out whom to tell now.
+    /// Works out the recipients of the next round and this host's roles.
     pub(crate) fn round(&self, input: &RoundInput) -> GossipRound {
         let now = Instant::now();
         let named = self.named();
@@ -195,7 +196,7 @@
     }
 
     /// The hosts of the zone that are sent a relay's sum in this round. Each
-    /// goes by one of the two relays, and is told by the other now and then.
+    /// goes by one of the two relays, and hears the other every few rounds.
     fn sum_to(
         &self,
         known: &HashMap<SocketAddr, Member>,
