Keep the number of a zone's relays in one place, and mend a message

Which relay a host goes by was worked out from a second constant beside the one that says how many relays there are: had one changed alone, some hosts would have gone by a relay that does not exist. A rename had turned "can't hear other hosts" into "can't receive other hosts". Behaviour is as it was.

--- a/crates/gateway/src/peers/round.rs
+++ b/crates/gateway/src/peers/round.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use chalkrock_core::rendezvous::{KeyHash, MemberHash, score};
-use chalkrock_routing::{HeardHost, SubscriptionRole, ZoneView, readers_wanted};
+use chalkrock_routing::{HeardHost, RELAYS, SubscriptionRole, ZoneView, readers_wanted};
 use rand::seq::IndexedRandom;
 use tokio::time::Instant;
 
@@ -306,6 +306,5 @@
 
 /// The place of the relay that a host goes by.
 fn relay_of(address: &SocketAddr) -> usize {
-    const RELAYS: u32 = 2;
-    (MemberHash::of(&address.to_string()).short() % RELAYS) as usize
+    MemberHash::of(&address.to_string()).short() as usize % RELAYS
 }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -156,7 +156,7 @@
     let own = listener.local_addr()?;
     let socket = UdpSocket::bind(own)
         .await
-        .wrap_err_with(|| format!("can't receive other hosts on {own}"))?;
+        .wrap_err_with(|| format!("can't listen for other hosts on {own}"))?;
     let socket = Arc::new(socket);
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
     let incarnation = since_epoch.map_or(0, |since| since.as_micros() as u64);
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -70,7 +70,7 @@
 pub use health::{EndpointHealth, HealthSignal};
 pub use in_flight::{EndpointCount, REPORT_AGE_MAX_MS, REPORT_INTERVAL_MS};
 pub use prefix_directory::{CacheEntry, PrefixDirectory};
-pub use readers::{HeardHost, SubscriptionRole, ZoneView, doubting_part, readers_wanted};
+pub use readers::{HeardHost, RELAYS, SubscriptionRole, ZoneView, doubting_part, readers_wanted};
 pub use route::{Backend, Route, RouteKind};
 pub use rules::{Caller, CallerLimits, OrganisationRules, Rules, RulesDocument, RulesVersion};
 pub use shares::Shares;
--- a/crates/routing/src/readers.rs
+++ b/crates/routing/src/readers.rs
@@ -45,7 +45,7 @@
 }
 
 /// Relays of a zone: one that falls silent is missed by none.
-const RELAYS: usize = 2;
+pub const RELAYS: usize = 2;
 /// Hosts of a zone from which on they report to relays only. Among fewer, each
 /// hears all others with fewer datagrams than relays would cost them.
 const RELAYED_FROM: usize = 24;
