Log what becomes of taking rules from another host

Cause looked for: rules of 4,200 routes were not in force on one host 1.9 s after their bound, and answers of all kinds came late meanwhile. Before: no line told of pulls between hosts, so that three hypotheses (transfers given up, processor time, the list of endpoints) could not be told apart. Conclusion: transfers that are given up and begun anew fill the links. No logic is changed yet.

--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -63,6 +63,18 @@
     pub(crate) took_ms: u64,
 }
 
+/// How taking from another host what this one was missing ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub(crate) enum PullOutcome {
+    /// Rules came into force.
+    Rules,
+    /// The host refused the connection or broke off.
+    Broken,
+    /// It was given up.
+    GivenUp,
+}
+
 /// What is told.
 #[derive(Debug, Serialize)]
 #[serde(tag = "event", rename_all = "kebab-case")]
@@ -85,6 +97,14 @@
         leaving: usize,
         from: &'a str,
     },
+    /// Taking from another host what this one was missing failed, or brought
+    /// rules; `read_bytes` is what arrived of its answer.
+    Pull {
+        from: SocketAddr,
+        outcome: PullOutcome,
+        read_bytes: u64,
+        took_ms: u64,
+    },
     /// A dependency was lost or is back.
     Dependency {
         name: &'a str,
--- a/crates/gateway/src/peers/pull.rs
+++ b/crates/gateway/src/peers/pull.rs
@@ -12,8 +12,10 @@
 use serde::{Deserialize, Serialize};
 use tarpc::server::{BaseChannel, Channel};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::time::Instant;
 
 use crate::clock::ms;
+use crate::event_log::{Event, PullOutcome};
 use crate::peers::Membership;
 use crate::peers::message::NamedHost;
 use crate::shared::Shared;
@@ -173,11 +175,11 @@
     let others = seeds.filter(|seed| **seed != peers.own);
     let pulls = others.map(|seed| {
         let have = have(shared, peers);
-        tokio::time::timeout(SEED_TIMEOUT, pull(*seed, have))
+        pull(shared, *seed, have, SEED_TIMEOUT)
     });
     let mut pulls: FuturesUnordered<_> = pulls.collect();
     while let Some(pulled) = pulls.next().await {
-        if let Ok(Some(missing)) = pulled {
+        if let Some(missing) = pulled {
             take(shared, peers, missing);
         }
         if shared.has_view() {
@@ -210,9 +212,8 @@
         // Whoever knows more may have gone meanwhile; by now others know it too.
         let second = peers.any().filter(|address| *address != first);
         for address in [Some(first), second].into_iter().flatten() {
-            let pulled =
-                tokio::time::timeout(pull_timeout, pull(address, have(&shared, &peers))).await;
-            if let Ok(Some(missing)) = pulled {
+            let have = have(&shared, &peers);
+            if let Some(missing) = pull(&shared, address, have, pull_timeout).await {
                 take(&shared, &peers, missing);
                 continue 'behind;
             }
@@ -235,9 +236,38 @@
     }
 }
 
-async fn pull(address: SocketAddr, have: Have) -> Option<Missing> {
+/// Takes from another host what this one is missing, and logs what became of it.
+async fn pull(
+    shared: &Shared,
+    from: SocketAddr,
+    have: Have,
+    timeout: Duration,
+) -> Option<Missing> {
+    let began_at = Instant::now();
+    let count = Arc::new(ByteCount::default());
+    let asked = tokio::time::timeout(timeout, ask(from, have, count.clone()));
+    let (outcome, missing) = match asked.await {
+        Ok(Some(missing)) => {
+            let outcome = missing.rules.as_ref().map(|_| PullOutcome::Rules);
+            (outcome, Some(missing))
+        }
+        Ok(None) => (Some(PullOutcome::Broken), None),
+        Err(_) => (Some(PullOutcome::GivenUp), None),
+    };
+    if let Some(outcome) = outcome {
+        shared.event_log.emit(&Event::Pull {
+            from,
+            outcome,
+            read_bytes: count.read_bytes(),
+            took_ms: began_at.elapsed().as_millis() as u64,
+        });
+    }
+    missing
+}
+
+async fn ask(address: SocketAddr, have: Have, count: Arc<ByteCount>) -> Option<Missing> {
     let stream = TcpStream::connect(address).await.ok()?;
-    let framed = transport(stream, Arc::new(ByteCount::default()));
+    let framed = transport(stream, count);
     let client = PeerApiClient::new(tarpc::client::Config::default(), framed).spawn();
     client.missing(tarpc::context::current(), have).await.ok()
 }
