Pass large rules on to few hosts at once, and name these to the others

Cause: all hosts of a zone hear of new rules from the same one or two and take them at the same moment. Twenty transfers of 80 KB fill a link of 10 Mbit/s for 1.3 s, and its callers wait behind them; a host that starts waits for as long as something arrives, so that three hosts of the settings could be held by a whole fleet that restarts. Hypothesis: a few at a time are served fast and can serve the others. Change: a host passes rules of more than 64 entries on to as many others at once as its link gives 5 Mbit/s each (two on 10 Mbit/s). Others are told that it is busy and who has the version, and ask one of these after 20 to 100 ms. A connection on which nothing moves gives its place back. A host that has what it needs ends what still arrives. What hosts ask each other, who answers and who takes stand in modules of their own. Ruled out: letting those that wait queue at the host, which leaves all on one link. The test fails with as many at once as ask.

--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -12,6 +12,10 @@
 /// What a host may use of a processor if the settings do not tell.
 const ONE_CORE_MILLICORES: u16 = 1_000;
 
+/// Hosts that are passed large rules at once if the settings do not tell the
+/// link: as many as 100 Mbit/s bear with 5 Mbit/s each.
+const UPLOADS_MAX: usize = 20;
+
 /// The settings of one gateway.
 #[derive(Clone, Debug)]
 pub struct GatewayConfig {
@@ -28,6 +32,7 @@
     pub(crate) connections_max: usize,
     pub(crate) follow: FollowTimes,
     pub(crate) capacity_millicores: u16,
+    pub(crate) uploads_max: usize,
     pub(crate) is_first_start: bool,
 }
 
@@ -57,6 +62,7 @@
             connections_max: 2_000,
             follow: FollowTimes::within(FOLLOW_BOUND_MS),
             capacity_millicores: ONE_CORE_MILLICORES,
+            uploads_max: UPLOADS_MAX,
             is_first_start: false,
         })
     }
@@ -135,6 +141,13 @@
         self
     }
 
+    /// Most other hosts that are passed large rules at once, one at least: these
+    /// share the host's link, also with its callers.
+    pub fn uploads_max(mut self, most: usize) -> Self {
+        self.0.uploads_max = most.max(1);
+        self
+    }
+
     /// Whether the whole fleet starts for the first time, so that no host
     /// serves yet: hosts take more time to let a few read the platform for all.
     pub fn is_first_start(mut self, is_first_start: bool) -> Self {
--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -67,8 +67,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub(crate) enum PullOutcome {
-    /// Rules came into force.
+    /// Rules arrived.
     Rules,
+    /// The host has newer rules, and passes them on to enough others.
+    Busy,
     /// The host refused the connection or broke off.
     Broken,
     /// It was given up.
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -14,14 +14,18 @@
 //! fleet but for that sum. Any host may be a relay, none is agreed on, and the sum of
 //! any one relay is enough.
 
+mod api;
 mod membership;
 mod message;
 mod publish;
 mod pull;
 mod receive;
 mod round;
+mod serve;
+mod uploads;
 
 pub(crate) use membership::{Membership, zone_hash};
 pub(crate) use publish::publish;
-pub(crate) use pull::{pull_at_start, pull_when_behind, serve_pulls};
+pub(crate) use pull::{pull_at_start, pull_when_behind};
 pub(crate) use receive::receive;
+pub(crate) use serve::serve_pulls;
--- a/crates/gateway/src/peers/pull.rs
+++ b/crates/gateway/src/peers/pull.rs
@@ -1,27 +1,25 @@
-//! Takes what a host is missing from another one, over tarpc.
+//! Takes what a host is missing from another one.
 
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::sync::Arc;
 use std::time::Duration;
 
-use chalkrock_core::Endpoint;
 use chalkrock_proto::{ByteCount, transport};
 use chalkrock_routing::RulesVersion;
+use futures::StreamExt;
 use futures::stream::FuturesUnordered;
-use futures::{Stream, StreamExt};
-use serde::{Deserialize, Serialize};
-use tarpc::server::{BaseChannel, Channel};
-use tokio::net::{TcpListener, TcpStream};
+use rand::RngExt;
+use rand::seq::IndexedRandom;
+use tokio::net::TcpStream;
 use tokio::time::Instant;
 
 use crate::arrival::{Patience, while_arriving};
 use crate::clock::ms;
 use crate::event_log::{Event, PullOutcome};
 use crate::peers::Membership;
-use crate::peers::message::NamedHost;
-use crate::rules_in_force::RulesNews;
+use crate::peers::api::{EndpointNews, Have, Missing, PeerApiClient, RulesOffer};
 use crate::shared::Shared;
-use crate::source::{EndpointRow, StoreVersion};
 
 /// A host that does not read the platform waits this long, so that a host of
 /// its own zone may be heard to know as much.
@@ -39,120 +37,24 @@
     Duration::from_millis(400),
     Duration::from_millis(900),
 ];
-/// A host that knows of no more than one in so many is told of all.
-const FEW_PART: usize = 2;
-
-/// What a host knows already.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct Have {
-    pub(crate) rules: RulesVersion,
-    /// `None` if it has no list at all: an empty one is a list too.
-    pub(crate) endpoints: Option<StoreVersion>,
-    /// Hosts that it heard of, itself included.
-    pub(crate) hosts: usize,
-}
-
-/// The list of endpoints as one host knows it.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub(crate) enum EndpointNews {
-    /// The whole list, as of a version.
-    Entire {
-        version: StoreVersion,
-        endpoints: Vec<Endpoint>,
-    },
-    /// Its changes since the version that was asked for.
-    Changes(Vec<EndpointRow>),
-}
-
-/// What another host is missing.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub(crate) struct Missing {
-    pub(crate) rules: Option<RulesNews>,
-    pub(crate) endpoints: Option<EndpointNews>,
-    /// The hosts of the fleet, for one that knows of few.
-    pub(crate) hosts: Vec<NamedHost>,
-}
-
-#[tarpc::service]
-pub(crate) trait PeerApi {
-    /// What this host knows beyond `have`.
-    async fn missing(have: Have) -> Missing;
-}
-
-#[derive(Clone)]
-struct Answers {
-    shared: Arc<Shared>,
-    peers: Arc<Membership>,
-}
-
-impl PeerApi for Answers {
-    async fn missing(self, _: tarpc::context::Context, have: Have) -> Missing {
-        let mut hosts = self.peers.recent();
-        if have.hosts > hosts.len() / FEW_PART {
-            hosts.clear();
-        }
-        Missing {
-            rules: self.shared.rules.news_since(have.rules),
-            endpoints: endpoint_news(&self.shared, have.endpoints),
-            hosts,
-        }
-    }
-}
-
-/// What another host is missing of the list, given the version that it has.
-fn endpoint_news(shared: &Shared, have: Option<StoreVersion>) -> Option<EndpointNews> {
-    if !shared.knows_endpoints() {
-        return None;
-    }
-    let fleet = shared.fleet();
-    let whole = || EndpointNews::Entire {
-        version: fleet.endpoints_version,
-        endpoints: fleet.endpoints.listed(),
-    };
-    let Some(have) = have else {
-        return Some(whole());
-    };
-    if fleet.endpoints_version <= have {
-        return None;
-    }
-    let changes = fleet.changes_after(have).map(EndpointNews::Changes);
-    Some(changes.unwrap_or_else(whole))
-}
-
-/// Answers other hosts, until the process ends.
-pub(crate) async fn serve_pulls(
-    shared: Arc<Shared>,
-    peers: Arc<Membership>,
-    listener: TcpListener,
-) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(ASK_EVERY).await;
-            continue;
-        };
-        let framed = transport(stream, Arc::new(ByteCount::default()));
-        let channel = BaseChannel::with_defaults(framed);
-        let answers = Answers {
-            shared: shared.clone(),
-            peers: peers.clone(),
-        };
-        let answers = answers.serve();
-        tokio::spawn(run_requests(channel.execute(answers)));
-    }
-}
-
-async fn run_requests<F: Future<Output = ()>>(requests: impl Stream<Item = F>) {
-    let mut requests = std::pin::pin!(requests);
-    while let Some(request) = requests.next().await {
-        request.await;
-    }
-}
+/// Pause, in milliseconds, before a host that is busy is asked again, or
+/// another one that it named; each draws one. A transfer of 80 KB takes 65 ms
+/// on a link of 10 Mbit/s.
+const BUSY_PAUSE_MS: RangeInclusive<u64> = 20..=100;
+/// How often hosts that are busy are asked before others are: for three
+/// seconds in the mean.
+const BUSY_TRIES: usize = 50;
 
 /// Asks the hosts of the settings for all that they know, until this host can
 /// serve.
 pub(crate) async fn pull_at_start(shared: Arc<Shared>, peers: Arc<Membership>) {
     while !shared.has_view() {
-        pull_from_seeds(&shared, &peers).await;
+        // What still arrives when the view is known from elsewhere is not
+        // waited for: it would fill this host's link and the other's.
+        tokio::select! {
+            () = shared.view_known() => {}
+            () = pull_from_seeds(&shared, &peers) => {}
+        }
         shared.subscription.seeds_asked();
         tokio::select! {
             () = shared.view_known() => {}
@@ -169,7 +71,7 @@
 }
 
 /// Asks all hosts of the settings together, until one tells all it takes to
-/// serve.
+/// serve, and then one of those that they name while they are busy.
 async fn pull_from_seeds(shared: &Shared, peers: &Membership) {
     let seeds = shared.config.peer_seeds.iter();
     let others = seeds.filter(|seed| **seed != peers.own);
@@ -178,22 +80,29 @@
         pull(shared, *seed, have, SEED_TIMEOUT)
     });
     let mut pulls: FuturesUnordered<_> = pulls.collect();
+    let mut named = Vec::new();
     while let Some(pulled) = pulls.next().await {
-        if let Some(missing) = pulled {
-            take(shared, peers, missing);
-        }
+        let busy = pulled.and_then(|missing| take(shared, peers, missing));
+        named.extend(busy.into_iter().flat_map(|busy| busy.ask));
         if shared.has_view() {
             return;
         }
     }
+    named.retain(|address| *address != peers.own);
+    let Some(named) = named.choose(&mut rand::rng()) else {
+        return;
+    };
+    let have = have(shared, peers);
+    if let Some(missing) = pull(shared, *named, have, SEED_TIMEOUT).await {
+        take(shared, peers, missing);
+    }
 }
 
 /// Pulls from another host whenever one knows more, until the process ends.
 pub(crate) async fn pull_when_behind(shared: Arc<Shared>, peers: Arc<Membership>) {
     // The platform is given a while to tell by itself.
     let patience = ms(shared.config.follow.patience_ms);
-    let pull_timeout = ms(shared.config.follow.pull_timeout_ms);
-    'behind: loop {
+    loop {
         let asked = tokio::time::timeout(ASK_EVERY, peers.newer_known.notified());
         let knows_of_more = asked.await.is_ok();
         if knows_of_more {
@@ -209,22 +118,47 @@
         let Some(first) = peers.take_newer().or_else(|| peers.any()) else {
             continue;
         };
-        // Whoever knows more may have gone meanwhile; by now others know it too.
-        let second = peers.any().filter(|address| *address != first);
-        for address in [Some(first), second].into_iter().flatten() {
-            let have = have(&shared, &peers);
-            if let Some(missing) = pull(&shared, address, have, pull_timeout).await {
-                take(&shared, &peers, missing);
-                continue 'behind;
+        if catch_up(&shared, &peers, first).await.is_none() {
+            // No host that knows more can be reached: the platform may be.
+            shared.subscription.read_again();
+        }
+    }
+}
+
+/// Takes what is missing from a host that knows more, and from those it names
+/// while it is busy. `None` if no host could be reached that is not.
+async fn catch_up(shared: &Shared, peers: &Membership, first: SocketAddr) -> Option<()> {
+    let first_byte = ms(shared.config.follow.pull_timeout_ms);
+    let mut from = first;
+    let mut has_failed = false;
+    for _ in 0..BUSY_TRIES {
+        let have = have(shared, peers);
+        let Some(missing) = pull(shared, from, have, first_byte).await else {
+            if has_failed {
+                return None;
             }
+            has_failed = true;
+            // Whoever knows more may have gone meanwhile; by now others know it
+            // too.
+            from = peers.any().filter(|address| *address != from)?;
+            continue;
+        };
+        let Some(busy) = take(shared, peers, missing) else {
+            return Some(());
+        };
+        let pause_ms = rand::rng().random_range(BUSY_PAUSE_MS);
+        tokio::time::sleep(ms(pause_ms)).await;
+        if shared.rules.version() >= busy.version {
+            return Some(());
         }
-        // No host that knows more can be reached: the platform may be.
-        shared.subscription.read_again();
+        from = busy.ask.choose(&mut rand::rng()).copied().unwrap_or(first);
     }
+    None
 }
 
 fn have(shared: &Shared, peers: &Membership) -> Have {
     Have {
+        address: peers.own,
         hosts: peers.recent().len(),
         rules: shared.rules.version(),
         endpoints: shared
@@ -249,7 +183,11 @@
     let asked = ask(from, have, count.clone());
     let (outcome, missing) = match while_arriving(asked, || count.read_bytes(), patience).await {
         Some(Some(missing)) => {
-            let outcome = missing.rules.as_ref().map(|_| PullOutcome::Rules);
+            let outcome = match missing.rules {
+                RulesOffer::None => None,
+                RulesOffer::News(_) => Some(PullOutcome::Rules),
+                RulesOffer::Busy { .. } => Some(PullOutcome::Busy),
+            };
             (outcome, Some(missing))
         }
         Some(None) => (Some(PullOutcome::Broken), None),
@@ -277,13 +215,27 @@
     client.missing(tarpc::context::current(), have).await.ok()
 }
 
-fn take(shared: &Shared, peers: &Membership, missing: Missing) {
+/// A host has newer rules and passes them on to enough others already.
+struct Busy {
+    version: RulesVersion,
+    /// Hosts that may have them too.
+    ask: Vec<SocketAddr>,
+}
+
+/// Takes what another host told. Returns where to ask for rules that it could
+/// not pass on.
+fn take(shared: &Shared, peers: &Membership, missing: Missing) -> Option<Busy> {
     const FROM: &str = "peer";
     let hosts = missing.hosts.iter();
     peers.add(hosts.map(|host| (host.address, Some(host.zone))));
-    if let Some(rules) = missing.rules {
-        shared.take_rules_news(rules, FROM);
-    }
+    let busy = match missing.rules {
+        RulesOffer::None => None,
+        RulesOffer::News(news) => {
+            shared.take_rules_news(news, FROM);
+            None
+        }
+        RulesOffer::Busy { version, ask } => Some(Busy { version, ask }),
+    };
     if let Some(news) = missing.endpoints {
         if take_endpoints(shared, news) {
             shared.log_endpoints(FROM);
@@ -294,6 +246,7 @@
         // The hosts of a large zone hear of it from their relays only.
         shared.publish_now.notify_one();
     }
+    busy
 }
 
 fn take_endpoints(shared: &Shared, news: EndpointNews) -> bool {
--- /dev/null
+++ b/crates/gateway/src/peers/serve.rs
@@ -0,0 +1,134 @@
+//! Answers other hosts that ask what they are missing, over tarpc.
+
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use chalkrock_proto::{ByteCount, transport};
+use futures::{Stream, StreamExt};
+use tarpc::server::{BaseChannel, Channel};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::OwnedSemaphorePermit;
+
+use crate::arrival::{Patience, while_arriving};
+use crate::clock::ms;
+use crate::peers::Membership;
+use crate::peers::api::{EndpointNews, Have, Missing, PeerApi, RulesOffer};
+use crate::peers::uploads::Uploads;
+use crate::shared::Shared;
+use crate::source::StoreVersion;
+
+/// Pause after the system could not accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(500);
+/// A host that knows of no more than one in so many is told of all.
+const FEW_PART: usize = 2;
+/// Entries of rules, of some 60 bytes each, that are passed on to any number
+/// of hosts at once.
+const SMALL_ENTRIES: usize = 64;
+
+/// Answers other hosts, until the process ends.
+pub(crate) async fn serve_pulls(
+    shared: Arc<Shared>,
+    peers: Arc<Membership>,
+    listener: TcpListener,
+) {
+    let uploads = Arc::new(Uploads::new(shared.config.uploads_max));
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let answers = Answers {
+            shared: shared.clone(),
+            peers: peers.clone(),
+            uploads: uploads.clone(),
+            upload: Arc::default(),
+        };
+        tokio::spawn(serve(answers, stream));
+    }
+}
+
+/// Answers one connection until it is closed, or until nothing moves on it: a
+/// host that has gone shall not keep others from their turn.
+async fn serve(answers: Answers, stream: TcpStream) {
+    let count = Arc::new(ByteCount::default());
+    let stall = ms(answers.shared.config.follow.stall_ms);
+    let patience = Patience {
+        first: stall,
+        stall,
+    };
+    let channel = BaseChannel::with_defaults(transport(stream, count.clone()));
+    let requests = run_requests(channel.execute(answers.serve()));
+    let moved = || count.read_bytes() + count.written_bytes();
+    let _closed_either_way = while_arriving(requests, moved, patience).await;
+}
+
+async fn run_requests<F: Future<Output = ()>>(requests: impl Stream<Item = F>) {
+    let mut requests = std::pin::pin!(requests);
+    while let Some(request) = requests.next().await {
+        request.await;
+    }
+}
+
+/// Answers the requests of one connection.
+#[derive(Clone)]
+struct Answers {
+    shared: Arc<Shared>,
+    peers: Arc<Membership>,
+    uploads: Arc<Uploads>,
+    /// Held from an answer with many entries until the connection ends, as it
+    /// does when the answer has arrived.
+    upload: Arc<Mutex<Option<OwnedSemaphorePermit>>>,
+}
+
+impl PeerApi for Answers {
+    async fn missing(self, _: tarpc::context::Context, have: Have) -> Missing {
+        let mut hosts = self.peers.recent();
+        if have.hosts > hosts.len() / FEW_PART {
+            hosts.clear();
+        }
+        Missing {
+            rules: self.rules_for(&have),
+            endpoints: endpoint_news(&self.shared, have.endpoints),
+            hosts,
+        }
+    }
+}
+
+impl Answers {
+    fn rules_for(&self, have: &Have) -> RulesOffer {
+        let Some(news) = self.shared.rules.news_since(have.rules) else {
+            return RulesOffer::None;
+        };
+        if news.entries() <= SMALL_ENTRIES {
+            return RulesOffer::News(news);
+        }
+        let version = self.shared.rules.version();
+        let Some(permit) = self.uploads.begin(version, have.address) else {
+            let ask = self.uploads.takers(version);
+            return RulesOffer::Busy { version, ask };
+        };
+        let mut upload = self.upload.lock().unwrap_or_else(PoisonError::into_inner);
+        *upload = Some(permit);
+        RulesOffer::News(news)
+    }
+}
+
+/// What another host is missing of the list, given the version that it has.
+fn endpoint_news(shared: &Shared, have: Option<StoreVersion>) -> Option<EndpointNews> {
+    if !shared.knows_endpoints() {
+        return None;
+    }
+    let fleet = shared.fleet();
+    let whole = || EndpointNews::Entire {
+        version: fleet.endpoints_version,
+        endpoints: fleet.endpoints.listed(),
+    };
+    let Some(have) = have else {
+        return Some(whole());
+    };
+    if fleet.endpoints_version <= have {
+        return None;
+    }
+    let changes = fleet.changes_after(have).map(EndpointNews::Changes);
+    Some(changes.unwrap_or_else(whole))
+}
--- a/crates/gateway/src/rules_in_force.rs
+++ b/crates/gateway/src/rules_in_force.rs
@@ -15,6 +15,16 @@
     Changes(Vec<Arc<RulesChange>>),
 }
 
+impl RulesNews {
+    /// Routes and organisations that it names.
+    pub(crate) fn entries(&self) -> usize {
+        match self {
+            Self::Entire(document) => document.entries(),
+            Self::Changes(changes) => changes.iter().map(|change| change.entries()).sum(),
+        }
+    }
+}
+
 /// The rules in force; their version only rises.
 #[derive(Default)]
 pub(crate) struct RulesInForce {
@@ -87,11 +97,8 @@
         let current = self.current().filter(|rules| rules.version() > version)?;
         let document = current.document();
         let history = self.history.lock().unwrap_or_else(PoisonError::into_inner);
-        let changes = history.since(version).filter(|changes| {
-            let entries: usize = changes.iter().map(|change| change.entries()).sum();
-            entries <= document.routes.len() + document.organisations.len()
-        });
-        let whole = || RulesNews::Entire(RulesDocument::clone(document));
-        Some(changes.map_or_else(whole, RulesNews::Changes))
+        let changes = history.since(version).map(RulesNews::Changes);
+        let fewer = changes.filter(|changes| changes.entries() <= document.entries());
+        Some(fewer.unwrap_or_else(|| RulesNews::Entire(RulesDocument::clone(document))))
     }
 }
--- a/crates/gateway/tests/gateway/large_rules.rs
+++ b/crates/gateway/tests/gateway/large_rules.rs
@@ -42,6 +42,33 @@
     assert_that!(source.rules_transfers(), eq(1));
 }
 
+/// Eight hosts that start at once take the rules from one that passes them on
+/// to two at a time, and names these to the others, so that not all come
+/// through its link.
+#[tokio::test(start_paused = true)]
+async fn large_rules_are_passed_on_to_few_hosts_at_once() {
+    const AT_ONCE: usize = 2;
+    const HOSTS: usize = 8;
+    let source = TestSource::default();
+    source.set_rules(rules_of(1, ROUTES));
+    let first = TestGateway::with_uploads(source, AT_ONCE).await;
+    first.ready().await;
+    let address = first.running.peer_address().expect("it hears others");
+    let link = SlowLink::to(address, 150_000).await;
+    let cut_off = TestSource::default();
+    cut_off.set_down(true);
+    let mut others = Vec::new();
+    for i in 0..HOSTS {
+        let seeds = vec![link.address()];
+        others.push(TestGateway::with(cut_off.clone(), &format!("host-{i}"), seeds).await);
+    }
+    for other in &others {
+        assert_that!(timeout(LONG, other.ready()).await.is_ok(), eq(true));
+    }
+    assert_that!(link.large_answers_at_once(), le(AT_ONCE));
+    assert_that!(link.large_answers(), le(HOSTS - 2));
+}
+
 /// A host that has the version before takes what changed, and not the 250 KB of
 /// the whole: zones of hosts with links of 10 Mbit/s took 29 MB for a version
 /// that changed no route.
--- a/crates/gateway/tests/gateway/support/fleet.rs
+++ b/crates/gateway/tests/gateway/support/fleet.rs
@@ -155,6 +155,12 @@
         Self::configured(config.build(), source).await
     }
 
+    /// A gateway that passes large rules on to so many others at once.
+    pub(crate) async fn with_uploads(source: TestSource, uploads_max: usize) -> Self {
+        let config = config("zone-a", "host-1", Vec::new());
+        Self::configured(config.uploads_max(uploads_max).build(), source).await
+    }
+
     /// A gateway in a zone.
     pub(crate) async fn in_zone(
         zone: &str,
--- a/crates/gateway/tests/gateway/support/link.rs
+++ b/crates/gateway/tests/gateway/support/link.rs
@@ -1,6 +1,8 @@
 //! A slow link to a host.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -9,9 +11,39 @@
 /// Bytes that are passed on at once.
 const PIECE_BYTES: usize = 2 * 1024;
 
+/// Bytes from which on an answer is large.
+const LARGE_BYTES: usize = 16 * 1024;
+
 /// Passes connections on to a host, and what it answers at a bounded rate each.
 pub(crate) struct SlowLink {
     address: SocketAddr,
+    large: Arc<LargeAnswers>,
+}
+
+/// Large answers that are on their way, the most at once, and all so far.
+#[derive(Default)]
+struct LargeAnswers {
+    begun: AtomicUsize,
+    now: AtomicUsize,
+    most: AtomicUsize,
+}
+
+/// A large answer on its way; it has ended when this is dropped.
+struct LargeAnswer(Arc<LargeAnswers>);
+
+impl LargeAnswer {
+    fn begin(all: &Arc<LargeAnswers>) -> Self {
+        all.begun.fetch_add(1, Ordering::Relaxed);
+        let now = 1 + all.now.fetch_add(1, Ordering::Relaxed);
+        all.most.fetch_max(now, Ordering::Relaxed);
+        Self(all.clone())
+    }
+}
+
+impl Drop for LargeAnswer {
+    fn drop(&mut self) {
+        self.0.now.fetch_sub(1, Ordering::Relaxed);
+    }
 }
 
 impl SlowLink {
@@ -19,12 +51,24 @@
     pub(crate) async fn to(host: SocketAddr, bytes_per_s: u64) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("an address");
+        let large: Arc<LargeAnswers> = Arc::default();
+        let counted = large.clone();
         tokio::spawn(async move {
             while let Ok((caller, _)) = listener.accept().await {
-                tokio::spawn(pass_on(caller, host, bytes_per_s));
+                tokio::spawn(pass_on(caller, host, bytes_per_s, counted.clone()));
             }
         });
-        Self { address }
+        Self { address, large }
+    }
+
+    /// Large answers so far.
+    pub(crate) fn large_answers(&self) -> usize {
+        self.large.begun.load(Ordering::Relaxed)
+    }
+
+    /// Most large answers that were on their way at once.
+    pub(crate) fn large_answers_at_once(&self) -> usize {
+        self.large.most.load(Ordering::Relaxed)
     }
 
     /// Where it takes connections.
@@ -33,7 +77,7 @@
     }
 }
 
-async fn pass_on(caller: TcpStream, host: SocketAddr, bytes_per_s: u64) {
+async fn pass_on(caller: TcpStream, host: SocketAddr, bytes_per_s: u64, large: Arc<LargeAnswers>) {
     let Ok(host) = TcpStream::connect(host).await else {
         return;
     };
@@ -42,9 +86,15 @@
     let requests = tokio::io::copy(&mut from_caller, &mut to_host);
     let answers = async {
         let mut piece = vec![0; PIECE_BYTES];
+        let mut passed = 0;
+        let mut large_answer = None;
         while let Ok(length @ 1..) = from_host.read(&mut piece).await {
             let takes = Duration::from_micros(length as u64 * 1_000_000 / bytes_per_s);
             tokio::time::sleep(takes).await;
+            passed += length;
+            if passed >= LARGE_BYTES {
+                large_answer.get_or_insert_with(|| LargeAnswer::begin(&large));
+            }
             if to_caller.write_all(&piece[..length]).await.is_err() {
                 return;
             }
--- a/crates/routing/src/rules.rs
+++ b/crates/routing/src/rules.rs
@@ -71,6 +71,11 @@
 }
 
 impl RulesDocument {
+    /// Its routes and organisations.
+    pub fn entries(&self) -> usize {
+        self.routes.len() + self.organisations.len()
+    }
+
     /// Puts routes and organisations in the order of their names, which says
     /// nothing: whoever writes documents may put new entries anywhere.
     pub fn sort(&mut self) {
