Go back to the host that knows more when one it named has gone

A named host that fails does not count as the failure after which the platform is read: the host that named it is still there.

--- a/crates/gateway/src/peers/pull.rs
+++ b/crates/gateway/src/peers/pull.rs
@@ -10,7 +10,7 @@
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use rand::RngExt;
-use rand::seq::IndexedRandom;
+use rand::seq::{IndexedRandom, IteratorRandom};
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
@@ -130,10 +130,16 @@
 async fn catch_up(shared: &Shared, peers: &Membership, first: SocketAddr) -> Option<()> {
     let first_byte = ms(shared.config.follow.pull_timeout_ms);
     let mut from = first;
+    let mut is_named = false;
     let mut has_failed = false;
     for _ in 0..BUSY_TRIES {
         let have = have(shared, peers);
         let Some(missing) = pull(shared, from, have, first_byte).await else {
+            if is_named {
+                from = first;
+                is_named = false;
+                continue;
+            }
             if has_failed {
                 return None;
             }
@@ -151,7 +157,10 @@
         if shared.rules.version() >= busy.version {
             return Some(());
         }
-        from = busy.ask.choose(&mut rand::rng()).copied().unwrap_or(first);
+        let others = busy.ask.iter().filter(|address| **address != peers.own);
+        let named = others.choose(&mut rand::rng()).copied();
+        is_named = named.is_some();
+        from = named.unwrap_or(first);
     }
     None
 }
