Part following the platform into its steps, calls, failures and start

One file of 450 lines held what a host that starts asks, how calls are sent beside each other and what follows from failures.

--- /dev/null
+++ b/crates/gateway/src/follow/mod.rs
@@ -0,0 +1,213 @@
+//! Follows the platform's rules and list of endpoints.
+//!
+//! A topic is read whole once and then followed by waiting for changes. When
+//! the history is gone, or another host knows more, it is read whole again. A
+//! host that starts lets others tell it first: where one serves, it reads
+//! nothing until it is its turn.
+//!
+//! A wait may be lost in a silence of the platform, and a lost one can't be
+//! told from one that has nothing to say. So while the platform has answered no
+//! host for a while, it is asked beside the wait, with a call that is answered
+//! at once; and after a failure it is asked with such calls until it answers.
+
+mod calls;
+mod failures;
+mod start;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::RngExt;
+use tokio::time::Instant;
+
+use crate::arrival::Arrival;
+use crate::clock::ms;
+use crate::follow::calls::{hedged, poll, wait};
+use crate::follow::failures::Failures;
+use crate::shared::Shared;
+use crate::source::{
+    EndpointChange, EndpointRow, News, Row, Source, SourceError, StoreVersion, Topic,
+};
+use crate::subscription::Due;
+
+/// How long one wait for changes lasts: each is a call that is paid for.
+const WAIT_MS: u64 = 10_000;
+/// Pause after the first answer of all: most hosts that start find meanwhile
+/// that others read, and wait for no change themselves.
+const START_PAUSE: Duration = Duration::from_millis(1_000);
+const FROM: &str = "platform";
+
+/// What is asked of the platform next.
+#[derive(Clone, Copy)]
+pub(super) enum Step {
+    /// Nothing yet: other hosts told it all.
+    Rest,
+    /// The whole topic.
+    ReadWhole,
+    /// What changed since, to be answered at once.
+    Poll(StoreVersion),
+    /// The next change since, waited for so long.
+    Wait(StoreVersion, u64),
+}
+
+/// Follows one topic until the process ends, while it is this host's to read.
+pub(crate) async fn follow<S: Source>(shared: Arc<Shared>, source: Arc<S>, topic: Topic) {
+    let mut step = start::first_step(&shared).await;
+    let mut follower = Follower::new(shared, source, topic);
+    loop {
+        step = follower.due(step).await;
+        let began_at = Instant::now();
+        step = match follower.call(step).await {
+            Some(Ok(news)) => follower.take(step, news).await,
+            Some(Err(error)) => follower.fail(step, &error, began_at).await,
+            None => Step::ReadWhole,
+        };
+    }
+}
+
+/// Follows one topic.
+struct Follower<S> {
+    shared: Arc<Shared>,
+    source: Arc<S>,
+    topic: Topic,
+    failures: Failures,
+    /// How long the next wait lasts.
+    wait_ms: u64,
+    /// Whether nothing was answered yet.
+    is_first: bool,
+}
+
+impl<S: Source> Follower<S> {
+    fn new(shared: Arc<Shared>, source: Arc<S>, topic: Topic) -> Self {
+        let failures = Failures::new(topic, shared.config.follow);
+        Self {
+            shared,
+            source,
+            topic,
+            failures,
+            // Hosts that start together shall not wait in step: while their
+            // waits end at different times, a silence shows soon.
+            wait_ms: rand::rng().random_range(1..=WAIT_MS),
+            is_first: true,
+        }
+    }
+
+    /// Waits until a step is this host's to make, or another one instead.
+    async fn due(&self, step: Step) -> Step {
+        let due = || {
+            let times = &self.shared.config.follow;
+            self.shared.subscription.due(self.topic, times)
+        };
+        match step {
+            Step::ReadWhole => step,
+            Step::Rest => {
+                due().await;
+                Step::ReadWhole
+            }
+            Step::Poll(since) | Step::Wait(since, _) => match due().await {
+                Due::Turn => step,
+                Due::Again => Step::ReadWhole,
+                Due::Doubt => Step::Poll(since),
+            },
+        }
+    }
+
+    /// Makes a step. `None` if others were found to know what the wait would
+    /// not tell.
+    async fn call(&self, step: Step) -> Option<Result<News, SourceError>> {
+        let shared = &*self.shared;
+        let source = &*self.source;
+        let hedging = self.failures.hedging();
+        match step {
+            Step::Rest | Step::ReadWhole => {
+                let arrival = Arrival::default();
+                let read = || source.read(self.topic, &arrival);
+                Some(hedged(shared, self.topic, &hedging, &arrival, read).await)
+            }
+            Step::Poll(since) => Some(poll(shared, source, self.topic, since, &hedging).await),
+            Step::Wait(since, wait_ms) => tokio::select! {
+                answer = wait(shared, source, self.topic, since, wait_ms) => Some(answer),
+                () = shared.subscription.again(self.topic) => None,
+            },
+        }
+    }
+
+    /// Takes what a step brought. Returns the next one, after a pause in which
+    /// changes come together.
+    async fn take(&mut self, step: Step, news: News) -> Step {
+        let shared = &*self.shared;
+        shared.store_answered_after(shared.subscription.answered(self.topic));
+        self.failures.end(shared);
+        if !matches!(step, Step::Wait(..)) {
+            // Ends the doubt of the other hosts, and their pauses.
+            shared.publish_now.notify_one();
+        }
+        let next = Step::Wait(news.version, self.wait_ms);
+        self.wait_ms = WAIT_MS;
+        take(shared, self.topic, news, matches!(step, Step::ReadWhole));
+        let times = &shared.config.follow;
+        let gather = if self.is_first {
+            START_PAUSE
+        } else if shared.subscription.is_standby() {
+            ms(times.standby_gather_ms)
+        } else {
+            ms(times.gather_ms)
+        };
+        self.is_first = false;
+        tokio::time::sleep(gather).await;
+        next
+    }
+
+    /// A step that began at an instant failed. Returns the next one, after a
+    /// pause if the platform does not answer.
+    async fn fail(&mut self, step: Step, error: &SourceError, began_at: Instant) -> Step {
+        if matches!(error, SourceError::HistoryGone) {
+            return Step::ReadWhole;
+        }
+        self.shared.subscription.not_answered(self.topic);
+        self.failures.pause(&self.shared, error, began_at).await;
+        match step {
+            Step::Wait(since, _) => Step::Poll(since),
+            other => other,
+        }
+    }
+}
+
+fn take(shared: &Shared, topic: Topic, news: News, is_whole: bool) {
+    let mut changes = Vec::new();
+    let mut is_news = false;
+    for row in news.rows {
+        match row {
+            Row::Rules(document) => is_news |= shared.take_rules(*document, FROM),
+            Row::Endpoint(row) => changes.push(row),
+        }
+    }
+    if topic == Topic::Endpoints {
+        is_news |= take_endpoints(shared, changes, is_whole);
+        shared.endpoints_known();
+    }
+    if is_news {
+        shared.publish_now.notify_one();
+    }
+}
+
+fn take_endpoints(shared: &Shared, changes: Vec<EndpointRow>, is_whole: bool) -> bool {
+    let now_ms = shared.clock.now_ms();
+    let mut fleet = shared.fleet();
+    let is_news = if is_whole {
+        let newest = changes.iter().map(|row| row.version).max();
+        let listed = changes.into_iter().filter_map(|row| match row.change {
+            EndpointChange::Listed(endpoint) => Some(endpoint),
+            EndpointChange::Gone(_) => None,
+        });
+        fleet.replace(listed.collect(), newest.unwrap_or_default(), now_ms);
+        true
+    } else {
+        fleet.take_changes(changes, now_ms)
+    };
+    drop(fleet);
+    if is_news {
+        shared.log_endpoints(FROM);
+    }
+    is_news
+}
