Refuse a body that the host's memory has no room for

Cause: bodies are held until their requests end; what bounded them was connections times the largest body, some 8 GB at the limits of a host with 160 MB. A process over its memory is killed with all that it holds. Change: a quarter of the memory is room for callers' bodies, taken when a body is announced or, without a length, as it comes. A body beyond is refused before it is read: 503 host-full, not run, ask another host at once. Left: answers that are read whole, of at most 8 MB each, have no such bound.

--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -67,6 +67,8 @@
     KeyMismatch,
     /// The host is leaving and takes no new requests.
     Leaving,
+    /// The host holds as many bytes of requests as its memory allows.
+    HostFull,
     /// The endpoint could not be reached.
     EndpointUnreachable,
     /// The endpoint refused: it did not start the request.
@@ -81,7 +83,7 @@
 
 impl Reason {
     /// Each reason, for documents and tests that go through all.
-    pub const ALL: [Reason; 22] = [
+    pub const ALL: [Reason; 23] = [
         Reason::InvalidRequest,
         Reason::BodyTooLarge,
         Reason::RequestTooSlow,
@@ -99,6 +101,7 @@
         Reason::KeyUsed,
         Reason::KeyMismatch,
         Reason::Leaving,
+        Reason::HostFull,
         Reason::EndpointUnreachable,
         Reason::EndpointRefused,
         Reason::EndpointLost,
@@ -126,6 +129,7 @@
             Reason::KeyUsed => "key-used",
             Reason::KeyMismatch => "key-mismatch",
             Reason::Leaving => "leaving",
+            Reason::HostFull => "host-full",
             Reason::EndpointUnreachable => "endpoint-unreachable",
             Reason::EndpointRefused => "endpoint-refused",
             Reason::EndpointLost => "endpoint-lost",
@@ -152,6 +156,7 @@
             | Reason::DeadlineTooClose
             | Reason::ClaimsUnavailable
             | Reason::Leaving
+            | Reason::HostFull
             | Reason::EndpointUnreachable
             | Reason::EndpointRefused => 503,
             Reason::EndpointLost | Reason::EndpointGarbage => 502,
@@ -185,6 +190,7 @@
             | Reason::KeyUsed
             | Reason::KeyMismatch
             | Reason::Leaving
+            | Reason::HostFull
             | Reason::EndpointUnreachable
             | Reason::EndpointRefused => Outcome::NotRun,
         }
@@ -194,7 +200,11 @@
     pub fn retry_after_s(self) -> Option<u32> {
         match self {
             Reason::AtBound | Reason::EndpointRefused | Reason::EndpointUnreachable => Some(1),
-            Reason::NoView | Reason::NoEndpoint | Reason::Leaving | Reason::KeyInUse => Some(2),
+            Reason::NoView
+            | Reason::NoEndpoint
+            | Reason::Leaving
+            | Reason::HostFull
+            | Reason::KeyInUse => Some(2),
             Reason::OverShare | Reason::DeadlineTooClose => Some(3),
             Reason::ClaimsUnavailable => Some(5),
             Reason::InvalidRequest
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -110,7 +110,7 @@
     const NONE_LIVE_MS: u64 = 500;
     const OVERRUN_MS: std::ops::Range<u64> = 300..1_000;
     match reason {
-        Reason::Leaving => Some(ELSEWHERE_MS),
+        Reason::Leaving | Reason::HostFull => Some(ELSEWHERE_MS),
         Reason::NoView | Reason::NoEndpoint => Some(NONE_LIVE_MS),
         Reason::AtBound | Reason::OverShare => Some(rand::rng().random_range(OVERRUN_MS)),
         Reason::EndpointRefused | Reason::EndpointUnreachable | Reason::DeadlineTooClose => {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -211,7 +211,7 @@
         resume_after,
         holder: choice.holder,
     };
-    let mut request = Request::new(Full::new(call.body.clone()));
+    let mut request = Request::new(Full::new(call.body.bytes.clone()));
     *request.method_mut() = call.method.clone();
     *request.uri_mut() = call.target.clone();
     *request.headers_mut() = shared.edge.endpoint_headers(&call.headers, &send);
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -1,19 +1,17 @@
 //! A request as it was asked: read whole, its route and organisation found.
 
 use std::sync::Arc;
-use std::time::Duration;
 
-use bytes::Bytes;
 use chalkrock_core::{OrganisationId, PoolId, Reason};
 use chalkrock_routing::{
     Caller, CallerLimits, DrainPhase, Repeatable, Route, RulesVersion, shed_probability,
 };
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use hyper::header::HeaderMap;
 use hyper::{Method, Request, Uri, http};
 use tokio::time::Instant;
 
+use crate::caller_body::{HeldBody, read_body};
 use crate::clock::{left_ms, ms};
 use crate::edge::{CallHead, Refusal, remove_connection_headers};
 use crate::shared::Shared;
@@ -33,7 +31,7 @@
     pub(crate) target: Uri,
     /// The caller's headers, without those of its connection.
     pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
+    pub(crate) body: HeldBody,
     pub(crate) route: Arc<Route>,
     pub(crate) pool: PoolId,
     pub(crate) caller: Option<Caller>,
@@ -89,7 +87,7 @@
     let limits = shared
         .rules()
         .map_or_else(CallerLimits::default, |rules| *rules.limits());
-    let body = read_body(body, &limits).await?;
+    let body = read_body(shared, body, &limits).await?;
     if matches!(
         shared.stop_phase(),
         Some(DrainPhase::Drains | DrainPhase::Ends)
@@ -185,24 +183,3 @@
     headers.remove(hyper::header::EXPECT);
     headers
 }
-
-async fn read_body(body: Incoming, limits: &CallerLimits) -> Result<Bytes, Refusal> {
-    if body.is_end_stream() {
-        return Ok(Bytes::new());
-    }
-    let too_large = || Refusal::new(Reason::BodyTooLarge, "the body is over the limit");
-    if body.size_hint().lower() > limits.body_max_bytes as u64 {
-        return Err(too_large());
-    }
-    let reading = Limited::new(body, limits.body_max_bytes).collect();
-    let timeout = Duration::from_millis(limits.idle_timeout_ms);
-    match tokio::time::timeout(timeout, reading).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(too_large()),
-        Ok(Err(_)) => Err(Refusal::new(Reason::InvalidRequest, "the body broke off")),
-        Err(_) => Err(Refusal::new(
-            Reason::RequestTooSlow,
-            "the body did not arrive",
-        )),
-    }
-}
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -16,6 +16,10 @@
 /// link: as many as 100 Mbit/s bear with 5 Mbit/s each.
 const UPLOADS_MAX: usize = 20;
 
+/// Bytes of callers' bodies that are held at once if the settings do not tell
+/// the memory.
+const BODIES_MAX_BYTES: usize = 64 * 1024 * 1024;
+
 /// The settings of one gateway.
 #[derive(Clone, Debug)]
 pub struct GatewayConfig {
@@ -33,6 +37,7 @@
     pub(crate) follow: FollowTimes,
     pub(crate) capacity_millicores: u16,
     pub(crate) uploads_max: usize,
+    pub(crate) bodies_max_bytes: usize,
     pub(crate) is_first_start: bool,
 }
 
@@ -63,6 +68,7 @@
             follow: FollowTimes::within(FOLLOW_BOUND_MS),
             capacity_millicores: ONE_CORE_MILLICORES,
             uploads_max: UPLOADS_MAX,
+            bodies_max_bytes: BODIES_MAX_BYTES,
             is_first_start: false,
         })
     }
@@ -148,6 +154,13 @@
         self
     }
 
+    /// Most bytes of callers' bodies that are held at once. A body beyond is
+    /// refused before it is read.
+    pub fn bodies_max_bytes(mut self, most: usize) -> Self {
+        self.0.bodies_max_bytes = most;
+        self
+    }
+
     /// Whether the whole fleet starts for the first time, so that no host
     /// serves yet: hosts take more time to let a few read the platform for all.
     pub fn is_first_start(mut self, is_first_start: bool) -> Self {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -10,6 +10,7 @@
 use tokio::sync::{Notify, Semaphore, watch};
 use tokio::time::Instant;
 
+use crate::byte_budget::ByteBudget;
 use crate::clock::{Clock, ms};
 use crate::config::GatewayConfig;
 use crate::edge::Edge;
@@ -28,6 +29,8 @@
     pub(crate) metrics: Metrics,
     pub(crate) upstream: Upstream,
     pub(crate) lag: Lag,
+    /// Room for callers' bodies.
+    pub(crate) bodies: ByteBudget,
     /// Places for callers' connections.
     pub(crate) connection_permits: Arc<Semaphore>,
     pub(crate) rules: RulesInForce,
@@ -52,6 +55,7 @@
         event_log: EventLog,
     ) -> Arc<Self> {
         let fleet = Fleet::new(config.zone.clone(), config.spread, config.budget);
+        let bodies = ByteBudget::new(config.bodies_max_bytes);
         let connection_permits = Arc::new(Semaphore::new(config.connections_max));
         Arc::new(Self {
             config,
@@ -61,6 +65,7 @@
             metrics: Metrics::default(),
             upstream: Upstream::default(),
             lag: Lag::default(),
+            bodies,
             connection_permits,
             rules: RulesInForce::default(),
             fleet: Mutex::new(fleet),
--- a/crates/gateway/tests/gateway/calls.rs
+++ b/crates/gateway/tests/gateway/calls.rs
@@ -10,6 +10,8 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
+const PAUSE: Duration = Duration::from_millis(5);
+
 async fn raw(gateway: &TestGateway, bytes: &[u8]) -> crate::support::Received {
     let address = gateway.running.front_address();
     let mut stream = TcpStream::connect(address).await.expect("a connection");
@@ -312,6 +314,43 @@
     );
 }
 
+/// Bodies are held until their requests end, and a host that ran out of memory
+/// would lose them all.
+#[tokio::test]
+async fn call_with_a_body_that_has_no_room_is_refused() {
+    const ROOM_BYTES: usize = 1024 * 1024;
+    const LARGE_BYTES: usize = 400 * 1024;
+    let source = TestSource::default();
+    source.set_rules(rules(1));
+    let endpoint =
+        ScriptedEndpoint::start("endpoint-0", "pool", Behaviour::Silent, Script::default()).await;
+    source.list(endpoint.endpoint.clone());
+    let gateway = TestGateway::with_room(source, ROOM_BYTES).await;
+    gateway.ready().await;
+    let address = gateway.running.front_address();
+    let large = |id: &str| Call::post("/patient/", &vec![b'x'; LARGE_BYTES]).id(id);
+    let arrives = async |id: &str| until(async || endpoint.runs_of(id) == 1).await;
+    let held = [
+        large("r-1").send(address).await,
+        large("r-2").send(address).await,
+    ];
+    arrives("r-1").await;
+    arrives("r-2").await;
+    let beyond = Call::post("/unsafe/", &vec![b'x'; LARGE_BYTES]).id("r-3");
+    let refused = gateway.call(beyond).await;
+    assert_that!(refused.status, eq(503));
+    assert_that!(endpoint.runs_of("r-3"), eq(0));
+    let _small = Call::post("/patient/", b"x").id("r-4").send(address).await;
+    arrives("r-4").await;
+    drop(held);
+    until(async || {
+        let _sent = large("r-5").send(address).await;
+        tokio::time::sleep(PAUSE).await;
+        endpoint.runs_of("r-5") > 0
+    })
+    .await;
+}
+
 /// A body without an end is not read beyond the limit.
 #[tokio::test]
 async fn call_with_an_endless_body_is_cut_off() {
--- a/crates/gateway/tests/gateway/support/fleet.rs
+++ b/crates/gateway/tests/gateway/support/fleet.rs
@@ -143,6 +143,12 @@
         Self::configured(config.connections_max(connections_max).build(), source).await
     }
 
+    /// A gateway with room for so many bytes of callers' bodies.
+    pub(crate) async fn with_room(source: TestSource, bodies_max_bytes: usize) -> Self {
+        let config = config("zone-a", "host-1", Vec::new());
+        Self::configured(config.bodies_max_bytes(bodies_max_bytes).build(), source).await
+    }
+
     /// A gateway that has to know within a bound what changed in a silence of
     /// its source.
     pub(crate) async fn with_follow_bound(
