Make new rounds only of news, and copy no rules to tell that a host is busy

Read over: a relay that was told that a host is busy sent its whole zone a round for nothing, and a busy host copied the whole rules before it found that it could not pass them on. Names and doc comments besides.

--- a/crates/gateway/src/peers/pull.rs
+++ b/crates/gateway/src/peers/pull.rs
@@ -25,9 +25,9 @@
 const GATHER: Duration = Duration::from_millis(80);
 /// How often a host that knows nothing asks.
 const ASK_EVERY: Duration = Duration::from_millis(500);
-/// How often a host that starts asks the hosts of its settings, and how long it
-/// waits for them.
+/// How often a host that starts asks the hosts of its settings.
 const ASK_SEEDS_EVERY: Duration = Duration::from_millis(100);
+/// How long it waits for the first byte of their answers.
 const SEED_TIMEOUT: Duration = Duration::from_millis(200);
 /// When a host that has started asks once more which hosts there are: where all
 /// have restarted, none knew them at first.
@@ -37,8 +37,8 @@
     Duration::from_millis(900),
 ];
 /// Pause, in milliseconds, before a host that is busy is asked again, or
-/// another one that it named; each draws one. A transfer of 80 KB takes 65 ms
-/// on a link of 10 Mbit/s.
+/// another one that it named; each pause is drawn. A transfer of 80 KB takes
+/// 65 ms on a link of 10 Mbit/s.
 const BUSY_PAUSE_MS: RangeInclusive<u64> = 20..=100;
 /// How often hosts that are busy are asked before others are: for three
 /// seconds in the mean.
@@ -225,21 +225,24 @@
     client.missing(tarpc::context::current(), have).await.ok()
 }
 
-/// Takes what another host passed on. Returns whether that was not all.
+/// Takes what another host passed on. Returns what it says of itself if it was
+/// too busy to pass on all.
 fn take(shared: &Shared, peers: &Membership, missing: Missing) -> Option<Busy> {
     const FROM: &str = "peer";
     let hosts = missing.hosts.iter();
     peers.add(hosts.map(|host| (host.address, Some(host.zone))));
+    let mut is_news = false;
     if let Some(rules) = missing.rules {
-        shared.take_rules_news(rules, FROM);
+        is_news |= shared.take_rules_news(rules, FROM);
     }
     if let Some(news) = missing.endpoints {
         if take_endpoints(shared, news) {
+            is_news = true;
             shared.log_endpoints(FROM);
         }
         shared.endpoints_known();
     }
-    if shared.subscription.is_relay() {
+    if is_news && shared.subscription.is_relay() {
         // The hosts of a large zone hear of it from their relays only.
         shared.publish_now.notify_one();
     }
--- a/crates/gateway/src/peers/serve.rs
+++ b/crates/gateway/src/peers/serve.rs
@@ -25,7 +25,7 @@
 const FEW_PART: usize = 2;
 /// Routes, organisations and endpoints that are passed on to any number of
 /// hosts at once: some 16 KB, or 13 ms of a link of 10 Mbit/s. A host that
-/// starts before 160 endpoints is told all by the first that it asks.
+/// starts before 160 endpoints takes all from the first that it asks.
 const SMALL_ENTRIES: usize = 256;
 
 /// Answers other hosts, until the process ends.
--- a/crates/gateway/src/rules_in_force.rs
+++ b/crates/gateway/src/rules_in_force.rs
@@ -10,7 +10,7 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) enum RulesNews {
     /// The whole document.
-    Entire(RulesDocument),
+    Entire(Arc<RulesDocument>),
     /// What changed since the version that the other host has, oldest first.
     Changes(Vec<Arc<RulesChange>>),
 }
@@ -69,7 +69,7 @@
     /// whether it is; changes of another version than the one in force are not.
     pub(crate) fn take_news(&self, news: RulesNews) -> bool {
         let changes = match news {
-            RulesNews::Entire(document) => return self.take(document),
+            RulesNews::Entire(document) => return self.take(Arc::unwrap_or_clone(document)),
             RulesNews::Changes(changes) => changes,
         };
         let mut history = self.history.lock().unwrap_or_else(PoisonError::into_inner);
@@ -99,6 +99,6 @@
         let history = self.history.lock().unwrap_or_else(PoisonError::into_inner);
         let changes = history.since(version).map(RulesNews::Changes);
         let fewer = changes.filter(|changes| changes.entries() <= document.entries());
-        Some(fewer.unwrap_or_else(|| RulesNews::Entire(RulesDocument::clone(document))))
+        Some(fewer.unwrap_or_else(|| RulesNews::Entire(document.clone())))
     }
 }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -93,24 +93,27 @@
     /// new.
     pub(crate) fn take_rules(&self, document: RulesDocument, from: &str) -> bool {
         let is_news = self.rules.take(document);
-        self.log_rules(is_news, from)
+        self.rules_offered(is_news, from);
+        is_news
     }
 
     /// Puts rules into force that another host passed on, unless newer ones
     /// are. Returns whether they are new.
     pub(crate) fn take_rules_news(&self, news: RulesNews, from: &str) -> bool {
         let is_news = self.rules.take_news(news);
-        self.log_rules(is_news, from)
+        self.rules_offered(is_news, from);
+        is_news
     }
 
-    fn log_rules(&self, is_news: bool, from: &str) -> bool {
-        if is_news {
-            let version = self.rules.version();
-            self.metrics.gauge("rules_version", "", version.0 as f64);
-            self.event_log.emit(&Event::Rules { version, from });
-            self.update_view();
+    /// Makes it known if rules that were offered have come into force.
+    fn rules_offered(&self, is_news: bool, from: &str) {
+        if !is_news {
+            return;
         }
-        is_news
+        let version = self.rules.version();
+        self.metrics.gauge("rules_version", "", version.0 as f64);
+        self.event_log.emit(&Event::Rules { version, from });
+        self.update_view();
     }
 
     /// The list of endpoints was read.
