--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -1,18 +1,23 @@
-//! Load and experiments: decisions on virtual time, live load over HTTP.
+//! Load over HTTP, for real processes.
 //!
-//! Use [`decisions`] to see what a change of the core does to reuse, skew and
-//! control traffic, against baselines in the same run.
+//! Use [`live`] to see what a router adds to an engine's time, and whether each
+//! caller gets the whole answer to its own request.
 //!
 //! # Example
 //!
 //! ```
-//! use chalkrock_measure::decisions::{self, Policy, SECOND_US, Setup, Site, Trouble};
+//! use chalkrock_measure::live::Load;
 //!
-//! let mut setup = Setup::of(Site::Magnolia, Trouble::Steady, Policy::Chalkrock, 1);
-//! setup.measured_us = 5 * SECOND_US;
-//! let measures = decisions::run(setup, "steady/magnolia", "chalkrock");
-//! assert!(measures.iter().any(|m| m.measure == "cache_reuse"));
+//! let load = Load {
+//!     target: "http://127.0.0.1:8080".to_owned(),
+//!     key: "key-dispatch".to_owned(),
+//!     model: "stand-in-7b".to_owned(),
+//!     requests: 100,
+//!     parallel: 4,
+//!     tokens: 16,
+//!     stream: true,
+//! };
+//! assert!(load.parallel <= load.requests);
 //! ```
 
-pub mod decisions;
 pub mod live;
