--- a/crates/gateway/tests/gateway/large_rules.rs
+++ b/crates/gateway/tests/gateway/large_rules.rs
@@ -46,6 +46,26 @@
     assert_that!(source.rules_transfers(), eq(1));
 }
 
+/// A connection that falls silent midway is given up, and the host is asked
+/// again.
+#[tokio::test(start_paused = true)]
+async fn large_rules_are_asked_for_again_after_a_silence_midway() {
+    const FIRST_BYTES: usize = 40_000;
+    /// Less than a pull may take in all.
+    const SOON: Duration = Duration::from_secs(8);
+    let source = TestSource::default();
+    source.set_rules(rules_of(1, ROUTES));
+    let first = TestGateway::with(source, "host-1", Vec::new()).await;
+    first.ready().await;
+    let address = first.running.peer_address().expect("it hears others");
+    let link = SlowLink::silent_at_first(address, 150_000, FIRST_BYTES).await;
+    let cut_off = TestSource::default();
+    cut_off.set_down(true);
+    let second = TestGateway::with(cut_off, "host-2", vec![link.address()]).await;
+    assert_that!(timeout(SOON, second.ready()).await.is_ok(), eq(true));
+    assert_that!(link.large_answers(), eq(2));
+}
+
 /// Eight hosts that start at once take the rules from one that passes them on
 /// to two at a time, and names these to the others, so that not all come
 /// through its link.
--- a/crates/gateway/tests/gateway/support/link.rs
+++ b/crates/gateway/tests/gateway/support/link.rs
@@ -49,13 +49,31 @@
 impl SlowLink {
     /// A link to a host that carries so many bytes of each connection a second.
     pub(crate) async fn to(host: SocketAddr, bytes_per_s: u64) -> Self {
+        Self::start(host, bytes_per_s, usize::MAX).await
+    }
+
+    /// The same; the first connection falls silent after so many bytes.
+    pub(crate) async fn silent_at_first(
+        host: SocketAddr,
+        bytes_per_s: u64,
+        first_bytes: usize,
+    ) -> Self {
+        Self::start(host, bytes_per_s, first_bytes).await
+    }
+
+    async fn start(host: SocketAddr, bytes_per_s: u64, first_bytes: usize) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("an address");
         let large: Arc<LargeAnswers> = Arc::default();
         let counted = large.clone();
         tokio::spawn(async move {
+            let mut most_bytes = first_bytes;
             while let Ok((caller, _)) = listener.accept().await {
-                tokio::spawn(pass_on(caller, host, bytes_per_s, counted.clone()));
+                let to = Limits {
+                    bytes_per_s,
+                    most_bytes: std::mem::replace(&mut most_bytes, usize::MAX),
+                };
+                tokio::spawn(pass_on(caller, host, to, counted.clone()));
             }
         });
         Self { address, large }
@@ -77,7 +95,14 @@
     }
 }
 
-async fn pass_on(caller: TcpStream, host: SocketAddr, bytes_per_s: u64, large: Arc<LargeAnswers>) {
+/// What a connection carries of answers.
+struct Limits {
+    bytes_per_s: u64,
+    /// After these it falls silent.
+    most_bytes: usize,
+}
+
+async fn pass_on(caller: TcpStream, host: SocketAddr, limits: Limits, large: Arc<LargeAnswers>) {
     let Ok(host) = TcpStream::connect(host).await else {
         return;
     };
@@ -89,9 +114,12 @@
         let mut passed = 0;
         let mut large_answer = None;
         while let Ok(length @ 1..) = from_host.read(&mut piece).await {
-            let takes = Duration::from_micros(length as u64 * 1_000_000 / bytes_per_s);
+            let takes = Duration::from_micros(length as u64 * 1_000_000 / limits.bytes_per_s);
             tokio::time::sleep(takes).await;
             passed += length;
+            if passed > limits.most_bytes {
+                std::future::pending::<()>().await;
+            }
             if passed >= LARGE_BYTES {
                 large_answer.get_or_insert_with(|| LargeAnswer::begin(&large));
             }
