--- a/crates/gateway/src/follow/failures.rs
+++ b/crates/gateway/src/follow/failures.rs
@@ -14,7 +14,7 @@
 /// The first pause after a failure; those that follow double.
 const PAUSE_FIRST_MS: u64 = 100;
 /// Hosts that share the reading for each time that pauses grow by themselves:
-/// the first that is answered tells the others.
+/// the first that is answered sends the others what is new.
 const SHARING_A_PAUSE: usize = 4;
 /// By how much more rarely rules are asked for than endpoints while the platform
 /// answers no one: the first answer on either topic ends the pauses of both.
--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -2,11 +2,11 @@
 //!
 //! A topic is read whole once and then followed by waiting for changes. When
 //! the history is gone, or another host knows more, it is read whole again. A
-//! host that starts lets others tell it first: where one serves, it reads
-//! nothing until it is its turn.
+//! host that starts asks other hosts first: where one serves, it reads nothing
+//! until it is its turn.
 //!
-//! A wait may be lost in a silence of the platform, and a lost one can't be
-//! told from one that has nothing to say. So while the platform has answered no
+//! A wait may be lost in a silence of the platform, and a lost one looks like
+//! one during which nothing changes. So while the platform has answered no
 //! host for a while, it is asked beside the wait, with a call that is answered
 //! at once; and after a failure it is asked with such calls until it answers.
 
@@ -40,7 +40,7 @@
 /// What is asked of the platform next.
 #[derive(Clone, Copy)]
 pub(super) enum Step {
-    /// Nothing yet: other hosts told it all.
+    /// Nothing yet: other hosts passed on all of it.
     Rest,
     /// The whole topic.
     ReadWhole,
@@ -112,8 +112,8 @@
         }
     }
 
-    /// Makes a step. `None` if others were found to know what the wait would
-    /// not tell.
+    /// Makes a step. `None` if others were found to know what a wait would not
+    /// bring.
     async fn call(&self, step: Step) -> Option<Result<News, SourceError>> {
         let shared = &*self.shared;
         let source = &*self.source;
--- a/crates/gateway/src/follow/start.rs
+++ b/crates/gateway/src/follow/start.rs
@@ -1,5 +1,5 @@
 //! What a host that starts asks of the platform: nothing, where other hosts
-//! tell it all in time.
+//! pass on all in time.
 
 use std::ops::RangeInclusive;
 use std::time::Duration;
@@ -10,31 +10,31 @@
 use crate::follow::Step;
 use crate::shared::Shared;
 
-/// Time that a host which starts gives the hosts of its settings to tell it all
+/// Time that a host which starts gives the hosts of its settings to pass on all
 /// before it reads itself. A host that serves answers in some ten milliseconds;
-/// where all have restarted they say at once that they know nothing. Waiting
+/// where all have restarted they answer at once that they know nothing. Waiting
 /// 50 to 400 ms regardless cost 0.010 of a day's worth on three sites of seven
 /// or eight hosts (three days, five seeds), since all hosts restart on each.
 const START_PATIENCE: Duration = Duration::from_millis(60);
 /// Times, in milliseconds, that hosts wait where the whole fleet starts for the
 /// first time and callers are not there yet; each draws one. The first to read
-/// tell the others: 295 hosts make 1,180 calls at once if each reads for itself.
+/// serve the others: 295 hosts make 1,180 calls at once if each reads for itself.
 const FIRST_START_PATIENCE_MS: RangeInclusive<u64> = 50..=4_000;
-/// Pause after other hosts told all, until all hosts are heard and those begin
-/// to read that come first.
+/// Pause after other hosts passed on all, until all hosts are known and those
+/// that come first begin to read.
 const HEARD_PAUSE: Duration = Duration::from_millis(400);
-/// Pause of the others, until it is heard that these do.
+/// Pause of the others, until they know that these do.
 const READ_PAUSE: Duration = Duration::from_millis(1_000);
-/// Gives other hosts time to tell all that a host which starts needs.
+/// Gives other hosts time to pass on all that a host which starts needs.
 pub(super) async fn first_step(shared: &Shared) -> Step {
     if shared.config.peer_seeds.is_empty() {
         return Step::ReadWhole;
     }
-    let told = tokio::select! {
+    let is_known = tokio::select! {
         () = shared.view_known() => true,
         () = start_patience(shared) => shared.has_view(),
     };
-    if !told {
+    if !is_known {
         return Step::ReadWhole;
     }
     tokio::time::sleep(HEARD_PAUSE).await;
@@ -43,7 +43,7 @@
     Step::Rest
 }
 
-/// Waits for as long as others may still tell all.
+/// Waits for as long as others may still pass on all.
 async fn start_patience(shared: &Shared) {
     if shared.config.is_first_start {
         let patience_ms = rand::rng().random_range(FIRST_START_PATIENCE_MS);
--- a/crates/gateway/src/peers/api.rs
+++ b/crates/gateway/src/peers/api.rs
@@ -18,7 +18,7 @@
     pub(crate) rules: RulesVersion,
     /// `None` if it has no list at all: an empty one is a list too.
     pub(crate) endpoints: Option<StoreVersion>,
-    /// Hosts that it heard of, itself included.
+    /// Hosts that it knows of, itself included.
     pub(crate) hosts: usize,
 }
 
--- a/crates/gateway/src/peers/pull.rs
+++ b/crates/gateway/src/peers/pull.rs
@@ -20,8 +20,8 @@
 use crate::peers::api::{Busy, EndpointNews, Have, Missing, PeerApiClient};
 use crate::shared::Shared;
 
-/// A host that does not read the platform waits this long, so that a host of
-/// its own zone may be heard to know as much.
+/// A host that does not read the platform waits this long, so that it may learn
+/// of a host of its own zone that knows as much.
 const GATHER: Duration = Duration::from_millis(80);
 /// How often a host that knows nothing asks.
 const ASK_EVERY: Duration = Duration::from_millis(500);
@@ -60,7 +60,7 @@
             () = tokio::time::sleep(ASK_SEEDS_EVERY) => {}
         }
     }
-    // The hosts that were named hear of this one at once.
+    // Sends a heartbeat to the hosts that were named.
     shared.publish_now.notify_one();
     for pause in ASK_HOSTS_AFTER {
         tokio::time::sleep(pause).await;
@@ -69,7 +69,7 @@
     }
 }
 
-/// Asks all hosts of the settings together, until one tells all it takes to
+/// Asks all hosts of the settings together, until one passes on all it takes to
 /// serve, and then one of those that they name while they are busy.
 async fn pull_from_seeds(shared: &Shared, peers: &Membership) {
     let seeds = shared.config.peer_seeds.iter();
@@ -96,7 +96,7 @@
 
 /// Pulls from another host whenever one knows more, until the process ends.
 pub(crate) async fn pull_when_behind(shared: Arc<Shared>, peers: Arc<Membership>) {
-    // The platform is given a while to tell by itself.
+    // The platform may answer within this, which costs no transfer.
     let patience = ms(shared.config.follow.patience_ms);
     'behind: loop {
         let asked = tokio::time::timeout(ASK_EVERY, peers.newer_known.notified());
@@ -243,7 +243,7 @@
         shared.endpoints_known();
     }
     if is_news && shared.subscription.is_relay() {
-        // The hosts of a large zone hear of it from their relays only.
+        // The hosts of a large zone learn of it from their relays only.
         shared.publish_now.notify_one();
     }
     missing.busy
--- a/crates/gateway/src/peers/serve.rs
+++ b/crates/gateway/src/peers/serve.rs
@@ -21,7 +21,7 @@
 
 /// Pause after the system could not accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(500);
-/// A host that knows of no more than one in so many is told of all.
+/// A host that knows of no more than one in so many is sent the names of all.
 const FEW_PART: usize = 2;
 /// Routes, organisations and endpoints that are passed on to any number of
 /// hosts at once: some 16 KB, or 13 ms of a link of 10 Mbit/s. A host that
--- a/crates/gateway/src/peers/uploads.rs
+++ b/crates/gateway/src/peers/uploads.rs
@@ -1,6 +1,6 @@
 //! Bounds how many hosts are passed much at once.
 //!
-//! All hosts of a zone hear of new rules from the same one or two, at the same
+//! All hosts of a zone learn of new rules from the same one or two, at the same
 //! moment, and hosts that start together ask the same few for all they know. If all were answered together each would wait for the last, and the
 //! callers of the one that answers with them. A few at a time are served
 //! fast, and serve the others.
--- a/crates/gateway/src/rules_in_force.rs
+++ b/crates/gateway/src/rules_in_force.rs
@@ -29,7 +29,7 @@
 #[derive(Default)]
 pub(crate) struct RulesInForce {
     current: ArcSwapOption<Rules>,
-    /// Held while rules come into force, so that it tells of each.
+    /// Locked while rules come into force, so that none is missing in it.
     history: Mutex<RulesHistory>,
 }
 
--- a/crates/gateway/tests/gateway/large_rules.rs
+++ b/crates/gateway/tests/gateway/large_rules.rs
@@ -2,8 +2,8 @@
 //!
 //! What users saw: a version with 1,400 routes more than the one before, 4,200
 //! in all, was not in force on a host two seconds after its bound, and a third
-//! of all answers came late meanwhile. Order of events: the platform tells the
-//! version to a few hosts; the others take it from them, or read it; each gives
+//! of all answers came late meanwhile. Order of events: a few hosts
+//! read the version; the others take it from them, or read it; each gives
 //! up after a fixed time, however much has arrived, and begins anew, beside
 //! itself even; links fill with transfers that are thrown away, and so the next
 //! ones are slower still. Evidence: of 879 attempts to take a version 826 were
