Log sockets and the table of hosts when they fail, and when they work again

Failures to accept, to receive and to record the host were passed over without a line. Each now leaves one dependency line when it begins and one when it ends; the follower's own lines go the same way.

--- a/crates/gateway/src/follow/failures.rs
+++ b/crates/gateway/src/follow/failures.rs
@@ -6,8 +6,8 @@
 use tokio::time::Instant;
 
 use crate::clock::ms;
-use crate::event_log::Event;
 use crate::follow::calls::Hedging;
+use crate::outage_log::OutageLog;
 use crate::shared::Shared;
 use crate::source::{SourceError, Topic};
 
@@ -27,7 +27,7 @@
 
 /// Failures of a topic's calls since the last answer.
 pub(super) struct Failures {
-    name: &'static str,
+    outage: OutageLog,
     topic: Topic,
     in_row: u32,
     times: FollowTimes,
@@ -40,7 +40,7 @@
             Topic::Endpoints => "platform-endpoints",
         };
         Self {
-            name,
+            outage: OutageLog::new(name),
             topic,
             in_row: 0,
             times,
@@ -72,9 +72,7 @@
 
     /// Pauses after a failure of a call that began at an instant.
     pub(super) async fn pause(&mut self, shared: &Shared, error: &SourceError, began_at: Instant) {
-        if self.in_row == 0 {
-            self.log(shared, false, &error.to_string());
-        }
+        self.outage.failed(shared, error);
         let reading = &shared.subscription;
         let are_others_answered = reading.answered_since(began_at);
         let longest_ms = if are_others_answered {
@@ -106,17 +104,7 @@
 
     /// The platform answered.
     pub(super) fn end(&mut self, shared: &Shared) {
-        if self.in_row > 0 {
-            self.in_row = 0;
-            self.log(shared, true, "");
-        }
-    }
-
-    fn log(&self, shared: &Shared, is_up: bool, detail: &str) {
-        shared.event_log.emit(&Event::Dependency {
-            name: self.name,
-            is_up,
-            detail,
-        });
+        self.in_row = 0;
+        self.outage.worked(shared);
     }
 }
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -25,6 +25,7 @@
 use crate::dispatch::dispatch;
 use crate::edge::{Refusal, remove_connection_headers};
 use crate::event_log::Event;
+use crate::outage_log::OutageLog;
 use crate::progress::Progress;
 use crate::relay::Relay;
 use crate::shared::Shared;
@@ -36,19 +37,24 @@
 
 /// Accepts callers until the host ends.
 pub(crate) async fn accept(shared: Arc<Shared>, listener: TcpListener) {
+    let mut outage = OutageLog::new("callers-socket");
     loop {
         let Ok(place) = shared.connection_permits.clone().acquire_owned().await else {
             return;
         };
         match listener.accept().await {
             Ok((stream, _)) => {
+                outage.worked(&shared);
                 let shared = shared.clone();
                 tokio::spawn(async move {
                     connection(shared, stream).await;
                     drop(place);
                 });
             }
-            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+            Err(error) => {
+                outage.failed(&shared, &error);
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
         }
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -43,6 +43,7 @@
 mod front;
 mod lag;
 mod metrics;
+mod outage_log;
 mod peers;
 mod prefixes;
 mod progress;
--- a/crates/gateway/src/peers/receive.rs
+++ b/crates/gateway/src/peers/receive.rs
@@ -7,6 +7,7 @@
 use chalkrock_routing::{Merged, OwnReport, SumPath, ZoneSum};
 use tokio::net::UdpSocket;
 
+use crate::outage_log::OutageLog;
 use crate::peers::membership::Membership;
 use crate::peers::message::{
     CacheEntries, Datagram, Heartbeat, Knowledge, RelaySummary, ZoneSummary,
@@ -23,11 +24,17 @@
 /// Receives datagrams until the process ends.
 pub(crate) async fn receive(shared: Arc<Shared>, peers: Arc<Membership>, socket: Arc<UdpSocket>) {
     let mut buffer = vec![0; DATAGRAM_MAX_BYTES];
+    let mut outage = OutageLog::new("datagrams-socket");
     loop {
-        let Ok((length, address)) = socket.recv_from(&mut buffer).await else {
-            tokio::time::sleep(RECEIVE_PAUSE).await;
-            continue;
+        let (length, address) = match socket.recv_from(&mut buffer).await {
+            Ok(received) => received,
+            Err(error) => {
+                outage.failed(&shared, &error);
+                tokio::time::sleep(RECEIVE_PAUSE).await;
+                continue;
+            }
         };
+        outage.worked(&shared);
         if address == peers.own {
             continue;
         }
--- a/crates/gateway/src/peers/serve.rs
+++ b/crates/gateway/src/peers/serve.rs
@@ -12,6 +12,7 @@
 
 use crate::arrival::{Patience, while_arriving};
 use crate::clock::ms;
+use crate::outage_log::OutageLog;
 use crate::peers::Membership;
 use crate::peers::api::{Busy, EndpointNews, Have, Missing, PeerApi};
 use crate::peers::uploads::Uploads;
@@ -35,11 +36,17 @@
     listener: TcpListener,
 ) {
     let uploads = Arc::new(Uploads::new(shared.config.uploads_max));
+    let mut outage = OutageLog::new("peers-socket");
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(ACCEPT_PAUSE).await;
-            continue;
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                outage.failed(&shared, &error);
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
         };
+        outage.worked(&shared);
         let answers = Answers {
             shared: shared.clone(),
             peers: peers.clone(),
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -17,6 +17,7 @@
 use crate::follow::follow;
 use crate::front::accept;
 use crate::lag::measure_lag;
+use crate::outage_log::OutageLog;
 use crate::peers::{
     Membership, publish, pull_at_start, pull_when_behind, receive, serve_pulls, zone_hash,
 };
@@ -201,7 +202,7 @@
         tokio::time::sleep(SETTLED_AFTER).await;
         shared.subscription.turn().await;
     }
-    join(source, own, peers).await;
+    join(&shared, source, own, peers).await;
 }
 
 async fn hears_any(peers: &Membership) {
@@ -211,17 +212,22 @@
 }
 
 /// Records the host and learns of the others, once.
-async fn join<S: Source>(source: Arc<S>, own: HostRow, peers: Arc<Membership>) {
+async fn join<S: Source>(shared: &Shared, source: Arc<S>, own: HostRow, peers: Arc<Membership>) {
+    let mut outage = OutageLog::new("platform-hosts");
     loop {
         match source.join(&own).await {
             Ok(rows) => {
+                outage.worked(shared);
                 peers.add(
                     rows.iter()
                         .map(|row| (row.peer_address, Some(zone_hash(&row.zone)))),
                 );
                 return;
             }
-            Err(_) => tokio::time::sleep(JOIN_PAUSE).await,
+            Err(error) => {
+                outage.failed(shared, &error);
+                tokio::time::sleep(JOIN_PAUSE).await;
+            }
         }
     }
 }
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -12,20 +12,29 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::TcpListener;
 
+use crate::outage_log::OutageLog;
 use crate::shared::Shared;
 
 /// The longest that a connection rests between two questions.
 const REST: Duration = Duration::from_secs(30);
-/// Where metrics are told.
+/// Pause after the system could not accept a connection.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Where metrics are served.
 const METRICS_PATH: &str = "/metrics";
 
 /// Answers on one address until the process ends.
 pub(crate) async fn answer_status(shared: Arc<Shared>, listener: TcpListener) {
+    let mut outage = OutageLog::new("status-socket");
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(Duration::from_millis(50)).await;
-            continue;
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                outage.failed(&shared, &error);
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
         };
+        outage.worked(&shared);
         let shared = shared.clone();
         tokio::spawn(async move {
             let service = service_fn(|request: Request<body::Incoming>| {
