--- a/crates/gateway/src/rules_in_force.rs
+++ b/crates/gateway/src/rules_in_force.rs
@@ -58,7 +58,7 @@
         document.sort();
         let change = known.and_then(|known| RulesChange::between(known.document(), &document));
         match change {
-            Some(change) => history.push(Arc::new(change)),
+            Some(change) => history.push(Arc::new(change), document.entries()),
             None => history.clear(),
         }
         self.current.store(Some(Arc::new(Rules::new(document))));
@@ -86,19 +86,19 @@
         if document.version <= known.version() {
             return false;
         }
-        changes.into_iter().for_each(|change| history.push(change));
+        for change in changes {
+            history.push(change, document.entries());
+        }
         self.current.store(Some(Arc::new(Rules::new(document))));
         true
     }
 
     /// What a host is missing that has a version, if anything: the changes
-    /// since, or the document where these are unknown or name more than it.
+    /// since, or the document where these are not known.
     pub(crate) fn news_since(&self, version: RulesVersion) -> Option<RulesNews> {
         let current = self.current().filter(|rules| rules.version() > version)?;
-        let document = current.document();
         let history = self.history.lock().unwrap_or_else(PoisonError::into_inner);
         let changes = history.since(version).map(RulesNews::Changes);
-        let fewer = changes.filter(|changes| changes.entries() <= document.entries());
-        Some(fewer.unwrap_or_else(|| RulesNews::Entire(document.clone())))
+        Some(changes.unwrap_or_else(|| RulesNews::Entire(current.document().clone())))
     }
 }
--- a/crates/routing/src/rules_change.rs
+++ b/crates/routing/src/rules_change.rs
@@ -74,17 +74,23 @@
 pub struct RulesHistory(VecDeque<Arc<RulesChange>>);
 
 impl RulesHistory {
-    /// Rules came into force by a change.
-    pub fn push(&mut self, change: Arc<RulesChange>) {
+    /// Rules came into force by a change, and have so many entries. Changes that
+    /// name more together are not kept: the whole is less to pass on, and an
+    /// operator who rewrites all routes each time would fill the memory.
+    pub fn push(&mut self, change: Arc<RulesChange>, entries_max: usize) {
         if self.0.back().is_some_and(|last| last.to != change.from) {
             self.0.clear();
         }
         self.0.push_back(change);
-        if self.0.len() > CHANGES_MAX {
+        while self.0.len() > CHANGES_MAX || self.entries() > entries_max {
             self.0.pop_front();
         }
     }
 
+    fn entries(&self) -> usize {
+        self.0.iter().map(|change| change.entries()).sum()
+    }
+
     /// Rules came into force by a document from which no change is known.
     pub fn clear(&mut self) {
         self.0.clear();
--- a/crates/routing/tests/rules_change.rs
+++ b/crates/routing/tests/rules_change.rs
@@ -171,6 +171,9 @@
     })
 }
 
+/// More entries than any of these changes names.
+const MANY: usize = 1_000;
+
 fn change(from: u64, to: u64) -> Arc<RulesChange> {
     let change = RulesChange::between(&document(from, &[], &[]), &document(to, &[], &[]));
     Arc::new(change.expect("a change"))
@@ -182,7 +185,7 @@
     assert_that!(history.since(RulesVersion(1)), none());
     let changes = [change(1, 4), change(4, 5), change(5, 9)];
     for change in &changes {
-        history.push(change.clone());
+        history.push(change.clone(), MANY);
     }
     assert_that!(history.since(RulesVersion(1)), some(eq(&changes.to_vec())));
     assert_that!(
@@ -197,8 +200,8 @@
 #[test]
 fn since_knows_of_nothing_before_a_gap() {
     let mut history = RulesHistory::default();
-    history.push(change(1, 4));
-    history.push(change(6, 7));
+    history.push(change(1, 4), MANY);
+    history.push(change(6, 7), MANY);
     assert_that!(history.since(RulesVersion(1)), none());
     assert_that!(history.since(RulesVersion(6)), some(len(eq(1))));
     history.clear();
@@ -209,8 +212,25 @@
 fn since_forgets_the_oldest_changes() {
     let mut history = RulesHistory::default();
     for version in 1..=9 {
-        history.push(change(version, version + 1));
+        history.push(change(version, version + 1), MANY);
     }
     assert_that!(history.since(RulesVersion(1)), none());
     assert_that!(history.since(RulesVersion(2)), some(len(eq(8))));
 }
+
+/// Each version gives all four routes another rank.
+#[test]
+fn since_keeps_no_more_than_the_whole_names() {
+    let at = |version: u64| {
+        let rank = version as u8;
+        let routes = [("a", rank), ("b", rank), ("c", rank), ("d", rank)];
+        document(version, &routes, &[])
+    };
+    let mut history = RulesHistory::default();
+    for version in 1..=3 {
+        let change = RulesChange::between(&at(version), &at(version + 1)).expect("a change");
+        history.push(Arc::new(change), at(version + 1).entries());
+    }
+    assert_that!(history.since(RulesVersion(2)), none());
+    assert_that!(history.since(RulesVersion(3)), some(len(eq(1))));
+}
