--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -42,20 +42,12 @@
         let Ok(place) = shared.connection_permits.clone().acquire_owned().await else {
             return;
         };
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                outage.worked(&shared);
-                let shared = shared.clone();
-                tokio::spawn(async move {
-                    connection(shared, stream).await;
-                    drop(place);
-                });
-            }
-            Err(error) => {
-                outage.failed(&shared, &error);
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-            }
-        }
+        let stream = outage.accept(&shared, &listener, ACCEPT_PAUSE).await;
+        let shared = shared.clone();
+        tokio::spawn(async move {
+            connection(shared, stream).await;
+            drop(place);
+        });
     }
 }
 
--- a/crates/gateway/src/outage_log.rs
+++ b/crates/gateway/src/outage_log.rs
@@ -2,6 +2,9 @@
 //! not each failure between.
 
 use std::fmt::Display;
+use std::time::Duration;
+
+use tokio::net::{TcpListener, TcpStream};
 
 use crate::event_log::Event;
 use crate::shared::Shared;
@@ -22,6 +25,28 @@
         }
     }
 
+    /// Accepts a connection, with a pause after each failure of the system to do
+    /// so.
+    pub(crate) async fn accept(
+        &mut self,
+        shared: &Shared,
+        listener: &TcpListener,
+        pause: Duration,
+    ) -> TcpStream {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    self.worked(shared);
+                    return stream;
+                }
+                Err(error) => {
+                    self.failed(shared, &error);
+                    tokio::time::sleep(pause).await;
+                }
+            }
+        }
+    }
+
     /// It failed.
     pub(crate) fn failed(&mut self, shared: &Shared, error: &dyn Display) {
         if !self.is_down {
--- a/crates/gateway/src/peers/serve.rs
+++ b/crates/gateway/src/peers/serve.rs
@@ -38,15 +38,7 @@
     let uploads = Arc::new(Uploads::new(shared.config.uploads_max));
     let mut outage = OutageLog::new("peers-socket");
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                outage.failed(&shared, &error);
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-                continue;
-            }
-        };
-        outage.worked(&shared);
+        let stream = outage.accept(&shared, &listener, ACCEPT_PAUSE).await;
         let answers = Answers {
             shared: shared.clone(),
             peers: peers.clone(),
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -26,15 +26,7 @@
 pub(crate) async fn answer_status(shared: Arc<Shared>, listener: TcpListener) {
     let mut outage = OutageLog::new("status-socket");
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                outage.failed(&shared, &error);
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-                continue;
-            }
-        };
-        outage.worked(&shared);
+        let stream = outage.accept(&shared, &listener, ACCEPT_PAUSE).await;
         let shared = shared.clone();
         tokio::spawn(async move {
             let service = service_fn(|request: Request<body::Incoming>| {
