--- a/crates/gateway/src/follow/start.rs
+++ b/crates/gateway/src/follow/start.rs
@@ -25,6 +25,7 @@
 const HEARD_PAUSE: Duration = Duration::from_millis(400);
 /// Pause of the others, until they know that these do.
 const READ_PAUSE: Duration = Duration::from_millis(1_000);
+
 /// Gives other hosts time to pass on all that a host which starts needs.
 pub(super) async fn first_step(shared: &Shared) -> Step {
     if shared.config.peer_seeds.is_empty() {
--- a/crates/gateway/tests/gateway/large_rules.rs
+++ b/crates/gateway/tests/gateway/large_rules.rs
@@ -27,11 +27,6 @@
 /// Longer than any bound, so that what does not come by then never does.
 const LONG: Duration = Duration::from_secs(30);
 
-async fn knows(host: &TestGateway, version: u64) -> bool {
-    let line = format!("chalkrock_rules_version{{}} {version}\n");
-    host.metrics().await.contains(&line)
-}
-
 /// A host that reads all: alone on its link, the rules take 1.2 s, longer than
 /// three calls that are sent 480 ms after each other are waited for.
 #[tokio::test(start_paused = true)]
@@ -42,7 +37,7 @@
     source.set_rules_transfer_ms(1_200);
     let host = TestGateway::with_follow_bound(source.clone(), "host-1", Vec::new(), BOUND_MS).await;
     sleep(Duration::from_millis(BOUND_MS)).await;
-    assert_that!(knows(&host, 1).await, eq(true));
+    assert_that!(host.knows_rules(1).await, eq(true));
     assert_that!(source.rules_transfers(), eq(1));
 }
 
@@ -53,15 +48,10 @@
     const FIRST_BYTES: usize = 40_000;
     /// Less than a pull may take in all.
     const SOON: Duration = Duration::from_secs(8);
-    let source = TestSource::default();
-    source.set_rules(rules_of(1, ROUTES));
-    let first = TestGateway::with(source, "host-1", Vec::new()).await;
-    first.ready().await;
-    let address = first.running.peer_address().expect("it hears others");
+    let first = TestGateway::serving(rules_of(1, ROUTES)).await;
+    let address = first.peer_address();
     let link = SlowLink::silent_at_first(address, 150_000, FIRST_BYTES).await;
-    let cut_off = TestSource::default();
-    cut_off.set_down(true);
-    let second = TestGateway::with(cut_off, "host-2", vec![link.address()]).await;
+    let second = TestGateway::cut_off("host-2", vec![link.address()]).await;
     assert_that!(timeout(SOON, second.ready()).await.is_ok(), eq(true));
     assert_that!(link.large_answers(), eq(2));
 }
@@ -74,14 +64,12 @@
     const HOSTS: usize = 8;
     let first = TestGateway::with_uploads(source, AT_ONCE).await;
     first.ready().await;
-    let address = first.running.peer_address().expect("it hears others");
+    let address = first.peer_address();
     let link = SlowLink::to(address, 150_000).await;
-    let cut_off = TestSource::default();
-    cut_off.set_down(true);
     let mut others = Vec::new();
     for i in 0..HOSTS {
         let seeds = vec![link.address()];
-        others.push(TestGateway::with(cut_off.clone(), &format!("host-{i}"), seeds).await);
+        others.push(TestGateway::cut_off(&format!("host-{i}"), seeds).await);
     }
     for other in &others {
         assert_that!(timeout(LONG, other.ready()).await.is_ok(), eq(true));
@@ -119,14 +107,9 @@
 #[tokio::test]
 async fn large_rules_cost_a_host_what_they_change() {
     const CHANGE_MAX_BYTES: u64 = 4_000;
-    let source = TestSource::default();
-    source.set_rules(rules_of(1, ROUTES));
-    let first = TestGateway::with(source, "host-1", Vec::new()).await;
-    first.ready().await;
-    let seed = first.running.peer_address().expect("it hears others");
-    let cut_off = TestSource::default();
-    cut_off.set_down(true);
-    let second = TestGateway::with(cut_off, "host-2", vec![seed]).await;
+    let first = TestGateway::serving(rules_of(1, ROUTES)).await;
+    let seed = first.peer_address();
+    let second = TestGateway::cut_off("host-2", vec![seed]).await;
     second.ready().await;
     let before = pulled_bytes(&second).await;
     assert_that!(before, gt(100_000));
@@ -134,7 +117,7 @@
         first
             .source
             .set_rules(rules_of(version, ROUTES + version as usize));
-        until(async || knows(&second, version).await).await;
+        until(async || second.knows_rules(version).await).await;
     }
     let pulled = pulled_bytes(&second).await - before;
     assert_that!(pulled, lt(3 * CHANGE_MAX_BYTES));
@@ -152,15 +135,10 @@
 /// is waited for.
 #[tokio::test(start_paused = true)]
 async fn large_rules_are_taken_from_a_host_over_a_slow_link() {
-    let source = TestSource::default();
-    source.set_rules(rules_of(1, ROUTES));
-    let first = TestGateway::with(source, "host-1", Vec::new()).await;
-    first.ready().await;
-    let address = first.running.peer_address().expect("it hears others");
+    let first = TestGateway::serving(rules_of(1, ROUTES)).await;
+    let address = first.peer_address();
     let link = SlowLink::to(address, 150_000).await;
-    let cut_off = TestSource::default();
-    cut_off.set_down(true);
-    let second = TestGateway::with(cut_off, "host-2", vec![link.address()]).await;
+    let second = TestGateway::cut_off("host-2", vec![link.address()]).await;
     let is_ready = timeout(LONG, second.ready()).await.is_ok();
     assert_that!(is_ready, eq(true));
 }
--- a/crates/gateway/tests/gateway/peers.rs
+++ b/crates/gateway/tests/gateway/peers.rs
@@ -12,14 +12,8 @@
 
 /// Two hosts with platforms of their own, so that one may be cut off alone.
 async fn two_hosts() -> (TestGateway, TestGateway) {
-    let source = TestSource::default();
-    source.set_rules(rules(1));
-    let first = TestGateway::with(source, "host-1", Vec::new()).await;
-    first.ready().await;
-    let seed = first.running.peer_address().expect("it hears others");
-    let cut_off = TestSource::default();
-    cut_off.set_down(true);
-    let second = TestGateway::with(cut_off, "host-2", vec![seed]).await;
+    let first = TestGateway::serving(rules(1)).await;
+    let second = TestGateway::cut_off("host-2", vec![first.peer_address()]).await;
     (first, second)
 }
 
@@ -39,7 +33,7 @@
     source.set_rules(rules(1));
     let first = TestGateway::with(source, "host-1", Vec::new()).await;
     first.ready().await;
-    let seed = first.running.peer_address().expect("it hears others");
+    let seed = first.peer_address();
     let endpoint =
         ScriptedEndpoint::start("endpoint-0", "pool", Behaviour::Answer, Script::default()).await;
     first.source.list(endpoint.endpoint.clone());
@@ -65,7 +59,7 @@
     source.set_rules(rules(1));
     let first = TestGateway::with(source.clone(), "host-0", Vec::new()).await;
     first.ready().await;
-    let seed = first.running.peer_address().expect("it hears others");
+    let seed = first.peer_address();
     let mut hosts = vec![first];
     for i in 1..HOSTS {
         let host = format!("host-{i}");
--- a/crates/gateway/tests/gateway/silences.rs
+++ b/crates/gateway/tests/gateway/silences.rs
@@ -30,11 +30,6 @@
     (source, hosts)
 }
 
-async fn knows(host: &TestGateway, version: u64) -> bool {
-    let line = format!("chalkrock_rules_version{{}} {version}\n");
-    host.metrics().await.contains(&line)
-}
-
 /// Begins a silence after `start_ms`, changes the rules in its midst, ends it
 /// after `length_ms`, and looks at all hosts `bound_ms` later.
 async fn all_know_after(count: usize, bound_ms: u64, start_ms: u64, length_ms: u64) {
@@ -49,7 +44,7 @@
     let ended_at = Instant::now();
     sleep_until(ended_at + Duration::from_millis(bound_ms)).await;
     for host in &hosts {
-        assert_that!(knows(host, 2).await, eq(true), "{case}");
+        assert_that!(host.knows_rules(2).await, eq(true), "{case}");
     }
 }
 
@@ -125,10 +120,10 @@
         let host =
             TestGateway::with_follow_bound(source.clone(), "host-1", Vec::new(), 1_500).await;
         sleep(Duration::from_secs(20)).await;
-        assert_that!(knows(&host, 1).await, eq(true), "{answer_ms}");
+        assert_that!(host.knows_rules(1).await, eq(true), "{answer_ms}");
         source.set_rules(rules(2));
         sleep(Duration::from_secs(20)).await;
-        assert_that!(knows(&host, 2).await, eq(true), "{answer_ms}");
+        assert_that!(host.knows_rules(2).await, eq(true), "{answer_ms}");
     }
 }
 
--- a/crates/gateway/tests/gateway/support/fleet.rs
+++ b/crates/gateway/tests/gateway/support/fleet.rs
@@ -167,6 +167,22 @@
         Self::configured(config.uploads_max(uploads_max).build(), source).await
     }
 
+    /// A gateway that serves by rules of a platform of its own.
+    pub(crate) async fn serving(rules: RulesDocument) -> Self {
+        let source = TestSource::default();
+        source.set_rules(rules);
+        let gateway = Self::with(source, "host-1", Vec::new()).await;
+        gateway.ready().await;
+        gateway
+    }
+
+    /// A gateway that its platform does not answer.
+    pub(crate) async fn cut_off(host: &str, seeds: Vec<SocketAddr>) -> Self {
+        let source = TestSource::default();
+        source.set_down(true);
+        Self::with(source, host, seeds).await
+    }
+
     /// A gateway in a zone.
     pub(crate) async fn in_zone(
         zone: &str,
@@ -213,6 +229,17 @@
         String::from_utf8_lossy(&answer.body).into_owned()
     }
 
+    /// Whether it has a version of the rules in force.
+    pub(crate) async fn knows_rules(&self, version: u64) -> bool {
+        let line = format!("chalkrock_rules_version{{}} {version}\n");
+        self.metrics().await.contains(&line)
+    }
+
+    /// Where other hosts reach it.
+    pub(crate) fn peer_address(&self) -> SocketAddr {
+        self.running.peer_address().expect("it hears others")
+    }
+
     /// Sends a call.
     pub(crate) async fn call(&self, call: Call) -> Received {
         call.to(self.running.front_address()).await
