--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -181,6 +181,10 @@
                 opened.ok_or_else(|| Failure::of(AttemptOutcome::NotSent))?
             }
         };
+        if !may_still_send(shared, choice) {
+            shared.upstream.give_back(short, connection);
+            return Err(Failure::of(AttemptOutcome::Withdrawn));
+        }
         let request = request_for(shared, call, choice, resume_after);
         let now_ms = shared.clock.now_ms();
         shared.fleet().health(short).sent(now_ms);
@@ -196,6 +200,14 @@
     }
 }
 
+/// Whether an endpoint that was chosen may still be sent the request: opening a
+/// connection takes up to 400 ms, in which its zone may have been evacuated, or
+/// it may have turned cold or begun to leave.
+fn may_still_send(shared: &Shared, choice: &Choice) -> bool {
+    let now_ms = shared.clock.now_ms();
+    shared.fleet().may_still_send(choice, now_ms)
+}
+
 fn request_for(
     shared: &Shared,
     call: &Call,
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -3,12 +3,16 @@
 use std::net::SocketAddr;
 
 use chalkrock_core::{HostId, ZoneId};
-use chalkrock_routing::{BudgetRules, FollowTimes, SpreadRules};
+use chalkrock_routing::{BudgetRules, ColdBound, FollowTimes, SpreadRules};
 
 /// Within how long after a silence of the store all hosts know what changed,
 /// if the settings name no bound.
 const FOLLOW_BOUND_MS: u64 = 3_000;
 
+/// Within how long an endpoint's entry tells what has become of it, if the
+/// settings do not tell: three heartbeats of 1.2 s.
+const ENTRY_DELAY_MS: u64 = 3_600;
+
 /// What a host may use of a processor if the settings do not tell.
 const ONE_CORE_MILLICORES: u16 = 1_000;
 
@@ -35,6 +39,9 @@
     pub(crate) budget: BudgetRules,
     pub(crate) connections_max: usize,
     pub(crate) follow: FollowTimes,
+    pub(crate) evacuation_copy_ms: u64,
+    pub(crate) cold_bound: Option<ColdBound>,
+    pub(crate) entry_delay_ms: u64,
     pub(crate) capacity_millicores: u16,
     pub(crate) uploads_max: usize,
     pub(crate) bodies_max_bytes: usize,
@@ -66,6 +73,9 @@
             },
             connections_max: 2_000,
             follow: FollowTimes::within(FOLLOW_BOUND_MS),
+            evacuation_copy_ms: 0,
+            cold_bound: None,
+            entry_delay_ms: ENTRY_DELAY_MS,
             capacity_millicores: ONE_CORE_MILLICORES,
             uploads_max: UPLOADS_MAX,
             bodies_max_bytes: BODIES_MAX_BYTES,
@@ -140,6 +150,26 @@
         self
     }
 
+    /// How long prefixes are copied from the endpoints of a zone once it is
+    /// known to be evacuated; by default none are.
+    pub fn evacuation_copy_ms(mut self, copy_ms: u64) -> Self {
+        self.0.evacuation_copy_ms = copy_ms;
+        self
+    }
+
+    /// The bound on requests to cold endpoints; without one they are sent as
+    /// many as others.
+    pub fn cold_bound(mut self, bound: Option<ColdBound>) -> Self {
+        self.0.cold_bound = bound;
+        self
+    }
+
+    /// Within how long an endpoint's entry tells what has become of it.
+    pub fn entry_delay_ms(mut self, delay_ms: u64) -> Self {
+        self.0.entry_delay_ms = delay_ms;
+        self
+    }
+
     /// What the host may use of a processor, in thousandths of a core: in a
     /// large fleet strong hosts relay for the others.
     pub fn capacity_millicores(mut self, millicores: u16) -> Self {
--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -10,8 +10,8 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use chalkrock_core::{EndpointId, HostId, OrganisationId, Outcome, Reason, RequestId};
-use chalkrock_routing::{AttemptOutcome, Basis, RulesVersion};
+use chalkrock_core::{EndpointId, HostId, OrganisationId, Outcome, Reason, RequestId, ZoneId};
+use chalkrock_routing::{AttemptOutcome, Basis, RulesVersion, StoreVersion};
 use serde::Serialize;
 use tokio::io::AsyncWriteExt;
 use tokio::sync::mpsc;
@@ -31,6 +31,9 @@
     pub(crate) basis: Basis,
     /// Whether it was seen to hold the request's prefix.
     pub(crate) holds_prefix: bool,
+    /// Whether it was cold.
+    #[serde(skip_serializing_if = "std::ops::Not::not")]
+    pub(crate) is_cold: bool,
     /// Another endpoint from which it may copy the prefix.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub(crate) copy_from: Option<SocketAddr>,
@@ -99,6 +102,21 @@
         leaving: usize,
         from: &'a str,
     },
+    /// Operators evacuated a zone or took it back, as of a version of the
+    /// store; so many endpoints take new work from then on.
+    Evacuation {
+        zone: &'a ZoneId,
+        is_evacuated: bool,
+        version: StoreVersion,
+        live: usize,
+        from: &'a str,
+    },
+    /// Endpoints said that they are cold, for so long at most: fewer requests
+    /// are sent to them meanwhile.
+    Cold {
+        endpoints: &'a [EndpointId],
+        longest_ms: u64,
+    },
     /// Taking from another host what this one was missing failed, or brought
     /// rules; `read_bytes` is what arrived of its answer.
     Pull {
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -3,20 +3,33 @@
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 
-use chalkrock_core::rendezvous::{KeyHash, score};
-use chalkrock_core::{Endpoint, PoolId, ZoneId};
+use chalkrock_core::rendezvous::{KeyHash, MemberHash, score};
+use chalkrock_core::{EndpointId, PoolId, ZoneId};
 use chalkrock_routing::{
-    Basis, BudgetRules, Candidate, EndpointHealth, EndpointTable, FleetLoad, HealthSignal, Member,
-    PlacementRequest, PoolOccupancy, Repeatable, ServiceTimeEwma, Shares, SpreadRules,
-    WindowBudget, choose,
+    Basis, BudgetRules, Candidate, ColdEndpoints, EndpointHealth, EndpointTable, EvacuationChange,
+    EvacuationRow, Evacuations, FleetLoad, HealthSignal, Member, PlacementRequest, PoolOccupancy,
+    PoolRules, Repeatable, ServiceTimeEwma, Shares, SpreadRules, StoreVersion, WindowBudget,
+    choose,
 };
 
+use crate::config::GatewayConfig;
 use crate::prefixes::Prefixes;
-use crate::source::{EndpointChange, EndpointRow, StoreVersion};
+use crate::source::{EndpointChange, EndpointRow, ListedEndpoint};
 
 /// Changes of the list that are kept to pass on.
 const CHANGES_MAX: usize = 256;
 
+/// Time after which a request that was chosen for a cold endpoint is no longer
+/// sent to it: many that waited for a connection would go out together.
+const COLD_SEND_DELAY_MAX_MS: u64 = 200;
+
+/// Requests that a cold endpoint works on at once, if it bears so many a second
+/// (0 for any number) and each stays so long.
+fn places_while_cold(bears_per_s: f64, service_ms: f64) -> Option<u32> {
+    const SECOND_MS: f64 = 1_000.0;
+    (bears_per_s > 0.0).then(|| (bears_per_s * service_ms / SECOND_MS).ceil() as u32)
+}
+
 /// What a request wants of placement.
 #[derive(Debug)]
 pub(crate) struct Wanted<'a> {
@@ -41,6 +54,9 @@
     pub(crate) basis: Basis,
     /// Whether it was seen to hold the prefix.
     pub(crate) holds_prefix: bool,
+    /// Whether it was cold, and this host's share of what it bears allowed it.
+    pub(crate) is_cold: bool,
+    chosen_at_ms: u64,
 }
 
 /// The beliefs of one host.
@@ -55,6 +71,18 @@
     changes: VecDeque<EndpointRow>,
     /// The version from which on `changes` holds each change.
     changes_since: StoreVersion,
+    /// The zones that are evacuated.
+    pub(crate) evacuations: Evacuations,
+    /// Until when prefixes are copied from the endpoints of evacuated zones.
+    copied_until_ms: HashMap<ZoneId, u64>,
+    evacuation_copy_ms: u64,
+    pub(crate) cold: ColdEndpoints,
+    /// Endpoints that were found to be cold and not logged yet.
+    newly_cold: Vec<EndpointId>,
+    /// Within how long an endpoint's entry tells what has become of it.
+    entry_delay_ms: u64,
+    /// What endpoints bear while they are cold.
+    pools: HashMap<PoolId, PoolRules>,
     pub(crate) load: FleetLoad<SocketAddr>,
     zone: ZoneId,
     spread: SpreadRules,
@@ -68,17 +96,24 @@
 }
 
 impl Fleet {
-    pub(crate) fn new(zone: ZoneId, spread: SpreadRules, budget: BudgetRules) -> Self {
+    pub(crate) fn new(config: &GatewayConfig) -> Self {
         Self {
             endpoints: EndpointTable::default(),
             endpoints_version: StoreVersion::default(),
             lapsed_until_ms: None,
             changes: VecDeque::new(),
             changes_since: StoreVersion::default(),
+            evacuations: Evacuations::default(),
+            copied_until_ms: HashMap::new(),
+            evacuation_copy_ms: config.evacuation_copy_ms,
+            cold: ColdEndpoints::new(config.cold_bound),
+            newly_cold: Vec::new(),
+            entry_delay_ms: config.entry_delay_ms,
+            pools: HashMap::new(),
             load: FleetLoad::default(),
-            zone,
-            spread,
-            budget,
+            zone: config.zone.clone(),
+            spread: config.spread,
+            budget: config.budget,
             health: HashMap::new(),
             budgets: HashMap::new(),
             service_times: HashMap::new(),
@@ -88,17 +123,118 @@
     }
 
     /// Takes bounds that were read again.
-    pub(crate) fn set_bounds(&mut self, spread: SpreadRules, budget: BudgetRules) {
-        self.spread = spread;
-        if self.budget != budget {
-            self.budget = budget;
+    pub(crate) fn set_bounds(&mut self, config: &GatewayConfig) {
+        self.spread = config.spread;
+        self.cold.set_bound(config.cold_bound);
+        if self.budget != config.budget {
+            self.budget = config.budget;
             self.budgets.clear();
         }
     }
 
+    /// Takes what endpoints bear while they are cold.
+    pub(crate) fn set_pools(&mut self, pools: &[PoolRules]) {
+        let by_name = pools.iter().map(|pool| (pool.name.clone(), pool.clone()));
+        self.pools = by_name.collect();
+    }
+
+    /// Takes the zones that are evacuated, if they are known as of a later
+    /// version.
+    pub(crate) fn take_evacuations(
+        &mut self,
+        evacuations: &Evacuations,
+        now_ms: u64,
+    ) -> EvacuationChange {
+        let change = self.evacuations.merge(evacuations);
+        self.evacuations_changed(&change, now_ms);
+        change
+    }
+
+    /// Takes the evacuations of a part of the store's history.
+    pub(crate) fn follow_evacuations(
+        &mut self,
+        rows: &[EvacuationRow],
+        until: StoreVersion,
+        now_ms: u64,
+    ) -> EvacuationChange {
+        let change = self.evacuations.follow(rows, until);
+        self.evacuations_changed(&change, now_ms);
+        change
+    }
+
+    fn evacuations_changed(&mut self, change: &EvacuationChange, now_ms: u64) {
+        if change.is_empty() {
+            return;
+        }
+        self.endpoints
+            .set_evacuated(self.evacuations.zones().clone());
+        for zone in &change.begun {
+            let until_ms = now_ms + self.evacuation_copy_ms;
+            self.copied_until_ms.insert(zone.clone(), until_ms);
+        }
+        for zone in &change.ended {
+            self.copied_until_ms.remove(zone);
+            self.doubt_zone(zone, now_ms);
+        }
+    }
+
+    /// The endpoints of a zone that was taken back may have turned cold shortly
+    /// before, and their entries tell so late.
+    fn doubt_zone(&mut self, zone: &ZoneId, now_ms: u64) {
+        for member in self.endpoints.serving_in(zone) {
+            let Some(pool) = self.pools.get(&member.endpoint.pool) else {
+                continue;
+            };
+            let longest_ms = pool.cold_start_ms.min(self.entry_delay_ms);
+            self.cold.doubt(member.hash.short(), longest_ms, now_ms);
+        }
+    }
+
+    /// Whether the endpoint of a choice may still be sent the request, which is
+    /// then sent.
+    pub(crate) fn may_still_send(&mut self, choice: &Choice, now_ms: u64) -> bool {
+        let member = &choice.member;
+        if !self.endpoints.takes_work(&member.endpoint.name) {
+            return false;
+        }
+        let may_send = if choice.is_cold {
+            now_ms.saturating_sub(choice.chosen_at_ms) <= COLD_SEND_DELAY_MAX_MS
+        } else {
+            self.may_send_if_cold(member, now_ms)
+        };
+        if may_send {
+            self.cold.sent(member.hash.short(), now_ms);
+        }
+        may_send
+    }
+
+    /// Whether an endpoint is not cold, or this host's share of what it bears
+    /// allows a request now.
+    fn may_send_if_cold(&self, member: &Member, now_ms: u64) -> bool {
+        if !self.is_bounded(member, now_ms) {
+            return true;
+        }
+        let is_near = member.endpoint.zone == self.zone;
+        let bears_per_s = self.cold_per_s(&member.endpoint.pool);
+        self.cold
+            .may_send(member.hash.short(), bears_per_s, is_near, now_ms)
+    }
+
+    /// Whether an endpoint is cold and bears only so many requests meanwhile.
+    fn is_bounded(&self, member: &Member, now_ms: u64) -> bool {
+        let is_cold = || self.cold.is_cold(member.hash.short(), now_ms);
+        !self.cold.is_empty() && self.cold_per_s(&member.endpoint.pool) > 0.0 && is_cold()
+    }
+
+    /// Requests that a cold endpoint of a pool bears in a second, 0 for any
+    /// number.
+    fn cold_per_s(&self, pool: &PoolId) -> f64 {
+        self.pools.get(pool).map_or(0.0, PoolRules::cold_per_s)
+    }
+
     /// Chooses an endpoint of a pool.
     pub(crate) fn place(&self, wanted: &Wanted<'_>, now_ms: u64) -> Option<Choice> {
-        let members = self.endpoints.live(wanted.pool);
+        let members = self.endpoints.serving(wanted.pool);
         let deepest = wanted.shared_parts.last().copied();
         let key = deepest.map(|part| KeyHash(u64::from(part)));
         let untried: Vec<&Member> = members
@@ -121,12 +257,15 @@
         let candidate = &candidates[placement.index];
         let member = untried[placement.index].clone();
         let holder = self.other_holder(wanted, &member, now_ms);
+        let is_cold = self.is_bounded(&member, now_ms);
         Some(Choice {
             load: candidate.load,
             member,
             holder,
             basis: placement.basis,
             holds_prefix: candidate.holds_prefix,
+            is_cold,
+            chosen_at_ms: now_ms,
         })
     }
 
@@ -157,9 +296,10 @@
         now_ms: u64,
     ) -> Option<SocketAddr> {
         let live = self.endpoints.live(wanted.pool);
+        let evacuated = self.copied_while_evacuated(wanted.pool, now_ms);
         let parting = self.endpoints.parting(wanted.pool);
         let address_of = |endpoint: u32| {
-            let mut members = live.iter().chain(parting.iter());
+            let mut members = live.iter().chain(parting.iter()).chain(&evacuated);
             let member = members.find(|member| member.hash.short() == endpoint)?;
             let is_sound = !self.is_suspect(endpoint, now_ms);
             is_sound.then_some(member.endpoint.address)
@@ -176,7 +316,7 @@
         // Nothing is known, as after a start: the prefix lies where it would
         // have gone without the endpoint that was chosen.
         let deepest = KeyHash(u64::from(*wanted.shared_parts.last()?));
-        let others = live.iter().chain(parting.iter());
+        let others = live.iter().chain(parting.iter()).chain(&evacuated);
         let others = others.filter(|member| member.hash != chosen.hash);
         let first = others.max_by(|a, b| {
             let rank = |member: &Member| score(deepest, member.hash, 1.0);
@@ -185,6 +325,23 @@
         address_of(first.hash.short())
     }
 
+    /// The endpoints of evacuated zones from which prefixes may still be copied.
+    fn copied_while_evacuated(&self, pool: &PoolId, now_ms: u64) -> Vec<Member> {
+        if self
+            .copied_until_ms
+            .values()
+            .all(|until_ms| now_ms >= *until_ms)
+        {
+            return Vec::new();
+        }
+        let serving = self.endpoints.serving(pool);
+        let copied = serving.iter().filter(|member| {
+            let until_ms = self.copied_until_ms.get(&member.endpoint.zone);
+            member.is_evacuated && until_ms.is_some_and(|until_ms| now_ms < *until_ms)
+        });
+        copied.cloned().collect()
+    }
+
     /// An endpoint as a candidate; `holders` are those that hold the prefix.
     fn candidate(
         &self,
@@ -205,6 +362,7 @@
             is_near: member.endpoint.zone == self.zone,
             is_suspect: self.health.get(&short).is_some_and(stays_away),
             holds_prefix: holders.contains(&short),
+            is_closed: member.is_evacuated || !self.may_send_if_cold(member, now_ms),
         }
     }
 
@@ -245,17 +403,21 @@
         let takes_work = members
             .iter()
             .filter(|member| !self.is_suspect(member.hash.short(), now_ms));
+        let service_ms = self.mean_service_ms(pool);
+        let cold_places = places_while_cold(self.cold_per_s(pool), service_ms);
         let (places, in_progress) = takes_work.fold((0, 0), |(places, in_progress), member| {
-            let load = self.load.of(member.hash.short());
+            let short = member.hash.short();
+            let slots = member.endpoint.slots;
+            let cold_places = cold_places.filter(|_| self.is_bounded(member, now_ms));
             (
-                places + member.endpoint.slots,
-                load.saturating_add(in_progress),
+                places + cold_places.map_or(slots, |cold| slots.min(cold)),
+                self.load.of(short).saturating_add(in_progress),
             )
         });
         PoolOccupancy {
             places,
             in_progress,
-            service_ms: self.mean_service_ms(pool),
+            service_ms,
         }
     }
 
@@ -266,14 +428,37 @@
     }
 
     /// Takes the whole list of endpoints, as of a version.
-    pub(crate) fn replace(&mut self, list: Vec<Endpoint>, version: StoreVersion, now_ms: u64) {
-        self.endpoints.replace(list, now_ms);
+    pub(crate) fn replace(
+        &mut self,
+        list: Vec<ListedEndpoint>,
+        version: StoreVersion,
+        now_ms: u64,
+    ) {
+        for listed in &list {
+            self.told_cold(listed, now_ms);
+        }
+        let endpoints = list.into_iter().map(|listed| listed.endpoint);
+        self.endpoints.replace(endpoints.collect(), now_ms);
         self.endpoints_version = self.endpoints_version.max(version);
         self.changes.clear();
         self.changes_since = self.endpoints_version;
         self.forget_health();
     }
 
+    /// Takes what an endpoint's entry says of how long it is cold.
+    fn told_cold(&mut self, listed: &ListedEndpoint, now_ms: u64) {
+        let name = &listed.endpoint.name;
+        let short = MemberHash::of(name.as_str()).short();
+        if self.cold.told(short, listed.cold_left_ms, now_ms) {
+            self.newly_cold.push(name.clone());
+        }
+    }
+
+    /// The endpoints that have been found to be cold since this was last asked.
+    pub(crate) fn take_newly_cold(&mut self) -> Vec<EndpointId> {
+        std::mem::take(&mut self.newly_cold)
+    }
+
     /// Takes changes of the list, oldest first. One that is known already
     /// changes nothing. Returns whether any was news.
     pub(crate) fn take_changes(&mut self, rows: Vec<EndpointRow>, now_ms: u64) -> bool {
@@ -285,7 +470,10 @@
             is_news = true;
             self.endpoints_version = row.version;
             match &row.change {
-                EndpointChange::Listed(endpoint) => self.endpoints.upsert(endpoint.clone()),
+                EndpointChange::Listed(listed) => {
+                    self.told_cold(listed, now_ms);
+                    self.endpoints.upsert(listed.endpoint.clone());
+                }
                 EndpointChange::Gone(name) => self.endpoints.remove(name, now_ms),
             }
             self.changes.push_back(row);
@@ -301,13 +489,37 @@
         is_news
     }
 
-    /// The changes since a version; `None` if they are not all known.
-    pub(crate) fn changes_after(&self, version: StoreVersion) -> Option<Vec<EndpointRow>> {
+    /// The endpoints that are listed, to pass on.
+    pub(crate) fn listed(&self, now_ms: u64) -> Vec<ListedEndpoint> {
+        let listed = self.endpoints.listed().map(|member| ListedEndpoint {
+            endpoint: (*member.endpoint).clone(),
+            cold_left_ms: self.cold.left_ms(member.hash.short(), now_ms),
+        });
+        listed.collect()
+    }
+
+    /// The changes since a version, to pass on; `None` if they are not all
+    /// known.
+    pub(crate) fn changes_after(
+        &self,
+        version: StoreVersion,
+        now_ms: u64,
+    ) -> Option<Vec<EndpointRow>> {
         if version < self.changes_since {
             return None;
         }
         let after = self.changes.iter().filter(|row| row.version > version);
-        Some(after.cloned().collect())
+        Some(after.map(|row| self.aged(row, now_ms)).collect())
+    }
+
+    /// A change as it stands now: its endpoint is cold for as much less.
+    fn aged(&self, row: &EndpointRow, now_ms: u64) -> EndpointRow {
+        let mut row = row.clone();
+        if let EndpointChange::Listed(listed) = &mut row.change {
+            let short = MemberHash::of(listed.endpoint.name.as_str()).short();
+            listed.cold_left_ms = self.cold.left_ms(short, now_ms);
+        }
+        row
     }
 
     /// The store is back: entries that lapsed meanwhile are kept for a while.
--- a/crates/gateway/src/follow/calls.rs
+++ b/crates/gateway/src/follow/calls.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use chalkrock_routing::FollowTimes;
+use chalkrock_routing::{FollowTimes, StoreVersion};
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use tokio::time::Instant;
@@ -11,7 +11,7 @@
 use crate::arrival::{Arrival, Patience, while_arriving};
 use crate::clock::ms;
 use crate::shared::Shared;
-use crate::source::{News, Source, SourceError, StoreVersion, Topic};
+use crate::source::{News, Source, SourceError, Topic};
 
 /// The wait of a call that is to be answered at once.
 const POLL_WAIT_MS: u64 = 1;
--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -17,6 +17,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use chalkrock_routing::{Evacuations, StoreVersion};
 use rand::RngExt;
 use tokio::time::Instant;
 
@@ -25,9 +26,7 @@
 use crate::follow::calls::{hedged, poll, wait};
 use crate::follow::failures::Failures;
 use crate::shared::Shared;
-use crate::source::{
-    EndpointChange, EndpointRow, News, Row, Source, SourceError, StoreVersion, Topic,
-};
+use crate::source::{EndpointChange, EndpointRow, News, Row, Source, SourceError, Topic};
 use crate::subscription::Due;
 
 /// How long one wait for changes lasts: each is a call that is paid for.
@@ -175,13 +174,25 @@
 
 fn take(shared: &Shared, topic: Topic, news: News, is_whole: bool) {
     let mut changes = Vec::new();
+    let mut evacuations = Vec::new();
     let mut is_news = false;
     for row in news.rows {
         match row {
             Row::Rules(document) => is_news |= shared.take_rules(*document, FROM),
+            Row::Evacuation(row) => evacuations.push(row),
             Row::Endpoint(row) => changes.push(row),
         }
     }
+    if topic == Topic::Rules {
+        let change = if is_whole {
+            let zones = evacuations.into_iter().filter(|row| row.is_evacuated);
+            let zones = zones.map(|row| row.zone);
+            shared.take_evacuations(&Evacuations::as_of(news.version, zones), FROM)
+        } else {
+            shared.follow_evacuations(&evacuations, news.version, FROM)
+        };
+        is_news |= change;
+    }
     if topic == Topic::Endpoints {
         is_news |= take_endpoints(shared, changes, is_whole);
         shared.endpoints_known();
@@ -197,7 +208,7 @@
     let is_news = if is_whole {
         let newest = changes.iter().map(|row| row.version).max();
         let listed = changes.into_iter().filter_map(|row| match row.change {
-            EndpointChange::Listed(endpoint) => Some(endpoint),
+            EndpointChange::Listed(listed) => Some(listed),
             EndpointChange::Gone(_) => None,
         });
         fleet.replace(listed.collect(), newest.unwrap_or_default(), now_ms);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -61,5 +61,5 @@
 pub use edge::{AnswerHead, CallHead, Edge, PrefixPart, Refusal, SendHead};
 pub use run::{RunningGateway, start};
 pub use source::{
-    EndpointChange, EndpointRow, HostRow, News, Row, Source, SourceError, StoreVersion, Topic,
+    EndpointChange, EndpointRow, HostRow, ListedEndpoint, News, Row, Source, SourceError, Topic,
 };
--- a/crates/gateway/src/peers/api.rs
+++ b/crates/gateway/src/peers/api.rs
@@ -2,13 +2,12 @@
 
 use std::net::SocketAddr;
 
-use chalkrock_core::Endpoint;
-use chalkrock_routing::RulesVersion;
+use chalkrock_routing::{Evacuations, RulesVersion, StoreVersion};
 use serde::{Deserialize, Serialize};
 
 use crate::peers::message::NamedHost;
 use crate::rules_in_force::RulesNews;
-use crate::source::{EndpointRow, StoreVersion};
+use crate::source::{EndpointRow, ListedEndpoint};
 
 /// What a host knows already.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -28,7 +27,7 @@
     /// The whole list, as of a version.
     Entire {
         version: StoreVersion,
-        endpoints: Vec<Endpoint>,
+        endpoints: Vec<ListedEndpoint>,
     },
     /// Its changes since the version that was asked for.
     Changes(Vec<EndpointRow>),
@@ -60,6 +59,8 @@
 pub(crate) struct Missing {
     pub(crate) rules: Option<RulesNews>,
     pub(crate) endpoints: Option<EndpointNews>,
+    /// The zones that are evacuated: whoever takes endpoints knows them too.
+    pub(crate) evacuations: Evacuations,
     /// The hosts of the fleet, for one that knows of few.
     pub(crate) hosts: Vec<NamedHost>,
     /// Set if this is not all that it is missing.
--- a/crates/gateway/src/peers/membership.rs
+++ b/crates/gateway/src/peers/membership.rs
@@ -27,6 +27,14 @@
 /// Silence after which a host is forgotten, unless it speaks again.
 const FORGET_AFTER: Duration = Duration::from_secs(120);
 
+/// Time from its start after which the hosts of a zone know of a host, mostly by
+/// the word of relays, which name each once a second.
+const COLD_SENDER_AFTER: Duration = Duration::from_millis(1_500);
+
+/// Time from its start in which a host takes its zone to have more hosts than it
+/// knows; most cuts are over by then.
+const NEW_UNTIL: Duration = Duration::from_secs(10);
+
 /// A host that knows more than this one.
 #[derive(Clone, Copy, Debug)]
 struct NewerPeer {
@@ -120,6 +128,9 @@
     /// Which life of the host this is.
     pub(crate) incarnation: u64,
     known: Mutex<HashMap<SocketAddr, Member>>,
+    started_at: Instant,
+    /// Whether it is told of others at its start.
+    has_seeds: bool,
     /// Whether this host, as a relay, sums up the fleet for its zone.
     sums_up: AtomicBool,
     /// Whether this host tells other zones of its own.
@@ -136,6 +147,8 @@
             capacity_millicores: config.capacity_millicores,
             incarnation,
             known: Mutex::default(),
+            started_at: Instant::now(),
+            has_seeds: config.peer_seeds.iter().any(|seed| *seed != own),
             sums_up: AtomicBool::new(false),
             is_relay: AtomicBool::new(false),
             newer: Mutex::default(),
@@ -152,6 +165,11 @@
         self.sums_up.load(Ordering::Relaxed)
     }
 
+    /// Whether this host tells other zones of its own.
+    pub(crate) fn is_relay(&self) -> bool {
+        self.is_relay.load(Ordering::Relaxed)
+    }
+
     /// Says what this host does as a relay. Returns whether that changed.
     pub(super) fn set_relay(&self, is_relay: bool, sums_up: bool) -> bool {
         let was_relay = self.is_relay.swap(is_relay, Ordering::Relaxed);
@@ -194,6 +212,31 @@
         self.named_if(|member| member.is_recent(now))
     }
 
+    /// Whether this host has not been up for long enough to have heard of all
+    /// others, whatever cut it off at its start.
+    pub(crate) fn is_new(&self) -> bool {
+        self.started_at.elapsed() < NEW_UNTIL
+    }
+
+    /// The hosts of this zone among which those are drawn that send to its cold
+    /// endpoints: this host and all that were heard in the last two minutes, be
+    /// they silent. None while the others may not know of this host, or while it
+    /// may not know of them.
+    pub(super) fn cold_senders(&self, known: &HashMap<SocketAddr, Member>) -> Vec<MemberHash> {
+        let was_heard = |member: &Member| member.heard_at.or(member.named_at).is_some();
+        let hears_any = known.values().any(was_heard);
+        let is_alone = self.has_seeds && !hears_any;
+        if self.started_at.elapsed() < COLD_SENDER_AFTER || is_alone {
+            return Vec::new();
+        }
+        let near = known.iter().filter(|(_, member)| {
+            let is_near = member.zone == Some(self.zone);
+            is_near && was_heard(member)
+        });
+        let addresses = near.map(|(address, _)| address).chain([&self.own]);
+        addresses.map(host_hash).collect()
+    }
+
     fn named_if(&self, belongs: impl Fn(&Member) -> bool) -> Vec<NamedHost> {
         let own = NamedHost {
             address: self.own,
@@ -309,6 +352,11 @@
     MemberHash::of(zone.as_str()).short()
 }
 
+/// The hash by which hosts rank each other.
+pub(super) fn host_hash(address: &SocketAddr) -> MemberHash {
+    MemberHash::of(&address.to_string())
+}
+
 /// Notes that a host is up. Returns whether that is news.
 fn mark_up(address: SocketAddr, member: &mut Member) -> Option<MemberChange> {
     if member.is_up {
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -2,11 +2,12 @@
 
 use std::net::SocketAddr;
 
-use chalkrock_routing::{CacheEntry, HostReport, RulesVersion, SubscriptionRole, SumPath, ZoneSum};
+use chalkrock_routing::{
+    CacheEntry, Evacuations, HostReport, RulesVersion, StoreVersion, SubscriptionRole, SumPath,
+    ZoneSum,
+};
 use serde::{Deserialize, Serialize};
 
-use crate::source::StoreVersion;
-
 /// A datagram.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum Datagram {
@@ -76,6 +77,8 @@
     pub(crate) endpoints: StoreVersion,
     /// Short hashes of endpoints that are leaving.
     pub(crate) leaving: Vec<u32>,
+    /// The zones that are evacuated.
+    pub(crate) evacuations: Evacuations,
 }
 
 /// A host that another one names.
--- a/crates/gateway/src/peers/publish.rs
+++ b/crates/gateway/src/peers/publish.rs
@@ -10,7 +10,7 @@
 use tokio::time::MissedTickBehavior;
 
 use crate::event_log::Event;
-use crate::peers::membership::{MemberChange, Membership};
+use crate::peers::membership::{MemberChange, Membership, host_hash};
 use crate::peers::message::{
     CacheEntries, Datagram, Heartbeat, Knowledge, RelaySummary, ZoneSummary,
 };
@@ -57,7 +57,7 @@
             });
         }
         let round = peers.round(&input);
-        apply_round(&shared, &round);
+        apply_round(&shared, &peers, &round);
         let datagrams = datagrams_of(&shared, &peers, sequence, &round);
         rounds_a_sum = rounds_for(datagrams.sums.len());
         send_round(&shared, &socket, &datagrams, &round);
@@ -137,7 +137,10 @@
     }
 }
 
-fn apply_round(shared: &Shared, round: &GossipRound) {
+fn apply_round(shared: &Shared, peers: &Membership, round: &GossipRound) {
+    let senders = round.cold_senders.clone();
+    let own = host_hash(&peers.own);
+    shared.fleet().cold.set_hosts(own, senders, peers.is_new());
     round
         .gone
         .iter()
@@ -191,11 +194,13 @@
     let mut fleet = shared.fleet();
     fleet.load.expire(now_ms);
     fleet.expire_lapsed(now_ms);
+    fleet.cold.expire(now_ms);
     fleet.prefixes.expire(now_ms);
     let knowledge = Knowledge {
         rules,
         endpoints: fleet.endpoints_version,
         leaving: fleet.endpoints.leaving(),
+        evacuations: fleet.evacuations.clone(),
     };
     let answered_ago_ms = |whom| shared.subscription.answered_ago_ms(whom);
     let reading = shared.subscription.role();
--- a/crates/gateway/src/peers/pull.rs
+++ b/crates/gateway/src/peers/pull.rs
@@ -231,7 +231,8 @@
     const FROM: &str = "peer";
     let hosts = missing.hosts.iter();
     peers.add(hosts.map(|host| (host.address, Some(host.zone))));
-    let mut is_news = false;
+    // Before the endpoints, so that none of an evacuated zone is sent anything.
+    let mut is_news = shared.take_evacuations(&missing.evacuations, FROM);
     if let Some(rules) = missing.rules {
         is_news |= shared.take_rules_news(rules, FROM);
     }
--- a/crates/gateway/src/peers/receive.rs
+++ b/crates/gateway/src/peers/receive.rs
@@ -195,6 +195,11 @@
             shared.publish_now.notify_one();
         }
     }
+    drop(fleet);
+    if shared.take_evacuations(&knowledge.evacuations, "peer") && peers.is_relay() {
+        shared.publish_now.notify_one();
+    }
+    let fleet = shared.fleet();
     let knows_newer_list = knowledge.endpoints > fleet.endpoints_version;
     drop(fleet);
     let own_rules = shared.rules.version();
--- a/crates/gateway/src/peers/round.rs
+++ b/crates/gateway/src/peers/round.rs
@@ -16,7 +16,7 @@
 use rand::seq::IndexedRandom;
 use tokio::time::Instant;
 
-use crate::peers::membership::{Member, MemberChange, Membership, mark_silent};
+use crate::peers::membership::{Member, MemberChange, Membership, host_hash, mark_silent};
 use crate::peers::message::{NamedHost, ZoneMember};
 
 /// How often a host that does not answer is told.
@@ -84,6 +84,8 @@
     pub(crate) sharing: usize,
     /// All hosts that are known.
     pub(crate) hosts: usize,
+    /// The hosts among which those are drawn that send to cold endpoints.
+    pub(crate) cold_senders: Vec<MemberHash>,
 }
 
 impl Membership {
@@ -97,7 +99,7 @@
         let view = self.view(&known, input.hosts_known);
         let zone_view = view.zone_view();
         let own = HeardHost {
-            hash: MemberHash::of(&self.own.to_string()),
+            hash: host_hash(&self.own),
             reading: input.reading,
             capacity_millicores: self.capacity_millicores,
         };
@@ -121,6 +123,7 @@
                 view.others.len()
             },
             hosts: view.hosts,
+            cold_senders: self.cold_senders(&known),
             ..GossipRound::default()
         };
         if let Some(place) = place {
@@ -292,7 +295,7 @@
 
 fn heard_host((address, member): (&SocketAddr, &Member)) -> HeardHost {
     HeardHost {
-        hash: MemberHash::of(&address.to_string()),
+        hash: host_hash(address),
         reading: member.reading,
         capacity_millicores: member.capacity_millicores,
     }
@@ -301,10 +304,10 @@
 /// The order in which equally strong hosts become relays, the same as among
 /// themselves.
 fn rank(address: &SocketAddr) -> f64 {
-    score(KeyHash(0), MemberHash::of(&address.to_string()), 1.0)
+    score(KeyHash(0), host_hash(address), 1.0)
 }
 
 /// The place of the relay that a host goes by.
 fn relay_of(address: &SocketAddr) -> usize {
-    MemberHash::of(&address.to_string()).short() as usize % RELAYS
+    host_hash(address).short() as usize % RELAYS
 }
--- a/crates/gateway/src/peers/serve.rs
+++ b/crates/gateway/src/peers/serve.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use chalkrock_proto::{ByteCount, transport};
+use chalkrock_routing::StoreVersion;
 use futures::{Stream, StreamExt};
 use tarpc::server::{BaseChannel, Channel};
 use tokio::net::{TcpListener, TcpStream};
@@ -18,7 +19,6 @@
 use crate::peers::uploads::Uploads;
 use crate::rules_in_force::RulesNews;
 use crate::shared::Shared;
-use crate::source::StoreVersion;
 
 /// Pause after the system could not accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(500);
@@ -91,6 +91,7 @@
         let missing = Missing {
             rules: self.shared.rules.news_since(have.rules),
             endpoints: endpoint_news(&self.shared, have.endpoints),
+            evacuations: self.shared.fleet().evacuations.clone(),
             hosts,
             busy: None,
         };
@@ -132,10 +133,11 @@
     if !shared.knows_endpoints() {
         return None;
     }
+    let now_ms = shared.clock.now_ms();
     let fleet = shared.fleet();
     let whole = || EndpointNews::Entire {
         version: fleet.endpoints_version,
-        endpoints: fleet.endpoints.listed(),
+        endpoints: fleet.listed(now_ms),
     };
     let Some(have) = have else {
         return Some(whole());
@@ -143,6 +145,6 @@
     if fleet.endpoints_version <= have {
         return None;
     }
-    let changes = fleet.changes_after(have).map(EndpointNews::Changes);
+    let changes = fleet.changes_after(have, now_ms).map(EndpointNews::Changes);
     Some(changes.unwrap_or_else(whole))
 }
--- a/crates/gateway/src/progress.rs
+++ b/crates/gateway/src/progress.rs
@@ -90,15 +90,21 @@
     /// The endpoint for the next attempt, among those that did not have the
     /// request yet.
     pub(crate) fn place(&self) -> Option<Choice> {
-        let wanted = Wanted {
+        let now_ms = self.shared.clock.now_ms();
+        let mut fleet = self.shared.fleet();
+        let choice = fleet.place(&self.wanted(), now_ms)?;
+        fleet.cold.sent(choice.member.hash.short(), now_ms);
+        Some(choice)
+    }
+
+    fn wanted(&self) -> Wanted<'_> {
+        Wanted {
             pool: &self.call.pool,
             shared_parts: &self.call.shared_parts,
             tried: &self.tried,
             repeatable: self.call.repeatable(),
             draw: self.call.draw,
-        };
-        let now_ms = self.shared.clock.now_ms();
-        self.shared.fleet().place(&wanted, now_ms)
+        }
     }
 
     /// An attempt begins.
@@ -110,6 +116,7 @@
             load: choice.load,
             basis: choice.basis,
             holds_prefix: choice.holds_prefix,
+            is_cold: choice.is_cold,
             copy_from: choice.holder,
             at_ms: self.call.entered_at.elapsed().as_millis() as u64,
             end: None,
@@ -144,11 +151,14 @@
     /// only if there is one, and the request may be sent there.
     pub(crate) fn may_leave(&self) -> bool {
         let may_send = self.sent + 1 < self.call.route.attempts_max;
-        if !may_send || self.call.repeatable() == Repeatable::No || self.place().is_none() {
+        if !may_send || self.call.repeatable() == Repeatable::No {
             return false;
         }
         let now_ms = self.shared.clock.now_ms();
         let mut fleet = self.shared.fleet();
+        if fleet.place(&self.wanted(), now_ms).is_none() {
+            return false;
+        }
         let hosts = hosts(&fleet, now_ms);
         fleet.budget(&self.call.pool).has_left(now_ms, hosts)
     }
@@ -198,7 +208,9 @@
                 sent_at_ms: self.sent_at_ms,
             }),
             AttemptOutcome::Failed | AttemptOutcome::Garbage => Some(HealthSignal::Failure),
-            AttemptOutcome::Refused | AttemptOutcome::NotTheEndpoint => None,
+            AttemptOutcome::Withdrawn
+            | AttemptOutcome::Refused
+            | AttemptOutcome::NotTheEndpoint => None,
         }
     }
 
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -241,7 +241,7 @@
 
 async fn take_reloads(shared: Arc<Shared>, mut reloads: mpsc::Receiver<GatewayConfig>) {
     while let Some(config) = reloads.recv().await {
-        shared.fleet().set_bounds(config.spread, config.budget);
+        shared.fleet().set_bounds(&config);
         shared.event_log.emit(&Event::Reload);
     }
 }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -4,9 +4,13 @@
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
-use chalkrock_core::{OrganisationId, PoolId};
+use chalkrock_core::rendezvous::MemberHash;
+use chalkrock_core::{EndpointId, OrganisationId, PoolId};
 use chalkrock_process::Metrics;
-use chalkrock_routing::{DrainPhase, DrainSchedule, Rules, RulesDocument};
+use chalkrock_routing::{
+    DrainPhase, DrainSchedule, EvacuationChange, EvacuationRow, Evacuations, Rules, RulesDocument,
+    StoreVersion,
+};
 use tokio::sync::{Notify, Semaphore, watch};
 use tokio::time::Instant;
 
@@ -54,7 +58,7 @@
         edge: Box<dyn Edge>,
         event_log: EventLog,
     ) -> Arc<Self> {
-        let fleet = Fleet::new(config.zone.clone(), config.spread, config.budget);
+        let fleet = Fleet::new(&config);
         let bodies = ByteBudget::new(config.bodies_max_bytes);
         let connection_permits = Arc::new(Semaphore::new(config.connections_max));
         Arc::new(Self {
@@ -110,12 +114,58 @@
         if !is_news {
             return;
         }
+        if let Some(rules) = self.rules() {
+            self.fleet().set_pools(&rules.document().pools);
+        }
         let version = self.rules.version();
         self.metrics.gauge("rules_version", "", version.0 as f64);
         self.event_log.emit(&Event::Rules { version, from });
         self.update_view();
     }
 
+    /// Takes the zones that are evacuated, if they are known as of a later
+    /// version. Returns whether that changes any.
+    pub(crate) fn take_evacuations(&self, evacuations: &Evacuations, from: &str) -> bool {
+        let now_ms = self.clock.now_ms();
+        let change = self.fleet().take_evacuations(evacuations, now_ms);
+        self.evacuations_changed(&change, from)
+    }
+
+    /// Takes the evacuations of a part of the store's history. Returns whether
+    /// they change any.
+    pub(crate) fn follow_evacuations(
+        &self,
+        rows: &[EvacuationRow],
+        until: StoreVersion,
+        from: &str,
+    ) -> bool {
+        let now_ms = self.clock.now_ms();
+        let change = self.fleet().follow_evacuations(rows, until, now_ms);
+        self.evacuations_changed(&change, from)
+    }
+
+    fn evacuations_changed(&self, change: &EvacuationChange, from: &str) -> bool {
+        if change.is_empty() {
+            return false;
+        }
+        let fleet = self.fleet();
+        let version = fleet.evacuations.version();
+        let zones = fleet.evacuations.zones().len();
+        let live = fleet.endpoints.live_count();
+        drop(fleet);
+        self.metrics.gauge("evacuated_zones", "", zones as f64);
+        for (zone, is_evacuated) in change.zones() {
+            self.event_log.emit(&Event::Evacuation {
+                zone,
+                is_evacuated,
+                version,
+                live,
+                from,
+            });
+        }
+        true
+    }
+
     /// The list of endpoints was read.
     pub(crate) fn endpoints_known(&self) {
         self.knows_endpoints.store(true, Ordering::Relaxed);
@@ -302,7 +352,14 @@
 impl Shared {
     /// Tells that the list of endpoints changed.
     pub(crate) fn log_endpoints(&self, from: &str) {
-        let fleet = self.fleet();
+        let now_ms = self.clock.now_ms();
+        let mut fleet = self.fleet();
+        let cold = fleet.take_newly_cold();
+        let left_ms = |name: &EndpointId| {
+            let short = MemberHash::of(name.as_str()).short();
+            fleet.cold.left_ms(short, now_ms)
+        };
+        let longest_ms = cold.iter().map(left_ms).max();
         let leaving = fleet.endpoints.leaving().len();
         let live = fleet.endpoints.live_count();
         let version = fleet.endpoints_version.0;
@@ -313,5 +370,12 @@
             leaving,
             from,
         });
+        if let Some(longest_ms) = longest_ms {
+            let endpoints = &cold;
+            self.event_log.emit(&Event::Cold {
+                endpoints,
+                longest_ms,
+            });
+        }
     }
 }
--- a/crates/gateway/src/source.rs
+++ b/crates/gateway/src/source.rs
@@ -3,20 +3,15 @@
 use std::net::SocketAddr;
 
 use chalkrock_core::{Endpoint, EndpointId, HostId, ZoneId};
-use chalkrock_routing::RulesDocument;
+use chalkrock_routing::{EvacuationRow, RulesDocument, StoreVersion};
 use serde::{Deserialize, Serialize};
 
 use crate::arrival::Arrival;
 
-/// A place in the platform's history.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[serde(transparent)]
-pub struct StoreVersion(pub u64);
-
 /// What can be read and followed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Topic {
-    /// The rules that operators write.
+    /// The rules that operators write, and the zones that they evacuate.
     Rules,
     /// The list of endpoints.
     Endpoints,
@@ -38,15 +33,37 @@
 pub enum Row {
     /// The rules in force.
     Rules(Box<RulesDocument>),
+    /// A zone that operators evacuate or take back. A whole read names all that
+    /// are evacuated.
+    Evacuation(EvacuationRow),
     /// A change of the list of endpoints.
     Endpoint(EndpointRow),
 }
 
+/// An endpoint as its entry tells of it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ListedEndpoint {
+    /// The endpoint.
+    pub endpoint: Endpoint,
+    /// For how much longer it is cold, 0 if it is not.
+    pub cold_left_ms: u64,
+}
+
+impl From<Endpoint> for ListedEndpoint {
+    /// An endpoint that is not cold.
+    fn from(endpoint: Endpoint) -> Self {
+        Self {
+            endpoint,
+            cold_left_ms: 0,
+        }
+    }
+}
+
 /// What became of an endpoint's entry.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum EndpointChange {
     /// It is new or changed.
-    Listed(Endpoint),
+    Listed(ListedEndpoint),
     /// It is no longer listed.
     Gone(EndpointId),
 }
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -109,6 +109,14 @@
         of_endpoint.push(kept);
     }
 
+    /// Gives back a connection that was not used after all. A new one is dropped:
+    /// its endpoint named no rest yet.
+    pub(crate) fn give_back(&self, endpoint: u32, connection: Connection) {
+        if connection.is_kept {
+            self.keep(endpoint, connection, None);
+        }
+    }
+
     /// Closes connections that have rested too long.
     pub(crate) fn sweep(&self) {
         let mut all = self.kept.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod attempts;
 mod calls;
+mod evacuations;
 mod large_rules;
 mod peers;
 mod silences;
--- a/crates/gateway/tests/gateway/support/endpoint.rs
+++ b/crates/gateway/tests/gateway/support/endpoint.rs
@@ -136,6 +136,11 @@
         self.state().seen.clone()
     }
 
+    /// How many requests arrived.
+    pub(crate) fn arrivals(&self) -> usize {
+        self.state().seen.len()
+    }
+
     /// How many requests arrived with an id.
     pub(crate) fn runs_of(&self, id: &str) -> usize {
         let seen = self.seen();
--- a/crates/gateway/tests/gateway/support/fleet.rs
+++ b/crates/gateway/tests/gateway/support/fleet.rs
@@ -8,7 +8,8 @@
 use chalkrock_gateway::{GatewayConfig, GatewayConfigBuilder, RunningGateway, start};
 use chalkrock_process::{StopHandle, stop_pair};
 use chalkrock_routing::{
-    Backend, BudgetRules, OrganisationRules, Route, RouteKind, RulesDocument, RulesVersion,
+    Backend, BudgetRules, ColdBound, OrganisationRules, Route, RouteKind, RulesDocument,
+    RulesVersion,
 };
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -161,6 +162,24 @@
         Self::configured(config.build(), source).await
     }
 
+    /// A gateway that bounds what cold endpoints are sent, and that believes their
+    /// entries a minute late.
+    pub(crate) async fn with_cold_bound(
+        source: TestSource,
+        host: &str,
+        seeds: Vec<SocketAddr>,
+    ) -> Self {
+        const ENTRY_DELAY_MS: u64 = 60_000;
+        let bound = ColdBound {
+            overshoot: 1.5,
+            slack: 5.0,
+        };
+        let config = config("zone-a", host, seeds)
+            .cold_bound(Some(bound))
+            .entry_delay_ms(ENTRY_DELAY_MS);
+        Self::configured(config.build(), source).await
+    }
+
     /// A gateway that passes large rules on to so many others at once.
     pub(crate) async fn with_uploads(source: TestSource, uploads_max: usize) -> Self {
         let config = config("zone-a", "host-1", Vec::new());
--- a/crates/gateway/tests/gateway/support/source.rs
+++ b/crates/gateway/tests/gateway/support/source.rs
@@ -2,12 +2,12 @@
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use chalkrock_core::{Endpoint, EndpointId};
+use chalkrock_core::{Endpoint, EndpointId, ZoneId};
 use chalkrock_gateway::{
-    Arrival, EndpointChange, EndpointRow, HostRow, News, Row, Source, SourceError, StoreVersion,
+    Arrival, EndpointChange, EndpointRow, HostRow, ListedEndpoint, News, Row, Source, SourceError,
     Topic,
 };
-use chalkrock_routing::RulesDocument;
+use chalkrock_routing::{EvacuationRow, RulesDocument, StoreVersion};
 use tokio::sync::watch;
 
 #[derive(Default)]
@@ -25,7 +25,9 @@
     calls: u32,
     version: u64,
     rules: Option<(u64, RulesDocument)>,
-    endpoints: Vec<(u64, EndpointId, Option<Endpoint>)>,
+    endpoints: Vec<(u64, EndpointId, Option<ListedEndpoint>)>,
+    /// Zones, and whether they are evacuated.
+    evacuations: Vec<(u64, ZoneId, bool)>,
     hosts: Vec<HostRow>,
     /// The version up to which changes of the rules were taken.
     rules_taken: u64,
@@ -128,12 +130,30 @@
 
     /// Lists an endpoint, new or changed.
     pub(crate) fn list(&self, endpoint: Endpoint) {
+        self.list_cold(endpoint, 0);
+    }
+
+    /// Lists an endpoint that is cold for so long.
+    pub(crate) fn list_cold(&self, endpoint: Endpoint, cold_left_ms: u64) {
         self.change(|state, version| {
             state
                 .endpoints
                 .retain(|(_, name, _)| *name != endpoint.name);
             let name = endpoint.name.clone();
-            state.endpoints.push((version, name, Some(endpoint)));
+            let listed = ListedEndpoint {
+                endpoint,
+                cold_left_ms,
+            };
+            state.endpoints.push((version, name, Some(listed)));
+        });
+    }
+
+    /// Evacuates a zone, or takes it back.
+    pub(crate) fn evacuate(&self, zone: &str, is_evacuated: bool) {
+        self.change(|state, version| {
+            let zone = ZoneId::from(zone);
+            state.evacuations.retain(|(_, known, _)| *known != zone);
+            state.evacuations.push((version, zone, is_evacuated));
         });
     }
 
@@ -210,11 +230,21 @@
                 if let Some((_, rules)) = state.rules.as_ref().filter(|r| is_new(r.0)) {
                     rows.push(Row::Rules(Box::new(rules.clone())));
                 }
+                let evacuations = state.evacuations.iter().filter(|row| is_new(row.0));
+                let is_whole = since.is_none();
+                let named = evacuations.filter(|(_, _, is_evacuated)| *is_evacuated || !is_whole);
+                rows.extend(named.map(|(version, zone, is_evacuated)| {
+                    Row::Evacuation(EvacuationRow {
+                        version: StoreVersion(*version),
+                        zone: zone.clone(),
+                        is_evacuated: *is_evacuated,
+                    })
+                }));
             }
             Topic::Endpoints => {
                 for (version, name, endpoint) in state.endpoints.iter().filter(|e| is_new(e.0)) {
                     let change = match endpoint {
-                        Some(endpoint) => Some(EndpointChange::Listed(endpoint.clone())),
+                        Some(listed) => Some(EndpointChange::Listed(listed.clone())),
                         None => since.map(|_| EndpointChange::Gone(name.clone())),
                     };
                     let version = StoreVersion(*version);
--- a/crates/routing/src/attempt.rs
+++ b/crates/routing/src/attempt.rs
@@ -15,6 +15,8 @@
 pub enum AttemptOutcome {
     /// No connection, or a connection that closed before anything was written.
     NotSent,
+    /// The endpoint ceased to take new work before anything was written.
+    Withdrawn,
     /// The endpoint said that it did not run the request.
     Refused,
     /// The endpoint is not the one that was meant; it did not run the request.
@@ -33,9 +35,10 @@
     /// What this proves of the attempt.
     pub fn outcome(self) -> Outcome {
         match self {
-            AttemptOutcome::NotSent | AttemptOutcome::Refused | AttemptOutcome::NotTheEndpoint => {
-                Outcome::NotRun
-            }
+            AttemptOutcome::NotSent
+            | AttemptOutcome::Withdrawn
+            | AttemptOutcome::Refused
+            | AttemptOutcome::NotTheEndpoint => Outcome::NotRun,
             AttemptOutcome::Failed => Outcome::Ran,
             AttemptOutcome::Broken | AttemptOutcome::Garbage | AttemptOutcome::Silent => {
                 Outcome::Unknown
@@ -48,7 +51,7 @@
     pub fn arrived(self) -> bool {
         !matches!(
             self,
-            AttemptOutcome::NotSent | AttemptOutcome::NotTheEndpoint
+            AttemptOutcome::NotSent | AttemptOutcome::Withdrawn | AttemptOutcome::NotTheEndpoint
         )
     }
 
@@ -56,6 +59,7 @@
     pub fn reason(self) -> Reason {
         match self {
             AttemptOutcome::NotSent | AttemptOutcome::NotTheEndpoint => Reason::EndpointUnreachable,
+            AttemptOutcome::Withdrawn => Reason::NoEndpoint,
             AttemptOutcome::Refused => Reason::EndpointRefused,
             AttemptOutcome::Failed | AttemptOutcome::Broken => Reason::EndpointLost,
             AttemptOutcome::Garbage => Reason::EndpointGarbage,
--- a/crates/routing/src/endpoints.rs
+++ b/crates/routing/src/endpoints.rs
@@ -6,13 +6,14 @@
 //! next word of it is. An endpoint that is merely no longer listed may be
 //! listed again, and until then takes no new work; but entries that lapsed
 //! while the platform's store was away are kept for a short time after its
-//! return, in which endpoints that live are listed again.
+//! return, in which endpoints that live are listed again. An endpoint of an
+//! evacuated zone takes no new work until the zone is taken back.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 
 use chalkrock_core::rendezvous::MemberHash;
-use chalkrock_core::{Endpoint, EndpointId, HostState, PoolId};
+use chalkrock_core::{Endpoint, EndpointId, HostState, PoolId, ZoneId};
 
 /// How long an endpoint that left is remembered, so that a late word can't
 /// bring it back.
@@ -23,6 +24,8 @@
 pub enum EndpointState {
     /// Listed and live.
     Live,
+    /// It would take work, but its zone is evacuated.
+    Evacuated,
     /// It said that it leaves, or another host heard it say so.
     Leaving,
     /// No longer listed, as far as is known since the store was away.
@@ -31,13 +34,15 @@
     Unlisted,
 }
 
-/// An endpoint that takes new work.
+/// An endpoint of a pool.
 #[derive(Clone, Debug)]
 pub struct Member {
     /// The endpoint.
     pub endpoint: Arc<Endpoint>,
     /// The hash of its name, for ranks and for reports.
     pub hash: MemberHash,
+    /// Whether its zone is evacuated.
+    pub is_evacuated: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -53,6 +58,8 @@
     fn state(&self) -> EndpointState {
         if self.member.endpoint.state == HostState::Leaving {
             EndpointState::Leaving
+        } else if self.member.is_evacuated && (self.is_listed || self.is_lapsed) {
+            EndpointState::Evacuated
         } else if self.is_listed {
             EndpointState::Live
         } else if self.is_lapsed {
@@ -66,6 +73,10 @@
         matches!(self.state(), EndpointState::Live | EndpointState::Lapsed)
     }
 
+    fn serves(&self) -> bool {
+        self.takes_work() || self.state() == EndpointState::Evacuated
+    }
+
     fn unlist(&mut self, is_lapsed: bool, now_ms: u64) {
         self.is_listed = false;
         self.is_lapsed = is_lapsed;
@@ -90,9 +101,12 @@
     /// By name, so that pools need no sorting whenever one changes.
     known: BTreeMap<EndpointId, Known>,
     live: HashMap<PoolId, Arc<[Member]>>,
+    /// Those that take new work or would if their zones were not evacuated.
+    serving: HashMap<PoolId, Arc<[Member]>>,
     /// Those that are leaving and still listed.
     parting: HashMap<PoolId, Arc<[Member]>>,
     keeps_lapsed: bool,
+    evacuated: BTreeSet<ZoneId>,
 }
 
 impl EndpointTable {
@@ -138,6 +152,16 @@
         self.rebuild();
     }
 
+    /// Endpoints of these zones take no new work, and those of all others do.
+    pub fn set_evacuated(&mut self, zones: BTreeSet<ZoneId>) {
+        self.evacuated = zones;
+        for known in self.known.values_mut() {
+            let member = &mut known.member;
+            member.is_evacuated = self.evacuated.contains(&member.endpoint.zone);
+        }
+        self.rebuild();
+    }
+
     /// Another host heard these endpoints say that they leave. Returns
     /// whether that was news.
     pub fn mark_leaving(&mut self, hashes: &[u32]) -> bool {
@@ -165,6 +189,23 @@
         self.live.get(pool).cloned().unwrap_or_default()
     }
 
+    /// The endpoints of a pool that are neither leaving nor gone, by name: those
+    /// that may be given new work, and those of evacuated zones.
+    pub fn serving(&self, pool: &PoolId) -> Arc<[Member]> {
+        self.serving.get(pool).cloned().unwrap_or_default()
+    }
+
+    /// The endpoints of a zone that are neither leaving nor gone.
+    pub fn serving_in(&self, zone: &ZoneId) -> impl Iterator<Item = &Member> {
+        let serving = self.serving.values().flat_map(|members| members.iter());
+        serving.filter(move |member| member.endpoint.zone == *zone)
+    }
+
+    /// Whether an endpoint may be given new work.
+    pub fn takes_work(&self, name: &EndpointId) -> bool {
+        self.known.get(name).is_some_and(Known::takes_work)
+    }
+
     /// The endpoints of a pool that take no new work and are still there: what
     /// they hold in memory can be copied until they go.
     pub fn parting(&self, pool: &PoolId) -> Arc<[Member]> {
@@ -191,11 +232,9 @@
     }
 
     /// The endpoints that are listed, to pass on.
-    pub fn listed(&self) -> Vec<Endpoint> {
+    pub fn listed(&self) -> impl Iterator<Item = &Member> {
         let listed = self.known.values().filter(|known| known.is_listed);
-        listed
-            .map(|known| Endpoint::clone(&known.member.endpoint))
-            .collect()
+        listed.map(|known| &known.member)
     }
 
     /// Short hashes of the endpoints that are listed.
@@ -211,6 +250,7 @@
         let known = Known {
             member: Member {
                 hash: MemberHash::of(endpoint.name.as_str()),
+                is_evacuated: self.evacuated.contains(&endpoint.zone),
                 endpoint: Arc::new(endpoint),
             },
             is_listed: true,
@@ -228,6 +268,11 @@
 
     fn rebuild(&mut self) {
         self.live = self.by_pool(Known::takes_work);
+        self.serving = if self.evacuated.is_empty() {
+            self.live.clone()
+        } else {
+            self.by_pool(Known::serves)
+        };
         self.parting =
             self.by_pool(|known| known.state() == EndpointState::Leaving && known.is_listed);
     }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -3,7 +3,8 @@
 //! A request here is anything that a route takes: a call of a plain service
 //! that may or may not be repeated, or a generation that streams. This crate
 //! says which route and organisation it belongs to ([`Rules`]), which
-//! endpoints may take it ([`EndpointTable`]), how loaded they are over the
+//! endpoints may take it ([`EndpointTable`], [`Evacuations`]) and how many requests
+//! while they are cold ([`ColdEndpoints`]), how loaded they are over the
 //! whole fleet ([`FleetLoad`]), which one it goes to ([`choose`]), what the end of an
 //! attempt allows next ([`next_step`]), whether a retry is paid for
 //! ([`WindowBudget`]) and what a host that is stopping still takes
@@ -25,6 +26,7 @@
 //!     is_near: true,
 //!     is_suspect: false,
 //!     holds_prefix: false,
+//!     is_closed: false,
 //! };
 //! let candidates = [idle("engine-a"), idle("engine-b")];
 //! let request = PlacementRequest {
@@ -40,8 +42,10 @@
 mod admission;
 mod attempt;
 mod budget;
+mod cold;
 mod drain_schedule;
 mod endpoints;
+mod evacuations;
 mod event_frames;
 mod fleet_load;
 mod fleet_totals;
@@ -62,8 +66,10 @@
 };
 pub use attempt::{AttemptOutcome, Next, Repeatable, next_step};
 pub use budget::{BudgetRules, WindowBudget};
+pub use cold::{ColdBound, ColdEndpoints, ColdShare};
 pub use drain_schedule::{DrainPhase, DrainSchedule};
 pub use endpoints::{EndpointState, EndpointTable, Member};
+pub use evacuations::{EvacuationChange, EvacuationRow, Evacuations, StoreVersion};
 pub use event_frames::{EventFrame, EventFrames};
 pub use fleet_load::{FleetLoad, HostReport, Merged};
 pub use fleet_totals::OwnReport;
@@ -73,7 +79,9 @@
 pub use prefix_directory::{CacheEntry, PrefixDirectory};
 pub use readers::{HeardHost, RELAYS, SubscriptionRole, ZoneView, doubting_part, readers_wanted};
 pub use route::{Backend, Route, RouteKind};
-pub use rules::{Caller, CallerLimits, OrganisationRules, Rules, RulesDocument, RulesVersion};
+pub use rules::{
+    Caller, CallerLimits, OrganisationRules, PoolRules, Rules, RulesDocument, RulesVersion,
+};
 pub use rules_change::{RulesChange, RulesHistory};
 pub use shares::Shares;
 pub use spread::{Basis, Candidate, Placement, PlacementRequest, SpreadRules, choose};
--- a/crates/routing/src/rules.rs
+++ b/crates/routing/src/rules.rs
@@ -57,6 +57,24 @@
     }
 }
 
+/// What the endpoints of a pool bear while they are cold.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PoolRules {
+    /// The pool.
+    pub name: PoolId,
+    /// How long an endpoint is cold after a start, in milliseconds.
+    pub cold_start_ms: u64,
+    /// Requests that a cold endpoint bears in 1,000 seconds; 0 if any number.
+    pub cold_per_1000_s: u32,
+}
+
+impl PoolRules {
+    /// Requests that a cold endpoint bears in a second; 0 if any number.
+    pub fn cold_per_s(&self) -> f64 {
+        f64::from(self.cold_per_1000_s) / 1_000.0
+    }
+}
+
 /// The rules of one version as they travel between hosts.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RulesDocument {
@@ -68,6 +86,8 @@
     pub organisations: Vec<OrganisationRules>,
     /// Limits on callers.
     pub limits: CallerLimits,
+    /// Its pools, as far as their endpoints bear less while they are cold.
+    pub pools: Vec<PoolRules>,
 }
 
 impl RulesDocument {
--- a/crates/routing/src/rules_change.rs
+++ b/crates/routing/src/rules_change.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::route::Route;
-use crate::rules::{CallerLimits, OrganisationRules, RulesDocument, RulesVersion};
+use crate::rules::{CallerLimits, OrganisationRules, PoolRules, RulesDocument, RulesVersion};
 
 /// Changes that a host keeps for others: a host that is further behind takes
 /// the whole document.
@@ -36,6 +36,7 @@
     routes: NamedChanges<Route>,
     organisations: NamedChanges<OrganisationRules>,
     limits: CallerLimits,
+    pools: Vec<PoolRules>,
 }
 
 impl RulesChange {
@@ -48,6 +49,7 @@
             routes: NamedChanges::between(&old.routes, &new.routes)?,
             organisations: NamedChanges::between(&old.organisations, &new.organisations)?,
             limits: new.limits,
+            pools: new.pools.clone(),
         })
     }
 
@@ -59,6 +61,7 @@
             routes: self.routes.apply(&old.routes),
             organisations: self.organisations.apply(&old.organisations),
             limits: self.limits,
+            pools: self.pools.clone(),
         })
     }
 
--- a/crates/routing/src/spread.rs
+++ b/crates/routing/src/spread.rs
@@ -25,6 +25,10 @@
     pub is_suspect: bool,
     /// Whether it was seen to hold the request's prefix.
     pub holds_prefix: bool,
+    /// Whether this host must not send to it now. It counts in the pool's mean
+    /// load all the same: without the endpoints of an evacuated zone the mean
+    /// would be higher, and the bound looser than operators set it.
+    pub is_closed: bool,
 }
 
 /// The part of its slots up to which an endpoint has slots to spare.
@@ -102,7 +106,7 @@
     }
 }
 
-/// The endpoint for a request; `None` if there is no candidate.
+/// The endpoint for a request; `None` if there is none that it may be sent to.
 ///
 /// With a key, its home: the first rank, if it has a free slot and is under
 /// the bound. Else the first that holds the prefix, or the first, of those
@@ -175,16 +179,15 @@
     }
 }
 
-/// Those that nothing speaks against; all, if something speaks against each.
+/// Those that this host may send to and nothing speaks against; if something
+/// speaks against each, all that it may send to.
 fn usable(candidates: &[Candidate]) -> Vec<usize> {
-    let trusted: Vec<usize> = (0..candidates.len())
-        .filter(|&i| !candidates[i].is_suspect)
+    let open: Vec<usize> = (0..candidates.len())
+        .filter(|&i| !candidates[i].is_closed)
         .collect();
-    if trusted.is_empty() {
-        (0..candidates.len()).collect()
-    } else {
-        trusted
-    }
+    let trusted = open.iter().copied();
+    let trusted: Vec<usize> = trusted.filter(|&i| !candidates[i].is_suspect).collect();
+    if trusted.is_empty() { open } else { trusted }
 }
 
 /// The most load that one endpoint may have after this request.
--- a/crates/routing/tests/attempt.rs
+++ b/crates/routing/tests/attempt.rs
@@ -21,8 +21,9 @@
     asks: bool,
 }
 
-const ENDS: [(&str, AttemptOutcome); 7] = [
+const ENDS: [(&str, AttemptOutcome); 8] = [
     ("not-sent", AttemptOutcome::NotSent),
+    ("withdrawn", AttemptOutcome::Withdrawn),
     ("refused", AttemptOutcome::Refused),
     ("not-the-endpoint", AttemptOutcome::NotTheEndpoint),
     ("failed", AttemptOutcome::Failed),
--- a/crates/routing/tests/decisions.rs
+++ b/crates/routing/tests/decisions.rs
@@ -233,6 +233,7 @@
             is_near: true,
             is_suspect: false,
             holds_prefix: engine.kept.contains(&prefix),
+            is_closed: false,
         };
         let candidates: Vec<Candidate> = self.engines.iter().map(candidate).collect();
         let request = PlacementRequest {
--- a/crates/routing/tests/rules_change.rs
+++ b/crates/routing/tests/rules_change.rs
@@ -5,8 +5,8 @@
 
 use chalkrock_core::PoolId;
 use chalkrock_routing::{
-    Backend, CallerLimits, OrganisationRules, Route, RouteKind, RulesChange, RulesDocument,
-    RulesHistory, RulesVersion,
+    Backend, CallerLimits, OrganisationRules, PoolRules, Route, RouteKind, RulesChange,
+    RulesDocument, RulesHistory, RulesVersion,
 };
 use googletest::prelude::*;
 use proptest::collection::btree_map;
@@ -51,6 +51,11 @@
             .map(|(name, key)| organisation(name, key))
             .collect(),
         limits: CallerLimits::default(),
+        pools: vec![PoolRules {
+            name: PoolId::from("pool"),
+            cold_start_ms: 1_000 * version,
+            cold_per_1000_s: 4_000,
+        }],
     }
 }
 
--- a/crates/routing/tests/spread.rs
+++ b/crates/routing/tests/spread.rs
@@ -32,6 +32,7 @@
         is_near: false,
         is_suspect: false,
         holds_prefix: false,
+        is_closed: false,
     }
 }
 
--- a/tools/try_troubles.py
+++ b/tools/try_troubles.py
@@ -2,7 +2,7 @@
 """Plays days of single troubles and of drawn pairs, and keeps those that fail.
 
     tools/try_troubles.py BENCH SITE --why "..." [--pairs 20] [--mixes 0]
-        [--outages 0] [--large-rules 0] [--seed 1] [--keep FOLDER]
+        [--outages 0] [--large-rules 0] [--evacuations 0] [--seed 1] [--keep FOLDER]
 
 BENCH is the path of the users' bench, which stands outside this repository. A
 day is the site's first standard day with its plan and faults replaced: each
@@ -12,7 +12,9 @@
 `--mixes`, days of three to six troubles of any kind and variant, each with a
 change of the configuration near it. With `--outages`, quiet days on which the
 store is out twice, in each of its ways, with a change near each. With `--large-rules`,
-days on which versions of thousands of routes meet a trouble of any kind. A day with a
+days on which versions of thousands of routes meet a trouble of any kind. With
+`--evacuations`, days on which zones are emptied and come back cold, once and again,
+with a trouble of any kind near each. A day with a
 broken rule or a fault is kept as a file that the bench can play again.
 """
 
@@ -88,8 +90,8 @@
 # Ways in which the store may be out.
 OUTAGES = ["silent", "busy", "reset", "nodes silent"]
 PLANNED = {
-    "add_nodes", "big_config", "config_change", "config_storm", "hup", "release", "revoke",
-    "roll_term", "scale_in", "scale_out",
+    "add_nodes", "big_config", "config_change", "config_storm", "evacuate", "hup", "release",
+    "revoke", "roll_term", "scale_in", "scale_out",
 }
 # Fields that make a trouble stronger when they grow, and how far they may go.
 STRONGER = {"share": (1.6, 0.7), "for_s": (1.5, 10.0)}
@@ -187,6 +189,32 @@
     return entries
 
 
+def entries_of_evacuations(draw, site):
+    """Zones emptied and taken back, and replicas that return cold, a trouble near
+    each."""
+    zones = [zone["name"] for zone in site["zones"]]
+    entries = []
+    for at_s in (1.5, 9.0, 17.0):
+        at_s = round(at_s + draw.uniform(0.0, 4.0), 2)
+        zone = draw.choice(zones)
+        how = draw.choice(["", "", "warm"])
+        for_s = round(draw.uniform(0.5, 9.0), 1)
+        entries.append({"kind": "evacuate", "zone": zone, "at": at_s, "for_s": for_s, "how": how})
+        if draw.random() < 0.5:
+            other = {"kind": "evacuate", "zone": draw.choice(zones), "how": ""}
+            entries.append(other | {"at": round(at_s + draw.uniform(0.0, 6.0), 2), "for_s": 4.0})
+        if draw.random() < 0.6:
+            cold = {"kind": "cold_return", "zone": draw.choice(zones), "how": draw.choice(["", "dark"])}
+            entries.append(cold | {"at": round(at_s + draw.uniform(-1.0, 6.0), 2), "for_s": 2.5})
+        kind = draw.choice(sorted(VARIANTS))
+        entry = {"kind": kind, "at": round(max(0.3, at_s + draw.uniform(-2.0, 5.0)), 2)}
+        entry["for_s"] = round(draw.uniform(1.0, 7.0), 1)
+        variant = draw.choice(VARIANTS[kind])
+        entry |= {"how": variant} if variant else {}
+        entries.append(entry | FIELDS.get(kind, {}))
+    return entries
+
+
 def main():
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("bench")
@@ -196,6 +224,7 @@
     parser.add_argument("--mixes", type=int, default=0)
     parser.add_argument("--outages", type=int, default=0)
     parser.add_argument("--large-rules", type=int, default=0)
+    parser.add_argument("--evacuations", type=int, default=0)
     parser.add_argument("--no-singles", action="store_true")
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--jobs", type=int, default=4)
@@ -220,6 +249,9 @@
     for i in range(arguments.large_rules):
         entries = entries_of_large_rules(draw)
         days.append(day_of(site, f"large-rules-{arguments.seed}-{i}", draw.randrange(10**9), entries))
+    for i in range(arguments.evacuations):
+        entries = entries_of_evacuations(draw, site)
+        days.append(day_of(site, f"evacuations-{arguments.seed}-{i}", draw.randrange(10**9), entries))
     with concurrent.futures.ThreadPoolExecutor(arguments.jobs) as pool:
         runs = [pool.submit(play_day, arguments.bench, arguments.site, day, arguments.why) for day in days]
     failed = 0
--- a/tools/vary_site.py
+++ b/tools/vary_site.py
@@ -133,11 +133,37 @@
         machine["link_mbps"] = min(machine["link_mbps"], mbps)
 
 
+def set_cold(site, **fields):
+    """Model replicas that bear so many requests a second while cold, or are cold
+    for so long. A site that knows no cold replicas learns of them."""
+    for service in site["services"]:
+        if "llm" in service:
+            service |= {"cold_s": 3.0, "cold_x": 1.0, "cold_per_s": 4.0} | {
+                key: service[key] for key in ("cold_s", "cold_x", "cold_per_s") if service.get(key)
+            }
+            service |= fields
+    site["contracts"] = list(dict.fromkeys([*site["contracts"], "health", "places"]))
+
+
+def set_bounds(site, **fields):
+    site["bounds"] |= fields
+
+
 VARIANTS = {
+    "cold-2": lambda site: set_cold(site, cold_per_s=2.0),
+    "cold-4": lambda site: set_cold(site, cold_per_s=4.0),
+    "cold-30": lambda site: set_cold(site, cold_per_s=30.0),
+    "cold-1s": lambda site: set_cold(site, cold_per_s=4.0, cold_s=1.0),
+    "cold-8s": lambda site: set_cold(site, cold_per_s=4.0, cold_s=8.0),
+    "cold-slack-1": lambda site: (set_cold(site, cold_per_s=2.0), set_bounds(site, cold_slack=1.0)),
+    "evacuate-2s": lambda site: (set_cold(site), set_bounds(site, evac_ms=2000)),
     "zones-2": lambda site: set_zones(site, 2),
     "zones-6": lambda site: set_zones(site, 6),
     "hosts-3": lambda site: set_hosts(site, 3),
     "hosts-5": lambda site: set_hosts(site, 5),
+    "hosts-250": lambda site: set_hosts(site, 250),
+    "hosts-16-cold-4": lambda site: (set_hosts(site, 16), set_cold(site, cold_per_s=4.0)),
+    "hosts-250-cold-4": lambda site: (set_hosts(site, 250), set_cold(site, cold_per_s=4.0)),
     "hosts-16": lambda site: set_hosts(site, 16),
     "hosts-weakest": only_weakest_hosts,
     "links-10-mbps": lambda site: set_links(site, 10.0),
