Ask the hosts of the settings less and less often at a start

Hypothesis: where hundreds of hosts restart together, all of them ask the same three seeds each 100 ms, and keep these from passing anything on.

--- a/crates/gateway/src/peers/pull.rs
+++ b/crates/gateway/src/peers/pull.rs
@@ -25,8 +25,12 @@
 const GATHER: Duration = Duration::from_millis(80);
 /// How often a host that knows nothing asks.
 const ASK_EVERY: Duration = Duration::from_millis(500);
-/// How often a host that starts asks the hosts of its settings.
-const ASK_SEEDS_EVERY: Duration = Duration::from_millis(100);
+/// How often a host that starts asks the hosts of its settings at first, and at
+/// last: pauses double, and each is drawn from there to twice as long. Where all
+/// restart these few are asked by every one, and 300 hosts that asked them each
+/// 100 ms kept them from passing anything on.
+const ASK_SEEDS_FIRST: Duration = Duration::from_millis(50);
+const ASK_SEEDS_LAST: Duration = Duration::from_millis(400);
 /// How long it waits for the first byte of their answers.
 const SEED_TIMEOUT: Duration = Duration::from_millis(200);
 /// When a host that has started asks once more which hosts there are: where all
@@ -47,6 +51,7 @@
 /// Asks the hosts of the settings for all that they know, until this host can
 /// serve.
 pub(crate) async fn pull_at_start(shared: Arc<Shared>, peers: Arc<Membership>) {
+    let mut pause = ASK_SEEDS_FIRST;
     while !shared.has_view() {
         // What still arrives when the view is known from elsewhere is not
         // waited for: it would fill this host's link and the other's.
@@ -57,8 +62,9 @@
         shared.subscription.seeds_asked();
         tokio::select! {
             () = shared.view_known() => {}
-            () = tokio::time::sleep(ASK_SEEDS_EVERY) => {}
+            () = tokio::time::sleep(pause.mul_f64(rand::rng().random_range(1.0..2.0))) => {}
         }
+        pause = (2 * pause).min(ASK_SEEDS_LAST);
     }
     // Sends a heartbeat to the hosts that were named.
     shared.publish_now.notify_one();
