--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -30,6 +30,10 @@
     metrics.gauge("lag_ms", "", shared.lag.ms() as f64);
     let live = fleet.endpoints.live_count();
     metrics.gauge("endpoints_live", "", live as f64);
+    let cold = fleet.cold.count(now_ms);
+    metrics.gauge("cold_endpoints", "", cold as f64);
+    let evacuated = fleet.evacuations.zones().len();
+    metrics.gauge("evacuated_zones", "", evacuated as f64);
     metrics.gauge("endpoints_version", "", fleet.endpoints_version.0 as f64);
     drop(fleet);
     metrics.render()
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -150,10 +150,8 @@
         }
         let fleet = self.fleet();
         let version = fleet.evacuations.version();
-        let zones = fleet.evacuations.zones().len();
         let live = fleet.endpoints.live_count();
         drop(fleet);
-        self.metrics.gauge("evacuated_zones", "", zones as f64);
         for (zone, is_evacuated) in change.zones() {
             self.event_log.emit(&Event::Evacuation {
                 zone,
