Part what closes endpoints from the beliefs of a host

Endpoints count as cold, for the rounds of hosts, only where operators set a bound. Tests share their calls.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -1,15 +1,16 @@
 //! What a host believes of endpoints and of the other hosts' requests.
 
+mod closed;
+
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 
 use chalkrock_core::rendezvous::{KeyHash, MemberHash, score};
 use chalkrock_core::{EndpointId, PoolId, ZoneId};
 use chalkrock_routing::{
-    Basis, BudgetRules, Candidate, ColdEndpoints, EndpointHealth, EndpointTable, EvacuationChange,
-    EvacuationRow, Evacuations, FleetLoad, HealthSignal, Member, PlacementRequest, PoolOccupancy,
-    PoolRules, Repeatable, ServiceTimeEwma, Shares, SpreadRules, StoreVersion, WindowBudget,
-    choose,
+    Basis, BudgetRules, Candidate, ColdEndpoints, EndpointHealth, EndpointTable, Evacuations,
+    FleetLoad, HealthSignal, Member, PlacementRequest, PoolOccupancy, PoolRules, Repeatable,
+    ServiceTimeEwma, Shares, SpreadRules, StoreVersion, WindowBudget, choose,
 };
 
 use crate::config::GatewayConfig;
@@ -19,10 +20,6 @@
 /// Changes of the list that are kept to pass on.
 const CHANGES_MAX: usize = 256;
 
-/// Time after which a request that was chosen for a cold endpoint is no longer
-/// sent to it: many that waited for a connection would go out together.
-const COLD_SEND_DELAY_MAX_MS: u64 = 200;
-
 /// Requests that a cold endpoint works on at once, if it bears so many a second
 /// (0 for any number) and each stays so long.
 fn places_while_cold(bears_per_s: f64, service_ms: f64) -> Option<u32> {
@@ -132,116 +129,6 @@
         }
     }
 
-    /// Takes what endpoints bear while they are cold.
-    pub(crate) fn set_pools(&mut self, pools: &[PoolRules]) {
-        let by_name = pools.iter().map(|pool| (pool.name.clone(), pool.clone()));
-        self.pools = by_name.collect();
-    }
-
-    /// Takes the zones that are evacuated, if they are known as of a later
-    /// version.
-    pub(crate) fn take_evacuations(
-        &mut self,
-        evacuations: &Evacuations,
-        now_ms: u64,
-    ) -> EvacuationChange {
-        let change = self.evacuations.merge(evacuations);
-        self.evacuations_changed(&change, now_ms);
-        change
-    }
-
-    /// Takes the evacuations of a part of the store's history.
-    pub(crate) fn follow_evacuations(
-        &mut self,
-        rows: &[EvacuationRow],
-        until: StoreVersion,
-        now_ms: u64,
-    ) -> EvacuationChange {
-        let change = self.evacuations.follow(rows, until);
-        self.evacuations_changed(&change, now_ms);
-        change
-    }
-
-    fn evacuations_changed(&mut self, change: &EvacuationChange, now_ms: u64) {
-        if change.is_empty() {
-            return;
-        }
-        self.endpoints
-            .set_evacuated(self.evacuations.zones().clone());
-        for zone in &change.begun {
-            let until_ms = now_ms + self.evacuation_copy_ms;
-            self.copied_until_ms.insert(zone.clone(), until_ms);
-        }
-        for zone in &change.ended {
-            self.copied_until_ms.remove(zone);
-            self.doubt_zone(zone, now_ms);
-        }
-    }
-
-    /// The endpoints of a zone that was taken back may have turned cold shortly
-    /// before, and their entries tell so late.
-    fn doubt_zone(&mut self, zone: &ZoneId, now_ms: u64) {
-        for member in self.endpoints.serving_in(zone) {
-            let Some(pool) = self.pools.get(&member.endpoint.pool) else {
-                continue;
-            };
-            let longest_ms = pool.cold_start_ms.min(self.entry_delay_ms);
-            self.cold.doubt(member.hash.short(), longest_ms, now_ms);
-        }
-    }
-
-    /// Whether so many endpoints are sent nothing or little that the others have
-    /// much more than their part.
-    pub(crate) fn is_crowded(&self, now_ms: u64) -> bool {
-        const CLOSED_PART: f64 = 0.15;
-        let serving = self.endpoints.serving_count();
-        let evacuated = serving - self.endpoints.live_count();
-        let closed = evacuated + self.cold.count(now_ms);
-        closed as f64 > CLOSED_PART * serving as f64
-    }
-
-    /// Whether the endpoint of a choice may still be sent the request, which is
-    /// then sent.
-    pub(crate) fn may_still_send(&mut self, choice: &Choice, now_ms: u64) -> bool {
-        let member = &choice.member;
-        if !self.endpoints.takes_work(&member.endpoint.name) {
-            return false;
-        }
-        let may_send = if choice.is_cold {
-            now_ms.saturating_sub(choice.chosen_at_ms) <= COLD_SEND_DELAY_MAX_MS
-        } else {
-            self.may_send_if_cold(member, now_ms)
-        };
-        if may_send {
-            self.cold.sent(member.hash.short(), now_ms);
-        }
-        may_send
-    }
-
-    /// Whether an endpoint is not cold, or this host's share of what it bears
-    /// allows a request now.
-    fn may_send_if_cold(&self, member: &Member, now_ms: u64) -> bool {
-        if !self.is_bounded(member, now_ms) {
-            return true;
-        }
-        let is_near = member.endpoint.zone == self.zone;
-        let bears_per_s = self.cold_per_s(&member.endpoint.pool);
-        self.cold
-            .may_send(member.hash.short(), bears_per_s, is_near, now_ms)
-    }
-
-    /// Whether an endpoint is cold and bears only so many requests meanwhile.
-    fn is_bounded(&self, member: &Member, now_ms: u64) -> bool {
-        let is_cold = || self.cold.is_cold(member.hash.short(), now_ms);
-        !self.cold.is_empty() && self.cold_per_s(&member.endpoint.pool) > 0.0 && is_cold()
-    }
-
-    /// Requests that a cold endpoint of a pool bears in a second, 0 for any
-    /// number.
-    fn cold_per_s(&self, pool: &PoolId) -> f64 {
-        self.pools.get(pool).map_or(0.0, PoolRules::cold_per_s)
-    }
-
     /// Chooses an endpoint of a pool.
     pub(crate) fn place(&self, wanted: &Wanted<'_>, now_ms: u64) -> Option<Choice> {
         let members = self.endpoints.serving(wanted.pool);
@@ -335,23 +222,6 @@
         address_of(first.hash.short())
     }
 
-    /// The endpoints of evacuated zones from which prefixes may still be copied.
-    fn copied_while_evacuated(&self, pool: &PoolId, now_ms: u64) -> Vec<Member> {
-        if self
-            .copied_until_ms
-            .values()
-            .all(|until_ms| now_ms >= *until_ms)
-        {
-            return Vec::new();
-        }
-        let serving = self.endpoints.serving(pool);
-        let copied = serving.iter().filter(|member| {
-            let until_ms = self.copied_until_ms.get(&member.endpoint.zone);
-            member.is_evacuated && until_ms.is_some_and(|until_ms| now_ms < *until_ms)
-        });
-        copied.cloned().collect()
-    }
-
     /// An endpoint as a candidate; `holders` are those that hold the prefix.
     fn candidate(
         &self,
@@ -455,20 +325,6 @@
         self.forget_health();
     }
 
-    /// Takes what an endpoint's entry says of how long it is cold.
-    fn told_cold(&mut self, listed: &ListedEndpoint, now_ms: u64) {
-        let name = &listed.endpoint.name;
-        let short = MemberHash::of(name.as_str()).short();
-        if self.cold.told(short, listed.cold_left_ms, now_ms) {
-            self.newly_cold.push(name.clone());
-        }
-    }
-
-    /// The endpoints that have been found to be cold since this was last asked.
-    pub(crate) fn take_newly_cold(&mut self) -> Vec<EndpointId> {
-        std::mem::take(&mut self.newly_cold)
-    }
-
     /// Takes changes of the list, oldest first. One that is known already
     /// changes nothing. Returns whether any was news.
     pub(crate) fn take_changes(&mut self, rows: Vec<EndpointRow>, now_ms: u64) -> bool {
--- a/crates/gateway/tests/gateway/evacuations.rs
+++ b/crates/gateway/tests/gateway/evacuations.rs
@@ -21,6 +21,15 @@
     (scripted, endpoint)
 }
 
+/// Sends a gateway so many calls, one after the other, and is answered each.
+async fn serves(gateway: &TestGateway, calls: usize, name: &str) {
+    for i in 0..calls {
+        let id = format!("{name}-{i}");
+        let answer = gateway.call(Call::get("/safe/").id(&id)).await;
+        assert_that!(answer.status, eq(200), "{id}");
+    }
+}
+
 /// A gateway before one endpoint in each of two zones.
 struct TwoZones {
     gateway: TestGateway,
@@ -182,12 +191,7 @@
     let gateway = TestGateway::with_cold_bound(source, "host-1", Vec::new()).await;
     gateway.ready().await;
     until_reached(&gateway, &cold).await;
-    for i in 0..20 {
-        let answer = gateway
-            .call(Call::get("/safe/").id(&format!("s-{i}")))
-            .await;
-        assert_that!(answer.status, eq(200));
-    }
+    serves(&gateway, 20, "s").await;
     assert_that!(cold.arrivals(), eq(1));
 }
 
@@ -207,12 +211,7 @@
     knows_evacuated(&gateway, 1).await;
     gateway.source.evacuate(ZONE_A, false);
     knows_evacuated(&gateway, 0).await;
-    for i in 0..20 {
-        let answer = gateway
-            .call(Call::get("/safe/").id(&format!("r-{i}")))
-            .await;
-        assert_that!(answer.status, eq(200));
-    }
+    serves(&gateway, 20, "r").await;
     assert_that!(a.arrivals(), le(1));
 }
 
@@ -233,10 +232,7 @@
     let seeds = vec![first.peer_address()];
     let second = TestGateway::with_cold_bound(silent, "host-2", seeds).await;
     second.ready().await;
-    for i in 0..20 {
-        let answer = second.call(Call::get("/safe/").id(&format!("r-{i}"))).await;
-        assert_that!(answer.status, eq(200));
-    }
+    serves(&second, 20, "r").await;
     assert_that!(cold.arrivals(), le(1));
 }
 
@@ -251,12 +247,7 @@
         Behaviour::OtherEndpoint,
     ];
     gateway.script.next(others);
-    for i in 0..10 {
-        let answer = gateway
-            .call(Call::get("/safe/").id(&format!("r-{i}")))
-            .await;
-        assert_that!(answer.status, eq(200));
-    }
+    serves(&gateway, 10, "r").await;
     let arrivals = gateway.endpoints.iter().map(ScriptedEndpoint::arrivals);
     assert_that!(arrivals.sum::<usize>(), eq(13));
     let left = gateway.endpoints.iter().filter(|e| e.arrivals() > 1);
@@ -283,9 +274,6 @@
     .await;
     let heard = "chalkrock_leaving_heard_from_peers_total{} 1\n";
     until(async || second.metrics().await.contains(heard)).await;
-    for i in 0..10 {
-        let answer = second.call(Call::get("/safe/").id(&format!("s-{i}"))).await;
-        assert_that!(answer.status, eq(200));
-    }
+    serves(&second, 10, "s").await;
     assert_that!(gone.arrivals(), eq(1));
 }
--- a/crates/routing/src/cold.rs
+++ b/crates/routing/src/cold.rs
@@ -2,7 +2,7 @@
 //! overrun.
 //!
 //! A cold endpoint bears so many requests a second over the whole fleet, of which
-//! each host sees a sliver. Hosts agree on nothing: a few hosts of the
+//! each host sees a small part. Hosts agree on nothing: a few hosts of the
 //! endpoint's own availability zone, drawn by rendezvous, send to it, each with
 //! a gap between its requests; all others send it none. [`ColdShare`] works out
 //! how many they are and how long the gap is, so that the bound holds in any
@@ -48,7 +48,7 @@
 /// Hosts that the zone of a new host is taken to have: one that knows one other
 /// of eleven would take half of the rate for its own.
 const HOSTS_AT_LEAST: usize = 64;
-/// The part of the best rate that may be given up for more senders.
+/// The part of the best rate that has to be left where there are more senders.
 const GOOD_RATE: f64 = 0.75;
 
 impl ColdShare {
@@ -210,8 +210,11 @@
         cold.map_or(0, |cold| cold.until_ms().saturating_sub(now_ms))
     }
 
-    /// How many endpoints are treated as cold.
+    /// How many endpoints are treated as cold; none where operators set no bound.
     pub fn count(&self, now_ms: u64) -> usize {
+        if self.bound.is_none() {
+            return 0;
+        }
         let all = self.endpoints.values();
         all.filter(|cold| cold.until_ms() > now_ms).count()
     }
