Tell of requests that failed at an endpoint what their repeats have in common

Callers name each try anew, so that the lines of an incident could not tell a request that came again from another one. A fingerprint of host, path, caller and body stands on the lines of requests with an attempt that brought no answer.

--- a/crates/gateway/src/access_log.rs
+++ b/crates/gateway/src/access_log.rs
@@ -25,6 +25,7 @@
             .rules()
             .map(|rules| rules.version())
             .unwrap_or_default(),
+        fingerprint: None,
         attempts: Vec::new(),
         status: Some(refusal.reason.status()),
         outcome: refusal.outcome(),
@@ -71,11 +72,13 @@
         detail,
     } = ending;
     let took = call.entered_at.elapsed();
+    let is_failed = attempts.iter().any(|attempt| attempt.end.is_some());
     let record = RequestRecord {
         id: call.head.id.clone(),
         route: Some(call.route.name.clone()),
         organisation: call.organisation().cloned(),
         rules: call.rules,
+        fingerprint: is_failed.then_some(call.fingerprint),
         attempts,
         status: Some(status),
         outcome,
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -4,7 +4,8 @@
 
 use chalkrock_core::{OrganisationId, PoolId, Reason};
 use chalkrock_routing::{
-    Caller, CallerLimits, DrainPhase, Repeatable, Route, RulesVersion, shed_probability,
+    Caller, CallerLimits, DrainPhase, Repeatable, RequestContent, RequestFingerprint, Route,
+    RulesVersion, shed_probability,
 };
 use hyper::body::Incoming;
 use hyper::header::HeaderMap;
@@ -45,6 +46,8 @@
     pub(crate) shared_parts: Vec<u32>,
     /// A number of its own.
     pub(crate) draw: u64,
+    /// The same for all that repeat it.
+    pub(crate) fingerprint: RequestFingerprint,
 }
 
 impl Call {
@@ -125,6 +128,12 @@
     let most_ms = head
         .deadline_ms
         .map_or(route.timeout_ms, |ms| ms.min(route.timeout_ms));
+    let fingerprint = RequestFingerprint::of(&RequestContent {
+        host: &head.host,
+        target: parts.uri.path_and_query().map_or(path, |all| all.as_str()),
+        organisation: caller.map(|caller| &caller.organisation),
+        body: &body.bytes,
+    });
     Ok(Call {
         shared_parts: shared_parts(&head),
         caller: caller.cloned(),
@@ -140,6 +149,7 @@
         pool,
         entered_at,
         draw,
+        fingerprint,
     })
 }
 
--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -6,13 +6,14 @@
 //! full is dropped, and how many were is told. log4rs' appenders write where
 //! they are called, and would hold requests up while the reader is slow.
 
+use std::fmt;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use chalkrock_core::{EndpointId, HostId, OrganisationId, Outcome, Reason, RequestId, ZoneId};
-use chalkrock_routing::{AttemptOutcome, Basis, RulesVersion, StoreVersion};
-use serde::Serialize;
+use chalkrock_routing::{AttemptOutcome, Basis, RequestFingerprint, RulesVersion, StoreVersion};
+use serde::{Serialize, Serializer};
 use tokio::io::AsyncWriteExt;
 use tokio::sync::mpsc;
 
@@ -54,6 +55,10 @@
     #[serde(skip_serializing_if = "Option::is_none")]
     pub(crate) organisation: Option<OrganisationId>,
     pub(crate) rules: RulesVersion,
+    /// What it has in common with its repeats; only told where an attempt
+    /// brought no answer.
+    #[serde(skip_serializing_if = "Option::is_none", serialize_with = "as_text")]
+    pub(crate) fingerprint: Option<RequestFingerprint>,
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub(crate) attempts: Vec<AttemptRecord>,
     #[serde(skip_serializing_if = "Option::is_none")]
@@ -66,6 +71,16 @@
     pub(crate) took_ms: u64,
 }
 
+fn as_text<T: fmt::Display, S: Serializer>(
+    value: &Option<T>,
+    serializer: S,
+) -> Result<S::Ok, S::Error> {
+    match value {
+        Some(value) => serializer.collect_str(value),
+        None => serializer.serialize_none(),
+    }
+}
+
 /// How taking from another host what this one was missing ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "kebab-case")]
