--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod attempts;
 mod calls;
+mod crashes;
 mod evacuations;
 mod large_rules;
 mod peers;
--- a/crates/gateway/tests/gateway/support/endpoint.rs
+++ b/crates/gateway/tests/gateway/support/endpoint.rs
@@ -329,15 +329,24 @@
     chunk
 }
 
-async fn send(stream: &mut TcpStream, bytes: &[u8]) -> bool {
+pub(super) async fn send(stream: &mut TcpStream, bytes: &[u8]) -> bool {
     stream.write_all(bytes).await.is_ok()
 }
 
+/// A whole answer of 200 with the request's own body.
+pub(super) fn answer(request: &Seen) -> Vec<u8> {
+    let id = request.header("id").unwrap_or_default();
+    let length = request.body.len();
+    let head =
+        format!("HTTP/1.1 200 OK\r\nid: {id}\r\nsignature: s\r\ncontent-length: {length}\r\n\r\n");
+    [head.as_bytes(), &request.body].concat()
+}
+
 fn reset(stream: &TcpStream) {
     stream.set_zero_linger().expect("a socket");
 }
 
-async fn read_request(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<Seen> {
+pub(super) async fn read_request(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<Seen> {
     loop {
         if let Some(end) = buffer.windows(4).position(|window| window == b"\r\n\r\n") {
             let head = String::from_utf8_lossy(&buffer[..end]).into_owned();
--- a/crates/gateway/tests/gateway/support/mod.rs
+++ b/crates/gateway/tests/gateway/support/mod.rs
@@ -1,11 +1,13 @@
 //! A gateway before scripted endpoints, with an edge and a source of its own.
 
+mod crashing;
 mod edge;
 mod endpoint;
 mod fleet;
 mod link;
 mod source;
 
+pub(crate) use crashing::{CrashingEndpoint, DEADLY};
 pub(crate) use edge::TestEdge;
 pub(crate) use endpoint::{Behaviour, Script, ScriptedEndpoint, event};
 pub(crate) use fleet::{Call, Received, TestGateway, receive, rules, rules_of, until};
