Take back copies of a refused request that endpoints have not begun to answer

When the third endpoint ends under a request, further copies of it wait at others, and each would end one more as it comes to run. The host that sent one closes its connection: endpoints drop what waits. Its caller is told that it may have run.

Before: six copies that wait at six endpoints end all six. After: three (test).

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -247,7 +247,11 @@
     let mut answer = std::pin::pin!(connection.sender.try_send_request(request));
     loop {
         let look_at = call.deadline.min(Instant::now() + HEALTH_RECHECK_INTERVAL);
-        match tokio::time::timeout_at(look_at, &mut answer).await {
+        let answered = tokio::select! {
+            answered = tokio::time::timeout_at(look_at, &mut answer) => answered,
+            () = shared.becomes_poison(call.fingerprint) => return Err(AttemptOutcome::Recalled),
+        };
+        match answered {
             Ok(Ok(response)) => return Ok(response),
             Ok(Err(mut error)) => {
                 return Err(match error.take_message() {
--- a/crates/gateway/src/poison.rs
+++ b/crates/gateway/src/poison.rs
@@ -132,6 +132,19 @@
         self.publish_now.notify_one();
     }
 
+    /// Waits until a request is to be sent no further. One that an endpoint has not
+    /// begun to answer by then is taken back: run late, it would end it as well.
+    pub(crate) async fn becomes_poison(&self, request: RequestFingerprint) {
+        loop {
+            let found = self.poison_found.notified();
+            let now_ms = self.clock.now_ms();
+            if self.fleet().poison.is_poison(request, now_ms) {
+                return;
+            }
+            found.await;
+        }
+    }
+
     /// A request ran to a good end.
     pub(crate) fn ran_well(&self, request: RequestFingerprint) {
         let now_ms = self.clock.now_ms();
@@ -169,6 +182,7 @@
                     if records {
                         self.poison_records.record(request);
                     }
+                    self.poison_found.notify_waiters();
                     (request, true)
                 }
                 Verdict::Cleared(request) => {
--- a/crates/gateway/src/progress.rs
+++ b/crates/gateway/src/progress.rs
@@ -241,6 +241,7 @@
             }),
             AttemptOutcome::Failed | AttemptOutcome::Garbage => Some(HealthSignal::Failure),
             AttemptOutcome::Withdrawn
+            | AttemptOutcome::Recalled
             | AttemptOutcome::Refused
             | AttemptOutcome::NotTheEndpoint => None,
         }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -36,6 +36,8 @@
     pub(crate) upstream: Upstream,
     pub(crate) end_checks: EndChecks,
     pub(crate) poison_records: PoisonRecords,
+    /// Some request is to be sent no further from now on.
+    pub(crate) poison_found: Notify,
     pub(crate) lag: Lag,
     /// Room for callers' bodies.
     pub(crate) bodies: ByteBudget,
@@ -74,6 +76,7 @@
             upstream: Upstream::default(),
             end_checks: EndChecks::default(),
             poison_records: PoisonRecords::default(),
+            poison_found: Notify::new(),
             lag: Lag::default(),
             bodies,
             connection_permits,
--- a/crates/gateway/tests/gateway/crashes.rs
+++ b/crates/gateway/tests/gateway/crashes.rs
@@ -189,3 +189,35 @@
     let received = gateway.call(Call::post("/safe/", b"x").id("after")).await;
     assert_that!(received.status, eq(200));
 }
+
+/// Copies of one request were on their way to six endpoints when the third of them
+/// ended: those that wait there yet would end them as well, one after the other.
+#[tokio::test]
+async fn crashes_recall_copies_that_do_not_run_yet() {
+    const COPIES: usize = 6;
+    const STEP: Duration = Duration::from_millis(200);
+    let source = TestSource::default();
+    source.set_rules(rules(1));
+    let mut endpoints = Vec::new();
+    for i in 0..COPIES {
+        let name = format!("endpoint-{i}");
+        let waits = STEP * i as u32;
+        endpoints.push(CrashingEndpoint::start_busy(&name, source.clone(), waits).await);
+    }
+    let hosts = hosts_of(&source, 1).await;
+    let fleet = CrashFleet { hosts, endpoints };
+    let copies = (0..COPIES).map(|i| {
+        let call = Call::post("/once/", DEADLY).id(&format!("copy-{i}"));
+        fleet.hosts[0].call(call)
+    });
+    let received = futures::future::join_all(copies).await;
+    assert_that!(fleet.arrivals_of(DEADLY), eq(COPIES));
+    // Each endpoint would have run its own by now.
+    tokio::time::sleep(STEP * COPIES as u32).await;
+    assert_that!(fleet.crashes(), eq(CRASHES_MAX));
+    // Some ran: none is told that it did not.
+    assert_that!(
+        received.iter().all(|received| received.status == 502),
+        eq(true)
+    );
+}
--- a/crates/gateway/tests/gateway/support/crashing.rs
+++ b/crates/gateway/tests/gateway/support/crashing.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use chalkrock_core::{Endpoint, EndpointKind, HostState, Incarnation};
+use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::task::JoinSet;
@@ -33,6 +34,8 @@
 pub(crate) struct CrashingEndpoint {
     name: String,
     source: TestSource,
+    /// How long a request waits before it runs, unless its connection closes.
+    waits: Duration,
     state: Arc<Mutex<State>>,
     /// It is to end now.
     ends: Arc<Notify>,
@@ -41,7 +44,13 @@
 impl CrashingEndpoint {
     /// Starts one and lists it.
     pub(crate) async fn start(name: &str, source: TestSource) -> Self {
+        Self::start_busy(name, source, Duration::ZERO).await
+    }
+
+    /// The same; requests wait for so long before they run.
+    pub(crate) async fn start_busy(name: &str, source: TestSource, waits: Duration) -> Self {
         let endpoint = Self {
+            waits,
             name: name.to_owned(),
             source,
             state: Arc::default(),
@@ -115,10 +124,20 @@
         }
     }
 
+    /// Whether the other side still waits when a request is to run.
+    async fn runs_after_its_wait(&self, stream: &mut TcpStream) -> bool {
+        let mut byte = [0];
+        let left = tokio::time::timeout(self.waits, stream.read(&mut byte)).await;
+        left.is_err()
+    }
+
     async fn serve(self, mut stream: TcpStream) {
         let mut buffer = Vec::new();
         while let Some(request) = read_request(&mut stream, &mut buffer).await {
             self.state().arrived.push(request.body.clone());
+            if !self.runs_after_its_wait(&mut stream).await {
+                return;
+            }
             if request.body.starts_with(DEADLY) {
                 tokio::time::sleep(RUNS).await;
                 self.ends.notify_one();
--- a/crates/routing/src/attempt.rs
+++ b/crates/routing/src/attempt.rs
@@ -29,6 +29,8 @@
     Garbage,
     /// No answer in time.
     Silent,
+    /// The host took it back before an answer began.
+    Recalled,
 }
 
 impl AttemptOutcome {
@@ -40,9 +42,10 @@
             | AttemptOutcome::Refused
             | AttemptOutcome::NotTheEndpoint => Outcome::NotRun,
             AttemptOutcome::Failed => Outcome::Ran,
-            AttemptOutcome::Broken | AttemptOutcome::Garbage | AttemptOutcome::Silent => {
-                Outcome::Unknown
-            }
+            AttemptOutcome::Broken
+            | AttemptOutcome::Garbage
+            | AttemptOutcome::Silent
+            | AttemptOutcome::Recalled => Outcome::Unknown,
         }
     }
 
@@ -67,7 +70,9 @@
             AttemptOutcome::NotSent | AttemptOutcome::NotTheEndpoint => Reason::EndpointUnreachable,
             AttemptOutcome::Withdrawn => Reason::NoEndpoint,
             AttemptOutcome::Refused => Reason::EndpointRefused,
-            AttemptOutcome::Failed | AttemptOutcome::Broken => Reason::EndpointLost,
+            AttemptOutcome::Failed | AttemptOutcome::Broken | AttemptOutcome::Recalled => {
+                Reason::EndpointLost
+            }
             AttemptOutcome::Garbage => Reason::EndpointGarbage,
             AttemptOutcome::Silent => Reason::DeadlinePassed,
         }
@@ -119,7 +124,7 @@
 ) -> Next {
     let worst = worst(earlier, end.outcome());
     let may_run_again = worst == Outcome::NotRun || repeatable == Repeatable::Yes;
-    let may_send = sent < attempts_max.max(1) && may_run_again;
+    let may_send = sent < attempts_max.max(1) && may_run_again && end != AttemptOutcome::Recalled;
     if may_send && (!end.reached() || is_paid()) {
         return Next::Elsewhere;
     }
--- a/crates/routing/tests/attempt.rs
+++ b/crates/routing/tests/attempt.rs
@@ -21,7 +21,7 @@
     asks: bool,
 }
 
-const ENDS: [(&str, AttemptOutcome); 8] = [
+const ENDS: [(&str, AttemptOutcome); 9] = [
     ("not-sent", AttemptOutcome::NotSent),
     ("withdrawn", AttemptOutcome::Withdrawn),
     ("refused", AttemptOutcome::Refused),
@@ -30,6 +30,7 @@
     ("broken", AttemptOutcome::Broken),
     ("garbage", AttemptOutcome::Garbage),
     ("silent", AttemptOutcome::Silent),
+    ("recalled", AttemptOutcome::Recalled),
 ];
 
 fn end_of(name: &str) -> AttemptOutcome {
