--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -34,6 +34,8 @@
     metrics.gauge("cold_endpoints", "", cold as f64);
     let evacuated = fleet.evacuations.zones().len();
     metrics.gauge("evacuated_zones", "", evacuated as f64);
+    let poison = fleet.poison.poison(usize::MAX, now_ms).len();
+    metrics.gauge("poison_requests", "", poison as f64);
     metrics.gauge("endpoints_version", "", fleet.endpoints_version.0 as f64);
     drop(fleet);
     metrics.render()
--- a/crates/gateway/tests/gateway/crashes.rs
+++ b/crates/gateway/tests/gateway/crashes.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use crate::support::{
-    Behaviour, Call, CrashingEndpoint, DEADLY, TestGateway, TestSource, rules, until,
+    Behaviour, Call, CrashingEndpoint, DEADLY, TestGateway, TestSource, hosts_with, rules, until,
 };
 use googletest::prelude::*;
 
@@ -221,3 +221,36 @@
         eq(true)
     );
 }
+
+/// In a large fleet hosts report to relays, and those of two zones hear each other
+/// through these alone: three of them see one end each.
+#[tokio::test]
+async fn crashes_are_counted_over_the_zones_of_a_large_fleet() {
+    const NEAR: usize = 28;
+    const FAR: usize = 14;
+    const KNOWN_WITHIN: Duration = Duration::from_secs(3);
+    let source = TestSource::default();
+    source.set_rules(rules(1));
+    let mut endpoints = Vec::new();
+    for i in 0..6 {
+        let name = format!("endpoint-{i}");
+        endpoints.push(CrashingEndpoint::start(&name, source.clone()).await);
+    }
+    let mut hosts = Vec::new();
+    for i in 0..NEAR + FAR {
+        let zone = if i < NEAR { "zone-a" } else { "zone-b" };
+        let host = format!("host-{i}");
+        hosts.push(TestGateway::in_zone(zone, source.clone(), &host, Vec::new()).await);
+    }
+    for host in &hosts {
+        host.ready().await;
+    }
+    until(async || hosts_with(&hosts, "goes_by_relay_sums", 1.0).await >= NEAR - 2).await;
+    for (number, host) in [3, 20, NEAR + 5].into_iter().enumerate() {
+        let call = Call::post("/once/", DEADLY).id(&format!("r-{number}"));
+        assert_that!(hosts[host].call(call).await.status, eq(502));
+    }
+    let all_know = until(async || hosts_with(&hosts, "poison_requests", 1.0).await == hosts.len());
+    let known = tokio::time::timeout(KNOWN_WITHIN, all_know).await;
+    assert_that!(known.is_ok(), eq(true));
+}
--- a/crates/gateway/tests/gateway/peers.rs
+++ b/crates/gateway/tests/gateway/peers.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use crate::support::{
-    Behaviour, Call, Script, ScriptedEndpoint, TestGateway, TestSource, rules, until,
+    Behaviour, Call, Script, ScriptedEndpoint, TestGateway, TestSource, figure, hosts_with, rules,
+    until,
 };
 use googletest::prelude::*;
 use rand::{RngExt, SeedableRng};
@@ -227,24 +228,6 @@
     }
 }
 
-/// A figure of a host's metrics.
-async fn figure(host: &TestGateway, name: &str) -> f64 {
-    let metrics = host.metrics().await;
-    let prefix = format!("chalkrock_{name}{{}} ");
-    let mut lines = metrics.lines();
-    let line = lines.find_map(|line| line.strip_prefix(&prefix));
-    line.map_or(0.0, |value| value.parse().expect("a number"))
-}
-
-/// How many hosts have a figure.
-async fn hosts_with(hosts: &[TestGateway], name: &str, value: f64) -> usize {
-    let mut found = 0;
-    for host in hosts {
-        found += usize::from(figure(host, name).await == value);
-    }
-    found
-}
-
 /// Hosts of one zone that is large enough to be summed up by relays.
 const LARGE_ZONE: usize = 28;
 
--- a/crates/gateway/tests/gateway/support/fleet.rs
+++ b/crates/gateway/tests/gateway/support/fleet.rs
@@ -442,3 +442,21 @@
         tokio::time::sleep(LOOK_PAUSE).await;
     }
 }
+
+/// A figure of a host's metrics.
+pub(crate) async fn figure(host: &TestGateway, name: &str) -> f64 {
+    let metrics = host.metrics().await;
+    let prefix = format!("chalkrock_{name}{{}} ");
+    let mut lines = metrics.lines();
+    let line = lines.find_map(|line| line.strip_prefix(&prefix));
+    line.map_or(0.0, |value| value.parse().expect("a number"))
+}
+
+/// How many hosts have a figure.
+pub(crate) async fn hosts_with(hosts: &[TestGateway], name: &str, value: f64) -> usize {
+    let mut found = 0;
+    for host in hosts {
+        found += usize::from(figure(host, name).await == value);
+    }
+    found
+}
--- a/crates/gateway/tests/gateway/support/mod.rs
+++ b/crates/gateway/tests/gateway/support/mod.rs
@@ -10,6 +10,8 @@
 pub(crate) use crashing::{CrashingEndpoint, DEADLY};
 pub(crate) use edge::TestEdge;
 pub(crate) use endpoint::{Behaviour, Script, ScriptedEndpoint, event};
-pub(crate) use fleet::{Call, Received, TestGateway, receive, rules, rules_of, until};
+pub(crate) use fleet::{
+    Call, Received, TestGateway, figure, hosts_with, receive, rules, rules_of, until,
+};
 pub(crate) use link::SlowLink;
 pub(crate) use source::TestSource;
