Know an endpoint by its start, not by its name

Endpoints may start again by their name and tell when they started. All that a host remembers or tells of an endpoint (leaving, suspicion, load, cold time, prefixes, connections, ends under requests) goes by one short hash: it is now of the name and the start. So a later start is another endpoint everywhere at once, for no byte more in any datagram; without a start the hash is that of the name.

Weighed on paper: the start beside the name in each datagram (4 to 8 bytes for each endpoint in each report, 24 KB a report of 3,000), a short counter learned from rows (1 byte, and two hosts that missed different rows count differently).

The store's versions say which start is the later one: the number is the time of day, which may step back. Only an older list, read slowly, goes by the number.

Tests fail without it: an endpoint that left and starts again by its name was never used again.

--- a/crates/core/src/hosts.rs
+++ b/crates/core/src/hosts.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 
 use crate::ids::{EndpointId, HostId, Incarnation, PoolId, ZoneId};
+use crate::rendezvous::MemberHash;
 
 /// Whether a host or endpoint may be given new work.
 ///
@@ -64,6 +65,20 @@
     pub state: HostState,
 }
 
+impl Endpoint {
+    /// The hash of this start of the endpoint. All that is remembered or told of an
+    /// endpoint goes by it: what was seen of one start is neither believed of the
+    /// next nor laid on it, and costs no byte more than a hash of the name.
+    pub fn start_hash(&self) -> MemberHash {
+        let name = self.name.as_str();
+        match self.incarnation {
+            // It tells nothing of its start: its name has to do.
+            Incarnation(0) => MemberHash::of(name),
+            Incarnation(start) => MemberHash::of_start(name, start),
+        }
+    }
+}
+
 /// The platform's list of hosts and endpoints, which lags behind the truth.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HostList {
--- a/crates/core/src/rendezvous.rs
+++ b/crates/core/src/rendezvous.rs
@@ -16,6 +16,11 @@
         Self(xxh3_64(name.as_bytes()))
     }
 
+    /// Hashes one start of a member that starts again by its name.
+    pub fn of_start(name: &str, start: u64) -> Self {
+        Self(xxh3_64_with_seed(name.as_bytes(), start))
+    }
+
     /// The low half of the hash: how organisations, hosts and pools are named
     /// between our processes, where bytes are dear.
     pub fn short(self) -> u32 {
--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -128,7 +128,7 @@
     /// Endpoints said that they are cold, for so long at most: fewer requests
     /// are sent to them meanwhile.
     Cold {
-        endpoints: &'a [EndpointId],
+        endpoints: &'a [&'a EndpointId],
         longest_ms: u64,
     },
     /// Taking from another host what this one was missing failed, or brought
--- a/crates/gateway/src/fleet/closed.rs
+++ b/crates/gateway/src/fleet/closed.rs
@@ -1,8 +1,7 @@
 //! Endpoints that are sent nothing or little: those of evacuated zones, and those
 //! that are cold.
 
-use chalkrock_core::rendezvous::MemberHash;
-use chalkrock_core::{EndpointId, PoolId, ZoneId};
+use chalkrock_core::{Endpoint, PoolId, ZoneId};
 use chalkrock_routing::{
     EvacuationChange, EvacuationRow, Evacuations, Member, PoolRules, StoreVersion,
 };
@@ -87,7 +86,7 @@
     /// then sent.
     pub(crate) fn may_still_send(&mut self, choice: &Choice, now_ms: u64) -> bool {
         let member = &choice.member;
-        if !self.endpoints.takes_work(&member.endpoint.name) {
+        if !self.endpoints.takes_work(&member.endpoint) {
             return false;
         }
         let may_send = if choice.is_cold {
@@ -144,15 +143,14 @@
 
     /// Takes what an endpoint's entry says of how long it is cold.
     pub(super) fn told_cold(&mut self, listed: &ListedEndpoint, now_ms: u64) {
-        let name = &listed.endpoint.name;
-        let short = MemberHash::of(name.as_str()).short();
+        let short = listed.endpoint.start_hash().short();
         if self.cold.told(short, listed.cold_left_ms, now_ms) {
-            self.newly_cold.push(name.clone());
+            self.newly_cold.push(listed.endpoint.clone());
         }
     }
 
     /// The endpoints that have been found to be cold since this was last asked.
-    pub(crate) fn take_newly_cold(&mut self) -> Vec<EndpointId> {
+    pub(crate) fn take_newly_cold(&mut self) -> Vec<Endpoint> {
         std::mem::take(&mut self.newly_cold)
     }
 }
--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -5,8 +5,8 @@
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 
-use chalkrock_core::rendezvous::{KeyHash, MemberHash, score};
-use chalkrock_core::{EndpointId, PoolId, ZoneId};
+use chalkrock_core::rendezvous::{KeyHash, score};
+use chalkrock_core::{Endpoint, PoolId, ZoneId};
 use chalkrock_routing::{
     Basis, BudgetRules, Candidate, ColdEndpoints, EndpointHealth, EndpointTable, Evacuations,
     FleetLoad, HealthSignal, Member, PlacementRequest, PoisonEvidence, PoolOccupancy, PoolRules,
@@ -75,7 +75,7 @@
     evacuation_copy_ms: u64,
     pub(crate) cold: ColdEndpoints,
     /// Endpoints that were found to be cold and not logged yet.
-    newly_cold: Vec<EndpointId>,
+    newly_cold: Vec<Endpoint>,
     /// Within how long an endpoint's entry tells what has become of it.
     entry_delay_ms: u64,
     /// What endpoints bear while they are cold.
@@ -319,8 +319,17 @@
         for listed in &list {
             self.told_cold(listed, now_ms);
         }
-        let endpoints = list.into_iter().map(|listed| listed.endpoint);
-        self.endpoints.replace(endpoints.collect(), now_ms);
+        // A list that was read slowly may be older than what other hosts passed on.
+        let is_older = version < self.endpoints_version;
+        let endpoints = list.into_iter().map(|listed| {
+            if is_older {
+                self.endpoints.later_start(listed.endpoint)
+            } else {
+                listed.endpoint
+            }
+        });
+        let endpoints = endpoints.collect();
+        self.endpoints.replace(endpoints, now_ms);
         self.endpoints_version = self.endpoints_version.max(version);
         self.changes.clear();
         self.changes_since = self.endpoints_version;
@@ -384,7 +393,7 @@
     fn aged(&self, row: &EndpointRow, now_ms: u64) -> EndpointRow {
         let mut row = row.clone();
         if let EndpointChange::Listed(listed) = &mut row.change {
-            let short = MemberHash::of(listed.endpoint.name.as_str()).short();
+            let short = listed.endpoint.start_hash().short();
             listed.cold_left_ms = self.cold.left_ms(short, now_ms);
         }
         row
--- a/crates/gateway/src/poison.rs
+++ b/crates/gateway/src/poison.rs
@@ -9,7 +9,6 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use chalkrock_core::rendezvous::MemberHash;
 use chalkrock_core::{Endpoint, HostState, Reason};
 use chalkrock_routing::{
     AttemptOutcome, POISON_MS, PoisonNews, PoisonRequest, RequestFingerprint, Verdict,
@@ -114,7 +113,7 @@
         if end != AttemptOutcome::Broken || is_leaving {
             return;
         }
-        let start = start_hash(endpoint);
+        let start = endpoint.start_hash().short();
         if !self.end_checks.has_ended(start, endpoint.address).await {
             return;
         }
@@ -201,12 +200,6 @@
     }
 }
 
-/// A hash of one start of an endpoint.
-fn start_hash(endpoint: &Endpoint) -> u32 {
-    let name = endpoint.name.as_str();
-    MemberHash::of(&format!("{name}/{}", endpoint.incarnation.0)).short()
-}
-
 /// Records at the platform what this host has found, and reads what others have,
 /// until the process ends.
 pub(crate) async fn keep_poison<S: Source>(shared: Arc<Shared>, source: Arc<S>) {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -4,8 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
-use chalkrock_core::rendezvous::MemberHash;
-use chalkrock_core::{EndpointId, OrganisationId, PoolId};
+use chalkrock_core::{Endpoint, EndpointId, OrganisationId, PoolId};
 use chalkrock_process::Metrics;
 use chalkrock_routing::{
     DrainPhase, DrainSchedule, EvacuationChange, EvacuationRow, Evacuations, Rules, RulesDocument,
@@ -362,10 +361,8 @@
         let now_ms = self.clock.now_ms();
         let mut fleet = self.fleet();
         let cold = fleet.take_newly_cold();
-        let left_ms = |name: &EndpointId| {
-            let short = MemberHash::of(name.as_str()).short();
-            fleet.cold.left_ms(short, now_ms)
-        };
+        let left_ms =
+            |endpoint: &Endpoint| fleet.cold.left_ms(endpoint.start_hash().short(), now_ms);
         let longest_ms = cold.iter().map(left_ms).max();
         let leaving = fleet.endpoints.leaving().len();
         let live = fleet.endpoints.live_count();
@@ -378,7 +375,8 @@
             from,
         });
         if let Some(longest_ms) = longest_ms {
-            let endpoints = &cold;
+            let endpoints: Vec<&EndpointId> = cold.iter().map(|endpoint| &endpoint.name).collect();
+            let endpoints = &endpoints;
             self.event_log.emit(&Event::Cold {
                 endpoints,
                 longest_ms,
--- a/crates/gateway/tests/gateway/crashes.rs
+++ b/crates/gateway/tests/gateway/crashes.rs
@@ -222,6 +222,39 @@
     );
 }
 
+/// One endpoint ends five times in series and starts again by its name each time,
+/// twice while the platform does not answer. Each time it is used again as soon as
+/// its entry tells of it, and what it ended under is counted by its starts.
+#[tokio::test]
+async fn crashes_of_an_endpoint_that_keeps_its_name_leave_it_in_use() {
+    const SERIES: usize = 5;
+    let source = TestSource::default();
+    source.set_rules(rules(1));
+    let endpoint = CrashingEndpoint::start_named("endpoint-0", source.clone()).await;
+    let hosts = hosts_of(&source, 2).await;
+    let serves = async |host: &TestGateway| {
+        let call = Call::post("/safe/", b"x").id("serves");
+        host.call(call).await.status == 200
+    };
+    for number in 0..SERIES {
+        until(async || serves(&hosts[0]).await && serves(&hosts[1]).await).await;
+        source.set_down(number % 2 == 1);
+        let deadly = [DEADLY, &[number as u8]].concat();
+        let call = Call::post("/once/", &deadly).id(&format!("ends-{number}"));
+        hosts[number % 2].call(call).await;
+        assert_that!(endpoint.crashes(), eq(number + 1));
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        source.set_down(false);
+    }
+    until(async || serves(&hosts[0]).await && serves(&hosts[1]).await).await;
+    for number in 0..SERIES {
+        until(async || serves(&hosts[0]).await).await;
+        let call = Call::post("/once/", DEADLY).id(&format!("again-{number}"));
+        hosts[0].call(call).await;
+    }
+    assert_that!(endpoint.arrivals_of(DEADLY), eq(CRASHES_MAX));
+}
+
 /// In a large fleet hosts report to relays, and those of two zones hear each other
 /// through these alone: three of them see one end each.
 #[tokio::test]
--- a/crates/gateway/tests/gateway/support/crashing.rs
+++ b/crates/gateway/tests/gateway/support/crashing.rs
@@ -1,5 +1,5 @@
 //! An endpoint that ends under some requests, with all that it runs, and starts
-//! again after a while by another name.
+//! again after a while, by another name or by its own.
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -34,6 +34,8 @@
 pub(crate) struct CrashingEndpoint {
     name: String,
     source: TestSource,
+    /// Whether it keeps its name when it starts again.
+    keeps_name: bool,
     /// How long a request waits before it runs, unless its connection closes.
     waits: Duration,
     state: Arc<Mutex<State>>,
@@ -44,13 +46,23 @@
 impl CrashingEndpoint {
     /// Starts one and lists it.
     pub(crate) async fn start(name: &str, source: TestSource) -> Self {
-        Self::start_busy(name, source, Duration::ZERO).await
+        Self::with(name, source, Duration::ZERO, false).await
+    }
+
+    /// The same; it starts again by its name.
+    pub(crate) async fn start_named(name: &str, source: TestSource) -> Self {
+        Self::with(name, source, Duration::ZERO, true).await
     }
 
     /// The same; requests wait for so long before they run.
     pub(crate) async fn start_busy(name: &str, source: TestSource, waits: Duration) -> Self {
+        Self::with(name, source, waits, false).await
+    }
+
+    async fn with(name: &str, source: TestSource, waits: Duration, keeps_name: bool) -> Self {
         let endpoint = Self {
             waits,
+            keeps_name,
             name: name.to_owned(),
             source,
             state: Arc::default(),
@@ -82,16 +94,22 @@
         self.source.list(self.entry(address));
     }
 
-    /// Its entry; each start has a name of its own.
+    /// The entry of its start.
     fn entry(&self, address: SocketAddr) -> Endpoint {
+        let start = self.crashes();
+        let (name, incarnation) = if self.keeps_name {
+            (self.name.clone(), 1 + start as u64)
+        } else {
+            (format!("{}-{start}", self.name), 0)
+        };
         Endpoint {
-            name: format!("{}-{}", self.name, self.crashes()).as_str().into(),
+            name: name.as_str().into(),
             kind: EndpointKind::Service,
             pool: "pool".into(),
             zone: "zone-a".into(),
             address,
             slots: 8,
-            incarnation: Incarnation(0),
+            incarnation: Incarnation(incarnation),
             state: HostState::Live,
         }
     }
@@ -104,7 +122,9 @@
             let gone = self.entry(address).name;
             self.state().crashes += 1;
             tokio::time::sleep(GONE).await;
-            self.source.unlist(&gone);
+            if !self.keeps_name {
+                self.source.unlist(&gone);
+            }
             listener = TcpListener::bind(address).await.expect("its own port");
             self.list(address);
         }
--- a/crates/routing/src/endpoints.rs
+++ b/crates/routing/src/endpoints.rs
@@ -1,7 +1,10 @@
 //! Which endpoints exist and which of them may be given new work.
 //!
 //! The list comes from the platform, whole or by changes, and from other
-//! hosts. Within one incarnation leaving is sticky: an endpoint that has
+//! hosts, in the order of the store's versions. An endpoint may start again by its
+//! name: another incarnation is another endpoint. Its number tells starts apart and
+//! not which is the later one, since endpoints take it from the time of day, which
+//! may step back. Within one incarnation leaving is sticky: an endpoint that has
 //! begun to leave is never taken back, however late, reordered or stale the
 //! next word of it is. An endpoint that is merely no longer listed may be
 //! listed again, and until then takes no new work; but entries that lapsed
@@ -39,7 +42,7 @@
 pub struct Member {
     /// The endpoint.
     pub endpoint: Arc<Endpoint>,
-    /// The hash of its name, for ranks and for reports.
+    /// The hash of its start, for ranks and for reports.
     pub hash: MemberHash,
     /// Whether its zone is evacuated.
     pub is_evacuated: bool,
@@ -123,6 +126,15 @@
         self.rebuild();
     }
 
+    /// What an older list says of an endpoint, or the start that is known if it tells
+    /// of a later one.
+    pub fn later_start(&self, listed: Endpoint) -> Endpoint {
+        let known = self.known.get(&listed.name);
+        let known = known.map(|known| &*known.member.endpoint);
+        let later = known.filter(|known| known.incarnation > listed.incarnation);
+        later.cloned().unwrap_or(listed)
+    }
+
     /// Takes one endpoint's entry, new or changed.
     pub fn upsert(&mut self, endpoint: Endpoint) {
         self.merge(endpoint);
@@ -201,9 +213,13 @@
         serving.filter(move |member| member.endpoint.zone == *zone)
     }
 
-    /// Whether an endpoint may be given new work.
-    pub fn takes_work(&self, name: &EndpointId) -> bool {
-        self.known.get(name).is_some_and(Known::takes_work)
+    /// Whether a start of an endpoint may be given new work.
+    pub fn takes_work(&self, endpoint: &Endpoint) -> bool {
+        let known = self.known.get(&endpoint.name);
+        known.is_some_and(|known| {
+            let is_same_start = known.member.endpoint.incarnation == endpoint.incarnation;
+            is_same_start && known.takes_work()
+        })
     }
 
     /// The endpoints of a pool that take no new work and are still there: what
@@ -249,12 +265,14 @@
     }
 
     fn merge(&mut self, mut endpoint: Endpoint) {
-        if let Some(known) = self.known.get(&endpoint.name) {
-            endpoint.state = endpoint.state.max(known.member.endpoint.state);
+        let known = self.known.get(&endpoint.name);
+        let known = known.map(|known| &*known.member.endpoint);
+        if let Some(known) = known.filter(|known| known.incarnation == endpoint.incarnation) {
+            endpoint.state = endpoint.state.max(known.state);
         }
         let known = Known {
             member: Member {
-                hash: MemberHash::of(endpoint.name.as_str()),
+                hash: endpoint.start_hash(),
                 is_evacuated: self.evacuated.contains(&endpoint.zone),
                 endpoint: Arc::new(endpoint),
             },
--- a/crates/routing/tests/endpoints.rs
+++ b/crates/routing/tests/endpoints.rs
@@ -41,6 +41,66 @@
     table.state(&name.into())
 }
 
+fn start(name: &str, start: u64, state: HostState) -> Endpoint {
+    Endpoint {
+        incarnation: Incarnation(start),
+        ..endpoint(name, state)
+    }
+}
+
+/// An endpoint that crashed started again by its name, and none of its hosts ever
+/// sent it anything again: what had been seen of its first start, that it leaves or
+/// that another answered at its address, was laid on all that bear the name.
+#[test]
+fn table_takes_a_later_start_by_the_same_name_for_another_endpoint() {
+    let mut table = EndpointTable::default();
+    table.replace(vec![start("a", 5, HostState::Leaving)], 0);
+    let first = start("a", 5, HostState::Live).start_hash();
+    table.upsert(start("a", 9, HostState::Live));
+    assert_that!(live_names(&table), elements_are![eq("a")]);
+    // What is told late of the first start is not laid on the second.
+    assert_that!(table.mark_leaving(&[first.short()]), eq(false));
+    assert_that!(live_names(&table), elements_are![eq("a")]);
+    let second = start("a", 9, HostState::Live).start_hash();
+    assert_that!(table.mark_leaving(&[second.short()]), eq(true));
+    assert_that!(live_names(&table), is_empty());
+    // Its own word comes late.
+    table.upsert(start("a", 9, HostState::Live));
+    assert_that!(live_names(&table), is_empty());
+    // The time of day had stepped back as it started a third time.
+    table.upsert(start("a", 7, HostState::Live));
+    assert_that!(live_names(&table), elements_are![eq("a")]);
+}
+
+#[test]
+fn table_takes_work_for_the_start_that_was_chosen() {
+    let mut table = EndpointTable::default();
+    let first = start("a", 5, HostState::Live);
+    table.upsert(first.clone());
+    assert_that!(table.takes_work(&first), eq(true));
+    table.upsert(start("a", 9, HostState::Live));
+    assert_that!(table.takes_work(&first), eq(false));
+}
+
+#[test]
+fn table_keeps_the_later_start_before_an_older_list() {
+    let mut table = EndpointTable::default();
+    table.upsert(start("a", 9, HostState::Live));
+    for (listed, kept) in [(5, 9), (9, 9), (12, 12)] {
+        let later = table.later_start(start("a", listed, HostState::Live));
+        assert_that!(later.incarnation, eq(Incarnation(kept)), "{listed}");
+    }
+}
+
+#[test]
+fn start_hash_without_a_start_is_that_of_the_name() {
+    assert_that!(live("a").start_hash(), eq(MemberHash::of("a")));
+    let starts = [1, 2, 3].map(|number| start("a", number, HostState::Live).start_hash());
+    assert_that!(starts[0], not(eq(starts[1])));
+    assert_that!(starts[1], not(eq(starts[2])));
+    assert_that!(starts[0], not(eq(MemberHash::of("a"))));
+}
+
 #[test]
 fn table_never_takes_back_what_is_leaving() {
     let mut table = EndpointTable::default();
