Read each row by itself, so that another writer's hides no others

Cause: one row that could not be read ended the whole read or change of its topic with an error, so that a fleet that started beside one knew no endpoint and one that ran followed nothing more. Class: one bad entry fails the batch.

Change: a row is an endpoint, gone, or unreadable with the field at fault. One log line for a row and field, and rows_passed_over_total.

--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -116,6 +116,15 @@
         leaving: usize,
         from: &'a str,
     },
+    /// A row of the platform's can't be read: another writer made it. It says
+    /// nothing; the others hold.
+    RowPassedOver {
+        topic: &'a str,
+        key: &'a str,
+        version: StoreVersion,
+        field: &'a str,
+        found: &'a str,
+    },
     /// Operators evacuated a zone or took it back, as of a version of the
     /// store; so many endpoints take new work from then on.
     Evacuation {
--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -352,6 +352,7 @@
                     self.endpoints.upsert(listed.endpoint.clone());
                 }
                 EndpointChange::Gone(name) => self.endpoints.remove(name, now_ms),
+                EndpointChange::Unreadable(name) => self.endpoints.discard(name, now_ms),
             }
             self.changes.push_back(row);
         }
--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -17,6 +17,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use chalkrock_core::EndpointId;
 use chalkrock_routing::{Evacuations, StoreVersion};
 use rand::RngExt;
 use tokio::time::Instant;
@@ -181,6 +182,15 @@
             Row::Rules(document) => is_news |= shared.take_rules(*document, FROM),
             Row::Evacuation(row) => evacuations.push(row),
             Row::Endpoint(row) => changes.push(row),
+            Row::Unreadable(row) => {
+                shared.pass_over(topic, &row);
+                if topic == Topic::Endpoints {
+                    changes.push(EndpointRow {
+                        version: row.version,
+                        change: EndpointChange::Unreadable(EndpointId::new(row.key)),
+                    });
+                }
+            }
         }
     }
     if topic == Topic::Rules {
@@ -210,11 +220,19 @@
     let mut fleet = shared.fleet();
     let is_news = if is_whole {
         let newest = changes.iter().map(|row| row.version).max();
-        let listed = changes.into_iter().filter_map(|row| match row.change {
-            EndpointChange::Listed(listed) => Some(listed),
-            EndpointChange::Gone(_) => None,
-        });
-        fleet.replace(listed.collect(), newest.unwrap_or_default(), now_ms);
+        let mut listed = Vec::with_capacity(changes.len());
+        let mut unreadable = Vec::new();
+        for row in changes {
+            match row.change {
+                EndpointChange::Listed(endpoint) => listed.push(endpoint),
+                EndpointChange::Unreadable(name) => unreadable.push(name),
+                EndpointChange::Gone(_) => {}
+            }
+        }
+        fleet.replace(listed, newest.unwrap_or_default(), now_ms);
+        unreadable
+            .iter()
+            .for_each(|name| fleet.endpoints.discard(name, now_ms));
         true
     } else {
         fleet.take_changes(changes, now_ms)
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -45,6 +45,7 @@
 mod lag;
 mod metrics;
 mod outage_log;
+mod passed_over;
 mod peers;
 mod poison;
 mod prefixes;
@@ -64,5 +65,5 @@
 pub use run::{RunningGateway, start};
 pub use source::{
     EndpointChange, EndpointRow, HostRow, ListedEndpoint, News, PoisonRow, Row, Source,
-    SourceError, Topic,
+    SourceError, Topic, UnreadableRow,
 };
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -21,6 +21,7 @@
 use crate::event_log::{Event, EventLog};
 use crate::fleet::Fleet;
 use crate::lag::Lag;
+use crate::passed_over::PassedOver;
 use crate::poison::PoisonRecords;
 use crate::rules_in_force::{RulesInForce, RulesNews};
 use crate::subscription::StoreSubscription;
@@ -35,6 +36,7 @@
     pub(crate) upstream: Upstream,
     pub(crate) end_checks: EndChecks,
     pub(crate) poison_records: PoisonRecords,
+    pub(crate) passed_over: PassedOver,
     /// Some request is to be sent no further from now on.
     pub(crate) poison_found: Notify,
     pub(crate) lag: Lag,
@@ -75,6 +77,7 @@
             upstream: Upstream::default(),
             end_checks: EndChecks::default(),
             poison_records: PoisonRecords::default(),
+            passed_over: PassedOver::default(),
             poison_found: Notify::new(),
             lag: Lag::default(),
             bodies,
--- a/crates/gateway/src/source.rs
+++ b/crates/gateway/src/source.rs
@@ -1,6 +1,7 @@
 //! Where the rules and the lists of endpoints and hosts come from.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use chalkrock_core::{Endpoint, EndpointId, HostId, ZoneId};
 use chalkrock_routing::{EvacuationRow, RequestFingerprint, RulesDocument, StoreVersion};
@@ -47,6 +48,22 @@
     Evacuation(EvacuationRow),
     /// A change of the list of endpoints.
     Endpoint(EndpointRow),
+    /// A row that another writer made: it says nothing, and what its key named
+    /// before is named no longer.
+    Unreadable(UnreadableRow),
+}
+
+/// A row that can't be read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UnreadableRow {
+    /// When it was written.
+    pub version: StoreVersion,
+    /// The row's key.
+    pub key: Arc<str>,
+    /// The field at fault.
+    pub field: Arc<str>,
+    /// What was found there.
+    pub found: Arc<str>,
 }
 
 /// An endpoint as its entry tells of it.
@@ -75,6 +92,9 @@
     Listed(ListedEndpoint),
     /// It is no longer listed.
     Gone(EndpointId),
+    /// Its entry can't be read: it may not be used, also where entries that lapsed
+    /// are kept.
+    Unreadable(EndpointId),
 }
 
 /// A change of the list of endpoints.
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod evacuations;
 mod large_rules;
 mod peers;
+mod rows;
 mod silences;
 mod stops;
 mod streams;
--- /dev/null
+++ b/crates/gateway/tests/gateway/rows.rs
@@ -0,0 +1,77 @@
+//! Rows of the platform's that another writer made.
+
+use std::time::Duration;
+
+use crate::support::{
+    Behaviour, Call, Script, ScriptedEndpoint, TestGateway, TestSource, figure, rules, until,
+};
+use googletest::prelude::*;
+
+async fn endpoint(name: &str, source: &TestSource) -> ScriptedEndpoint {
+    let endpoint =
+        ScriptedEndpoint::start(name, "pool", Behaviour::Answer, Script::default()).await;
+    source.list(endpoint.endpoint.clone());
+    endpoint
+}
+
+async fn serves(gateway: &TestGateway) -> bool {
+    gateway.call(Call::get("/safe/").id("serves")).await.status == 200
+}
+
+#[tokio::test]
+async fn rows_of_other_writers_keep_no_host_from_starting() {
+    let source = TestSource::default();
+    source.set_rules(rules(1));
+    source.spoil("foreign");
+    let endpoint = endpoint("endpoint-0", &source).await;
+    let gateway = TestGateway::with(source.clone(), "host-1", Vec::new()).await;
+    gateway.ready().await;
+    assert_that!(serves(&gateway).await, eq(true));
+    assert_that!(endpoint.arrivals(), eq(1));
+    assert_that!(figure(&gateway, "rows_passed_over_total").await, ge(1.0));
+}
+
+/// An endpoint whose row is overwritten is used no longer, by any host, also where
+/// entries that lapsed are kept; written well again, it is.
+#[tokio::test]
+async fn rows_that_are_overwritten_name_no_endpoint() {
+    let source = TestSource::default();
+    source.set_rules(rules(1));
+    let endpoints = [
+        endpoint("endpoint-0", &source).await,
+        endpoint("endpoint-1", &source).await,
+    ];
+    let first = TestGateway::with(source.clone(), "host-1", Vec::new()).await;
+    first.ready().await;
+    let second = TestGateway::cut_off("host-2", vec![first.peer_address()]).await;
+    second.ready().await;
+    source.spoil("endpoint-0");
+    for gateway in [&first, &second] {
+        until(async || figure(gateway, "endpoints_live").await == 1.0).await;
+    }
+    let before = endpoints[0].arrivals();
+    for _ in 0..8 {
+        assert_that!(serves(&first).await && serves(&second).await, eq(true));
+    }
+    assert_that!(endpoints[0].arrivals(), eq(before));
+    source.list(endpoints[0].endpoint.clone());
+    for gateway in [&first, &second] {
+        until(async || figure(gateway, "endpoints_live").await == 2.0).await;
+    }
+}
+
+#[tokio::test]
+async fn rows_of_rules_that_can_not_be_read_leave_those_in_force() {
+    let source = TestSource::default();
+    source.set_rules(rules(1));
+    let _endpoint = endpoint("endpoint-0", &source).await;
+    let gateway = TestGateway::with(source.clone(), "host-1", Vec::new()).await;
+    gateway.ready().await;
+    source.spoil_rules();
+    until(async || figure(&gateway, "rows_passed_over_total").await >= 1.0).await;
+    assert_that!(serves(&gateway).await, eq(true));
+    source.set_rules(rules(2));
+    let known = until(async || gateway.knows_rules(2).await);
+    let known = tokio::time::timeout(Duration::from_secs(5), known).await;
+    assert_that!(known.is_ok(), eq(true));
+}
--- a/crates/routing/src/endpoints.rs
+++ b/crates/routing/src/endpoints.rs
@@ -150,6 +150,15 @@
         self.rebuild();
     }
 
+    /// An endpoint's entry no longer says what it is: it is not kept, also where
+    /// entries that lapsed are.
+    pub fn discard(&mut self, name: &EndpointId, now_ms: u64) {
+        if let Some(known) = self.known.get_mut(name) {
+            known.unlist(false, now_ms);
+        }
+        self.rebuild();
+    }
+
     /// Whether endpoints that are unlisted from now on go on taking work: the
     /// store was away, and their entries may have lapsed. Once they are no
     /// longer kept, those that were not listed again are gone.
