Notice that the host stood still, before it sends by what it believed

A suspension is not counted by the steady clock: ages, waits, evacuations and cold times were too young after one, deadlines of requests in progress too late, and the first requests after it, or after a stop by a signal, were sent by what had been known before. Two readings of clocks, one of which counts suspensions (CLOCK_BOOTTIME by rustix), decide it: a table of cases. What was remembered becomes older by what was not counted, deadlines follow, kept connections are closed, and nothing is sent until rules, endpoints and evacuations were asked for again: of a host that did not stand still itself, or of the platform; after a second without either the host goes by what it knew. The same path serves stops by a signal.

Tests, each failing without it: rules change, an endpoint leaves, goes, is evacuated, a request waits, while a host stands still for 1 and 10 s uncounted or 1.5 s counted. Not tested: an endpoint replaced at the same address.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -246,7 +246,9 @@
     let patience = Duration::from_millis(call.route.objective_ms) * MAX_WAIT_OBJECTIVES;
     let mut answer = std::pin::pin!(connection.sender.try_send_request(request));
     loop {
-        let look_at = call.deadline.min(Instant::now() + HEALTH_RECHECK_INTERVAL);
+        let look_at = call
+            .deadline()
+            .min(Instant::now() + HEALTH_RECHECK_INTERVAL);
         let answered = tokio::select! {
             answered = tokio::time::timeout_at(look_at, &mut answer) => answered,
             () = shared.becomes_poison(call.fingerprint) => return Err(AttemptOutcome::Recalled),
@@ -262,7 +264,7 @@
             }
             Err(_) => {}
         }
-        if Instant::now() >= call.deadline {
+        if Instant::now() >= call.deadline() {
             return Err(AttemptOutcome::Silent);
         }
         let now_ms = shared.clock.now_ms();
@@ -284,7 +286,7 @@
     body: Incoming,
 ) -> Result<BufferedResponse, Failure> {
     let reading = Limited::new(body, ANSWER_MAX_BYTES).collect();
-    match tokio::time::timeout_at(call.deadline, reading).await {
+    match tokio::time::timeout_at(call.deadline(), reading).await {
         Ok(Ok(body)) => Ok(BufferedResponse {
             head,
             body: body.to_bytes(),
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -13,16 +13,10 @@
 use tokio::time::Instant;
 
 use crate::caller_body::{HeldBody, read_body};
-use crate::clock::{left_ms, ms};
+use crate::clock::{Clock, left_ms, ms};
 use crate::edge::{CallHead, Refusal, remove_connection_headers};
 use crate::shared::Shared;
 
-/// Time from its start within which a host that does not know rules and endpoints
-/// yet lets requests wait for them. Mostly it knows them within a tenth of a
-/// second, long before a caller that was refused comes back; a host that has
-/// learned nothing by then may not for long, and refuses at once.
-const VIEW_WAIT_MS: u64 = 400;
-
 /// A request that may be dispatched.
 #[derive(Debug)]
 pub(crate) struct Call {
@@ -40,8 +34,12 @@
     /// The objective that counts while the pool is overrun.
     pub(crate) admission_objective_ms: u64,
     pub(crate) entered_at: Instant,
-    /// When the caller or the route gives up, whichever comes first.
-    pub(crate) deadline: Instant,
+    /// When the caller or the route gives up, whichever comes first, unless the host
+    /// is suspended meanwhile.
+    deadline: Instant,
+    clock: Clock,
+    /// What the clock had not counted when the request entered.
+    uncounted_before_ms: u64,
     /// The parts of its prompt that it shares with others, in order.
     pub(crate) shared_parts: Vec<u32>,
     /// A number of its own.
@@ -73,9 +71,17 @@
         .min(LAST)
     }
 
+    /// When the caller or the route gives up, whichever comes first. Its caller was
+    /// not suspended with the host.
+    pub(crate) fn deadline(&self) -> Instant {
+        let uncounted_ms = self.clock.uncounted_ms() - self.uncounted_before_ms;
+        let deadline = self.deadline.checked_sub(ms(uncounted_ms));
+        deadline.unwrap_or(self.entered_at)
+    }
+
     /// How long it may still take.
     pub(crate) fn left_ms(&self) -> u64 {
-        left_ms(self.deadline)
+        left_ms(self.deadline())
     }
 }
 
@@ -104,8 +110,7 @@
             format!("the host is behind by {lag_ms} ms"),
         ));
     }
-    let wait_ms = VIEW_WAIT_MS.saturating_sub(shared.clock.now_ms());
-    let _known_or_refused_below = tokio::time::timeout(ms(wait_ms), shared.view_known()).await;
+    shared.wait_for_view().await;
     let rules = shared
         .rules()
         .filter(|_| shared.has_view())
@@ -143,6 +148,8 @@
         target: target_of(&parts)?,
         headers: end_to_end(parts.headers),
         deadline: entered_at + ms(most_ms),
+        uncounted_before_ms: shared.clock.uncounted_ms(),
+        clock: shared.clock.clone(),
         head,
         body,
         route,
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -1,10 +1,13 @@
 //! Settings of a gateway, whatever file they came from.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use chalkrock_core::{HostId, ZoneId};
 use chalkrock_routing::{BudgetRules, ColdBound, FollowTimes, SpreadRules};
 
+use crate::pause::HostClock;
+
 /// Within how long after a silence of the store all hosts know what changed,
 /// if the settings name no bound.
 const FOLLOW_BOUND_MS: u64 = 3_000;
@@ -46,6 +49,7 @@
     pub(crate) uploads_max: usize,
     pub(crate) bodies_max_bytes: usize,
     pub(crate) is_first_start: bool,
+    pub(crate) host_clock: Option<Arc<dyn HostClock>>,
 }
 
 impl GatewayConfig {
@@ -80,6 +84,7 @@
             uploads_max: UPLOADS_MAX,
             bodies_max_bytes: BODIES_MAX_BYTES,
             is_first_start: false,
+            host_clock: None,
         })
     }
 
@@ -198,6 +203,13 @@
         self
     }
 
+    /// A clock that counts the time in which the host is suspended; without one a
+    /// suspension is not noticed.
+    pub fn host_clock(mut self, clock: Arc<dyn HostClock>) -> Self {
+        self.0.host_clock = Some(clock);
+        self
+    }
+
     /// The settings.
     pub fn build(self) -> GatewayConfig {
         self.0
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -20,6 +20,7 @@
 ) -> Result<AttemptResponse, Refusal> {
     progress.admit()?;
     loop {
+        shared.wait_for_view().await;
         progress.may_send()?;
         if progress.call().left_ms() <= DEADLINE_RESERVE_MS {
             return Err(progress.too_late());
--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -148,6 +148,10 @@
         read_bytes: u64,
         took_ms: u64,
     },
+    /// This host stood still; the steady clock did not count so much of it.
+    Paused { length_ms: u64, uncounted_ms: u64 },
+    /// What was known before a pause was asked for again, or could not be in time.
+    Refreshed { in_time: bool },
     /// A dependency was lost or is back.
     Dependency {
         name: &'a str,
--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -210,6 +210,9 @@
             shared.poison_records.read();
         }
     }
+    if is_whole {
+        shared.topic_refreshed(topic);
+    }
     if is_news {
         shared.publish_now.notify_one();
     }
--- a/crates/gateway/src/lag.rs
+++ b/crates/gateway/src/lag.rs
@@ -15,7 +15,7 @@
 use crate::shared::Shared;
 
 /// How often it is measured.
-const TICK: Duration = Duration::from_millis(200);
+pub(crate) const TICK: Duration = Duration::from_millis(200);
 /// How many measures in a row count.
 const TICKS: usize = 2;
 
@@ -35,6 +35,7 @@
     for turn in (0..TICKS).cycle() {
         let due = Instant::now() + TICK;
         tokio::time::sleep_until(due).await;
+        shared.notice_pause();
         last[turn] = due.elapsed().as_millis() as u64;
         let least = last.iter().min().copied().unwrap_or_default();
         shared.lag.0.store(least, Ordering::Relaxed);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -46,6 +46,7 @@
 mod metrics;
 mod outage_log;
 mod passed_over;
+mod pause;
 mod peers;
 mod poison;
 mod prefixes;
@@ -62,6 +63,7 @@
 pub use arrival::Arrival;
 pub use config::{GatewayConfig, GatewayConfigBuilder};
 pub use edge::{AnswerHead, CallHead, Edge, PrefixPart, Refusal, SendHead};
+pub use pause::HostClock;
 pub use run::{RunningGateway, start};
 pub use source::{
     EndpointChange, EndpointRow, HostRow, ListedEndpoint, News, PoisonRow, Row, Source,
--- a/crates/gateway/src/peers/api.rs
+++ b/crates/gateway/src/peers/api.rs
@@ -63,6 +63,9 @@
     pub(crate) evacuations: Evacuations,
     /// Requests that are sent no further.
     pub(crate) poison: Vec<PoisonRequest>,
+    /// Whether the asked host can serve: it has all it takes, and did not stand still of
+    /// late.
+    pub(crate) is_fresh: bool,
     /// The hosts of the fleet, for one that knows of few.
     pub(crate) hosts: Vec<NamedHost>,
     /// Set if this is not all that it is missing.
--- a/crates/gateway/src/peers/membership.rs
+++ b/crates/gateway/src/peers/membership.rs
@@ -105,6 +105,21 @@
         !self.is_heard(now) && !is_named
     }
 
+    /// All that is remembered of it is older by so much than the clock says. What is
+    /// older than the clock is forgotten.
+    fn age(&mut self, by: Duration) {
+        let ages = [
+            &mut self.heard_at,
+            &mut self.named_at,
+            &mut self.sent_at,
+            &mut self.relayed_at,
+            &mut self.summed_up_at,
+        ];
+        for at in ages {
+            *at = at.and_then(|at| at.checked_sub(by));
+        }
+    }
+
     pub(super) fn is_forgotten(&self, now: Instant) -> bool {
         let last = self.heard_at.max(self.named_at);
         now - last.unwrap_or(self.added_at) > FORGET_AFTER
@@ -156,6 +171,12 @@
         })
     }
 
+    /// All that is remembered of other hosts is older by so much than the runtime's
+    /// clock says.
+    pub(crate) fn age(&self, by: Duration) {
+        self.known().values_mut().for_each(|member| member.age(by));
+    }
+
     pub(super) fn known(&self) -> MutexGuard<'_, HashMap<SocketAddr, Member>> {
         self.known.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -26,6 +26,6 @@
 
 pub(crate) use membership::{Membership, zone_hash};
 pub(crate) use publish::publish;
-pub(crate) use pull::{pull_at_start, pull_when_behind};
+pub(crate) use pull::{catch_up_with_any, pull_at_start, pull_when_behind};
 pub(crate) use receive::receive;
 pub(crate) use serve::serve_pulls;
--- a/crates/gateway/src/peers/pull.rs
+++ b/crates/gateway/src/peers/pull.rs
@@ -123,7 +123,7 @@
         // Whoever knows more may have gone meanwhile; by now others know it too.
         let second = peers.any().filter(|address| *address != first);
         for address in [Some(first), second].into_iter().flatten() {
-            if catch_up(&shared, &peers, address).await {
+            if catch_up(&shared, &peers, address).await != CaughtUp::No {
                 continue 'behind;
             }
         }
@@ -132,33 +132,63 @@
     }
 }
 
+/// Takes what is missing from one of two other hosts, any of them. Returns whether
+/// one could be asked that did not stand still itself.
+pub(crate) async fn catch_up_with_any(shared: &Shared, peers: &Membership) -> bool {
+    const TRIES: usize = 2;
+    for _ in 0..TRIES {
+        let Some(address) = peers.any() else {
+            return false;
+        };
+        if catch_up(shared, peers, address).await == CaughtUp::WithFresh {
+            return true;
+        }
+    }
+    false
+}
+
+/// What became of taking what is missing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum CaughtUp {
+    /// The host was not busy, and did not stand still of late.
+    WithFresh,
+    /// It was not busy.
+    WithStale,
+    /// It could not be asked, or was busy for too long.
+    No,
+}
+
 /// Takes what is missing from a host that knows more, and from those it names
-/// while it is busy. Returns whether it could be asked, and was not busy for
-/// too long.
-async fn catch_up(shared: &Shared, peers: &Membership, first: SocketAddr) -> bool {
+/// while it is busy.
+async fn catch_up(shared: &Shared, peers: &Membership, first: SocketAddr) -> CaughtUp {
     let first_byte = ms(shared.config.follow.pull_timeout_ms);
     let mut from = first;
     for _ in 0..BUSY_TRIES {
         let have = have(shared, peers);
         let Some(missing) = pull(shared, from, have, first_byte).await else {
             if from == first {
-                return false;
+                return CaughtUp::No;
             }
             // One that it named has gone.
             from = first;
             continue;
         };
+        let done = if missing.is_fresh {
+            CaughtUp::WithFresh
+        } else {
+            CaughtUp::WithStale
+        };
         let Some(busy) = take(shared, peers, missing) else {
-            return true;
+            return done;
         };
         let pause_ms = rand::rng().random_range(BUSY_PAUSE_MS);
         tokio::time::sleep(ms(pause_ms)).await;
         if !is_behind(shared, &busy) {
-            return true;
+            return done;
         }
         from = named_by(&busy, peers).unwrap_or(first);
     }
-    false
+    CaughtUp::No
 }
 
 /// Whether a host that was busy still knows more.
--- a/crates/gateway/src/peers/serve.rs
+++ b/crates/gateway/src/peers/serve.rs
@@ -91,6 +91,7 @@
         if have.hosts > hosts.len() / FEW_PART {
             hosts.clear();
         }
+        self.shared.notice_pause();
         let now_ms = self.shared.clock.now_ms();
         let poison = self.shared.fleet().poison.poison(POISON_MAX, now_ms);
         let missing = Missing {
@@ -98,6 +99,7 @@
             endpoints: endpoint_news(&self.shared, have.endpoints),
             evacuations: self.shared.fleet().evacuations.clone(),
             poison,
+            is_fresh: self.shared.has_view(),
             hosts,
             busy: None,
         };
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -120,7 +120,7 @@
         loop {
             let look_at = self
                 .call
-                .deadline
+                .deadline()
                 .min(Instant::now() + HEALTH_RECHECK_INTERVAL);
             match tokio::time::timeout_at(look_at, stream.body.frame()).await {
                 Ok(Some(Ok(frame))) => {
@@ -133,7 +133,7 @@
                 }
                 Ok(Some(Err(_))) => return Arrived::Broken,
                 Ok(None) => return Arrived::End,
-                Err(_) if Instant::now() >= self.call.deadline => return Arrived::TooLate,
+                Err(_) if Instant::now() >= self.call.deadline() => return Arrived::TooLate,
                 Err(_) => {
                     let is_silent = self.heard_at.elapsed() >= silence(&self.call);
                     if is_silent && self.progress.may_leave() {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -18,6 +18,7 @@
 use crate::front::accept;
 use crate::lag::measure_lag;
 use crate::outage_log::OutageLog;
+use crate::pause::refresh_after_pauses;
 use crate::peers::{
     Membership, publish, pull_at_start, pull_when_behind, receive, serve_pulls, zone_hash,
 };
@@ -171,6 +172,7 @@
     tasks.spawn(serve_pulls(shared.clone(), peers.clone(), listener));
     tasks.spawn(pull_at_start(shared.clone(), peers.clone()));
     tasks.spawn(pull_when_behind(shared.clone(), peers.clone()));
+    tasks.spawn(refresh_after_pauses(shared.clone(), peers.clone()));
     let row = HostRow {
         host: shared.config.host.clone(),
         zone: shared.config.zone.clone(),
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -1,6 +1,6 @@
 //! What all requests of a gateway share.
 
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
@@ -22,11 +22,18 @@
 use crate::fleet::Fleet;
 use crate::lag::Lag;
 use crate::passed_over::PassedOver;
+use crate::pause::Pauses;
 use crate::poison::PoisonRecords;
 use crate::rules_in_force::{RulesInForce, RulesNews};
 use crate::subscription::StoreSubscription;
 use crate::upstream::Upstream;
 
+/// Time within which a host that does not know rules and endpoints yet, or no longer,
+/// lets requests wait for them. Mostly it knows them within a tenth of a second, long
+/// before a caller that was refused comes back; a host that has learned nothing by then
+/// may not for long, and refuses at once.
+const VIEW_WAIT_MS: u64 = 400;
+
 pub(crate) struct Shared {
     pub(crate) config: GatewayConfig,
     pub(crate) clock: Clock,
@@ -37,6 +44,7 @@
     pub(crate) end_checks: EndChecks,
     pub(crate) poison_records: PoisonRecords,
     pub(crate) passed_over: PassedOver,
+    pub(crate) pauses: Pauses,
     /// Some request is to be sent no further from now on.
     pub(crate) poison_found: Notify,
     pub(crate) lag: Lag,
@@ -57,6 +65,8 @@
     knows_endpoints: AtomicBool,
     /// Whether the host can serve.
     has_view: watch::Sender<bool>,
+    /// Since when it can't, on the shared clock.
+    no_view_since_ms: AtomicU64,
 }
 
 impl Shared {
@@ -78,6 +88,7 @@
             end_checks: EndChecks::default(),
             poison_records: PoisonRecords::default(),
             passed_over: PassedOver::default(),
+            pauses: Pauses::default(),
             poison_found: Notify::new(),
             lag: Lag::default(),
             bodies,
@@ -91,6 +102,7 @@
             publish_now: Notify::new(),
             knows_endpoints: AtomicBool::new(false),
             has_view: watch::channel(false).0,
+            no_view_since_ms: AtomicU64::new(0),
         })
     }
 
@@ -181,8 +193,9 @@
         self.update_view();
     }
 
-    fn update_view(&self) {
-        let has_view = self.rules().is_some() && self.knows_endpoints();
+    pub(crate) fn update_view(&self) {
+        let knows_all = self.rules().is_some() && self.knows_endpoints();
+        let has_view = knows_all && self.pauses.is_fresh();
         self.has_view.send_if_modified(|known| {
             let is_news = *known != has_view;
             *known = has_view;
@@ -190,6 +203,26 @@
         });
     }
 
+    /// What is known has to be asked for again before it is used.
+    pub(crate) fn view_is_stale(&self) {
+        let now_ms = self.clock.now_ms();
+        self.no_view_since_ms.store(now_ms, Ordering::Relaxed);
+        self.update_view();
+    }
+
+    /// Lets a request wait for what it takes to serve it, for a while after that began
+    /// to be missing. Looks whether the host stood still first.
+    pub(crate) async fn wait_for_view(&self) {
+        self.notice_pause();
+        if self.has_view() {
+            return;
+        }
+        let since_ms = self.no_view_since_ms.load(Ordering::Relaxed);
+        let missing_ms = self.clock.now_ms().saturating_sub(since_ms);
+        let wait = ms(VIEW_WAIT_MS.saturating_sub(missing_ms));
+        let _known_or_refused_then = tokio::time::timeout(wait, self.view_known()).await;
+    }
+
     /// Waits until the host can serve.
     pub(crate) async fn view_known(&self) {
         let mut has_view = self.has_view.subscribe();
--- a/crates/gateway/src/subscription.rs
+++ b/crates/gateway/src/subscription.rs
@@ -196,6 +196,15 @@
         self.of(topic).is_answered.store(false, Ordering::Relaxed);
     }
 
+    /// All that is remembered is older by so much than the runtime's clock says.
+    pub(crate) fn age(&self, by: Duration) {
+        self.answered_at.send_modify(|at| {
+            for answered_at in [&mut at.own, &mut at.near, &mut at.far] {
+                *answered_at = answered_at.and_then(|at| at.checked_sub(by));
+            }
+        });
+    }
+
     /// How long ago the platform answered, as told to others; `Near` is this
     /// host or one that told so itself.
     pub(crate) fn answered_ago_ms(&self, whom: AnsweredHost) -> Option<u32> {
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -117,6 +117,12 @@
         }
     }
 
+    /// Closes all connections that rest: their time of rest may be over.
+    pub(crate) fn close_kept(&self) {
+        let mut all = self.kept.lock().unwrap_or_else(PoisonError::into_inner);
+        all.clear();
+    }
+
     /// Closes connections that have rested too long.
     pub(crate) fn sweep(&self) {
         let mut all = self.kept.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/gateway/tests/gateway/crashes.rs
+++ b/crates/gateway/tests/gateway/crashes.rs
@@ -158,6 +158,8 @@
     const ENDS: usize = 4;
     let fleet = CrashFleet::start(2, 12).await;
     let host = &fleet.hosts[0];
+    let call = Call::get("/safe/").id("before");
+    assert_that!(host.call(call).await.status, eq(200));
     for number in 0..ENDS {
         let deadly = [DEADLY, &[number as u8]].concat();
         let ends = host.call(Call::post("/once/", &deadly).id("ends"));
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod crashes;
 mod evacuations;
 mod large_rules;
+mod pauses;
 mod peers;
 mod rows;
 mod silences;
--- a/crates/gateway/tests/gateway/support/mod.rs
+++ b/crates/gateway/tests/gateway/support/mod.rs
@@ -6,6 +6,7 @@
 mod fleet;
 mod link;
 mod source;
+mod suspendable;
 
 pub(crate) use crashing::{CrashingEndpoint, DEADLY};
 pub(crate) use edge::TestEdge;
@@ -15,3 +16,4 @@
 };
 pub(crate) use link::SlowLink;
 pub(crate) use source::TestSource;
+pub(crate) use suspendable::SuspendableGateway;
