Ask in one place whether a cold endpoint is bounded

Two places asked it by halves: what may be sent asked for the operators' bound, what counts places and takes requests back did not, so that without a bound a request for an endpoint that calls itself cold was withdrawn if its connection took 200 ms, and admission counted fewer places. ColdEndpoints::is_bounded asks all of it; its test has the case without a bound.

--- a/crates/gateway/src/fleet/closed.rs
+++ b/crates/gateway/src/fleet/closed.rs
@@ -114,8 +114,12 @@
 
     /// Whether an endpoint is cold and bears only so many requests meanwhile.
     pub(super) fn is_bounded(&self, member: &Member, now_ms: u64) -> bool {
-        let is_cold = || self.cold.is_cold(member.hash.short(), now_ms);
-        !self.cold.is_empty() && self.cold_per_s(&member.endpoint.pool) > 0.0 && is_cold()
+        if self.cold.is_empty() {
+            return false;
+        }
+        let bears_per_s = self.cold_per_s(&member.endpoint.pool);
+        self.cold
+            .is_bounded(member.hash.short(), bears_per_s, now_ms)
     }
 
     /// Requests that a cold endpoint of a pool bears in a second, 0 for any
--- a/crates/routing/src/cold.rs
+++ b/crates/routing/src/cold.rs
@@ -224,19 +224,21 @@
         self.endpoints.is_empty()
     }
 
+    /// Whether an endpoint is cold and bears only so many requests a second meanwhile
+    /// (0 for any number), and operators bound what it is sent.
+    pub fn is_bounded(&self, endpoint: u32, bears_per_s: f64, now_ms: u64) -> bool {
+        self.bound.is_some() && bears_per_s > 0.0 && self.is_cold(endpoint, now_ms)
+    }
+
     /// Whether this host may send a request to an endpoint now, which bears so
     /// many a second while it is cold (0 for one that bears any number);
     /// `is_near`: of this host's zone.
     pub fn may_send(&self, endpoint: u32, bears_per_s: f64, is_near: bool, now_ms: u64) -> bool {
-        let Some(bound) = self.bound.filter(|_| bears_per_s > 0.0) else {
-            return true;
-        };
-        let Some(cold) = self.endpoints.get(&endpoint) else {
+        let is_bounded = self.is_bounded(endpoint, bears_per_s, now_ms);
+        let cold = self.endpoints.get(&endpoint).filter(|_| is_bounded);
+        let (Some(bound), Some(cold)) = (self.bound, cold) else {
             return true;
         };
-        if now_ms >= cold.until_ms() {
-            return true;
-        }
         let hosts = self.hosts.len().max(self.hosts_at_least);
         let share = ColdShare::of(&bound, bears_per_s, hosts);
         if !is_near || !self.is_sender(endpoint, share.senders) {
--- a/crates/routing/tests/cold.rs
+++ b/crates/routing/tests/cold.rs
@@ -25,6 +25,29 @@
     cold
 }
 
+/// Where operators set no bound, an endpoint that says it is cold was counted with fewer
+/// places than it has, and a request for it taken back if its connection opened slowly:
+/// only what may be sent asked for the bound.
+#[test]
+fn endpoint_is_bounded_only_where_operators_set_a_bound() {
+    let bound = ColdBound {
+        overshoot: 1.5,
+        slack: 5.0,
+    };
+    let cases = [
+        ("no bound", None, 2.0, false),
+        ("bears any number", Some(bound), 0.0, false),
+        ("bound", Some(bound), 2.0, true),
+    ];
+    for (case, bound, bears_per_s, expected) in cases {
+        let mut cold = ColdEndpoints::new(bound);
+        cold.told(7, 3_000, 0);
+        assert_that!(cold.is_bounded(7, bears_per_s, 10), eq(expected), "{case}");
+        assert_that!(cold.is_bounded(8, bears_per_s, 10), eq(false), "{case}");
+        assert_that!(cold.is_bounded(7, bears_per_s, 3_000), eq(false), "{case}");
+    }
+}
+
 #[test]
 fn share_gives_all_of_the_rate_to_as_many_hosts_as_the_bound_bears() {
     let cases = [
