Ask an endpoint again that seemed to have ended half a second ago

An endpoint that is too full to accept refuses as one that has ended does. What was found held for good: all that broke there later would have counted as ends.

--- a/crates/gateway/src/end_checks.rs
+++ b/crates/gateway/src/end_checks.rs
@@ -5,22 +5,41 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use tokio::net::TcpStream;
 use tokio::sync::OnceCell;
+use tokio::time::Instant;
 
 /// How long a live endpoint may take to accept: round trips between zones take a
 /// few milliseconds. One that says nothing for this long counts as ended.
 const ACCEPTS_WITHIN: Duration = Duration::from_millis(100);
+/// How long an end is taken for certain. All that runs at an endpoint breaks off at
+/// once; one that lives and was too full to accept is asked again after this.
+const ENDED_FOR: Duration = Duration::from_millis(500);
 /// Ended endpoints that are remembered, so that each is asked once.
 const ENDED_MAX: usize = 1_024;
 
+/// What a check found, and when.
+#[derive(Clone, Copy, Debug)]
+struct Found {
+    has_ended: bool,
+    at: Instant,
+}
+
+impl Found {
+    fn is_over(&self) -> bool {
+        !self.has_ended || self.at.elapsed() >= ENDED_FOR
+    }
+}
+
+type Check = Arc<OnceCell<Found>>;
+
 /// Checks that run, and endpoints that were found to have ended.
 #[derive(Debug, Default)]
 pub(crate) struct EndChecks {
-    by_start: Mutex<HashMap<u32, Arc<OnceCell<bool>>>>,
+    by_start: Mutex<HashMap<u32, Check>>,
 }
 
 impl EndChecks {
@@ -28,31 +47,27 @@
     /// once open one connection.
     pub(crate) async fn has_ended(&self, start: u32, address: SocketAddr) -> bool {
         let check = self.check_of(start);
-        let has_ended = *check.get_or_init(|| refuses(address)).await;
-        if !has_ended {
-            // It may end later.
-            self.checks().remove(&start);
-        }
-        has_ended
+        check.get_or_init(|| ask(address)).await.has_ended
     }
 
-    fn check_of(&self, start: u32) -> Arc<OnceCell<bool>> {
-        let mut checks = self.checks();
+    fn check_of(&self, start: u32) -> Check {
+        let mut checks = self.by_start.lock().unwrap_or_else(PoisonError::into_inner);
         if checks.len() >= ENDED_MAX {
             checks.clear();
         }
-        checks.entry(start).or_default().clone()
-    }
-
-    fn checks(&self) -> MutexGuard<'_, HashMap<u32, Arc<OnceCell<bool>>>> {
-        self.by_start.lock().unwrap_or_else(PoisonError::into_inner)
+        let check = checks.entry(start).or_default();
+        if check.get().is_some_and(Found::is_over) {
+            *check = Check::default();
+        }
+        check.clone()
     }
 }
 
-async fn refuses(address: SocketAddr) -> bool {
+async fn ask(address: SocketAddr) -> Found {
     let connecting = TcpStream::connect(address);
-    !matches!(
-        tokio::time::timeout(ACCEPTS_WITHIN, connecting).await,
-        Ok(Ok(_))
-    )
+    let connected = tokio::time::timeout(ACCEPTS_WITHIN, connecting).await;
+    Found {
+        has_ended: !matches!(connected, Ok(Ok(_))),
+        at: Instant::now(),
+    }
 }
