--- a/crates/gateway/src/pause.rs
+++ b/crates/gateway/src/pause.rs
@@ -2,8 +2,10 @@
 //!
 //! After a stop or a suspension all that was believed is older by its length, as far
 //! as the steady clock did not count it, and rules, endpoints and evacuations may have
-//! changed. Nothing is sent by them until they were asked for again, of another host
-//! or, by a host that reads the platform, of that; or until neither can be had.
+//! changed. New requests are not sent by them until they were asked for again, of
+//! another host or, by a host that reads the platform, of that; or until neither can be
+//! had. What runs already and has to go on elsewhere waits for that too, but no longer
+//! than its caller bears.
 
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -42,7 +44,7 @@
 }
 
 /// The last look at the clocks, and what followed from pauses.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub(crate) struct Pauses {
     last: Mutex<ClockReading>,
     stale: watch::Sender<Stale>,
@@ -50,16 +52,6 @@
     noticed: watch::Sender<Vec<Pause>>,
 }
 
-impl Default for Pauses {
-    fn default() -> Self {
-        Self {
-            last: Mutex::default(),
-            stale: watch::channel(Stale::default()).0,
-            noticed: watch::channel(Vec::new()).0,
-        }
-    }
-}
-
 impl Pauses {
     /// Whether what is known may be used.
     pub(crate) fn is_fresh(&self) -> bool {
--- a/crates/gateway/src/poison.rs
+++ b/crates/gateway/src/poison.rs
@@ -110,7 +110,9 @@
     }
 
     /// An attempt broke off. Finds out whether its endpoint has ended, and notes
-    /// what ran there. An endpoint that was leaving had reason to end.
+    /// what ran there. An endpoint that was leaving had reason to end. The others are
+    /// told at once of what was there twice, and of the rest in the next round: where a
+    /// zone is lost each request that broke would bring a round of its own.
     pub(crate) async fn attempt_broke(
         &self,
         request: RequestFingerprint,
@@ -138,7 +140,9 @@
             crashes,
         });
         self.take_verdicts(verdict, "own");
-        self.publish_now.notify_one();
+        if crashes > 1 {
+            self.publish_now.notify_one();
+        }
     }
 
     /// Waits until a request is to be sent no further. One that an endpoint has not
@@ -165,7 +169,7 @@
     pub(crate) fn merge_poison_news(&self, told: &[PoisonNews], passes_on: bool) {
         let now_ms = self.clock.now_ms();
         let verdicts = self.fleet().poison.merge(told, passes_on, now_ms);
-        if passes_on {
+        if passes_on && !verdicts.is_empty() {
             self.publish_now.notify_one();
         }
         self.take_verdicts(verdicts, "peer");
@@ -194,8 +198,10 @@
                     self.poison_found.notify_waiters();
                     (request, true)
                 }
-                Verdict::Cleared(request) => {
-                    self.poison_records.remove(request);
+                Verdict::Cleared { request, records } => {
+                    if records {
+                        self.poison_records.remove(request);
+                    }
                     (request, false)
                 }
             };
--- a/crates/routing/src/poison.rs
+++ b/crates/routing/src/poison.rs
@@ -93,7 +93,12 @@
         records: bool,
     },
     /// It ran well after all, and was sent no further until now.
-    Cleared(RequestFingerprint),
+    Cleared {
+        /// The request.
+        request: RequestFingerprint,
+        /// Whether this host is the one to remove its record: it saw the run.
+        records: bool,
+    },
 }
 
 #[derive(Clone, Debug)]
@@ -215,7 +220,10 @@
         self.remember_ran_well(request);
         let suspect = self.suspects.remove(&request)?;
         self.queue(PoisonNews::RanWell(request), now_ms);
-        suspect.is_poison.then_some(Verdict::Cleared(request))
+        let records = true;
+        suspect
+            .is_poison
+            .then_some(Verdict::Cleared { request, records })
     }
 
     /// Takes what another host told, and passes on what is new if it is for this
@@ -243,7 +251,8 @@
                     self.remember_ran_well(request);
                     let suspect = self.suspects.remove(&request);
                     let was_poison = suspect.is_some_and(|suspect| suspect.is_poison);
-                    verdicts.extend(was_poison.then_some(Verdict::Cleared(request)));
+                    let records = false;
+                    verdicts.extend(was_poison.then_some(Verdict::Cleared { request, records }));
                     is_new
                 }
             };
