--- a/crates/core/src/hosts.rs
+++ b/crates/core/src/hosts.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
-use crate::ids::{EndpointId, HostId, Incarnation, PoolId, ZoneId};
+use crate::ids::{BuildVersion, EndpointId, HostId, Incarnation, PoolId, ZoneId};
 use crate::rendezvous::MemberHash;
 
 /// Whether a host or endpoint may be given new work.
@@ -63,6 +63,10 @@
     pub incarnation: Incarnation,
     /// Live or leaving.
     pub state: HostState,
+    /// The software that it runs. It is passed on beside the list and not in it, so
+    /// that hosts of an earlier build can read the list.
+    #[serde(skip)]
+    pub build: BuildVersion,
 }
 
 impl Endpoint {
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -74,6 +74,23 @@
     /// A change of configuration, chosen by its author's tool.
     ChangeId
 }
+name! {
+    /// The version of the software that an endpoint runs; empty where it is not known.
+    BuildVersion
+}
+
+impl Default for BuildVersion {
+    fn default() -> Self {
+        Self::new("")
+    }
+}
+
+impl BuildVersion {
+    /// Whether it is known.
+    pub fn is_known(&self) -> bool {
+        !self.0.is_empty()
+    }
+}
 
 /// The version of a configuration. It only rises.
 #[derive(
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -45,8 +45,8 @@
 pub use error::{Error, ErrorKind};
 pub use hosts::{Endpoint, EndpointKind, Host, HostList, HostState};
 pub use ids::{
-    ChangeId, ConfigVersion, EndpointId, HostId, Incarnation, ModelId, OrganisationId, PoolId,
-    RequestId, ZoneId,
+    BuildVersion, ChangeId, ConfigVersion, EndpointId, HostId, Incarnation, ModelId,
+    OrganisationId, PoolId, RequestId, ZoneId,
 };
 pub use keys::key_digest;
 pub use load_table::{HostLoad, LoadEntry, LoadSampler, LoadTable};
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use chalkrock_core::{
-    Endpoint, EndpointId, EndpointKind, HostList, HostState, Incarnation, Membership,
+    BuildVersion, Endpoint, EndpointId, EndpointKind, HostList, HostState, Incarnation, Membership,
 };
 use googletest::prelude::*;
 use serde::Deserialize;
@@ -33,6 +33,7 @@
         slots: 1,
         incarnation: Incarnation(incarnation),
         state,
+        build: BuildVersion::default(),
     }
 }
 
--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -79,15 +79,23 @@
             Command::new("story")
                 .about("Tells a request's story from the lines that hosts wrote")
                 .arg(Arg::new("request").value_name("REQUEST").required(true))
-                .arg(
-                    Arg::new("logs")
-                        .value_name("FILE")
-                        .num_args(1..)
-                        .required(true)
-                        .value_parser(value_parser!(PathBuf))
-                        .help("Files with the lines of hosts"),
-                ),
+                .arg(logs()),
         )
+        .subcommand(
+            Command::new("rollout")
+                .about("Tells how a pool moved to another build, and on what evidence")
+                .arg(Arg::new("pool").value_name("POOL").required(true))
+                .arg(logs()),
+        )
+}
+
+fn logs() -> Arg {
+    Arg::new("logs")
+        .value_name("FILE")
+        .num_args(1..)
+        .required(true)
+        .value_parser(value_parser!(PathBuf))
+        .help("Files with the lines of hosts")
 }
 
 fn apply() -> Command {
--- a/crates/ctl/src/error.rs
+++ b/crates/ctl/src/error.rs
@@ -45,8 +45,8 @@
     /// No configuration was submitted yet.
     #[error("there is no configuration yet; submit one with `chalkrockctl apply FILE`")]
     Empty,
-    /// No line speaks of a request.
-    #[error("no line speaks of request {0}; is the log of the host that took it among the files?")]
+    /// No line speaks of what was asked for.
+    #[error("no line speaks of {0}; are the logs of the hosts that saw it among the files?")]
     NoLines(String),
     /// A router did not answer.
     #[error("router {url}: {reason}")]
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -54,6 +54,7 @@
         "hosts" => print(&session.hosts().await?.hosts, output),
         "engines" => print(&session.hosts().await?.endpoints, output),
         "story" => println!("{}", story(matches)?),
+        "rollout" => println!("{}", rollout(matches)?),
         "explain" => print(&session.explain(&text(matches, "request")).await?, output),
         _ => {}
     }
@@ -102,6 +103,26 @@
 }
 
 fn story(matches: &ArgMatches) -> eyre::Result<Story> {
+    let request = text(matches, "request");
+    let story = Story::of(&request, logs(matches)?.lines());
+    some_lines(story, request)
+}
+
+fn rollout(matches: &ArgMatches) -> eyre::Result<Story> {
+    let pool = text(matches, "pool");
+    let story = Story::of_rollout(&pool, logs(matches)?.lines());
+    some_lines(story, pool)
+}
+
+fn some_lines(story: Story, asked: String) -> eyre::Result<Story> {
+    if story.is_empty() {
+        return Err(CtlError::NoLines(asked).into());
+    }
+    Ok(story)
+}
+
+/// The lines of all files.
+fn logs(matches: &ArgMatches) -> eyre::Result<String> {
     let mut logs = String::new();
     for file in matches.get_many::<PathBuf>("logs").unwrap_or_default() {
         let log = std::fs::read(file);
@@ -109,12 +130,7 @@
         logs.push_str(&String::from_utf8_lossy(&log));
         logs.push('\n');
     }
-    let request = text(matches, "request");
-    let story = Story::of(&request, logs.lines());
-    if story.is_empty() {
-        return Err(CtlError::NoLines(request).into());
-    }
-    Ok(story)
+    Ok(logs)
 }
 
 fn text(matches: &ArgMatches, name: &str) -> String {
--- a/crates/ctl/src/story.rs
+++ b/crates/ctl/src/story.rs
@@ -91,6 +91,23 @@
         Self(story)
     }
 
+    /// Finds what hosts said of the rollout of a pool: its orders, each stage that it
+    /// came to with the evidence for it, and when the platform took no record.
+    pub fn of_rollout<'a>(pool: &str, lines: impl Iterator<Item = &'a str>) -> Self {
+        let text = |line: &Line, field: &str| {
+            let value = line.fields.get(field).and_then(Value::as_str);
+            value.map(str::to_owned)
+        };
+        let matters = |line: &Line| match line.event.as_str() {
+            "rollout" | "rollout-order" => text(line, "pool").as_deref() == Some(pool),
+            "dependency" => text(line, "name").as_deref() == Some("platform-rollouts"),
+            _ => false,
+        };
+        let mut story: Vec<Line> = lines.filter_map(Line::parse).filter(matters).collect();
+        story.sort_by(|a, b| (a.unix_ms, &a.host).cmp(&(b.unix_ms, &b.host)));
+        Self(story)
+    }
+
     /// Whether nothing was said of the request.
     pub fn is_empty(&self) -> bool {
         self.0.is_empty()
--- a/crates/ctl/tests/story.rs
+++ b/crates/ctl/tests/story.rs
@@ -30,6 +30,27 @@
     );
 }
 
+#[test]
+fn story_of_a_rollout_holds_its_stages_and_their_evidence() {
+    const LOG: &str = r#"
+{"unix_ms":100,"host":"host-1","event":"rollout-order","pool":"chat","build":"v2","within_ms":12000,"is_withdrawn":false,"from":"platform"}
+{"unix_ms":3000,"host":"host-2","event":"rollout","pool":"chat","build":"v2","stage":"rolled-back","reason":"bad","evidence":{"failures":4}}
+{"unix_ms":200,"host":"host-1","event":"rollout","pool":"chat","build":"v2","stage":"canary","reason":"ordered"}
+{"unix_ms":250,"host":"host-1","event":"rollout","pool":"other","build":"v2","stage":"canary","reason":"ordered"}
+{"unix_ms":300,"host":"host-1","event":"request","id":"r-1","status":200}
+"#;
+    let story = Story::of_rollout("chat", LOG.lines()).to_string();
+    let lines: Vec<&str> = story.lines().collect();
+    assert_that!(
+        lines,
+        elements_are![
+            starts_with("0 ms host-1 rollout-order"),
+            contains_substring("100 ms host-1 rollout build=\"v2\""),
+            contains_substring("evidence={\"failures\":4}"),
+        ]
+    );
+}
+
 #[test]
 fn story_of_a_request_that_no_one_saw_is_empty() {
     assert_that!(Story::of("r-9", LOG.lines()).is_empty(), eq(true));
--- a/crates/e2e/src/cluster.rs
+++ b/crates/e2e/src/cluster.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use chalkrock_core::{
-    ChangeId, ConfigVersion, Endpoint, EndpointKind, FleetConfig, Host, HostList, HostState,
-    Incarnation, Organisation, Pool, PoolKind, key_digest,
+    BuildVersion, ChangeId, ConfigVersion, Endpoint, EndpointKind, FleetConfig, Host, HostList,
+    HostState, Incarnation, Organisation, Pool, PoolKind, key_digest,
 };
 use chalkrock_platform::{Change, ConfigStore, HttpPlatform};
 use chalkrock_standin::{
@@ -344,5 +344,6 @@
         slots: 64,
         incarnation: Incarnation(1),
         state: HostState::Live,
+        build: BuildVersion::default(),
     }
 }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -42,6 +42,8 @@
     /// Counts the stream while it runs.
     pub(crate) _on_endpoint: InFlightGuard,
     pub(crate) answer: AnswerHead,
+    /// When the request was sent.
+    pub(crate) sent_at: Instant,
 }
 
 /// What an endpoint gave.
@@ -72,7 +74,8 @@
 ) -> Result<AttemptResponse, Failure> {
     let call = &**progress.call();
     let short = choice.member.hash.short();
-    let on_endpoint = InFlightGuard::begin(shared, &call.pool, short);
+    let on_endpoint = InFlightGuard::begin(shared, call, short);
+    let began_at = Instant::now();
     let answered = answered(shared, progress, choice, resume_after).await;
     let (connection, head, body, answer) = match answered {
         Ok(answered) => answered,
@@ -96,8 +99,10 @@
             connection,
             _on_endpoint: on_endpoint,
             answer,
+            sent_at: began_at,
         })));
     }
+    progress.answer_began(began_at.elapsed());
     let whole = read_whole(call, head, body).await?;
     shared.ran_well(call.fingerprint);
     if !answer.closes {
@@ -106,6 +111,7 @@
     if whole.head.status.is_server_error() {
         return Err(failed(call, whole));
     }
+    progress.answer_ended(Some(began_at.elapsed()));
     let now_ms = shared.clock.now_ms();
     shared
         .fleet()
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use chalkrock_core::{HostId, ZoneId};
-use chalkrock_routing::{BudgetRules, ColdBound, FollowTimes, SpreadRules};
+use chalkrock_routing::{BudgetRules, ColdBound, ExposureBound, FollowTimes, SpreadRules};
 
 use crate::pause::HostClock;
 
@@ -45,6 +45,7 @@
     pub(crate) evacuation_copy_ms: u64,
     pub(crate) cold_bound: Option<ColdBound>,
     pub(crate) entry_delay_ms: u64,
+    pub(crate) exposure_bound: ExposureBound,
     pub(crate) capacity_millicores: u16,
     pub(crate) uploads_max: usize,
     pub(crate) bodies_max_bytes: usize,
@@ -80,6 +81,7 @@
             evacuation_copy_ms: 0,
             cold_bound: None,
             entry_delay_ms: ENTRY_DELAY_MS,
+            exposure_bound: ExposureBound::default(),
             capacity_millicores: ONE_CORE_MILLICORES,
             uploads_max: UPLOADS_MAX,
             bodies_max_bytes: BODIES_MAX_BYTES,
@@ -175,6 +177,12 @@
         self
     }
 
+    /// The bound on requests to a build that may be bad.
+    pub fn exposure_bound(mut self, bound: ExposureBound) -> Self {
+        self.0.exposure_bound = bound;
+        self
+    }
+
     /// What the host may use of a processor, in thousandths of a core: in a
     /// large fleet strong hosts relay for the others.
     pub fn capacity_millicores(mut self, millicores: u16) -> Self {
--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -11,8 +11,13 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use chalkrock_core::{EndpointId, HostId, OrganisationId, Outcome, Reason, RequestId, ZoneId};
-use chalkrock_routing::{AttemptOutcome, Basis, RequestFingerprint, RulesVersion, StoreVersion};
+use chalkrock_core::{
+    BuildVersion, EndpointId, HostId, OrganisationId, Outcome, PoolId, Reason, RequestId, ZoneId,
+};
+use chalkrock_routing::{
+    AttemptOutcome, Basis, Judgement, RequestFingerprint, RolloutReason, RolloutStage,
+    RulesVersion, StoreVersion,
+};
 use serde::{Serialize, Serializer};
 use tokio::io::AsyncWriteExt;
 use tokio::sync::mpsc;
@@ -134,6 +139,27 @@
         live: usize,
         from: &'a str,
     },
+    /// Operators ordered to move a pool to another build, or took that back.
+    RolloutOrder {
+        pool: &'a PoolId,
+        build: &'a BuildVersion,
+        within_ms: u64,
+        is_withdrawn: bool,
+        from: &'a str,
+    },
+    /// A rollout went on, as of a version of the store; `evidence` is what answers said
+    /// of the new build where that was decided.
+    Rollout {
+        pool: &'a PoolId,
+        build: &'a BuildVersion,
+        stage: RolloutStage,
+        reason: RolloutReason,
+        age_ms: u64,
+        version: StoreVersion,
+        #[serde(skip_serializing_if = "Option::is_none")]
+        evidence: Option<&'a Judgement>,
+        from: &'a str,
+    },
     /// Endpoints said that they are cold, for so long at most: fewer requests
     /// are sent to them meanwhile.
     Cold {
--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -1,16 +1,19 @@
 //! What a host believes of endpoints and of the other hosts' requests.
 
+mod builds;
 mod closed;
 
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use chalkrock_core::rendezvous::{KeyHash, score};
 use chalkrock_core::{Endpoint, PoolId, ZoneId};
 use chalkrock_routing::{
-    Basis, BudgetRules, Candidate, ColdEndpoints, EndpointHealth, EndpointTable, Evacuations,
-    FleetLoad, HealthSignal, Member, PlacementRequest, PoisonEvidence, PoolOccupancy, PoolRules,
-    Repeatable, ServiceTimeEwma, Shares, SpreadRules, StoreVersion, WindowBudget, choose,
+    Basis, BudgetRules, BuildUse, Candidate, ColdEndpoints, EndpointHealth, EndpointTable,
+    Evacuations, FleetLoad, HealthSignal, LongestStay, Member, PlacementRequest, PoisonEvidence,
+    PoolOccupancy, PoolRules, Repeatable, Rollouts, ServiceTimeEwma, Shares, SpreadRules,
+    StoreVersion, WindowBudget, choose,
 };
 
 use crate::config::GatewayConfig;
@@ -36,6 +39,8 @@
     /// Endpoints that had it already.
     pub(crate) tried: &'a [u32],
     pub(crate) repeatable: Repeatable,
+    /// Which builds it may go to, in the order in which they are tried.
+    pub(crate) uses: &'a [BuildUse],
     pub(crate) draw: u64,
 }
 
@@ -87,10 +92,13 @@
     health: HashMap<u32, EndpointHealth>,
     budgets: HashMap<PoolId, WindowBudget>,
     service_times: HashMap<PoolId, ServiceTimeEwma>,
+    /// By pool and route.
+    longest_stays: HashMap<PoolId, HashMap<Arc<str>, LongestStay>>,
     /// What organisations have in progress on this host.
     pub(crate) shares: Shares,
     pub(crate) prefixes: Prefixes,
     pub(crate) poison: PoisonEvidence,
+    pub(crate) rollouts: Rollouts<SocketAddr>,
 }
 
 impl Fleet {
@@ -115,9 +123,11 @@
             health: HashMap::new(),
             budgets: HashMap::new(),
             service_times: HashMap::new(),
+            longest_stays: HashMap::new(),
             shares: Shares::default(),
             prefixes: Prefixes::default(),
             poison: PoisonEvidence::default(),
+            rollouts: Rollouts::new(config.exposure_bound),
         }
     }
 
@@ -133,6 +143,12 @@
 
     /// Chooses an endpoint of a pool.
     pub(crate) fn place(&self, wanted: &Wanted<'_>, now_ms: u64) -> Option<Choice> {
+        let mut uses = wanted.uses.iter();
+        uses.find_map(|by| self.place_by(wanted, *by, now_ms))
+    }
+
+    fn place_by(&self, wanted: &Wanted<'_>, by: BuildUse, now_ms: u64) -> Option<Choice> {
+        let builds = self.open_builds(wanted.pool, by, now_ms);
         let members = self.endpoints.serving(wanted.pool);
         let deepest = wanted.shared_parts.last().copied();
         let key = deepest.map(|part| KeyHash(u64::from(part)));
@@ -145,7 +161,13 @@
             .unwrap_or_default();
         let candidates: Vec<Candidate> = untried
             .iter()
-            .map(|member| self.candidate(member, wanted.repeatable, &holders, now_ms))
+            .map(|member| {
+                let candidate = self.candidate(member, wanted.repeatable, &holders, now_ms);
+                Candidate {
+                    is_closed: candidate.is_closed || !builds.admit(member),
+                    ..candidate
+                }
+            })
             .collect();
         let request = PlacementRequest {
             key,
@@ -282,8 +304,11 @@
     /// How full a pool is, but for endpoints that are suspect.
     pub(crate) fn occupancy(&self, pool: &PoolId, now_ms: u64) -> PoolOccupancy {
         let members = self.endpoints.live(pool);
+        let usual = self.rollouts.usual_use(pool);
+        let builds = self.rollouts.filter(pool, usual, now_ms);
         let takes_work = members
             .iter()
+            .filter(|member| builds.admits(&member.endpoint.build))
             .filter(|member| !self.is_suspect(member.hash.short(), now_ms));
         let service_ms = self.mean_service_ms(pool);
         let cold_places = places_while_cold(self.cold_per_s(pool), service_ms);
@@ -303,10 +328,29 @@
         }
     }
 
-    /// A request left an endpoint of a pool after so long.
-    pub(crate) fn record_service_time(&mut self, pool: &PoolId, stayed_ms: u64) {
+    /// How long the longest requests of a pool's routes stayed of late.
+    pub(crate) fn longest_stays_ms(
+        &self,
+        pool: &PoolId,
+        now_ms: u64,
+    ) -> impl Iterator<Item = (&Arc<str>, u64)> {
+        let routes = self.longest_stays.get(pool).into_iter().flatten();
+        routes.map(move |(route, longest)| (route, longest.ms(now_ms)))
+    }
+
+    /// A request of a route left an endpoint of a pool after so long.
+    pub(crate) fn record_service_time(
+        &mut self,
+        pool: &PoolId,
+        route: &Arc<str>,
+        stayed_ms: u64,
+        now_ms: u64,
+    ) {
         let stay = self.service_times.entry(pool.clone()).or_default();
         stay.record(stayed_ms);
+        let of_pool = self.longest_stays.entry(pool.clone()).or_default();
+        let longest = of_pool.entry(route.clone()).or_default();
+        longest.record(stayed_ms, now_ms);
     }
 
     /// Takes the whole list of endpoints, as of a version.
@@ -333,6 +377,7 @@
         self.endpoints_version = self.endpoints_version.max(version);
         self.changes.clear();
         self.changes_since = self.endpoints_version;
+        self.note_builds(now_ms);
         self.forget_health();
     }
 
@@ -362,6 +407,7 @@
             }
         }
         if is_news {
+            self.note_builds(now_ms);
             self.forget_health();
         }
         is_news
--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -18,7 +18,7 @@
 use std::time::Duration;
 
 use chalkrock_core::EndpointId;
-use chalkrock_routing::{Evacuations, StoreVersion};
+use chalkrock_routing::{Evacuations, RolloutOrders, StoreVersion};
 use rand::RngExt;
 use tokio::time::Instant;
 
@@ -176,11 +176,13 @@
 fn take(shared: &Shared, topic: Topic, news: News, is_whole: bool) {
     let mut changes = Vec::new();
     let mut evacuations = Vec::new();
+    let mut orders = Vec::new();
     let mut is_news = false;
     for row in news.rows {
         match row {
             Row::Rules(document) => is_news |= shared.take_rules(*document, FROM),
             Row::Evacuation(row) => evacuations.push(row),
+            Row::Rollout(row) => orders.push(row),
             Row::Endpoint(row) => changes.push(row),
             Row::Unreadable(row) => {
                 shared.pass_over(topic, &row);
@@ -202,6 +204,11 @@
             shared.follow_evacuations(&evacuations, news.version, FROM)
         };
         is_news |= change;
+        is_news |= if is_whole {
+            shared.take_rollout_orders(&RolloutOrders::as_of(news.version, orders), FROM)
+        } else {
+            shared.follow_rollout_orders(&orders, news.version, FROM)
+        };
     }
     if topic == Topic::Endpoints {
         is_news |= take_endpoints(shared, changes, is_whole);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -52,6 +52,7 @@
 mod prefixes;
 mod progress;
 mod relay;
+mod rollouts;
 mod rules_in_force;
 mod run;
 mod shared;
@@ -66,6 +67,6 @@
 pub use pause::HostClock;
 pub use run::{RunningGateway, start};
 pub use source::{
-    EndpointChange, EndpointRow, HostRow, ListedEndpoint, News, PoisonRow, Row, Source,
-    SourceError, Topic, UnreadableRow,
+    EndpointChange, EndpointRow, HostRow, ListedEndpoint, News, PoisonRow, RolloutWrite, Row,
+    Source, SourceError, Topic, UnreadableRow,
 };
--- a/crates/gateway/src/peers/api.rs
+++ b/crates/gateway/src/peers/api.rs
@@ -2,10 +2,12 @@
 
 use std::net::SocketAddr;
 
+use chalkrock_core::{BuildVersion, PoolId};
 use chalkrock_routing::{Evacuations, PoisonRequest, RulesVersion, StoreVersion};
 use serde::{Deserialize, Serialize};
 
 use crate::peers::message::NamedHost;
+use crate::peers::rollouts::RolloutNews;
 use crate::rules_in_force::RulesNews;
 use crate::source::{EndpointRow, ListedEndpoint};
 
@@ -72,8 +74,31 @@
     pub(crate) busy: Option<Busy>,
 }
 
+/// What a host knows beside [`Missing`], which hosts of earlier builds read too and
+/// which therefore keeps its form.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub(crate) struct Besides {
+    /// The software that endpoints run.
+    pub(crate) builds: KnownBuilds,
+    /// Orders to move pools to other builds, and how far that has come.
+    pub(crate) rollouts: Option<RolloutNews>,
+}
+
+/// The software that endpoints run: of each pool one build, and those of others.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub(crate) struct KnownBuilds {
+    pub(crate) usual: Vec<(PoolId, BuildVersion)>,
+    /// Endpoints of another build than their pool's usual one, by their starts.
+    pub(crate) others: Vec<(u32, BuildVersion)>,
+}
+
+/// What hosts of any build ask each other. What has landed keeps its place and its
+/// form; what is new is a call of its own, which hosts of earlier builds break off.
 #[tarpc::service]
 pub(crate) trait PeerApi {
     /// What this host knows beyond `have`.
     async fn missing(have: Have) -> Missing;
+
+    /// What this host knows of builds and rollouts.
+    async fn besides() -> Besides;
 }
--- a/crates/gateway/src/peers/membership.rs
+++ b/crates/gateway/src/peers/membership.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -35,6 +35,9 @@
 /// knows; most cuts are over by then.
 const NEW_UNTIL: Duration = Duration::from_secs(10);
 
+/// The place of a host that does not write for the fleet.
+const NO_PLACE: usize = usize::MAX;
+
 /// A host that knows more than this one.
 #[derive(Clone, Copy, Debug)]
 struct NewerPeer {
@@ -150,6 +153,8 @@
     sums_up: AtomicBool,
     /// Whether this host tells other zones of its own.
     is_relay: AtomicBool,
+    /// This host's place among those that write for the fleet.
+    writer_place: AtomicUsize,
     newer: Mutex<Option<NewerPeer>>,
     pub(crate) newer_known: Notify,
 }
@@ -166,6 +171,7 @@
             has_seeds: config.peer_seeds.iter().any(|seed| *seed != own),
             sums_up: AtomicBool::new(false),
             is_relay: AtomicBool::new(false),
+            writer_place: AtomicUsize::new(0),
             newer: Mutex::default(),
             newer_known: Notify::new(),
         })
@@ -191,6 +197,18 @@
         self.is_relay.load(Ordering::Relaxed)
     }
 
+    /// This host's place among those that write for the fleet, 0 first; `None` if it is
+    /// none of them. It comes first until it knows of others.
+    pub(crate) fn writer_place(&self) -> Option<usize> {
+        let place = self.writer_place.load(Ordering::Relaxed);
+        (place != NO_PLACE).then_some(place)
+    }
+
+    pub(super) fn set_writer_place(&self, place: Option<usize>) {
+        let place = place.unwrap_or(NO_PLACE);
+        self.writer_place.store(place, Ordering::Relaxed);
+    }
+
     /// Says what this host does as a relay. Returns whether that changed.
     pub(super) fn set_relay(&self, is_relay: bool, sums_up: bool) -> bool {
         let was_relay = self.is_relay.swap(is_relay, Ordering::Relaxed);
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -2,14 +2,17 @@
 
 use std::net::SocketAddr;
 
+use crate::peers::rollouts::{RolloutNews, RolloutTally};
 use chalkrock_routing::{
     CacheEntry, Evacuations, HostReport, PoisonNews, PoisonRequest, RulesVersion, StoreVersion,
     SubscriptionRole, SumPath, ZoneSum,
 };
 use serde::{Deserialize, Serialize};
 
-/// A datagram.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+/// A datagram. Hosts of other builds read it too: what has landed keeps its place and
+/// its fields, and what is new comes behind as a kind of its own, which earlier builds
+/// pass over.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) enum Datagram {
     /// From a host to those that it tells of itself.
     Heartbeat(Heartbeat),
@@ -28,6 +31,10 @@
     /// Behind it stands, for each recipient its own, an `Option<OwnReport>`:
     /// the recipient's report that the sum includes.
     FleetSum(ZoneSum),
+    /// Orders to move pools to other builds, and how far that has come.
+    Rollouts(RolloutNews),
+    /// What a host, or a relay of a zone, counted of a rollout's answers.
+    RolloutTally(RolloutTally),
 }
 
 /// What a relay tells the hosts of its large zone in place of their heartbeats.
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -20,10 +20,12 @@
 mod publish;
 mod pull;
 mod receive;
+mod rollouts;
 mod round;
 mod serve;
 mod uploads;
 
+pub(crate) use api::KnownBuilds;
 pub(crate) use membership::{Membership, zone_hash};
 pub(crate) use publish::publish;
 pub(crate) use pull::{catch_up_with_any, pull_at_start, pull_when_behind};
--- a/crates/gateway/src/peers/publish.rs
+++ b/crates/gateway/src/peers/publish.rs
@@ -14,6 +14,7 @@
 use crate::peers::message::{
     CacheEntries, Datagram, Heartbeat, Knowledge, RelaySummary, ZoneSummary,
 };
+use crate::peers::rollouts::rollout_datagrams;
 use crate::peers::round::{GossipRound, RoundInput};
 use crate::shared::Shared;
 use crate::subscription::AnsweredHost;
@@ -249,6 +250,14 @@
         datagrams.far.push(news.clone());
         datagrams.to_zone.push(news);
     }
+    let rollouts = rollout_datagrams(&fleet, peers, now_ms);
+    datagrams.near.extend(rollouts.near);
+    if round.is_relay {
+        datagrams.far.extend(rollouts.far);
+    }
+    if round.sums_up {
+        datagrams.to_zone.extend(rollouts.to_zone);
+    }
     if round.is_relay {
         let sum = fleet.load.zone_sum(peers.zone, now_ms);
         datagrams.far.extend(parts(sum).map(|sum| {
--- a/crates/gateway/src/peers/pull.rs
+++ b/crates/gateway/src/peers/pull.rs
@@ -1,10 +1,12 @@
 //! Takes what a host is missing from another one.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::ops::RangeInclusive;
 use std::sync::Arc;
 use std::time::Duration;
 
+use chalkrock_core::{BuildVersion, PoolId};
 use chalkrock_proto::{ByteCount, transport};
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
@@ -17,8 +19,10 @@
 use crate::clock::ms;
 use crate::event_log::{Event, PullOutcome};
 use crate::peers::Membership;
-use crate::peers::api::{Busy, EndpointNews, Have, Missing, PeerApiClient};
+use crate::peers::api::{Besides, Busy, EndpointNews, Have, KnownBuilds, Missing, PeerApiClient};
+use crate::peers::rollouts::merge_news;
 use crate::shared::Shared;
+use crate::source::{EndpointChange, ListedEndpoint};
 
 /// A host that does not read the platform waits this long, so that it may learn
 /// of a host of its own zone that knows as much.
@@ -173,7 +177,7 @@
             from = first;
             continue;
         };
-        let done = if missing.is_fresh {
+        let done = if missing.0.is_fresh {
             CaughtUp::WithFresh
         } else {
             CaughtUp::WithStale
@@ -219,7 +223,7 @@
     from: SocketAddr,
     have: Have,
     first_byte: Duration,
-) -> Option<Missing> {
+) -> Option<(Missing, Besides)> {
     let began_at = Instant::now();
     let count = Arc::new(ByteCount::default());
     let patience = Patience {
@@ -228,13 +232,13 @@
     };
     let asked = ask(from, have, count.clone());
     let (outcome, missing) = match while_arriving(asked, || count.read_bytes(), patience).await {
-        Some(Some(missing)) => {
+        Some(Some((missing, besides))) => {
             let outcome = match (&missing.busy, &missing.rules) {
                 (Some(_), _) => Some(PullOutcome::Busy),
                 (None, Some(_)) => Some(PullOutcome::Rules),
                 (None, None) => None,
             };
-            (outcome, Some(missing))
+            (outcome, Some((missing, besides)))
         }
         Some(None) => (Some(PullOutcome::Broken), None),
         None => (Some(PullOutcome::GivenUp), None),
@@ -254,27 +258,42 @@
     missing
 }
 
-async fn ask(address: SocketAddr, have: Have, count: Arc<ByteCount>) -> Option<Missing> {
+/// Asks another host for what this one is missing, and where endpoints come of it for
+/// what else it knows of them. A host of an earlier build breaks off at the second.
+async fn ask(address: SocketAddr, have: Have, count: Arc<ByteCount>) -> Option<(Missing, Besides)> {
     let stream = TcpStream::connect(address).await.ok()?;
     let framed = transport(stream, count);
     let client = PeerApiClient::new(tarpc::client::Config::default(), framed).spawn();
-    client.missing(tarpc::context::current(), have).await.ok()
+    let missing = client.missing(tarpc::context::current(), have).await.ok()?;
+    let besides = if missing.endpoints.is_some() {
+        client.besides(tarpc::context::current()).await
+    } else {
+        Ok(Besides::default())
+    };
+    Some((missing, besides.unwrap_or_default()))
 }
 
 /// Takes what another host passed on. Returns what it says of itself if it was
 /// too busy to pass on all.
-fn take(shared: &Shared, peers: &Membership, missing: Missing) -> Option<Busy> {
+fn take(
+    shared: &Shared,
+    peers: &Membership,
+    (missing, besides): (Missing, Besides),
+) -> Option<Busy> {
     const FROM: &str = "peer";
     let hosts = missing.hosts.iter();
     peers.add(hosts.map(|host| (host.address, Some(host.zone))));
     // Before the endpoints, so that none of an evacuated zone is sent anything.
     let mut is_news = shared.take_evacuations(&missing.evacuations, FROM);
     is_news |= shared.merge_poison(&missing.poison, FROM);
+    if let Some(rollouts) = besides.rollouts {
+        merge_news(shared, rollouts, false);
+    }
     if let Some(rules) = missing.rules {
         is_news |= shared.take_rules_news(rules, FROM);
     }
     if let Some(news) = missing.endpoints {
-        if take_endpoints(shared, news) {
+        if take_endpoints(shared, with_builds(news, &besides.builds)) {
             is_news = true;
             shared.log_endpoints(FROM);
         }
@@ -287,6 +306,41 @@
     missing.busy
 }
 
+/// The list of endpoints with the software that each runs, as far as it was told.
+fn with_builds(mut news: EndpointNews, builds: &KnownBuilds) -> EndpointNews {
+    let others: HashMap<u32, &BuildVersion> = builds
+        .others
+        .iter()
+        .map(|(start, build)| (*start, build))
+        .collect();
+    let usual: HashMap<&PoolId, &BuildVersion> = builds
+        .usual
+        .iter()
+        .map(|(pool, build)| (pool, build))
+        .collect();
+    let tell = |listed: &mut ListedEndpoint| {
+        let endpoint = &mut listed.endpoint;
+        let start = endpoint.start_hash().short();
+        let build = others.get(&start).or_else(|| usual.get(&endpoint.pool));
+        if let Some(build) = build {
+            endpoint.build = BuildVersion::clone(build);
+        }
+    };
+    match &mut news {
+        EndpointNews::Entire { endpoints, .. } => endpoints.iter_mut().for_each(tell),
+        EndpointNews::Changes(rows) => {
+            let changes = rows.iter_mut().map(|row| &mut row.change);
+            changes
+                .filter_map(|change| match change {
+                    EndpointChange::Listed(listed) => Some(listed),
+                    EndpointChange::Gone(_) | EndpointChange::Unreadable(_) => None,
+                })
+                .for_each(tell);
+        }
+    }
+    news
+}
+
 fn take_endpoints(shared: &Shared, news: EndpointNews) -> bool {
     let now_ms = shared.clock.now_ms();
     let knew_any = shared.knows_endpoints();
--- a/crates/gateway/src/peers/receive.rs
+++ b/crates/gateway/src/peers/receive.rs
@@ -13,6 +13,7 @@
     CacheEntries, Datagram, Heartbeat, Knowledge, RelaySummary, ZoneSummary,
 };
 use crate::peers::publish::log_member_change;
+use crate::peers::rollouts::{merge_news, merge_tally};
 use crate::shared::Shared;
 use crate::subscription::AnsweredHost;
 
@@ -53,6 +54,8 @@
                 merge_relay_summary(&shared, &peers, address, &summary)
             }
             Datagram::FleetSum(sum) => merge_fleet_sum(&shared, &peers, address, &sum, rest),
+            Datagram::Rollouts(news) => merge_news(&shared, news, peers.is_relay()),
+            Datagram::RolloutTally(tally) => merge_tally(&shared, &peers, address, tally),
         }
     }
 }
--- a/crates/gateway/src/peers/round.rs
+++ b/crates/gateway/src/peers/round.rs
@@ -108,6 +108,12 @@
         let is_relayed = zone_view.is_relayed(self.sums_up());
         let sums_up = place.is_some() && is_relayed;
         let is_relay_news = self.set_relay(place.is_some(), sums_up);
+        let writer_place = if is_large {
+            place.map(|place| RELAYS * view.zones_before + place)
+        } else {
+            Some(zone_view.place(&own))
+        };
+        self.set_writer_place(writer_place);
         let mut round = GossipRound {
             reads_platform: zone_view.reads_platform(&own),
             is_first_choice: zone_view.is_first_choice(&own),
--- a/crates/gateway/src/peers/serve.rs
+++ b/crates/gateway/src/peers/serve.rs
@@ -15,7 +15,8 @@
 use crate::clock::ms;
 use crate::outage_log::OutageLog;
 use crate::peers::Membership;
-use crate::peers::api::{Busy, EndpointNews, Have, Missing, PeerApi};
+use crate::peers::api::{Besides, Busy, EndpointNews, Have, Missing, PeerApi};
+use crate::peers::rollouts::news_of;
 use crate::peers::uploads::Uploads;
 use crate::rules_in_force::RulesNews;
 use crate::shared::Shared;
@@ -105,6 +106,15 @@
         };
         self.within_uploads(missing, have.address)
     }
+
+    async fn besides(self, _: tarpc::context::Context) -> Besides {
+        let now_ms = self.shared.clock.now_ms();
+        let fleet = self.shared.fleet();
+        Besides {
+            builds: fleet.known_builds(),
+            rollouts: news_of(&fleet, now_ms),
+        }
+    }
 }
 
 impl Answers {
--- a/crates/gateway/src/progress.rs
+++ b/crates/gateway/src/progress.rs
@@ -1,10 +1,12 @@
 //! What was done for one request so far, and what may be done next.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use chalkrock_core::{Endpoint, Outcome, Reason};
 use chalkrock_routing::{
-    AdmissionRequest, AttemptOutcome, HealthSignal, Next, Repeatable, admits, next_step,
+    AdmissionRequest, AnswerSeen, AttemptOutcome, BuildUse, BuildWish, HealthSignal, Next,
+    Repeatable, admits, next_step,
 };
 
 use crate::call::Call;
@@ -31,6 +33,8 @@
     sent_at_ms: u64,
     /// Where it went.
     last: Option<Arc<Endpoint>>,
+    /// Which builds it may go to now.
+    uses: &'static [BuildUse],
 }
 
 impl Progress {
@@ -50,6 +54,7 @@
             attempts: Vec::new(),
             sent_at_ms: now_ms,
             last: None,
+            uses: &[BuildUse::Any],
         }
     }
 
@@ -103,9 +108,18 @@
 
     /// The endpoint for the next attempt, among those that did not have the
     /// request yet.
-    pub(crate) fn place(&self) -> Option<Choice> {
-        let now_ms = self.shared.clock.now_ms();
-        let mut fleet = self.shared.fleet();
+    pub(crate) fn place(&mut self) -> Option<Choice> {
+        let shared = self.shared.clone();
+        let now_ms = shared.clock.now_ms();
+        let mut fleet = shared.fleet();
+        let is_first = self.tried.is_empty() && self.call.head.resume_after.is_none();
+        let wish = BuildWish {
+            pool: &self.call.pool,
+            route: &self.call.route.name,
+            is_first,
+            hosts: hosts(&fleet, now_ms),
+        };
+        self.uses = fleet.rollouts.uses(&wish, now_ms);
         let choice = fleet.place(&self.wanted(), now_ms)?;
         fleet.cold.sent(choice.member.hash.short(), now_ms);
         Some(choice)
@@ -117,6 +131,7 @@
             shared_parts: &self.call.shared_parts,
             tried: &self.tried,
             repeatable: self.call.repeatable(),
+            uses: self.uses,
             draw: self.call.draw,
         }
     }
@@ -150,6 +165,9 @@
             record.end = Some(end);
         }
         self.suspect(end);
+        if end.is_failure() {
+            self.count_answer(AnswerSeen::Failed);
+        }
         if end == AttemptOutcome::NotTheEndpoint {
             self.endpoint_is_gone();
         }
@@ -170,6 +188,43 @@
         next
     }
 
+    /// The last attempt's answer begins: the time from the send to its first byte.
+    pub(crate) fn answer_began(&self, after: Duration) {
+        let holds_prefix = self.attempts.last().is_some_and(|last| last.holds_prefix);
+        let has_none = self.call.shared_parts.is_empty();
+        self.count_answer(AnswerSeen::Began {
+            first_byte_ms: milliseconds(after),
+            holds_prefix: holds_prefix || has_none,
+        });
+    }
+
+    /// The last attempt's answer came whole: the time between its events, or of all of
+    /// a call.
+    pub(crate) fn answer_ended(&self, pace: Option<Duration>) {
+        let pace_ms = pace.map(milliseconds);
+        self.count_answer(AnswerSeen::Ended { pace_ms });
+    }
+
+    /// Counts what came of the last attempt, for a rollout of its pool.
+    fn count_answer(&self, seen: AnswerSeen) {
+        let (Some(endpoint), Some(attempt)) = (&self.last, self.attempts.last()) else {
+            return;
+        };
+        let mut fleet = self.shared.fleet();
+        if fleet.rollouts.is_empty() {
+            return;
+        }
+        // A cold endpoint is slow whatever it runs.
+        let seen = match seen {
+            AnswerSeen::Began { .. } if attempt.is_cold => return,
+            AnswerSeen::Ended { .. } if attempt.is_cold => AnswerSeen::Ended { pace_ms: None },
+            seen => seen,
+        };
+        let Call { pool, route, .. } = &*self.call;
+        let rollouts = &mut fleet.rollouts;
+        rollouts.count(pool, &route.name, &endpoint.build, seen);
+    }
+
     /// Whether an endpoint that keeps a request waiting may be left for another:
     /// only if there is one, and the request may be sent there.
     pub(crate) fn may_leave(&self) -> bool {
@@ -257,6 +312,12 @@
     }
 }
 
+/// A duration in milliseconds, fractions too.
+fn milliseconds(duration: Duration) -> f64 {
+    const MS_PER_S: f64 = 1_000.0;
+    duration.as_secs_f64() * MS_PER_S
+}
+
 /// How many hosts share the slack of the retry budget.
 fn hosts(fleet: &Fleet, now_ms: u64) -> usize {
     1 + fleet.load.hosts_heard(now_ms)
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -51,6 +51,8 @@
     heard_at: Instant,
     /// When its first bytes came.
     began_at: Option<Instant>,
+    /// Pieces that came of it.
+    pieces: u32,
     status: u16,
     is_over: bool,
     _running: Running,
@@ -74,6 +76,7 @@
             frames: EventFrames::default(),
             heard_at: Instant::now(),
             began_at: None,
+            pieces: 0,
             is_over: false,
             _running: running,
         }
@@ -129,7 +132,11 @@
             match tokio::time::timeout_at(look_at, stream.body.frame()).await {
                 Ok(Some(Ok(frame))) => {
                     self.heard_at = Instant::now();
-                    self.began_at.get_or_insert(self.heard_at);
+                    if self.began_at.is_none() {
+                        self.began_at = Some(self.heard_at);
+                        self.progress.answer_began(stream.sent_at.elapsed());
+                    }
+                    self.pieces += 1;
                     if let Ok(bytes) = frame.into_data() {
                         let now_ms = self.shared.clock.now_ms();
                         self.shared.fleet().health(stream.short).heard(now_ms);
@@ -174,6 +181,7 @@
         };
         drop(lost);
         let _partial_event = self.frames.take_rest();
+        self.pieces = 0;
         let ran = self.began_at.take().map(|began_at| began_at.elapsed());
         let broken = BrokenAttempt {
             end: AttemptOutcome::Broken,
@@ -206,6 +214,7 @@
             return;
         };
         self.shared.ran_well(self.call.fingerprint);
+        self.progress.answer_ended(self.pace());
         let now_ms = self.shared.clock.now_ms();
         self.shared
             .fleet()
@@ -224,6 +233,14 @@
         self.record_completion(Completion::answered(self.status));
     }
 
+    /// The mean time between two pieces, if there were enough.
+    fn pace(&self) -> Option<Duration> {
+        const PIECES_MIN: u32 = 3;
+        let ran = self.heard_at - self.began_at?;
+        let has_pace = self.pieces >= PIECES_MIN;
+        has_pace.then(|| ran / (self.pieces - 1))
+    }
+
     fn break_off(&mut self, reason: Reason) -> Result<Bytes, BrokenOff> {
         self.is_over = true;
         self.stream = None;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -23,6 +23,7 @@
     Membership, publish, pull_at_start, pull_when_behind, receive, serve_pulls, zone_hash,
 };
 use crate::poison::keep_poison;
+use crate::rollouts::keep_rollouts;
 use crate::shared::Shared;
 use crate::source::{HostRow, Source, Topic};
 use crate::status::answer_status;
@@ -173,6 +174,8 @@
     tasks.spawn(pull_at_start(shared.clone(), peers.clone()));
     tasks.spawn(pull_when_behind(shared.clone(), peers.clone()));
     tasks.spawn(refresh_after_pauses(shared.clone(), peers.clone()));
+    let rollouts = keep_rollouts(shared.clone(), source.clone(), peers.clone());
+    tasks.spawn(rollouts);
     let row = HostRow {
         host: shared.config.host.clone(),
         zone: shared.config.zone.clone(),
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -14,6 +14,7 @@
 use tokio::time::Instant;
 
 use crate::byte_budget::ByteBudget;
+use crate::call::Call;
 use crate::clock::{Clock, ms};
 use crate::config::GatewayConfig;
 use crate::edge::Edge;
@@ -334,6 +335,7 @@
 pub(crate) struct InFlightGuard {
     shared: Arc<Shared>,
     pool: PoolId,
+    route: Arc<str>,
     endpoint: u32,
     since: Instant,
     /// It was never worked on, so that its stay says nothing of the pool.
@@ -341,11 +343,12 @@
 }
 
 impl InFlightGuard {
-    pub(crate) fn begin(shared: &Arc<Shared>, pool: &PoolId, endpoint: u32) -> Self {
+    pub(crate) fn begin(shared: &Arc<Shared>, call: &Call, endpoint: u32) -> Self {
         shared.fleet().load.begin(endpoint);
         Self {
             shared: shared.clone(),
-            pool: pool.clone(),
+            pool: call.pool.clone(),
+            route: call.route.name.clone(),
             endpoint,
             since: Instant::now(),
             was_turned_away: false,
@@ -364,7 +367,8 @@
         fleet.load.end(self.endpoint);
         if !self.was_turned_away {
             let stayed_ms = self.since.elapsed().as_millis() as u64;
-            fleet.record_service_time(&self.pool, stayed_ms);
+            let now_ms = self.shared.clock.now_ms();
+            fleet.record_service_time(&self.pool, &self.route, stayed_ms, now_ms);
         }
     }
 }
--- a/crates/gateway/src/source.rs
+++ b/crates/gateway/src/source.rs
@@ -3,8 +3,10 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use chalkrock_core::{Endpoint, EndpointId, HostId, ZoneId};
-use chalkrock_routing::{EvacuationRow, RequestFingerprint, RulesDocument, StoreVersion};
+use chalkrock_core::{Endpoint, EndpointId, HostId, PoolId, ZoneId};
+use chalkrock_routing::{
+    EvacuationRow, RequestFingerprint, RolloutOrderRow, RolloutRecord, RulesDocument, StoreVersion,
+};
 use serde::{Deserialize, Serialize};
 
 use crate::arrival::Arrival;
@@ -12,7 +14,8 @@
 /// What can be read and followed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Topic {
-    /// The rules that operators write, and the zones that they evacuate.
+    /// The rules that operators write, the zones that they evacuate and the rollouts
+    /// that they order.
     Rules,
     /// The list of endpoints.
     Endpoints,
@@ -46,6 +49,9 @@
     /// A zone that operators evacuate or take back. A whole read names all that
     /// are evacuated.
     Evacuation(EvacuationRow),
+    /// An order to move a pool to another build, or that it was taken back. A whole
+    /// read names all orders.
+    Rollout(RolloutOrderRow),
     /// A change of the list of endpoints.
     Endpoint(EndpointRow),
     /// A row that another writer made: it says nothing, and what its key named
@@ -115,6 +121,20 @@
     pub rows: Vec<Row>,
 }
 
+/// What became of writing a rollout's record.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RolloutWrite {
+    /// It is in force, as of a version.
+    Written(StoreVersion),
+    /// Another one was there: nothing was written. `None` if it can't be read.
+    Conflict {
+        /// The version of the record that is there.
+        version: StoreVersion,
+        /// The record.
+        record: Option<RolloutRecord>,
+    },
+}
+
 /// Why nothing was read.
 #[derive(Debug, thiserror::Error)]
 pub enum SourceError {
@@ -166,4 +186,16 @@
         add: &[PoisonRow],
         remove: &[RequestFingerprint],
     ) -> impl Future<Output = Result<(), SourceError>> + Send;
+
+    /// Writes how far the rollout of a pool has come, for hosts and for operators, if
+    /// the record that it replaces is still of that version (0: none is there).
+    ///
+    /// Without an answer the record may have been written, or may be later on while its
+    /// condition holds: whoever writes again finds it there.
+    fn write_rollout(
+        &self,
+        pool: &PoolId,
+        record: &RolloutRecord,
+        replaces: StoreVersion,
+    ) -> impl Future<Output = Result<RolloutWrite, SourceError>> + Send;
 }
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -7,6 +7,7 @@
 mod large_rules;
 mod pauses;
 mod peers;
+mod rollouts;
 mod rows;
 mod silences;
 mod stops;
--- a/crates/gateway/tests/gateway/support/crashing.rs
+++ b/crates/gateway/tests/gateway/support/crashing.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use chalkrock_core::{Endpoint, EndpointKind, HostState, Incarnation};
+use chalkrock_core::{BuildVersion, Endpoint, EndpointKind, HostState, Incarnation};
 use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
@@ -111,6 +111,7 @@
             slots: 8,
             incarnation: Incarnation(incarnation),
             state: HostState::Live,
+            build: BuildVersion::default(),
         }
     }
 
--- a/crates/gateway/tests/gateway/support/endpoint.rs
+++ b/crates/gateway/tests/gateway/support/endpoint.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use chalkrock_core::{Endpoint, EndpointKind, HostState, Incarnation};
+use chalkrock_core::{BuildVersion, Endpoint, EndpointKind, HostState, Incarnation};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -302,6 +302,7 @@
         slots: 8,
         incarnation: Incarnation(0),
         state: HostState::Live,
+        build: BuildVersion::default(),
     }
 }
 
--- a/crates/gateway/tests/gateway/support/source.rs
+++ b/crates/gateway/tests/gateway/support/source.rs
@@ -1,13 +1,18 @@
 //! A platform in memory that can be switched off.
 
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use chalkrock_core::{Endpoint, EndpointId, ZoneId};
+use chalkrock_core::{Endpoint, EndpointId, PoolId, ZoneId};
 use chalkrock_gateway::{
-    Arrival, EndpointChange, EndpointRow, HostRow, ListedEndpoint, News, PoisonRow, Row, Source,
-    SourceError, Topic, UnreadableRow,
+    Arrival, EndpointChange, EndpointRow, HostRow, ListedEndpoint, News, PoisonRow, RolloutWrite,
+    Row, Source, SourceError, Topic, UnreadableRow,
+};
+use chalkrock_routing::{
+    EvacuationRow, RequestFingerprint, RolloutOrder, RolloutOrderRow, RolloutRecord, RolloutStage,
+    RulesDocument, StoreVersion,
 };
-use chalkrock_routing::{EvacuationRow, RequestFingerprint, RulesDocument, StoreVersion};
 use tokio::sync::watch;
 
 #[derive(Default)]
@@ -33,6 +38,11 @@
     hosts: Vec<HostRow>,
     /// Requests that hosts recorded.
     poison: Vec<PoisonRow>,
+    /// Orders to move pools to other builds, or that they were taken back.
+    orders: Vec<RolloutOrderRow>,
+    /// How far rollouts have come, and each stage that was written.
+    records: BTreeMap<PoolId, (u64, RolloutRecord)>,
+    stages: Vec<RolloutStage>,
     /// The version up to which changes of the rules were taken.
     rules_taken: u64,
 }
@@ -67,6 +77,8 @@
 pub(crate) struct TestSource {
     state: Arc<Mutex<State>>,
     changed: Arc<watch::Sender<u64>>,
+    /// Whether whoever has this handle is cut off.
+    is_cut: Arc<AtomicBool>,
 }
 
 impl Default for TestSource {
@@ -74,11 +86,58 @@
         Self {
             state: Arc::default(),
             changed: Arc::new(watch::channel(0).0),
+            is_cut: Arc::default(),
         }
     }
 }
 
 impl TestSource {
+    /// The same platform for another host, which can be cut off by itself.
+    pub(crate) fn for_another(&self) -> Self {
+        Self {
+            is_cut: Arc::default(),
+            ..self.clone()
+        }
+    }
+
+    /// Cuts off whoever has this handle.
+    pub(crate) fn cut(&self) {
+        self.is_cut.store(true, Ordering::Relaxed);
+    }
+
+    /// Orders to move the tests' pool to a build.
+    pub(crate) fn order(&self, build: &str, within_ms: u64) {
+        let build = build.into();
+        self.put_order(Some(RolloutOrder { build, within_ms }));
+    }
+
+    /// Takes the order back.
+    pub(crate) fn withdraw(&self) {
+        self.put_order(None);
+    }
+
+    fn put_order(&self, order: Option<RolloutOrder>) {
+        self.change(|state, version| {
+            state.orders = vec![RolloutOrderRow {
+                version: StoreVersion(version),
+                pool: PoolId::from("pool"),
+                order,
+            }];
+        });
+    }
+
+    /// The stages of the rollout so far, as they were written.
+    pub(crate) fn stages(&self) -> Vec<RolloutStage> {
+        self.lock().stages.clone()
+    }
+
+    /// The record of the rollout.
+    pub(crate) fn rollout(&self) -> Option<RolloutRecord> {
+        let state = self.lock();
+        let record = state.records.get(&PoolId::from("pool"));
+        record.map(|(_, record)| record.clone())
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -237,6 +296,9 @@
     /// A call arrives; it is never answered if that is in a silence. Returns
     /// how many there were.
     async fn arrive(&self) -> u32 {
+        if self.is_cut.load(Ordering::Relaxed) {
+            std::future::pending::<()>().await;
+        }
         let (is_silent, silences, answer_ms) = {
             let mut state = self.lock();
             state.calls += 1;
@@ -284,6 +346,9 @@
                         is_evacuated: *is_evacuated,
                     })
                 }));
+                let orders = state.orders.iter().filter(|row| is_new(row.version.0));
+                let named = orders.filter(|row| row.order.is_some() || !is_whole);
+                rows.extend(named.cloned().map(Row::Rollout));
             }
             Topic::Endpoints => {
                 for (version, name, endpoint) in state.endpoints.iter().filter(|e| is_new(e.0)) {
@@ -373,4 +438,31 @@
         state.poison.extend(add);
         Ok(())
     }
+
+    async fn write_rollout(
+        &self,
+        pool: &PoolId,
+        record: &RolloutRecord,
+        replaces: StoreVersion,
+    ) -> Result<RolloutWrite, SourceError> {
+        self.arrive().await;
+        let mut state = self.lock();
+        if state.is_down {
+            return Err(SourceError::Unavailable("switched off".to_owned()));
+        }
+        let known = state.records.get(pool);
+        if let Some((version, there)) = known.filter(|(version, _)| *version != replaces.0) {
+            return Ok(RolloutWrite::Conflict {
+                version: StoreVersion(*version),
+                record: Some(there.clone()),
+            });
+        }
+        state.version += 1;
+        let version = state.version;
+        state
+            .records
+            .insert(pool.clone(), (version, record.clone()));
+        state.stages.push(record.stage);
+        Ok(RolloutWrite::Written(StoreVersion(version)))
+    }
 }
--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -1,7 +1,8 @@
-//! Load over HTTP, for real processes.
+//! Load over HTTP, for real processes, and experiments on virtual time.
 //!
 //! Use [`live`] to see what a router adds to an engine's time, and whether each
-//! caller gets the whole answer to its own request.
+//! caller gets the whole answer to its own request; [`rollouts`] to compare ways to
+//! move a pool to another build.
 //!
 //! # Example
 //!
@@ -21,3 +22,4 @@
 //! ```
 
 pub mod live;
+pub mod rollouts;
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -3,6 +3,7 @@
 use std::process::ExitCode;
 
 use chalkrock_measure::live::{self, Load};
+use chalkrock_measure::rollouts::{ExposureWay, FAULTS, JudgeWay, PoolTraffic, figures};
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 
 fn command() -> Command {
@@ -11,6 +12,24 @@
         .version(env!("CARGO_PKG_VERSION"))
         .subcommand_required(true)
         .subcommand(live_command())
+        .subcommand(
+            Command::new("rollouts")
+                .about("Plays drawn rollouts by several ways, and prints a table")
+                .arg(
+                    Arg::new("seeds")
+                        .long("seeds")
+                        .default_value("1000")
+                        .value_parser(value_parser!(u32).range(1..))
+                        .help("Rollouts of each kind"),
+                )
+                .arg(
+                    Arg::new("hosts")
+                        .long("hosts")
+                        .default_value("62")
+                        .value_parser(value_parser!(u32).range(1..))
+                        .help("Hosts of the fleet"),
+                ),
+        )
 }
 
 fn live_command() -> Command {
@@ -67,6 +86,45 @@
     })
 }
 
+/// Prints how each way does under each kind of build.
+fn run_rollouts(matches: &ArgMatches) -> ExitCode {
+    let seeds = matches.get_one::<u32>("seeds").copied().unwrap_or(1);
+    let hosts = matches.get_one::<u32>("hosts").copied().unwrap_or(1) as usize;
+    let ways = [
+        (ExposureWay::PartsOfHosts, JudgeWay::Sequential),
+        (ExposureWay::FewHosts, JudgeWay::Sequential),
+        (ExposureWay::Grants, JudgeWay::Sequential),
+        (ExposureWay::Drawn, JudgeWay::Sequential),
+        (ExposureWay::PartsOfHosts, JudgeWay::Threshold),
+        (ExposureWay::PartsOfHosts, JudgeWay::FixedStages),
+    ];
+    let pools = [
+        ("generations", PoolTraffic::generations(hosts)),
+        ("calls", PoolTraffic::calls(hosts)),
+    ];
+    println!(
+        "| pool | build | way | exposed, mean | p99 | over bound | left | after s | done in time |"
+    );
+    println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+    for (name, pool) in &pools {
+        for fault in FAULTS {
+            for (exposure, judge) in ways {
+                let of = figures(pool, fault, exposure, judge, seeds);
+                println!(
+                    "| {name} | {fault} | {exposure:?}, {judge:?} | {:.0} | {} | {:.3} | {:.3} | {:.1} | {:.3} |",
+                    of.exposed_mean,
+                    of.exposed_p99,
+                    of.over_bound,
+                    of.left,
+                    of.left_ms / 1_000.0,
+                    of.done_in_time,
+                );
+            }
+        }
+    }
+    ExitCode::SUCCESS
+}
+
 fn main() -> ExitCode {
     let matches = command().get_matches();
     match matches.subcommand() {
@@ -74,6 +132,7 @@
             eprintln!("{error:#}");
             ExitCode::FAILURE
         }),
+        Some(("rollouts", matches)) => run_rollouts(matches),
         _ => ExitCode::FAILURE,
     }
 }
--- a/crates/quickstart/src/fleet.rs
+++ b/crates/quickstart/src/fleet.rs
@@ -5,8 +5,8 @@
 
 use chalkrock_agent::{AgentSettings, RunningAgent, start_agent};
 use chalkrock_core::{
-    ChangeId, ConfigVersion, Endpoint, EndpointKind, Host, HostList, HostState, Incarnation,
-    key_digest,
+    BuildVersion, ChangeId, ConfigVersion, Endpoint, EndpointKind, Host, HostList, HostState,
+    Incarnation, key_digest,
 };
 use chalkrock_platform::{Change, ConfigStore, HttpPlatform};
 use chalkrock_router::{RouterSettings, RunningRouter, start_router};
@@ -246,5 +246,6 @@
         slots: 64,
         incarnation: Incarnation(1),
         state: HostState::Live,
+        build: BuildVersion::default(),
     }
 }
--- a/crates/routing/src/admission.rs
+++ b/crates/routing/src/admission.rs
@@ -56,6 +56,45 @@
     }
 }
 
+/// The longest stay of late, in two spans of which the older one is dropped in turn.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct LongestStay {
+    /// The number of the span that goes on.
+    span: u64,
+    now_ms: u64,
+    before_ms: u64,
+}
+
+/// How long a span of [`LongestStay`] is.
+const SPAN_MS: u64 = 30_000;
+
+impl LongestStay {
+    /// A request stayed so long.
+    pub fn record(&mut self, stayed_ms: u64, now_ms: u64) {
+        self.turn(now_ms);
+        self.now_ms = self.now_ms.max(stayed_ms);
+    }
+
+    /// The longest stay in the last 30 to 60 s, in milliseconds.
+    pub fn ms(mut self, now_ms: u64) -> u64 {
+        self.turn(now_ms);
+        self.now_ms.max(self.before_ms)
+    }
+
+    fn turn(&mut self, now_ms: u64) {
+        let span = now_ms / SPAN_MS;
+        if span > self.span {
+            self.before_ms = if span == self.span + 1 {
+                self.now_ms
+            } else {
+                0
+            };
+            self.now_ms = 0;
+            self.span = span;
+        }
+    }
+}
+
 /// How full a pool is.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PoolOccupancy {
--- a/crates/routing/src/attempt.rs
+++ b/crates/routing/src/attempt.rs
@@ -64,6 +64,18 @@
         !matches!(self, AttemptOutcome::NotSent | AttemptOutcome::Withdrawn)
     }
 
+    /// Whether it speaks against what the endpoint runs: it took the request in and
+    /// brought no answer.
+    pub fn is_failure(self) -> bool {
+        matches!(
+            self,
+            AttemptOutcome::Failed
+                | AttemptOutcome::Broken
+                | AttemptOutcome::Garbage
+                | AttemptOutcome::Silent
+        )
+    }
+
     /// What the caller is told if nothing comes after it.
     pub fn reason(self) -> Reason {
         match self {
--- a/crates/routing/src/endpoints.rs
+++ b/crates/routing/src/endpoints.rs
@@ -237,6 +237,12 @@
         self.parting.get(pool).cloned().unwrap_or_default()
     }
 
+    /// The endpoints that have not ended as far as is known, be they leaving or no
+    /// longer listed.
+    pub fn known(&self) -> impl Iterator<Item = &Member> {
+        self.known.values().map(|known| &known.member)
+    }
+
     /// Whether an endpoint may be given new work; `None` if it is not known.
     pub fn state(&self, name: &EndpointId) -> Option<EndpointState> {
         self.known.get(name).map(Known::state)
@@ -278,6 +284,9 @@
         let known = known.map(|known| &*known.member.endpoint);
         if let Some(known) = known.filter(|known| known.incarnation == endpoint.incarnation) {
             endpoint.state = endpoint.state.max(known.state);
+            if !endpoint.build.is_known() {
+                endpoint.build = known.build.clone();
+            }
         }
         let known = Known {
             member: Member {
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -7,7 +7,7 @@
 //! while they are cold ([`ColdEndpoints`]), how loaded they are over the
 //! whole fleet ([`FleetLoad`]), which one it goes to ([`choose`]), what the end of an
 //! attempt allows next ([`next_step`]), whether a retry is paid for
-//! ([`WindowBudget`]) and what a host that is stopping still takes
+//! ([`WindowBudget`]), how a pool moves to another build ([`Rollouts`]) and what a host that is stopping still takes
 //! ([`DrainSchedule`]). Use it alone to drive these decisions from a simulator; use
 //! `chalkrock-gateway` to serve by them.
 //!
@@ -57,6 +57,7 @@
 mod poison;
 mod prefix_directory;
 mod readers;
+mod rollout;
 mod route;
 mod rules;
 mod rules_change;
@@ -65,7 +66,8 @@
 mod zone_loads;
 
 pub use admission::{
-    AdmissionRequest, PoolOccupancy, ServiceTimeEwma, admit_probability, admits, shed_probability,
+    AdmissionRequest, LongestStay, PoolOccupancy, ServiceTimeEwma, admit_probability, admits,
+    shed_probability,
 };
 pub use attempt::{AttemptOutcome, Next, Repeatable, next_step};
 pub use budget::{BudgetRules, WindowBudget};
@@ -86,6 +88,12 @@
 };
 pub use prefix_directory::{CacheEntry, PrefixDirectory};
 pub use readers::{HeardHost, RELAYS, SubscriptionRole, ZoneView, doubting_part, readers_wanted};
+pub use rollout::{
+    AnswerSeen, BAD_LOG_ODDS, BuildFilter, BuildUse, BuildWish, Decision, Evidence, EvidenceSource,
+    Exposure, ExposureBound, Judgement, Measure, MoveTimes, PoolBuilds, RolloutOrder,
+    RolloutOrderRow, RolloutOrders, RolloutReason, RolloutRecord, RolloutStage, RolloutView,
+    Rollouts, Side, Tally, TallyRow, judge, next_stage,
+};
 pub use route::{Backend, Route, RouteKind};
 pub use rules::{
     Caller, CallerLimits, OrganisationRules, PoolRules, Rules, RulesDocument, RulesVersion,
--- a/crates/routing/src/readers.rs
+++ b/crates/routing/src/readers.rs
@@ -182,10 +182,15 @@
     /// The place of a host among the relays, which tell the other zones of this
     /// one, and this one of them; `None` if it is no relay.
     pub fn relay_place(&self, own: &HeardHost) -> Option<usize> {
-        let place = count_before(own, self.others.iter());
+        let place = self.place(own);
         (place < RELAYS).then_some(place)
     }
 
+    /// How many of the others come before a host.
+    pub fn place(&self, own: &HeardHost) -> usize {
+        count_before(own, self.others.iter())
+    }
+
     /// Whether the hosts of the zone report to relays only, and relays sum up
     /// for them; `is_so` if that is how it has been.
     pub fn is_relayed(&self, is_so: bool) -> bool {
--- a/crates/routing/tests/endpoints.rs
+++ b/crates/routing/tests/endpoints.rs
@@ -1,7 +1,7 @@
 //! Endpoints over lists that lag, lose entries and come from several hosts.
 
 use chalkrock_core::rendezvous::MemberHash;
-use chalkrock_core::{Endpoint, EndpointKind, HostState, Incarnation, PoolId};
+use chalkrock_core::{BuildVersion, Endpoint, EndpointKind, HostState, Incarnation, PoolId};
 use chalkrock_routing::{EndpointState, EndpointTable};
 use googletest::prelude::*;
 use proptest::prelude::*;
@@ -18,6 +18,7 @@
         slots: 4,
         incarnation: Incarnation(0),
         state,
+        build: BuildVersion::default(),
     }
 }
 
--- /dev/null
+++ b/crates/routing/tests/rollout.rs
@@ -0,0 +1,725 @@
+//! Rollouts: what a new build gets, how it is judged, and when its pool moves.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use chalkrock_core::rendezvous::MemberHash;
+use chalkrock_core::{BuildVersion, PoolId};
+use chalkrock_routing::{
+    AnswerSeen, BAD_LOG_ODDS, BuildUse, BuildWish, Decision, Evidence, EvidenceSource, Exposure,
+    ExposureBound, Judgement, RolloutOrder, RolloutOrderRow, RolloutOrders, RolloutReason,
+    RolloutRecord, RolloutStage, RolloutView, Rollouts, Side, StoreVersion, Tally, TallyRow, judge,
+    next_stage,
+};
+use googletest::prelude::*;
+use proptest::prelude::{Strategy, any, prop};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+const WITHIN_MS: u64 = 12_000;
+const HOSTS: usize = 62;
+
+fn pool() -> PoolId {
+    "pool".into()
+}
+
+fn route() -> Arc<str> {
+    "route".into()
+}
+
+fn order(build: &str) -> RolloutOrder {
+    RolloutOrder {
+        build: build.into(),
+        within_ms: WITHIN_MS,
+    }
+}
+
+fn order_row(version: u64, build: Option<&str>) -> RolloutOrderRow {
+    RolloutOrderRow {
+        version: StoreVersion(version),
+        pool: pool(),
+        order: build.map(order),
+    }
+}
+
+fn record(order: u64, stage: RolloutStage) -> RolloutRecord {
+    RolloutRecord {
+        order: StoreVersion(order),
+        build: "v2".into(),
+        from: [BuildVersion::from("v1")].into(),
+        stage,
+        reason: RolloutReason::Ordered,
+        age_ms: 0,
+        moves_ms: BTreeMap::new(),
+    }
+}
+
+fn rollouts() -> Rollouts<u32> {
+    Rollouts::new(ExposureBound::default())
+}
+
+/// Rollouts with an order for `v2` and, if one is given, a record of it.
+fn ordered(stage: Option<RolloutStage>) -> Rollouts<u32> {
+    let mut rollouts = rollouts();
+    rollouts.follow(&[order_row(1, Some("v2"))], StoreVersion(1), 0.5, 0);
+    if let Some(stage) = stage {
+        rollouts.take_record(&pool(), record(1, stage), StoreVersion(2), 0);
+    }
+    rollouts
+}
+
+fn wish<'a>(pool: &'a PoolId, route: &'a Arc<str>) -> BuildWish<'a> {
+    BuildWish {
+        pool,
+        route,
+        is_first: true,
+        hosts: HOSTS,
+    }
+}
+
+const ENDED: AnswerSeen = AnswerSeen::Ended { pace_ms: None };
+
+#[test]
+fn exposure_is_the_hosts_part_whatever_routes_get() {
+    let mut exposure = Exposure::new(ExposureBound::default(), WITHIN_MS, 0.0);
+    let routes: [Arc<str>; 3] = ["rare".into(), "usual".into(), "common".into()];
+    let mut exposed = [0; 3];
+    for number in 0..6_000_usize {
+        // One in ten, three in ten, six in ten.
+        let of_route = [0, 1, 1, 1, 2, 2, 2, 2, 2, 2][number % 10];
+        let takes = exposure.takes(&routes[of_route], number as u64, HOSTS);
+        exposed[of_route] += usize::from(takes);
+    }
+    assert_that!(exposed.iter().sum::<usize>(), all!(ge(285), le(305)));
+    assert_that!(exposed[0], ge(90), "the rare route is tried as often");
+}
+
+#[test]
+fn exposure_uses_the_slack_where_requests_are_few() {
+    let bound = ExposureBound {
+        share: 0.1,
+        slack: 50.0,
+    };
+    let mut exposure = Exposure::new(bound, WITHIN_MS, 0.0);
+    // Two a second: 24 until the deadline, of which 2.4 and 50 / 62 may be exposed.
+    let route = route();
+    let takes = |number: u64| exposure.takes(&route, number * 500, HOSTS);
+    let exposed = (0..240).map(takes).filter(|takes| *takes).count();
+    assert_that!(exposed, all!(ge(13), le(24)));
+}
+
+fn lives() -> impl Strategy<Value = Vec<(u16, u8)>> {
+    // Of each life of a host: its requests, and where its counter begins.
+    prop::collection::vec((0..400_u16, any::<u8>()), 1..120)
+}
+
+proptest::proptest! {
+    #![proptest_config(proptest::prelude::ProptestConfig { failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(20), ..Default::default() })]
+
+    /// Hosts that know nothing of each other, restart, or are alone send no more in all
+    /// than their parts, and in the mean no more for any restart.
+    #[test]
+    fn exposure_of_all_lives_is_held(lives in lives()) {
+        let bound = ExposureBound::default();
+        let route = route();
+        let mut exposed = 0.0;
+        let mut requests = 0.0;
+        for (count, begins) in &lives {
+            let begins_at = f64::from(*begins) / 256.0;
+            let mut exposure = Exposure::new(bound, WITHIN_MS, begins_at);
+            for _ in 0..*count {
+                exposed += f64::from(u8::from(exposure.takes(&route, 0, HOSTS)));
+            }
+            requests += f64::from(*count);
+        }
+        let begun: f64 = lives.iter().map(|(_, begins)| f64::from(*begins) / 256.0).sum();
+        proptest::prop_assert!(exposed <= 0.05 * requests + begun + 1e-6);
+    }
+}
+
+/// Counts answers of which a part fail.
+fn tally(new: (u32, u32), old: (u32, u32)) -> Tally {
+    let mut tally = Tally::default();
+    let mut count = |side: Side, (answers, failures): (u32, u32)| {
+        for number in 0..answers {
+            let seen = if number < failures {
+                AnswerSeen::Failed
+            } else {
+                ENDED
+            };
+            tally.count(&route(), side, seen);
+        }
+    };
+    count(Side::New, new);
+    count(Side::Old, old);
+    tally
+}
+
+#[test]
+fn judge_tells_failures_of_the_build_from_those_of_the_fleet() {
+    let cases = [
+        ("nothing yet", (0, 0), (0, 0), false),
+        ("nothing of the old build", (10, 3), (0, 0), false),
+        ("as good", (40, 0), (800, 1), false),
+        ("one failure", (40, 1), (800, 1), false),
+        ("a third fail", (12, 4), (800, 1), true),
+        ("a tenth fail", (60, 6), (800, 1), true),
+        ("the fleet fails as often", (40, 12), (800, 240), false),
+        (
+            "a service that fails often anyway",
+            (30, 5),
+            (400, 56),
+            false,
+        ),
+        ("twice as often as that", (60, 25), (400, 56), true),
+    ];
+    for (name, new, old, is_bad) in cases {
+        let judgement = judge(&tally(new, old));
+        assert_that!(judgement.is_bad(), eq(is_bad), "{name}: {judgement}");
+    }
+}
+
+fn times(side: Side, ms: impl Iterator<Item = f64>, tally: &mut Tally) {
+    for ms in ms {
+        let pace_ms = Some(ms);
+        tally.count(&route(), side, AnswerSeen::Ended { pace_ms });
+    }
+}
+
+#[test]
+fn judge_tells_a_slow_build_from_a_slow_fleet() {
+    let usual = |count: u32| (0..count).map(|i| 20.0 + f64::from(i % 20));
+    let slow = |count: u32| usual(count).map(|ms| 5.0 * ms);
+    let judged = |new: Vec<f64>, old: Vec<f64>| {
+        let mut tally = Tally::default();
+        times(Side::New, new.into_iter(), &mut tally);
+        times(Side::Old, old.into_iter(), &mut tally);
+        judge(&tally).is_bad()
+    };
+    assert_that!(judged(usual(40).collect(), usual(400).collect()), eq(false));
+    assert_that!(judged(slow(40).collect(), usual(400).collect()), eq(true));
+    assert_that!(judged(slow(40).collect(), slow(400).collect()), eq(false));
+    let part = usual(28).chain(slow(12)).collect();
+    assert_that!(judged(part, usual(400).collect()), eq(true));
+}
+
+/// Looked at after each answer, as it is in use.
+#[test]
+fn judge_seldom_accuses_a_good_build() {
+    const SEEDS: u64 = 1_000;
+    const ANSWERS: u32 = 150;
+    let accused = (0..SEEDS).filter(|seed| {
+        let mut rng = StdRng::seed_from_u64(*seed);
+        let mut tally = Tally::default();
+        let mut fails = |tally: &mut Tally, side| {
+            let seen = if rng.random::<f64>() < 0.14 {
+                AnswerSeen::Failed
+            } else {
+                ENDED
+            };
+            tally.count(&route(), side, seen);
+        };
+        (0..ANSWERS).any(|_| {
+            (0..10).for_each(|_| fails(&mut tally, Side::Old));
+            fails(&mut tally, Side::New);
+            judge(&tally).is_bad()
+        })
+    });
+    // One in 665 by the threshold: two in a thousand.
+    assert_that!(accused.count(), le(4));
+}
+
+fn view(stage: Option<RolloutStage>) -> RolloutView {
+    RolloutView {
+        stage,
+        age_ms: 7_000,
+        within_ms: WITHIN_MS,
+        is_withdrawn: false,
+        new_slots: 100,
+        old_slots: 100,
+        in_progress: 40,
+        old_idle_ms: 0,
+        longest_stays_ms: [(route(), 4_000)].into(),
+        judgement: Judgement {
+            log_odds: -2.0,
+            answers: 40,
+            ..Judgement::default()
+        },
+    }
+}
+
+#[test]
+fn next_stage_follows_the_table() {
+    use RolloutReason as Why;
+    use RolloutStage::{Canary, Done, Moving, RolledBack};
+    type Case = (&'static str, RolloutView, Option<(RolloutStage, Why)>);
+    let canary = || view(Some(Canary));
+    let moving = || view(Some(Moving));
+    let bad = || Judgement {
+        log_odds: BAD_LOG_ODDS,
+        answers: 40,
+        ..Judgement::default()
+    };
+    let few = |answers| Judgement {
+        log_odds: -1.0,
+        answers,
+        ..Judgement::default()
+    };
+    let unsure = Judgement {
+        log_odds: 1.0,
+        answers: 40,
+        ..Judgement::default()
+    };
+    let cases: Vec<Case> = vec![
+        ("ordered", view(None), Some((Canary, Why::Ordered))),
+        (
+            "withdrawn before a record",
+            RolloutView {
+                is_withdrawn: true,
+                ..view(None)
+            },
+            None,
+        ),
+        ("sound", canary(), Some((Moving, Why::Sound))),
+        (
+            "sound, too soon",
+            RolloutView {
+                age_ms: 6_000,
+                ..canary()
+            },
+            None,
+        ),
+        (
+            "bad",
+            RolloutView {
+                judgement: bad(),
+                age_ms: 100,
+                ..canary()
+            },
+            Some((RolledBack, Why::Bad)),
+        ),
+        (
+            "unsure",
+            RolloutView {
+                judgement: unsure.clone(),
+                ..canary()
+            },
+            None,
+        ),
+        (
+            "unsure at the end",
+            RolloutView {
+                judgement: unsure,
+                age_ms: WITHIN_MS,
+                ..canary()
+            },
+            Some((RolledBack, Why::Undecided)),
+        ),
+        (
+            "few answers",
+            RolloutView {
+                judgement: few(8),
+                ..canary()
+            },
+            None,
+        ),
+        (
+            "few answers, late",
+            RolloutView {
+                judgement: few(8),
+                age_ms: 9_000,
+                ..canary()
+            },
+            Some((Moving, Why::Sound)),
+        ),
+        (
+            "next to none, late",
+            RolloutView {
+                judgement: few(2),
+                age_ms: 9_000,
+                ..canary()
+            },
+            None,
+        ),
+        (
+            "next to none, at the end",
+            RolloutView {
+                judgement: few(2),
+                age_ms: WITHIN_MS,
+                ..canary()
+            },
+            Some((RolledBack, Why::Undecided)),
+        ),
+        (
+            "no room yet",
+            RolloutView {
+                new_slots: 20,
+                ..canary()
+            },
+            None,
+        ),
+        (
+            "room for all that runs",
+            RolloutView {
+                new_slots: 60,
+                ..canary()
+            },
+            Some((Moving, Why::Sound)),
+        ),
+        (
+            "never came",
+            RolloutView {
+                new_slots: 0,
+                age_ms: WITHIN_MS,
+                ..canary()
+            },
+            Some((RolledBack, Why::NoEndpoints)),
+        ),
+        (
+            "not there yet",
+            RolloutView {
+                new_slots: 0,
+                ..canary()
+            },
+            None,
+        ),
+        (
+            "no old endpoints",
+            RolloutView {
+                old_slots: 0,
+                age_ms: 10,
+                ..canary()
+            },
+            Some((Moving, Why::Moved)),
+        ),
+        (
+            "withdrawn",
+            RolloutView {
+                is_withdrawn: true,
+                ..canary()
+            },
+            Some((RolledBack, Why::Withdrawn)),
+        ),
+        (
+            "withdrawn while it moves",
+            RolloutView {
+                is_withdrawn: true,
+                ..moving()
+            },
+            Some((RolledBack, Why::Withdrawn)),
+        ),
+        (
+            "bad while it moves",
+            RolloutView {
+                judgement: bad(),
+                ..moving()
+            },
+            Some((RolledBack, Why::Bad)),
+        ),
+        ("still runs at the old ones", moving(), None),
+        (
+            "still runs there, late",
+            RolloutView {
+                age_ms: 2 * WITHIN_MS,
+                ..moving()
+            },
+            None,
+        ),
+        (
+            "moved",
+            RolloutView {
+                old_idle_ms: 800,
+                ..moving()
+            },
+            Some((Done, Why::Moved)),
+        ),
+        (
+            "new ones lost while it moves",
+            RolloutView {
+                new_slots: 0,
+                ..moving()
+            },
+            Some((RolledBack, Why::NoEndpoints)),
+        ),
+        (
+            "done",
+            RolloutView {
+                judgement: bad(),
+                is_withdrawn: true,
+                ..view(Some(Done))
+            },
+            None,
+        ),
+        (
+            "rolled back",
+            RolloutView {
+                old_idle_ms: 800,
+                ..view(Some(RolledBack))
+            },
+            None,
+        ),
+    ];
+    for (name, view, expected) in cases {
+        let expected = expected.map(|(stage, reason)| Decision { stage, reason });
+        assert_that!(next_stage(&view), eq(expected), "{name}");
+    }
+}
+
+#[test]
+fn builds_that_may_be_used_follow_the_stage() {
+    use RolloutStage::{Canary, Done, Moving, RolledBack};
+    // Of the first use: whether the old, the new and another build may be used.
+    let cases = [
+        (None, [true, false, true]),
+        (Some(Canary), [true, false, true]),
+        (Some(RolledBack), [true, false, true]),
+        (Some(Moving), [false, true, true]),
+        (Some(Done), [false, true, true]),
+    ];
+    for (stage, expected) in cases {
+        let rollouts = ordered(stage);
+        let filter = rollouts.filter(&pool(), rollouts.usual_use(&pool()), 0);
+        let admits = ["v1", "v2", "v0"].map(|build| filter.admits(&build.into()));
+        assert_that!(admits, eq(expected), "{stage:?}");
+    }
+    let (pool, route) = (pool(), route());
+    let mut done = ordered(Some(Done));
+    assert_that!(done.uses(&wish(&pool, &route), 0), eq(&[BuildUse::New]));
+    let mut back = ordered(Some(RolledBack));
+    assert_that!(back.uses(&wish(&pool, &route), 0), eq(&[BuildUse::Old]));
+}
+
+#[test]
+fn canary_requests_are_first_tries_alone() {
+    let mut rollouts = ordered(Some(RolloutStage::Canary));
+    let (pool, route) = (pool(), route());
+    let first = wish(&pool, &route);
+    let again = BuildWish {
+        is_first: false,
+        ..first
+    };
+    let is_canary = |uses: &[BuildUse]| uses.first() == Some(&BuildUse::Canary);
+    let of_first = (0..1_000).filter(|_| is_canary(rollouts.uses(&first, 0)));
+    assert_that!(of_first.count(), all!(ge(45), le(55)));
+    let of_again = (0..1_000).filter(|_| is_canary(rollouts.uses(&again, 0)));
+    assert_that!(of_again.count(), eq(0));
+}
+
+#[test]
+fn canaries_are_as_few_as_their_share() {
+    let rollouts = ordered(Some(RolloutStage::Canary));
+    for (old, expected) in [(0, 1), (3, 1), (60, 3), (90, 5), (9_000, 60)] {
+        let new = (0..60).map(|i| MemberHash::of(&format!("new-{i}")));
+        let tried = rollouts.canaries(&pool(), new, old);
+        assert_that!(tried.len(), eq(expected), "{old}");
+    }
+}
+
+#[test]
+fn routes_move_each_at_its_time() {
+    let mut rollouts = ordered(None);
+    let moves_ms = [("short".into(), 9_000), ("long".into(), 5_000)].into();
+    let moving = RolloutRecord {
+        moves_ms,
+        ..record(1, RolloutStage::Moving)
+    };
+    rollouts.take_record(&pool(), moving, StoreVersion(2), 5_000);
+    let pool = pool();
+    let mut first_use = |name: &str, now_ms| {
+        let route = name.into();
+        let again = BuildWish {
+            is_first: false,
+            ..wish(&pool, &route)
+        };
+        rollouts.uses(&again, now_ms)[0]
+    };
+    assert_that!(first_use("long", 5_000), eq(BuildUse::New));
+    assert_that!(first_use("short", 5_000), eq(BuildUse::Old));
+    assert_that!(first_use("short", 9_000), eq(BuildUse::New));
+    assert_that!(first_use("unknown", 5_000), eq(BuildUse::New));
+}
+
+/// A build that came up while no order for it was known got requests at once.
+#[test]
+fn build_that_is_new_to_its_pool_waits_for_an_order() {
+    let mut rollouts = rollouts();
+    let (v1, v2) = (BuildVersion::from("v1"), BuildVersion::from("v2"));
+    let listed = |rollouts: &mut Rollouts<u32>, builds: &[&BuildVersion], now_ms| {
+        rollouts.builds_listed(&pool(), builds.iter().copied(), now_ms);
+    };
+    let admits = |rollouts: &Rollouts<u32>, build: &BuildVersion, now_ms| {
+        rollouts
+            .filter(&pool(), BuildUse::Any, now_ms)
+            .admits(build)
+    };
+    listed(&mut rollouts, &[&v1], 0);
+    assert_that!(
+        admits(&rollouts, &v1, 0),
+        eq(true),
+        "the first list is usual"
+    );
+    listed(&mut rollouts, &[&v1, &v2], 5_000);
+    assert_that!(admits(&rollouts, &v1, 5_000), eq(true));
+    assert_that!(admits(&rollouts, &v2, 5_000), eq(false));
+    assert_that!(admits(&rollouts, &v2, 6_000), eq(true), "no order came");
+}
+
+#[test]
+fn order_that_is_given_again_begins_anew() {
+    let mut rollouts = ordered(Some(RolloutStage::RolledBack));
+    rollouts.follow(&[order_row(7, Some("v2"))], StoreVersion(7), 0.5, 50_000);
+    assert_that!(rollouts.stage(&pool()), none());
+    assert_that!(rollouts.age_ms(&pool(), 50_000), eq(0));
+    assert_that!(
+        rollouts.record_version(&pool()),
+        eq(StoreVersion(2)),
+        "to be replaced"
+    );
+    // The record of the earlier order says nothing of this one.
+    let late = record(1, RolloutStage::Done);
+    rollouts.take_record(&pool(), late, StoreVersion(3), 50_000);
+    assert_that!(rollouts.stage(&pool()), none());
+}
+
+#[test]
+fn order_that_is_taken_back_leaves_what_was_final() {
+    let mut rollouts = ordered(Some(RolloutStage::RolledBack));
+    rollouts.follow(&[order_row(9, None)], StoreVersion(9), 0.5, 0);
+    let filter = rollouts.filter(&pool(), rollouts.usual_use(&pool()), 0);
+    assert_that!(filter.admits(&"v2".into()), eq(false));
+}
+
+#[test]
+fn age_is_that_of_whoever_heard_first() {
+    let mut rollouts = ordered(None);
+    rollouts.take_age(&pool(), StoreVersion(1), 3_000, 1_000);
+    rollouts.take_age(&pool(), StoreVersion(1), 500, 1_000);
+    rollouts.take_age(&pool(), StoreVersion(99), 60_000, 1_000);
+    assert_that!(rollouts.age_ms(&pool(), 1_000), eq(3_000));
+}
+
+/// What happens at the store, in order: an order, or a record of the last one.
+fn history() -> impl Strategy<Value = Vec<(bool, u8)>> {
+    prop::collection::vec((any::<bool>(), 0..4_u8), 1..12)
+}
+
+fn stage_of(number: u8) -> RolloutStage {
+    match number {
+        0 => RolloutStage::Canary,
+        1 => RolloutStage::Moving,
+        2 => RolloutStage::Done,
+        _ => RolloutStage::RolledBack,
+    }
+}
+
+/// One thing that a host may be told of.
+#[derive(Clone, Debug)]
+enum Word {
+    Orders(RolloutOrders),
+    Record(RolloutRecord, StoreVersion),
+}
+
+/// All words of a history, in the order of the store.
+fn words(history: &[(bool, u8)]) -> Vec<Word> {
+    let mut words = vec![Word::Orders(RolloutOrders::as_of(
+        StoreVersion(1),
+        [order_row(1, Some("v2"))],
+    ))];
+    let mut order = 1;
+    for (at, (is_order, number)) in history.iter().enumerate() {
+        let version = at as u64 + 2;
+        if *is_order {
+            order = version;
+            let row = order_row(version, Some("v2"));
+            words.push(Word::Orders(RolloutOrders::as_of(
+                StoreVersion(version),
+                [row],
+            )));
+        } else {
+            let record = record(order, stage_of(*number));
+            words.push(Word::Record(record, StoreVersion(version)));
+        }
+    }
+    words
+}
+
+fn tell(rollouts: &mut Rollouts<u32>, word: &Word) {
+    match word {
+        Word::Orders(orders) => {
+            rollouts.take_orders(orders, 0.5, 0);
+        }
+        Word::Record(record, version) => {
+            rollouts.take_record(&pool(), record.clone(), *version, 0);
+        }
+    }
+}
+
+proptest::proptest! {
+    #![proptest_config(proptest::prelude::ProptestConfig { failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(21), ..Default::default() })]
+
+    /// Words that come in any order, twice or not until the end: all hosts believe in
+    /// the end what the store holds.
+    #[test]
+    fn hosts_agree_whatever_order_word_comes_in(
+        history in history(),
+        order in prop::collection::vec(any::<usize>(), 0..40),
+    ) {
+        let words = words(&history);
+        let mut in_order = rollouts();
+        words.iter().for_each(|word| tell(&mut in_order, word));
+        let mut other = rollouts();
+        for index in order {
+            tell(&mut other, &words[index % words.len()]);
+        }
+        words.iter().rev().for_each(|word| tell(&mut other, word));
+        words.iter().for_each(|word| tell(&mut other, word));
+        proptest::prop_assert_eq!(other.stage(&pool()), in_order.stage(&pool()));
+        proptest::prop_assert_eq!(other.order(&pool()), in_order.order(&pool()));
+        proptest::prop_assert_eq!(
+            other.record_version(&pool()),
+            in_order.record_version(&pool())
+        );
+    }
+
+    /// Counts that are told late, twice or in parts add up to what was seen.
+    #[test]
+    fn evidence_counts_each_answer_once(
+        answers in prop::collection::vec((0..4_u32, any::<bool>()), 0..60),
+        order in prop::collection::vec(any::<usize>(), 0..80),
+    ) {
+        let mut tallies: BTreeMap<u32, Tally> = BTreeMap::new();
+        let mut told = Vec::new();
+        for (host, fails) in &answers {
+            let tally = tallies.entry(*host).or_default();
+            let seen = if *fails { AnswerSeen::Failed } else { ENDED };
+            tally.count(&route(), Side::New, seen);
+            told.push((*host, tally.clone()));
+        }
+        let mut evidence: Evidence<u32> = Evidence::default();
+        let tell = |evidence: &mut Evidence<u32>, (host, tally): &(u32, Tally)| {
+            let source = EvidenceSource::Host { host: *host, incarnation: 1 };
+            for row in Vec::<TallyRow>::from(tally.clone()) {
+                evidence.merge(source, vec![row].into());
+            }
+        };
+        for index in order.iter().filter(|_| !told.is_empty()) {
+            tell(&mut evidence, &told[index % told.len()]);
+        }
+        told.iter().for_each(|told| tell(&mut evidence, told));
+        proptest::prop_assert_eq!(evidence.sum().answers(Side::New), answers.len() as u32);
+    }
+}
+
+#[test]
+fn evidence_of_two_relays_of_a_zone_counts_once() {
+    let mut evidence: Evidence<u32> = Evidence::default();
+    evidence.count(&route(), Side::New, ENDED);
+    for (relay, answers) in [(1, 10), (2, 12)] {
+        let source = EvidenceSource::Zone { zone: 7, relay };
+        evidence.merge(source, tally((answers, 0), (0, 0)));
+    }
+    assert_that!(evidence.sum().answers(Side::New), eq(13));
+    assert_that!(evidence.zone_sum().answers(Side::New), eq(1));
+}
