Order what the store says by its era, and pass lists on sooner at a start

Cause: a store that comes back from a copy gives versions out again, and whoever had the higher number was right: until the numbers had caught up, changes of the list, rules' neighbours (evacuations, orders) and records counted for old, and an endpoint that said it leaves went on getting requests.

Change: the adapter puts the era into the high bits of each version it hands on, so that all comparisons, between hosts too, are by era and number together, with no change of what travels. A read from another era is answered as a history that is gone; a whole read of two eras is read again; a record is never replaced by a number of an earlier era. What operators wrote last holds until they write it again; entries that the copy lacks are kept for three heartbeats; refused requests, hosts' rows and the last word of a rollout are written again.

Changes of the list are kept to pass on up to half of its length, in place of 256.

One organisation leaves a fifth of a room free beyond its half: with half and no more, a test of earlier (two bodies in a room for two) never ended.

--- a/crates/gateway/src/byte_budget.rs
+++ b/crates/gateway/src/byte_budget.rs
@@ -3,8 +3,8 @@
 //! A caller's body is kept until its request has ended, since it may be sent once more;
 //! an endpoint's answer is kept until its caller has taken it. Connections times the
 //! largest of either is far more than a host's memory, and a host that runs out of it is
-//! killed with all that it holds. One organisation may hold half of the room, so that
-//! its slow callers leave the others' requests theirs.
+//! killed with all that it holds. An organisation that holds half of the room leaves a
+//! fifth of it to the others, so that its slow callers don't take all.
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -12,8 +12,11 @@
 use chalkrock_core::OrganisationId;
 use tokio::sync::Notify;
 
-/// The part of the room that one organisation may hold.
+/// The part of the room up to which an organisation may take all that is free.
 const ORGANISATION_PART: f64 = 0.5;
+/// The part that it leaves free beyond: a body or an answer of the largest kind on hosts
+/// with 160 MB.
+const LEFT_PART: f64 = 0.2;
 
 /// Room for bytes.
 #[derive(Clone, Debug)]
@@ -121,8 +124,10 @@
     ) -> bool {
         let own = organisation.and_then(|organisation| self.by_organisation.get(organisation));
         let own = own.copied().unwrap_or_default();
-        let share = (most_bytes as f64 * ORGANISATION_PART) as usize;
-        self.bytes + bytes <= most_bytes && (own == 0 || own + bytes <= share)
+        let part = |part: f64| (most_bytes as f64 * part) as usize;
+        let is_within_share = own == 0 || own + bytes <= part(ORGANISATION_PART);
+        let left = if is_within_share { 0 } else { part(LEFT_PART) };
+        self.bytes + bytes + left <= most_bytes
     }
 
     fn release(&mut self, bytes: usize, organisation: Option<&OrganisationId>) {
--- a/crates/gateway/src/fleet/closed.rs
+++ b/crates/gateway/src/fleet/closed.rs
@@ -32,6 +32,17 @@
         change
     }
 
+    /// Takes the zones that are evacuated as they were read whole.
+    pub(crate) fn read_evacuations(
+        &mut self,
+        evacuations: Evacuations,
+        now_ms: u64,
+    ) -> EvacuationChange {
+        let change = self.evacuations.read(evacuations);
+        self.evacuations_changed(&change, now_ms);
+        change
+    }
+
     /// Takes the evacuations of a part of the store's history.
     pub(crate) fn follow_evacuations(
         &mut self,
--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -20,8 +20,12 @@
 use crate::prefixes::Prefixes;
 use crate::source::{EndpointChange, EndpointRow, ListedEndpoint};
 
-/// Changes of the list that are kept to pass on.
-const CHANGES_MAX: usize = 256;
+/// Changes of the list that are kept to pass on at least.
+const CHANGES_MIN: usize = 256;
+/// The part of the list's length up to which changes are kept: more would be no less to
+/// pass on than the list. With 256 of any list, a host that was 2 s behind while 50 of
+/// 10,000 endpoints were replaced each second had to take all of it.
+const CHANGES_PART: usize = 2;
 
 /// Requests that a cold endpoint works on at once, if it bears so many a second
 /// (0 for any number) and each stays so long.
@@ -67,6 +71,10 @@
     pub(crate) endpoints: EndpointTable,
     /// The newest change of the list that is known.
     pub(crate) endpoints_version: StoreVersion,
+    /// Whether the list of endpoints was ever taken whole.
+    has_list: bool,
+    /// How often the store had come back from a copy when this host last read it whole.
+    pub(crate) store_era: Option<u64>,
     /// Until when entries are kept that lapsed while the store was away.
     lapsed_until_ms: Option<u64>,
     /// The last changes of the list, to pass on.
@@ -106,6 +114,8 @@
         Self {
             endpoints: EndpointTable::default(),
             endpoints_version: StoreVersion::default(),
+            has_list: false,
+            store_era: None,
             lapsed_until_ms: None,
             changes: VecDeque::new(),
             changes_since: StoreVersion::default(),
@@ -363,6 +373,11 @@
         for listed in &list {
             self.told_cold(listed, now_ms);
         }
+        if self.has_list && version.era() > self.endpoints_version.era() {
+            // The store came back from a copy, which lacks endpoints that entered the
+            // list of late: they write themselves there again.
+            self.store_is_back(now_ms, self.entry_delay_ms);
+        }
         // A list that was read slowly may be older than what other hosts passed on.
         let is_older = version < self.endpoints_version;
         let endpoints = list.into_iter().map(|listed| {
@@ -375,6 +390,7 @@
         let endpoints = endpoints.collect();
         self.endpoints.replace(endpoints, now_ms);
         self.endpoints_version = self.endpoints_version.max(version);
+        self.has_list = true;
         self.changes.clear();
         self.changes_since = self.endpoints_version;
         self.note_builds(now_ms);
@@ -401,7 +417,8 @@
             }
             self.changes.push_back(row);
         }
-        while self.changes.len() > CHANGES_MAX {
+        let most = (self.endpoints.listed_count() / CHANGES_PART).max(CHANGES_MIN);
+        while self.changes.len() > most {
             if let Some(oldest) = self.changes.pop_front() {
                 self.changes_since = oldest.version;
             }
--- a/crates/gateway/src/follow/start.rs
+++ b/crates/gateway/src/follow/start.rs
@@ -18,8 +18,13 @@
 const START_PATIENCE: Duration = Duration::from_millis(60);
 /// Times, in milliseconds, that hosts wait where the whole fleet starts for the
 /// first time and callers are not there yet; each draws one. The first to read
-/// serve the others: 295 hosts make 1,180 calls at once if each reads for itself.
-const FIRST_START_PATIENCE_MS: RangeInclusive<u64> = 50..=4_000;
+/// serve the others: 295 hosts make 1,180 calls at once if each reads for itself. Strong
+/// hosts come first: a list of 10,000 endpoints takes them 0.2 s, and a link of
+/// 20 Mbit/s 1.3 s.
+const FIRST_START_STRONG_MS: RangeInclusive<u64> = 50..=1_500;
+const FIRST_START_WEAK_MS: RangeInclusive<u64> = 1_500..=4_000;
+/// What a strong host may use of a processor, in thousandths of a core.
+const STRONG_MILLICORES: u16 = 500;
 /// Pause after other hosts passed on all, until all hosts are known and those
 /// that come first begin to read.
 const HEARD_PAUSE: Duration = Duration::from_millis(400);
@@ -47,7 +52,13 @@
 /// Waits for as long as others may still pass on all.
 async fn start_patience(shared: &Shared) {
     if shared.config.is_first_start {
-        let patience_ms = rand::rng().random_range(FIRST_START_PATIENCE_MS);
+        let is_strong = shared.config.capacity_millicores >= STRONG_MILLICORES;
+        let range = if is_strong {
+            FIRST_START_STRONG_MS
+        } else {
+            FIRST_START_WEAK_MS
+        };
+        let patience_ms = rand::rng().random_range(range);
         tokio::time::sleep(ms(patience_ms)).await;
         return;
     }
--- a/crates/gateway/src/peers/pull.rs
+++ b/crates/gateway/src/peers/pull.rs
@@ -258,19 +258,24 @@
     missing
 }
 
-/// Asks another host for what this one is missing, and where endpoints come of it for
-/// what else it knows of them. A host of an earlier build breaks off at the second.
+/// Asks another host for what this one is missing. What else it knows of endpoints is
+/// asked first: a list that has come is then used at once. A host of an earlier build
+/// breaks off at that, and is asked for the rest alone.
 async fn ask(address: SocketAddr, have: Have, count: Arc<ByteCount>) -> Option<(Missing, Besides)> {
+    let client = connect(address, count.clone()).await?;
+    if let Ok(besides) = client.besides(tarpc::context::current()).await {
+        let missing = client.missing(tarpc::context::current(), have).await.ok()?;
+        return Some((missing, besides));
+    }
+    let client = connect(address, count).await?;
+    let missing = client.missing(tarpc::context::current(), have).await.ok()?;
+    Some((missing, Besides::default()))
+}
+
+async fn connect(address: SocketAddr, count: Arc<ByteCount>) -> Option<PeerApiClient> {
     let stream = TcpStream::connect(address).await.ok()?;
     let framed = transport(stream, count);
-    let client = PeerApiClient::new(tarpc::client::Config::default(), framed).spawn();
-    let missing = client.missing(tarpc::context::current(), have).await.ok()?;
-    let besides = if missing.endpoints.is_some() {
-        client.besides(tarpc::context::current()).await
-    } else {
-        Ok(Besides::default())
-    };
-    Some((missing, besides.unwrap_or_default()))
+    Some(PeerApiClient::new(tarpc::client::Config::default(), framed).spawn())
 }
 
 /// Takes what another host passed on. Returns what it says of itself if it was
--- a/crates/gateway/src/poison.rs
+++ b/crates/gateway/src/poison.rs
@@ -188,6 +188,16 @@
         is_news
     }
 
+    /// The records of refused requests may be gone: those that are known are written
+    /// again.
+    pub(crate) fn record_poison_again(&self) {
+        let now_ms = self.clock.now_ms();
+        let poison = self.fleet().poison.poison(usize::MAX, now_ms);
+        for request in poison {
+            self.poison_records.record(request.request);
+        }
+    }
+
     fn take_verdicts(&self, verdicts: impl IntoIterator<Item = Verdict>, from: &str) {
         for verdict in verdicts {
             let (fingerprint, is_poison) = match verdict {
--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -55,6 +55,16 @@
         is_news
     }
 
+    /// Takes orders as they were read whole. Returns whether they are news.
+    pub(crate) fn read_rollout_orders(&self, orders: RolloutOrders, from: &str) -> bool {
+        let now_ms = self.clock.now_ms();
+        let mut fleet = self.fleet();
+        let is_news = fleet.rollouts.read_orders(orders, rand::random(), now_ms);
+        drop(fleet);
+        self.orders_changed(is_news, from);
+        is_news
+    }
+
     /// Takes the orders of a part of the store's history.
     pub(crate) fn follow_rollout_orders(
         &self,
@@ -193,6 +203,7 @@
             return;
         }
         let Some(view) = self.view(pool) else {
+            self.confirm(pool).await;
             return;
         };
         let next = next_stage(&view).filter(|next| self.may_go_by_load(next));
@@ -216,6 +227,47 @@
         }
     }
 
+    /// Writes the last word of a rollout again where the store came back from a copy
+    /// since, which may lack it. Each host waits its turn as for any word.
+    async fn confirm(&mut self, pool: &PoolId) {
+        let Some((record, version)) = self.unconfirmed(pool) else {
+            self.due_since.remove(pool);
+            return;
+        };
+        let decision = Decision {
+            stage: record.stage,
+            reason: record.reason,
+        };
+        let now = Instant::now();
+        let (_, since) = *self
+            .due_since
+            .entry(pool.clone())
+            .or_insert((decision, now));
+        let place = self.peers.writer_place();
+        if place.is_none_or(|place| since.elapsed() < PLACE_DELAY * place as u32) {
+            return;
+        }
+        match self.source.write_rollout(pool, &record, version).await {
+            Ok(written) => {
+                self.outage.worked(&self.shared);
+                self.take_written(pool, record, written, &Judgement::default());
+                self.shared.publish_now.notify_one();
+            }
+            Err(error) => {
+                self.outage.failed(&self.shared, &error);
+                tokio::time::sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+
+    /// The record of a rollout, if it was written before the store came back from a copy.
+    fn unconfirmed(&self, pool: &PoolId) -> Option<(RolloutRecord, StoreVersion)> {
+        let fleet = self.shared.fleet();
+        let (record, version) = fleet.rollouts.record(pool)?;
+        let is_earlier = version.era() < fleet.endpoints_version.era();
+        is_earlier.then(|| (record.clone(), version))
+    }
+
     /// What is known of a rollout now; `None` where it has come to its end.
     fn view(&self, pool: &PoolId) -> Option<RolloutView> {
         let now_ms = self.shared.clock.now_ms();
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -209,7 +209,11 @@
         tokio::time::sleep(SETTLED_AFTER).await;
         shared.subscription.turn().await;
     }
-    join(&shared, source, own, peers).await;
+    loop {
+        join(&shared, source.clone(), own.clone(), peers.clone()).await;
+        // The store came back from a copy: the record may be gone.
+        shared.store_restored.notified().await;
+    }
 }
 
 async fn hears_any(peers: &Membership) {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -35,6 +35,9 @@
 /// may not for long, and refuses at once.
 const VIEW_WAIT_MS: u64 = 400;
 
+/// Time from its start in which a host counts as new.
+const NEW_UNTIL_MS: u64 = 10_000;
+
 pub(crate) struct Shared {
     pub(crate) config: GatewayConfig,
     pub(crate) clock: Clock,
@@ -48,6 +51,8 @@
     pub(crate) pauses: Pauses,
     /// Some request is to be sent no further from now on.
     pub(crate) poison_found: Notify,
+    /// The store came back from a copy: what this host wrote there may be gone.
+    pub(crate) store_restored: Notify,
     pub(crate) lag: Lag,
     /// Room for callers' bodies.
     pub(crate) bodies: ByteBudget,
@@ -94,6 +99,7 @@
             passed_over: PassedOver::default(),
             pauses: Pauses::default(),
             poison_found: Notify::new(),
+            store_restored: Notify::new(),
             lag: Lag::default(),
             bodies,
             answers,
@@ -159,6 +165,14 @@
         self.evacuations_changed(&change, from)
     }
 
+    /// Takes the zones that are evacuated as they were read whole. Returns whether that
+    /// changes any.
+    pub(crate) fn read_evacuations(&self, evacuations: Evacuations, from: &str) -> bool {
+        let now_ms = self.clock.now_ms();
+        let change = self.fleet().read_evacuations(evacuations, now_ms);
+        self.evacuations_changed(&change, from)
+    }
+
     /// Takes the evacuations of a part of the store's history. Returns whether
     /// they change any.
     pub(crate) fn follow_evacuations(
@@ -255,6 +269,30 @@
         });
     }
 
+    /// The store was read whole, in an era. If that is a later one than was known, it
+    /// came back from a copy: what this host wrote there is written again.
+    pub(crate) fn store_read(&self, era: u64) {
+        let mut fleet = self.fleet();
+        let was_known = fleet.store_era.replace(era);
+        let is_restored = was_known.is_some_and(|known| known < era);
+        if was_known.is_some_and(|known| known > era) {
+            // An answer that was long on its way.
+            fleet.store_era = was_known;
+        }
+        drop(fleet);
+        if !is_restored {
+            return;
+        }
+        self.event_log.emit(&Event::StoreIsRestored { era });
+        self.record_poison_again();
+        self.store_restored.notify_one();
+    }
+
+    /// Whether the host has only just started.
+    pub(crate) fn is_new(&self) -> bool {
+        self.clock.steady_ms() < NEW_UNTIL_MS
+    }
+
     /// Whether the host can serve: it knows rules and endpoints.
     pub(crate) fn has_view(&self) -> bool {
         *self.has_view.borrow()
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod attempts;
 mod calls;
 mod crashes;
+mod eras;
 mod evacuations;
 mod large_rules;
 mod pauses;
--- a/crates/gateway/tests/gateway/support/source.rs
+++ b/crates/gateway/tests/gateway/support/source.rs
@@ -72,6 +72,15 @@
     }
 }
 
+/// What a platform held.
+pub(crate) struct Copied {
+    version: u64,
+    rules: Option<(u64, RulesDocument)>,
+    endpoints: Vec<(u64, EndpointId, Option<ListedEndpoint>)>,
+    evacuations: Vec<(u64, ZoneId, bool)>,
+    poison: Vec<PoisonRow>,
+}
+
 /// A platform that several gateways may share.
 #[derive(Clone)]
 pub(crate) struct TestSource {
@@ -92,6 +101,43 @@
 }
 
 impl TestSource {
+    /// Comes back from a copy that an earlier `copy` made: what was written since is
+    /// gone, and numbers are given out again.
+    pub(crate) fn come_back(&self, copy: Copied) {
+        let mut state = self.lock();
+        let era = StoreVersion(state.version).era() + 1;
+        let of_era = |version: u64| {
+            let number = StoreVersion(version).number();
+            StoreVersion::of_era(era, number).0
+        };
+        state.rules = copy.rules.map(|(version, rules)| (of_era(version), rules));
+        let endpoints = copy.endpoints.into_iter();
+        state.endpoints = endpoints
+            .map(|(version, name, row)| (of_era(version), name, row))
+            .collect();
+        let evacuations = copy.evacuations.into_iter();
+        state.evacuations = evacuations
+            .map(|(version, zone, is_evacuated)| (of_era(version), zone, is_evacuated))
+            .collect();
+        state.poison = copy.poison;
+        state.version = of_era(copy.version);
+        let version = state.version;
+        drop(state);
+        self.changed.send_replace(version);
+    }
+
+    /// A copy of what it holds.
+    pub(crate) fn copy(&self) -> Copied {
+        let state = self.lock();
+        Copied {
+            version: state.version,
+            rules: state.rules.clone(),
+            endpoints: state.endpoints.clone(),
+            evacuations: state.evacuations.clone(),
+            poison: state.poison.clone(),
+        }
+    }
+
     /// The same platform for another host, which can be cut off by itself.
     pub(crate) fn for_another(&self) -> Self {
         Self {
@@ -329,6 +375,10 @@
         if state.is_down {
             return Err(SourceError::Unavailable("switched off".to_owned()));
         }
+        let era = StoreVersion(state.version).era();
+        if since.is_some_and(|since| StoreVersion(since).era() != era) {
+            return Err(SourceError::HistoryGone);
+        }
         let is_new = |version: u64| since.is_none_or(|since| version > since);
         let mut rows = Vec::new();
         match topic {
--- a/crates/routing/src/endpoints.rs
+++ b/crates/routing/src/endpoints.rs
@@ -273,6 +273,11 @@
         listed.map(|known| &known.member)
     }
 
+    /// How many endpoints are listed.
+    pub fn listed_count(&self) -> usize {
+        self.listed().count()
+    }
+
     /// Short hashes of the endpoints that are listed.
     pub fn listed_hashes(&self) -> HashSet<u32> {
         let listed = self.known.values().filter(|known| known.is_listed);
--- a/crates/routing/src/rollout/order.rs
+++ b/crates/routing/src/rollout/order.rs
@@ -79,6 +79,19 @@
         is_news
     }
 
+    /// Takes a state that was read whole. If it is the first of a later era, the store
+    /// came back from a copy that may lack what operators wrote last: orders hold until
+    /// they write about them again.
+    pub fn read(&mut self, mut other: RolloutOrders) -> bool {
+        if other.version.era() > self.version.era() {
+            for (pool, given) in &self.by_pool {
+                let known = other.by_pool.entry(pool.clone());
+                known.or_insert_with(|| given.clone());
+            }
+        }
+        self.merge(&other)
+    }
+
     /// Takes the rows of a part of the history, oldest first, that ends at `until` and
     /// begins no later than what is known. Returns whether they change any order.
     pub fn follow(&mut self, rows: &[RolloutOrderRow], until: StoreVersion) -> bool {
--- a/crates/routing/src/rollout/runs.rs
+++ b/crates/routing/src/rollout/runs.rs
@@ -174,6 +174,15 @@
         is_news
     }
 
+    /// Takes the orders as they were read whole.
+    pub fn read_orders(&mut self, orders: RolloutOrders, draw: f64, now_ms: u64) -> bool {
+        let is_news = self.orders.read(orders);
+        if is_news {
+            self.follow_orders(draw, now_ms);
+        }
+        is_news
+    }
+
     /// Takes the orders of a part of the store's history.
     pub fn follow(
         &mut self,
@@ -260,8 +269,8 @@
 
     /// A write was refused for what stands at the store, which goes before what this
     /// host believes also if its version is lower. The next record replaces it; one that
-    /// can't be read (`None`) says nothing else. Returns whether it changes what is in
-    /// force.
+    /// is missing or can't be read (`None`) changes nothing else. Returns whether it
+    /// changes what is in force.
     pub fn found_at_store(
         &mut self,
         pool: &PoolId,
@@ -270,14 +279,15 @@
         now_ms: u64,
     ) -> bool {
         let known = self.recorded.entry(pool.clone()).or_default();
-        if version < known.version {
-            *known = Recorded::default();
-        }
         match record {
-            Some(record) => self.take_record(pool, record, version, now_ms),
+            Some(record) => {
+                if version < known.version {
+                    *known = Recorded::default();
+                }
+                self.take_record(pool, record, version, now_ms)
+            }
             None => {
                 known.version = version;
-                known.record = None;
                 false
             }
         }
