--- a/crates/gateway/tests/gateway/large_rules.rs
+++ b/crates/gateway/tests/gateway/large_rules.rs
@@ -14,10 +14,11 @@
 
 use std::time::Duration;
 
-use chalkrock_core::Endpoint;
+use chalkrock_core::{Endpoint, HostState};
 
 use crate::support::{
-    Behaviour, Script, ScriptedEndpoint, SlowLink, TestGateway, TestSource, rules, rules_of, until,
+    Behaviour, Script, ScriptedEndpoint, SlowLink, TestGateway, TestSource, figure, rules,
+    rules_of, until,
 };
 use googletest::prelude::*;
 use tokio::time::{sleep, timeout};
@@ -142,3 +143,43 @@
     let is_ready = timeout(LONG, second.ready()).await.is_ok();
     assert_that!(is_ready, eq(true));
 }
+
+/// While 192 of 9,999 endpoints left at once, each of 986 hosts took the whole list anew,
+/// 487 KB in 0.7 s over its link: hosts kept the last 256 changes, whatever the length of
+/// the list, and whoever was behind by more had to take all of it. One host was not told
+/// of an endpoint that was leaving for 6.3 s.
+#[tokio::test]
+async fn many_changes_of_a_long_list_cost_a_host_no_whole_list() {
+    const ENDPOINTS: usize = 2_000;
+    const CHANGES: usize = 400;
+    let source = TestSource::default();
+    source.set_rules(rules(1));
+    let some = ScriptedEndpoint::start("some", "pool", Behaviour::Answer, Script::default()).await;
+    let entry = |i: usize| Endpoint {
+        name: format!("endpoint-{i}").as_str().into(),
+        ..some.endpoint.clone()
+    };
+    (0..ENDPOINTS).for_each(|i| source.list(entry(i)));
+    let first = TestGateway::with(source.clone(), "host-1", Vec::new()).await;
+    first.ready().await;
+    let second = TestGateway::cut_off("host-2", vec![first.peer_address()]).await;
+    second.ready().await;
+    let pulled = async || figure(&second, "peer_pulled_bytes_total").await;
+    let whole_bytes = pulled().await;
+    for i in 0..CHANGES {
+        source.list(Endpoint {
+            state: HostState::Leaving,
+            ..entry(i)
+        });
+    }
+    let left = (ENDPOINTS - CHANGES) as f64;
+    until(async || figure(&second, "endpoints_live").await == left).await;
+    until(async || {
+        let versions = [&first, &second].map(|host| figure(host, "endpoints_version"));
+        let [first, second] = versions;
+        first.await == second.await
+    })
+    .await;
+    let cost_bytes = pulled().await - whole_bytes;
+    assert_that!(cost_bytes, lt(whole_bytes / 2.0), "of {whole_bytes}");
+}
