Keep what hosts tell each other within a packet while many endpoints leave

Cause: each heartbeat and each relay's summary names all endpoints that are leaving, 5 bytes each.

Change: 64 of them a datagram, all in turn; the list itself tells the rest. The largest datagram is a metric. Without the change the new test fails.

--- a/crates/gateway/src/peers/publish.rs
+++ b/crates/gateway/src/peers/publish.rs
@@ -32,6 +32,10 @@
 const ENTRIES_PER_DATAGRAM: usize = 96;
 /// Endpoints whose requests a datagram counts: about 1 KB.
 const COUNTS_PER_DATAGRAM: usize = 128;
+/// Endpoints that are leaving in one datagram, of 5 bytes each; the others follow in the
+/// next rounds. What does not fit into one packet is lost with all that it says: while 192
+/// endpoints left at once, no heartbeat and no relay's summary was heard.
+const LEAVING_PER_DATAGRAM: usize = 64;
 /// Requests that are sent no further in one datagram, of 14 bytes each; those that
 /// came again last go first. The others are told once when they are found, and to
 /// whoever asks for all.
@@ -94,7 +98,7 @@
     ];
     for (datagrams, to) in to_hosts {
         for datagram in datagrams {
-            send(socket, datagram, to);
+            send(shared, socket, datagram, to);
         }
     }
     for datagram in &datagrams.sums {
@@ -127,10 +131,11 @@
     rounds.min(ROUNDS_A_SUM_MAX)
 }
 
-fn send(socket: &UdpSocket, datagram: &Datagram, to: &[SocketAddr]) {
+fn send(shared: &Shared, socket: &UdpSocket, datagram: &Datagram, to: &[SocketAddr]) {
     let Ok(bytes) = postcard::to_stdvec(datagram) else {
         return;
     };
+    shared.largest_datagram(bytes.len());
     for address in to {
         let _lost_datagrams_are_replaced = socket.try_send_to(&bytes, *address);
     }
@@ -217,7 +222,7 @@
     let knowledge = Knowledge {
         rules,
         endpoints: fleet.endpoints_version,
-        leaving: fleet.endpoints.leaving(),
+        leaving: in_turn(fleet.endpoints.leaving(), sequence),
         evacuations: fleet.evacuations.clone(),
         poison: fleet.poison.poison(POISON_PER_DATAGRAM, now_ms),
     };
@@ -295,6 +300,18 @@
     datagrams
 }
 
+/// Of endpoints that are leaving those whose turn it is in a round.
+fn in_turn(mut leaving: Vec<u32>, sequence: u64) -> Vec<u32> {
+    let turns = leaving.len().div_ceil(LEAVING_PER_DATAGRAM).max(1);
+    if turns == 1 {
+        return leaving;
+    }
+    leaving.sort_unstable();
+    let turn = (sequence % turns as u64) as usize;
+    let of_turn = leaving.into_iter().skip(turn * LEAVING_PER_DATAGRAM);
+    of_turn.take(LEAVING_PER_DATAGRAM).collect()
+}
+
 /// A sum in parts of a datagram each.
 fn parts(sum: ZoneSum) -> impl Iterator<Item = ZoneSum> {
     sum.split(COUNTS_PER_DATAGRAM).into_iter()
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -62,6 +62,7 @@
     pub(crate) connection_permits: Arc<Semaphore>,
     pub(crate) rules: RulesInForce,
     fleet: Mutex<Fleet>,
+    largest_datagram_bytes: AtomicUsize,
     /// Requests that were read and have no whole answer yet.
     running: AtomicUsize,
     stop_asked_at: OnceLock<Instant>,
@@ -106,6 +107,7 @@
             connection_permits,
             rules: RulesInForce::default(),
             fleet: Mutex::new(fleet),
+            largest_datagram_bytes: AtomicUsize::new(0),
             running: AtomicUsize::new(0),
             stop_asked_at: OnceLock::new(),
             stop: watch::channel(None).0,
@@ -288,6 +290,17 @@
         self.store_restored.notify_one();
     }
 
+    /// A datagram of so many bytes is sent.
+    pub(crate) fn largest_datagram(&self, bytes: usize) {
+        let largest = self
+            .largest_datagram_bytes
+            .fetch_max(bytes, Ordering::Relaxed);
+        if bytes > largest {
+            let metrics = &self.metrics;
+            metrics.gauge("peer_datagram_largest_bytes", "", bytes as f64);
+        }
+    }
+
     /// Whether the host has only just started.
     pub(crate) fn is_new(&self) -> bool {
         self.clock.steady_ms() < NEW_UNTIL_MS
--- a/crates/gateway/tests/gateway/peers.rs
+++ b/crates/gateway/tests/gateway/peers.rs
@@ -6,6 +6,7 @@
     Behaviour, Call, Script, ScriptedEndpoint, TestGateway, TestSource, figure, hosts_with, rules,
     until,
 };
+use chalkrock_core::{Endpoint, HostState};
 use googletest::prelude::*;
 use rand::{RngExt, SeedableRng};
 
@@ -366,3 +367,33 @@
     let call = Call::get("/safe/").id("r-1");
     until(async || second.call(call.clone()).await.status == 200).await;
 }
+
+/// While 192 endpoints of a long list left at once, each heartbeat named them all and was
+/// larger than what a link carries in one piece: none arrived, with all that it said of
+/// loads, hosts and versions.
+#[tokio::test]
+async fn peers_name_many_leaving_endpoints_in_datagrams_that_fit_a_packet() {
+    const LEAVING: usize = 300;
+    const PACKET_BYTES: f64 = 1_200.0;
+    let source = TestSource::default();
+    source.set_rules(rules(1));
+    let some = ScriptedEndpoint::start("some", "pool", Behaviour::Answer, Script::default()).await;
+    source.list(some.endpoint.clone());
+    for i in 0..LEAVING {
+        source.list(Endpoint {
+            name: format!("leaving-{i}").as_str().into(),
+            state: HostState::Leaving,
+            ..some.endpoint.clone()
+        });
+    }
+    let first = TestGateway::with(source, "host-1", Vec::new()).await;
+    first.ready().await;
+    let second = TestGateway::cut_off("host-2", vec![first.peer_address()]).await;
+    second.ready().await;
+    until(async || figure(&second, "peers_heard").await == 1.0).await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    for host in [&first, &second] {
+        let largest = figure(host, "peer_datagram_largest_bytes").await;
+        assert_that!(largest, all!(gt(0.0), le(PACKET_BYTES)));
+    }
+}
