--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -1,6 +1,7 @@
 //! The gateway before scripted endpoints, over loopback.
 
 mod attempts;
+mod builds;
 mod calls;
 mod crashes;
 mod eras;
