--- a/crates/gateway/src/peers/publish.rs
+++ b/crates/gateway/src/peers/publish.rs
@@ -33,8 +33,8 @@
 /// Endpoints whose requests a datagram counts: about 1 KB.
 const COUNTS_PER_DATAGRAM: usize = 128;
 /// Endpoints that are leaving in one datagram, of 5 bytes each; the others follow in the
-/// next rounds. What does not fit into one packet is lost with all that it says: while 192
-/// endpoints left at once, no heartbeat and no relay's summary was heard.
+/// next rounds. What does not fit into one packet is lost with any part of it: 300 that
+/// leave made each heartbeat larger than 1,500 bytes.
 const LEAVING_PER_DATAGRAM: usize = 64;
 /// Requests that are sent no further in one datagram, of 14 bytes each; those that
 /// came again last go first. The others are told once when they are found, and to
--- a/crates/gateway/tests/gateway/peers.rs
+++ b/crates/gateway/tests/gateway/peers.rs
@@ -368,9 +368,8 @@
     until(async || second.call(call.clone()).await.status == 200).await;
 }
 
-/// While 192 endpoints of a long list left at once, each heartbeat named them all and was
-/// larger than what a link carries in one piece: none arrived, with all that it said of
-/// loads, hosts and versions.
+/// Each heartbeat named all endpoints that leave: with hundreds that leave at once it was
+/// larger than what a link carries in one piece, and lost with any part of it.
 #[tokio::test]
 async fn peers_name_many_leaving_endpoints_in_datagrams_that_fit_a_packet() {
     const LEAVING: usize = 300;
