--- a/crates/gateway/src/fleet/builds.rs
+++ b/crates/gateway/src/fleet/builds.rs
@@ -74,6 +74,13 @@
 
     /// The software that endpoints run, to pass on.
     pub(crate) fn known_builds(&self) -> KnownBuilds {
+        if let Some(usual) = self.rollouts.usual_builds() {
+            // Nothing has to be looked up for each of thousands of endpoints.
+            return KnownBuilds {
+                usual,
+                others: Vec::new(),
+            };
+        }
         let mut usual: BTreeMap<PoolId, BuildVersion> = BTreeMap::new();
         let mut others = Vec::new();
         for member in self.endpoints.listed() {
--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -410,21 +410,27 @@
             match &row.change {
                 EndpointChange::Listed(listed) => {
                     self.told_cold(listed, now_ms);
-                    self.endpoints.upsert(listed.endpoint.clone());
+                    let endpoint = &listed.endpoint;
+                    let builds = [&endpoint.build];
+                    self.rollouts.builds_listed(&endpoint.pool, builds, now_ms);
+                    self.endpoints.upsert(endpoint.clone());
                 }
                 EndpointChange::Gone(name) => self.endpoints.remove(name, now_ms),
                 EndpointChange::Unreadable(name) => self.endpoints.discard(name, now_ms),
             }
             self.changes.push_back(row);
         }
-        let most = (self.endpoints.listed_count() / CHANGES_PART).max(CHANGES_MIN);
+        let most = if self.changes.len() > CHANGES_MIN {
+            (self.endpoints.listed_count() / CHANGES_PART).max(CHANGES_MIN)
+        } else {
+            CHANGES_MIN
+        };
         while self.changes.len() > most {
             if let Some(oldest) = self.changes.pop_front() {
                 self.changes_since = oldest.version;
             }
         }
         if is_news {
-            self.note_builds(now_ms);
             self.forget_health();
         }
         is_news
--- a/crates/routing/src/rollout/runs.rs
+++ b/crates/routing/src/rollout/runs.rs
@@ -357,6 +357,16 @@
         }
     }
 
+    /// The build of each pool, if each has only ever run one that is known.
+    pub fn usual_builds(&self) -> Option<Vec<(PoolId, BuildVersion)>> {
+        let pools = self.known_builds.iter();
+        let only = pools.map(|(pool, builds)| {
+            let build = builds.first().filter(|build| build.is_known())?;
+            (builds.len() == 1).then(|| (pool.clone(), build.clone()))
+        });
+        only.collect()
+    }
+
     /// What a request of a pool tries, in this order, before it is refused.
     pub fn uses(&mut self, wish: &BuildWish<'_>, now_ms: u64) -> &'static [BuildUse] {
         let age_ms = self.age_ms(wish.pool, now_ms);
