Read the change once more: one turn, one write and one merge where there were two

Written twice in the change, and one piece now: - Whose turn it is to write a rollout's record, and what follows a write, stood in `go_on`/`write` and again in `confirm`. Both go through `is_this_hosts_turn` and `write`. One thing differs by that: a host that could not confirm a record waits its turn again before it tries again, as it does for any other record. - The longest stay of each route was merged from what a host saw and what it was told both where a decision is made and where hosts tell each other. `Fleet` does it. - Three ways to take orders each locked, drew, changed and logged; `change_orders` does it for all, and the log reads the orders under the same lock as the change. - `Rollouts` asked at three places whether orders are news.

In the wrong place: `StoreVersion` stood with the evacuations, as when they alone had one; it is a module.

Never called: `Tally::is_empty`, `RolloutOrders::is_empty`, and in the experiment tool the count of bad answers, which no figure shows.

No test changed but for one comment's words.

--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -187,8 +187,8 @@
     /// The platform had answered no host for long and does again: endpoints
     /// whose entries lapsed take work for a while.
     StoreIsBack { away_ms: u64, keeps_lapsed_ms: u64 },
-    /// The store came back from a copy for the so manieth time: what was written since
-    /// the copy was made is gone, and versions are given out again.
+    /// The store came back from a copy, as often as the era says so far: what was
+    /// written since the copy was made is gone, and versions are given out again.
     StoreIsRestored { era: u64 },
     /// Another host was heard first, or has fallen silent.
     Peer { address: SocketAddr, is_up: bool },
--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -3,7 +3,7 @@
 mod builds;
 mod closed;
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -11,9 +11,9 @@
 use chalkrock_core::{Endpoint, PoolId, ZoneId};
 use chalkrock_routing::{
     Basis, BudgetRules, BuildUse, Candidate, ColdEndpoints, EndpointHealth, EndpointTable,
-    Evacuations, FleetLoad, HealthSignal, LongestStay, Member, PlacementRequest, PoisonEvidence,
-    PoolOccupancy, PoolRules, Repeatable, Rollouts, ServiceTimeEwma, Shares, SpreadRules,
-    StoreVersion, WindowBudget, choose,
+    Evacuations, Evidence, FleetLoad, HealthSignal, LongestStay, Member, PlacementRequest,
+    PoisonEvidence, PoolOccupancy, PoolRules, Repeatable, Rollouts, ServiceTimeEwma, Shares,
+    SpreadRules, StoreVersion, WindowBudget, choose,
 };
 
 use crate::config::GatewayConfig;
@@ -338,14 +338,16 @@
         }
     }
 
-    /// How long the longest requests of a pool's routes stayed of late.
-    pub(crate) fn longest_stays_ms(
-        &self,
-        pool: &PoolId,
-        now_ms: u64,
-    ) -> impl Iterator<Item = (&Arc<str>, u64)> {
-        let routes = self.longest_stays.get(pool).into_iter().flatten();
-        routes.map(move |(route, longest)| (route, longest.ms(now_ms)))
+    /// How long the longest requests of a pool's routes stayed: what this host saw of
+    /// late, and what others saw since the pool's rollout was ordered.
+    pub(crate) fn longest_stays_ms(&self, pool: &PoolId, now_ms: u64) -> BTreeMap<Arc<str>, u64> {
+        let told = self.rollouts.evidence(pool).map(Evidence::longest_stays_ms);
+        let mut stays_ms = told.cloned().unwrap_or_default();
+        for (route, longest) in self.longest_stays.get(pool).into_iter().flatten() {
+            let longest_ms = stays_ms.entry(route.clone()).or_default();
+            *longest_ms = longest.ms(now_ms).max(*longest_ms);
+        }
+        stays_ms
     }
 
     /// A request of a route left an endpoint of a pool after so long.
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -2,13 +2,14 @@
 
 use std::net::SocketAddr;
 
-use crate::peers::rollouts::{RolloutNews, RolloutTally};
 use chalkrock_routing::{
     CacheEntry, Evacuations, HostReport, PoisonNews, PoisonRequest, RulesVersion, StoreVersion,
     SubscriptionRole, SumPath, ZoneSum,
 };
 use serde::{Deserialize, Serialize};
 
+use crate::peers::rollouts::{RolloutNews, RolloutTally};
+
 /// A datagram. Hosts of other builds read it too: what has landed keeps its place and
 /// its fields, and what is new comes behind as a kind of its own, which earlier builds
 /// pass over.
--- a/crates/gateway/src/peers/rollouts.rs
+++ b/crates/gateway/src/peers/rollouts.rs
@@ -117,11 +117,7 @@
         if is_over {
             continue;
         }
-        let mut stays_ms = evidence.longest_stays_ms().clone();
-        for (route, stay_ms) in fleet.longest_stays_ms(pool, now_ms) {
-            let longest_ms = stays_ms.entry(route.clone()).or_default();
-            *longest_ms = stay_ms.max(*longest_ms);
-        }
+        let stays_ms = fleet.longest_stays_ms(pool, now_ms);
         let stays_ms: Vec<(Arc<str>, u64)> = stays_ms.into_iter().collect();
         let datagram = |of: TallyOf, rows: &[TallyRow]| {
             Datagram::RolloutTally(RolloutTally {
--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -7,13 +7,14 @@
 //! what was first; who comes second takes what is there.
 
 use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use chalkrock_core::PoolId;
 use chalkrock_routing::{
     Decision, Judgement, RolloutOrderRow, RolloutOrders, RolloutReason, RolloutRecord,
-    RolloutStage, RolloutView, StoreVersion, judge, next_stage,
+    RolloutStage, RolloutView, Rollouts, StoreVersion, judge, next_stage,
 };
 use tokio::time::Instant;
 
@@ -47,22 +48,16 @@
 impl Shared {
     /// Takes orders that were read whole or passed on. Returns whether they are news.
     pub(crate) fn take_rollout_orders(&self, orders: &RolloutOrders, from: &str) -> bool {
-        let now_ms = self.clock.now_ms();
-        let mut fleet = self.fleet();
-        let is_news = fleet.rollouts.take_orders(orders, rand::random(), now_ms);
-        drop(fleet);
-        self.orders_changed(is_news, from);
-        is_news
+        self.change_orders(from, |rollouts, draw, now_ms| {
+            rollouts.take_orders(orders, draw, now_ms)
+        })
     }
 
     /// Takes orders as they were read whole. Returns whether they are news.
     pub(crate) fn read_rollout_orders(&self, orders: RolloutOrders, from: &str) -> bool {
-        let now_ms = self.clock.now_ms();
-        let mut fleet = self.fleet();
-        let is_news = fleet.rollouts.read_orders(orders, rand::random(), now_ms);
-        drop(fleet);
-        self.orders_changed(is_news, from);
-        is_news
+        self.change_orders(from, |rollouts, draw, now_ms| {
+            rollouts.read_orders(orders, draw, now_ms)
+        })
     }
 
     /// Takes the orders of a part of the store's history.
@@ -72,20 +67,22 @@
         until: StoreVersion,
         from: &str,
     ) -> bool {
-        let now_ms = self.clock.now_ms();
-        let mut fleet = self.fleet();
-        let rollouts = &mut fleet.rollouts;
-        let is_news = rollouts.follow(rows, until, rand::random(), now_ms);
-        drop(fleet);
-        self.orders_changed(is_news, from);
-        is_news
+        self.change_orders(from, |rollouts, draw, now_ms| {
+            rollouts.follow(rows, until, draw, now_ms)
+        })
     }
 
-    fn orders_changed(&self, is_news: bool, from: &str) {
-        if !is_news {
-            return;
+    /// Changes the orders and logs them, if that is news. Returns whether it is.
+    fn change_orders(
+        &self,
+        from: &str,
+        change: impl FnOnce(&mut Rollouts<SocketAddr>, f64, u64) -> bool,
+    ) -> bool {
+        let now_ms = self.clock.now_ms();
+        let mut fleet = self.fleet();
+        if !change(&mut fleet.rollouts, rand::random(), now_ms) {
+            return false;
         }
-        let fleet = self.fleet();
         let orders: Vec<_> = fleet
             .rollouts
             .pools()
@@ -104,6 +101,7 @@
                 from,
             });
         }
+        true
     }
 
     /// Takes a record that was written, found or passed on. Returns whether it is news.
@@ -211,6 +209,16 @@
             self.due_since.remove(pool);
             return;
         };
+        if !self.is_this_hosts_turn(pool, decision) {
+            return;
+        }
+        if let Some((record, replaces)) = self.record(pool, decision, &view) {
+            self.write(pool, record, replaces, &view.judgement).await;
+        }
+    }
+
+    /// Whether those before this host had their time to write a decision.
+    fn is_this_hosts_turn(&mut self, pool: &PoolId, decision: Decision) -> bool {
         let now = Instant::now();
         let due = self
             .due_since
@@ -219,12 +227,8 @@
         if due.0 != decision {
             *due = (decision, now);
         }
-        let Some(place) = self.peers.writer_place() else {
-            return;
-        };
-        if due.1.elapsed() >= PLACE_DELAY * place as u32 {
-            self.write(pool, decision, &view).await;
-        }
+        let place = self.peers.writer_place();
+        place.is_some_and(|place| due.1.elapsed() >= PLACE_DELAY * place as u32)
     }
 
     /// Writes the last word of a rollout again where the store came back from a copy
@@ -238,25 +242,9 @@
             stage: record.stage,
             reason: record.reason,
         };
-        let now = Instant::now();
-        let (_, since) = *self
-            .due_since
-            .entry(pool.clone())
-            .or_insert((decision, now));
-        let place = self.peers.writer_place();
-        if place.is_none_or(|place| since.elapsed() < PLACE_DELAY * place as u32) {
-            return;
-        }
-        match self.source.write_rollout(pool, &record, version).await {
-            Ok(written) => {
-                self.outage.worked(&self.shared);
-                self.take_written(pool, record, written, &Judgement::default());
-                self.shared.publish_now.notify_one();
-            }
-            Err(error) => {
-                self.outage.failed(&self.shared, &error);
-                tokio::time::sleep(RETRY_PAUSE).await;
-            }
+        if self.is_this_hosts_turn(pool, decision) {
+            let evidence = Judgement::default();
+            self.write(pool, record, version, &evidence).await;
         }
     }
 
@@ -278,13 +266,8 @@
         }
         let (_, order) = fleet.rollouts.order(pool)?;
         let within_ms = order.within_ms;
-        let evidence = fleet.rollouts.evidence(pool)?;
-        let tally = evidence.sum();
-        let mut longest_stays_ms = evidence.longest_stays_ms().clone();
-        for (route, stay_ms) in fleet.longest_stays_ms(pool, now_ms) {
-            let longest_ms = longest_stays_ms.entry(route.clone()).or_default();
-            *longest_ms = stay_ms.max(*longest_ms);
-        }
+        let tally = fleet.rollouts.evidence(pool)?.sum();
+        let longest_stays_ms = fleet.longest_stays_ms(pool, now_ms);
         let builds = fleet.pool_builds(pool);
         let age_ms = fleet.rollouts.age_ms(pool, now_ms);
         let record = fleet.rollouts.record(pool).map(|(record, _)| record);
@@ -317,10 +300,13 @@
         hears_most && self.started_at.elapsed() >= SETTLED_AFTER
     }
 
-    async fn write(&mut self, pool: &PoolId, decision: Decision, view: &RolloutView) {
-        let Some((record, replaces)) = self.record(pool, decision, view) else {
-            return;
-        };
+    async fn write(
+        &mut self,
+        pool: &PoolId,
+        record: RolloutRecord,
+        replaces: StoreVersion,
+        evidence: &Judgement,
+    ) {
         let written = self.source.write_rollout(pool, &record, replaces).await;
         self.due_since.remove(pool);
         let written = match written {
@@ -332,7 +318,7 @@
             }
         };
         self.outage.worked(&self.shared);
-        self.take_written(pool, record, written, &view.judgement);
+        self.take_written(pool, record, written, evidence);
         self.shared.publish_now.notify_one();
     }
 
--- a/crates/gateway/tests/gateway/rollouts.rs
+++ b/crates/gateway/tests/gateway/rollouts.rs
@@ -63,7 +63,7 @@
             host.ready().await;
             hosts.push(host);
         }
-        // Until all have heard each other and are no longer new.
+        // Until all have heard each other and may go by what runs in the fleet.
         tokio::time::sleep(Duration::from_millis(2_200)).await;
         Self {
             source,
--- a/crates/measure/src/rollouts.rs
+++ b/crates/measure/src/rollouts.rs
@@ -139,8 +139,6 @@
 pub struct Played {
     /// Requests that met the new build until it was left.
     pub exposed: u32,
-    /// Bad answers of it.
-    pub bad_answers: u32,
     /// Requests from the order to its deadline.
     pub requests: u32,
     /// When it was called bad, in milliseconds after the order.
@@ -260,7 +258,6 @@
     fn run(&mut self) -> Played {
         let mut played = Played {
             exposed: 0,
-            bad_answers: 0,
             requests: 0,
             left_ms: None,
             done_ms: None,
@@ -321,9 +318,6 @@
             let (failed, stay_ms) = self.answer(route, side, now_ms);
             if side == Side::New {
                 played.exposed += u32::from(is_in_time);
-                let usual = self.pool.routes[route].2;
-                let is_bad = failed || stay_ms as f64 > LONGEST_STAYS * usual;
-                played.bad_answers += u32::from(is_bad);
             } else {
                 *self.old_ends.entry(now_ms + stay_ms).or_default() += 1;
             }
--- a/crates/routing/src/evacuations.rs
+++ b/crates/routing/src/evacuations.rs
@@ -11,47 +11,7 @@
 use chalkrock_core::ZoneId;
 use serde::{Deserialize, Serialize};
 
-/// A place in the platform's history.
-///
-/// A store that comes back from a copy gives versions out again that it had given out
-/// before. How often it did is the era, which stands in the high bits: so what is
-/// known of a later era goes before all of an earlier one wherever versions are compared,
-/// and hosts need tell each other no more than a number.
-///
-/// # Example
-///
-/// ```
-/// use chalkrock_routing::StoreVersion;
-///
-/// let before = StoreVersion::of_era(1, 900);
-/// let after = StoreVersion::of_era(2, 700);
-/// assert!(after > before);
-/// assert_eq!((after.era(), after.number()), (2, 700));
-/// ```
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[serde(transparent)]
-pub struct StoreVersion(pub u64);
-
-/// Bits of a version that are the store's own number: a million changes a second for
-/// nine years.
-const NUMBER_BITS: u32 = 48;
-
-impl StoreVersion {
-    /// The version of a number in an era.
-    pub fn of_era(era: u64, number: u64) -> Self {
-        Self(era << NUMBER_BITS | number)
-    }
-
-    /// How often the store had come back from a copy.
-    pub fn era(self) -> u64 {
-        self.0 >> NUMBER_BITS
-    }
-
-    /// The number that the store itself gave.
-    pub fn number(self) -> u64 {
-        self.0 & ((1 << NUMBER_BITS) - 1)
-    }
-}
+use crate::StoreVersion;
 
 /// An operator asked to empty a zone, or took that back.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -7,9 +7,9 @@
 //! while they are cold ([`ColdEndpoints`]), how loaded they are over the
 //! whole fleet ([`FleetLoad`]), which one it goes to ([`choose`]), what the end of an
 //! attempt allows next ([`next_step`]), whether a retry is paid for
-//! ([`WindowBudget`]), how a pool moves to another build ([`Rollouts`]) and what a host that is stopping still takes
-//! ([`DrainSchedule`]). Use it alone to drive these decisions from a simulator; use
-//! `chalkrock-gateway` to serve by them.
+//! ([`WindowBudget`]), how a pool moves to another build ([`Rollouts`]) and what a
+//! host that is stopping still takes ([`DrainSchedule`]). Use it alone to drive these
+//! decisions from a simulator; use `chalkrock-gateway` to serve by them.
 //!
 //! Time is an argument, in milliseconds of any steady clock.
 //!
@@ -63,6 +63,7 @@
 mod rules_change;
 mod shares;
 mod spread;
+mod store_version;
 mod zone_loads;
 
 pub use admission::{
@@ -74,7 +75,7 @@
 pub use cold::{ColdBound, ColdEndpoints, ColdShare};
 pub use drain_schedule::{DrainPhase, DrainSchedule};
 pub use endpoints::{EndpointState, EndpointTable, Member};
-pub use evacuations::{EvacuationChange, EvacuationRow, Evacuations, StoreVersion};
+pub use evacuations::{EvacuationChange, EvacuationRow, Evacuations};
 pub use event_frames::{EventFrame, EventFrames};
 pub use fingerprint::{RequestContent, RequestFingerprint};
 pub use fleet_load::{FleetLoad, HostReport, Merged};
@@ -101,4 +102,5 @@
 pub use rules_change::{RulesChange, RulesHistory};
 pub use shares::Shares;
 pub use spread::{Basis, Candidate, Placement, PlacementRequest, SpreadRules, choose};
+pub use store_version::StoreVersion;
 pub use zone_loads::{HashRange, SumPath, ZoneSum};
--- a/crates/routing/src/rollout/evidence.rs
+++ b/crates/routing/src/rollout/evidence.rs
@@ -148,11 +148,6 @@
         }
     }
 
-    /// Whether nothing is counted.
-    pub fn is_empty(&self) -> bool {
-        self.0.is_empty()
-    }
-
     /// Answers of a side.
     pub fn answers(&self, side: Side) -> u32 {
         let rows = self.0.iter();
--- a/crates/routing/src/rollout/order.rs
+++ b/crates/routing/src/rollout/order.rs
@@ -5,7 +5,7 @@
 use chalkrock_core::{BuildVersion, PoolId};
 use serde::{Deserialize, Serialize};
 
-use crate::evacuations::StoreVersion;
+use crate::StoreVersion;
 
 /// Operators ask to move a pool to another build.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -109,11 +109,6 @@
         Some((given.version, &given.order))
     }
 
-    /// Whether there is none.
-    pub fn is_empty(&self) -> bool {
-        self.by_pool.is_empty()
-    }
-
     pub(super) fn iter(&self) -> impl Iterator<Item = (&PoolId, &Given)> {
         self.by_pool.iter()
     }
--- a/crates/routing/src/rollout/runs.rs
+++ b/crates/routing/src/rollout/runs.rs
@@ -7,10 +7,10 @@
 use chalkrock_core::rendezvous::{KeyHash, MemberHash, score};
 use chalkrock_core::{BuildVersion, PoolId};
 
-use crate::evacuations::StoreVersion;
+use crate::StoreVersion;
 use crate::rollout::evidence::{AnswerSeen, Evidence, Side};
 use crate::rollout::exposure::{Exposure, ExposureBound};
-use crate::rollout::order::{Given, RolloutOrder, RolloutOrders};
+use crate::rollout::order::{Given, RolloutOrder, RolloutOrderRow, RolloutOrders};
 use crate::rollout::stage::{RolloutRecord, RolloutStage};
 
 /// How long an endpoint of a build that its pool has not run before is sent nothing: so
@@ -168,37 +168,32 @@
     /// Takes orders that were read or passed on. `draw`: any number from 0 up to 1.
     pub fn take_orders(&mut self, orders: &RolloutOrders, draw: f64, now_ms: u64) -> bool {
         let is_news = self.orders.merge(orders);
-        if is_news {
-            self.follow_orders(draw, now_ms);
-        }
-        is_news
+        self.orders_changed(is_news, draw, now_ms)
     }
 
     /// Takes the orders as they were read whole.
     pub fn read_orders(&mut self, orders: RolloutOrders, draw: f64, now_ms: u64) -> bool {
         let is_news = self.orders.read(orders);
-        if is_news {
-            self.follow_orders(draw, now_ms);
-        }
-        is_news
+        self.orders_changed(is_news, draw, now_ms)
     }
 
     /// Takes the orders of a part of the store's history.
     pub fn follow(
         &mut self,
-        rows: &[crate::RolloutOrderRow],
+        rows: &[RolloutOrderRow],
         until: StoreVersion,
         draw: f64,
         now_ms: u64,
     ) -> bool {
         let is_news = self.orders.follow(rows, until);
-        if is_news {
-            self.follow_orders(draw, now_ms);
-        }
-        is_news
+        self.orders_changed(is_news, draw, now_ms)
     }
 
-    fn follow_orders(&mut self, draw: f64, now_ms: u64) {
+    /// Begins what was ordered, if the orders are news. Returns whether they are.
+    fn orders_changed(&mut self, is_news: bool, draw: f64, now_ms: u64) -> bool {
+        if !is_news {
+            return false;
+        }
         for (pool, run) in &mut self.runs {
             run.is_withdrawn = self.orders.get(pool).is_none();
         }
@@ -226,6 +221,7 @@
             };
             self.runs.insert(pool, run);
         }
+        true
     }
 
     /// Takes the age of the order for a pool, as another host knows it: whoever heard
--- a/crates/routing/src/rollout/stage.rs
+++ b/crates/routing/src/rollout/stage.rs
@@ -11,7 +11,7 @@
 use chalkrock_core::BuildVersion;
 use serde::{Deserialize, Serialize};
 
-use crate::evacuations::StoreVersion;
+use crate::StoreVersion;
 use crate::rollout::judge::Judgement;
 
 /// How far a rollout has come.
