Lay a host's own pause not on the store, whose entries were then kept

A host that woke after 10 s was told that the store had just answered, 10 s after the last answer it knew of. It took the store for away, kept endpoints whose entries were gone for 2 s more, and sent them requests. The time in which a host stood still is now subtracted from that in which it heard of no answer, and it looks whether it stood still before it takes note of one.

--- a/crates/gateway/src/follow/calls.rs
+++ b/crates/gateway/src/follow/calls.rs
@@ -56,7 +56,7 @@
 
 /// The platform answers, which ends the doubt of the other hosts.
 fn is_answered(shared: &Shared, topic: Topic) {
-    shared.store_answered_after(shared.subscription.answered(topic));
+    shared.store_answered(topic);
     shared.publish_now.notify_one();
 }
 
--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -160,7 +160,7 @@
     /// changes come together.
     async fn take(&mut self, step: Step, news: News) -> Step {
         let shared = &*self.shared;
-        shared.store_answered_after(shared.subscription.answered(self.topic));
+        shared.store_answered(self.topic);
         self.failures.end(shared);
         if !matches!(step, Step::Wait(..)) {
             // Ends the doubt of the other hosts, and their pauses.
--- a/crates/gateway/src/pause.rs
+++ b/crates/gateway/src/pause.rs
@@ -92,7 +92,8 @@
 
     fn paused(&self, pause: Pause) {
         self.clock.add_uncounted(pause.uncounted_ms);
-        self.subscription.age(ms(pause.uncounted_ms));
+        self.subscription
+            .stood_still(ms(pause.length_ms), ms(pause.uncounted_ms));
         self.upstream.close_kept();
         self.event_log.emit(&Event::Paused {
             length_ms: pause.length_ms,
--- a/crates/gateway/src/peers/receive.rs
+++ b/crates/gateway/src/peers/receive.rs
@@ -150,8 +150,7 @@
 
 /// Another host tells how long ago the platform answered.
 fn merge_answered(shared: &Shared, whom: AnsweredHost, ago_ms: Option<u32>) {
-    let gained = shared.subscription.was_answered(whom, ago_ms);
-    shared.store_answered_after(gained);
+    let gained = shared.store_answered_any(whom, ago_ms);
     if shared
         .subscription
         .is_due_to_relay(gained, &shared.config.follow)
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -26,7 +26,8 @@
 use crate::pause::Pauses;
 use crate::poison::PoisonRecords;
 use crate::rules_in_force::{RulesInForce, RulesNews};
-use crate::subscription::StoreSubscription;
+use crate::source::Topic;
+use crate::subscription::{AnsweredHost, StoreSubscription};
 use crate::upstream::Upstream;
 
 /// Time within which a host that does not know rules and endpoints yet, or no longer,
@@ -255,13 +256,24 @@
         self.knows_endpoints.load(Ordering::Relaxed)
     }
 
-    /// The platform answered a host of the fleet, so long after it last
-    /// answered any. After longer than the bound it was away, and entries that
+    /// The platform answered this host.
+    pub(crate) fn store_answered(&self, topic: Topic) {
+        self.subscription.answered(topic);
+        self.store_answered_any(AnsweredHost::Own, Some(0));
+    }
+
+    /// The platform answered a host of the fleet so long ago. Returns how long after it
+    /// last answered any. If that is more than the bound it was away, and entries that
     /// lapsed meanwhile are kept for a while.
-    pub(crate) fn store_answered_after(&self, gained: Duration) {
+    ///
+    /// Looks whether this host stood still first: it heard of no answer then, and would
+    /// keep endpoints that are gone.
+    pub(crate) fn store_answered_any(&self, whom: AnsweredHost, ago_ms: Option<u32>) -> Duration {
+        self.notice_pause();
+        let gained = self.subscription.was_answered(whom, ago_ms);
         let times = &self.config.follow;
         if gained < ms(times.bound_ms) {
-            return;
+            return gained;
         }
         let now_ms = self.clock.now_ms();
         self.fleet().store_is_back(now_ms, times.lapse_grace_ms);
@@ -269,6 +281,7 @@
             away_ms: gained.as_millis() as u64,
             keeps_lapsed_ms: times.lapse_grace_ms,
         });
+        gained
     }
 
     /// The store was read whole, in an era. If that is a later one than was known, it
--- a/crates/gateway/src/subscription.rs
+++ b/crates/gateway/src/subscription.rs
@@ -1,6 +1,8 @@
 //! Whether this host reads the platform, and how the platform answers it.
 
+use std::collections::VecDeque;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
 use chalkrock_routing::{FollowTimes, SubscriptionRole, doubting_part};
@@ -18,6 +20,41 @@
     again: Notify,
 }
 
+/// Pauses of this host that are remembered: of longer ones than most gaps between
+/// answers there is one.
+const PAUSES_KEPT: usize = 16;
+
+/// When this host stood still, oldest first: it heard of no answer then, whoever got
+/// one.
+#[derive(Debug, Default)]
+struct OwnPauses(VecDeque<(Instant, Instant)>);
+
+impl OwnPauses {
+    /// This host stood still until now.
+    fn add(&mut self, length: Duration, now: Instant) {
+        let from = now.checked_sub(length).unwrap_or(now);
+        self.0.push_back((from, now));
+        if self.0.len() > PAUSES_KEPT {
+            self.0.pop_front();
+        }
+    }
+
+    /// All that is remembered is older by so much than the clock says.
+    fn age(&mut self, by: Duration) {
+        for at in self.0.iter_mut().flat_map(|(from, to)| [from, to]) {
+            *at = at.checked_sub(by).unwrap_or(*at);
+        }
+    }
+
+    /// How much of the time between two instants this host stood still.
+    fn within(&self, from: Instant, to: Instant) -> Duration {
+        let overlap = |(began, ended): &(Instant, Instant)| {
+            to.min(*ended).saturating_duration_since(from.max(*began))
+        };
+        self.0.iter().map(overlap).sum()
+    }
+}
+
 /// Whom the platform answered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum AnsweredHost {
@@ -76,6 +113,7 @@
     /// Whether the hosts of the settings were asked for all they know.
     are_seeds_asked: watch::Sender<bool>,
     answered_at: watch::Sender<AnsweredAt>,
+    own_pauses: Mutex<OwnPauses>,
     /// Grows when this host finds that no host was answered for long.
     doubts: watch::Sender<u64>,
     /// Hosts that share the reading.
@@ -104,6 +142,7 @@
             is_first_choice: watch::channel(false).0,
             are_seeds_asked: watch::channel(false).0,
             answered_at: watch::channel(answered_at).0,
+            own_pauses: Mutex::default(),
             doubts: watch::channel(0).0,
             sharing: AtomicUsize::new(0),
             hosts_known: AtomicUsize::new(1),
@@ -184,11 +223,9 @@
         self.endpoints.again.notify_one();
     }
 
-    /// The platform answered. Returns how long before it last answered any
-    /// host.
-    pub(crate) fn answered(&self, topic: Topic) -> Duration {
+    /// The platform answered this host.
+    pub(crate) fn answered(&self, topic: Topic) {
         self.of(topic).is_answered.store(true, Ordering::Relaxed);
-        self.was_answered(AnsweredHost::Own, Some(0))
     }
 
     /// The platform did not answer.
@@ -196,8 +233,22 @@
         self.of(topic).is_answered.store(false, Ordering::Relaxed);
     }
 
-    /// All that is remembered is older by so much than the runtime's clock says.
-    pub(crate) fn age(&self, by: Duration) {
+    /// This host stood still for so long, of which the runtime's clock did not count
+    /// some: all that is remembered is older by that.
+    pub(crate) fn stood_still(&self, length: Duration, uncounted: Duration) {
+        self.age(uncounted);
+        let mut own_pauses = self.own_pauses();
+        own_pauses.age(uncounted);
+        own_pauses.add(length, Instant::now());
+    }
+
+    fn own_pauses(&self) -> std::sync::MutexGuard<'_, OwnPauses> {
+        self.own_pauses
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn age(&self, by: Duration) {
         self.answered_at.send_modify(|at| {
             for answered_at in [&mut at.own, &mut at.near, &mut at.far] {
                 *answered_at = answered_at.and_then(|at| at.checked_sub(by));
@@ -218,7 +269,8 @@
     }
 
     /// The platform answered someone so long ago. Returns how long before that
-    /// it last answered any host; zero if this is no newer answer.
+    /// it last answered any host, but for the time in which this host could not hear of
+    /// that; zero if this is no newer answer.
     pub(crate) fn was_answered(&self, whom: AnsweredHost, ago_ms: Option<u32>) -> Duration {
         let ago = ago_ms.map(|ago_ms| ms(u64::from(ago_ms)));
         let Some(at) = ago.and_then(|ago| Instant::now().checked_sub(ago)) else {
@@ -233,7 +285,8 @@
             }
             is_newer
         });
-        at.saturating_duration_since(before)
+        let still = self.own_pauses().within(before, at);
+        at.saturating_duration_since(before).saturating_sub(still)
     }
 
     /// Whether this host, as a relay, should tell at once of an answer that
--- a/crates/gateway/tests/gateway/pauses.rs
+++ b/crates/gateway/tests/gateway/pauses.rs
@@ -132,6 +132,31 @@
     }
 }
 
+// A host that woke was told that the store had just answered, 10 s after the last answer
+// that it knew of. It took the store for away meanwhile, kept endpoints whose entries
+// were gone for 2 s, and sent them requests.
+#[tokio::test]
+async fn pauses_of_a_host_are_none_of_the_store() {
+    for (still, uncounted) in [
+        (STILL, SUSPENSIONS[1]),
+        (Duration::from_secs(4), Duration::ZERO),
+    ] {
+        let pair = Pair::start().await;
+        pair.host.stop_for(still);
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        pair.host.suspend_for(uncounted);
+        assert_that!(pair.ask().await, eq(200));
+        // Until it heard of an answer after it woke.
+        tokio::time::sleep(Duration::from_millis(400)).await;
+        pair.source.unlist(&pair.endpoints[0].endpoint.name);
+        let version = async |gateway| figure(gateway, "endpoints_version").await;
+        until(async || version(&pair.reader).await == 4.0).await;
+        until(async || version(&pair.host.gateway).await == 4.0).await;
+        let live = figure(&pair.host.gateway, "endpoints_live").await;
+        assert_that!(live, eq(1.0), "{uncounted:?}");
+    }
+}
+
 /// Its caller was not suspended with the host.
 #[tokio::test]
 async fn pauses_count_for_what_waits() {
