Send nothing to endpoints for the time that they ask for, and come back slowly

Endpoints that had turned a request away and asked for 3 s without requests got up to seven from the same host in that time: five of a pool's 18 got 980 requests in ten seconds and turned 925 away, while 337 callers were refused.

Cause: a request that was turned away was sorted by its status alone; how long the endpoint wants nothing had no field. And it looked idle, since what it turns away is not in progress there: placement by load and by prefix sent it twice as much as the others. Class: the same as with leaving, an answer's word on its sender is passed over; beside it, load by requests in progress takes a refusing endpoint for a free one.

A host now sends such an endpoint nothing until its time is over, whatever the route or organisation, also what waits for a connection when the word comes. It is kept by the endpoint's start: longer words lengthen it, shorter ones, good answers and its entry take nothing back, another start does. Admission counts no place and pools that are left are used; where all endpoints ask for time callers are refused at once (endpoints-back-off) and told when the first is back. Each host adds 1 to 20 % of its own and then sends one request, two after 0.2 s and so on for a second, at first such as may go elsewhere if turned away, as long as there are others.

Ruled out: repeats of the fleet or of callers (seven first attempts of seven callers in 1.4 s); passing the word on to other hosts (it is between two).

--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -71,6 +71,8 @@
     HostFull,
     /// Endpoints ended under the same request before: it is sent to no more.
     PoisonRequest,
+    /// Every endpoint of the pool asked to be sent nothing for a while.
+    EndpointsBackOff,
     /// The endpoint could not be reached.
     EndpointUnreachable,
     /// The endpoint refused: it did not start the request.
@@ -85,7 +87,7 @@
 
 impl Reason {
     /// Each reason, for documents and tests that go through all.
-    pub const ALL: [Reason; 24] = [
+    pub const ALL: [Reason; 25] = [
         Reason::InvalidRequest,
         Reason::BodyTooLarge,
         Reason::RequestTooSlow,
@@ -105,6 +107,7 @@
         Reason::Leaving,
         Reason::HostFull,
         Reason::PoisonRequest,
+        Reason::EndpointsBackOff,
         Reason::EndpointUnreachable,
         Reason::EndpointRefused,
         Reason::EndpointLost,
@@ -134,6 +137,7 @@
             Reason::Leaving => "leaving",
             Reason::HostFull => "host-full",
             Reason::PoisonRequest => "poison-request",
+            Reason::EndpointsBackOff => "endpoints-back-off",
             Reason::EndpointUnreachable => "endpoint-unreachable",
             Reason::EndpointRefused => "endpoint-refused",
             Reason::EndpointLost => "endpoint-lost",
@@ -162,6 +166,7 @@
             | Reason::Leaving
             | Reason::HostFull
             | Reason::PoisonRequest
+            | Reason::EndpointsBackOff
             | Reason::EndpointUnreachable
             | Reason::EndpointRefused => 503,
             Reason::EndpointLost | Reason::EndpointGarbage => 502,
@@ -197,6 +202,7 @@
             | Reason::Leaving
             | Reason::HostFull
             | Reason::PoisonRequest
+            | Reason::EndpointsBackOff
             | Reason::EndpointUnreachable
             | Reason::EndpointRefused => Outcome::NotRun,
         }
@@ -223,6 +229,7 @@
             | Reason::KeyUsed
             | Reason::KeyMismatch
             | Reason::PoisonRequest
+            | Reason::EndpointsBackOff
             | Reason::EndpointLost
             | Reason::EndpointGarbage
             | Reason::DeadlinePassed => None,
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -167,12 +167,13 @@
     })
 }
 
-/// The pool of a draw; another one of the route's if that one has no live
-/// endpoint.
+/// The pool of a draw; another one of the route's if that one has no endpoint that may be
+/// sent requests.
 fn pool_of(shared: &Shared, route: &Route, draw: u64) -> Option<PoolId> {
     let drawn = route.pool_of(draw)?;
     let fleet = shared.fleet();
-    let is_live = |pool: &PoolId| !fleet.endpoints.live(pool).is_empty();
+    let now_ms = shared.clock.now_ms();
+    let is_live = |pool: &PoolId| fleet.takes_requests(pool, now_ms);
     if is_live(drawn) {
         return Some(drawn.clone());
     }
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -45,7 +45,7 @@
                 return failure
                     .answer
                     .map(AttemptResponse::Buffered)
-                    .ok_or_else(|| Refusal::new(reason, detail));
+                    .ok_or_else(|| progress.give_up(reason, detail));
             }
         }
     }
--- a/crates/gateway/src/endpoint_words.rs
+++ b/crates/gateway/src/endpoint_words.rs
@@ -1,4 +1,5 @@
-//! What endpoints say of themselves in their answers: that they leave.
+//! What endpoints say of themselves in their answers: that they leave, or that they want
+//! nothing from this host for a while.
 //!
 //! Each answer's head is read in one place, whatever it answers and however it ends, and
 //! taken here. An endpoint's own word comes before its entry at the store, which may tell
@@ -7,7 +8,7 @@
 use std::sync::Arc;
 
 use chalkrock_core::{Endpoint, RequestId};
-use chalkrock_routing::Member;
+use chalkrock_routing::{BackoffChange, Member};
 
 use crate::edge::{AnswerHead, AskedBackoff};
 use crate::event_log::Event;
@@ -28,8 +29,15 @@
         if answer.is_leaving {
             self.endpoint_leaves(member, id);
         }
-        if let AskedBackoff::Unreadable(found) = &answer.backoff {
-            self.backoff_is_unreadable(member, found, id);
+        match &answer.backoff {
+            AskedBackoff::ForMs(asked_ms) => self.endpoint_backs_off(member, *asked_ms, id),
+            AskedBackoff::Unreadable(found) => self.backoff_is_unreadable(member, found, id),
+            AskedBackoff::None if !answer.says_not_run => {
+                let now_ms = self.clock.now_ms();
+                let start = member.hash.short();
+                self.fleet().backoffs.answered(start, now_ms);
+            }
+            AskedBackoff::None => {}
         }
     }
 
@@ -62,6 +70,25 @@
         }
     }
 
+    fn endpoint_backs_off(&self, member: &Member, asked_ms: u64, id: Option<&RequestId>) {
+        let now_ms = self.clock.now_ms();
+        let draw = rand::random();
+        let mut fleet = self.fleet();
+        let change = fleet.backoffs.asked(member, asked_ms, draw, now_ms);
+        drop(fleet);
+        let BackoffChange::Begun { for_ms } = change else {
+            return;
+        };
+        self.metrics.count("backoffs_total", "", 1);
+        self.event_log.emit(&Event::Backoff {
+            endpoint: &member.endpoint.name,
+            start: member.endpoint.incarnation,
+            asked_ms,
+            for_ms,
+            id,
+        });
+    }
+
     fn backoff_is_unreadable(&self, member: &Member, found: &str, id: Option<&RequestId>) {
         self.metrics.count("unreadable_backoffs_total", "", 1);
         self.event_log.emit(&Event::UnreadableBackoff {
@@ -74,7 +101,16 @@
     /// Ends what was believed of endpoints by their own words for long enough.
     pub(crate) fn expire_endpoint_words(&self) {
         let now_ms = self.clock.now_ms();
-        let forgotten = self.fleet().endpoints.expire_leaving(now_ms);
+        let mut fleet = self.fleet();
+        let ended = fleet.backoffs.expire(now_ms);
+        let forgotten = fleet.endpoints.expire_leaving(now_ms);
+        drop(fleet);
+        for endpoint in &ended {
+            self.event_log.emit(&Event::BackoffEnded {
+                endpoint: &endpoint.name,
+                start: endpoint.incarnation,
+            });
+        }
         for endpoint in &forgotten {
             self.event_log.emit(&Event::LeavingForgotten {
                 endpoint: &endpoint.name,
--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -229,6 +229,21 @@
         endpoint: &'a EndpointId,
         start: Incarnation,
     },
+    /// An endpoint turned a request away and wants nothing from this host for so long,
+    /// which goes by a little more.
+    Backoff {
+        endpoint: &'a EndpointId,
+        start: Incarnation,
+        asked_ms: u64,
+        for_ms: u64,
+        #[serde(skip_serializing_if = "Option::is_none")]
+        id: Option<&'a RequestId>,
+    },
+    /// That time is over.
+    BackoffEnded {
+        endpoint: &'a EndpointId,
+        start: Incarnation,
+    },
     /// An answer asked for a time without requests that can't be read.
     UnreadableBackoff {
         endpoint: &'a EndpointId,
--- a/crates/gateway/src/fleet/closed.rs
+++ b/crates/gateway/src/fleet/closed.rs
@@ -1,5 +1,5 @@
-//! Endpoints that are sent nothing or little: those of evacuated zones, and those
-//! that are cold.
+//! Endpoints that are sent nothing or little: those of evacuated zones, those that are
+//! cold, and those that asked this host for a while without requests.
 
 use chalkrock_core::{Endpoint, PoolId, ZoneId};
 use chalkrock_routing::{
@@ -89,7 +89,7 @@
         const CLOSED_PART: f64 = 0.15;
         let serving = self.endpoints.serving_count();
         let evacuated = serving - self.endpoints.live_count();
-        let closed = evacuated + self.cold.count(now_ms);
+        let closed = evacuated + self.cold.count(now_ms) + self.backoffs.count(now_ms);
         closed as f64 > CLOSED_PART * serving as f64
     }
 
@@ -97,7 +97,8 @@
     /// then sent.
     pub(crate) fn may_still_send(&mut self, choice: &Choice, now_ms: u64) -> bool {
         let member = &choice.member;
-        if !self.endpoints.takes_work(&member.endpoint) {
+        let backs_off = self.backoffs.is_active(member.hash.short(), now_ms);
+        if backs_off || !self.endpoints.takes_work(&member.endpoint) {
             return false;
         }
         let may_send = if choice.is_cold {
@@ -111,6 +112,26 @@
         may_send
     }
 
+    /// Whether a pool has an endpoint that may be sent requests now.
+    pub(crate) fn takes_requests(&self, pool: &PoolId, now_ms: u64) -> bool {
+        let live = self.endpoints.live(pool);
+        let mut starts = live.iter().map(|member| member.hash.short());
+        starts.any(|start| !self.backoffs.is_active(start, now_ms))
+    }
+
+    /// Time until a pool has an endpoint again that may be sent requests, in
+    /// milliseconds; `None` unless all that it has asked to be sent nothing.
+    pub(crate) fn backs_off_for_ms(&self, pool: &PoolId, now_ms: u64) -> Option<u64> {
+        let usual = self.rollouts.usual_use(pool);
+        let builds = self.rollouts.filter(pool, usual, now_ms);
+        let live = self.endpoints.live(pool);
+        let usable = live
+            .iter()
+            .filter(|member| builds.admits(&member.endpoint.build));
+        let left_ms = usable.map(|member| self.backoffs.left_ms(member.hash.short(), now_ms));
+        left_ms.min().filter(|left_ms| *left_ms > 0)
+    }
+
     /// Whether an endpoint is not cold, or this host's share of what it bears
     /// allows a request now.
     pub(super) fn may_send_if_cold(&self, member: &Member, now_ms: u64) -> bool {
--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -10,10 +10,10 @@
 use chalkrock_core::rendezvous::{KeyHash, score};
 use chalkrock_core::{Endpoint, PoolId, ZoneId};
 use chalkrock_routing::{
-    Basis, BudgetRules, BuildUse, Candidate, ColdEndpoints, EndpointHealth, EndpointTable,
-    Evacuations, Evidence, FleetLoad, HealthSignal, LongestStay, Member, PlacementRequest,
-    PoisonEvidence, PoolOccupancy, PoolRules, Repeatable, Rollouts, ServiceTimeEwma, Shares,
-    SpreadRules, StoreVersion, WindowBudget, choose,
+    Backoffs, Basis, BudgetRules, BuildUse, Candidate, ColdEndpoints, EndpointHealth,
+    EndpointTable, Evacuations, Evidence, FleetLoad, HealthSignal, LongestStay, Member,
+    PlacementRequest, PoisonEvidence, PoolOccupancy, PoolRules, Repeatable, Rollouts,
+    ServiceTimeEwma, Shares, SpreadRules, StoreVersion, WindowBudget, choose,
 };
 
 use crate::config::GatewayConfig;
@@ -43,6 +43,8 @@
     /// Endpoints that had it already.
     pub(crate) tried: &'a [u32],
     pub(crate) repeatable: Repeatable,
+    /// Whether it may be sent to another endpoint if this one turns it away.
+    pub(crate) has_attempt_left: bool,
     /// Which builds it may go to, in the order in which they are tried.
     pub(crate) uses: &'a [BuildUse],
     pub(crate) draw: u64,
@@ -87,6 +89,7 @@
     copied_until_ms: HashMap<ZoneId, u64>,
     evacuation_copy_ms: u64,
     pub(crate) cold: ColdEndpoints,
+    pub(crate) backoffs: Backoffs,
     /// Endpoints that were found to be cold and not logged yet.
     newly_cold: Vec<Endpoint>,
     /// Within how long an endpoint's entry tells what has become of it.
@@ -123,6 +126,7 @@
             copied_until_ms: HashMap::new(),
             evacuation_copy_ms: config.evacuation_copy_ms,
             cold: ColdEndpoints::new(config.cold_bound),
+            backoffs: Backoffs::default(),
             newly_cold: Vec::new(),
             entry_delay_ms: config.entry_delay_ms,
             pools: HashMap::new(),
@@ -172,7 +176,7 @@
         let candidates: Vec<Candidate> = untried
             .iter()
             .map(|member| {
-                let candidate = self.candidate(member, wanted.repeatable, &holders, now_ms);
+                let candidate = self.candidate(member, wanted, &holders, now_ms);
                 Candidate {
                     is_closed: candidate.is_closed || !builds.admit(member),
                     ..candidate
@@ -260,23 +264,30 @@
     fn candidate(
         &self,
         member: &Member,
-        repeatable: Repeatable,
+        wanted: &Wanted<'_>,
         holders: &[u32],
         now_ms: u64,
     ) -> Candidate {
         let short = member.hash.short();
-        let stays_away = |health: &EndpointHealth| match repeatable {
+        let stays_away = |health: &EndpointHealth| match wanted.repeatable {
             Repeatable::Yes => health.is_suspect(now_ms),
             Repeatable::No => health.is_suspect(now_ms) || health.is_doubtful(now_ms),
         };
+        let is_suspect = self.health.get(&short).is_some_and(stays_away);
+        let has_just_returned =
+            self.backoffs
+                .prefers_others(short, wanted.has_attempt_left, now_ms);
+        // An endpoint that turns requests away has little in progress: it would be taken
+        // for idle, and sent more than any other.
+        let backs_off = self.backoffs.is_active(short, now_ms);
         Candidate {
             hash: member.hash,
             load: self.load.of(short),
             slots: member.endpoint.slots,
             is_near: member.endpoint.zone == self.zone,
-            is_suspect: self.health.get(&short).is_some_and(stays_away),
+            is_suspect: is_suspect || has_just_returned,
             holds_prefix: holders.contains(&short),
-            is_closed: member.is_evacuated || !self.may_send_if_cold(member, now_ms),
+            is_closed: backs_off || member.is_evacuated || !self.may_send_if_cold(member, now_ms),
         }
     }
 
@@ -311,7 +322,8 @@
         budget.or_insert_with(|| WindowBudget::new(rules))
     }
 
-    /// How full a pool is, but for endpoints that are suspect.
+    /// How full a pool is, but for endpoints that are suspect or asked to be sent nothing:
+    /// what is queued for their places would wait in vain.
     pub(crate) fn occupancy(&self, pool: &PoolId, now_ms: u64) -> PoolOccupancy {
         let members = self.endpoints.live(pool);
         let usual = self.rollouts.usual_use(pool);
@@ -319,7 +331,10 @@
         let takes_work = members
             .iter()
             .filter(|member| builds.admits(&member.endpoint.build))
-            .filter(|member| !self.is_suspect(member.hash.short(), now_ms));
+            .filter(|member| {
+                let start = member.hash.short();
+                !self.is_suspect(start, now_ms) && !self.backoffs.is_active(start, now_ms)
+            });
         let service_ms = self.mean_service_ms(pool);
         let cold_places = places_while_cold(self.cold_per_s(pool), service_ms);
         let (places, in_progress) = takes_work.fold((0, 0), |(places, in_progress), member| {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -36,6 +36,10 @@
     metrics.gauge("endpoints_live", "", live as f64);
     let cold = fleet.cold.count(now_ms);
     metrics.gauge("cold_endpoints", "", cold as f64);
+    let backing_off = fleet.backoffs.count(now_ms);
+    metrics.gauge("endpoints_backing_off", "", backing_off as f64);
+    let leaving = fleet.endpoints.leaving().len();
+    metrics.gauge("endpoints_leaving", "", leaving as f64);
     let evacuated = fleet.evacuations.zones().len();
     metrics.gauge("evacuated_zones", "", evacuated as f64);
     let poison = fleet.poison.poison(usize::MAX, now_ms).len();
--- a/crates/gateway/src/progress.rs
+++ b/crates/gateway/src/progress.rs
@@ -8,6 +8,7 @@
     AdmissionRequest, AnswerSeen, AttemptOutcome, BuildUse, BuildWish, HealthSignal, Next,
     Repeatable, admits, next_step,
 };
+use rand::RngExt;
 
 use crate::call::Call;
 use crate::edge::{AnswerHead, AskedBackoff, Refusal};
@@ -121,7 +122,9 @@
         };
         self.uses = fleet.rollouts.uses(&wish, now_ms);
         let choice = fleet.place(&self.wanted(), now_ms)?;
-        fleet.cold.sent(choice.member.hash.short(), now_ms);
+        let start = choice.member.hash.short();
+        fleet.cold.sent(start, now_ms);
+        fleet.backoffs.sent(start, now_ms);
         Some(choice)
     }
 
@@ -131,6 +134,7 @@
             shared_parts: &self.call.shared_parts,
             tried: &self.tried,
             repeatable: self.call.repeatable(),
+            has_attempt_left: self.sent + 1 < self.call.route.attempts_max,
             uses: self.uses,
             draw: self.call.draw,
         }
@@ -242,8 +246,8 @@
     /// Whether an endpoint that keeps a request waiting may be left for another:
     /// only if there is one, and the request may be sent there.
     pub(crate) fn may_leave(&self) -> bool {
-        let may_send = self.sent + 1 < self.call.route.attempts_max;
-        if !may_send || self.call.repeatable() == Repeatable::No {
+        let has_attempt_left = self.sent + 1 < self.call.route.attempts_max;
+        if !has_attempt_left || self.call.repeatable() == Repeatable::No {
             return false;
         }
         let now_ms = self.shared.clock.now_ms();
@@ -266,11 +270,48 @@
 
     /// No endpoint is left.
     pub(crate) fn none_left(&self) -> Refusal {
-        let reason = match self.worst {
-            Outcome::NotRun => Reason::NoEndpoint,
-            Outcome::Ran | Outcome::Unknown => Reason::EndpointLost,
-        };
-        Refusal::new(reason, "no other endpoint takes new work")
+        const DETAIL: &str = "no other endpoint takes new work";
+        match self.worst {
+            Outcome::NotRun => self
+                .pool_backs_off()
+                .unwrap_or_else(|| Refusal::new(Reason::NoEndpoint, DETAIL)),
+            Outcome::Ran | Outcome::Unknown => Refusal::new(Reason::EndpointLost, DETAIL),
+        }
+    }
+
+    /// The last attempt was the last one that may be made.
+    pub(crate) fn give_up(&self, reason: Reason, detail: String) -> Refusal {
+        if reason != Reason::EndpointRefused {
+            return Refusal::new(reason, detail);
+        }
+        if let Some(refusal) = self.pool_backs_off() {
+            return refusal;
+        }
+        let asked = self.attempts.last().and_then(|last| last.backoff_ms);
+        let now_ms = self.shared.clock.now_ms();
+        let occupancy = self.shared.fleet().occupancy(&self.call.pool, now_ms);
+        // The endpoint that turned it away is passed over from now on, and the others
+        // have places free: there is nothing to wait for.
+        if asked.is_some() && occupancy.in_progress < occupancy.places {
+            return Refusal::elsewhere(reason, detail);
+        }
+        Refusal::new(reason, detail)
+    }
+
+    /// The refusal where every endpoint of the pool asked to be sent nothing: callers
+    /// come back once one may be sent requests, though not all in the same moment.
+    fn pool_backs_off(&self) -> Option<Refusal> {
+        const SPREAD_MS: std::ops::Range<u64> = 10..300;
+        let now_ms = self.shared.clock.now_ms();
+        let left_ms = self
+            .shared
+            .fleet()
+            .backs_off_for_ms(&self.call.pool, now_ms)?;
+        let detail = format!("all endpoints asked for time; the first is back in {left_ms} ms");
+        Some(Refusal {
+            retry_after_ms: Some(left_ms + rand::rng().random_range(SPREAD_MS)),
+            ..Refusal::new(Reason::EndpointsBackOff, detail)
+        })
     }
 
     /// The attempts, to tell them at the end.
--- a/crates/gateway/tests/gateway/endpoint_words.rs
+++ b/crates/gateway/tests/gateway/endpoint_words.rs
@@ -1,8 +1,11 @@
 //! What endpoints say of themselves in their answers.
 
+use std::time::Duration;
+
 use crate::support::{Behaviour, Call, TestGateway, figure, until};
 use chalkrock_core::{Endpoint, Incarnation};
 use googletest::prelude::*;
+use tokio::time::Instant;
 
 /// Ways on which an endpoint's answer comes.
 const WAYS: [(&str, Behaviour); 12] = [
@@ -89,3 +92,137 @@
     })
     .await;
 }
+
+#[tokio::test]
+async fn endpoints_that_ask_for_time_are_sent_nothing_on_whatever_way() {
+    const ASKED: usize = 20;
+    for (path, behaviour) in WAYS {
+        let gateway = TestGateway::before(2, Behaviour::Answer).await;
+        let busy = &gateway.endpoints[0];
+        busy.says("back-off-ms: 60000");
+        busy.usually(behaviour.clone());
+        until_sent(&gateway, path, 0).await;
+        for _ in 0..ASKED {
+            let received = gateway.call(Call::get("/safe/").id("r-2")).await;
+            assert_that!(received.status, eq(200), "{behaviour:?} on {path}");
+        }
+        assert_that!(busy.arrivals(), eq(1), "{behaviour:?} on {path}");
+        assert_that!(figure(&gateway, "endpoints_backing_off").await, eq(1.0));
+    }
+}
+
+/// Of the pool's own endpoints none may be sent anything: callers are told at once, and
+/// when one is expected back. Then they are served.
+#[tokio::test]
+async fn endpoints_that_all_ask_for_time_have_callers_come_back_then() {
+    const ASKED_MS: u64 = 700;
+    const AT_ONCE: Duration = Duration::from_millis(200);
+    let gateway = TestGateway::before(2, Behaviour::Shed).await;
+    for endpoint in &gateway.endpoints {
+        endpoint.says(&format!("back-off-ms: {ASKED_MS}"));
+    }
+    for _ in 0..2 {
+        gateway.call(Call::post("/once/", b"x").id("r-1")).await;
+    }
+    for endpoint in &gateway.endpoints {
+        assert_that!(endpoint.arrivals(), eq(1));
+        endpoint.usually(Behaviour::Answer);
+        endpoint.says("x: y");
+    }
+    let asked_at = Instant::now();
+    let received = gateway.call(Call::post("/once/", b"x").id("r-2")).await;
+    assert_that!(asked_at.elapsed(), lt(AT_ONCE));
+    assert_that!(received.status, eq(503));
+    assert_that!(received.body, eq(b"endpoints-back-off"));
+    assert_that!(gateway.runs_of("r-2"), eq(0));
+    let come_back_ms = received.header("come-back").map(str::parse);
+    let come_back_ms: u64 = come_back_ms.expect("a time").expect("a number");
+    assert_that!(come_back_ms, le(ASKED_MS * 6 / 5 + 300));
+    tokio::time::sleep(Duration::from_millis(come_back_ms)).await;
+    let received = gateway.call(Call::post("/once/", b"x").id("r-3")).await;
+    assert_that!(received.status, eq(200));
+}
+
+/// One of two asks for time as it turns a request away that may be sent to one endpoint
+/// only: its caller may come back at once, since the other has places free.
+#[tokio::test]
+async fn endpoints_that_ask_for_time_leave_callers_to_come_back_at_once() {
+    let gateway = TestGateway::before(2, Behaviour::Answer).await;
+    let busy = &gateway.endpoints[0];
+    busy.usually(Behaviour::Shed);
+    busy.says("back-off-ms: 60000");
+    loop {
+        let received = gateway.call(Call::post("/once/", b"x").id("r-1")).await;
+        if received.status == 503 {
+            assert_that!(received.header("come-back"), some(eq("10")));
+            break;
+        }
+    }
+    let received = gateway.call(Call::post("/once/", b"x").id("r-2")).await;
+    assert_that!(received.status, eq(200));
+}
+
+/// It is of the endpoint's start, not of its entry: neither an entry that goes and comes
+/// again nor a sound answer to an earlier request ends it, but another start does.
+#[tokio::test]
+async fn endpoints_that_ask_for_time_get_it_until_they_start_again() {
+    let gateway = TestGateway::before(2, Behaviour::Answer).await;
+    let busy = &gateway.endpoints[0];
+    busy.usually(Behaviour::AnswerAfter(300));
+    let ask = async |id: &str| gateway.call(Call::get("/safe/").id(id)).await;
+    let earlier = async {
+        while busy.arrivals() == 0 {
+            ask("r-1").await;
+        }
+    };
+    let turned_away = async {
+        until(async || busy.arrivals() > 0).await;
+        busy.says("back-off-ms: 60000");
+        busy.usually(Behaviour::Shed);
+        while busy.arrivals() == 1 {
+            ask("r-2").await;
+        }
+        busy.says("x: y");
+    };
+    tokio::join!(earlier, turned_away);
+    let version = figure(&gateway, "endpoints_version").await;
+    gateway.source.unlist(&busy.endpoint.name);
+    gateway.source.list(busy.endpoint.clone());
+    until(async || figure(&gateway, "endpoints_version").await >= version + 2.0).await;
+    busy.usually(Behaviour::Answer);
+    for _ in 0..20 {
+        assert_that!(ask("r-3").await.status, eq(200));
+    }
+    assert_that!(busy.arrivals(), eq(2));
+    gateway.source.list(Endpoint {
+        incarnation: Incarnation(9),
+        ..busy.endpoint.clone()
+    });
+    until(async || {
+        ask("r-4").await;
+        busy.arrivals() > 2
+    })
+    .await;
+}
+
+/// What an endpoint wants of one host it does not want of another, which finds out itself.
+#[tokio::test]
+async fn endpoints_that_ask_one_host_for_time_are_used_by_others() {
+    let first = TestGateway::before(2, Behaviour::Answer).await;
+    let seeds = vec![first.peer_address()];
+    let second = TestGateway::with(first.source.clone(), "host-2", seeds).await;
+    second.ready().await;
+    let busy = &first.endpoints[0];
+    busy.usually(Behaviour::Shed);
+    busy.says("back-off-ms: 60000");
+    until_sent(&first, "/safe/", 0).await;
+    busy.usually(Behaviour::Answer);
+    busy.says("x: y");
+    until(async || {
+        second.call(Call::get("/safe/").id("r-2")).await;
+        busy.arrivals() > 1
+    })
+    .await;
+    assert_that!(figure(&first, "endpoints_backing_off").await, eq(1.0));
+    assert_that!(figure(&second, "endpoints_backing_off").await, eq(0.0));
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -4,7 +4,7 @@
 //! that may or may not be repeated, or a generation that streams. This crate
 //! says which route and organisation it belongs to ([`Rules`]), which
 //! endpoints may take it ([`EndpointTable`], [`Evacuations`]) and how many requests
-//! while they are cold ([`ColdEndpoints`]), how loaded they are over the
+//! while they are cold ([`ColdEndpoints`]) or have asked for none ([`Backoffs`]), how loaded they are over the
 //! whole fleet ([`FleetLoad`]), which one it goes to ([`choose`]), what the end of an
 //! attempt allows next ([`next_step`]), whether a retry is paid for
 //! ([`WindowBudget`]), how a pool moves to another build ([`Rollouts`]) and what a
@@ -41,6 +41,7 @@
 
 mod admission;
 mod attempt;
+mod backoff;
 mod budget;
 mod cold;
 mod drain_schedule;
@@ -71,6 +72,7 @@
     shed_probability,
 };
 pub use attempt::{AttemptOutcome, Next, Repeatable, next_step};
+pub use backoff::{BACKOFF_MAX_MS, BackoffChange, Backoffs};
 pub use budget::{BudgetRules, WindowBudget};
 pub use cold::{ColdBound, ColdEndpoints, ColdShare};
 pub use drain_schedule::{DrainPhase, DrainSchedule};
