Have the tests' endpoints notice what is read of them: small send buffers

stream_that_was_left_unread_comes_whole failed in the run of all tests, and in 8 of 8 runs with eight copies beside each other, also on the code before. Traced: the stand-in endpoint resets what stays unread for 1.5 s, told by a write that does not end. The system tells of room in a send buffer only once a third of it is free; on loopback the buffer had grown to megabytes, and the caller, whose window is 4 KB, took 264 KB a second beside seven copies: it read all the time, and the second endpoint too broke off as though it did not. The test's own promise is of a caller that reads, so the stand-in was wrong.

--- a/crates/gateway/tests/gateway/support/endpoint.rs
+++ b/crates/gateway/tests/gateway/support/endpoint.rs
@@ -7,7 +7,7 @@
 
 use chalkrock_core::{BuildVersion, Endpoint, EndpointKind, HostState, Incarnation};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 
 /// What an endpoint does to one request.
@@ -108,7 +108,7 @@
 impl ScriptedEndpoint {
     /// Starts one.
     pub(crate) async fn start(name: &str, pool: &str, usual: Behaviour, script: Script) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let listener = listener();
         let address = listener.local_addr().expect("an address");
         let scripted = Self {
             endpoint: endpoint(name, pool, address),
@@ -339,6 +339,21 @@
     }
 }
 
+/// Its connections' send buffers are small: a write then ends soon after the other side
+/// has read. The system tells of room only once a third of a buffer is free, and buffers
+/// grow to megabytes, so that what a slow caller read all the time was taken for unread.
+fn listener() -> TcpListener {
+    const SEND_BUFFER_BYTES: u32 = 64 * 1024;
+    const BACKLOG: u32 = 1_024;
+    let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket
+        .set_send_buffer_size(SEND_BUFFER_BYTES)
+        .expect("a buffer");
+    socket.bind(any).expect("a port");
+    socket.listen(BACKLOG).expect("a listener")
+}
+
 fn endpoint(name: &str, pool: &str, address: SocketAddr) -> Endpoint {
     Endpoint {
         name: name.into(),
