Break the stream that was left unread when the test says so, in every run

Now the first endpoint resets the connection on the test's word, after three seconds without a read, and the test asks besides that the second one was sent the rest.

--- a/crates/gateway/tests/gateway/slow_readers.rs
+++ b/crates/gateway/tests/gateway/slow_readers.rs
@@ -106,23 +106,29 @@
     until(async || figure(&gateway, HELD).await == 0.0).await;
 }
 
-/// An endpoint breaks off what stays unread. Whether or not it comes to that, the stream
-/// comes whole and in order once its caller reads.
+/// An endpoint breaks off what stays unread. The stream comes whole and in order all the
+/// same once its caller reads.
 #[tokio::test]
 async fn stream_that_was_left_unread_comes_whole() {
     const LAST: u64 = 150_000;
-    let (source, _first) = source(Behaviour::StreamWhileRead { last: LAST }, 60_000).await;
-    let usual = Behaviour::StreamWhileRead { last: LAST };
-    let second = ScriptedEndpoint::start("endpoint-2", "pool", usual, Script::default()).await;
-    source.list(second.endpoint.clone());
+    let (source, first) = source(Behaviour::StreamUntilBroken { last: LAST }, 60_000).await;
     let gateway = TestGateway::with(source, "host-1", Vec::new()).await;
     gateway.ready().await;
     let call = Call::get("/resumable/").id("r-1");
     let mut stream = send_unread(&gateway, &call).await;
+    until(async || first.arrivals() == 1).await;
+    let usual = Behaviour::Stream {
+        last: LAST,
+        cut_at: None,
+    };
+    let second = ScriptedEndpoint::start("endpoint-2", "pool", usual, Script::default()).await;
+    gateway.source.list(second.endpoint.clone());
     tokio::time::sleep(Duration::from_millis(3_000)).await;
+    first.break_off();
     let events = events_of(&mut stream).await;
     let expected: Vec<u64> = (0..=LAST).collect();
     assert_that!(events == expected, eq(true), "{} events", events.len());
+    assert_that!(second.arrivals(), eq(1));
 }
 
 /// Reads a stream up to its end, and the numbers of its events. Empty if it breaks off.
--- a/crates/gateway/tests/gateway/support/endpoint.rs
+++ b/crates/gateway/tests/gateway/support/endpoint.rs
@@ -7,7 +7,7 @@
 
 use chalkrock_core::{BuildVersion, Endpoint, EndpointKind, HostState, Incarnation};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
 /// What an endpoint does to one request.
@@ -46,8 +46,8 @@
     /// Streams events up to a number, from the one after `after`; breaks off
     /// in the middle of event `cut_at`.
     Stream { last: u64, cut_at: Option<u64> },
-    /// Streams events up to a number; resets the connection when they stay unread.
-    StreamWhileRead { last: u64 },
+    /// Streams events up to a number, and resets the connection once the test says so.
+    StreamUntilBroken { last: u64 },
     /// Streams events up to a number, and then says nothing more.
     StreamThenSilence { last: u64 },
 }
@@ -103,12 +103,13 @@
     /// Connections that the other side closed while a request was worked on.
     left: Arc<watch::Sender<usize>>,
     connections: Arc<watch::Sender<usize>>,
+    broken: Arc<watch::Sender<bool>>,
 }
 
 impl ScriptedEndpoint {
     /// Starts one.
     pub(crate) async fn start(name: &str, pool: &str, usual: Behaviour, script: Script) -> Self {
-        let listener = listener();
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("an address");
         let scripted = Self {
             endpoint: endpoint(name, pool, address),
@@ -120,6 +121,7 @@
             script,
             left: Arc::new(watch::channel(0).0),
             connections: Arc::new(watch::channel(0).0),
+            broken: Arc::new(watch::channel(false).0),
         };
         let accepting = scripted.clone();
         tokio::spawn(async move {
@@ -136,6 +138,11 @@
         self.state().usual = behaviour;
     }
 
+    /// Resets the streams that are to be broken.
+    pub(crate) fn break_off(&self) {
+        self.broken.send_replace(true);
+    }
+
     /// What it says of itself in all its answers: a header line.
     pub(crate) fn says(&self, line: &str) {
         self.state().says = format!("{line}\r\n");
@@ -261,8 +268,16 @@
             Behaviour::Stream { last, cut_at } => {
                 self.stream(stream, request, &id, last, cut_at).await
             }
-            Behaviour::StreamWhileRead { last } => {
-                self.stream_while_read(stream, request, &id, last).await
+            Behaviour::StreamUntilBroken { last } => {
+                let mut broken = self.broken.subscribe();
+                let sending = self.stream(stream, request, &id, last, Some(last));
+                tokio::select! {
+                    _ = sending => {}
+                    _ = broken.wait_for(|is_broken| *is_broken) => {}
+                }
+                let _never_closed = broken.wait_for(|is_broken| *is_broken).await;
+                reset(stream);
+                false
             }
             Behaviour::StreamThenSilence { last } => {
                 send(stream, self.stream_head(&id).as_bytes()).await;
@@ -295,30 +310,6 @@
         send(stream, b"0\r\n\r\n").await
     }
 
-    async fn stream_while_read(
-        &self,
-        stream: &mut TcpStream,
-        request: &Seen,
-        id: &str,
-        last: u64,
-    ) -> bool {
-        const UNREAD: Duration = Duration::from_millis(1_500);
-        const EVENTS_A_WRITE: u64 = 1_000;
-        send(stream, self.stream_head(id).as_bytes()).await;
-        let mut number = first_event(request);
-        while number <= last {
-            let until = last.min(number + EVENTS_A_WRITE - 1);
-            let bytes: Vec<u8> = (number..=until).flat_map(|n| chunk(&event(n))).collect();
-            let written = tokio::time::timeout(UNREAD, send(stream, &bytes)).await;
-            if written != Ok(true) {
-                reset(stream);
-                return false;
-            }
-            number = until + 1;
-        }
-        send(stream, b"0\r\n\r\n").await
-    }
-
     fn stream_head(&self, id: &str) -> String {
         let says = self.state().says.clone();
         format!(
@@ -339,21 +330,6 @@
     }
 }
 
-/// Its connections' send buffers are small: a write then ends soon after the other side
-/// has read. The system tells of room only once a third of a buffer is free, and buffers
-/// grow to megabytes, so that what a slow caller read all the time was taken for unread.
-fn listener() -> TcpListener {
-    const SEND_BUFFER_BYTES: u32 = 64 * 1024;
-    const BACKLOG: u32 = 1_024;
-    let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
-    let socket = TcpSocket::new_v4().expect("a socket");
-    socket
-        .set_send_buffer_size(SEND_BUFFER_BYTES)
-        .expect("a buffer");
-    socket.bind(any).expect("a port");
-    socket.listen(BACKLOG).expect("a listener")
-}
-
 fn endpoint(name: &str, pool: &str, address: SocketAddr) -> Endpoint {
     Endpoint {
         name: name.into(),
