--- a/crates/routing/src/endpoints.rs
+++ b/crates/routing/src/endpoints.rs
@@ -4,15 +4,19 @@
 //! hosts, in the order of the store's versions. An endpoint may start again by its
 //! name: another incarnation is another endpoint. Its number tells starts apart and
 //! not which is the later one, since endpoints take it from the time of day, which
-//! may step back. Within one incarnation leaving is sticky: an endpoint that has
-//! begun to leave is never taken back, however late, reordered or stale the
-//! next word of it is: it may say so in an answer long before its entry does, while
-//! the store is away or slow, and a host may hear it from another before it knows
-//! the entry. So starts that leave are remembered apart from the list. An endpoint that is merely no longer listed may be
-//! listed again, and until then takes no new work; but entries that lapsed
-//! while the platform's store was away are kept for a short time after its
-//! return, in which endpoints that live are listed again. An endpoint of an
-//! evacuated zone takes no new work until the zone is taken back.
+//! may step back.
+//!
+//! Within one incarnation leaving is sticky: an endpoint that has begun to leave is
+//! never taken back, however late, reordered or stale the next word of it is. It may
+//! say so in an answer long before its entry does, while the store is away or slow,
+//! and a host may hear of it from another before it knows the entry: so starts that
+//! leave are remembered apart from the list.
+//!
+//! An endpoint that is merely no longer listed may be listed again, and until then
+//! takes no new work; but entries that lapsed while the platform's store was away are
+//! kept for a short time after its return, in which endpoints that live are listed
+//! again. An endpoint of an evacuated zone takes no new work until the zone is taken
+//! back.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
