Mark endpoints as leaving in one piece, and count a pool's room only where it matters

Read over once more; behaviour stays. What marked starts as leaving and logged them stood three times (an answer, another host, another endpoint at the address): one method does. The members of the builds that most requests try were picked twice, and whether an attempt is left was worked out twice. A request that was turned away worked out how full its pool is, over all endpoints, also where its endpoint had asked for no time and nothing went by it: it does so only then.

--- a/crates/gateway/src/endpoint_words.rs
+++ b/crates/gateway/src/endpoint_words.rs
@@ -5,9 +5,7 @@
 //! taken here. An endpoint's own word comes before its entry at the store, which may tell
 //! seconds later or, while the store is away, not at all.
 
-use std::sync::Arc;
-
-use chalkrock_core::{Endpoint, RequestId};
+use chalkrock_core::RequestId;
 use chalkrock_routing::{BackoffChange, Member};
 
 use crate::edge::{AnswerHead, AskedBackoff};
@@ -44,23 +42,18 @@
     /// The other hosts are told with the next round.
     fn endpoint_leaves(&self, member: &Member, id: Option<&RequestId>) {
         let start = member.hash.short();
-        let now_ms = self.clock.now_ms();
-        let marked = self.fleet().endpoints.mark_leaving(&[start], now_ms);
         self.upstream.close(start);
-        if !marked.is_empty() {
+        if self.mark_leaving(&[start], "answer", id) {
             self.metrics.count("leaving_heard_in_answers_total", "", 1);
         }
-        self.log_leaving(&marked, "answer", id);
     }
 
-    /// Endpoints are found to leave by another word than their entries.
-    pub(crate) fn log_leaving(
-        &self,
-        endpoints: &[Arc<Endpoint>],
-        from: &str,
-        id: Option<&RequestId>,
-    ) {
-        for endpoint in endpoints {
+    /// Starts of endpoints are found to leave by another word than their entries. Returns
+    /// whether that is news of any.
+    pub(crate) fn mark_leaving(&self, starts: &[u32], from: &str, id: Option<&RequestId>) -> bool {
+        let now_ms = self.clock.now_ms();
+        let marked = self.fleet().endpoints.mark_leaving(starts, now_ms);
+        for endpoint in &marked {
             self.event_log.emit(&Event::EndpointLeaves {
                 endpoint: &endpoint.name,
                 start: endpoint.incarnation,
@@ -68,6 +61,7 @@
                 id,
             });
         }
+        !marked.is_empty()
     }
 
     fn endpoint_backs_off(&self, member: &Member, asked_ms: u64, id: Option<&RequestId>) {
--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -224,7 +224,7 @@
         #[serde(skip_serializing_if = "Option::is_none")]
         id: Option<&'a RequestId>,
     },
-    /// A start that left long ago is no longer remembered.
+    /// A start that leaves is forgotten, two minutes after its entry went.
     LeavingForgotten {
         endpoint: &'a EndpointId,
         start: Incarnation,
--- a/crates/gateway/src/fleet/builds.rs
+++ b/crates/gateway/src/fleet/builds.rs
@@ -39,6 +39,19 @@
         OpenBuilds { filter, canaries }
     }
 
+    /// Of a pool's members those of the builds that most requests try first.
+    pub(super) fn of_usual_builds<'a>(
+        &'a self,
+        pool: &PoolId,
+        members: &'a [Member],
+        now_ms: u64,
+    ) -> impl Iterator<Item = &'a Member> {
+        let usual = self.rollouts.usual_use(pool);
+        let builds = self.rollouts.filter(pool, usual, now_ms);
+        let members = members.iter();
+        members.filter(move |member| builds.admits(&member.endpoint.build))
+    }
+
     /// The endpoints of a pool by the builds of its rollout.
     pub(crate) fn pool_builds(&self, pool: &PoolId) -> PoolBuilds {
         let Some((_, order)) = self.rollouts.order(pool) else {
--- a/crates/gateway/src/fleet/closed.rs
+++ b/crates/gateway/src/fleet/closed.rs
@@ -122,12 +122,8 @@
     /// Time until a pool has an endpoint again that may be sent requests, in
     /// milliseconds; `None` unless all that it has asked to be sent nothing.
     pub(crate) fn backs_off_for_ms(&self, pool: &PoolId, now_ms: u64) -> Option<u64> {
-        let usual = self.rollouts.usual_use(pool);
-        let builds = self.rollouts.filter(pool, usual, now_ms);
         let live = self.endpoints.live(pool);
-        let usable = live
-            .iter()
-            .filter(|member| builds.admits(&member.endpoint.build));
+        let usable = self.of_usual_builds(pool, &live, now_ms);
         let left_ms = usable.map(|member| self.backoffs.left_ms(member.hash.short(), now_ms));
         left_ms.min().filter(|left_ms| *left_ms > 0)
     }
--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -326,15 +326,11 @@
     /// what is queued for their places would wait in vain.
     pub(crate) fn occupancy(&self, pool: &PoolId, now_ms: u64) -> PoolOccupancy {
         let members = self.endpoints.live(pool);
-        let usual = self.rollouts.usual_use(pool);
-        let builds = self.rollouts.filter(pool, usual, now_ms);
-        let takes_work = members
-            .iter()
-            .filter(|member| builds.admits(&member.endpoint.build))
-            .filter(|member| {
-                let start = member.hash.short();
-                !self.is_suspect(start, now_ms) && !self.backoffs.is_active(start, now_ms)
-            });
+        let of_usual_builds = self.of_usual_builds(pool, &members, now_ms);
+        let takes_work = of_usual_builds.filter(|member| {
+            let start = member.hash.short();
+            !self.is_suspect(start, now_ms) && !self.backoffs.is_active(start, now_ms)
+        });
         let service_ms = self.mean_service_ms(pool);
         let cold_places = places_while_cold(self.cold_per_s(pool), service_ms);
         let (places, in_progress) = takes_work.fold((0, 0), |(places, in_progress), member| {
--- a/crates/gateway/src/peers/receive.rs
+++ b/crates/gateway/src/peers/receive.rs
@@ -189,15 +189,10 @@
     zone: u32,
     knowledge: &Knowledge,
 ) {
-    let now_ms = shared.clock.now_ms();
-    let mut fleet = shared.fleet();
-    let marked = fleet.endpoints.mark_leaving(&knowledge.leaving, now_ms);
-    drop(fleet);
-    if !marked.is_empty() {
+    if shared.mark_leaving(&knowledge.leaving, "peer", None) {
         shared
             .metrics
             .count("leaving_heard_from_peers_total", "", 1);
-        shared.log_leaving(&marked, "peer", None);
         if peers.sums_up() {
             shared.publish_now.notify_one();
         }
--- a/crates/gateway/src/progress.rs
+++ b/crates/gateway/src/progress.rs
@@ -134,12 +134,18 @@
             shared_parts: &self.call.shared_parts,
             tried: &self.tried,
             repeatable: self.call.repeatable(),
-            has_attempt_left: self.sent + 1 < self.call.route.attempts_max,
+            has_attempt_left: self.has_attempt_left(),
             uses: self.uses,
             draw: self.call.draw,
         }
     }
 
+    /// Whether it may be sent to one endpoint more after the one that has it now, or is
+    /// to have it next.
+    fn has_attempt_left(&self) -> bool {
+        self.sent + 1 < self.call.route.attempts_max
+    }
+
     /// An attempt begins.
     pub(crate) fn begin(&mut self, choice: &Choice) {
         self.sent_at_ms = self.shared.clock.now_ms();
@@ -246,8 +252,7 @@
     /// Whether an endpoint that keeps a request waiting may be left for another:
     /// only if there is one, and the request may be sent there.
     pub(crate) fn may_leave(&self) -> bool {
-        let has_attempt_left = self.sent + 1 < self.call.route.attempts_max;
-        if !has_attempt_left || self.call.repeatable() == Repeatable::No {
+        if !self.has_attempt_left() || self.call.repeatable() == Repeatable::No {
             return false;
         }
         let now_ms = self.shared.clock.now_ms();
@@ -287,17 +292,22 @@
         if let Some(refusal) = self.pool_backs_off() {
             return refusal;
         }
-        let asked = self.attempts.last().and_then(|last| last.backoff_ms);
-        let now_ms = self.shared.clock.now_ms();
-        let occupancy = self.shared.fleet().occupancy(&self.call.pool, now_ms);
-        // The endpoint that turned it away is passed over from now on, and the others
-        // have places free: there is nothing to wait for.
-        if asked.is_some() && occupancy.in_progress < occupancy.places {
+        // The endpoint that turned it away is passed over from now on; where the others
+        // have places free there is nothing to wait for.
+        let last = self.attempts.last();
+        let is_passed_over = last.is_some_and(|last| last.backoff_ms.is_some());
+        if is_passed_over && self.pool_has_room() {
             return Refusal::elsewhere(reason, detail);
         }
         Refusal::new(reason, detail)
     }
 
+    fn pool_has_room(&self) -> bool {
+        let now_ms = self.shared.clock.now_ms();
+        let occupancy = self.shared.fleet().occupancy(&self.call.pool, now_ms);
+        occupancy.in_progress < occupancy.places
+    }
+
     /// The refusal where every endpoint of the pool asked to be sent nothing: callers
     /// come back once one may be sent requests, though not all in the same moment.
     fn pool_backs_off(&self) -> Option<Refusal> {
@@ -325,13 +335,9 @@
     /// endpoints in turn: 3,070 arrivals beyond the first in ten seconds where
     /// 1,219 were allowed, after a zone of 29 endpoints had restarted.
     fn endpoint_is_gone(&self) {
-        let now_ms = self.shared.clock.now_ms();
         if let Some(short) = self.tried.last() {
-            let mut fleet = self.shared.fleet();
-            let marked = fleet.endpoints.mark_leaving(&[*short], now_ms);
-            drop(fleet);
             let id = self.call.head.id.as_ref();
-            self.shared.log_leaving(&marked, "address", id);
+            self.shared.mark_leaving(&[*short], "address", id);
         }
     }
 
