--- a/crates/ctl/src/story.rs
+++ b/crates/ctl/src/story.rs
@@ -86,9 +86,7 @@
                 && is_of_its_endpoints
                 && about.iter().any(is_before)
         };
-        let mut story: Vec<Line> = lines.iter().filter(matters).cloned().collect();
-        story.sort_by(|a, b| (a.unix_ms, &a.host).cmp(&(b.unix_ms, &b.host)));
-        Self(story)
+        Self::in_order(lines.iter().filter(matters).cloned())
     }
 
     /// Finds what hosts said of the rollout of a pool: its orders, each stage that it
@@ -103,7 +101,11 @@
             "dependency" => text(line, "name").as_deref() == Some("platform-rollouts"),
             _ => false,
         };
-        let mut story: Vec<Line> = lines.filter_map(Line::parse).filter(matters).collect();
+        Self::in_order(lines.filter_map(Line::parse).filter(matters))
+    }
+
+    fn in_order(lines: impl Iterator<Item = Line>) -> Self {
+        let mut story: Vec<Line> = lines.collect();
         story.sort_by(|a, b| (a.unix_ms, &a.host).cmp(&(b.unix_ms, &b.host)));
         Self(story)
     }
