--- a/crates/gateway/tests/gateway/endpoint_words.rs
+++ b/crates/gateway/tests/gateway/endpoint_words.rs
@@ -43,23 +43,30 @@
     }
 }
 
-#[tokio::test]
-async fn endpoints_that_say_they_leave_are_sent_nothing_on_whatever_way() {
+/// One of two endpoints says something of itself in all its answers, on each way: it is
+/// sent one request, and the other one all that follow. The metric counts what it said.
+async fn is_heeded_on_each_way(line: &str, metric: &str) {
     const ASKED: usize = 20;
     for (path, behaviour) in WAYS {
         let gateway = TestGateway::before(2, Behaviour::Answer).await;
-        let leaving = &gateway.endpoints[0];
-        leaving.says("leaving: 1");
-        leaving.usually(behaviour.clone());
+        let speaker = &gateway.endpoints[0];
+        speaker.says(line);
+        speaker.usually(behaviour.clone());
         until_sent(&gateway, path, 0).await;
         for _ in 0..ASKED {
             let received = gateway.call(Call::get("/safe/").id("r-2")).await;
             assert_that!(received.status, eq(200), "{behaviour:?} on {path}");
         }
-        assert_that!(leaving.arrivals(), eq(1), "{behaviour:?} on {path}");
+        assert_that!(speaker.arrivals(), eq(1), "{behaviour:?} on {path}");
+        assert_that!(figure(&gateway, metric).await, eq(1.0));
     }
 }
 
+#[tokio::test]
+async fn endpoints_that_say_they_leave_are_sent_nothing_on_whatever_way() {
+    is_heeded_on_each_way("leaving: 1", "endpoints_leaving").await;
+}
+
 /// Hosts that have sent it nothing believe the one that heard it; an entry that says
 /// otherwise is older.
 #[tokio::test]
@@ -95,20 +102,7 @@
 
 #[tokio::test]
 async fn endpoints_that_ask_for_time_are_sent_nothing_on_whatever_way() {
-    const ASKED: usize = 20;
-    for (path, behaviour) in WAYS {
-        let gateway = TestGateway::before(2, Behaviour::Answer).await;
-        let busy = &gateway.endpoints[0];
-        busy.says("back-off-ms: 60000");
-        busy.usually(behaviour.clone());
-        until_sent(&gateway, path, 0).await;
-        for _ in 0..ASKED {
-            let received = gateway.call(Call::get("/safe/").id("r-2")).await;
-            assert_that!(received.status, eq(200), "{behaviour:?} on {path}");
-        }
-        assert_that!(busy.arrivals(), eq(1), "{behaviour:?} on {path}");
-        assert_that!(figure(&gateway, "endpoints_backing_off").await, eq(1.0));
-    }
+    is_heeded_on_each_way("back-off-ms: 60000", "endpoints_backing_off").await;
 }
 
 /// Of the pool's own endpoints none may be sent anything: callers are told at once, and
@@ -127,7 +121,7 @@
     for endpoint in &gateway.endpoints {
         assert_that!(endpoint.arrivals(), eq(1));
         endpoint.usually(Behaviour::Answer);
-        endpoint.says("x: y");
+        endpoint.says_nothing();
     }
     let asked_at = Instant::now();
     let received = gateway.call(Call::post("/once/", b"x").id("r-2")).await;
@@ -182,7 +176,7 @@
         while busy.arrivals() == 1 {
             ask("r-2").await;
         }
-        busy.says("x: y");
+        busy.says_nothing();
     };
     tokio::join!(earlier, turned_away);
     let version = figure(&gateway, "endpoints_version").await;
@@ -217,7 +211,7 @@
     busy.says("back-off-ms: 60000");
     until_sent(&first, "/safe/", 0).await;
     busy.usually(Behaviour::Answer);
-    busy.says("x: y");
+    busy.says_nothing();
     until(async || {
         second.call(Call::get("/safe/").id("r-2")).await;
         busy.arrivals() > 1
--- a/crates/gateway/tests/gateway/support/endpoint.rs
+++ b/crates/gateway/tests/gateway/support/endpoint.rs
@@ -148,6 +148,11 @@
         self.state().says = format!("{line}\r\n");
     }
 
+    /// Says nothing of itself any more.
+    pub(crate) fn says_nothing(&self) {
+        self.state().says.clear();
+    }
+
     /// The requests that arrived.
     pub(crate) fn seen(&self) -> Vec<Seen> {
         self.state().seen.clone()
--- a/crates/gateway/tests/gateway/support/source.rs
+++ b/crates/gateway/tests/gateway/support/source.rs
@@ -370,11 +370,17 @@
         }
     }
 
-    fn rows(&self, topic: Topic, since: Option<u64>) -> Result<News, SourceError> {
+    /// What it holds, unless it is switched off.
+    fn answering(&self) -> Result<MutexGuard<'_, State>, SourceError> {
         let state = self.lock();
         if state.is_down {
             return Err(SourceError::Unavailable("switched off".to_owned()));
         }
+        Ok(state)
+    }
+
+    fn rows(&self, topic: Topic, since: Option<u64>) -> Result<News, SourceError> {
+        let state = self.answering()?;
         let era = StoreVersion(state.version).era();
         if since.is_some_and(|since| StoreVersion(since).era() != era) {
             return Err(SourceError::HistoryGone);
@@ -453,10 +459,7 @@
     }
 
     async fn join(&self, own: &HostRow) -> Result<Vec<HostRow>, SourceError> {
-        let mut state = self.lock();
-        if state.is_down {
-            return Err(SourceError::Unavailable("switched off".to_owned()));
-        }
+        let mut state = self.answering()?;
         state
             .hosts
             .retain(|row| row.peer_address != own.peer_address);
@@ -465,10 +468,7 @@
     }
 
     async fn poison(&self) -> Result<Vec<PoisonRow>, SourceError> {
-        let state = self.lock();
-        if state.is_down {
-            return Err(SourceError::Unavailable("switched off".to_owned()));
-        }
+        let state = self.answering()?;
         Ok(state.poison.clone())
     }
 
@@ -477,10 +477,7 @@
         add: &[PoisonRow],
         remove: &[RequestFingerprint],
     ) -> Result<(), SourceError> {
-        let mut state = self.lock();
-        if state.is_down {
-            return Err(SourceError::Unavailable("switched off".to_owned()));
-        }
+        let mut state = self.answering()?;
         let is_kept = |row: &PoisonRow| {
             !remove.contains(&row.request) && add.iter().all(|added| added.request != row.request)
         };
@@ -496,10 +493,7 @@
         replaces: StoreVersion,
     ) -> Result<RolloutWrite, SourceError> {
         self.arrive().await;
-        let mut state = self.lock();
-        if state.is_down {
-            return Err(SourceError::Unavailable("switched off".to_owned()));
-        }
+        let mut state = self.answering()?;
         let known = state.records.get(pool);
         if let Some((version, there)) = known.filter(|(version, _)| *version != replaces.0) {
             return Ok(RolloutWrite::Conflict {
