--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -54,6 +54,7 @@
 mod in_flight;
 mod pause;
 mod poison;
+mod pool_queue;
 mod prefix_directory;
 mod readers;
 mod rollout;
@@ -88,6 +89,10 @@
     LONG_RUN_MS, MAX_CRASHES, POISON_RETENTION_MS, PoisonEvidence, PoisonRequest, PoisonUpdate,
     PoisonVerdict,
 };
+pub use pool_queue::{
+    AdmissionGate, Grant, HeldLease, MAX_GATES_PER_REPLY, MAX_LEASES_PER_ASK, MAX_WAITING_PER_ASK,
+    Rejection, RejectionCause, SlotAsk, SlotReply, TicketId, WaitingRequest,
+};
 pub use prefix_directory::{CacheEntry, PrefixDirectory};
 pub use readers::{
     RELAYS_PER_ZONE, SubscriptionRole, ZonePeer, ZoneView, stale_poll_fraction, subscribers_needed,
--- /dev/null
+++ b/crates/routing/src/pool_queue/mod.rs
@@ -0,0 +1,11 @@
+//! One queue of the whole fleet for a pool with few slots.
+//!
+//! Hosts ask the pool's scheduler for slots ([`SlotAsk`]) and hold them as leases; the
+//! scheduler orders all waiting requests and grants each free slot once ([`SlotReply`]).
+
+mod messages;
+
+pub use messages::{
+    AdmissionGate, Grant, HeldLease, MAX_GATES_PER_REPLY, MAX_LEASES_PER_ASK, MAX_WAITING_PER_ASK,
+    Rejection, RejectionCause, SlotAsk, SlotReply, TicketId, WaitingRequest,
+};
