Spread a prefix's home over others when its demand exceeds the load limit

Cause: reported loads are 200 to 600 ms old. All hosts send a hot prefix's requests to its home until a report arrives, and then all to the next in rank: the home held 32 requests where hosts saw 9 to 15, mean 7. Change: HomeDemand estimates the demand for an endpoint by Little's law, from its load, how fast that grows and the share it received, and spreads what exceeds the limit over the next endpoints in rank, by random choice.

--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -11,9 +11,10 @@
 use chalkrock_core::{Endpoint, PoolId, ZoneId};
 use chalkrock_routing::{
     Backoffs, Basis, BudgetRules, BuildUse, Candidate, ColdEndpoints, EndpointHealth,
-    EndpointTable, Evacuations, Evidence, FleetLoad, HealthSignal, MaxServiceTime,
-    PlacementRequest, PoisonEvidence, PoolMember, PoolOccupancy, PoolRules, Repeatable, Rollouts,
-    ServiceTimeEwma, Shares, SpreadRules, StoreVersion, WindowBudget, choose_endpoint,
+    EndpointTable, Evacuations, Evidence, FleetLoad, HealthSignal, HomeDemand, HomeSpread,
+    MaxServiceTime, PlacementRequest, PoisonEvidence, PoolLoads, PoolMember, PoolOccupancy,
+    PoolRules, Repeatable, Rollouts, ServiceTimeEwma, Shares, SpreadRules, StoreVersion,
+    WindowBudget, choose_endpoint,
 };
 
 use crate::config::GatewayConfig;
@@ -99,6 +100,8 @@
     health: HashMap<u32, EndpointHealth>,
     budgets: HashMap<PoolId, WindowBudget>,
     service_times: HashMap<PoolId, ServiceTimeEwma>,
+    /// Endpoints whose prefixes spread over others, by pool.
+    home_demand: HashMap<PoolId, HomeDemand>,
     /// By pool and route.
     max_service_times: HashMap<PoolId, HashMap<Arc<str>, MaxServiceTime>>,
     /// Requests in progress on this host by organisation.
@@ -133,6 +136,7 @@
             health: HashMap::new(),
             budgets: HashMap::new(),
             service_times: HashMap::new(),
+            home_demand: HashMap::new(),
             max_service_times: HashMap::new(),
             shares: Shares::default(),
             prefixes: Prefixes::default(),
@@ -205,6 +209,26 @@
         })
     }
 
+    /// Updates the demand for the endpoints of a pool as homes, if that is due.
+    pub(crate) fn update_home_demand(&mut self, pool: &PoolId, now_ms: u64) {
+        let is_due = self.home_demand.get(pool);
+        if !is_due.is_none_or(|demand| demand.is_due(now_ms)) {
+            return;
+        }
+        let members = self.endpoints.serving(pool);
+        let hashes = members.iter().map(|member| member.hash.short());
+        let by_endpoint: Vec<(u32, u32)> = hashes
+            .map(|endpoint| (endpoint, self.load.in_progress(endpoint)))
+            .collect();
+        let loads = PoolLoads {
+            by_endpoint: &by_endpoint,
+            age_ms: self.load.report_age_ms(),
+            service_ms: self.mean_service_ms(pool),
+        };
+        let demand = self.home_demand.entry(pool.clone()).or_default();
+        demand.update(&loads, &self.spread, now_ms);
+    }
+
     /// Expected arrivals at a pool from other hosts since their last reports, by Little's
     /// law: in-progress requests over the mean service time.
     fn unreported_arrivals(&self, pool: &PoolId, members: &[PoolMember]) -> f64 {
@@ -292,6 +316,10 @@
             is_suspect: is_suspect || has_just_returned,
             holds_prefix: holders.contains(&short),
             is_closed: backs_off || member.is_evacuated || !self.may_send_if_cold(member, now_ms),
+            home_spread: self
+                .home_demand
+                .get(query.pool)
+                .map_or(HomeSpread::NONE, |demand| demand.spread(short)),
         }
     }
 
--- a/crates/gateway/src/progress.rs
+++ b/crates/gateway/src/progress.rs
@@ -119,6 +119,9 @@
             hosts: host_count(&fleet, now_ms),
         };
         self.uses = fleet.rollouts.build_uses(&request, now_ms);
+        if !self.call.shared_parts.is_empty() {
+            fleet.update_home_demand(&self.call.pool, now_ms);
+        }
         let choice = fleet.place(&self.endpoint_query(), now_ms)?;
         let start = choice.member.hash.short();
         fleet.cold.record_sent(start, now_ms);
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -14,7 +14,9 @@
 //!
 //! ```
 //! use chalkrock_core::rendezvous::{KeyHash, MemberHash};
-//! use chalkrock_routing::{Candidate, PlacementRequest, SpreadRules, choose_endpoint};
+//! use chalkrock_routing::{
+//!     Candidate, HomeSpread, PlacementRequest, SpreadRules, choose_endpoint,
+//! };
 //!
 //! let idle = |name: &str| Candidate {
 //!     hash: MemberHash::of(name),
@@ -24,6 +26,7 @@
 //!     is_suspect: false,
 //!     holds_prefix: false,
 //!     is_closed: false,
+//!     home_spread: HomeSpread::NONE,
 //! };
 //! let candidates = [idle("engine-a"), idle("engine-b")];
 //! let request = PlacementRequest {
@@ -51,6 +54,7 @@
 mod fleet_totals;
 mod follow_times;
 mod health;
+mod home_demand;
 mod in_flight;
 mod pause;
 mod poison;
@@ -83,6 +87,7 @@
 pub use fleet_totals::ReportId;
 pub use follow_times::SubscriptionTimings;
 pub use health::{EndpointHealth, HealthSignal};
+pub use home_demand::{HomeDemand, HomeSpread, PoolLoads};
 pub use in_flight::{EndpointCount, MAX_REPORT_AGE_MS, REPORT_INTERVAL_MS};
 pub use pause::{ClockReading, Suspension, detect_suspension};
 pub use poison::{
--- a/crates/routing/src/spread.rs
+++ b/crates/routing/src/spread.rs
@@ -9,6 +9,8 @@
 use chalkrock_core::rendezvous::{KeyHash, MemberHash, score};
 use serde::Serialize;
 
+use crate::home_demand::HomeSpread;
+
 /// An endpoint that a request may be sent to.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Candidate {
@@ -27,6 +29,8 @@
     /// Whether this host must not send to it. It still counts in the mean load: without
     /// the endpoints of an evacuated zone, the limit would be too high.
     pub is_closed: bool,
+    /// How the requests of prefixes whose home it is spread over others.
+    pub home_spread: HomeSpread,
 }
 
 /// Utilisation below which an endpoint has slots to spare.
@@ -128,9 +132,7 @@
     };
     let for_prefix = request.key.and_then(|key| {
         let ranks = Ranks { candidates, key };
-        let home = ranks
-            .first(&usable)
-            .filter(|home| under_limit.contains(home));
+        let home = ranks.home(&usable, &under_limit, request.draw);
         let home_below =
             |utilisation: f64| home.filter(|&home| candidates[home].is_below(utilisation));
         let placement = |basis: Basis| move |index: usize| Placement { index, basis };
@@ -175,6 +177,27 @@
         first.map(|(_, i)| i)
     }
 
+    /// The home: the first in rank, or a random one of those after it if the demand for it
+    /// spreads. `None` if it is over the limit.
+    fn home(&self, among: &[usize], under_limit: &[usize], draw: u64) -> Option<usize> {
+        let first = self.first(among)?;
+        let spread = self.candidates[first].home_spread;
+        let draw = unit_interval(draw);
+        if draw < spread.kept_ratio {
+            return Some(first).filter(|first| under_limit.contains(first));
+        }
+        let rank = |i: usize| score(self.key, self.candidates[i].hash, 1.0);
+        let mut others = among.to_vec();
+        others.sort_by(|&a, &b| rank(b).total_cmp(&rank(a)));
+        others.remove(0);
+        others.truncate(spread.others.ceil() as usize);
+        others.retain(|other| under_limit.contains(other));
+        let draw_of_others = (draw - spread.kept_ratio) / (1.0 - spread.kept_ratio);
+        // The last of a fractional number gets that fraction of a part.
+        let chosen = draw_of_others * spread.others.min(others.len() as f64);
+        others.get(chosen as usize).copied()
+    }
+
     /// The first in rank of those that hold the prefix, else the first of all.
     fn prefer_holder(&self, among: &[usize]) -> Option<usize> {
         let holds = |i: &usize| self.candidates[*i].holds_prefix;
--- a/crates/routing/tests/decisions.rs
+++ b/crates/routing/tests/decisions.rs
@@ -5,8 +5,8 @@
 
 use chalkrock_core::rendezvous::{KeyHash, MemberHash};
 use chalkrock_routing::{
-    Candidate, FleetLoad, HostReport, PlacementRequest, REPORT_INTERVAL_MS, SpreadRules,
-    choose_endpoint,
+    Candidate, FleetLoad, HomeSpread, HostReport, PlacementRequest, REPORT_INTERVAL_MS,
+    SpreadRules, choose_endpoint,
 };
 use googletest::prelude::*;
 use rand::rngs::StdRng;
@@ -262,6 +262,7 @@
             is_suspect: false,
             holds_prefix: engine.cached.contains(&prefix),
             is_closed: index < self.config.closed,
+            home_spread: HomeSpread::NONE,
         };
         let candidates: Vec<Candidate> = self.engines.iter().enumerate().map(candidate).collect();
         let request = PlacementRequest {
--- a/crates/routing/tests/spread.rs
+++ b/crates/routing/tests/spread.rs
@@ -1,7 +1,7 @@
 //! Placement: the home of the prefix within the load limit, and its alternatives.
 
 use chalkrock_core::rendezvous::{KeyHash, MemberHash};
-use chalkrock_routing::{Candidate, PlacementRequest, SpreadRules};
+use chalkrock_routing::{Candidate, HomeSpread, PlacementRequest, SpreadRules};
 use googletest::prelude::*;
 
 /// Index of the chosen endpoint.
@@ -33,6 +33,7 @@
         is_suspect: false,
         holds_prefix: false,
         is_closed: false,
+        home_spread: HomeSpread::NONE,
     }
 }
 
