--- a/crates/routing/src/home_demand.rs
+++ b/crates/routing/src/home_demand.rs
@@ -18,7 +18,7 @@
 const DEMAND_SMOOTHING_MS: f64 = 2.0 * REPORT_INTERVAL_MS as f64;
 /// Margin below the limit that spread demand leaves, in standard deviations of the load.
 /// Arrivals are random, so that a load varies by the root of its mean.
-const MARGIN_DEVIATIONS: f64 = 1.3;
+const MARGIN_DEVIATIONS: f64 = 1.5;
 /// Demand relative to the limit from which it spreads. A smaller excess is chance, or the
 /// limit alone holds for it.
 const MIN_SPREAD_RATIO: f64 = 1.25;
--- a/crates/routing/src/spread.rs
+++ b/crates/routing/src/spread.rs
@@ -33,6 +33,8 @@
     pub home_spread: HomeSpread,
 }
 
+/// Holders from which a prefix is popular: the limit has already moved it from its home.
+const MIN_HOLDERS_OF_POPULAR: usize = 2;
 /// Utilisation below which an endpoint has slots to spare.
 const LOW_UTILISATION_RATIO: f64 = 0.75;
 /// Utilisation from which it has no free slot.
@@ -178,12 +180,15 @@
     }
 
     /// The home: the first in rank, or a random one of those after it if the demand for it
-    /// spreads. `None` if it is over the limit.
+    /// spreads. `None` if it is over the limit. A prefix with a single holder stays: it is
+    /// not what the demand is for, and would be copied for nothing.
     fn home(&self, among: &[usize], under_limit: &[usize], draw: u64) -> Option<usize> {
         let first = self.first(among)?;
         let spread = self.candidates[first].home_spread;
         let draw = unit_interval(draw);
-        if draw < spread.kept_ratio {
+        let holds_prefix = |candidate: &&Candidate| candidate.holds_prefix;
+        let holders = self.candidates.iter().filter(holds_prefix).count();
+        if draw < spread.kept_ratio || holders < MIN_HOLDERS_OF_POPULAR {
             return Some(first).filter(|first| under_limit.contains(first));
         }
         let rank = |i: usize| score(self.key, self.candidates[i].hash, 1.0);
--- a/crates/routing/tests/hot_prefix.rs
+++ b/crates/routing/tests/hot_prefix.rs
@@ -60,6 +60,8 @@
     let mut running: Vec<Vec<f64>> = vec![Vec::new(); ENDPOINTS];
     let mut history: VecDeque<Vec<u32>> = VecDeque::new();
     let mut demands: Vec<HomeDemand> = (0..ZONES).map(|_| HomeDemand::default()).collect();
+    // By prefix and endpoint, when it first held the prefix.
+    let mut held_from_ms = vec![[usize::MAX; ENDPOINTS]; OTHER_PREFIXES as usize + 1];
     let mut outcome = Outcome::default();
     let mut next_ms = 0.0;
     for step in 0..DURATION_MS / STEP_MS {
@@ -85,16 +87,26 @@
                 service_ms: SERVICE_MS,
             };
             demand.update(&loads, &RULES, at_ms as u64);
+            let is_hot_time = (HOT_FROM_MS..HOT_UNTIL_MS).contains(&at_ms);
+            let is_hot = is_hot_time && random.random_bool(hot_ratio);
+            let key = if is_hot {
+                KeyHash(OTHER_PREFIXES)
+            } else {
+                KeyHash(random.random_range(0..OTHER_PREFIXES))
+            };
+            let known_until_ms = at_ms.saturating_sub(DELAY_MS + INTERVAL_MS / 2);
+            let holds = |index: usize| held_from_ms[key.0 as usize][index] <= known_until_ms;
             let candidates: Vec<Candidate> = hashes
                 .iter()
                 .zip(reported)
-                .map(|(&hash, &load)| Candidate {
+                .enumerate()
+                .map(|(index, (&hash, &load))| Candidate {
                     hash,
                     load,
                     slots: SLOTS,
                     is_same_zone: false,
                     is_suspect: false,
-                    holds_prefix: false,
+                    holds_prefix: holds(index),
                     is_closed: false,
                     home_spread: match homes {
                         Homes::Fixed => HomeSpread::NONE,
@@ -102,13 +114,6 @@
                     },
                 })
                 .collect();
-            let is_hot_time = (HOT_FROM_MS..HOT_UNTIL_MS).contains(&at_ms);
-            let is_hot = is_hot_time && random.random_bool(hot_ratio);
-            let key = if is_hot {
-                KeyHash(1_000_000)
-            } else {
-                KeyHash(random.random_range(0..OTHER_PREFIXES))
-            };
             let request = PlacementRequest {
                 key: Some(key),
                 unreported_arrivals: 0.0,
@@ -116,6 +121,8 @@
             };
             let placement = choose_endpoint(&candidates, &request, &RULES).expect("a candidate");
             let index = placement.index;
+            let held_from_ms = &mut held_from_ms[key.0 as usize][index];
+            *held_from_ms = at_ms.min(*held_from_ms);
             let load = running[index].len() as f64 + 1.0;
             let total: usize = running.iter().map(Vec::len).sum();
             let mean = (total as f64 + 1.0) / ENDPOINTS as f64;
