Add a ledger of work by organisation and a schedule of returns

The parts of a pool's scheduler that decide shares and return times: decayed work with weighted max-min shares, and reservations recognised by fingerprint.

--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -46,6 +46,7 @@
 mod endpoints;
 mod evacuations;
 mod event_frames;
+mod fair_share;
 mod fingerprint;
 mod fleet_load;
 mod fleet_totals;
@@ -57,6 +58,7 @@
 mod pool_queue;
 mod prefix_directory;
 mod readers;
+mod returns;
 mod rollout;
 mod route;
 mod rules;
@@ -78,6 +80,9 @@
 pub use endpoints::{EndpointState, EndpointTable, PoolMember};
 pub use evacuations::{EvacuationChange, EvacuationRow, Evacuations};
 pub use event_frames::{EventFrame, EventFrames};
+pub use fair_share::{
+    Demand, MAX_LEDGER_ORGANISATIONS, USAGE_DECAY_MS, WorkLedger, max_min, water_level,
+};
 pub use fingerprint::{RequestContent, RequestFingerprint};
 pub use fleet_load::{FleetLoad, HostReport, MergeOutcome};
 pub use fleet_totals::ReportId;
@@ -97,6 +102,10 @@
 pub use readers::{
     RELAYS_PER_ZONE, SubscriptionRole, ZonePeer, ZoneView, stale_poll_fraction, subscribers_needed,
 };
+pub use returns::{
+    MAX_EXPORTED_RETURNS, MAX_RESERVATIONS, RETURN_HORIZON_MS, RETURN_WINDOW_MS, ReservedReturn,
+    ReturnSchedule,
+};
 pub use rollout::{
     BAD_LOG_ODDS, BuildAssessment, BuildFilter, BuildRequest, BuildSide, BuildUse, Evidence,
     EvidenceSource, Exposure, ExposureBound, Measure, MoveSchedule, ObservedResponse, PoolBuilds,
