--- a/crates/routing/src/admission.rs
+++ b/crates/routing/src/admission.rs
@@ -13,6 +13,8 @@
 //! More urgent requests accept a longer wait, and every rank gets at least a fraction
 //! of the chance of the most urgent, so that none starves.
 
+use crate::fair_share::OrganisationShare;
+
 /// Rank of the least urgent requests; larger ranks count as this one.
 const MAX_RANK: u8 = 2;
 /// By rank, the expected wait as a fraction of the objective up to which all requests
@@ -149,6 +151,44 @@
     draw < admit_probability(occupancy, request)
 }
 
+/// Occupancy from which an organisation is held to its share, and at which it is held to
+/// it in full. Below, slots would go idle while its requests are rejected.
+const SHARE_OCCUPANCY: (f64, f64) = (0.85, 1.0);
+
+/// Probability with which a request is admitted whose organisation's share over the fleet
+/// is known. Of an organisation over its share, only the fraction that fits it competes
+/// with the requests of others.
+///
+/// # Example
+///
+/// ```
+/// use chalkrock_routing::{
+///     AdmissionRequest, OrganisationShare, PoolOccupancy, fair_admit_probability,
+/// };
+///
+/// let request = AdmissionRequest { rank: 0, objective_ms: 400, is_over_share: false };
+/// let full = PoolOccupancy { slots: 64, in_progress: 64, service_ms: 40.0 };
+/// let share = OrganisationShare { demand_ratio: 4.0, use_ratio: 1.0 };
+/// assert_eq!(fair_admit_probability(&full, &request, &share), 0.25);
+/// let idle = PoolOccupancy { in_progress: 32, ..full };
+/// assert_eq!(fair_admit_probability(&idle, &request, &share), 1.0);
+/// ```
+pub fn fair_admit_probability(
+    occupancy: &PoolOccupancy,
+    request: &AdmissionRequest,
+    share: &OrganisationShare,
+) -> f64 {
+    let within_share = AdmissionRequest {
+        is_over_share: false,
+        ..*request
+    };
+    let (from, to) = SHARE_OCCUPANCY;
+    let occupied = f64::from(occupancy.in_progress) / f64::from(occupancy.slots.max(1));
+    let held = ((occupied - from) / (to - from)).clamp(0.0, 1.0);
+    let fraction = 1.0 - held * (1.0 - share.fitting_fraction());
+    fraction * admit_probability(occupancy, &within_share)
+}
+
 /// Probability with which a host whose scheduler lags by `lag_ms` rejects a request.
 /// Always below 1, so that a fleet that lags as a whole still serves what it can.
 ///
--- a/crates/routing/src/fair_share/ledger.rs
+++ b/crates/routing/src/fair_share/ledger.rs
@@ -7,7 +7,7 @@
 
 /// Time in which a recorded amount decays to 1/e. Short enough to follow a change within
 /// a second, long enough to average over several calls.
-pub const USAGE_DECAY_MS: f64 = 400.0;
+pub const USAGE_DECAY_MS: f64 = 300.0;
 /// Most organisations that a ledger counts.
 pub const MAX_LEDGER_ORGANISATIONS: usize = 4_096;
 /// Most work that one request counts for.
@@ -42,7 +42,7 @@
     }
 }
 
-/// Work used and demanded by organisation, over the last second.
+/// Work used and demanded by organisation, over about the last second.
 ///
 /// Counts the [`MAX_LEDGER_ORGANISATIONS`] largest. One that replaces another starts at
 /// zero, since a large organisation is counted too low rather than a small one too high.
@@ -95,17 +95,27 @@
         };
         let used_ms = amounts.at(now_ms).used_ms;
         let share_ms = self.level_ms(now_ms) * self.weight(organisation);
-        if share_ms > 0.0 {
+        if share_ms >= MIN_AMOUNT_MS {
             used_ms / share_ms
         } else {
             0.0
         }
     }
 
+    /// Organisations with their decayed work, used and demanded, in milliseconds.
+    pub(super) fn amounts(&self, now_ms: u64) -> impl Iterator<Item = (u32, f64, f64)> {
+        let known = self.by_organisation.iter();
+        let known = known.map(move |(&organisation, amounts)| {
+            let amounts = amounts.at(now_ms);
+            (organisation, amounts.used_ms, amounts.demand_ms())
+        });
+        known.filter(|(_, _, demanded_ms)| *demanded_ms >= MIN_AMOUNT_MS)
+    }
+
     /// Fair share by unit of weight of an organisation that could use more, as decayed work.
     fn level_ms(&self, now_ms: u64) -> f64 {
         if let Some((level, computed_at_ms)) = self.level.get()
-            && now_ms.saturating_sub(computed_at_ms) < LEVEL_MAX_AGE_MS
+            && (computed_at_ms..computed_at_ms.saturating_add(LEVEL_MAX_AGE_MS)).contains(&now_ms)
         {
             return level;
         }
--- a/crates/routing/src/fair_share/max_min.rs
+++ b/crates/routing/src/fair_share/max_min.rs
@@ -26,7 +26,7 @@
     /// Bounded to finite, positive values.
     fn bounded(self) -> Self {
         const MIN_WEIGHT: f64 = 1e-3;
-        const MAX_WEIGHT: f64 = 1e3;
+        const MAX_WEIGHT: f64 = 1e6;
         const MAX_AMOUNT: f64 = 1e15;
         let or_zero = |value: f64| if value.is_nan() { 0.0 } else { value };
         Self {
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -70,7 +70,7 @@
 
 pub use admission::{
     AdmissionRequest, MaxServiceTime, PoolOccupancy, ServiceTimeEwma, admit_probability, admits,
-    shed_probability,
+    fair_admit_probability, shed_probability,
 };
 pub use attempt::{AttemptOutcome, Next, Repeatable, next_step};
 pub use backoff::{BackoffChange, Backoffs, MAX_BACKOFF_MS};
@@ -81,7 +81,9 @@
 pub use evacuations::{EvacuationChange, EvacuationRow, Evacuations};
 pub use event_frames::{EventFrame, EventFrames};
 pub use fair_share::{
-    Demand, MAX_LEDGER_ORGANISATIONS, USAGE_DECAY_MS, WorkLedger, max_min, water_level,
+    Demand, FleetUsage, MAX_LEDGER_ORGANISATIONS, MAX_ORGANISATIONS_PER_AGGREGATE,
+    MAX_ORGANISATIONS_PER_HOST, OrganisationShare, OrganisationUse, SlotUse, USAGE_DECAY_MS,
+    UsageReport, WorkLedger, max_min, water_level,
 };
 pub use fingerprint::{RequestContent, RequestFingerprint};
 pub use fleet_load::{FleetLoad, HostReport, MergeOutcome};
--- a/crates/routing/src/returns/schedule.rs
+++ b/crates/routing/src/returns/schedule.rs
@@ -68,7 +68,7 @@
 pub struct ReturnSchedule {
     by_fingerprint: HashMap<u64, Reservation>,
     /// Reservations by interval, the first at `first_interval`.
-    taken: [u32; INTERVALS + 1],
+    taken: [u32; INTERVALS],
     first_interval: u64,
     /// By rank, the interval of the latest reservation.
     latest: [u64; RANK_FRACTIONS.len()],
@@ -79,7 +79,7 @@
     fn default() -> Self {
         Self {
             by_fingerprint: HashMap::new(),
-            taken: [0; INTERVALS + 1],
+            taken: [0; INTERVALS],
             first_interval: 0,
             latest: [0; RANK_FRACTIONS.len()],
             next_expiry_at_ms: 0,
@@ -90,7 +90,8 @@
 impl ReturnSchedule {
     /// Reserves the return of a rejected request on a pool that serves `slots_per_s`
     /// requests in a second, and returns the time until then. One that is reserved
-    /// already keeps its place. Beyond the horizon nothing is reserved.
+    /// already keeps its place. If no time is left before [`RETURN_HORIZON_MS`], returns that
+    /// and reserves nothing.
     pub fn reserve(&mut self, fingerprint: u64, rank: u8, slots_per_s: f64, now_ms: u64) -> u32 {
         self.advance(now_ms);
         if let Some(known) = self.by_fingerprint.get(&fingerprint) {
@@ -204,7 +205,7 @@
         let earliest = (now_ms + MIN_RETURN_MS) / INTERVAL_MS;
         let end = (now_ms + RETURN_HORIZON_MS) / INTERVAL_MS;
         let interval = free?.max(earliest).max(self.latest[rank]);
-        (interval <= end).then_some(interval)
+        (interval < end).then_some(interval)
     }
 
     /// Moves the schedule on to the current interval, and drops what has expired.
