Exchange organisations' use of loaded pools between hosts

Hosts report the work of their heaviest organisations of loaded pools in the rounds of heartbeats, and relays sum up. Admission holds an organisation to the fraction of its requests that fits its max-min share over the fleet once the pool is full; the host's own count stays where no other host's use is known.

--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -203,6 +203,15 @@
     Relays { is_relay: bool, sums_up: bool },
     /// This host began or ceased to use the fleet aggregates of its zone's relays.
     LoadSource { from_relays: bool, hosts: usize },
+    /// An organisation began or ceased to demand more than its share of a loaded pool.
+    /// Ratios are against its fair share.
+    OverShare {
+        pool: &'a PoolId,
+        organisation: &'a OrganisationId,
+        is_over: bool,
+        demand_ratio: f64,
+        use_ratio: f64,
+    },
     /// An endpoint became suspect.
     Suspect {
         endpoint: &'a EndpointId,
--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -17,6 +17,7 @@
 };
 
 use crate::config::GatewayConfig;
+use crate::fair_share::Usage;
 use crate::prefixes::Prefixes;
 use crate::source::{EndpointChange, EndpointRow, ListedEndpoint};
 
@@ -103,6 +104,8 @@
     max_service_times: HashMap<PoolId, HashMap<Arc<str>, MaxServiceTime>>,
     /// Requests in progress on this host by organisation.
     pub(crate) shares: Shares,
+    /// Use of pools by organisation, over the fleet.
+    pub(crate) usage: Usage,
     pub(crate) prefixes: Prefixes,
     pub(crate) poison: PoisonEvidence,
     pub(crate) rollouts: Rollouts<SocketAddr>,
@@ -135,6 +138,7 @@
             service_times: HashMap::new(),
             max_service_times: HashMap::new(),
             shares: Shares::default(),
+            usage: Usage::default(),
             prefixes: Prefixes::default(),
             poison: PoisonEvidence::default(),
             rollouts: Rollouts::new(config.exposure_bound),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -39,6 +39,7 @@
 mod endpoint_connections;
 mod endpoint_reports;
 mod event_log;
+mod fair_share;
 mod fleet;
 mod follow;
 mod front;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -49,6 +49,10 @@
     let poison = fleet.poison.poison_requests(usize::MAX, now_ms).len();
     metrics.gauge("poison_requests", "", poison as f64);
     metrics.gauge("endpoints_version", "", fleet.endpoints_version.0 as f64);
+    for (pool, count) in fleet.usage.over_share_counts() {
+        let labels = format!("pool=\"{pool}\"");
+        metrics.gauge("organisations_over_share", &labels, count as f64);
+    }
     drop(fleet);
     metrics.render()
 }
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -8,6 +8,7 @@
 };
 use serde::{Deserialize, Serialize};
 
+use crate::fair_share::PoolUsage;
 use crate::peers::rollouts::{RolloutTally, RolloutUpdate};
 
 /// A datagram. Hosts of other builds decode it: existing variants and fields keep their
@@ -34,6 +35,8 @@
     Rollouts(RolloutUpdate),
     /// Rollout answers counted by a host or zone.
     RolloutTally(RolloutTally),
+    /// Use of a loaded pool by organisation.
+    PoolUsage(PoolUsage),
 }
 
 /// Replaces heartbeats between the hosts of a large zone.
--- a/crates/gateway/src/peers/publish.rs
+++ b/crates/gateway/src/peers/publish.rs
@@ -4,11 +4,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use chalkrock_routing::{AggregatePath, CacheEntry, REPORT_INTERVAL_MS, ZoneAggregate};
+use chalkrock_routing::{AggregatePath, CacheEntry, REPORT_INTERVAL_MS, ReportId, ZoneAggregate};
 use tokio::net::UdpSocket;
 use tokio::time::MissedTickBehavior;
 
 use crate::event_log::Event;
+use crate::fair_share::{UsageSender, usage_datagrams};
 use crate::peers::membership::{PeerChange, PeerTable, host_hash};
 use crate::peers::message::{
     CacheEntries, Datagram, Heartbeat, RelaySummary, StateDigest, ZoneSummary,
@@ -204,6 +205,7 @@
     round: &GossipRound,
 ) -> RoundDatagrams {
     shared.expire_endpoint_reports();
+    shared.expire_over_shares();
     let now_ms = shared.clock.now_ms();
     let rules = shared.rules.version();
     let mut fleet = shared.fleet();
@@ -248,6 +250,20 @@
         datagrams.to_relays.push(update.clone());
         datagrams.to_zone.push(update);
     }
+    let sender = UsageSender {
+        zone: peers.zone,
+        id: ReportId {
+            incarnation: peers.incarnation,
+            sequence,
+        },
+        is_relay: round.is_relay,
+        aggregates: round.aggregates,
+    };
+    let usage = usage_datagrams(&mut fleet.usage, &sender, now_ms);
+    let to_datagrams = |reports: Vec<_>| reports.into_iter().map(Datagram::PoolUsage);
+    datagrams.to_peers.extend(to_datagrams(usage.to_peers));
+    datagrams.to_relays.extend(to_datagrams(usage.to_relays));
+    datagrams.to_zone.extend(to_datagrams(usage.to_zone));
     let rollouts = rollout_datagrams(&fleet, peers, now_ms);
     datagrams.to_peers.extend(rollouts.to_peers);
     if round.is_relay {
--- a/crates/gateway/src/peers/receive.rs
+++ b/crates/gateway/src/peers/receive.rs
@@ -7,6 +7,7 @@
 use chalkrock_routing::{AggregatePath, MergeOutcome, ReportId, ZoneAggregate};
 use tokio::net::UdpSocket;
 
+use crate::fair_share::{PoolUsage, merge_usage};
 use crate::outage_log::OutageLog;
 use crate::peers::membership::PeerTable;
 use crate::peers::message::{
@@ -55,6 +56,7 @@
             }
             Datagram::Rollouts(update) => merge_rollout_update(&shared, update, peers.is_relay()),
             Datagram::RolloutTally(tally) => merge_tally(&shared, &peers, address, tally),
+            Datagram::PoolUsage(usage) => merge_pool_usage(&shared, &peers, address, usage),
         }
     }
 }
@@ -168,6 +170,14 @@
     }
 }
 
+fn merge_pool_usage(shared: &Shared, peers: &PeerTable, sender: SocketAddr, received: PoolUsage) {
+    let now_ms = shared.clock.now_ms();
+    let mut fleet = shared.fleet();
+    let counts_alone = peers.counts_alone(received.zone, fleet.load.remote_host_count());
+    let usage = &mut fleet.usage;
+    merge_usage(usage, sender, received, peers.zone, counts_alone, now_ms);
+}
+
 fn merge_remote_zone(shared: &Shared, peers: &PeerTable, relay: SocketAddr, sum: ZoneAggregate) {
     if sum.zone == peers.zone {
         return;
--- a/crates/gateway/src/progress.rs
+++ b/crates/gateway/src/progress.rs
@@ -3,16 +3,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use chalkrock_core::{Endpoint, Outcome, Reason};
+use chalkrock_core::{Endpoint, OrganisationId, Outcome, Reason};
 use chalkrock_routing::{
     AdmissionRequest, AttemptOutcome, BuildRequest, BuildUse, HealthSignal, Next, ObservedResponse,
-    Repeatable, admits, next_step,
+    OrganisationShare, Repeatable, admit_probability, fair_admit_probability, next_step,
 };
 use rand::RngExt;
 
 use crate::call::Call;
 use crate::edge::{AnswerHead, Refusal, RequestedBackoff};
 use crate::event_log::{AttemptRecord, Event};
+use crate::fair_share::RequestKind;
 use crate::fleet::{EndpointQuery, Fleet, SelectedEndpoint};
 use crate::poison::BrokenAttempt;
 use crate::shared::{OrganisationGuard, Shared};
@@ -70,15 +71,38 @@
         }
         let organisation = self.call.organisation();
         let now_ms = self.shared.clock.now_ms();
-        let fleet = self.shared.fleet();
+        let mut fleet = self.shared.fleet();
         let occupancy = fleet.occupancy(&self.call.pool, now_ms);
+        let kind = RequestKind {
+            pool: &self.call.pool,
+            route: &self.call.route.name,
+            organisation,
+        };
+        let share = fleet.usage.share(&kind, &occupancy, now_ms);
         let request = AdmissionRequest {
             rank: self.call.priority(),
             objective_ms: self.call.admission_objective_ms,
-            is_over_share: organisation.is_some_and(|name| fleet.shares.is_over(name)),
+            is_over_share: match share {
+                Some(share) => share.is_over(),
+                None => organisation.is_some_and(|name| fleet.shares.is_over(name)),
+            },
+        };
+        let probability = match share {
+            Some(share) => fair_admit_probability(&occupancy, &request, &share),
+            None => admit_probability(&occupancy, &request),
         };
+        let is_admitted = rand::random::<f64>() < probability;
+        fleet.usage.record(&kind, is_admitted, now_ms);
+        let over = share.filter(OrganisationShare::is_over).zip(organisation);
+        let new_over = over.filter(|(share, name)| {
+            let usage = &mut fleet.usage;
+            usage.track_over_share(&self.call.pool, name, *share, now_ms)
+        });
         drop(fleet);
-        if admits(&occupancy, &request, rand::random()) {
+        if let Some((share, name)) = new_over {
+            self.log_over_share(name, &share);
+        }
+        if is_admitted {
             return Ok(());
         }
         let detail = format!(
@@ -96,6 +120,16 @@
         Err(Refusal::new(reason, detail))
     }
 
+    fn log_over_share(&self, organisation: &OrganisationId, share: &OrganisationShare) {
+        self.shared.event_log.emit(&Event::OverShare {
+            pool: &self.call.pool,
+            organisation,
+            is_over: true,
+            demand_ratio: share.demand_ratio,
+            use_ratio: share.use_ratio,
+        });
+    }
+
     /// Refuses a poison request. The refusal reports it as not run only if it was
     /// not sent before.
     pub(crate) fn check_poison(&self) -> Result<(), Refusal> {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -21,6 +21,7 @@
 use crate::edge::Edge;
 use crate::endpoint_connections::IdleConnections;
 use crate::event_log::{Event, EventLog};
+use crate::fair_share::RequestKind;
 use crate::fleet::Fleet;
 use crate::lag::SchedulerLag;
 use crate::poison::PoisonRecords;
@@ -403,6 +404,7 @@
     shared: Arc<Shared>,
     pool: PoolId,
     route: Arc<str>,
+    organisation: Option<OrganisationId>,
     endpoint: u32,
     since: Instant,
     /// The endpoint did not work on it, so its duration is no service time.
@@ -416,6 +418,7 @@
             shared: shared.clone(),
             pool: call.pool.clone(),
             route: call.route.name.clone(),
+            organisation: call.organisation().cloned(),
             endpoint,
             since: Instant::now(),
             was_rejected: false,
@@ -436,6 +439,12 @@
             let service_ms = self.since.elapsed().as_millis() as u64;
             let now_ms = self.shared.clock.now_ms();
             fleet.record_service_time(&self.pool, &self.route, service_ms, now_ms);
+            let kind = RequestKind {
+                pool: &self.pool,
+                route: &self.route,
+                organisation: self.organisation.as_ref(),
+            };
+            fleet.usage.record_service_time(&kind, service_ms, now_ms);
         }
     }
 }
@@ -463,6 +472,22 @@
 }
 
 impl Shared {
+    /// Drops expired use of pools, and logs organisations that are no longer over their
+    /// share.
+    pub(crate) fn expire_over_shares(&self) {
+        let now_ms = self.clock.now_ms();
+        let ended = self.fleet().usage.expire(now_ms);
+        for over in ended {
+            self.event_log.emit(&Event::OverShare {
+                pool: &over.pool,
+                organisation: &over.organisation,
+                is_over: false,
+                demand_ratio: over.share.demand_ratio,
+                use_ratio: over.share.use_ratio,
+            });
+        }
+    }
+
     /// Logs a change of the list of endpoints.
     pub(crate) fn log_endpoints(&self, from: &str) {
         let now_ms = self.clock.now_ms();
--- a/crates/routing/src/fair_share/fleet_usage.rs
+++ b/crates/routing/src/fair_share/fleet_usage.rs
@@ -341,10 +341,12 @@
         });
     }
 
+    fn has_reports(&self) -> bool {
+        !self.hosts.is_empty() || !self.totals.is_empty() || !self.zones.is_empty()
+    }
+
     fn is_idle(&self, now_ms: u64) -> bool {
-        let has_reports =
-            !self.hosts.is_empty() || !self.totals.is_empty() || !self.zones.is_empty();
-        !has_reports && !self.has_reported && self.local.amounts(now_ms).next().is_none()
+        !self.has_reports() && !self.has_reported && self.local.amounts(now_ms).next().is_none()
     }
 }
 
@@ -409,6 +411,14 @@
         }
     }
 
+    /// Corrects the work of an admitted request by the difference of its actual to its
+    /// expected work.
+    pub fn correct(&mut self, pool: u32, organisation: u32, difference_ms: f64, now_ms: u64) {
+        if let Some(known) = self.pool_mut(pool) {
+            known.local.correct(organisation, difference_ms, now_ms);
+        }
+    }
+
     /// Counts the expected work of a rejected request of this host.
     pub fn record_rejected(&mut self, pool: u32, organisation: u32, work_ms: f64, now_ms: u64) {
         if let Some(known) = self.pool_mut(pool) {
@@ -564,6 +574,12 @@
         over
     }
 
+    /// Whether reports of other hosts are known.
+    pub fn has_reports(&self, pool: u32) -> bool {
+        let known = self.pools.get(&pool);
+        known.is_some_and(PoolUsage::has_reports)
+    }
+
     /// Short hashes of the pools with usage.
     pub fn pools(&self) -> Vec<u32> {
         let mut pools: Vec<u32> = self.pools.keys().copied().collect();
--- a/crates/routing/src/fair_share/ledger.rs
+++ b/crates/routing/src/fair_share/ledger.rs
@@ -82,6 +82,17 @@
         self.amounts_mut(organisation, now_ms).used_ms += bounded(work_ms);
     }
 
+    /// Corrects the work of a request by the difference of its actual to its expected work.
+    pub fn correct(&mut self, organisation: u32, difference_ms: f64, now_ms: u64) {
+        let difference_ms = if difference_ms < 0.0 {
+            -bounded(-difference_ms)
+        } else {
+            bounded(difference_ms)
+        };
+        let amounts = self.amounts_mut(organisation, now_ms);
+        amounts.used_ms = (amounts.used_ms + difference_ms).max(0.0);
+    }
+
     /// Counts work of a rejected request, which is demand but not use.
     pub fn record_rejected(&mut self, organisation: u32, work_ms: f64, now_ms: u64) {
         self.amounts_mut(organisation, now_ms).rejected_ms += bounded(work_ms);
