Hold organisations to their share without oscillation

The occupancy is a report old: a steep rise of admission on idle slots let several times too many in. Idle slots are given out by halves, a queue drains within a second at the cost of those over their share, and those within it are refused later. Three hosts before one endpoint of 8 slots: 24 of 24 requests of a small organisation served beside 60 callers of a heavy one, 20 of 23 before (tests/gateway/fair_shares.rs).

--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -7,6 +7,7 @@
 mod endpoint_reports;
 mod eras;
 mod evacuations;
+mod fair_shares;
 mod large_rules;
 mod peers;
 mod rollouts;
--- a/crates/routing/src/admission.rs
+++ b/crates/routing/src/admission.rs
@@ -130,6 +130,10 @@
     let wait_ratio = occupancy.wait_ms() / request.objective_ms.max(1) as f64;
     let penalty = u8::from(request.is_over_share);
     let rank = request.rank.saturating_add(penalty).min(MAX_RANK);
+    probability_with_floor(wait_ratio, rank)
+}
+
+fn probability_with_floor(wait_ratio: f64, rank: u8) -> f64 {
     let floor = MIN_ADMIT_RATIO * probability_for_rank(wait_ratio, 0);
     probability_for_rank(wait_ratio, rank).max(floor)
 }
@@ -151,13 +155,23 @@
     draw < admit_probability(occupancy, request)
 }
 
-/// Occupancy from which an organisation is held to its share, and at which it is held to
-/// it in full. Below, slots would go idle while its requests are rejected.
-const SHARE_OCCUPANCY: (f64, f64) = (0.85, 1.0);
+/// Fraction of a pool's idle slots that organisations over their share are given beyond
+/// it at once. Hosts see the others' requests a report later.
+const IDLE_GAIN: f64 = 0.5;
+/// Time within which a queue is to drain. Longer than reports take, or admission
+/// oscillates.
+const DRAIN_MS: f64 = 1_000.0;
+/// Part of its share that an organisation over it keeps while a queue drains.
+const MIN_SHARE_FRACTION: f64 = 0.5;
+/// Weight of the expected wait for an organisation within its share, while the queue is
+/// due to others over theirs.
+const WITHIN_SHARE_WAIT: f64 = 0.5;
 
 /// Probability with which a request is admitted whose organisation's share over the fleet
-/// is known. Of an organisation over its share, only the fraction that fits it competes
-/// with the requests of others.
+/// is known.
+///
+/// Of an organisation over its share, only the fraction that fits it competes with the
+/// requests of others; more while slots are idle, less while a queue drains.
 ///
 /// # Example
 ///
@@ -168,25 +182,40 @@
 ///
 /// let request = AdmissionRequest { rank: 0, objective_ms: 400, is_over_share: false };
 /// let full = PoolOccupancy { slots: 64, in_progress: 64, service_ms: 40.0 };
-/// let share = OrganisationShare { demand_ratio: 4.0, use_ratio: 1.0 };
+/// let share = OrganisationShare { demand_ratio: 4.0, use_ratio: 1.0, over_share_slots: 64.0 };
 /// assert_eq!(fair_admit_probability(&full, &request, &share), 0.25);
 /// let idle = PoolOccupancy { in_progress: 32, ..full };
-/// assert_eq!(fair_admit_probability(&idle, &request, &share), 1.0);
+/// assert_eq!(fair_admit_probability(&idle, &request, &share), 0.5);
 /// ```
 pub fn fair_admit_probability(
     occupancy: &PoolOccupancy,
     request: &AdmissionRequest,
     share: &OrganisationShare,
 ) -> f64 {
-    let within_share = AdmissionRequest {
-        is_over_share: false,
-        ..*request
+    let mut wait_ratio = occupancy.wait_ms() / request.objective_ms.max(1) as f64;
+    if share.over_share_slots > 0.0 && !share.is_over() {
+        wait_ratio *= WITHIN_SHARE_WAIT;
+    }
+    probability_with_floor(wait_ratio, request.rank) * share_fraction(occupancy, share)
+}
+
+/// The fraction of an organisation's requests that may compete for slots.
+fn share_fraction(occupancy: &PoolOccupancy, share: &OrganisationShare) -> f64 {
+    if !share.is_over() {
+        return 1.0;
+    }
+    let (slots, in_progress) = (f64::from(occupancy.slots), f64::from(occupancy.in_progress));
+    let idle_slots = slots - in_progress;
+    let spare_slots = if idle_slots > 0.0 {
+        IDLE_GAIN * idle_slots
+    } else {
+        // The service time includes the wait in the queue.
+        let slot_time_ms = occupancy.service_ms * slots / in_progress.max(1.0);
+        idle_slots * (slot_time_ms / DRAIN_MS).min(1.0)
     };
-    let (from, to) = SHARE_OCCUPANCY;
-    let occupied = f64::from(occupancy.in_progress) / f64::from(occupancy.slots.max(1));
-    let held = ((occupied - from) / (to - from)).clamp(0.0, 1.0);
-    let fraction = 1.0 - held * (1.0 - share.fitting_fraction());
-    fraction * admit_probability(occupancy, &within_share)
+    let fitting = share.fitting_fraction();
+    let fraction = fitting + spare_slots / share.over_share_slots.max(1.0);
+    fraction.clamp(MIN_SHARE_FRACTION * fitting, 1.0)
 }
 
 /// Probability with which a host whose scheduler lags by `lag_ms` rejects a request.
--- a/crates/routing/src/fair_share/fleet_usage.rs
+++ b/crates/routing/src/fair_share/fleet_usage.rs
@@ -162,14 +162,14 @@
     pub demand_ratio: f64,
     /// Its use against its max-min fair share.
     pub use_ratio: f64,
+    /// Slots that all organisations over their share demand.
+    pub over_share_slots: f64,
 }
 
 impl OrganisationShare {
     /// Whether it demands more than its share while others need the rest.
     pub fn is_over(&self) -> bool {
-        /// Estimates vary by as much from one report to the next.
-        const TOLERANCE: f64 = 1.05;
-        self.demand_ratio > TOLERANCE
+        is_over(self.demand_ratio)
     }
 
     /// Fraction of its requests that fit its share.
@@ -182,6 +182,12 @@
     }
 }
 
+fn is_over(demand_ratio: f64) -> bool {
+    /// Estimates vary by as much from one report to the next.
+    const TOLERANCE: f64 = 1.05;
+    demand_ratio > TOLERANCE
+}
+
 #[derive(Clone, Debug)]
 struct KnownReport {
     id: ReportId,
@@ -204,6 +210,8 @@
     /// Fair share of an organisation that could use more; `None` if all demands are met.
     level: Option<f64>,
     largest: f64,
+    /// Demand of all over their share.
+    over_share_millislots: f64,
     by_organisation: BTreeMap<u32, SlotUse>,
 }
 
@@ -215,6 +223,7 @@
         OrganisationShare {
             demand_ratio: f64::from(slots.demanded_millislots) / share,
             use_ratio: f64::from(slots.used_millislots) / share,
+            over_share_slots: self.over_share_millislots / MILLI,
         }
     }
 }
@@ -363,10 +372,17 @@
             weight: f64::from(sum.other_organisations.max(1)),
         });
     }
+    let level = water_level(capacity_millislots, &demands);
+    let over_share = sum.by_organisation.values().map(|slots| {
+        let demanded = f64::from(slots.demanded_millislots);
+        let is_over = level.is_some_and(|level| is_over(demanded / level.max(f64::MIN_POSITIVE)));
+        if is_over { demanded } else { 0.0 }
+    });
     PoolShares {
         computed_at_ms: now_ms,
         capacity_millislots,
-        level: water_level(capacity_millislots, &demands),
+        level,
+        over_share_millislots: over_share.sum(),
         largest,
         by_organisation: sum.by_organisation,
     }
