Let organisations within their share in while others' queue drains

All within their shares fit the pool together, so that a long queue of others, known a report late, is no reason to refuse them. An organisation's report of itself is as old as the others', or one that moves between hosts is counted twice. Refusals over the share name a time spread over what the share serves.

Random datagrams of the gateway's test now include all kinds, 10 in place of 7.

--- a/crates/gateway/src/progress.rs
+++ b/crates/gateway/src/progress.rs
@@ -7,6 +7,7 @@
 use chalkrock_routing::{
     AdmissionRequest, AttemptOutcome, BuildRequest, BuildUse, HealthSignal, Next, ObservedResponse,
     OrganisationShare, Repeatable, admit_probability, fair_admit_probability, next_step,
+    over_share_return_ms,
 };
 use rand::RngExt;
 
@@ -117,7 +118,14 @@
         } else {
             Reason::AtBound
         };
-        Err(Refusal::new(reason, detail))
+        let refusal = Refusal::new(reason, detail);
+        let Some(share) = share.filter(OrganisationShare::is_over) else {
+            return Err(refusal);
+        };
+        Err(Refusal {
+            retry_after_ms: Some(over_share_return_ms(&share, rand::random())),
+            ..refusal
+        })
     }
 
     fn log_over_share(&self, organisation: &OrganisationId, share: &OrganisationShare) {
--- a/crates/gateway/tests/gateway/peers.rs
+++ b/crates/gateway/tests/gateway/peers.rs
@@ -355,6 +355,7 @@
 #[tokio::test]
 async fn peers_tolerate_random_datagrams() {
     const SEED: u64 = 23;
+    const KINDS: u8 = 10;
     let (first, second) = two_hosts().await;
     let mut random = rand::rngs::StdRng::seed_from_u64(SEED);
     let socket = tokio::net::UdpSocket::bind("127.0.0.1:0")
@@ -366,7 +367,7 @@
         random.fill(&mut bytes[..]);
         // The first byte is the kind of the datagram.
         if let Some(kind) = bytes.first_mut() {
-            *kind %= 7;
+            *kind %= KINDS;
         }
         socket
             .send_to(&bytes, address)
--- a/crates/routing/src/admission.rs
+++ b/crates/routing/src/admission.rs
@@ -163,9 +163,10 @@
 const DRAIN_MS: f64 = 1_000.0;
 /// Part of its share that an organisation over it keeps while a queue drains.
 const MIN_SHARE_FRACTION: f64 = 0.5;
-/// Weight of the expected wait for an organisation within its share, while the queue is
-/// due to others over theirs.
-const WITHIN_SHARE_WAIT: f64 = 0.5;
+/// Longest wait as a fraction of the objective that counts for an organisation within its
+/// share, while others are over theirs: all within their shares fit the pool together, and
+/// the others' queue is over as soon as they are held to theirs.
+const MAX_WITHIN_SHARE_WAIT: f64 = 0.5;
 
 /// Probability with which a request is admitted whose organisation's share over the fleet
 /// is known.
@@ -194,11 +195,24 @@
 ) -> f64 {
     let mut wait_ratio = occupancy.wait_ms() / request.objective_ms.max(1) as f64;
     if share.over_share_slots > 0.0 && !share.is_over() {
-        wait_ratio *= WITHIN_SHARE_WAIT;
+        wait_ratio = (wait_ratio * MAX_WITHIN_SHARE_WAIT).min(MAX_WITHIN_SHARE_WAIT);
     }
     probability_with_floor(wait_ratio, request.rank) * share_fraction(occupancy, share)
 }
 
+/// When a rejected request of an organisation over its share may return; `draw` is from 0 up
+/// to 1. What the organisation demands beyond its share in a second takes as many seconds of
+/// its share as it is times larger; returns are spread over these.
+pub fn over_share_return_ms(share: &OrganisationShare, draw: f64) -> u64 {
+    const MIN_MS: f64 = 300.0;
+    const MIN_SPREAD_MS: f64 = 700.0;
+    const MAX_SPREAD_MS: f64 = 10_000.0;
+    const SECOND_MS: f64 = 1_000.0;
+    let excess_ms = (share.demand_ratio - 1.0) * SECOND_MS;
+    let spread_ms = excess_ms.clamp(MIN_SPREAD_MS, MAX_SPREAD_MS);
+    (MIN_MS + spread_ms * draw) as u64
+}
+
 /// The fraction of an organisation's requests that may compete for slots.
 fn share_fraction(occupancy: &PoolOccupancy, share: &OrganisationShare) -> f64 {
     if !share.is_over() {
--- a/crates/routing/src/fair_share/fleet_usage.rs
+++ b/crates/routing/src/fair_share/fleet_usage.rs
@@ -20,7 +20,7 @@
 /// Most organisations in the report of a host.
 pub const MAX_ORGANISATIONS_PER_HOST: usize = 24;
 /// Most organisations in an aggregate, which then fits a packet.
-pub const MAX_ORGANISATIONS_PER_AGGREGATE: usize = 96;
+pub const MAX_ORGANISATIONS_PER_AGGREGATE: usize = 80;
 /// Most pools with usage.
 const MAX_POOLS: usize = 64;
 /// Most senders of one pool's reports.
@@ -232,7 +232,8 @@
 #[derive(Clone, Debug)]
 struct PoolUsage<H> {
     local: WorkLedger,
-    has_reported: bool,
+    /// This host's latest report; `None` if others count nothing of it.
+    reported: Option<(UsageReport, u64)>,
     hosts: HashMap<H, KnownReport>,
     /// Aggregates of remote zones, by zone and relay.
     zones: BTreeMap<u32, HashMap<H, KnownReport>>,
@@ -245,7 +246,7 @@
     fn default() -> Self {
         Self {
             local: WorkLedger::default(),
-            has_reported: false,
+            reported: None,
             hosts: HashMap::new(),
             zones: BTreeMap::new(),
             totals: HashMap::new(),
@@ -298,9 +299,18 @@
         sum
     }
 
-    /// This host and those that report to it directly.
+    /// This host as of its latest report, and those that report to it directly. An
+    /// organisation that moves between hosts is counted twice if some counts are newer.
     fn direct_sum(&self, now_ms: u64) -> UsageSum {
-        let mut sum = self.local_sum(now_ms);
+        let is_recent = |reported_at_ms| now_ms.saturating_sub(reported_at_ms) <= MAX_REPORT_AGE_MS;
+        let mut sum = match &self.reported {
+            Some((report, reported_at_ms)) if is_recent(*reported_at_ms) => {
+                let mut sum = UsageSum::default();
+                sum.add(report);
+                sum
+            }
+            _ => self.local_sum(now_ms),
+        };
         let recent = self.hosts.values().filter(|known| known.is_recent(now_ms));
         recent.for_each(|known| sum.add(&known.report));
         sum
@@ -355,7 +365,9 @@
     }
 
     fn is_idle(&self, now_ms: u64) -> bool {
-        !self.has_reports() && !self.has_reported && self.local.amounts(now_ms).next().is_none()
+        !self.has_reports()
+            && self.reported.is_none()
+            && self.local.amounts(now_ms).next().is_none()
     }
 }
 
@@ -447,7 +459,7 @@
     pub fn report(&mut self, pool: u32, is_loaded: bool, now_ms: u64) -> Option<UsageReport> {
         let known = self.pools.get_mut(&pool)?;
         if !is_loaded {
-            let had_reported = std::mem::replace(&mut known.has_reported, false);
+            let had_reported = known.reported.take().is_some();
             return had_reported.then(|| UsageReport {
                 hosts: 1,
                 ..UsageReport::empty(pool)
@@ -457,7 +469,8 @@
             .local_sum(now_ms)
             .report(pool, MAX_ORGANISATIONS_PER_HOST);
         let is_empty = report.heaviest.is_empty() && report.others == SlotUse::default();
-        let had_reported = std::mem::replace(&mut known.has_reported, !is_empty);
+        let new = (!is_empty).then(|| (report.clone(), now_ms));
+        let had_reported = std::mem::replace(&mut known.reported, new).is_some();
         (!is_empty || had_reported).then_some(report)
     }
 
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -70,7 +70,7 @@
 
 pub use admission::{
     AdmissionRequest, MaxServiceTime, PoolOccupancy, ServiceTimeEwma, admit_probability, admits,
-    fair_admit_probability, shed_probability,
+    fair_admit_probability, over_share_return_ms, shed_probability,
 };
 pub use attempt::{AttemptOutcome, Next, Repeatable, next_step};
 pub use backoff::{BackoffChange, Backoffs, MAX_BACKOFF_MS};
