Count a request's work once and report all loaded pools in turn

A request's work is the sum of its attempts, 0 if none ran, in place of a correction by attempt. Reports take four pools a round, starting one pool later in each, and a relay's aggregates no longer use up that bound. Shares take work that proves shorter than expected into account, or slots stay idle after a stall. Weights are bounded.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -76,7 +76,7 @@
 ) -> Result<AttemptResponse, AttemptFailure> {
     let call = &*progress.call().clone();
     let start = choice.member.hash.short();
-    let in_flight = InFlightGuard::begin(shared, call, start);
+    let in_flight = InFlightGuard::begin(shared, call, progress.work(), start);
     let started_at = Instant::now();
     let received = receive_head(shared, progress, choice, resume_after).await;
     let (connection, head, body, answer) = match received {
--- a/crates/gateway/src/fair_share/mod.rs
+++ b/crates/gateway/src/fair_share/mod.rs
@@ -5,11 +5,15 @@
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 use chalkrock_core::rendezvous::MemberHash;
 use chalkrock_core::{OrganisationId, PoolId};
 use chalkrock_routing::{FleetUsage, OrganisationShare, PoolOccupancy, ServiceTimeEwma};
 
+use crate::call::Call;
+use crate::shared::Shared;
+
 pub(crate) use reports::{PoolUsage, UsageSender, merge_usage, usage_datagrams};
 
 /// Time after which a pool counts as loaded no longer: some report intervals.
@@ -20,6 +24,7 @@
 const MAX_TRACKED: usize = 64;
 /// Work of a request below the resolution of the clock.
 const MIN_WORK_MS: u64 = 1;
+const US_PER_MS: f64 = 1_000.0;
 /// Most routes of a pool whose work is learned.
 const MAX_ROUTES: usize = 256;
 
@@ -36,9 +41,66 @@
 /// What identifies the requests of an organisation to one route of a pool.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct RequestKind<'a> {
-    pub(crate) pool: &'a PoolId,
-    pub(crate) route: &'a Arc<str>,
-    pub(crate) organisation: Option<&'a OrganisationId>,
+    pool: &'a PoolId,
+    route: &'a Arc<str>,
+    organisation: Option<&'a OrganisationId>,
+}
+
+impl<'a> RequestKind<'a> {
+    pub(crate) fn of(call: &'a Call) -> Self {
+        Self {
+            pool: &call.pool,
+            route: &call.route.name,
+            organisation: call.organisation(),
+        }
+    }
+}
+
+/// The work of an admitted request. Counts as expected until the last owner drops it, and
+/// then as the sum of its attempts.
+pub(crate) struct RequestWork {
+    shared: Arc<Shared>,
+    call: Arc<Call>,
+    expected_ms: f64,
+    actual_us: AtomicU64,
+}
+
+impl RequestWork {
+    /// Counts a request that was admitted or rejected; `None` if it was rejected.
+    pub(crate) fn record(
+        shared: &Arc<Shared>,
+        call: &Arc<Call>,
+        is_admitted: bool,
+        now_ms: u64,
+    ) -> Option<Arc<Self>> {
+        let kind = RequestKind::of(call);
+        let expected_ms = shared.fleet().usage.record(&kind, is_admitted, now_ms);
+        is_admitted.then(|| {
+            Arc::new(Self {
+                shared: shared.clone(),
+                call: call.clone(),
+                expected_ms,
+                actual_us: AtomicU64::new(0),
+            })
+        })
+    }
+
+    /// Adds the work of an attempt that ran.
+    pub(crate) fn add(&self, work_ms: f64) {
+        let work_us = (work_ms * US_PER_MS) as u64;
+        self.actual_us.fetch_add(work_us, Ordering::Relaxed);
+    }
+}
+
+impl Drop for RequestWork {
+    fn drop(&mut self) {
+        let actual_ms = self.actual_us.load(Ordering::Relaxed) as f64 / US_PER_MS;
+        let now_ms = self.shared.clock.now_ms();
+        let kind = RequestKind::of(&self.call);
+        let difference_ms = actual_ms - self.expected_ms;
+        let mut fleet = self.shared.fleet();
+        fleet.usage.correct(&kind, difference_ms, now_ms);
+    }
 }
 
 /// An organisation that is over its share of a pool.
@@ -100,12 +162,12 @@
         let organisation = kind.organisation.filter(|_| is_loaded)?;
         let organisation = organisation_hash(Some(organisation));
         let pool = pool_hash(kind.pool);
-        self.fleet
-            .share(pool, organisation, occupancy.slots, now_ms)
+        self.fleet.share(pool, organisation, occupancy, now_ms)
     }
 
-    /// Counts a request that was admitted or rejected.
-    pub(crate) fn record(&mut self, kind: &RequestKind<'_>, is_admitted: bool, now_ms: u64) {
+    /// Counts a request that was admitted or rejected, and returns its expected work in
+    /// milliseconds.
+    fn record(&mut self, kind: &RequestKind<'_>, is_admitted: bool, now_ms: u64) -> f64 {
         let pool = pool_hash(kind.pool);
         let organisation = organisation_hash(kind.organisation);
         let state = self.pools.get(kind.pool);
@@ -116,28 +178,32 @@
             self.fleet
                 .record_rejected(pool, organisation, work_ms, now_ms);
         }
+        work_ms
     }
 
-    /// Corrects the work of an admitted request by its actual service time.
+    /// Learns the work of an attempt from its service time, and returns it in milliseconds.
     pub(crate) fn record_service_time(
         &mut self,
-        kind: &RequestKind<'_>,
+        pool: &PoolId,
+        route: &Arc<str>,
         service_ms: u64,
-        now_ms: u64,
-    ) {
-        let Some(state) = self.pools.get_mut(kind.pool) else {
-            return;
+    ) -> f64 {
+        let Some(state) = self.pools.get_mut(pool) else {
+            return 0.0;
         };
         let work_ms = service_ms as f64 * state.slot_fraction;
-        let expected_ms = state.expected_work_ms(kind.route);
-        if state.work.len() < MAX_ROUTES || state.work.contains_key(kind.route) {
-            let known = state.work.entry(kind.route.clone()).or_default();
+        if state.work.len() < MAX_ROUTES || state.work.contains_key(route) {
+            let known = state.work.entry(route.clone()).or_default();
             known.record((work_ms.round() as u64).max(MIN_WORK_MS));
         }
-        let organisation = organisation_hash(kind.organisation);
-        let difference_ms = work_ms - expected_ms;
+        work_ms
+    }
+
+    /// Corrects the work of a request by the difference of its actual to its expected work.
+    fn correct(&mut self, kind: &RequestKind<'_>, difference_ms: f64, now_ms: u64) {
+        let (pool, organisation) = (pool_hash(kind.pool), organisation_hash(kind.organisation));
         self.fleet
-            .correct(pool_hash(kind.pool), organisation, difference_ms, now_ms);
+            .correct(pool, organisation, difference_ms, now_ms);
     }
 
     /// Tracks an organisation that is over its share. Returns whether it newly is.
--- a/crates/gateway/src/fair_share/reports.rs
+++ b/crates/gateway/src/fair_share/reports.rs
@@ -60,9 +60,9 @@
     let loaded = usage.pools.iter();
     let loaded = loaded.filter(|(_, state)| state.is_loaded(now_ms));
     let loaded: Vec<u32> = loaded.map(|(pool, _)| pool_hash(pool)).collect();
-    let mut pools = usage.fleet.pools();
-    let pool_count = pools.len().max(1);
-    pools.rotate_left(sender.id.sequence as usize * POOLS_PER_ROUND % pool_count);
+    let pools = usage
+        .fleet
+        .pools_in_turn(&loaded, sender.id.sequence, POOLS_PER_ROUND);
     let of = |zone: u32, scope: UsageScope, report: UsageReport| PoolUsage {
         zone,
         scope,
@@ -70,9 +70,6 @@
         usage: report,
     };
     for pool in pools {
-        if reports.to_peers.len() >= POOLS_PER_ROUND || reports.to_zone.len() >= POOLS_PER_ROUND {
-            break;
-        }
         let is_loaded = loaded.contains(&pool);
         if let Some(report) = usage.fleet.report(pool, is_loaded, now_ms) {
             let report = of(sender.zone, UsageScope::Host, report);
--- a/crates/gateway/src/progress.rs
+++ b/crates/gateway/src/progress.rs
@@ -14,7 +14,7 @@
 use crate::call::Call;
 use crate::edge::{AnswerHead, Refusal, RequestedBackoff};
 use crate::event_log::{AttemptRecord, Event};
-use crate::fair_share::RequestKind;
+use crate::fair_share::{RequestKind, RequestWork};
 use crate::fleet::{EndpointQuery, Fleet, SelectedEndpoint};
 use crate::poison::BrokenAttempt;
 use crate::shared::{OrganisationGuard, Shared};
@@ -32,6 +32,8 @@
     attempts: Vec<AttemptRecord>,
     /// Counts the request towards its organisation's share.
     _organisation_guard: Option<OrganisationGuard>,
+    /// Counts its work towards its organisation's share of the pool.
+    work: Option<Arc<RequestWork>>,
     /// Start of the last attempt, on the shared clock.
     sent_at_ms: u64,
     /// Endpoint of the last attempt.
@@ -54,6 +56,7 @@
             delivered_attempts: 0,
             worst_outcome: Outcome::NotRun,
             attempts: Vec::new(),
+            work: None,
             sent_at_ms: now_ms,
             last_endpoint: None,
             uses: &[BuildUse::Any],
@@ -64,9 +67,14 @@
         &self.call
     }
 
+    /// Its work, once admitted.
+    pub(crate) fn work(&self) -> Option<Arc<RequestWork>> {
+        self.work.clone()
+    }
+
     /// Refuses a request that was not sent yet if its pool is too full to meet the
     /// objective.
-    pub(crate) fn admit(&self) -> Result<(), Refusal> {
+    pub(crate) fn admit(&mut self) -> Result<(), Refusal> {
         if !self.tried.is_empty() {
             return Ok(());
         }
@@ -74,11 +82,7 @@
         let now_ms = self.shared.clock.now_ms();
         let mut fleet = self.shared.fleet();
         let occupancy = fleet.occupancy(&self.call.pool, now_ms);
-        let kind = RequestKind {
-            pool: &self.call.pool,
-            route: &self.call.route.name,
-            organisation,
-        };
+        let kind = RequestKind::of(&self.call);
         let share = fleet.usage.share(&kind, &occupancy, now_ms);
         let request = AdmissionRequest {
             rank: self.call.priority(),
@@ -93,7 +97,6 @@
             None => admit_probability(&occupancy, &request),
         };
         let is_admitted = rand::random::<f64>() < probability;
-        fleet.usage.record(&kind, is_admitted, now_ms);
         let over = share.filter(OrganisationShare::is_over).zip(organisation);
         let new_over = over.filter(|(share, name)| {
             let usage = &mut fleet.usage;
@@ -103,6 +106,7 @@
         if let Some((share, name)) = new_over {
             self.log_over_share(name, &share);
         }
+        self.work = RequestWork::record(&self.shared, &self.call, is_admitted, now_ms);
         if is_admitted {
             return Ok(());
         }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -21,7 +21,7 @@
 use crate::edge::Edge;
 use crate::endpoint_connections::IdleConnections;
 use crate::event_log::{Event, EventLog};
-use crate::fair_share::RequestKind;
+use crate::fair_share::RequestWork;
 use crate::fleet::Fleet;
 use crate::lag::SchedulerLag;
 use crate::poison::PoisonRecords;
@@ -404,23 +404,29 @@
     shared: Arc<Shared>,
     pool: PoolId,
     route: Arc<str>,
-    organisation: Option<OrganisationId>,
     endpoint: u32,
     since: Instant,
+    /// The work of its request.
+    work: Option<Arc<RequestWork>>,
     /// The endpoint did not work on it, so its duration is no service time.
     was_rejected: bool,
 }
 
 impl InFlightGuard {
-    pub(crate) fn begin(shared: &Arc<Shared>, call: &Call, endpoint: u32) -> Self {
+    pub(crate) fn begin(
+        shared: &Arc<Shared>,
+        call: &Call,
+        work: Option<Arc<RequestWork>>,
+        endpoint: u32,
+    ) -> Self {
         shared.fleet().load.begin(endpoint);
         Self {
             shared: shared.clone(),
             pool: call.pool.clone(),
             route: call.route.name.clone(),
-            organisation: call.organisation().cloned(),
             endpoint,
             since: Instant::now(),
+            work,
             was_rejected: false,
         }
     }
@@ -439,12 +445,12 @@
             let service_ms = self.since.elapsed().as_millis() as u64;
             let now_ms = self.shared.clock.now_ms();
             fleet.record_service_time(&self.pool, &self.route, service_ms, now_ms);
-            let kind = RequestKind {
-                pool: &self.pool,
-                route: &self.route,
-                organisation: self.organisation.as_ref(),
-            };
-            fleet.usage.record_service_time(&kind, service_ms, now_ms);
+            let usage = &mut fleet.usage;
+            let work_ms = usage.record_service_time(&self.pool, &self.route, service_ms);
+            drop(fleet);
+            if let Some(work) = &self.work {
+                work.add(work_ms);
+            }
         }
     }
 }
--- a/crates/routing/src/fair_share/fleet_usage.rs
+++ b/crates/routing/src/fair_share/fleet_usage.rs
@@ -12,6 +12,7 @@
 
 use super::ledger::{USAGE_DECAY_MS, WorkLedger};
 use super::max_min::{Demand, water_level};
+use crate::admission::PoolOccupancy;
 use crate::fleet_load::MergeOutcome;
 use crate::fleet_totals::ReportId;
 use crate::in_flight::MAX_REPORT_AGE_MS;
@@ -29,6 +30,8 @@
 const MAX_MILLISLOTS: u32 = 1_000_000_000;
 /// Most hosts, and most organisations, that an aggregate covers.
 const MAX_COVERED: u32 = 100_000;
+/// Part of a pool's slots in use from which it is full.
+const FULL_OCCUPANCY: f64 = 0.95;
 /// Time for which computed shares are used.
 const SHARES_MAX_AGE_MS: u64 = 50;
 const MILLI: f64 = 1_000.0;
@@ -206,7 +209,7 @@
 #[derive(Clone, Debug)]
 struct PoolShares {
     computed_at_ms: u64,
-    capacity_millislots: f64,
+    slots: u32,
     /// Fair share of an organisation that could use more; `None` if all demands are met.
     level: Option<f64>,
     largest: f64,
@@ -240,6 +243,8 @@
     /// Aggregates of the whole fleet, by relay.
     totals: HashMap<H, KnownReport>,
     shares: Option<PoolShares>,
+    /// Requests in progress over about the last second, up to the pool's slots.
+    busy_slots: f64,
 }
 
 impl<H> Default for PoolUsage<H> {
@@ -251,6 +256,7 @@
             zones: BTreeMap::new(),
             totals: HashMap::new(),
             shares: None,
+            busy_slots: 0.0,
         }
     }
 }
@@ -337,20 +343,31 @@
         (direct.hosts > 1).then_some(direct)
     }
 
-    fn shares(&mut self, capacity_slots: u32, now_ms: u64) -> Option<&PoolShares> {
-        let capacity_millislots = f64::from(capacity_slots) * MILLI;
+    fn shares(&mut self, occupancy: &PoolOccupancy, now_ms: u64) -> Option<&PoolShares> {
         let is_current = self.shares.as_ref().is_some_and(|shares| {
             let is_recent = now_ms.saturating_sub(shares.computed_at_ms) < SHARES_MAX_AGE_MS;
-            is_recent && shares.capacity_millislots == capacity_millislots
+            is_recent && shares.slots == occupancy.slots
         });
         if !is_current {
-            self.shares = self
-                .known_sum(now_ms)
-                .map(|sum| compute_shares(sum, capacity_millislots, now_ms));
+            self.update_busy_slots(occupancy, now_ms);
+            self.shares = self.known_sum(now_ms).map(|sum| {
+                let capacity_slots = capacity_slots(&sum, occupancy, self.busy_slots);
+                compute_shares(sum, occupancy.slots, capacity_slots * MILLI, now_ms)
+            });
         }
         self.shares.as_ref()
     }
 
+    fn update_busy_slots(&mut self, occupancy: &PoolOccupancy, now_ms: u64) {
+        let busy_slots = f64::from(occupancy.in_progress.min(occupancy.slots));
+        let earlier = self.shares.as_ref().map(|shares| shares.computed_at_ms);
+        let weight = earlier.map_or(1.0, |computed_at_ms| {
+            let elapsed_ms = now_ms.saturating_sub(computed_at_ms) as f64;
+            1.0 - (-elapsed_ms / USAGE_DECAY_MS).exp()
+        });
+        self.busy_slots += weight * (busy_slots - self.busy_slots);
+    }
+
     fn expire(&mut self, now_ms: u64) {
         self.hosts.retain(|_, known| known.is_recent(now_ms));
         self.totals.retain(|_, known| known.is_recent(now_ms));
@@ -371,7 +388,22 @@
     }
 }
 
-fn compute_shares(sum: UsageSum, capacity_millislots: f64, now_ms: u64) -> PoolShares {
+/// The slots of a pool in the unit of the counted work. Work that is expected to take longer
+/// than it does would keep slots idle, so that the count is compared with the slots in use.
+fn capacity_slots(sum: &UsageSum, occupancy: &PoolOccupancy, busy_slots: f64) -> f64 {
+    const MAX_CORRECTION: f64 = 4.0;
+    let slots = f64::from(occupancy.slots);
+    let amounts = sum.by_organisation.values().chain([&sum.others]);
+    let used = amounts.map(|amount| f64::from(amount.used_millislots) / MILLI);
+    let correction = used.sum::<f64>() / busy_slots.max(1.0);
+    if busy_slots < slots * FULL_OCCUPANCY {
+        slots * correction.clamp(1.0, MAX_CORRECTION)
+    } else {
+        slots
+    }
+}
+
+fn compute_shares(sum: UsageSum, slots: u32, capacity_millislots: f64, now_ms: u64) -> PoolShares {
     let amounts = sum.by_organisation.values();
     let mut demands: Vec<Demand> = amounts
         .map(|slots| Demand::of(f64::from(slots.demanded_millislots)))
@@ -392,7 +424,7 @@
     });
     PoolShares {
         computed_at_ms: now_ms,
-        capacity_millislots,
+        slots,
         level,
         over_share_millislots: over_share.sum(),
         largest,
@@ -405,7 +437,7 @@
 /// # Example
 ///
 /// ```
-/// use chalkrock_routing::{FleetUsage, ReportId};
+/// use chalkrock_routing::{FleetUsage, PoolOccupancy, ReportId};
 ///
 /// const POOL: u32 = 1;
 /// let mut usage: FleetUsage<u32> = FleetUsage::default();
@@ -415,8 +447,9 @@
 /// let report = other.report(POOL, true, 0).expect("the pool is loaded");
 /// let id = ReportId { incarnation: 1, sequence: 1 };
 /// usage.merge(2, id, report, 0);
-/// assert!(usage.share(POOL, 8, 1, 0).expect("a report is known").is_over());
-/// assert!(!usage.share(POOL, 7, 1, 0).expect("a report is known").is_over());
+/// let full = PoolOccupancy { slots: 1, in_progress: 1, service_ms: 100.0 };
+/// assert!(usage.share(POOL, 8, &full, 0).expect("a report is known").is_over());
+/// assert!(!usage.share(POOL, 7, &full, 0).expect("a report is known").is_over());
 /// ```
 #[derive(Clone, Debug)]
 pub struct FleetUsage<H> {
@@ -568,17 +601,17 @@
         direct.collect()
     }
 
-    /// An organisation's use of a pool against its fair share of so many slots; `None`
+    /// An organisation's use of a pool against its fair share of the pool's slots; `None`
     /// without a recent report of another host.
     pub fn share(
         &mut self,
         pool: u32,
         organisation: u32,
-        capacity_slots: u32,
+        occupancy: &PoolOccupancy,
         now_ms: u64,
     ) -> Option<OrganisationShare> {
         let known = self.pools.get_mut(&pool)?;
-        let shares = known.shares(capacity_slots, now_ms)?;
+        let shares = known.shares(occupancy, now_ms)?;
         Some(shares.share(organisation))
     }
 
@@ -586,12 +619,12 @@
     pub fn over_share(
         &mut self,
         pool: u32,
-        capacity_slots: u32,
+        occupancy: &PoolOccupancy,
         max: usize,
         now_ms: u64,
     ) -> Vec<(u32, OrganisationShare)> {
         let known = self.pools.get_mut(&pool);
-        let Some(shares) = known.and_then(|known| known.shares(capacity_slots, now_ms)) else {
+        let Some(shares) = known.and_then(|known| known.shares(occupancy, now_ms)) else {
             return Vec::new();
         };
         let all = shares.by_organisation.keys();
@@ -603,6 +636,21 @@
         over
     }
 
+    /// The pools to report in a round, at most `max`, all in turn: those loaded, those that
+    /// this host has reported and those that other hosts report.
+    pub fn pools_in_turn(&self, loaded: &[u32], sequence: u64, max: usize) -> Vec<u32> {
+        let known = self.pools.iter();
+        let reported = known.filter(|(pool, known)| {
+            loaded.contains(pool) || known.reported.is_some() || known.has_reports()
+        });
+        let mut pools: Vec<u32> = reported.map(|(&pool, _)| pool).collect();
+        pools.sort_unstable();
+        let first = sequence % pools.len().max(1) as u64;
+        pools.rotate_left(first as usize);
+        pools.truncate(max);
+        pools
+    }
+
     /// Whether reports of other hosts are known.
     pub fn has_reports(&self, pool: u32) -> bool {
         let known = self.pools.get(&pool);
--- a/crates/routing/src/fair_share/ledger.rs
+++ b/crates/routing/src/fair_share/ledger.rs
@@ -3,7 +3,7 @@
 use std::cell::Cell;
 use std::collections::HashMap;
 
-use super::max_min::{Demand, water_level};
+use super::max_min::{Demand, bounded_weight, water_level};
 
 /// Time in which a recorded amount decays to 1/e. Short enough to follow a change within
 /// a second, long enough to average over several calls.
@@ -72,7 +72,7 @@
     /// Sets the weight of an organisation; 1 by default.
     pub fn set_weight(&mut self, organisation: u32, weight: f64) {
         if self.weights.len() < MAX_LEDGER_ORGANISATIONS {
-            self.weights.insert(organisation, weight);
+            self.weights.insert(organisation, bounded_weight(weight));
         }
         self.level.set(None);
     }
--- a/crates/routing/src/fair_share/max_min.rs
+++ b/crates/routing/src/fair_share/max_min.rs
@@ -25,17 +25,25 @@
 
     /// Bounded to finite, positive values.
     fn bounded(self) -> Self {
-        const MIN_WEIGHT: f64 = 1e-3;
-        const MAX_WEIGHT: f64 = 1e6;
         const MAX_AMOUNT: f64 = 1e15;
-        let or_zero = |value: f64| if value.is_nan() { 0.0 } else { value };
         Self {
             amount: or_zero(self.amount).clamp(0.0, MAX_AMOUNT),
-            weight: or_zero(self.weight).clamp(MIN_WEIGHT, MAX_WEIGHT),
+            weight: bounded_weight(self.weight),
         }
     }
 }
 
+fn or_zero(value: f64) -> f64 {
+    if value.is_nan() { 0.0 } else { value }
+}
+
+/// A weight bounded to finite, positive values.
+pub(super) fn bounded_weight(weight: f64) -> f64 {
+    const MIN_WEIGHT: f64 = 1e-3;
+    const MAX_WEIGHT: f64 = 1e6;
+    or_zero(weight).clamp(MIN_WEIGHT, MAX_WEIGHT)
+}
+
 /// The share by unit of weight of a demand that is not met in full; `None` if all are.
 ///
 /// # Example
--- a/crates/routing/tests/fair_share.rs
+++ b/crates/routing/tests/fair_share.rs
@@ -23,6 +23,15 @@
     prop::collection::vec(demand, 1..40)
 }
 
+/// A pool whose slots are all taken.
+fn full(slots: u32) -> PoolOccupancy {
+    PoolOccupancy {
+        slots,
+        in_progress: slots,
+        service_ms: 40.0,
+    }
+}
+
 fn id(sequence: u64) -> ReportId {
     ReportId {
         incarnation: 1,
@@ -103,7 +112,7 @@
         }
         let sum = usage.fleet_aggregate(POOL, now_ms).expect("the pool is known");
         prop_assert!(sum.heaviest.len() <= MAX_ORGANISATIONS_PER_AGGREGATE);
-        let share = usage.share(POOL, 7, 10, now_ms).expect("hosts are known");
+        let share = usage.share(POOL, 7, &full(10), now_ms).expect("hosts are known");
         prop_assert!(share.demand_ratio.is_finite() && share.use_ratio.is_finite());
         prop_assert!((0.0..=1.0).contains(&share.fitting_fraction()));
     }
@@ -144,6 +153,42 @@
     expect_that!(ledger.share_ratio(2, 0), near(0.667, 0.01));
 }
 
+#[gtest]
+fn share_ratio_is_bounded_for_any_weight() {
+    for weight in [0.0, -1.0, f64::NAN, f64::NEG_INFINITY] {
+        let mut ledger = WorkLedger::default();
+        ledger.set_weight(HEAVY, weight);
+        ledger.record(HEAVY, 100.0, 0);
+        ledger.record_rejected(1, 100.0, 0);
+        let ratio = ledger.share_ratio(HEAVY, 0);
+        expect_that!(
+            ratio.is_finite() && ratio > 1.0,
+            eq(true),
+            "weight {weight}"
+        );
+    }
+}
+
+#[gtest]
+fn pools_in_turn_report_each_pool() {
+    const POOLS: u32 = 12;
+    const MAX: usize = 4;
+    let mut usage: FleetUsage<u32> = FleetUsage::default();
+    (0..POOLS).for_each(|pool| usage.record(pool, HEAVY, 100.0, 0));
+    let loaded: Vec<u32> = (0..POOLS).step_by(2).collect();
+    let mut reported: Vec<u32> = Vec::new();
+    for sequence in 0..u64::from(POOLS) / 2 {
+        let pools = usage.pools_in_turn(&loaded, sequence, MAX);
+        expect_that!(pools.len(), eq(MAX));
+        reported.extend(pools);
+    }
+    reported.sort_unstable();
+    let reports = reported.len() / loaded.len();
+    reported.dedup();
+    expect_that!(reported, eq(&loaded));
+    expect_that!(reports, eq(MAX));
+}
+
 #[gtest]
 fn share_ratio_forgets_within_seconds() {
     let mut ledger = WorkLedger::default();
@@ -198,15 +243,15 @@
         total.hosts,
         eq(ZONES as u32 * HOSTS_PER_ZONE as u32 + 1 + 2)
     );
-    // 5 bytes at most for each number, one of them a hash.
-    let bytes = total.heaviest.len() * (5 + 3 + 3) + 40;
-    expect_that!(bytes, le(MAX_BYTES));
+    let bytes = postcard::to_stdvec(&total).expect("an encoded aggregate");
+    expect_that!(total.heaviest.len(), eq(MAX_ORGANISATIONS_PER_AGGREGATE));
+    expect_that!(bytes.len(), le(MAX_BYTES));
     let mut host: FleetUsage<usize> = FleetUsage::default();
     host.merge_fleet_aggregate(0, id(1), total, 0);
-    let share = host.share(POOL, ORGANISATIONS, 400, 0);
+    let share = host.share(POOL, ORGANISATIONS, &full(400), 0);
     expect_that!(share.expect("an aggregate is known").is_over(), eq(true));
     for organisation in 0..ORGANISATIONS {
-        let share = host.share(POOL, organisation, 400, 0);
+        let share = host.share(POOL, organisation, &full(400), 0);
         expect_that!(share.expect("an aggregate is known").is_over(), eq(false));
     }
 }
@@ -239,8 +284,11 @@
         let repeated = usage.merge(2, id(sequence), report.clone(), 0);
         expect_that!(repeated, eq(MergeOutcome::Stale));
     }
-    expect_that!(usage.share(POOL, HEAVY, 1, 0), some(anything()));
-    expect_that!(usage.share(POOL, HEAVY, 1, MAX_REPORT_AGE_MS + 1), none());
+    expect_that!(usage.share(POOL, HEAVY, &full(1), 0), some(anything()));
+    expect_that!(
+        usage.share(POOL, HEAVY, &full(1), MAX_REPORT_AGE_MS + 1),
+        none()
+    );
     usage.expire(MAX_REPORT_AGE_MS + 1);
     expect_that!(usage.pools(), is_empty());
 }
@@ -267,6 +315,25 @@
 /// Time that an aggregate takes between zones and to their hosts.
 const RELAY_MS: u64 = 300;
 
+#[gtest]
+fn share_of_work_that_takes_less_than_expected_leaves_no_slots_idle() {
+    let mut usage: FleetUsage<u32> = FleetUsage::default();
+    let mut other: FleetUsage<u32> = FleetUsage::default();
+    other.record(POOL, HEAVY, 9_000.0, 0);
+    let report = other.report(POOL, true, 0).expect("the pool is loaded");
+    usage.merge(2, id(1), report, 0);
+    let half_idle = PoolOccupancy {
+        in_progress: 5,
+        ..full(10)
+    };
+    let share = usage.share(POOL, HEAVY, &half_idle, 0).expect("a report");
+    expect_that!(share.is_over(), eq(false));
+    let share = usage
+        .share(POOL, HEAVY, &full(10), 1_000)
+        .expect("a report");
+    expect_that!(share.is_over(), eq(true));
+}
+
 /// Requests of an organisation.
 struct Load {
     organisation: u32,
@@ -367,7 +434,7 @@
                 };
                 let usage = &mut hosts[host];
                 let organisation = load.organisation;
-                let share = usage.share(POOL, organisation, SLOTS as u32, now_ms);
+                let share = usage.share(POOL, organisation, &occupancy, now_ms);
                 let probability = match share {
                     Some(share) => fair_admit_probability(&occupancy, &request, &share),
                     None => admit_probability(&occupancy, &request),
