--- a/crates/gateway/src/progress.rs
+++ b/crates/gateway/src/progress.rs
@@ -3,16 +3,18 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use chalkrock_core::{Endpoint, Outcome, Reason};
+use chalkrock_core::{Endpoint, OrganisationId, Outcome, Reason};
 use chalkrock_routing::{
     AdmissionRequest, AttemptOutcome, BuildRequest, BuildUse, HealthSignal, Next, ObservedResponse,
-    Repeatable, admits, next_step,
+    OrganisationShare, Repeatable, admit_probability, fair_admit_probability, next_step,
+    over_share_return_ms,
 };
 use rand::RngExt;
 
 use crate::call::Call;
 use crate::edge::{AnswerHead, Refusal, RequestedBackoff};
 use crate::event_log::{AttemptRecord, Event};
+use crate::fair_share::{RequestKind, RequestWork};
 use crate::fleet::{EndpointQuery, Fleet, SelectedEndpoint};
 use crate::poison::BrokenAttempt;
 use crate::shared::{OrganisationGuard, Shared};
@@ -30,6 +32,8 @@
     attempts: Vec<AttemptRecord>,
     /// Counts the request towards its organisation's share.
     _organisation_guard: Option<OrganisationGuard>,
+    /// Counts its work towards its organisation's share of the pool.
+    work: Option<Arc<RequestWork>>,
     /// Start of the last attempt, on the shared clock.
     sent_at_ms: u64,
     /// Endpoint of the last attempt.
@@ -52,6 +56,7 @@
             delivered_attempts: 0,
             worst_outcome: Outcome::NotRun,
             attempts: Vec::new(),
+            work: None,
             sent_at_ms: now_ms,
             last_endpoint: None,
             uses: &[BuildUse::Any],
@@ -62,23 +67,47 @@
         &self.call
     }
 
+    /// Its work, once admitted.
+    pub(crate) fn work(&self) -> Option<Arc<RequestWork>> {
+        self.work.clone()
+    }
+
     /// Refuses a request that was not sent yet if its pool is too full to meet the
     /// objective.
-    pub(crate) fn admit(&self) -> Result<(), Refusal> {
+    pub(crate) fn admit(&mut self) -> Result<(), Refusal> {
         if !self.tried.is_empty() {
             return Ok(());
         }
         let organisation = self.call.organisation();
         let now_ms = self.shared.clock.now_ms();
-        let fleet = self.shared.fleet();
+        let mut fleet = self.shared.fleet();
         let occupancy = fleet.occupancy(&self.call.pool, now_ms);
+        let kind = RequestKind::of(&self.call);
+        let share = fleet.usage.share(&kind, &occupancy, now_ms);
         let request = AdmissionRequest {
             rank: self.call.priority(),
             objective_ms: self.call.admission_objective_ms,
-            is_over_share: organisation.is_some_and(|name| fleet.shares.is_over(name)),
+            is_over_share: match share {
+                Some(share) => share.is_over(),
+                None => organisation.is_some_and(|name| fleet.shares.is_over(name)),
+            },
         };
+        let probability = match share {
+            Some(share) => fair_admit_probability(&occupancy, &request, &share),
+            None => admit_probability(&occupancy, &request),
+        };
+        let is_admitted = rand::random::<f64>() < probability;
+        let over = share.filter(OrganisationShare::is_over).zip(organisation);
+        let new_over = over.filter(|(share, name)| {
+            let usage = &mut fleet.usage;
+            usage.track_over_share(&self.call.pool, name, *share, now_ms)
+        });
         drop(fleet);
-        if admits(&occupancy, &request, rand::random()) {
+        if let Some((share, name)) = new_over {
+            self.log_over_share(name, &share);
+        }
+        self.work = RequestWork::record(&self.shared, &self.call, is_admitted, now_ms);
+        if is_admitted {
             return Ok(());
         }
         let detail = format!(
@@ -93,7 +122,24 @@
         } else {
             Reason::AtBound
         };
-        Err(Refusal::new(reason, detail))
+        let refusal = Refusal::new(reason, detail);
+        let Some(share) = share.filter(OrganisationShare::is_over) else {
+            return Err(refusal);
+        };
+        Err(Refusal {
+            retry_after_ms: Some(over_share_return_ms(&share, rand::random())),
+            ..refusal
+        })
+    }
+
+    fn log_over_share(&self, organisation: &OrganisationId, share: &OrganisationShare) {
+        self.shared.event_log.emit(&Event::OverShare {
+            pool: &self.call.pool,
+            organisation,
+            is_over: true,
+            demand_ratio: share.demand_ratio,
+            use_ratio: share.use_ratio,
+        });
     }
 
     /// Refuses a poison request. The refusal reports it as not run only if it was
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -21,6 +21,7 @@
 use crate::edge::Edge;
 use crate::endpoint_connections::IdleConnections;
 use crate::event_log::{Event, EventLog};
+use crate::fair_share::RequestWork;
 use crate::fleet::Fleet;
 use crate::lag::SchedulerLag;
 use crate::poison::PoisonRecords;
@@ -405,12 +406,19 @@
     route: Arc<str>,
     endpoint: u32,
     since: Instant,
+    /// The work of its request.
+    work: Option<Arc<RequestWork>>,
     /// The endpoint did not work on it, so its duration is no service time.
     was_rejected: bool,
 }
 
 impl InFlightGuard {
-    pub(crate) fn begin(shared: &Arc<Shared>, call: &Call, endpoint: u32) -> Self {
+    pub(crate) fn begin(
+        shared: &Arc<Shared>,
+        call: &Call,
+        work: Option<Arc<RequestWork>>,
+        endpoint: u32,
+    ) -> Self {
         shared.fleet().load.begin(endpoint);
         Self {
             shared: shared.clone(),
@@ -418,6 +426,7 @@
             route: call.route.name.clone(),
             endpoint,
             since: Instant::now(),
+            work,
             was_rejected: false,
         }
     }
@@ -436,6 +445,12 @@
             let service_ms = self.since.elapsed().as_millis() as u64;
             let now_ms = self.shared.clock.now_ms();
             fleet.record_service_time(&self.pool, &self.route, service_ms, now_ms);
+            let usage = &mut fleet.usage;
+            let work_ms = usage.record_service_time(&self.pool, &self.route, service_ms);
+            drop(fleet);
+            if let Some(work) = &self.work {
+                work.add(work_ms);
+            }
         }
     }
 }
@@ -463,6 +478,22 @@
 }
 
 impl Shared {
+    /// Drops expired use of pools, and logs organisations that are no longer over their
+    /// share.
+    pub(crate) fn expire_over_shares(&self) {
+        let now_ms = self.clock.now_ms();
+        let ended = self.fleet().usage.expire(now_ms);
+        for over in ended {
+            self.event_log.emit(&Event::OverShare {
+                pool: &over.pool,
+                organisation: &over.organisation,
+                is_over: false,
+                demand_ratio: over.share.demand_ratio,
+                use_ratio: over.share.use_ratio,
+            });
+        }
+    }
+
     /// Logs a change of the list of endpoints.
     pub(crate) fn log_endpoints(&self, from: &str) {
         let now_ms = self.clock.now_ms();
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -49,6 +49,7 @@
 mod endpoints;
 mod evacuations;
 mod event_frames;
+mod fair_share;
 mod fingerprint;
 mod fleet_load;
 mod fleet_totals;
@@ -61,6 +62,7 @@
 mod pool_queue;
 mod prefix_directory;
 mod readers;
+mod returns;
 mod rollout;
 mod route;
 mod rules;
@@ -72,7 +74,7 @@
 
 pub use admission::{
     AdmissionRequest, MaxServiceTime, PoolOccupancy, ServiceTimeEwma, admit_probability, admits,
-    shed_probability,
+    fair_admit_probability, over_share_return_ms, shed_probability,
 };
 pub use attempt::{AttemptOutcome, Next, Repeatable, next_step};
 pub use backoff::{BackoffChange, Backoffs, MAX_BACKOFF_MS};
@@ -82,6 +84,11 @@
 pub use endpoints::{EndpointState, EndpointTable, PoolMember};
 pub use evacuations::{EvacuationChange, EvacuationRow, Evacuations};
 pub use event_frames::{EventFrame, EventFrames};
+pub use fair_share::{
+    Demand, FleetUsage, MAX_LEDGER_ORGANISATIONS, MAX_ORGANISATIONS_PER_AGGREGATE,
+    MAX_ORGANISATIONS_PER_HOST, OrganisationShare, OrganisationUse, SlotUse, USAGE_DECAY_MS,
+    UsageReport, WorkLedger, max_min, water_level,
+};
 pub use fingerprint::{RequestContent, RequestFingerprint};
 pub use fleet_load::{FleetLoad, HostReport, MergeOutcome};
 pub use fleet_totals::ReportId;
@@ -102,6 +109,10 @@
 pub use readers::{
     RELAYS_PER_ZONE, SubscriptionRole, ZonePeer, ZoneView, stale_poll_fraction, subscribers_needed,
 };
+pub use returns::{
+    MAX_EXPORTED_RETURNS, MAX_RESERVATIONS, RETURN_HORIZON_MS, RETURN_WINDOW_MS, ReservedReturn,
+    ReturnSchedule,
+};
 pub use rollout::{
     BAD_LOG_ODDS, BuildAssessment, BuildFilter, BuildRequest, BuildSide, BuildUse, Evidence,
     EvidenceSource, Exposure, ExposureBound, Measure, MoveSchedule, ObservedResponse, PoolBuilds,
