Share an endpoint's connections among hosts, and learn from a peer at start

Cause: idle and new connections of all hosts exceed what an endpoint accepts; it resets the rest, and a reset after the request was written is a 502. A host that starts knows no service times and no prefix places. Change: each host keeps to its part of max_conns (four fifths over the known hosts, at least one), idle ones included. A request beyond it waits up to 50 ms, then goes elsewhere as not run. On a full endpoint, a request that must not be repeated waits 3 ms on a new connection for a reset. Hosts that pull rules or know nothing ask a peer with the new call learned for connection limits, service times and the most recent prefix places; older builds close the connection at it. Measured: 24 unsafe calls at once at an endpoint with 5 connections: 19 resets without the limit, none with it. Two hosts with 12 calls each: none, 4 connections.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -14,7 +14,7 @@
 use crate::answer::{BufferedResponseBody, MAX_CHUNK_BYTES};
 use crate::call::Call;
 use crate::edge::{AnswerHead, SendHead};
-use crate::endpoint_connections::{Connection, SentBody, connect};
+use crate::endpoint_connections::{Connection, ConnectionRequest, NoConnection, SentBody};
 use crate::fleet::SelectedEndpoint;
 use crate::progress::Progress;
 use crate::shared::{InFlightGuard, Shared};
@@ -109,7 +109,7 @@
     shared.record_completed_run(call.fingerprint);
     if !answer.closes {
         shared
-            .idle_connections
+            .endpoint_connections
             .check_in(start, connection, answer.keep_alive_s);
     }
     if buffered.head.status.is_server_error() {
@@ -183,21 +183,26 @@
     resume_after: Option<u64>,
 ) -> Result<(Connection, Response<Incoming>), AttemptFailure> {
     let call = &**progress.call();
-    let may_repeat = call.repeatable() == Repeatable::Yes;
     let start = choice.member.hash.short();
-    let endpoint = &choice.member.endpoint;
     loop {
-        let idle = shared.idle_connections.checkout(start, may_repeat);
-        let mut connection = match idle {
-            Some(connection) => connection,
-            None => {
-                shared.metrics.count("endpoint_connections_total", "", 1);
-                let opened = connect(endpoint.address).await;
-                opened.ok_or_else(|| AttemptFailure::new(AttemptOutcome::NotSent))?
+        let request = connection_request(shared, call, choice);
+        let mut connection = match shared.endpoint_connections.acquire(&request).await {
+            Ok(connection) => connection,
+            Err(NoConnection::Unreachable) => {
+                return Err(AttemptFailure::new(AttemptOutcome::NotSent));
+            }
+            Err(NoConnection::AllInUse) => {
+                shared
+                    .metrics
+                    .count("endpoint_connections_missed_total", "", 1);
+                return Err(AttemptFailure::new(AttemptOutcome::Withdrawn));
             }
         };
+        if !connection.is_reused {
+            shared.metrics.count("endpoint_connections_total", "", 1);
+        }
         if !may_still_send(shared, choice) {
-            shared.idle_connections.return_unused(start, connection);
+            shared.endpoint_connections.return_unused(start, connection);
             return Err(AttemptFailure::new(AttemptOutcome::Withdrawn));
         }
         let request = endpoint_request(shared, call, choice, resume_after);
@@ -215,6 +220,23 @@
     }
 }
 
+fn connection_request(
+    shared: &Shared,
+    call: &Call,
+    choice: &SelectedEndpoint,
+) -> ConnectionRequest {
+    let endpoint = &choice.member.endpoint;
+    let may_repeat = call.repeatable() == Repeatable::Yes;
+    let max_open = shared.fleet().max_connections(&endpoint.pool);
+    ConnectionRequest {
+        endpoint: choice.member.hash.short(),
+        address: endpoint.address,
+        may_repeat,
+        max_open,
+        may_be_reset: !may_repeat && max_open.is_some() && choice.load >= endpoint.slots,
+    }
+}
+
 /// Whether the chosen endpoint is still eligible. While the connection was opened, its
 /// zone may have been evacuated, or it may have turned cold or begun to leave.
 fn may_still_send(shared: &Shared, choice: &SelectedEndpoint) -> bool {
--- a/crates/gateway/src/endpoint_connections.rs
+++ b/crates/gateway/src/endpoint_connections.rs
@@ -3,12 +3,18 @@
 //! If an endpoint closes an idle connection just as a request is sent, it is unknown
 //! whether the request ran. Connections are therefore reused only within a fraction of
 //! the endpoint's keep-alive timeout, and sooner for requests that must not be
-//! repeated. This module uses hyper connections directly, since clients such as reqwest
+//! repeated.
+//!
+//! Where endpoints limit their connections, the caller passes this host's part of the
+//! limit. Idle connections and those in use count alike; a request beyond the part waits
+//! briefly for one of them.
+//!
+//! This module uses hyper connections directly, since clients such as reqwest
 //! repeat requests on their own.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -16,6 +22,7 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
@@ -33,6 +40,13 @@
 /// Maximum number of idle connections to one endpoint.
 const MAX_IDLE_PER_ENDPOINT: usize = 16;
 
+/// Longest wait for a connection within this host's part of the limit. Another endpoint
+/// is likely to have one at once.
+const MAX_CONNECTION_WAIT: Duration = Duration::from_millis(50);
+/// Time for a reset to arrive on a new connection. Endpoints accept a connection beyond
+/// their limit and then reset it.
+const RESET_ARRIVAL_TIME: Duration = Duration::from_millis(3);
+
 /// A body for an endpoint.
 pub(crate) type SentBody = Full<Bytes>;
 
@@ -54,6 +68,67 @@
     /// Whether it has served a request before.
     pub(crate) is_reused: bool,
     _task: AbortOnDrop,
+    /// Dropped last, after the socket began to close.
+    _slot: ConnectionSlot,
+}
+
+/// Open connections of this host to one endpoint, idle ones included.
+#[derive(Debug, Default)]
+struct OpenConnections {
+    count: Mutex<u32>,
+    /// Notified when a connection closes or becomes idle.
+    freed: Notify,
+}
+
+impl OpenConnections {
+    fn count(&self) -> std::sync::MutexGuard<'_, u32> {
+        self.count.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Counts one more unless there are `max` already.
+    fn try_open(self: &Arc<Self>, max: Option<u32>) -> Option<ConnectionSlot> {
+        let mut count = self.count();
+        if max.is_some_and(|max| *count >= max) {
+            return None;
+        }
+        *count += 1;
+        Some(ConnectionSlot(self.clone()))
+    }
+}
+
+/// Counts a connection as open until dropped.
+#[derive(Debug)]
+struct ConnectionSlot(Arc<OpenConnections>);
+
+impl Drop for ConnectionSlot {
+    fn drop(&mut self) {
+        let mut count = self.0.count();
+        *count = count.saturating_sub(1);
+        drop(count);
+        self.0.freed.notify_one();
+    }
+}
+
+/// What a request asks of a connection.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ConnectionRequest {
+    /// The hash of the endpoint's start.
+    pub(crate) endpoint: u32,
+    pub(crate) address: SocketAddr,
+    pub(crate) may_repeat: bool,
+    /// Most connections of this host to the endpoint; `None` if it has no limit.
+    pub(crate) max_open: Option<u32>,
+    /// Whether the endpoint may reset a new connection at once, because it is full.
+    pub(crate) may_be_reset: bool,
+}
+
+/// Why there is no connection. Nothing of the request was written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum NoConnection {
+    /// The endpoint can't be reached in time, or reset the connection.
+    Unreachable,
+    /// All connections that this host may have are in use.
+    AllInUse,
 }
 
 #[derive(Debug)]
@@ -63,15 +138,56 @@
     idle_timeout: Duration,
 }
 
-/// Idle connections, by the hash of the endpoint's start.
+/// Connections by the hash of the endpoint's start.
 #[derive(Debug, Default)]
-pub(crate) struct IdleConnections {
+pub(crate) struct EndpointConnections {
     idle: Mutex<HashMap<u32, Vec<IdleConnection>>>,
+    open: Mutex<HashMap<u32, Arc<OpenConnections>>>,
 }
 
-impl IdleConnections {
+impl EndpointConnections {
+    /// Takes an idle connection or opens one; waits a short time if this host may have no
+    /// more of them.
+    pub(crate) async fn acquire(
+        &self,
+        request: &ConnectionRequest,
+    ) -> Result<Connection, NoConnection> {
+        let open = self.open(request.endpoint);
+        let acquire = async {
+            loop {
+                let freed = open.freed.notified();
+                if let Some(idle) = self.checkout(request.endpoint, request.may_repeat) {
+                    return Ok(idle);
+                }
+                if let Some(slot) = open.try_open(request.max_open) {
+                    return Err(slot);
+                }
+                freed.await;
+            }
+        };
+        let slot = match tokio::time::timeout(MAX_CONNECTION_WAIT, acquire).await {
+            Ok(Ok(idle)) => return Ok(idle),
+            Ok(Err(slot)) => slot,
+            Err(_) => return Err(NoConnection::AllInUse),
+        };
+        let opened = connect(request.address, slot).await;
+        let connection = opened.ok_or(NoConnection::Unreachable)?;
+        if request.may_be_reset {
+            tokio::time::sleep(RESET_ARRIVAL_TIME).await;
+            if connection.sender.is_closed() {
+                return Err(NoConnection::Unreachable);
+            }
+        }
+        Ok(connection)
+    }
+
+    fn open(&self, endpoint: u32) -> Arc<OpenConnections> {
+        let mut open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
+        open.entry(endpoint).or_default().clone()
+    }
+
     /// Takes the most recently used idle connection that is still usable.
-    pub(crate) fn checkout(&self, endpoint: u32, may_repeat: bool) -> Option<Connection> {
+    fn checkout(&self, endpoint: u32, may_repeat: bool) -> Option<Connection> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let endpoint_idle = idle.get_mut(&endpoint)?;
         while let Some(last) = endpoint_idle.pop() {
@@ -110,6 +226,8 @@
             endpoint_idle.remove(0);
         }
         endpoint_idle.push(idle);
+        drop(all);
+        self.open(endpoint).freed.notify_one();
     }
 
     /// Returns an unused connection. A new one is dropped, since the endpoint's
@@ -139,11 +257,14 @@
             idle.retain(|idle| idle.since.elapsed() <= idle.idle_timeout);
         }
         all.retain(|_, idle| !idle.is_empty());
+        drop(all);
+        let mut open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
+        open.retain(|_, open| Arc::strong_count(open) > 1);
     }
 }
 
 /// Opens a connection. Returns `None` if the endpoint can't be reached in time.
-pub(crate) async fn connect(address: SocketAddr) -> Option<Connection> {
+async fn connect(address: SocketAddr, slot: ConnectionSlot) -> Option<Connection> {
     let opening = async {
         let stream = TcpStream::connect(address).await.ok()?;
         stream.set_nodelay(true).ok()?;
@@ -159,6 +280,7 @@
             sender,
             is_reused: false,
             _task: AbortOnDrop(task.abort_handle()),
+            _slot: slot,
         })
     };
     tokio::time::timeout(CONNECT_TIMEOUT, opening)
--- a/crates/gateway/src/endpoint_reports.rs
+++ b/crates/gateway/src/endpoint_reports.rs
@@ -40,7 +40,7 @@
     /// The next round of messages informs the other hosts.
     fn handle_leaving(&self, member: &PoolMember, id: Option<&RequestId>) {
         let start = member.hash.short();
-        self.idle_connections.close(start);
+        self.endpoint_connections.close(start);
         if self.mark_leaving(&[start], "answer", id) {
             self.metrics.count("leaving_heard_in_answers_total", "", 1);
         }
--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -2,6 +2,7 @@
 
 mod builds;
 mod closed;
+mod learned;
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
@@ -10,11 +11,11 @@
 use chalkrock_core::rendezvous::{KeyHash, score};
 use chalkrock_core::{Endpoint, PoolId, ZoneId};
 use chalkrock_routing::{
-    Backoffs, Basis, BudgetRules, BuildUse, Candidate, ColdEndpoints, EndpointHealth,
-    EndpointTable, Evacuations, Evidence, FleetLoad, HealthSignal, HomeDemand, HomeSpread,
-    MaxServiceTime, PlacementRequest, PoisonEvidence, PoolLoads, PoolMember, PoolOccupancy,
-    PoolRules, Repeatable, Rollouts, ServiceTimeEwma, Shares, SpreadRules, StoreVersion,
-    WindowBudget, choose_endpoint,
+    Backoffs, Basis, BudgetRules, BuildUse, Candidate, ColdEndpoints, ConnectionLimit,
+    EndpointHealth, EndpointTable, Evacuations, Evidence, FleetLoad, HealthSignal, HomeDemand,
+    HomeSpread, MaxServiceTime, PlacementRequest, PoisonEvidence, PoolLoads, PoolMember,
+    PoolOccupancy, PoolRules, Repeatable, Rollouts, ServiceTimeEwma, Shares, SpreadRules,
+    StoreVersion, WindowBudget, choose_endpoint, connections_per_host,
 };
 
 use crate::config::GatewayConfig;
@@ -93,6 +94,8 @@
     entry_delay_ms: u64,
     /// Pool settings, with the rates that cold endpoints sustain.
     pools: HashMap<PoolId, PoolRules>,
+    /// Connections that an endpoint accepts from all hosts, by pool.
+    connection_limits: Vec<ConnectionLimit>,
     pub(crate) load: FleetLoad<SocketAddr>,
     zone: ZoneId,
     spread: SpreadRules,
@@ -129,6 +132,7 @@
             newly_cold: Vec::new(),
             entry_delay_ms: config.entry_delay_ms,
             pools: HashMap::new(),
+            connection_limits: Vec::new(),
             load: FleetLoad::default(),
             zone: config.zone.clone(),
             spread: config.spread,
@@ -209,6 +213,18 @@
         })
     }
 
+    pub(crate) fn set_connection_limits(&mut self, limits: Vec<ConnectionLimit>) {
+        self.connection_limits = limits;
+    }
+
+    /// Most connections of this host to an endpoint of a pool; `None` without a limit.
+    pub(crate) fn max_connections(&self, pool: &PoolId) -> Option<u32> {
+        let limits = &mut self.connection_limits.iter();
+        let limit = limits.find(|limit| limit.pool == *pool)?;
+        let hosts = self.load.known_host_count();
+        Some(connections_per_host(limit.max_connections, hosts))
+    }
+
     /// Updates the demand for the endpoints of a pool as homes, if that is due.
     pub(crate) fn update_home_demand(&mut self, pool: &PoolId, now_ms: u64) {
         let is_due = self.home_demand.get(pool);
--- a/crates/gateway/src/peers/api.rs
+++ b/crates/gateway/src/peers/api.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use chalkrock_core::{BuildVersion, PoolId};
-use chalkrock_routing::{Evacuations, PoisonRequest, RulesVersion, StoreVersion};
+use chalkrock_routing::{Evacuations, LearnedState, PoisonRequest, RulesVersion, StoreVersion};
 use serde::{Deserialize, Serialize};
 
 use crate::active_rules::RulesUpdate;
@@ -99,4 +99,7 @@
 
     /// Returns known builds and rollouts.
     async fn besides() -> SupplementaryState;
+
+    /// Returns what the host has learned from requests.
+    async fn learned() -> LearnedState;
 }
--- a/crates/gateway/src/peers/pull.rs
+++ b/crates/gateway/src/peers/pull.rs
@@ -8,6 +8,7 @@
 
 use chalkrock_core::{BuildVersion, PoolId};
 use chalkrock_proto::{ByteCounter, transport};
+use chalkrock_routing::LearnedState;
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use rand::RngExt;
@@ -86,7 +87,7 @@
     let mut pulls: FuturesUnordered<_> = pulls.collect();
     let mut alternative = None;
     while let Some(pulled) = pulls.next().await {
-        let busy = pulled.and_then(|missing| apply(shared, peers, missing));
+        let busy = pulled.and_then(|pulled| apply(shared, peers, pulled));
         if shared.has_view() {
             return;
         }
@@ -96,8 +97,8 @@
     }
     if let Some(alternative) = alternative {
         let known = known_versions(shared, peers);
-        let missing = pull(shared, alternative, known, SEED_TIMEOUT).await;
-        missing.and_then(|missing| apply(shared, peers, missing));
+        let pulled = pull(shared, alternative, known, SEED_TIMEOUT).await;
+        pulled.and_then(|pulled| apply(shared, peers, pulled));
     }
 }
 
@@ -164,19 +165,19 @@
     let mut from = first;
     for _ in 0..MAX_BUSY_ATTEMPTS {
         let known = known_versions(shared, peers);
-        let Some(missing) = pull(shared, from, known, timeout).await else {
+        let Some(pulled) = pull(shared, from, known, timeout).await else {
             if from == first {
                 return CatchUp::Failed;
             }
             from = first;
             continue;
         };
-        let outcome = if missing.0.is_fresh {
+        let outcome = if pulled.missing.is_fresh {
             CatchUp::FromFresh
         } else {
             CatchUp::FromStale
         };
-        let Some(busy) = apply(shared, peers, missing) else {
+        let Some(busy) = apply(shared, peers, pulled) else {
             return outcome;
         };
         let pause_ms = rand::rng().random_range(BUSY_PAUSE_MS);
@@ -215,27 +216,28 @@
     from: SocketAddr,
     known: KnownVersions,
     first_byte_timeout: Duration,
-) -> Option<(MissingState, SupplementaryState)> {
+) -> Option<Pulled> {
     let started_at = Instant::now();
     let count = Arc::new(ByteCounter::default());
     let idle_limits = IdleLimits {
         first_byte: first_byte_timeout,
         between_bytes: ms(shared.config.follow.stall_ms),
     };
-    let response = request_missing(from, known, count.clone());
-    let (outcome, missing) =
-        match while_arriving(response, || count.read_bytes(), idle_limits).await {
-            Some(Some((missing, besides))) => {
-                let outcome = match (&missing.busy, &missing.rules) {
-                    (Some(_), _) => Some(PullOutcome::Busy),
-                    (None, Some(_)) => Some(PullOutcome::Rules),
-                    (None, None) => None,
-                };
-                (outcome, Some((missing, besides)))
-            }
-            Some(None) => (Some(PullOutcome::Broken), None),
-            None => (Some(PullOutcome::GivenUp), None),
-        };
+    let has_learned = shared.fleet().has_learned();
+    let response = request_missing(from, known, has_learned, count.clone());
+    let (outcome, pulled) = match while_arriving(response, || count.read_bytes(), idle_limits).await
+    {
+        Some(Some(pulled)) => {
+            let outcome = match (&pulled.missing.busy, &pulled.missing.rules) {
+                (Some(_), _) => Some(PullOutcome::Busy),
+                (None, Some(_)) => Some(PullOutcome::Rules),
+                (None, None) => None,
+            };
+            (outcome, Some(pulled))
+        }
+        Some(None) => (Some(PullOutcome::Broken), None),
+        None => (Some(PullOutcome::GivenUp), None),
+    };
     let read_bytes = count.read_bytes();
     shared
         .metrics
@@ -248,7 +250,14 @@
             took_ms: started_at.elapsed().as_millis() as u64,
         });
     }
-    missing
+    pulled
+}
+
+/// State of another host.
+struct Pulled {
+    missing: MissingState,
+    besides: SupplementaryState,
+    learned: LearnedState,
 }
 
 /// Requests supplementary state first, so that a received list is complete. An older build
@@ -256,22 +265,37 @@
 async fn request_missing(
     address: SocketAddr,
     known: KnownVersions,
+    has_learned: bool,
     count: Arc<ByteCounter>,
-) -> Option<(MissingState, SupplementaryState)> {
+) -> Option<Pulled> {
     let client = connect(address, count.clone()).await?;
     if let Ok(besides) = client.besides(tarpc::context::current()).await {
         let missing = client
             .missing(tarpc::context::current(), known)
             .await
             .ok()?;
-        return Some((missing, besides));
+        // Connection limits belong to the rules. An older build closes the connection.
+        let learned = if !has_learned || missing.rules.is_some() {
+            client.learned(tarpc::context::current()).await.ok()
+        } else {
+            None
+        };
+        return Some(Pulled {
+            missing,
+            besides,
+            learned: learned.unwrap_or_default(),
+        });
     }
     let client = connect(address, count).await?;
     let missing = client
         .missing(tarpc::context::current(), known)
         .await
         .ok()?;
-    Some((missing, SupplementaryState::default()))
+    Some(Pulled {
+        missing,
+        besides: SupplementaryState::default(),
+        learned: LearnedState::default(),
+    })
 }
 
 async fn connect(address: SocketAddr, count: Arc<ByteCounter>) -> Option<PeerApiClient> {
@@ -281,12 +305,18 @@
 }
 
 /// Applies a response. Returns the busy response if it was incomplete.
-fn apply(
-    shared: &Shared,
-    peers: &PeerTable,
-    (missing, besides): (MissingState, SupplementaryState),
-) -> Option<BusyResponse> {
+fn apply(shared: &Shared, peers: &PeerTable, pulled: Pulled) -> Option<BusyResponse> {
     const SOURCE: &str = "peer";
+    let Pulled {
+        missing,
+        besides,
+        learned,
+    } = pulled;
+    let now_ms = shared.clock.now_ms();
+    let has_newer_rules = missing.rules.is_some();
+    shared
+        .fleet()
+        .merge_learned(learned, has_newer_rules, now_ms);
     let hosts = missing.hosts.iter();
     peers.add(hosts.map(|host| (host.address, Some(host.zone))));
     // Evacuations come before endpoints, so that no evacuated endpoint receives requests.
--- a/crates/gateway/src/peers/serve.rs
+++ b/crates/gateway/src/peers/serve.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use chalkrock_proto::{ByteCounter, transport};
-use chalkrock_routing::StoreVersion;
+use chalkrock_routing::{LearnedState, StoreVersion};
 use futures::{Stream, StreamExt};
 use tarpc::server::{BaseChannel, Channel};
 use tokio::net::{TcpListener, TcpStream};
@@ -109,6 +109,11 @@
             rollouts: rollout_update(&fleet, now_ms),
         }
     }
+
+    async fn learned(self, _: tarpc::context::Context) -> LearnedState {
+        let now_ms = self.shared.clock.now_ms();
+        self.shared.fleet().learned(now_ms)
+    }
 }
 
 impl PeerServer {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -245,7 +245,7 @@
         } = *stream;
         if !answer.closes {
             self.shared
-                .idle_connections
+                .endpoint_connections
                 .check_in(start, connection, answer.keep_alive_s);
         }
         self.record_completion(Completion::answered(self.status));
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -273,7 +273,7 @@
 async fn sweep_connections(shared: Arc<Shared>) {
     loop {
         tokio::time::sleep(SWEEP_INTERVAL).await;
-        shared.idle_connections.close_expired();
+        shared.endpoint_connections.close_expired();
     }
 }
 
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -19,7 +19,7 @@
 use crate::clock::{Clock, ms};
 use crate::config::GatewayConfig;
 use crate::edge::Edge;
-use crate::endpoint_connections::IdleConnections;
+use crate::endpoint_connections::EndpointConnections;
 use crate::event_log::{Event, EventLog};
 use crate::fleet::Fleet;
 use crate::lag::SchedulerLag;
@@ -43,7 +43,7 @@
     pub(crate) edge: Box<dyn Edge>,
     pub(crate) event_log: EventLog,
     pub(crate) metrics: Metrics,
-    pub(crate) idle_connections: IdleConnections,
+    pub(crate) endpoint_connections: EndpointConnections,
     pub(crate) termination_checks: TerminationChecks,
     pub(crate) poison_records: PoisonRecords,
     pub(crate) skipped_rows: SkippedRows,
@@ -93,7 +93,7 @@
             edge,
             event_log,
             metrics: Metrics::default(),
-            idle_connections: IdleConnections::default(),
+            endpoint_connections: EndpointConnections::default(),
             termination_checks: TerminationChecks::default(),
             poison_records: PoisonRecords::default(),
             skipped_rows: SkippedRows::default(),
@@ -130,6 +130,10 @@
 
     /// Puts rules into force unless newer ones are. Returns whether they are new.
     pub(crate) fn replace_rules(&self, document: RulesDocument, from: &str) -> bool {
+        if document.version >= self.rules.version() {
+            let limits = document.connection_limits.clone();
+            self.fleet().set_connection_limits(limits);
+        }
         let is_new = self.rules.activate(document);
         self.handle_rules(is_new, from);
         is_new
--- a/crates/gateway/src/suspension.rs
+++ b/crates/gateway/src/suspension.rs
@@ -92,7 +92,7 @@
         self.clock.add_uncounted(suspension.uncounted_ms);
         self.subscription
             .record_suspension(ms(suspension.duration_ms), ms(suspension.uncounted_ms));
-        self.idle_connections.close_all();
+        self.endpoint_connections.close_all();
         self.event_log.emit(&Event::Paused {
             length_ms: suspension.duration_ms,
             uncounted_ms: suspension.uncounted_ms,
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod builds;
 mod calls;
 mod crashes;
+mod endpoint_connections;
 mod endpoint_reports;
 mod eras;
 mod evacuations;
--- a/crates/gateway/tests/gateway/support/endpoint.rs
+++ b/crates/gateway/tests/gateway/support/endpoint.rs
@@ -2,6 +2,7 @@
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -104,6 +105,9 @@
     abandoned: Arc<watch::Sender<usize>>,
     connections: Arc<watch::Sender<usize>>,
     reset_signal: Arc<watch::Sender<bool>>,
+    /// Connections that it holds at once; it resets any more.
+    max_connections: Arc<AtomicUsize>,
+    resets: Arc<AtomicUsize>,
 }
 
 impl ScriptedEndpoint {
@@ -127,12 +131,24 @@
             abandoned: Arc::new(watch::channel(0).0),
             connections: Arc::new(watch::channel(0).0),
             reset_signal: Arc::new(watch::channel(false).0),
+            max_connections: Arc::new(AtomicUsize::new(usize::MAX)),
+            resets: Arc::default(),
         };
         let acceptor = scripted.clone();
         tokio::spawn(async move {
+            let open = Arc::new(());
             while let Ok((stream, _)) = listener.accept().await {
                 acceptor.connections.send_modify(|count| *count += 1);
-                tokio::spawn(acceptor.clone().serve(stream));
+                if Arc::strong_count(&open) > acceptor.max_connections.load(Ordering::Relaxed) {
+                    acceptor.resets.fetch_add(1, Ordering::Relaxed);
+                    reset(&stream);
+                    continue;
+                }
+                let (open, serving) = (open.clone(), acceptor.clone().serve(stream));
+                tokio::spawn(async move {
+                    serving.await;
+                    drop(open);
+                });
             }
         });
         scripted
@@ -143,6 +159,16 @@
         self.state().behaviour = behaviour;
     }
 
+    /// Resets connections beyond `max` at once.
+    pub(crate) fn set_max_connections(&self, max: usize) {
+        self.max_connections.store(max, Ordering::Relaxed);
+    }
+
+    /// Returns the number of connections that it reset at once.
+    pub(crate) fn resets(&self) -> usize {
+        self.resets.load(Ordering::Relaxed)
+    }
+
     /// Resets the connections of `StreamUntilReset`.
     pub(crate) fn reset_streams(&self) {
         self.reset_signal.send_replace(true);
--- a/crates/routing/src/admission.rs
+++ b/crates/routing/src/admission.rs
@@ -45,6 +45,11 @@
         *mean += SAMPLE_WEIGHT * (service_ms - *mean);
     }
 
+    /// Starts from the mean of another host, unless there are samples.
+    pub fn start_from(&mut self, service_ms: f64) {
+        self.0.get_or_insert(service_ms);
+    }
+
     /// Mean in milliseconds, 0 before the first sample.
     pub fn ms(&self) -> f64 {
         self.0.unwrap_or(0.0)
--- a/crates/routing/src/prefix_directory.rs
+++ b/crates/routing/src/prefix_directory.rs
@@ -85,6 +85,20 @@
             .map(|holder| holder.endpoint)
     }
 
+    /// The entries, the most recently used first, and at most `max`.
+    pub fn most_recent(&self, max: usize, now_ms: u64) -> Vec<CacheEntry> {
+        let entries = self.parts.iter().flat_map(|(&part, holders)| {
+            let recent = holders.iter().filter(|holder| holder.is_recent(now_ms));
+            recent.map(move |holder| (holder.used_at_ms, part, holder.endpoint))
+        });
+        let mut entries: Vec<(u64, u32, u32)> = entries.collect();
+        entries.sort_unstable_by(|a, b| b.cmp(a));
+        entries.truncate(max);
+        let entries = entries.into_iter();
+        let entries = entries.map(|(_, part, endpoint)| CacheEntry { part, endpoint });
+        entries.collect()
+    }
+
     /// Drops expired entries.
     pub fn expire(&mut self, now_ms: u64) {
         self.parts.retain(|_, holders| {
--- a/crates/routing/src/rules.rs
+++ b/crates/routing/src/rules.rs
@@ -7,6 +7,7 @@
 use chalkrock_core::{OrganisationId, PoolId};
 use serde::{Deserialize, Serialize};
 
+use crate::connection_budget::ConnectionLimit;
 use crate::route::Route;
 
 /// Version of the rules. It only increases, by any amount.
@@ -88,6 +89,10 @@
     pub limits: CallerLimits,
     /// Pools whose endpoints have a limited rate while they are cold.
     pub pools: Vec<PoolRules>,
+    /// Pools whose endpoints limit their connections. Hosts exchange them apart from the
+    /// document, whose format older builds read.
+    #[serde(skip)]
+    pub connection_limits: Vec<ConnectionLimit>,
 }
 
 impl RulesDocument {
--- a/crates/routing/src/rules_change.rs
+++ b/crates/routing/src/rules_change.rs
@@ -62,6 +62,7 @@
             organisations: self.organisations.apply(&old.organisations),
             limits: self.limits,
             pools: self.pools.clone(),
+            connection_limits: old.connection_limits.clone(),
         })
     }
 
--- a/crates/routing/tests/prefix_directory.rs
+++ b/crates/routing/tests/prefix_directory.rs
@@ -59,3 +59,14 @@
         .count();
     assert_that!(kept, eq(16_384));
 }
+
+#[test]
+fn most_recent_returns_the_latest_entries_within_the_bound() {
+    let mut directory = PrefixDirectory::default();
+    for part in 0..10 {
+        directory.record(entry(part, 1), u64::from(part) * 1_000);
+    }
+    let expected = vec![entry(9, 1), entry(8, 1)];
+    assert_that!(directory.most_recent(2, 9_000), eq(&expected));
+    assert_that!(directory.most_recent(100, 100_000), is_empty());
+}
--- a/crates/routing/tests/rules_change.rs
+++ b/crates/routing/tests/rules_change.rs
@@ -56,6 +56,7 @@
             cold_start_ms: 1_000 * version,
             cold_per_1000_s: 4_000,
         }],
+        ..RulesDocument::default()
     }
 }
 
