--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -10,6 +10,7 @@
 mod evacuations;
 mod large_rules;
 mod peers;
+mod recovery;
 mod rollouts;
 mod rows;
 mod silences;
