--- a/crates/routing/src/home_demand.rs
+++ b/crates/routing/src/home_demand.rs
@@ -119,6 +119,8 @@
 pub struct HomeDemand {
     demands: HashMap<u32, Demand>,
     updated_at_ms: Option<u64>,
+    /// Mean load of the pool at that time.
+    mean_load: Option<f64>,
 }
 
 impl HomeDemand {
@@ -145,6 +147,7 @@
             .map(|(_, load)| f64::from(*load))
             .sum();
         let mean = total / loads.by_endpoint.len().max(1) as f64;
+        let mean_growth = mean - self.mean_load.replace(mean).unwrap_or(mean);
         let limit = rules.load_multiple * mean + rules.allowance;
         let target = (limit - MARGIN_DEVIATIONS * limit.sqrt()).max(mean);
         let spread_from = MIN_SPREAD_RATIO * limit;
@@ -166,8 +169,10 @@
             let received = demand.received_at(loads_at_ms);
             // A load far over the limit is no chance variation.
             if load > spread_from && received.share > 0.0 {
-                let growth = (load - demand.load) * loads.service_ms / elapsed_ms;
-                let requests = (load + growth.max(0.0)) / received.share;
+                // Growth of the whole pool raises the limit as well.
+                let growth = load - demand.load - mean_growth;
+                let arriving = growth.max(0.0) * loads.service_ms / elapsed_ms;
+                let requests = (load + arriving) / received.share;
                 demand.requests = demand.requests.max(requests);
             } else if received.mean_share >= MIN_MEAN_SHARE {
                 let requests = load / received.mean_share;
@@ -175,14 +180,14 @@
             }
             demand.load = load;
             let was_spread = demand.spread != HomeSpread::NONE;
-            let excess = demand.requests - target;
+            // It ends below where it begins, so that chance does not end it at once.
+            let spreads = demand.requests > if was_spread { limit } else { spread_from };
             let headroom = target - mean;
-            demand.spread = if headroom > 0.0
-                && (demand.requests > spread_from || was_spread && excess > 0.0)
-            {
+            demand.spread = if spreads && headroom > 0.0 {
+                let others = (demand.requests - target) / headroom;
                 HomeSpread {
                     kept_ratio: target / demand.requests,
-                    others: (excess / headroom).min(MAX_OTHER_HOMES),
+                    others: others.min(MAX_OTHER_HOMES),
                 }
             } else {
                 HomeSpread::NONE
