--- a/crates/routing/src/spread.rs
+++ b/crates/routing/src/spread.rs
@@ -180,21 +180,27 @@
     }
 
     /// The home: the first in rank, or a random one of those after it if the demand for it
-    /// spreads. `None` if it is over the limit. A prefix with a single holder stays: it is
-    /// not what the demand is for, and would be copied for nothing.
+    /// spreads, holders of the prefix first. `None` if it is over the limit. A prefix with
+    /// a single holder stays: it is not what the demand is for, and would be copied for
+    /// nothing.
     fn home(&self, among: &[usize], under_limit: &[usize], draw: u64) -> Option<usize> {
         let first = self.first(among)?;
         let spread = self.candidates[first].home_spread;
         let draw = unit_interval(draw);
-        let holds_prefix = |candidate: &&Candidate| candidate.holds_prefix;
-        let holders = self.candidates.iter().filter(holds_prefix).count();
+        let holds_prefix = |i: usize| self.candidates[i].holds_prefix;
+        let holders = (0..self.candidates.len())
+            .filter(|&i| holds_prefix(i))
+            .count();
         if draw < spread.kept_ratio || holders < MIN_HOLDERS_OF_POPULAR {
             return Some(first).filter(|first| under_limit.contains(first));
         }
         let rank = |i: usize| score(self.key, self.candidates[i].hash, 1.0);
         let mut others = among.to_vec();
-        others.sort_by(|&a, &b| rank(b).total_cmp(&rank(a)));
-        others.remove(0);
+        others.retain(|&other| other != first);
+        others.sort_by(|&a, &b| {
+            let by_holding = holds_prefix(b).cmp(&holds_prefix(a));
+            by_holding.then_with(|| rank(b).total_cmp(&rank(a)))
+        });
         others.truncate(spread.others.ceil() as usize);
         others.retain(|other| under_limit.contains(other));
         let draw_of_others = (draw - spread.kept_ratio) / (1.0 - spread.kept_ratio);
