Learn work from attempts that ran, and keep what was not run as demand

An overloaded endpoint resets requests within milliseconds: taken for service times, these lowered the expected wait and the work of a request, so that more were admitted. While a pool is loaded, a sample of work counts within bounds of its mean, since the queueing delay is known roughly. A test with 14 hosts in two zones: an organisation's use reaches the other zone through relays.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -82,7 +82,10 @@
     let (connection, head, body, answer) = match received {
         Ok(answered) => answered,
         Err(failure) => {
-            if failure.end.outcome() == Outcome::NotRun {
+            // A connection that breaks before the response takes no service time either: an
+            // overloaded endpoint resets requests at once.
+            let is_broken = failure.end == AttemptOutcome::Broken;
+            if is_broken || failure.end.outcome() == Outcome::NotRun {
                 in_flight.mark_rejected();
             }
             return Err(failure);
--- a/crates/gateway/src/fair_share/mod.rs
+++ b/crates/gateway/src/fair_share/mod.rs
@@ -24,6 +24,11 @@
 const MAX_TRACKED: usize = 64;
 /// Work of a request below the resolution of the clock.
 const MIN_WORK_MS: u64 = 1;
+/// Bounds of a sample of work against its mean while the pool is loaded. The time in the
+/// endpoint's queue is then known only roughly.
+const MAX_LOADED_CHANGE: f64 = 2.0;
+/// Most work of a request against the mean of its route while the pool is loaded.
+const MAX_LOADED_MULTIPLE: f64 = 4.0;
 const US_PER_MS: f64 = 1_000.0;
 /// Most routes of a pool whose work is learned.
 const MAX_ROUTES: usize = 256;
@@ -57,7 +62,7 @@
 }
 
 /// The work of an admitted request. Counts as expected until the last owner drops it, and
-/// then as the sum of its attempts.
+/// then as the sum of its attempts; as demand only if none ran.
 pub(crate) struct RequestWork {
     shared: Arc<Shared>,
     call: Arc<Call>,
@@ -100,6 +105,9 @@
         let difference_ms = actual_ms - self.expected_ms;
         let mut fleet = self.shared.fleet();
         fleet.usage.correct(&kind, difference_ms, now_ms);
+        if actual_ms == 0.0 {
+            fleet.usage.record(&kind, false, now_ms);
+        }
     }
 }
 
@@ -187,14 +195,23 @@
         pool: &PoolId,
         route: &Arc<str>,
         service_ms: u64,
+        now_ms: u64,
     ) -> f64 {
         let Some(state) = self.pools.get_mut(pool) else {
             return 0.0;
         };
         let work_ms = service_ms as f64 * state.slot_fraction;
+        let mean_ms = state.expected_work_ms(route);
+        let is_estimate = state.is_loaded(now_ms) && mean_ms > 0.0;
+        let (work_ms, sample_ms) = if is_estimate {
+            let sample_ms = work_ms.clamp(mean_ms / MAX_LOADED_CHANGE, mean_ms * MAX_LOADED_CHANGE);
+            (work_ms.min(mean_ms * MAX_LOADED_MULTIPLE), sample_ms)
+        } else {
+            (work_ms, work_ms)
+        };
         if state.work.len() < MAX_ROUTES || state.work.contains_key(route) {
             let known = state.work.entry(route.clone()).or_default();
-            known.record((work_ms.round() as u64).max(MIN_WORK_MS));
+            known.record((sample_ms.round() as u64).max(MIN_WORK_MS));
         }
         work_ms
     }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -446,7 +446,7 @@
             let now_ms = self.shared.clock.now_ms();
             fleet.record_service_time(&self.pool, &self.route, service_ms, now_ms);
             let usage = &mut fleet.usage;
-            let work_ms = usage.record_service_time(&self.pool, &self.route, service_ms);
+            let work_ms = usage.record_service_time(&self.pool, &self.route, service_ms, now_ms);
             drop(fleet);
             if let Some(work) = &self.work {
                 work.add(work_ms);
--- a/crates/gateway/tests/gateway/fair_shares.rs
+++ b/crates/gateway/tests/gateway/fair_shares.rs
@@ -50,6 +50,58 @@
     (hosts, endpoint)
 }
 
+/// In a large fleet, the use of the hosts of one zone reaches those of another through
+/// relays: a host there knows that an organisation is over its share though it has few of
+/// its requests.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn shares_reach_other_zones_through_relays() {
+    const HOSTS_PER_ZONE: usize = 7;
+    let behaviour = Behaviour::AnswerInTurn(SERVICE_MS);
+    let endpoint =
+        ScriptedEndpoint::start("endpoint-0", "pool", behaviour, Script::default()).await;
+    let mut hosts: Vec<TestGateway> = Vec::new();
+    for i in 0..2 * HOSTS_PER_ZONE {
+        let source = TestSource::default();
+        source.set_rules(rules_with_organisations());
+        source.list(endpoint.endpoint.clone());
+        let seeds = hosts
+            .iter()
+            .take(1)
+            .map(TestGateway::peer_address)
+            .collect();
+        let zone = if i < HOSTS_PER_ZONE {
+            "zone-a"
+        } else {
+            "zone-b"
+        };
+        let host = TestGateway::in_zone(zone, source, &format!("host-{i}"), seeds).await;
+        host.ready().await;
+        hosts.push(host);
+    }
+    let remote = HOSTS_PER_ZONE as f64;
+    let by_relays = async || hosts_with(&hosts, "hosts_known_by_sums", remote).await;
+    until(async || by_relays().await == 2 * HOSTS_PER_ZONE).await;
+    // The pool's service time, before there is a queue.
+    for host in &hosts {
+        let call = Call::get("/safe/").id("r").header("key", SMALL_KEY);
+        assert_that!(host.call(call).await.status, eq(200));
+    }
+    let hosts: Vec<Arc<TestGateway>> = hosts.into_iter().map(Arc::new).collect();
+    let end = Instant::now() + Duration::from_secs(60);
+    let mut heavy = JoinSet::new();
+    for i in 0..HEAVY_CALLERS {
+        let host = hosts[i % HOSTS_PER_ZONE].clone();
+        heavy.spawn(call_until(host, HEAVY_KEY, 2, end));
+    }
+    for host in &hosts {
+        heavy.spawn(call_until(host.clone(), SMALL_KEY, 100, end));
+    }
+    let remote = hosts[2 * HOSTS_PER_ZONE - 1].clone();
+    heavy.spawn(call_until(remote.clone(), HEAVY_KEY, 50, end));
+    let over_share = "chalkrock_organisations_over_share{pool=\"pool\"} 1\n";
+    until(async || remote.metrics().await.contains(over_share)).await;
+}
+
 /// Requests of one caller until a time, one after the other, and how many were served.
 async fn call_until(
     host: Arc<TestGateway>,
--- a/crates/routing/tests/fair_share.rs
+++ b/crates/routing/tests/fair_share.rs
@@ -117,6 +117,19 @@
         prop_assert!((0.0..=1.0).contains(&share.fitting_fraction()));
     }
 
+    #[test]
+    fn merge_of_any_bytes_is_bounded(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
+        let Ok(report) = postcard::from_bytes::<UsageReport>(&bytes) else {
+            return Ok(());
+        };
+        let pool = report.pool;
+        let mut usage: FleetUsage<u32> = FleetUsage::default();
+        usage.merge(1, id(1), report.clone(), 0);
+        usage.merge_fleet_aggregate(2, id(1), report, 0);
+        let share = usage.share(pool, 7, &full(10), 0).expect("a host is known");
+        prop_assert!((0.0..=1.0).contains(&share.fitting_fraction()));
+    }
+
     #[test]
     fn ledger_of_anything_is_bounded(
         records in prop::collection::vec((any::<u32>(), any::<f64>(), any::<u64>()), 0..200)
