Decide when a pool is contended and which host schedules it

Hosts place requests of a scarce pool by loads that are several calls old. Contention says when its requests wait for the pool's scheduler instead; SchedulerLink says which host that is, when to ask it and when a reply still holds.

--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -90,8 +90,10 @@
     PoisonVerdict,
 };
 pub use pool_queue::{
-    AdmissionGate, Grant, HeldLease, MAX_GATES_PER_REPLY, MAX_LEASES_PER_ASK, MAX_WAITING_PER_ASK,
-    Rejection, RejectionCause, SlotAsk, SlotReply, TicketId, WaitingRequest,
+    AdmissionGate, Contention, Grant, HeldLease, MAX_GATES_PER_REPLY, MAX_LEASES_PER_ASK,
+    MAX_RANKED_SCHEDULERS, MAX_WAITING_PER_ASK, NextAsk, PoolUse, Rejection, RejectionCause,
+    ReplyUse, SchedulerCandidate, SchedulerLink, SlotAsk, SlotReply, TicketId, WaitingRequest,
+    rank_schedulers,
 };
 pub use prefix_directory::{CacheEntry, PrefixDirectory};
 pub use readers::{
--- a/crates/routing/src/pool_queue/mod.rs
+++ b/crates/routing/src/pool_queue/mod.rs
@@ -3,9 +3,15 @@
 //! Hosts ask the pool's scheduler for slots ([`SlotAsk`]) and hold them as leases; the
 //! scheduler orders all waiting requests and grants each free slot once ([`SlotReply`]).
 
+mod contention;
 mod messages;
+mod scheduler_link;
 
+pub use contention::{Contention, PoolUse};
 pub use messages::{
     AdmissionGate, Grant, HeldLease, MAX_GATES_PER_REPLY, MAX_LEASES_PER_ASK, MAX_WAITING_PER_ASK,
     Rejection, RejectionCause, SlotAsk, SlotReply, TicketId, WaitingRequest,
 };
+pub use scheduler_link::{
+    MAX_RANKED_SCHEDULERS, NextAsk, ReplyUse, SchedulerCandidate, SchedulerLink, rank_schedulers,
+};
