--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -90,8 +90,9 @@
     PoisonVerdict,
 };
 pub use pool_queue::{
-    AdmissionGate, Grant, HeldLease, MAX_GATES_PER_REPLY, MAX_LEASES_PER_ASK, MAX_WAITING_PER_ASK,
-    Rejection, RejectionCause, SlotAsk, SlotReply, TicketId, WaitingRequest,
+    AdmissionGate, AskOutcome, EndpointStatus, Grant, HeldLease, LEASE_MS, MAX_GATES_PER_REPLY,
+    MAX_LEASES_PER_ASK, MAX_WAITING_PER_ASK, PoolScheduler, QueueStatus, Rejection, RejectionCause,
+    SETTLE_MS, SchedulableEndpoint, SlotAsk, SlotReply, TicketId, WaitingRequest,
 };
 pub use prefix_directory::{CacheEntry, PrefixDirectory};
 pub use readers::{
--- a/crates/routing/src/pool_queue/mod.rs
+++ b/crates/routing/src/pool_queue/mod.rs
@@ -3,9 +3,17 @@
 //! Hosts ask the pool's scheduler for slots ([`SlotAsk`]) and hold them as leases; the
 //! scheduler orders all waiting requests and grants each free slot once ([`SlotReply`]).
 
+mod endpoint_slots;
+mod gates;
 mod messages;
+mod order;
+mod scheduler;
+mod stand_in;
+mod status;
 
 pub use messages::{
     AdmissionGate, Grant, HeldLease, MAX_GATES_PER_REPLY, MAX_LEASES_PER_ASK, MAX_WAITING_PER_ASK,
     Rejection, RejectionCause, SlotAsk, SlotReply, TicketId, WaitingRequest,
 };
+pub use scheduler::{AskOutcome, LEASE_MS, PoolScheduler, SETTLE_MS, SchedulableEndpoint};
+pub use status::{EndpointStatus, QueueStatus};
