--- a/crates/routing/src/pool_queue/scheduler_link.rs
+++ b/crates/routing/src/pool_queue/scheduler_link.rs
@@ -280,8 +280,8 @@
     pub fn record_redirect(&mut self, from: &H, to: H, ask_sequence: u64, now_ms: u64) -> bool {
         let is_expected =
             self.scheduler.as_ref() == Some(from) && ask_sequence == self.sequence && to != *from;
-        let is_passed_over = { self.unreachable.iter() }
-            .any(|mark| mark.host == to && now_ms < mark.until_ms);
+        let is_passed_over =
+            { self.unreachable.iter() }.any(|mark| mark.host == to && now_ms < mark.until_ms);
         if !is_expected || is_passed_over || self.redirects >= MAX_REDIRECTS {
             return false;
         }
