Let requests of a contended pool wait for slots that one host grants

Hosts placed requests of a scarce pool by loads that are several calls old, so that full endpoints refused some while slots elsewhere stayed idle. Now a request of a contended pool waits on its host until the pool's scheduler grants it a slot; the scheduler is the host that ranks first by rendezvous hashing.

--- a/crates/gateway/src/access_log.rs
+++ b/crates/gateway/src/access_log.rs
@@ -31,6 +31,7 @@
         outcome: refusal.outcome(),
         reason: Some(refusal.reason),
         detail: refusal.detail.clone(),
+        retry_after_ms: refusal.retry_after_ms,
         took_ms: entered_at.elapsed().as_millis() as u64,
     };
     shared.event_log.emit(&Event::Request(&record));
@@ -44,6 +45,8 @@
     pub(crate) reason: Option<Reason>,
     /// Details of the reason.
     pub(crate) detail: String,
+    /// When the caller may return.
+    pub(crate) retry_after_ms: Option<u64>,
 }
 
 impl Completion {
@@ -54,6 +57,7 @@
             outcome: Outcome::Ran,
             reason: None,
             detail: String::new(),
+            retry_after_ms: None,
         }
     }
 }
@@ -70,6 +74,7 @@
         outcome,
         reason,
         detail,
+        retry_after_ms,
     } = completion;
     let took = call.entered_at.elapsed();
     let has_failed_attempt = attempts.iter().any(|attempt| attempt.end.is_some());
@@ -84,6 +89,7 @@
         outcome,
         reason,
         detail,
+        retry_after_ms,
         took_ms: took.as_millis() as u64,
     };
     shared.event_log.emit(&Event::Request(&record));
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -16,6 +16,7 @@
 use crate::edge::{AnswerHead, SendHead};
 use crate::endpoint_connections::{Connection, SentBody, connect};
 use crate::fleet::SelectedEndpoint;
+use crate::pool_queue::Lease;
 use crate::progress::Progress;
 use crate::shared::{InFlightGuard, Shared};
 
@@ -72,11 +73,12 @@
     shared: &Arc<Shared>,
     progress: &mut Progress,
     choice: &SelectedEndpoint,
+    lease: Option<Lease>,
     resume_after: Option<u64>,
 ) -> Result<AttemptResponse, AttemptFailure> {
     let call = &*progress.call().clone();
     let start = choice.member.hash.short();
-    let in_flight = InFlightGuard::begin(shared, call, start);
+    let in_flight = InFlightGuard::begin(shared, call, start, lease);
     let started_at = Instant::now();
     let received = receive_head(shared, progress, choice, resume_after).await;
     let (connection, head, body, answer) = match received {
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -7,6 +7,7 @@
 use crate::attempt::{AttemptResponse, attempt};
 use crate::edge::Refusal;
 use crate::poison::BrokenAttempt;
+use crate::pool_queue::{GrantedSlot, wait_for_slot};
 use crate::progress::Progress;
 use crate::shared::Shared;
 
@@ -19,18 +20,31 @@
     progress: &mut Progress,
     resume_after: Option<u64>,
 ) -> Result<AttemptResponse, Refusal> {
-    progress.admit()?;
     loop {
         shared.wait_for_view().await;
+        let slot = wait_for_slot(shared, progress).await?;
+        if slot.is_none() {
+            progress.admit()?;
+        }
         progress.check_poison()?;
         if progress.call().remaining_ms() <= DEADLINE_RESERVE_MS {
             return Err(progress.deadline_refusal());
         }
-        let Some(choice) = progress.choose_endpoint() else {
-            return Err(progress.no_endpoint_refusal());
+        let (choice, lease) = match slot {
+            Some(slot) => {
+                let GrantedSlot { choice, lease, .. } = slot;
+                progress.begin(&choice, Some((slot.waited_ms, lease.epoch)));
+                (choice, Some(lease))
+            }
+            None => {
+                let Some(choice) = progress.choose_endpoint() else {
+                    return Err(progress.no_endpoint_refusal());
+                };
+                progress.begin(&choice, None);
+                (choice, None)
+            }
         };
-        progress.begin(&choice);
-        let failure = match attempt(shared, progress, &choice, resume_after).await {
+        let failure = match attempt(shared, progress, &choice, lease, resume_after).await {
             Ok(response) => return Ok(response),
             Err(failure) => failure,
         };
--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -42,6 +42,12 @@
     /// Another endpoint from which it may copy the prefix.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub(crate) copy_from: Option<SocketAddr>,
+    /// How long the request waited for the slot, if the pool's scheduler granted it.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) waited_ms: Option<u64>,
+    /// Incarnation of that scheduler.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) scheduler_epoch: Option<u64>,
     /// When it was chosen, relative to the request's entry.
     pub(crate) at_ms: u64,
     /// Whether its response reported that the endpoint is leaving.
@@ -77,6 +83,9 @@
     pub(crate) reason: Option<Reason>,
     #[serde(skip_serializing_if = "String::is_empty")]
     pub(crate) detail: String,
+    /// When the caller may return.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) retry_after_ms: Option<u64>,
     pub(crate) took_ms: u64,
 }
 
@@ -260,6 +269,27 @@
         crashes: usize,
         from: &'a str,
     },
+    /// Requests of a pool began or ceased to wait for slots that its scheduler grants.
+    PoolContended {
+        pool: &'a PoolId,
+        is_contended: bool,
+        in_progress: u32,
+        slots: u32,
+        hosts: usize,
+    },
+    /// A host replied as the scheduler of a pool.
+    Scheduler {
+        pool: &'a PoolId,
+        address: SocketAddr,
+        epoch: u64,
+    },
+    /// Another host is asked to schedule a pool: the one before does not reply, or another
+    /// one ranks first.
+    SchedulerReplaced {
+        pool: &'a PoolId,
+        address: SocketAddr,
+        next: SocketAddr,
+    },
     /// A request completed.
     Request(&'a RequestRecord),
     /// The caller disconnected early.
--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -2,6 +2,7 @@
 
 mod builds;
 mod closed;
+mod scheduling;
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -140,6 +140,7 @@
                 outcome: refusal.outcome(),
                 reason: Some(refusal.reason),
                 detail: refusal.detail.clone(),
+                retry_after_ms: refusal.retry_after_ms,
             };
             let response = refusal.into_response(&*shared.edge, call.head.id.as_ref());
             completion.status = response.status().as_u16();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -47,6 +47,7 @@
 mod outage_log;
 mod peers;
 mod poison;
+mod pool_queue;
 mod prefixes;
 mod progress;
 mod relay;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -12,6 +12,7 @@
         "",
         shared.event_log.dropped() as f64,
     );
+    render_pool_queues(shared, now_ms);
     let fleet = shared.fleet();
     metrics.gauge(
         "peers_heard",
@@ -52,3 +53,28 @@
     drop(fleet);
     metrics.render()
 }
+
+/// Updates the gauges of scarce pools, by pool.
+fn render_pool_queues(shared: &Shared, now_ms: u64) {
+    let metrics = &shared.metrics;
+    for view in shared.pool_queues.views(now_ms) {
+        let labels = format!("pool=\"{}\"", view.pool);
+        let is_contended = f64::from(u8::from(view.is_contended));
+        metrics.gauge("pool_contended", &labels, is_contended);
+        metrics.gauge("pool_waiting", &labels, view.waiting as f64);
+        metrics.gauge("pool_leases_held", &labels, view.held as f64);
+        let has_scheduler = f64::from(u8::from(view.scheduler.is_some()));
+        metrics.gauge("pool_scheduler_known", &labels, has_scheduler);
+    }
+    for (pool, status) in shared.pool_queues.scheduled() {
+        let labels = format!("pool=\"{pool}\"");
+        let waiting: u32 = status.waiting_by_rank.iter().sum();
+        metrics.gauge("scheduled_waiting", &labels, f64::from(waiting));
+        metrics.gauge("scheduled_hosts", &labels, status.hosts as f64);
+        metrics.gauge("scheduled_service_ms", &labels, status.service_ms);
+        let oldest_wait_ms = status.oldest_wait_ms as f64;
+        metrics.gauge("scheduled_oldest_wait_ms", &labels, oldest_wait_ms);
+        let leases: u32 = { status.endpoints.iter() }.map(|e| e.leases).sum();
+        metrics.gauge("scheduled_leases", &labels, f64::from(leases));
+    }
+}
--- a/crates/gateway/src/peers/membership.rs
+++ b/crates/gateway/src/peers/membership.rs
@@ -8,7 +8,7 @@
 
 use chalkrock_core::ZoneId;
 use chalkrock_core::rendezvous::MemberHash;
-use chalkrock_routing::SubscriptionRole;
+use chalkrock_routing::{SchedulerCandidate, SubscriptionRole};
 use rand::seq::IndexedRandom;
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -247,6 +247,28 @@
         self.contacts_if(|peer| peer.is_recent(now))
     }
 
+    /// The hosts that may schedule pools, this one included. Those of other zones report
+    /// rarely in a large fleet, so that their silence shows nothing.
+    pub(crate) fn scheduler_candidates(&self) -> Vec<SchedulerCandidate<SocketAddr>> {
+        let now = Instant::now();
+        let local = SchedulerCandidate {
+            host: self.local,
+            hash: host_hash(&self.local),
+            capacity_millicores: self.capacity_millicores,
+        };
+        let peers = self.peers();
+        let candidates = peers.iter().filter(|(_, peer)| {
+            let is_same_zone = peer.zone == Some(self.zone);
+            peer.is_up || !is_same_zone && peer.is_recent(now)
+        });
+        let candidates = candidates.map(|(address, peer)| SchedulerCandidate {
+            host: *address,
+            hash: host_hash(address),
+            capacity_millicores: peer.capacity_millicores,
+        });
+        candidates.chain([local]).collect()
+    }
+
     /// Whether this host started too recently to know all others.
     pub(crate) fn is_warming_up(&self) -> bool {
         self.started_at.elapsed() < WARM_UP
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -4,7 +4,7 @@
 
 use chalkrock_routing::{
     AggregatePath, CacheEntry, Evacuations, HostReport, PoisonRequest, PoisonUpdate, RulesVersion,
-    StoreVersion, SubscriptionRole, ZoneAggregate,
+    SlotAsk, SlotReply, StoreVersion, SubscriptionRole, ZoneAggregate,
 };
 use serde::{Deserialize, Serialize};
 
@@ -34,6 +34,22 @@
     Rollouts(RolloutUpdate),
     /// Rollout answers counted by a host or zone.
     RolloutTally(RolloutTally),
+    /// To the scheduler of a pool: the requests that wait and the slots in use.
+    SlotAsk(SlotAsk),
+    /// From the scheduler of a pool.
+    SlotReply(SlotReply),
+    /// From a host that does not schedule the pool of an ask.
+    SlotRedirect(SlotRedirect),
+}
+
+/// Names the host that schedules a pool.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct SlotRedirect {
+    /// Short hash of the pool's name.
+    pub(crate) pool: u32,
+    /// The ask that it replies to.
+    pub(crate) ask_sequence: u64,
+    pub(crate) scheduler: SocketAddr,
 }
 
 /// Replaces heartbeats between the hosts of a large zone.
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -25,6 +25,7 @@
 
 pub(crate) use api::KnownBuilds;
 pub(crate) use membership::{PeerTable, zone_hash};
+pub(crate) use message::{Datagram, SlotRedirect};
 pub(crate) use publish::publish;
 pub(crate) use pull::{catch_up_with_any, pull_at_start, pull_when_outdated};
 pub(crate) use receive::receive;
--- a/crates/gateway/src/peers/receive.rs
+++ b/crates/gateway/src/peers/receive.rs
@@ -6,6 +6,7 @@
 
 use chalkrock_routing::{AggregatePath, MergeOutcome, ReportId, ZoneAggregate};
 use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
 
 use crate::outage_log::OutageLog;
 use crate::peers::membership::PeerTable;
@@ -14,13 +15,19 @@
 };
 use crate::peers::publish::log_peer_change;
 use crate::peers::rollouts::{merge_rollout_update, merge_tally};
+use crate::pool_queue::Inbound;
 use crate::shared::Shared;
 use crate::subscription::AnsweredHost;
 
 const MAX_DATAGRAM_BYTES: usize = 60 * 1024;
 const RECEIVE_RETRY_DELAY: Duration = Duration::from_millis(200);
 
-pub(crate) async fn receive(shared: Arc<Shared>, peers: Arc<PeerTable>, socket: Arc<UdpSocket>) {
+pub(crate) async fn receive(
+    shared: Arc<Shared>,
+    peers: Arc<PeerTable>,
+    socket: Arc<UdpSocket>,
+    slot_messages: mpsc::Sender<Inbound>,
+) {
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     let mut outage = OutageLog::new("datagrams-socket");
     loop {
@@ -55,10 +62,31 @@
             }
             Datagram::Rollouts(update) => merge_rollout_update(&shared, update, peers.is_relay()),
             Datagram::RolloutTally(tally) => merge_tally(&shared, &peers, address, tally),
+            Datagram::SlotAsk(ask) => {
+                pass_on(&shared, &slot_messages, Inbound::Ask(address, ask));
+            }
+            Datagram::SlotReply(reply) => {
+                pass_on(&shared, &slot_messages, Inbound::Reply(address, reply));
+            }
+            Datagram::SlotRedirect(redirect) => {
+                pass_on(
+                    &shared,
+                    &slot_messages,
+                    Inbound::Redirect(address, redirect),
+                );
+            }
         }
     }
 }
 
+/// Passes a message to the task that exchanges slots, unless too many wait there: a later
+/// one replaces it.
+fn pass_on(shared: &Shared, slot_messages: &mpsc::Sender<Inbound>, message: Inbound) {
+    if slot_messages.try_send(message).is_err() {
+        shared.metrics.count("slot_messages_dropped_total", "", 1);
+    }
+}
+
 /// Merges a summary from a relay of this zone.
 fn merge_relay_summary(
     shared: &Shared,
--- a/crates/gateway/src/progress.rs
+++ b/crates/gateway/src/progress.rs
@@ -3,10 +3,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use chalkrock_core::{Endpoint, Outcome, Reason};
+use chalkrock_core::rendezvous::MemberHash;
+use chalkrock_core::{Endpoint, OrganisationId, Outcome, Reason};
 use chalkrock_routing::{
     AdmissionRequest, AttemptOutcome, BuildRequest, BuildUse, HealthSignal, Next, ObservedResponse,
-    Repeatable, admits, next_step,
+    Repeatable, RouteKind, admits, next_step,
 };
 use rand::RngExt;
 
@@ -15,6 +16,7 @@
 use crate::event_log::{AttemptRecord, Event};
 use crate::fleet::{EndpointQuery, Fleet, SelectedEndpoint};
 use crate::poison::BrokenAttempt;
+use crate::pool_queue::NewRequest;
 use crate::shared::{OrganisationGuard, Shared};
 
 /// The attempts of one request.
@@ -126,6 +128,76 @@
         Some(choice)
     }
 
+    /// The request as it waits for a slot of a contended pool. It must not be granted
+    /// `unusable` endpoints.
+    pub(crate) fn slot_request(&self, unusable: &[u32], now_ms: u64) -> NewRequest {
+        let work_ms = self.shared.fleet().expected_service_ms(&self.call.pool);
+        let work_ms = work_ms.clamp(0.0, f64::from(u32::MAX)) as u32;
+        let organisation = self.call.organisation();
+        NewRequest {
+            rank: self.call.priority(),
+            organisation: organisation.map_or(0, short_organisation_hash),
+            start_by_ms: self.latest_start_ms(u64::from(work_ms), now_ms),
+            work_ms,
+            fingerprint: self.call.fingerprint.0,
+            tried: [&self.tried, unusable].concat(),
+            is_first: self.tried.is_empty() && unusable.is_empty(),
+            draw: rand::random(),
+        }
+    }
+
+    /// The latest start by which the request meets its objective or, once it can't, its
+    /// deadline.
+    fn latest_start_ms(&self, work_ms: u64, now_ms: u64) -> u64 {
+        let objective_ms = self.call.route.objective_ms;
+        let max_wait_ms = match self.call.route.kind {
+            // The objective is for the first byte, the service time for the last.
+            RouteKind::Stream { .. } => objective_ms / 2,
+            // Most requests take less than twice the mean.
+            RouteKind::Safe | RouteKind::Unsafe => objective_ms
+                .saturating_sub(2 * work_ms)
+                .max(objective_ms / 4),
+        };
+        let waited_ms = self.call.entered_at.elapsed().as_millis() as u64;
+        let remaining_ms = self.call.remaining_ms().saturating_sub(work_ms);
+        let left_ms = match max_wait_ms.saturating_sub(waited_ms) {
+            0 => remaining_ms,
+            left_ms => left_ms.min(remaining_ms),
+        };
+        now_ms + left_ms
+    }
+
+    /// Selects the endpoint that the pool's scheduler granted, if this host may use it.
+    pub(crate) fn accept_grant(&mut self, endpoint: u32) -> Option<SelectedEndpoint> {
+        let shared = self.shared.clone();
+        let now_ms = shared.clock.now_ms();
+        let mut fleet = shared.fleet();
+        self.uses = fleet.scheduled_uses(&self.call.pool);
+        let choice = fleet.place_granted(&self.endpoint_query(), endpoint, now_ms)?;
+        fleet.cold.record_sent(endpoint, now_ms);
+        fleet.backoffs.record_sent(endpoint, now_ms);
+        Some(choice)
+    }
+
+    /// The refusal of a request that gets no slot in time.
+    pub(crate) fn slot_refusal(
+        &self,
+        reason: Reason,
+        retry_after_ms: Option<u64>,
+        detail: String,
+    ) -> Refusal {
+        match self.worst_outcome {
+            Outcome::NotRun => {
+                let refusal = Refusal::new(reason, detail);
+                Refusal {
+                    retry_after_ms: retry_after_ms.or(refusal.retry_after_ms),
+                    ..refusal
+                }
+            }
+            Outcome::Ran | Outcome::Unknown => Refusal::new(Reason::EndpointLost, detail),
+        }
+    }
+
     fn endpoint_query(&self) -> EndpointQuery<'_> {
         EndpointQuery {
             pool: &self.call.pool,
@@ -143,8 +215,9 @@
         self.delivered_attempts + 1 < self.call.route.attempts_max
     }
 
-    /// Records the start of an attempt.
-    pub(crate) fn begin(&mut self, choice: &SelectedEndpoint) {
+    /// Records the start of an attempt. `granted` is the time that it waited for its slot
+    /// and the incarnation of the scheduler that granted it.
+    pub(crate) fn begin(&mut self, choice: &SelectedEndpoint, granted: Option<(u64, u64)>) {
         self.sent_at_ms = self.shared.clock.now_ms();
         self.tried.push(choice.member.hash.short());
         self.last_endpoint = Some(choice.member.endpoint.clone());
@@ -155,6 +228,8 @@
             holds_prefix: choice.holds_prefix,
             is_cold: choice.is_cold,
             copy_from: choice.holder,
+            waited_ms: granted.map(|(waited_ms, _)| waited_ms),
+            scheduler_epoch: granted.map(|(_, epoch)| epoch),
             at_ms: self.call.entered_at.elapsed().as_millis() as u64,
             says_leaving: false,
             backoff_ms: None,
@@ -190,6 +265,12 @@
         if end.is_build_failure() {
             self.count_response(ObservedResponse::Failed);
         }
+        if end == AttemptOutcome::Refused {
+            let now_ms = self.shared.clock.now_ms();
+            self.shared
+                .pool_queues
+                .record_refusal(&self.call.pool, now_ms);
+        }
         if end == AttemptOutcome::NotTheEndpoint {
             self.mark_endpoint_gone();
         }
@@ -376,6 +457,11 @@
     }
 }
 
+/// The short hash of an organisation in messages; 0 means none.
+fn short_organisation_hash(name: &OrganisationId) -> u32 {
+    MemberHash::of(name.as_str()).short().max(1)
+}
+
 /// A duration in milliseconds, including fractions.
 fn to_ms(duration: Duration) -> f64 {
     const MS_PER_S: f64 = 1_000.0;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -267,6 +267,7 @@
             outcome: Outcome::Unknown,
             reason: Some(reason),
             detail: String::new(),
+            retry_after_ms: None,
         });
         Err(ResponseAborted)
     }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -23,6 +23,7 @@
     PeerTable, publish, pull_at_start, pull_when_outdated, receive, serve_pulls, zone_hash,
 };
 use crate::poison::sync_poison_records;
+use crate::pool_queue::exchange_slots;
 use crate::rollouts::drive_rollouts;
 use crate::shared::Shared;
 use crate::source::{HostRow, Source, Topic};
@@ -43,6 +44,8 @@
 const SETTLE_DELAY: Duration = Duration::from_millis(2_000);
 /// Most further ports to try while the assigned one is in use for datagrams.
 const MAX_PORT_RETRIES: u32 = 15;
+/// Messages about slots that wait to be handled.
+const MAX_SLOT_MESSAGES: usize = 1_024;
 /// Pause before another attempt to record the host.
 const JOIN_RETRY_PAUSE: Duration = Duration::from_secs(2);
 
@@ -198,7 +201,11 @@
     let seeds = shared.config.peer_seeds.iter();
     peers.add(seeds.map(|address| (*address, None)));
     tasks.spawn(publish(shared.clone(), peers.clone(), socket.clone()));
-    tasks.spawn(receive(shared.clone(), peers.clone(), socket));
+    let (slot_sender, slot_messages) = mpsc::channel(MAX_SLOT_MESSAGES);
+    let receiving = receive(shared.clone(), peers.clone(), socket.clone(), slot_sender);
+    tasks.spawn(receiving);
+    let exchange = exchange_slots(shared.clone(), peers.clone(), socket, slot_messages);
+    tasks.spawn(exchange);
     tasks.spawn(serve_pulls(shared.clone(), peers.clone(), listener));
     tasks.spawn(pull_at_start(shared.clone(), peers.clone()));
     tasks.spawn(pull_when_outdated(shared.clone(), peers.clone()));
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -24,6 +24,7 @@
 use crate::fleet::Fleet;
 use crate::lag::SchedulerLag;
 use crate::poison::PoisonRecords;
+use crate::pool_queue::{Lease, PoolQueues};
 use crate::skipped_rows::SkippedRows;
 use crate::source::Topic;
 use crate::subscription::{AnsweredHost, StoreSubscription};
@@ -59,6 +60,8 @@
     pub(crate) answers: ByteBudget,
     /// Limits callers' connections.
     pub(crate) connection_permits: Arc<Semaphore>,
+    /// Requests that wait for slots of contended pools.
+    pub(crate) pool_queues: Arc<PoolQueues>,
     pub(crate) rules: ActiveRules,
     fleet: Mutex<Fleet>,
     largest_datagram_bytes: AtomicUsize,
@@ -104,6 +107,7 @@
             bodies,
             answers,
             connection_permits,
+            pool_queues: Arc::default(),
             rules: ActiveRules::default(),
             fleet: Mutex::new(fleet),
             largest_datagram_bytes: AtomicUsize::new(0),
@@ -407,10 +411,17 @@
     since: Instant,
     /// The endpoint did not work on it, so its duration is no service time.
     was_rejected: bool,
+    /// The slot that its pool's scheduler granted.
+    _lease: Option<Lease>,
 }
 
 impl InFlightGuard {
-    pub(crate) fn begin(shared: &Arc<Shared>, call: &Call, endpoint: u32) -> Self {
+    pub(crate) fn begin(
+        shared: &Arc<Shared>,
+        call: &Call,
+        endpoint: u32,
+        lease: Option<Lease>,
+    ) -> Self {
         shared.fleet().load.begin(endpoint);
         Self {
             shared: shared.clone(),
@@ -419,6 +430,7 @@
             endpoint,
             since: Instant::now(),
             was_rejected: false,
+            _lease: lease,
         }
     }
 
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -9,6 +9,7 @@
 mod evacuations;
 mod large_rules;
 mod peers;
+mod pool_queue;
 mod rollouts;
 mod rows;
 mod silences;
--- /dev/null
+++ b/crates/gateway/tests/gateway/support/slotted.rs
@@ -0,0 +1,137 @@
+//! An endpoint with few slots and a short queue that refuses requests when it is full.
+
+use std::collections::HashSet;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use chalkrock_core::{BuildVersion, Endpoint, EndpointKind, HostState, Incarnation};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+
+use super::TestSource;
+use super::endpoint::{answer, read_request, send};
+
+#[derive(Default)]
+struct State {
+    in_progress: usize,
+    refuses_all: bool,
+    counts: SlottedCounts,
+    ids: HashSet<String>,
+}
+
+/// What an endpoint has seen.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct SlottedCounts {
+    pub(crate) served: usize,
+    pub(crate) refused: usize,
+    pub(crate) max_in_progress: usize,
+}
+
+/// An endpoint with few slots.
+#[derive(Clone)]
+pub(crate) struct SlottedEndpoint {
+    capacity: usize,
+    work: Duration,
+    slots: Arc<Semaphore>,
+    state: Arc<Mutex<State>>,
+}
+
+impl SlottedEndpoint {
+    /// Starts an endpoint of `pool` and adds it to the list. It refuses requests beyond its
+    /// slots and `queue`.
+    pub(crate) async fn start(
+        name: &str,
+        source: &TestSource,
+        slots: u32,
+        queue: usize,
+        work: Duration,
+    ) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        source.list(Endpoint {
+            name: name.into(),
+            kind: EndpointKind::Service,
+            pool: "pool".into(),
+            zone: "zone-a".into(),
+            address: listener.local_addr().expect("an address"),
+            slots,
+            incarnation: Incarnation(0),
+            state: HostState::Live,
+            build: BuildVersion::default(),
+        });
+        let endpoint = Self {
+            capacity: slots as usize + queue,
+            work,
+            slots: Arc::new(Semaphore::new(slots as usize)),
+            state: Arc::default(),
+        };
+        let acceptor = endpoint.clone();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(acceptor.clone().serve(stream));
+            }
+        });
+        endpoint
+    }
+
+    /// Refuses all requests, or only those beyond its capacity.
+    pub(crate) fn set_refuses_all(&self, refuses_all: bool) {
+        self.state().refuses_all = refuses_all;
+    }
+
+    /// Returns and clears the counts.
+    pub(crate) fn take_counts(&self) -> SlottedCounts {
+        std::mem::take(&mut self.state().counts)
+    }
+
+    /// Returns whether a request with this id was received.
+    pub(crate) fn has_received(&self, id: &str) -> bool {
+        self.state().ids.contains(id)
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Counts a request. Returns whether it is accepted.
+    fn begin(&self, id: &str) -> bool {
+        let mut state = self.state();
+        state.ids.insert(id.to_owned());
+        if state.refuses_all || state.in_progress >= self.capacity {
+            state.counts.refused += 1;
+            return false;
+        }
+        state.in_progress += 1;
+        state.counts.max_in_progress = state.counts.max_in_progress.max(state.in_progress);
+        true
+    }
+
+    fn end(&self) {
+        let mut state = self.state();
+        state.in_progress -= 1;
+        state.counts.served += 1;
+    }
+
+    async fn serve(self, mut stream: TcpStream) {
+        let mut buffer = Vec::new();
+        while let Some(request) = read_request(&mut stream, &mut buffer).await {
+            let id = request.header("id").unwrap_or_default();
+            if !self.begin(id) {
+                let refusal = format!(
+                    "HTTP/1.1 503 Service Unavailable\r\nid: {id}\r\nsignature: s\r\n\
+                     not-run: 1\r\ncontent-length: 0\r\n\r\n"
+                );
+                if !send(&mut stream, refusal.as_bytes()).await {
+                    return;
+                }
+                continue;
+            }
+            let permit = self.slots.acquire().await;
+            tokio::time::sleep(self.work).await;
+            drop(permit);
+            self.end();
+            if !send(&mut stream, &answer(&request)).await {
+                return;
+            }
+        }
+    }
+}
--- a/crates/routing/src/spread.rs
+++ b/crates/routing/src/spread.rs
@@ -60,6 +60,8 @@
     UnderBound,
     /// It has the least load: there is no prefix, or all are over the limit.
     LeastLoaded,
+    /// The pool's scheduler granted a slot of it.
+    Granted,
 }
 
 /// A chosen endpoint.
