--- a/crates/routing/src/pool_queue/gates.rs
+++ b/crates/routing/src/pool_queue/gates.rs
@@ -1,7 +1,7 @@
 //! Gates: how much of a large organisation's requests hosts let through.
 
 use super::AdmissionGate;
-use super::stand_in::WorkLedger;
+use crate::WorkLedger;
 
 #[derive(Clone, Debug)]
 pub(super) struct Gates {
--- a/crates/routing/src/pool_queue/mod.rs
+++ b/crates/routing/src/pool_queue/mod.rs
@@ -8,7 +8,6 @@
 mod messages;
 mod order;
 mod scheduler;
-mod stand_in;
 mod status;
 
 pub use messages::{
--- a/crates/routing/src/pool_queue/order.rs
+++ b/crates/routing/src/pool_queue/order.rs
@@ -8,7 +8,7 @@
 
 use super::TicketId;
 use super::scheduler::RANKS;
-use super::stand_in::WorkLedger;
+use crate::WorkLedger;
 
 /// Fraction of the grants that each less urgent rank receives at least while it waits.
 const MIN_RANK_SHARE: f64 = 0.1;
--- a/crates/routing/src/pool_queue/scheduler.rs
+++ b/crates/routing/src/pool_queue/scheduler.rs
@@ -6,12 +6,12 @@
 use super::endpoint_slots::EndpointSlots;
 use super::gates::Gates;
 use super::order::{Queued, RankShares, order};
-use super::stand_in::{ReturnSchedule, WorkLedger};
 use super::status::{EndpointStatus, QueueStatus};
 use super::{
     Grant, HeldLease, MAX_LEASES_PER_ASK, MAX_WAITING_PER_ASK, Rejection, RejectionCause, SlotAsk,
     SlotReply, TicketId, WaitingRequest,
 };
+use crate::{ReturnSchedule, WorkLedger};
 
 /// Time after which a silent host loses its leases and its waiting requests. Several asks
 /// may be lost in it; requests that still run then show up in the load reports.
