--- a/crates/routing/src/pool_queue/mod.rs
+++ b/crates/routing/src/pool_queue/mod.rs
@@ -10,7 +10,6 @@
 mod order;
 mod scheduler;
 mod scheduler_link;
-mod stand_in;
 mod status;
 
 pub use contention::{Contention, PoolUse};
