--- a/crates/gateway/tests/gateway/pool_queue.rs
+++ b/crates/gateway/tests/gateway/pool_queue.rs
@@ -91,6 +91,29 @@
     }
 }
 
+impl ScarceFleet {
+    /// Returns the sum of a counter over its labels.
+    async fn sum_labelled(&self, name: &str) -> f64 {
+        let mut sum = 0.0;
+        for host in &self.hosts {
+            let metrics = host.metrics().await;
+            let prefix = format!("chalkrock_{name}{{");
+            let lines = metrics.lines().filter(|line| line.starts_with(&prefix));
+            let values = lines.filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok());
+            sum += values.sum::<f64>();
+        }
+        sum
+    }
+
+    async fn expect_datagrams_that_fit_a_packet(&self) {
+        const MAX_PACKET_BYTES: f64 = 1_200.0;
+        for host in &self.hosts {
+            let largest = metric(host, "peer_datagram_largest_bytes").await;
+            assert_that!(largest, all!(gt(0.0), le(MAX_PACKET_BYTES)));
+        }
+    }
+}
+
 struct Callers {
     calling: JoinSet<Vec<(Received, Duration)>>,
     is_ended: Arc<AtomicBool>,
@@ -133,7 +156,16 @@
         assert_that!(refusal.status, any!(eq(429), eq(503)));
         assert_that!(refusal.header("come-back"), some(anything()));
     }
-    assert_that!(fleet.sum("slot_asks_sent_total").await, gt(0.0));
+    // A decision costs an exchange, and a grant another one that frees the slot.
+    let decisions = fleet.sum_labelled("slot_decisions_total").await;
+    let asks = fleet.sum("slot_asks_sent_total").await;
+    let bytes = fleet.sum("slot_datagram_bytes_sent_total").await;
+    let cost = format!("{decisions} decisions, {asks} asks, {bytes} bytes");
+    assert_that!(decisions, gt(0.0));
+    assert_that!(asks / decisions, lt(2.5), "{cost}");
+    assert_that!(bytes / decisions, lt(600.0), "{cost}");
+    fleet.expect_datagrams_that_fit_a_packet().await;
+    println!("{cost}");
 }
 
 /// The scheduler's host stops; the others go on within a second.
@@ -250,4 +282,57 @@
     delays.sort();
     let objective = Duration::from_millis(300);
     assert_that!(delays[delays.len() / 2], lt(objective / 2), "{delays:?}");
+    fleet.expect_datagrams_that_fit_a_packet().await;
+}
+
+/// Hosts that rank first but know no slots, as those of an earlier build, or that can't be
+/// reached: requests are placed without a scheduler.
+#[tokio::test]
+async fn pool_queue_serves_while_no_scheduler_answers() {
+    const SILENT_HOSTS: usize = 24;
+    const HEARTBEAT: &str = include_str!("data/heartbeat_0_1_0.hex");
+    // The capacity field: 250 thousandths of a core, and 1,000.
+    let heartbeat = parse_hex(&HEARTBEAT.replacen("fa01", "e807", 1));
+    let fleet = ScarceFleet::start(3, 1).await;
+    let addresses: Vec<_> = { fleet.hosts.iter() }
+        .map(TestGateway::peer_address)
+        .collect();
+    let mut silent = JoinSet::new();
+    for _ in 0..SILENT_HOSTS {
+        let socket = tokio::net::UdpSocket::bind("127.0.0.1:0").await;
+        let (socket, addresses) = (socket.expect("a socket"), addresses.clone());
+        let heartbeat = heartbeat.clone();
+        silent.spawn(async move {
+            loop {
+                for address in &addresses {
+                    let sent = socket.send_to(&heartbeat, address).await;
+                    sent.expect("a sent datagram");
+                }
+                tokio::time::sleep(Duration::from_millis(500)).await;
+            }
+        });
+    }
+    let others = (SILENT_HOSTS + 2) as f64;
+    until(async || hosts_with(&fleet.hosts, "peers_heard", others).await == 3).await;
+    let callers = fleet.start_callers(2);
+    tokio::time::sleep(SETTLE).await;
+    fleet.take_counts();
+    let began = Instant::now();
+    tokio::time::sleep(MEASURED).await;
+    let counts = fleet.take_counts();
+    let capacity = f64::from(SLOTS) * began.elapsed().as_secs_f64() / WORK.as_secs_f64();
+    let answers = callers.end().await;
+    assert_that!(counts.served as f64, gt(0.7 * capacity), "{counts:?}");
+    assert_that!(fleet.sum("slot_asks_sent_total").await, gt(0.0));
+    let longest = answers.iter().map(|(_, took)| *took).max();
+    assert_that!(longest, some(lt(Duration::from_secs(1))));
+}
+
+fn parse_hex(hex: &str) -> Vec<u8> {
+    const RADIX: u32 = 16;
+    let hex = hex.trim();
+    let digits = (0..hex.len()).step_by(2);
+    digits
+        .map(|i| u8::from_str_radix(&hex[i..i + 2], RADIX).expect("digits"))
+        .collect()
 }
