--- a/crates/routing/src/pool_queue/gates.rs
+++ b/crates/routing/src/pool_queue/gates.rs
@@ -1,32 +1,175 @@
 //! Gates: how much of a large organisation's requests hosts let through.
+//!
+//! An organisation that asks for many times what it is granted loads the scheduler and the
+//! packets between hosts for nothing. Its gate lets through somewhat more than it is
+//! granted, so that no slot is idle for it, and widens once a slot is free or its demand
+//! falls.
+
+use std::collections::HashMap;
 
 use super::AdmissionGate;
+use super::messages::MAX_GATES_PER_REPLY;
 use crate::WorkLedger;
 
+/// Time over which demand and grants are counted.
+const WINDOW_MS: u64 = 100;
+/// Demand above the pool's capacity from which gates act.
+const OVERLOAD_RATIO: f64 = 2.0;
+/// Demand above its grants from which an organisation gets a gate.
+const EXCESS_RATIO: f64 = 2.0;
+/// Requests let through for each one granted.
+const HEADROOM: f64 = 1.5;
+/// Requests let through beside these, as a fraction of the pool's capacity.
+const MIN_CAPACITY_SHARE: f64 = 0.05;
+/// Largest growth of a gate in one window.
+const GROWTH: f64 = 2.0;
+/// A gate at least this wide ends.
+const OPEN_PERMILLE: f64 = 900.0;
+/// Use of its share from which an organisation may get a gate.
+const SHARE_RATIO: f64 = 0.9;
+/// Most organisations counted in one window. Further ones get no gate.
+const MAX_ORGANISATIONS: usize = 1_024;
+/// Range of the return time of a gate.
+const RETRY_AFTER_MS: std::ops::RangeInclusive<f64> = 500.0..=5_000.0;
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Counts {
+    arrivals: u32,
+    granted: u32,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Gate {
+    admit_permille: f64,
+    retry_after_ms: u32,
+}
+
+/// Demand by organisation, and the gates that follow from it.
 #[derive(Clone, Debug)]
 pub(super) struct Gates {
-    _since_ms: u64,
+    window_start_ms: u64,
+    counts: HashMap<u32, Counts>,
+    gates: HashMap<u32, Gate>,
 }
 
 impl Gates {
     pub(super) fn new(now_ms: u64) -> Self {
-        Gates { _since_ms: now_ms }
+        Gates {
+            window_start_ms: now_ms,
+            counts: HashMap::new(),
+            gates: HashMap::new(),
+        }
     }
 
-    pub(super) fn count_arrival(&mut self, _organisation: u32) {}
+    /// Counts a request when it first waits.
+    pub(super) fn count_arrival(&mut self, organisation: u32) {
+        if let Some(counts) = self.counts_mut(organisation) {
+            counts.arrivals = counts.arrivals.saturating_add(1);
+        }
+    }
+
+    /// Counts a granted request.
+    pub(super) fn count_grant(&mut self, organisation: u32) {
+        if let Some(counts) = self.counts_mut(organisation) {
+            counts.granted = counts.granted.saturating_add(1);
+        }
+    }
 
-    pub(super) fn count_grant(&mut self, _organisation: u32) {}
+    fn counts_mut(&mut self, organisation: u32) -> Option<&mut Counts> {
+        if self.counts.len() >= MAX_ORGANISATIONS && !self.counts.contains_key(&organisation) {
+            return None;
+        }
+        Some(self.counts.entry(organisation).or_default())
+    }
 
+    /// Sets the gates anew once a window has passed.
     pub(super) fn update(
         &mut self,
-        _slots_per_ms: f64,
-        _has_free_slot: bool,
-        _ledger: &mut WorkLedger,
-        _now_ms: u64,
+        slots_per_ms: f64,
+        has_free_slot: bool,
+        ledger: &mut WorkLedger,
+        now_ms: u64,
     ) {
+        let window_ms = now_ms.saturating_sub(self.window_start_ms);
+        if window_ms < WINDOW_MS {
+            return;
+        }
+        self.window_start_ms = now_ms;
+        let mut counts = std::mem::take(&mut self.counts);
+        for &organisation in self.gates.keys() {
+            counts.entry(organisation).or_default();
+        }
+        let capacity = slots_per_ms * window_ms as f64;
+        let demand = |organisation: &u32, counts: Counts| {
+            let gate = self.gates.get(organisation);
+            f64::from(counts.arrivals) * 1_000.0 / gate.map_or(1_000.0, |gate| gate.admit_permille)
+        };
+        let demands: HashMap<u32, (f64, f64)> = counts
+            .iter()
+            .map(|(&organisation, &counts)| {
+                let demand = demand(&organisation, counts);
+                (organisation, (demand, f64::from(counts.granted)))
+            })
+            .collect();
+        let total: f64 = demands.values().map(|(demand, _)| demand).sum();
+        let is_overloaded = total > OVERLOAD_RATIO * capacity && capacity > 0.0;
+        let mut gates: Vec<(u32, f64, Gate)> = Vec::new();
+        for (&organisation, &(demand, granted)) in &demands {
+            let known = self.gates.get(&organisation);
+            let target = HEADROOM * granted + MIN_CAPACITY_SHARE * capacity;
+            let may_begin = is_overloaded
+                && organisation != 0
+                && demand > EXCESS_RATIO * target
+                && ledger.share_ratio(organisation, now_ms) >= SHARE_RATIO;
+            if known.is_none() && !may_begin {
+                continue;
+            }
+            let mut admit_permille = 1_000.0 * target / demand.max(1.0);
+            if let Some(known) = known {
+                let grown = known.admit_permille * GROWTH;
+                admit_permille = if has_free_slot {
+                    grown
+                } else {
+                    admit_permille.min(grown)
+                };
+            }
+            if admit_permille >= OPEN_PERMILLE {
+                continue;
+            }
+            // The time in which a second's requests are served.
+            let retry_after_ms = 1_000.0 * demand / target.max(1.0);
+            let gate = Gate {
+                admit_permille: admit_permille.max(1.0),
+                retry_after_ms: retry_after_ms.clamp(*RETRY_AFTER_MS.start(), *RETRY_AFTER_MS.end())
+                    as u32,
+            };
+            gates.push((organisation, demand, gate));
+        }
+        gates.sort_unstable_by(|a, b| b.1.total_cmp(&a.1).then(a.0.cmp(&b.0)));
+        gates.truncate(MAX_GATES_PER_REPLY);
+        let gates = gates.into_iter();
+        self.gates = gates
+            .map(|(organisation, _, gate)| (organisation, gate))
+            .collect();
+    }
+
+    /// When [`Self::update`] is due, if a gate is in force.
+    pub(super) fn next_event_ms(&self) -> Option<u64> {
+        (!self.gates.is_empty()).then(|| self.window_start_ms.saturating_add(WINDOW_MS))
     }
 
+    /// The gates in force.
     pub(super) fn list(&self) -> Vec<AdmissionGate> {
-        Vec::new()
+        let mut list: Vec<AdmissionGate> = self
+            .gates
+            .iter()
+            .map(|(&organisation, gate)| AdmissionGate {
+                organisation,
+                admit_permille: gate.admit_permille as u16,
+                retry_after_ms: gate.retry_after_ms,
+            })
+            .collect();
+        list.sort_unstable_by_key(|gate| gate.organisation);
+        list
     }
 }
--- a/crates/routing/src/pool_queue/scheduler.rs
+++ b/crates/routing/src/pool_queue/scheduler.rs
@@ -43,6 +43,8 @@
 const MAX_START_WITHIN_MS: u32 = 60_000;
 /// Most endpoints that one request names as tried.
 const MAX_TRIED: usize = 8;
+/// Room for a service time above the mean, in mean service times.
+const SERVICE_MARGIN: f64 = 2.0;
 /// Weight of a grant in the distribution of grants.
 const GRANT_WEIGHT: f64 = 0.02;
 /// Smallest fraction of the pool for returns.
@@ -81,6 +83,22 @@
     since_ms: u64,
     /// Whether it returns when a rejection said so.
     is_returning: bool,
+    /// Whether a review found that it can start in time.
+    is_admitted: bool,
+}
+
+impl Waiting {
+    /// Longest wait with which it stays in the queue. A newcomer needs room for a service
+    /// time above the mean: under overload the queue is as long as admission allows, and
+    /// without that room all that wait would start at the last moment.
+    fn longest_wait_ms(&self, service_ms: f64, now_ms: u64) -> f64 {
+        let left_ms = self.latest_start_ms.saturating_sub(now_ms) as f64;
+        if self.is_admitted || self.is_returning {
+            left_ms
+        } else {
+            (left_ms - SERVICE_MARGIN * service_ms).max(left_ms / 2.0)
+        }
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -343,6 +361,7 @@
                         fingerprint: request.fingerprint,
                         tried,
                         since_ms: now_ms,
+                        is_admitted: false,
                         is_returning: self.returns.redeem(request.fingerprint, now_ms),
                     }
                 }
@@ -408,10 +427,9 @@
         let is_settling = self.is_settling(now_ms);
         let mean_ms = self.mean_service_ms();
         let slots_per_ms = self.slots_per_ms(now_ms);
-        let has_free_slot = self
-            .endpoints
-            .values()
-            .any(|endpoint| endpoint.is_open && endpoint.leases < endpoint.slots);
+        let mut endpoints = self.endpoints.values();
+        let has_free_slot = self.waiting == 0
+            && endpoints.any(|endpoint| endpoint.is_open && endpoint.leases < endpoint.slots);
         self.gates
             .update(slots_per_ms, has_free_slot, &mut self.ledger, now_ms);
         if self.waiting == 0 {
@@ -442,7 +460,7 @@
             let Some(state) = self.hosts.get_mut(&request.host) else {
                 continue;
             };
-            let Some(entry) = state.waiting.get(&request.ticket) else {
+            let Some(entry) = state.waiting.get_mut(&request.ticket) else {
                 continue;
             };
             let left_ms = entry.latest_start_ms.saturating_sub(now_ms);
@@ -497,7 +515,9 @@
                 } else {
                     0.0
                 };
-                if has_endpoint && left_ms > 0 && wait_ms <= left_ms as f64 {
+                let longest_ms = entry.longest_wait_ms(mean_ms, now_ms);
+                if has_endpoint && left_ms > 0 && wait_ms <= longest_ms {
+                    entry.is_admitted = true;
                     ahead += 1.0;
                     continue;
                 }
@@ -595,7 +615,8 @@
             .map(|state| state.seen_ms.saturating_add(LEASE_MS))
             .min();
         let review_ms = (self.waiting > 0).then(|| now_ms.saturating_add(REVIEW_MS));
-        silent_ms.into_iter().chain(review_ms).min()
+        let events_ms = silent_ms.into_iter().chain(review_ms);
+        events_ms.chain(self.gates.next_event_ms()).min()
     }
 
     /// What waits and runs, for operators.
