--- a/crates/gateway/src/pool_queue/waiting.rs
+++ b/crates/gateway/src/pool_queue/waiting.rs
@@ -26,8 +26,11 @@
 const TRIED_BYTES: usize = 5;
 /// Longest return time that is passed on.
 const MAX_RETURN_MS: u32 = 60_000;
-/// How long a return time or gate holds without a later reply.
-const MAX_REPLY_AGE_MS: u64 = 1_000;
+/// How long a return time holds without a later reply.
+const MAX_RETURN_AGE_MS: u64 = 1_000;
+/// How long a gate holds without a later reply: two renewals and a lost one. A host that
+/// has nothing to ask for receives none.
+const MAX_GATE_AGE_MS: u64 = 250;
 
 /// What becomes of a waiting request.
 #[derive(Debug)]
@@ -140,7 +143,7 @@
 
     /// The gate of an organisation, if it is over its share.
     pub(super) fn gate(&self, organisation: u32, now_ms: u64) -> Option<&AdmissionGate> {
-        let is_current = now_ms.saturating_sub(self.gates_at_ms) <= MAX_REPLY_AGE_MS;
+        let is_current = now_ms.saturating_sub(self.gates_at_ms) <= MAX_GATE_AGE_MS;
         let mut gates = self.gates.iter().filter(|_| is_current);
         gates.find(|gate| gate.organisation == organisation)
     }
@@ -149,7 +152,7 @@
     pub(super) fn last_return_ms(&self, now_ms: u64) -> Option<u64> {
         let last = self.last_return?;
         let age_ms = now_ms.saturating_sub(last.at_ms);
-        let is_current = age_ms <= MAX_REPLY_AGE_MS;
+        let is_current = age_ms <= MAX_RETURN_AGE_MS;
         let left_ms = u64::from(last.retry_after_ms).saturating_sub(age_ms);
         (is_current && left_ms > 0).then_some(left_ms)
     }
--- a/crates/routing/src/pool_queue/mod.rs
+++ b/crates/routing/src/pool_queue/mod.rs
@@ -8,6 +8,7 @@
 mod gates;
 mod messages;
 mod order;
+mod return_rates;
 mod scheduler;
 mod scheduler_link;
 mod status;
--- a/crates/routing/src/pool_queue/scheduler.rs
+++ b/crates/routing/src/pool_queue/scheduler.rs
@@ -5,13 +5,14 @@
 
 use super::endpoint_slots::EndpointSlots;
 use super::gates::Gates;
-use super::order::{Queued, RankShares, order};
+use super::order::{Queued, RankShares, mark_over_share, order};
+use super::return_rates::ReturnRates;
 use super::status::{EndpointStatus, QueueStatus};
 use super::{
     Grant, HeldLease, MAX_LEASES_PER_ASK, MAX_WAITING_PER_ASK, Rejection, RejectionCause, SlotAsk,
     SlotReply, TicketId, WaitingRequest,
 };
-use crate::{ReturnSchedule, WorkLedger};
+use crate::{RETURN_HORIZON_MS, ReturnSchedule, WorkLedger};
 
 /// Time after which a silent host loses its leases and its waiting requests. Several asks
 /// may be lost in it; requests that still run then show up in the load reports.
@@ -30,6 +31,8 @@
 /// Number of ranks. Less urgent ones count as the last.
 pub(super) const RANKS: usize = 8;
 
+/// Time for which a grant stays that a long list of waiting requests leaves out.
+const UNLISTED_GRANT_MS: u64 = 50;
 /// Time from the end of a request until another has its slot: the host's ask, the reply
 /// and what batching adds.
 const ROUND_TRIP_MS: f64 = 8.0;
@@ -43,10 +46,12 @@
 const MAX_START_WITHIN_MS: u32 = 60_000;
 /// Most endpoints that one request names as tried.
 const MAX_TRIED: usize = 8;
-/// Weight of a grant in the distribution of grants.
-const GRANT_WEIGHT: f64 = 0.02;
-/// Smallest fraction of the pool for returns.
-const MIN_RETURN_FRACTION: f64 = 0.05;
+/// Room for a service time above the mean, in mean service times: of a newcomer, and of
+/// one that waits already or returns.
+const NEWCOMER_MARGIN: f64 = 3.0;
+const QUEUED_MARGIN: f64 = 1.0;
+/// Part of the time left that may be spent waiting at any service time.
+const MIN_WAIT_RATIO: f64 = 0.3;
 
 /// An endpoint as the scheduler's host sees it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -81,6 +86,23 @@
     since_ms: u64,
     /// Whether it returns when a rejection said so.
     is_returning: bool,
+    /// Whether a review found that it can start in time.
+    is_admitted: bool,
+}
+
+impl Waiting {
+    /// Longest wait with which it stays in the queue. It leaves room for a service time
+    /// above the mean, and newcomers leave more: under overload the queue is as long as
+    /// their admission allows, and nobody gains if all start at the last moment.
+    fn longest_wait_ms(&self, service_ms: f64, now_ms: u64) -> f64 {
+        let left_ms = self.latest_start_ms.saturating_sub(now_ms) as f64;
+        let margin = if self.is_admitted || self.is_returning {
+            QUEUED_MARGIN
+        } else {
+            NEWCOMER_MARGIN
+        };
+        (left_ms - margin * service_ms).max(left_ms * MIN_WAIT_RATIO)
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -94,6 +116,13 @@
     request: Option<Waiting>,
 }
 
+impl Lease {
+    /// Whether another scheduler granted it, or nobody.
+    fn is_foreign(&self) -> bool {
+        self.granted_ms.is_none()
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Rejected {
     cause: RejectionCause,
@@ -146,6 +175,7 @@
     epoch: u64,
     pool: u32,
     first_ask_ms: Option<u64>,
+    reviewed_ms: u64,
     hosts: BTreeMap<H, HostState>,
     endpoints: BTreeMap<u32, EndpointSlots>,
     waiting: usize,
@@ -154,9 +184,7 @@
     returns: ReturnSchedule,
     gates: Gates,
     rank_shares: RankShares,
-    /// Fraction of the grants by rank, and to organisations over their share.
-    granted_by_rank: [f64; RANKS],
-    granted_over_share: f64,
+    return_rates: ReturnRates,
     granted: u64,
     rejected_full: u64,
     rejected_over_share: u64,
@@ -170,6 +198,7 @@
             epoch,
             pool: 0,
             first_ask_ms: None,
+            reviewed_ms: now_ms,
             hosts: BTreeMap::new(),
             endpoints: BTreeMap::new(),
             waiting: 0,
@@ -178,8 +207,7 @@
             returns: ReturnSchedule::default(),
             gates: Gates::new(now_ms),
             rank_shares: RankShares::default(),
-            granted_by_rank: [0.0; RANKS],
-            granted_over_share: 0.0,
+            return_rates: ReturnRates::default(),
             granted: 0,
             rejected_full: 0,
             rejected_over_share: 0,
@@ -203,8 +231,8 @@
             }
             let mut added = EndpointSlots::new(listed);
             let leases = self.hosts.values().flat_map(|host| host.leases.values());
-            for _ in leases.filter(|lease| lease.endpoint == hash) {
-                added.add_lease(now_ms);
+            for lease in leases.filter(|lease| lease.endpoint == hash) {
+                added.add_lease(lease.is_foreign(), now_ms);
             }
             self.endpoints.insert(hash, added);
         }
@@ -264,8 +292,8 @@
         held: &BTreeMap<TicketId, &HeldLease>,
         now_ms: u64,
     ) {
-        // A full list may leave out requests.
-        let is_waiting_complete = waiting.len() < MAX_WAITING_PER_ASK;
+        // A long list may leave out requests that do not fit the packet.
+        let is_waiting_complete = waiting.len() < MAX_WAITING_PER_ASK / 2;
         let is_held_complete = held.len() < MAX_LEASES_PER_ASK;
         for (ticket, mut lease) in std::mem::take(&mut state.leases) {
             if let Some(listed) = held.get(&ticket) {
@@ -282,16 +310,18 @@
                 && match (lease.is_held, waiting.get(&ticket)) {
                     // The ask crossed the grant, or the grant was lost.
                     (false, Some(request)) => !request.tried.contains(&lease.endpoint),
-                    (false, None) => !is_waiting_complete,
+                    (false, None) => !is_waiting_complete && age_ms < UNLISTED_GRANT_MS,
                     (true, Some(_)) => false,
                     (true, None) => !is_held_complete,
                 };
             if is_kept {
                 state.leases.insert(ticket, lease);
             } else {
-                let has_ended = lease.is_held && !waiting.contains_key(&ticket);
-                let ran_ms = lease.granted_ms.filter(|_| has_ended);
-                let ran_ms = ran_ms.map(|granted_ms| now_ms.saturating_sub(granted_ms));
+                // Short requests end before an ask lists them; one that was dropped before
+                // its grant arrived did not run.
+                let has_run = lease.is_held || age_ms as f64 > ROUND_TRIP_MS;
+                let has_ended = has_run && !waiting.contains_key(&ticket);
+                let ran_ms = lease.granted_ms.filter(|_| has_ended).map(|_| age_ms);
                 self.remove_lease(&lease, ran_ms, now_ms);
                 if let Some(request) = lease.request {
                     state.waiting.insert(ticket, request);
@@ -334,15 +364,18 @@
                     entry
                 }
                 None => {
+                    let rank = request.rank.min(RANKS as u8 - 1);
                     self.gates.count_arrival(request.organisation);
+                    self.return_rates.record_arrival(usize::from(rank), now_ms);
                     Waiting {
-                        rank: request.rank.min(RANKS as u8 - 1),
+                        rank,
                         organisation: request.organisation,
                         latest_start_ms,
                         work_ms,
                         fingerprint: request.fingerprint,
                         tried,
                         since_ms: now_ms,
+                        is_admitted: false,
                         is_returning: self.returns.redeem(request.fingerprint, now_ms),
                     }
                 }
@@ -355,7 +388,7 @@
 
     fn add_foreign_lease(&mut self, listed: &HeldLease, now_ms: u64) -> Lease {
         if let Some(endpoint) = self.endpoints.get_mut(&listed.endpoint) {
-            endpoint.add_lease(now_ms);
+            endpoint.add_lease(true, now_ms);
         }
         Lease {
             endpoint: listed.endpoint,
@@ -371,11 +404,11 @@
         };
         if let Some(ran_ms) = ran_ms {
             let service_ms = (ran_ms as f64 - ROUND_TRIP_MS / 2.0).max(1.0);
-            let sample = endpoint.learn_service_time(service_ms);
-            let mean = self.service_ms.get_or_insert(sample);
+            let mean = self.service_ms.get_or_insert(DEFAULT_SERVICE_MS);
+            let sample = endpoint.learn_service_time(service_ms, *mean);
             *mean += SERVICE_TIME_WEIGHT * (sample - *mean);
         }
-        endpoint.remove_lease(now_ms);
+        endpoint.remove_lease(lease.is_foreign(), now_ms);
     }
 
     fn remove_host(&mut self, host: &H, now_ms: u64) {
@@ -396,29 +429,37 @@
             .map(|(host, _)| host.clone())
             .collect();
         for host in silent {
+            let state = self.hosts.get(&host);
+            if state.is_some_and(|state| !state.leases.is_empty() || !state.waiting.is_empty()) {
+                self.lapsed_hosts += 1;
+            }
             self.remove_host(&host, now_ms);
-            self.lapsed_hosts += 1;
         }
     }
 
     /// Grants free slots and rejects what can't start in time. Returns the hosts whose
     /// reply changes.
     pub fn schedule(&mut self, now_ms: u64) -> Vec<H> {
+        self.reviewed_ms = now_ms;
         self.remove_silent_hosts(now_ms);
         let is_settling = self.is_settling(now_ms);
         let mean_ms = self.mean_service_ms();
         let slots_per_ms = self.slots_per_ms(now_ms);
-        let has_free_slot = self
-            .endpoints
-            .values()
-            .any(|endpoint| endpoint.is_open && endpoint.leases < endpoint.slots);
-        self.gates
-            .update(slots_per_ms, has_free_slot, &mut self.ledger, now_ms);
+        let mut endpoints = self.endpoints.values();
+        let has_free_slot = self.waiting == 0
+            && endpoints.any(|endpoint| endpoint.is_open && endpoint.leases < endpoint.slots);
+        self.gates.update(
+            slots_per_ms,
+            has_free_slot,
+            &mut self.ledger,
+            &self.return_rates,
+            now_ms,
+        );
         if self.waiting == 0 {
             return Vec::new();
         }
 
-        let queued = self.queued(slots_per_ms, now_ms);
+        let (queued, organisations) = self.queued(slots_per_ms, now_ms);
         let ordered = order(queued, &self.rank_shares);
         let mut free: BTreeMap<u32, (u32, u32, u32)> = BTreeMap::new();
         let mut above_slots = 0;
@@ -426,7 +467,7 @@
             let taken = endpoint.taken(now_ms, is_settling);
             above_slots += taken.saturating_sub(endpoint.slots);
             if endpoint.is_open {
-                let limit = endpoint.limit(ROUND_TRIP_MS, mean_ms, is_settling);
+                let limit = endpoint.limit(ROUND_TRIP_MS, mean_ms, now_ms, is_settling);
                 free.insert(hash, (taken, limit, endpoint.slots));
             }
         }
@@ -442,7 +483,7 @@
             let Some(state) = self.hosts.get_mut(&request.host) else {
                 continue;
             };
-            let Some(entry) = state.waiting.get(&request.ticket) else {
+            let Some(entry) = state.waiting.get_mut(&request.ticket) else {
                 continue;
             };
             let left_ms = entry.latest_start_ms.saturating_sub(now_ms);
@@ -467,13 +508,6 @@
                     .record(entry.organisation, f64::from(entry.work_ms), now_ms);
                 self.gates.count_grant(entry.organisation);
                 self.rank_shares.granted(rank, &waiting_by_rank);
-                let by_rank = self.granted_by_rank.iter_mut().enumerate();
-                for (other, fraction) in by_rank {
-                    let sample = if other == rank { 1.0 } else { 0.0 };
-                    *fraction += GRANT_WEIGHT * (sample - *fraction);
-                }
-                let sample = if request.is_over_share { 1.0 } else { 0.0 };
-                self.granted_over_share += GRANT_WEIGHT * (sample - self.granted_over_share);
                 self.granted += 1;
                 let lease = Lease {
                     endpoint,
@@ -483,7 +517,7 @@
                 };
                 state.leases.insert(request.ticket, lease);
                 if let Some(slots) = self.endpoints.get_mut(&endpoint) {
-                    slots.add_lease(now_ms);
+                    slots.add_lease(false, now_ms);
                 }
                 if let Some(slots) = free.get_mut(&endpoint) {
                     slots.0 += 1;
@@ -497,7 +531,9 @@
                 } else {
                     0.0
                 };
-                if has_endpoint && left_ms > 0 && wait_ms <= left_ms as f64 {
+                let longest_ms = entry.longest_wait_ms(mean_ms, now_ms);
+                if has_endpoint && left_ms > 0 && wait_ms <= longest_ms {
+                    entry.is_admitted = true;
                     ahead += 1.0;
                     continue;
                 }
@@ -507,23 +543,39 @@
                 self.waiting -= 1;
                 self.ledger
                     .record_rejected(entry.organisation, f64::from(entry.work_ms), now_ms);
-                let more_urgent: f64 = self.granted_by_rank[..rank].iter().sum();
-                let mut fraction = 1.0 - more_urgent;
                 let cause = if request.is_over_share {
-                    fraction = fraction.min(self.granted_over_share);
                     self.rejected_over_share += 1;
                     RejectionCause::OverShare
                 } else {
                     self.rejected_full += 1;
                     RejectionCause::Full
                 };
-                let slots_per_s = slots_per_ms * 1_000.0 * fraction.max(MIN_RETURN_FRACTION);
-                let retry_after_ms =
+                // A host can't tell a return from other requests behind a gate.
+                let gate_ms = self.gates.retry_after_ms(entry.organisation);
+                let returns_per_ms = self.return_rates.returns_per_ms(rank, slots_per_ms, now_ms);
+                let has_return = gate_ms.is_none()
+                    && self.return_rates.may_reserve(
+                        entry.organisation,
+                        rank,
+                        returns_per_ms,
+                        organisations,
+                        now_ms,
+                    );
+                let retry_after_ms = if has_return {
+                    let per_s = returns_per_ms * 1_000.0;
                     self.returns
-                        .reserve(entry.fingerprint, entry.rank, slots_per_s, now_ms);
+                        .reserve(entry.fingerprint, entry.rank, per_s, now_ms)
+                } else {
+                    gate_ms.unwrap_or(RETURN_HORIZON_MS as u32)
+                };
+                let return_at_ms = now_ms.saturating_add(u64::from(retry_after_ms));
+                if has_return && retry_after_ms < RETURN_HORIZON_MS as u32 {
+                    self.return_rates
+                        .record_return(entry.organisation, return_at_ms);
+                }
                 let rejected = Rejected {
                     cause,
-                    return_at_ms: now_ms.saturating_add(u64::from(retry_after_ms)),
+                    return_at_ms,
                 };
                 state.rejected.insert(request.ticket, rejected);
             }
@@ -534,8 +586,8 @@
         changed
     }
 
-    /// All waiting requests, with their organisation's use of its share.
-    fn queued(&mut self, slots_per_ms: f64, now_ms: u64) -> Vec<Queued<H>> {
+    /// All waiting requests, and the number of their organisations.
+    fn queued(&mut self, slots_per_ms: f64, now_ms: u64) -> (Vec<Queued<H>>, usize) {
         let mut queued = Vec::with_capacity(self.waiting);
         for (host, state) in &self.hosts {
             for (&ticket, entry) in &state.waiting {
@@ -551,8 +603,8 @@
                 });
             }
         }
-        super::order::mark_over_share(&mut queued, slots_per_ms, &mut self.ledger, now_ms);
-        queued
+        let organisations = mark_over_share(&mut queued, slots_per_ms, &mut self.ledger, now_ms);
+        (queued, organisations)
     }
 
     /// The message for a host: grants that it does not list as held, rejections that it
@@ -587,15 +639,17 @@
         })
     }
 
-    /// When [`Self::schedule`] has to run again if no ask arrives.
+    /// When [`Self::schedule`] has to run again if no ask arrives; `now_ms` if that is due.
     pub fn next_event_ms(&self, now_ms: u64) -> Option<u64> {
         let silent_ms = self
             .hosts
             .values()
             .map(|state| state.seen_ms.saturating_add(LEASE_MS))
             .min();
-        let review_ms = (self.waiting > 0).then(|| now_ms.saturating_add(REVIEW_MS));
-        silent_ms.into_iter().chain(review_ms).min()
+        let review_ms = (self.waiting > 0).then(|| self.reviewed_ms.saturating_add(REVIEW_MS));
+        let events_ms = silent_ms.into_iter().chain(review_ms);
+        let event_ms = events_ms.chain(self.gates.next_event_ms()).min()?;
+        Some(event_ms.max(now_ms))
     }
 
     /// What waits and runs, for operators.
@@ -634,7 +688,7 @@
                 .map(|(&hash, endpoint)| EndpointStatus {
                     endpoint: hash,
                     slots: endpoint.slots,
-                    limit: endpoint.limit(ROUND_TRIP_MS, mean_ms, is_settling),
+                    limit: endpoint.limit(ROUND_TRIP_MS, mean_ms, now_ms, is_settling),
                     leases: endpoint.leases,
                     without_lease: endpoint.unexplained(now_ms, is_settling),
                     service_ms: endpoint.service_ms(mean_ms),
