Keep gates wide enough for the slots that small organisations leave

A gate narrowed by ten to a hundred times too much when it began, since the hosts' gates take effect at different times: slots were idle for 0.8 s (trace of large_organisation_leaves_small_ones_their_share, where replies now go to all that ask). Demand is smoothed and a gate widens once a slot is free.

--- a/crates/routing/src/pool_queue/gates.rs
+++ b/crates/routing/src/pool_queue/gates.rs
@@ -20,11 +20,15 @@
 /// Demand above the pool's capacity from which gates act.
 const OVERLOAD_RATIO: f64 = 2.0;
 /// Demand above its grants from which an organisation gets a gate.
-const EXCESS_RATIO: f64 = 2.0;
+const EXCESS_RATIO: f64 = 1.5;
 /// Requests let through for each one granted.
-const HEADROOM: f64 = 1.5;
+const HEADROOM: f64 = 2.0;
 /// Requests let through beside these, as a fraction of the pool's capacity.
 const MIN_CAPACITY_SHARE: f64 = 0.05;
+/// Weight of a window in the demand, and the range that it counts in, relative to what is
+/// known.
+const DEMAND_WEIGHT: f64 = 0.5;
+const DEMAND_CHANGE: (f64, f64) = (0.25, 1.5);
 /// Largest growth of a gate in one window.
 const GROWTH: f64 = 2.0;
 /// All requests.
@@ -51,12 +55,27 @@
     /// 1,000 until the returns that are reserved have arrived.
     admit_permille: f64,
     retry_after_ms: u32,
+    /// Requests a millisecond, also those that hosts refuse.
+    demand: f64,
+}
+
+impl Gate {
+    /// Demand, from the requests a millisecond that arrived. Hosts apply a gate at different
+    /// times, so that one window says little.
+    fn demand(&self, arrivals: f64) -> f64 {
+        let measured = arrivals * WHOLE_PERMILLE / self.admit_permille;
+        let (least, most) = DEMAND_CHANGE;
+        let measured = measured.clamp(least * self.demand, most * self.demand);
+        self.demand + DEMAND_WEIGHT * (measured - self.demand)
+    }
 }
 
 /// Demand by organisation, and the gates that follow from it.
 #[derive(Clone, Debug)]
 pub(super) struct Gates {
     window_start_ms: u64,
+    /// Whether a slot was free in this window while nobody waited.
+    had_free_slot: bool,
     counts: HashMap<u32, Counts>,
     gates: HashMap<u32, Gate>,
 }
@@ -65,6 +84,7 @@
     pub(super) fn new(now_ms: u64) -> Self {
         Gates {
             window_start_ms: now_ms,
+            had_free_slot: false,
             counts: HashMap::new(),
             gates: HashMap::new(),
         }
@@ -84,6 +104,11 @@
         }
     }
 
+    /// Records that a slot is free while nobody waits.
+    pub(super) fn record_free_slot(&mut self) {
+        self.had_free_slot = true;
+    }
+
     fn counts_mut(&mut self, organisation: u32) -> Option<&mut Counts> {
         if self.counts.len() >= MAX_ORGANISATIONS && !self.counts.contains_key(&organisation) {
             return None;
@@ -95,7 +120,6 @@
     pub(super) fn update(
         &mut self,
         slots_per_ms: f64,
-        has_free_slot: bool,
         ledger: &mut WorkLedger,
         returns: &ReturnRates,
         now_ms: u64,
@@ -105,29 +129,35 @@
             return;
         }
         self.window_start_ms = now_ms;
+        let had_free_slot = std::mem::take(&mut self.had_free_slot);
         let mut counts = std::mem::take(&mut self.counts);
+        if slots_per_ms <= 0.0 {
+            self.gates.clear();
+            return;
+        }
         for &organisation in self.gates.keys() {
             counts.entry(organisation).or_default();
         }
-        let capacity = slots_per_ms * window_ms as f64;
-        let demand = |organisation: &u32, counts: Counts| {
-            let gate = self.gates.get(organisation);
-            f64::from(counts.arrivals) * WHOLE_PERMILLE
-                / gate.map_or(WHOLE_PERMILLE, |gate| gate.admit_permille)
-        };
         let demands: HashMap<u32, (f64, f64)> = counts
             .iter()
             .map(|(&organisation, &counts)| {
-                let demand = demand(&organisation, counts);
-                (organisation, (demand, f64::from(counts.granted)))
+                let arrivals = f64::from(counts.arrivals) / window_ms as f64;
+                let demand = match self.gates.get(&organisation) {
+                    Some(gate) => gate.demand(arrivals),
+                    None => arrivals,
+                };
+                (
+                    organisation,
+                    (demand, f64::from(counts.granted) / window_ms as f64),
+                )
             })
             .collect();
         let total: f64 = demands.values().map(|(demand, _)| demand).sum();
-        let is_overloaded = total > OVERLOAD_RATIO * capacity && capacity > 0.0;
+        let is_overloaded = total > OVERLOAD_RATIO * slots_per_ms;
         let mut gates: Vec<(u32, (bool, f64), Gate)> = Vec::new();
         for (&organisation, &(demand, granted)) in &demands {
             let known = self.gates.get(&organisation);
-            let target = HEADROOM * granted + MIN_CAPACITY_SHARE * capacity;
+            let target = HEADROOM * granted + MIN_CAPACITY_SHARE * slots_per_ms;
             let may_begin = is_overloaded
                 && organisation != 0
                 && demand > EXCESS_RATIO * target
@@ -135,10 +165,10 @@
             if known.is_none() && !may_begin {
                 continue;
             }
-            let mut admit_permille = WHOLE_PERMILLE * target / demand.max(1.0);
+            let mut admit_permille = WHOLE_PERMILLE * target / demand.max(target);
             if let Some(known) = known.filter(|known| known.admit_permille < WHOLE_PERMILLE) {
                 let grown = known.admit_permille * GROWTH;
-                admit_permille = if has_free_slot {
+                admit_permille = if had_free_slot {
                     grown
                 } else {
                     admit_permille.min(grown)
@@ -152,8 +182,9 @@
                 admit_permille = WHOLE_PERMILLE;
             }
             // The time in which a second's requests are served.
-            let retry_after_ms = 1_000.0 * demand / target.max(1.0);
+            let retry_after_ms = 1_000.0 * demand / target;
             let gate = Gate {
+                demand,
                 admit_permille: admit_permille.max(1.0),
                 retry_after_ms: retry_after_ms.clamp(*RETRY_AFTER_MS.start(), *RETRY_AFTER_MS.end())
                     as u32,
--- a/crates/routing/src/pool_queue/scheduler.rs
+++ b/crates/routing/src/pool_queue/scheduler.rs
@@ -446,15 +446,13 @@
         let mean_ms = self.mean_service_ms();
         let slots_per_ms = self.slots_per_ms(now_ms);
         let mut endpoints = self.endpoints.values();
-        let has_free_slot = self.waiting == 0
-            && endpoints.any(|endpoint| endpoint.is_open && endpoint.leases < endpoint.slots);
-        self.gates.update(
-            slots_per_ms,
-            has_free_slot,
-            &mut self.ledger,
-            &self.return_rates,
-            now_ms,
-        );
+        if self.waiting == 0
+            && endpoints.any(|endpoint| endpoint.is_open && endpoint.leases < endpoint.slots)
+        {
+            self.gates.record_free_slot();
+        }
+        self.gates
+            .update(slots_per_ms, &mut self.ledger, &self.return_rates, now_ms);
         if self.waiting == 0 {
             return Vec::new();
         }
