Keep a scheduler that replies late, and repeat asks that free slots

A scheduler whose replies took longer than the 30 ms after which an ask is repeated counted as unreachable although it answered each ask. The last ask of a host, which frees its slot, was not repeated when it was lost. A host redirected others to a scheduler that had not replied yet. A host of unknown capacity ranks among the large ones, so that zones which learn capacities at different times rank alike.

--- a/crates/routing/src/pool_queue/scheduler_link.rs
+++ b/crates/routing/src/pool_queue/scheduler_link.rs
@@ -9,7 +9,7 @@
 /// Time without a reply after which an ask is repeated.
 const RESEND_DELAY_MS: u64 = 30;
 /// Unanswered asks in a row after which a scheduler counts as unreachable.
-const MAX_UNANSWERED: u32 = 3;
+const MAX_UNANSWERED: u64 = 3;
 /// Interval between asks while something waits or runs, so that leases are renewed.
 const RENEWAL_INTERVAL_MS: u64 = 100;
 /// How long an unreachable scheduler is passed over; doubled for each repetition.
@@ -45,7 +45,8 @@
 }
 
 /// The hosts that are asked to schedule a pool, in order. Hosts with less than half of the
-/// largest capacity follow the others, since the scheduler works for the whole fleet.
+/// largest capacity follow the others, since the scheduler works for the whole fleet. A
+/// host of unknown capacity counts as large, since hosts learn of it at different times.
 pub fn rank_schedulers<H: Clone>(pool: u32, candidates: &[SchedulerCandidate<H>]) -> Vec<H> {
     let largest = candidates.iter().map(|host| host.capacity_millicores).max();
     let largest = u32::from(largest.unwrap_or_default());
@@ -53,7 +54,8 @@
     let mut ranked: Vec<(bool, f64, &H)> = candidates
         .iter()
         .map(|candidate| {
-            let is_large = 2 * u32::from(candidate.capacity_millicores) >= largest;
+            let capacity = u32::from(candidate.capacity_millicores);
+            let is_large = capacity == 0 || 2 * capacity >= largest;
             (is_large, score(key, candidate.hash, 1.0), &candidate.host)
         })
         .collect();
@@ -91,7 +93,6 @@
     recent: Vec<(u64, u64)>,
     /// The latest ask that was answered.
     answered_sequence: u64,
-    unanswered: u32,
     /// When a reply last arrived.
     replied_at_ms: Option<u64>,
     /// When asks without a reply began.
@@ -113,7 +114,6 @@
             sequence: 0,
             recent: Vec::new(),
             answered_sequence: 0,
-            unanswered: 0,
             replied_at_ms: None,
             searching_since_ms: None,
             asked_at_ms: 0,
@@ -152,14 +152,23 @@
         self.sequence
     }
 
+    /// Asks to the current scheduler since the last one that was answered.
+    fn unanswered(&self) -> u64 {
+        match &self.scheduler {
+            Some(_) => self.sequence - self.answered_sequence,
+            None => 0,
+        }
+    }
+
     /// When the next ask is due; `None` if there is nothing to ask for. `has_entries`:
     /// requests wait or leases are held.
     pub fn next_ask_ms(&self, has_entries: bool) -> Option<u64> {
         let Some(&(_, sent_at_ms)) = self.recent.last() else {
             return (self.is_changed || has_entries).then_some(0);
         };
-        if self.unanswered > 0 {
-            let is_due = self.is_changed || has_entries;
+        if self.unanswered() > 0 {
+            // One without entries frees slots, which others wait for.
+            let is_due = self.is_changed || has_entries || self.unanswered() < MAX_UNANSWERED;
             return is_due.then_some(sent_at_ms + RESEND_DELAY_MS);
         }
         if self.is_changed {
@@ -171,7 +180,7 @@
     /// Begins an ask. `ranked` are the hosts that may schedule the pool, in order. Returns
     /// `None` without any.
     pub fn begin_ask(&mut self, ranked: &[H], now_ms: u64) -> Option<NextAsk<H>> {
-        if self.unanswered >= MAX_UNANSWERED {
+        if self.unanswered() >= MAX_UNANSWERED {
             self.mark_unreachable(now_ms);
         }
         let next = self.select(ranked, now_ms)?;
@@ -179,11 +188,11 @@
         if is_new_scheduler {
             self.scheduler = Some(next.clone());
             self.epoch = 0;
-            self.unanswered = 0;
+            self.answered_sequence = self.sequence;
+            self.replied_at_ms = None;
             self.recent.clear();
         }
         self.sequence += 1;
-        self.unanswered += 1;
         if self.recent.len() >= MAX_RECENT_ASKS {
             self.recent.remove(0);
         }
@@ -227,7 +236,6 @@
         let Some(host) = self.scheduler.take() else {
             return;
         };
-        self.unanswered = 0;
         self.recent.clear();
         self.redirect = None;
         let known = self.unreachable.iter_mut().find(|mark| mark.host == host);
@@ -267,8 +275,8 @@
         self.redirects = 0;
         self.unreachable.retain(|mark| mark.host != *from);
         self.answered_sequence = self.answered_sequence.max(ask_sequence);
-        if self.answered_sequence == self.sequence {
-            self.unanswered = 0;
+        if let Some((_, until_ms)) = &mut self.redirect {
+            *until_ms = now_ms + REDIRECT_MS;
         }
         if now_ms.saturating_sub(sent_at_ms) > MAX_ASK_AGE_MS {
             return ReplyUse::Outdated;
@@ -288,7 +296,6 @@
         self.redirects += 1;
         self.redirect = Some((to, now_ms + REDIRECT_MS));
         self.scheduler = None;
-        self.unanswered = 0;
         self.recent.clear();
         self.is_changed = true;
         true
