Place requests by the host where a scheduler can't help, and keep refused tickets

A pool whose endpoints all back off counted as scarce, so that callers were refused with a random return time; with all endpoints suspect at the scheduler's host nothing was granted. Requests with a prompt prefix and resumed streams do not wait. A grant that is older than 250 ms after a suspension, or names an endpoint that was tried, is not used. A request that an endpoint refused waits again under its ticket. Return times that many share are spread, a request that returns as told passes its organisation's gate once, and an organisation with much of a host's queue gives way to smaller ones. A pool that is not scarce is looked at once a second.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -57,6 +57,8 @@
     pub(crate) end: AttemptOutcome,
     /// The endpoint's error response, if it may be passed on.
     pub(crate) response: Option<BufferedResponse>,
+    /// The slot of a request that did not run.
+    pub(crate) unused_lease: Option<Lease>,
 }
 
 impl AttemptFailure {
@@ -64,6 +66,7 @@
         Self {
             end,
             response: None,
+            unused_lease: None,
         }
     }
 }
@@ -83,9 +86,9 @@
     let received = receive_head(shared, progress, choice, resume_after).await;
     let (connection, head, body, answer) = match received {
         Ok(answered) => answered,
-        Err(failure) => {
+        Err(mut failure) => {
             if failure.end.outcome() == Outcome::NotRun {
-                in_flight.mark_rejected();
+                failure.unused_lease = in_flight.mark_rejected();
             }
             return Err(failure);
         }
@@ -173,6 +176,7 @@
     AttemptFailure {
         end: AttemptOutcome::Failed,
         response,
+        unused_lease: None,
     }
 }
 
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -8,7 +8,7 @@
 use crate::edge::Refusal;
 use crate::poison::BrokenAttempt;
 use crate::pool_queue::{GrantedSlot, wait_for_slot};
-use crate::progress::Progress;
+use crate::progress::{GrantRecord, Progress};
 use crate::shared::Shared;
 
 /// Time before a deadline reserved for the response to reach the caller.
@@ -32,8 +32,13 @@
         }
         let (choice, lease) = match slot {
             Some(slot) => {
-                let GrantedSlot { choice, lease, .. } = slot;
-                progress.begin(&choice, Some((slot.waited_ms, lease.epoch)));
+                let GrantedSlot {
+                    choice,
+                    lease,
+                    waited_ms,
+                } = slot;
+                let epoch = lease.epoch;
+                progress.begin(&choice, Some(GrantRecord { waited_ms, epoch }));
                 (choice, Some(lease))
             }
             None => {
@@ -52,6 +57,7 @@
             end: failure.end,
             ran_ms: 0,
         };
+        progress.keep_unused_lease(failure.unused_lease);
         match progress.end_attempt(broken).await {
             Next::Elsewhere => {}
             Next::GiveUp(reason) => {
--- a/crates/gateway/src/pool_queue/client.rs
+++ b/crates/gateway/src/pool_queue/client.rs
@@ -10,13 +10,16 @@
 use chalkrock_routing::{PoolUse, QueueStatus, TicketId};
 use tokio::sync::{Notify, oneshot};
 
-use crate::pool_queue::waiting::{Decided, Decision, Waiting, WaitingPool};
+use crate::pool_queue::waiting::{Decided, Decision, Lease, Waiting, WaitingPool};
 
-/// How long the use of a pool's slots is reused: a quarter of the interval of reports.
+/// How long the use of a scarce pool's slots is reused: a quarter of the interval of
+/// reports.
 const USE_MAX_AGE_MS: u64 = 50;
+/// The same for a pool that is not scarce. Hosts and slots change slowly.
+const PLENTY_MAX_AGE_MS: u64 = 1_000;
 
 /// A request that asks for a slot.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub(crate) struct NewRequest {
     /// Priority, 0 the most urgent.
     pub(crate) rank: u8,
@@ -28,10 +31,14 @@
     pub(crate) fingerprint: u64,
     /// Endpoints that it must not be granted, by short hash.
     pub(crate) tried: Vec<u32>,
+    /// A granted slot that it did not use, to give back.
+    pub(crate) unused: Option<Lease>,
     /// Whether it was not sent or granted before.
     pub(crate) is_first: bool,
-    /// A random number in [0, 1).
+    /// A random number in [0, 1) for the gate of its organisation.
     pub(crate) draw: f64,
+    /// Another one for its return time.
+    pub(crate) spread_draw: f64,
 }
 
 /// Why a request may not wait.
@@ -127,27 +134,38 @@
         if !self.is_exchanging.load(Ordering::Relaxed) {
             return (false, None);
         }
+        let is_recent = |known: &WaitingPool| {
+            let is_scarce = known.last_use.is_some_and(|known| known.is_scarce());
+            let max_age_ms = if is_scarce {
+                USE_MAX_AGE_MS
+            } else {
+                PLENTY_MAX_AGE_MS
+            };
+            now_ms.saturating_sub(known.used_at_ms) < max_age_ms
+        };
         let mut pools = self.pools();
-        let waiting = match pools.get_mut(pool) {
-            Some(waiting) => waiting,
-            None => {
+        if !pools.get(pool).is_some_and(is_recent) {
+            // Not under this lock, which all requests take.
+            drop(pools);
+            let pool_use = determine_use();
+            pools = self.pools();
+            let known = pools.entry(pool.clone()).or_insert_with(|| {
                 let hash = MemberHash::of(pool.as_str()).short();
-                pools
-                    .entry(pool.clone())
-                    .or_insert_with(|| WaitingPool::new(pool.clone(), hash))
-            }
-        };
-        let is_recent = |at_ms: u64| now_ms.saturating_sub(at_ms) < USE_MAX_AGE_MS;
-        if !waiting.used_at_ms.is_some_and(is_recent) {
-            waiting.used_at_ms = Some(now_ms);
-            waiting.last_use = determine_use().map(|pool_use| PoolUse {
-                has_waiting: !waiting.waiting.is_empty(),
-                ..pool_use
+                WaitingPool::new(pool.clone(), hash)
             });
+            known.used_at_ms = now_ms;
+            known.last_use = pool_use;
         }
-        let Some(pool_use) = waiting.last_use else {
+        let Some(waiting) = pools.get_mut(pool) else {
+            return (false, None);
+        };
+        let Some(last_use) = waiting.last_use else {
             return (false, None);
         };
+        let pool_use = PoolUse {
+            has_waiting: !waiting.waiting.is_empty(),
+            ..last_use
+        };
         let is_contended = waiting.contention.update(&pool_use, now_ms);
         let was_contended = std::mem::replace(&mut waiting.was_contended, is_contended);
         let change = (was_contended != is_contended).then(|| ContentionChange {
@@ -176,7 +194,7 @@
     pub(crate) fn enter(
         self: &Arc<Self>,
         pool: &PoolId,
-        request: NewRequest,
+        mut request: NewRequest,
         now_ms: u64,
     ) -> Entry {
         let mut pools = self.pools();
@@ -190,21 +208,27 @@
             return Entry::NotQueued;
         }
         if request.is_first
+            && !waiting.take_return(request.fingerprint, now_ms)
             && let Some(gate) = waiting.gate(request.organisation, now_ms)
             && request.draw >= f64::from(gate.admit_permille) / 1_000.0
         {
             return Entry::Refused(WaitRefusal::OverShare {
                 admit_permille: gate.admit_permille,
-                retry_after_ms: u64::from(gate.retry_after_ms),
+                retry_after_ms: spread(u64::from(gate.retry_after_ms), request.spread_draw),
             });
         }
         let (has_room, displaced) = waiting.make_room(request.rank, request.organisation);
-        let retry_after_ms = waiting.last_return_ms(now_ms);
+        let return_ms = waiting.last_return_ms(now_ms);
+        let retry_after_ms = return_ms.map(|ms| spread(ms, request.spread_draw));
         if !has_room {
             return Entry::Refused(WaitRefusal::Full { retry_after_ms });
         }
         let (sender, decision) = oneshot::channel();
-        let ticket = waiting.add(Waiting {
+        let unused = request.unused.as_mut().map(|lease| {
+            lease.is_given_back = true;
+            lease.ticket
+        });
+        let added = Waiting {
             rank: request.rank,
             organisation: request.organisation,
             start_by_ms: request.start_by_ms,
@@ -212,7 +236,8 @@
             fingerprint: request.fingerprint,
             tried: request.tried,
             decision: sender,
-        });
+        };
+        let ticket = waiting.add(added, unused);
         drop(pools);
         if let Some(displaced) = displaced {
             send_all([Decided {
@@ -229,9 +254,10 @@
         })
     }
 
-    /// When the pool's scheduler last expected room, from now.
-    pub(crate) fn last_return_ms(&self, pool: &PoolId, now_ms: u64) -> Option<u64> {
-        self.pools().get(pool)?.last_return_ms(now_ms)
+    /// When a request that the scheduler did not reject may return, from now.
+    pub(crate) fn return_ms(&self, pool: &PoolId, draw: f64, now_ms: u64) -> Option<u64> {
+        let return_ms = self.pools().get(pool)?.last_return_ms(now_ms)?;
+        Some(spread(return_ms, draw))
     }
 
     /// Takes back a request that still waits.
@@ -289,6 +315,11 @@
     }
 }
 
+/// A return time for one of many that share it: between once and twice as late.
+fn spread(return_ms: u64, draw: f64) -> u64 {
+    return_ms + (return_ms as f64 * draw) as u64
+}
+
 /// Sends decisions; one for a caller that has left is dropped.
 pub(super) fn send_all(decided: impl IntoIterator<Item = Decided>) {
     for Decided { to, decision } in decided {
--- a/crates/gateway/src/pool_queue/exchange.rs
+++ b/crates/gateway/src/pool_queue/exchange.rs
@@ -9,7 +9,9 @@
 use std::time::Duration;
 
 use chalkrock_core::PoolId;
-use chalkrock_routing::{NextAsk, ReplyUse, SlotAsk, SlotReply, rank_schedulers};
+use chalkrock_routing::{
+    NextAsk, ReplyUse, SchedulerCandidate, SlotAsk, SlotReply, rank_schedulers,
+};
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 
@@ -159,6 +161,9 @@
             return;
         }
         self.shared.metrics.count("slot_asks_received_total", "", 1);
+        if !self.schedulers.knows(&self.shared, ask.pool) {
+            return;
+        }
         if let Some(scheduler) = self.redirect_target(from, ask.pool, now_ms) {
             self.shared
                 .metrics
@@ -219,6 +224,10 @@
     }
 
     fn apply_redirect(&mut self, from: SocketAddr, redirect: &SlotRedirect, now_ms: u64) {
+        let is_host = |host: &SchedulerCandidate<SocketAddr>| host.host == redirect.scheduler;
+        if !self.peers.scheduler_candidates().iter().any(is_host) {
+            return;
+        }
         let mut pools = self.shared.pool_queues.pools();
         let waiting = pools.values_mut().find(|pool| pool.hash == redirect.pool);
         let is_followed = waiting.is_some_and(|waiting| {
@@ -234,17 +243,24 @@
         }
     }
 
-    /// Releases requests that no scheduler answers.
+    /// Releases requests that no scheduler answers, or whose pool has no open endpoint.
     fn release_lost(&self, now_ms: u64) {
-        let mut pools = self.shared.pool_queues.pools();
+        let queues = &self.shared.pool_queues;
+        let pools = queues.pools();
+        let with_waiting = pools.values().filter(|pool| !pool.waiting.is_empty());
+        let names: Vec<PoolId> = with_waiting.map(|pool| pool.name.clone()).collect();
+        drop(pools);
         let mut released = Vec::new();
-        for waiting in pools.values_mut() {
-            let decided = waiting.release_if_lost(now_ms);
-            if !decided.is_empty() {
-                released.push((waiting.name.clone(), decided));
+        for name in names {
+            let has_open = self.shared.fleet().has_open_endpoint(&name, now_ms);
+            let mut pools = queues.pools();
+            let Some(waiting) = pools.get_mut(&name) else {
+                continue;
+            };
+            if waiting.link.is_lost(now_ms) || !has_open {
+                released.push((name, waiting.release_all()));
             }
         }
-        drop(pools);
         for (name, decided) in released {
             count_decisions(&self.shared, &name, &decided);
             send_all(decided);
@@ -302,10 +318,8 @@
             return;
         };
         self.shared.record_datagram_size(bytes.len());
-        let sent = [("slot_datagram_bytes_sent_total", bytes.len() as u64)];
-        for (name, by) in sent {
-            self.shared.metrics.count(name, "", by);
-        }
+        let metrics = &self.shared.metrics;
+        metrics.count("slot_datagram_bytes_sent_total", "", bytes.len() as u64);
         let _lost_datagrams_are_replaced = self.socket.try_send_to(&bytes, to);
     }
 }
--- a/crates/gateway/src/pool_queue/schedulers.rs
+++ b/crates/gateway/src/pool_queue/schedulers.rs
@@ -78,6 +78,11 @@
         scheduled.asking.insert(from);
     }
 
+    /// Whether a pool has endpoints.
+    pub(super) fn knows(&mut self, shared: &Shared, pool: u32) -> bool {
+        self.pools.contains_key(&pool) || self.pool_name(shared, pool).is_some()
+    }
+
     fn pool_name(&mut self, shared: &Shared, hash: u32) -> Option<PoolId> {
         let fleet = shared.fleet();
         let version = fleet.endpoints_version;
--- a/crates/gateway/src/pool_queue/slot_wait.rs
+++ b/crates/gateway/src/pool_queue/slot_wait.rs
@@ -15,9 +15,11 @@
 use crate::progress::Progress;
 use crate::shared::Shared;
 
-/// Granted endpoints that this host may not use, after which a request is placed by the
-/// host's own view.
+/// Most grants that a request can't use. After that its host places it.
 const MAX_UNUSABLE_GRANTS: usize = 2;
+/// Age of a grant from which on it is not used: the host was suspended or overloaded, and
+/// the scheduler may have granted the slot again.
+const MAX_GRANT_AGE_MS: u64 = 250;
 
 /// A slot that a request may use.
 pub(crate) struct GrantedSlot {
@@ -33,14 +35,27 @@
     shared: &Arc<Shared>,
     progress: &mut Progress,
 ) -> Result<Option<GrantedSlot>, Refusal> {
+    let slot = try_wait(shared, progress).await;
+    // Otherwise a slot that was granted before stays in use.
+    progress.give_back_lease();
+    slot
+}
+
+async fn try_wait(
+    shared: &Arc<Shared>,
+    progress: &mut Progress,
+) -> Result<Option<GrantedSlot>, Refusal> {
+    if !progress.may_queue() {
+        return Ok(None);
+    }
     let call = progress.call().clone();
     let queues = &shared.pool_queues;
     let entered_at = Instant::now();
     let waited_ms = || entered_at.elapsed().as_millis() as u64;
     let mut unusable = Vec::new();
-    while unusable.len() <= MAX_UNUSABLE_GRANTS {
+    for _ in 0..=MAX_UNUSABLE_GRANTS {
         let now_ms = shared.clock.now_ms();
-        let pool_use = || shared.fleet().pool_use(&call.pool, now_ms);
+        let pool_use = || shared.fleet().pool_use(&call.pool);
         let (is_contended, change) = queues.is_contended(&call.pool, pool_use, now_ms);
         if let Some(change) = change {
             shared.event_log.emit(&Event::PoolContended {
@@ -51,10 +66,11 @@
                 hosts: change.pool_use.hosts,
             });
         }
-        if !is_contended {
+        if !is_contended || !shared.fleet().has_open_endpoint(&call.pool, now_ms) {
             return Ok(None);
         }
         let request = progress.slot_request(&unusable, now_ms);
+        let spread_draw = request.spread_draw;
         let max_wait = ms(request.start_by_ms.saturating_sub(now_ms));
         let mut waiting = match queues.enter(&call.pool, request, now_ms) {
             Entry::NotQueued => return Ok(None),
@@ -63,18 +79,33 @@
         };
         let decision = tokio::time::timeout(max_wait, waiting.decision()).await;
         drop(waiting);
+        // The host may have been suspended meanwhile.
+        shared.wait_for_view().await;
         match decision {
-            Ok(Decision::Granted { endpoint, lease }) => match progress.accept_grant(endpoint) {
-                Some(choice) => {
-                    let waited_ms = waited_ms();
-                    return Ok(Some(GrantedSlot {
-                        choice,
-                        lease,
-                        waited_ms,
-                    }));
+            Ok(Decision::Granted {
+                endpoint,
+                lease,
+                at_ms,
+            }) => {
+                let age_ms = shared.clock.now_ms().saturating_sub(at_ms);
+                if age_ms > MAX_GRANT_AGE_MS {
+                    continue;
                 }
-                None => unusable.push(endpoint),
-            },
+                match progress.accept_grant(endpoint) {
+                    Some(choice) => {
+                        let waited_ms = waited_ms();
+                        return Ok(Some(GrantedSlot {
+                            choice,
+                            lease,
+                            waited_ms,
+                        }));
+                    }
+                    None => {
+                        progress.keep_unused_lease(Some(lease));
+                        unusable.push(endpoint);
+                    }
+                }
+            }
             Ok(Decision::Rejected {
                 cause,
                 retry_after_ms,
@@ -100,7 +131,7 @@
             Err(_elapsed) => {
                 shared.metrics.count("slot_waits_expired_total", "", 1);
                 let now_ms = shared.clock.now_ms();
-                let retry_after_ms = queues.last_return_ms(&call.pool, now_ms);
+                let retry_after_ms = queues.return_ms(&call.pool, spread_draw, now_ms);
                 let waited_ms = waited_ms();
                 let detail = format!("no slot was granted in time; waited {waited_ms} ms");
                 return Err(progress.slot_refusal(Reason::AtBound, retry_after_ms, detail));
--- a/crates/gateway/src/pool_queue/waiting.rs
+++ b/crates/gateway/src/pool_queue/waiting.rs
@@ -28,15 +28,25 @@
 const MAX_RETURN_MS: u32 = 60_000;
 /// How long a return time holds without a later reply.
 const MAX_RETURN_AGE_MS: u64 = 1_000;
-/// How long a gate holds without a later reply: two renewals and a lost one. A host that
-/// has nothing to ask for receives none.
-const MAX_GATE_AGE_MS: u64 = 250;
+/// How long a gate holds without a later reply. A host that has nothing to ask for receives
+/// none.
+const MAX_GATE_AGE_MS: u64 = 500;
+/// How much earlier or later than told a request may return to pass a gate.
+const RETURN_EARLY_MS: u64 = 20;
+const RETURN_LATE_MS: u64 = 500;
+/// Returns of a pool that one host remembers.
+const MAX_RETURNS: usize = 1_024;
 
 /// What becomes of a waiting request.
 #[derive(Debug)]
 pub(crate) enum Decision {
     /// It may run at an endpoint, by its short hash.
-    Granted { endpoint: u32, lease: Lease },
+    Granted {
+        endpoint: u32,
+        lease: Lease,
+        /// When the reply arrived, on the shared clock.
+        at_ms: u64,
+    },
     /// It can't start in time.
     Rejected {
         cause: RejectionCause,
@@ -55,13 +65,17 @@
     pub(super) queues: Arc<PoolQueues>,
     pub(super) pool: PoolId,
     pub(super) ticket: TicketId,
+    /// Whether the request waits again under the same ticket.
+    pub(super) is_given_back: bool,
     /// Incarnation of the scheduler that granted it.
     pub(crate) epoch: u64,
 }
 
 impl Drop for Lease {
     fn drop(&mut self) {
-        self.queues.release(&self.pool, self.ticket);
+        if !self.is_given_back {
+            self.queues.release(&self.pool, self.ticket);
+        }
     }
 }
 
@@ -107,11 +121,13 @@
     pub(super) contention: Contention,
     /// Use of its slots when it was last determined; `None` if it is not queued for.
     pub(super) last_use: Option<PoolUse>,
-    pub(super) used_at_ms: Option<u64>,
+    pub(super) used_at_ms: u64,
     pub(super) was_contended: bool,
     pub(super) link: SchedulerLink<SocketAddr>,
     pub(super) waiting: BTreeMap<TicketId, Waiting>,
     pub(super) held: HashMap<TicketId, HeldLease>,
+    /// When requests that the scheduler rejected were told to return, by fingerprint.
+    returns: HashMap<u64, u64>,
     gates: Vec<AdmissionGate>,
     gates_at_ms: u64,
     last_return: Option<ReturnTime>,
@@ -125,11 +141,12 @@
             hash,
             contention: Contention::default(),
             last_use: None,
-            used_at_ms: None,
+            used_at_ms: 0,
             was_contended: false,
             link: SchedulerLink::default(),
             waiting: BTreeMap::new(),
             held: HashMap::new(),
+            returns: HashMap::new(),
             gates: Vec::new(),
             gates_at_ms: 0,
             last_return: None,
@@ -157,17 +174,56 @@
         (is_current && left_ms > 0).then_some(left_ms)
     }
 
+    /// Whether a request returns when the scheduler said so. Counts once.
+    pub(super) fn take_return(&mut self, fingerprint: u64, now_ms: u64) -> bool {
+        let is_due = |due_ms: &u64| {
+            let earliest_ms = due_ms.saturating_sub(RETURN_EARLY_MS);
+            (earliest_ms..=due_ms + RETURN_LATE_MS).contains(&now_ms)
+        };
+        if !self.returns.get(&fingerprint).is_some_and(is_due) {
+            return false;
+        }
+        self.returns.remove(&fingerprint).is_some()
+    }
+
+    fn record_return(&mut self, fingerprint: u64, due_ms: u64, now_ms: u64) {
+        if self.returns.len() >= MAX_RETURNS {
+            self.returns
+                .retain(|_, due_ms| *due_ms + RETURN_LATE_MS >= now_ms);
+        }
+        if self.returns.len() < MAX_RETURNS {
+            self.returns.insert(fingerprint, due_ms);
+        }
+    }
+
+    /// Requests that may wait: as many as an ask can list beside the leases now held.
+    fn capacity(&self) -> usize {
+        const TYPICAL_TRIED: usize = 1;
+        let bytes = MAX_ASK_BYTES.saturating_sub(HELD_BYTES * self.held.len());
+        (bytes / (WAITING_BYTES + TYPICAL_TRIED * TRIED_BYTES)).min(MAX_WAITING)
+    }
+
     /// Makes room for a request. Returns whether it may wait, and the request that gives
     /// way to it.
     pub(super) fn make_room(&mut self, rank: u8, organisation: u32) -> (bool, Option<Waiting>) {
-        let is_same = |waiting: &&Waiting| waiting.organisation == organisation;
-        let of_organisation = self.waiting.values().filter(is_same).count();
+        let count = |organisation: u32| {
+            let same = self.waiting.values();
+            same.filter(|waiting| waiting.organisation == organisation)
+                .count()
+        };
+        let of_organisation = count(organisation);
         let is_over = organisation != 0 && of_organisation >= MAX_WAITING_PER_ORGANISATION;
-        if !is_over && self.waiting.len() < MAX_WAITING {
+        if !is_over && self.waiting.len() < self.capacity() {
             return (true, None);
         }
         let may_displace = |(_, waiting): &(&TicketId, &Waiting)| {
-            waiting.rank > rank && (!is_over || waiting.organisation == organisation)
+            if is_over && waiting.organisation != organisation {
+                return false;
+            }
+            let is_much_larger = waiting.organisation != 0
+                && waiting.organisation != organisation
+                && count(waiting.organisation) > 2 * (of_organisation + 1);
+            waiting.rank > rank || waiting.rank == rank && is_much_larger
         };
         let candidates = self.waiting.iter().filter(may_displace);
         let last = candidates.max_by_key(|(_, waiting)| (waiting.rank, waiting.start_by_ms));
@@ -177,9 +233,15 @@
         (true, self.waiting.remove(&ticket))
     }
 
-    pub(super) fn add(&mut self, waiting: Waiting) -> TicketId {
-        let ticket = TicketId(self.next_ticket);
-        self.next_ticket = self.next_ticket.wrapping_add(1);
+    /// Adds a request. One that was granted a slot and did not run keeps its `ticket`, so
+    /// that the scheduler knows it again.
+    pub(super) fn add(&mut self, waiting: Waiting, ticket: Option<TicketId>) -> TicketId {
+        let ticket = ticket.unwrap_or_else(|| {
+            let ticket = TicketId(self.next_ticket);
+            self.next_ticket = self.next_ticket.wrapping_add(1);
+            ticket
+        });
+        self.held.remove(&ticket);
         self.waiting.insert(ticket, waiting);
         self.link.record_change();
         ticket
@@ -253,10 +315,12 @@
             self.held.insert(grant.ticket, lease);
             let decision = Decision::Granted {
                 endpoint: grant.endpoint,
+                at_ms: now_ms,
                 lease: Lease {
                     queues: queues.clone(),
                     pool: self.name.clone(),
                     ticket: grant.ticket,
+                    is_given_back: false,
                     epoch,
                 },
             };
@@ -272,6 +336,8 @@
             let Some(waiting) = self.waiting.remove(&rejection.ticket) else {
                 continue;
             };
+            let due_ms = now_ms + u64::from(retry_after_ms);
+            self.record_return(waiting.fingerprint, due_ms, now_ms);
             let decision = Decision::Rejected {
                 cause: rejection.cause,
                 retry_after_ms: u64::from(retry_after_ms),
@@ -289,11 +355,8 @@
         (use_of_reply, decided)
     }
 
-    /// Releases all waiting requests if no scheduler answers.
-    pub(super) fn release_if_lost(&mut self, now_ms: u64) -> Vec<Decided> {
-        if !self.link.is_lost(now_ms) {
-            return Vec::new();
-        }
+    /// Releases all waiting requests, which this host then places itself.
+    pub(super) fn release_all(&mut self) -> Vec<Decided> {
         let waiting = std::mem::take(&mut self.waiting).into_values();
         let decided = waiting.map(|waiting| Decided {
             to: waiting.decision,
--- a/crates/gateway/src/progress.rs
+++ b/crates/gateway/src/progress.rs
@@ -18,9 +18,15 @@
 use crate::fair_share::RequestKind;
 use crate::fleet::{EndpointQuery, Fleet, SelectedEndpoint};
 use crate::poison::BrokenAttempt;
-use crate::pool_queue::NewRequest;
+use crate::pool_queue::{Lease, NewRequest};
 use crate::shared::{OrganisationGuard, Shared};
 
+/// Endpoints that a scheduler considers as tried. A request that tried as many is placed by
+/// its host.
+const MAX_TRIED_IN_ASK: usize = 8;
+/// Time for an exchange with a scheduler.
+const MIN_SLOT_WAIT_MS: u64 = 30;
+
 /// The attempts of one request.
 pub(crate) struct Progress {
     shared: Arc<Shared>,
@@ -40,6 +46,17 @@
     last_endpoint: Option<Arc<Endpoint>>,
     /// Builds that the current attempt may use.
     uses: &'static [BuildUse],
+    /// A granted slot that the request did not use.
+    unused_lease: Option<Lease>,
+}
+
+/// How the scheduler of its pool granted an attempt its slot.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct GrantRecord {
+    /// How long the request waited for it.
+    pub(crate) waited_ms: u64,
+    /// Incarnation of the scheduler.
+    pub(crate) epoch: u64,
 }
 
 impl Progress {
@@ -59,6 +76,7 @@
             sent_at_ms: now_ms,
             last_endpoint: None,
             uses: &[BuildUse::Any],
+            unused_lease: None,
         }
     }
 
@@ -170,9 +188,30 @@
         Some(choice)
     }
 
+    /// Keeps a granted slot that the request did not use until it waits again.
+    pub(crate) fn keep_unused_lease(&mut self, lease: Option<Lease>) {
+        self.unused_lease = lease;
+    }
+
+    /// Gives back a slot that was granted and not used.
+    pub(crate) fn give_back_lease(&mut self) {
+        self.unused_lease = None;
+    }
+
+    /// Whether the request may wait for a slot that any endpoint of the pool provides.
+    /// Requests with a prompt prefix are placed by where it is held, and a stream that is
+    /// resumed does not wait.
+    pub(crate) fn may_queue(&self) -> bool {
+        let is_stream = matches!(self.call.route.kind, RouteKind::Stream { .. });
+        let is_resumed = self.call.head.resume_after.is_some()
+            || is_stream && self.worst_outcome != Outcome::NotRun;
+        let is_listed = self.tried.len() < MAX_TRIED_IN_ASK;
+        self.call.shared_parts.is_empty() && !is_resumed && is_listed
+    }
+
     /// The request as it waits for a slot of a contended pool. It must not be granted
     /// `unusable` endpoints.
-    pub(crate) fn slot_request(&self, unusable: &[u32], now_ms: u64) -> NewRequest {
+    pub(crate) fn slot_request(&mut self, unusable: &[u32], now_ms: u64) -> NewRequest {
         let work_ms = self.shared.fleet().expected_service_ms(&self.call.pool);
         let work_ms = work_ms.clamp(0.0, f64::from(u32::MAX)) as u32;
         let organisation = self.call.organisation();
@@ -183,8 +222,10 @@
             work_ms,
             fingerprint: self.call.fingerprint.0,
             tried: [&self.tried, unusable].concat(),
+            unused: self.unused_lease.take(),
             is_first: self.tried.is_empty() && unusable.is_empty(),
             draw: rand::random(),
+            spread_draw: rand::random(),
         }
     }
 
@@ -202,11 +243,14 @@
         };
         let waited_ms = self.call.entered_at.elapsed().as_millis() as u64;
         let remaining_ms = self.call.remaining_ms().saturating_sub(work_ms);
-        let left_ms = match max_wait_ms.saturating_sub(waited_ms) {
-            0 => remaining_ms,
-            left_ms => left_ms.min(remaining_ms),
+        let left_ms = if self.worst_outcome == Outcome::NotRun {
+            // One that is late already asks once: a free slot may still serve it.
+            max_wait_ms.saturating_sub(waited_ms).max(MIN_SLOT_WAIT_MS)
+        } else {
+            // It has been sent, so that its caller waits for it until its deadline.
+            remaining_ms
         };
-        now_ms + left_ms
+        now_ms + left_ms.min(remaining_ms)
     }
 
     /// Selects the endpoint that the pool's scheduler granted, if this host may use it.
@@ -257,9 +301,8 @@
         self.delivered_attempts + 1 < self.call.route.attempts_max
     }
 
-    /// Records the start of an attempt. `granted` is the time that it waited for its slot
-    /// and the incarnation of the scheduler that granted it.
-    pub(crate) fn begin(&mut self, choice: &SelectedEndpoint, granted: Option<(u64, u64)>) {
+    /// Records the start of an attempt, and how its slot was granted, if it was.
+    pub(crate) fn begin(&mut self, choice: &SelectedEndpoint, granted: Option<GrantRecord>) {
         self.sent_at_ms = self.shared.clock.now_ms();
         self.tried.push(choice.member.hash.short());
         self.last_endpoint = Some(choice.member.endpoint.clone());
@@ -270,8 +313,8 @@
             holds_prefix: choice.holds_prefix,
             is_cold: choice.is_cold,
             copy_from: choice.holder,
-            waited_ms: granted.map(|(waited_ms, _)| waited_ms),
-            scheduler_epoch: granted.map(|(_, epoch)| epoch),
+            waited_ms: granted.map(|granted| granted.waited_ms),
+            scheduler_epoch: granted.map(|granted| granted.epoch),
             at_ms: self.call.entered_at.elapsed().as_millis() as u64,
             says_leaving: false,
             backoff_ms: None,
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -414,7 +414,7 @@
     /// The endpoint did not work on it, so its duration is no service time.
     was_rejected: bool,
     /// The slot that its pool's scheduler granted.
-    _lease: Option<Lease>,
+    lease: Option<Lease>,
 }
 
 impl InFlightGuard {
@@ -433,13 +433,14 @@
             endpoint,
             since: Instant::now(),
             was_rejected: false,
-            _lease: lease,
+            lease,
         }
     }
 
-    /// Records that the endpoint rejected the request.
-    pub(crate) fn mark_rejected(mut self) {
+    /// Records that the endpoint rejected the request. Returns its slot.
+    pub(crate) fn mark_rejected(mut self) -> Option<Lease> {
         self.was_rejected = true;
+        self.lease.take()
     }
 }
 
