Fit the scheduler's margins to what hosts leave, and steady its gates

Hosts keep two mean service times before the latest start, so that the scheduler keeps 1.5 for newcomers and 0.5 for those that wait.

--- a/crates/routing/src/pool_queue/gates.rs
+++ b/crates/routing/src/pool_queue/gates.rs
@@ -2,8 +2,8 @@
 //!
 //! An organisation that asks for many times what it is granted loads the scheduler and the
 //! packets between hosts for nothing. Its gate lets through somewhat more than it is
-//! granted, so that no slot is idle for it, and widens once a slot is free or its demand
-//! falls.
+//! granted, so that no slot is idle for it, and widens to the whole pool once a
+//! slot is free.
 //!
 //! Hosts can't tell a return from other requests. An organisation that is about to get a
 //! gate has no more returns reserved, and the gate narrows once the last of them is due.
@@ -23,14 +23,14 @@
 const EXCESS_RATIO: f64 = 1.5;
 /// Requests let through for each one granted.
 const HEADROOM: f64 = 2.0;
-/// Requests let through beside these, as a fraction of the pool's capacity.
-const MIN_CAPACITY_SHARE: f64 = 0.05;
+/// Requests that all gates let through beside these, as a fraction of the pool's capacity.
+const MIN_CAPACITY_SHARE: f64 = 0.4;
+/// Time for which hosts that got no reply may still apply a gate that has ended.
+const GATE_MEMORY_MS: u64 = 1_000;
 /// Weight of a window in the demand, and the range that it counts in, relative to what is
 /// known.
 const DEMAND_WEIGHT: f64 = 0.5;
 const DEMAND_CHANGE: (f64, f64) = (0.25, 1.5);
-/// Largest growth of a gate in one window.
-const GROWTH: f64 = 2.0;
 /// All requests.
 const WHOLE_PERMILLE: f64 = 1_000.0;
 /// Time after which a return that is due has arrived.
@@ -78,6 +78,8 @@
     had_free_slot: bool,
     counts: HashMap<u32, Counts>,
     gates: HashMap<u32, Gate>,
+    /// Gates that ended lately, and when.
+    ended: HashMap<u32, u64>,
 }
 
 impl Gates {
@@ -87,6 +89,7 @@
             had_free_slot: false,
             counts: HashMap::new(),
             gates: HashMap::new(),
+            ended: HashMap::new(),
         }
     }
 
@@ -132,7 +135,7 @@
         let had_free_slot = std::mem::take(&mut self.had_free_slot);
         let mut counts = std::mem::take(&mut self.counts);
         if slots_per_ms <= 0.0 {
-            self.gates.clear();
+            self.replace_gates([], now_ms);
             return;
         }
         for &organisation in self.gates.keys() {
@@ -154,10 +157,14 @@
             .collect();
         let total: f64 = demands.values().map(|(demand, _)| demand).sum();
         let is_overloaded = total > OVERLOAD_RATIO * slots_per_ms;
+        let least = MIN_CAPACITY_SHARE * slots_per_ms / self.gates.len().max(1) as f64;
         let mut gates: Vec<(u32, (bool, f64), Gate)> = Vec::new();
         for (&organisation, &(demand, granted)) in &demands {
             let known = self.gates.get(&organisation);
-            let target = HEADROOM * granted + MIN_CAPACITY_SHARE * slots_per_ms;
+            let mut target = HEADROOM * granted + least;
+            if had_free_slot {
+                target = target.max(slots_per_ms);
+            }
             let may_begin = is_overloaded
                 && organisation != 0
                 && demand > EXCESS_RATIO * target
@@ -166,14 +173,6 @@
                 continue;
             }
             let mut admit_permille = WHOLE_PERMILLE * target / demand.max(target);
-            if let Some(known) = known.filter(|known| known.admit_permille < WHOLE_PERMILLE) {
-                let grown = known.admit_permille * GROWTH;
-                admit_permille = if had_free_slot {
-                    grown
-                } else {
-                    admit_permille.min(grown)
-                };
-            }
             if admit_permille >= OPEN_PERMILLE {
                 continue;
             }
@@ -197,10 +196,23 @@
             b_known.cmp(a_known).then(by_demand).then(a.cmp(b))
         });
         gates.truncate(MAX_GATES_PER_REPLY);
-        let gates = gates.into_iter();
-        self.gates = gates
-            .map(|(organisation, _, gate)| (organisation, gate))
-            .collect();
+        self.replace_gates(
+            gates.into_iter().map(|(hash, _, gate)| (hash, gate)),
+            now_ms,
+        );
+    }
+
+    fn replace_gates(&mut self, gates: impl IntoIterator<Item = (u32, Gate)>, now_ms: u64) {
+        let former = std::mem::replace(&mut self.gates, gates.into_iter().collect());
+        self.ended
+            .retain(|_, ended_ms| now_ms.saturating_sub(*ended_ms) < GATE_MEMORY_MS);
+        for (organisation, gate) in former {
+            let has_room = self.ended.len() < MAX_ORGANISATIONS;
+            let has_ended = !self.gates.contains_key(&organisation);
+            if has_ended && has_room && gate.admit_permille < WHOLE_PERMILLE {
+                self.ended.insert(organisation, now_ms);
+            }
+        }
     }
 
     /// When [`Self::update`] is due, if a gate is in force.
@@ -209,9 +221,13 @@
     }
 
     /// When slots are expected for those that an organisation's gate refuses.
-    pub(super) fn retry_after_ms(&self, organisation: u32) -> Option<u32> {
-        let gate = self.gates.get(&organisation)?;
-        Some(gate.retry_after_ms)
+    pub(super) fn retry_after_ms(&self, organisation: u32, now_ms: u64) -> Option<u32> {
+        if let Some(gate) = self.gates.get(&organisation) {
+            return Some(gate.retry_after_ms);
+        }
+        let ended_ms = self.ended.get(&organisation)?;
+        let may_apply = now_ms.saturating_sub(*ended_ms) < GATE_MEMORY_MS;
+        may_apply.then_some(*RETRY_AFTER_MS.start() as u32)
     }
 
     /// The gates in force.
--- a/crates/routing/src/pool_queue/order.rs
+++ b/crates/routing/src/pool_queue/order.rs
@@ -70,8 +70,8 @@
     }
 }
 
-/// Marks requests that exceed their organisation's share: those beyond what remains of it,
-/// if all organisations that wait use the pool alike over the horizon. Returns the number
+/// Marks requests that exceed their organisation's share: those of a rank beyond what remains
+/// of it, if all organisations that wait use the pool alike over the horizon. Returns the number
 /// of these.
 pub(super) fn mark_over_share<H: Ord>(
     queued: &mut [Queued<H>],
@@ -80,17 +80,18 @@
     now_ms: u64,
 ) -> usize {
     queued.sort_unstable_by(|a, b| a.key().cmp(&b.key()));
-    let mut by_organisation: HashMap<u32, (f64, u32)> = HashMap::new();
+    let mut by_organisation: HashMap<u32, (f64, [u32; RANKS])> = HashMap::new();
     for request in queued.iter() {
         by_organisation
             .entry(request.organisation)
-            .or_insert_with(|| (ledger.share_ratio(request.organisation, now_ms), 0));
+            .or_insert_with(|| (ledger.share_ratio(request.organisation, now_ms), [0; RANKS]));
     }
     let share = slots_per_ms * SHARE_HORIZON_MS / by_organisation.len().max(1) as f64;
     let least_urgent = queued.iter().map(|request| request.rank).max();
     let least_urgent = least_urgent.unwrap_or_default();
     for request in queued {
         if let Some((ratio, counted)) = by_organisation.get_mut(&request.organisation) {
+            let counted = &mut counted[usize::from(request.rank)];
             let ratio = *ratio + f64::from(*counted) / share.max(1.0);
             let most = if request.rank < least_urgent {
                 URGENT_SHARE
--- a/crates/routing/src/pool_queue/return_rates.rs
+++ b/crates/routing/src/pool_queue/return_rates.rs
@@ -14,6 +14,8 @@
 const DECAYS_MS: [f64; 2] = [40.0, 400.0];
 /// Largest and smallest fraction of the pool for returns.
 const RETURN_FRACTION: std::ops::RangeInclusive<f64> = 0.05..=0.5;
+/// Largest fraction beside more urgent requests: a surge of these begins without notice.
+const LESS_URGENT_FRACTION: f64 = 0.2;
 /// Time over which an organisation's returns are spread at most.
 const MAX_SPREAD_MS: f64 = 500.0;
 /// Most organisations with returns. Further ones have none reserved.
@@ -57,7 +59,12 @@
         } else {
             0.0
         };
-        slots_per_ms * left.clamp(*RETURN_FRACTION.start(), *RETURN_FRACTION.end())
+        let most = if more_urgent > 0.0 {
+            LESS_URGENT_FRACTION
+        } else {
+            *RETURN_FRACTION.end()
+        };
+        slots_per_ms * left.clamp(*RETURN_FRACTION.start(), most)
     }
 
     /// Whether an organisation may have another return among `organisations` that wait.
--- a/crates/routing/src/pool_queue/scheduler.rs
+++ b/crates/routing/src/pool_queue/scheduler.rs
@@ -47,9 +47,9 @@
 /// Most endpoints that one request names as tried.
 const MAX_TRIED: usize = 8;
 /// Room for a service time above the mean, in mean service times: of a newcomer, and of
-/// one that waits already or returns.
-const NEWCOMER_MARGIN: f64 = 3.0;
-const QUEUED_MARGIN: f64 = 1.0;
+/// one that waits already.
+const NEWCOMER_MARGIN: f64 = 1.5;
+const QUEUED_MARGIN: f64 = 0.5;
 /// Part of the time left that may be spent waiting at any service time.
 const MIN_WAIT_RATIO: f64 = 0.3;
 
@@ -93,13 +93,14 @@
 impl Waiting {
     /// Longest wait with which it stays in the queue. It leaves room for a service time
     /// above the mean, and newcomers leave more: under overload the queue is as long as
-    /// their admission allows, and nobody gains if all start at the last moment.
+    /// their admission allows, and nobody gains if all start at the last moment. A return
+    /// stays while it can start at all.
     fn longest_wait_ms(&self, service_ms: f64, now_ms: u64) -> f64 {
         let left_ms = self.latest_start_ms.saturating_sub(now_ms) as f64;
-        let margin = if self.is_admitted || self.is_returning {
-            QUEUED_MARGIN
-        } else {
-            NEWCOMER_MARGIN
+        let margin = match (self.is_returning, self.is_admitted) {
+            (true, _) => return left_ms,
+            (false, true) => QUEUED_MARGIN,
+            (false, false) => NEWCOMER_MARGIN,
         };
         (left_ms - margin * service_ms).max(left_ms * MIN_WAIT_RATIO)
     }
@@ -549,7 +550,7 @@
                     RejectionCause::Full
                 };
                 // A host can't tell a return from other requests behind a gate.
-                let gate_ms = self.gates.retry_after_ms(entry.organisation);
+                let gate_ms = self.gates.retry_after_ms(entry.organisation, now_ms);
                 let returns_per_ms = self.return_rates.returns_per_ms(rank, slots_per_ms, now_ms);
                 let has_return = gate_ms.is_none()
                     && self.return_rates.may_reserve(
--- a/crates/routing/tests/pool_queue.rs
+++ b/crates/routing/tests/pool_queue.rs
@@ -369,7 +369,7 @@
     let before = granted(scheduler.reply(&"patient", START_MS));
     expect_that!(before.len() as u32, eq(limit));
     expect_that!(rejected(scheduler.reply(&"patient", START_MS)), is_empty());
-    let urgent = (1..=5).map(|ticket| WaitingRequest {
+    let urgent = (1..=6).map(|ticket| WaitingRequest {
         rank: 0,
         organisation: ticket,
         ..request(ticket)
--- a/crates/routing/tests/pool_queue_load.rs
+++ b/crates/routing/tests/pool_queue_load.rs
@@ -26,7 +26,7 @@
 const DEADLINE_MS: u64 = 1_500;
 const MESSAGE_MS: u64 = 2;
 /// Time before the objective at which a call has to start.
-const START_MARGIN_MS: u64 = 60;
+const START_MARGIN_MS: u64 = 120;
 const HEARTBEAT_MS: u64 = 100;
 const REPORT_MS: u64 = 200;
 const WARM_UP_MS: u64 = 1_000;
