--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -16,6 +16,7 @@
 use crate::edge::{AnswerHead, SendHead};
 use crate::endpoint_connections::{Connection, ConnectionRequest, NoConnection, SentBody};
 use crate::fleet::SelectedEndpoint;
+use crate::pool_queue::Lease;
 use crate::progress::Progress;
 use crate::shared::{InFlightGuard, Shared};
 
@@ -56,6 +57,8 @@
     pub(crate) end: AttemptOutcome,
     /// The endpoint's error response, if it may be passed on.
     pub(crate) response: Option<BufferedResponse>,
+    /// The slot of a request that did not run.
+    pub(crate) unused_lease: Option<Lease>,
 }
 
 impl AttemptFailure {
@@ -63,6 +66,7 @@
         Self {
             end,
             response: None,
+            unused_lease: None,
         }
     }
 }
@@ -72,21 +76,22 @@
     shared: &Arc<Shared>,
     progress: &mut Progress,
     choice: &SelectedEndpoint,
+    lease: Option<Lease>,
     resume_after: Option<u64>,
 ) -> Result<AttemptResponse, AttemptFailure> {
     let call = &*progress.call().clone();
     let start = choice.member.hash.short();
-    let in_flight = InFlightGuard::begin(shared, call, progress.work(), start);
+    let in_flight = InFlightGuard::begin(shared, call, progress.work(), start, lease);
     let started_at = Instant::now();
     let received = receive_head(shared, progress, choice, resume_after).await;
     let (connection, head, body, answer) = match received {
         Ok(answered) => answered,
-        Err(failure) => {
+        Err(mut failure) => {
             // A connection that breaks before the response takes no service time either: an
             // overloaded endpoint resets requests at once.
             let is_broken = failure.end == AttemptOutcome::Broken;
             if is_broken || failure.end.outcome() == Outcome::NotRun {
-                in_flight.mark_rejected();
+                failure.unused_lease = in_flight.mark_rejected();
             }
             return Err(failure);
         }
@@ -174,6 +179,7 @@
     AttemptFailure {
         end: AttemptOutcome::Failed,
         response,
+        unused_lease: None,
     }
 }
 
--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -3,6 +3,7 @@
 mod builds;
 mod closed;
 mod learned;
+mod scheduling;
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -25,6 +25,7 @@
 use crate::fleet::Fleet;
 use crate::lag::SchedulerLag;
 use crate::poison::PoisonRecords;
+use crate::pool_queue::{Lease, PoolQueues};
 use crate::skipped_rows::SkippedRows;
 use crate::source::Topic;
 use crate::subscription::{AnsweredHost, StoreSubscription};
@@ -60,6 +61,8 @@
     pub(crate) answers: ByteBudget,
     /// Limits callers' connections.
     pub(crate) connection_permits: Arc<Semaphore>,
+    /// Requests that wait for slots of contended pools.
+    pub(crate) pool_queues: Arc<PoolQueues>,
     pub(crate) rules: ActiveRules,
     fleet: Mutex<Fleet>,
     largest_datagram_bytes: AtomicUsize,
@@ -105,6 +108,7 @@
             bodies,
             answers,
             connection_permits,
+            pool_queues: Arc::default(),
             rules: ActiveRules::default(),
             fleet: Mutex::new(fleet),
             largest_datagram_bytes: AtomicUsize::new(0),
@@ -414,6 +418,8 @@
     work: Option<Arc<RequestWork>>,
     /// The endpoint did not work on it, so its duration is no service time.
     was_rejected: bool,
+    /// The slot that its pool's scheduler granted.
+    lease: Option<Lease>,
 }
 
 impl InFlightGuard {
@@ -422,6 +428,7 @@
         call: &Call,
         work: Option<Arc<RequestWork>>,
         endpoint: u32,
+        lease: Option<Lease>,
     ) -> Self {
         shared.fleet().load.begin(endpoint);
         Self {
@@ -432,12 +439,14 @@
             since: Instant::now(),
             work,
             was_rejected: false,
+            lease,
         }
     }
 
-    /// Records that the endpoint rejected the request.
-    pub(crate) fn mark_rejected(mut self) {
+    /// Records that the endpoint rejected the request. Returns its slot.
+    pub(crate) fn mark_rejected(mut self) -> Option<Lease> {
         self.was_rejected = true;
+        self.lease.take()
     }
 }
 
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -11,6 +11,7 @@
 mod fair_shares;
 mod large_rules;
 mod peers;
+mod pool_queue;
 mod recovery;
 mod rollouts;
 mod rows;
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -105,8 +105,13 @@
     PoisonVerdict,
 };
 pub use pool_queue::{
-    AdmissionGate, Grant, HeldLease, MAX_GATES_PER_REPLY, MAX_LEASES_PER_ASK, MAX_WAITING_PER_ASK,
-    Rejection, RejectionCause, SlotAsk, SlotReply, TicketId, WaitingRequest,
+    AdmissionGate, AskOutcome, EndpointStatus, Grant, HeldLease, LEASE_MS, MAX_GATES_PER_REPLY,
+    MAX_LEASES_PER_ASK, MAX_WAITING_PER_ASK, PoolScheduler, QueueStatus, Rejection, RejectionCause,
+    SETTLE_MS, SchedulableEndpoint, SlotAsk, SlotReply, TicketId, WaitingRequest,
+};
+pub use pool_queue::{
+    Contention, MAX_RANKED_SCHEDULERS, NextAsk, PoolUse, ReplyUse, SchedulerCandidate,
+    SchedulerLink, rank_schedulers,
 };
 pub use prefix_directory::{CacheEntry, PrefixDirectory};
 pub use readers::{
