Spread the prefixes that a host was just asked for

Change: a prefix spreads if this host was asked for it in the last two seconds, or if four holders are known.

--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -14,8 +14,8 @@
     Backoffs, Basis, BudgetRules, BuildUse, Candidate, ColdEndpoints, ConnectionLimit,
     EndpointHealth, EndpointTable, Evacuations, Evidence, FleetLoad, HealthSignal, HomeDemand,
     HomeSpread, MaxServiceTime, PlacementRequest, PoisonEvidence, PoolLoads, PoolMember,
-    PoolOccupancy, PoolRules, Repeatable, Rollouts, ServiceTimeEwma, Shares, SpreadRules,
-    StoreVersion, WindowBudget, choose_endpoint, connections_per_host,
+    PoolOccupancy, PoolRules, RecentPrefixes, Repeatable, Rollouts, ServiceTimeEwma, Shares,
+    SpreadRules, StoreVersion, WindowBudget, choose_endpoint, connections_per_host,
 };
 
 use crate::config::GatewayConfig;
@@ -105,6 +105,8 @@
     service_times: HashMap<PoolId, ServiceTimeEwma>,
     /// Endpoints whose prefixes spread over others, by pool.
     home_demand: HashMap<PoolId, HomeDemand>,
+    /// Prefixes of this host's latest requests.
+    pub(crate) recent_prefixes: RecentPrefixes,
     /// By pool and route.
     max_service_times: HashMap<PoolId, HashMap<Arc<str>, MaxServiceTime>>,
     /// Requests in progress on this host by organisation.
@@ -141,6 +143,7 @@
             budgets: HashMap::new(),
             service_times: HashMap::new(),
             home_demand: HashMap::new(),
+            recent_prefixes: RecentPrefixes::default(),
             max_service_times: HashMap::new(),
             shares: Shares::default(),
             prefixes: Prefixes::default(),
@@ -182,12 +185,20 @@
         let holders: Vec<u32> = deepest
             .map(|part| self.prefixes.directory().holders(part, now_ms).collect())
             .unwrap_or_default();
+        let is_popular = deepest.is_some_and(|part| {
+            let recent = &self.recent_prefixes;
+            recent.is_popular(part, holders.len(), now_ms)
+        });
+        let home_demand = self.home_demand.get(query.pool).filter(|_| is_popular);
         let candidates: Vec<Candidate> = untried
             .iter()
             .map(|member| {
                 let candidate = self.candidate(member, query, &holders, now_ms);
                 Candidate {
                     is_closed: candidate.is_closed || !builds.admit(member),
+                    home_spread: home_demand.map_or(HomeSpread::NONE, |demand| {
+                        demand.spread(member.hash.short())
+                    }),
                     ..candidate
                 }
             })
@@ -332,10 +343,7 @@
             is_suspect: is_suspect || has_just_returned,
             holds_prefix: holders.contains(&short),
             is_closed: backs_off || member.is_evacuated || !self.may_send_if_cold(member, now_ms),
-            home_spread: self
-                .home_demand
-                .get(query.pool)
-                .map_or(HomeSpread::NONE, |demand| demand.spread(short)),
+            home_spread: HomeSpread::NONE,
         }
     }
 
--- a/crates/gateway/src/progress.rs
+++ b/crates/gateway/src/progress.rs
@@ -123,6 +123,9 @@
             fleet.update_home_demand(&self.call.pool, now_ms);
         }
         let choice = fleet.place(&self.endpoint_query(), now_ms)?;
+        if let Some(&part) = self.call.shared_parts.last() {
+            fleet.recent_prefixes.record(part, now_ms);
+        }
         let start = choice.member.hash.short();
         fleet.cold.record_sent(start, now_ms);
         fleet.backoffs.record_sent(start, now_ms);
--- a/crates/routing/src/home_demand.rs
+++ b/crates/routing/src/home_demand.rs
@@ -213,3 +213,38 @@
         demand.map_or(HomeSpread::NONE, |demand| demand.spread)
     }
 }
+
+/// How long a request makes its prefix recent.
+const RECENT_MS: u64 = 2_000;
+/// Most recent prefixes that are remembered.
+const MAX_RECENT: usize = 4_096;
+/// Holders from which a prefix is popular in the fleet.
+const MIN_HOLDERS_OF_POPULAR: usize = 4;
+
+/// Prefixes of this host's latest requests. Only popular prefixes spread: the others of a
+/// home under high demand are not what the demand is for, and would be copied for nothing.
+#[derive(Clone, Debug, Default)]
+pub struct RecentPrefixes(HashMap<u32, u64>);
+
+impl RecentPrefixes {
+    /// Records a request for a prefix.
+    pub fn record(&mut self, prefix: u32, now_ms: u64) {
+        if self.0.len() >= MAX_RECENT && !self.0.contains_key(&prefix) {
+            self.0.retain(|_, at_ms| is_recent(*at_ms, now_ms));
+        }
+        if self.0.len() < MAX_RECENT || self.0.contains_key(&prefix) {
+            self.0.insert(prefix, now_ms);
+        }
+    }
+
+    /// Whether a prefix is popular: requested on this host just before, or held by many.
+    pub fn is_popular(&self, prefix: u32, holders: usize, now_ms: u64) -> bool {
+        let requested_at_ms = self.0.get(&prefix);
+        holders >= MIN_HOLDERS_OF_POPULAR
+            || requested_at_ms.is_some_and(|at_ms| is_recent(*at_ms, now_ms))
+    }
+}
+
+fn is_recent(at_ms: u64, now_ms: u64) -> bool {
+    now_ms.saturating_sub(at_ms) <= RECENT_MS
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -90,7 +90,7 @@
 pub use fleet_totals::ReportId;
 pub use follow_times::SubscriptionTimings;
 pub use health::{EndpointHealth, HealthSignal};
-pub use home_demand::{HomeDemand, HomeSpread, PoolLoads};
+pub use home_demand::{HomeDemand, HomeSpread, PoolLoads, RecentPrefixes};
 pub use in_flight::{EndpointCount, MAX_REPORT_AGE_MS, REPORT_INTERVAL_MS};
 pub use pause::{ClockReading, Suspension, detect_suspension};
 pub use poison::{
--- a/crates/routing/src/spread.rs
+++ b/crates/routing/src/spread.rs
@@ -29,12 +29,10 @@
     /// Whether this host must not send to it. It still counts in the mean load: without
     /// the endpoints of an evacuated zone, the limit would be too high.
     pub is_closed: bool,
-    /// How the requests of prefixes whose home it is spread over others.
+    /// How the requests of this prefix spread over others if this is its home.
     pub home_spread: HomeSpread,
 }
 
-/// Holders from which a prefix is popular: the limit has already moved it from its home.
-const MIN_HOLDERS_OF_POPULAR: usize = 2;
 /// Utilisation below which an endpoint has slots to spare.
 const LOW_UTILISATION_RATIO: f64 = 0.75;
 /// Utilisation from which it has no free slot.
@@ -180,23 +178,18 @@
     }
 
     /// The home: the first in rank, or a random one of those after it if the demand for it
-    /// spreads, holders of the prefix first. `None` if it is over the limit. A prefix with
-    /// a single holder stays: it is not what the demand is for, and would be copied for
-    /// nothing.
+    /// spreads, holders of the prefix first. `None` if it is over the limit.
     fn home(&self, among: &[usize], under_limit: &[usize], draw: u64) -> Option<usize> {
         let first = self.first(among)?;
         let spread = self.candidates[first].home_spread;
         let draw = unit_interval(draw);
-        let holds_prefix = |i: usize| self.candidates[i].holds_prefix;
-        let holders = (0..self.candidates.len())
-            .filter(|&i| holds_prefix(i))
-            .count();
-        if draw < spread.kept_ratio || holders < MIN_HOLDERS_OF_POPULAR {
+        if draw < spread.kept_ratio {
             return Some(first).filter(|first| under_limit.contains(first));
         }
         let rank = |i: usize| score(self.key, self.candidates[i].hash, 1.0);
         let mut others = among.to_vec();
         others.retain(|&other| other != first);
+        let holds_prefix = |i: usize| self.candidates[i].holds_prefix;
         others.sort_by(|&a, &b| {
             let by_holding = holds_prefix(b).cmp(&holds_prefix(a));
             by_holding.then_with(|| rank(b).total_cmp(&rank(a)))
--- a/crates/routing/tests/hot_prefix.rs
+++ b/crates/routing/tests/hot_prefix.rs
@@ -4,7 +4,8 @@
 
 use chalkrock_core::rendezvous::{KeyHash, MemberHash};
 use chalkrock_routing::{
-    Candidate, HomeDemand, HomeSpread, PlacementRequest, PoolLoads, SpreadRules, choose_endpoint,
+    Candidate, HomeDemand, HomeSpread, PlacementRequest, PoolLoads, RecentPrefixes, SpreadRules,
+    choose_endpoint,
 };
 use googletest::prelude::*;
 use rand::rngs::StdRng;
@@ -12,6 +13,7 @@
 
 /// Zones; the hosts of each receive the same loads at the same time.
 const ZONES: usize = 4;
+const HOSTS: usize = 76;
 const ENDPOINTS: usize = 90;
 const SLOTS: u32 = 48;
 const ARRIVALS_PER_S: f64 = 700.0;
@@ -62,6 +64,7 @@
     let mut demands: Vec<HomeDemand> = (0..ZONES).map(|_| HomeDemand::default()).collect();
     // By prefix and endpoint, when it first held the prefix.
     let mut held_from_ms = vec![[usize::MAX; ENDPOINTS]; OTHER_PREFIXES as usize + 1];
+    let mut recent: Vec<RecentPrefixes> = vec![RecentPrefixes::default(); HOSTS];
     let mut outcome = Outcome::default();
     let mut next_ms = 0.0;
     for step in 0..DURATION_MS / STEP_MS {
@@ -74,7 +77,8 @@
         history.truncate((INTERVAL_MS + DELAY_MS) / STEP_MS + 1);
         while next_ms < now_ms + STEP_MS as f64 {
             next_ms += exponential(&mut random, 1_000.0 / ARRIVALS_PER_S);
-            let zone = random.random_range(0..ZONES);
+            let host = random.random_range(0..HOSTS);
+            let zone = host % ZONES;
             let since_update_ms = (at_ms + zone * INTERVAL_MS / ZONES) % INTERVAL_MS;
             let age = (DELAY_MS + since_update_ms) / STEP_MS;
             let reported = &history[age.min(history.len() - 1)];
@@ -96,6 +100,11 @@
             };
             let known_until_ms = at_ms.saturating_sub(DELAY_MS + INTERVAL_MS / 2);
             let holds = |index: usize| held_from_ms[key.0 as usize][index] <= known_until_ms;
+            let holder_count = (0..ENDPOINTS).filter(|&index| holds(index)).count();
+            let prefix = key.0 as u32;
+            let is_popular = recent[host].is_popular(prefix, holder_count, at_ms as u64);
+            recent[host].record(prefix, at_ms as u64);
+            let homes = if is_popular { homes } else { Homes::Fixed };
             let candidates: Vec<Candidate> = hashes
                 .iter()
                 .zip(reported)
