--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -234,6 +234,7 @@
         may_repeat,
         max_open,
         may_be_reset: max_open.is_some() && choice.load >= endpoint.slots,
+        deadline: call.deadline(),
     }
 }
 
--- a/crates/gateway/src/endpoint_connections.rs
+++ b/crates/gateway/src/endpoint_connections.rs
@@ -120,6 +120,7 @@
     pub(crate) max_open: Option<u32>,
     /// Whether the endpoint may reset a new connection at once, because it is full.
     pub(crate) may_be_reset: bool,
+    pub(crate) deadline: Instant,
 }
 
 /// Why there is no connection. Nothing of the request was written.
@@ -165,7 +166,8 @@
                 freed.await;
             }
         };
-        let slot = match tokio::time::timeout(MAX_CONNECTION_WAIT, acquire).await {
+        let wait_until = request.deadline.min(Instant::now() + MAX_CONNECTION_WAIT);
+        let slot = match tokio::time::timeout_at(wait_until, acquire).await {
             Ok(Ok(idle)) => return Ok(idle),
             Ok(Err(slot)) => slot,
             Err(_) => return Err(NoConnection::AllInUse),
