--- a/crates/gateway/tests/gateway/fair_shares.rs
+++ b/crates/gateway/tests/gateway/fair_shares.rs
@@ -152,3 +152,27 @@
     assert_that!(served as f64, ge(0.9 * sent as f64));
     assert_that!(heavy_served as f64, le(0.5 * heavy_sent as f64));
 }
+
+/// An overloaded endpoint resets requests at once. The expected wait must not fall by that,
+/// or more requests are sent to it.
+#[tokio::test]
+async fn resets_do_not_shorten_the_expected_wait() {
+    const CALLS: usize = 60;
+    let service = Behaviour::AnswerAfter(200);
+    let gateway = Arc::new(TestGateway::with_endpoints(1, service).await);
+    let call = || Call::get("/once/").id("r");
+    assert_that!(gateway.call(call()).await.status, eq(200));
+    gateway.script.push(vec![Behaviour::Reset; 200]);
+    for _ in 0..200 {
+        assert_that!(gateway.call(call()).await.status, eq(502));
+    }
+    until(async || gateway.call(call()).await.status == 200).await;
+    let mut calls = JoinSet::new();
+    for _ in 0..CALLS {
+        let gateway = gateway.clone();
+        calls.spawn(async move { gateway.call(call()).await.status });
+    }
+    let statuses = calls.join_all().await;
+    let rejected = statuses.iter().filter(|status| **status == 503).count();
+    assert_that!(rejected, gt(CALLS / 10));
+}
--- a/crates/routing/src/fair_share/fleet_usage.rs
+++ b/crates/routing/src/fair_share/fleet_usage.rs
@@ -615,27 +615,6 @@
         Some(shares.share(organisation))
     }
 
-    /// The organisations over their share of a pool, the largest first, at most `max`.
-    pub fn over_share(
-        &mut self,
-        pool: u32,
-        occupancy: &PoolOccupancy,
-        max: usize,
-        now_ms: u64,
-    ) -> Vec<(u32, OrganisationShare)> {
-        let known = self.pools.get_mut(&pool);
-        let Some(shares) = known.and_then(|known| known.shares(occupancy, now_ms)) else {
-            return Vec::new();
-        };
-        let all = shares.by_organisation.keys();
-        let all = all.map(|&organisation| (organisation, shares.share(organisation)));
-        let mut over: Vec<(u32, OrganisationShare)> =
-            all.filter(|(_, share)| share.is_over()).collect();
-        over.sort_by(|(_, a), (_, b)| b.demand_ratio.total_cmp(&a.demand_ratio));
-        over.truncate(max);
-        over
-    }
-
     /// The pools to report in a round, at most `max`, all in turn: those loaded, those that
     /// this host has reported and those that other hosts report.
     pub fn pools_in_turn(&self, loaded: &[u32], sequence: u64, max: usize) -> Vec<u32> {
