--- a/crates/gateway/tests/gateway/peers.rs
+++ b/crates/gateway/tests/gateway/peers.rs
@@ -355,14 +355,14 @@
 #[tokio::test]
 async fn peers_tolerate_random_datagrams() {
     const SEED: u64 = 23;
-    const KINDS: u8 = 10;
+    const KINDS: u8 = 13;
     let (first, second) = two_hosts().await;
     let mut random = rand::rngs::StdRng::seed_from_u64(SEED);
     let socket = tokio::net::UdpSocket::bind("127.0.0.1:0")
         .await
         .expect("a socket");
     let address = second.running.peer_address().expect("an address");
-    for length in 0..400 {
+    for length in (0..400).chain(0..400) {
         let mut bytes = vec![0_u8; length];
         random.fill(&mut bytes[..]);
         // The first byte is the kind of the datagram.
