Add estimates of the work in hand and placement by them

Placement counts requests, so that a long unread prompt weighs as much as a short call, and slow endpoints are taken as usual ones. Hosts now learn each pool's reading rate and each endpoint's slowness, exchange both with the work in hand, and place a request elsewhere if its first event would come late.

--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -73,6 +73,21 @@
     pub is_leaving: bool,
     /// The backoff that the endpoint requests from this host.
     pub backoff: RequestedBackoff,
+    /// The load that the endpoint reports, if it does.
+    pub load: Option<EndpointLoad>,
+}
+
+/// The load that an endpoint reports of itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EndpointLoad {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait for a slot.
+    pub waiting: u32,
+    /// Requests that it runs concurrently.
+    pub slots: u32,
+    /// How long its work takes, in thousandths of the usual.
+    pub slowness_permille: Option<u16>,
 }
 
 /// The backoff that a refusing endpoint requests.
--- a/crates/gateway/src/endpoint_reports.rs
+++ b/crates/gateway/src/endpoint_reports.rs
@@ -25,6 +25,12 @@
         if answer.is_leaving {
             self.handle_leaving(member, id);
         }
+        if let Some(load) = &answer.load {
+            let now_ms = self.clock.now_ms();
+            self.fleet()
+                .work
+                .record_load(member.hash.short(), load, now_ms);
+        }
         match &answer.backoff {
             RequestedBackoff::ForMs(asked_ms) => self.handle_backoff(member, *asked_ms, id),
             RequestedBackoff::Unreadable(found) => self.log_unreadable_backoff(member, found, id),
--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -15,7 +15,7 @@
 };
 use chalkrock_routing::{
     AttemptOutcome, Basis, BuildAssessment, RequestFingerprint, RolloutReason, RolloutStage,
-    RulesVersion, StoreVersion,
+    RulesVersion, StoreVersion, WorkBasis,
 };
 use serde::{Serialize, Serializer};
 use tokio::io::AsyncWriteExt;
@@ -34,6 +34,12 @@
     pub(crate) load: u32,
     /// Why it was chosen.
     pub(crate) basis: Basis,
+    /// Why it was chosen by its work instead, if it was.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) work_basis: Option<WorkBasis>,
+    /// Expected time to the first event, if it can be estimated.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) expected_ttft_ms: Option<u64>,
     /// Whether it was known to hold the request's prefix.
     pub(crate) holds_prefix: bool,
     /// Whether the endpoint was cold.
--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -19,6 +19,7 @@
 use crate::config::GatewayConfig;
 use crate::prefixes::Prefixes;
 use crate::source::{EndpointChange, EndpointRow, ListedEndpoint};
+use crate::work::{EndpointWork, Prompt, Work, WorkView};
 
 /// Minimum number of list changes retained for other hosts.
 const MIN_RETAINED_CHANGES: usize = 256;
@@ -38,6 +39,8 @@
     pub(crate) pool: &'a PoolId,
     /// Hashes of its shared prompt prefixes, shortest first.
     pub(crate) shared_parts: &'a [u32],
+    /// What the endpoint has to read, if the request says so.
+    pub(crate) prompt: Option<Prompt<'a>>,
     /// Short hashes of endpoints that already received it.
     pub(crate) tried: &'a [u32],
     pub(crate) repeatable: Repeatable,
@@ -61,6 +64,8 @@
     pub(crate) holds_prefix: bool,
     /// Whether it is cold and the request counts against this host's share of its rate.
     pub(crate) is_cold: bool,
+    /// Its expected work, if the request says what there is to read.
+    pub(crate) work: Option<EndpointWork>,
     selected_at_ms: u64,
 }
 
@@ -106,6 +111,8 @@
     pub(crate) prefixes: Prefixes,
     pub(crate) poison: PoisonEvidence,
     pub(crate) rollouts: Rollouts<SocketAddr>,
+    /// Work in hand at endpoints that read prompts.
+    pub(crate) work: Work,
 }
 
 impl Fleet {
@@ -138,6 +145,7 @@
             prefixes: Prefixes::default(),
             poison: PoisonEvidence::default(),
             rollouts: Rollouts::new(config.exposure_bound),
+            work: Work::default(),
         }
     }
 
@@ -190,8 +198,23 @@
             draw: query.draw,
         };
         let placement = choose_endpoint(&candidates, &request, &self.spread)?;
-        let candidate = &candidates[placement.index];
-        let member = untried[placement.index].clone();
+        let work = query.prompt.map(|prompt| {
+            let view = WorkView {
+                pool: query.pool,
+                prompt,
+                shared_parts: query.shared_parts,
+                directory: self.prefixes.directory(),
+                service_ms: self.mean_service_ms(query.pool),
+                spread: &self.spread,
+                key,
+                draw: query.draw,
+                now_ms,
+            };
+            self.work.place(&view, placement, &candidates)
+        });
+        let index = work.map_or(placement.index, |work| work.index);
+        let candidate = &candidates[index];
+        let member = untried[index].clone();
         let holder = self.find_prefix_holder(query, &member, now_ms);
         let is_cold = self.is_bounded(&member, now_ms);
         Some(SelectedEndpoint {
@@ -201,6 +224,7 @@
             basis: placement.basis,
             holds_prefix: candidate.holds_prefix,
             is_cold,
+            work,
             selected_at_ms: now_ms,
         })
     }
@@ -510,5 +534,6 @@
     fn prune_health(&mut self) {
         let listed = self.endpoints.listed_hashes();
         self.health.retain(|endpoint, _| listed.contains(endpoint));
+        self.work.retain_listed(listed);
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -59,10 +59,13 @@
 mod subscription;
 mod suspension;
 mod termination_checks;
+mod work;
 
 pub use arrival::ReceivedBytes;
 pub use config::{GatewayConfig, GatewayConfigBuilder};
-pub use edge::{AnswerHead, CallHead, Edge, PrefixPart, Refusal, RequestedBackoff, SendHead};
+pub use edge::{
+    AnswerHead, CallHead, Edge, EndpointLoad, PrefixPart, Refusal, RequestedBackoff, SendHead,
+};
 pub use run::{RunningGateway, start};
 pub use source::{
     EndpointChange, EndpointRow, HostRow, ListedEndpoint, PoisonRow, RolloutWrite, Row, Source,
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -4,7 +4,7 @@
 
 use chalkrock_routing::{
     AggregatePath, CacheEntry, Evacuations, HostReport, PoisonRequest, PoisonUpdate, RulesVersion,
-    StoreVersion, SubscriptionRole, ZoneAggregate,
+    StoreVersion, SubscriptionRole, WorkReport, ZoneAggregate,
 };
 use serde::{Deserialize, Serialize};
 
@@ -34,6 +34,8 @@
     Rollouts(RolloutUpdate),
     /// Rollout answers counted by a host or zone.
     RolloutTally(RolloutTally),
+    /// Work in hand of one host.
+    Work(WorkReport),
 }
 
 /// Replaces heartbeats between the hosts of a large zone.
--- a/crates/gateway/src/peers/publish.rs
+++ b/crates/gateway/src/peers/publish.rs
@@ -248,6 +248,8 @@
         datagrams.to_relays.push(update.clone());
         datagrams.to_zone.push(update);
     }
+    let work = fleet.work.take_report(peers.incarnation, sequence, now_ms);
+    datagrams.to_peers.extend(work.map(Datagram::Work));
     let rollouts = rollout_datagrams(&fleet, peers, now_ms);
     datagrams.to_peers.extend(rollouts.to_peers);
     if round.is_relay {
--- a/crates/gateway/src/peers/receive.rs
+++ b/crates/gateway/src/peers/receive.rs
@@ -55,6 +55,10 @@
             }
             Datagram::Rollouts(update) => merge_rollout_update(&shared, update, peers.is_relay()),
             Datagram::RolloutTally(tally) => merge_tally(&shared, &peers, address, tally),
+            Datagram::Work(report) => {
+                let now_ms = shared.clock.now_ms();
+                shared.fleet().work.merge(address, &report, now_ms);
+            }
         }
     }
 }
--- a/crates/gateway/src/progress.rs
+++ b/crates/gateway/src/progress.rs
@@ -16,6 +16,7 @@
 use crate::fleet::{EndpointQuery, Fleet, SelectedEndpoint};
 use crate::poison::BrokenAttempt;
 use crate::shared::{OrganisationGuard, Shared};
+use crate::work::{Prompt, ReadGuard};
 
 /// The attempts of one request.
 pub(crate) struct Progress {
@@ -36,6 +37,8 @@
     last_endpoint: Option<Arc<Endpoint>>,
     /// Builds that the current attempt may use.
     uses: &'static [BuildUse],
+    /// The prompt of the current attempt, until its first event.
+    reading: Option<ReadGuard>,
 }
 
 impl Progress {
@@ -55,6 +58,7 @@
             sent_at_ms: now_ms,
             last_endpoint: None,
             uses: &[BuildUse::Any],
+            reading: None,
         }
     }
 
@@ -130,6 +134,7 @@
         EndpointQuery {
             pool: &self.call.pool,
             shared_parts: &self.call.shared_parts,
+            prompt: Prompt::of(&self.call),
             tried: &self.tried,
             repeatable: self.call.repeatable(),
             has_attempt_left: self.has_attempt_left(),
@@ -148,10 +153,15 @@
         self.sent_at_ms = self.shared.clock.now_ms();
         self.tried.push(choice.member.hash.short());
         self.last_endpoint = Some(choice.member.endpoint.clone());
+        let fleet = self.shared.fleet();
+        self.reading = fleet.work.begin(&self.call.pool, choice, self.sent_at_ms);
+        drop(fleet);
         self.attempts.push(AttemptRecord {
             endpoint: choice.member.endpoint.name.clone(),
             load: choice.load,
             basis: choice.basis,
+            work_basis: choice.work.and_then(|work| work.basis),
+            expected_ttft_ms: choice.work.and_then(|work| work.expected_ttft_ms()),
             holds_prefix: choice.holds_prefix,
             is_cold: choice.is_cold,
             copy_from: choice.holder,
@@ -177,6 +187,7 @@
     /// the next step.
     pub(crate) async fn end_attempt(&mut self, broken: BrokenAttempt) -> Next {
         let end = broken.end;
+        self.reading = None;
         if let Some(endpoint) = &self.last_endpoint {
             let request = self.call.fingerprint;
             self.shared
@@ -211,7 +222,10 @@
     }
 
     /// Records the time from the send to the first byte of the response.
-    pub(crate) fn record_first_byte(&self, first_byte_delay: Duration) {
+    pub(crate) fn record_first_byte(&mut self, first_byte_delay: Duration) {
+        if let Some(reading) = self.reading.take() {
+            reading.record_first_event(first_byte_delay, self.shared.clock.now_ms());
+        }
         let holds_prefix = self.attempts.last().is_some_and(|last| last.holds_prefix);
         let has_no_prefix = self.call.shared_parts.is_empty();
         self.count_response(ObservedResponse::Began {
@@ -220,6 +234,18 @@
         });
     }
 
+    /// Records the mean time between some events of a stream.
+    pub(crate) fn record_event_interval(&self, interval: Duration) {
+        if let Some(start) = self.tried.last() {
+            let now_ms = self.shared.clock.now_ms();
+            let fleet = self.shared.fleet();
+            let pool = &self.call.pool;
+            fleet
+                .work
+                .record_event_interval(pool, *start, interval, now_ms);
+        }
+    }
+
     /// Records a complete response: the mean time between its events, or the duration
     /// of the whole call.
     pub(crate) fn record_response_end(&self, event_interval: Option<Duration>) {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -24,6 +24,7 @@
 use crate::poison::BrokenAttempt;
 use crate::progress::Progress;
 use crate::shared::{RunningGuard, Shared};
+use crate::work::EventIntervals;
 
 /// How often a silent stream is checked.
 const HEALTH_RECHECK_INTERVAL: Duration = Duration::from_millis(200);
@@ -56,6 +57,7 @@
     /// When the endpoint's first bytes arrived.
     first_byte_at: Option<Instant>,
     chunk_count: u32,
+    event_intervals: EventIntervals,
     /// When the last chunk was relayed.
     relayed_at: Instant,
     /// Whether the caller left this endpoint's stream unread for `UNREAD_TIMEOUT`.
@@ -84,6 +86,7 @@
             received_at: Instant::now(),
             first_byte_at: None,
             chunk_count: 0,
+            event_intervals: EventIntervals::default(),
             relayed_at: Instant::now(),
             was_unread: false,
             has_ended: false,
@@ -105,6 +108,7 @@
 
     async fn next(&mut self) -> Option<Result<Bytes, ResponseAborted>> {
         self.was_unread |= self.relayed_at.elapsed() >= UNREAD_TIMEOUT;
+        self.event_intervals.resume_reading(self.relayed_at);
         while !self.has_ended {
             match self.receive().await {
                 Received::Bytes(bytes) => {
@@ -147,6 +151,9 @@
                         self.progress.record_first_byte(stream.sent_at.elapsed());
                     }
                     self.chunk_count += 1;
+                    if let Some(interval) = self.event_intervals.record(self.received_at) {
+                        self.progress.record_event_interval(interval);
+                    }
                     if let Ok(bytes) = frame.into_data() {
                         let now_ms = self.shared.clock.now_ms();
                         self.shared
@@ -195,6 +202,7 @@
         drop(failed_stream);
         let _partial_event = self.frames.take_remaining();
         self.chunk_count = 0;
+        self.event_intervals = EventIntervals::default();
         let run_time = self.first_byte_at.take().map(|at| at.elapsed());
         let end = if std::mem::take(&mut self.was_unread) {
             AttemptOutcome::Unread
--- a/crates/gateway/tests/gateway/support/edge.rs
+++ b/crates/gateway/tests/gateway/support/edge.rs
@@ -74,6 +74,7 @@
                 Some(Ok(backoff_ms)) => RequestedBackoff::ForMs(backoff_ms),
                 Some(Err(_)) => RequestedBackoff::Unreadable("text".to_owned()),
             },
+            load: None,
         }
     }
 
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -64,6 +64,7 @@
 mod shares;
 mod spread;
 mod store_version;
+mod work;
 mod zone_loads;
 
 pub use admission::{
@@ -111,4 +112,9 @@
 pub use shares::Shares;
 pub use spread::{Basis, Candidate, Placement, PlacementRequest, SpreadRules, choose_endpoint};
 pub use store_version::StoreVersion;
+pub use work::{
+    MAX_SLOWNESS_PERMILLE, MAX_WORK_ROWS, MIN_SLOWNESS_PERMILLE, PoolModel, PromptRead, PromptWork,
+    ReadId, Slowness, WorkBasis, WorkEstimate, WorkLedger, WorkPlacement, WorkReport, WorkRequest,
+    WorkRow, choose_by_work,
+};
 pub use zone_loads::{AggregatePath, HashRange, ZoneAggregate};
