--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -40,6 +40,15 @@
     /// Expected time to the first event, if it can be estimated.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub(crate) expected_ttft_ms: Option<u64>,
+    /// Tokens that it has to read and to copy, if the request says how many there are.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) read_tokens: Option<u32>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) copied_tokens: Option<u32>,
+    /// Time from the send to the first event, if one came.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) ttft_ms: Option<u64>,
+    pub(crate) tmp_part: Option<u32>,
     /// Whether it was known to hold the request's prefix.
     pub(crate) holds_prefix: bool,
     /// Whether the endpoint was cold.
--- a/crates/gateway/src/progress.rs
+++ b/crates/gateway/src/progress.rs
@@ -162,6 +162,10 @@
             basis: choice.basis,
             work_basis: choice.work.and_then(|work| work.basis),
             expected_ttft_ms: choice.work.and_then(|work| work.expected_ttft_ms()),
+            read_tokens: choice.work.map(|work| work.prompt.read_tokens),
+            copied_tokens: choice.work.map(|work| work.prompt.copied_tokens),
+            ttft_ms: None,
+            tmp_part: self.call.shared_parts.last().copied(),
             holds_prefix: choice.holds_prefix,
             is_cold: choice.is_cold,
             copy_from: choice.holder,
@@ -226,6 +230,9 @@
         if let Some(reading) = self.reading.take() {
             reading.record_first_event(first_byte_delay, self.shared.clock.now_ms());
         }
+        if let Some(record) = self.attempts.last_mut() {
+            record.ttft_ms = Some(first_byte_delay.as_millis() as u64);
+        }
         let holds_prefix = self.attempts.last().is_some_and(|last| last.holds_prefix);
         let has_no_prefix = self.call.shared_parts.is_empty();
         self.count_response(ObservedResponse::Began {
--- a/crates/gateway/src/work/mod.rs
+++ b/crates/gateway/src/work/mod.rs
@@ -61,7 +61,7 @@
     pub(crate) index: usize,
     /// Why it replaces the placement by counts, if it does.
     pub(crate) basis: Option<WorkBasis>,
-    work: PromptWork,
+    pub(crate) prompt: PromptWork,
     /// Whether the endpoint has a free slot.
     has_free_slot: bool,
     estimate: Option<WorkEstimate>,
@@ -95,7 +95,7 @@
             EndpointWork {
                 index,
                 basis: None,
-                work,
+                prompt: work,
                 has_free_slot: candidate.load < candidate.slots,
                 estimate: view.estimate(&state.ledger, candidate, &work),
             }
@@ -138,7 +138,7 @@
         let read = PromptRead {
             pool: pool.clone(),
             endpoint: choice.member.hash.short(),
-            work: chosen.work,
+            work: chosen.prompt,
             has_free_slot: chosen.has_free_slot,
             sent_at_ms: now_ms,
         };
--- a/crates/gateway/src/work/prompt.rs
+++ b/crates/gateway/src/work/prompt.rs
@@ -56,11 +56,12 @@
             let tokens = parts.iter().map(|part| part.tokens.min(MAX_PART_TOKENS));
             tokens.fold(0, |sum: u32, tokens| sum.saturating_add(tokens as u32))
         };
+        // Who holds a part holds those before it. The directory names few of the endpoints
+        // that hold a part which most prompts share.
         let known = &holders.0;
-        let holds_part = |part: &&Vec<u32>| part.contains(&endpoint);
-        let held = known.iter().take_while(holds_part).count();
-        let copyable = known.iter().rposition(|part| !part.is_empty());
-        let copied_until = copyable.map_or(held, |last| (last + 1).max(held));
+        let until = |last: Option<usize>| last.map_or(0, |last| last + 1);
+        let held = until(known.iter().rposition(|part| part.contains(&endpoint)));
+        let copied_until = until(known.iter().rposition(|part| !part.is_empty()));
         let parts = self.prompt.parts;
         PromptWork {
             read_tokens: tokens(&parts[copied_until.min(parts.len())..]),
