--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -48,6 +48,9 @@
     /// Time from the send to the first event, if one came.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub(crate) ttft_ms: Option<u64>,
+    /// Longest time between two chunks of its stream.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) longest_pause_ms: Option<u64>,
     pub(crate) tmp_part: Option<u32>,
     /// Whether it was known to hold the request's prefix.
     pub(crate) holds_prefix: bool,
--- a/crates/gateway/src/progress.rs
+++ b/crates/gateway/src/progress.rs
@@ -165,6 +165,7 @@
             read_tokens: choice.work.map(|work| work.prompt.read_tokens),
             copied_tokens: choice.work.map(|work| work.prompt.copied_tokens),
             ttft_ms: None,
+            longest_pause_ms: None,
             tmp_part: self.call.shared_parts.last().copied(),
             holds_prefix: choice.holds_prefix,
             is_cold: choice.is_cold,
@@ -241,6 +242,14 @@
         });
     }
 
+    /// Records the time between two chunks of a stream.
+    pub(crate) fn record_pause(&mut self, pause: Duration) {
+        if let Some(record) = self.attempts.last_mut() {
+            let pause_ms = pause.as_millis() as u64;
+            record.longest_pause_ms = record.longest_pause_ms.max(Some(pause_ms));
+        }
+    }
+
     /// Records the mean time between some events of a stream.
     pub(crate) fn record_event_interval(&self, interval: Duration) {
         if let Some(start) = self.tried.last() {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -145,8 +145,11 @@
                 .min(Instant::now() + HEALTH_RECHECK_INTERVAL);
             match tokio::time::timeout_at(recheck_at, stream.body.frame()).await {
                 Ok(Some(Ok(frame))) => {
+                    let pause = self.received_at.elapsed();
                     self.received_at = Instant::now();
-                    if self.first_byte_at.is_none() {
+                    if self.first_byte_at.is_some() {
+                        self.progress.record_pause(pause);
+                    } else {
                         self.first_byte_at = Some(self.received_at);
                         self.progress.record_first_byte(stream.sent_at.elapsed());
                     }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -113,8 +113,8 @@
 pub use spread::{Basis, Candidate, Placement, PlacementRequest, SpreadRules, choose_endpoint};
 pub use store_version::StoreVersion;
 pub use work::{
-    MAX_SLOWNESS_PERMILLE, MAX_WORK_ROWS, MIN_SLOWNESS_PERMILLE, PoolModel, PromptRead, PromptWork,
-    ReadId, Slowness, WorkBasis, WorkEstimate, WorkLedger, WorkPlacement, WorkReport, WorkRequest,
-    WorkRow, choose_by_work,
+    MAX_SLOWNESS_PERMILLE, MAX_WORK_POOLS, MAX_WORK_ROWS, MIN_SLOWNESS_PERMILLE, PoolModel,
+    PoolTimes, PromptRead, PromptWork, ReadId, Slowness, WorkBasis, WorkEstimate, WorkLedger,
+    WorkPlacement, WorkReport, WorkRequest, WorkRow, choose_by_work,
 };
 pub use zone_loads::{AggregatePath, HashRange, ZoneAggregate};
--- a/crates/routing/src/work/ledger.rs
+++ b/crates/routing/src/work/ledger.rs
@@ -7,10 +7,11 @@
 use std::hash::Hash;
 
 use chalkrock_core::PoolId;
+use chalkrock_core::rendezvous::MemberHash;
 
 use super::median::median;
 use super::pool_model::{PoolModel, PromptWork};
-use super::report::{MAX_WORK_ROWS, WorkReport, WorkRow};
+use super::report::{MAX_WORK_POOLS, MAX_WORK_ROWS, WorkReport, WorkRow};
 use super::slowness::Slowness;
 
 /// Reports are replaced several times within this time.
@@ -19,6 +20,8 @@
 const MAX_OUTSTANDING_TOKENS: u32 = 1_000_000;
 /// Hosts whose reports are kept.
 const MAX_HOSTS: usize = 1_024;
+/// Pools that other hosts can add.
+const MAX_POOLS: usize = 256;
 /// Part of a prompt that counts as unread until its first event, however long it takes.
 const MIN_UNREAD_RATIO: f64 = 0.1;
 
@@ -87,7 +90,8 @@
 /// The work in hand at each endpoint.
 #[derive(Clone, Debug)]
 pub struct WorkLedger<H> {
-    pools: HashMap<PoolId, PoolModel>,
+    /// By short hash of the pool's name.
+    pools: HashMap<u32, PoolModel>,
     endpoints: HashMap<u32, EndpointWork<H>>,
     hosts: HashMap<H, KnownHost>,
     reads: HashMap<ReadId, PromptRead>,
@@ -127,7 +131,7 @@
         if !read.has_free_slot {
             return;
         }
-        let model = self.pools.entry(read.pool).or_default();
+        let model = self.pools.entry(pool_hash(&read.pool)).or_default();
         if let Some(slowness) = model.record_first_event(&read.work, observed_ms) {
             self.record_slowness(read.endpoint, slowness, now_ms);
         }
@@ -153,7 +157,7 @@
         interval_ms: f64,
         now_ms: u64,
     ) {
-        let model = self.pools.entry(pool.clone()).or_default();
+        let model = self.pools.entry(pool_hash(pool)).or_default();
         if let Some(slowness) = model.record_event_interval(interval_ms) {
             self.record_slowness(endpoint, slowness, now_ms);
         }
@@ -210,7 +214,8 @@
     }
 
     fn tokens_per_ms(&self, pool: &PoolId) -> Option<f64> {
-        self.pools.get(pool).and_then(PoolModel::tokens_per_ms)
+        let model = self.pools.get(&pool_hash(pool));
+        model.and_then(PoolModel::tokens_per_ms)
     }
 
     /// Unread tokens of this host's prompts at an endpoint, which reads them at a rate.
@@ -229,7 +234,7 @@
 
     /// The usual time to the first event in a pool, if known.
     pub fn usual_ms(&self, pool: &PoolId, work: &PromptWork) -> Option<f64> {
-        self.pools.get(pool)?.expected_ms(work)
+        self.pools.get(&pool_hash(pool))?.expected_ms(work)
     }
 
     /// The expected time to the first event at an endpoint with a free slot, if known. The
@@ -310,10 +315,16 @@
             let has_slowness = row.slowness_permille.is_some() || row.reported_permille.is_some();
             row.outstanding_tokens > 0 || has_slowness
         });
-        (!rows.is_empty()).then_some(WorkReport {
+        if rows.is_empty() {
+            return None;
+        }
+        let pools = self.pools.iter();
+        let pools = pools.filter_map(|(pool, model)| model.times(*pool));
+        Some(WorkReport {
             incarnation,
             sequence,
             rows,
+            pools: pools.take(MAX_WORK_POOLS).collect(),
         })
     }
 
@@ -334,6 +345,11 @@
             return;
         }
         self.forget_work(host);
+        for times in report.pools.iter().take(MAX_WORK_POOLS) {
+            if self.pools.len() < MAX_POOLS || self.pools.contains_key(&times.pool) {
+                self.pools.entry(times.pool).or_default().merge(times);
+            }
+        }
         let mut endpoints = Vec::new();
         for row in report.rows.iter().take(MAX_WORK_ROWS) {
             if !is_listed(row.endpoint) || endpoints.contains(&row.endpoint) {
@@ -398,3 +414,7 @@
         });
     }
 }
+
+fn pool_hash(pool: &PoolId) -> u32 {
+    MemberHash::of(pool.as_str()).short()
+}
--- a/crates/routing/src/work/median.rs
+++ b/crates/routing/src/work/median.rs
@@ -20,6 +20,11 @@
         self.values.push_back(value);
     }
 
+    /// How many values there are.
+    pub(crate) fn len(&self) -> usize {
+        self.values.len()
+    }
+
     /// The median, once there are `min_values`.
     pub(crate) fn get(&self, min_values: usize) -> Option<f64> {
         if self.values.len() < min_values.max(1) {
--- a/crates/routing/src/work/pool_model.rs
+++ b/crates/routing/src/work/pool_model.rs
@@ -1,6 +1,7 @@
 //! How long the endpoints of a pool usually take to read prompts.
 
 use super::median::RecentMedian;
+use super::report::PoolTimes;
 
 /// Values from which the usual times of a pool are taken.
 const MODEL_VALUES: usize = 63;
@@ -12,6 +13,15 @@
 const LONG_PROMPT_TOKENS: u32 = 1_024;
 /// Time of a copy from another endpoint until it is known.
 const ASSUMED_COPY_MS: f64 = 20.0;
+/// Values of other hosts are taken until there are this many.
+const MAX_MERGED_VALUES: usize = 9;
+/// Bounds the rate, in tokens per millisecond, that another host can claim.
+const MIN_MERGED_RATE: f64 = 0.1;
+const MAX_MERGED_RATE: f64 = 10_000.0;
+/// Bounds the time that another host can claim.
+const MAX_MERGED_US: u32 = 10_000_000;
+const MS_PER_S: f64 = 1_000.0;
+const US_PER_MS: f64 = 1_000.0;
 /// Shorter expected times differ too much by chance to compare endpoints.
 const MIN_COMPARED_MS: f64 = 20.0;
 
@@ -86,6 +96,35 @@
         Some(permille(interval_ms / usual_ms))
     }
 
+    /// The usual times of this host, under the short hash of the pool's name; `None` until
+    /// enough prompts were read.
+    pub fn times(&self, pool: u32) -> Option<PoolTimes> {
+        let in_us = |ms: f64| (ms * US_PER_MS) as u32;
+        Some(PoolTimes {
+            pool,
+            tokens_per_s: (self.tokens_per_ms()? * MS_PER_S) as u32,
+            short_us: self.short_ms.get(MIN_VALUES).map(in_us),
+            copy_us: self.copy_ms.get(MIN_VALUES).map(in_us),
+        })
+    }
+
+    /// Uses the times of another host as values while this host has few of its own.
+    pub fn merge(&mut self, times: &PoolTimes) {
+        let tokens_per_ms = f64::from(times.tokens_per_s) / MS_PER_S;
+        let in_ms = |us: u32| f64::from(us.min(MAX_MERGED_US)) / US_PER_MS;
+        let merge = |values: &mut RecentMedian<MODEL_VALUES>, value: Option<f64>| {
+            if let Some(value) = value.filter(|_| values.len() < MAX_MERGED_VALUES) {
+                values.record(value);
+            }
+        };
+        merge(
+            &mut self.tokens_per_ms,
+            Some(tokens_per_ms.clamp(MIN_MERGED_RATE, MAX_MERGED_RATE)),
+        );
+        merge(&mut self.short_ms, times.short_us.map(in_ms));
+        merge(&mut self.copy_ms, times.copy_us.map(in_ms));
+    }
+
     fn short_ms(&self) -> f64 {
         self.short_ms.get(1).unwrap_or(0.0)
     }
