--- a/crates/gateway/src/endpoint_reports.rs
+++ b/crates/gateway/src/endpoint_reports.rs
@@ -43,6 +43,23 @@
         }
     }
 
+    /// Logs the endpoints that became slow for longer, or are usual again.
+    pub(crate) fn log_slowness_changes(&self) {
+        let now_ms = self.clock.now_ms();
+        let fleet = self.fleet();
+        for change in fleet.work.take_slowness_changes(now_ms) {
+            let mut listed = fleet.endpoints.listed();
+            let member = listed.find(|member| member.hash.short() == change.endpoint);
+            if let Some(member) = member {
+                self.event_log.emit(&Event::EndpointSlow {
+                    endpoint: &member.endpoint.name,
+                    is_slow: change.is_slow,
+                    slowness: change.slowness,
+                });
+            }
+        }
+    }
+
     /// The next round of messages informs the other hosts.
     fn handle_leaving(&self, member: &PoolMember, id: Option<&RequestId>) {
         let start = member.hash.short();
--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -51,7 +51,6 @@
     /// Longest time between two chunks of its stream.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub(crate) longest_pause_ms: Option<u64>,
-    pub(crate) tmp_part: Option<u32>,
     /// Whether it was known to hold the request's prefix.
     pub(crate) holds_prefix: bool,
     /// Whether the endpoint was cold.
@@ -136,6 +135,12 @@
         version: RulesVersion,
         from: &'a str,
     },
+    /// An endpoint became slower than its pool for longer, or is usual again.
+    EndpointSlow {
+        endpoint: &'a EndpointId,
+        is_slow: bool,
+        slowness: f64,
+    },
     /// The list of endpoints changed.
     Endpoints {
         version: u64,
--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -242,6 +242,24 @@
         f64::from(in_progress) * self.load.report_age_ms() / service_ms
     }
 
+    /// The wait that a request to a pool has to expect for the prompts in hand, at the
+    /// median of the endpoints that accept requests.
+    fn expected_wait_ms(&self, pool: &PoolId, now_ms: u64) -> f64 {
+        let members = self.endpoints.live(pool);
+        let starts = members.iter().map(|member| member.hash.short());
+        let accepting = starts.filter(|start| {
+            !self.is_suspect(*start, now_ms) && !self.backoffs.is_active(*start, now_ms)
+        });
+        self.work.expected_wait_ms(pool, accepting, now_ms)
+    }
+
+    /// The pools with settings and their expected waits.
+    pub(crate) fn expected_waits_ms(&self, now_ms: u64) -> Vec<(PoolId, f64)> {
+        let pools = self.pools.keys();
+        let waits = pools.map(|pool| (pool.clone(), self.expected_wait_ms(pool, now_ms)));
+        waits.collect()
+    }
+
     fn mean_service_ms(&self, pool: &PoolId) -> f64 {
         let mean = self.service_times.get(pool);
         mean.map_or(0.0, ServiceTimeEwma::ms)
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -49,6 +49,14 @@
     let poison = fleet.poison.poison_requests(usize::MAX, now_ms).len();
     metrics.gauge("poison_requests", "", poison as f64);
     metrics.gauge("endpoints_version", "", fleet.endpoints_version.0 as f64);
+    fleet.work.set_gauges(metrics, now_ms);
+    for (pool, wait_ms) in fleet.expected_waits_ms(now_ms) {
+        metrics.gauge(
+            "pool_expected_wait_ms",
+            &format!("pool=\"{pool}\""),
+            wait_ms,
+        );
+    }
     drop(fleet);
     metrics.render()
 }
--- a/crates/gateway/src/peers/publish.rs
+++ b/crates/gateway/src/peers/publish.rs
@@ -204,6 +204,7 @@
     round: &GossipRound,
 ) -> RoundDatagrams {
     shared.expire_endpoint_reports();
+    shared.log_slowness_changes();
     let now_ms = shared.clock.now_ms();
     let rules = shared.rules.version();
     let mut fleet = shared.fleet();
--- a/crates/gateway/src/progress.rs
+++ b/crates/gateway/src/progress.rs
@@ -166,7 +166,6 @@
             copied_tokens: choice.work.map(|work| work.prompt.copied_tokens),
             ttft_ms: None,
             longest_pause_ms: None,
-            tmp_part: self.call.shared_parts.last().copied(),
             holds_prefix: choice.holds_prefix,
             is_cold: choice.is_cold,
             copy_from: choice.holder,
--- a/crates/gateway/src/work/mod.rs
+++ b/crates/gateway/src/work/mod.rs
@@ -12,8 +12,8 @@
 use chalkrock_core::rendezvous::KeyHash;
 use chalkrock_process::Metrics;
 use chalkrock_routing::{
-    Candidate, Placement, PrefixDirectory, PromptRead, PromptWork, ReadId, SpreadRules, WorkBasis,
-    WorkEstimate, WorkLedger, WorkReport, WorkRequest, choose_by_work,
+    Candidate, Placement, PrefixDirectory, PromptRead, PromptWork, ReadId, SlownessChange,
+    SpreadRules, WorkBasis, WorkEstimate, WorkLedger, WorkReport, WorkRequest, choose_by_work,
 };
 
 use crate::edge::EndpointLoad;
@@ -22,9 +22,6 @@
 pub(crate) use self::event_intervals::EventIntervals;
 pub(crate) use self::prompt::Prompt;
 
-/// Endpoints in the metrics.
-const SLOWEST_IN_METRICS: usize = 8;
-
 /// The state of this host.
 #[derive(Debug, Default)]
 struct State {
@@ -206,22 +203,21 @@
         self.lock().listed = listed;
     }
 
-    /// Sets the gauges of the slowest endpoints and of the tokens in hand.
-    pub(crate) fn set_gauges(
-        &self,
-        metrics: &Metrics,
-        name_of: impl Fn(u32) -> Option<String>,
-        now_ms: u64,
-    ) {
+    /// The endpoints that became lastingly slow or usual again since the last call.
+    pub(crate) fn take_slowness_changes(&self, now_ms: u64) -> Vec<SlownessChange> {
+        self.lock().ledger.take_slowness_changes(now_ms)
+    }
+
+    pub(crate) fn set_gauges(&self, metrics: &Metrics, now_ms: u64) {
         let state = self.lock();
         let tokens = state.ledger.local_outstanding_tokens();
         metrics.gauge("prompt_tokens_outstanding", "", tokens as f64);
-        metrics.gauge(
-            "endpoint_reported_waiting",
-            "",
-            f64::from(state.reported_waiting),
-        );
-        let _ = (SLOWEST_IN_METRICS, name_of, now_ms);
+        let slowest = state.ledger.largest_slowness(now_ms);
+        metrics.gauge("endpoint_slowness_max", "", slowest);
+        let slow = state.ledger.slow_count();
+        metrics.gauge("endpoints_slow", "", slow as f64);
+        let waiting = state.reported_waiting;
+        metrics.gauge("endpoint_waiting_reported", "", f64::from(waiting));
     }
 }
 
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -114,7 +114,7 @@
 pub use store_version::StoreVersion;
 pub use work::{
     MAX_SLOWNESS_PERMILLE, MAX_WORK_POOLS, MAX_WORK_ROWS, MIN_SLOWNESS_PERMILLE, PoolModel,
-    PoolTimes, PromptRead, PromptWork, ReadId, Slowness, WorkBasis, WorkEstimate, WorkLedger,
-    WorkPlacement, WorkReport, WorkRequest, WorkRow, choose_by_work,
+    PoolTimes, PromptRead, PromptWork, ReadId, Slowness, SlownessChange, WorkBasis, WorkEstimate,
+    WorkLedger, WorkPlacement, WorkReport, WorkRequest, WorkRow, choose_by_work,
 };
 pub use zone_loads::{AggregatePath, HashRange, ZoneAggregate};
--- a/crates/routing/src/work/ledger.rs
+++ b/crates/routing/src/work/ledger.rs
@@ -20,13 +20,15 @@
 const MAX_OUTSTANDING_TOKENS: u32 = 1_000_000;
 /// Hosts whose reports are kept.
 const MAX_HOSTS: usize = 1_024;
+/// Lasting slowness from which operators are notified.
+const LASTING_SLOW_RATIO: f64 = 1.5;
 /// Pools that other hosts can add.
 const MAX_POOLS: usize = 256;
 /// Part of a prompt that counts as unread until its first event, however long it takes.
 const MIN_UNREAD_RATIO: f64 = 0.1;
 
 /// Identifies a prompt that an endpoint reads.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct ReadId(u64);
 
 /// A prompt of this host, from its send to its first event.
@@ -78,6 +80,17 @@
     }
 }
 
+/// An endpoint that became lastingly slow, or usual again.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SlownessChange {
+    /// Short hash of the endpoint's start.
+    pub endpoint: u32,
+    /// Whether it is slow now.
+    pub is_slow: bool,
+    /// Its slowness relative to the pool.
+    pub slowness: f64,
+}
+
 /// The last report of a host.
 #[derive(Clone, Debug)]
 struct KnownHost {
@@ -95,6 +108,8 @@
     endpoints: HashMap<u32, EndpointWork<H>>,
     hosts: HashMap<H, KnownHost>,
     reads: HashMap<ReadId, PromptRead>,
+    /// Endpoints reported as lastingly slow.
+    slow: HashSet<u32>,
     /// Reads by endpoint.
     reading: HashMap<u32, Vec<ReadId>>,
     last_read: u64,
@@ -107,6 +122,7 @@
             endpoints: HashMap::new(),
             hosts: HashMap::new(),
             reads: HashMap::new(),
+            slow: HashSet::new(),
             reading: HashMap::new(),
             last_read: 0,
         }
@@ -186,14 +202,45 @@
         work.map_or(1.0, |work| work.slowness.ratio(now_ms))
     }
 
-    /// The slowest endpoints, the slowest first.
-    pub fn slowest(&self, max: usize, now_ms: u64) -> Vec<(u32, f64)> {
-        let slowness =
-            |(endpoint, work): (&u32, &EndpointWork<H>)| (*endpoint, work.slowness.ratio(now_ms));
-        let mut all: Vec<(u32, f64)> = self.endpoints.iter().map(slowness).collect();
-        all.sort_by(|(a, ratio_a), (b, ratio_b)| ratio_b.total_cmp(ratio_a).then(a.cmp(b)));
-        all.truncate(max);
-        all
+    /// The slowness of the slowest endpoint; 1 if none is known.
+    pub fn largest_slowness(&self, now_ms: u64) -> f64 {
+        let all = self.endpoints.values();
+        let all = all.map(|work| work.slowness.ratio(now_ms));
+        all.fold(1.0, f64::max)
+    }
+
+    /// Number of endpoints that are lastingly slow.
+    pub fn slow_count(&self) -> usize {
+        self.slow.len()
+    }
+
+    /// The endpoints that became lastingly slow or usual again since the last call.
+    pub fn take_slowness_changes(&mut self, now_ms: u64) -> Vec<SlownessChange> {
+        let lasting = |endpoint: u32| {
+            let work = self.endpoints.get(&endpoint);
+            work.map_or(1.0, |work| work.slowness.lasting_ratio(now_ms))
+        };
+        let known = self.endpoints.keys().chain(&self.slow);
+        let known: HashSet<u32> = known.copied().collect();
+        let changes = known.into_iter().filter_map(|endpoint| {
+            let slowness = lasting(endpoint);
+            let was_slow = self.slow.contains(&endpoint);
+            let is_slow = slowness >= LASTING_SLOW_RATIO;
+            (is_slow != was_slow).then_some(SlownessChange {
+                endpoint,
+                is_slow,
+                slowness,
+            })
+        });
+        let changes: Vec<SlownessChange> = changes.collect();
+        for change in &changes {
+            if change.is_slow {
+                self.slow.insert(change.endpoint);
+            } else {
+                self.slow.remove(&change.endpoint);
+            }
+        }
+        changes
     }
 
     /// Tokens that an endpoint still has to read, over the fleet.
@@ -250,6 +297,15 @@
         Some(usual_ms * self.slowness(endpoint, now_ms))
     }
 
+    /// Time that an endpoint needs for the prompts in hand; 0 if unknown.
+    pub fn backlog_ms(&self, pool: &PoolId, endpoint: u32, now_ms: u64) -> f64 {
+        let Some(rate) = self.tokens_per_ms(pool) else {
+            return 0.0;
+        };
+        let tokens = f64::from(self.outstanding_tokens(pool, endpoint, now_ms));
+        tokens / rate * self.slowness(endpoint, now_ms)
+    }
+
     /// Median time that endpoints of a pool need for the prompts in hand; 0 if unknown.
     pub fn expected_wait_ms(
         &self,
@@ -257,13 +313,7 @@
         endpoints: impl Iterator<Item = u32>,
         now_ms: u64,
     ) -> f64 {
-        let Some(rate) = self.tokens_per_ms(pool) else {
-            return 0.0;
-        };
-        let wait_ms = endpoints.map(|endpoint| {
-            let tokens = f64::from(self.outstanding_tokens(pool, endpoint, now_ms));
-            tokens / rate * self.slowness(endpoint, now_ms)
-        });
+        let wait_ms = endpoints.map(|endpoint| self.backlog_ms(pool, endpoint, now_ms));
         median(wait_ms).unwrap_or(0.0)
     }
 
--- a/crates/routing/src/work/mod.rs
+++ b/crates/routing/src/work/mod.rs
@@ -8,7 +8,7 @@
 mod slowness;
 
 pub use choice::{WorkBasis, WorkEstimate, WorkPlacement, WorkRequest, choose_by_work};
-pub use ledger::{PromptRead, ReadId, WorkLedger};
+pub use ledger::{PromptRead, ReadId, SlownessChange, WorkLedger};
 pub use pool_model::{PoolModel, PromptWork};
 pub use report::{MAX_WORK_POOLS, MAX_WORK_ROWS, PoolTimes, WorkReport, WorkRow};
 pub use slowness::{MAX_SLOWNESS_PERMILLE, MIN_SLOWNESS_PERMILLE, Slowness};
