--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -17,3 +17,4 @@
 mod streams;
 mod support;
 mod suspensions;
+mod work;
--- a/crates/gateway/tests/gateway/support/edge.rs
+++ b/crates/gateway/tests/gateway/support/edge.rs
@@ -5,13 +5,13 @@
 use bytes::Bytes;
 use chalkrock_core::RequestId;
 use chalkrock_gateway::{
-    AnswerHead, CallHead, Edge, PrefixPart, Refusal, RequestedBackoff, SendHead,
+    AnswerHead, CallHead, Edge, EndpointLoad, PrefixPart, Refusal, RequestedBackoff, SendHead,
 };
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::{Response, StatusCode, http};
 
 /// An edge with plain headers: `id`, `key`, `deadline`, `parts`, `after` and `endpoint`
-/// in requests, `leaving` and `back-off-ms` in answers.
+/// in requests, `leaving`, `back-off-ms` and `slowness-permille` in answers.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct TestEdge;
 
@@ -23,6 +23,15 @@
     headers.insert(name, HeaderValue::from_str(value).expect("a header"));
 }
 
+/// Reads a part as `HASH` or `HASH:TOKENS`.
+fn read_part(text: &str) -> Option<PrefixPart> {
+    let (hash, tokens) = text.split_once(':').unwrap_or((text, "100"));
+    Some(PrefixPart {
+        hash: hash.parse().ok()?,
+        tokens: tokens.parse().ok()?,
+    })
+}
+
 impl Edge for TestEdge {
     fn read_call(&self, head: &http::request::Parts) -> Result<CallHead, Refusal> {
         let headers = &head.headers;
@@ -33,10 +42,7 @@
             host: host.split(':').next().unwrap_or_default().into(),
             key: header_text(headers, "key").map(Arc::from),
             deadline_ms: header_text(headers, "deadline").and_then(|ms| ms.parse().ok()),
-            prefix: parts
-                .filter_map(|part| part.parse().ok())
-                .map(|hash| PrefixPart { hash, tokens: 100 })
-                .collect(),
+            prefix: parts.filter_map(read_part).collect(),
             resume_after: header_text(headers, "after").and_then(|id| id.parse().ok()),
         })
     }
@@ -74,7 +80,12 @@
                 Some(Ok(backoff_ms)) => RequestedBackoff::ForMs(backoff_ms),
                 Some(Err(_)) => RequestedBackoff::Unreadable("text".to_owned()),
             },
-            load: None,
+            load: header_text(&head.headers, "slowness-permille").map(|permille| EndpointLoad {
+                running: 1,
+                waiting: 0,
+                slots: 1,
+                slowness_permille: permille.parse().ok(),
+            }),
         }
     }
 
