--- a/crates/gateway/src/progress.rs
+++ b/crates/gateway/src/progress.rs
@@ -230,7 +230,8 @@
         if let Some(reading) = self.reading.take() {
             reading.record_first_event(first_byte_delay, self.shared.clock.now_ms());
         }
-        if let Some(record) = self.attempts.last_mut() {
+        let last = self.attempts.last_mut();
+        if let Some(record) = last.filter(|last| last.read_tokens.is_some()) {
             record.ttft_ms = Some(first_byte_delay.as_millis() as u64);
         }
         let holds_prefix = self.attempts.last().is_some_and(|last| last.holds_prefix);
