--- a/crates/routing/src/work/choice.rs
+++ b/crates/routing/src/work/choice.rs
@@ -84,13 +84,11 @@
     }
 }
 
-/// Whether one more request at a candidate is within the load limit.
-fn is_under_load_limit(candidates: &[Candidate], index: usize, rules: &SpreadRules) -> bool {
+/// The maximum load of one endpoint including this request.
+fn load_limit(candidates: &[Candidate], rules: &SpreadRules) -> f64 {
     let loads = candidates.iter().map(|candidate| f64::from(candidate.load));
     let mean = loads.sum::<f64>() / candidates.len().max(1) as f64;
-    let limit = rules.load_multiple * mean + rules.allowance;
-    let candidate = candidates.get(index);
-    candidate.is_some_and(|candidate| f64::from(candidate.load) + 1.0 <= limit)
+    rules.load_multiple * mean + rules.allowance
 }
 
 /// Chooses an endpoint by the expected work instead of `placed`; `None` if `placed` stands.
@@ -109,10 +107,11 @@
         return None;
     }
     let key = request.key.unwrap_or(KeyHash(request.draw));
+    let load_limit = load_limit(candidates, rules);
     let is_eligible = |i: usize| {
         let candidate = &candidates[i];
-        let is_open = !candidate.is_closed && !candidate.is_suspect;
-        is_open && is_under_load_limit(candidates, i, rules)
+        let is_under_limit = f64::from(candidate.load) + 1.0 <= load_limit;
+        !candidate.is_closed && !candidate.is_suspect && is_under_limit
     };
     let eligible = (0..candidates.len().min(estimates.len())).filter(|&i| is_eligible(i));
     let in_time = eligible.clone().filter(|&i| {
