--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -15,7 +15,7 @@
 };
 use chalkrock_routing::{
     AttemptOutcome, Basis, BuildAssessment, RequestFingerprint, RolloutReason, RolloutStage,
-    RulesVersion, StoreVersion,
+    RulesVersion, StoreVersion, WorkBasis,
 };
 use serde::{Serialize, Serializer};
 use tokio::io::AsyncWriteExt;
@@ -34,6 +34,23 @@
     pub(crate) load: u32,
     /// Why it was chosen.
     pub(crate) basis: Basis,
+    /// Why it was chosen by its work instead, if it was.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) work_basis: Option<WorkBasis>,
+    /// Expected time to the first event, if it can be estimated.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) expected_ttft_ms: Option<u64>,
+    /// Tokens that it has to read and to copy, if the request says how many there are.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) read_tokens: Option<u32>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) copied_tokens: Option<u32>,
+    /// Time from the send to the first event, if one came.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) ttft_ms: Option<u64>,
+    /// Longest time between two chunks of its stream.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) longest_pause_ms: Option<u64>,
     /// Whether it was known to hold the request's prefix.
     pub(crate) holds_prefix: bool,
     /// Whether the endpoint was cold.
@@ -127,6 +144,12 @@
         version: RulesVersion,
         from: &'a str,
     },
+    /// An endpoint became slower than its pool for longer, or is usual again.
+    EndpointSlow {
+        endpoint: &'a EndpointId,
+        is_slow: bool,
+        slowness: f64,
+    },
     /// The list of endpoints changed.
     Endpoints {
         version: u64,
--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -23,6 +23,7 @@
 use crate::fair_share::Usage;
 use crate::prefixes::Prefixes;
 use crate::source::{EndpointChange, EndpointRow, ListedEndpoint};
+use crate::work::{EndpointWork, Prompt, Work, WorkView};
 
 /// Minimum number of list changes retained for other hosts.
 const MIN_RETAINED_CHANGES: usize = 256;
@@ -42,6 +43,8 @@
     pub(crate) pool: &'a PoolId,
     /// Hashes of its shared prompt prefixes, shortest first.
     pub(crate) shared_parts: &'a [u32],
+    /// What the endpoint has to read, if the request says so.
+    pub(crate) prompt: Option<Prompt<'a>>,
     /// Short hashes of endpoints that already received it.
     pub(crate) tried: &'a [u32],
     pub(crate) repeatable: Repeatable,
@@ -65,6 +68,8 @@
     pub(crate) holds_prefix: bool,
     /// Whether it is cold and the request counts against this host's share of its rate.
     pub(crate) is_cold: bool,
+    /// Its expected work, if the request says what there is to read.
+    pub(crate) work: Option<EndpointWork>,
     selected_at_ms: u64,
 }
 
@@ -118,6 +123,8 @@
     pub(crate) prefixes: Prefixes,
     pub(crate) poison: PoisonEvidence,
     pub(crate) rollouts: Rollouts<SocketAddr>,
+    /// Work in hand at endpoints that read prompts.
+    pub(crate) work: Work,
 }
 
 impl Fleet {
@@ -154,6 +161,7 @@
             prefixes: Prefixes::default(),
             poison: PoisonEvidence::default(),
             rollouts: Rollouts::new(config.exposure_bound),
+            work: Work::default(),
         }
     }
 
@@ -214,8 +222,23 @@
             draw: query.draw,
         };
         let placement = choose_endpoint(&candidates, &request, &self.spread)?;
-        let candidate = &candidates[placement.index];
-        let member = untried[placement.index].clone();
+        let work = query.prompt.map(|prompt| {
+            let view = WorkView {
+                pool: query.pool,
+                prompt,
+                shared_parts: query.shared_parts,
+                directory: self.prefixes.directory(),
+                service_ms: self.mean_service_ms(query.pool),
+                spread: &self.spread,
+                key,
+                draw: query.draw,
+                now_ms,
+            };
+            self.work.place(&view, placement, &candidates)
+        });
+        let index = work.map_or(placement.index, |work| work.index);
+        let candidate = &candidates[index];
+        let member = untried[index].clone();
         let holder = self.find_prefix_holder(query, &member, now_ms);
         let is_cold = self.is_bounded(&member, now_ms);
         Some(SelectedEndpoint {
@@ -225,6 +248,7 @@
             basis: placement.basis,
             holds_prefix: candidate.holds_prefix,
             is_cold,
+            work,
             selected_at_ms: now_ms,
         })
     }
@@ -274,6 +298,24 @@
         f64::from(in_progress) * self.load.report_age_ms() / service_ms
     }
 
+    /// The wait that a request to a pool has to expect for the prompts in hand, at the
+    /// median of the endpoints that accept requests.
+    fn expected_wait_ms(&self, pool: &PoolId, now_ms: u64) -> f64 {
+        let members = self.endpoints.live(pool);
+        let starts = members.iter().map(|member| member.hash.short());
+        let accepting = starts.filter(|start| {
+            !self.is_suspect(*start, now_ms) && !self.backoffs.is_active(*start, now_ms)
+        });
+        self.work.expected_wait_ms(pool, accepting, now_ms)
+    }
+
+    /// The pools with settings and their expected waits.
+    pub(crate) fn expected_waits_ms(&self, now_ms: u64) -> Vec<(PoolId, f64)> {
+        let pools = self.pools.keys();
+        let waits = pools.map(|pool| (pool.clone(), self.expected_wait_ms(pool, now_ms)));
+        waits.collect()
+    }
+
     fn mean_service_ms(&self, pool: &PoolId) -> f64 {
         let mean = self.service_times.get(pool);
         mean.map_or(0.0, ServiceTimeEwma::ms)
@@ -567,5 +609,6 @@
     fn prune_health(&mut self) {
         let listed = self.endpoints.listed_hashes();
         self.health.retain(|endpoint, _| listed.contains(endpoint));
+        self.work.retain_listed(listed);
     }
 }
--- a/crates/gateway/src/fleet/scheduling.rs
+++ b/crates/gateway/src/fleet/scheduling.rs
@@ -136,6 +136,7 @@
             load: candidate.load,
             holder: self.find_prefix_holder(query, member, now_ms),
             basis: Basis::Granted,
+            work: None,
             holds_prefix: candidate.holds_prefix,
             is_cold: self.is_bounded(member, now_ms),
             selected_at_ms: now_ms,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -54,6 +54,14 @@
         let labels = format!("pool=\"{pool}\"");
         metrics.gauge("organisations_over_share", &labels, count as f64);
     }
+    fleet.work.set_gauges(metrics, now_ms);
+    for (pool, wait_ms) in fleet.expected_waits_ms(now_ms) {
+        metrics.gauge(
+            "pool_expected_wait_ms",
+            &format!("pool=\"{pool}\""),
+            wait_ms,
+        );
+    }
     drop(fleet);
     metrics.render()
 }
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -4,7 +4,7 @@
 
 use chalkrock_routing::{
     AggregatePath, CacheEntry, Evacuations, HostReport, PoisonRequest, PoisonUpdate, RulesVersion,
-    SlotAsk, SlotReply, StoreVersion, SubscriptionRole, ZoneAggregate,
+    SlotAsk, SlotReply, StoreVersion, SubscriptionRole, WorkReport, ZoneAggregate,
 };
 use serde::{Deserialize, Serialize};
 
@@ -43,6 +43,8 @@
     SlotReply(SlotReply),
     /// From a host that does not schedule the pool of an ask.
     SlotRedirect(SlotRedirect),
+    /// Work in hand of one host.
+    Work(WorkReport),
 }
 
 /// Names the host that schedules a pool.
--- a/crates/gateway/src/peers/publish.rs
+++ b/crates/gateway/src/peers/publish.rs
@@ -206,6 +206,7 @@
 ) -> RoundDatagrams {
     shared.expire_endpoint_reports();
     shared.expire_over_shares();
+    shared.log_slowness_changes();
     let now_ms = shared.clock.now_ms();
     let rules = shared.rules.version();
     let mut fleet = shared.fleet();
@@ -264,6 +265,8 @@
     datagrams.to_peers.extend(to_datagrams(usage.to_peers));
     datagrams.to_relays.extend(to_datagrams(usage.to_relays));
     datagrams.to_zone.extend(to_datagrams(usage.to_zone));
+    let work = fleet.work.take_report(peers.incarnation, sequence, now_ms);
+    datagrams.to_peers.extend(work.map(Datagram::Work));
     let rollouts = rollout_datagrams(&fleet, peers, now_ms);
     datagrams.to_peers.extend(rollouts.to_peers);
     if round.is_relay {
--- a/crates/gateway/src/peers/receive.rs
+++ b/crates/gateway/src/peers/receive.rs
@@ -77,6 +77,10 @@
                     Inbound::Redirect(address, redirect),
                 );
             }
+            Datagram::Work(report) => {
+                let now_ms = shared.clock.now_ms();
+                shared.fleet().work.merge(address, &report, now_ms);
+            }
         }
     }
 }
--- a/crates/gateway/src/progress.rs
+++ b/crates/gateway/src/progress.rs
@@ -20,6 +20,7 @@
 use crate::poison::BrokenAttempt;
 use crate::pool_queue::{Lease, NewRequest};
 use crate::shared::{OrganisationGuard, Shared};
+use crate::work::{Prompt, ReadGuard};
 
 /// Endpoints that a scheduler considers as tried. A request that tried as many is placed by
 /// its host.
@@ -50,6 +51,8 @@
     uses: &'static [BuildUse],
     /// A granted slot that the request did not use.
     unused_lease: Option<Lease>,
+    /// The prompt of the current attempt, until its first event.
+    reading: Option<ReadGuard>,
 }
 
 /// How the scheduler of its pool granted an attempt its slot.
@@ -80,6 +83,7 @@
             last_endpoint: None,
             uses: &[BuildUse::Any],
             unused_lease: None,
+            reading: None,
         }
     }
 
@@ -298,6 +302,7 @@
         EndpointQuery {
             pool: &self.call.pool,
             shared_parts: &self.call.shared_parts,
+            prompt: Prompt::of(&self.call),
             tried: &self.tried,
             repeatable: self.call.repeatable(),
             has_attempt_left: self.has_attempt_left(),
@@ -316,10 +321,19 @@
         self.sent_at_ms = self.shared.clock.now_ms();
         self.tried.push(choice.member.hash.short());
         self.last_endpoint = Some(choice.member.endpoint.clone());
+        let fleet = self.shared.fleet();
+        self.reading = fleet.work.begin(&self.call.pool, choice, self.sent_at_ms);
+        drop(fleet);
         self.attempts.push(AttemptRecord {
             endpoint: choice.member.endpoint.name.clone(),
             load: choice.load,
             basis: choice.basis,
+            work_basis: choice.work.and_then(|work| work.basis),
+            expected_ttft_ms: choice.work.and_then(|work| work.expected_ttft_ms()),
+            read_tokens: choice.work.map(|work| work.prompt.read_tokens),
+            copied_tokens: choice.work.map(|work| work.prompt.copied_tokens),
+            ttft_ms: None,
+            longest_pause_ms: None,
             holds_prefix: choice.holds_prefix,
             is_cold: choice.is_cold,
             copy_from: choice.holder,
@@ -347,6 +361,7 @@
     /// the next step.
     pub(crate) async fn end_attempt(&mut self, broken: BrokenAttempt) -> Next {
         let end = broken.end;
+        self.reading = None;
         if let Some(endpoint) = &self.last_endpoint {
             let request = self.call.fingerprint;
             self.shared
@@ -387,7 +402,14 @@
     }
 
     /// Records the time from the send to the first byte of the response.
-    pub(crate) fn record_first_byte(&self, first_byte_delay: Duration) {
+    pub(crate) fn record_first_byte(&mut self, first_byte_delay: Duration) {
+        if let Some(reading) = self.reading.take() {
+            reading.record_first_event(first_byte_delay, self.shared.clock.now_ms());
+        }
+        let last = self.attempts.last_mut();
+        if let Some(record) = last.filter(|last| last.read_tokens.is_some()) {
+            record.ttft_ms = Some(first_byte_delay.as_millis() as u64);
+        }
         let holds_prefix = self.attempts.last().is_some_and(|last| last.holds_prefix);
         let has_no_prefix = self.call.shared_parts.is_empty();
         self.count_response(ObservedResponse::Began {
@@ -396,6 +418,26 @@
         });
     }
 
+    /// Records the time between two chunks of a stream.
+    pub(crate) fn record_pause(&mut self, pause: Duration) {
+        if let Some(record) = self.attempts.last_mut() {
+            let pause_ms = pause.as_millis() as u64;
+            record.longest_pause_ms = record.longest_pause_ms.max(Some(pause_ms));
+        }
+    }
+
+    /// Records the mean time between some events of a stream.
+    pub(crate) fn record_event_interval(&self, interval: Duration) {
+        if let Some(start) = self.tried.last() {
+            let now_ms = self.shared.clock.now_ms();
+            let fleet = self.shared.fleet();
+            let pool = &self.call.pool;
+            fleet
+                .work
+                .record_event_interval(pool, *start, interval, now_ms);
+        }
+    }
+
     /// Records a complete response: the mean time between its events, or the duration
     /// of the whole call.
     pub(crate) fn record_response_end(&self, event_interval: Option<Duration>) {
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -21,3 +21,4 @@
 mod streams;
 mod support;
 mod suspensions;
+mod work;
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -72,6 +72,7 @@
 mod spread;
 mod store_version;
 mod warm_start;
+mod work;
 mod zone_loads;
 
 pub use admission::{
@@ -136,4 +137,9 @@
 pub use spread::{Basis, Candidate, Placement, PlacementRequest, SpreadRules, choose_endpoint};
 pub use store_version::StoreVersion;
 pub use warm_start::{LearnedState, PoolServiceTime};
+pub use work::{
+    MAX_SLOWNESS_PERMILLE, MAX_WORK_POOLS, MAX_WORK_ROWS, MIN_SLOWNESS_PERMILLE, OutstandingWork,
+    PoolModel, PoolTimes, PromptRead, PromptWork, ReadId, Slowness, SlownessChange, WorkBasis,
+    WorkEstimate, WorkPlacement, WorkReport, WorkRequest, WorkRow, choose_by_work,
+};
 pub use zone_loads::{AggregatePath, HashRange, ZoneAggregate};
--- a/crates/routing/src/spread.rs
+++ b/crates/routing/src/spread.rs
@@ -223,7 +223,7 @@
 }
 
 /// The maximum load of one endpoint including this request.
-fn limit(candidates: &[Candidate], rules: &SpreadRules) -> f64 {
+pub(crate) fn limit(candidates: &[Candidate], rules: &SpreadRules) -> f64 {
     let loads = candidates.iter().map(|candidate| f64::from(candidate.load));
     let mean = loads.sum::<f64>() / candidates.len().max(1) as f64;
     rules.load_multiple * mean + rules.allowance
