Let new requests wait as long as those that wait already

Cause: the scheduler kept 1.5 mean service times of room for new requests, on top of the host's two, so that it rejected requests at a queue of 90 ms. Change: one margin of half a service time for both.

--- a/crates/routing/src/pool_queue/order.rs
+++ b/crates/routing/src/pool_queue/order.rs
@@ -2,7 +2,7 @@
 //!
 //! Organisations under their fair share precede those over it. Then more urgent ranks
 //! precede less urgent ones, which keep a minimum share. Then returns that are due precede
-//! newcomers, and the earliest latest start precedes later ones.
+//! new requests, and the earliest latest start precedes later ones.
 
 use std::collections::{HashMap, VecDeque};
 
--- a/crates/routing/src/pool_queue/return_rates.rs
+++ b/crates/routing/src/pool_queue/return_rates.rs
@@ -1,7 +1,7 @@
 //! How many rejected requests may return, by rank and organisation.
 //!
-//! Returns precede newcomers. They are reserved for a part of the pool only, so that
-//! newcomers are served beside them; for a rank, what more urgent arrivals leave of it; and
+//! Returns precede new requests. They are reserved for a part of the pool only, so that
+//! new requests are served beside them; for a rank, what more urgent arrivals leave of it; and
 //! for an organisation, its equal part of that, so that a large one gains nothing by having
 //! more rejected.
 
@@ -9,8 +9,8 @@
 
 use super::scheduler::RANKS;
 
-/// Times in which a recorded arrival decays to 1/e: one notes a surge soon, the other does
-/// not forget it between arrivals.
+/// Times in which a recorded arrival decays to 1/e. The short one follows a surge, the long
+/// one covers the time between arrivals.
 const DECAYS_MS: [f64; 2] = [40.0, 400.0];
 /// Largest and smallest fraction of the pool for returns.
 const RETURN_FRACTION: std::ops::RangeInclusive<f64> = 0.05..=0.5;
--- a/crates/routing/src/pool_queue/scheduler.rs
+++ b/crates/routing/src/pool_queue/scheduler.rs
@@ -46,10 +46,8 @@
 const MAX_START_WITHIN_MS: u32 = 60_000;
 /// Most endpoints that one request names as tried.
 const MAX_TRIED: usize = 8;
-/// Room for a service time above the mean, in mean service times: of a newcomer, and of
-/// one that waits already.
-const NEWCOMER_MARGIN: f64 = 1.5;
-const QUEUED_MARGIN: f64 = 0.5;
+/// Room for a service time above the mean, in mean service times.
+const START_MARGIN: f64 = 0.5;
 /// Part of the time left that may be spent waiting at any service time.
 const MIN_WAIT_RATIO: f64 = 0.3;
 
@@ -86,23 +84,17 @@
     since_ms: u64,
     /// Whether it returns when a rejection said so.
     is_returning: bool,
-    /// Whether a review found that it can start in time.
-    is_admitted: bool,
 }
 
 impl Waiting {
-    /// Longest wait with which it stays in the queue. It leaves room for a service time
-    /// above the mean, and newcomers leave more: under overload the queue is as long as
-    /// their admission allows, and nobody gains if all start at the last moment. A return
-    /// stays while it can start at all.
+    /// Longest wait with which it stays in the queue. A return stays while it can start at
+    /// all.
     fn longest_wait_ms(&self, service_ms: f64, now_ms: u64) -> f64 {
         let left_ms = self.latest_start_ms.saturating_sub(now_ms) as f64;
-        let margin = match (self.is_returning, self.is_admitted) {
-            (true, _) => return left_ms,
-            (false, true) => QUEUED_MARGIN,
-            (false, false) => NEWCOMER_MARGIN,
-        };
-        (left_ms - margin * service_ms).max(left_ms * MIN_WAIT_RATIO)
+        if self.is_returning {
+            return left_ms;
+        }
+        (left_ms - START_MARGIN * service_ms).max(left_ms * MIN_WAIT_RATIO)
     }
 }
 
@@ -376,7 +368,6 @@
                         fingerprint: request.fingerprint,
                         tried,
                         since_ms: now_ms,
-                        is_admitted: false,
                         is_returning: self.returns.redeem(request.fingerprint, now_ms),
                     }
                 }
@@ -532,7 +523,6 @@
                 };
                 let longest_ms = entry.longest_wait_ms(mean_ms, now_ms);
                 if has_endpoint && left_ms > 0 && wait_ms <= longest_ms {
-                    entry.is_admitted = true;
                     ahead += 1.0;
                     continue;
                 }
--- a/crates/routing/tests/pool_queue.rs
+++ b/crates/routing/tests/pool_queue.rs
@@ -419,7 +419,7 @@
 
 /// Guards against callers that gain by returning early or twice.
 #[gtest]
-fn return_precedes_newcomers_once_and_not_early() {
+fn return_precedes_new_requests_once_and_not_early() {
     let mut scheduler = settled(&[ENDPOINT]);
     let limit = limit(&scheduler, START_MS);
     let busy: Vec<HeldLease> = (1..=limit).map(held).collect();
@@ -431,14 +431,14 @@
     let reply = scheduler.reply(&"host", START_MS).expect("a reply");
     let due_ms = START_MS + u64::from(reply.rejected[0].retry_after_ms);
 
-    // A newcomer waits first; the other returns on another host. One slot becomes free.
+    // A new request waits first; the other returns on another host. One slot becomes free.
     let first_granted = |scheduler: &mut Scheduler, sequence: u64, now_ms: u64| {
         scheduler.ask("busy", ask(2 * sequence, vec![], busy.clone()), now_ms);
-        let newcomer = WaitingRequest {
+        let new_request = WaitingRequest {
             fingerprint: 900 + sequence,
             ..request(20)
         };
-        scheduler.ask("host", ask(2 * sequence, vec![newcomer], vec![]), now_ms);
+        scheduler.ask("host", ask(2 * sequence, vec![new_request], vec![]), now_ms);
         let again = WaitingRequest {
             fingerprint: 1,
             ..request(30)
