--- a/crates/gateway/src/fair_share/mod.rs
+++ b/crates/gateway/src/fair_share/mod.rs
@@ -16,9 +16,9 @@
 
 pub(crate) use reports::{PoolUsage, UsageSender, merge_usage, usage_datagrams};
 
-/// Time after which a pool counts as loaded no longer: some report intervals.
+/// Time without taken slots until a pool ceases to count as loaded: some report intervals.
 const LOADED_MS: u64 = 2_000;
-/// Time after which an organisation counts as over its share no longer.
+/// Time within its share until an organisation ceases to count as over it.
 const OVER_SHARE_MS: u64 = 2_000;
 /// Most organisations that are tracked as over their share.
 const MAX_TRACKED: usize = 64;
--- a/crates/gateway/src/pool_queue/waiting.rs
+++ b/crates/gateway/src/pool_queue/waiting.rs
@@ -31,7 +31,7 @@
 /// How long a gate holds without a later reply. A host that has nothing to ask for receives
 /// none.
 const MAX_GATE_AGE_MS: u64 = 500;
-/// How much earlier or later than told a request may return to pass a gate.
+/// How far from its return time a request may come and still pass a gate.
 const RETURN_EARLY_MS: u64 = 20;
 const RETURN_LATE_MS: u64 = 500;
 /// Returns of a pool that one host remembers.
@@ -126,7 +126,7 @@
     pub(super) link: SchedulerLink<SocketAddr>,
     pub(super) waiting: BTreeMap<TicketId, Waiting>,
     pub(super) held: HashMap<TicketId, HeldLease>,
-    /// When requests that the scheduler rejected were told to return, by fingerprint.
+    /// Return times of requests that the scheduler rejected, by fingerprint.
     returns: HashMap<u64, u64>,
     gates: Vec<AdmissionGate>,
     gates_at_ms: u64,
--- a/crates/routing/src/pool_queue/gates.rs
+++ b/crates/routing/src/pool_queue/gates.rs
@@ -5,8 +5,8 @@
 //! granted, so that no slot is idle for it, and widens to the whole pool once a
 //! slot is free.
 //!
-//! Hosts can't tell a return from other requests. An organisation that is about to get a
-//! gate has no more returns reserved, and the gate narrows once the last of them is due.
+//! Hosts apply gates to returns and new requests alike. An organisation that is about to
+//! get a gate has no more returns reserved, and the gate narrows once the last of them is due.
 
 use std::collections::HashMap;
 
--- a/crates/routing/src/pool_queue/scheduler.rs
+++ b/crates/routing/src/pool_queue/scheduler.rs
@@ -539,7 +539,7 @@
                     self.rejected_full += 1;
                     RejectionCause::Full
                 };
-                // A host can't tell a return from other requests behind a gate.
+                // Hosts apply gates to returns and new requests alike.
                 let gate_ms = self.gates.retry_after_ms(entry.organisation, now_ms);
                 let returns_per_ms = self.return_rates.returns_per_ms(rank, slots_per_ms, now_ms);
                 let has_return = gate_ms.is_none()
