Use what a peer has sent when it stalls at what it learned

Cause: the call for learned state was part of the pull. Change: it has a timeout of its own, and a busy host is not asked. The new test failed before (not ready in 3 s).

--- a/crates/gateway/src/peers/pull.rs
+++ b/crates/gateway/src/peers/pull.rs
@@ -38,6 +38,8 @@
 const MAX_SEED_PAUSE: Duration = Duration::from_millis(400);
 /// Timeout for the first byte of a seed's response.
 const SEED_TIMEOUT: Duration = Duration::from_millis(200);
+/// Timeout for what another host has learned.
+const LEARNED_TIMEOUT: Duration = Duration::from_millis(200);
 /// Delays before the hosts are queried again after start; when all hosts restart, the seeds
 /// know few at first.
 const HOST_QUERY_DELAYS: [Duration; 3] = [
@@ -260,6 +262,16 @@
     learned: LearnedState,
 }
 
+/// Requests what a host has learned. A host that stalls does not keep back what it has sent
+/// before.
+async fn request_learned(client: &PeerApiClient) -> Option<LearnedState> {
+    let learned = client.learned(tarpc::context::current());
+    tokio::time::timeout(LEARNED_TIMEOUT, learned)
+        .await
+        .ok()?
+        .ok()
+}
+
 /// Requests supplementary state first, so that a received list is complete. An older build
 /// closes the connection on that call and is asked for the rest alone.
 async fn request_missing(
@@ -275,8 +287,9 @@
             .await
             .ok()?;
         // Connection limits belong to the rules. An older build closes the connection.
-        let learned = if !has_learned || missing.rules.is_some() {
-            client.learned(tarpc::context::current()).await.ok()
+        let wants_learned = !has_learned || missing.rules.is_some();
+        let learned = if wants_learned && missing.busy.is_none() {
+            request_learned(&client).await
         } else {
             None
         };
