Name a slow endpoint only after it was slow for three seconds

What operators saw: 14,685 lines `endpoint-slow` of 29 hosts before 60 engines in 48 s. Cause: engines that are slow for some 0.6 s by turns crossed the limit each time. Change: a change is named once it has lasted three seconds. The new test failed before.

--- a/crates/routing/src/work/ledger.rs
+++ b/crates/routing/src/work/ledger.rs
@@ -22,6 +22,9 @@
 const MAX_HOSTS: usize = 1_024;
 /// Lasting slowness from which operators are notified.
 const LASTING_SLOW_RATIO: f64 = 1.5;
+/// Time for which an endpoint has to be slow, or usual again, until operators are notified.
+/// One that is slow by turns would fill the log otherwise.
+const NOTICE_DELAY_MS: u64 = 3_000;
 /// Pools that other hosts can add.
 const MAX_POOLS: usize = 256;
 /// Part of a prompt that counts as unread until its first event, however long it takes.
@@ -110,6 +113,8 @@
     reads: HashMap<ReadId, PromptRead>,
     /// Endpoints reported as lastingly slow.
     slow: HashSet<u32>,
+    /// Since when endpoints differ from what operators know of them.
+    differs_since_ms: HashMap<u32, u64>,
     /// Reads by endpoint.
     reading: HashMap<u32, Vec<ReadId>>,
     last_read: u64,
@@ -123,6 +128,7 @@
             hosts: HashMap::new(),
             reads: HashMap::new(),
             slow: HashSet::new(),
+            differs_since_ms: HashMap::new(),
             reading: HashMap::new(),
             last_read: 0,
         }
@@ -214,7 +220,7 @@
         self.slow.len()
     }
 
-    /// The endpoints that became lastingly slow or usual again since the last call.
+    /// The endpoints that have been slow, or usual again, for three seconds, once each.
     pub fn take_slowness_changes(&mut self, now_ms: u64) -> Vec<SlownessChange> {
         let lasting = |endpoint: u32| {
             let work = self.endpoints.get(&endpoint);
@@ -222,7 +228,7 @@
         };
         let known = self.endpoints.keys().chain(&self.slow);
         let known: HashSet<u32> = known.copied().collect();
-        let changes = known.into_iter().filter_map(|endpoint| {
+        let differing = known.into_iter().filter_map(|endpoint| {
             let slowness = lasting(endpoint);
             let was_slow = self.slow.contains(&endpoint);
             let is_slow = slowness >= LASTING_SLOW_RATIO;
@@ -232,7 +238,17 @@
                 slowness,
             })
         });
-        let changes: Vec<SlownessChange> = changes.collect();
+        let differing: Vec<SlownessChange> = differing.collect();
+        let since_ms = std::mem::take(&mut self.differs_since_ms);
+        let mut changes = Vec::new();
+        for change in differing {
+            let since_ms = since_ms.get(&change.endpoint).copied().unwrap_or(now_ms);
+            if now_ms.saturating_sub(since_ms) >= NOTICE_DELAY_MS {
+                changes.push(change);
+            } else {
+                self.differs_since_ms.insert(change.endpoint, since_ms);
+            }
+        }
         for change in &changes {
             if change.is_slow {
                 self.slow.insert(change.endpoint);
--- a/crates/routing/tests/work.rs
+++ b/crates/routing/tests/work.rs
@@ -289,20 +289,40 @@
 #[test]
 fn ledger_names_lasting_changes_of_slowness_once() {
     let mut ledger = trained();
-    ledger.take_slowness_changes(0);
-    for at_ms in [0, 100, 200] {
-        let id = ledger.begin(read(7, 6_000, at_ms));
-        ledger.record_first_event(id, 4.0 * usual_ms(6_000), at_ms);
+    for at_ms in (0..4_000).step_by(500) {
+        for (endpoint, slowness) in [(1, 1.0), (2, 1.0), (7, 4.0)] {
+            let id = ledger.begin(read(endpoint, 6_000, at_ms));
+            ledger.record_first_event(id, slowness * usual_ms(6_000), at_ms);
+        }
+        assert_that!(ledger.take_slowness_changes(at_ms), is_empty());
     }
-    let changes = ledger.take_slowness_changes(200);
+    let id = ledger.begin(read(7, 6_000, 4_200));
+    ledger.record_first_event(id, 4.0 * usual_ms(6_000), 4_200);
+    let changes = ledger.take_slowness_changes(4_200);
     assert_that!(changes.len(), eq(1));
     assert_that!((changes[0].endpoint, changes[0].is_slow), eq((7, true)));
-    assert_that!(ledger.take_slowness_changes(300), is_empty());
+    assert_that!(ledger.take_slowness_changes(4_300), is_empty());
     ledger.expire(|_| true, 10_000);
-    let changes = ledger.take_slowness_changes(10_000);
+    assert_that!(ledger.take_slowness_changes(10_000), is_empty());
+    let changes = ledger.take_slowness_changes(13_000);
     assert_that!((changes[0].endpoint, changes[0].is_slow), eq((7, false)));
 }
 
+/// An endpoint that is slow by turns must not fill the log of each host.
+#[test]
+fn ledger_does_not_name_an_endpoint_that_is_slow_by_turns() {
+    let mut ledger = trained();
+    for turn in 0..40_u64 {
+        let slowness = if turn % 2 == 0 { 4.0 } else { 1.0 };
+        for sample in 0..10 {
+            let at_ms = 500 * turn + 50 * sample;
+            let id = ledger.begin(read(7, 6_000, at_ms));
+            ledger.record_first_event(id, slowness * usual_ms(6_000), at_ms);
+            assert_that!(ledger.take_slowness_changes(at_ms), is_empty());
+        }
+    }
+}
+
 #[test]
 fn ledger_expects_the_median_wait_of_a_pool() {
     let mut ledger = trained();
