--- a/crates/routing/src/fair_share/ledger.rs
+++ b/crates/routing/src/fair_share/ledger.rs
@@ -1,7 +1,7 @@
 //! The work of organisations on one pool.
 
 use std::cell::Cell;
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 
 use super::max_min::{Demand, bounded_weight, water_level};
 
@@ -62,8 +62,8 @@
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct WorkLedger {
-    by_organisation: HashMap<u32, Amounts>,
-    weights: HashMap<u32, f64>,
+    by_organisation: BTreeMap<u32, Amounts>,
+    weights: BTreeMap<u32, f64>,
     /// Water level, by unit of weight, and when it was computed.
     level: Cell<Option<(f64, u64)>>,
 }
--- a/crates/routing/src/pool_queue/gates.rs
+++ b/crates/routing/src/pool_queue/gates.rs
@@ -8,7 +8,7 @@
 //! Hosts apply gates to returns and new requests alike. An organisation that is about to
 //! get a gate has no more returns reserved, and the gate narrows once the last of them is due.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 
 use super::AdmissionGate;
 use super::messages::MAX_GATES_PER_REPLY;
@@ -76,10 +76,10 @@
     window_start_ms: u64,
     /// Whether a slot was free in this window while nobody waited.
     had_free_slot: bool,
-    counts: HashMap<u32, Counts>,
-    gates: HashMap<u32, Gate>,
+    counts: BTreeMap<u32, Counts>,
+    gates: BTreeMap<u32, Gate>,
     /// Gates that ended lately, and when.
-    ended: HashMap<u32, u64>,
+    ended: BTreeMap<u32, u64>,
 }
 
 impl Gates {
@@ -87,9 +87,9 @@
         Gates {
             window_start_ms: now_ms,
             had_free_slot: false,
-            counts: HashMap::new(),
-            gates: HashMap::new(),
-            ended: HashMap::new(),
+            counts: BTreeMap::new(),
+            gates: BTreeMap::new(),
+            ended: BTreeMap::new(),
         }
     }
 
@@ -141,7 +141,7 @@
         for &organisation in self.gates.keys() {
             counts.entry(organisation).or_default();
         }
-        let demands: HashMap<u32, (f64, f64)> = counts
+        let demands: BTreeMap<u32, (f64, f64)> = counts
             .iter()
             .map(|(&organisation, &counts)| {
                 let arrivals = f64::from(counts.arrivals) / window_ms as f64;
--- a/crates/routing/src/pool_queue/order.rs
+++ b/crates/routing/src/pool_queue/order.rs
@@ -4,7 +4,7 @@
 //! precede less urgent ones, which keep a minimum share. Then returns that are due precede
 //! new requests, and the earliest latest start precedes later ones.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 
 use super::TicketId;
 use super::scheduler::RANKS;
@@ -80,7 +80,7 @@
     now_ms: u64,
 ) -> usize {
     queued.sort_unstable_by(|a, b| a.key().cmp(&b.key()));
-    let mut by_organisation: HashMap<u32, (f64, [u32; RANKS])> = HashMap::new();
+    let mut by_organisation: BTreeMap<u32, (f64, [u32; RANKS])> = BTreeMap::new();
     for request in queued.iter() {
         by_organisation
             .entry(request.organisation)
--- a/crates/routing/src/pool_queue/return_rates.rs
+++ b/crates/routing/src/pool_queue/return_rates.rs
@@ -5,7 +5,7 @@
 //! for an organisation, its equal part of that, so that a large one gains nothing by having
 //! more rejected.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 
 use super::scheduler::RANKS;
 
@@ -27,7 +27,7 @@
     /// Decayed number of arrivals, by decay and rank.
     arrived: [[f64; RANKS]; DECAYS_MS.len()],
     updated_ms: u64,
-    by_organisation: HashMap<u32, Reserved>,
+    by_organisation: BTreeMap<u32, Reserved>,
 }
 
 /// Reserved returns of an organisation.
--- a/crates/routing/src/pool_queue/scheduler.rs
+++ b/crates/routing/src/pool_queue/scheduler.rs
@@ -47,7 +47,7 @@
 /// Most endpoints that one request names as tried.
 const MAX_TRIED: usize = 8;
 /// Room for a service time above the mean, in mean service times.
-const START_MARGIN: f64 = 0.5;
+const START_MARGIN: f64 = 1.0;
 /// Part of the time left that may be spent waiting at any service time.
 const MIN_WAIT_RATIO: f64 = 0.3;
 
