--- a/crates/gateway/src/pool_queue/waiting.rs
+++ b/crates/gateway/src/pool_queue/waiting.rs
@@ -98,8 +98,8 @@
     }
 }
 
-/// A decision that is sent once the pool is no longer locked: a caller that has left
-/// drops it, and with it the lease.
+/// A decision to send after the pool is unlocked: a caller that has left drops it, and
+/// with it the lease, which locks the pool.
 pub(super) struct Decided {
     pub(super) to: oneshot::Sender<Decision>,
     pub(super) decision: Decision,
--- a/crates/gateway/tests/gateway/work.rs
+++ b/crates/gateway/tests/gateway/work.rs
@@ -5,7 +5,7 @@
 use crate::support::{Behaviour, Call, TestGateway};
 use googletest::prelude::*;
 
-/// Time after which an endpoint's own report no longer counts.
+/// Longest validity of an endpoint's own report.
 const REPORT_EXPIRES: Duration = Duration::from_millis(700);
 /// Long prompts from which the times of the pool are known.
 const TRAINING_CALLS: u64 = 6;
