--- a/crates/gateway/src/progress.rs
+++ b/crates/gateway/src/progress.rs
@@ -6,9 +6,9 @@
 use chalkrock_core::rendezvous::MemberHash;
 use chalkrock_core::{Endpoint, OrganisationId, Outcome, Reason};
 use chalkrock_routing::{
-    AdmissionRequest, AttemptOutcome, BuildRequest, BuildUse, HealthSignal, Next, ObservedResponse,
-    OrganisationShare, Repeatable, RouteKind, admit_probability, fair_admit_probability, next_step,
-    over_share_return_ms,
+    AdmissionRequest, AttemptOutcome, BuildRequest, BuildUse, HealthSignal, Next, ObservationTime,
+    ObservedResponse, OrganisationShare, Repeatable, RouteKind, admit_probability,
+    fair_admit_probability, next_step, over_share_return_ms,
 };
 use rand::RngExt;
 
@@ -463,8 +463,12 @@
             seen => seen,
         };
         let Call { pool, route, .. } = &*self.call;
+        let at = ObservationTime {
+            now_ms: self.shared.clock.now_ms(),
+            stalled_ms: 0,
+        };
         let rollouts = &mut fleet.rollouts;
-        rollouts.count(pool, &route.name, &endpoint.build, seen);
+        rollouts.count(pool, &route.name, &endpoint.build, seen, at);
     }
 
     /// Whether the request may leave a slow endpoint for another one.
--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -12,8 +12,8 @@
 
 use chalkrock_core::PoolId;
 use chalkrock_routing::{
-    BuildAssessment, RolloutOrderRow, RolloutOrders, RolloutReason, RolloutRecord, RolloutStage,
-    RolloutView, Rollouts, StageTransition, StoreVersion, assess_build, next_stage,
+    BuildAssessment, BuildSide, RolloutOrderRow, RolloutOrders, RolloutReason, RolloutRecord,
+    RolloutStage, RolloutView, Rollouts, StageTransition, StoreVersion, assess_build, next_stage,
 };
 use tokio::time::Instant;
 
@@ -272,6 +272,7 @@
         let age_ms = fleet.rollouts.age_ms(pool, now_ms);
         let record = fleet.rollouts.record(pool).map(|(record, _)| record);
         let have_moved = record.is_some_and(|record| record.have_all_moved(age_ms));
+        let observed_ms = record.map_or(0, |record| age_ms.saturating_sub(record.age_ms));
         let is_idle = have_moved && builds.old_in_progress == 0;
         let old_idle_ms = fleet.rollouts.old_idle_ms(pool, is_idle, now_ms);
         Some(RolloutView {
@@ -284,6 +285,9 @@
             in_progress: builds.old_in_progress + builds.new_in_progress,
             old_idle_ms,
             max_service_times_ms,
+            request_rates_per_s: tally.request_rates_per_s(observed_ms),
+            new_requests: tally.answers(BuildSide::New) + builds.new_in_progress,
+            bound: fleet.rollouts.bound(),
             assessment: assess_build(&tally),
         })
     }
--- a/crates/measure/src/rollouts.rs
+++ b/crates/measure/src/rollouts.rs
@@ -453,6 +453,9 @@
             in_progress: old_in_progress,
             old_idle_ms: since_ms.map_or(0, |since_ms| now_ms - since_ms),
             max_service_times_ms: self.pool.max_service_times_ms(),
+            request_rates_per_s: BTreeMap::new(),
+            new_requests: 0,
+            bound: ExposureBound::default(),
             assessment: self.assessment(),
         };
         match self.detection_policy {
--- a/crates/routing/src/rollout/evidence.rs
+++ b/crates/routing/src/rollout/evidence.rs
@@ -61,6 +61,16 @@
     Failed,
 }
 
+/// When an event of an answer was seen.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ObservationTime {
+    /// When the event was seen, on the host's clock, in milliseconds.
+    pub now_ms: u64,
+    /// How much of the time since the request was sent the host itself was stalled, in
+    /// milliseconds; 0 if not measured.
+    pub stalled_ms: u64,
+}
+
 /// Counts of one route, build side and measure.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct TallyRow {
@@ -74,6 +84,9 @@
     pub bins: BTreeMap<u8, u32>,
 }
 
+/// Minimum time that a tally covers for an estimate of request rates.
+const MIN_RATE_WINDOW_MS: u64 = 1_000;
+
 type Key = (Arc<str>, BuildSide, Measure);
 
 /// Counts of one route and measure at both builds, by bin.
@@ -161,6 +174,32 @@
         side_rows.filter_map(|(_, bins)| bins.get(&1)).sum()
     }
 
+    /// Requests per second of each route at both builds, if the tally covers this time
+    /// in milliseconds. Counts first bytes, since long answers end late. Empty before
+    /// a second has been covered.
+    pub fn request_rates_per_s(&self, covered_ms: u64) -> BTreeMap<Arc<str>, f64> {
+        if covered_ms < MIN_RATE_WINDOW_MS {
+            return BTreeMap::new();
+        }
+        // Requests that began and requests that ended, of each route.
+        let mut requests: BTreeMap<&Arc<str>, (u32, u32)> = BTreeMap::new();
+        for ((route, _, measure), bins) in &self.0 {
+            let (began, ended) = requests.entry(route).or_default();
+            let count = bins.values().sum::<u32>();
+            match measure {
+                Measure::FirstByte | Measure::FirstByteHeld => *began += count,
+                Measure::Failure => *ended += count,
+                Measure::Pace => {}
+            }
+        }
+        let seconds = covered_ms as f64 / 1_000.0;
+        let rates = requests.into_iter().map(|(route, (began, ended))| {
+            let rate_per_s = f64::from(began.max(ended)) / seconds;
+            (route.clone(), rate_per_s)
+        });
+        rates.collect()
+    }
+
     /// Each route and measure with answers of the new build.
     pub(super) fn strata(&self) -> impl Iterator<Item = Stratum<'_>> {
         let new_rows = self
@@ -228,7 +267,13 @@
 
 impl<H: Clone + Eq + Hash> Evidence<H> {
     /// Counts an event of an answer to this host.
-    pub fn record(&mut self, route: &Arc<str>, side: BuildSide, event: ObservedResponse) {
+    pub fn record(
+        &mut self,
+        route: &Arc<str>,
+        side: BuildSide,
+        event: ObservedResponse,
+        _at: ObservationTime,
+    ) {
         self.local_tally.record(route, side, event);
     }
 
--- a/crates/routing/src/rollout/mod.rs
+++ b/crates/routing/src/rollout/mod.rs
@@ -19,7 +19,8 @@
 
 pub use assessment::{BAD_LOG_ODDS, BuildAssessment, assess_build};
 pub use evidence::{
-    BuildSide, Evidence, EvidenceSource, Measure, ObservedResponse, Tally, TallyRow,
+    BuildSide, Evidence, EvidenceSource, Measure, ObservationTime, ObservedResponse, Tally,
+    TallyRow,
 };
 pub use exposure::{Exposure, ExposureBound};
 pub use order::{RolloutOrder, RolloutOrderRow, RolloutOrders};
--- a/crates/routing/src/rollout/runs.rs
+++ b/crates/routing/src/rollout/runs.rs
@@ -8,7 +8,7 @@
 use chalkrock_core::{BuildVersion, PoolId};
 
 use crate::StoreVersion;
-use crate::rollout::evidence::{BuildSide, Evidence, ObservedResponse};
+use crate::rollout::evidence::{BuildSide, Evidence, ObservationTime, ObservedResponse};
 use crate::rollout::exposure::{Exposure, ExposureBound};
 use crate::rollout::order::{RolloutOrder, RolloutOrderRow, RolloutOrders, VersionedOrder};
 use crate::rollout::stage::{RolloutRecord, RolloutStage};
@@ -151,6 +151,11 @@
         }
     }
 
+    /// The limit on requests to a bad build.
+    pub fn bound(&self) -> ExposureBound {
+        self.bound
+    }
+
     /// The current orders.
     pub fn orders(&self) -> &RolloutOrders {
         &self.orders
@@ -445,6 +450,7 @@
         route: &Arc<str>,
         build: &BuildVersion,
         seen: ObservedResponse,
+        at: ObservationTime,
     ) {
         let record = self.record(pool).map(|(record, _)| record);
         let Some(record) = record.filter(|record| !record.stage.is_final()) else {
@@ -458,7 +464,7 @@
             return;
         };
         if let Some(run) = self.runs.get_mut(pool) {
-            run.evidence.record(route, side, seen);
+            run.evidence.record(route, side, seen, at);
         }
     }
 
--- a/crates/routing/src/rollout/stage.rs
+++ b/crates/routing/src/rollout/stage.rs
@@ -13,6 +13,7 @@
 
 use crate::StoreVersion;
 use crate::rollout::assessment::BuildAssessment;
+use crate::rollout::exposure::ExposureBound;
 
 /// The stage of a rollout.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -122,8 +123,15 @@
     /// How long the old endpoints have been idle since the last route moved, in
     /// milliseconds.
     pub old_idle_ms: u64,
-    /// Recent maximum service time of each route, in milliseconds.
+    /// Longest time that a request of each route needs to leave an old endpoint, in
+    /// milliseconds: its maximum service time, or less if requests in progress can move.
     pub max_service_times_ms: BTreeMap<Arc<str>, u64>,
+    /// Requests per second of each route, at both builds; empty if not known yet.
+    pub request_rates_per_s: BTreeMap<Arc<str>, f64>,
+    /// Requests that the new build got since the order.
+    pub new_requests: u32,
+    /// The limit on requests to a bad build.
+    pub bound: ExposureBound,
     /// The assessment of the new build.
     pub assessment: BuildAssessment,
 }
--- a/crates/routing/tests/rollout.rs
+++ b/crates/routing/tests/rollout.rs
@@ -7,9 +7,9 @@
 use chalkrock_core::{BuildVersion, PoolId};
 use chalkrock_routing::{
     BAD_LOG_ODDS, BuildAssessment, BuildRequest, BuildSide, BuildUse, Evidence, EvidenceSource,
-    Exposure, ExposureBound, ObservedResponse, RolloutOrder, RolloutOrderRow, RolloutOrders,
-    RolloutReason, RolloutRecord, RolloutStage, RolloutView, Rollouts, StageTransition,
-    StoreVersion, Tally, TallyRow, assess_build, next_stage,
+    Exposure, ExposureBound, ObservationTime, ObservedResponse, RolloutOrder, RolloutOrderRow,
+    RolloutOrders, RolloutReason, RolloutRecord, RolloutStage, RolloutView, Rollouts,
+    StageTransition, StoreVersion, Tally, TallyRow, assess_build, next_stage,
 };
 use googletest::prelude::*;
 use proptest::prelude::{Strategy, any, prop};
@@ -235,6 +235,9 @@
         in_progress: 40,
         old_idle_ms: 0,
         max_service_times_ms: [(route(), 4_000)].into(),
+        request_rates_per_s: BTreeMap::new(),
+        new_requests: 0,
+        bound: ExposureBound::default(),
         assessment: BuildAssessment {
             log_odds: -2.0,
             answers: 40,
@@ -729,7 +732,7 @@
 #[test]
 fn evidence_of_two_relays_of_a_zone_counts_once() {
     let mut evidence: Evidence<u32> = Evidence::default();
-    evidence.record(&route(), BuildSide::New, ENDED);
+    evidence.record(&route(), BuildSide::New, ENDED, ObservationTime::default());
     for (relay, answers) in [(1, 10), (2, 12)] {
         let source = EvidenceSource::Zone { zone: 7, relay };
         evidence.merge(source, tally((answers, 0), (0, 0)));
