--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -272,6 +272,8 @@
         let age_ms = fleet.rollouts.age_ms(pool, now_ms);
         let record = fleet.rollouts.record(pool).map(|(record, _)| record);
         let have_moved = record.is_some_and(|record| record.have_all_moved(age_ms));
+        let last_move_ms = record.and_then(|record| record.moves_ms.values().max().copied());
+        let moved_ms = age_ms.saturating_sub(last_move_ms.unwrap_or_default());
         let observed_ms = record.map_or(0, |record| age_ms.saturating_sub(record.age_ms));
         let is_idle = have_moved && builds.old_in_progress == 0;
         let old_idle_ms = fleet.rollouts.old_idle_ms(pool, is_idle, now_ms);
@@ -283,6 +285,7 @@
             new_slots: builds.new_slots,
             old_slots: builds.old_slots,
             in_progress: builds.old_in_progress + builds.new_in_progress,
+            moved_ms: if have_moved { moved_ms } else { 0 },
             old_idle_ms,
             max_service_times_ms,
             request_rates_per_s: tally.request_rates_per_s(observed_ms),
--- a/crates/routing/src/rollout/assessment.rs
+++ b/crates/routing/src/rollout/assessment.rs
@@ -14,11 +14,19 @@
 
 use serde::Serialize;
 
-use crate::rollout::evidence::{BuildSide, Measure, Stratum, Tally};
+use crate::rollout::evidence::{BuildSide, CONTROLS, FailureCounts, Measure, Tally, TimeStratum};
 
 /// Natural logarithm of the odds from which a build is bad. In a single test, a good
-/// build reaches them once in 665 cases at most.
-pub const BAD_LOG_ODDS: f64 = 6.5;
+/// build reaches them once in 8,100 cases at most; a pool of three routes has a dozen
+/// tests. With 6.5, 2 of 1,000 good builds were rolled back.
+pub const BAD_LOG_ODDS: f64 = 9.0;
+
+/// The same for a build with many failures more than the old one, which must not get
+/// further requests. With [`BAD_LOG_ODDS`] alone, 17 of 1,000 builds that fail on a route
+/// which often fails got requests later than 5 s after their 50th failure.
+const MANY_FAILURES_LOG_ODDS: f64 = 4.0;
+/// Failures beyond those expected from which that applies.
+const MANY_FAILURES: f64 = 25.0;
 
 /// Fractions of bad answers that are tested, with equal weight.
 const BAD_FRACTIONS: [f64; 6] = [0.1, 0.2, 0.35, 0.5, 0.75, 0.98];
@@ -50,12 +58,16 @@
     pub old_answers: u32,
     /// Failures among these.
     pub old_failures: u32,
+    /// Failures of the new build beyond those that the old one would have had.
+    pub excess_failures: f64,
 }
 
 impl BuildAssessment {
     /// Whether the build is bad.
     pub fn is_bad(&self) -> bool {
+        let has_many_failures = self.excess_failures >= MANY_FAILURES;
         self.log_odds >= BAD_LOG_ODDS
+            || (has_many_failures && self.log_odds >= MANY_FAILURES_LOG_ODDS)
     }
 }
 
@@ -104,13 +116,19 @@
         ..BuildAssessment::default()
     };
     let mut pooled: BTreeMap<Measure, Vec<Counts>> = BTreeMap::new();
-    for stratum in tally.strata() {
-        let Some(counts) = counts_for(&stratum) else {
+    for (route, counts) in tally.failure_strata() {
+        assessment.excess_failures += counts.excess();
+        let counts = [Counts::from(counts)];
+        pooled.entry(Measure::Failure).or_default().extend(counts);
+        assessment.include(&counts, Measure::Failure, Some(route));
+    }
+    for stratum in tally.time_strata() {
+        let Some(counts) = time_counts(&stratum) else {
             continue;
         };
         let measure = stratum.measure;
-        pooled.entry(measure).or_default().push(counts);
-        assessment.include(&[counts], measure, Some(stratum.route));
+        pooled.entry(measure).or_default().extend(counts);
+        assessment.include(&counts, measure, Some(stratum.route));
     }
     for (measure, counts) in &pooled {
         assessment.include(counts, *measure, None);
@@ -132,26 +150,35 @@
     }
 }
 
-/// `None` if the old build has too few times.
-fn counts_for(stratum: &Stratum<'_>) -> Option<Counts> {
-    let empty = BTreeMap::new();
-    let old = stratum.old.unwrap_or(&empty);
-    let first_bad_bin = if stratum.measure.is_time() {
-        first_slow_bin(old)?
-    } else {
-        1
-    };
-    let total = |bins: &BTreeMap<u8, u32>| f64::from(bins.values().sum::<u32>());
-    let bad = |bins: &BTreeMap<u8, u32>| {
-        let bad = bins.range(first_bad_bin..).map(|(_, count)| count);
-        f64::from(bad.sum::<u32>())
-    };
-    Some(Counts {
-        new: total(stratum.new),
-        new_bad: bad(stratum.new),
-        old: total(old),
-        old_bad: bad(old),
-    })
+impl FailureCounts {
+    /// Failures of the new build beyond those expected by the rate of the old one.
+    fn excess(&self) -> f64 {
+        let old_rate = (f64::from(self.old_failures) + PRIOR_COUNT)
+            / (f64::from(self.old_answers) + 2.0 * PRIOR_COUNT);
+        f64::from(self.new_failures) - old_rate * f64::from(self.new_answers)
+    }
+}
+
+impl From<FailureCounts> for Counts {
+    fn from(counts: FailureCounts) -> Self {
+        Self {
+            new: f64::from(counts.new),
+            new_bad: f64::from(counts.new_failed),
+            old: f64::from(counts.old),
+            old_bad: f64::from(counts.old_failed),
+        }
+    }
+}
+
+/// Slow times for each state of the control; `None` if the old build has too few times.
+fn time_counts(stratum: &TimeStratum<'_>) -> Option<[Counts; 3]> {
+    let first_slow_bin = first_slow_bin(&stratum.old.by_bin())?;
+    Some(CONTROLS.map(|control| Counts {
+        new: f64::from(stratum.new.count_from(control, 0)),
+        new_bad: f64::from(stratum.new.count_from(control, first_slow_bin)),
+        old: f64::from(stratum.old.count_from(control, 0)),
+        old_bad: f64::from(stratum.old.count_from(control, first_slow_bin)),
+    }))
 }
 
 /// The first bin of slow times.
--- a/crates/routing/src/rollout/evidence.rs
+++ b/crates/routing/src/rollout/evidence.rs
@@ -2,7 +2,8 @@
 //!
 //! Each host counts its answers. Counts only grow within an incarnation of the host, so
 //! that duplicate, late and reordered reports merge by taking the larger counts. Times
-//! are counted in bins of a quarter octave.
+//! are counted in bins of a quarter octave, one independent observation at a time
+//! ([`ObservationClusters`]).
 
 use std::collections::{BTreeMap, HashMap};
 use std::hash::Hash;
@@ -10,6 +11,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::rollout::clusters::ObservationClusters;
+
 /// The build that answered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -24,7 +27,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Measure {
-    /// Bin 1 for a failure, bin 0 otherwise.
+    /// Whether the answer failed.
     Failure,
     /// Time to the first byte, at an endpoint that holds the request's prefix.
     FirstByteHeld,
@@ -39,6 +42,11 @@
     pub fn is_time(self) -> bool {
         self != Measure::Failure
     }
+
+    /// Whether it is a time to the first byte.
+    pub(super) fn is_first_byte(self) -> bool {
+        matches!(self, Measure::FirstByteHeld | Measure::FirstByte)
+    }
 }
 
 /// An event of an answer; the first byte is separate, since slow answers end late.
@@ -61,6 +69,32 @@
     Failed,
 }
 
+impl ObservedResponse {
+    /// Whether the answer failed, if it is over.
+    pub(super) fn is_failure(self) -> Option<bool> {
+        match self {
+            ObservedResponse::Began { .. } => None,
+            ObservedResponse::Ended { .. } => Some(false),
+            ObservedResponse::Failed => Some(true),
+        }
+    }
+
+    /// The measured time, in milliseconds.
+    pub(super) fn time(self) -> Option<(Measure, f64)> {
+        match self {
+            ObservedResponse::Began {
+                first_byte_ms,
+                holds_prefix: true,
+            } => Some((Measure::FirstByteHeld, first_byte_ms)),
+            ObservedResponse::Began { first_byte_ms, .. } => {
+                Some((Measure::FirstByte, first_byte_ms))
+            }
+            ObservedResponse::Ended { pace_ms } => pace_ms.map(|ms| (Measure::Pace, ms)),
+            ObservedResponse::Failed => None,
+        }
+    }
+}
+
 /// When an event of an answer was seen.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ObservationTime {
@@ -89,16 +123,91 @@
 
 type Key = (Arc<str>, BuildSide, Measure);
 
-/// Counts of one route and measure at both builds, by bin.
-pub(super) struct Stratum<'a> {
+/// What another answer of the old build showed at the same host and in the same moment
+/// as an observed time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Control {
+    /// There was no other answer of the old build.
+    None,
+    /// It came in its usual time.
+    InTime,
+    /// It came late.
+    Late,
+}
+
+pub(super) const CONTROLS: [Control; 3] = [Control::None, Control::InTime, Control::Late];
+
+/// Bins of times for each state of the control. A row holds the three ranges one after
+/// the other, and hosts of earlier versions read all of them as times.
+const TIME_BINS: u8 = 64;
+/// Bins of a row of [`Measure::Failure`]: all answers by outcome, then those among them
+/// that are independent observations.
+const ENDED_BIN: u8 = 0;
+const FAILED_BIN: u8 = 1;
+const OBSERVED_ENDED_BIN: u8 = 2;
+const OBSERVED_FAILED_BIN: u8 = 3;
+
+impl Control {
+    fn first_bin(self) -> u8 {
+        match self {
+            Control::None => 0,
+            Control::InTime => TIME_BINS,
+            Control::Late => 2 * TIME_BINS,
+        }
+    }
+}
+
+/// Observed times of one route and measure at both builds.
+pub(super) struct TimeStratum<'a> {
     pub(super) route: &'a Arc<str>,
     pub(super) measure: Measure,
-    pub(super) new: &'a BTreeMap<u8, u32>,
-    /// `None` if the old build has no such answer.
-    pub(super) old: Option<&'a BTreeMap<u8, u32>>,
+    pub(super) new: TimeCounts<'a>,
+    pub(super) old: TimeCounts<'a>,
+}
+
+/// Observed times of one build, by control and bin.
+#[derive(Clone, Copy)]
+pub(super) struct TimeCounts<'a>(Option<&'a BTreeMap<u8, u32>>);
+
+impl TimeCounts<'_> {
+    /// Counts by bin, over all controls.
+    pub(super) fn by_bin(self) -> BTreeMap<u8, u32> {
+        let mut total: BTreeMap<u8, u32> = BTreeMap::new();
+        for (bin, count) in self.0.into_iter().flatten() {
+            *total.entry(bin % TIME_BINS).or_default() += count;
+        }
+        total
+    }
+
+    /// The number of times with a control from a bin on.
+    pub(super) fn count_from(self, control: Control, bin: u8) -> u32 {
+        let first = control.first_bin();
+        let range = first + bin.min(TIME_BINS)..first + TIME_BINS;
+        let counts = self
+            .0
+            .into_iter()
+            .flat_map(|bins| bins.range(range.clone()));
+        counts.map(|(_, count)| count).sum()
+    }
+}
+
+/// Failures on one route: all answers, and the independent observations among them.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct FailureCounts {
+    pub(super) new_answers: u32,
+    pub(super) new_failures: u32,
+    pub(super) old_answers: u32,
+    pub(super) old_failures: u32,
+    pub(super) new: u32,
+    pub(super) new_failed: u32,
+    pub(super) old: u32,
+    pub(super) old_failed: u32,
 }
 
 /// Counts of answers by route, build side and measure.
+///
+/// A failure row counts all answers, and the independent observations among them; a row
+/// of times counts only independent observations.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(from = "Vec<TallyRow>", into = "Vec<TallyRow>")]
 pub struct Tally(BTreeMap<Key, BTreeMap<u8, u32>>);
@@ -127,30 +236,48 @@
 }
 
 impl Tally {
-    /// Counts an event of an answer to a request of a route.
+    /// Counts an event of an answer that is independent of all others.
     pub fn record(&mut self, route: &Arc<str>, side: BuildSide, event: ObservedResponse) {
-        match event {
-            ObservedResponse::Began {
-                first_byte_ms,
-                holds_prefix,
-            } => {
-                let measure = if holds_prefix {
-                    Measure::FirstByteHeld
-                } else {
-                    Measure::FirstByte
-                };
-                self.add(route, side, measure, bin_for(first_byte_ms), 1);
-            }
-            ObservedResponse::Ended { pace_ms } => {
-                self.add(route, side, Measure::Failure, 0, 1);
-                if let Some(ms) = pace_ms {
-                    self.add(route, side, Measure::Pace, bin_for(ms), 1);
-                }
-            }
-            ObservedResponse::Failed => self.add(route, side, Measure::Failure, 1, 1),
+        if let Some(is_failure) = event.is_failure() {
+            self.add_answer(route, side, is_failure, true);
+        }
+        if let Some((measure, ms)) = event.time() {
+            self.add_time(route, side, measure, Control::None, time_bin(ms));
+        }
+    }
+
+    /// Counts an answer, and whether it is an independent observation.
+    pub(super) fn add_answer(
+        &mut self,
+        route: &Arc<str>,
+        side: BuildSide,
+        is_failure: bool,
+        is_observation: bool,
+    ) {
+        let (bin, observed_bin) = if is_failure {
+            (FAILED_BIN, OBSERVED_FAILED_BIN)
+        } else {
+            (ENDED_BIN, OBSERVED_ENDED_BIN)
+        };
+        self.add(route, side, Measure::Failure, bin, 1);
+        if is_observation {
+            self.add(route, side, Measure::Failure, observed_bin, 1);
         }
     }
 
+    /// Counts an observed time.
+    pub(super) fn add_time(
+        &mut self,
+        route: &Arc<str>,
+        side: BuildSide,
+        measure: Measure,
+        control: Control,
+        bin: u8,
+    ) {
+        let bin = control.first_bin() + bin.min(TIME_BINS - 1);
+        self.add(route, side, measure, bin, 1);
+    }
+
     /// Adds the counts of another tally.
     pub fn add_all(&mut self, other: &Tally) {
         for ((route, side, measure), bins) in &other.0 {
@@ -162,55 +289,77 @@
 
     /// The number of answers of a side.
     pub fn answers(&self, side: BuildSide) -> u32 {
-        let rows = self.0.iter();
-        let side_rows = rows.filter(|((_, of, measure), _)| *of == side && !measure.is_time());
-        side_rows.flat_map(|(_, bins)| bins.values()).sum()
+        self.answer_count(side, ENDED_BIN) + self.answer_count(side, FAILED_BIN)
     }
 
     /// The number of failures of a side.
     pub fn failures(&self, side: BuildSide) -> u32 {
+        self.answer_count(side, FAILED_BIN)
+    }
+
+    fn answer_count(&self, side: BuildSide, bin: u8) -> u32 {
         let rows = self.0.iter();
         let side_rows = rows.filter(|((_, of, measure), _)| *of == side && !measure.is_time());
-        side_rows.filter_map(|(_, bins)| bins.get(&1)).sum()
+        side_rows.filter_map(|(_, bins)| bins.get(&bin)).sum()
     }
 
-    /// Requests per second of each route at both builds, if the tally covers this time
-    /// in milliseconds. Counts first bytes, since long answers end late. Empty before
-    /// a second has been covered.
+    /// Requests per second of each route at both builds, by the answers in this time in
+    /// milliseconds. Empty if the time is under a second.
     pub fn request_rates_per_s(&self, covered_ms: u64) -> BTreeMap<Arc<str>, f64> {
+        let mut rates: BTreeMap<Arc<str>, f64> = BTreeMap::new();
         if covered_ms < MIN_RATE_WINDOW_MS {
-            return BTreeMap::new();
-        }
-        // Requests that began and requests that ended, of each route.
-        let mut requests: BTreeMap<&Arc<str>, (u32, u32)> = BTreeMap::new();
-        for ((route, _, measure), bins) in &self.0 {
-            let (began, ended) = requests.entry(route).or_default();
-            let count = bins.values().sum::<u32>();
-            match measure {
-                Measure::FirstByte | Measure::FirstByteHeld => *began += count,
-                Measure::Failure => *ended += count,
-                Measure::Pace => {}
-            }
+            return rates;
         }
         let seconds = covered_ms as f64 / 1_000.0;
-        let rates = requests.into_iter().map(|(route, (began, ended))| {
-            let rate_per_s = f64::from(began.max(ended)) / seconds;
-            (route.clone(), rate_per_s)
-        });
-        rates.collect()
+        let rows = self.0.iter();
+        for ((route, ..), bins) in rows.filter(|((.., measure), _)| !measure.is_time()) {
+            let answers: u32 = bins.range(..=FAILED_BIN).map(|(_, count)| count).sum();
+            *rates.entry(route.clone()).or_default() += f64::from(answers) / seconds;
+        }
+        rates
     }
 
-    /// Each route and measure with answers of the new build.
-    pub(super) fn strata(&self) -> impl Iterator<Item = Stratum<'_>> {
-        let new_rows = self
-            .0
-            .iter()
-            .filter(|((_, side, _), _)| *side == BuildSide::New);
-        new_rows.map(|((route, _, measure), new)| Stratum {
+    /// Observed times of each route and measure with times of the new build.
+    pub(super) fn time_strata(&self) -> impl Iterator<Item = TimeStratum<'_>> {
+        let rows = self.0.iter();
+        let new_rows =
+            rows.filter(|((_, side, measure), _)| *side == BuildSide::New && measure.is_time());
+        new_rows.map(|((route, _, measure), new)| TimeStratum {
             route,
             measure: *measure,
-            new,
-            old: self.0.get(&(route.clone(), BuildSide::Old, *measure)),
+            new: TimeCounts(Some(new)),
+            old: TimeCounts(self.0.get(&(route.clone(), BuildSide::Old, *measure))),
+        })
+    }
+
+    /// Observed failures of each route with answers of the new build.
+    pub(super) fn failure_strata(&self) -> impl Iterator<Item = (&Arc<str>, FailureCounts)> {
+        let rows = self.0.iter();
+        let new_rows =
+            rows.filter(|((_, side, measure), _)| *side == BuildSide::New && !measure.is_time());
+        new_rows.map(|((route, _, measure), new)| {
+            let old = self.0.get(&(route.clone(), BuildSide::Old, *measure));
+            let count = |bins: Option<&BTreeMap<u8, u32>>, bin| {
+                bins.and_then(|bins| bins.get(&bin))
+                    .copied()
+                    .unwrap_or_default()
+            };
+            let (new_failed, old_failed) = (
+                count(Some(new), OBSERVED_FAILED_BIN),
+                count(old, OBSERVED_FAILED_BIN),
+            );
+            let new = Some(new);
+            let counts = FailureCounts {
+                new_answers: count(new, ENDED_BIN) + count(new, FAILED_BIN),
+                new_failures: count(new, FAILED_BIN),
+                old_answers: count(old, ENDED_BIN) + count(old, FAILED_BIN),
+                old_failures: count(old, FAILED_BIN),
+                new: new_failed + count(new, OBSERVED_ENDED_BIN),
+                new_failed,
+                old: old_failed + count(old, OBSERVED_ENDED_BIN),
+                old_failed,
+            };
+            (route, counts)
         })
     }
 
@@ -223,8 +372,9 @@
 
 const BINS_PER_OCTAVE: f64 = 4.0;
 
-fn bin_for(ms: f64) -> u8 {
-    (ms.max(1.0).log2() * BINS_PER_OCTAVE).min(f64::from(u8::MAX)) as u8
+/// The bin of a time in milliseconds.
+pub(super) fn time_bin(ms: f64) -> u8 {
+    (ms.max(1.0).log2() * BINS_PER_OCTAVE).min(f64::from(TIME_BINS - 1)) as u8
 }
 
 /// The source of a tally.
@@ -250,6 +400,7 @@
 #[derive(Clone, Debug)]
 pub struct Evidence<H> {
     local_tally: Tally,
+    clusters: ObservationClusters,
     reported: HashMap<EvidenceSource<H>, Tally>,
     /// Maximum service time of each route on any host.
     max_service_times_ms: BTreeMap<Arc<str>, u64>,
@@ -259,6 +410,7 @@
     fn default() -> Self {
         Self {
             local_tally: Tally::default(),
+            clusters: ObservationClusters::default(),
             reported: HashMap::new(),
             max_service_times_ms: BTreeMap::new(),
         }
@@ -272,9 +424,10 @@
         route: &Arc<str>,
         side: BuildSide,
         event: ObservedResponse,
-        _at: ObservationTime,
+        at: ObservationTime,
     ) {
-        self.local_tally.record(route, side, event);
+        self.clusters
+            .record(&mut self.local_tally, route, side, event, at);
     }
 
     /// The tally of this host.
--- a/crates/routing/src/rollout/exposure.rs
+++ b/crates/routing/src/rollout/exposure.rs
@@ -28,9 +28,17 @@
     }
 }
 
-/// Fraction of the limit used before all traffic moves. The remainder covers requests
-/// after the move, until a build that turns bad is rolled back.
+/// Fraction of the limit to which the number of canary endpoints is adjusted.
 const CANARY_FRACTION: f64 = 0.5;
+/// Time before the deadline in which a pool of short requests moves, so that its rollout
+/// is done in time; the limit covers its traffic first.
+const CUT_OVER_MS: f64 = 1_000.0;
+/// Least and greatest fraction of the limit for the canary.
+const MIN_CANARY_FRACTION: f64 = 0.2;
+const MAX_CANARY_FRACTION: f64 = 0.75;
+/// Steps of the canary's share: fraction of the deadline at which each one ends, and
+/// share relative to the canary's part of the limit.
+const CANARY_STEPS: [(f64, f64); 4] = [(0.25, 0.5), (0.6, 0.8), (1.05, 1.2), (f64::INFINITY, 4.0)];
 /// Maximum share of one route's requests.
 const MAX_ROUTE_SHARE: f64 = 0.25;
 /// Minimum age of the order for an estimate of the request rate.
@@ -48,7 +56,7 @@
 /// let mut exposure = Exposure::new(ExposureBound::default(), 12_000, 0.5);
 /// let route = "chat".into();
 /// let exposed = (0..1_000).filter(|age_ms| exposure.admits(&route, *age_ms, 62)).count();
-/// assert_eq!(exposed, 50);
+/// assert_eq!(exposed, 10);
 /// ```
 #[derive(Clone, Debug)]
 pub struct Exposure {
@@ -79,7 +87,7 @@
         }
     }
 
-    /// Minimum share of all requests that is sent.
+    /// The share of all requests to which the number of canary endpoints is adjusted.
     pub fn share(&self) -> f64 {
         self.bound.share * CANARY_FRACTION
     }
@@ -87,13 +95,13 @@
     /// The share of this host's requests, including an even part of the additional
     /// requests that the limit allows until the deadline.
     fn local_share(&self, age_ms: u64, hosts: usize) -> f64 {
-        if age_ms < MIN_RATE_WINDOW_MS {
-            return self.share();
-        }
-        let expected = self.requests as f64 * self.within_ms as f64 / age_ms as f64;
-        let slack = self.bound.slack / (hosts.max(1) as f64 * expected.max(1.0));
-        let share = (self.bound.share + slack) * CANARY_FRACTION;
-        share.min(2.0 * self.share())
+        let hosts = hosts.max(1) as f64;
+        let expected = if age_ms < MIN_RATE_WINDOW_MS {
+            f64::INFINITY
+        } else {
+            hosts * self.requests as f64 * self.within_ms as f64 / age_ms as f64
+        };
+        canary_share(self.bound, self.within_ms, expected, age_ms)
     }
 
     /// Counts a request of a route, and returns whether it goes to the new build.
@@ -125,3 +133,25 @@
         is_admitted
     }
 }
+
+/// The canary's share of the requests at an age of the order, if this many are expected
+/// from the order to its deadline. It grows in steps, so that a build that is bad from
+/// the start gets few, and leaves the traffic of the cut-over to the limit.
+pub(super) fn canary_share(
+    bound: ExposureBound,
+    within_ms: u64,
+    expected_requests: f64,
+    age_ms: u64,
+) -> f64 {
+    let within_ms = within_ms.max(1) as f64;
+    let limit = bound.share + bound.slack / expected_requests.max(1.0);
+    let canary_part = (limit - CUT_OVER_MS / within_ms).clamp(
+        MIN_CANARY_FRACTION * bound.share,
+        MAX_CANARY_FRACTION * bound.share,
+    );
+    let elapsed_fraction = age_ms as f64 / within_ms;
+    let step = CANARY_STEPS
+        .iter()
+        .find(|(until, _)| elapsed_fraction < *until);
+    canary_part * step.map_or(0.0, |(_, factor)| *factor)
+}
--- a/crates/routing/src/rollout/mod.rs
+++ b/crates/routing/src/rollout/mod.rs
@@ -11,13 +11,16 @@
 //! other coordination. A host without a record sends no requests to the new build.
 
 mod assessment;
+mod clusters;
 mod evidence;
 mod exposure;
 mod order;
 mod runs;
+mod schedule;
 mod stage;
 
 pub use assessment::{BAD_LOG_ODDS, BuildAssessment, assess_build};
+pub use clusters::ObservationClusters;
 pub use evidence::{
     BuildSide, Evidence, EvidenceSource, Measure, ObservationTime, ObservedResponse, Tally,
     TallyRow,
@@ -25,7 +28,7 @@
 pub use exposure::{Exposure, ExposureBound};
 pub use order::{RolloutOrder, RolloutOrderRow, RolloutOrders};
 pub use runs::{BuildFilter, BuildRequest, BuildUse, PoolBuilds, Rollouts};
+pub use schedule::MoveSchedule;
 pub use stage::{
-    MoveSchedule, RolloutReason, RolloutRecord, RolloutStage, RolloutView, StageTransition,
-    next_stage,
+    RolloutReason, RolloutRecord, RolloutStage, RolloutView, StageTransition, next_stage,
 };
--- a/crates/routing/src/rollout/stage.rs
+++ b/crates/routing/src/rollout/stage.rs
@@ -1,8 +1,8 @@
 //! Stages of a rollout and the conditions for going on.
 //!
-//! All traffic moves as late as possible, so that failures which appear late are found
-//! while the new build gets few requests. The requests that still run on the old
-//! endpoints then need to end before the deadline.
+//! All traffic moves when the exposure bound allows it ([`MoveSchedule`]). The rollout is
+//! done once the requests on the old endpoints have ended or left, and while the
+//! evidence favours the new build.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
@@ -14,6 +14,7 @@
 use crate::StoreVersion;
 use crate::rollout::assessment::BuildAssessment;
 use crate::rollout::exposure::ExposureBound;
+use crate::rollout::schedule::MoveSchedule;
 
 /// The stage of a rollout.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -120,6 +121,8 @@
     pub old_slots: u32,
     /// Requests in progress on both, over the fleet.
     pub in_progress: u32,
+    /// Time since the last route moved, in milliseconds; 0 before.
+    pub moved_ms: u64,
     /// How long the old endpoints have been idle since the last route moved, in
     /// milliseconds.
     pub old_idle_ms: u64,
@@ -156,67 +159,32 @@
 const TARGET_ANSWERS: u32 = 20;
 /// Answers without which traffic never moves.
 const MIN_ANSWERS: u32 = 5;
-/// Log odds below which the new build is more likely good than bad.
-const EVEN_LOG_ODDS: f64 = 0.0;
-/// Time for all hosts to learn of a move, and to see and record that the old endpoints
-/// are idle.
-const PROPAGATION_MS: f64 = 1_500.0;
-/// Fractions of the deadline between which all traffic moves.
-const MIN_MOVE_FRACTION: f64 = 0.3;
-const MAX_MOVE_FRACTION: f64 = 0.75;
-/// Delay of a move that awaits more answers, as a fraction of the maximum service time:
-/// most requests are shorter.
-const MAX_DELAY_FRACTION: f64 = 0.5;
-/// Longer than the delay of hosts' reports, in which a request sent just before the
-/// move appears.
-const MIN_IDLE_MS: u64 = 800;
+/// Log odds below which traffic moves. Most builds are good, and the bound covers the
+/// traffic after the move.
+const MOVE_LOG_ODDS: f64 = 2.0;
+/// Log odds below which a rollout is done; the old endpoints stop then. With 0, of the
+/// builds that fail on a route which often fails, 0.06 are done, and with -0.5 0.035.
+const DONE_LOG_ODDS: f64 = -0.5;
+/// Age relative to the deadline from which a pool that has moved is done unless the
+/// evidence is against the new build.
+const GRACE_FACTOR: f64 = 1.5;
+/// Age relative to the deadline from which a rollout with unclear evidence is rolled
+/// back. At the deadline itself, 1 in 25 good builds of a pool whose requests often fail
+/// has unclear evidence; to wait costs no more than to roll back.
+const UNDECIDED_FACTOR: f64 = 2.5;
+/// Time from the last move, longer than the delay of hosts' reports, in which a request
+/// sent just before it appears.
+pub(super) const MIN_MOVED_MS: u64 = 800;
+/// Time in which no host reports a request at the old endpoints.
+const MIN_IDLE_MS: u64 = 200;
 /// Slots of the new endpoints relative to those of the old ones, or to all requests.
 const MIN_SLOTS_RATIO: f64 = 0.8;
 const MIN_SLOTS_PER_REQUEST: f64 = 1.5;
 
-/// When all traffic moves.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct MoveSchedule {
-    /// Age of the order, in milliseconds, at which a sound build takes all traffic.
-    pub target_ms: f64,
-    /// Age, in milliseconds, from which fewer answers are enough.
-    pub latest_ms: f64,
-}
-
-impl MoveSchedule {
-    /// The times for an order's deadline and a maximum service time, in milliseconds.
-    ///
-    /// # Example
-    ///
-    /// ```
-    /// use chalkrock_routing::MoveSchedule;
-    ///
-    /// let times = MoveSchedule::new(12_000, 4_000);
-    /// assert_eq!(times.target_ms, 6_500.0);
-    /// assert_eq!(times.latest_ms, 8_500.0);
-    /// ```
-    pub fn new(within_ms: u64, max_service_ms: u64) -> Self {
-        let within_ms = within_ms as f64;
-        let max_service_ms = max_service_ms as f64;
-        let target_ms = within_ms - max_service_ms - PROPAGATION_MS;
-        let target_ms =
-            target_ms.clamp(MIN_MOVE_FRACTION * within_ms, MAX_MOVE_FRACTION * within_ms);
-        Self {
-            target_ms,
-            latest_ms: target_ms + MAX_DELAY_FRACTION * max_service_ms,
-        }
-    }
-}
-
 impl RolloutView {
     /// Age of the order at which each route moves, in milliseconds.
     pub fn moves_ms(&self) -> BTreeMap<Arc<str>, u64> {
-        let service_times = self.max_service_times_ms.iter();
-        let moves = service_times.map(|(route, service_ms)| {
-            let times = MoveSchedule::new(self.within_ms, *service_ms);
-            (route.clone(), times.target_ms as u64)
-        });
-        moves.collect()
+        MoveSchedule::new(self).moves_ms
     }
 }
 
@@ -245,17 +213,26 @@
     if view.old_slots == 0 {
         return StageTransition::new(RolloutStage::Moving, RolloutReason::Moved);
     }
-    let max_service_ms = view.max_service_times_ms.values().max();
-    let times = MoveSchedule::new(view.within_ms, max_service_ms.copied().unwrap_or_default());
-    let age_ms = view.age_ms as f64;
+    let schedule = MoveSchedule::new(view);
     let answers = view.assessment.answers;
-    let favours_new = view.assessment.log_odds < EVEN_LOG_ODDS;
+    let favours_new = view.assessment.log_odds < MOVE_LOG_ODDS;
     let is_sound = answers >= TARGET_ANSWERS && favours_new;
-    let is_acceptable_late = age_ms >= times.latest_ms && answers >= MIN_ANSWERS && favours_new;
-    if age_ms >= times.target_ms && (is_sound || is_acceptable_late) && has_capacity(view) {
+    let is_late = view.age_ms >= schedule.latest_ms();
+    let is_acceptable_late = is_late && answers >= MIN_ANSWERS && favours_new;
+    let is_due = view.age_ms >= schedule.announce_ms;
+    if is_due && (is_sound || is_acceptable_late) && has_capacity(view) {
         return StageTransition::new(RolloutStage::Moving, RolloutReason::Sound);
     }
-    roll_back_if(is_past_deadline, RolloutReason::Undecided)
+    let has_too_few = is_past_deadline && answers < MIN_ANSWERS;
+    roll_back_if(
+        has_too_few || is_past(view, UNDECIDED_FACTOR),
+        RolloutReason::Undecided,
+    )
+}
+
+/// Whether the order is as old as a multiple of its deadline.
+fn is_past(view: &RolloutView, deadlines: f64) -> bool {
+    view.age_ms as f64 >= deadlines * view.within_ms as f64
 }
 
 fn roll_back_if(condition: bool, reason: RolloutReason) -> Option<StageTransition> {
@@ -276,8 +253,13 @@
     if view.new_slots == 0 && view.old_slots > 0 {
         return StageTransition::new(RolloutStage::RolledBack, RolloutReason::NoEndpoints);
     }
-    if view.old_idle_ms >= MIN_IDLE_MS || view.old_slots == 0 {
+    let has_left = view.moved_ms >= MIN_MOVED_MS && view.old_idle_ms >= MIN_IDLE_MS;
+    let log_odds = view.assessment.log_odds;
+    let is_clear =
+        log_odds < DONE_LOG_ODDS || (is_past(view, GRACE_FACTOR) && log_odds < MOVE_LOG_ODDS);
+    if (has_left && is_clear) || view.old_slots == 0 {
         return StageTransition::new(RolloutStage::Done, RolloutReason::Moved);
     }
-    None
+    let is_undecided = has_left && !is_clear && is_past(view, UNDECIDED_FACTOR);
+    roll_back_if(is_undecided, RolloutReason::Undecided)
 }
