--- a/crates/gateway/src/progress.rs
+++ b/crates/gateway/src/progress.rs
@@ -28,6 +28,10 @@
 /// Time for an exchange with a scheduler.
 const MIN_SLOT_WAIT_MS: u64 = 30;
 
+/// Part of a response's time that the host may have stalled for the time to count in a
+/// rollout. It lengthens the time by a quarter at most; a build is slow from 1.7 times on.
+const MAX_STALLED_RATIO: f64 = 0.2;
+
 /// The attempts of one request.
 pub(crate) struct Progress {
     shared: Arc<Shared>,
@@ -45,6 +49,8 @@
     work: Option<Arc<RequestWork>>,
     /// Start of the last attempt, on the shared clock.
     sent_at_ms: u64,
+    /// For how long this host had stalled at that time.
+    stalled_at_send_ms: u64,
     /// Endpoint of the last attempt.
     last_endpoint: Option<Arc<Endpoint>>,
     /// Builds that the current attempt may use.
@@ -80,6 +86,7 @@
             attempts: Vec::new(),
             work: None,
             sent_at_ms: now_ms,
+            stalled_at_send_ms: 0,
             last_endpoint: None,
             uses: &[BuildUse::Any],
             unused_lease: None,
@@ -319,6 +326,7 @@
     /// Records the start of an attempt, and how its slot was granted, if it was.
     pub(crate) fn begin(&mut self, choice: &SelectedEndpoint, granted: Option<GrantRecord>) {
         self.sent_at_ms = self.shared.clock.now_ms();
+        self.stalled_at_send_ms = self.shared.lag.stalled_ms();
         self.tried.push(choice.member.hash.short());
         self.last_endpoint = Some(choice.member.endpoint.clone());
         let fleet = self.shared.fleet();
@@ -450,23 +458,38 @@
         let (Some(endpoint), Some(attempt)) = (&self.last_endpoint, self.attempts.last()) else {
             return;
         };
-        let mut fleet = self.shared.fleet();
-        if fleet.rollouts.is_empty() {
+        if !self.shared.fleet().rollouts.counts_answers() {
             return;
         }
-        // A cold endpoint is slow regardless of its build.
+        // A cold endpoint is slow regardless of its build, and so is any at a stalled host.
+        let was_stalled = self.was_stalled();
+        if was_stalled {
+            let metrics = &self.shared.metrics;
+            metrics.count("rollout_times_stalled_total", "", 1);
+        }
+        let is_late_anyway = attempt.is_cold || was_stalled;
         let seen = match seen {
-            ObservedResponse::Began { .. } if attempt.is_cold => return,
-            ObservedResponse::Ended { .. } if attempt.is_cold => {
+            ObservedResponse::Began { .. } if is_late_anyway => return,
+            ObservedResponse::Ended { .. } if is_late_anyway => {
                 ObservedResponse::Ended { pace_ms: None }
             }
             seen => seen,
         };
+        let mut fleet = self.shared.fleet();
         let Call { pool, route, .. } = &*self.call;
         let rollouts = &mut fleet.rollouts;
         rollouts.count(pool, &route.name, &endpoint.build, seen);
     }
 
+    /// Whether this host stalled for much of the time since the last attempt was sent.
+    fn was_stalled(&self) -> bool {
+        self.shared.detect_suspension();
+        let stalled_ms = self.shared.lag.stalled_ms();
+        let stalled_ms = stalled_ms.saturating_sub(self.stalled_at_send_ms);
+        let elapsed_ms = self.shared.clock.now_ms().saturating_sub(self.sent_at_ms);
+        stalled_ms as f64 > MAX_STALLED_RATIO * elapsed_ms as f64
+    }
+
     /// Whether the request may leave a slow endpoint for another one.
     pub(crate) fn may_leave_endpoint(&self) -> bool {
         if !self.has_attempt_left() || self.call.repeatable() == Repeatable::No {
--- a/crates/gateway/src/suspension.rs
+++ b/crates/gateway/src/suspension.rs
@@ -90,6 +90,7 @@
 
     fn handle_suspension(&self, suspension: Suspension) {
         self.clock.add_uncounted(suspension.uncounted_ms);
+        self.lag.add_suspension(suspension.uncounted_ms);
         self.subscription
             .record_suspension(ms(suspension.duration_ms), ms(suspension.uncounted_ms));
         self.endpoint_connections.close_all();
--- a/crates/gateway/tests/gateway/rollouts.rs
+++ b/crates/gateway/tests/gateway/rollouts.rs
@@ -103,6 +103,12 @@
         until(async || self.source.stages().last() == Some(&stage)).await;
     }
 
+    /// Returns whether the last stage that was written is final.
+    fn is_over(&self) -> bool {
+        let stages = self.source.stages();
+        stages.last().is_some_and(|stage| stage.is_final())
+    }
+
     fn new_arrivals(&self) -> usize {
         self.new.iter().map(ScriptedEndpoint::arrivals).sum()
     }
@@ -111,10 +117,14 @@
         self.old.iter().map(ScriptedEndpoint::arrivals).sum()
     }
 
-    /// Returns how many requests reach the old and the new build in 400 ms.
+    /// Returns how many requests reach the old and the new build in 400 ms, or in the time
+    /// in which an overloaded machine sends more than 20.
     async fn arrivals_in_window(&self) -> (usize, usize) {
+        const MIN_ARRIVALS: usize = 20;
         let before = (self.old_arrivals(), self.new_arrivals());
         tokio::time::sleep(Duration::from_millis(400)).await;
+        let all_before = before.0 + before.1;
+        until(async || self.old_arrivals() + self.new_arrivals() - all_before > MIN_ARRIVALS).await;
         (
             self.old_arrivals() - before.0,
             self.new_arrivals() - before.1,
@@ -154,6 +164,37 @@
     stop_load(load);
 }
 
+/// A host that stalls sees the answers of that moment late, whoever sent them. The few answers
+/// of a good build must not get it rolled back as slow.
+#[tokio::test]
+async fn rollout_is_not_rolled_back_as_bad_by_stalls_of_its_hosts() {
+    const STALLS: usize = 4;
+    const STALL: Duration = Duration::from_millis(150);
+    let mut fleet = RolloutFleet::start().await;
+    let addresses: Vec<_> = fleet
+        .hosts
+        .iter()
+        .map(|host| host.running.front_address())
+        .collect();
+    // One request at a time, so that only answers of the new build are late.
+    let load = tokio::spawn(async move {
+        for (number, address) in addresses.iter().cycle().enumerate() {
+            let call = Call::get("/safe/").id(&format!("r-{number}"));
+            call.exchange(*address).await;
+        }
+    });
+    fleet.order(Behaviour::AnswerAfter(20)).await;
+    for stalls in 0..STALLS {
+        until(async || fleet.new_arrivals() > stalls || fleet.is_over()).await;
+        // Blocks the hosts while an endpoint of the new build is about to answer.
+        std::thread::sleep(STALL);
+    }
+    until(async || fleet.is_over()).await;
+    let reason = fleet.source.rollout().map(|record| record.reason);
+    assert_that!(reason, some(not(eq(RolloutReason::Bad))));
+    load.abort();
+}
+
 /// A build that fails or is slow must receive few requests.
 #[tokio::test]
 async fn rollout_of_a_bad_build_is_rolled_back_after_few_requests() {
--- a/crates/routing/src/rollout/runs.rs
+++ b/crates/routing/src/rollout/runs.rs
@@ -462,6 +462,12 @@
         }
     }
 
+    /// Whether a rollout compares the answers of two builds.
+    pub fn counts_answers(&self) -> bool {
+        let mut pools = self.runs.keys();
+        pools.any(|pool| self.stage(pool).is_some_and(|stage| !stage.is_final()))
+    }
+
     /// The evidence of a pool's rollout.
     pub fn evidence(&self, pool: &PoolId) -> Option<&Evidence<H>> {
         self.runs.get(pool).map(|run| &run.evidence)
