--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -195,6 +195,22 @@
         evidence: Option<&'a BuildAssessment>,
         from: &'a str,
     },
+    /// All routes of a rollout have moved, and it is not done: `old_in_progress` requests run
+    /// at old endpoints, or `silent_hosts` may run some for up to `remaining_ms`.
+    RolloutWaits {
+        pool: &'a PoolId,
+        build: &'a BuildVersion,
+        age_ms: u64,
+        old_in_progress: u32,
+        silent_hosts: usize,
+        remaining_ms: u64,
+    },
+    /// This host gets no news of rollouts, and so follows their plans, or gets some again.
+    RolloutCutOff {
+        is_cut_off: bool,
+        heard_hosts: usize,
+        known_hosts: usize,
+    },
     /// Endpoints reported that they are cold and receive fewer requests for up to
     /// `longest_ms`.
     Cold {
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::fair_share::PoolUsage;
-use crate::peers::rollouts::{RolloutTally, RolloutUpdate};
+use crate::peers::rollouts::{RolloutPlans, RolloutTally, RolloutUpdate};
 
 /// A datagram. Hosts of other builds decode it: existing variants and fields keep their
 /// positions, and new variants are appended, which older builds ignore.
@@ -45,6 +45,8 @@
     SlotRedirect(SlotRedirect),
     /// Work in hand of one host.
     Work(WorkReport),
+    /// Plans of rollouts.
+    RolloutPlans(RolloutPlans),
 }
 
 /// Names the host that schedules a pool.
--- a/crates/gateway/src/peers/receive.rs
+++ b/crates/gateway/src/peers/receive.rs
@@ -15,7 +15,7 @@
     CacheEntries, Datagram, Heartbeat, RelaySummary, StateDigest, ZoneSummary,
 };
 use crate::peers::publish::log_peer_change;
-use crate::peers::rollouts::{merge_rollout_update, merge_tally};
+use crate::peers::rollouts::{merge_plans, merge_rollout_update, merge_tally};
 use crate::pool_queue::Inbound;
 use crate::shared::Shared;
 use crate::subscription::AnsweredHost;
@@ -62,6 +62,7 @@
                 merge_fleet_aggregate(&shared, &peers, address, &sum, remaining)
             }
             Datagram::Rollouts(update) => merge_rollout_update(&shared, update, peers.is_relay()),
+            Datagram::RolloutPlans(plans) => merge_plans(&shared, plans),
             Datagram::RolloutTally(tally) => merge_tally(&shared, &peers, address, tally),
             Datagram::PoolUsage(usage) => merge_pool_usage(&shared, &peers, address, usage),
             Datagram::SlotAsk(ask) => {
--- a/crates/gateway/src/peers/rollouts.rs
+++ b/crates/gateway/src/peers/rollouts.rs
@@ -1,11 +1,17 @@
 //! Exchange of rollout state between hosts.
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
-use chalkrock_core::PoolId;
-use chalkrock_routing::{EvidenceSource, RolloutOrders, RolloutRecord, StoreVersion, TallyRow};
+use chalkrock_core::{BuildVersion, PoolId};
+use chalkrock_routing::{
+    EvidenceSource, HeardHost, RolloutOrders, RolloutPlan, RolloutReason, RolloutRecord,
+    RolloutStage, StoreVersion, TallyRow,
+};
 use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
 
 use crate::fleet::Fleet;
 use crate::peers::membership::PeerTable;
@@ -31,9 +37,57 @@
     pub(crate) order: StoreVersion,
     pub(crate) age_ms: u64,
     /// The current record and its version in the store.
-    pub(crate) record: Option<(RolloutRecord, StoreVersion)>,
+    pub(crate) record: Option<(RecordUpdate, StoreVersion)>,
 }
 
+/// A record without its plan, as hosts of earlier builds read it: datagrams have no names of
+/// fields, so that a further field would shift all that follow. Its plan is in
+/// [`Datagram::RolloutPlans`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct RecordUpdate {
+    order: StoreVersion,
+    build: BuildVersion,
+    from: BTreeSet<BuildVersion>,
+    stage: RolloutStage,
+    reason: RolloutReason,
+    age_ms: u64,
+    moves_ms: BTreeMap<Arc<str>, u64>,
+}
+
+impl From<&RolloutRecord> for RecordUpdate {
+    fn from(record: &RolloutRecord) -> Self {
+        let record = record.clone();
+        Self {
+            order: record.order,
+            build: record.build,
+            from: record.from,
+            stage: record.stage,
+            reason: record.reason,
+            age_ms: record.age_ms,
+            moves_ms: record.moves_ms,
+        }
+    }
+}
+
+impl From<RecordUpdate> for RolloutRecord {
+    fn from(update: RecordUpdate) -> Self {
+        Self {
+            order: update.order,
+            build: update.build,
+            from: update.from,
+            stage: update.stage,
+            reason: update.reason,
+            age_ms: update.age_ms,
+            moves_ms: update.moves_ms,
+            planned_ms: BTreeMap::new(),
+            ordered_at_store_ms: None,
+        }
+    }
+}
+
+/// The plans of all rollouts with a record.
+pub(crate) type RolloutPlans = Vec<(PoolId, RolloutPlan)>;
+
 /// Answers counted for a rollout, or some rows of them.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct RolloutTally {
@@ -67,6 +121,32 @@
     pub(super) to_zone: Vec<Datagram>,
 }
 
+impl PeerTable {
+    /// The other hosts that were ever heard, except long ago, and when.
+    pub(crate) fn heard_hosts(&self) -> Vec<(SocketAddr, HeardHost)> {
+        let now = Instant::now();
+        let peers = self.peers();
+        let heard = peers.iter().filter_map(|(address, peer)| {
+            let is_direct = peer.is_reporting(now);
+            let ago = if peer.is_up && !is_direct {
+                // A relay lists it.
+                Duration::ZERO
+            } else {
+                now.saturating_duration_since(peer.received_at?)
+            };
+            let heard_ago_ms = ago.as_millis() as u64;
+            Some((
+                *address,
+                HeardHost {
+                    heard_ago_ms,
+                    is_direct,
+                },
+            ))
+        });
+        heard.collect()
+    }
+}
+
 /// The known rollouts, to send to another host; `None` if there are none.
 pub(super) fn rollout_update(fleet: &Fleet, now_ms: u64) -> Option<RolloutUpdate> {
     let rollouts = &fleet.rollouts;
@@ -80,7 +160,7 @@
             pool: pool.clone(),
             order,
             age_ms: rollouts.age_ms(pool, now_ms),
-            record: record.map(|(record, version)| (record.clone(), version)),
+            record: record.map(|(record, version)| (record.into(), version)),
         })
     });
     Some(RolloutUpdate {
@@ -93,11 +173,20 @@
     let Some(update) = rollout_update(fleet, now_ms) else {
         return RolloutDatagrams::default();
     };
-    let update = Datagram::Rollouts(update);
+    let rollouts = &fleet.rollouts;
+    let plans = rollouts.pools().filter_map(|(pool, _)| {
+        let (record, _) = rollouts.record(pool)?;
+        Some((pool.clone(), record.plan()))
+    });
+    // Plans first, so that a record is complete when it arrives.
+    let updates = vec![
+        Datagram::RolloutPlans(plans.collect()),
+        Datagram::Rollouts(update),
+    ];
     let mut datagrams = RolloutDatagrams {
-        to_peers: vec![update.clone()],
-        to_relays: vec![update.clone()],
-        to_zone: vec![update],
+        to_peers: updates.clone(),
+        to_relays: updates.clone(),
+        to_zone: updates,
     };
     for (pool, _) in fleet.rollouts.pools() {
         let is_over = fleet
@@ -152,7 +241,7 @@
         if let Some((record, version)) = received.record {
             let known = KnownRecord {
                 pool: received.pool,
-                record,
+                record: record.into(),
                 version,
             };
             has_changed |= shared.merge_rollout_record(known, None, SOURCE);
@@ -163,6 +252,14 @@
     }
 }
 
+/// Merges plans from a peer.
+pub(super) fn merge_plans(shared: &Shared, plans: RolloutPlans) {
+    let mut fleet = shared.fleet();
+    for (pool, plan) in plans {
+        fleet.rollouts.merge_plan(&pool, plan);
+    }
+}
+
 /// Merges a tally from a host or from a relay of another zone.
 pub(super) fn merge_tally(
     shared: &Shared,
--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -5,18 +5,20 @@
 //! of a better rank, so that the next one writes where the first has failed. Writes are
 //! conditional: of two concurrent writes one succeeds, and the other host adopts its record.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use chalkrock_core::PoolId;
 use chalkrock_routing::{
-    BuildAssessment, RolloutOrderRow, RolloutOrders, RolloutReason, RolloutRecord, RolloutStage,
-    RolloutView, Rollouts, StageTransition, StoreVersion, assess_build, next_stage,
+    BuildAssessment, HeardHost, HostWait, QuiescenceView, RolloutOrderRow, RolloutOrders,
+    RolloutReason, RolloutRecord, RolloutStage, RolloutView, Rollouts, StageTransition,
+    StoreVersion, assess_build, next_stage,
 };
 use tokio::time::Instant;
 
+use crate::clock::ms;
 use crate::event_log::Event;
 use crate::outage_log::OutageLog;
 use crate::peers::PeerTable;
@@ -33,6 +35,8 @@
 /// Least ratio of hosts with known load to hosts of the last minute, for transitions that
 /// depend on the fleet's load: an isolated host would count no requests.
 const MIN_KNOWN_HOST_RATIO: f64 = 0.5;
+/// Time after the last route has moved from which a rollout that is not done is logged.
+const LOGGED_WAIT_MS: u64 = 2_000;
 /// Time after the start in which the fleet's load may not be known.
 const WARM_UP: Duration = Duration::from_secs(2);
 
@@ -161,6 +165,8 @@
         peers,
         started_at: Instant::now(),
         due_since: HashMap::new(),
+        heard: HashMap::new(),
+        logged_waits: HashSet::new(),
         outage: OutageLog::new("platform-rollouts"),
     };
     loop {
@@ -176,16 +182,61 @@
     started_at: Instant,
     /// The transition to write for each pool, and since when it is due.
     due_since: HashMap<PoolId, (StageTransition, Instant)>,
+    /// When other hosts were last heard, and whether they report to this one.
+    heard: HashMap<SocketAddr, (Instant, bool)>,
+    /// Pools whose rollout waits, and whether for requests that are known.
+    logged_waits: HashSet<(PoolId, bool)>,
     outage: OutageLog,
 }
 
 impl<S: Source> RolloutWriter<S> {
     async fn write_due_stages(&mut self) {
+        self.update_contact();
         for pool in self.pools() {
             self.advance(&pool).await;
         }
     }
 
+    /// Updates when other hosts were heard, and whether this host gets news of rollouts.
+    fn update_contact(&mut self) {
+        let has_running = self.shared.fleet().rollouts.counts_answers();
+        if !has_running {
+            self.heard.clear();
+            self.set_cut_off(false, 0);
+            return;
+        }
+        let now = Instant::now();
+        for (address, host) in self.peers.heard_hosts() {
+            let at = now.checked_sub(ms(host.heard_ago_ms)).unwrap_or(now);
+            let known = self.heard.entry(address).or_insert((at, false));
+            *known = (at.max(known.0), host.is_direct);
+        }
+        let bound = ms(self.shared.config.follow.bound_ms);
+        let has_store_news = now.checked_sub(bound).is_none_or(|since| {
+            let subscription = &self.shared.subscription;
+            subscription.answered_since(since)
+        });
+        let now_ms = self.shared.clock.now_ms();
+        let heard_hosts = 1 + self.shared.fleet().load.recent_host_count(now_ms);
+        let known_hosts = 1 + self.heard.len();
+        // The writer of a record hears at least half of the hosts.
+        let is_minority = heard_hosts as f64 <= MIN_KNOWN_HOST_RATIO * known_hosts as f64;
+        self.set_cut_off(!has_store_news && is_minority, heard_hosts);
+    }
+
+    fn set_cut_off(&self, is_cut_off: bool, heard_hosts: usize) {
+        let mut fleet = self.shared.fleet();
+        if !fleet.rollouts.set_cut_off(is_cut_off) {
+            return;
+        }
+        drop(fleet);
+        self.shared.event_log.emit(&Event::RolloutCutOff {
+            is_cut_off,
+            heard_hosts,
+            known_hosts: 1 + self.heard.len(),
+        });
+    }
+
     fn pools(&self) -> Vec<PoolId> {
         let fleet = self.shared.fleet();
         let pools = fleet.rollouts.pools();
@@ -205,6 +256,9 @@
             return;
         };
         let next = next_stage(&view).filter(|next| self.is_load_known(next));
+        let host_wait = self.host_wait(pool, &view);
+        self.log_wait(pool, &view, host_wait);
+        let next = next.filter(|next| next.stage != RolloutStage::Done || host_wait.is_none());
         let Some(transition) = next else {
             self.due_since.remove(pool);
             return;
@@ -288,6 +342,84 @@
         })
     }
 
+    /// The hosts that may run requests at old endpoints and do not report them.
+    fn host_wait(&self, pool: &PoolId, view: &RolloutView) -> Option<HostWait> {
+        if view.stage != Some(RolloutStage::Moving) {
+            return None;
+        }
+        let now_ms = self.shared.clock.now_ms();
+        let fleet = self.shared.fleet();
+        let (record, _) = fleet.rollouts.record(pool)?;
+        let moved_ago_ms = view.age_ms.saturating_sub(record.age_ms);
+        let planned_ms = record.last_planned_ms(view.within_ms);
+        let counted_hosts = fleet.load.recent_host_count(now_ms);
+        drop(fleet);
+        let hosts = self.heard.values().map(|(at, is_direct)| HeardHost {
+            heard_ago_ms: at.elapsed().as_millis() as u64,
+            is_direct: *is_direct,
+        });
+        let hosts: Vec<HeardHost> = hosts.collect();
+        let view = QuiescenceView {
+            age_ms: view.age_ms,
+            moved_ago_ms,
+            planned_ms,
+            cut_off_delay_ms: self.shared.config.follow.bound_ms,
+            max_request_ms: self.max_request_ms(pool),
+            counted_hosts,
+            hosts: &hosts,
+        };
+        view.host_wait()
+    }
+
+    /// Maximum time that a request of a pool may run, in milliseconds.
+    fn max_request_ms(&self, pool: &PoolId) -> u64 {
+        let rules = self.shared.rules();
+        let routes = rules.iter().flat_map(|rules| &rules.document().routes);
+        let uses_pool = routes.filter(|route| {
+            let mut backends = route.backends.iter();
+            backends.any(|backend| backend.pool == *pool)
+        });
+        let timeouts_ms = uses_pool.map(|route| route.timeout_ms);
+        timeouts_ms.max().unwrap_or_default()
+    }
+
+    /// Logs what a rollout waits for once all its routes have moved. Only the first writer
+    /// does, once for known requests and once for silent hosts.
+    fn log_wait(&mut self, pool: &PoolId, view: &RolloutView, host_wait: Option<HostWait>) {
+        let is_first_writer = self.peers.writer_rank() == Some(0);
+        if view.stage != Some(RolloutStage::Moving) || !is_first_writer {
+            return;
+        }
+        let fleet = self.shared.fleet();
+        let old_in_progress = fleet.pool_builds(pool).old_in_progress;
+        let record = fleet
+            .rollouts
+            .record(pool)
+            .map(|(record, _)| record.clone());
+        drop(fleet);
+        let record = record.filter(|record| {
+            let until_ms = view.age_ms.saturating_sub(LOGGED_WAIT_MS);
+            until_ms >= record.age_ms && record.have_all_moved(until_ms)
+        });
+        let Some(record) = record else {
+            return;
+        };
+        let waits_for_requests = old_in_progress > 0;
+        let is_waiting = waits_for_requests || host_wait.is_some();
+        let wait = (pool.clone(), waits_for_requests);
+        if !is_waiting || !self.logged_waits.insert(wait) {
+            return;
+        }
+        self.shared.event_log.emit(&Event::RolloutWaits {
+            pool,
+            build: &record.build,
+            age_ms: view.age_ms,
+            old_in_progress,
+            silent_hosts: host_wait.map_or(0, |wait| wait.hosts),
+            remaining_ms: host_wait.map_or(0, |wait| wait.remaining_ms),
+        });
+    }
+
     /// Whether this host knows the fleet's load, if the transition depends on it.
     fn is_load_known(&self, transition: &StageTransition) -> bool {
         if !matches!(transition.stage, RolloutStage::Moving | RolloutStage::Done) {
@@ -309,6 +441,7 @@
     ) {
         let result = self.source.write_rollout(pool, &record, replaces).await;
         self.due_since.remove(pool);
+        self.logged_waits.retain(|(logged, _)| logged != pool);
         let result = match result {
             Ok(result) => result,
             Err(error) => {
@@ -369,6 +502,10 @@
         } else {
             current?.from.clone()
         };
+        let planned_ms = match current {
+            Some(current) => current.planned_ms.clone(),
+            None => view.moves_ms(),
+        };
         let record = RolloutRecord {
             order,
             build: ordered.build.clone(),
@@ -381,6 +518,8 @@
             } else {
                 BTreeMap::new()
             },
+            planned_ms,
+            ordered_at_store_ms: None,
         };
         Some((record, fleet.rollouts.record_version(pool)))
     }
--- a/crates/gateway/tests/gateway/rollouts.rs
+++ b/crates/gateway/tests/gateway/rollouts.rs
@@ -3,10 +3,11 @@
 use std::time::Duration;
 
 use crate::support::{
-    Behaviour, Call, Script, ScriptedEndpoint, TestGateway, TestSource, rules, until,
+    Behaviour, Call, Script, ScriptedEndpoint, SuspendableGateway, TestGateway, TestSource, rules,
+    until,
 };
 use chalkrock_core::Endpoint;
-use chalkrock_routing::{RolloutReason, RolloutStage};
+use chalkrock_routing::{RolloutReason, RolloutStage, RulesDocument};
 use googletest::prelude::*;
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
@@ -48,31 +49,52 @@
     /// Starts three hosts and four endpoints of the old build.
     async fn start() -> Self {
         const HOSTS: usize = 3;
+        let mut fleet = Self::without_hosts(rules(1)).await;
+        fleet.add_hosts(HOSTS).await;
+        fleet
+    }
+
+    /// Starts four endpoints of the old build.
+    async fn without_hosts(rules: RulesDocument) -> Self {
         const ENDPOINTS: usize = 4;
         let source = TestSource::default();
-        source.set_rules(rules(1));
+        source.set_rules(rules);
         let old = endpoints(OLD, ENDPOINTS, Behaviour::AnswerAfter(20)).await;
         for endpoint in &old {
             source.list(entry(endpoint, OLD));
         }
-        let mut hosts: Vec<TestGateway> = Vec::new();
-        for i in 0..HOSTS {
-            let seeds = hosts.iter().map(TestGateway::peer_address).collect();
-            let handle = source.another_handle();
-            let host = TestGateway::start(handle, &format!("host-{i}"), seeds).await;
-            host.ready().await;
-            hosts.push(host);
-        }
-        // Until all hosts count the requests of the fleet.
-        tokio::time::sleep(Duration::from_millis(2_200)).await;
         Self {
             source,
-            hosts,
+            hosts: Vec::new(),
             old,
             new: Vec::new(),
         }
     }
 
+    async fn add_hosts(&mut self, count: usize) {
+        for i in 0..count {
+            let seeds = self.hosts.iter().map(TestGateway::peer_address).collect();
+            let handle = self.source.another_handle();
+            let host = TestGateway::start(handle, &format!("host-{i}"), seeds).await;
+            host.ready().await;
+            serve_one(&host).await;
+            self.hosts.push(host);
+        }
+        // Until all hosts count the requests of the fleet.
+        tokio::time::sleep(Duration::from_millis(2_200)).await;
+    }
+
+    /// Adds a host that can be stopped at any moment, and waits until the others hear it.
+    async fn add_suspendable_host(&self) -> SuspendableGateway {
+        let seeds = self.hosts.iter().map(TestGateway::peer_address).collect();
+        let handle = self.source.another_handle();
+        let host = SuspendableGateway::with_source(handle, "host-suspendable", seeds).await;
+        host.gateway.ready().await;
+        serve_one(&host.gateway).await;
+        tokio::time::sleep(Duration::from_millis(2_200)).await;
+        host
+    }
+
     /// Orders the rollout and starts endpoints of the new build.
     async fn order(&mut self, behaviour: Behaviour) {
         self.source.order_rollout(NEW, DEADLINE_MS);
@@ -132,6 +154,12 @@
     }
 }
 
+/// Sends a request: any host may write the plan, which needs the duration of one.
+async fn serve_one(host: &TestGateway) {
+    let answer = host.call(Call::get("/safe/").id("first")).await;
+    assert_that!(answer.status, eq(200));
+}
+
 fn stop_load(load: Vec<JoinHandle<()>>) {
     load.into_iter().for_each(|task| task.abort());
 }
@@ -384,3 +412,63 @@
     let reason = fleet.source.rollout().map(|record| record.reason);
     assert_that!(reason, some(eq(RolloutReason::NoEndpoints)));
 }
+
+/// Time for which a test stops a host: longer than the test runs.
+const STOPPED: Duration = Duration::from_secs(60);
+/// Route timeout in tests that wait for requests of silent hosts.
+const TIMEOUT_MS: u64 = 3_000;
+
+/// Returns rules whose requests run for at most [`TIMEOUT_MS`].
+fn rules_with_short_timeouts() -> RulesDocument {
+    let mut rules = rules(1);
+    for route in &mut rules.routes {
+        route.timeout_ms = TIMEOUT_MS;
+    }
+    rules
+}
+
+/// A host that is cut off may run requests at old endpoints, which may be stopped once the
+/// rollout is done, although no host that is heard has any there.
+#[tokio::test]
+async fn rollout_waits_until_a_silent_host_must_have_ended_its_requests() {
+    let mut fleet = RolloutFleet::without_hosts(rules_with_short_timeouts()).await;
+    fleet.add_hosts(2).await;
+    let silent = fleet.add_suspendable_host().await;
+    let load = fleet.load();
+    fleet.order(Behaviour::AnswerAfter(20)).await;
+    fleet.until_stage(RolloutStage::Canary).await;
+    // Until all hosts know the plan.
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    silent.block_for(STOPPED);
+    fleet.until_stage(RolloutStage::Done).await;
+    let done = fleet.source.rollout().expect("a record");
+    let planned_ms = done.planned_ms.values().max().copied().expect("a plan");
+    assert_that!(done.age_ms, ge(planned_ms + TIMEOUT_MS));
+    stop_load(load);
+}
+
+/// A host that hears neither the store nor another host must not go on to send to the old
+/// build, whose endpoints may be stopped once the others have waited for it.
+#[tokio::test]
+async fn rollout_of_a_host_without_news_moves_by_the_plan() {
+    let mut fleet = RolloutFleet::without_hosts(rules_with_short_timeouts()).await;
+    fleet.add_hosts(1).await;
+    let other = fleet.add_suspendable_host().await;
+    let load = fleet.load();
+    fleet.order(Behaviour::AnswerAfter(20)).await;
+    fleet.until_stage(RolloutStage::Canary).await;
+    let record = fleet.source.rollout().expect("a record");
+    let planned_ms = record.planned_ms.values().max().copied().expect("a plan");
+    tokio::time::sleep(Duration::from_millis(1_000)).await;
+    other.block_for(STOPPED);
+    fleet.source.set_silent(true);
+    tokio::time::sleep(Duration::from_millis(planned_ms - 1_500)).await;
+    let (old, _) = fleet.arrivals_in_window().await;
+    assert_that!(old, gt(10), "the plan moves nothing before its time");
+    tokio::time::sleep(Duration::from_millis(2_000)).await;
+    let (old, new) = fleet.arrivals_in_window().await;
+    assert_that!(fleet.source.stages(), eq(&[RolloutStage::Canary]));
+    assert_that!(old, eq(0));
+    assert_that!(new, gt(20));
+    stop_load(load);
+}
--- a/crates/gateway/tests/gateway/support/suspendable.rs
+++ b/crates/gateway/tests/gateway/support/suspendable.rs
@@ -38,6 +38,15 @@
     pub(crate) async fn start(host: &str, seeds: Vec<SocketAddr>) -> Self {
         let source = TestSource::default();
         source.set_unavailable(true);
+        Self::with_source(source, host, seeds).await
+    }
+
+    /// Starts a gateway with a store.
+    pub(crate) async fn with_source(
+        source: TestSource,
+        host: &str,
+        seeds: Vec<SocketAddr>,
+    ) -> Self {
         let clock = Arc::new(TestClock {
             started: Instant::now(),
             suspended_ms: AtomicU64::new(0),
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -124,9 +124,10 @@
 };
 pub use rollout::{
     BAD_LOG_ODDS, BuildAssessment, BuildFilter, BuildRequest, BuildSide, BuildUse, Evidence,
-    EvidenceSource, Exposure, ExposureBound, Measure, MoveSchedule, ObservedResponse, PoolBuilds,
-    RolloutOrder, RolloutOrderRow, RolloutOrders, RolloutReason, RolloutRecord, RolloutStage,
-    RolloutView, Rollouts, StageTransition, Tally, TallyRow, assess_build, next_stage,
+    EvidenceSource, Exposure, ExposureBound, HeardHost, HostWait, Measure, MoveSchedule,
+    ObservedResponse, PoolBuilds, QuiescenceView, RolloutOrder, RolloutOrderRow, RolloutOrders,
+    RolloutPlan, RolloutReason, RolloutRecord, RolloutStage, RolloutView, Rollouts,
+    StageTransition, Tally, TallyRow, assess_build, next_stage,
 };
 pub use route::{Route, RouteKind, WeightedPool};
 pub use rules::{
--- a/crates/routing/src/rollout/mod.rs
+++ b/crates/routing/src/rollout/mod.rs
@@ -14,6 +14,8 @@
 mod evidence;
 mod exposure;
 mod order;
+mod quiescence;
+mod record;
 mod runs;
 mod stage;
 
@@ -23,8 +25,7 @@
 };
 pub use exposure::{Exposure, ExposureBound};
 pub use order::{RolloutOrder, RolloutOrderRow, RolloutOrders};
+pub use quiescence::{HeardHost, HostWait, QuiescenceView};
+pub use record::{RolloutPlan, RolloutReason, RolloutRecord};
 pub use runs::{BuildFilter, BuildRequest, BuildUse, PoolBuilds, Rollouts};
-pub use stage::{
-    MoveSchedule, RolloutReason, RolloutRecord, RolloutStage, RolloutView, StageTransition,
-    next_stage,
-};
+pub use stage::{MoveSchedule, RolloutStage, RolloutView, StageTransition, next_stage};
--- a/crates/routing/src/rollout/runs.rs
+++ b/crates/routing/src/rollout/runs.rs
@@ -11,7 +11,8 @@
 use crate::rollout::evidence::{BuildSide, Evidence, ObservedResponse};
 use crate::rollout::exposure::{Exposure, ExposureBound};
 use crate::rollout::order::{RolloutOrder, RolloutOrderRow, RolloutOrders, VersionedOrder};
-use crate::rollout::stage::{RolloutRecord, RolloutStage};
+use crate::rollout::record::{RolloutPlan, RolloutRecord};
+use crate::rollout::stage::RolloutStage;
 
 /// Delay before an endpoint of a new build gets requests. Rows of endpoints and orders
 /// arrive independently, and the order may be the later one.
@@ -125,9 +126,13 @@
     runs: BTreeMap<PoolId, RolloutRun<H>>,
     /// A record may arrive before its order.
     stored_records: BTreeMap<PoolId, StoredRecord>,
+    /// Plans of the latest known records. A plan may arrive before its record.
+    plans: BTreeMap<PoolId, RolloutPlan>,
     /// When each build of a pool was first listed, except for those of the first list.
     new_builds: HashMap<PoolId, HashMap<BuildVersion, u64>>,
     known_builds: BTreeMap<PoolId, BTreeSet<BuildVersion>>,
+    /// Whether this host gets no news of rollouts, and so follows their plans.
+    is_cut_off: bool,
 }
 
 impl StoredRecord {
@@ -146,8 +151,10 @@
             orders: RolloutOrders::default(),
             runs: BTreeMap::new(),
             stored_records: BTreeMap::new(),
+            plans: BTreeMap::new(),
             new_builds: HashMap::new(),
             known_builds: BTreeMap::new(),
+            is_cut_off: false,
         }
     }
 
@@ -156,6 +163,17 @@
         &self.orders
     }
 
+    /// Sets whether this host gets no news of rollouts. Returns whether that changed.
+    pub fn set_cut_off(&mut self, is_cut_off: bool) -> bool {
+        let was_cut_off = std::mem::replace(&mut self.is_cut_off, is_cut_off);
+        was_cut_off != is_cut_off
+    }
+
+    /// Whether this host gets no news of rollouts.
+    pub fn is_cut_off(&self) -> bool {
+        self.is_cut_off
+    }
+
     /// Age of a pool's order, in milliseconds.
     pub fn age_ms(&self, pool: &PoolId, now_ms: u64) -> u64 {
         let run = self.runs.get(pool);
@@ -237,14 +255,17 @@
     pub fn merge_record(
         &mut self,
         pool: &PoolId,
-        record: RolloutRecord,
+        mut record: RolloutRecord,
         version: StoreVersion,
         now_ms: u64,
     ) -> bool {
+        let plan = self.plans.entry(pool.clone()).or_default();
+        record.add_plan(plan);
         let known = self.stored_records.entry(pool.clone()).or_default();
         if version <= known.version {
             return false;
         }
+        *plan = record.plan();
         let ordered_at_ms = now_ms as i64 - record.age_ms as i64;
         let order = record.order;
         *known = StoredRecord {
@@ -261,6 +282,21 @@
         true
     }
 
+    /// Merges the plan of a pool's record, as another host knows it.
+    pub fn merge_plan(&mut self, pool: &PoolId, plan: RolloutPlan) {
+        let known = self.plans.entry(pool.clone()).or_default();
+        if plan.order < known.order {
+            return;
+        }
+        let stored_record = self.stored_records.get_mut(pool);
+        if let Some(record) = stored_record.and_then(|stored| stored.record.as_mut()) {
+            record.add_plan(&plan);
+        }
+        if plan.order > known.order || known.planned_ms.is_empty() {
+            *known = plan;
+        }
+    }
+
     /// Replaces the known record by the stored one after a conditional write failed,
     /// even if that has a lower version. A missing or invalid record (`None`) changes
     /// only the version to name next. Returns whether the current rollout changes.
@@ -366,6 +402,9 @@
         let record = self.record(request.pool).map(|(record, _)| record);
         let stage = record.map(|record| record.stage);
         let has_moved = record.is_some_and(|record| record.has_moved(request.route, age_ms));
+        if self.has_moved_by_plan(request, age_ms) {
+            return &[BuildUse::New, BuildUse::Any];
+        }
         let Some(run) = self.runs.get_mut(request.pool) else {
             return &[BuildUse::Any];
         };
@@ -385,6 +424,19 @@
         }
     }
 
+    /// Whether a request's route has moved by the plan, without news since.
+    fn has_moved_by_plan(&self, request: &BuildRequest<'_>, age_ms: u64) -> bool {
+        let (Some(run), Some((record, _))) =
+            (self.runs.get(request.pool), self.record(request.pool))
+        else {
+            return false;
+        };
+        let within_ms = run.versioned_order.order.within_ms;
+        let is_running = !record.stage.is_final();
+        let has_moved = || record.has_moved_by_plan(request.route, age_ms, within_ms);
+        self.is_cut_off && is_running && has_moved()
+    }
+
     /// The build use that most requests of a pool try first.
     pub fn stable_use(&self, pool: &PoolId) -> BuildUse {
         if !self.runs.contains_key(pool) {
--- a/crates/routing/src/rollout/stage.rs
+++ b/crates/routing/src/rollout/stage.rs
@@ -4,15 +4,14 @@
 //! while the new build gets few requests. The requests that still run on the old
 //! endpoints then need to end before the deadline.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::fmt;
 use std::sync::Arc;
 
-use chalkrock_core::BuildVersion;
 use serde::{Deserialize, Serialize};
 
-use crate::StoreVersion;
 use crate::rollout::assessment::BuildAssessment;
+use crate::rollout::record::RolloutReason;
 
 /// The stage of a rollout.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -46,62 +45,6 @@
     }
 }
 
-/// Why a rollout entered its stage.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum RolloutReason {
-    /// An operator ordered it.
-    Ordered,
-    /// The answers of the new build are no worse.
-    Sound,
-    /// Nothing runs on the old endpoints any more, or there are none.
-    Moved,
-    /// The answers of the new build are worse.
-    Bad,
-    /// There were too few answers to decide.
-    Undecided,
-    /// The new build has no endpoints.
-    NoEndpoints,
-    /// An operator withdrew the order.
-    Withdrawn,
-}
-
-/// A rollout's record in the store.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct RolloutRecord {
-    /// The store version of its order.
-    pub order: StoreVersion,
-    /// The build to move to.
-    pub build: BuildVersion,
-    /// The builds to move from.
-    pub from: BTreeSet<BuildVersion>,
-    /// The current stage.
-    pub stage: RolloutStage,
-    /// Why it entered the stage.
-    pub reason: RolloutReason,
-    /// Age of the order when the record was written, in milliseconds.
-    pub age_ms: u64,
-    /// Age of the order at which each route moves, in milliseconds. Routes with short
-    /// requests move late; unlisted ones move at once.
-    #[serde(default)]
-    pub moves_ms: BTreeMap<Arc<str>, u64>,
-}
-
-impl RolloutRecord {
-    /// Whether the requests of a route have moved at this age of the order.
-    pub fn has_moved(&self, route: &str, age_ms: u64) -> bool {
-        let at_ms = self.moves_ms.get(route).copied();
-        self.stage >= RolloutStage::Moving && age_ms >= at_ms.unwrap_or_default()
-    }
-
-    /// Whether all routes have moved. Until then, old endpoints may be idle and still
-    /// receive further requests.
-    pub fn have_all_moved(&self, age_ms: u64) -> bool {
-        let last_ms = self.moves_ms.values().max().copied();
-        self.stage >= RolloutStage::Moving && age_ms >= last_ms.unwrap_or_default()
-    }
-}
-
 /// The state of a rollout at one moment.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RolloutView {
--- a/crates/routing/tests/rollout.rs
+++ b/crates/routing/tests/rollout.rs
@@ -51,6 +51,8 @@
         reason: RolloutReason::Ordered,
         age_ms: 0,
         moves_ms: BTreeMap::new(),
+        planned_ms: BTreeMap::new(),
+        ordered_at_store_ms: None,
     }
 }
 
