--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -302,12 +302,13 @@
         }
     }
 
-    /// A rollout's record, if it was written before the store was last restored.
+    /// A rollout's record, if it was written before the store was last restored, and the
+    /// version that it replaces.
     fn record_before_restore(&self, pool: &PoolId) -> Option<(RolloutRecord, StoreVersion)> {
         let fleet = self.shared.fleet();
         let (record, version) = fleet.rollouts.record(pool)?;
         let is_earlier = version.era() < fleet.endpoints_version.era();
-        is_earlier.then(|| (record.clone(), version))
+        is_earlier.then(|| (record.clone(), fleet.rollouts.record_version(pool)))
     }
 
     /// The current state of a rollout, `None` if it has ended.
@@ -478,6 +479,12 @@
                 let mut fleet = self.shared.fleet();
                 let rollouts = &mut fleet.rollouts;
                 let is_new = rollouts.record_stored(pool, record.clone(), version, now_ms);
+                // All hosts may have been lost since the record was written.
+                if let (Some(record), Some(clock)) = (&record, self.source.clock())
+                    && let Some(age_ms) = record.age_by_store_ms(clock)
+                {
+                    rollouts.merge_age(pool, record.order, age_ms, now_ms);
+                }
                 drop(fleet);
                 if let Some(record) = record.filter(|_| is_new) {
                     self.shared
@@ -502,6 +509,11 @@
         } else {
             current?.from.clone()
         };
+        let age_ms = fleet.rollouts.age_ms(pool, now_ms);
+        let clock = self.source.clock().filter(|clock| clock.era == order.era());
+        let known_at_ms = current.and_then(|current| current.ordered_at_store_ms);
+        let ordered_at_store_ms =
+            known_at_ms.or_else(|| Some(clock?.now_ms.saturating_sub(age_ms)));
         let planned_ms = match current {
             Some(current) => current.planned_ms.clone(),
             None => view.moves_ms(),
@@ -512,14 +524,14 @@
             from,
             stage: transition.stage,
             reason: transition.reason,
-            age_ms: fleet.rollouts.age_ms(pool, now_ms),
+            age_ms,
             moves_ms: if transition.stage == RolloutStage::Moving {
                 view.moves_ms()
             } else {
                 BTreeMap::new()
             },
             planned_ms,
-            ordered_at_store_ms: None,
+            ordered_at_store_ms,
         };
         Some((record, fleet.rollouts.record_version(pool)))
     }
--- a/crates/gateway/src/source.rs
+++ b/crates/gateway/src/source.rs
@@ -5,7 +5,8 @@
 
 use chalkrock_core::{Endpoint, EndpointId, HostId, PoolId, ZoneId};
 use chalkrock_routing::{
-    EvacuationRow, RequestFingerprint, RolloutOrderRow, RolloutRecord, RulesDocument, StoreVersion,
+    EvacuationRow, RequestFingerprint, RolloutOrderRow, RolloutRecord, RulesDocument, StoreClock,
+    StoreVersion,
 };
 use serde::{Deserialize, Serialize};
 
@@ -182,6 +183,11 @@
         remove: &[RequestFingerprint],
     ) -> impl Future<Output = Result<(), SourceError>> + Send;
 
+    /// The store's clock, by its last response; `None` if it is not known.
+    fn clock(&self) -> Option<StoreClock> {
+        None
+    }
+
     /// Writes the record of a pool's rollout if the record it replaces still has the
     /// version `replaces` (0: no record).
     ///
--- a/crates/gateway/tests/gateway/rollouts.rs
+++ b/crates/gateway/tests/gateway/rollouts.rs
@@ -472,3 +472,62 @@
     assert_that!(new, gt(20));
     stop_load(load);
 }
+
+/// The deadline must not come late because all hosts were lost in the meantime.
+#[tokio::test]
+async fn rollout_keeps_its_age_when_all_hosts_are_lost() {
+    const LOST: Duration = Duration::from_millis(2_500);
+    let mut fleet = RolloutFleet::without_hosts(rules(1)).await;
+    let first = fleet.add_suspendable_host().await;
+    let ordered_at = Instant::now();
+    fleet.order(Behaviour::AnswerAfter(20)).await;
+    fleet.until_stage(RolloutStage::Canary).await;
+    first.block_for(STOPPED);
+    tokio::time::sleep(LOST).await;
+    fleet.add_hosts(1).await;
+    // No requests come, so that the rollout stays undecided until its deadline.
+    fleet.until_stage(RolloutStage::RolledBack).await;
+    let record = fleet.source.rollout().expect("a record");
+    assert_that!(record.reason, eq(RolloutReason::Undecided));
+    let late = ordered_at
+        .elapsed()
+        .saturating_sub(Duration::from_millis(DEADLINE_MS));
+    assert_that!(late, lt(Duration::from_millis(1_500)));
+    assert_that!(record.age_ms, ge(DEADLINE_MS));
+}
+
+/// A store that is restored from a copy may hold an earlier record of the rollout, or none.
+#[tokio::test]
+async fn rollout_goes_on_when_the_store_is_restored_from_a_copy() {
+    for copied in [None, Some(RolloutStage::Canary), Some(RolloutStage::Moving)] {
+        let mut fleet = RolloutFleet::start().await;
+        let load = fleet.load();
+        let mut copy = fleet.source.snapshot();
+        fleet.order(Behaviour::AnswerAfter(20)).await;
+        for stage in [RolloutStage::Canary, RolloutStage::Moving] {
+            fleet.until_stage(stage).await;
+            if copied == Some(stage) {
+                copy = fleet.source.snapshot();
+            }
+        }
+        if copied.is_none() {
+            // The copy also lacks the endpoints of the new build, so that the store holds
+            // none until they write their entries again.
+            fleet.source.restore(copy);
+            for endpoint in &fleet.new {
+                fleet.source.list(entry(endpoint, NEW));
+            }
+        } else {
+            fleet.source.restore(copy);
+        }
+        until(async || fleet.is_over()).await;
+        let record = fleet.source.rollout().expect("a record");
+        assert_that!(record.reason, eq(RolloutReason::Moved), "{copied:?}");
+        let stages = fleet.source.stages();
+        for once in [RolloutStage::Canary, RolloutStage::Moving] {
+            let written = stages.iter().filter(|stage| **stage == once).count();
+            assert_that!(written, eq(1), "{copied:?}: {once} was not entered again");
+        }
+        stop_load(load);
+    }
+}
--- a/crates/gateway/tests/gateway/support/source.rs
+++ b/crates/gateway/tests/gateway/support/source.rs
@@ -11,9 +11,10 @@
 };
 use chalkrock_routing::{
     EvacuationRow, RequestFingerprint, RolloutOrder, RolloutOrderRow, RolloutRecord, RolloutStage,
-    RulesDocument, StoreVersion,
+    RulesDocument, StoreClock, StoreVersion,
 };
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 #[derive(Default)]
 struct State {
@@ -78,6 +79,8 @@
     endpoints: Vec<(u64, EndpointId, Option<ListedEndpoint>)>,
     evacuations: Vec<(u64, ZoneId, bool)>,
     poison: Vec<PoisonRow>,
+    orders: Vec<RolloutOrderRow>,
+    records: BTreeMap<PoolId, (u64, RolloutRecord)>,
 }
 
 /// A store that several gateways can share.
@@ -87,6 +90,7 @@
     changed: Arc<watch::Sender<u64>>,
     /// Whether calls through this handle are never answered.
     is_isolated: Arc<AtomicBool>,
+    started_at: Instant,
 }
 
 impl Default for TestSource {
@@ -95,6 +99,7 @@
             state: Arc::default(),
             changed: Arc::new(watch::channel(0).0),
             is_isolated: Arc::default(),
+            started_at: Instant::now(),
         }
     }
 }
@@ -121,6 +126,17 @@
             .map(|(version, zone, is_evacuated)| (in_era(version), zone, is_evacuated))
             .collect();
         state.poison = snapshot.poison;
+        let orders = snapshot.orders.into_iter();
+        state.orders = orders
+            .map(|row| RolloutOrderRow {
+                version: StoreVersion(in_era(row.version.0)),
+                ..row
+            })
+            .collect();
+        let records = snapshot.records.into_iter();
+        state.records = records
+            .map(|(pool, (version, record))| (pool, (in_era(version), record)))
+            .collect();
         state.version = in_era(snapshot.version);
         let version = state.version;
         drop(state);
@@ -136,6 +152,8 @@
             endpoints: state.endpoints.clone(),
             evacuations: state.evacuations.clone(),
             poison: state.poison.clone(),
+            orders: state.orders.clone(),
+            records: state.records.clone(),
         }
     }
 
@@ -492,6 +510,15 @@
         Ok(())
     }
 
+    fn clock(&self) -> Option<StoreClock> {
+        let state = self.lock();
+        let is_known = !state.is_unavailable && !self.is_isolated.load(Ordering::Relaxed);
+        is_known.then(|| StoreClock {
+            now_ms: self.started_at.elapsed().as_millis() as u64,
+            era: StoreVersion(state.version).era(),
+        })
+    }
+
     async fn write_rollout(
         &self,
         pool: &PoolId,
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -127,7 +127,7 @@
     EvidenceSource, Exposure, ExposureBound, HeardHost, HostWait, Measure, MoveSchedule,
     ObservedResponse, PoolBuilds, QuiescenceView, RolloutOrder, RolloutOrderRow, RolloutOrders,
     RolloutPlan, RolloutReason, RolloutRecord, RolloutStage, RolloutView, Rollouts,
-    StageTransition, Tally, TallyRow, assess_build, next_stage,
+    StageTransition, StoreClock, Tally, TallyRow, assess_build, next_stage,
 };
 pub use route::{Route, RouteKind, WeightedPool};
 pub use rules::{
--- a/crates/routing/src/rollout/mod.rs
+++ b/crates/routing/src/rollout/mod.rs
@@ -26,6 +26,6 @@
 pub use exposure::{Exposure, ExposureBound};
 pub use order::{RolloutOrder, RolloutOrderRow, RolloutOrders};
 pub use quiescence::{HeardHost, HostWait, QuiescenceView};
-pub use record::{RolloutPlan, RolloutReason, RolloutRecord};
+pub use record::{RolloutPlan, RolloutReason, RolloutRecord, StoreClock};
 pub use runs::{BuildFilter, BuildRequest, BuildUse, PoolBuilds, Rollouts};
 pub use stage::{MoveSchedule, RolloutStage, RolloutView, StageTransition, next_stage};
--- a/crates/routing/src/rollout/order.rs
+++ b/crates/routing/src/rollout/order.rs
@@ -34,6 +34,26 @@
     pub(super) order: RolloutOrder,
 }
 
+impl VersionedOrder {
+    /// Whether an order is the same one, possibly read from a restored store: the row keeps
+    /// its number in a later era.
+    pub(super) fn is_same(&self, other: &VersionedOrder) -> bool {
+        is_same_row(self.version, other.version) && self.order == other.order
+    }
+
+    /// Whether a row is of the same or an earlier order, read from a restored store.
+    fn is_restored_as(&self, read: &VersionedOrder) -> bool {
+        let is_later_era = read.version.era() > self.version.era();
+        let is_earlier = read.version.number() < self.version.number();
+        is_later_era && (is_earlier || self.is_same(read))
+    }
+}
+
+/// Whether two versions are of the same write, possibly read from a restored store.
+pub(super) fn is_same_row(a: StoreVersion, b: StoreVersion) -> bool {
+    a.number() == b.number()
+}
+
 /// All orders as of a store version; a later version replaces an earlier one as a whole.
 ///
 /// # Example
@@ -81,12 +101,18 @@
     }
 
     /// Replaces the orders after a full read. In a later era, the store was restored from
-    /// a backup that may lack recent writes: known orders of pools without a row stay.
+    /// a backup that may lack recent writes: known orders of pools without a row, or with the
+    /// row of an earlier order, stay.
     pub fn replace(&mut self, mut other: RolloutOrders) -> bool {
-        if other.version.era() > self.version.era() {
-            for (pool, versioned_order) in &self.by_pool {
-                let entry = other.by_pool.entry(pool.clone());
-                entry.or_insert_with(|| versioned_order.clone());
+        let is_restored = other.version.era() > self.version.era();
+        for (pool, known) in &self.by_pool {
+            match other.by_pool.get_mut(pool) {
+                Some(read) if known.is_restored_as(read) => read.clone_from(known),
+                Some(_) => {}
+                None if is_restored => {
+                    other.by_pool.insert(pool.clone(), known.clone());
+                }
+                None => {}
             }
         }
         self.merge(&other)
--- a/crates/routing/src/rollout/record.rs
+++ b/crates/routing/src/rollout/record.rs
@@ -70,7 +70,25 @@
     pub ordered_at_store_ms: Option<u64>,
 }
 
+/// The store's clock.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StoreClock {
+    /// Its present time, in milliseconds.
+    pub now_ms: u64,
+    /// The era in which it was read; a restored store may have another clock.
+    pub era: u64,
+}
+
 impl RolloutRecord {
+    /// Age of the order by the store's clock, in milliseconds, or `None` if the clock is not
+    /// the one by which the order was timed. A clock that ran backwards gives a lower age, so
+    /// that the caller keeps the highest that it knows.
+    pub fn age_by_store_ms(&self, clock: StoreClock) -> Option<u64> {
+        let ordered_at_ms = self.ordered_at_store_ms?;
+        let is_same_clock = clock.era == self.order.era();
+        is_same_clock.then(|| clock.now_ms.saturating_sub(ordered_at_ms))
+    }
+
     /// The plan that the record holds, empty in records of earlier builds.
     pub fn plan(&self) -> RolloutPlan {
         RolloutPlan {
--- a/crates/routing/src/rollout/runs.rs
+++ b/crates/routing/src/rollout/runs.rs
@@ -10,7 +10,9 @@
 use crate::StoreVersion;
 use crate::rollout::evidence::{BuildSide, Evidence, ObservedResponse};
 use crate::rollout::exposure::{Exposure, ExposureBound};
-use crate::rollout::order::{RolloutOrder, RolloutOrderRow, RolloutOrders, VersionedOrder};
+use crate::rollout::order::{
+    RolloutOrder, RolloutOrderRow, RolloutOrders, VersionedOrder, is_same_row,
+};
 use crate::rollout::record::{RolloutPlan, RolloutRecord};
 use crate::rollout::stage::RolloutStage;
 
@@ -110,8 +112,11 @@
 /// The newest known record of a pool, possibly of another order than the current one.
 #[derive(Clone, Debug, Default)]
 struct StoredRecord {
-    /// Its store version, which the write of the next record names.
+    /// Its store version.
     version: StoreVersion,
+    /// The version that the next write names, if the store was restored and holds an earlier
+    /// record.
+    restored_version: Option<StoreVersion>,
     /// `None` if it is invalid.
     record: Option<RolloutRecord>,
     /// When its order was given, on this host's clock.
@@ -136,10 +141,26 @@
 }
 
 impl StoredRecord {
-    fn is_for_order(&self, order: StoreVersion) -> bool {
-        self.record
-            .as_ref()
-            .is_some_and(|record| record.order == order)
+    /// Whether a record is newer than this one. Versions of a restored store are higher and
+    /// may be of earlier records, while the stage and age of an order's records only grow.
+    fn is_superseded_by(&self, record: &RolloutRecord, version: StoreVersion) -> bool {
+        let known = self.record.as_ref();
+        let known = known.filter(|known| {
+            let is_same_order =
+                is_same_row(known.order, record.order) && known.build == record.build;
+            is_same_order && self.version.era() != version.era()
+        });
+        match known {
+            Some(known) => (record.stage, record.age_ms) > (known.stage, known.age_ms),
+            None => version > self.version,
+        }
+    }
+
+    fn is_for_order(&self, versioned_order: &VersionedOrder) -> bool {
+        self.record.as_ref().is_some_and(|record| {
+            let is_same_build = record.build == versioned_order.order.build;
+            is_same_build && is_same_row(record.order, versioned_order.version)
+        })
     }
 }
 
@@ -219,12 +240,12 @@
             .collect();
         for (pool, versioned_order) in versioned_orders {
             let known = self.runs.get(&pool);
-            if known.is_some_and(|run| run.versioned_order.version == versioned_order.version) {
+            if known.is_some_and(|run| run.versioned_order.is_same(&versioned_order)) {
                 continue;
             }
             let stored_record = self.stored_records.get(&pool);
-            let stored_record = stored_record
-                .filter(|stored_record| stored_record.is_for_order(versioned_order.version));
+            let stored_record =
+                stored_record.filter(|stored_record| stored_record.is_for_order(&versioned_order));
             let ordered_at_ms =
                 stored_record.map_or(now_ms as i64, |stored_record| stored_record.ordered_at_ms);
             let within_ms = versioned_order.order.within_ms;
@@ -244,7 +265,7 @@
     /// Merges the age of a pool's order as another host knows it, keeping the higher one.
     pub fn merge_age(&mut self, pool: &PoolId, order: StoreVersion, age_ms: u64, now_ms: u64) {
         if let Some(run) = self.runs.get_mut(pool)
-            && run.versioned_order.version == order
+            && is_same_row(run.versioned_order.version, order)
         {
             run.ordered_at_ms = run.ordered_at_ms.min(now_ms as i64 - age_ms as i64);
         }
@@ -262,19 +283,19 @@
         let plan = self.plans.entry(pool.clone()).or_default();
         record.add_plan(plan);
         let known = self.stored_records.entry(pool.clone()).or_default();
-        if version <= known.version {
+        if !known.is_superseded_by(&record, version) {
             return false;
         }
         *plan = record.plan();
         let ordered_at_ms = now_ms as i64 - record.age_ms as i64;
-        let order = record.order;
         *known = StoredRecord {
             version,
+            restored_version: None,
             record: Some(record),
             ordered_at_ms,
         };
         let run = self.runs.get_mut(pool);
-        let Some(run) = run.filter(|run| run.versioned_order.version == order) else {
+        let Some(run) = run.filter(|run| known.is_for_order(&run.versioned_order)) else {
             return false;
         };
         run.ordered_at_ms = run.ordered_at_ms.min(ordered_at_ms);
@@ -298,8 +319,8 @@
     }
 
     /// Replaces the known record by the stored one after a conditional write failed,
-    /// even if that has a lower version. A missing or invalid record (`None`) changes
-    /// only the version to name next. Returns whether the current rollout changes.
+    /// even if that has a lower version. A missing or invalid record (`None`), or an earlier
+    /// one of a restored store, changes only the version to name next. Returns whether the current rollout changes.
     pub fn record_stored(
         &mut self,
         pool: &PoolId,
@@ -310,6 +331,11 @@
         let known = self.stored_records.entry(pool.clone()).or_default();
         match record {
             Some(record) => {
+                let is_restored = version.era() > known.version.era() && known.record.is_some();
+                if is_restored && !known.is_superseded_by(&record, version) {
+                    known.restored_version = Some(version);
+                    return false;
+                }
                 if version < known.version {
                     *known = StoredRecord::default();
                 }
@@ -317,6 +343,7 @@
             }
             None => {
                 known.version = version;
+                known.restored_version = None;
                 false
             }
         }
@@ -326,7 +353,7 @@
     pub fn record(&self, pool: &PoolId) -> Option<(&RolloutRecord, StoreVersion)> {
         let run = self.runs.get(pool)?;
         let stored_record = self.stored_records.get(pool)?;
-        let is_in_force = stored_record.is_for_order(run.versioned_order.version);
+        let is_in_force = stored_record.is_for_order(&run.versioned_order);
         Some((
             stored_record.record.as_ref().filter(|_| is_in_force)?,
             stored_record.version,
@@ -336,9 +363,11 @@
     /// The store version that a pool's next record replaces.
     pub fn record_version(&self, pool: &PoolId) -> StoreVersion {
         let stored_record = self.stored_records.get(pool);
-        stored_record
-            .map(|stored_record| stored_record.version)
-            .unwrap_or_default()
+        let version = stored_record.map(|stored_record| {
+            let restored_version = stored_record.restored_version;
+            restored_version.unwrap_or(stored_record.version)
+        });
+        version.unwrap_or_default()
     }
 
     /// Pools with a rollout, and their orders.
@@ -528,7 +557,7 @@
     /// The evidence of a pool's rollout of an order, to merge reports.
     pub fn evidence_mut(&mut self, pool: &PoolId, order: StoreVersion) -> Option<&mut Evidence<H>> {
         let run = self.runs.get_mut(pool)?;
-        (run.versioned_order.version == order).then_some(&mut run.evidence)
+        is_same_row(run.versioned_order.version, order).then_some(&mut run.evidence)
     }
 
     /// Updates whether the old endpoints are idle, and returns for how long they have
--- a/crates/routing/tests/rollout_execution.rs
+++ b/crates/routing/tests/rollout_execution.rs
@@ -6,8 +6,8 @@
 use chalkrock_core::{BuildVersion, PoolId};
 use chalkrock_routing::{
     BuildRequest, BuildUse, ExposureBound, HeardHost, QuiescenceView, RolloutOrder,
-    RolloutOrderRow, RolloutPlan, RolloutReason, RolloutRecord, RolloutStage, Rollouts,
-    StoreVersion,
+    RolloutOrderRow, RolloutOrders, RolloutPlan, RolloutReason, RolloutRecord, RolloutStage,
+    Rollouts, StoreClock, StoreVersion,
 };
 use googletest::prelude::*;
 
@@ -227,3 +227,92 @@
     assert_that!(view(10_300, 2, &hosts).host_wait(), none());
     assert_that!(view(10_300, 1, &hosts).host_wait(), some(anything()));
 }
+
+fn order_row(version: StoreVersion, build: &str) -> RolloutOrderRow {
+    RolloutOrderRow {
+        version,
+        pool: "pool".into(),
+        order: Some(RolloutOrder {
+            build: build.into(),
+            within_ms: WITHIN_MS,
+        }),
+    }
+}
+
+#[test]
+fn age_by_store_ms_is_only_known_by_the_clock_of_the_order() {
+    let clock = |now_ms, era| StoreClock { now_ms, era };
+    let timed = RolloutRecord {
+        ordered_at_store_ms: Some(5_000),
+        ..record(RolloutStage::Canary)
+    };
+    assert_that!(timed.age_by_store_ms(clock(9_000, 0)), some(eq(4_000)));
+    // A clock that ran backwards: the caller keeps the age that it knows.
+    assert_that!(timed.age_by_store_ms(clock(1_000, 0)), some(eq(0)));
+    assert_that!(timed.age_by_store_ms(clock(9_000, 1)), none());
+    let untimed = record(RolloutStage::Canary);
+    assert_that!(untimed.age_by_store_ms(clock(9_000, 0)), none());
+}
+
+/// A restored store reuses version numbers in a later era. The order it holds is the same
+/// one: its rollout must neither begin anew nor lose its age.
+#[test]
+fn replace_orders_of_a_restored_store_keeps_the_rollout() {
+    let pool = PoolId::from("pool");
+    let mut rollouts = rollouts(RolloutStage::Moving);
+    let restored = StoreVersion::in_era(1, 1);
+    let read = RolloutOrders::from_snapshot(restored, [order_row(restored, "v2")]);
+    rollouts.replace_orders(read, 0.5, 6_000);
+    assert_that!(rollouts.stage(&pool), some(eq(RolloutStage::Moving)));
+    assert_that!(rollouts.age_ms(&pool, 6_000), eq(6_000));
+}
+
+/// The copy may hold the order before the current one.
+#[test]
+fn replace_orders_of_a_restored_store_keeps_the_later_order() {
+    let pool = PoolId::from("pool");
+    let mut rollouts: Rollouts<u32> = Rollouts::new(ExposureBound::default());
+    let rows = [order_row(StoreVersion(9), "v3")];
+    rollouts.apply_order_changes(&rows, StoreVersion(9), 0.5, 0);
+    let restored = StoreVersion::in_era(1, 5);
+    let read = RolloutOrders::from_snapshot(restored, [order_row(restored, "v2")]);
+    rollouts.replace_orders(read, 0.5, 6_000);
+    let order = rollouts.order(&pool).map(|(_, order)| order.build.clone());
+    assert_that!(order, some(eq(&"v3".into())));
+    // An operator's new order counts, whatever its number.
+    let rows = [order_row(StoreVersion::in_era(1, 6), "v4")];
+    rollouts.apply_order_changes(&rows, StoreVersion::in_era(1, 6), 0.5, 7_000);
+    let order = rollouts.order(&pool).map(|(_, order)| order.build.clone());
+    assert_that!(order, some(eq(&"v4".into())));
+}
+
+/// A host that started after the restore knows the order by its restored version.
+#[test]
+fn record_of_an_order_from_before_a_restore_stays_in_force() {
+    let pool = PoolId::from("pool");
+    let mut rollouts: Rollouts<u32> = Rollouts::new(ExposureBound::default());
+    let restored = StoreVersion::in_era(1, 1);
+    rollouts.apply_order_changes(&[order_row(restored, "v2")], restored, 0.5, 0);
+    rollouts.merge_record(&pool, record(RolloutStage::Done), StoreVersion(2), 0);
+    assert_that!(rollouts.stage(&pool), some(eq(RolloutStage::Done)));
+}
+
+/// The copy may hold an earlier record of the same order, at a higher version.
+#[test]
+fn record_stored_of_a_restored_store_does_not_go_back() {
+    let pool = PoolId::from("pool");
+    let mut rollouts = rollouts(RolloutStage::Done);
+    let version = StoreVersion::in_era(1, 2);
+    let canary = record(RolloutStage::Canary);
+    let is_new = rollouts.record_stored(&pool, Some(canary.clone()), version, 0);
+    assert_that!(is_new, eq(false));
+    assert_that!(rollouts.stage(&pool), some(eq(RolloutStage::Done)));
+    assert_that!(
+        rollouts.record_version(&pool),
+        eq(version),
+        "the next write replaces it"
+    );
+    // Another host that started since may pass the earlier record on.
+    assert_that!(rollouts.merge_record(&pool, canary, version, 0), eq(false));
+    assert_that!(rollouts.stage(&pool), some(eq(RolloutStage::Done)));
+}
