--- a/crates/gateway/src/progress.rs
+++ b/crates/gateway/src/progress.rs
@@ -45,6 +45,8 @@
     work: Option<Arc<RequestWork>>,
     /// Start of the last attempt, on the shared clock.
     sent_at_ms: u64,
+    /// For how long this host had stalled at that time.
+    stalled_at_send_ms: u64,
     /// Endpoint of the last attempt.
     last_endpoint: Option<Arc<Endpoint>>,
     /// Builds that the current attempt may use.
@@ -80,6 +82,7 @@
             attempts: Vec::new(),
             work: None,
             sent_at_ms: now_ms,
+            stalled_at_send_ms: 0,
             last_endpoint: None,
             uses: &[BuildUse::Any],
             unused_lease: None,
@@ -319,6 +322,7 @@
     /// Records the start of an attempt, and how its slot was granted, if it was.
     pub(crate) fn begin(&mut self, choice: &SelectedEndpoint, granted: Option<GrantRecord>) {
         self.sent_at_ms = self.shared.clock.now_ms();
+        self.stalled_at_send_ms = self.shared.lag.stalled_ms();
         self.tried.push(choice.member.hash.short());
         self.last_endpoint = Some(choice.member.endpoint.clone());
         let fleet = self.shared.fleet();
@@ -450,8 +454,7 @@
         let (Some(endpoint), Some(attempt)) = (&self.last_endpoint, self.attempts.last()) else {
             return;
         };
-        let mut fleet = self.shared.fleet();
-        if fleet.rollouts.is_empty() {
+        if !self.shared.fleet().rollouts.counts_answers() {
             return;
         }
         // A cold endpoint is slow regardless of its build.
@@ -462,15 +465,37 @@
             }
             seen => seen,
         };
-        let Call { pool, route, .. } = &*self.call;
         let at = ObservationTime {
             now_ms: self.shared.clock.now_ms(),
-            stalled_ms: 0,
+            stalled_ms: self.stalled_ms(seen),
         };
+        if at.stalled_ms > 0 {
+            let metrics = &self.shared.metrics;
+            metrics.count("rollout_times_stalled_total", "", 1);
+        }
+        let mut fleet = self.shared.fleet();
+        let Call { pool, route, .. } = &*self.call;
         let rollouts = &mut fleet.rollouts;
         rollouts.count(pool, &route.name, &endpoint.build, seen, at);
     }
 
+    /// For how much of a measured time this host stalled, in milliseconds. A pace is measured
+    /// over the whole answer, so that it gets its part of the stalls.
+    fn stalled_ms(&self, seen: ObservedResponse) -> u64 {
+        self.shared.detect_suspension();
+        let stalled_ms = self.shared.lag.stalled_ms();
+        let stalled_ms = stalled_ms.saturating_sub(self.stalled_at_send_ms);
+        match seen {
+            ObservedResponse::Ended {
+                pace_ms: Some(pace_ms),
+            } => {
+                let elapsed_ms = self.shared.clock.now_ms().saturating_sub(self.sent_at_ms);
+                (stalled_ms as f64 * pace_ms / elapsed_ms.max(1) as f64) as u64
+            }
+            _ => stalled_ms,
+        }
+    }
+
     /// Whether the request may leave a slow endpoint for another one.
     pub(crate) fn may_leave_endpoint(&self) -> bool {
         if !self.has_attempt_left() || self.call.repeatable() == Repeatable::No {
--- a/crates/routing/src/rollout/evidence.rs
+++ b/crates/routing/src/rollout/evidence.rs
@@ -100,8 +100,8 @@
 pub struct ObservationTime {
     /// When the event was seen, on the host's clock, in milliseconds.
     pub now_ms: u64,
-    /// How much of the time since the request was sent the host itself was stalled, in
-    /// milliseconds; 0 if not measured.
+    /// How much of the measured time the host itself was stalled, in milliseconds; 0 if not
+    /// known.
     pub stalled_ms: u64,
 }
 
--- a/crates/routing/src/rollout/mod.rs
+++ b/crates/routing/src/rollout/mod.rs
@@ -15,6 +15,8 @@
 mod evidence;
 mod exposure;
 mod order;
+mod quiescence;
+mod record;
 mod runs;
 mod schedule;
 mod stage;
@@ -27,8 +29,8 @@
 };
 pub use exposure::{Exposure, ExposureBound};
 pub use order::{RolloutOrder, RolloutOrderRow, RolloutOrders};
+pub use quiescence::{HeardHost, HostWait, QuiescenceView};
+pub use record::{RolloutPlan, RolloutReason, RolloutRecord, StoreClock};
 pub use runs::{BuildFilter, BuildRequest, BuildUse, PoolBuilds, Rollouts};
 pub use schedule::MoveSchedule;
-pub use stage::{
-    RolloutReason, RolloutRecord, RolloutStage, RolloutView, StageTransition, next_stage,
-};
+pub use stage::{RolloutStage, RolloutView, StageTransition, next_stage};
--- a/crates/routing/src/rollout/runs.rs
+++ b/crates/routing/src/rollout/runs.rs
@@ -10,8 +10,11 @@
 use crate::StoreVersion;
 use crate::rollout::evidence::{BuildSide, Evidence, ObservationTime, ObservedResponse};
 use crate::rollout::exposure::{Exposure, ExposureBound};
-use crate::rollout::order::{RolloutOrder, RolloutOrderRow, RolloutOrders, VersionedOrder};
-use crate::rollout::stage::{RolloutRecord, RolloutStage};
+use crate::rollout::order::{
+    RolloutOrder, RolloutOrderRow, RolloutOrders, VersionedOrder, is_same_row,
+};
+use crate::rollout::record::{RolloutPlan, RolloutRecord};
+use crate::rollout::stage::RolloutStage;
 
 /// Delay before an endpoint of a new build gets requests. Rows of endpoints and orders
 /// arrive independently, and the order may be the later one.
@@ -109,8 +112,11 @@
 /// The newest known record of a pool, possibly of another order than the current one.
 #[derive(Clone, Debug, Default)]
 struct StoredRecord {
-    /// Its store version, which the write of the next record names.
+    /// Its store version.
     version: StoreVersion,
+    /// The version that the next write names, if the store was restored and holds an earlier
+    /// record.
+    restored_version: Option<StoreVersion>,
     /// `None` if it is invalid.
     record: Option<RolloutRecord>,
     /// When its order was given, on this host's clock.
@@ -125,16 +131,36 @@
     runs: BTreeMap<PoolId, RolloutRun<H>>,
     /// A record may arrive before its order.
     stored_records: BTreeMap<PoolId, StoredRecord>,
+    /// Plans of the latest known records. A plan may arrive before its record.
+    plans: BTreeMap<PoolId, RolloutPlan>,
     /// When each build of a pool was first listed, except for those of the first list.
     new_builds: HashMap<PoolId, HashMap<BuildVersion, u64>>,
     known_builds: BTreeMap<PoolId, BTreeSet<BuildVersion>>,
+    /// Whether this host gets no news of rollouts, and so follows their plans.
+    is_cut_off: bool,
 }
 
 impl StoredRecord {
-    fn is_for_order(&self, order: StoreVersion) -> bool {
-        self.record
-            .as_ref()
-            .is_some_and(|record| record.order == order)
+    /// Whether a record is newer than this one. Versions of a restored store are higher and
+    /// may be of earlier records, while the stage and age of an order's records only grow.
+    fn is_superseded_by(&self, record: &RolloutRecord, version: StoreVersion) -> bool {
+        let known = self.record.as_ref();
+        let known = known.filter(|known| {
+            let is_same_order =
+                is_same_row(known.order, record.order) && known.build == record.build;
+            is_same_order && self.version.era() != version.era()
+        });
+        match known {
+            Some(known) => (record.stage, record.age_ms) > (known.stage, known.age_ms),
+            None => version > self.version,
+        }
+    }
+
+    fn is_for_order(&self, versioned_order: &VersionedOrder) -> bool {
+        self.record.as_ref().is_some_and(|record| {
+            let is_same_build = record.build == versioned_order.order.build;
+            is_same_build && is_same_row(record.order, versioned_order.version)
+        })
     }
 }
 
@@ -146,8 +172,10 @@
             orders: RolloutOrders::default(),
             runs: BTreeMap::new(),
             stored_records: BTreeMap::new(),
+            plans: BTreeMap::new(),
             new_builds: HashMap::new(),
             known_builds: BTreeMap::new(),
+            is_cut_off: false,
         }
     }
 
@@ -161,6 +189,17 @@
         &self.orders
     }
 
+    /// Sets whether this host gets no news of rollouts. Returns whether that changed.
+    pub fn set_cut_off(&mut self, is_cut_off: bool) -> bool {
+        let was_cut_off = std::mem::replace(&mut self.is_cut_off, is_cut_off);
+        was_cut_off != is_cut_off
+    }
+
+    /// Whether this host gets no news of rollouts.
+    pub fn is_cut_off(&self) -> bool {
+        self.is_cut_off
+    }
+
     /// Age of a pool's order, in milliseconds.
     pub fn age_ms(&self, pool: &PoolId, now_ms: u64) -> u64 {
         let run = self.runs.get(pool);
@@ -206,12 +245,12 @@
             .collect();
         for (pool, versioned_order) in versioned_orders {
             let known = self.runs.get(&pool);
-            if known.is_some_and(|run| run.versioned_order.version == versioned_order.version) {
+            if known.is_some_and(|run| run.versioned_order.is_same(&versioned_order)) {
                 continue;
             }
             let stored_record = self.stored_records.get(&pool);
-            let stored_record = stored_record
-                .filter(|stored_record| stored_record.is_for_order(versioned_order.version));
+            let stored_record =
+                stored_record.filter(|stored_record| stored_record.is_for_order(&versioned_order));
             let ordered_at_ms =
                 stored_record.map_or(now_ms as i64, |stored_record| stored_record.ordered_at_ms);
             let within_ms = versioned_order.order.within_ms;
@@ -231,7 +270,7 @@
     /// Merges the age of a pool's order as another host knows it, keeping the higher one.
     pub fn merge_age(&mut self, pool: &PoolId, order: StoreVersion, age_ms: u64, now_ms: u64) {
         if let Some(run) = self.runs.get_mut(pool)
-            && run.versioned_order.version == order
+            && is_same_row(run.versioned_order.version, order)
         {
             run.ordered_at_ms = run.ordered_at_ms.min(now_ms as i64 - age_ms as i64);
         }
@@ -242,23 +281,26 @@
     pub fn merge_record(
         &mut self,
         pool: &PoolId,
-        record: RolloutRecord,
+        mut record: RolloutRecord,
         version: StoreVersion,
         now_ms: u64,
     ) -> bool {
+        let plan = self.plans.entry(pool.clone()).or_default();
+        record.add_plan(plan);
         let known = self.stored_records.entry(pool.clone()).or_default();
-        if version <= known.version {
+        if !known.is_superseded_by(&record, version) {
             return false;
         }
+        *plan = record.plan();
         let ordered_at_ms = now_ms as i64 - record.age_ms as i64;
-        let order = record.order;
         *known = StoredRecord {
             version,
+            restored_version: None,
             record: Some(record),
             ordered_at_ms,
         };
         let run = self.runs.get_mut(pool);
-        let Some(run) = run.filter(|run| run.versioned_order.version == order) else {
+        let Some(run) = run.filter(|run| known.is_for_order(&run.versioned_order)) else {
             return false;
         };
         run.ordered_at_ms = run.ordered_at_ms.min(ordered_at_ms);
@@ -266,9 +308,24 @@
         true
     }
 
+    /// Merges the plan of a pool's record, as another host knows it.
+    pub fn merge_plan(&mut self, pool: &PoolId, plan: RolloutPlan) {
+        let known = self.plans.entry(pool.clone()).or_default();
+        if plan.order < known.order {
+            return;
+        }
+        let stored_record = self.stored_records.get_mut(pool);
+        if let Some(record) = stored_record.and_then(|stored| stored.record.as_mut()) {
+            record.add_plan(&plan);
+        }
+        if plan.order > known.order || known.planned_ms.is_empty() {
+            *known = plan;
+        }
+    }
+
     /// Replaces the known record by the stored one after a conditional write failed,
-    /// even if that has a lower version. A missing or invalid record (`None`) changes
-    /// only the version to name next. Returns whether the current rollout changes.
+    /// even if that has a lower version. A missing or invalid record (`None`), or an earlier
+    /// one of a restored store, changes only the version to name next. Returns whether the current rollout changes.
     pub fn record_stored(
         &mut self,
         pool: &PoolId,
@@ -279,6 +336,11 @@
         let known = self.stored_records.entry(pool.clone()).or_default();
         match record {
             Some(record) => {
+                let is_restored = version.era() > known.version.era() && known.record.is_some();
+                if is_restored && !known.is_superseded_by(&record, version) {
+                    known.restored_version = Some(version);
+                    return false;
+                }
                 if version < known.version {
                     *known = StoredRecord::default();
                 }
@@ -286,6 +348,7 @@
             }
             None => {
                 known.version = version;
+                known.restored_version = None;
                 false
             }
         }
@@ -295,7 +358,7 @@
     pub fn record(&self, pool: &PoolId) -> Option<(&RolloutRecord, StoreVersion)> {
         let run = self.runs.get(pool)?;
         let stored_record = self.stored_records.get(pool)?;
-        let is_in_force = stored_record.is_for_order(run.versioned_order.version);
+        let is_in_force = stored_record.is_for_order(&run.versioned_order);
         Some((
             stored_record.record.as_ref().filter(|_| is_in_force)?,
             stored_record.version,
@@ -305,9 +368,11 @@
     /// The store version that a pool's next record replaces.
     pub fn record_version(&self, pool: &PoolId) -> StoreVersion {
         let stored_record = self.stored_records.get(pool);
-        stored_record
-            .map(|stored_record| stored_record.version)
-            .unwrap_or_default()
+        let version = stored_record.map(|stored_record| {
+            let restored_version = stored_record.restored_version;
+            restored_version.unwrap_or(stored_record.version)
+        });
+        version.unwrap_or_default()
     }
 
     /// Pools with a rollout, and their orders.
@@ -371,6 +436,9 @@
         let record = self.record(request.pool).map(|(record, _)| record);
         let stage = record.map(|record| record.stage);
         let has_moved = record.is_some_and(|record| record.has_moved(request.route, age_ms));
+        if self.has_moved_by_plan(request, age_ms) {
+            return &[BuildUse::New, BuildUse::Any];
+        }
         let Some(run) = self.runs.get_mut(request.pool) else {
             return &[BuildUse::Any];
         };
@@ -390,6 +458,19 @@
         }
     }
 
+    /// Whether a request's route has moved by the plan, without news since.
+    fn has_moved_by_plan(&self, request: &BuildRequest<'_>, age_ms: u64) -> bool {
+        let (Some(run), Some((record, _))) =
+            (self.runs.get(request.pool), self.record(request.pool))
+        else {
+            return false;
+        };
+        let within_ms = run.versioned_order.order.within_ms;
+        let is_running = !record.stage.is_final();
+        let has_moved = || record.has_moved_by_plan(request.route, age_ms, within_ms);
+        self.is_cut_off && is_running && has_moved()
+    }
+
     /// The build use that most requests of a pool try first.
     pub fn stable_use(&self, pool: &PoolId) -> BuildUse {
         if !self.runs.contains_key(pool) {
@@ -468,6 +549,12 @@
         }
     }
 
+    /// Whether a rollout compares the answers of two builds.
+    pub fn counts_answers(&self) -> bool {
+        let mut pools = self.runs.keys();
+        pools.any(|pool| self.stage(pool).is_some_and(|stage| !stage.is_final()))
+    }
+
     /// The evidence of a pool's rollout.
     pub fn evidence(&self, pool: &PoolId) -> Option<&Evidence<H>> {
         self.runs.get(pool).map(|run| &run.evidence)
@@ -476,7 +563,7 @@
     /// The evidence of a pool's rollout of an order, to merge reports.
     pub fn evidence_mut(&mut self, pool: &PoolId, order: StoreVersion) -> Option<&mut Evidence<H>> {
         let run = self.runs.get_mut(pool)?;
-        (run.versioned_order.version == order).then_some(&mut run.evidence)
+        is_same_row(run.versioned_order.version, order).then_some(&mut run.evidence)
     }
 
     /// Updates whether the old endpoints are idle, and returns for how long they have
