--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -24,7 +24,7 @@
         shared.wait_for_view().await;
         let slot = wait_for_slot(shared, progress).await?;
         if slot.is_none() {
-            progress.admit()?;
+            progress.admit().await?;
         }
         progress.check_poison()?;
         if progress.call().remaining_ms() <= DEADLINE_RESERVE_MS {
--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -21,6 +21,8 @@
 use tokio::io::AsyncWriteExt;
 use tokio::sync::mpsc;
 
+use crate::work::BacklogRecord;
+
 /// Maximum number of queued lines.
 const MAX_QUEUED_LINES: usize = 1_024;
 /// How long lines are collected before they are written together.
@@ -309,6 +311,18 @@
         slots: u32,
         hosts: usize,
     },
+    /// A pool of engines is seen as overrun, or no longer.
+    PoolOverrun {
+        pool: &'a PoolId,
+        is_overrun: bool,
+        in_progress: u32,
+        slots: u32,
+        endpoints: u32,
+        full_endpoints: u32,
+        age_ms: u64,
+    },
+    /// A request to an overrun pool was sent, held or rejected.
+    Backlog(&'a BacklogRecord<'a>),
     /// A host replied as the scheduler of a pool.
     Scheduler {
         pool: &'a PoolId,
--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -14,16 +14,16 @@
 use chalkrock_routing::{
     Backoffs, Basis, BudgetRules, BuildUse, Candidate, ColdEndpoints, ConnectionLimit,
     EndpointHealth, EndpointTable, Evacuations, Evidence, FleetLoad, HealthSignal, HomeDemand,
-    HomeSpread, MaxServiceTime, PlacementRequest, PoisonEvidence, PoolLoads, PoolMember,
-    PoolOccupancy, PoolRules, RecentPrefixes, Repeatable, Rollouts, ServiceTimeEwma, Shares,
-    SpreadRules, StoreVersion, WindowBudget, choose_endpoint, connections_per_host,
+    HomeSpread, MaxServiceTime, PlacementRequest, PoisonEvidence, PoolBacklog, PoolLoads,
+    PoolMember, PoolOccupancy, PoolRules, RecentPrefixes, Repeatable, Rollouts, ServiceTimeEwma,
+    Shares, SpreadRules, StoreVersion, WindowBudget, choose_endpoint, connections_per_host,
 };
 
 use crate::config::GatewayConfig;
 use crate::fair_share::Usage;
 use crate::prefixes::Prefixes;
 use crate::source::{EndpointChange, EndpointRow, ListedEndpoint};
-use crate::work::{EndpointWork, Prompt, Work, WorkView};
+use crate::work::{Backlogs, EndpointWork, Prompt, Work, WorkView};
 
 /// Minimum number of list changes retained for other hosts.
 const MIN_RETAINED_CHANGES: usize = 256;
@@ -125,6 +125,8 @@
     pub(crate) rollouts: Rollouts<SocketAddr>,
     /// Work in hand at endpoints that read prompts.
     pub(crate) work: Work,
+    /// Overruns of pools whose requests say what there is to read.
+    pub(crate) backlogs: Backlogs,
 }
 
 impl Fleet {
@@ -162,6 +164,7 @@
             poison: PoisonEvidence::default(),
             rollouts: Rollouts::new(config.exposure_bound),
             work: Work::default(),
+            backlogs: Backlogs::default(),
         }
     }
 
@@ -230,6 +233,7 @@
                 directory: self.prefixes.directory(),
                 service_ms: self.mean_service_ms(query.pool),
                 spread: &self.spread,
+                is_overrun: self.backlogs.is_overrun(query.pool, now_ms),
                 key,
                 draw: query.draw,
                 now_ms,
@@ -450,6 +454,30 @@
         }
     }
 
+    /// Outstanding work of a pool, at the endpoints that [`Self::occupancy`] counts.
+    pub(crate) fn backlog(&self, pool: &PoolId, now_ms: u64) -> PoolBacklog {
+        let occupancy = self.occupancy(pool, now_ms);
+        let members = self.endpoints.live(pool);
+        let accepting = self.with_stable_builds(pool, &members, now_ms);
+        let accepting = accepting.filter(|member| {
+            let start = member.hash.short();
+            !self.is_suspect(start, now_ms) && !self.backoffs.is_active(start, now_ms)
+        });
+        let (endpoints, full_endpoints) = accepting.fold((0, 0), |(all, full), member| {
+            let load = self.load.in_progress(member.hash.short());
+            (all + 1, full + u32::from(load >= member.endpoint.slots))
+        });
+        PoolBacklog {
+            slots: occupancy.slots,
+            in_progress: occupancy.in_progress,
+            endpoints,
+            full_endpoints,
+            hosts: self.load.known_host_count(),
+            service_ms: occupancy.service_ms,
+            age_ms: self.load.report_age_ms(),
+        }
+    }
+
     /// Longest recent service time for each route of a pool, from this host and from
     /// rollout reports of other hosts.
     pub(crate) fn max_service_times_ms(
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -55,6 +55,7 @@
         metrics.gauge("organisations_over_share", &labels, count as f64);
     }
     fleet.work.set_gauges(metrics, now_ms);
+    fleet.backlogs.set_gauges(metrics, now_ms);
     for (pool, wait_ms) in fleet.expected_waits_ms(now_ms) {
         metrics.gauge(
             "pool_expected_wait_ms",
--- a/crates/gateway/src/progress.rs
+++ b/crates/gateway/src/progress.rs
@@ -6,9 +6,9 @@
 use chalkrock_core::rendezvous::MemberHash;
 use chalkrock_core::{Endpoint, OrganisationId, Outcome, Reason};
 use chalkrock_routing::{
-    AdmissionRequest, AttemptOutcome, BuildRequest, BuildUse, HealthSignal, Next, ObservedResponse,
-    OrganisationShare, Repeatable, RouteKind, admit_probability, fair_admit_probability, next_step,
-    over_share_return_ms,
+    AdmissionRequest, AttemptOutcome, BacklogDecision, BacklogRequest, BuildRequest, BuildUse,
+    HealthSignal, Next, ObservedResponse, OrganisationShare, Repeatable, RouteKind, WaitOrder,
+    admit_probability, fair_admit_probability, next_step, over_share_return_ms,
 };
 use rand::RngExt;
 
@@ -20,7 +20,7 @@
 use crate::poison::BrokenAttempt;
 use crate::pool_queue::{Lease, NewRequest};
 use crate::shared::{OrganisationGuard, Shared};
-use crate::work::{Prompt, ReadGuard};
+use crate::work::{BacklogQuestion, HeldPlace, Prompt, ReadGuard};
 
 /// Endpoints that a scheduler considers as tried. A request that tried as many is placed by
 /// its host.
@@ -98,10 +98,113 @@
 
     /// Refuses a request that was not sent yet if its pool is too full to meet the
     /// objective.
-    pub(crate) fn admit(&mut self) -> Result<(), Refusal> {
+    ///
+    /// In an overrun pool whose requests say what there is to read, outstanding work decides,
+    /// and a request may be held on this host for a part of its objective.
+    pub(crate) async fn admit(&mut self) -> Result<(), Refusal> {
         if !self.tried.is_empty() {
+            // Its endpoint failed or crashed: it comes before new requests.
             return Ok(());
         }
+        if !self.is_pool_overrun() {
+            return self.admit_by_slots();
+        }
+        let admitted = self.admit_by_backlog().await;
+        let now_ms = self.shared.clock.now_ms();
+        self.work = RequestWork::record(&self.shared, &self.call, admitted.is_ok(), now_ms);
+        admitted
+    }
+
+    /// Whether the request's pool is overrun and the request says what there is to read.
+    fn is_pool_overrun(&self) -> bool {
+        let pool = &self.call.pool;
+        if Prompt::of(&self.call).is_none() {
+            return false;
+        }
+        let now_ms = self.shared.clock.now_ms();
+        let mut fleet = self.shared.fleet();
+        let backlog = fleet.backlog(pool, now_ms);
+        let (is_overrun, has_changed) = fleet.backlogs.update(pool, &backlog, now_ms);
+        drop(fleet);
+        if has_changed {
+            self.shared.event_log.emit(&Event::PoolOverrun {
+                pool,
+                is_overrun,
+                in_progress: backlog.in_progress,
+                slots: backlog.slots,
+                endpoints: backlog.endpoints,
+                full_endpoints: backlog.full_endpoints,
+                age_ms: backlog.age_ms as u64,
+            });
+        }
+        is_overrun
+    }
+
+    /// Sends, holds or rejects a request to an overrun pool.
+    async fn admit_by_backlog(&self) -> Result<(), Refusal> {
+        let draws = (rand::random(), rand::random());
+        let mut held: Option<(HeldPlace, u64)> = None;
+        loop {
+            let now_ms = self.shared.clock.now_ms();
+            let question = self.backlog_question(draws, now_ms);
+            let max_ms = match question.decide() {
+                BacklogDecision::Send => {
+                    question.record_sent(&self.shared);
+                    return Ok(());
+                }
+                BacklogDecision::Reject => return Err(question.reject(&self.shared)),
+                BacklogDecision::Hold { max_ms } => max_ms,
+            };
+            let (place, until_ms) = match held.take() {
+                Some(held) => held,
+                None => {
+                    let order = WaitOrder {
+                        rank: self.call.priority(),
+                        entered_at_ms: now_ms,
+                    };
+                    let place = HeldPlace::enter(&self.shared, &self.call.pool, order);
+                    let Some(place) = place else {
+                        return Err(question.reject(&self.shared));
+                    };
+                    question.record_held(&self.shared);
+                    (place, now_ms + max_ms)
+                }
+            };
+            while !place.wait_step().await && self.shared.clock.now_ms() < until_ms {}
+            held = Some((place, until_ms));
+        }
+    }
+
+    fn backlog_question(&self, draws: (f64, f64), now_ms: u64) -> BacklogQuestion<'_> {
+        let (draw, return_draw) = draws;
+        let pool = &self.call.pool;
+        let mut fleet = self.shared.fleet();
+        let backlog = fleet.backlog(pool, now_ms);
+        fleet.backlogs.update(pool, &backlog, now_ms);
+        let kind = RequestKind::of(&self.call);
+        let occupancy = backlog.occupancy();
+        let share = fleet.usage.share(&kind, &occupancy, now_ms);
+        let best = fleet.place(&self.endpoint_query(), now_ms);
+        let expected = best.and_then(|best| best.work?.expected_ttft_ms());
+        BacklogQuestion {
+            id: self.call.head.id.as_ref(),
+            pool,
+            organisation: self.call.organisation(),
+            backlog,
+            request: BacklogRequest {
+                rank: self.call.priority(),
+                objective_ms: self.call.route.objective_ms,
+                waited_ms: self.call.entered_at.elapsed().as_millis() as u64,
+                expected_ttft_ms: expected.map(|expected_ms| expected_ms as f64),
+                is_repeated: !self.tried.is_empty(),
+                draw,
+                return_draw,
+            },
+            share,
+        }
+    }
+
+    fn admit_by_slots(&mut self) -> Result<(), Refusal> {
         let organisation = self.call.organisation();
         let now_ms = self.shared.clock.now_ms();
         let mut fleet = self.shared.fleet();
--- a/crates/gateway/src/work/mod.rs
+++ b/crates/gateway/src/work/mod.rs
@@ -1,5 +1,6 @@
 //! The work in hand at endpoints that read prompts: what this host learns and exchanges.
 
+mod backlog;
 mod event_intervals;
 mod prompt;
 
@@ -14,11 +15,13 @@
 use chalkrock_routing::{
     Candidate, OutstandingWork, Placement, PrefixDirectory, PromptRead, PromptWork, ReadId,
     SlownessChange, SpreadRules, WorkBasis, WorkEstimate, WorkReport, WorkRequest, choose_by_work,
+    choose_in_overrun,
 };
 
 use crate::edge::EndpointLoad;
 use crate::fleet::SelectedEndpoint;
 
+pub(crate) use self::backlog::{BacklogQuestion, BacklogRecord, Backlogs, HeldPlace};
 pub(crate) use self::event_intervals::EventIntervals;
 pub(crate) use self::prompt::Prompt;
 
@@ -46,6 +49,8 @@
     /// Mean service time of the pool.
     pub(crate) service_ms: f64,
     pub(crate) spread: &'a SpreadRules,
+    /// Whether the pool is overrun.
+    pub(crate) is_overrun: bool,
     pub(crate) key: Option<KeyHash>,
     pub(crate) draw: u64,
     pub(crate) now_ms: u64,
@@ -93,7 +98,9 @@
                 index,
                 basis: None,
                 prompt: work,
-                has_free_slot: candidate.load < candidate.slots,
+                // In an overrun, the time to the first event shows the queue that other hosts
+                // made meanwhile, not the endpoint's speed.
+                has_free_slot: !view.is_overrun && candidate.load < candidate.slots,
                 estimate: view.estimate(&state.ledger, candidate, &work),
             }
         };
@@ -102,7 +109,7 @@
         let Some(estimate) = current.estimate else {
             return current;
         };
-        if estimate.is_in_time(objective_ms) {
+        if !view.is_overrun && estimate.is_in_time(objective_ms) {
             return current;
         }
         let estimates = (0..candidates.len()).map(|i| at(i).estimate);
@@ -115,7 +122,12 @@
             rank: view.prompt.rank,
             draw: view.draw,
         };
-        match choose_by_work(placed, candidates, &estimates, &request, view.spread) {
+        let chosen = if view.is_overrun {
+            choose_in_overrun(placed, candidates, &estimates, &request)
+        } else {
+            choose_by_work(placed, candidates, &estimates, &request, view.spread)
+        };
+        match chosen {
             Some(chosen) => EndpointWork {
                 basis: Some(chosen.basis),
                 ..at(chosen.index)
--- a/crates/routing/src/admission.rs
+++ b/crates/routing/src/admission.rs
@@ -219,7 +219,7 @@
 }
 
 /// The fraction of an organisation's requests that may compete for slots.
-fn share_fraction(occupancy: &PoolOccupancy, share: &OrganisationShare) -> f64 {
+pub(crate) fn share_fraction(occupancy: &PoolOccupancy, share: &OrganisationShare) -> f64 {
     if !share.is_over() {
         return 1.0;
     }
--- /dev/null
+++ b/crates/routing/src/backlog/overrun.rs
@@ -0,0 +1,115 @@
+//! Whether a pool of engines is overrun.
+
+use crate::admission::PoolOccupancy;
+
+/// Use of the slots from which on a pool is overrun.
+const OVERRUN_UTILISATION: f64 = 0.9;
+/// Part of the endpoints without a free slot from which on it is. Requests queue there already
+/// while the mean use is still low.
+const OVERRUN_FULL_RATIO: f64 = 0.1;
+/// Use of the slots below which it is not.
+const CALM_UTILISATION: f64 = 0.7;
+/// Time for which a pool stays overrun after its last sign of it. Covers the age of load
+/// reports in a large fleet.
+const CALM_DELAY_MS: u64 = 2_000;
+
+/// Outstanding work of a pool, as one host knows it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PoolBacklog {
+    /// Slots of the endpoints that accept requests.
+    pub slots: u32,
+    /// Requests in progress on them, over the fleet.
+    pub in_progress: u32,
+    /// Endpoints that accept requests.
+    pub endpoints: u32,
+    /// Those of them that have no free slot.
+    pub full_endpoints: u32,
+    /// Hosts that share them.
+    pub hosts: usize,
+    /// Mean service time, in milliseconds; 0 if unknown.
+    pub service_ms: f64,
+    /// Typical age of what is known of other hosts, in milliseconds.
+    pub age_ms: f64,
+}
+
+impl PoolBacklog {
+    /// Requests in progress against the slots; 0 without slots, since nothing is known then.
+    pub fn utilisation(&self) -> f64 {
+        if self.slots == 0 {
+            return 0.0;
+        }
+        f64::from(self.in_progress) / f64::from(self.slots)
+    }
+
+    /// The same without what only overruns need.
+    pub fn occupancy(&self) -> PoolOccupancy {
+        PoolOccupancy {
+            slots: self.slots,
+            in_progress: self.in_progress,
+            service_ms: self.service_ms,
+        }
+    }
+
+    /// Whether the pool is too large for one scheduler to grant each slot.
+    pub fn has_many_slots(&self) -> bool {
+        self.slots as usize > self.hosts
+    }
+}
+
+/// Whether a pool is overrun.
+///
+/// It is from the moment at which nine tenths of its slots are seen in use until less than
+/// seven tenths have been for two seconds. A pool with no more slots than hosts never is:
+/// its scheduler grants its slots.
+///
+/// # Example
+///
+/// ```
+/// use chalkrock_routing::{Overrun, PoolBacklog};
+///
+/// let full = PoolBacklog {
+///     slots: 640,
+///     in_progress: 600,
+///     endpoints: 10,
+///     full_endpoints: 0,
+///     hosts: 62,
+///     service_ms: 900.0,
+///     age_ms: 300.0,
+/// };
+/// let mut overrun = Overrun::default();
+/// assert!(overrun.update(&full, 0));
+/// let calm = PoolBacklog { in_progress: 90, ..full };
+/// assert!(overrun.update(&calm, 1_000));
+/// assert!(!overrun.update(&calm, 2_000));
+/// ```
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Overrun {
+    /// When the last sign lapses; 0 if there is none.
+    until_ms: u64,
+}
+
+impl Overrun {
+    /// Takes the present backlog into account. Returns whether the pool is overrun.
+    pub fn update(&mut self, backlog: &PoolBacklog, now_ms: u64) -> bool {
+        if !backlog.has_many_slots() {
+            self.until_ms = 0;
+            return false;
+        }
+        let threshold = if self.is_overrun(now_ms) {
+            CALM_UTILISATION
+        } else {
+            OVERRUN_UTILISATION
+        };
+        let full = f64::from(backlog.full_endpoints);
+        let has_full = full > 0.0 && full >= OVERRUN_FULL_RATIO * f64::from(backlog.endpoints);
+        if has_full || backlog.utilisation() >= threshold {
+            self.until_ms = now_ms + CALM_DELAY_MS;
+        }
+        self.is_overrun(now_ms)
+    }
+
+    /// Whether the pool was overrun at the last update and no calm followed.
+    pub fn is_overrun(&self, now_ms: u64) -> bool {
+        now_ms < self.until_ms
+    }
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -42,6 +42,7 @@
 
 mod admission;
 mod attempt;
+mod backlog;
 mod backoff;
 mod budget;
 mod cold;
@@ -80,6 +81,10 @@
     fair_admit_probability, over_share_return_ms, shed_probability,
 };
 pub use attempt::{AttemptOutcome, Next, Repeatable, next_step};
+pub use backlog::{
+    BacklogDecision, BacklogRequest, LineTicket, MAX_WAITING, Overrun, PoolBacklog, WaitLine,
+    WaitOrder, admit_fraction, choose_in_overrun, decide, return_ms,
+};
 pub use backoff::{BackoffChange, Backoffs, MAX_BACKOFF_MS};
 pub use budget::{BudgetRules, WindowBudget};
 pub use cold::{ColdBound, ColdEndpoints, ColdShare};
