--- a/crates/core/src/rendezvous.rs
+++ b/crates/core/src/rendezvous.rs
@@ -18,6 +18,13 @@
 
     /// Hashes a member's name and one of its starts.
     pub fn of_start(name: &str, start: u64) -> Self {
+        // XXH3 adds the seed to inputs of up to three bytes before it mixes them, so that
+        // names and starts that differ by the same amount collide.
+        const MAX_COLLIDING_BYTES: usize = 3;
+        if name.len() <= MAX_COLLIDING_BYTES {
+            return Self(xxh3_64_with_seed(&Self::of(name).0.to_le_bytes(), start));
+        }
+        // Hosts of earlier builds exchange these hashes.
         Self(xxh3_64_with_seed(name.as_bytes(), start))
     }
 
--- a/crates/core/tests/placement.rs
+++ b/crates/core/tests/placement.rs
@@ -1,5 +1,7 @@
 //! The search for an engine, response by response.
 
+use std::collections::BTreeSet;
+
 use chalkrock_core::rendezvous::{KeyHash, MemberHash, score};
 use chalkrock_core::{
     EngineCandidate, Home, Placement, PlacementRules, PlacementStep, SlotResponse,
@@ -239,3 +241,27 @@
         assert_that!(requested(placement.start(&candidates)), eq(&ranked[..3]));
     }
 }
+
+/// Two starts with one hash are taken for one endpoint: a request for one is sent over a
+/// connection to the other, and both count as leaving when one does.
+#[test]
+fn start_hashes_differ_for_names_of_any_length() {
+    const STARTS: u64 = 20;
+    const FIRST_START: u64 = 1_796_313_282_000;
+    for prefix in [
+        "",
+        "i",
+        "i-",
+        "i-a",
+        "i-ab97eda80",
+        "endpoint-with-a-longer-name-",
+    ] {
+        let names = (0..10).map(|number| format!("{prefix}{number}"));
+        let hashes = names.flat_map(|name| {
+            (FIRST_START..FIRST_START + STARTS).map(move |start| MemberHash::of_start(&name, start))
+        });
+        let hashes: Vec<u64> = hashes.map(|hash| hash.0).collect();
+        let distinct: BTreeSet<u64> = hashes.iter().copied().collect();
+        assert_that!(distinct.len(), eq(hashes.len()), "{prefix:?}");
+    }
+}
