--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -330,7 +330,8 @@
         let last_move_ms = record.and_then(|record| record.moves_ms.values().max().copied());
         let moved_ms = age_ms.saturating_sub(last_move_ms.unwrap_or_default());
         let observed_ms = record.map_or(0, |record| age_ms.saturating_sub(record.age_ms));
-        let is_idle = have_moved && builds.old_in_progress == 0;
+        let accepts_no_old = have_moved || builds.old_slots == 0;
+        let is_idle = accepts_no_old && builds.old_in_progress == 0;
         let old_idle_ms = fleet.rollouts.old_idle_ms(pool, is_idle, now_ms);
         Some(RolloutView {
             stage,
--- a/crates/routing/src/rollout/stage.rs
+++ b/crates/routing/src/rollout/stage.rs
@@ -66,8 +66,8 @@
     pub in_progress: u32,
     /// Time since the last route moved, in milliseconds; 0 before.
     pub moved_ms: u64,
-    /// How long the old endpoints have been idle since the last route moved, in
-    /// milliseconds.
+    /// How long the old endpoints have been idle since the last route moved, or since none
+    /// of them accepts requests, in milliseconds.
     pub old_idle_ms: u64,
     /// Longest time that a request of each route needs to leave an old endpoint, in
     /// milliseconds: its maximum service time, or less if requests in progress can move.
@@ -196,11 +196,13 @@
     if view.new_slots == 0 && view.old_slots > 0 {
         return StageTransition::new(RolloutStage::RolledBack, RolloutReason::NoEndpoints);
     }
-    let has_left = view.moved_ms >= MIN_MOVED_MS && view.old_idle_ms >= MIN_IDLE_MS;
+    let is_idle = view.old_idle_ms >= MIN_IDLE_MS;
+    let has_left = view.moved_ms >= MIN_MOVED_MS && is_idle;
     let log_odds = view.assessment.log_odds;
     let is_clear =
         log_odds < DONE_LOG_ODDS || (is_past(view, GRACE_FACTOR) && log_odds < MOVE_LOG_ODDS);
-    if (has_left && is_clear) || view.old_slots == 0 {
+    // Old endpoints that drain accept nothing, and still run requests.
+    if (has_left && is_clear) || (view.old_slots == 0 && is_idle) {
         return StageTransition::new(RolloutStage::Done, RolloutReason::Moved);
     }
     let is_undecided = has_left && !is_clear && is_past(view, UNDECIDED_FACTOR);
--- a/crates/routing/tests/rollout.rs
+++ b/crates/routing/tests/rollout.rs
@@ -462,6 +462,25 @@
             },
             Some((Moving, Reason::Moved)),
         ),
+        (
+            // They stop at done, which would cut off what they still run.
+            "old endpoints that drain and run requests",
+            RolloutView {
+                old_slots: 0,
+                old_idle_ms: 0,
+                ..view(Some(Moving))
+            },
+            None,
+        ),
+        (
+            "old endpoints that drain and are idle",
+            RolloutView {
+                old_slots: 0,
+                old_idle_ms: 800,
+                ..view(Some(Moving))
+            },
+            Some((Done, Reason::Moved)),
+        ),
         (
             "withdrawn",
             RolloutView {
