--- a/crates/gateway/src/fleet/builds.rs
+++ b/crates/gateway/src/fleet/builds.rs
@@ -30,7 +30,15 @@
         build_use: BuildUse,
         now_ms: u64,
     ) -> EligibleBuilds<'_> {
-        let filter = self.rollouts.filter(pool, build_use, now_ms);
+        let mut filter = self.rollouts.filter(pool, build_use, now_ms);
+        if let BuildFilter::Proven { new, .. } = filter {
+            let members = self.endpoints.live(pool);
+            let mut builds = members.iter().map(|member| &member.endpoint.build);
+            if !builds.any(|build| filter.admits(build)) {
+                // An unproven build is better than none.
+                filter = BuildFilter::Without(new);
+            }
+        }
         let canaries = (build_use == BuildUse::Canary).then(|| {
             let members = self.endpoints.live(pool);
             let is_new = |member: &&PoolMember| filter.admits(&member.endpoint.build);
--- a/crates/gateway/src/peers/rollouts.rs
+++ b/crates/gateway/src/peers/rollouts.rs
@@ -81,6 +81,7 @@
             moves_ms: update.moves_ms,
             planned_ms: BTreeMap::new(),
             ordered_at_store_ms: None,
+            unproven: BTreeSet::new(),
         }
     }
 }
--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -505,7 +505,9 @@
         let (order, ordered) = fleet.rollouts.order(pool)?;
         let current = fleet.rollouts.record(pool).map(|(record, _)| record);
         let from = if transition.reason == RolloutReason::Ordered {
-            fleet.builds_from(pool, &ordered.build)
+            let mut from = fleet.builds_from(pool, &ordered.build);
+            from.extend(fleet.rollouts.unproven(pool));
+            from
         } else {
             current?.from.clone()
         };
@@ -532,6 +534,7 @@
             },
             planned_ms,
             ordered_at_store_ms,
+            unproven: fleet.rollouts.unproven(pool),
         };
         Some((record, fleet.rollouts.record_version(pool)))
     }
--- a/crates/gateway/tests/gateway/rollouts.rs
+++ b/crates/gateway/tests/gateway/rollouts.rs
@@ -36,15 +36,28 @@
 }
 
 async fn endpoints(build: &str, count: usize, behaviour: Behaviour) -> Vec<ScriptedEndpoint> {
+    endpoints_of("pool", build, count, behaviour).await
+}
+
+async fn endpoints_of(
+    pool: &str,
+    build: &str,
+    count: usize,
+    behaviour: Behaviour,
+) -> Vec<ScriptedEndpoint> {
     let mut started = Vec::new();
     for i in 0..count {
-        let name = format!("{build}-{i}");
+        let name = format!("{pool}-{build}-{i}");
         let script = Script::default();
-        started.push(ScriptedEndpoint::start(&name, "pool", behaviour.clone(), script).await);
+        started.push(ScriptedEndpoint::start(&name, pool, behaviour.clone(), script).await);
     }
     started
 }
 
+fn arrivals(endpoints: &[ScriptedEndpoint]) -> usize {
+    endpoints.iter().map(ScriptedEndpoint::arrivals).sum()
+}
+
 impl RolloutFleet {
     /// Starts three hosts and four endpoints of the old build.
     async fn start() -> Self {
@@ -106,13 +119,17 @@
 
     /// Sends requests to all hosts until the tasks are aborted.
     fn load(&self) -> Vec<JoinHandle<()>> {
+        self.load_of("/safe/")
+    }
+
+    fn load_of(&self, path: &'static str) -> Vec<JoinHandle<()>> {
         let hosts = self.hosts.iter().enumerate();
         hosts
             .map(|(i, host)| {
                 let address = host.running.front_address();
                 tokio::spawn(async move {
                     for number in 0.. {
-                        let call = Call::get("/safe/").id(&format!("r-{i}-{number}"));
+                        let call = Call::get(path).id(&format!("r-{i}-{number}"));
                         tokio::spawn(async move { call.exchange(address).await });
                         tokio::time::sleep(REQUEST_INTERVAL).await;
                     }
@@ -132,11 +149,11 @@
     }
 
     fn new_arrivals(&self) -> usize {
-        self.new.iter().map(ScriptedEndpoint::arrivals).sum()
+        arrivals(&self.new)
     }
 
     fn old_arrivals(&self) -> usize {
-        self.old.iter().map(ScriptedEndpoint::arrivals).sum()
+        arrivals(&self.old)
     }
 
     /// Returns how many requests reach the old and the new build in 400 ms, or in the time
@@ -531,3 +548,207 @@
         stop_load(load);
     }
 }
+
+/// A build whose rollout was replaced by another order was not found good, and must not get
+/// the requests of the old build.
+#[tokio::test]
+async fn rollout_to_a_third_build_takes_the_second_out_of_use() {
+    const THIRD: &str = "v3";
+    let mut fleet = RolloutFleet::start().await;
+    let load = fleet.load();
+    fleet.order(Behaviour::AnswerAfter(20)).await;
+    fleet.until_stage(RolloutStage::Canary).await;
+    tokio::time::sleep(Duration::from_millis(1_000)).await;
+    fleet.source.order_rollout(THIRD, DEADLINE_MS);
+    let third = endpoints(THIRD, 4, Behaviour::AnswerAfter(20)).await;
+    for endpoint in &third {
+        fleet.source.list(entry(endpoint, THIRD));
+    }
+    until(async || {
+        let record = fleet.source.rollout();
+        record.is_some_and(|record| record.build == THIRD.into())
+    })
+    .await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let second = fleet.new_arrivals();
+    fleet.until_stage(RolloutStage::Done).await;
+    let (first, moved) = (fleet.old_arrivals(), arrivals(&third));
+    until(async || arrivals(&third) > moved + 20).await;
+    assert_that!(
+        fleet.new_arrivals(),
+        eq(second),
+        "requests at the second build"
+    );
+    assert_that!(fleet.old_arrivals(), eq(first));
+    stop_load(load);
+}
+
+#[tokio::test]
+async fn rollouts_of_two_pools_end_independently() {
+    const OTHER: &str = "other";
+    let mut rules = rules(1);
+    let mut route = rules.routes[0].clone();
+    route.name = OTHER.into();
+    route.path_prefix = "/other/".into();
+    route.backends[0].pool = OTHER.into();
+    rules.routes.push(route);
+    let mut fleet = RolloutFleet::without_hosts(rules).await;
+    let old = endpoints_of(OTHER, OLD, 4, Behaviour::AnswerAfter(20)).await;
+    let new = endpoints_of(OTHER, NEW, 4, Behaviour::Fail).await;
+    for endpoint in &old {
+        fleet.source.list(entry(endpoint, OLD));
+    }
+    fleet.add_hosts(3).await;
+    let load = [fleet.load(), fleet.load_of("/other/")];
+    fleet.source.order_rollout_of(OTHER, NEW, DEADLINE_MS);
+    for endpoint in &new {
+        fleet.source.list(entry(endpoint, NEW));
+    }
+    fleet.order(Behaviour::AnswerAfter(20)).await;
+    let reason_of = |pool| {
+        let record = fleet.source.rollout_of(pool);
+        let record = record.filter(|record| record.stage.is_final());
+        record.map(|record| record.reason)
+    };
+    until(async || reason_of(OTHER).is_some() && reason_of("pool").is_some()).await;
+    assert_that!(reason_of(OTHER), some(eq(RolloutReason::Bad)));
+    assert_that!(reason_of("pool"), some(eq(RolloutReason::Moved)));
+    load.into_iter().for_each(stop_load);
+}
+
+/// Endpoints of the new build may start some time after the order.
+#[tokio::test]
+async fn rollout_to_endpoints_that_come_late_is_done() {
+    let mut fleet = RolloutFleet::start().await;
+    let load = fleet.load();
+    fleet.source.order_rollout(NEW, DEADLINE_MS);
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    fleet.order(Behaviour::AnswerAfter(20)).await;
+    until(async || fleet.is_over()).await;
+    let reason = fleet.source.rollout().map(|record| record.reason);
+    assert_that!(reason, some(eq(RolloutReason::Moved)));
+    stop_load(load);
+}
+
+/// Too few endpoints must not get all the requests.
+#[tokio::test]
+async fn rollout_to_endpoints_that_are_too_few_is_rolled_back() {
+    let fleet = RolloutFleet::start().await;
+    let load = fleet.load();
+    fleet.source.order_rollout(NEW, DEADLINE_MS);
+    let new = endpoints(NEW, 1, Behaviour::AnswerAfter(20)).await;
+    fleet.source.list(Endpoint {
+        slots: 1,
+        ..entry(&new[0], NEW)
+    });
+    until(async || fleet.is_over()).await;
+    let record = fleet.source.rollout().expect("a record");
+    assert_that!(record.reason, eq(RolloutReason::Undecided));
+    let expected = [RolloutStage::Canary, RolloutStage::RolledBack];
+    assert_that!(fleet.source.stages(), eq(&expected));
+    stop_load(load);
+}
+
+/// Without endpoints of the new build, the old ones must go on at once.
+#[tokio::test]
+async fn rollout_to_endpoints_that_crash_after_the_move_is_rolled_back() {
+    let mut fleet = RolloutFleet::start().await;
+    let load = fleet.load();
+    fleet.order(Behaviour::AnswerAfter(20)).await;
+    fleet.until_stage(RolloutStage::Moving).await;
+    for endpoint in &fleet.new {
+        endpoint.set_behaviour(Behaviour::Reset);
+        fleet.source.unlist(&endpoint.endpoint.name);
+    }
+    fleet.until_stage(RolloutStage::RolledBack).await;
+    let (old, _) = fleet.arrivals_in_window().await;
+    assert_that!(old, gt(20));
+    stop_load(load);
+}
+
+/// Endpoints that leave the list and return must not be taken for a bad build.
+#[tokio::test]
+async fn rollout_to_endpoints_that_flap_is_done() {
+    let mut fleet = RolloutFleet::start().await;
+    let load = fleet.load();
+    fleet.order(Behaviour::AnswerAfter(20)).await;
+    fleet.until_stage(RolloutStage::Canary).await;
+    for _ in 0..4 {
+        for endpoint in &fleet.new {
+            fleet.source.unlist(&endpoint.endpoint.name);
+        }
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        for endpoint in &fleet.new {
+            fleet.source.list(entry(endpoint, NEW));
+        }
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    }
+    until(async || fleet.is_over()).await;
+    let reason = fleet.source.rollout().map(|record| record.reason);
+    assert_that!(reason, some(eq(RolloutReason::Moved)));
+    stop_load(load);
+}
+
+/// An evacuated zone takes endpoints of both builds out of use.
+#[tokio::test]
+async fn rollout_beside_an_evacuated_zone_is_done() {
+    const ZONE: &str = "zone-away";
+    let mut fleet = RolloutFleet::start().await;
+    let load = fleet.load();
+    fleet.order(Behaviour::AnswerAfter(20)).await;
+    for (endpoint, build) in [(&fleet.old[0], OLD), (&fleet.new[0], NEW)] {
+        fleet.source.list(Endpoint {
+            zone: ZONE.into(),
+            ..entry(endpoint, build)
+        });
+    }
+    fleet.until_stage(RolloutStage::Canary).await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    fleet.source.evacuate(ZONE, true);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let evacuated = fleet.old[0].arrivals() + fleet.new[0].arrivals();
+    until(async || fleet.is_over()).await;
+    let reason = fleet.source.rollout().map(|record| record.reason);
+    assert_that!(reason, some(eq(RolloutReason::Moved)));
+    assert_that!(
+        fleet.old[0].arrivals() + fleet.new[0].arrivals(),
+        eq(evacuated)
+    );
+    stop_load(load);
+}
+
+/// An endpoint that replaces one of the old build is an old one as well.
+#[tokio::test]
+async fn rollout_beside_a_planned_replacement_is_done() {
+    let mut fleet = RolloutFleet::start().await;
+    let load = fleet.load();
+    fleet.order(Behaviour::AnswerAfter(20)).await;
+    fleet.until_stage(RolloutStage::Canary).await;
+    let replacement = endpoints_of("pool", "replacement", 1, Behaviour::AnswerAfter(20)).await;
+    fleet.source.list(entry(&replacement[0], OLD));
+    fleet.source.unlist(&fleet.old[0].endpoint.name);
+    until(async || fleet.is_over()).await;
+    let reason = fleet.source.rollout().map(|record| record.reason);
+    assert_that!(reason, some(eq(RolloutReason::Moved)));
+    let served = arrivals(&replacement);
+    assert_that!(served, gt(20), "it served before the move");
+    fleet.arrivals_in_window().await;
+    assert_that!(arrivals(&replacement), eq(served), "and nothing since");
+    stop_load(load);
+}
+
+#[tokio::test]
+async fn rollout_with_a_slow_store_is_done() {
+    let mut fleet = RolloutFleet::start().await;
+    let load = fleet.load();
+    fleet.source.set_answer_delay_ms(500);
+    fleet.order(Behaviour::AnswerAfter(20)).await;
+    until(async || fleet.is_over()).await;
+    let expected = [
+        RolloutStage::Canary,
+        RolloutStage::Moving,
+        RolloutStage::Done,
+    ];
+    assert_that!(fleet.source.stages(), eq(&expected));
+    stop_load(load);
+}
--- a/crates/gateway/tests/gateway/support/source.rs
+++ b/crates/gateway/tests/gateway/support/source.rs
@@ -172,22 +172,29 @@
 
     /// Orders a rollout of a build to the pool `pool`.
     pub(crate) fn order_rollout(&self, build: &str, within_ms: u64) {
+        self.order_rollout_of("pool", build, within_ms);
+    }
+
+    /// Orders a rollout of a build to a pool.
+    pub(crate) fn order_rollout_of(&self, pool: &str, build: &str, within_ms: u64) {
         let build = build.into();
-        self.put_order(Some(RolloutOrder { build, within_ms }));
+        self.put_order(pool, Some(RolloutOrder { build, within_ms }));
     }
 
     /// Withdraws the rollout order.
     pub(crate) fn withdraw_rollout(&self) {
-        self.put_order(None);
+        self.put_order("pool", None);
     }
 
-    fn put_order(&self, order: Option<RolloutOrder>) {
+    fn put_order(&self, pool: &str, order: Option<RolloutOrder>) {
+        let pool = PoolId::from(pool);
         self.change(|state, version| {
-            state.orders = vec![RolloutOrderRow {
+            state.orders.retain(|row| row.pool != pool);
+            state.orders.push(RolloutOrderRow {
                 version: StoreVersion(version),
-                pool: PoolId::from("pool"),
+                pool,
                 order,
-            }];
+            });
         });
     }
 
@@ -198,8 +205,13 @@
 
     /// Returns the record of the rollout.
     pub(crate) fn rollout(&self) -> Option<RolloutRecord> {
+        self.rollout_of("pool")
+    }
+
+    /// Returns the record of a pool's rollout.
+    pub(crate) fn rollout_of(&self, pool: &str) -> Option<RolloutRecord> {
         let state = self.lock();
-        let record = state.records.get(&PoolId::from("pool"));
+        let record = state.records.get(&PoolId::from(pool));
         record.map(|(_, record)| record.clone())
     }
 
--- a/crates/routing/src/rollout/record.rs
+++ b/crates/routing/src/rollout/record.rs
@@ -56,6 +56,10 @@
     /// When the order was given, by the store's clock, in milliseconds.
     #[serde(default)]
     pub ordered_at_store_ms: Option<u64>,
+    /// Builds of earlier rollouts that were not done. They get no requests while others of
+    /// the old builds are live.
+    #[serde(default)]
+    pub unproven: BTreeSet<BuildVersion>,
 }
 
 /// What all records of an order have in common. Hosts exchange it apart from the record,
@@ -68,6 +72,8 @@
     pub planned_ms: BTreeMap<Arc<str>, u64>,
     /// [`RolloutRecord::ordered_at_store_ms`].
     pub ordered_at_store_ms: Option<u64>,
+    /// [`RolloutRecord::unproven`].
+    pub unproven: BTreeSet<BuildVersion>,
 }
 
 /// The store's clock.
@@ -95,6 +101,7 @@
             order: self.order,
             planned_ms: self.planned_ms.clone(),
             ordered_at_store_ms: self.ordered_at_store_ms,
+            unproven: self.unproven.clone(),
         }
     }
 
@@ -106,6 +113,7 @@
         if self.planned_ms.is_empty() {
             self.planned_ms.clone_from(&plan.planned_ms);
         }
+        self.unproven.extend(plan.unproven.iter().cloned());
         self.ordered_at_store_ms = self.ordered_at_store_ms.or(plan.ordered_at_store_ms);
     }
 
--- a/crates/routing/src/rollout/runs.rs
+++ b/crates/routing/src/rollout/runs.rs
@@ -40,6 +40,13 @@
     All,
     /// All except one.
     Without(&'a BuildVersion),
+    /// All except one and unproven ones.
+    Proven {
+        /// The new build.
+        new: &'a BuildVersion,
+        /// Builds of earlier rollouts that were not done.
+        unproven: &'a BTreeSet<BuildVersion>,
+    },
     /// All except some.
     WithoutAny(&'a BTreeSet<BuildVersion>),
     /// Only one.
@@ -59,6 +66,7 @@
         match self {
             BuildFilter::All => true,
             BuildFilter::Without(other) => build != *other,
+            BuildFilter::Proven { new, unproven } => build != *new && !unproven.contains(build),
             BuildFilter::WithoutAny(others) => !others.contains(build),
             BuildFilter::Only(only) => build == *only,
             BuildFilter::Settled { listed_ms, now_ms } => {
@@ -107,6 +115,18 @@
     evidence: Evidence<H>,
     /// Since when the old endpoints have been idle.
     old_idle_since_ms: Option<u64>,
+    /// Builds of earlier rollouts that were not done.
+    unproven: BTreeSet<BuildVersion>,
+}
+
+impl<H> RolloutRun<H> {
+    /// Marks the build of an earlier rollout as unproven if that was not done.
+    fn mark_unproven(&mut self, build: &BuildVersion, stage: Option<RolloutStage>) {
+        let is_other = *build != self.versioned_order.order.build;
+        if is_other && stage != Some(RolloutStage::Done) {
+            self.unproven.insert(build.clone());
+        }
+    }
 }
 
 /// The newest known record of a pool, possibly of another order than the current one.
@@ -249,14 +269,39 @@
             let ordered_at_ms =
                 stored_record.map_or(now_ms as i64, |stored_record| stored_record.ordered_at_ms);
             let within_ms = versioned_order.order.within_ms;
-            let run = RolloutRun {
+            let replaced = self.runs.get(&pool);
+            let replaced = replaced.map(|run| {
+                let build = run.versioned_order.order.build.clone();
+                (build, self.stage(&pool), run.unproven.clone())
+            });
+            let mut run = RolloutRun {
                 versioned_order,
                 ordered_at_ms,
                 is_withdrawn: false,
                 exposure: Exposure::new(self.bound, within_ms, draw),
                 evidence: Evidence::default(),
                 old_idle_since_ms: None,
+                unproven: BTreeSet::new(),
             };
+            if let Some((build, stage, unproven)) = replaced {
+                for build in unproven {
+                    run.mark_unproven(&build, None);
+                }
+                if stage == Some(RolloutStage::Done) {
+                    run.unproven.remove(&build);
+                }
+                run.mark_unproven(&build, stage);
+            }
+            if let Some(record) = self
+                .stored_records
+                .get(&pool)
+                .and_then(|s| s.record.as_ref())
+            {
+                run.mark_unproven(&record.build, Some(record.stage));
+                for build in &record.unproven {
+                    run.mark_unproven(build, None);
+                }
+            }
             self.runs.insert(pool, run);
         }
         true
@@ -294,10 +339,21 @@
             record: Some(record),
             ordered_at_ms,
         };
-        let run = self.runs.get_mut(pool);
-        let Some(run) = run.filter(|run| known.is_for_order(&run.versioned_order)) else {
+        let Some(run) = self.runs.get_mut(pool) else {
             return false;
         };
+        if let Some(record) = &known.record {
+            let is_for_order = known.is_for_order(&run.versioned_order);
+            if !is_for_order && record.order < run.versioned_order.version {
+                run.mark_unproven(&record.build, Some(record.stage));
+            }
+            for build in &record.unproven {
+                run.mark_unproven(build, None);
+            }
+        }
+        if !known.is_for_order(&run.versioned_order) {
+            return false;
+        }
         run.ordered_at_ms = run.ordered_at_ms.min(ordered_at_ms);
         run.old_idle_since_ms = None;
         true
@@ -376,6 +432,12 @@
         runs.map(|(pool, run)| (pool, &run.versioned_order.order))
     }
 
+    /// Builds of earlier rollouts of a pool that were not done.
+    pub fn unproven(&self, pool: &PoolId) -> BTreeSet<BuildVersion> {
+        let run = self.runs.get(pool);
+        run.map(|run| run.unproven.clone()).unwrap_or_default()
+    }
+
     /// The order that a pool's rollout carries out.
     pub fn order(&self, pool: &PoolId) -> Option<(StoreVersion, &RolloutOrder)> {
         let run = self.runs.get(pool)?;
@@ -490,7 +552,11 @@
         let record = self.record(pool).map(|(record, _)| record);
         match (build_use, record) {
             (BuildUse::Any, _) | (BuildUse::New, None) => BuildFilter::All,
-            (BuildUse::Old, _) => BuildFilter::Without(build),
+            (BuildUse::Old, _) if run.unproven.is_empty() => BuildFilter::Without(build),
+            (BuildUse::Old, _) => BuildFilter::Proven {
+                new: build,
+                unproven: &run.unproven,
+            },
             (BuildUse::New, Some(record)) => BuildFilter::WithoutAny(&record.from),
             (BuildUse::Canary, _) => BuildFilter::Only(build),
         }
--- a/crates/routing/tests/rollout.rs
+++ b/crates/routing/tests/rollout.rs
@@ -53,6 +53,7 @@
         moves_ms: BTreeMap::new(),
         planned_ms: BTreeMap::new(),
         ordered_at_store_ms: None,
+        unproven: [].into(),
     }
 }
 
--- a/crates/routing/tests/rollout_execution.rs
+++ b/crates/routing/tests/rollout_execution.rs
@@ -25,6 +25,7 @@
         moves_ms: BTreeMap::new(),
         planned_ms: [("chat".into(), PLANNED_MS), ("long".into(), 5_000)].into(),
         ordered_at_store_ms: None,
+        unproven: [].into(),
     }
 }
 
@@ -316,3 +317,47 @@
     assert_that!(rollouts.merge_record(&pool, canary, version, 0), eq(false));
     assert_that!(rollouts.stage(&pool), some(eq(RolloutStage::Done)));
 }
+
+/// A build whose rollout was replaced by another order, or rolled back, must not get the
+/// requests of the old build.
+#[test]
+fn build_filter_leaves_out_builds_of_rollouts_that_were_not_done() {
+    let pool = PoolId::from("pool");
+    for stage in [
+        RolloutStage::Canary,
+        RolloutStage::Moving,
+        RolloutStage::RolledBack,
+    ] {
+        let version = StoreVersion(9);
+        let mut rollouts = rollouts(stage);
+        rollouts.apply_order_changes(&[order_row(version, "v3")], version, 0.5, 0);
+        let filter = rollouts.filter(&pool, BuildUse::Old, 0);
+        let admitted = ["v1", "v2", "v3"].map(|build| filter.admits(&build.into()));
+        assert_that!(admitted, eq([true, false, false]), "{stage}");
+    }
+    let mut done = rollouts(RolloutStage::Done);
+    done.apply_order_changes(&[order_row(StoreVersion(9), "v3")], StoreVersion(9), 0.5, 0);
+    assert_that!(
+        done.filter(&pool, BuildUse::Old, 0).admits(&"v2".into()),
+        eq(true)
+    );
+    // A host that starts learns it from the earlier record, or from the later one.
+    let started = || {
+        let mut rollouts: Rollouts<u32> = Rollouts::new(ExposureBound::default());
+        rollouts.apply_order_changes(&[order_row(StoreVersion(9), "v3")], StoreVersion(9), 0.5, 0);
+        rollouts
+    };
+    let later = RolloutRecord {
+        order: StoreVersion(9),
+        build: "v3".into(),
+        unproven: ["v2".into()].into(),
+        ..record(RolloutStage::Canary)
+    };
+    for known in [record(RolloutStage::Canary), later] {
+        let mut rollouts = started();
+        rollouts.merge_record(&pool, known, StoreVersion(10), 0);
+        let filter = rollouts.filter(&pool, BuildUse::Old, 0);
+        assert_that!(filter.admits(&"v2".into()), eq(false));
+        assert_that!(filter.admits(&"v1".into()), eq(true));
+    }
+}
