--- a/crates/gateway/src/peers/rollouts.rs
+++ b/crates/gateway/src/peers/rollouts.rs
@@ -177,13 +177,15 @@
     let rollouts = &fleet.rollouts;
     let plans = rollouts.pools().filter_map(|(pool, _)| {
         let (record, _) = rollouts.record(pool)?;
-        Some((pool.clone(), record.plan()))
+        (!record.stage.is_final()).then(|| (pool.clone(), record.plan()))
     });
-    // Plans first, so that a record is complete when it arrives.
-    let updates = vec![
-        Datagram::RolloutPlans(plans.collect()),
-        Datagram::Rollouts(update),
-    ];
+    let plans: RolloutPlans = plans.collect();
+    // Plans come first, so that a record is complete when it arrives.
+    let plans = (!plans.is_empty()).then_some(Datagram::RolloutPlans(plans));
+    let updates: Vec<Datagram> = plans
+        .into_iter()
+        .chain([Datagram::Rollouts(update)])
+        .collect();
     let mut datagrams = RolloutDatagrams {
         to_peers: updates.clone(),
         to_relays: updates.clone(),
--- a/crates/gateway/src/progress.rs
+++ b/crates/gateway/src/progress.rs
@@ -51,6 +51,8 @@
     sent_at_ms: u64,
     /// For how long this host had stalled at that time.
     stalled_at_send_ms: u64,
+    /// Whether the endpoint was cold at that time, with or without a limit of its rate.
+    was_cold: bool,
     /// Endpoint of the last attempt.
     last_endpoint: Option<Arc<Endpoint>>,
     /// Builds that the current attempt may use.
@@ -87,6 +89,7 @@
             work: None,
             sent_at_ms: now_ms,
             stalled_at_send_ms: 0,
+            was_cold: false,
             last_endpoint: None,
             uses: &[BuildUse::Any],
             unused_lease: None,
@@ -330,6 +333,8 @@
         self.tried.push(choice.member.hash.short());
         self.last_endpoint = Some(choice.member.endpoint.clone());
         let fleet = self.shared.fleet();
+        let start = choice.member.hash.short();
+        self.was_cold = fleet.cold.is_cold(start, self.sent_at_ms);
         self.reading = fleet.work.begin(&self.call.pool, choice, self.sent_at_ms);
         drop(fleet);
         self.attempts.push(AttemptRecord {
@@ -455,7 +460,7 @@
 
     /// Counts the response of the last attempt for a rollout of its pool.
     fn count_response(&self, seen: ObservedResponse) {
-        let (Some(endpoint), Some(attempt)) = (&self.last_endpoint, self.attempts.last()) else {
+        let Some(endpoint) = &self.last_endpoint else {
             return;
         };
         if !self.shared.fleet().rollouts.counts_answers() {
@@ -467,7 +472,7 @@
             let metrics = &self.shared.metrics;
             metrics.count("rollout_times_stalled_total", "", 1);
         }
-        let is_late_anyway = attempt.is_cold || was_stalled;
+        let is_late_anyway = self.was_cold || was_stalled;
         let seen = match seen {
             ObservedResponse::Began { .. } if is_late_anyway => return,
             ObservedResponse::Ended { .. } if is_late_anyway => {
--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -230,6 +230,8 @@
             return;
         }
         drop(fleet);
+        let metrics = &self.shared.metrics;
+        metrics.gauge("rollout_cut_off", "", f64::from(u8::from(is_cut_off)));
         self.shared.event_log.emit(&Event::RolloutCutOff {
             is_cut_off,
             heard_hosts,
--- a/crates/gateway/tests/gateway/rollouts.rs
+++ b/crates/gateway/tests/gateway/rollouts.rs
@@ -752,3 +752,65 @@
     assert_that!(fleet.source.stages(), eq(&expected));
     stop_load(load);
 }
+
+/// A cold endpoint is slow whatever its build, and new endpoints start cold.
+#[tokio::test]
+async fn rollout_to_cold_endpoints_is_not_rolled_back_as_bad() {
+    const COLD: Duration = Duration::from_millis(2_000);
+    let mut fleet = RolloutFleet::start().await;
+    let load = fleet.load();
+    fleet.source.order_rollout(NEW, DEADLINE_MS);
+    fleet.new = endpoints(NEW, 4, Behaviour::AnswerAfter(200)).await;
+    for endpoint in &fleet.new {
+        let cold_left_ms = COLD.as_millis() as u64;
+        fleet.source.list_cold(entry(endpoint, NEW), cold_left_ms);
+    }
+    tokio::time::sleep(COLD).await;
+    let arrivals_while_cold = fleet.new_arrivals();
+    for endpoint in &fleet.new {
+        endpoint.set_behaviour(Behaviour::AnswerAfter(20));
+        fleet.source.list(entry(endpoint, NEW));
+    }
+    until(async || fleet.is_over()).await;
+    assert_that!(arrivals_while_cold, gt(3), "cold endpoints get requests");
+    let reason = fleet.source.rollout().map(|record| record.reason);
+    assert_that!(reason, some(not(eq(RolloutReason::Bad))));
+    stop_load(load);
+}
+
+/// The next attempt must find the record that was written, and not write another stage.
+#[tokio::test]
+async fn rollout_with_lost_responses_writes_each_stage_once() {
+    let mut fleet = RolloutFleet::start().await;
+    let load = fleet.load();
+    fleet.source.set_loses_responses(true);
+    fleet.order(Behaviour::AnswerAfter(20)).await;
+    until(async || fleet.is_over()).await;
+    let expected = [
+        RolloutStage::Canary,
+        RolloutStage::Moving,
+        RolloutStage::Done,
+    ];
+    assert_that!(fleet.source.stages(), eq(&expected));
+    let (old, _) = fleet.arrivals_in_window().await;
+    assert_that!(
+        old,
+        eq(0),
+        "the hosts know the record whose response was lost"
+    );
+    stop_load(load);
+}
+
+/// A withdrawal may only show by the order's absence from a full read.
+#[tokio::test]
+async fn rollout_that_is_withdrawn_without_history_is_rolled_back() {
+    let mut fleet = RolloutFleet::start().await;
+    let load = fleet.load();
+    fleet.order(Behaviour::AnswerAfter(20)).await;
+    fleet.until_stage(RolloutStage::Canary).await;
+    fleet.source.withdraw_rollout_without_history();
+    until(async || fleet.is_over()).await;
+    let reason = fleet.source.rollout().map(|record| record.reason);
+    assert_that!(reason, some(eq(RolloutReason::Withdrawn)));
+    stop_load(load);
+}
--- a/crates/gateway/tests/gateway/support/source.rs
+++ b/crates/gateway/tests/gateway/support/source.rs
@@ -19,6 +19,10 @@
 #[derive(Default)]
 struct State {
     is_unavailable: bool,
+    /// Whether writes of rollout records take effect without a response.
+    loses_responses: bool,
+    /// Versions up to which changes are no longer known.
+    dropped_until: u64,
     is_silent: bool,
     /// Delay of each answer.
     answer_delay_ms: u64,
@@ -341,6 +345,19 @@
         });
     }
 
+    /// Loses the responses to writes of rollout records, which take effect.
+    pub(crate) fn set_loses_responses(&self, loses_responses: bool) {
+        self.lock().loses_responses = loses_responses;
+    }
+
+    /// Withdraws the rollout order, and forgets this and all earlier changes.
+    pub(crate) fn withdraw_rollout_without_history(&self) {
+        self.change(|state, version| {
+            state.orders.clear();
+            state.dropped_until = version;
+        });
+    }
+
     /// Answers all calls with an error, or answers again.
     pub(crate) fn set_unavailable(&self, is_unavailable: bool) {
         self.change(|state, _| state.is_unavailable = is_unavailable);
@@ -413,7 +430,8 @@
     fn rows(&self, topic: Topic, since: Option<u64>) -> Result<SourceUpdate, SourceError> {
         let state = self.available_state()?;
         let era = StoreVersion(state.version).era();
-        if since.is_some_and(|since| StoreVersion(since).era() != era) {
+        let is_dropped = since.is_some_and(|since| since < state.dropped_until);
+        if is_dropped || since.is_some_and(|since| StoreVersion(since).era() != era) {
             return Err(SourceError::HistoryGone);
         }
         let is_new = |version: u64| since.is_none_or(|since| version > since);
@@ -552,6 +570,9 @@
             .records
             .insert(pool.clone(), (version, record.clone()));
         state.stages.push(record.stage);
+        if state.loses_responses {
+            return Err(SourceError::Unavailable("the response is lost".to_owned()));
+        }
         Ok(RolloutWrite::Written(StoreVersion(version)))
     }
 }
