--- a/crates/gateway/src/progress.rs
+++ b/crates/gateway/src/progress.rs
@@ -486,13 +486,17 @@
         rollouts.count(pool, &route.name, &endpoint.build, seen);
     }
 
-    /// Whether this host stalled for much of the time since the last attempt was sent.
-    fn was_stalled(&self) -> bool {
+    /// For how long this host has stalled since the last attempt was sent, in milliseconds.
+    fn stalled_ms(&self) -> u64 {
         self.shared.detect_suspension();
         let stalled_ms = self.shared.lag.stalled_ms();
-        let stalled_ms = stalled_ms.saturating_sub(self.stalled_at_send_ms);
+        stalled_ms.saturating_sub(self.stalled_at_send_ms)
+    }
+
+    /// Whether this host stalled for much of the time since the last attempt was sent.
+    fn was_stalled(&self) -> bool {
         let elapsed_ms = self.shared.clock.now_ms().saturating_sub(self.sent_at_ms);
-        stalled_ms as f64 > MAX_STALLED_RATIO * elapsed_ms as f64
+        self.stalled_ms() as f64 > MAX_STALLED_RATIO * elapsed_ms as f64
     }
 
     /// Whether the request may leave a slow endpoint for another one.
