--- a/crates/gateway/src/progress.rs
+++ b/crates/gateway/src/progress.rs
@@ -48,6 +48,8 @@
     sent_at_ms: u64,
     /// For how long this host had stalled at that time.
     stalled_at_send_ms: u64,
+    /// Whether the endpoint was cold at that time, with or without a limit of its rate.
+    was_cold: bool,
     /// Endpoint of the last attempt.
     last_endpoint: Option<Arc<Endpoint>>,
     /// Builds that the current attempt may use.
@@ -84,6 +86,7 @@
             work: None,
             sent_at_ms: now_ms,
             stalled_at_send_ms: 0,
+            was_cold: false,
             last_endpoint: None,
             uses: &[BuildUse::Any],
             unused_lease: None,
@@ -430,6 +433,8 @@
         self.tried.push(choice.member.hash.short());
         self.last_endpoint = Some(choice.member.endpoint.clone());
         let fleet = self.shared.fleet();
+        let start = choice.member.hash.short();
+        self.was_cold = fleet.cold.is_cold(start, self.sent_at_ms);
         self.reading = fleet.work.begin(&self.call.pool, choice, self.sent_at_ms);
         drop(fleet);
         self.attempts.push(AttemptRecord {
@@ -555,7 +560,7 @@
 
     /// Counts the response of the last attempt for a rollout of its pool.
     fn count_response(&self, seen: ObservedResponse) {
-        let (Some(endpoint), Some(attempt)) = (&self.last_endpoint, self.attempts.last()) else {
+        let Some(endpoint) = &self.last_endpoint else {
             return;
         };
         if !self.shared.fleet().rollouts.counts_answers() {
@@ -563,8 +568,8 @@
         }
         // A cold endpoint is slow regardless of its build.
         let seen = match seen {
-            ObservedResponse::Began { .. } if attempt.is_cold => return,
-            ObservedResponse::Ended { .. } if attempt.is_cold => {
+            ObservedResponse::Began { .. } if self.was_cold => return,
+            ObservedResponse::Ended { .. } if self.was_cold => {
                 ObservedResponse::Ended { pace_ms: None }
             }
             seen => seen,
--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -230,6 +230,8 @@
             return;
         }
         drop(fleet);
+        let metrics = &self.shared.metrics;
+        metrics.gauge("rollout_cut_off", "", f64::from(u8::from(is_cut_off)));
         self.shared.event_log.emit(&Event::RolloutCutOff {
             is_cut_off,
             heard_hosts,
@@ -513,7 +515,9 @@
         let (order, ordered) = fleet.rollouts.order(pool)?;
         let current = fleet.rollouts.record(pool).map(|(record, _)| record);
         let from = if transition.reason == RolloutReason::Ordered {
-            fleet.builds_from(pool, &ordered.build)
+            let mut from = fleet.builds_from(pool, &ordered.build);
+            from.extend(fleet.rollouts.unproven(pool));
+            from
         } else {
             current?.from.clone()
         };
@@ -540,6 +544,7 @@
             },
             planned_ms,
             ordered_at_store_ms,
+            unproven: fleet.rollouts.unproven(pool),
         };
         Some((record, fleet.rollouts.record_version(pool)))
     }
