--- a/crates/gateway/src/follow/calls.rs
+++ b/crates/gateway/src/follow/calls.rs
@@ -9,6 +9,7 @@
 
 use crate::arrival::{IdleLimits, ReceivedBytes, while_arriving};
 use crate::clock::ms;
+use crate::metrics::StoreBytes;
 use crate::shared::Shared;
 use crate::source::{Source, SourceError, SourceUpdate, Topic};
 
@@ -26,7 +27,7 @@
     wait_ms: u64,
 ) -> Result<SourceUpdate, SourceError> {
     let timings = &shared.config.follow;
-    let arrival = ReceivedBytes::default();
+    let arrival = StoreBytes::new(shared);
     let idle_limits = IdleLimits {
         first_byte: ms(wait_ms) + ANSWER_GRACE,
         between_bytes: ms(timings.stall_ms),
@@ -67,7 +68,7 @@
     since: StoreVersion,
     hedging: &Hedging,
 ) -> Result<SourceUpdate, SourceError> {
-    let arrival = ReceivedBytes::default();
+    let arrival = StoreBytes::new(shared);
     let call = || source.changes(topic, since, POLL_WAIT_MS, &arrival);
     hedged(shared, topic, hedging, &arrival, call).await
 }
--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -20,10 +20,10 @@
 use rand::RngExt;
 use tokio::time::Instant;
 
-use crate::arrival::ReceivedBytes;
 use crate::clock::ms;
 use crate::follow::calls::{hedged, long_poll, poll};
 use crate::follow::failures::Failures;
+use crate::metrics::StoreBytes;
 use crate::shared::Shared;
 use crate::source::{EndpointChange, EndpointRow, Row, Source, SourceError, SourceUpdate, Topic};
 use crate::subscription::ReadReason;
@@ -130,7 +130,7 @@
         let hedging = self.failures.hedging();
         match step {
             Step::Idle | Step::ReadWhole => {
-                let arrival = ReceivedBytes::default();
+                let arrival = StoreBytes::new(shared);
                 let read = || source.read(self.topic, &arrival);
                 let reading = hedged(shared, self.topic, &hedging, &arrival, read);
                 if shared.has_view() {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,7 +1,154 @@
-//! Renders the gateway's metrics as text.
+//! Renders the gateway's metrics as text, and counts control traffic.
+//!
+//! Control traffic is what hosts exchange among themselves and read from the store, as
+//! opposed to the bytes of callers. Bytes are those of payloads, without IP, UDP and TCP
+//! headers.
 
+use std::ops::Deref;
+use std::sync::Arc;
+
+use chalkrock_proto::ByteCounter;
+
+use crate::arrival::ReceivedBytes;
 use crate::shared::Shared;
 
+const CONTROL_BYTES: &str = "control_bytes_total";
+
+/// Kind of control traffic, the label `kind` of its counter.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ControlKind {
+    Heartbeat,
+    ZoneSummary,
+    FarSum,
+    CacheEntries,
+    Poison,
+    RelaySummary,
+    FleetSum,
+    Rollouts,
+    RolloutTally,
+    PoolUsage,
+    Slots,
+    Work,
+    /// Datagrams that this build can't decode.
+    Unknown,
+    /// State pulled from other hosts.
+    Pull,
+    /// State sent to hosts that pull it.
+    Serve,
+    /// Rules and endpoints read from the store.
+    Store,
+}
+
+/// Direction of control traffic, the label `direction` of its counter.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Direction {
+    Sent,
+    Received,
+}
+
+/// The label sets of a kind, sent and received.
+macro_rules! control_labels {
+    ($kind:literal) => {
+        (
+            concat!("kind=\"", $kind, "\",direction=\"sent\""),
+            concat!("kind=\"", $kind, "\",direction=\"received\""),
+        )
+    };
+}
+
+impl ControlKind {
+    /// Fixed strings, since several hundred datagrams a second are counted.
+    fn labels(self, direction: Direction) -> &'static str {
+        let (sent, received) = match self {
+            Self::Heartbeat => control_labels!("heartbeat"),
+            Self::ZoneSummary => control_labels!("zone-summary"),
+            Self::FarSum => control_labels!("far-sum"),
+            Self::CacheEntries => control_labels!("cache-entries"),
+            Self::Poison => control_labels!("poison"),
+            Self::RelaySummary => control_labels!("relay-summary"),
+            Self::FleetSum => control_labels!("fleet-sum"),
+            Self::Rollouts => control_labels!("rollouts"),
+            Self::RolloutTally => control_labels!("rollout-tally"),
+            Self::PoolUsage => control_labels!("pool-usage"),
+            Self::Slots => control_labels!("slots"),
+            Self::Work => control_labels!("work"),
+            Self::Unknown => control_labels!("unknown"),
+            Self::Pull => control_labels!("pull"),
+            Self::Serve => control_labels!("serve"),
+            Self::Store => control_labels!("store"),
+        };
+        match direction {
+            Direction::Sent => sent,
+            Direction::Received => received,
+        }
+    }
+}
+
+impl Shared {
+    /// Counts bytes of control traffic.
+    pub(crate) fn count_control_bytes(&self, kind: ControlKind, direction: Direction, bytes: u64) {
+        if bytes > 0 {
+            let labels = kind.labels(direction);
+            self.metrics.count(CONTROL_BYTES, labels, bytes);
+        }
+    }
+}
+
+/// Counts the bytes of a connection to another host as control traffic when dropped, so
+/// that a cancelled transfer counts too.
+pub(crate) struct ConnectionBytes<'a> {
+    shared: &'a Shared,
+    kind: ControlKind,
+    counter: Arc<ByteCounter>,
+}
+
+impl<'a> ConnectionBytes<'a> {
+    pub(crate) fn new(shared: &'a Shared, kind: ControlKind, counter: Arc<ByteCounter>) -> Self {
+        Self {
+            shared,
+            kind,
+            counter,
+        }
+    }
+}
+
+impl Drop for ConnectionBytes<'_> {
+    fn drop(&mut self) {
+        let count = |direction, bytes| self.shared.count_control_bytes(self.kind, direction, bytes);
+        count(Direction::Sent, self.counter.written_bytes());
+        count(Direction::Received, self.counter.read_bytes());
+    }
+}
+
+/// Received bytes of the store's responses, counted as control traffic when dropped.
+pub(crate) struct StoreBytes<'a> {
+    shared: &'a Shared,
+    received: ReceivedBytes,
+}
+
+impl<'a> StoreBytes<'a> {
+    pub(crate) fn new(shared: &'a Shared) -> Self {
+        let received = ReceivedBytes::default();
+        Self { shared, received }
+    }
+}
+
+impl Deref for StoreBytes<'_> {
+    type Target = ReceivedBytes;
+
+    fn deref(&self) -> &ReceivedBytes {
+        &self.received
+    }
+}
+
+impl Drop for StoreBytes<'_> {
+    fn drop(&mut self) {
+        let bytes = self.received.bytes();
+        self.shared
+            .count_control_bytes(ControlKind::Store, Direction::Received, bytes);
+    }
+}
+
 /// Updates the gauges that are sampled on request, and renders all metrics.
 pub(crate) fn render(shared: &Shared) -> String {
     let now_ms = shared.clock.now_ms();
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -9,6 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::fair_share::PoolUsage;
+use crate::metrics::ControlKind;
 use crate::peers::rollouts::{RolloutTally, RolloutUpdate};
 
 /// A datagram. Hosts of other builds decode it: existing variants and fields keep their
@@ -47,6 +48,26 @@
     Work(WorkReport),
 }
 
+impl Datagram {
+    /// Its kind of control traffic.
+    pub(crate) fn kind(&self) -> ControlKind {
+        match self {
+            Self::Heartbeat(_) => ControlKind::Heartbeat,
+            Self::ZoneSummary(_) => ControlKind::ZoneSummary,
+            Self::FarSum(_) => ControlKind::FarSum,
+            Self::CacheEntries(_) => ControlKind::CacheEntries,
+            Self::Poison(_) => ControlKind::Poison,
+            Self::RelaySummary(_) => ControlKind::RelaySummary,
+            Self::FleetSum(_) => ControlKind::FleetSum,
+            Self::Rollouts(_) => ControlKind::Rollouts,
+            Self::RolloutTally(_) => ControlKind::RolloutTally,
+            Self::PoolUsage(_) => ControlKind::PoolUsage,
+            Self::SlotAsk(_) | Self::SlotReply(_) | Self::SlotRedirect(_) => ControlKind::Slots,
+            Self::Work(_) => ControlKind::Work,
+        }
+    }
+}
+
 /// Names the host that schedules a pool.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct SlotRedirect {
--- a/crates/gateway/src/peers/publish.rs
+++ b/crates/gateway/src/peers/publish.rs
@@ -10,6 +10,7 @@
 
 use crate::event_log::Event;
 use crate::fair_share::{UsageSender, usage_datagrams};
+use crate::metrics::Direction;
 use crate::peers::membership::{PeerChange, PeerTable, host_hash};
 use crate::peers::message::{
     CacheEntries, Datagram, Heartbeat, RelaySummary, StateDigest, ZoneSummary,
@@ -134,6 +135,8 @@
     for address in to {
         let _lost_datagrams_are_replaced = socket.try_send_to(&bytes, *address);
     }
+    let sent_bytes = (bytes.len() * to.len()) as u64;
+    shared.count_control_bytes(datagram.kind(), Direction::Sent, sent_bytes);
 }
 
 /// Sends a chunk of the fleet aggregate, followed by the ID of the recipient's own report
@@ -143,6 +146,7 @@
         return;
     };
     let chunk_bytes = bytes.len();
+    let mut sent_bytes = 0;
     for address in to {
         let included_report = shared.fleet().load.included_report(address);
         bytes.truncate(chunk_bytes);
@@ -150,8 +154,10 @@
             continue;
         };
         bytes.extend_from_slice(&encoded_report);
+        sent_bytes += bytes.len() as u64;
         let _lost_datagrams_are_replaced = socket.try_send_to(&bytes, *address);
     }
+    shared.count_control_bytes(datagram.kind(), Direction::Sent, sent_bytes);
 }
 
 fn apply_round(shared: &Shared, peers: &PeerTable, round: &GossipRound) {
--- a/crates/gateway/src/peers/pull.rs
+++ b/crates/gateway/src/peers/pull.rs
@@ -19,6 +19,7 @@
 use crate::arrival::{IdleLimits, while_arriving};
 use crate::clock::ms;
 use crate::event_log::{Event, PullOutcome};
+use crate::metrics::{ConnectionBytes, ControlKind};
 use crate::peers::PeerTable;
 use crate::peers::api::{
     BusyResponse, EndpointUpdate, KnownBuilds, KnownVersions, MissingState, PeerApiClient,
@@ -221,6 +222,7 @@
 ) -> Option<Pulled> {
     let started_at = Instant::now();
     let count = Arc::new(ByteCounter::default());
+    let _counts_when_dropped = ConnectionBytes::new(shared, ControlKind::Pull, count.clone());
     let idle_limits = IdleLimits {
         first_byte: first_byte_timeout,
         between_bytes: ms(shared.config.follow.stall_ms),
--- a/crates/gateway/src/peers/receive.rs
+++ b/crates/gateway/src/peers/receive.rs
@@ -9,6 +9,7 @@
 use tokio::sync::mpsc;
 
 use crate::fair_share::{PoolUsage, merge_usage};
+use crate::metrics::{ControlKind, Direction};
 use crate::outage_log::OutageLog;
 use crate::peers::membership::PeerTable;
 use crate::peers::message::{
@@ -47,8 +48,11 @@
         let Ok((datagram, remaining)) = postcard::take_from_bytes(&buffer[..length]) else {
             // Not from a host of this fleet with a compatible version.
             shared.metrics.count("peer_garbage_total", "", 1);
+            shared.count_control_bytes(ControlKind::Unknown, Direction::Received, length as u64);
             continue;
         };
+        let datagram: Datagram = datagram;
+        shared.count_control_bytes(datagram.kind(), Direction::Received, length as u64);
         match datagram {
             Datagram::Heartbeat(heartbeat) => merge_heartbeat(&shared, &peers, address, heartbeat),
             Datagram::ZoneSummary(summary) => merge_zone_summary(&shared, &peers, address, summary),
--- a/crates/gateway/src/peers/serve.rs
+++ b/crates/gateway/src/peers/serve.rs
@@ -14,6 +14,7 @@
 use crate::active_rules::RulesUpdate;
 use crate::arrival::{IdleLimits, while_arriving};
 use crate::clock::ms;
+use crate::metrics::{ConnectionBytes, ControlKind};
 use crate::outage_log::OutageLog;
 use crate::peers::PeerTable;
 use crate::peers::api::{
@@ -48,7 +49,9 @@
 /// Answers one connection until it closes or stalls, so that an unreachable host does not
 /// hold a transfer slot.
 async fn serve_connection(server: PeerServer, stream: TcpStream) {
+    let shared = server.shared.clone();
     let count = Arc::new(ByteCounter::default());
+    let _counts_when_dropped = ConnectionBytes::new(&shared, ControlKind::Serve, count.clone());
     let between_bytes = ms(server.shared.config.follow.stall_ms);
     let idle_limits = IdleLimits {
         first_byte: between_bytes,
--- a/crates/gateway/src/pool_queue/exchange.rs
+++ b/crates/gateway/src/pool_queue/exchange.rs
@@ -17,6 +17,7 @@
 
 use crate::clock::ms;
 use crate::event_log::Event;
+use crate::metrics::Direction;
 use crate::peers::{Datagram, PeerTable, SlotRedirect};
 use crate::pool_queue::client::send_all;
 use crate::pool_queue::schedulers::{AddressedReply, Schedulers};
@@ -318,8 +319,11 @@
             return;
         };
         self.shared.record_datagram_size(bytes.len());
+        let sent_bytes = bytes.len() as u64;
         let metrics = &self.shared.metrics;
-        metrics.count("slot_datagram_bytes_sent_total", "", bytes.len() as u64);
+        metrics.count("slot_datagram_bytes_sent_total", "", sent_bytes);
+        self.shared
+            .count_control_bytes(datagram.kind(), Direction::Sent, sent_bytes);
         let _lost_datagrams_are_replaced = self.socket.try_send_to(&bytes, to);
     }
 }
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod attempts;
 mod builds;
 mod calls;
+mod control_traffic;
 mod crashes;
 mod endpoint_connections;
 mod endpoint_reports;
--- a/crates/gateway/tests/gateway/support/mod.rs
+++ b/crates/gateway/tests/gateway/support/mod.rs
@@ -5,6 +5,7 @@
 mod endpoint;
 mod fleet;
 mod link;
+mod many_hosts;
 mod slotted;
 mod source;
 mod suspendable;
@@ -16,6 +17,7 @@
     Call, KEY, Received, TestGateway, hosts_with, metric, receive, rules, rules_with_routes, until,
 };
 pub(crate) use link::SlowLink;
+pub(crate) use many_hosts::{FleetHost, LimitedSource, peer_addresses, ready_times, start_fleet};
 pub(crate) use slotted::{SlottedCounts, SlottedEndpoint, SlottedMode};
 pub(crate) use source::TestSource;
 pub(crate) use suspendable::SuspendableGateway;
