--- a/crates/gateway/src/peers/membership.rs
+++ b/crates/gateway/src/peers/membership.rs
@@ -18,8 +18,7 @@
 
 /// Silence after which a host is considered down.
 const HOST_TIMEOUT: Duration = Duration::from_secs(2);
-/// The same for a host known only from relays, each of which lists it at least every three
-/// seconds.
+/// The same for a host known only from relays, each of which lists it every three seconds.
 const RELAYED_HOST_TIMEOUT: Duration = Duration::from_secs(4);
 /// Covers the resend interval of hosts in other zones.
 const RECENT_WINDOW: Duration = Duration::from_secs(40);
@@ -45,6 +44,8 @@
 /// Another host.
 #[derive(Clone, Debug)]
 pub(super) struct Peer {
+    /// Hash of its address, by which hosts rank each other.
+    pub(super) hash: MemberHash,
     added_at: Instant,
     /// When a datagram from it last arrived.
     pub(super) received_at: Option<Instant>,
@@ -63,8 +64,9 @@
 }
 
 impl Peer {
-    fn new(now: Instant, zone: Option<u32>) -> Self {
+    fn new(address: &SocketAddr, now: Instant, zone: Option<u32>) -> Self {
         Self {
+            hash: host_hash(address),
             added_at: now,
             received_at: None,
             listed_at: None,
@@ -222,7 +224,9 @@
             if address == self.local {
                 continue;
             }
-            let peer = peers.entry(address).or_insert_with(|| Peer::new(now, zone));
+            let peer = peers
+                .entry(address)
+                .or_insert_with(|| Peer::new(&address, now, zone));
             peer.zone = peer.zone.or(zone);
         }
     }
@@ -263,7 +267,7 @@
         });
         let candidates = candidates.map(|(address, peer)| SchedulerCandidate {
             host: *address,
-            hash: host_hash(address),
+            hash: peer.hash,
             capacity_millicores: peer.capacity_millicores,
         });
         candidates.chain([local]).collect()
@@ -288,8 +292,8 @@
             let is_same_zone = peer.zone == Some(self.zone);
             is_same_zone && has_reported(peer)
         });
-        let addresses = same_zone.map(|(address, _)| address).chain([&self.local]);
-        addresses.map(host_hash).collect()
+        let hashes = same_zone.map(|(_, peer)| peer.hash);
+        hashes.chain([host_hash(&self.local)]).collect()
     }
 
     fn contacts_if(&self, is_included: impl Fn(&Peer) -> bool) -> Vec<HostContact> {
@@ -336,7 +340,7 @@
         let mut peers = self.peers();
         let peer = peers
             .entry(address)
-            .or_insert_with(|| Peer::new(now, Some(heartbeat.zone)));
+            .or_insert_with(|| Peer::new(&address, now, Some(heartbeat.zone)));
         peer.received_at = Some(now);
         peer.zone = Some(heartbeat.zone);
         peer.role = heartbeat.reading;
@@ -365,7 +369,7 @@
         for named in members.chain([&relay]) {
             let peer = peers
                 .entry(named.address)
-                .or_insert_with(|| Peer::new(now, Some(summary.zone)));
+                .or_insert_with(|| Peer::new(&named.address, now, Some(summary.zone)));
             peer.zone = Some(summary.zone);
             // A host's own heartbeat takes precedence over a relay's report of it.
             if !peer.is_reporting(now) || named.address == address {
@@ -388,7 +392,7 @@
         let mut peers = self.peers();
         let peer = peers
             .entry(address)
-            .or_insert_with(|| Peer::new(now, Some(zone)));
+            .or_insert_with(|| Peer::new(&address, now, Some(zone)));
         peer.received_at = Some(now);
         peer.zone = Some(zone);
         peer.zone_aggregate_at = Some(now);
--- a/crates/gateway/src/peers/pull.rs
+++ b/crates/gateway/src/peers/pull.rs
@@ -12,7 +12,7 @@
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use rand::RngExt;
-use rand::seq::IteratorRandom;
+use rand::seq::{IteratorRandom, SliceRandom};
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
@@ -37,6 +37,10 @@
 /// factor from 1 to 2. Backoff keeps the seeds responsive when the whole fleet restarts.
 const MIN_SEED_PAUSE: Duration = Duration::from_millis(50);
 const MAX_SEED_PAUSE: Duration = Duration::from_millis(400);
+/// Seeds that a starting host queries at once. All hosts of a fleet that starts query the
+/// same few seeds, which may be its weakest hosts: with all four seeds in each query, these
+/// took four times as many bytes of requests.
+const SEEDS_PER_QUERY: usize = 2;
 /// Timeout for the first byte of a seed's response.
 const SEED_TIMEOUT: Duration = Duration::from_millis(200);
 /// Timeout for what another host has learned.
@@ -56,12 +60,16 @@
 /// Queries the seeds until this host has a complete view.
 pub(crate) async fn pull_at_start(shared: Arc<Shared>, peers: Arc<PeerTable>) {
     let mut pause = MIN_SEED_PAUSE;
+    let mut seeds = other_seeds(&shared, &peers);
+    seeds.shuffle(&mut rand::rng());
     while !shared.has_view() {
         // Cancels transfers once the view is complete, which frees both links.
         tokio::select! {
             () = shared.wait_until_view_known() => {}
-            () = pull_from_seeds(&shared, &peers) => {}
+            () = pull_from(&shared, &peers, seeds.iter().take(SEEDS_PER_QUERY)) => {}
         }
+        let queried = SEEDS_PER_QUERY.min(seeds.len());
+        seeds.rotate_left(queried);
         shared.subscription.mark_seeds_queried();
         tokio::select! {
             () = shared.wait_until_view_known() => {}
@@ -73,19 +81,37 @@
     shared.publish_now.notify_one();
     for pause in HOST_QUERY_DELAYS {
         tokio::time::sleep(pause).await;
-        pull_from_seeds(&shared, &peers).await;
+        query_hosts(&shared, &peers).await;
         shared.publish_now.notify_one();
     }
 }
 
-/// Queries all seeds at once until one completes the view, and then an alternative that a
-/// busy seed named.
-async fn pull_from_seeds(shared: &Shared, peers: &PeerTable) {
+/// Queries the seeds for hosts that they know by now. In a large fleet, queries a random
+/// host instead: a seed would be queried by all starting hosts at once, three times each.
+async fn query_hosts(shared: &Shared, peers: &PeerTable) {
+    let random = peers.any_up().filter(|_| shared.subscription.is_large());
+    let Some(random) = random else {
+        return pull_from(shared, peers, &other_seeds(shared, peers)).await;
+    };
+    pull_from(shared, peers, [&random]).await;
+}
+
+fn other_seeds(shared: &Shared, peers: &PeerTable) -> Vec<SocketAddr> {
     let seeds = shared.config.peer_seeds.iter();
     let others = seeds.filter(|seed| **seed != peers.local);
-    let pulls = others.map(|seed| {
+    others.copied().collect()
+}
+
+/// Queries hosts at once until one completes the view, and then an alternative that a busy
+/// one named.
+async fn pull_from(
+    shared: &Shared,
+    peers: &PeerTable,
+    hosts: impl IntoIterator<Item = &SocketAddr>,
+) {
+    let pulls = hosts.into_iter().map(|host| {
         let known = known_versions(shared, peers);
-        pull(shared, *seed, known, SEED_TIMEOUT)
+        pull(shared, *host, known, SEED_TIMEOUT)
     });
     let mut pulls: FuturesUnordered<_> = pulls.collect();
     let mut alternative = None;
--- a/crates/gateway/src/peers/round.rs
+++ b/crates/gateway/src/peers/round.rs
@@ -11,7 +11,7 @@
 
 use chalkrock_core::rendezvous::{KeyHash, MemberHash, score};
 use chalkrock_routing::{
-    RELAYS_PER_ZONE, SubscriptionRole, ZonePeer, ZoneView, subscribers_needed,
+    RELAYS_PER_ZONE, SubscriptionRole, ZonePeer, ZoneView, first_ranked, subscribers_needed,
 };
 use rand::seq::IndexedRandom;
 use tokio::time::Instant;
@@ -24,15 +24,30 @@
 /// Interval between heartbeats to hosts of other zones, or within a zone served by relays,
 /// so that they do not forget each other.
 const REMOTE_RESEND_INTERVAL: Duration = Duration::from_secs(30);
+/// Interval between heartbeats to the other hosts of a large zone while no relay serves it.
+/// With one in each round, each of 300 hosts that start together in three zones sends and
+/// receives 500 datagrams a second. Short enough that a report is renewed before it expires.
+const DIRECT_RESEND_INTERVAL: Duration = Duration::from_secs(1);
+/// First-ranked hosts of a large zone without a relay that receive a heartbeat in each
+/// round: the next relays, and as many again in case views differ.
+const EXPECTED_RELAYS: usize = 2 * RELAYS_PER_ZONE;
+/// Hosts of other zones that receive a heartbeat in one round. All of a large fleet learn
+/// of each other within seconds of a common start; without a limit, each of 300 hosts
+/// answers each other one at once.
+const MAX_REMOTE_PER_ROUND: usize = 16;
 /// Hosts listed in a heartbeat for discovery.
 const MAX_CONTACTS: usize = 4;
 /// Relays of each other zone that receive the aggregate.
 const GOSSIP_FAN_OUT: usize = 2;
 /// Zones whose subscribers read changes without delay; those of other zones are standbys.
 const PRIMARY_SUBSCRIBER_ZONES: usize = 2;
-/// Rounds in which a relay lists all hosts of its zone once.
-const ROUNDS_PER_FULL_LISTING: usize = 5;
-/// A host receives the standby relay's aggregate once in this many sends.
+/// Listings in which a relay names all hosts of its zone once.
+const LISTINGS_PER_FULL_LISTING: usize = 5;
+/// Rounds between two listings. Listings in each round were the largest part of a relay's
+/// traffic, 70 of 135 KB a second with 100 hosts in a zone.
+const ROUNDS_PER_LISTING: u64 = 3;
+/// A host receives the standby relay's aggregate once in this many sends, in the rounds of
+/// listings.
 const STANDBY_INTERVAL_SENDS: u64 = 3;
 
 /// State of this host at the start of a round.
@@ -128,12 +143,17 @@
             round.remote_relays = self.remote_relays(&peers, now);
             if aggregates {
                 round.aggregate_recipients = self.aggregate_recipients(&peers, rank, input);
-                round.zone_members = self.listed_zone_members(&peers, input.number, now);
+                round.zone_members = self.listed_zone_members(&peers, input, now);
             }
         }
-        let reports_to_relays = aggregates || input.uses_fleet_aggregate;
-        round.heartbeat_recipients =
-            self.heartbeat_recipients(&mut peers, now, is_large, reports_to_relays);
+        let path = if aggregates || input.uses_fleet_aggregate {
+            HeartbeatPath::Relays
+        } else if uses_relays {
+            HeartbeatPath::ExpectedRelays(first_ranked(zone_view.others, EXPECTED_RELAYS))
+        } else {
+            HeartbeatPath::All
+        };
+        round.heartbeat_recipients = self.heartbeat_recipients(&mut peers, now, is_large, &path);
         round
     }
 
@@ -174,25 +194,32 @@
         peers: &mut HashMap<SocketAddr, Peer>,
         now: Instant,
         is_large: bool,
-        reports_to_relays: bool,
+        path: &HeartbeatPath,
     ) -> Vec<SocketAddr> {
         let mut recipients = Vec::new();
+        let mut remote_left = MAX_REMOTE_PER_ROUND;
         for (address, peer) in peers {
             let is_remote = peer.zone.is_some_and(|zone| zone != self.zone);
-            let uses_relays = reports_to_relays && !peer.aggregates(now);
             let interval = if is_large && is_remote {
                 REMOTE_RESEND_INTERVAL
             } else if !peer.is_up {
                 SILENT_RESEND_INTERVAL
-            } else if uses_relays {
-                REMOTE_RESEND_INTERVAL
-            } else {
+            } else if peer.aggregates(now) {
                 Duration::ZERO
+            } else {
+                path.interval(peer.hash)
             };
-            if peer.sent_at.is_none_or(|sent_at| now - sent_at >= interval) {
-                peer.sent_at = Some(now);
-                recipients.push(*address);
+            if peer.sent_at.is_some_and(|sent_at| now - sent_at < interval) {
+                continue;
             }
+            if is_large && is_remote {
+                if remote_left == 0 {
+                    continue;
+                }
+                remote_left -= 1;
+            }
+            peer.sent_at = Some(now);
+            recipients.push(*address);
         }
         recipients
     }
@@ -211,20 +238,29 @@
         let is_due_for_primary = is_due(rounds_per_aggregate);
         let same_zone = peers.iter().filter(|(_, peer)| peer.is_up);
         let same_zone = same_zone.filter(|(_, peer)| peer.zone == Some(self.zone));
-        let recipients = same_zone.filter(|(address, _)| {
-            let is_primary = primary_relay_rank(address) == rank;
+        let recipients = same_zone.filter(|(_, peer)| {
+            let is_primary = primary_relay_rank(peer) == rank;
             is_due_for_all || is_due_for_primary && is_primary
         });
         recipients.map(|(address, _)| *address).collect()
     }
 
-    /// The hosts to list in a round: those with recent heartbeats, in rotation.
+    /// The hosts to list in a round: in each third one, those with recent heartbeats, in
+    /// rotation.
     fn listed_zone_members(
         &self,
         peers: &HashMap<SocketAddr, Peer>,
-        number: u64,
+        input: &RoundInput,
         now: Instant,
     ) -> Vec<ZoneMember> {
+        // Large aggregates are sent less often, and then always with a listing.
+        let rounds_per_listing = match input.rounds_per_aggregate {
+            0 | 1 => ROUNDS_PER_LISTING,
+            rounds => rounds,
+        };
+        if !input.number.is_multiple_of(rounds_per_listing) {
+            return Vec::new();
+        }
         let reporting = peers.iter().filter(|(_, peer)| {
             let is_same_zone = peer.zone == Some(self.zone);
             is_same_zone && peer.is_reporting(now)
@@ -237,11 +273,11 @@
             })
             .collect();
         reporting.sort_by_key(|peer| peer.address);
-        let offset = number as usize % ROUNDS_PER_FULL_LISTING;
+        let offset = (input.number / rounds_per_listing) as usize % LISTINGS_PER_FULL_LISTING;
         let listed = reporting
             .into_iter()
             .skip(offset)
-            .step_by(ROUNDS_PER_FULL_LISTING);
+            .step_by(LISTINGS_PER_FULL_LISTING);
         listed.collect()
     }
 
@@ -265,9 +301,9 @@
                 recipients.extend(active_relays.into_iter().take(GOSSIP_FAN_OUT));
                 continue;
             }
-            zone_peers.sort_by(|(a, peer_a), (b, peer_b)| {
+            zone_peers.sort_by(|(_, peer_a), (_, peer_b)| {
                 let by_capacity = peer_b.capacity_millicores.cmp(&peer_a.capacity_millicores);
-                by_capacity.then_with(|| tie_break(b).total_cmp(&tie_break(a)))
+                by_capacity.then_with(|| tie_break(peer_b).total_cmp(&tie_break(peer_a)))
             });
             let first = zone_peers.iter().take(GOSSIP_FAN_OUT);
             recipients.extend(first.map(|(address, _)| **address));
@@ -278,6 +314,29 @@
     }
 }
 
+/// How this host's heartbeats reach the hosts of its zone that are no active relays.
+#[derive(Clone, Debug)]
+enum HeartbeatPath {
+    /// Directly, in each round.
+    All,
+    /// Through relays.
+    Relays,
+    /// In each round to the hosts that will be relays, and directly to others in between.
+    ExpectedRelays(Vec<MemberHash>),
+}
+
+impl HeartbeatPath {
+    /// Interval between heartbeats to a host that is up and no active relay.
+    fn interval(&self, host: MemberHash) -> Duration {
+        match self {
+            Self::All => Duration::ZERO,
+            Self::Relays => REMOTE_RESEND_INTERVAL,
+            Self::ExpectedRelays(hosts) if hosts.contains(&host) => Duration::ZERO,
+            Self::ExpectedRelays(_) => DIRECT_RESEND_INTERVAL,
+        }
+    }
+}
+
 struct View {
     others: Vec<ZonePeer>,
     hosts: usize,
@@ -296,20 +355,20 @@
     }
 }
 
-fn zone_peer((address, peer): (&SocketAddr, &Peer)) -> ZonePeer {
+fn zone_peer((_, peer): (&SocketAddr, &Peer)) -> ZonePeer {
     ZonePeer {
-        hash: host_hash(address),
+        hash: peer.hash,
         role: peer.role,
         capacity_millicores: peer.capacity_millicores,
     }
 }
 
 /// Ranks hosts of equal capacity, as their own zone does.
-fn tie_break(address: &SocketAddr) -> f64 {
-    score(KeyHash(0), host_hash(address), 1.0)
+fn tie_break(peer: &Peer) -> f64 {
+    score(KeyHash(0), peer.hash, 1.0)
 }
 
 /// The rank of a host's primary relay.
-fn primary_relay_rank(address: &SocketAddr) -> usize {
-    host_hash(address).short() as usize % RELAYS_PER_ZONE
+fn primary_relay_rank(peer: &Peer) -> usize {
+    peer.hash.short() as usize % RELAYS_PER_ZONE
 }
--- a/crates/gateway/src/subscription.rs
+++ b/crates/gateway/src/subscription.rs
@@ -5,7 +5,9 @@
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
-use chalkrock_routing::{SubscriptionRole, SubscriptionTimings, stale_poll_fraction};
+use chalkrock_routing::{
+    SubscriptionRole, SubscriptionTimings, is_large_fleet, stale_poll_fraction,
+};
 use rand::RngExt;
 use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
@@ -323,6 +325,11 @@
         self.is_standby.store(is_standby, Ordering::Relaxed);
     }
 
+    /// Whether the fleet is so large that zones exchange only aggregates.
+    pub(crate) fn is_large(&self) -> bool {
+        is_large_fleet(self.host_count.load(Ordering::Relaxed))
+    }
+
     pub(crate) fn subscriber_count(&self) -> usize {
         self.subscriber_count.load(Ordering::Relaxed)
     }
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -14,6 +14,7 @@
 mod peers;
 mod pool_queue;
 mod recovery;
+mod restarts;
 mod rollouts;
 mod rows;
 mod silences;
--- a/crates/gateway/tests/gateway/support/many_hosts.rs
+++ b/crates/gateway/tests/gateway/support/many_hosts.rs
@@ -34,6 +34,7 @@
     calls_per_s: Arc<AtomicU32>,
     began_at: Instant,
     window: Arc<Mutex<Limit>>,
+    rejected: Arc<AtomicU32>,
     pub(crate) read_bytes: Arc<AtomicU64>,
 }
 
@@ -47,10 +48,21 @@
                 second: 0,
                 calls: 0,
             })),
+            rejected: Arc::default(),
             read_bytes: Arc::default(),
         }
     }
 
+    /// Sets the limit; 0 rejects all calls.
+    pub(crate) fn set_calls_per_s(&self, calls_per_s: u32) {
+        self.calls_per_s.store(calls_per_s, Ordering::Relaxed);
+    }
+
+    /// Returns the number of rejected calls.
+    pub(crate) fn rejected(&self) -> u32 {
+        self.rejected.load(Ordering::Relaxed)
+    }
+
     fn admit(&self) -> Result<(), SourceError> {
         let second = self.began_at.elapsed().as_secs();
         let mut window = self.window.lock().unwrap_or_else(PoisonError::into_inner);
@@ -61,6 +73,7 @@
         if window.calls <= self.calls_per_s.load(Ordering::Relaxed) {
             return Ok(());
         }
+        self.rejected.fetch_add(1, Ordering::Relaxed);
         Err(SourceError::Unavailable("too many calls".to_owned()))
     }
 
--- a/crates/routing/src/readers.rs
+++ b/crates/routing/src/readers.rs
@@ -6,6 +6,8 @@
 //! subscribe. Diverging views cause extra subscribers for a moment, but never a host
 //! that neither subscribes nor receives changes.
 
+use std::cmp::Ordering;
+
 use chalkrock_core::rendezvous::{KeyHash, MemberHash, score};
 
 /// Hosts up to which a fleet is treated as one zone.
@@ -72,6 +74,11 @@
     STALE_POLLS_PER_INTERVAL / hosts as f64
 }
 
+/// Whether a fleet of so many hosts is so large that zones exchange only aggregates.
+pub fn is_large_fleet(hosts: usize) -> bool {
+    hosts > MAX_SMALL_FLEET_HOSTS
+}
+
 /// How many hosts of a fleet subscribe.
 pub fn subscribers_needed(hosts: usize) -> usize {
     if hosts <= MAX_SMALL_FLEET_HOSTS {
@@ -94,7 +101,7 @@
 impl ZoneView<'_> {
     /// Whether the fleet is so large that zones exchange only aggregates.
     pub fn is_large(&self) -> bool {
-        self.hosts > MAX_SMALL_FLEET_HOSTS
+        is_large_fleet(self.hosts)
     }
 
     /// Whether a host ranks among the first subscribers, regardless of current roles.
@@ -192,6 +199,17 @@
     }
 }
 
+/// The hosts that rank first, in order.
+pub fn first_ranked(hosts: &[ZonePeer], count: usize) -> Vec<MemberHash> {
+    let mut ranked: Vec<&ZonePeer> = hosts.iter().collect();
+    ranked.sort_by(|a, b| {
+        priority(b)
+            .partial_cmp(&priority(a))
+            .unwrap_or(Ordering::Equal)
+    });
+    ranked.iter().take(count).map(|host| host.hash).collect()
+}
+
 fn ranks_among_first<'a>(
     local: &ZonePeer,
     others: impl Iterator<Item = &'a ZonePeer>,
