--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 
 use chalkrock_core::{HostId, ZoneId};
-use chalkrock_routing::{BudgetRules, ColdBound, ExposureBound, SpreadRules, SubscriptionTimings};
+use chalkrock_routing::{
+    BudgetRules, ColdBound, ExposureBound, HostCapacity, SpreadRules, SubscriptionTimings,
+};
 
 use crate::suspension::HostClock;
 
@@ -47,7 +49,7 @@
     pub(crate) cold_bound: Option<ColdBound>,
     pub(crate) entry_delay_ms: u64,
     pub(crate) exposure_bound: ExposureBound,
-    pub(crate) capacity_millicores: u16,
+    pub(crate) capacity: HostCapacity,
     pub(crate) uploads_max: usize,
     pub(crate) bodies_max_bytes: usize,
     pub(crate) answers_max_bytes: usize,
@@ -83,7 +85,11 @@
             cold_bound: None,
             entry_delay_ms: DEFAULT_ENTRY_DELAY_MS,
             exposure_bound: ExposureBound::default(),
-            capacity_millicores: DEFAULT_CAPACITY_MILLICORES,
+            capacity: HostCapacity {
+                millicores: DEFAULT_CAPACITY_MILLICORES,
+                link_mbps: None,
+                memory_mib: None,
+            },
             uploads_max: DEFAULT_MAX_UPLOADS,
             bodies_max_bytes: DEFAULT_MAX_BODY_BYTES,
             answers_max_bytes: DEFAULT_MAX_ANSWER_BYTES,
@@ -184,10 +190,22 @@
         self
     }
 
-    /// The host's processor capacity in thousandths of a core. In a large fleet, hosts of
-    /// high capacity are relays.
+    /// The host's processor capacity in thousandths of a core. In a large fleet, hosts with
+    /// room in processor, link and memory are relays.
     pub fn capacity_millicores(mut self, millicores: u16) -> Self {
-        self.0.capacity_millicores = millicores;
+        self.0.capacity.millicores = millicores;
+        self
+    }
+
+    /// The host's link in Mbit/s. By default it sets no limit.
+    pub fn link_mbps(mut self, link_mbps: Option<f64>) -> Self {
+        self.0.capacity.link_mbps = link_mbps;
+        self
+    }
+
+    /// The host's memory in MiB. By default it sets no limit.
+    pub fn memory_mib(mut self, memory_mib: Option<f64>) -> Self {
+        self.0.capacity.memory_mib = memory_mib;
         self
     }
 
--- a/crates/gateway/src/follow/start.rs
+++ b/crates/gateway/src/follow/start.rs
@@ -47,7 +47,7 @@
 /// Waits while other hosts may still supply a view.
 async fn wait_for_view_from_peers(shared: &Shared) {
     if shared.config.is_first_start {
-        let is_strong = shared.config.capacity_millicores >= STRONG_MILLICORES;
+        let is_strong = shared.config.capacity.millicores >= STRONG_MILLICORES;
         let range = if is_strong {
             STRONG_HOST_DELAY_MS
         } else {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -154,6 +154,10 @@
     let now_ms = shared.clock.now_ms();
     let metrics = &shared.metrics;
     metrics.gauge("requests_running", "", shared.running() as f64);
+    let room = shared.config.capacity.room_millicores();
+    metrics.gauge("host_room_millicores", "", f64::from(room));
+    let is_relay = shared.subscription.is_relay();
+    metrics.gauge("relays_zone", "", f64::from(u8::from(is_relay)));
     metrics.gauge(
         "event_log_lines_dropped",
         "",
--- a/crates/gateway/src/peers/membership.rs
+++ b/crates/gateway/src/peers/membership.rs
@@ -142,7 +142,7 @@
     pub(crate) local: SocketAddr,
     /// Short hash of this host's availability zone.
     pub(crate) zone: u32,
-    /// CPU capacity of this host, in thousandths of a core.
+    /// Room of this host for work for others, in thousandths of a core.
     pub(crate) capacity_millicores: u16,
     /// Distinguishes restarts of this host.
     pub(crate) incarnation: u64,
@@ -165,7 +165,7 @@
         Arc::new(Self {
             local,
             zone: zone_hash(&config.zone),
-            capacity_millicores: config.capacity_millicores,
+            capacity_millicores: config.capacity.room_millicores(),
             incarnation,
             peers: Mutex::default(),
             started_at: Instant::now(),
@@ -231,12 +231,15 @@
         }
     }
 
-    /// A random host that is up.
+    /// A random host that is up, in proportion to its room for work for others.
     pub(crate) fn any_up(&self) -> Option<SocketAddr> {
         let peers = self.peers();
         let up = peers.iter().filter(|(_, peer)| peer.is_up);
-        let up: Vec<SocketAddr> = up.map(|(address, _)| *address).collect();
-        up.choose(&mut rand::rng()).copied()
+        let up: Vec<(SocketAddr, u16)> = up
+            .map(|(address, peer)| (*address, peer.capacity_millicores.max(1)))
+            .collect();
+        let chosen = up.choose_weighted(&mut rand::rng(), |(_, room)| f64::from(*room));
+        chosen.ok().map(|(address, _)| *address)
     }
 
     /// The hosts that are up, including this one.
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -85,7 +85,7 @@
     pub(crate) zone: u32,
     /// Subscription role of the relay.
     pub(crate) reading: SubscriptionRole,
-    /// CPU capacity of the relay, in thousandths of a core.
+    /// Room of the relay for work for others, in thousandths of a core.
     pub(crate) capacity_millicores: u16,
     /// Time since the store last answered the relay or a host that reports to it.
     pub(crate) answered_ago_ms: Option<u32>,
@@ -102,7 +102,8 @@
     pub(crate) address: SocketAddr,
     /// Its subscription role.
     pub(crate) reading: SubscriptionRole,
-    /// Its CPU capacity, in thousandths of a core.
+    /// Its room for work for others, in thousandths of a core; older builds send their
+    /// processor share.
     pub(crate) capacity_millicores: u16,
 }
 
@@ -145,7 +146,8 @@
     pub(crate) zone: u32,
     /// Its subscription role.
     pub(crate) reading: SubscriptionRole,
-    /// Its CPU capacity, in thousandths of a core.
+    /// Its room for work for others, in thousandths of a core; older builds send their
+    /// processor share.
     pub(crate) capacity_millicores: u16,
     /// Time since the store last answered it; `None` if it never did.
     pub(crate) answered_ago_ms: Option<u32>,
--- a/crates/gateway/src/peers/round.rs
+++ b/crates/gateway/src/peers/round.rs
@@ -5,13 +5,15 @@
 //! all relays of a zone fail at once, its hosts exchange heartbeats until new relays take
 //! over.
 
+use std::cmp::Ordering;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use chalkrock_core::rendezvous::{KeyHash, MemberHash, score};
+use chalkrock_core::rendezvous::MemberHash;
 use chalkrock_routing::{
-    RELAYS_PER_ZONE, SubscriptionRole, ZonePeer, ZoneView, first_ranked, subscribers_needed,
+    FleetWork, LargestRoom, RELAYS_PER_ZONE, SubscriptionRole, ZonePeer, ZoneView, first_ranked,
+    subscribers_needed,
 };
 use rand::seq::IndexedRandom;
 use tokio::time::Instant;
@@ -301,9 +303,13 @@
                 recipients.extend(active_relays.into_iter().take(GOSSIP_FAN_OUT));
                 continue;
             }
-            zone_peers.sort_by(|(_, peer_a), (_, peer_b)| {
-                let by_capacity = peer_b.capacity_millicores.cmp(&peer_a.capacity_millicores);
-                by_capacity.then_with(|| tie_break(peer_b).total_cmp(&tie_break(peer_a)))
+            let rooms = zone_peers.iter().map(|(_, peer)| peer.capacity_millicores);
+            let largest = LargestRoom::of(rooms);
+            let rank =
+                |peer: &Peer| largest.rank(FleetWork::Relay, peer.hash, peer.capacity_millicores);
+            zone_peers.sort_by(|(_, a), (_, b)| {
+                let order = rank(b).partial_cmp(&rank(a));
+                order.unwrap_or(Ordering::Equal)
             });
             let first = zone_peers.iter().take(GOSSIP_FAN_OUT);
             recipients.extend(first.map(|(address, _)| **address));
@@ -363,11 +369,6 @@
     }
 }
 
-/// Ranks hosts of equal capacity, as their own zone does.
-fn tie_break(peer: &Peer) -> f64 {
-    score(KeyHash(0), peer.hash, 1.0)
-}
-
 /// The rank of a host's primary relay.
 fn primary_relay_rank(peer: &Peer) -> usize {
     peer.hash.short() as usize % RELAYS_PER_ZONE
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -57,6 +57,7 @@
 mod follow_times;
 mod health;
 mod home_demand;
+mod host_capacity;
 mod in_flight;
 mod pause;
 mod poison;
@@ -99,6 +100,7 @@
 pub use follow_times::SubscriptionTimings;
 pub use health::{EndpointHealth, HealthSignal};
 pub use home_demand::{HomeDemand, HomeSpread, PoolLoads, RecentPrefixes};
+pub use host_capacity::{FleetWork, HostCapacity, LargestRoom, WorkRank, is_clearly_weaker};
 pub use in_flight::{EndpointCount, MAX_REPORT_AGE_MS, REPORT_INTERVAL_MS};
 pub use pause::{ClockReading, Suspension, detect_suspension};
 pub use poison::{
--- a/crates/routing/src/readers.rs
+++ b/crates/routing/src/readers.rs
@@ -8,7 +8,9 @@
 
 use std::cmp::Ordering;
 
-use chalkrock_core::rendezvous::{KeyHash, MemberHash, score};
+use chalkrock_core::rendezvous::MemberHash;
+
+use crate::host_capacity::{FleetWork, LargestRoom, WorkRank, is_clearly_weaker};
 
 /// Hosts up to which a fleet is treated as one zone.
 const MAX_SMALL_FLEET_HOSTS: usize = 12;
@@ -37,10 +39,16 @@
     pub hash: MemberHash,
     /// Its subscription role.
     pub role: SubscriptionRole,
-    /// Its CPU capacity, in thousandths of a core.
+    /// Its room for work for others, in thousandths of a core; 0 if unknown.
     pub capacity_millicores: u16,
 }
 
+impl ZonePeer {
+    fn rank(&self, work: FleetWork, largest: LargestRoom) -> WorkRank {
+        largest.rank(work, self.hash, self.capacity_millicores)
+    }
+}
+
 /// Relays of a zone; one may fail.
 pub const RELAYS_PER_ZONE: usize = 2;
 /// Zone size from which hosts report to relays only. In smaller zones, direct reports
@@ -152,10 +160,10 @@
         if local.role == SubscriptionRole::Unanswered && is_short {
             return ranks_among_first(local, unanswered, MAX_UNANSWERED_SUBSCRIBERS);
         }
-        // A new host does not replace subscribers of equal capacity: each new
+        // A new host replaces only subscribers with less than half of its room: each new
         // subscriber reads the whole store.
-        let at_least_as_strong =
-            answered().filter(|host| host.capacity_millicores >= local.capacity_millicores);
+        let at_least_as_strong = answered()
+            .filter(|host| !is_clearly_weaker(host.capacity_millicores, local.capacity_millicores));
         let vacant = needed.saturating_sub(at_least_as_strong.count());
         // While too few are answered, as many hosts join as are unanswered, since the
         // store may reject some hosts. All at once would flood it.
@@ -184,7 +192,7 @@
 
     /// How many other hosts rank before a host.
     pub fn rank(&self, local: &ZonePeer) -> usize {
-        count_ranked_before(local, self.others.iter())
+        count_ranked_before(FleetWork::Relay, local, self.others.iter())
     }
 
     /// Whether the hosts of the zone report to relays only; `was_relayed` is the
@@ -199,34 +207,31 @@
     }
 }
 
-/// The hosts that rank first, in order.
+/// The hosts that rank first as relays, in order.
 pub fn first_ranked(hosts: &[ZonePeer], count: usize) -> Vec<MemberHash> {
-    let mut ranked: Vec<&ZonePeer> = hosts.iter().collect();
-    ranked.sort_by(|a, b| {
-        priority(b)
-            .partial_cmp(&priority(a))
-            .unwrap_or(Ordering::Equal)
-    });
-    ranked.iter().take(count).map(|host| host.hash).collect()
+    let largest = LargestRoom::of(hosts.iter().map(|host| host.capacity_millicores));
+    let rank = |host: &ZonePeer| host.rank(FleetWork::Relay, largest);
+    let mut ranked: Vec<(WorkRank, MemberHash)> =
+        hosts.iter().map(|host| (rank(host), host.hash)).collect();
+    ranked.sort_by(|(a, _), (b, _)| b.partial_cmp(a).unwrap_or(Ordering::Equal));
+    ranked.iter().take(count).map(|(_, hash)| *hash).collect()
 }
 
 fn ranks_among_first<'a>(
     local: &ZonePeer,
-    others: impl Iterator<Item = &'a ZonePeer>,
+    others: impl Iterator<Item = &'a ZonePeer> + Clone,
     needed: usize,
 ) -> bool {
-    count_ranked_before(local, others) < needed
+    count_ranked_before(FleetWork::Subscriber, local, others) < needed
 }
 
-fn count_ranked_before<'a>(local: &ZonePeer, others: impl Iterator<Item = &'a ZonePeer>) -> usize {
-    others
-        .filter(|host| priority(host) > priority(local))
-        .count()
-}
-
-/// Orders hosts by capacity, since subscribers and relays do extra work.
-fn priority(host: &ZonePeer) -> (u16, f64) {
-    const PRIORITY_KEY: KeyHash = KeyHash(0);
-    let tie_break = score(PRIORITY_KEY, host.hash, 1.0);
-    (host.capacity_millicores, tie_break)
+fn count_ranked_before<'a>(
+    work: FleetWork,
+    local: &ZonePeer,
+    others: impl Iterator<Item = &'a ZonePeer> + Clone,
+) -> usize {
+    let rooms = others.clone().map(|host| host.capacity_millicores);
+    let largest = LargestRoom::of(rooms.chain([local.capacity_millicores]));
+    let own = local.rank(work, largest);
+    others.filter(|host| host.rank(work, largest) > own).count()
 }
