--- a/crates/gateway/src/peers/publish.rs
+++ b/crates/gateway/src/peers/publish.rs
@@ -40,6 +40,17 @@
 /// Bounds the age of an aggregate after a lost datagram.
 const MAX_ROUNDS_PER_AGGREGATE: u64 = 3;
 
+/// Why a round is sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RoundCause {
+    Regular,
+    /// An update must reach all recipients at once. Loads follow in the next regular round:
+    /// with four list changes a second, they were a third of a relay's traffic.
+    Update,
+    /// Few endpoints are open, so that loads are needed more often.
+    Crowded,
+}
+
 /// Sends rounds of datagrams until the process ends, and an extra one for each urgent
 /// update.
 pub(crate) async fn publish(shared: Arc<Shared>, peers: Arc<PeerTable>, socket: Arc<UdpSocket>) {
@@ -51,11 +62,12 @@
     let mut from_relays = false;
     let mut has_many_closed = false;
     loop {
-        let is_urgent = tokio::select! {
-            _ = ticks.tick() => false,
-            () = shared.publish_now.notified() => true,
-            () = tokio::time::sleep(FAST_ROUND_INTERVAL), if has_many_closed => true,
+        let cause = tokio::select! {
+            _ = ticks.tick() => RoundCause::Regular,
+            () = shared.publish_now.notified() => RoundCause::Update,
+            () = tokio::time::sleep(FAST_ROUND_INTERVAL), if has_many_closed => RoundCause::Crowded,
         };
+        let is_urgent = cause != RoundCause::Regular;
         has_many_closed = shared.fleet().has_many_closed(shared.clock.now_ms());
         sequence += 1;
         number += u64::from(!is_urgent);
@@ -69,8 +81,11 @@
         }
         let round = peers.round(&input);
         apply_round(&shared, &peers, &round);
-        let datagrams = build_datagrams(&shared, &peers, sequence, &round);
+        let mut datagrams = build_datagrams(&shared, &peers, sequence, &round);
         rounds_per_aggregate = rounds_for(datagrams.aggregate_chunks.len());
+        if cause == RoundCause::Update {
+            datagrams.aggregate_chunks.clear();
+        }
         send_round(&shared, &socket, &datagrams, &round);
     }
 }
@@ -273,7 +288,12 @@
     datagrams.to_zone.extend(to_datagrams(usage.to_zone));
     let work = fleet.work.take_report(peers.incarnation, sequence, now_ms);
     datagrams.to_peers.extend(work.map(Datagram::Work));
-    let rollouts = rollout_datagrams(&fleet, peers, now_ms);
+    let mut rollouts = rollout_datagrams(&fleet, peers, now_ms);
+    if !round.repeats_rollouts {
+        let is_tally = |datagram: &Datagram| !matches!(datagram, Datagram::Rollouts(_));
+        rollouts.to_peers.retain(is_tally);
+        rollouts.to_zone.retain(is_tally);
+    }
     datagrams.to_peers.extend(rollouts.to_peers);
     if round.is_relay {
         datagrams.to_relays.extend(rollouts.to_relays);
--- a/crates/gateway/src/peers/round.rs
+++ b/crates/gateway/src/peers/round.rs
@@ -78,6 +78,9 @@
     /// Hosts of this zone that receive the fleet aggregate, if this host is a relay of a
     /// large zone.
     pub(crate) aggregate_recipients: Vec<SocketAddr>,
+    /// Whether rollout orders and records are sent, which a host that uses relays repeats
+    /// in each third round only. Changes cause an urgent round.
+    pub(crate) repeats_rollouts: bool,
     /// Hosts listed in the relay's summary.
     pub(crate) zone_members: Vec<ZoneMember>,
     pub(crate) is_subscriber: bool,
@@ -148,6 +151,9 @@
                 round.zone_members = self.listed_zone_members(&peers, input, now);
             }
         }
+        round.repeats_rollouts = input.is_urgent
+            || !(aggregates || input.uses_fleet_aggregate)
+            || input.number.is_multiple_of(ROUNDS_PER_LISTING);
         let path = if aggregates || input.uses_fleet_aggregate {
             HeartbeatPath::Relays
         } else if uses_relays {
@@ -260,7 +266,7 @@
             0 | 1 => ROUNDS_PER_LISTING,
             rounds => rounds,
         };
-        if !input.number.is_multiple_of(rounds_per_listing) {
+        if input.is_urgent || !input.number.is_multiple_of(rounds_per_listing) {
             return Vec::new();
         }
         let reporting = peers.iter().filter(|(_, peer)| {
--- a/crates/gateway/src/peers/serve.rs
+++ b/crates/gateway/src/peers/serve.rs
@@ -29,10 +29,15 @@
 const FEW_HOSTS_DIVISOR: usize = 2;
 /// Responses with at most this many entries, about 16 KB, need no transfer slot.
 const MAX_UNLIMITED_ENTRIES: usize = 256;
+/// Mean size of an entry: 5,600 routes take 0.34 MB.
+const ENTRY_BYTES: usize = 61;
 const MAX_POISON_REQUESTS: usize = 1_024;
 
 pub(crate) async fn serve_pulls(shared: Arc<Shared>, peers: Arc<PeerTable>, listener: TcpListener) {
-    let uploads = Arc::new(Uploads::new(shared.config.uploads_max));
+    let uploads = Arc::new(Uploads::new(
+        shared.config.uploads_max,
+        shared.config.capacity.link_mbps,
+    ));
     let mut outage = OutageLog::new("peers-socket");
     loop {
         let stream = outage.accept(&shared, &listener, ACCEPT_RETRY_DELAY).await;
@@ -132,7 +137,10 @@
             return missing;
         }
         let version = self.shared.rules.version();
-        let Some(permit) = self.uploads.begin(version, to) else {
+        let Some(permit) = self
+            .uploads
+            .begin(version, to, (rules + endpoints) * ENTRY_BYTES)
+        else {
             let busy = BusyResponse {
                 rules: version,
                 endpoints: self.shared.fleet().endpoints_version,
--- a/crates/routing/src/host_capacity.rs
+++ b/crates/routing/src/host_capacity.rs
@@ -109,6 +109,63 @@
     STRONG_FACTOR * u32::from(bounded(room_millicores)) < u32::from(bounded(than_millicores))
 }
 
+/// Part of the link that large transfers to other hosts may take over time. The rest is for
+/// callers.
+const LINK_SHARE: f64 = 0.25;
+/// Time for which large transfers may take the whole link first, since a change of rules
+/// should reach all hosts within seconds.
+const LINK_BURST_S: f64 = 1.0;
+
+/// Bytes that a host may still send in large transfers to other hosts: a quarter of its
+/// link over time, after a burst of one second of the whole link.
+///
+/// # Example
+///
+/// ```
+/// use chalkrock_routing::LinkBudget;
+///
+/// let mut link = LinkBudget::new(8.0);
+/// assert!(link.spend(1_250_000, 0));
+/// assert!(!link.spend(1, 500));
+/// assert!(link.spend(1, 1_500));
+/// ```
+#[derive(Clone, Copy, Debug)]
+pub struct LinkBudget {
+    bytes_per_s: f64,
+    max_bytes: f64,
+    left_bytes: f64,
+    at_ms: u64,
+}
+
+impl LinkBudget {
+    /// The budget of a link in Mbit/s, at time 0.
+    pub fn new(link_mbps: f64) -> Self {
+        const BYTES_PER_MBIT: f64 = 125_000.0;
+        let link_bytes_per_s = link_mbps * BYTES_PER_MBIT;
+        let max_bytes = link_bytes_per_s * LINK_BURST_S;
+        Self {
+            bytes_per_s: link_bytes_per_s * LINK_SHARE,
+            max_bytes,
+            left_bytes: max_bytes,
+            at_ms: 0,
+        }
+    }
+
+    /// Spends bytes if any are left. A transfer larger than what is left delays the next.
+    pub fn spend(&mut self, bytes: usize, now_ms: u64) -> bool {
+        const SECOND_MS: f64 = 1_000.0;
+        let passed_ms = now_ms.saturating_sub(self.at_ms);
+        let earned_bytes = passed_ms as f64 / SECOND_MS * self.bytes_per_s;
+        self.left_bytes = (self.left_bytes + earned_bytes).min(self.max_bytes);
+        self.at_ms = self.at_ms.max(now_ms);
+        let may_send = self.left_bytes > 0.0;
+        if may_send {
+            self.left_bytes -= bytes as f64;
+        }
+        may_send
+    }
+}
+
 /// A peer may send anything.
 fn bounded(room_millicores: u16) -> u16 {
     room_millicores.min(MAX_ROOM_MILLICORES)
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -100,7 +100,9 @@
 pub use follow_times::SubscriptionTimings;
 pub use health::{EndpointHealth, HealthSignal};
 pub use home_demand::{HomeDemand, HomeSpread, PoolLoads, RecentPrefixes};
-pub use host_capacity::{FleetWork, HostCapacity, LargestRoom, WorkRank, is_clearly_weaker};
+pub use host_capacity::{
+    FleetWork, HostCapacity, LargestRoom, LinkBudget, WorkRank, is_clearly_weaker,
+};
 pub use in_flight::{EndpointCount, MAX_REPORT_AGE_MS, REPORT_INTERVAL_MS};
 pub use pause::{ClockReading, Suspension, detect_suspension};
 pub use poison::{
--- a/crates/routing/tests/host_capacity.rs
+++ b/crates/routing/tests/host_capacity.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use chalkrock_core::rendezvous::MemberHash;
-use chalkrock_routing::{FleetWork, HostCapacity, LargestRoom};
+use chalkrock_routing::{FleetWork, HostCapacity, LargestRoom, LinkBudget};
 use googletest::prelude::*;
 use rand::rngs::StdRng;
 use rand::seq::IteratorRandom;
@@ -68,6 +68,27 @@
     assert_that!(strong, unordered_elements_are![eq(&0), eq(&1)]);
 }
 
+/// Guards against large transfers that leave callers no part of the link, and against a
+/// change of rules that waits for its turn at once.
+#[test]
+fn link_budget_takes_a_quarter_of_the_link_after_a_burst() {
+    const LINK_MBPS: f64 = 10.0;
+    const LINK_BYTES_PER_S: usize = 1_250_000;
+    const RULES_BYTES: usize = 340_000;
+    let mut link = LinkBudget::new(LINK_MBPS);
+    let mut sent_bytes = 0;
+    for now_ms in 0..20_000 {
+        if link.spend(RULES_BYTES, now_ms) {
+            sent_bytes += RULES_BYTES;
+        }
+        if now_ms == 0 {
+            assert_that!(sent_bytes, eq(RULES_BYTES));
+        }
+    }
+    let most_bytes = LINK_BYTES_PER_S + 20 * LINK_BYTES_PER_S / 4 + RULES_BYTES;
+    assert_that!(sent_bytes, all!(ge(most_bytes * 3 / 4), le(most_bytes)));
+}
+
 /// How a large item reaches all hosts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Way {
