--- a/crates/gateway/src/peers/membership.rs
+++ b/crates/gateway/src/peers/membership.rs
@@ -8,7 +8,7 @@
 
 use chalkrock_core::ZoneId;
 use chalkrock_core::rendezvous::MemberHash;
-use chalkrock_routing::{SchedulerCandidate, SubscriptionRole};
+use chalkrock_routing::{HOST_TIMEOUT_MS, LastHeard, SchedulerCandidate, SubscriptionRole};
 use rand::seq::IndexedRandom;
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -17,9 +17,7 @@
 use crate::peers::message::{Heartbeat, HostContact, RelaySummary, ZoneMember};
 
 /// Silence after which a host is considered down.
-const HOST_TIMEOUT: Duration = Duration::from_secs(2);
-/// The same for a host known only from relays, each of which lists it every three seconds.
-const RELAYED_HOST_TIMEOUT: Duration = Duration::from_secs(4);
+const HOST_TIMEOUT: Duration = Duration::from_millis(HOST_TIMEOUT_MS);
 /// Covers the resend interval of hosts in other zones.
 const RECENT_WINDOW: Duration = Duration::from_secs(40);
 /// Silence after which a host is removed.
@@ -103,10 +101,13 @@
     }
 
     fn is_silent(&self, now: Instant) -> bool {
-        let is_listed = self
-            .listed_at
-            .is_some_and(|at| now - at <= RELAYED_HOST_TIMEOUT);
-        !self.is_reporting(now) && !is_listed
+        let ago_ms = |at: Option<Instant>| at.map(|at| (now - at).as_millis() as u64);
+        let last_heard = LastHeard {
+            received_ago_ms: ago_ms(self.received_at),
+            listed_ago_ms: ago_ms(self.listed_at),
+            aggregate_ago_ms: ago_ms(self.fleet_aggregate_at),
+        };
+        last_heard.is_silent()
     }
 
     /// Shifts all instants back by time that the runtime's clock did not count. Those
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -120,8 +120,8 @@
 };
 pub use prefix_directory::{CacheEntry, PrefixDirectory};
 pub use readers::{
-    RELAYS_PER_ZONE, SubscriptionRole, ZonePeer, ZoneView, first_ranked, is_large_fleet,
-    stale_poll_fraction, subscribers_needed,
+    HOST_TIMEOUT_MS, LastHeard, RELAYS_PER_ZONE, SubscriptionRole, ZonePeer, ZoneView,
+    first_ranked, is_large_fleet, stale_poll_fraction, subscribers_needed,
 };
 pub use returns::{
     MAX_EXPORTED_RETURNS, MAX_RESERVATIONS, RETURN_HORIZON_MS, RETURN_WINDOW_MS, ReservedReturn,
--- a/crates/routing/src/readers.rs
+++ b/crates/routing/src/readers.rs
@@ -64,6 +64,52 @@
 /// Mean number of hosts, beside the subscribers, that poll in each interval.
 const STALE_POLLS_PER_INTERVAL: f64 = 0.25;
 
+/// Silence after which a host is considered down.
+pub const HOST_TIMEOUT_MS: u64 = 2_000;
+/// The same for a host known only from relays, each of which lists it every three seconds.
+const LISTED_HOST_TIMEOUT_MS: u64 = 4_000;
+/// How long the other relay may list a relay that is gone: until it is silent there, and a
+/// datagram of a standby relay late.
+const STALE_LISTING_MS: u64 = HOST_TIMEOUT_MS + 1_000;
+
+/// Times since a host was last heard of; `None` if never.
+///
+/// # Example
+///
+/// ```
+/// use chalkrock_routing::LastHeard;
+///
+/// let listed = LastHeard { listed_ago_ms: Some(3_000), ..LastHeard::default() };
+/// assert!(!listed.is_silent());
+/// assert!(LastHeard::default().is_silent());
+/// ```
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LastHeard {
+    /// Since a datagram from it arrived.
+    pub received_ago_ms: Option<u64>,
+    /// Since a relay listed it, or it reported as a relay.
+    pub listed_ago_ms: Option<u64>,
+    /// Since it sent the fleet aggregate as a relay of this zone.
+    pub aggregate_ago_ms: Option<u64>,
+}
+
+impl LastHeard {
+    /// Whether the host is considered down. Listings do not outweigh the silence of a relay
+    /// until the relay that lists it must have noticed it: the next in rank takes over after
+    /// the timeout of a host that reports.
+    pub fn is_silent(&self) -> bool {
+        if { self.received_ago_ms }.is_some_and(|ago_ms| ago_ms <= HOST_TIMEOUT_MS) {
+            return false;
+        }
+        let is_stale = |listed_ago_ms: u64| {
+            let aggregate_ago_ms = self.aggregate_ago_ms;
+            aggregate_ago_ms.is_some_and(|ago_ms| ago_ms <= listed_ago_ms + STALE_LISTING_MS)
+        };
+        let is_listed = |ago_ms: u64| ago_ms <= LISTED_HOST_TIMEOUT_MS && !is_stale(ago_ms);
+        !self.listed_ago_ms.is_some_and(is_listed)
+    }
+}
+
 /// The fraction of hosts that poll the store in each interval while their view is
 /// stale: all of a small fleet, a few of a large one. Subscribers always poll.
 ///
--- a/crates/routing/tests/readers.rs
+++ b/crates/routing/tests/readers.rs
@@ -2,7 +2,7 @@
 
 use chalkrock_core::rendezvous::MemberHash;
 use chalkrock_routing::{
-    SubscriptionRole, ZonePeer, ZoneView, stale_poll_fraction, subscribers_needed,
+    LastHeard, SubscriptionRole, ZonePeer, ZoneView, stale_poll_fraction, subscribers_needed,
 };
 use googletest::prelude::*;
 
@@ -274,3 +274,36 @@
         );
     }
 }
+
+/// Guards against a relay that dies and counts as up for four to six seconds, since its own
+/// summaries and the other relay list it: nobody takes its place meanwhile.
+#[test]
+fn is_silent_two_seconds_after_a_relay_dies() {
+    /// A host receives the standby relay's summary in each third round, and this relay lists
+    /// the dead one until it has missed it for two seconds.
+    const STANDBY_MS: u64 = 600;
+    const LISTED_UNTIL_MS: u64 = 2_200;
+    for aggregate_before_ms in [0, STANDBY_MS] {
+        for ago_ms in [0, 1_000, 2_000, 2_001, 3_000, 4_000, 6_000, 10_000] {
+            let relay = LastHeard {
+                received_ago_ms: Some(ago_ms),
+                listed_ago_ms: Some(ago_ms.saturating_sub(LISTED_UNTIL_MS)),
+                aggregate_ago_ms: Some(ago_ms + aggregate_before_ms),
+            };
+            assert_that!(relay.is_silent(), eq(ago_ms > 2_000), "{ago_ms}");
+        }
+    }
+}
+
+/// Guards against a live host that counts as down for good after it was a relay.
+#[test]
+fn is_silent_is_false_for_a_listed_host_that_is_no_relay_any_more() {
+    for aggregate_ago_ms in [None, Some(6_001), Some(60_000)] {
+        let host = LastHeard {
+            received_ago_ms: Some(5_000),
+            listed_ago_ms: Some(3_000),
+            aggregate_ago_ms,
+        };
+        assert_that!(host.is_silent(), eq(false), "{aggregate_ago_ms:?}");
+    }
+}
