--- a/crates/gateway/src/peers/membership.rs
+++ b/crates/gateway/src/peers/membership.rs
@@ -8,7 +8,7 @@
 
 use chalkrock_core::ZoneId;
 use chalkrock_core::rendezvous::MemberHash;
-use chalkrock_routing::{SchedulerCandidate, SubscriptionRole};
+use chalkrock_routing::{HOST_TIMEOUT_MS, LastHeard, SchedulerCandidate, SubscriptionRole};
 use rand::seq::IndexedRandom;
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -17,10 +17,7 @@
 use crate::peers::message::{Heartbeat, HostContact, RelaySummary, ZoneMember};
 
 /// Silence after which a host is considered down.
-const HOST_TIMEOUT: Duration = Duration::from_secs(2);
-/// The same for a host known only from relays, each of which lists it at least every three
-/// seconds.
-const RELAYED_HOST_TIMEOUT: Duration = Duration::from_secs(4);
+const HOST_TIMEOUT: Duration = Duration::from_millis(HOST_TIMEOUT_MS);
 /// Covers the resend interval of hosts in other zones.
 const RECENT_WINDOW: Duration = Duration::from_secs(40);
 /// Silence after which a host is removed.
@@ -45,6 +42,8 @@
 /// Another host.
 #[derive(Clone, Debug)]
 pub(super) struct Peer {
+    /// Hash of its address, by which hosts rank each other.
+    pub(super) hash: MemberHash,
     added_at: Instant,
     /// When a datagram from it last arrived.
     pub(super) received_at: Option<Instant>,
@@ -63,8 +62,9 @@
 }
 
 impl Peer {
-    fn new(now: Instant, zone: Option<u32>) -> Self {
+    fn new(address: &SocketAddr, now: Instant, zone: Option<u32>) -> Self {
         Self {
+            hash: host_hash(address),
             added_at: now,
             received_at: None,
             listed_at: None,
@@ -101,10 +101,13 @@
     }
 
     fn is_silent(&self, now: Instant) -> bool {
-        let is_listed = self
-            .listed_at
-            .is_some_and(|at| now - at <= RELAYED_HOST_TIMEOUT);
-        !self.is_reporting(now) && !is_listed
+        let ago_ms = |at: Option<Instant>| at.map(|at| (now - at).as_millis() as u64);
+        let last_heard = LastHeard {
+            received_ago_ms: ago_ms(self.received_at),
+            listed_ago_ms: ago_ms(self.listed_at),
+            aggregate_ago_ms: ago_ms(self.fleet_aggregate_at),
+        };
+        last_heard.is_silent()
     }
 
     /// Shifts all instants back by time that the runtime's clock did not count. Those
@@ -140,7 +143,7 @@
     pub(crate) local: SocketAddr,
     /// Short hash of this host's availability zone.
     pub(crate) zone: u32,
-    /// CPU capacity of this host, in thousandths of a core.
+    /// Room of this host for work for others, in thousandths of a core.
     pub(crate) capacity_millicores: u16,
     /// Distinguishes restarts of this host.
     pub(crate) incarnation: u64,
@@ -163,7 +166,7 @@
         Arc::new(Self {
             local,
             zone: zone_hash(&config.zone),
-            capacity_millicores: config.capacity_millicores,
+            capacity_millicores: config.capacity.room_millicores(),
             incarnation,
             peers: Mutex::default(),
             started_at: Instant::now(),
@@ -222,17 +225,22 @@
             if address == self.local {
                 continue;
             }
-            let peer = peers.entry(address).or_insert_with(|| Peer::new(now, zone));
+            let peer = peers
+                .entry(address)
+                .or_insert_with(|| Peer::new(&address, now, zone));
             peer.zone = peer.zone.or(zone);
         }
     }
 
-    /// A random host that is up.
+    /// A random host that is up, in proportion to its room for work for others.
     pub(crate) fn any_up(&self) -> Option<SocketAddr> {
         let peers = self.peers();
         let up = peers.iter().filter(|(_, peer)| peer.is_up);
-        let up: Vec<SocketAddr> = up.map(|(address, _)| *address).collect();
-        up.choose(&mut rand::rng()).copied()
+        let up: Vec<(SocketAddr, u16)> = up
+            .map(|(address, peer)| (*address, peer.capacity_millicores.max(1)))
+            .collect();
+        let chosen = up.choose_weighted(&mut rand::rng(), |(_, room)| f64::from(*room));
+        chosen.ok().map(|(address, _)| *address)
     }
 
     /// The hosts that are up, including this one.
@@ -263,7 +271,7 @@
         });
         let candidates = candidates.map(|(address, peer)| SchedulerCandidate {
             host: *address,
-            hash: host_hash(address),
+            hash: peer.hash,
             capacity_millicores: peer.capacity_millicores,
         });
         candidates.chain([local]).collect()
@@ -288,8 +296,8 @@
             let is_same_zone = peer.zone == Some(self.zone);
             is_same_zone && has_reported(peer)
         });
-        let addresses = same_zone.map(|(address, _)| address).chain([&self.local]);
-        addresses.map(host_hash).collect()
+        let hashes = same_zone.map(|(_, peer)| peer.hash);
+        hashes.chain([host_hash(&self.local)]).collect()
     }
 
     fn contacts_if(&self, is_included: impl Fn(&Peer) -> bool) -> Vec<HostContact> {
@@ -336,7 +344,7 @@
         let mut peers = self.peers();
         let peer = peers
             .entry(address)
-            .or_insert_with(|| Peer::new(now, Some(heartbeat.zone)));
+            .or_insert_with(|| Peer::new(&address, now, Some(heartbeat.zone)));
         peer.received_at = Some(now);
         peer.zone = Some(heartbeat.zone);
         peer.role = heartbeat.reading;
@@ -365,7 +373,7 @@
         for named in members.chain([&relay]) {
             let peer = peers
                 .entry(named.address)
-                .or_insert_with(|| Peer::new(now, Some(summary.zone)));
+                .or_insert_with(|| Peer::new(&named.address, now, Some(summary.zone)));
             peer.zone = Some(summary.zone);
             // A host's own heartbeat takes precedence over a relay's report of it.
             if !peer.is_reporting(now) || named.address == address {
@@ -388,7 +396,7 @@
         let mut peers = self.peers();
         let peer = peers
             .entry(address)
-            .or_insert_with(|| Peer::new(now, Some(zone)));
+            .or_insert_with(|| Peer::new(&address, now, Some(zone)));
         peer.received_at = Some(now);
         peer.zone = Some(zone);
         peer.zone_aggregate_at = Some(now);
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -9,6 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::fair_share::PoolUsage;
+use crate::metrics::ControlKind;
 use crate::peers::rollouts::{RolloutPlans, RolloutTally, RolloutUpdate};
 
 /// A datagram. Hosts of other builds decode it: existing variants and fields keep their
@@ -49,6 +50,26 @@
     RolloutPlans(RolloutPlans),
 }
 
+impl Datagram {
+    /// Its kind of control traffic.
+    pub(crate) fn kind(&self) -> ControlKind {
+        match self {
+            Self::Heartbeat(_) => ControlKind::Heartbeat,
+            Self::ZoneSummary(_) => ControlKind::ZoneSummary,
+            Self::FarSum(_) => ControlKind::FarSum,
+            Self::CacheEntries(_) => ControlKind::CacheEntries,
+            Self::Poison(_) => ControlKind::Poison,
+            Self::RelaySummary(_) => ControlKind::RelaySummary,
+            Self::FleetSum(_) => ControlKind::FleetSum,
+            Self::Rollouts(_) | Self::RolloutPlans(_) => ControlKind::Rollouts,
+            Self::RolloutTally(_) => ControlKind::RolloutTally,
+            Self::PoolUsage(_) => ControlKind::PoolUsage,
+            Self::SlotAsk(_) | Self::SlotReply(_) | Self::SlotRedirect(_) => ControlKind::Slots,
+            Self::Work(_) => ControlKind::Work,
+        }
+    }
+}
+
 /// Names the host that schedules a pool.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct SlotRedirect {
@@ -66,7 +87,7 @@
     pub(crate) zone: u32,
     /// Subscription role of the relay.
     pub(crate) reading: SubscriptionRole,
-    /// CPU capacity of the relay, in thousandths of a core.
+    /// Room of the relay for work for others, in thousandths of a core.
     pub(crate) capacity_millicores: u16,
     /// Time since the store last answered the relay or a host that reports to it.
     pub(crate) answered_ago_ms: Option<u32>,
@@ -83,7 +104,8 @@
     pub(crate) address: SocketAddr,
     /// Its subscription role.
     pub(crate) reading: SubscriptionRole,
-    /// Its CPU capacity, in thousandths of a core.
+    /// Its room for work for others, in thousandths of a core; older builds send their
+    /// processor share.
     pub(crate) capacity_millicores: u16,
 }
 
@@ -126,7 +148,8 @@
     pub(crate) zone: u32,
     /// Its subscription role.
     pub(crate) reading: SubscriptionRole,
-    /// Its CPU capacity, in thousandths of a core.
+    /// Its room for work for others, in thousandths of a core; older builds send their
+    /// processor share.
     pub(crate) capacity_millicores: u16,
     /// Time since the store last answered it; `None` if it never did.
     pub(crate) answered_ago_ms: Option<u32>,
--- a/crates/gateway/src/peers/serve.rs
+++ b/crates/gateway/src/peers/serve.rs
@@ -14,6 +14,7 @@
 use crate::active_rules::RulesUpdate;
 use crate::arrival::{IdleLimits, while_arriving};
 use crate::clock::ms;
+use crate::metrics::{ConnectionBytes, ControlKind};
 use crate::outage_log::OutageLog;
 use crate::peers::PeerTable;
 use crate::peers::api::{
@@ -28,10 +29,15 @@
 const FEW_HOSTS_DIVISOR: usize = 2;
 /// Responses with at most this many entries, about 16 KB, need no transfer slot.
 const MAX_UNLIMITED_ENTRIES: usize = 256;
+/// Mean size of an entry: 5,600 routes take 0.34 MB.
+const ENTRY_BYTES: usize = 61;
 const MAX_POISON_REQUESTS: usize = 1_024;
 
 pub(crate) async fn serve_pulls(shared: Arc<Shared>, peers: Arc<PeerTable>, listener: TcpListener) {
-    let uploads = Arc::new(Uploads::new(shared.config.uploads_max));
+    let uploads = Arc::new(Uploads::new(
+        shared.config.uploads_max,
+        shared.config.capacity.link_mbps,
+    ));
     let mut outage = OutageLog::new("peers-socket");
     loop {
         let stream = outage.accept(&shared, &listener, ACCEPT_RETRY_DELAY).await;
@@ -48,7 +54,9 @@
 /// Answers one connection until it closes or stalls, so that an unreachable host does not
 /// hold a transfer slot.
 async fn serve_connection(server: PeerServer, stream: TcpStream) {
+    let shared = server.shared.clone();
     let count = Arc::new(ByteCounter::default());
+    let _counts_when_dropped = ConnectionBytes::new(&shared, ControlKind::Serve, count.clone());
     let between_bytes = ms(server.shared.config.follow.stall_ms);
     let idle_limits = IdleLimits {
         first_byte: between_bytes,
@@ -129,7 +137,10 @@
             return missing;
         }
         let version = self.shared.rules.version();
-        let Some(permit) = self.uploads.begin(version, to) else {
+        let Some(permit) = self
+            .uploads
+            .begin(version, to, (rules + endpoints) * ENTRY_BYTES)
+        else {
             let busy = BusyResponse {
                 rules: version,
                 endpoints: self.shared.fleet().endpoints_version,
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -58,6 +58,7 @@
 mod follow_times;
 mod health;
 mod home_demand;
+mod host_capacity;
 mod in_flight;
 mod pause;
 mod poison;
@@ -104,6 +105,9 @@
 pub use follow_times::SubscriptionTimings;
 pub use health::{EndpointHealth, HealthSignal};
 pub use home_demand::{HomeDemand, HomeSpread, PoolLoads, RecentPrefixes};
+pub use host_capacity::{
+    FleetWork, HostCapacity, LargestRoom, LinkBudget, WorkRank, is_clearly_weaker,
+};
 pub use in_flight::{EndpointCount, MAX_REPORT_AGE_MS, REPORT_INTERVAL_MS};
 pub use pause::{ClockReading, Suspension, detect_suspension};
 pub use poison::{
@@ -121,7 +125,8 @@
 };
 pub use prefix_directory::{CacheEntry, PrefixDirectory};
 pub use readers::{
-    RELAYS_PER_ZONE, SubscriptionRole, ZonePeer, ZoneView, stale_poll_fraction, subscribers_needed,
+    HOST_TIMEOUT_MS, LastHeard, RELAYS_PER_ZONE, SubscriptionRole, ZonePeer, ZoneView,
+    first_ranked, is_large_fleet, stale_poll_fraction, subscribers_needed,
 };
 pub use returns::{
     MAX_EXPORTED_RETURNS, MAX_RESERVATIONS, RETURN_HORIZON_MS, RETURN_WINDOW_MS, ReservedReturn,
--- a/crates/routing/src/readers.rs
+++ b/crates/routing/src/readers.rs
@@ -6,7 +6,11 @@
 //! subscribe. Diverging views cause extra subscribers for a moment, but never a host
 //! that neither subscribes nor receives changes.
 
-use chalkrock_core::rendezvous::{KeyHash, MemberHash, score};
+use std::cmp::Ordering;
+
+use chalkrock_core::rendezvous::MemberHash;
+
+use crate::host_capacity::{FleetWork, LargestRoom, WorkRank, is_clearly_weaker};
 
 /// Hosts up to which a fleet is treated as one zone.
 const MAX_SMALL_FLEET_HOSTS: usize = 12;
@@ -35,10 +39,16 @@
     pub hash: MemberHash,
     /// Its subscription role.
     pub role: SubscriptionRole,
-    /// Its CPU capacity, in thousandths of a core.
+    /// Its room for work for others, in thousandths of a core; 0 if unknown.
     pub capacity_millicores: u16,
 }
 
+impl ZonePeer {
+    fn rank(&self, work: FleetWork, largest: LargestRoom) -> WorkRank {
+        largest.rank(work, self.hash, self.capacity_millicores)
+    }
+}
+
 /// Relays of a zone; one may fail.
 pub const RELAYS_PER_ZONE: usize = 2;
 /// Zone size from which hosts report to relays only. In smaller zones, direct reports
@@ -54,6 +64,52 @@
 /// Mean number of hosts, beside the subscribers, that poll in each interval.
 const STALE_POLLS_PER_INTERVAL: f64 = 0.25;
 
+/// Silence after which a host is considered down.
+pub const HOST_TIMEOUT_MS: u64 = 2_000;
+/// The same for a host known only from relays, each of which lists it every three seconds.
+const LISTED_HOST_TIMEOUT_MS: u64 = 4_000;
+/// How long the other relay may list a relay that is gone: until it is silent there, and a
+/// datagram of a standby relay late.
+const STALE_LISTING_MS: u64 = HOST_TIMEOUT_MS + 1_000;
+
+/// Times since a host was last heard of; `None` if never.
+///
+/// # Example
+///
+/// ```
+/// use chalkrock_routing::LastHeard;
+///
+/// let listed = LastHeard { listed_ago_ms: Some(3_000), ..LastHeard::default() };
+/// assert!(!listed.is_silent());
+/// assert!(LastHeard::default().is_silent());
+/// ```
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LastHeard {
+    /// Since a datagram from it arrived.
+    pub received_ago_ms: Option<u64>,
+    /// Since a relay listed it, or it reported as a relay.
+    pub listed_ago_ms: Option<u64>,
+    /// Since it sent the fleet aggregate as a relay of this zone.
+    pub aggregate_ago_ms: Option<u64>,
+}
+
+impl LastHeard {
+    /// Whether the host is considered down. Listings do not outweigh the silence of a relay
+    /// until the relay that lists it must have noticed it: the next in rank takes over after
+    /// the timeout of a host that reports.
+    pub fn is_silent(&self) -> bool {
+        if { self.received_ago_ms }.is_some_and(|ago_ms| ago_ms <= HOST_TIMEOUT_MS) {
+            return false;
+        }
+        let is_stale = |listed_ago_ms: u64| {
+            let aggregate_ago_ms = self.aggregate_ago_ms;
+            aggregate_ago_ms.is_some_and(|ago_ms| ago_ms <= listed_ago_ms + STALE_LISTING_MS)
+        };
+        let is_listed = |ago_ms: u64| ago_ms <= LISTED_HOST_TIMEOUT_MS && !is_stale(ago_ms);
+        !self.listed_ago_ms.is_some_and(is_listed)
+    }
+}
+
 /// The fraction of hosts that poll the store in each interval while their view is
 /// stale: all of a small fleet, a few of a large one. Subscribers always poll.
 ///
@@ -72,6 +128,11 @@
     STALE_POLLS_PER_INTERVAL / hosts as f64
 }
 
+/// Whether a fleet of so many hosts is so large that zones exchange only aggregates.
+pub fn is_large_fleet(hosts: usize) -> bool {
+    hosts > MAX_SMALL_FLEET_HOSTS
+}
+
 /// How many hosts of a fleet subscribe.
 pub fn subscribers_needed(hosts: usize) -> usize {
     if hosts <= MAX_SMALL_FLEET_HOSTS {
@@ -94,7 +155,7 @@
 impl ZoneView<'_> {
     /// Whether the fleet is so large that zones exchange only aggregates.
     pub fn is_large(&self) -> bool {
-        self.hosts > MAX_SMALL_FLEET_HOSTS
+        is_large_fleet(self.hosts)
     }
 
     /// Whether a host ranks among the first subscribers, regardless of current roles.
@@ -145,10 +206,10 @@
         if local.role == SubscriptionRole::Unanswered && is_short {
             return ranks_among_first(local, unanswered, MAX_UNANSWERED_SUBSCRIBERS);
         }
-        // A new host does not replace subscribers of equal capacity: each new
+        // A new host replaces only subscribers with less than half of its room: each new
         // subscriber reads the whole store.
-        let at_least_as_strong =
-            answered().filter(|host| host.capacity_millicores >= local.capacity_millicores);
+        let at_least_as_strong = answered()
+            .filter(|host| !is_clearly_weaker(host.capacity_millicores, local.capacity_millicores));
         let vacant = needed.saturating_sub(at_least_as_strong.count());
         // While too few are answered, as many hosts join as are unanswered, since the
         // store may reject some hosts. All at once would flood it.
@@ -177,7 +238,7 @@
 
     /// How many other hosts rank before a host.
     pub fn rank(&self, local: &ZonePeer) -> usize {
-        count_ranked_before(local, self.others.iter())
+        count_ranked_before(FleetWork::Relay, local, self.others.iter())
     }
 
     /// Whether the hosts of the zone report to relays only; `was_relayed` is the
@@ -192,23 +253,31 @@
     }
 }
 
+/// The hosts that rank first as relays, in order.
+pub fn first_ranked(hosts: &[ZonePeer], count: usize) -> Vec<MemberHash> {
+    let largest = LargestRoom::of(hosts.iter().map(|host| host.capacity_millicores));
+    let rank = |host: &ZonePeer| host.rank(FleetWork::Relay, largest);
+    let mut ranked: Vec<(WorkRank, MemberHash)> =
+        hosts.iter().map(|host| (rank(host), host.hash)).collect();
+    ranked.sort_by(|(a, _), (b, _)| b.partial_cmp(a).unwrap_or(Ordering::Equal));
+    ranked.iter().take(count).map(|(_, hash)| *hash).collect()
+}
+
 fn ranks_among_first<'a>(
     local: &ZonePeer,
-    others: impl Iterator<Item = &'a ZonePeer>,
+    others: impl Iterator<Item = &'a ZonePeer> + Clone,
     needed: usize,
 ) -> bool {
-    count_ranked_before(local, others) < needed
+    count_ranked_before(FleetWork::Subscriber, local, others) < needed
 }
 
-fn count_ranked_before<'a>(local: &ZonePeer, others: impl Iterator<Item = &'a ZonePeer>) -> usize {
-    others
-        .filter(|host| priority(host) > priority(local))
-        .count()
-}
-
-/// Orders hosts by capacity, since subscribers and relays do extra work.
-fn priority(host: &ZonePeer) -> (u16, f64) {
-    const PRIORITY_KEY: KeyHash = KeyHash(0);
-    let tie_break = score(PRIORITY_KEY, host.hash, 1.0);
-    (host.capacity_millicores, tie_break)
+fn count_ranked_before<'a>(
+    work: FleetWork,
+    local: &ZonePeer,
+    others: impl Iterator<Item = &'a ZonePeer> + Clone,
+) -> usize {
+    let rooms = others.clone().map(|host| host.capacity_millicores);
+    let largest = LargestRoom::of(rooms.chain([local.capacity_millicores]));
+    let own = local.rank(work, largest);
+    others.filter(|host| host.rank(work, largest) > own).count()
 }
