--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -148,6 +148,7 @@
     let pools = [
         ("generations", PoolTraffic::generations(hosts)),
         ("calls", PoolTraffic::calls(hosts)),
+        ("plain calls", PoolTraffic::plain_calls(hosts)),
     ];
     let are_measured = !matches.get_flag("unmeasured");
     let stalls = match matches.get_one::<String>("stalls").map(String::as_str) {
--- a/crates/measure/src/rollouts/mod.rs
+++ b/crates/measure/src/rollouts/mod.rs
@@ -176,6 +176,14 @@
         }
     }
 
+    /// The same without a route that often fails.
+    pub fn plain_calls(hosts: usize) -> Self {
+        Self {
+            routes: vec![(98.0, 0.004, 30.0), (22.0, 0.004, 30.0)],
+            ..Self::calls(hosts)
+        }
+    }
+
     fn rate_per_s(&self) -> f64 {
         self.routes.iter().map(|(rate_per_s, ..)| rate_per_s).sum()
     }
@@ -224,6 +232,8 @@
 const ENDPOINT_START_MS: u64 = 1_500;
 /// Exposed requests allowed in addition to the operators' share.
 const SLACK_REQUESTS: f64 = 50.0;
+/// Time in which a host sees what arrived during its stall.
+const CATCH_UP_MS: u64 = 150;
 /// Bad answers from which operators count the time to the rollback.
 const COUNTED_BAD_ANSWERS: u32 = 50;
 /// Fraction of a bad build's answers that are bad.
@@ -481,9 +491,12 @@
     }
 
     /// When a host sees an event.
-    fn seen(&self, host: usize, sent_ms: u64, event_ms: u64) -> ObservationTime {
+    fn seen(&mut self, host: usize, sent_ms: u64, event_ms: u64) -> ObservationTime {
         let stalls = &self.host_stalls[host];
-        let now_ms = stalls.end_of_stall(event_ms);
+        let mut now_ms = stalls.end_of_stall(event_ms);
+        if now_ms > event_ms {
+            now_ms += self.rng.random_range(0..CATCH_UP_MS);
+        }
         ObservationTime {
             now_ms,
             stalled_ms: stalls.measured_ms(sent_ms, now_ms),
@@ -620,7 +633,10 @@
         let old_in_progress: u32 = self.old_ends.values().sum();
         let last_move_ms = self.moves_ms.iter().max().copied().unwrap_or_default();
         let have_moved = self.stage == RolloutStage::Moving && now_ms >= last_move_ms;
-        let is_idle = have_moved && old_in_progress == 0;
+        let have_left = self.pool.move_ms.is_some_and(|move_ms| {
+            have_moved && now_ms >= last_move_ms + move_ms + REPORT_DELAY_MS
+        });
+        let is_idle = have_moved && (old_in_progress == 0 || have_left);
         if !is_idle {
             self.idle_since_ms = None;
         }
--- a/crates/routing/src/rollout/assessment.rs
+++ b/crates/routing/src/rollout/assessment.rs
@@ -14,7 +14,9 @@
 
 use serde::Serialize;
 
-use crate::rollout::evidence::{BuildSide, CONTROLS, FailureCounts, Measure, Tally, TimeStratum};
+use crate::rollout::evidence::{
+    BuildSide, CONTROLS, Control, FailureCounts, Measure, Tally, TimeStratum,
+};
 
 /// Natural logarithm of the odds from which a build is bad. In a single test, a good
 /// build reaches them once in 8,100 cases at most; a pool of three routes has a dozen
@@ -58,7 +60,8 @@
     pub old_answers: u32,
     /// Failures among these.
     pub old_failures: u32,
-    /// Failures of the new build beyond those that the old one would have had.
+    /// Independent failures of the new build beyond those that the old one would have
+    /// had.
     pub excess_failures: f64,
 }
 
@@ -151,11 +154,12 @@
 }
 
 impl FailureCounts {
-    /// Failures of the new build beyond those expected by the rate of the old one.
+    /// Failures of the new build beyond those expected by the rate of the old one, one
+    /// for each independent observation.
     fn excess(&self) -> f64 {
-        let old_rate = (f64::from(self.old_failures) + PRIOR_COUNT)
-            / (f64::from(self.old_answers) + 2.0 * PRIOR_COUNT);
-        f64::from(self.new_failures) - old_rate * f64::from(self.new_answers)
+        let old_rate =
+            (f64::from(self.old_failed) + PRIOR_COUNT) / (f64::from(self.old) + 2.0 * PRIOR_COUNT);
+        f64::from(self.new_failed) - old_rate * f64::from(self.new)
     }
 }
 
@@ -173,11 +177,20 @@
 /// Slow times for each state of the control; `None` if the old build has too few times.
 fn time_counts(stratum: &TimeStratum<'_>) -> Option<[Counts; 3]> {
     let first_slow_bin = first_slow_bin(&stratum.old.by_bin())?;
+    let old_count = |control, bin| {
+        let has_controls = control != Control::None;
+        if has_controls || stratum.old.count_from(Control::None, 0) >= MIN_TIMES {
+            return stratum.old.count_from(control, bin);
+        }
+        // After the move, times of busy hosts have no control, which they had before.
+        let counts = CONTROLS.map(|control| stratum.old.count_from(control, bin));
+        counts.iter().sum()
+    };
     Some(CONTROLS.map(|control| Counts {
         new: f64::from(stratum.new.count_from(control, 0)),
         new_bad: f64::from(stratum.new.count_from(control, first_slow_bin)),
-        old: f64::from(stratum.old.count_from(control, 0)),
-        old_bad: f64::from(stratum.old.count_from(control, first_slow_bin)),
+        old: f64::from(old_count(control, 0)),
+        old_bad: f64::from(old_count(control, first_slow_bin)),
     }))
 }
 
--- a/crates/routing/src/rollout/clusters.rs
+++ b/crates/routing/src/rollout/clusters.rs
@@ -19,7 +19,7 @@
 };
 
 /// Length of a moment. Answers that a host sees at the end of a stall fall into one.
-const MOMENT_MS: u64 = 250;
+const MOMENT_MS: u64 = 100;
 /// Share of a measured time from which the host's own stall makes it unusable.
 const MAX_STALLED_FRACTION: f64 = 0.2;
 /// Bins above the host's median of the old build from which a control is late, a
--- a/crates/routing/src/rollout/evidence.rs
+++ b/crates/routing/src/rollout/evidence.rs
@@ -191,13 +191,9 @@
     }
 }
 
-/// Failures on one route: all answers, and the independent observations among them.
+/// Independent observations of failures on one route.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct FailureCounts {
-    pub(super) new_answers: u32,
-    pub(super) new_failures: u32,
-    pub(super) old_answers: u32,
-    pub(super) old_failures: u32,
     pub(super) new: u32,
     pub(super) new_failed: u32,
     pub(super) old: u32,
@@ -350,10 +346,6 @@
             );
             let new = Some(new);
             let counts = FailureCounts {
-                new_answers: count(new, ENDED_BIN) + count(new, FAILED_BIN),
-                new_failures: count(new, FAILED_BIN),
-                old_answers: count(old, ENDED_BIN) + count(old, FAILED_BIN),
-                old_failures: count(old, FAILED_BIN),
                 new: new_failed + count(new, OBSERVED_ENDED_BIN),
                 new_failed,
                 old: old_failed + count(old, OBSERVED_ENDED_BIN),
