--- a/crates/routing/src/backlog/decision.rs
+++ b/crates/routing/src/backlog/decision.rs
@@ -6,9 +6,9 @@
 
 /// Rank of the least urgent requests; larger ranks count as this one.
 const MAX_RANK: u8 = 2;
-/// By rank, the use of the slots up to which all requests are admitted, and from which on
-/// only the minimum is.
-const UTILISATION_THRESHOLDS: [(f64, f64); 3] = [(1.05, 1.25), (0.95, 1.15), (0.95, 1.15)];
+/// By rank, the expected use of the slots up to which all requests are admitted, and from which on
+/// only the minimum is. Narrower ranges make the use swing, since the sums are old.
+const UTILISATION_THRESHOLDS: [(f64, f64); 3] = [(1.15, 1.50), (0.95, 1.35), (0.95, 1.35)];
 /// Minimum chance of admission, relative to that of the most urgent rank.
 const MIN_ADMIT_RATIO: f64 = 0.4;
 /// Part of the objective for which a request is held at most.
--- a/crates/routing/src/backlog/overrun.rs
+++ b/crates/routing/src/backlog/overrun.rs
@@ -16,13 +16,14 @@
 const CALM_DELAY_MS: u64 = 2_000;
 
 /// Time over which the trend of requests in progress is taken.
-const TREND_WINDOW_MS: u64 = 500;
-/// How far ahead the use of the slots is expected.
-const HORIZON_MS: f64 = 800.0;
+const TREND_WINDOW_MS: u64 = 800;
+/// How far ahead the use of the slots is expected. Covers the age of the sums, and the time for
+/// which requests that are sent meanwhile keep their slots.
+const HORIZON_MS: f64 = 2_000.0;
 /// Least time between two samples of the trend.
 const TREND_STEP_MS: u64 = 50;
 /// Shorter spans show chance rather than a trend.
-const MIN_TREND_MS: u64 = 200;
+const MIN_TREND_MS: u64 = 400;
 
 /// Outstanding work of a pool, as one host knows it.
 #[derive(Clone, Copy, Debug, PartialEq)]
