--- a/crates/gateway/tests/gateway/backlog.rs
+++ b/crates/gateway/tests/gateway/backlog.rs
@@ -85,6 +85,34 @@
     );
 }
 
+/// Guards against new requests that push aside one whose endpoint crashed.
+#[tokio::test]
+async fn request_of_a_crashed_endpoint_is_sent_before_new_ones() {
+    let gateway = TestGateway::with_endpoints(2, STALLS).await;
+    gateway
+        .script
+        .push([Behaviour::StreamUntilReset { last: 3 }]);
+    let first = Call::post("/resumable/", b"x")
+        .id("r-1")
+        .header("parts", "7:5000,99:100");
+    let _first = first.send(gateway.running.front_address()).await;
+    until(async || gateway.run_count("r-1") == 1).await;
+    let _streams = open_streams(&gateway, 2 * STREAMS).await;
+    let arrivals = || {
+        gateway
+            .endpoints
+            .iter()
+            .map(|e| e.arrivals())
+            .sum::<usize>()
+    };
+    until(async || arrivals() == 2 * STREAMS + 1).await;
+    assert_that!(gateway.call(call("r-2")).await.status, eq(503));
+    for endpoint in &gateway.endpoints {
+        endpoint.reset_streams();
+    }
+    until(async || gateway.run_count("r-1") == 2).await;
+}
+
 /// Guards against a host that goes on rejecting by the sums of one that is gone.
 #[tokio::test]
 async fn overrun_ends_with_the_host_that_reported_it() {
--- a/crates/routing/src/backlog/placement.rs
+++ b/crates/routing/src/backlog/placement.rs
@@ -16,6 +16,10 @@
 /// Part of the objective within which the first event is expected. The rest is left for what
 /// hosts don't know of each other yet.
 const IN_TIME_RATIO: f64 = 0.6;
+/// Load of another endpoint against that of the least loaded holder from which on a move doesn't
+/// pay. With a fifth fewer streams, those of long answers end sooner by several times what the
+/// copy of their prefix takes, and those of short ones by about as much.
+const MAX_MOVE_LOAD_RATIO: f64 = 0.8;
 /// Endpoints, drawn by request, of which the soonest is taken if none takes it. The soonest of
 /// all is the same for all hosts, which made 106 requests meet at an engine of 32 slots.
 const FALLBACK_CHOICES: usize = 3;
@@ -23,8 +27,9 @@
 /// Places a request of an overrun pool; `None` if `placed` stands.
 ///
 /// Endpoints are asked in the order of their rank for the prefix, those that hold it before
-/// others, so that a prefix moves only if no holder takes the request. Each takes a request
-/// with a probability that falls with its load. All hosts see the same loads some hundred
+/// others. Each takes a request with a probability that falls with its load. A prefix moves only
+/// if no holder takes the request, and none serves it in time or the other endpoint has clearly
+/// less load, from which this request and those that follow gain more than the move costs. All hosts see the same loads some hundred
 /// milliseconds late: with a threshold, they would leave an endpoint together and meet at the
 /// next one. Slowness counts in the estimates alone, since in an overrun it shows what others
 /// read at the moment.
@@ -49,8 +54,24 @@
     let in_time_ms = IN_TIME_RATIO * request.objective_ms as f64;
     let is_in_time = |i: usize| estimates[i].expected_ttft_ms <= in_time_ms;
     let draw = |i: usize| unit(request.draw, candidates[i].hash);
-    let takes = |&i: &usize| is_in_time(i) && draw(i) < keep_ratio(&candidates[i], mean_use);
-    let chosen = order.iter().copied().find(takes).or_else(|| {
+    let holders = order
+        .iter()
+        .copied()
+        .filter(|&i| candidates[i].holds_prefix);
+    let by_use = |a: &usize, b: &usize| {
+        let use_of = |i: usize| slot_use(&candidates[i]);
+        use_of(*a).total_cmp(&use_of(*b))
+    };
+    let holder = holders.filter(|&i| is_in_time(i)).min_by(by_use);
+    let max_move_use = holder.map(|i| MAX_MOVE_LOAD_RATIO * slot_use(&candidates[i]));
+    let pays = |i: usize| {
+        let has_less_load = max_move_use.is_none_or(|max| slot_use(&candidates[i]) <= max);
+        candidates[i].holds_prefix || has_less_load
+    };
+    let takes =
+        |&i: &usize| is_in_time(i) && pays(i) && draw(i) < keep_ratio(&candidates[i], mean_use);
+    let taken = order.iter().copied().find(takes);
+    let chosen = taken.or(holder).or_else(|| {
         let mut drawn = order.clone();
         drawn.sort_by(|&a, &b| draw(a).total_cmp(&draw(b)));
         drawn.truncate(FALLBACK_CHOICES);
