--- a/crates/routing/src/backlog/decision.rs
+++ b/crates/routing/src/backlog/decision.rs
@@ -9,6 +9,9 @@
 /// By rank, the expected use of the slots up to which all requests are admitted, and from which on
 /// only the minimum is. Narrower ranges make the use swing, since the sums are old.
 const UTILISATION_THRESHOLDS: [(f64, f64); 3] = [(1.15, 1.50), (0.95, 1.35), (0.95, 1.35)];
+/// Part of the slots by which an organisation within its share sees less use while others are
+/// over theirs, so that these are rejected first.
+const WITHIN_SHARE_RELIEF: f64 = 0.2;
 /// Minimum chance of admission, relative to that of the most urgent rank.
 const MIN_ADMIT_RATIO: f64 = 0.4;
 /// Part of the objective for which a request is held at most.
@@ -56,9 +59,12 @@
 
 /// Fraction of the requests of a rank that are admitted.
 pub fn admit_fraction(backlog: &PoolBacklog, rank: u8, share: Option<&OrganisationShare>) -> f64 {
+    let is_within = share.is_some_and(|share| !share.is_over() && share.over_share_slots > 0.0);
+    let relief = if is_within { WITHIN_SHARE_RELIEF } else { 0.0 };
+    let expected_use = backlog.expected_utilisation() - relief;
     let of_rank = |rank: u8| {
         let (all_until, min_from) = UTILISATION_THRESHOLDS[usize::from(rank.min(MAX_RANK))];
-        ((min_from - backlog.expected_utilisation()) / (min_from - all_until)).clamp(0.0, 1.0)
+        ((min_from - expected_use) / (min_from - all_until)).clamp(0.0, 1.0)
     };
     let fraction = of_rank(rank).max(MIN_ADMIT_RATIO * of_rank(0));
     fraction * share.map_or(1.0, |share| share_fraction(&backlog.occupancy(), share))
--- a/crates/routing/tests/backlog.rs
+++ b/crates/routing/tests/backlog.rs
@@ -111,6 +111,23 @@
     assert_that!(admit_fraction(&full, 0, Some(&share(4.0))), lt(0.5));
 }
 
+#[test]
+fn admit_fraction_of_an_organisation_within_its_share_falls_last() {
+    let overrun = backlog(380);
+    let within = admit_fraction(&overrun, 2, Some(&share(0.5)));
+    assert_that!(within, gt(admit_fraction(&overrun, 2, None)));
+    assert_that!(
+        admit_fraction(&overrun, 2, Some(&share(4.0))),
+        lt(0.5 * within)
+    );
+    let nobody_over = OrganisationShare {
+        over_share_slots: 0.0,
+        ..share(0.5)
+    };
+    let alone = admit_fraction(&overrun, 2, Some(&nobody_over));
+    assert_that!(alone, eq(admit_fraction(&overrun, 2, None)));
+}
+
 /// New requests must not push aside those whose callers waited longest.
 #[test]
 fn decide_sends_a_request_whose_endpoint_crashed() {
