--- /dev/null
+++ b/crates/soak/src/checks.rs
@@ -0,0 +1,537 @@
+//! Checks over the journal of a play.
+//!
+//! Each check is a pure function that returns what breaks its rule. Where a check allows more
+//! than its rule says on its own, its documentation names the rule that allows it.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+
+use serde::Serialize;
+
+use crate::journal::{Arrival, DisturbanceKind, EndpointSpan, Journal, TryEnd};
+
+/// Bounds of the rules.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Bounds {
+    /// Largest share of a service's requests that a bad build may get.
+    pub exposure_share: f64,
+    /// Requests that a bad build may get beyond its share.
+    pub exposure_slack: f64,
+    /// Milliseconds from the last allowed bad response to the last request.
+    pub rollback_ms: u64,
+    /// Milliseconds from an acknowledged leaving to the last request.
+    pub drain_ms: u64,
+    /// Milliseconds from an acknowledged configuration to the last use of the one before.
+    pub config_apply_ms: u64,
+    /// Milliseconds after a store outage until the bounds apply again.
+    pub contact_ms: u64,
+    /// Largest ratio of retries to requests.
+    pub retry_ratio: f64,
+    /// Retries beyond the ratio in each window.
+    pub retry_slack: f64,
+    /// Window in which retries are counted, in milliseconds.
+    pub retry_window_ms: u64,
+    /// Largest load of an endpoint as a multiple of the mean load.
+    pub cap_factor: f64,
+    /// Milliseconds after the last disturbance until service is back.
+    pub return_ms: u64,
+}
+
+/// Names of the checks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "UPPERCASE")]
+pub enum Check {
+    /// A request that may not be repeated runs at most once.
+    Twice,
+    /// A refused request has not run and never runs.
+    Refused,
+    /// A stream has each event once and in order, and is complete only with all of them.
+    Order,
+    /// A bad build gets few requests.
+    Exposure,
+    /// A request reaches only services that its route leads to.
+    Route,
+    /// A leaving endpoint gets no requests.
+    Drain,
+    /// Retries are few.
+    Budget,
+    /// Endpoints of a service are loaded alike in calm times.
+    Limit,
+    /// A superseded configuration ends soon.
+    Config,
+    /// No request is lost at the planned stop of an endpoint.
+    Lost,
+    /// Service comes back after the last fault.
+    Returns,
+}
+
+impl fmt::Display for Check {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Check::Twice => "TWICE",
+            Check::Refused => "REFUSED",
+            Check::Order => "ORDER",
+            Check::Exposure => "EXPOSURE",
+            Check::Route => "ROUTE",
+            Check::Drain => "DRAIN",
+            Check::Budget => "BUDGET",
+            Check::Limit => "LIMIT",
+            Check::Config => "CONFIG",
+            Check::Lost => "LOST",
+            Check::Returns => "RETURNS",
+        })
+    }
+}
+
+/// A break of a rule.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Finding {
+    /// The check that found it.
+    pub check: Check,
+    /// When it happened.
+    pub at_ms: u64,
+    /// What happened, with the ids that the logs hold.
+    pub text: String,
+}
+
+impl fmt::Display for Finding {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} at {} ms: {}", self.check, self.at_ms, self.text)
+    }
+}
+
+fn finding(check: Check, at_ms: u64, text: String) -> Finding {
+    Finding { check, at_ms, text }
+}
+
+/// Runs all checks.
+pub fn check_all(journal: &Journal, bounds: &Bounds) -> Vec<Finding> {
+    [
+        check_twice(journal),
+        check_refused(journal),
+        check_order(journal),
+        check_exposure(journal, bounds),
+        check_route(journal),
+        check_drain(journal, bounds),
+        check_budget(journal, bounds),
+        check_limit(journal, bounds),
+        check_config(journal, bounds),
+        check_lost(journal),
+        check_returns(journal, bounds),
+    ]
+    .concat()
+}
+
+/// TWICE: a request that may not be repeated runs more than once, over all of its tries.
+/// Callers repeat such a request only after a refusal, which states that it has not run.
+pub fn check_twice(journal: &Journal) -> Vec<Finding> {
+    let mut runs: BTreeMap<&str, Vec<&Arrival>> = BTreeMap::new();
+    let counted = journal
+        .arrivals
+        .iter()
+        .filter(|a| a.has_run && !a.may_repeat);
+    for arrival in counted {
+        runs.entry(&arrival.request).or_default().push(arrival);
+    }
+    let repeated = runs.values().filter(|runs| runs.len() > 1);
+    let text = |runs: &Vec<&Arrival>| {
+        let runs = runs
+            .iter()
+            .map(|run| format!("{} on {} at {} ms", run.try_id, run.endpoint, run.at_ms));
+        runs.collect::<Vec<_>>().join(", ")
+    };
+    repeated
+        .map(|runs| finding(Check::Twice, runs[1].at_ms, text(runs)))
+        .collect()
+}
+
+/// REFUSED: 429, 503, 408 or 421 for a try that ran at any time.
+pub fn check_refused(journal: &Journal) -> Vec<Finding> {
+    const REFUSALS: [u16; 4] = [429, 503, 408, 421];
+    let runs = journal.arrivals.iter().filter(|arrival| arrival.has_run);
+    let runs: BTreeMap<&str, &Arrival> = runs.map(|run| (&*run.try_id, run)).collect();
+    let refused = journal
+        .tries
+        .iter()
+        .filter_map(|attempt| match attempt.end {
+            TryEnd::Status(status) if REFUSALS.contains(&status) => Some((attempt, status)),
+            _ => None,
+        });
+    let broken = refused.filter_map(|(attempt, status)| {
+        let run = runs.get(&*attempt.id)?;
+        let text = format!(
+            "{} got {status} from host {} and ran on {} at {} ms",
+            attempt.id, attempt.host, run.endpoint, run.at_ms
+        );
+        Some(finding(Check::Refused, attempt.ended_ms, text))
+    });
+    broken.collect()
+}
+
+/// ORDER: the events of a stream are not 1, 2, 3 and so on, or it ends as complete before its
+/// last event.
+pub fn check_order(journal: &Journal) -> Vec<Finding> {
+    let broken = journal.tries.iter().filter_map(|attempt| {
+        let TryEnd::Stream { events, is_complete, expected } = &attempt.end else {
+            return None;
+        };
+        let is_in_order = (1..).zip(events).all(|(id, event)| id == *event);
+        let is_cut = *is_complete && events.len() as u64 != *expected;
+        let text = || {
+            let last = events.last().copied().unwrap_or_default();
+            format!(
+                "{} from host {}: {} of {expected} events, the last is {last}, complete: {is_complete}",
+                attempt.id,
+                attempt.host,
+                events.len(),
+            )
+        };
+        (!is_in_order || is_cut).then(|| finding(Check::Order, attempt.ended_ms, text()))
+    });
+    broken.collect()
+}
+
+/// EXPOSURE: a bad build gets more requests than its share and slack from the order to the
+/// deadline, or a request later than `rollback_ms` after its 50th bad response since the store
+/// was last stable. The rule counts only hosts in touch with the store, so requests of a host
+/// count for neither part while its store is disturbed and `contact_ms` after it.
+pub fn check_exposure(journal: &Journal, bounds: &Bounds) -> Vec<Finding> {
+    const MAX_BAD_RESPONSES: usize = 50;
+    let mut findings = Vec::new();
+    for order in journal.orders.iter().filter(|order| order.is_bad) {
+        let in_touch = |a: &&Arrival| !is_out_of_touch(journal, a.host, a.at_ms, bounds);
+        let of_service = journal
+            .arrivals
+            .iter()
+            .filter(|a| a.service == order.service);
+        let counted = of_service.filter(|a| (order.at_ms..order.deadline_ms).contains(&a.at_ms));
+        let all = counted.clone().count();
+        let exposed = counted.filter(|a| a.build == order.build).filter(in_touch);
+        let exposed = exposed.count();
+        let allowed = bounds.exposure_share * all as f64 + bounds.exposure_slack;
+        if exposed as f64 > allowed {
+            let text = format!("{} got {exposed} of {all} requests", order.build);
+            findings.push(finding(Check::Exposure, order.deadline_ms, text));
+        }
+        let stable_ms = stable_from_ms(journal, order.at_ms, order.deadline_ms);
+        let of_build = journal.arrivals.iter().filter(|a| a.build == order.build);
+        let bad = of_build.clone().filter(|a| a.is_bad);
+        let mut bad: Vec<u64> = bad
+            .filter_map(|a| a.ended_ms)
+            .filter(|at| *at >= stable_ms)
+            .collect();
+        bad.sort_unstable();
+        let Some(last_allowed_bad_ms) = bad.get(MAX_BAD_RESPONSES - 1) else {
+            continue;
+        };
+        let until_ms = last_allowed_bad_ms + bounds.rollback_ms;
+        let late = of_build.filter(in_touch).filter(|a| a.at_ms > until_ms);
+        let late: Vec<&Arrival> = late.collect();
+        if let Some(first) = late.first() {
+            let text = format!(
+                "{} requests for {} after {until_ms} ms, the first is {} from host {}",
+                late.len(),
+                order.build,
+                first.try_id,
+                first.host
+            );
+            findings.push(finding(Check::Exposure, first.at_ms, text));
+        }
+    }
+    findings
+}
+
+/// ROUTE: a request reaches an endpoint of a service that no configuration so far leads its
+/// route to.
+pub fn check_route(journal: &Journal) -> Vec<Finding> {
+    let broken = journal.arrivals.iter().filter(|arrival| {
+        !journal.rules.iter().any(|rule| {
+            rule.route == arrival.route
+                && rule.service == arrival.service
+                && rule.from_ms <= arrival.at_ms
+        })
+    });
+    let text = |a: &Arrival| {
+        format!(
+            "{} of {} from host {} on {}",
+            a.try_id, a.route, a.host, a.endpoint
+        )
+    };
+    broken
+        .map(|a| finding(Check::Route, a.at_ms, text(a)))
+        .collect()
+}
+
+/// DRAIN: a request reaches an endpoint later than `drain_ms` after its leaving was
+/// acknowledged. After a disturbance of the store the bound counts anew, as `contact_ms`
+/// says; bytes that a disturbed link to the endpoint held are not counted.
+pub fn check_drain(journal: &Journal, bounds: &Bounds) -> Vec<Finding> {
+    let mut findings = Vec::new();
+    for leaving in &journal.leavings {
+        let until_ms = leaving.back_ms.unwrap_or(u64::MAX);
+        let arrivals = journal.arrivals.iter().filter(|a| {
+            a.endpoint == leaving.endpoint
+                && a.at_ms < until_ms
+                && a.at_ms > leaving.acknowledged_ms + bounds.drain_ms
+        });
+        let late = arrivals
+            .filter(|a| !is_excused(journal, a, leaving.acknowledged_ms, bounds.drain_ms, bounds));
+        for a in late {
+            let text = format!(
+                "{} from host {} on {}, whose leaving was acknowledged at {} ms",
+                a.try_id, a.host, a.endpoint, leaving.acknowledged_ms
+            );
+            findings.push(finding(Check::Drain, a.at_ms, text));
+        }
+    }
+    findings
+}
+
+/// CONFIG: a configuration still decides later than `config_apply_ms` after its successor was
+/// acknowledged. The same is allowed as for DRAIN.
+pub fn check_config(journal: &Journal, bounds: &Bounds) -> Vec<Finding> {
+    let mut findings = Vec::new();
+    for rule in &journal.rules {
+        let Some(until_ms) = rule.until_ms else {
+            continue;
+        };
+        let is_allowed_again = |a: &Arrival| {
+            journal.rules.iter().any(|other| {
+                other.route == rule.route
+                    && other.service == rule.service
+                    && other.from_ms >= until_ms
+                    && other.from_ms <= a.at_ms
+            })
+        };
+        let late = journal.arrivals.iter().filter(|a| {
+            a.route == rule.route
+                && a.service == rule.service
+                && a.at_ms > until_ms + bounds.config_apply_ms
+                && !is_allowed_again(a)
+                && !is_excused(journal, a, until_ms, bounds.config_apply_ms, bounds)
+        });
+        for a in late {
+            let text = format!(
+                "{} of {} from host {} on {}, though the route left {} at {until_ms} ms",
+                a.try_id, a.route, a.host, a.endpoint, rule.service
+            );
+            findings.push(finding(Check::Config, a.at_ms, text));
+        }
+    }
+    findings
+}
+
+/// BUDGET: in a window, the arrivals of tries beyond their first exceed the ratio of the tries
+/// and the slack. Counted for each service.
+pub fn check_budget(journal: &Journal, bounds: &Bounds) -> Vec<Finding> {
+    let mut arrivals: Vec<&Arrival> = journal.arrivals.iter().collect();
+    arrivals.sort_by_key(|a| a.at_ms);
+    let services: BTreeSet<&str> = arrivals.iter().map(|a| &*a.service).collect();
+    let mut seen = BTreeSet::new();
+    let events: Vec<(&Arrival, bool)> = arrivals
+        .into_iter()
+        .map(|a| (a, !seen.insert(&*a.try_id)))
+        .collect();
+    let mut findings = Vec::new();
+    for service in services {
+        let of_service = events.iter().filter(|(a, _)| &*a.service == service);
+        let of_service: Vec<(u64, bool)> = of_service.map(|(a, retry)| (a.at_ms, *retry)).collect();
+        let mut from = 0;
+        let (mut requests, mut retries) = (0, 0);
+        for (at_ms, is_retry) in &of_service {
+            *if *is_retry {
+                &mut retries
+            } else {
+                &mut requests
+            } += 1;
+            while of_service[from].0 + bounds.retry_window_ms <= *at_ms {
+                *if of_service[from].1 {
+                    &mut retries
+                } else {
+                    &mut requests
+                } -= 1;
+                from += 1;
+            }
+            let allowed = bounds.retry_ratio * f64::from(requests) + bounds.retry_slack;
+            if f64::from(retries) > allowed {
+                let text = format!("{retries} retries beside {requests} requests for {service}");
+                findings.push(finding(Check::Budget, *at_ms, text));
+                break;
+            }
+        }
+    }
+    findings
+}
+
+/// LIMIT: in five calm seconds, more than 3 in 100 requests reach an endpoint with more than
+/// `cap_factor` times the mean load of its service's ready endpoints, plus 3. Calm are seconds
+/// in which nothing is disturbed or rolled out, from three seconds after that.
+pub fn check_limit(journal: &Journal, bounds: &Bounds) -> Vec<Finding> {
+    const WINDOW_MS: u64 = 5_000;
+    const SETTLE_MS: u64 = 3_000;
+    const ALLOWED_SHARE: f64 = 0.03;
+    const LOAD_SLACK: f64 = 3.0;
+    let is_calm = |from_ms: u64| {
+        journal
+            .disturbances
+            .iter()
+            .all(|d| from_ms + WINDOW_MS <= d.from_ms || d.to_ms + SETTLE_MS <= from_ms)
+    };
+    let services: BTreeSet<&str> = journal.ready.iter().map(|span| &*span.service).collect();
+    let mut findings = Vec::new();
+    for service in services {
+        let runs: Vec<&Arrival> = journal
+            .arrivals
+            .iter()
+            .filter(|a| &*a.service == service && a.has_run)
+            .collect();
+        let spans: Vec<&EndpointSpan> = journal
+            .ready
+            .iter()
+            .filter(|span| &*span.service == service)
+            .collect();
+        let is_over = |arrival: &Arrival| {
+            let at_ms = arrival.at_ms;
+            let in_progress = runs
+                .iter()
+                .filter(|a| a.at_ms <= at_ms && a.ended_ms.is_none_or(|end| end > at_ms));
+            let (mut load, mut total) = (0.0, 0.0);
+            for run in in_progress {
+                total += 1.0;
+                load += if run.endpoint == arrival.endpoint {
+                    1.0
+                } else {
+                    0.0
+                };
+            }
+            let ready = spans
+                .iter()
+                .filter(|span| span.from_ms <= at_ms && span.to_ms.is_none_or(|to| to > at_ms));
+            let mean = total / (ready.count().max(1) as f64);
+            load > bounds.cap_factor * mean + LOAD_SLACK
+        };
+        let (mut from_ms, end_ms) = journal.load_ms;
+        while from_ms + WINDOW_MS <= end_ms {
+            let window = runs
+                .iter()
+                .filter(|a| (from_ms..from_ms + WINDOW_MS).contains(&a.at_ms));
+            let window: Vec<&&Arrival> = window.collect();
+            let over = if is_calm(from_ms) {
+                window.iter().filter(|a| is_over(a)).count()
+            } else {
+                0
+            };
+            if over as f64 > ALLOWED_SHARE * window.len() as f64 {
+                let text = format!(
+                    "{over} of {} requests for {service} over the load limit",
+                    window.len()
+                );
+                findings.push(finding(Check::Limit, from_ms, text));
+            }
+            from_ms += 1_000;
+        }
+    }
+    findings
+}
+
+/// LOST: a request is still in progress at an endpoint that stops because the fleet reported
+/// that its rollout is done.
+pub fn check_lost(journal: &Journal) -> Vec<Finding> {
+    let lost = journal.arrivals.iter().filter(|a| a.was_stopped);
+    let text = |a: &Arrival| {
+        format!(
+            "{} from host {} ran on {} of build {} when it stopped",
+            a.try_id, a.host, a.endpoint, a.build
+        )
+    };
+    lost.map(|a| finding(Check::Lost, a.ended_ms.unwrap_or(a.at_ms), text(a)))
+        .collect()
+}
+
+/// RETURNS: from `return_ms` after the last disturbance on, fewer than nine in ten tries of a
+/// route, or of a host, end well.
+pub fn check_returns(journal: &Journal, bounds: &Bounds) -> Vec<Finding> {
+    const MIN_SHARE: f64 = 0.9;
+    const MIN_TRIES: usize = 10;
+    let from_ms = journal.calm_from_ms() + bounds.return_ms;
+    let mut groups: BTreeMap<String, (usize, usize)> = BTreeMap::new();
+    for attempt in journal
+        .tries
+        .iter()
+        .filter(|attempt| attempt.sent_ms >= from_ms)
+    {
+        let is_served = match &attempt.end {
+            TryEnd::Status(status) => (200..300).contains(status),
+            TryEnd::Stream { is_complete, .. } => *is_complete,
+            TryEnd::NotSent | TryEnd::Lost => false,
+        };
+        for group in [
+            format!("route {}", attempt.route),
+            format!("host {}", attempt.host),
+        ] {
+            let (served, all) = groups.entry(group).or_default();
+            *all += 1;
+            *served += usize::from(is_served);
+        }
+    }
+    if groups.values().map(|(_, all)| all).sum::<usize>() < MIN_TRIES {
+        let text = "no callers after the last disturbance".to_owned();
+        return vec![finding(Check::Returns, from_ms, text)];
+    }
+    let broken = groups.into_iter().filter(|(_, (served, all))| {
+        *all >= MIN_TRIES && (*served as f64) < MIN_SHARE * *all as f64
+    });
+    let text = |group, served, all| format!("{served} of {all} tries of {group} were served");
+    broken
+        .map(|(group, (served, all))| finding(Check::Returns, from_ms, text(group, served, all)))
+        .collect()
+}
+
+/// Whether a host's store is disturbed, or was within `contact_ms`.
+fn is_out_of_touch(journal: &Journal, host: usize, at_ms: u64, bounds: &Bounds) -> bool {
+    journal.disturbances.iter().any(|d| {
+        let affects_host = match d.kind {
+            DisturbanceKind::Store => true,
+            DisturbanceKind::StoreOfHost(other) | DisturbanceKind::Host(other) => other == host,
+            _ => false,
+        };
+        affects_host && (d.from_ms..=d.to_ms + bounds.contact_ms).contains(&at_ms)
+    })
+}
+
+/// Returns when the store was last disturbed between two times, or the first of them.
+fn stable_from_ms(journal: &Journal, from_ms: u64, to_ms: u64) -> u64 {
+    let outages = journal
+        .disturbances
+        .iter()
+        .filter(|d| d.kind == DisturbanceKind::Store && d.from_ms < to_ms && d.to_ms > from_ms);
+    outages
+        .map(|d| d.to_ms)
+        .max()
+        .unwrap_or(from_ms)
+        .max(from_ms)
+}
+
+/// Whether an arrival later than `bound_ms` after `since_ms` is allowed: the whole store was
+/// disturbed meanwhile and has been well for less than `contact_ms` and the bound, or a
+/// disturbed link held the request.
+fn is_excused(
+    journal: &Journal,
+    a: &Arrival,
+    since_ms: u64,
+    bound_ms: u64,
+    bounds: &Bounds,
+) -> bool {
+    const LINK_MARGIN_MS: u64 = 500;
+    journal.disturbances.iter().any(|d| match &d.kind {
+        DisturbanceKind::Store => {
+            d.from_ms <= a.at_ms
+                && d.to_ms >= since_ms
+                && a.at_ms <= d.to_ms + bounds.contact_ms + bound_ms
+        }
+        DisturbanceKind::EndpointLink(endpoint) => {
+            *endpoint == a.endpoint && (d.from_ms..=d.to_ms + LINK_MARGIN_MS).contains(&a.at_ms)
+        }
+        _ => false,
+    })
+}
--- /dev/null
+++ b/crates/soak/src/lib.rs
@@ -0,0 +1,26 @@
+//! The parts of a soak test that know nothing of a wire format.
+//!
+//! A [`Plan`] of faults is drawn from a seed. [`Proxy`] and [`Process`] carry out the faults
+//! of links and processes. A [`Journal`] holds what callers, endpoints and the store saw, and
+//! [`check_all`] returns what in it breaks a rule. Use it with a program that speaks the wire
+//! format of the processes under test.
+//!
+//! All times are milliseconds since the start of the play.
+
+mod checks;
+mod journal;
+mod plan;
+mod process;
+mod proxy;
+
+pub use checks::{
+    Bounds, Check, Finding, check_all, check_budget, check_config, check_drain, check_exposure,
+    check_limit, check_lost, check_order, check_refused, check_returns, check_route, check_twice,
+};
+pub use journal::{
+    Arrival, Disturbance, DisturbanceKind, EndpointSpan, Journal, Leaving, RolloutOrder, RouteRule,
+    Try, TryEnd,
+};
+pub use plan::{Fault, Plan, PlanShape, PlannedFault, Rollout, RolloutKind};
+pub use process::Process;
+pub use proxy::{LinkMode, Proxy};
