--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -155,7 +155,7 @@
     pub seed: u64,
     /// Number of hosts, 3 to 8.
     pub hosts: usize,
-    /// Number of endpoints, 6 to 16. A rollout adds at most four.
+    /// Number of endpoints, 6 to 13. A rollout starts others beside them.
     pub endpoints: usize,
     /// The faults, by their begin.
     pub faults: Vec<PlannedFault>,
@@ -173,7 +173,7 @@
         const MAX_GAP_MS: u64 = 1_500;
         let mut random = ChaCha8Rng::seed_from_u64(seed);
         let hosts = random.random_range(3..=8);
-        let endpoints = random.random_range(6..=16);
+        let endpoints = random.random_range(6..=13);
         let is_series = random.random_bool(0.5);
         let mut faults: Vec<PlannedFault> = Vec::new();
         let mut at_ms = shape.from_ms;
--- a/crates/soak/tests/faults.rs
+++ b/crates/soak/tests/faults.rs
@@ -27,7 +27,7 @@
         let plan = Plan::draw(seed, SHAPE);
         assert_that!(Plan::draw(seed, SHAPE), eq(&plan));
         assert_that!(plan.hosts, all![ge(3), le(8)]);
-        assert_that!(plan.endpoints, all![ge(6), le(16)]);
+        assert_that!(plan.endpoints, all![ge(6), le(13)]);
         assert_that!(plan.faults, not(is_empty()));
         for fault in &plan.faults {
             assert_that!(fault.at_ms, ge(SHAPE.from_ms));
