--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -163,6 +163,9 @@
     pub rollout: Option<Rollout>,
     /// When a change of the configuration is written, in milliseconds.
     pub config_at_ms: u64,
+    /// Whether endpoints have names of three bytes. Hash functions treat short inputs apart,
+    /// and two endpoints of such names were once mistaken for each other.
+    pub has_short_names: bool,
 }
 
 impl Plan {
@@ -171,6 +174,7 @@
         const MIN_FAULT_MS: u64 = 500;
         const MAX_FAULT_MS: u64 = 5_000;
         const MAX_GAP_MS: u64 = 1_500;
+        const SHORT_NAMES_RATIO: f64 = 0.05;
         let mut random = ChaCha8Rng::seed_from_u64(seed);
         let hosts = random.random_range(3..=8);
         let endpoints = random.random_range(6..=13);
@@ -208,6 +212,7 @@
             faults,
             rollout,
             config_at_ms,
+            has_short_names: random.random_bool(SHORT_NAMES_RATIO),
         }
     }
 }
