--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -8,7 +8,7 @@
 
 use serde::Serialize;
 
-use crate::journal::{Arrival, DisturbanceKind, EndpointSpan, Journal, TryEnd};
+use crate::journal::{Arrival, DisturbanceKind, EndpointSpan, HostStop, Journal, TryEnd};
 
 /// Bounds of the rules.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -59,7 +59,7 @@
     Limit,
     /// A superseded configuration ends soon.
     Config,
-    /// No request is lost at the planned stop of an endpoint.
+    /// No request is lost at the planned stop of an endpoint or a host.
     Lost,
     /// Service comes back after the last fault.
     Returns,
@@ -435,17 +435,47 @@
 }
 
 /// LOST: a request is still in progress at an endpoint that stops because the fleet reported
-/// that its rollout is done.
+/// that its rollout is done; or a try at a host ends without a whole response while the host
+/// stops gracefully. Stops beside other disturbances are left out, as the rule is about
+/// planned work.
 pub fn check_lost(journal: &Journal) -> Vec<Finding> {
-    let lost = journal.arrivals.iter().filter(|a| a.was_stopped);
-    let text = |a: &Arrival| {
-        format!(
+    const BEFORE_MS: u64 = 5_000;
+    let at_endpoints = journal.arrivals.iter().filter(|a| a.was_stopped).map(|a| {
+        let text = format!(
             "{} from host {} ran on {} of build {} when it stopped",
             a.try_id, a.host, a.endpoint, a.build
-        )
+        );
+        finding(Check::Lost, a.ended_ms.unwrap_or(a.at_ms), text)
+    });
+    let is_alone = |stop: &&HostStop| {
+        journal.disturbances.iter().all(|d| {
+            let is_own = match d.kind {
+                DisturbanceKind::Host(host) => host == stop.host,
+                DisturbanceKind::Other => true,
+                _ => false,
+            };
+            is_own || d.to_ms + BEFORE_MS < stop.from_ms || stop.to_ms < d.from_ms
+        })
     };
-    lost.map(|a| finding(Check::Lost, a.ended_ms.unwrap_or(a.at_ms), text(a)))
-        .collect()
+    let stops = journal.stops.iter().filter(is_alone);
+    let at_hosts = stops.flat_map(|stop| {
+        let ended = journal.tries.iter().filter(|attempt| {
+            attempt.host == stop.host && (stop.from_ms..=stop.to_ms).contains(&attempt.ended_ms)
+        });
+        let lost = ended.filter(|attempt| match attempt.end {
+            TryEnd::Lost => true,
+            TryEnd::Stream { is_complete, .. } => !is_complete,
+            TryEnd::Status(_) | TryEnd::NotSent => false,
+        });
+        lost.map(|attempt| {
+            let text = format!(
+                "{} of {}, sent at {} ms, while host {} stopped from {} ms on",
+                attempt.id, attempt.route, attempt.sent_ms, stop.host, stop.from_ms
+            );
+            finding(Check::Lost, attempt.ended_ms, text)
+        })
+    });
+    at_endpoints.chain(at_hosts).collect()
 }
 
 /// RETURNS: from `return_ms` after the last disturbance on, fewer than nine in ten tries of a
--- a/crates/soak/src/journal.rs
+++ b/crates/soak/src/journal.rs
@@ -137,6 +137,8 @@
     StoreOfHost(usize),
     /// A host's process was paused or absent.
     Host(usize),
+    /// The link of callers to a host.
+    CallerLink(usize),
     /// The link to an endpoint.
     EndpointLink(Arc<str>),
     /// An endpoint failed, was slow or absent.
@@ -145,6 +147,17 @@
     Other,
 }
 
+/// A graceful stop of a host.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct HostStop {
+    /// The host.
+    pub host: usize,
+    /// When it was asked to stop.
+    pub from_ms: u64,
+    /// When its process had ended.
+    pub to_ms: u64,
+}
+
 /// A time in which something was disturbed.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct Disturbance {
@@ -171,6 +184,8 @@
     pub rules: Vec<RouteRule>,
     /// Orders of rollouts.
     pub orders: Vec<RolloutOrder>,
+    /// Graceful stops of hosts.
+    pub stops: Vec<HostStop>,
     /// Disturbances.
     pub disturbances: Vec<Disturbance>,
     /// When the play's load began and ended.
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -18,8 +18,8 @@
     check_limit, check_lost, check_order, check_refused, check_returns, check_route, check_twice,
 };
 pub use journal::{
-    Arrival, Disturbance, DisturbanceKind, EndpointSpan, Journal, Leaving, RolloutOrder, RouteRule,
-    Try, TryEnd,
+    Arrival, Disturbance, DisturbanceKind, EndpointSpan, HostStop, Journal, Leaving, RolloutOrder,
+    RouteRule, Try, TryEnd,
 };
 pub use plan::{Fault, Plan, PlanShape, PlannedFault, Rollout, RolloutKind};
 pub use process::Process;
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -1,7 +1,7 @@
 //! Each check finds the break of its rule and allows what the rules allow.
 
 use chalkrock_soak::{
-    Arrival, Bounds, Check, Disturbance, DisturbanceKind, EndpointSpan, Journal, Leaving,
+    Arrival, Bounds, Check, Disturbance, DisturbanceKind, EndpointSpan, HostStop, Journal, Leaving,
     RolloutOrder, RouteRule, Try, TryEnd, check_all,
 };
 use googletest::prelude::*;
@@ -443,6 +443,21 @@
         };
         journal(vec![], vec![run])
     };
+    let host_stopped = |ended_ms: u64, end| {
+        let lost = Try {
+            ended_ms,
+            ..attempt("r1.0", 20_000, end)
+        };
+        Journal {
+            stops: vec![HostStop {
+                host: 0,
+                from_ms: 20_500,
+                to_ms: 23_000,
+            }],
+            ..journal(vec![lost], vec![])
+        }
+    };
+    let crash = DisturbanceKind::Endpoint("e1".into());
     let late = |served: usize, failed: usize| {
         let end = |i| {
             if i < served {
@@ -465,6 +480,30 @@
     run_cases(vec![
         ("stopped under it", Check::Lost, true, stopped(true)),
         ("ended before", Check::Lost, false, stopped(false)),
+        (
+            "host stops under it",
+            Check::Lost,
+            true,
+            host_stopped(21_000, TryEnd::Lost),
+        ),
+        (
+            "refused while it stops",
+            Check::Lost,
+            false,
+            host_stopped(21_000, TryEnd::Status(503)),
+        ),
+        (
+            "lost before it stops",
+            Check::Lost,
+            false,
+            host_stopped(20_400, TryEnd::Lost),
+        ),
+        (
+            "an endpoint crashed as well",
+            Check::Lost,
+            false,
+            disturbed(host_stopped(21_000, TryEnd::Lost), crash, 20_900, 21_000),
+        ),
         ("not back", Check::Returns, true, late(17, 3)),
         ("back", Check::Returns, false, late(19, 1)),
         ("no callers", Check::Returns, true, late(0, 0)),
