--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -63,6 +63,8 @@
     Lost,
     /// Service comes back after the last fault.
     Returns,
+    /// A host serves while only others are disturbed.
+    Serves,
 }
 
 impl fmt::Display for Check {
@@ -79,6 +81,7 @@
             Check::Config => "CONFIG",
             Check::Lost => "LOST",
             Check::Returns => "RETURNS",
+            Check::Serves => "SERVES",
         })
     }
 }
@@ -118,6 +121,7 @@
         check_config(journal, bounds),
         check_lost(journal),
         check_returns(journal, bounds),
+        check_serves(journal),
     ]
     .concat()
 }
@@ -490,11 +494,7 @@
         .iter()
         .filter(|attempt| attempt.sent_ms >= from_ms)
     {
-        let is_served = match &attempt.end {
-            TryEnd::Status(status) => (200..300).contains(status),
-            TryEnd::Stream { is_complete, .. } => *is_complete,
-            TryEnd::NotSent | TryEnd::Lost => false,
-        };
+        let is_served = is_served(&attempt.end);
         for group in [
             format!("route {}", attempt.route),
             format!("host {}", attempt.host),
@@ -517,6 +517,54 @@
         .collect()
 }
 
+/// SERVES: a host serves none of at least 8 tries that ended within half a second, though
+/// nothing but other hosts was disturbed in the three seconds before. Any host may be lost at
+/// any time, and a request that can be served is.
+pub fn check_serves(journal: &Journal) -> Vec<Finding> {
+    const WINDOW_MS: u64 = 500;
+    const BEFORE_MS: u64 = 3_000;
+    const MIN_TRIES: usize = 8;
+    let concerns = |kind: &DisturbanceKind, host: usize| match kind {
+        DisturbanceKind::StoreOfHost(other)
+        | DisturbanceKind::Host(other)
+        | DisturbanceKind::CallerLink(other) => *other == host,
+        DisturbanceKind::Store
+        | DisturbanceKind::Endpoint(_)
+        | DisturbanceKind::EndpointLink(_) => true,
+        DisturbanceKind::Other => false,
+    };
+    let mut windows: BTreeMap<(usize, u64), (usize, usize)> = BTreeMap::new();
+    for attempt in &journal.tries {
+        let window = attempt.ended_ms / WINDOW_MS * WINDOW_MS;
+        let (served, all) = windows.entry((attempt.host, window)).or_default();
+        *all += 1;
+        *served += usize::from(is_served(&attempt.end));
+    }
+    let refused = windows
+        .into_iter()
+        .filter(|((host, from_ms), (served, all))| {
+            let is_disturbed = journal.disturbances.iter().any(|d| {
+                concerns(&d.kind, *host)
+                    && d.from_ms <= from_ms + WINDOW_MS
+                    && *from_ms <= d.to_ms + BEFORE_MS
+            });
+            *served == 0 && *all >= MIN_TRIES && !is_disturbed
+        });
+    let text = |host, all| format!("host {host} served none of {all} tries within {WINDOW_MS} ms");
+    refused
+        .map(|((host, from_ms), (_, all))| finding(Check::Serves, from_ms, text(host, all)))
+        .collect()
+}
+
+/// Whether a try ended with a whole, good response.
+fn is_served(end: &TryEnd) -> bool {
+    match end {
+        TryEnd::Status(status) => (200..300).contains(status),
+        TryEnd::Stream { is_complete, .. } => *is_complete,
+        TryEnd::NotSent | TryEnd::Lost => false,
+    }
+}
+
 /// Whether a host's store is disturbed, or was within `contact_ms`.
 fn is_out_of_touch(journal: &Journal, host: usize, at_ms: u64, bounds: &Bounds) -> bool {
     journal.disturbances.iter().any(|d| {
--- a/crates/soak/src/journal.rs
+++ b/crates/soak/src/journal.rs
@@ -2,10 +2,10 @@
 
 use std::sync::Arc;
 
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 /// How a try of a caller ended.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum TryEnd {
     /// A whole response with this status.
     Status(u16),
@@ -25,7 +25,7 @@
 }
 
 /// One try of a caller's request at a host.
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Try {
     /// Identifies the try.
     pub id: Arc<str>,
@@ -46,7 +46,7 @@
 }
 
 /// A request as it reached an endpoint.
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Arrival {
     /// Identifies the caller's try.
     pub try_id: Arc<str>,
@@ -77,7 +77,7 @@
 }
 
 /// When an endpoint was listed as ready.
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct EndpointSpan {
     /// The endpoint.
     pub endpoint: Arc<str>,
@@ -90,7 +90,7 @@
 }
 
 /// An endpoint's leaving.
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Leaving {
     /// The endpoint.
     pub endpoint: Arc<str>,
@@ -101,7 +101,7 @@
 }
 
 /// A route's service according to the configuration.
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct RouteRule {
     /// The route.
     pub route: Arc<str>,
@@ -114,7 +114,7 @@
 }
 
 /// An order to roll out a build.
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct RolloutOrder {
     /// The service.
     pub service: Arc<str>,
@@ -129,7 +129,7 @@
 }
 
 /// What a disturbance affects.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum DisturbanceKind {
     /// The store, for all hosts.
     Store,
@@ -148,7 +148,7 @@
 }
 
 /// A graceful stop of a host.
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct HostStop {
     /// The host.
     pub host: usize,
@@ -159,7 +159,7 @@
 }
 
 /// A time in which something was disturbed.
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Disturbance {
     /// What was disturbed.
     pub kind: DisturbanceKind,
@@ -170,7 +170,7 @@
 }
 
 /// All that was seen in one play.
-#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Journal {
     /// Tries of callers.
     pub tries: Vec<Try>,
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -516,6 +516,43 @@
     ]);
 }
 
+#[gtest]
+fn check_serves_allows_only_what_concerns_the_host() {
+    let refused = |all: u64, kind| {
+        let tries = (0..all).map(|i| attempt(&format!("r{i}.0"), 20_000, TryEnd::Status(503)));
+        disturbed(journal(tries.collect(), vec![]), kind, 19_000, 20_000)
+    };
+    let mut one_served = refused(8, DisturbanceKind::Host(1));
+    one_served.tries[0].end = TryEnd::Status(200);
+    run_cases(vec![
+        (
+            "another host was lost",
+            Check::Serves,
+            true,
+            refused(8, DisturbanceKind::Host(1)),
+        ),
+        (
+            "few tries",
+            Check::Serves,
+            false,
+            refused(7, DisturbanceKind::Host(1)),
+        ),
+        ("one try was served", Check::Serves, false, one_served),
+        (
+            "the host was stopped",
+            Check::Serves,
+            false,
+            refused(8, DisturbanceKind::Host(0)),
+        ),
+        (
+            "the store was away",
+            Check::Serves,
+            false,
+            refused(8, DisturbanceKind::Store),
+        ),
+    ]);
+}
+
 /// Guards against a display name that differs from the rule's name.
 #[test]
 fn check_names_are_those_of_the_rules() {
