--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -441,7 +441,7 @@
 /// LOST: a request is still in progress at an endpoint that stops because the fleet reported
 /// that its rollout is done; or a try at a host ends without a whole response while the host
 /// stops gracefully. Stops beside other disturbances are left out, as the rule is about
-/// planned work.
+/// planned work, and so are tries through a proxy, which may not have reached the host.
 pub fn check_lost(journal: &Journal) -> Vec<Finding> {
     const BEFORE_MS: u64 = 5_000;
     let at_endpoints = journal.arrivals.iter().filter(|a| a.was_stopped).map(|a| {
@@ -464,7 +464,9 @@
     let stops = journal.stops.iter().filter(is_alone);
     let at_hosts = stops.flat_map(|stop| {
         let ended = journal.tries.iter().filter(|attempt| {
-            attempt.host == stop.host && (stop.from_ms..=stop.to_ms).contains(&attempt.ended_ms)
+            attempt.is_direct
+                && attempt.host == stop.host
+                && (stop.from_ms..=stop.to_ms).contains(&attempt.ended_ms)
         });
         let lost = ended.filter(|attempt| match attempt.end {
             TryEnd::Lost => true,
--- a/crates/soak/src/journal.rs
+++ b/crates/soak/src/journal.rs
@@ -37,6 +37,9 @@
     pub route: Arc<str>,
     /// Host that it was sent to.
     pub host: usize,
+    /// Whether no proxy was on the way. A proxy accepts a connection that its server refuses, so
+    /// that the caller can't tell whether its request was sent.
+    pub is_direct: bool,
     /// When it was sent.
     pub sent_ms: u64,
     /// When it ended.
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -30,6 +30,7 @@
         may_repeat: false,
         route: "pay".into(),
         host: 0,
+        is_direct: true,
         sent_ms,
         ended_ms: sent_ms + 20,
         end,
