--- a/crates/gateway/src/peers/pull.rs
+++ b/crates/gateway/src/peers/pull.rs
@@ -300,8 +300,10 @@
         .ok()
 }
 
-/// Requests supplementary state first, so that a received list is complete. An older build
-/// closes the connection on that call and is asked for the rest alone.
+/// Requests supplementary state first, so that a received list is complete, and once more if
+/// the other host got its list in between: without builds, the endpoints of the store's list
+/// would count as a new build. An older build closes the connection on that call and is asked
+/// for the rest alone.
 async fn request_missing(
     address: SocketAddr,
     known: KnownVersions,
@@ -314,6 +316,13 @@
             .missing(tarpc::context::current(), known)
             .await
             .ok()?;
+        let lacks_builds = { missing.endpoints.as_ref() }
+            .is_some_and(|update| lacks_builds(update, &besides.builds));
+        let besides = if lacks_builds {
+            client.besides(tarpc::context::current()).await.ok()?
+        } else {
+            besides
+        };
         // Connection limits belong to the rules. An older build closes the connection.
         let wants_learned = !has_learned || missing.rules.is_some();
         let learned = if wants_learned && missing.busy.is_none() {
@@ -383,6 +392,24 @@
     missing.busy
 }
 
+/// Whether an update lists an endpoint whose build is not known.
+fn lacks_builds(update: &EndpointUpdate, builds: &KnownBuilds) -> bool {
+    let is_known = |listed: &ListedEndpoint| {
+        let start = listed.endpoint.start_hash().short();
+        let mut others = builds.others.iter();
+        let mut usual = builds.usual.iter();
+        usual.any(|(pool, _)| *pool == listed.endpoint.pool)
+            || others.any(|(other, _)| *other == start)
+    };
+    match update {
+        EndpointUpdate::Entire { endpoints, .. } => !endpoints.iter().all(is_known),
+        EndpointUpdate::Changes(rows) => rows.iter().any(|row| match &row.change {
+            EndpointChange::Listed(listed) => !is_known(listed),
+            EndpointChange::Gone(_) | EndpointChange::Unreadable(_) => false,
+        }),
+    }
+}
+
 fn with_builds(mut update: EndpointUpdate, builds: &KnownBuilds) -> EndpointUpdate {
     let others: HashMap<u32, &BuildVersion> = builds
         .others
