--- a/crates/routing/src/rollout/stage.rs
+++ b/crates/routing/src/rollout/stage.rs
@@ -201,8 +201,10 @@
     let log_odds = view.assessment.log_odds;
     let is_clear =
         log_odds < DONE_LOG_ODDS || (is_past(view, GRACE_FACTOR) && log_odds < MOVE_LOG_ODDS);
-    // Old endpoints that drain accept nothing, and still run requests.
-    if (has_left && is_clear) || (view.old_slots == 0 && is_idle) {
+    // Old endpoints that drain accept nothing, and still run requests. One that was sent just
+    // before appears as late as after a move.
+    let have_drained = view.old_slots == 0 && view.old_idle_ms >= MIN_MOVED_MS;
+    if (has_left && is_clear) || have_drained {
         return StageTransition::new(RolloutStage::Done, RolloutReason::Moved);
     }
     let is_undecided = has_left && !is_clear && is_past(view, UNDECIDED_FACTOR);
