--- a/crates/routing/src/rollout/stage.rs
+++ b/crates/routing/src/rollout/stage.rs
@@ -115,8 +115,8 @@
 /// back. At the deadline itself, 1 in 25 good builds of a pool whose requests often fail
 /// has unclear evidence; to wait costs no more than to roll back.
 const UNDECIDED_FACTOR: f64 = 2.5;
-/// Time from the last move, longer than the delay of hosts' reports, in which a request
-/// sent just before it appears.
+/// Time from the last move, longer than the delay of hosts' reports of up to 0.4 s, in which
+/// a request sent just before it appears.
 pub(super) const MIN_MOVED_MS: u64 = 800;
 /// Time in which no host reports a request at the old endpoints.
 const MIN_IDLE_MS: u64 = 200;
