--- a/crates/gateway/src/work/mod.rs
+++ b/crates/gateway/src/work/mod.rs
@@ -123,7 +123,7 @@
             draw: view.draw,
         };
         let chosen = if view.is_overrun {
-            choose_in_overrun(placed, candidates, &estimates, &request)
+            choose_in_overrun(placed, candidates, &estimates, &request, view.spread)
         } else {
             choose_by_work(placed, candidates, &estimates, &request, view.spread)
         };
--- a/crates/routing/src/backlog/placement.rs
+++ b/crates/routing/src/backlog/placement.rs
@@ -2,7 +2,7 @@
 
 use chalkrock_core::rendezvous::{KeyHash, MemberHash, score};
 
-use crate::spread::{Candidate, Placement};
+use crate::spread::{Candidate, Placement, SpreadRules, limit};
 use crate::work::{WorkBasis, WorkEstimate, WorkPlacement, WorkRequest};
 
 /// Use of an endpoint's slots against the pool's mean up to which it takes all requests that
@@ -29,22 +29,31 @@
 /// Endpoints are asked in the order of their rank for the prefix, those that hold it before
 /// others. Each takes a request with a probability that falls with its load. A prefix moves only
 /// if no holder takes the request, and none serves it in time or the other endpoint has clearly
-/// less load, from which this request and those that follow gain more than the move costs. All hosts see the same loads some hundred
-/// milliseconds late: with a threshold, they would leave an endpoint together and meet at the
-/// next one. Slowness counts in the estimates alone, since in an overrun it shows what others
-/// read at the moment.
+/// less load, from which this request and those that follow gain more than the move costs.
+///
+/// All hosts see the same loads some hundred milliseconds late: with a threshold, they would
+/// leave an endpoint together and meet at the next one. Slowness counts in the estimates alone,
+/// since in an overrun it shows what others read at the moment. The load limit holds here too,
+/// and a home that is spread over others keeps its part only.
 pub fn choose_in_overrun(
     placed: Placement,
     candidates: &[Candidate],
     estimates: &[WorkEstimate],
     request: &WorkRequest,
+    rules: &SpreadRules,
 ) -> Option<WorkPlacement> {
     let key = request.key.unwrap_or(KeyHash(request.draw));
     let count = candidates.len().min(estimates.len());
     let rank = |i: usize| score(key, candidates[i].hash, 1.0);
-    let mut order: Vec<usize> = (0..count)
-        .filter(|&i| !candidates[i].is_closed && !candidates[i].is_suspect)
-        .collect();
+    let draw = |i: usize| unit(request.draw, candidates[i].hash);
+    let load_limit = limit(candidates, rules);
+    let is_eligible = |&i: &usize| {
+        let candidate = &candidates[i];
+        let is_under_limit = f64::from(candidate.load) + 1.0 <= load_limit;
+        let is_kept = draw(i) < candidate.home_spread.kept_ratio;
+        !candidate.is_closed && !candidate.is_suspect && is_under_limit && is_kept
+    };
+    let mut order: Vec<usize> = (0..count).filter(is_eligible).collect();
     order.sort_by(|&a, &b| {
         let by_holding = candidates[b].holds_prefix.cmp(&candidates[a].holds_prefix);
         by_holding.then_with(|| rank(b).total_cmp(&rank(a)))
@@ -53,7 +62,6 @@
     let mean_use = uses.sum::<f64>() / order.len().max(1) as f64;
     let in_time_ms = IN_TIME_RATIO * request.objective_ms as f64;
     let is_in_time = |i: usize| estimates[i].expected_ttft_ms <= in_time_ms;
-    let draw = |i: usize| unit(request.draw, candidates[i].hash);
     let holders = order
         .iter()
         .copied()
--- a/crates/routing/tests/backlog.rs
+++ b/crates/routing/tests/backlog.rs
@@ -248,7 +248,7 @@
             rank: 0,
             draw,
         };
-        let chosen = choose_in_overrun(placed, &candidates, &estimates, &request);
+        let chosen = choose_in_overrun(placed, &candidates, &estimates, &request, &rules);
         counts[chosen.map_or(placed.index, |chosen| chosen.index)] += 1;
     }
     counts
@@ -264,6 +264,17 @@
     }
 }
 
+/// Operators bound the load of an endpoint against the mean of its pool, also in an overrun.
+#[test]
+fn choose_in_overrun_keeps_the_load_limit() {
+    let mut loads = [10; 10];
+    loads[0] = 60;
+    assert_that!(place_all(loads, [100.0; 10])[0], eq(0));
+    let mut expected_ms = [2_000.0; 10];
+    expected_ms[0] = 1_000.0;
+    assert_that!(place_all(loads, expected_ms)[0], eq(0));
+}
+
 /// Hosts that all leave a holder, or all go to the soonest endpoint, overrun the next one.
 #[test]
 fn choose_in_overrun_leaves_a_busy_holder_by_degrees() {
--- a/crates/routing/tests/backlog_load.rs
+++ b/crates/routing/tests/backlog_load.rs
@@ -720,7 +720,7 @@
             self.is_by_work && matches!(self.setup.method, Method::Work | Method::Held);
         let chosen = estimates.as_ref().and_then(|estimates| {
             if is_by_work {
-                choose_in_overrun(placed, &candidates, estimates, &asked)
+                choose_in_overrun(placed, &candidates, estimates, &asked, &RULES)
             } else {
                 choose_by_work(placed, &candidates, estimates, &asked, &RULES)
             }
