--- a/crates/routing/src/backlog/overrun.rs
+++ b/crates/routing/src/backlog/overrun.rs
@@ -4,11 +4,10 @@
 
 use crate::admission::PoolOccupancy;
 
-/// Use of the slots from which on a pool is overrun.
+/// Use of the slots from which on a pool is overrun. Full endpoints alone are no sign of it: a
+/// hot prefix or a slow zone fills some while the others have room, and requests are better
+/// placed there by counts.
 const OVERRUN_UTILISATION: f64 = 0.9;
-/// Part of the endpoints without a free slot from which on it is. Requests queue there already
-/// while the mean use is still low.
-const OVERRUN_FULL_RATIO: f64 = 0.1;
 /// Use of the slots below which it is not.
 const CALM_UTILISATION: f64 = 0.7;
 /// Time for which a pool stays overrun after its last sign of it. Covers the age of load
@@ -130,9 +129,7 @@
         } else {
             OVERRUN_UTILISATION
         };
-        let full = f64::from(backlog.full_endpoints);
-        let has_full = full > 0.0 && full >= OVERRUN_FULL_RATIO * f64::from(backlog.endpoints);
-        if has_full || backlog.utilisation() >= threshold {
+        if backlog.utilisation() >= threshold {
             self.until_ms = now_ms + CALM_DELAY_MS;
         }
         self.is_overrun(now_ms)
