--- a/crates/gateway/src/peers/rollouts.rs
+++ b/crates/gateway/src/peers/rollouts.rs
@@ -123,7 +123,7 @@
 }
 
 impl PeerTable {
-    /// The other hosts that were ever heard, except long ago, and when.
+    /// The other hosts that ever reported, except long ago, and when they last did.
     pub(crate) fn heard_hosts(&self) -> Vec<(SocketAddr, HeardHost)> {
         let now = Instant::now();
         let peers = self.peers();
--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -182,7 +182,7 @@
     started_at: Instant,
     /// The transition to write for each pool, and since when it is due.
     due_since: HashMap<PoolId, (StageTransition, Instant)>,
-    /// When other hosts were last heard, and whether they report to this one.
+    /// When other hosts last reported, and whether they report to this one directly.
     heard: HashMap<SocketAddr, (Instant, bool)>,
     /// Pools whose rollout waits, and whether for requests that are known.
     logged_waits: HashSet<(PoolId, bool)>,
@@ -197,7 +197,7 @@
         }
     }
 
-    /// Updates when other hosts were heard, and whether this host gets news of rollouts.
+    /// Updates when other hosts last reported, and whether this host receives rollout updates.
     fn update_contact(&mut self) {
         let has_running = self.shared.fleet().rollouts.counts_answers();
         if !has_running {
@@ -219,7 +219,7 @@
         let now_ms = self.shared.clock.now_ms();
         let heard_hosts = 1 + self.shared.fleet().load.recent_host_count(now_ms);
         let known_hosts = 1 + self.heard.len();
-        // The writer of a record hears at least half of the hosts.
+        // The writer of a record receives reports of at least half of the hosts.
         let is_minority = heard_hosts as f64 <= MIN_KNOWN_HOST_RATIO * known_hosts as f64;
         self.set_cut_off(!has_store_news && is_minority, heard_hosts);
     }
--- a/crates/gateway/src/work/backlog.rs
+++ b/crates/gateway/src/work/backlog.rs
@@ -41,8 +41,8 @@
         state.is_some_and(|state| state.overrun.is_overrun(now_ms))
     }
 
-    /// Takes the present backlog of a pool into account and fills in its trend. Returns whether the pool is overrun,
-    /// and whether that changed.
+    /// Takes the present backlog of a pool into account and fills in its trend. Returns whether
+    /// the pool is overrun, and whether that changed.
     pub(crate) fn update(
         &mut self,
         pool: &PoolId,
--- a/crates/routing/src/backlog/decision.rs
+++ b/crates/routing/src/backlog/decision.rs
@@ -53,7 +53,7 @@
         /// Time until which it can be held.
         max_ms: u64,
     },
-    /// It is rejected, and told when to return by [`return_ms`].
+    /// It is rejected, with the time to return that [`return_ms`] gives.
     Reject,
 }
 
--- a/crates/routing/src/pool_queue/scheduler/mod.rs
+++ b/crates/routing/src/pool_queue/scheduler/mod.rs
@@ -59,9 +59,9 @@
 
 /// Grants the slots of one pool to the waiting requests of all hosts.
 ///
-/// Each [`SlotAsk`](super::SlotAsk) replaces what is known of its host, so that lost, late and repeated
-/// messages do no harm. A lease exists from its grant until an ask of its host no longer
-/// lists it, or until the host is silent for [`LEASE_MS`].
+/// Each [`SlotAsk`](super::SlotAsk) replaces what is known of its host, so that lost, late and
+/// repeated messages do no harm. A lease exists from its grant until an ask of its host does
+/// not list it, or until the host is silent for [`LEASE_MS`].
 ///
 /// # Example
 ///
--- a/crates/routing/src/readers.rs
+++ b/crates/routing/src/readers.rs
@@ -73,7 +73,7 @@
 /// datagram of a standby relay late.
 const STALE_LISTING_MS: u64 = HOST_TIMEOUT_MS + 1_000;
 
-/// Times since a host was last heard of; `None` if never.
+/// Times since the last report of or about a host; `None` if there was none.
 ///
 /// # Example
 ///
--- a/crates/routing/src/rollout/quiescence.rs
+++ b/crates/routing/src/rollout/quiescence.rs
@@ -1,7 +1,7 @@
 //! Decides whether old endpoints may stop, after all traffic has moved.
 //!
 //! Hosts report their requests at each endpoint, and the old endpoints may be idle by these
-//! reports while a host that is cut off still sends to them. Each host that was heard lately
+//! reports while a host that is cut off still sends to them. Each host that reported lately
 //! therefore has to confirm that it knows of the move, or must have ended its requests by
 //! the plan in the record.
 
@@ -21,7 +21,7 @@
 /// Age of the order by which hosts in touch know the first record and its plan.
 const PLAN_KNOWN_MS: u64 = 1_000;
 
-/// When another host was last heard.
+/// When another host last reported.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct HeardHost {
     /// Time since the last message from it or report about it, in milliseconds.
@@ -40,13 +40,13 @@
     /// Age of the order from which hosts without news send nothing to the old builds, in
     /// milliseconds.
     pub planned_ms: u64,
-    /// Time after which a host that hears nothing knows that it is cut off, in milliseconds.
+    /// Time without reports after which a host counts as cut off, in milliseconds.
     pub cut_off_delay_ms: u64,
     /// Maximum time that a request of the pool may run, in milliseconds.
     pub max_request_ms: u64,
     /// Other hosts whose requests are included in the fleet's load.
     pub counted_hosts: usize,
-    /// The other hosts that were heard at any time, except long ago.
+    /// The other hosts that ever reported, except long ago.
     pub hosts: &'a [HeardHost],
 }
 
--- a/crates/routing/src/rollout/runs.rs
+++ b/crates/routing/src/rollout/runs.rs
@@ -381,7 +381,8 @@
 
     /// Replaces the known record by the stored one after a conditional write failed,
     /// even if that has a lower version. A missing or invalid record (`None`), or an earlier
-    /// one of a restored store, changes only the version to name next. Returns whether the current rollout changes.
+    /// one of a restored store, changes only the version to name next. Returns whether the
+    /// current rollout changes.
     pub fn record_stored(
         &mut self,
         pool: &PoolId,
--- a/crates/routing/src/rollout/schedule.rs
+++ b/crates/routing/src/rollout/schedule.rs
@@ -6,7 +6,7 @@
 //! left of the limit. If that is later than the requests at the old endpoints need to
 //! leave them before the deadline, the rollout is done after it.
 //!
-//! Use it to decide when a sound build takes all traffic, and to tell hosts in advance.
+//! Use it to decide when a sound build takes all traffic, and to announce it in advance.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
