--- a/crates/gateway/src/caller_stream.rs
+++ b/crates/gateway/src/caller_stream.rs
@@ -35,6 +35,11 @@
         self.head_timed_out.load(Ordering::Relaxed)
     }
 
+    /// Whether any request head was received.
+    pub(crate) fn has_received_head(&self) -> bool {
+        self.received_heads.load(Ordering::Relaxed) > 0
+    }
+
     /// Records a received head. Its response is due until the guard is dropped.
     pub(crate) fn begin_serving(self: &Arc<Self>) -> ServingGuard {
         self.received_heads.fetch_add(1, Ordering::Relaxed);
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -30,6 +30,9 @@
 
 /// Delay before the next attempt when the system fails to accept a connection.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// How long a stopping host waits for the first request of a new connection before it closes
+/// it: round trips to callers take a few milliseconds.
+const FIRST_REQUEST_WAIT: Duration = Duration::from_millis(300);
 /// Maximum number of header lines in a request head.
 const MAX_HEADERS: usize = 64;
 
@@ -80,10 +83,15 @@
             .max_headers(MAX_HEADERS)
             .serve_connection(TokioIo::new(stream), service)
     );
-    let is_closed = tokio::select! {
+    let mut is_closed = tokio::select! {
         _callers_may_disconnect = connection.as_mut() => true,
         () = shared.wait_for_stop_phase(DrainPhase::Draining) => false,
     };
+    if !is_closed && !state.has_received_head() {
+        // The first request of a new connection is on its way, and gets a refusal.
+        let closing = tokio::time::timeout(FIRST_REQUEST_WAIT, connection.as_mut());
+        is_closed = closing.await.is_ok();
+    }
     if !is_closed {
         connection.as_mut().graceful_shutdown();
         let _callers_may_disconnect = connection.await;
