--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -327,7 +327,7 @@
         slots: u32,
         hosts: usize,
     },
-    /// A pool of engines is seen as overrun, or no longer.
+    /// A pool of engines became overrun, or its overrun ended.
     PoolOverrun {
         pool: &'a PoolId,
         is_overrun: bool,
--- a/crates/gateway/tests/gateway/support/source.rs
+++ b/crates/gateway/tests/gateway/support/source.rs
@@ -21,7 +21,7 @@
     is_unavailable: bool,
     /// Whether writes of rollout records take effect without a response.
     loses_responses: bool,
-    /// Versions up to which changes are no longer known.
+    /// Versions up to which the history of changes is dropped.
     dropped_until: u64,
     is_silent: bool,
     /// Delay of each answer.
--- a/crates/routing/src/rollout/schedule.rs
+++ b/crates/routing/src/rollout/schedule.rs
@@ -14,7 +14,7 @@
 use crate::rollout::exposure::canary_share;
 use crate::rollout::stage::{MIN_MOVED_MS, RolloutView};
 
-/// Time in which a request that left an old endpoint is no longer reported there.
+/// Time after which hosts' reports omit a request that left an old endpoint.
 const REPORT_MS: f64 = 600.0;
 /// Time for a decision and its write.
 const WRITE_MS: f64 = 250.0;
