Compare no event intervals and first events that are shorter than wake-ups

Callers saw: a returning chat leaves the endpoint that holds its prefix, which another endpoint then reads again, when the host's processor is busy.

Cause: an endpoint's slowness is the ratio of an observed to a usual time. The events of a short answer arrive together, and the interval between them shows when the host woke up; intervals had no lower bound. Times to the first event had one, but on the expected time, not on the expected time multiplied by the usual ratio, which is what they are compared with. Two such samples within 0.6 s make an endpoint slow.

Why the fix works: both times of a comparison are at least as long as what a wake-up can explain, so that shorter ones count as equal, and longer ones as before.

--- a/crates/routing/src/work/pool_model.rs
+++ b/crates/routing/src/work/pool_model.rs
@@ -22,8 +22,10 @@
 const MAX_MERGED_US: u32 = 10_000_000;
 const MS_PER_S: f64 = 1_000.0;
 const US_PER_MS: f64 = 1_000.0;
-/// Shorter expected times differ too much by chance to compare endpoints.
+/// Shorter times to the first event differ too much by chance to compare endpoints.
 const MIN_COMPARED_MS: f64 = 20.0;
+/// Shorter intervals between events show when this host woke up, not the endpoint's pace.
+const MIN_COMPARED_INTERVAL_MS: f64 = 5.0;
 
 /// What an endpoint has to do before it sends the first event of a request.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -84,8 +86,9 @@
         let expected_ms = expected_ms.filter(|expected_ms| *expected_ms >= MIN_COMPARED_MS)?;
         let ratio = observed_ms / expected_ms;
         self.first_event_ratio.record(ratio);
-        let usual_ratio = self.first_event_ratio.get(MIN_VALUES)?;
-        Some(permille(ratio / usual_ratio))
+        // The usual time is short too while most prompts take much less than expected.
+        let usual_ms = self.first_event_ratio.get(MIN_VALUES)? * expected_ms;
+        Some(slowness_permille(observed_ms, usual_ms, MIN_COMPARED_MS))
     }
 
     /// Records the mean time between events of a stream. Returns the slowness that it
@@ -93,7 +96,8 @@
     pub fn record_event_interval(&mut self, interval_ms: f64) -> Option<u16> {
         self.event_interval_ms.record(interval_ms);
         let usual_ms = self.event_interval_ms.get(MIN_VALUES)?;
-        Some(permille(interval_ms / usual_ms))
+        let min_ms = MIN_COMPARED_INTERVAL_MS;
+        Some(slowness_permille(interval_ms, usual_ms, min_ms))
     }
 
     /// The usual times of this host, under the short hash of the pool's name; `None` until
@@ -130,8 +134,10 @@
     }
 }
 
-/// A ratio in thousandths; the cast saturates.
-fn permille(ratio: f64) -> u16 {
+/// A time relative to the usual one, in thousandths; the cast saturates. Times below
+/// `min_ms` count as equal.
+fn slowness_permille(observed_ms: f64, usual_ms: f64, min_ms: f64) -> u16 {
     const PERMILLE: f64 = 1_000.0;
+    let ratio = observed_ms.max(min_ms) / usual_ms.max(min_ms);
     (ratio * PERMILLE).round() as u16
 }
--- a/crates/routing/tests/work.rs
+++ b/crates/routing/tests/work.rs
@@ -139,6 +139,38 @@
     assert_that!(model.expected_ms(&read_of(1)), some(anything()));
 }
 
+// Guards against requests that leave their home because this host woke up late between two
+// events that arrived together.
+#[test]
+fn pool_model_compares_no_intervals_shorter_than_wake_ups() {
+    let mut model = PoolModel::default();
+    for _ in 0..5 {
+        model.record_event_interval(0.04);
+    }
+    for (interval_ms, permille) in [(0.04, 1_000), (0.6, 1_000), (4.0, 1_000), (40.0, 8_000)] {
+        let slowness = model.record_event_interval(interval_ms);
+        assert_that!(slowness, some(eq(permille)), "{interval_ms} ms");
+    }
+}
+
+// Guards against an endpoint that counts as slow for a few milliseconds, since the prompts
+// before took far less than expected.
+#[test]
+fn pool_model_compares_no_first_events_shorter_than_chance() {
+    let (long, medium) = (read_of(6_000), read_of(1_000));
+    let mut model = PoolModel::default();
+    for _ in 0..5 {
+        model.record_first_event(&long, 300.0);
+    }
+    for _ in 0..9 {
+        model.record_first_event(&medium, 1.0);
+    }
+    for (observed_ms, permille) in [(1.0, 1_000), (20.0, 1_000), (80.0, 4_000)] {
+        let slowness = model.record_first_event(&medium, observed_ms);
+        assert_that!(slowness, some(eq(permille)), "{observed_ms} ms");
+    }
+}
+
 #[test]
 fn pool_model_is_not_moved_by_odd_answers() {
     let mut model = PoolModel::default();
