Refer hosts to those whose transfers have ended

Callers saw: a host that starts beside many others is ready later, and the link of the host that serves them carries the list once more than allowed.

Cause: a busy host names recent recipients, and a host counted as one from the start of its transfer.

Evidence: a pull that brings a whole list leaves a line now.

Why the fix works: those whose transfers have ended are named alone. While there are none, those in progress are named as before, so that the others do not query the busy host more often than before.

Ruled out: a second transfer to the same host while the first still runs.

--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -123,6 +123,8 @@
 pub(crate) enum PullOutcome {
     /// Rules were received.
     Rules,
+    /// A whole list of endpoints was received.
+    Endpoints,
     /// The host serves too many other pulls.
     Busy,
     /// The connection was refused or closed early.
@@ -219,7 +221,7 @@
         endpoints: &'a [&'a EndpointId],
         longest_ms: u64,
     },
-    /// A pull of missing state from another host failed or returned rules.
+    /// A pull of missing state from another host failed, or returned rules or a whole list.
     Pull {
         from: SocketAddr,
         outcome: PullOutcome,
--- a/crates/gateway/src/peers/pull.rs
+++ b/crates/gateway/src/peers/pull.rs
@@ -259,10 +259,12 @@
     let (outcome, pulled) = match while_arriving(response, || count.read_bytes(), idle_limits).await
     {
         Some(Some(pulled)) => {
-            let outcome = match (&pulled.missing.busy, &pulled.missing.rules) {
-                (Some(_), _) => Some(PullOutcome::Busy),
-                (None, Some(_)) => Some(PullOutcome::Rules),
-                (None, None) => None,
+            let missing = &pulled.missing;
+            let outcome = match (&missing.busy, &missing.rules, &missing.endpoints) {
+                (Some(_), ..) => Some(PullOutcome::Busy),
+                (None, Some(_), _) => Some(PullOutcome::Rules),
+                (None, None, Some(EndpointUpdate::Entire { .. })) => Some(PullOutcome::Endpoints),
+                (None, None, _) => None,
             };
             (outcome, Some(pulled))
         }
--- a/crates/gateway/src/peers/serve.rs
+++ b/crates/gateway/src/peers/serve.rs
@@ -9,7 +9,6 @@
 use futures::{Stream, StreamExt};
 use tarpc::server::{BaseChannel, Channel};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::OwnedSemaphorePermit;
 
 use crate::active_rules::RulesUpdate;
 use crate::arrival::{IdleLimits, while_arriving};
@@ -21,7 +20,7 @@
     BusyResponse, EndpointUpdate, KnownVersions, MissingState, PeerApi, SupplementaryState,
 };
 use crate::peers::rollouts::rollout_update;
-use crate::peers::uploads::Uploads;
+use crate::peers::uploads::{Upload, Uploads};
 use crate::shared::Shared;
 
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(500);
@@ -82,8 +81,8 @@
     shared: Arc<Shared>,
     peers: Arc<PeerTable>,
     uploads: Arc<Uploads>,
-    /// Transfer slot of a large response, held until the connection ends.
-    upload: Arc<Mutex<Option<OwnedSemaphorePermit>>>,
+    /// The transfer of a large response, until the connection ends.
+    upload: Arc<Mutex<Option<Upload>>>,
 }
 
 impl PeerApi for PeerServer {
@@ -139,7 +138,7 @@
             return missing;
         }
         let version = self.shared.rules.version();
-        let Some(permit) = self
+        let Some(begun) = self
             .uploads
             .begin(version, to, (rules + endpoints) * ENTRY_BYTES)
         else {
@@ -158,7 +157,7 @@
             };
         };
         let mut upload = self.upload.lock().unwrap_or_else(PoisonError::into_inner);
-        *upload = Some(permit);
+        *upload = Some(begun);
         missing
     }
 }
--- a/crates/gateway/src/peers/uploads.rs
+++ b/crates/gateway/src/peers/uploads.rs
@@ -5,7 +5,7 @@
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use chalkrock_routing::{LinkBudget, RulesVersion};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
@@ -21,8 +21,44 @@
     /// `None` if the link is unknown.
     link: Option<Mutex<LinkBudget>>,
     started_at: Instant,
-    /// Recent recipients and the rules version of their transfer, oldest first.
-    recent: Mutex<VecDeque<(RulesVersion, SocketAddr)>>,
+    recipients: Recipients,
+}
+
+/// Recent recipients, oldest first.
+type Recipients = Arc<Mutex<VecDeque<Recipient>>>;
+
+#[derive(Debug)]
+struct Recipient {
+    address: SocketAddr,
+    /// The rules version of its transfer.
+    version: RulesVersion,
+    /// Whether its transfer has ended, so that it can serve others.
+    has_ended: bool,
+}
+
+fn lock(recipients: &Recipients) -> MutexGuard<'_, VecDeque<Recipient>> {
+    recipients.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// A transfer to another host, which ends when this is dropped.
+#[derive(Debug)]
+pub(crate) struct Upload {
+    _permit: OwnedSemaphorePermit,
+    recipients: Recipients,
+    version: RulesVersion,
+    to: SocketAddr,
+}
+
+impl Drop for Upload {
+    fn drop(&mut self) {
+        let mut recipients = lock(&self.recipients);
+        let this = recipients
+            .iter_mut()
+            .find(|known| (known.version, known.address) == (self.version, self.to));
+        if let Some(this) = this {
+            this.has_ended = true;
+        }
+    }
 }
 
 impl Uploads {
@@ -32,18 +68,18 @@
             link: link_mbps.map(|mbps| Mutex::new(LinkBudget::new(mbps))),
             started_at: Instant::now(),
             permits: Arc::new(Semaphore::new(max_concurrent)),
-            recent: Mutex::default(),
+            recipients: Recipients::default(),
         }
     }
 
     /// Begins a transfer of about so many bytes at a rules version, if a slot and part of
-    /// the link are free. It ends when the permit is dropped.
+    /// the link are free.
     pub(crate) fn begin(
         &self,
         version: RulesVersion,
         to: SocketAddr,
         bytes: usize,
-    ) -> Option<OwnedSemaphorePermit> {
+    ) -> Option<Upload> {
         let permit = self.permits.clone().try_acquire_owned().ok()?;
         if let Some(link) = &self.link {
             let mut link = link.lock().unwrap_or_else(PoisonError::into_inner);
@@ -52,20 +88,33 @@
                 return None;
             }
         }
-        let mut recent = self.recent.lock().unwrap_or_else(PoisonError::into_inner);
-        recent.push_back((version, to));
-        if recent.len() > MAX_RECENT {
-            recent.pop_front();
+        let mut recipients = lock(&self.recipients);
+        recipients.retain(|known| (known.version, known.address) != (version, to));
+        recipients.push_back(Recipient {
+            address: to,
+            version,
+            has_ended: false,
+        });
+        if recipients.len() > MAX_RECENT {
+            recipients.pop_front();
         }
-        Some(permit)
+        drop(recipients);
+        Some(Upload {
+            _permit: permit,
+            recipients: self.recipients.clone(),
+            version,
+            to,
+        })
     }
 
-    /// Recent recipients of a rules version.
+    /// Recent recipients of a rules version that can serve others. One whose transfer is in
+    /// progress has nothing yet: a host that is referred to it returns when a slot is free
+    /// here, and this link carries one transfer more. They are named while there are no others.
     pub(crate) fn recipients(&self, version: RulesVersion) -> Vec<SocketAddr> {
-        let recent = self.recent.lock().unwrap_or_else(PoisonError::into_inner);
-        let of_version = recent
-            .iter()
-            .filter(|(transferred, _)| *transferred == version);
-        of_version.map(|(_, address)| *address).collect()
+        let recipients = lock(&self.recipients);
+        let of_version = || recipients.iter().filter(|known| known.version == version);
+        let any_ended = of_version().any(|known| known.has_ended);
+        let named = of_version().filter(|known| known.has_ended || !any_ended);
+        named.map(|known| known.address).collect()
     }
 }
