Count only the time in which a host runs in timeouts for others

Callers saw: hosts that start together all read the store, which answers them and everybody else later; a host that stalled gives up transfers that have arrived.

Cause: after a stall, a timer is due and the awaited answer is unread at the same moment. Reading the answer takes several tasks, so the timer wins. It concerned the wait for seeds at the start (60 ms) and the limits on a pull's or store call's time without bytes (200 ms and more).

Why the fix works: the timeouts are slept in eight parts, and the time by which a part is late does not count. What arrived is read between two parts. On an idle host they last as long as before.

--- a/crates/gateway/src/arrival.rs
+++ b/crates/gateway/src/arrival.rs
@@ -7,6 +7,8 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
+use crate::clock::sleep_running;
+
 /// Counts the bytes of responses received so far, including partial ones.
 #[derive(Debug, Default)]
 pub struct ReceivedBytes(AtomicU64);
@@ -23,7 +25,7 @@
     }
 }
 
-/// Limits on the time without received bytes.
+/// Limits on the time without received bytes, in which this host runs.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct IdleLimits {
     /// Limit until the first byte.
@@ -45,7 +47,7 @@
     loop {
         tokio::select! {
             response = &mut response => return Some(response),
-            () = tokio::time::sleep(timeout) => {}
+            () = sleep_running(timeout) => {}
         }
         let current_bytes = bytes();
         if current_bytes == previous_bytes {
--- a/crates/gateway/src/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -41,6 +41,15 @@
     }
 }
 
+/// Sleeps until this host has run for a while. The time by which a timer fires late does not
+/// count: after a stall all timers are due at once, and what arrived meanwhile is still unread.
+pub(crate) async fn sleep_running(duration: Duration) {
+    const SLICES: u32 = 8;
+    for _ in 0..SLICES {
+        tokio::time::sleep(duration / SLICES).await;
+    }
+}
+
 /// Milliseconds until an instant, 0 if it has passed.
 pub(crate) fn left_ms(until: Instant) -> u64 {
     until.saturating_duration_since(Instant::now()).as_millis() as u64
--- a/crates/gateway/src/follow/start.rs
+++ b/crates/gateway/src/follow/start.rs
@@ -5,7 +5,7 @@
 
 use rand::RngExt;
 
-use crate::clock::ms;
+use crate::clock::{ms, sleep_running};
 use crate::follow::Step;
 use crate::shared::Shared;
 
@@ -60,6 +60,8 @@
         tokio::time::sleep(ms(delay_ms)).await;
         return;
     }
-    let queried = shared.subscription.wait_until_seeds_queried();
-    let _reads_after_timeout = tokio::time::timeout(SEED_TIMEOUT, queried).await;
+    tokio::select! {
+        () = shared.subscription.wait_until_seeds_queried() => {}
+        () = sleep_running(SEED_TIMEOUT) => {}
+    }
 }
--- a/crates/gateway/tests/gateway/peers.rs
+++ b/crates/gateway/tests/gateway/peers.rs
@@ -52,6 +52,25 @@
     assert_that!(second.source.calls(), eq(0));
 }
 
+/// Guards against a host that reads the store though a seed has answered: after a stall the
+/// timeout of its query is due before it has read the answer.
+#[tokio::test]
+async fn peers_start_a_host_that_stalls_without_store_calls() {
+    const STALL: Duration = Duration::from_millis(300);
+    let source = TestSource::default();
+    source.set_rules(rules(1));
+    let first = TestGateway::start(source, "host-1", Vec::new()).await;
+    first.ready().await;
+    let source = TestSource::default();
+    source.set_rules(rules(1));
+    let second = TestGateway::start(source, "host-2", vec![first.peer_address()]).await;
+    // Its tasks begin to run, and then it stalls.
+    tokio::task::yield_now().await;
+    std::thread::sleep(STALL);
+    second.ready().await;
+    assert_that!(second.source.calls(), eq(0));
+}
+
 /// Hosts that start beside a running one must learn from it: only subscribers call the
 /// store.
 #[tokio::test]
