Bound the time for which failures hold a rollout

Callers saw nothing yet; found by reading the change that holds a rollout's end.

Cause: a build that fails rarely, but more often than the old one, is not bad by the odds. With a failure in each 0.4 s its rollout would be neither done nor rolled back.

Why the fix works: from 1.5 times the deadline on, where the evidence alone decides already, failures hold it no longer.

Measured: the new row of next_stage_follows_the_table expects `done`; it was not run against the code before.

--- a/crates/gateway/src/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -44,6 +44,7 @@
 /// Sleeps until this host has run for a while. The time by which a timer fires late does not
 /// count: after a stall all timers are due at once, and what arrived meanwhile is still unread.
 pub(crate) async fn sleep_running(duration: Duration) {
+    /// Other tasks run between two parts of the sleep.
     const SLICES: u32 = 8;
     for _ in 0..SLICES {
         tokio::time::sleep(duration / SLICES).await;
--- a/crates/routing/src/rollout/stage.rs
+++ b/crates/routing/src/rollout/stage.rs
@@ -112,7 +112,7 @@
 /// builds that fail on a route which often fails, 0.06 are done, and with -0.5 0.035.
 const DONE_LOG_ODDS: f64 = -0.5;
 /// Age relative to the deadline from which a pool that has moved is done unless the
-/// evidence is against the new build.
+/// evidence is against the new build, also if that has just failed.
 const GRACE_FACTOR: f64 = 1.5;
 /// Age relative to the deadline from which a rollout with unclear evidence is rolled
 /// back. At the deadline itself, 1 in 25 good builds of a pool whose requests often fail
@@ -230,7 +230,9 @@
     // Old endpoints that drain accept nothing, and still run requests. One that was sent just
     // before appears as late as after a move.
     let have_drained = view.old_slots == 0 && view.old_idle_ms >= MIN_MOVED_MS;
-    if (has_left && is_clear && !has_unexpected_failure(view)) || have_drained {
+    // A build that fails rarely, but more often than the old one, must not be held for ever.
+    let is_held = has_unexpected_failure(view) && !is_past(view, GRACE_FACTOR);
+    if (has_left && is_clear && !is_held) || have_drained {
         return StageTransition::new(RolloutStage::Done, RolloutReason::Moved);
     }
     let is_undecided = has_left && !is_clear && is_past(view, UNDECIDED_FACTOR);
--- a/crates/routing/tests/rollout.rs
+++ b/crates/routing/tests/rollout.rs
@@ -400,6 +400,17 @@
             },
             Some((Done, Reason::Moved)),
         ),
+        (
+            "moved, just failed, long after the deadline",
+            RolloutView {
+                moved_ms: 3_000,
+                old_idle_ms: 2_000,
+                age_ms: 3 * DEADLINE_MS / 2,
+                failed_ago_ms: Some(0),
+                ..moving()
+            },
+            Some((Done, Reason::Moved)),
+        ),
         (
             "moved, just failed like the old build",
             RolloutView {
@@ -624,8 +635,8 @@
     );
 }
 
-// Guards against `done` before the writer learns of failures, and against a flood of reports
-// of a build that fails often.
+/// Guards against `done` before the writer learns of failures, and against a flood of reports
+/// of a build that fails often.
 #[test]
 fn count_reports_failures_after_the_move_at_once() {
     use RolloutStage::{Canary, Moving};
@@ -659,6 +670,7 @@
     }
 }
 
+/// Guards against a rollout that is held for good by the failures of its canary.
 #[test]
 fn failed_ago_ms_is_the_time_since_failures_became_more() {
     let mut rollouts = ordered(Some(RolloutStage::Moving));
--- a/crates/routing/tests/work.rs
+++ b/crates/routing/tests/work.rs
@@ -139,8 +139,8 @@
     assert_that!(model.expected_ms(&read_of(1)), some(anything()));
 }
 
-// Guards against requests that leave their home because this host woke up late between two
-// events that arrived together.
+/// Guards against requests that leave their home because this host woke up late between two
+/// events that arrived together.
 #[test]
 fn pool_model_compares_no_intervals_shorter_than_wake_ups() {
     let mut model = PoolModel::default();
@@ -153,8 +153,8 @@
     }
 }
 
-// Guards against an endpoint that counts as slow for a few milliseconds, since the prompts
-// before took far less than expected.
+/// Guards against an endpoint that counts as slow for a few milliseconds, since the prompts
+/// before took far less than expected.
 #[test]
 fn pool_model_compares_no_first_events_shorter_than_chance() {
     let (long, medium) = (read_of(6_000), read_of(1_000));
