--- a/crates/gateway/tests/gateway/large_rules.rs
+++ b/crates/gateway/tests/gateway/large_rules.rs
@@ -79,6 +79,7 @@
     assert_few_concurrent_uploads(source).await;
 }
 
+/// Guards against a link that carries a list for hosts which others could have served.
 #[tokio::test(start_paused = true)]
 async fn large_list_is_passed_on_to_few_hosts_at_once() {
     const ENDPOINTS: usize = 3_000;
--- a/crates/gateway/tests/gateway/peers.rs
+++ b/crates/gateway/tests/gateway/peers.rs
@@ -248,6 +248,7 @@
     assert_that!(idle.requests().len(), eq(1));
 }
 
+/// Guards against requests to an endpoint that a host of another zone keeps busy.
 #[tokio::test]
 async fn peers_of_a_large_fleet_count_the_requests_of_other_zones() {
     assert_idle_endpoint_is_preferred(Duration::ZERO).await;
@@ -304,6 +305,7 @@
 /// All hosts but the two relays.
 const NON_RELAYS: usize = LARGE_ZONE - 2;
 
+/// Guards against hosts of a large zone that place requests without the counts of others.
 #[tokio::test]
 async fn peers_of_a_large_zone_report_to_relays_and_know_the_fleet() {
     let hosts = large_zone().await;
--- a/crates/gateway/tests/gateway/rollouts.rs
+++ b/crates/gateway/tests/gateway/rollouts.rs
@@ -196,6 +196,7 @@
     load.into_iter().for_each(|task| task.abort());
 }
 
+/// Guards against a good build that is done late, or gets more than the bound before.
 #[tokio::test]
 async fn rollout_of_a_good_build_is_done_in_time() {
     // A tenth of the requests until the deadline covers the canary and the last second.
--- a/crates/gateway/tests/gateway/work.rs
+++ b/crates/gateway/tests/gateway/work.rs
@@ -49,6 +49,7 @@
     assert_that!(runs_at(&gateway, "r-4", 7).await, eq(home));
 }
 
+/// Guards against a prefix that is read again elsewhere although its home is hardly slower.
 #[tokio::test]
 async fn work_keeps_the_home_of_an_endpoint_as_slow_as_usual() {
     let gateway = trained_gateway().await;
