--- a/crates/gateway/src/peers/pull_turns.rs
+++ b/crates/gateway/src/peers/pull_turns.rs
@@ -20,7 +20,8 @@
 }
 
 impl PullTurns {
-    /// Waits until no other pull from a host is in progress.
+    /// Waits until no other pull from a host is in progress. A pull ends when no bytes arrive for
+    /// a while, which bounds the wait.
     pub(crate) async fn wait(&self, from: SocketAddr) -> PullTurn {
         let turn = {
             let mut turns = self.0.lock().unwrap_or_else(PoisonError::into_inner);
