Log why a connection failed, and the attempts of callers that left

The lines of a host without links to endpoints could not tell whether an attempt that ended `not-sent` timed out, was refused or was reset after it had been accepted, and `caller-left` did not say where the time had gone.

An attempt's record names the error of its connection, and `caller-left` has the attempts so far. The request's state logs that its caller left when it is dropped before completion, which replaces two guards.

--- a/crates/gateway/src/access_log.rs
+++ b/crates/gateway/src/access_log.rs
@@ -1,7 +1,5 @@
 //! Logs and counts completed requests.
 
-use std::sync::Arc;
-
 use chalkrock_core::{Outcome, Reason, RequestId};
 use tokio::time::Instant;
 
@@ -104,34 +102,10 @@
 }
 
 /// Logs that the caller disconnected before the end of the response.
-pub(crate) fn record_disconnect(shared: &Shared, call: &Call) {
+pub(crate) fn record_disconnect(shared: &Shared, call: &Call, attempts: &[AttemptRecord]) {
     shared.event_log.emit(&Event::CallerLeft {
         id: call.head.id.as_ref(),
+        attempts,
         took_ms: call.entered_at.elapsed().as_millis() as u64,
     });
 }
-
-/// Logs a disconnect if dropped before a response began.
-pub(crate) struct DisconnectGuard {
-    shared: Arc<Shared>,
-    call: Arc<Call>,
-    pub(crate) is_disarmed: bool,
-}
-
-impl DisconnectGuard {
-    pub(crate) fn new(shared: Arc<Shared>, call: Arc<Call>) -> Self {
-        Self {
-            shared,
-            call,
-            is_disarmed: false,
-        }
-    }
-}
-
-impl Drop for DisconnectGuard {
-    fn drop(&mut self) {
-        if !self.is_disarmed {
-            record_disconnect(&self.shared, &self.call);
-        }
-    }
-}
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -187,17 +187,18 @@
 /// anything was written, tries the next.
 async fn send(
     shared: &Arc<Shared>,
-    progress: &Progress,
+    progress: &mut Progress,
     choice: &SelectedEndpoint,
     resume_after: Option<u64>,
 ) -> Result<(Connection, Response<Incoming>), AttemptFailure> {
-    let call = &**progress.call();
+    let call = &*progress.call().clone();
     let start = choice.member.hash.short();
     loop {
         let request = connection_request(shared, call, choice);
         let mut connection = match shared.endpoint_connections.acquire(&request).await {
             Ok(connection) => connection,
-            Err(NoConnection::Unreachable) => {
+            Err(NoConnection::Failed(error)) => {
+                progress.record_connect_error(error);
                 return Err(AttemptFailure::new(AttemptOutcome::NotSent));
             }
             Err(NoConnection::AllInUse) => {
--- a/crates/gateway/src/endpoint_connections.rs
+++ b/crates/gateway/src/endpoint_connections.rs
@@ -21,6 +21,7 @@
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
+use serde::Serialize;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::task::AbortHandle;
@@ -126,12 +127,24 @@
 /// Why there is no connection. Nothing of the request was written.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum NoConnection {
-    /// The endpoint can't be reached in time, or reset the connection.
-    Unreachable,
+    /// It could not be opened.
+    Failed(ConnectError),
     /// All connections that this host may have are in use.
     AllInUse,
 }
 
+/// Why a connection could not be opened.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub(crate) enum ConnectError {
+    /// No answer came in time.
+    TimedOut,
+    /// The system or the address rejected it.
+    Refused,
+    /// It was accepted, and reset at once.
+    Reset,
+}
+
 #[derive(Debug)]
 struct IdleConnection {
     connection: Connection,
@@ -173,11 +186,11 @@
             Err(_) => return Err(NoConnection::AllInUse),
         };
         let opened = connect(request.address, slot).await;
-        let connection = opened.ok_or(NoConnection::Unreachable)?;
+        let connection = opened.map_err(NoConnection::Failed)?;
         if request.may_be_reset {
             tokio::time::sleep(RESET_ARRIVAL_TIME).await;
             if connection.sender.is_closed() {
-                return Err(NoConnection::Unreachable);
+                return Err(NoConnection::Failed(ConnectError::Reset));
             }
         }
         Ok(connection)
@@ -265,20 +278,24 @@
     }
 }
 
-/// Opens a connection. Returns `None` if the endpoint can't be reached in time.
-async fn connect(address: SocketAddr, slot: ConnectionSlot) -> Option<Connection> {
+/// Opens a connection.
+async fn connect(address: SocketAddr, slot: ConnectionSlot) -> Result<Connection, ConnectError> {
     let opening = async {
-        let stream = TcpStream::connect(address).await.ok()?;
-        stream.set_nodelay(true).ok()?;
+        let stream = TcpStream::connect(address)
+            .await
+            .map_err(|_| ConnectError::Refused)?;
+        stream
+            .set_nodelay(true)
+            .map_err(|_| ConnectError::Refused)?;
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
             .await
-            .ok()?;
+            .map_err(|_| ConnectError::Reset)?;
         let task = tokio::spawn(async move {
             let _requests_report_broken_connections = connection.await;
         });
-        Some(Connection {
+        Ok(Connection {
             sender,
             is_reused: false,
             _task: AbortOnDrop(task.abort_handle()),
@@ -287,5 +304,5 @@
     };
     tokio::time::timeout(CONNECT_TIMEOUT, opening)
         .await
-        .unwrap_or(None)
+        .unwrap_or(Err(ConnectError::TimedOut))
 }
--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -21,6 +21,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::sync::mpsc;
 
+use crate::endpoint_connections::ConnectError;
 use crate::work::BacklogRecord;
 
 /// Maximum number of queued lines.
@@ -78,6 +79,9 @@
     /// How it failed; `None` for a response that was relayed.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub(crate) end: Option<AttemptOutcome>,
+    /// Why there was no connection, if that is how it failed.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) connect_error: Option<ConnectError>,
 }
 
 /// The log record of a request.
@@ -359,6 +363,8 @@
     /// The caller disconnected early.
     CallerLeft {
         id: Option<&'a RequestId>,
+        #[serde(skip_serializing_if = "<[_]>::is_empty")]
+        attempts: &'a [AttemptRecord],
         took_ms: u64,
     },
     /// A caller's connection was closed because a request head took too long.
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -15,7 +15,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::Instant;
 
-use crate::access_log::{Completion, DisconnectGuard, record, record_refusal};
+use crate::access_log::{Completion, record, record_refusal};
 use crate::answer::ResponseBody;
 use crate::attempt::{AttemptResponse, BufferedResponse};
 use crate::call::prepare_call;
@@ -122,11 +122,9 @@
         Ok(call) => Arc::new(call),
         Err(refusal) => return refuse(&shared, id.as_ref(), entered_at, refusal),
     };
-    let mut disconnect_guard = DisconnectGuard::new(shared.clone(), call.clone());
     let mut progress = Progress::new(shared.clone(), call.clone());
     let resume_after = call.head.resume_after;
     let dispatched = dispatch(&shared, &mut progress, resume_after).await;
-    disconnect_guard.is_disarmed = true;
     let response = match dispatched {
         Ok(AttemptResponse::Buffered(buffered)) => {
             let status = buffered.head.status.as_u16();
--- a/crates/gateway/src/progress.rs
+++ b/crates/gateway/src/progress.rs
@@ -13,8 +13,10 @@
 };
 use rand::RngExt;
 
+use crate::access_log::record_disconnect;
 use crate::call::Call;
 use crate::edge::{AnswerHead, Refusal, RequestedBackoff};
+use crate::endpoint_connections::ConnectError;
 use crate::event_log::{AttemptRecord, Event};
 use crate::fair_share::{RequestKind, RequestWork};
 use crate::fleet::{EndpointQuery, Fleet, SelectedEndpoint};
@@ -58,6 +60,8 @@
     unused_lease: Option<Lease>,
     /// The prompt of the current attempt, until its first event.
     reading: Option<ReadGuard>,
+    /// Whether the request was logged as completed.
+    is_logged: bool,
 }
 
 /// How the scheduler of its pool granted an attempt its slot.
@@ -91,6 +95,7 @@
             uses: &[BuildUse::Any],
             unused_lease: None,
             reading: None,
+            is_logged: false,
         }
     }
 
@@ -456,9 +461,17 @@
             says_leaving: false,
             backoff_ms: None,
             end: None,
+            connect_error: None,
         });
     }
 
+    /// Records why the last attempt got no connection.
+    pub(crate) fn record_connect_error(&mut self, error: ConnectError) {
+        if let Some(record) = self.attempts.last_mut() {
+            record.connect_error = Some(error);
+        }
+    }
+
     /// Records the endpoint state that the last attempt's response head reports.
     pub(crate) fn record_head(&mut self, answer: &AnswerHead) {
         let Some(record) = self.attempts.last_mut() else {
@@ -684,8 +697,10 @@
         })
     }
 
-    /// Takes the records of all attempts, for the access log.
+    /// Takes the records of all attempts, for the access log. A request that is dropped
+    /// before counts as left by its caller.
     pub(crate) fn take_attempts(&mut self) -> Vec<AttemptRecord> {
+        self.is_logged = true;
         std::mem::take(&mut self.attempts)
     }
 
@@ -737,6 +752,14 @@
     }
 }
 
+impl Drop for Progress {
+    fn drop(&mut self) {
+        if !self.is_logged {
+            record_disconnect(&self.shared, &self.call, &self.attempts);
+        }
+    }
+}
+
 /// The short hash of an organisation in messages; 0 means none.
 fn short_organisation_hash(name: &OrganisationId) -> u32 {
     MemberHash::of(name.as_str()).short().max(1)
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -15,7 +15,7 @@
 use hyper::http;
 use tokio::time::Instant;
 
-use crate::access_log::{Completion, record, record_disconnect};
+use crate::access_log::{Completion, record};
 use crate::answer::{EventStream, ResponseAborted};
 use crate::attempt::{AttemptResponse, OpenStream};
 use crate::call::Call;
@@ -289,14 +289,6 @@
     }
 }
 
-impl Drop for StreamRelay {
-    fn drop(&mut self) {
-        if !self.has_ended {
-            record_disconnect(&self.shared, &self.call);
-        }
-    }
-}
-
 /// Silence after which an endpoint counts as failed.
 fn silence_timeout(call: &Call) -> Duration {
     const MIN_SILENCE_TIMEOUT_MS: u64 = 1_000;
