Test hosts without links to endpoints, and list the failures

Three tests with links of each host to each endpoint that can be cut one by one.

Ten of twelve ordinary requests count as poison after four breaks of one host's links: a connection that is refused to one host is taken for an endpoint that ended.

The proxy of the soak can leave new connections without an answer.

--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -12,6 +12,7 @@
 mod evacuations;
 mod fair_shares;
 mod large_rules;
+mod partitions;
 mod peers;
 mod pool_queue;
 mod recovery;
--- a/crates/gateway/tests/gateway/support/endpoint.rs
+++ b/crates/gateway/tests/gateway/support/endpoint.rs
@@ -52,6 +52,8 @@
     /// Streams the events after `after` up to `last`; closes the connection in
     /// the middle of event `cut_at`.
     Stream { last: u64, cut_at: Option<u64> },
+    /// Streams events up to `last` on routes of streams, and answers on others.
+    AnswerByRoute { last: u64 },
     /// Streams events up to `last` and resets the connection on `reset_streams`.
     StreamUntilReset { last: u64 },
     /// Streams events up to `last` and keeps the connection open.
@@ -325,6 +327,15 @@
             Behaviour::Stream { last, cut_at } => {
                 self.stream(stream, request, &id, last, cut_at).await
             }
+            Behaviour::AnswerByRoute { last } => {
+                let is_stream =
+                    request.head.contains(" /stream/ ") || request.head.contains(" /resumable/ ");
+                if is_stream {
+                    self.stream(stream, request, &id, last, None).await
+                } else {
+                    send(stream, &reply("200 OK", &id, SIGNED)).await
+                }
+            }
             Behaviour::StreamUntilReset { last } => {
                 let mut reset_signal = self.reset_signal.subscribe();
                 let sending = self.stream(stream, request, &id, last, Some(last));
--- a/crates/gateway/tests/gateway/support/mod.rs
+++ b/crates/gateway/tests/gateway/support/mod.rs
@@ -6,6 +6,7 @@
 mod fleet;
 mod link;
 mod many_hosts;
+mod partition;
 mod slotted;
 mod source;
 mod suspendable;
@@ -18,6 +19,7 @@
 };
 pub(crate) use link::SlowLink;
 pub(crate) use many_hosts::{FleetHost, LimitedSource, peer_addresses, ready_times, start_fleet};
+pub(crate) use partition::PartitionFleet;
 pub(crate) use slotted::{SlottedCounts, SlottedEndpoint, SlottedMode};
 pub(crate) use source::TestSource;
 pub(crate) use suspendable::SuspendableGateway;
--- a/crates/gateway/tests/gateway/support/source.rs
+++ b/crates/gateway/tests/gateway/support/source.rs
@@ -1,6 +1,7 @@
 //! An in-memory store with failures that a test switches on.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -94,6 +95,8 @@
     changed: Arc<watch::Sender<u64>>,
     /// Whether calls through this handle are never answered.
     is_isolated: Arc<AtomicBool>,
+    /// Addresses at which the host of this handle reaches endpoints, if not at their own.
+    links: Arc<HashMap<EndpointId, SocketAddr>>,
     started_at: Instant,
 }
 
@@ -103,6 +106,7 @@
             state: Arc::default(),
             changed: Arc::new(watch::channel(0).0),
             is_isolated: Arc::default(),
+            links: Arc::default(),
             started_at: Instant::now(),
         }
     }
@@ -169,6 +173,22 @@
         }
     }
 
+    /// Returns a handle to the same store that lists endpoints at other addresses.
+    pub(crate) fn with_links(&self, links: HashMap<EndpointId, SocketAddr>) -> Self {
+        Self {
+            links: Arc::new(links),
+            ..self.another_handle()
+        }
+    }
+
+    fn linked(&self, listed: &ListedEndpoint) -> ListedEndpoint {
+        let mut listed = listed.clone();
+        if let Some(link) = self.links.get(&listed.endpoint.name) {
+            listed.endpoint.address = *link;
+        }
+        listed
+    }
+
     /// Leaves all further calls through this handle unanswered.
     pub(crate) fn isolate(&self) {
         self.is_isolated.store(true, Ordering::Relaxed);
@@ -459,7 +479,7 @@
             Topic::Endpoints => {
                 for (version, name, endpoint) in state.endpoints.iter().filter(|e| is_new(e.0)) {
                     let change = match endpoint {
-                        Some(listed) => Some(EndpointChange::Listed(listed.clone())),
+                        Some(listed) => Some(EndpointChange::Listed(self.linked(listed))),
                         None => since.map(|_| EndpointChange::Gone(name.clone())),
                     };
                     let version = StoreVersion(*version);
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -6,7 +6,7 @@
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{ReadHalf, WriteHalf};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 
 /// What the proxy does with its connections. Held bytes are delivered once the mode allows it,
@@ -28,6 +28,8 @@
     Silent,
     /// Resets all connections and refuses new ones, as if the process had ended.
     Refused,
+    /// Passes on nothing, and new connections get no answer, as behind a partition.
+    Unresponsive,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -41,7 +43,7 @@
         match self {
             LinkMode::CutToServer => direction == Direction::ToServer,
             LinkMode::CutToClient => direction == Direction::ToClient,
-            LinkMode::Silent => true,
+            LinkMode::Silent | LinkMode::Unresponsive => true,
             LinkMode::Open | LinkMode::Delayed(_) | LinkMode::Reset | LinkMode::Refused => false,
         }
     }
@@ -68,7 +70,12 @@
         let listener = TcpListener::bind(listen).await?;
         let address = listener.local_addr()?;
         let (mode, receiver) = watch::channel(LinkMode::Open);
-        tokio::spawn(accept_all(address, Some(listener), server, receiver));
+        tokio::spawn(accept_all(
+            address,
+            Listener::Accepting(listener),
+            server,
+            receiver,
+        ));
         Ok(Self { address, mode })
     }
 
@@ -83,31 +90,90 @@
     }
 }
 
+/// The listening socket of a proxy, as its mode requires.
+enum Listener {
+    /// Connections are accepted.
+    Accepting(TcpListener),
+    /// New connections are refused.
+    Closed,
+    /// New connections get no answer, since the backlog is full.
+    Full {
+        _listener: TcpListener,
+        _backlog: Vec<TcpStream>,
+    },
+}
+
+impl Listener {
+    /// Opens the socket that a mode requires.
+    async fn open(address: SocketAddr, mode: LinkMode) -> io::Result<Self> {
+        match mode {
+            LinkMode::Refused => Ok(Self::Closed),
+            LinkMode::Unresponsive => Self::with_full_backlog(address).await,
+            _ => Ok(Self::Accepting(TcpListener::bind(address).await?)),
+        }
+    }
+
+    /// Whether the socket is the one that a mode requires.
+    fn serves(&self, mode: LinkMode) -> bool {
+        match self {
+            Self::Accepting(_) => !matches!(mode, LinkMode::Refused | LinkMode::Unresponsive),
+            Self::Closed => mode == LinkMode::Refused,
+            Self::Full { .. } => mode == LinkMode::Unresponsive,
+        }
+    }
+
+    async fn with_full_backlog(address: SocketAddr) -> io::Result<Self> {
+        const MAX_BACKLOG: usize = 16;
+        const ANSWER_TIMEOUT: Duration = Duration::from_millis(50);
+        let socket = match address {
+            SocketAddr::V4(_) => TcpSocket::new_v4()?,
+            SocketAddr::V6(_) => TcpSocket::new_v6()?,
+        };
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        let listener = socket.listen(1)?;
+        let mut backlog = Vec::new();
+        while backlog.len() < MAX_BACKLOG {
+            let connecting = TcpStream::connect(address);
+            match tokio::time::timeout(ANSWER_TIMEOUT, connecting).await {
+                Ok(connected) => backlog.push(connected?),
+                Err(_unanswered) => break,
+            }
+        }
+        Ok(Self::Full {
+            _listener: listener,
+            _backlog: backlog,
+        })
+    }
+
+    async fn accept(&self) -> Option<TcpStream> {
+        match self {
+            Self::Accepting(listener) => listener.accept().await.ok().map(|(client, _)| client),
+            Self::Closed | Self::Full { .. } => std::future::pending().await,
+        }
+    }
+}
+
 async fn accept_all(
     address: SocketAddr,
-    mut listener: Option<TcpListener>,
+    mut listener: Listener,
     server: SocketAddr,
     mut mode: watch::Receiver<LinkMode>,
 ) {
     const REBIND_INTERVAL: Duration = Duration::from_millis(20);
     loop {
-        if *mode.borrow_and_update() == LinkMode::Refused {
-            listener = None;
-        } else if listener.is_none() {
-            match TcpListener::bind(address).await {
-                Ok(bound) => listener = Some(bound),
+        let current = *mode.borrow_and_update();
+        if !listener.serves(current) {
+            // The address is free only once the socket before is closed.
+            drop(std::mem::replace(&mut listener, Listener::Closed));
+            match Listener::open(address, current).await {
+                Ok(opened) => listener = opened,
                 Err(_) => tokio::time::sleep(REBIND_INTERVAL).await,
             }
             continue;
         }
-        let accepted = async {
-            match &listener {
-                Some(listener) => listener.accept().await.ok(),
-                None => std::future::pending().await,
-            }
-        };
         tokio::select! {
-            client = accepted => if let Some((client, _)) = client {
+            client = listener.accept() => if let Some(client) = client {
                 tokio::spawn(serve(client, server, mode.clone()));
             },
             changed = mode.changed() => if changed.is_err() {
