--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -14,7 +14,9 @@
 use crate::answer::{BufferedResponseBody, MAX_CHUNK_BYTES};
 use crate::call::Call;
 use crate::edge::{AnswerHead, SendHead};
-use crate::endpoint_connections::{Connection, ConnectionRequest, NoConnection, SentBody};
+use crate::endpoint_connections::{
+    Connection, ConnectionRequest, ConnectionTarget, NoConnection, SentBody,
+};
 use crate::fleet::SelectedEndpoint;
 use crate::pool_queue::Lease;
 use crate::progress::Progress;
@@ -39,6 +41,8 @@
     pub(crate) head: http::response::Parts,
     pub(crate) body: Incoming,
     pub(crate) start: u32,
+    /// Whether it comes through another host.
+    pub(crate) is_forwarded: bool,
     /// Dropping it closes the connection, so that the endpoint stops working.
     pub(crate) connection: Connection,
     /// Counts the stream as in flight.
@@ -62,7 +66,7 @@
 }
 
 impl AttemptFailure {
-    fn new(end: AttemptOutcome) -> Self {
+    pub(crate) fn new(end: AttemptOutcome) -> Self {
         Self {
             end,
             response: None,
@@ -106,6 +110,7 @@
             head,
             body,
             start,
+            is_forwarded: false,
             connection,
             _in_flight: in_flight,
             answer,
@@ -118,7 +123,7 @@
     if !answer.closes {
         shared
             .endpoint_connections
-            .check_in(start, connection, answer.keep_alive_s);
+            .check_in(connection, answer.keep_alive_s);
     }
     if buffered.head.status.is_server_error() {
         return Err(server_failure(call, buffered));
@@ -153,7 +158,7 @@
 }
 
 /// Returns why a response head is not valid for this request, if it is not.
-fn invalid_head(
+pub(crate) fn invalid_head(
     call: &Call,
     head: &http::response::Parts,
     answer: &AnswerHead,
@@ -173,7 +178,7 @@
 
 /// A server error of the endpoint. A status 503 is not passed on for a request that
 /// must not be repeated: the caller would take it as proof that the request did not run.
-fn server_failure(call: &Call, buffered: BufferedResponse) -> AttemptFailure {
+pub(crate) fn server_failure(call: &Call, buffered: BufferedResponse) -> AttemptFailure {
     let implies_not_run = buffered.head.status == StatusCode::SERVICE_UNAVAILABLE;
     let response = (!implies_not_run || call.repeatable() == Repeatable::Yes).then_some(buffered);
     AttemptFailure {
@@ -212,7 +217,7 @@
             shared.metrics.count("endpoint_connections_total", "", 1);
         }
         if !may_still_send(shared, choice) {
-            shared.endpoint_connections.return_unused(start, connection);
+            shared.endpoint_connections.return_unused(connection);
             return Err(AttemptFailure::new(AttemptOutcome::Withdrawn));
         }
         let request = endpoint_request(shared, call, choice, resume_after);
@@ -239,7 +244,7 @@
     let may_repeat = call.repeatable() == Repeatable::Yes;
     let max_open = shared.fleet().max_connections(&endpoint.pool);
     ConnectionRequest {
-        endpoint: choice.member.hash.short(),
+        target: ConnectionTarget::Endpoint(choice.member.hash.short()),
         address: endpoint.address,
         may_repeat,
         max_open,
@@ -278,6 +283,12 @@
     request
 }
 
+/// How long a repeatable request waits for a response head while another endpoint may serve
+/// it.
+pub(crate) fn max_head_wait(call: &Call) -> Duration {
+    Duration::from_millis(call.route.objective_ms) * MAX_WAIT_OBJECTIVES
+}
+
 /// Waits for the response head. A repeatable request leaves an endpoint that is
 /// silent or slow.
 async fn wait_for_head(
@@ -290,7 +301,7 @@
     let call = progress.call();
     let sent_at = Instant::now();
     let sent_at_ms = shared.clock.now_ms();
-    let max_wait = Duration::from_millis(call.route.objective_ms) * MAX_WAIT_OBJECTIVES;
+    let max_wait = max_head_wait(call);
     let mut answer = std::pin::pin!(connection.sender.try_send_request(request));
     loop {
         let recheck_at = call
@@ -327,7 +338,7 @@
 }
 
 /// Reads a complete response before any of it is passed on.
-async fn buffer_response(
+pub(crate) async fn buffer_response(
     shared: &Shared,
     call: &Call,
     head: http::response::Parts,
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -15,6 +15,7 @@
 use crate::caller_body::{BufferedBody, read_body};
 use crate::clock::{Clock, left_ms, ms};
 use crate::edge::{CallHead, Refusal, remove_connection_headers};
+use crate::forward::ForwardHead;
 use crate::shared::Shared;
 
 /// A request that is ready to be dispatched.
@@ -47,7 +48,48 @@
     pub(crate) fingerprint: RequestFingerprint,
 }
 
+/// A forwarded request as it was received.
+pub(crate) struct ReceivedCall {
+    pub(crate) parts: http::request::Parts,
+    pub(crate) head: CallHead,
+    pub(crate) body: BufferedBody,
+    pub(crate) entered_at: Instant,
+}
+
 impl Call {
+    /// Puts together a request that another host has admitted and forwards.
+    pub(crate) fn forwarded(
+        shared: &Shared,
+        received: ReceivedCall,
+        decision: &ForwardHead,
+    ) -> Result<Self, Refusal> {
+        let ReceivedCall {
+            parts,
+            head,
+            body,
+            entered_at,
+        } = received;
+        Ok(Self {
+            shared_parts: shared_part_hashes(&head),
+            caller: decision.caller.clone(),
+            rules_version: decision.rules,
+            admission_objective_ms: decision.route.objective_ms,
+            method: parts.method.clone(),
+            target: target_uri(&parts)?,
+            headers: end_to_end_headers(parts.headers),
+            deadline: entered_at + ms(decision.remaining_ms),
+            uncounted_before_entry_ms: shared.clock.uncounted_ms(),
+            clock: shared.clock.clone(),
+            head,
+            body,
+            route: decision.route.clone(),
+            pool: decision.pool.clone(),
+            entered_at,
+            draw: rand::random(),
+            fingerprint: decision.fingerprint,
+        })
+    }
+
     /// Whether the request may run more than once.
     pub(crate) fn repeatable(&self) -> Repeatable {
         Repeatable::of(self.route.kind)
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -39,6 +39,7 @@
     pub(crate) ready_listen: Option<SocketAddr>,
     pub(crate) metrics_listen: Option<SocketAddr>,
     pub(crate) peer_listen: Option<SocketAddr>,
+    pub(crate) forward_listen: Option<SocketAddr>,
     pub(crate) peer_seeds: Vec<SocketAddr>,
     pub(crate) grace_ms: u64,
     pub(crate) spread: SpreadRules,
@@ -71,6 +72,7 @@
             ready_listen: None,
             metrics_listen: None,
             peer_listen: None,
+            forward_listen: None,
             peer_seeds: Vec::new(),
             grace_ms: 8_000,
             spread: SpreadRules::default(),
@@ -128,6 +130,13 @@
         self
     }
 
+    /// The address at which other hosts forward requests for endpoints that they can't
+    /// reach. Without it, the host serves none for them.
+    pub fn forward_listen(mut self, address: Option<SocketAddr>) -> Self {
+        self.0.forward_listen = address;
+        self
+    }
+
     /// Hosts to contact first. They may be gone.
     pub fn peer_seeds(mut self, seeds: Vec<SocketAddr>) -> Self {
         self.0.peer_seeds = seeds;
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -2,10 +2,11 @@
 
 use std::sync::Arc;
 
-use chalkrock_routing::Next;
+use chalkrock_routing::{AttemptOutcome, Next};
 
-use crate::attempt::{AttemptResponse, attempt};
+use crate::attempt::{AttemptFailure, AttemptResponse, attempt};
 use crate::edge::Refusal;
+use crate::forward::{Path, forward};
 use crate::poison::BrokenAttempt;
 use crate::pool_queue::{GrantedSlot, wait_for_slot};
 use crate::progress::{GrantRecord, Progress};
@@ -30,26 +31,40 @@
         if progress.call().remaining_ms() <= DEADLINE_RESERVE_MS {
             return Err(progress.deadline_refusal());
         }
-        let (choice, lease) = match slot {
+        let (choice, granted) = match slot {
             Some(slot) => {
                 let GrantedSlot {
                     choice,
                     lease,
                     waited_ms,
                 } = slot;
-                let epoch = lease.epoch;
-                progress.begin(&choice, Some(GrantRecord { waited_ms, epoch }));
-                (choice, Some(lease))
+                (choice, Some((lease, waited_ms)))
             }
             None => {
                 let Some(choice) = progress.choose_endpoint() else {
                     return Err(progress.no_endpoint_refusal());
                 };
-                progress.begin(&choice, None);
                 (choice, None)
             }
         };
-        let failure = match attempt(shared, progress, &choice, lease, resume_after).await {
+        let grant = granted.as_ref().map(|(lease, waited_ms)| GrantRecord {
+            waited_ms: *waited_ms,
+            epoch: lease.epoch,
+        });
+        let lease = granted.map(|(lease, _)| lease);
+        let path = progress.path_to(&choice);
+        progress.begin(&choice, grant, path.next_hop());
+        let response = match path {
+            Path::Direct => attempt(shared, progress, &choice, lease, resume_after).await,
+            Path::Through(next_hop) => {
+                forward(shared, progress, next_hop, lease, resume_after).await
+            }
+            Path::None => Err(AttemptFailure {
+                unused_lease: lease,
+                ..AttemptFailure::new(AttemptOutcome::Withdrawn)
+            }),
+        };
+        let failure = match response {
             Ok(response) => return Ok(response),
             Err(failure) => failure,
         };
--- a/crates/gateway/src/endpoint_connections.rs
+++ b/crates/gateway/src/endpoint_connections.rs
@@ -1,4 +1,4 @@
-//! Connections to endpoints, kept for reuse.
+//! Connections to endpoints and to hosts that forward requests, kept for reuse.
 //!
 //! If an endpoint closes an idle connection just as a request is sent, it is unknown
 //! whether the request ran. Connections are therefore reused only within a fraction of
@@ -9,10 +9,14 @@
 //! limit. Idle connections and those in use count alike; a request beyond the part waits
 //! briefly for one of them.
 //!
+//! Keep-alive probes find connections that went silent for good. Where both are set, the
+//! system closes a connection by the user timeout, whatever the number of probes.
+//!
 //! This module uses hyper connections directly, since clients such as reqwest
 //! repeat requests on their own.
 
 use std::collections::HashMap;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -22,6 +26,7 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use serde::Serialize;
+use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::task::AbortHandle;
@@ -38,8 +43,8 @@
 /// Read-ahead of a stream with a slow caller, and largest response head. The library's
 /// default would exhaust memory with many slow callers.
 const MAX_BUFFER_BYTES: usize = 32 * 1024;
-/// Maximum number of idle connections to one endpoint.
-const MAX_IDLE_PER_ENDPOINT: usize = 16;
+/// Maximum number of idle connections to one target.
+const MAX_IDLE_PER_TARGET: usize = 16;
 
 /// Longest wait for a connection within this host's part of the limit. Another endpoint
 /// is likely to have one at once.
@@ -48,6 +53,23 @@
 /// their limit and then reset it.
 const RESET_ARRIVAL_TIME: Duration = Duration::from_millis(5);
 
+/// Silence of a connection after which it is probed.
+const KEEP_ALIVE_TIME: Duration = Duration::from_millis(2_000);
+/// Interval of the probes.
+const KEEP_ALIVE_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Time without any acknowledgement after which a connection is closed. An endpoint may be
+/// silent for a second and go on; its system answers probes meanwhile.
+const USER_TIMEOUT: Duration = Duration::from_millis(5_000);
+
+/// What a connection leads to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(crate) enum ConnectionTarget {
+    /// An endpoint, by the hash of its start.
+    Endpoint(u32),
+    /// Another host, by its address for forwarded requests.
+    Host(SocketAddr),
+}
+
 /// A body for an endpoint.
 pub(crate) type SentBody = Full<Bytes>;
 
@@ -62,9 +84,10 @@
     }
 }
 
-/// A connection to one endpoint.
+/// A connection to one endpoint or host.
 #[derive(Debug)]
 pub(crate) struct Connection {
+    target: ConnectionTarget,
     pub(crate) sender: SendRequest<SentBody>,
     /// Whether it has served a request before.
     pub(crate) is_reused: bool,
@@ -73,7 +96,7 @@
     _slot: ConnectionSlot,
 }
 
-/// Open connections of this host to one endpoint, idle ones included.
+/// Open connections of this host to one target, idle ones included.
 #[derive(Debug, Default)]
 struct OpenConnections {
     count: Mutex<u32>,
@@ -113,11 +136,10 @@
 /// What a request asks of a connection.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ConnectionRequest {
-    /// The hash of the endpoint's start.
-    pub(crate) endpoint: u32,
+    pub(crate) target: ConnectionTarget,
     pub(crate) address: SocketAddr,
     pub(crate) may_repeat: bool,
-    /// Most connections of this host to the endpoint; `None` if it has no limit.
+    /// Most connections of this host to the target; `None` if it has no limit.
     pub(crate) max_open: Option<u32>,
     /// Whether the endpoint may reset a new connection at once, because it is full.
     pub(crate) may_be_reset: bool,
@@ -152,11 +174,11 @@
     idle_timeout: Duration,
 }
 
-/// Connections by the hash of the endpoint's start.
+/// Connections by their target.
 #[derive(Debug, Default)]
 pub(crate) struct EndpointConnections {
-    idle: Mutex<HashMap<u32, Vec<IdleConnection>>>,
-    open: Mutex<HashMap<u32, Arc<OpenConnections>>>,
+    idle: Mutex<HashMap<ConnectionTarget, Vec<IdleConnection>>>,
+    open: Mutex<HashMap<ConnectionTarget, Arc<OpenConnections>>>,
 }
 
 impl EndpointConnections {
@@ -166,11 +188,11 @@
         &self,
         request: &ConnectionRequest,
     ) -> Result<Connection, NoConnection> {
-        let open = self.open(request.endpoint);
+        let open = self.open(request.target);
         let acquire = async {
             loop {
                 let freed = open.freed.notified();
-                if let Some(idle) = self.checkout(request.endpoint, request.may_repeat) {
+                if let Some(idle) = self.checkout(request.target, request.may_repeat) {
                     return Ok(idle);
                 }
                 if let Some(slot) = open.try_open(request.max_open) {
@@ -185,7 +207,7 @@
             Ok(Err(slot)) => slot,
             Err(_) => return Err(NoConnection::AllInUse),
         };
-        let opened = connect(request.address, slot).await;
+        let opened = connect(request.target, request.address, slot).await;
         let connection = opened.map_err(NoConnection::Failed)?;
         if request.may_be_reset {
             tokio::time::sleep(RESET_ARRIVAL_TIME).await;
@@ -196,16 +218,29 @@
         Ok(connection)
     }
 
-    fn open(&self, endpoint: u32) -> Arc<OpenConnections> {
+    /// Opens a connection to check that the target accepts it, and keeps it for reuse.
+    /// Returns `None` if this host may have no more connections.
+    pub(crate) async fn check(
+        &self,
+        target: ConnectionTarget,
+        address: SocketAddr,
+        max_open: Option<u32>,
+    ) -> Option<Result<(), ConnectError>> {
+        let slot = self.open(target).try_open(max_open)?;
+        let opened = connect(target, address, slot).await;
+        Some(opened.map(|connection| self.check_in(connection, None)))
+    }
+
+    fn open(&self, target: ConnectionTarget) -> Arc<OpenConnections> {
         let mut open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
-        open.entry(endpoint).or_default().clone()
+        open.entry(target).or_default().clone()
     }
 
     /// Takes the most recently used idle connection that is still usable.
-    fn checkout(&self, endpoint: u32, may_repeat: bool) -> Option<Connection> {
+    fn checkout(&self, target: ConnectionTarget, may_repeat: bool) -> Option<Connection> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        let endpoint_idle = idle.get_mut(&endpoint)?;
-        while let Some(last) = endpoint_idle.pop() {
+        let target_idle = idle.get_mut(&target)?;
+        while let Some(last) = target_idle.pop() {
             let limit = if may_repeat {
                 last.idle_timeout
             } else {
@@ -220,13 +255,9 @@
     }
 
     /// Keeps a connection for reuse after a complete response.
-    pub(crate) fn check_in(
-        &self,
-        endpoint: u32,
-        connection: Connection,
-        keep_alive_s: Option<u64>,
-    ) {
+    pub(crate) fn check_in(&self, connection: Connection, keep_alive_s: Option<u64>) {
         let allowed = keep_alive_s.map(|s| Duration::from_secs(s).mul_f64(IDLE_TIMEOUT_FRACTION));
+        let target = connection.target;
         let idle = IdleConnection {
             connection: Connection {
                 is_reused: true,
@@ -236,27 +267,27 @@
             idle_timeout: allowed.unwrap_or(DEFAULT_IDLE_TIMEOUT),
         };
         let mut all = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        let endpoint_idle = all.entry(endpoint).or_default();
-        if endpoint_idle.len() >= MAX_IDLE_PER_ENDPOINT {
-            endpoint_idle.remove(0);
+        let target_idle = all.entry(target).or_default();
+        if target_idle.len() >= MAX_IDLE_PER_TARGET {
+            target_idle.remove(0);
         }
-        endpoint_idle.push(idle);
+        target_idle.push(idle);
         drop(all);
-        self.open(endpoint).freed.notify_one();
+        self.open(target).freed.notify_one();
     }
 
     /// Returns an unused connection. A new one is dropped, since the endpoint's
     /// keep-alive timeout is not known yet.
-    pub(crate) fn return_unused(&self, endpoint: u32, connection: Connection) {
+    pub(crate) fn return_unused(&self, connection: Connection) {
         if connection.is_reused {
-            self.check_in(endpoint, connection, None);
+            self.check_in(connection, None);
         }
     }
 
-    /// Closes the idle connections to an endpoint.
-    pub(crate) fn close(&self, endpoint: u32) {
+    /// Closes the idle connections to a target.
+    pub(crate) fn close(&self, target: ConnectionTarget) {
         let mut all = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        all.remove(&endpoint);
+        all.remove(&target);
     }
 
     /// Closes all idle connections, for example because they may have expired.
@@ -279,14 +310,16 @@
 }
 
 /// Opens a connection.
-async fn connect(address: SocketAddr, slot: ConnectionSlot) -> Result<Connection, ConnectError> {
+async fn connect(
+    target: ConnectionTarget,
+    address: SocketAddr,
+    slot: ConnectionSlot,
+) -> Result<Connection, ConnectError> {
     let opening = async {
         let stream = TcpStream::connect(address)
             .await
             .map_err(|_| ConnectError::Refused)?;
-        stream
-            .set_nodelay(true)
-            .map_err(|_| ConnectError::Refused)?;
+        set_options(&stream).map_err(|_| ConnectError::Reset)?;
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
@@ -296,6 +329,7 @@
             let _requests_report_broken_connections = connection.await;
         });
         Ok(Connection {
+            target,
             sender,
             is_reused: false,
             _task: AbortOnDrop(task.abort_handle()),
@@ -306,3 +340,13 @@
         .await
         .unwrap_or(Err(ConnectError::TimedOut))
 }
+
+fn set_options(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    let keep_alive = TcpKeepalive::new()
+        .with_time(KEEP_ALIVE_TIME)
+        .with_interval(KEEP_ALIVE_INTERVAL);
+    socket.set_tcp_keepalive(&keep_alive)?;
+    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))
+}
--- a/crates/gateway/src/endpoint_reports.rs
+++ b/crates/gateway/src/endpoint_reports.rs
@@ -7,6 +7,7 @@
 use chalkrock_routing::{BackoffChange, PoolMember};
 
 use crate::edge::{AnswerHead, RequestedBackoff};
+use crate::endpoint_connections::ConnectionTarget;
 use crate::event_log::Event;
 use crate::shared::Shared;
 
@@ -63,7 +64,8 @@
     /// The next round of messages informs the other hosts.
     fn handle_leaving(&self, member: &PoolMember, id: Option<&RequestId>) {
         let start = member.hash.short();
-        self.endpoint_connections.close(start);
+        let target = ConnectionTarget::Endpoint(start);
+        self.endpoint_connections.close(target);
         if self.mark_leaving(&[start], "answer", id) {
             self.metrics.count("leaving_heard_in_answers_total", "", 1);
         }
--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -62,6 +62,9 @@
     /// Another endpoint from which it may copy the prefix.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub(crate) copy_from: Option<SocketAddr>,
+    /// The host through which it was forwarded.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) next_hop: Option<SocketAddr>,
     /// How long the request waited for the slot, if the pool's scheduler granted it.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub(crate) waited_ms: Option<u64>,
@@ -268,6 +271,16 @@
         demand_ratio: f64,
         use_ratio: f64,
     },
+    /// This host began or ceased to be partitioned from a pool: it can't open connections to
+    /// half of its endpoints or more, and other hosts reach them.
+    Partitioned {
+        pool: &'a PoolId,
+        is_partitioned: bool,
+        reached_by_others: usize,
+        endpoints: usize,
+        #[serde(skip_serializing_if = "Option::is_none")]
+        lasted_ms: Option<u64>,
+    },
     /// An endpoint became suspect.
     Suspect {
         endpoint: &'a EndpointId,
@@ -360,6 +373,18 @@
     },
     /// A request completed.
     Request(&'a RequestRecord),
+    /// An attempt for another host ended.
+    Forwarded {
+        id: Option<&'a RequestId>,
+        origin: &'a HostId,
+        attempts: &'a [AttemptRecord],
+        #[serde(skip_serializing_if = "Option::is_none")]
+        status: Option<u16>,
+        #[serde(skip_serializing_if = "Option::is_none")]
+        end: Option<AttemptOutcome>,
+        is_complete: bool,
+        took_ms: u64,
+    },
     /// The caller disconnected early.
     CallerLeft {
         id: Option<&'a RequestId>,
--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -3,6 +3,7 @@
 mod builds;
 mod closed;
 mod learned;
+mod reachability;
 mod scheduling;
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
@@ -15,10 +16,12 @@
     Backoffs, Basis, BudgetRules, BuildUse, Candidate, ColdEndpoints, ConnectionLimit,
     EndpointHealth, EndpointTable, Evacuations, Evidence, FleetLoad, HealthSignal, HomeDemand,
     HomeSpread, MaxServiceTime, PlacementRequest, PoisonEvidence, PoolBacklog, PoolLoads,
-    PoolMember, PoolOccupancy, PoolRules, RecentPrefixes, Repeatable, Rollouts, ServiceTimeEwma,
-    Shares, SpreadRules, StoreVersion, WindowBudget, choose_endpoint, connections_per_host,
+    PoolMember, PoolOccupancy, PoolRules, Reachability, RecentPrefixes, Repeatable, Rollouts,
+    ServiceTimeEwma, Shares, SpreadRules, StoreVersion, WindowBudget, choose_endpoint,
+    connections_per_host,
 };
 
+pub(crate) use self::reachability::PoolReach;
 use crate::config::GatewayConfig;
 use crate::fair_share::Usage;
 use crate::prefixes::Prefixes;
@@ -109,6 +112,8 @@
     spread: SpreadRules,
     budget: BudgetRules,
     health: HashMap<u32, EndpointHealth>,
+    /// Which endpoints the other hosts reach.
+    pub(crate) reachability: Reachability<SocketAddr>,
     budgets: HashMap<PoolId, WindowBudget>,
     service_times: HashMap<PoolId, ServiceTimeEwma>,
     /// Endpoints whose prefixes spread over others, by pool.
@@ -154,6 +159,7 @@
             spread: config.spread,
             budget: config.budget,
             health: HashMap::new(),
+            reachability: Reachability::default(),
             budgets: HashMap::new(),
             service_times: HashMap::new(),
             home_demand: HashMap::new(),
@@ -309,7 +315,7 @@
         let members = self.endpoints.live(pool);
         let starts = members.iter().map(|member| member.hash.short());
         let accepting = starts.filter(|start| {
-            !self.is_suspect(*start, now_ms) && !self.backoffs.is_active(*start, now_ms)
+            !self.is_avoided(*start, now_ms) && !self.backoffs.is_active(*start, now_ms)
         });
         self.work.expected_wait_ms(pool, accepting, now_ms)
     }
@@ -339,7 +345,7 @@
         let find_address = |endpoint: u32| {
             let mut members = live.iter().chain(leaving.iter()).chain(&evacuated);
             let member = members.find(|member| member.hash.short() == endpoint)?;
-            let is_sound = !self.is_suspect(endpoint, now_ms);
+            let is_sound = !self.is_avoided(endpoint, now_ms);
             is_sound.then_some(member.endpoint.address)
         };
         for &part in query.shared_parts.iter().rev() {
@@ -376,11 +382,16 @@
         now_ms: u64,
     ) -> Candidate {
         let short = member.hash.short();
-        let is_avoided = |health: &EndpointHealth| match query.repeatable {
+        let is_suspect = |health: &EndpointHealth| match query.repeatable {
             Repeatable::Yes => health.is_suspect(now_ms),
             Repeatable::No => health.is_suspect(now_ms) || health.is_on_probation(now_ms),
         };
-        let is_suspect = self.health.get(&short).is_some_and(is_avoided);
+        let health = self.health.get(&short);
+        // Requests for it are forwarded through a host that reaches it.
+        let is_reached_by_others = self.is_only_reached_by_others(short, now_ms);
+        let is_suspect = !is_reached_by_others && health.is_some_and(is_suspect);
+        let is_unresponsive =
+            !is_reached_by_others && health.is_some_and(|health| health.is_unresponsive(now_ms));
         let has_just_returned = self
             .backoffs
             .prefers_others(short, query.has_attempt_left, now_ms);
@@ -394,14 +405,20 @@
             is_same_zone: member.endpoint.zone == self.zone,
             is_suspect: is_suspect || has_just_returned,
             holds_prefix: holders.contains(&short),
-            is_closed: backs_off || member.is_evacuated || !self.may_send_if_cold(member, now_ms),
+            is_closed: backs_off
+                || member.is_evacuated
+                || is_unresponsive
+                || !self.may_send_if_cold(member, now_ms),
             home_spread: HomeSpread::NONE,
         }
     }
 
-    fn is_suspect(&self, endpoint: u32, now_ms: u64) -> bool {
+    /// Whether new work avoids the endpoint: it is suspect, and no other host is known to
+    /// reach it.
+    fn is_avoided(&self, endpoint: u32, now_ms: u64) -> bool {
         let health = self.health.get(&endpoint);
         health.is_some_and(|health| health.is_suspect(now_ms))
+            && !self.is_only_reached_by_others(endpoint, now_ms)
     }
 
     /// The health record of an endpoint, created on first use.
@@ -435,7 +452,7 @@
         let stable_members = self.with_stable_builds(pool, &members, now_ms);
         let accepting = stable_members.filter(|member| {
             let start = member.hash.short();
-            !self.is_suspect(start, now_ms) && !self.backoffs.is_active(start, now_ms)
+            !self.is_avoided(start, now_ms) && !self.backoffs.is_active(start, now_ms)
         });
         let service_ms = self.mean_service_ms(pool);
         let cold_slots = slots_while_cold(self.cold_per_s(pool), service_ms);
@@ -462,7 +479,7 @@
         let accepting = self.with_stable_builds(pool, &members, now_ms);
         let accepting = accepting.filter(|member| {
             let start = member.hash.short();
-            !self.is_suspect(start, now_ms) && !self.backoffs.is_active(start, now_ms)
+            !self.is_avoided(start, now_ms) && !self.backoffs.is_active(start, now_ms)
         });
         let (endpoints, full_endpoints) = accepting.fold((0, 0), |(all, full), member| {
             let load = self.load.in_progress(member.hash.short());
--- a/crates/gateway/src/fleet/scheduling.rs
+++ b/crates/gateway/src/fleet/scheduling.rs
@@ -87,7 +87,7 @@
         } else if self.backoffs.is_active(endpoint, now_ms) {
             2
         } else {
-            u8::from(self.is_suspect(endpoint, now_ms))
+            u8::from(self.is_avoided(endpoint, now_ms))
         }
     }
 
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -175,7 +175,7 @@
     response
 }
 
-fn caller_headers(shared: &Shared, head: &http::response::Parts) -> http::HeaderMap {
+pub(crate) fn caller_headers(shared: &Shared, head: &http::response::Parts) -> http::HeaderMap {
     let mut headers = shared.edge.caller_headers(&head.headers);
     remove_connection_headers(&mut headers);
     headers.remove(hyper::header::CONTENT_LENGTH);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -42,6 +42,7 @@
 mod fair_share;
 mod fleet;
 mod follow;
+mod forward;
 mod front;
 mod lag;
 mod metrics;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -29,6 +29,7 @@
     PoolUsage,
     Slots,
     Work,
+    Reachability,
     /// Datagrams that this build can't decode.
     Unknown,
     /// State pulled from other hosts.
@@ -72,6 +73,7 @@
             Self::PoolUsage => control_labels!("pool-usage"),
             Self::Slots => control_labels!("slots"),
             Self::Work => control_labels!("work"),
+            Self::Reachability => control_labels!("reachability"),
             Self::Unknown => control_labels!("unknown"),
             Self::Pull => control_labels!("pull"),
             Self::Serve => control_labels!("serve"),
--- a/crates/gateway/src/peers/membership.rs
+++ b/crates/gateway/src/peers/membership.rs
@@ -1,7 +1,7 @@
 //! Other hosts: their addresses, roles and liveness.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -281,6 +281,16 @@
         candidates.chain([local]).collect()
     }
 
+    /// Whether an address is that of a host of the fleet.
+    pub(crate) fn knows(&self, address: SocketAddr) -> bool {
+        self.peers().contains_key(&address)
+    }
+
+    /// Whether a host of the fleet has this address.
+    pub(crate) fn has_host_at(&self, ip: IpAddr) -> bool {
+        self.peers().keys().any(|address| address.ip() == ip)
+    }
+
     /// Whether this host started too recently to know all others.
     pub(crate) fn is_warming_up(&self) -> bool {
         self.started_at.elapsed() < WARM_UP
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -10,6 +10,7 @@
 
 use crate::fair_share::PoolUsage;
 use crate::metrics::ControlKind;
+use crate::peers::reachability::{ReachAsk, ReachReply};
 use crate::peers::rollouts::{RolloutPlans, RolloutTally, RolloutUpdate};
 
 /// A datagram. Hosts of other builds decode it: existing variants and fields keep their
@@ -48,6 +49,10 @@
     Work(WorkReport),
     /// Plans of rollouts.
     RolloutPlans(RolloutPlans),
+    /// Asks which endpoints a host reaches.
+    ReachAsk(ReachAsk),
+    /// Which endpoints a host reaches.
+    ReachReply(ReachReply),
 }
 
 impl Datagram {
@@ -66,6 +71,7 @@
             Self::PoolUsage(_) => ControlKind::PoolUsage,
             Self::SlotAsk(_) | Self::SlotReply(_) | Self::SlotRedirect(_) => ControlKind::Slots,
             Self::Work(_) => ControlKind::Work,
+            Self::ReachAsk(_) | Self::ReachReply(_) => ControlKind::Reachability,
         }
     }
 }
--- /dev/null
+++ b/crates/gateway/src/peers/reachability.rs
@@ -0,0 +1,353 @@
+//! Finds out which endpoints this host can't reach and other hosts can.
+//!
+//! While a host can't open connections to some endpoints, it asks others about them and
+//! checks them by further connections, so that no request has to. A host that is asked
+//! replies at once with what it knows, and checks the rest. Nothing is sent while all
+//! endpoints are reachable.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use chalkrock_core::{Endpoint, PoolId};
+use chalkrock_routing::{HealthSignal, NextHop, PoolMember, ReachReport};
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
+use rand::seq::IndexedRandom;
+use serde::{Deserialize, Serialize};
+use tokio::net::UdpSocket;
+use tokio::time::Instant;
+
+use crate::endpoint_connections::{ConnectError, ConnectionTarget};
+use crate::event_log::Event;
+use crate::fleet::PoolReach;
+use crate::metrics::Direction;
+use crate::peers::{Datagram, PeerTable};
+use crate::shared::Shared;
+
+/// Interval of asks and checks while an endpoint is unreachable.
+const ASK_INTERVAL: Duration = Duration::from_millis(250);
+/// Shortest time between two asks.
+const MIN_ASK_INTERVAL: Duration = Duration::from_millis(20);
+/// Endpoints in an ask, about 650 bytes.
+const MAX_ENDPOINTS_PER_ASK: usize = 128;
+/// Hosts that are asked at once.
+const MAX_ASKED_HOSTS: usize = 12;
+/// Connections that check endpoints at once.
+const MAX_CHECKS: usize = 32;
+
+/// Asks which endpoints a host reaches.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct ReachAsk {
+    /// Hashes of the endpoints' starts.
+    pub(crate) endpoints: Vec<u32>,
+    /// Whether earlier contact with an endpoint does not count: it may have just ended.
+    pub(crate) needs_check: bool,
+}
+
+/// The reply to a [`ReachAsk`]. One follows for endpoints that had to be checked.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct ReachReply {
+    pub(crate) next_hop: Option<NextHop>,
+    pub(crate) reached: Vec<u32>,
+    pub(crate) unreached: Vec<u32>,
+    /// Whether the host has just tried to open connections to them.
+    pub(crate) is_checked: bool,
+}
+
+/// The state of this host's paths to endpoints.
+struct Paths {
+    unreachable: Vec<PoolMember>,
+    doubtful: Vec<Arc<Endpoint>>,
+    reach: Vec<(PoolId, PoolReach)>,
+}
+
+impl Paths {
+    fn of(shared: &Shared) -> Self {
+        let now_ms = shared.clock.now_ms();
+        let mut fleet = shared.fleet();
+        fleet.reachability.expire(now_ms);
+        let unreachable = fleet.unreachable_endpoints(now_ms);
+        Self {
+            doubtful: fleet.doubtful_endpoints(&unreachable, now_ms),
+            reach: fleet.pool_reach(&unreachable, now_ms),
+            unreachable,
+        }
+    }
+}
+
+/// Asks and checks while endpoints are unreachable, until the process ends.
+pub(crate) async fn exchange_reachability(
+    shared: Arc<Shared>,
+    peers: Arc<PeerTable>,
+    socket: Arc<UdpSocket>,
+) {
+    let mut partitioned: HashMap<PoolId, Instant> = HashMap::new();
+    let mut number = 0;
+    loop {
+        let Paths {
+            unreachable,
+            doubtful,
+            reach,
+        } = Paths::of(&shared);
+        log_partitions(&shared, &mut partitioned, reach);
+        if unreachable.is_empty() && partitioned.is_empty() {
+            shared.unreachable_found.notified().await;
+            continue;
+        }
+        let asked: Vec<u32> = { unreachable.iter() }
+            .map(|member| member.hash.short())
+            .chain(doubtful.iter().map(|other| other.start_hash().short()))
+            .collect();
+        // With many endpoints, each has its turn.
+        let mut chunks = asked.chunks(MAX_ENDPOINTS_PER_ASK);
+        if let Some(chunk) = chunks.nth(number % asked.len().div_ceil(MAX_ENDPOINTS_PER_ASK).max(1))
+        {
+            ask(&shared, &peers, &socket, chunk.to_vec(), false);
+        }
+        number += 1;
+        spawn_checks(&shared, &unreachable, doubtful);
+        tokio::time::sleep(MIN_ASK_INTERVAL).await;
+        let waiting = shared.unreachable_found.notified();
+        let _time_for_the_next = tokio::time::timeout(ASK_INTERVAL, waiting).await;
+    }
+}
+
+/// Asks other hosts about endpoints. Returns how many hosts.
+fn ask(
+    shared: &Shared,
+    peers: &PeerTable,
+    socket: &UdpSocket,
+    endpoints: Vec<u32>,
+    needs_check: bool,
+) -> usize {
+    let hosts = asked_hosts(shared, peers, &endpoints);
+    let ask = Datagram::ReachAsk(ReachAsk {
+        endpoints,
+        needs_check,
+    });
+    for host in &hosts {
+        send(shared, socket, &ask, *host);
+    }
+    hosts.len()
+}
+
+/// The hosts to ask: half of them reached one of the endpoints before, the others are drawn,
+/// so that those with a path are found in a large fleet.
+fn asked_hosts(shared: &Shared, peers: &PeerTable, endpoints: &[u32]) -> Vec<SocketAddr> {
+    let up = peers.up().into_iter().map(|contact| contact.address);
+    let up: Vec<SocketAddr> = up.filter(|address| *address != peers.local).collect();
+    if up.len() <= MAX_ASKED_HOSTS {
+        return up;
+    }
+    let now_ms = shared.clock.now_ms();
+    let fleet = shared.fleet();
+    let reaching = endpoints
+        .iter()
+        .flat_map(|endpoint| fleet.reachability.hosts_reaching(*endpoint, now_ms));
+    let mut known: Vec<SocketAddr> = reaching.collect();
+    drop(fleet);
+    known.sort_unstable();
+    known.dedup();
+    let mut random = rand::rng();
+    let known = known.sample(&mut random, MAX_ASKED_HOSTS / 2);
+    let mut asked: Vec<SocketAddr> = known.copied().collect();
+    let others: Vec<SocketAddr> = up
+        .into_iter()
+        .filter(|host| !asked.contains(host))
+        .collect();
+    let missing = MAX_ASKED_HOSTS - asked.len();
+    asked.extend(others.sample(&mut random, missing).copied());
+    asked
+}
+
+fn spawn_checks(shared: &Arc<Shared>, unreachable: &[PoolMember], doubtful: Vec<Arc<Endpoint>>) {
+    let unreachable = unreachable.iter().map(|member| member.endpoint.clone());
+    for endpoint in unreachable.chain(doubtful).take(MAX_CHECKS) {
+        let Some(guard) = shared.begin_check(endpoint.start_hash().short()) else {
+            continue;
+        };
+        let shared = shared.clone();
+        tokio::spawn(async move {
+            shared.check_connection(&endpoint).await;
+            drop(guard);
+        });
+    }
+}
+
+/// Replies to a host that asks about endpoints.
+pub(crate) fn reply_to_ask(
+    shared: &Arc<Shared>,
+    peers: &Arc<PeerTable>,
+    socket: &Arc<UdpSocket>,
+    from: SocketAddr,
+    ask: &ReachAsk,
+) {
+    if !peers.knows(from) {
+        return;
+    }
+    let now_ms = shared.clock.now_ms();
+    let (mut reached, mut unreached, mut unknown) = (Vec::new(), Vec::new(), Vec::new());
+    let fleet = shared.fleet();
+    for &start in ask.endpoints.iter().take(MAX_ENDPOINTS_PER_ASK) {
+        if !ask.needs_check && fleet.has_recent_contact(start, now_ms) {
+            reached.push(start);
+        } else if !ask.needs_check && fleet.is_unreachable(start, now_ms) {
+            unreached.push(start);
+        } else if let Some(member) = fleet.listed_member(start) {
+            unknown.push(member.endpoint.clone());
+        }
+    }
+    drop(fleet);
+    if !reached.is_empty() || !unreached.is_empty() {
+        let is_checked = false;
+        let report = (reached, unreached, is_checked);
+        reply(shared, peers, socket, from, report);
+    }
+    if unknown.is_empty() {
+        return;
+    }
+    let (shared, peers, socket) = (shared.clone(), peers.clone(), socket.clone());
+    tokio::spawn(async move {
+        let checks = unknown.iter().take(MAX_CHECKS).map(|endpoint| async {
+            let is_reached = shared.check_connection(endpoint).await;
+            (endpoint.start_hash().short(), is_reached)
+        });
+        let mut checks: FuturesUnordered<_> = checks.collect();
+        // Connections that are accepted or refused at once are not held up by others.
+        while let Some((start, is_reached)) = checks.next().await {
+            let report = match is_reached {
+                Some(true) => (vec![start], Vec::new(), true),
+                Some(false) => (Vec::new(), vec![start], true),
+                None => continue,
+            };
+            reply(&shared, &peers, &socket, from, report);
+        }
+    });
+}
+
+fn reply(
+    shared: &Shared,
+    peers: &PeerTable,
+    socket: &UdpSocket,
+    to: SocketAddr,
+    (reached, unreached, is_checked): (Vec<u32>, Vec<u32>, bool),
+) {
+    let address = shared.forward_address();
+    let reply = Datagram::ReachReply(ReachReply {
+        next_hop: address.map(|address| NextHop {
+            address,
+            zone: peers.zone,
+            capacity_millicores: peers.capacity_millicores,
+            lag_ms: shared.lag.ms() as u32,
+        }),
+        reached,
+        unreached,
+        is_checked,
+    });
+    send(shared, socket, &reply, to);
+}
+
+/// Merges a reply.
+pub(crate) fn merge_reply(
+    shared: &Shared,
+    peers: &PeerTable,
+    from: SocketAddr,
+    reply: &ReachReply,
+) {
+    // A next hop that is not the replying host could be anybody's.
+    let is_own = |hop: &NextHop| hop.address.ip() == from.ip();
+    if !peers.knows(from) || !reply.next_hop.as_ref().is_none_or(is_own) {
+        return;
+    }
+    let now_ms = shared.clock.now_ms();
+    let report = ReachReport {
+        next_hop: reply.next_hop,
+        reached: &reply.reached,
+        unreached: &reply.unreached,
+        is_checked: reply.is_checked,
+    };
+    shared.fleet().reachability.merge(from, &report, now_ms);
+    shared.reach_reported.notify_waiters();
+}
+
+fn send(shared: &Shared, socket: &UdpSocket, datagram: &Datagram, to: SocketAddr) {
+    let Ok(bytes) = postcard::to_stdvec(datagram) else {
+        return;
+    };
+    shared.record_datagram_size(bytes.len());
+    let _lost_datagrams_are_replaced = socket.try_send_to(&bytes, to);
+    shared.count_control_bytes(datagram.kind(), Direction::Sent, bytes.len() as u64);
+}
+
+/// Logs the pools from which this host begins or ends to be partitioned.
+fn log_partitions(
+    shared: &Shared,
+    partitioned: &mut HashMap<PoolId, Instant>,
+    reach: Vec<(PoolId, PoolReach)>,
+) {
+    let current: HashMap<PoolId, PoolReach> = { reach.into_iter() }
+        .filter(|(_, reach)| reach.is_partitioned())
+        .collect();
+    for (pool, reach) in &current {
+        if partitioned.contains_key(pool) {
+            continue;
+        }
+        partitioned.insert(pool.clone(), Instant::now());
+        shared.metrics.count("partitions_total", "", 1);
+        shared.event_log.emit(&Event::Partitioned {
+            pool,
+            is_partitioned: true,
+            reached_by_others: reach.reached_by_others,
+            endpoints: reach.endpoints,
+            lasted_ms: None,
+        });
+    }
+    partitioned.retain(|pool, since| {
+        let is_current = current.contains_key(pool);
+        if !is_current {
+            shared.event_log.emit(&Event::Partitioned {
+                pool,
+                is_partitioned: false,
+                reached_by_others: 0,
+                endpoints: shared.fleet().endpoints.live(pool).len(),
+                lasted_ms: Some(since.elapsed().as_millis() as u64),
+            });
+        }
+        is_current
+    });
+}
+
+impl Shared {
+    /// Opens a connection to an endpoint and records whether it was accepted. Returns `None`
+    /// if this host may have no more connections to it.
+    async fn check_connection(&self, endpoint: &Endpoint) -> Option<bool> {
+        let start = endpoint.start_hash().short();
+        let max_open = self.fleet().max_connections(&endpoint.pool);
+        let target = ConnectionTarget::Endpoint(start);
+        let checked = self
+            .endpoint_connections
+            .check(target, endpoint.address, max_open)
+            .await?;
+        let now_ms = self.clock.now_ms();
+        let mut fleet = self.fleet();
+        let is_accepted = match checked {
+            Ok(()) | Err(ConnectError::Reset) => {
+                fleet.record_connected(start, now_ms);
+                true
+            }
+            Err(error) => {
+                let timed_out = error == ConnectError::TimedOut;
+                let signal = HealthSignal::Unreachable { timed_out };
+                fleet.record_signal(start, signal, now_ms);
+                false
+            }
+        };
+        drop(fleet);
+        if !is_accepted {
+            self.unreachable_found.notify_one();
+        }
+        Some(is_accepted)
+    }
+}
--- a/crates/gateway/src/peers/receive.rs
+++ b/crates/gateway/src/peers/receive.rs
@@ -16,6 +16,7 @@
     CacheEntries, Datagram, Heartbeat, RelaySummary, StateDigest, ZoneSummary,
 };
 use crate::peers::publish::log_peer_change;
+use crate::peers::reachability::{merge_reply, reply_to_ask};
 use crate::peers::rollouts::{merge_plans, merge_rollout_update, merge_tally};
 use crate::pool_queue::Inbound;
 use crate::shared::Shared;
@@ -86,6 +87,8 @@
                 let now_ms = shared.clock.now_ms();
                 shared.fleet().work.merge(address, &report, now_ms);
             }
+            Datagram::ReachAsk(ask) => reply_to_ask(&shared, &peers, &socket, address, &ask),
+            Datagram::ReachReply(reply) => merge_reply(&shared, &peers, address, &reply),
         }
     }
 }
--- a/crates/gateway/src/progress.rs
+++ b/crates/gateway/src/progress.rs
@@ -1,5 +1,6 @@
 //! Tracks the attempts of one request and decides what may follow.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -20,6 +21,7 @@
 use crate::event_log::{AttemptRecord, Event};
 use crate::fair_share::{RequestKind, RequestWork};
 use crate::fleet::{EndpointQuery, Fleet, SelectedEndpoint};
+use crate::forward::{ForwardHead, Forwarding, Path, UsedEndpoint};
 use crate::poison::BrokenAttempt;
 use crate::pool_queue::{Lease, NewRequest};
 use crate::shared::{OrganisationGuard, Shared};
@@ -60,6 +62,11 @@
     unused_lease: Option<Lease>,
     /// The prompt of the current attempt, until its first event.
     reading: Option<ReadGuard>,
+    /// Whether the current attempt goes through another host, which records what it observes
+    /// of the endpoint.
+    is_forwarded: bool,
+    /// Next hops that did not take the request.
+    forwarding: Forwarding,
     /// Whether the request was logged as completed.
     is_logged: bool,
 }
@@ -79,8 +86,25 @@
         let now_ms = shared.clock.now_ms();
         shared.fleet().budget(&call.pool).record_request(now_ms);
         let organisation = call.organisation();
+        let guard = organisation.map(|name| OrganisationGuard::begin(&shared, name));
+        let mut progress = Self::without_counts(shared, call);
+        progress._organisation_guard = guard;
+        progress
+    }
+
+    /// Tracks the attempt that this host makes for another one. That host counts the request
+    /// against the retry budget and its organisation's share.
+    pub(crate) fn forwarded(shared: Arc<Shared>, call: Arc<Call>, head: &ForwardHead) -> Self {
+        let mut progress = Self::without_counts(shared, call);
+        progress.tried.clone_from(&head.tried);
+        progress.delivered_attempts = head.delivered_attempts;
+        progress
+    }
+
+    fn without_counts(shared: Arc<Shared>, call: Arc<Call>) -> Self {
         Self {
-            _organisation_guard: organisation.map(|name| OrganisationGuard::begin(&shared, name)),
+            _organisation_guard: None,
+            sent_at_ms: shared.clock.now_ms(),
             shared,
             call,
             tried: Vec::new(),
@@ -88,13 +112,14 @@
             worst_outcome: Outcome::NotRun,
             attempts: Vec::new(),
             work: None,
-            sent_at_ms: now_ms,
             stalled_at_send_ms: 0,
             was_cold: false,
             last_endpoint: None,
             uses: &[BuildUse::Any],
             unused_lease: None,
             reading: None,
+            is_forwarded: false,
+            forwarding: Forwarding::default(),
             is_logged: false,
         }
     }
@@ -413,6 +438,61 @@
         }
     }
 
+    /// Chooses an endpoint for a request that another host has placed at one that is not
+    /// usable here. Endpoints of a build that is rolled out are left to that host.
+    pub(crate) fn choose_stable_endpoint(&mut self) -> Option<SelectedEndpoint> {
+        let shared = self.shared.clone();
+        let now_ms = shared.clock.now_ms();
+        let mut fleet = shared.fleet();
+        self.uses = fleet.scheduled_uses(&self.call.pool);
+        let choice = fleet.place(&self.endpoint_query(), now_ms)?;
+        let start = choice.member.hash.short();
+        fleet.cold.record_sent(start, now_ms);
+        fleet.backoffs.record_sent(start, now_ms);
+        Some(choice)
+    }
+
+    /// Excludes endpoints from the next attempts.
+    pub(crate) fn exclude(&mut self, endpoints: &[u32]) {
+        self.tried.extend_from_slice(endpoints);
+    }
+
+    /// The path to a chosen endpoint.
+    pub(crate) fn path_to(&self, choice: &SelectedEndpoint) -> Path {
+        self.forwarding.path_to(&self.shared, choice)
+    }
+
+    /// Records that a next hop did not take the request.
+    pub(crate) fn record_next_hop_refusal(&mut self, address: SocketAddr) {
+        self.forwarding.record_refusal(address);
+    }
+
+    /// Records the endpoint to which the next hop sent the request, which may differ from
+    /// the chosen one.
+    pub(crate) fn set_used_endpoint(&mut self, used: &UsedEndpoint) {
+        if let Some(last) = self.tried.last_mut() {
+            *last = used.start;
+        }
+        if let Some(record) = self.attempts.last_mut() {
+            record.endpoint = used.name.clone();
+        }
+    }
+
+    /// The endpoint of the current attempt, by the hash of its start.
+    pub(crate) fn last_tried(&self) -> u32 {
+        self.tried.last().copied().unwrap_or_default()
+    }
+
+    /// The endpoints of the attempts before the current one.
+    pub(crate) fn tried_before(&self) -> &[u32] {
+        self.tried.split_last().map_or(&[], |(_, before)| before)
+    }
+
+    /// The number of attempts whose request reached an endpoint.
+    pub(crate) fn delivered_attempts(&self) -> u32 {
+        self.delivered_attempts
+    }
+
     fn endpoint_query(&self) -> EndpointQuery<'_> {
         EndpointQuery {
             pool: &self.call.pool,
@@ -431,8 +511,15 @@
         self.delivered_attempts + 1 < self.call.route.attempts_max
     }
 
-    /// Records the start of an attempt, and how its slot was granted, if it was.
-    pub(crate) fn begin(&mut self, choice: &SelectedEndpoint, granted: Option<GrantRecord>) {
+    /// Records the start of an attempt, how its slot was granted, if it was, and the host
+    /// through which it is forwarded, if it is.
+    pub(crate) fn begin(
+        &mut self,
+        choice: &SelectedEndpoint,
+        granted: Option<GrantRecord>,
+        next_hop: Option<SocketAddr>,
+    ) {
+        self.is_forwarded = next_hop.is_some();
         self.sent_at_ms = self.shared.clock.now_ms();
         self.stalled_at_send_ms = self.shared.lag.stalled_ms();
         self.tried.push(choice.member.hash.short());
@@ -440,7 +527,11 @@
         let fleet = self.shared.fleet();
         let start = choice.member.hash.short();
         self.was_cold = fleet.cold.is_cold(start, self.sent_at_ms);
-        self.reading = fleet.work.begin(&self.call.pool, choice, self.sent_at_ms);
+        self.reading = if self.is_forwarded {
+            None
+        } else {
+            fleet.work.begin(&self.call.pool, choice, self.sent_at_ms)
+        };
         drop(fleet);
         self.attempts.push(AttemptRecord {
             endpoint: choice.member.endpoint.name.clone(),
@@ -455,6 +546,7 @@
             holds_prefix: choice.holds_prefix,
             is_cold: choice.is_cold,
             copy_from: choice.holder,
+            next_hop,
             waited_ms: granted.map(|granted| granted.waited_ms),
             scheduler_epoch: granted.map(|granted| granted.epoch),
             at_ms: self.call.entered_at.elapsed().as_millis() as u64,
@@ -486,17 +578,44 @@
     /// Records that the last attempt failed before or during its response, and returns
     /// the next step.
     pub(crate) async fn end_attempt(&mut self, broken: BrokenAttempt) -> Next {
+        let end = broken.end;
+        self.record_failed_attempt(broken).await;
+        if end.counts_as_attempt() {
+            self.delivered_attempts += 1;
+        }
+        let next = next_step(
+            end,
+            self.worst_outcome,
+            self.call.repeatable(),
+            self.delivered_attempts,
+            self.call.route.attempts_max,
+            || self.try_spend_retry(),
+        );
+        if end.outcome() != Outcome::NotRun {
+            self.worst_outcome = Outcome::Unknown;
+        }
+        next
+    }
+
+    /// Records what an attempt that failed shows of its endpoint.
+    pub(crate) async fn record_failed_attempt(&mut self, broken: BrokenAttempt) {
         let end = broken.end;
         self.reading = None;
+        if let Some(record) = self.attempts.last_mut() {
+            record.end = Some(end);
+        }
+        if end == AttemptOutcome::NotTheEndpoint {
+            self.mark_endpoint_gone();
+        }
+        if self.is_forwarded {
+            return;
+        }
         if let Some(endpoint) = &self.last_endpoint {
             let request = self.call.fingerprint;
             self.shared
                 .record_broken_attempt(request, endpoint, broken)
                 .await;
         }
-        if let Some(record) = self.attempts.last_mut() {
-            record.end = Some(end);
-        }
         self.record_health(end);
         if end.is_build_failure() {
             self.count_response(ObservedResponse::Failed);
@@ -507,24 +626,6 @@
                 .pool_queues
                 .record_refusal(&self.call.pool, now_ms);
         }
-        if end == AttemptOutcome::NotTheEndpoint {
-            self.mark_endpoint_gone();
-        }
-        if end.counts_as_attempt() {
-            self.delivered_attempts += 1;
-        }
-        let next = next_step(
-            end,
-            self.worst_outcome,
-            self.call.repeatable(),
-            self.delivered_attempts,
-            self.call.route.attempts_max,
-            || self.try_spend_retry(),
-        );
-        if end.outcome() != Outcome::NotRun {
-            self.worst_outcome = Outcome::Unknown;
-        }
-        next
     }
 
     /// Records the time from the send to the first byte of the response.
@@ -554,7 +655,7 @@
 
     /// Records the mean time between some events of a stream.
     pub(crate) fn record_event_interval(&self, interval: Duration) {
-        if let Some(start) = self.tried.last() {
+        if let Some(start) = self.tried.last().filter(|_| !self.is_forwarded) {
             let now_ms = self.shared.clock.now_ms();
             let fleet = self.shared.fleet();
             let pool = &self.call.pool;
@@ -573,7 +674,7 @@
 
     /// Counts the response of the last attempt for a rollout of its pool.
     fn count_response(&self, seen: ObservedResponse) {
-        let Some(endpoint) = &self.last_endpoint else {
+        let Some(endpoint) = self.last_endpoint.as_ref().filter(|_| !self.is_forwarded) else {
             return;
         };
         if !self.shared.fleet().rollouts.counts_answers() {
@@ -721,6 +822,9 @@
         };
         let now_ms = self.shared.clock.now_ms();
         let is_new = self.shared.fleet().record_signal(*start, signal, now_ms);
+        if matches!(signal, HealthSignal::Unreachable { .. }) {
+            self.shared.unreachable_found.notify_one();
+        }
         if let Some(record) = self.attempts.last().filter(|_| is_new) {
             self.shared.event_log.emit(&Event::Suspect {
                 endpoint: &record.endpoint,
@@ -731,7 +835,7 @@
 
     fn health_signal(&self, end: AttemptOutcome) -> Option<HealthSignal> {
         match end {
-            AttemptOutcome::NotSent | AttemptOutcome::Broken => Some(HealthSignal::Break),
+            AttemptOutcome::NotSent | AttemptOutcome::Broken => Some(self.connection_signal()),
             AttemptOutcome::Silent => Some(HealthSignal::Silence {
                 sent_at_ms: self.sent_at_ms,
             }),
@@ -744,6 +848,16 @@
         }
     }
 
+    /// The signal of a connection that failed to open or broke.
+    fn connection_signal(&self) -> HealthSignal {
+        let last = self.attempts.last();
+        match last.and_then(|record| record.connect_error) {
+            Some(ConnectError::TimedOut) => HealthSignal::Unreachable { timed_out: true },
+            Some(ConnectError::Refused) => HealthSignal::Unreachable { timed_out: false },
+            Some(ConnectError::Reset) | None => HealthSignal::Break,
+        }
+    }
+
     fn try_spend_retry(&self) -> bool {
         let now_ms = self.shared.clock.now_ms();
         let mut fleet = self.shared.fleet();
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -158,11 +158,11 @@
                         self.progress.record_event_interval(interval);
                     }
                     if let Ok(bytes) = frame.into_data() {
-                        let now_ms = self.shared.clock.now_ms();
-                        self.shared
-                            .fleet()
-                            .health(stream.start)
-                            .record_received(now_ms);
+                        if !stream.is_forwarded {
+                            let now_ms = self.shared.clock.now_ms();
+                            let mut fleet = self.shared.fleet();
+                            fleet.health(stream.start).record_received(now_ms);
+                        }
                         return Received::Bytes(bytes);
                     }
                 }
@@ -244,20 +244,18 @@
         };
         self.shared.record_completed_run(self.call.fingerprint);
         self.progress.record_response_end(self.chunk_interval());
-        let now_ms = self.shared.clock.now_ms();
-        self.shared
-            .fleet()
-            .record_signal(stream.start, HealthSignal::Answer, now_ms);
+        if !stream.is_forwarded {
+            let now_ms = self.shared.clock.now_ms();
+            let mut fleet = self.shared.fleet();
+            fleet.record_signal(stream.start, HealthSignal::Answer, now_ms);
+        }
         let OpenStream {
-            connection,
-            answer,
-            start,
-            ..
+            connection, answer, ..
         } = *stream;
         if !answer.closes {
             self.shared
                 .endpoint_connections
-                .check_in(start, connection, answer.keep_alive_s);
+                .check_in(connection, answer.keep_alive_s);
         }
         self.record_completion(Completion::answered(self.status));
     }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -16,11 +16,13 @@
 use crate::edge::Edge;
 use crate::event_log::{Event, EventLog, write_lines};
 use crate::follow::follow;
+use crate::forward::serve_forwarded;
 use crate::front::accept;
 use crate::lag::measure_lag;
 use crate::outage_log::OutageLog;
 use crate::peers::{
-    PeerTable, publish, pull_at_start, pull_when_outdated, receive, serve_pulls, zone_hash,
+    PeerTable, exchange_reachability, publish, pull_at_start, pull_when_outdated, receive,
+    serve_pulls, zone_hash,
 };
 use crate::poison::sync_poison_records;
 use crate::pool_queue::exchange_slots;
@@ -202,6 +204,13 @@
     let seeds = shared.config.peer_seeds.iter();
     peers.add(seeds.map(|address| (*address, None)));
     tasks.spawn(publish(shared.clone(), peers.clone(), socket.clone()));
+    if let Some(address) = shared.config.forward_listen {
+        let listener = listen(address).await?;
+        shared.set_forward_address(listener.local_addr()?);
+        tasks.spawn(serve_forwarded(shared.clone(), peers.clone(), listener));
+    }
+    let exchange = exchange_reachability(shared.clone(), peers.clone(), socket.clone());
+    tasks.spawn(exchange);
     let (slot_sender, slot_messages) = mpsc::channel(MAX_SLOT_MESSAGES);
     let receiving = receive(shared.clone(), peers.clone(), socket.clone(), slot_sender);
     tasks.spawn(receiving);
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -1,5 +1,7 @@
 //! State shared by all requests of a gateway.
 
+use std::collections::HashSet;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
@@ -64,6 +66,14 @@
     /// Requests that wait for slots of contended pools.
     pub(crate) pool_queues: Arc<PoolQueues>,
     pub(crate) rules: ActiveRules,
+    /// Wakes the task that asks about unreachable endpoints.
+    pub(crate) unreachable_found: Notify,
+    /// Wakes attempts that wait for other hosts' reports of endpoints.
+    pub(crate) reach_reported: Notify,
+    /// Endpoints that are checked now, by the hash of their start.
+    checks: Mutex<HashSet<u32>>,
+    /// The address for forwarded requests.
+    forward_address: OnceLock<SocketAddr>,
     fleet: Mutex<Fleet>,
     largest_datagram_bytes: AtomicUsize,
     /// Requests received whose answer is not complete.
@@ -110,6 +120,10 @@
             connection_permits,
             pool_queues: Arc::default(),
             rules: ActiveRules::default(),
+            unreachable_found: Notify::new(),
+            reach_reported: Notify::new(),
+            checks: Mutex::default(),
+            forward_address: OnceLock::new(),
             fleet: Mutex::new(fleet),
             largest_datagram_bytes: AtomicUsize::new(0),
             running: AtomicUsize::new(0),
@@ -337,6 +351,30 @@
         self.has_view() && self.stop_requested_at.get().is_none()
     }
 
+    /// Sets the address at which this host accepts forwarded requests.
+    pub(crate) fn set_forward_address(&self, address: SocketAddr) {
+        let _set_once = self.forward_address.set(address);
+    }
+
+    /// The address for forwarded requests, while this host accepts them.
+    pub(crate) fn forward_address(&self) -> Option<SocketAddr> {
+        let address = self.forward_address.get().copied();
+        address.filter(|_| self.is_ready())
+    }
+
+    /// Marks an endpoint as checked until the guard is dropped; `None` if it already is.
+    pub(crate) fn begin_check(self: &Arc<Self>, endpoint: u32) -> Option<CheckGuard> {
+        let is_new = self.checks().insert(endpoint);
+        is_new.then(|| CheckGuard {
+            shared: self.clone(),
+            endpoint,
+        })
+    }
+
+    fn checks(&self) -> MutexGuard<'_, HashSet<u32>> {
+        self.checks.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Records a request to stop.
     pub(crate) fn request_stop(&self) {
         if self.stop_requested_at.set(Instant::now()).is_ok() {
@@ -398,6 +436,18 @@
     }
 }
 
+/// Marks an endpoint as checked until dropped.
+pub(crate) struct CheckGuard {
+    shared: Arc<Shared>,
+    endpoint: u32,
+}
+
+impl Drop for CheckGuard {
+    fn drop(&mut self) {
+        self.shared.checks().remove(&self.endpoint);
+    }
+}
+
 /// Counts a request whose answer is not complete, until dropped.
 pub(crate) struct RunningGuard(Arc<Shared>);
 
@@ -407,12 +457,20 @@
     }
 }
 
-/// Counts a request in progress on an endpoint, until dropped.
+/// What a request in progress counts against. The next hop of a forwarded one counts it
+/// against the endpoint.
+#[derive(Clone, Copy, Debug)]
+enum InFlightTarget {
+    Endpoint(u32),
+    NextHop(SocketAddr),
+}
+
+/// Counts a request in progress, until dropped.
 pub(crate) struct InFlightGuard {
     shared: Arc<Shared>,
     pool: PoolId,
     route: Arc<str>,
-    endpoint: u32,
+    target: InFlightTarget,
     since: Instant,
     /// The work of its request.
     work: Option<Arc<RequestWork>>,
@@ -431,11 +489,39 @@
         lease: Option<Lease>,
     ) -> Self {
         shared.fleet().load.begin(endpoint);
+        Self::new(
+            shared,
+            call,
+            work,
+            InFlightTarget::Endpoint(endpoint),
+            lease,
+        )
+    }
+
+    /// Counts a request that is forwarded to a next hop.
+    pub(crate) fn begin_forwarded(
+        shared: &Arc<Shared>,
+        call: &Call,
+        work: Option<Arc<RequestWork>>,
+        next_hop: SocketAddr,
+        lease: Option<Lease>,
+    ) -> Self {
+        shared.fleet().reachability.begin_forwarded(next_hop);
+        Self::new(shared, call, work, InFlightTarget::NextHop(next_hop), lease)
+    }
+
+    fn new(
+        shared: &Arc<Shared>,
+        call: &Call,
+        work: Option<Arc<RequestWork>>,
+        target: InFlightTarget,
+        lease: Option<Lease>,
+    ) -> Self {
         Self {
             shared: shared.clone(),
             pool: call.pool.clone(),
             route: call.route.name.clone(),
-            endpoint,
+            target,
             since: Instant::now(),
             work,
             was_rejected: false,
@@ -453,7 +539,10 @@
 impl Drop for InFlightGuard {
     fn drop(&mut self) {
         let mut fleet = self.shared.fleet();
-        fleet.load.end(self.endpoint);
+        match self.target {
+            InFlightTarget::Endpoint(endpoint) => fleet.load.end(endpoint),
+            InFlightTarget::NextHop(address) => fleet.reachability.end_forwarded(address),
+        }
         if !self.was_rejected {
             let service_ms = self.since.elapsed().as_millis() as u64;
             let now_ms = self.shared.clock.now_ms();
--- a/crates/gateway/tests/gateway/partitions.rs
+++ b/crates/gateway/tests/gateway/partitions.rs
@@ -70,7 +70,7 @@
     for round in 0..4 {
         let mut calls = Vec::new();
         for number in 0..WAITING {
-            let call = Call::post("/safe/", format!("body {number}").as_bytes());
+            let call = Call::post("/once/", format!("body {number}").as_bytes());
             let call = call.id(&format!("r-{round}-{number}"));
             let host = &fleet.hosts[0];
             calls.push(call.send(host.running.front_address()).await);
--- a/crates/gateway/tests/gateway/support/fleet.rs
+++ b/crates/gateway/tests/gateway/support/fleet.rs
@@ -80,6 +80,7 @@
         .ready_listen(any_port)
         .metrics_listen(any_port)
         .peer_listen(any_port)
+        .forward_listen(Some(any_port))
         .peer_seeds(seeds)
         .grace_ms(GRACE_MS)
         .retry_budget(BudgetRules {
--- a/crates/routing/src/attempt.rs
+++ b/crates/routing/src/attempt.rs
@@ -4,12 +4,12 @@
 //! request was written, or if the endpoint reported that it did not run.
 
 use chalkrock_core::{Outcome, Reason};
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 use crate::route::RouteKind;
 
 /// How an attempt at an endpoint ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum AttemptOutcome {
     /// No connection, or one that closed before anything was written.
--- a/crates/routing/src/health.rs
+++ b/crates/routing/src/health.rs
@@ -6,6 +6,10 @@
 //! answer clears the suspicion, silence renews it. Suspicion only moves new work to
 //! equivalent endpoints; it never leaves a pool without endpoints.
 //!
+//! An endpoint to which no connection can be opened is checked by further connections
+//! instead of requests. It may still be reached by other hosts: see
+//! [`Reachability`](crate::Reachability).
+//!
 //! Each waiting request reports the silence of its own wait, so that one whose caller
 //! left, or which may not be repeated, does not keep an endpoint suspect. With a common list
 //! of waiting requests, an abandoned one would stay on it, and its endpoint, given no more
@@ -25,6 +29,8 @@
 const MAX_FAILURE_RATIO: f64 = 0.5;
 /// Wait of a request, without any data from the endpoint, that counts as silence.
 const SILENCE_TIMEOUT_MS: u64 = 700;
+/// How long an endpoint counts as unreachable without another failed connection.
+const UNREACHABLE_RETENTION_MS: u64 = 1_500;
 
 /// An observation of an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -33,8 +39,13 @@
     Answer,
     /// It answered with a failure.
     Failure,
-    /// It was unreachable, or its connection broke.
+    /// Its connection broke.
     Break,
+    /// No connection to it could be opened.
+    Unreachable {
+        /// Whether there was no answer at all.
+        timed_out: bool,
+    },
     /// It did not answer a request in time.
     Silence {
         /// When the request was sent.
@@ -66,6 +77,16 @@
     is_probed: bool,
     /// Last report of silence, if nothing was received since.
     silent_at_ms: Option<u64>,
+    /// The last connection that failed to open, if none succeeded since.
+    failed_connection: Option<FailedConnection>,
+    /// When it last accepted a connection or sent something.
+    contact_at_ms: Option<u64>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct FailedConnection {
+    at_ms: u64,
+    timed_out: bool,
 }
 
 impl EndpointHealth {
@@ -86,6 +107,17 @@
             HealthSignal::Break if self.is_probed || now_ms >= self.suspect_until_ms => {
                 self.mark_suspect(now_ms);
             }
+            HealthSignal::Unreachable { timed_out } => {
+                if self.is_probed || now_ms >= self.suspect_until_ms {
+                    self.mark_suspect(now_ms);
+                }
+                let renewed_until_ms = now_ms + INITIAL_SUSPECT_MS;
+                self.suspect_until_ms = self.suspect_until_ms.max(renewed_until_ms);
+                self.failed_connection = Some(FailedConnection {
+                    at_ms: now_ms,
+                    timed_out,
+                });
+            }
             // Requests sent before the last suspicion belong to its cause.
             HealthSignal::Silence { sent_at_ms }
                 if self.consecutive_suspicions == 0 || sent_at_ms >= self.suspected_at_ms =>
@@ -106,9 +138,20 @@
         }
     }
 
+    /// Records that it accepted a connection. If it was suspect because none could be
+    /// opened, the next request probes it.
+    pub fn record_connected(&mut self, now_ms: u64) {
+        self.contact_at_ms = Some(now_ms);
+        if self.failed_connection.take().is_some() {
+            self.suspect_until_ms = self.suspect_until_ms.min(now_ms);
+        }
+    }
+
     /// Records that a byte of an answer arrived.
     pub fn record_received(&mut self, now_ms: u64) {
         self.received_at_ms = now_ms;
+        self.contact_at_ms = Some(now_ms);
+        self.failed_connection = None;
         self.silent_at_ms = None;
         if self.is_probed {
             self.clear_suspicion(now_ms);
@@ -120,6 +163,27 @@
         now_ms < self.suspect_until_ms
     }
 
+    /// Whether this host can't open connections to it.
+    pub fn is_unreachable(&self, now_ms: u64) -> bool {
+        self.recent_failure(now_ms).is_some()
+    }
+
+    /// Whether connections to it get no answer, so that a request would wait in vain.
+    pub fn is_unresponsive(&self, now_ms: u64) -> bool {
+        self.recent_failure(now_ms)
+            .is_some_and(|failure| failure.timed_out)
+    }
+
+    fn recent_failure(&self, now_ms: u64) -> Option<FailedConnection> {
+        self.failed_connection
+            .filter(|failure| now_ms < failure.at_ms + UNREACHABLE_RETENTION_MS)
+    }
+
+    /// Time since it last accepted a connection or sent something, if it ever did.
+    pub fn contact_age_ms(&self, now_ms: u64) -> Option<u64> {
+        self.contact_at_ms.map(|at_ms| now_ms.saturating_sub(at_ms))
+    }
+
     /// Whether the endpoint fell silent and nothing was received since. A repeatable
     /// request should probe it first, if there is one.
     pub fn is_on_probation(&self, now_ms: u64) -> bool {
@@ -145,6 +209,8 @@
 
     fn clear_suspicion(&mut self, now_ms: u64) {
         self.received_at_ms = now_ms;
+        self.contact_at_ms = Some(now_ms);
+        self.failed_connection = None;
         self.consecutive_suspicions = 0;
         self.is_probed = false;
         self.silent_at_ms = None;
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -64,6 +64,7 @@
 mod poison;
 mod pool_queue;
 mod prefix_directory;
+mod reachability;
 mod readers;
 mod returns;
 mod rollout;
@@ -124,6 +125,7 @@
     SchedulerLink, rank_schedulers,
 };
 pub use prefix_directory::{CacheEntry, PrefixDirectory};
+pub use reachability::{NextHop, ReachReport, Reachability, ReportCounts};
 pub use readers::{
     HOST_TIMEOUT_MS, LastHeard, RELAYS_PER_ZONE, SubscriptionRole, ZonePeer, ZoneView,
     first_ranked, is_large_fleet, stale_poll_fraction, subscribers_needed,
--- a/crates/routing/src/rules.rs
+++ b/crates/routing/src/rules.rs
@@ -109,7 +109,7 @@
 }
 
 /// The organisation of a caller's key.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Caller {
     /// The organisation.
     pub organisation: OrganisationId,
--- a/crates/routing/tests/health.rs
+++ b/crates/routing/tests/health.rs
@@ -137,3 +137,52 @@
     assert_that!(health.is_on_probation(1_300), eq(false));
     assert_that!(broken_at(0).is_on_probation(500), eq(false));
 }
+
+fn unreachable(timed_out: bool, now_ms: u64) -> EndpointHealth {
+    let mut health = EndpointHealth::default();
+    health.record(HealthSignal::Unreachable { timed_out }, now_ms);
+    health
+}
+
+#[test]
+fn health_is_unreachable_while_connections_fail() {
+    let mut health = unreachable(true, 0);
+    assert_that!(health.is_unreachable(1_499), eq(true));
+    assert_that!(health.is_unresponsive(1_499), eq(true));
+    assert_that!(health.is_unreachable(1_500), eq(false));
+    health.record(HealthSignal::Unreachable { timed_out: false }, 1_000);
+    assert_that!(health.is_unreachable(2_000), eq(true));
+    assert_that!(health.is_unresponsive(2_000), eq(false));
+}
+
+/// Guards against a rush of requests to an endpoint that has just accepted a connection.
+#[test]
+fn health_allows_one_probe_after_a_connection_is_accepted() {
+    let mut health = unreachable(true, 0);
+    health.record_connected(100);
+    assert_that!(health.is_unreachable(100), eq(false));
+    assert_that!(health.is_suspect(100), eq(false));
+    health.record_sent(100);
+    assert_that!(health.is_suspect(101), eq(true));
+    health.record_received(110);
+    assert_that!(health.is_suspect(111), eq(false));
+}
+
+/// Guards against a check that clears a suspicion with another cause.
+#[test]
+fn health_stays_suspect_after_a_connection_if_it_was_silent() {
+    let mut health = EndpointHealth::default();
+    health.record(HealthSignal::Silence { sent_at_ms: 0 }, 700);
+    health.record_connected(800);
+    assert_that!(health.is_suspect(900), eq(true));
+}
+
+#[test]
+fn health_counts_bytes_and_connections_as_contact() {
+    let mut health = EndpointHealth::default();
+    assert_that!(health.contact_age_ms(50), none());
+    health.record_connected(100);
+    assert_that!(health.contact_age_ms(150), some(eq(50)));
+    health.record_received(160);
+    assert_that!(health.contact_age_ms(160), some(eq(0)));
+}
