Take an endpoint for ended only if no other host still reaches it

A connection that broke and an address that refuses new ones was taken for the end of the endpoint, and the request that ran there for its cause; three such ends, also by the same host, make it poison for the fleet.

Before an end is recorded, the host asks others, who open a connection to the endpoint: contact from before the break proves nothing. If one of them reaches it, only this host's path failed, and the attempt counts neither towards poison nor as a failure of the endpoint's build. An endpoint that ended refuses all of them at once, so that the wait is a round trip; after 100 ms without reports the end is recorded as before.

Ruled out: counting several breaks at one moment as a partition (a zone that is lost looks the same); other hosts' earlier contact (four tests of crashes failed).

--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -30,6 +30,6 @@
 pub(crate) use message::{Datagram, SlotRedirect};
 pub(crate) use publish::publish;
 pub(crate) use pull::{catch_up_with_any, pull_at_start, pull_when_outdated};
-pub(crate) use reachability::exchange_reachability;
+pub(crate) use reachability::{BrokenPaths, exchange_reachability};
 pub(crate) use receive::receive;
 pub(crate) use serve::serve_pulls;
--- a/crates/gateway/src/peers/reachability.rs
+++ b/crates/gateway/src/peers/reachability.rs
@@ -5,9 +5,9 @@
 //! replies at once with what it knows, and checks the rest. Nothing is sent while all
 //! endpoints are reachable.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use chalkrock_core::{Endpoint, PoolId};
@@ -36,6 +36,8 @@
 const MAX_ASKED_HOSTS: usize = 12;
 /// Connections that check endpoints at once.
 const MAX_CHECKS: usize = 32;
+/// How long a broken attempt waits for other hosts' reports.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// Asks which endpoints a host reaches.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -92,10 +94,15 @@
             reach,
         } = Paths::of(&shared);
         log_partitions(&shared, &mut partitioned, reach);
-        if unreachable.is_empty() && partitioned.is_empty() {
+        let broken = shared.broken_paths.take();
+        if unreachable.is_empty() && broken.is_empty() && partitioned.is_empty() {
             shared.unreachable_found.notified().await;
             continue;
         }
+        if !broken.is_empty() {
+            let hosts = ask(&shared, &peers, &socket, broken, true);
+            shared.broken_paths.record_ask(shared.clock.now_ms(), hosts);
+        }
         let asked: Vec<u32> = { unreachable.iter() }
             .map(|member| member.hash.short())
             .chain(doubtful.iter().map(|other| other.start_hash().short()))
@@ -350,4 +357,88 @@
         }
         Some(is_accepted)
     }
+
+    /// Asks the other hosts whether they still reach an endpoint that refuses connections of
+    /// this host, and waits briefly for their reports.
+    pub(crate) async fn is_reached_by_others(&self, endpoint: u32) -> bool {
+        if self.config.peer_listen.is_none() {
+            return false;
+        }
+        let since_ms = self.clock.now_ms();
+        let signal = HealthSignal::Unreachable { timed_out: false };
+        self.fleet().record_signal(endpoint, signal, since_ms);
+        self.broken_paths.add(endpoint);
+        self.unreachable_found.notify_one();
+        let waiting = async {
+            loop {
+                let reported = self.reach_reported.notified();
+                if let Some(is_reached) = self.checked_since(endpoint, since_ms) {
+                    return is_reached;
+                }
+                reported.await;
+            }
+        };
+        tokio::time::timeout(REPORT_TIMEOUT, waiting)
+            .await
+            .unwrap_or(false)
+    }
+
+    /// Whether a host has reached the endpoint since; `None` while more reports are due.
+    fn checked_since(&self, endpoint: u32, since_ms: u64) -> Option<bool> {
+        let reports = self.fleet().reachability.checks_since(endpoint, since_ms);
+        let asked_hosts = self.broken_paths.asked_hosts_since(since_ms);
+        let is_complete = asked_hosts.is_some_and(|asked| reports.unreached >= asked);
+        (reports.reached > 0 || is_complete).then_some(reports.reached > 0)
+    }
+}
+
+/// Endpoints whose connections broke and that refuse new ones, until other hosts are asked
+/// about them.
+#[derive(Debug, Default)]
+pub(crate) struct BrokenPaths {
+    pending: Mutex<BTreeSet<u32>>,
+    last_ask: Mutex<Option<LastAsk>>,
+}
+
+/// When other hosts were last asked, and how many.
+#[derive(Clone, Copy, Debug)]
+struct LastAsk {
+    at_ms: u64,
+    hosts: usize,
+}
+
+impl BrokenPaths {
+    fn add(&self, endpoint: u32) {
+        self.pending().insert(endpoint);
+    }
+
+    /// Takes the endpoints that an ask has room for.
+    fn take(&self) -> Vec<u32> {
+        let mut pending = self.pending();
+        let taken: Vec<u32> = pending
+            .iter()
+            .take(MAX_ENDPOINTS_PER_ASK)
+            .copied()
+            .collect();
+        pending.retain(|endpoint| !taken.contains(endpoint));
+        taken
+    }
+
+    fn record_ask(&self, at_ms: u64, hosts: usize) {
+        *self.last_ask() = Some(LastAsk { at_ms, hosts });
+    }
+
+    fn asked_hosts_since(&self, since_ms: u64) -> Option<usize> {
+        let last_ask = *self.last_ask();
+        let ask = last_ask.filter(|ask| ask.at_ms >= since_ms)?;
+        Some(ask.hosts)
+    }
+
+    fn pending(&self) -> MutexGuard<'_, BTreeSet<u32>> {
+        self.pending.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn last_ask(&self) -> MutexGuard<'_, Option<LastAsk>> {
+        self.last_ask.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
--- a/crates/gateway/src/poison.rs
+++ b/crates/gateway/src/poison.rs
@@ -114,16 +114,19 @@
     /// against the request. A leaving endpoint is expected to terminate. From the second
     /// crash on, the other hosts are informed at once; the first waits for the next round,
     /// so that the loss of a zone doesn't cause a round for each of its requests.
+    ///
+    /// Returns whether only this host's path to the endpoint failed: another host still
+    /// reaches it.
     pub(crate) async fn record_broken_attempt(
         &self,
         request: RequestFingerprint,
         endpoint: &Endpoint,
         broken: BrokenAttempt,
-    ) {
+    ) -> bool {
         let BrokenAttempt { end, ran_ms } = broken;
         let is_leaving = endpoint.state == HostState::Leaving;
         if end != AttemptOutcome::Broken || is_leaving {
-            return;
+            return false;
         }
         let start = endpoint.start_hash().short();
         if !self
@@ -131,7 +134,11 @@
             .has_terminated(start, endpoint.address)
             .await
         {
-            return;
+            return false;
+        }
+        if self.is_reached_by_others(start).await {
+            self.metrics.count("path_failures_total", "", 1);
+            return true;
         }
         let now_ms = self.clock.now_ms();
         let mut fleet = self.fleet();
@@ -148,6 +155,7 @@
         if crashes > 1 {
             self.publish_now.notify_one();
         }
+        false
     }
 
     /// Waits until a request is confirmed as a poison request. The caller then withdraws it
--- a/crates/gateway/src/progress.rs
+++ b/crates/gateway/src/progress.rs
@@ -610,14 +610,16 @@
         if self.is_forwarded {
             return;
         }
+        let mut is_path_failure = false;
         if let Some(endpoint) = &self.last_endpoint {
             let request = self.call.fingerprint;
-            self.shared
+            is_path_failure = self
+                .shared
                 .record_broken_attempt(request, endpoint, broken)
                 .await;
         }
         self.record_health(end);
-        if end.is_build_failure() {
+        if end.is_build_failure() && !is_path_failure {
             self.count_response(ObservedResponse::Failed);
         }
         if end == AttemptOutcome::Refused {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -26,6 +26,7 @@
 use crate::fair_share::RequestWork;
 use crate::fleet::Fleet;
 use crate::lag::SchedulerLag;
+use crate::peers::BrokenPaths;
 use crate::poison::PoisonRecords;
 use crate::pool_queue::{Lease, PoolQueues};
 use crate::skipped_rows::SkippedRows;
@@ -70,6 +71,8 @@
     pub(crate) unreachable_found: Notify,
     /// Wakes attempts that wait for other hosts' reports of endpoints.
     pub(crate) reach_reported: Notify,
+    /// Endpoints about which other hosts have to be asked at once.
+    pub(crate) broken_paths: BrokenPaths,
     /// Endpoints that are checked now, by the hash of their start.
     checks: Mutex<HashSet<u32>>,
     /// The address for forwarded requests.
@@ -122,6 +125,7 @@
             rules: ActiveRules::default(),
             unreachable_found: Notify::new(),
             reach_reported: Notify::new(),
+            broken_paths: BrokenPaths::default(),
             checks: Mutex::default(),
             forward_address: OnceLock::new(),
             fleet: Mutex::new(fleet),
