Bound what hosts ask and check while endpoints are unreachable

Each ask made others open connections to endpoints that they had no contact with for 300 ms, and a host with two crashed endpoints checked all others of a large pool four times a second.

A host asks only about endpoints that fewer than two hosts are known to reach; a forwarded request that was served counts as a report. Asks and checks settle to one a second. Other endpoints of a pool are checked if none has responded since connections began to fail, or a quarter is unreachable. A check keeps its connection only if there is no idle one.

Beside it: a request whose endpoints all failed within milliseconds of a partition's begin waits once, for one exchange, until others have reported; an endpoint that is silent is checked at once; an unanswered request counts as a failure of a build only if others can't reach the endpoint either; the host that passes on what an endpoint reports of itself is bound by it; a large fleet asks hosts of other zones too.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -293,15 +293,15 @@
 /// silent or slow.
 async fn wait_for_head(
     shared: &Shared,
-    progress: &Progress,
+    progress: &mut Progress,
     start: u32,
     connection: &mut Connection,
     request: Request<SentBody>,
 ) -> Result<Response<Incoming>, AttemptOutcome> {
-    let call = progress.call();
+    let call = progress.call().clone();
     let sent_at = Instant::now();
     let sent_at_ms = shared.clock.now_ms();
-    let max_wait = max_head_wait(call);
+    let max_wait = max_head_wait(&call);
     let mut answer = std::pin::pin!(connection.sender.try_send_request(request));
     loop {
         let recheck_at = call
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -42,6 +42,9 @@
             }
             None => {
                 let Some(choice) = progress.choose_endpoint() else {
+                    if progress.reconsider_unreached_endpoints().await {
+                        continue;
+                    }
                     return Err(progress.no_endpoint_refusal());
                 };
                 (choice, None)
--- a/crates/gateway/src/endpoint_connections.rs
+++ b/crates/gateway/src/endpoint_connections.rs
@@ -218,8 +218,8 @@
         Ok(connection)
     }
 
-    /// Opens a connection to check that the target accepts it, and keeps it for reuse.
-    /// Returns `None` if this host may have no more connections.
+    /// Opens a connection to check that the target accepts it, and keeps it for reuse if there
+    /// is no other. Returns `None` if this host may have no more connections.
     pub(crate) async fn check(
         &self,
         target: ConnectionTarget,
@@ -228,7 +228,16 @@
     ) -> Option<Result<(), ConnectError>> {
         let slot = self.open(target).try_open(max_open)?;
         let opened = connect(target, address, slot).await;
-        Some(opened.map(|connection| self.check_in(connection, None)))
+        Some(opened.map(|connection| {
+            if !self.has_idle(target) {
+                self.check_in(connection, None);
+            }
+        }))
+    }
+
+    fn has_idle(&self, target: ConnectionTarget) -> bool {
+        let idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        idle.get(&target).is_some_and(|idle| !idle.is_empty())
     }
 
     fn open(&self, target: ConnectionTarget) -> Arc<OpenConnections> {
--- a/crates/gateway/src/fleet/reachability.rs
+++ b/crates/gateway/src/fleet/reachability.rs
@@ -1,16 +1,22 @@
 //! Endpoints that this host can't open connections to.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use chalkrock_core::{Endpoint, PoolId};
-use chalkrock_routing::PoolMember;
+use chalkrock_routing::{EndpointHealth, PoolMember};
 
 use crate::fleet::Fleet;
 
 /// Contact with an endpoint that is recent enough to vouch for it.
-const RECENT_CONTACT_MS: u64 = 300;
-/// Unreachable endpoints of a pool from which on its others are checked too.
-const MIN_UNREACHABLE_FOR_POOL: usize = 2;
+const RECENT_CONTACT_MS: u64 = 1_000;
+/// Unreachable endpoints of a pool from which on the others may be unreachable too.
+const MIN_UNREACHABLE: usize = 2;
+/// Fraction of a pool that is unreachable from which on the others are checked although some
+/// respond.
+const UNREACHABLE_FRACTION_DIVISOR: usize = 4;
+/// Age from which on contact with an endpoint no longer shows that it is reachable.
+const DOUBT_MS: u64 = 2_000;
 
 /// How much of a pool this host does not reach.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -47,9 +53,14 @@
 
     /// Whether the endpoint recently accepted a connection of this host or sent something.
     pub(crate) fn has_recent_contact(&self, endpoint: u32, now_ms: u64) -> bool {
+        let since_ms = now_ms.saturating_sub(RECENT_CONTACT_MS);
+        self.has_contact_since(endpoint, since_ms)
+    }
+
+    fn has_contact_since(&self, endpoint: u32, since_ms: u64) -> bool {
         let health = self.health.get(&endpoint);
-        let age_ms = health.and_then(|health| health.contact_age_ms(now_ms));
-        age_ms.is_some_and(|age_ms| age_ms <= RECENT_CONTACT_MS)
+        let contact_at_ms = health.and_then(EndpointHealth::contact_at_ms);
+        contact_at_ms.is_some_and(|at_ms| at_ms >= since_ms)
     }
 
     /// A listed endpoint by the hash of its start.
@@ -81,27 +92,35 @@
             .collect()
     }
 
-    /// Other endpoints of pools that have several unreachable ones, and which this host had
-    /// no recent contact with. A partition cuts off all of them at once.
+    /// Other endpoints that a partition may have cut off as well: those without contact, of
+    /// pools in which nothing responded since connections began to fail, or much is
+    /// unreachable.
     pub(crate) fn doubtful_endpoints(
         &self,
         unreachable: &[PoolMember],
         now_ms: u64,
     ) -> Vec<Arc<Endpoint>> {
-        let mut pools: Vec<&PoolId> = { unreachable.iter() }
-            .map(|member| &member.endpoint.pool)
-            .collect();
-        pools.sort();
-        let doubtful_pools = pools.chunk_by(|a, b| a == b).filter_map(|chunk| {
-            let members = self.endpoints.live(chunk[0]);
-            let is_small = members.len() <= MIN_UNREACHABLE_FOR_POOL;
-            (is_small || chunk.len() >= MIN_UNREACHABLE_FOR_POOL).then_some(members)
-        });
         let mut endpoints = Vec::new();
-        for members in doubtful_pools {
+        for (pool, unreachable) in by_pool(unreachable) {
+            let members = self.endpoints.live(pool);
+            if unreachable.len() < MIN_UNREACHABLE.min(members.len()) {
+                continue;
+            }
+            let starts = unreachable.iter().map(|member| member.hash.short());
+            let healths = starts.filter_map(|start| self.health.get(&start));
+            let since = healths.filter_map(|health| health.unreachable_since_ms(now_ms));
+            let since_ms = since.min().unwrap_or(now_ms);
+            let responds = members
+                .iter()
+                .any(|member| self.has_contact_since(member.hash.short(), since_ms));
+            if responds && UNREACHABLE_FRACTION_DIVISOR * unreachable.len() < members.len() {
+                continue;
+            }
+            let contact_since_ms = since_ms.max(now_ms.saturating_sub(DOUBT_MS));
             let doubtful = members.iter().filter(|member| {
                 let start = member.hash.short();
-                !self.is_unreachable(start, now_ms) && !self.has_recent_contact(start, now_ms)
+                !self.is_unreachable(start, now_ms)
+                    && !self.has_contact_since(start, contact_since_ms)
             });
             endpoints.extend(doubtful.map(|member| member.endpoint.clone()));
         }
@@ -114,12 +133,7 @@
         unreachable: &[PoolMember],
         now_ms: u64,
     ) -> Vec<(PoolId, PoolReach)> {
-        let mut pools: Vec<&PoolId> = { unreachable.iter() }
-            .map(|member| &member.endpoint.pool)
-            .collect();
-        pools.sort();
-        pools.dedup();
-        let reach = pools.into_iter().map(|pool| {
+        let reach = by_pool(unreachable).into_keys().map(|pool| {
             let members = self.endpoints.live(pool);
             let starts = members.iter().map(|member| member.hash.short());
             let reached_by_others =
@@ -133,8 +147,28 @@
         reach.collect()
     }
 
+    /// The endpoints among some of which reports of more hosts are needed.
+    pub(crate) fn endpoints_to_ask_about(
+        &self,
+        unreachable: &[PoolMember],
+        now_ms: u64,
+    ) -> Vec<u32> {
+        let starts = unreachable.iter().map(|member| member.hash.short());
+        starts
+            .filter(|start| self.reachability.needs_reports(*start, now_ms))
+            .collect()
+    }
+
     /// Records that an endpoint accepted a connection.
     pub(crate) fn record_connected(&mut self, endpoint: u32, now_ms: u64) {
         self.health(endpoint).record_connected(now_ms);
     }
 }
+
+fn by_pool(members: &[PoolMember]) -> BTreeMap<&PoolId, Vec<&PoolMember>> {
+    let mut pools: BTreeMap<&PoolId, Vec<&PoolMember>> = BTreeMap::new();
+    for member in members {
+        pools.entry(&member.endpoint.pool).or_default().push(member);
+    }
+    pools
+}
--- a/crates/gateway/src/forward/next_hop.rs
+++ b/crates/gateway/src/forward/next_hop.rs
@@ -98,7 +98,8 @@
         shared.metrics.count("forwarded_garbage_total", "", 1);
         return report(&ForwardResult::not_sent());
     };
-    shared.wait_for_view().await;
+    // After a suspension, the request may have waited here for longer than its origin did.
+    shared.detect_suspension();
     let is_shed = rand::random::<f64>() < shed_probability(shared.lag.ms());
     if !shared.is_ready() || is_shed {
         return report(&ForwardResult::not_sent());
--- a/crates/gateway/src/forward/origin.rs
+++ b/crates/gateway/src/forward/origin.rs
@@ -135,6 +135,11 @@
     count(shared, "answered");
     let answer = shared.edge.read_answer(&head);
     progress.record_head(&answer);
+    let member = shared.fleet().listed_member(progress.last_tried()).cloned();
+    if let Some(member) = member {
+        // What an endpoint reports of itself binds the host that passes the response on.
+        shared.record_endpoint_answer(&member, &answer, call.head.id.as_ref());
+    }
     if let Some(end) = invalid_head(call, &head, &answer) {
         return Err(failure(in_flight, end));
     }
@@ -203,9 +208,12 @@
     let now_ms = shared.clock.now_ms();
     let mut fleet = shared.fleet();
     for endpoint in &result.unreached {
-        fleet
-            .reachability
-            .record_unreached(address, *endpoint, now_ms);
+        let reachability = &mut fleet.reachability;
+        reachability.record_forwarded(address, *endpoint, false, now_ms);
+    }
+    if let Some(used) = &result.endpoint {
+        let reachability = &mut fleet.reachability;
+        reachability.record_forwarded(address, used.start, true, now_ms);
     }
     drop(fleet);
     if let Some(used) = &result.endpoint {
--- a/crates/gateway/src/peers/reachability.rs
+++ b/crates/gateway/src/peers/reachability.rs
@@ -23,11 +23,16 @@
 use crate::event_log::Event;
 use crate::fleet::PoolReach;
 use crate::metrics::Direction;
+use crate::peers::message::HostContact;
 use crate::peers::{Datagram, PeerTable};
 use crate::shared::Shared;
 
-/// Interval of asks and checks while an endpoint is unreachable.
-const ASK_INTERVAL: Duration = Duration::from_millis(250);
+/// Interval of asks and checks while the unreachable endpoints change.
+const FIRST_ASK_INTERVAL: Duration = Duration::from_millis(250);
+/// Time without a change after which the interval is longer.
+const SETTLE_TIME: Duration = Duration::from_millis(2_000);
+/// Interval of asks and checks from then on.
+const ASK_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Shortest time between two asks.
 const MIN_ASK_INTERVAL: Duration = Duration::from_millis(20);
 /// Endpoints in an ask, about 650 bytes.
@@ -36,6 +41,8 @@
 const MAX_ASKED_HOSTS: usize = 12;
 /// Connections that check endpoints at once.
 const MAX_CHECKS: usize = 32;
+/// How long a report that an endpoint can't be reached saves another ask for a request.
+const REPORT_VALIDITY_MS: u64 = 500;
 /// How long a broken attempt waits for other hosts' reports.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(100);
 
@@ -62,6 +69,7 @@
 struct Paths {
     unreachable: Vec<PoolMember>,
     doubtful: Vec<Arc<Endpoint>>,
+    to_ask: Vec<u32>,
     reach: Vec<(PoolId, PoolReach)>,
 }
 
@@ -73,6 +81,7 @@
         let unreachable = fleet.unreachable_endpoints(now_ms);
         Self {
             doubtful: fleet.doubtful_endpoints(&unreachable, now_ms),
+            to_ask: fleet.endpoints_to_ask_about(&unreachable, now_ms),
             reach: fleet.pool_reach(&unreachable, now_ms),
             unreachable,
         }
@@ -86,16 +95,15 @@
     socket: Arc<UdpSocket>,
 ) {
     let mut partitioned: HashMap<PoolId, Instant> = HashMap::new();
+    let mut known = Vec::new();
+    let mut changed_at = Instant::now();
     let mut number = 0;
     loop {
-        let Paths {
-            unreachable,
-            doubtful,
-            reach,
-        } = Paths::of(&shared);
-        log_partitions(&shared, &mut partitioned, reach);
+        let paths = Paths::of(&shared);
+        log_partitions(&shared, &mut partitioned, paths.reach);
         let broken = shared.broken_paths.take();
-        if unreachable.is_empty() && broken.is_empty() && partitioned.is_empty() {
+        if paths.unreachable.is_empty() && broken.is_empty() && partitioned.is_empty() {
+            known.clear();
             shared.unreachable_found.notified().await;
             continue;
         }
@@ -103,21 +111,28 @@
             let hosts = ask(&shared, &peers, &socket, broken, true);
             shared.broken_paths.record_ask(shared.clock.now_ms(), hosts);
         }
-        let asked: Vec<u32> = { unreachable.iter() }
-            .map(|member| member.hash.short())
-            .chain(doubtful.iter().map(|other| other.start_hash().short()))
-            .collect();
         // With many endpoints, each has its turn.
-        let mut chunks = asked.chunks(MAX_ENDPOINTS_PER_ASK);
-        if let Some(chunk) = chunks.nth(number % asked.len().div_ceil(MAX_ENDPOINTS_PER_ASK).max(1))
-        {
+        let mut chunks = paths.to_ask.chunks(MAX_ENDPOINTS_PER_ASK);
+        if let Some(chunk) = chunks.nth(number % chunks.len().max(1)) {
             ask(&shared, &peers, &socket, chunk.to_vec(), false);
         }
         number += 1;
-        spawn_checks(&shared, &unreachable, doubtful);
+        let current: Vec<u32> = { paths.unreachable.iter() }
+            .map(|member| member.hash.short())
+            .collect();
+        spawn_checks(&shared, &paths.unreachable, paths.doubtful);
+        if current != known {
+            known = current;
+            changed_at = Instant::now();
+        }
         tokio::time::sleep(MIN_ASK_INTERVAL).await;
+        let interval = if changed_at.elapsed() < SETTLE_TIME {
+            FIRST_ASK_INTERVAL
+        } else {
+            ASK_INTERVAL
+        };
         let waiting = shared.unreachable_found.notified();
-        let _time_for_the_next = tokio::time::timeout(ASK_INTERVAL, waiting).await;
+        let _time_for_the_next = tokio::time::timeout(interval, waiting).await;
     }
 }
 
@@ -143,11 +158,18 @@
 /// The hosts to ask: half of them reached one of the endpoints before, the others are drawn,
 /// so that those with a path are found in a large fleet.
 fn asked_hosts(shared: &Shared, peers: &PeerTable, endpoints: &[u32]) -> Vec<SocketAddr> {
-    let up = peers.up().into_iter().map(|contact| contact.address);
-    let up: Vec<SocketAddr> = up.filter(|address| *address != peers.local).collect();
+    let others = |contacts: Vec<HostContact>| -> Vec<SocketAddr> {
+        let addresses = contacts.into_iter().map(|contact| contact.address);
+        addresses
+            .filter(|address| *address != peers.local)
+            .collect()
+    };
+    let up = others(peers.up());
     if up.len() <= MAX_ASKED_HOSTS {
         return up;
     }
+    // In a large fleet, few hosts of other zones report often enough to count as up.
+    let recent = others(peers.recent());
     let now_ms = shared.clock.now_ms();
     let fleet = shared.fleet();
     let reaching = endpoints
@@ -160,29 +182,26 @@
     let mut random = rand::rng();
     let known = known.sample(&mut random, MAX_ASKED_HOSTS / 2);
     let mut asked: Vec<SocketAddr> = known.copied().collect();
-    let others: Vec<SocketAddr> = up
-        .into_iter()
-        .filter(|host| !asked.contains(host))
-        .collect();
+    let unasked = recent.into_iter().filter(|host| !asked.contains(host));
+    let unasked: Vec<SocketAddr> = unasked.collect();
     let missing = MAX_ASKED_HOSTS - asked.len();
-    asked.extend(others.sample(&mut random, missing).copied());
+    asked.extend(unasked.sample(&mut random, missing).copied());
     asked
 }
 
 fn spawn_checks(shared: &Arc<Shared>, unreachable: &[PoolMember], doubtful: Vec<Arc<Endpoint>>) {
     let unreachable = unreachable.iter().map(|member| member.endpoint.clone());
     for endpoint in unreachable.chain(doubtful).take(MAX_CHECKS) {
-        let Some(guard) = shared.begin_check(endpoint.start_hash().short()) else {
-            continue;
-        };
-        let shared = shared.clone();
-        tokio::spawn(async move {
-            shared.check_connection(&endpoint).await;
-            drop(guard);
-        });
+        spawn_check(shared, endpoint);
     }
 }
 
+/// Checks an endpoint unless a check of it is in progress.
+fn spawn_check(shared: &Arc<Shared>, endpoint: Arc<Endpoint>) {
+    let shared = shared.clone();
+    tokio::spawn(async move { shared.check_once(&endpoint).await });
+}
+
 /// Replies to a host that asks about endpoints.
 pub(crate) fn reply_to_ask(
     shared: &Arc<Shared>,
@@ -215,11 +234,19 @@
     if unknown.is_empty() {
         return;
     }
+    let needs_check = ask.needs_check;
     let (shared, peers, socket) = (shared.clone(), peers.clone(), socket.clone());
     tokio::spawn(async move {
         let checks = unknown.iter().take(MAX_CHECKS).map(|endpoint| async {
-            let is_reached = shared.check_connection(endpoint).await;
-            (endpoint.start_hash().short(), is_reached)
+            let start = endpoint.start_hash().short();
+            let is_reached = if needs_check {
+                // Several hosts may ask about the end of an endpoint at once.
+                let checks = &shared.termination_checks;
+                Some(!checks.has_terminated(start, endpoint.address).await)
+            } else {
+                shared.check_once(endpoint).await
+            };
+            (start, is_reached)
         });
         let mut checks: FuturesUnordered<_> = checks.collect();
         // Connections that are accepted or refused at once are not held up by others.
@@ -327,6 +354,24 @@
 }
 
 impl Shared {
+    /// Checks by a connection whether an endpoint that is silent can be reached.
+    pub(crate) fn check_silent_endpoint(self: &Arc<Self>, endpoint: &Arc<Endpoint>) {
+        spawn_check(self, endpoint.clone());
+    }
+
+    /// Whether this host alone can't reach an endpoint that left a request unanswered.
+    pub(crate) async fn is_silent_for_this_host(&self, endpoint: &Endpoint) -> bool {
+        let start = endpoint.start_hash().short();
+        self.check_connection(endpoint).await == Some(false)
+            && self.is_reached_by_others(start).await
+    }
+
+    /// Checks an endpoint unless a check of it is in progress.
+    async fn check_once(self: &Arc<Self>, endpoint: &Endpoint) -> Option<bool> {
+        let _guard = self.begin_check(endpoint.start_hash().short())?;
+        self.check_connection(endpoint).await
+    }
+
     /// Opens a connection to an endpoint and records whether it was accepted. Returns `None`
     /// if this host may have no more connections to it.
     async fn check_connection(&self, endpoint: &Endpoint) -> Option<bool> {
@@ -346,18 +391,44 @@
             }
             Err(error) => {
                 let timed_out = error == ConnectError::TimedOut;
+                let is_new = !fleet.is_unreachable(start, now_ms);
                 let signal = HealthSignal::Unreachable { timed_out };
                 fleet.record_signal(start, signal, now_ms);
+                if is_new {
+                    self.unreachable_found.notify_one();
+                }
                 false
             }
         };
-        drop(fleet);
-        if !is_accepted {
-            self.unreachable_found.notify_one();
-        }
         Some(is_accepted)
     }
 
+    /// Whether another host reaches one of several endpoints that this host failed to connect
+    /// to. Others are asked unless one has just reported the opposite.
+    pub(crate) async fn is_any_reached_by_others(&self, endpoints: &[u32]) -> bool {
+        match self.known_reach(endpoints) {
+            Some(is_reached) => is_reached,
+            None => self.is_reached_by_others(endpoints[0]).await,
+        }
+    }
+
+    /// Whether recent reports say that another host reaches one of the endpoints; `None` if
+    /// there are none.
+    fn known_reach(&self, endpoints: &[u32]) -> Option<bool> {
+        let now_ms = self.clock.now_ms();
+        let since_ms = now_ms.saturating_sub(REPORT_VALIDITY_MS);
+        let fleet = self.fleet();
+        let reachability = &fleet.reachability;
+        let mut all = endpoints.iter();
+        if all.any(|endpoint| reachability.is_reached(*endpoint, now_ms)) {
+            return Some(true);
+        }
+        let mut all = endpoints.iter();
+        let is_unreached =
+            all.any(|endpoint| reachability.checks_since(*endpoint, since_ms).unreached > 0);
+        (is_unreached || endpoints.is_empty()).then_some(false)
+    }
+
     /// Asks the other hosts whether they still reach an endpoint that refuses connections of
     /// this host, and waits briefly for their reports.
     pub(crate) async fn is_reached_by_others(&self, endpoint: u32) -> bool {
--- a/crates/gateway/src/progress.rs
+++ b/crates/gateway/src/progress.rs
@@ -67,6 +67,8 @@
     is_forwarded: bool,
     /// Next hops that did not take the request.
     forwarding: Forwarding,
+    /// Endpoints that were not reached before another host was known to reach them.
+    unreached: Vec<u32>,
     /// Whether the request was logged as completed.
     is_logged: bool,
 }
@@ -120,6 +122,7 @@
             reading: None,
             is_forwarded: false,
             forwarding: Forwarding::default(),
+            unreached: Vec::new(),
             is_logged: false,
         }
     }
@@ -462,6 +465,18 @@
         self.forwarding.path_to(&self.shared, choice)
     }
 
+    /// Whether another host reaches endpoints that this one failed to connect to before it
+    /// knew that. If so, they may be chosen again. Asked once per request, since all of them
+    /// may have failed within milliseconds of a partition's begin.
+    pub(crate) async fn reconsider_unreached_endpoints(&mut self) -> bool {
+        let unreached = std::mem::take(&mut self.unreached);
+        if unreached.is_empty() || !self.shared.is_any_reached_by_others(&unreached).await {
+            return false;
+        }
+        self.tried.retain(|start| !unreached.contains(start));
+        true
+    }
+
     /// Records that a next hop did not take the request.
     pub(crate) fn record_next_hop_refusal(&mut self, address: SocketAddr) {
         self.forwarding.record_refusal(address);
@@ -619,7 +634,9 @@
                 .await;
         }
         self.record_health(end);
-        if end.is_build_failure() && !is_path_failure {
+        if end == AttemptOutcome::Silent {
+            self.count_silence();
+        } else if end.is_build_failure() && !is_path_failure {
             self.count_response(ObservedResponse::Failed);
         }
         if end == AttemptOutcome::Refused {
@@ -674,6 +691,24 @@
         self.count_response(ObservedResponse::Ended { pace_ms });
     }
 
+    /// Counts an unanswered request as a failure of its endpoint's build, unless only this
+    /// host can't reach the endpoint.
+    fn count_silence(&self) {
+        let Some(endpoint) = self.last_endpoint.clone() else {
+            return;
+        };
+        if !self.shared.fleet().rollouts.counts_answers() {
+            return;
+        }
+        let at = self.observation_time(ObservedResponse::Failed);
+        let (shared, call) = (self.shared.clone(), self.call.clone());
+        tokio::spawn(async move {
+            if !shared.is_silent_for_this_host(&endpoint).await {
+                shared.count_response(&call, &endpoint, ObservedResponse::Failed, at);
+            }
+        });
+    }
+
     /// Counts the response of the last attempt for a rollout of its pool.
     fn count_response(&self, seen: ObservedResponse) {
         let Some(endpoint) = self.last_endpoint.as_ref().filter(|_| !self.is_forwarded) else {
@@ -690,21 +725,14 @@
             }
             seen => seen,
         };
-        let at = ObservationTime {
+        let at = self.observation_time(seen);
+        self.shared.count_response(&self.call, endpoint, seen, at);
+    }
+
+    fn observation_time(&self, seen: ObservedResponse) -> ObservationTime {
+        ObservationTime {
             now_ms: self.shared.clock.now_ms(),
             stalled_ms: self.stalled_ms(seen),
-        };
-        if at.stalled_ms > 0 {
-            let metrics = &self.shared.metrics;
-            metrics.count("rollout_times_stalled_total", "", 1);
-        }
-        let mut fleet = self.shared.fleet();
-        let Call { pool, route, .. } = &*self.call;
-        let rollouts = &mut fleet.rollouts;
-        let is_urgent = rollouts.count(pool, &route.name, &endpoint.build, seen, at);
-        drop(fleet);
-        if is_urgent {
-            self.shared.publish_now.notify_one();
         }
     }
 
@@ -818,14 +846,26 @@
     }
 
     /// Updates the endpoint's health after a failed attempt or a long wait.
-    pub(crate) fn record_health(&self, end: AttemptOutcome) {
-        let (Some(signal), Some(start)) = (self.health_signal(end), self.tried.last()) else {
+    pub(crate) fn record_health(&mut self, end: AttemptOutcome) {
+        let (Some(signal), Some(&start)) = (self.health_signal(end), self.tried.last()) else {
             return;
         };
         let now_ms = self.shared.clock.now_ms();
-        let is_new = self.shared.fleet().record_signal(*start, signal, now_ms);
-        if matches!(signal, HealthSignal::Unreachable { .. }) {
-            self.shared.unreachable_found.notify_one();
+        let mut fleet = self.shared.fleet();
+        let was_unreachable = fleet.is_unreachable(start, now_ms);
+        let is_new = fleet.record_signal(start, signal, now_ms);
+        drop(fleet);
+        match (signal, &self.last_endpoint) {
+            (HealthSignal::Unreachable { .. }, _) => {
+                self.unreached.push(start);
+                if !was_unreachable {
+                    self.shared.unreachable_found.notify_one();
+                }
+            }
+            (HealthSignal::Silence { .. }, Some(endpoint)) if is_new => {
+                self.shared.check_silent_endpoint(endpoint);
+            }
+            _ => {}
         }
         if let Some(record) = self.attempts.last().filter(|_| is_new) {
             self.shared.event_log.emit(&Event::Suspect {
@@ -868,6 +908,30 @@
     }
 }
 
+impl Shared {
+    /// Counts a response of an endpoint for a rollout of its pool.
+    fn count_response(
+        &self,
+        call: &Call,
+        endpoint: &Endpoint,
+        seen: ObservedResponse,
+        at: ObservationTime,
+    ) {
+        if at.stalled_ms > 0 {
+            let metrics = &self.metrics;
+            metrics.count("rollout_times_stalled_total", "", 1);
+        }
+        let mut fleet = self.fleet();
+        let Call { pool, route, .. } = call;
+        let rollouts = &mut fleet.rollouts;
+        let is_urgent = rollouts.count(pool, &route.name, &endpoint.build, seen, at);
+        drop(fleet);
+        if is_urgent {
+            self.publish_now.notify_one();
+        }
+    }
+}
+
 impl Drop for Progress {
     fn drop(&mut self) {
         if !self.is_logged {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -58,6 +58,7 @@
     front: SocketAddr,
     status: Vec<SocketAddr>,
     peer: Option<SocketAddr>,
+    forward: Option<SocketAddr>,
     ended: JoinHandle<()>,
 }
 
@@ -77,6 +78,11 @@
         self.peer
     }
 
+    /// The address at which other hosts forward requests.
+    pub fn forward_address(&self) -> Option<SocketAddr> {
+        self.forward
+    }
+
     /// Waits until the gateway has stopped.
     pub async fn ended(self) {
         let _a_panic_ends_it_too = self.ended.await;
@@ -124,6 +130,7 @@
     tasks.spawn(sweep_connections(shared.clone()));
     tasks.spawn(measure_lag(shared.clone()));
     tasks.spawn(apply_reloads(shared.clone(), reloads));
+    let forward = shared.forward_listen_address();
     let ended = tokio::spawn(async move {
         stop.requested().await;
         run_stop(&shared).await;
@@ -133,6 +140,7 @@
         front,
         status,
         peer,
+        forward,
         ended,
     })
 }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -360,10 +360,14 @@
         let _set_once = self.forward_address.set(address);
     }
 
+    /// The address for forwarded requests, if this host listens for them.
+    pub(crate) fn forward_listen_address(&self) -> Option<SocketAddr> {
+        self.forward_address.get().copied()
+    }
+
     /// The address for forwarded requests, while this host accepts them.
     pub(crate) fn forward_address(&self) -> Option<SocketAddr> {
-        let address = self.forward_address.get().copied();
-        address.filter(|_| self.is_ready())
+        self.forward_listen_address().filter(|_| self.is_ready())
     }
 
     /// Marks an endpoint as checked until the guard is dropped; `None` if it already is.
--- a/crates/gateway/tests/gateway/support/fleet.rs
+++ b/crates/gateway/tests/gateway/support/fleet.rs
@@ -275,6 +275,11 @@
         self.running.peer_address().expect("a peer address")
     }
 
+    /// Returns its address for forwarded requests.
+    pub(crate) fn forward_address(&self) -> SocketAddr {
+        self.running.forward_address().expect("an address")
+    }
+
     /// Sends a call and returns the answer.
     pub(crate) async fn call(&self, call: Call) -> Received {
         call.exchange(self.running.front_address()).await
--- a/crates/routing/src/health.rs
+++ b/crates/routing/src/health.rs
@@ -30,7 +30,7 @@
 /// Wait of a request, without any data from the endpoint, that counts as silence.
 const SILENCE_TIMEOUT_MS: u64 = 700;
 /// How long an endpoint counts as unreachable without another failed connection.
-const UNREACHABLE_RETENTION_MS: u64 = 1_500;
+const UNREACHABLE_RETENTION_MS: u64 = 2_500;
 
 /// An observation of an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -85,6 +85,8 @@
 
 #[derive(Clone, Copy, Debug)]
 struct FailedConnection {
+    /// When the first of a series failed.
+    since_ms: u64,
     at_ms: u64,
     timed_out: bool,
 }
@@ -111,9 +113,11 @@
                 if self.is_probed || now_ms >= self.suspect_until_ms {
                     self.mark_suspect(now_ms);
                 }
-                let renewed_until_ms = now_ms + INITIAL_SUSPECT_MS;
+                let renewed_until_ms = now_ms + UNREACHABLE_RETENTION_MS;
                 self.suspect_until_ms = self.suspect_until_ms.max(renewed_until_ms);
+                let previous = self.recent_failure(now_ms);
                 self.failed_connection = Some(FailedConnection {
+                    since_ms: previous.map_or(now_ms, |previous| previous.since_ms),
                     at_ms: now_ms,
                     timed_out,
                 });
@@ -168,6 +172,11 @@
         self.recent_failure(now_ms).is_some()
     }
 
+    /// Since when this host can't open connections to it.
+    pub fn unreachable_since_ms(&self, now_ms: u64) -> Option<u64> {
+        self.recent_failure(now_ms).map(|failure| failure.since_ms)
+    }
+
     /// Whether connections to it get no answer, so that a request would wait in vain.
     pub fn is_unresponsive(&self, now_ms: u64) -> bool {
         self.recent_failure(now_ms)
@@ -179,9 +188,9 @@
             .filter(|failure| now_ms < failure.at_ms + UNREACHABLE_RETENTION_MS)
     }
 
-    /// Time since it last accepted a connection or sent something, if it ever did.
-    pub fn contact_age_ms(&self, now_ms: u64) -> Option<u64> {
-        self.contact_at_ms.map(|at_ms| now_ms.saturating_sub(at_ms))
+    /// When it last accepted a connection or sent something, if it ever did.
+    pub fn contact_at_ms(&self) -> Option<u64> {
+        self.contact_at_ms
     }
 
     /// Whether the endpoint fell silent and nothing was received since. A repeatable
--- a/crates/routing/src/reachability.rs
+++ b/crates/routing/src/reachability.rs
@@ -12,7 +12,11 @@
 use serde::{Deserialize, Serialize};
 
 /// How long another host's report holds.
-const REPORT_MAX_AGE_MS: u64 = 1_500;
+const REPORT_MAX_AGE_MS: u64 = 2_500;
+/// Hosts with young reports from which on no further ones are needed.
+const SUFFICIENT_HOSTS: usize = 2;
+/// Age up to which a report is young.
+const YOUNG_REPORT_MS: u64 = 1_000;
 /// Scheduler lag from which on a host gets forwarded requests only if all others lag too.
 const HIGH_LAG_MS: u32 = 50;
 /// How much busier a host of the same zone may be than one of another zone, as a ratio of
@@ -137,10 +141,16 @@
         }
     }
 
-    /// Records that a host failed to reach an endpoint for a forwarded request.
-    pub fn record_unreached(&mut self, address: SocketAddr, endpoint: u32, now_ms: u64) {
+    /// Records whether a host reached an endpoint for a forwarded request.
+    pub fn record_forwarded(
+        &mut self,
+        address: SocketAddr,
+        endpoint: u32,
+        is_reached: bool,
+        now_ms: u64,
+    ) {
         let seen = Observation {
-            is_reached: false,
+            is_reached,
             at_ms: now_ms,
             checked_at_ms: None,
         };
@@ -184,6 +194,19 @@
         }
     }
 
+    /// Whether more reports of an endpoint are needed, because few hosts are known to reach
+    /// it.
+    pub fn needs_reports(&self, endpoint: u32, now_ms: u64) -> bool {
+        let is_young = |view: &&HostView| {
+            let seen = view.endpoints.get(&endpoint);
+            view.next_hop.is_some()
+                && seen.is_some_and(|seen| {
+                    seen.is_reached && now_ms.saturating_sub(seen.at_ms) <= YOUNG_REPORT_MS
+                })
+        };
+        self.hosts.values().filter(is_young).count() < SUFFICIENT_HOSTS
+    }
+
     /// The hosts that reach an endpoint, in order.
     pub fn hosts_reaching(&self, endpoint: u32, now_ms: u64) -> Vec<H> {
         let reaching = self
