Spare endpoints that fall over when they have to refuse requests

Endpoints may report in all their answers how many requests a second they can refuse (`Server-Brittle`).

Cause: an endpoint's queue was counted on for what does not fit its slots, by hosts that know each other's load 200 ms late, and after a fall all hosts return at once to an endpoint that looks idle.

A host sends to such an endpoint only while a slot is free, with a margin for what others may have sent; the rest waits on the host, by priority and age, for a quarter of its objective, and is then refused with a time to return. After a refusal or a failure it uses its own share of the slots for four seconds, with fewer slots than hosts in turns. Each refusal spends the host's share of half the limit; once that is spent, it pauses there. Pools without prefixes are ordered by their scheduler, which grants no more than the slots. Hosts tell each other the limits, with the age of the endpoint's answer, since one without requests gets no answers; an answer without the limit ends it. An endpoint that fails within two seconds of a refusal is not taken for one that a poison request crashed.

Ruled out: sharing the limit on refusals alone (first refusals of all hosts come together); turns drawn for each request (of many that wait one always has its turn).

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -41,11 +41,13 @@
                 (choice, Some((lease, waited_ms)))
             }
             None => {
-                let Some(choice) = progress.choose_endpoint() else {
-                    if progress.reconsider_unreached_endpoints().await {
-                        continue;
-                    }
-                    return Err(progress.no_endpoint_refusal());
+                let choice = match progress.choose_endpoint() {
+                    Some(choice) => choice,
+                    None if progress.reconsider_unreached_endpoints().await => continue,
+                    None => match progress.wait_for_room().await {
+                        Some(choice) => choice,
+                        None => return Err(progress.no_endpoint_refusal()),
+                    },
                 };
                 (choice, None)
             }
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -75,6 +75,9 @@
     pub backoff: RequestedBackoff,
     /// The load that the endpoint reports, if it does.
     pub load: Option<EndpointLoad>,
+    /// How many requests the endpoint may reject within a second before it fails, if it
+    /// reports such a limit.
+    pub max_rejections_per_s: Option<u32>,
 }
 
 /// The load that an endpoint reports of itself.
--- a/crates/gateway/src/endpoint_reports.rs
+++ b/crates/gateway/src/endpoint_reports.rs
@@ -4,7 +4,7 @@
 //! seconds later or, while the store is unavailable, not at all.
 
 use chalkrock_core::RequestId;
-use chalkrock_routing::{BackoffChange, PoolMember};
+use chalkrock_routing::{BackoffChange, LimitReport, PoolMember};
 
 use crate::edge::{AnswerHead, RequestedBackoff};
 use crate::endpoint_connections::ConnectionTarget;
@@ -26,6 +26,7 @@
         if answer.is_leaving {
             self.handle_leaving(member, id);
         }
+        self.handle_rejection_limit(member, answer.max_rejections_per_s);
         if let Some(load) = &answer.load {
             let now_ms = self.clock.now_ms();
             self.fleet()
@@ -87,6 +88,31 @@
         !marked.is_empty()
     }
 
+    fn handle_rejection_limit(&self, member: &PoolMember, limit_per_s: Option<u32>) {
+        let now_ms = self.clock.now_ms();
+        let start = member.hash.short();
+        let mut fleet = self.fleet();
+        let is_change = fleet
+            .rejection_limits
+            .record_answer(start, limit_per_s, now_ms);
+        drop(fleet);
+        if is_change {
+            self.event_log.emit(&Event::RejectionLimit {
+                endpoint: &member.endpoint.name,
+                limit_per_s,
+            });
+        }
+    }
+
+    /// Merges the limits that another host knows.
+    pub(crate) fn merge_rejection_limits(&self, reports: &[LimitReport]) {
+        let now_ms = self.clock.now_ms();
+        let mut fleet = self.fleet();
+        for report in reports {
+            fleet.rejection_limits.merge(report, now_ms);
+        }
+    }
+
     fn handle_backoff(&self, member: &PoolMember, asked_ms: u64, id: Option<&RequestId>) {
         let now_ms = self.clock.now_ms();
         let draw = rand::random();
--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -310,6 +310,12 @@
         #[serde(skip_serializing_if = "Option::is_none")]
         id: Option<&'a RequestId>,
     },
+    /// An endpoint reported how many rejections a second it tolerates, or ceased to.
+    RejectionLimit {
+        endpoint: &'a EndpointId,
+        #[serde(skip_serializing_if = "Option::is_none")]
+        limit_per_s: Option<u32>,
+    },
     /// A requested backoff ended.
     BackoffEnded {
         endpoint: &'a EndpointId,
--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -4,6 +4,7 @@
 mod closed;
 mod learned;
 mod reachability;
+mod rejection_limits;
 mod scheduling;
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
@@ -16,9 +17,9 @@
     Backoffs, Basis, BudgetRules, BuildUse, Candidate, ColdEndpoints, ConnectionLimit,
     EndpointHealth, EndpointTable, Evacuations, Evidence, FleetLoad, HealthSignal, HomeDemand,
     HomeSpread, MaxServiceTime, PlacementRequest, PoisonEvidence, PoolBacklog, PoolLoads,
-    PoolMember, PoolOccupancy, PoolRules, Reachability, RecentPrefixes, Repeatable, Rollouts,
-    ServiceTimeEwma, Shares, SpreadRules, StoreVersion, WindowBudget, choose_endpoint,
-    connections_per_host,
+    PoolMember, PoolOccupancy, PoolRules, Reachability, RecentPrefixes, RejectionLimits,
+    Repeatable, Rollouts, ServiceTimeEwma, Shares, SpreadRules, StoreVersion, WindowBudget,
+    choose_endpoint, connections_per_host,
 };
 
 pub(crate) use self::reachability::PoolReach;
@@ -114,6 +115,10 @@
     health: HashMap<u32, EndpointHealth>,
     /// Which endpoints the other hosts reach.
     pub(crate) reachability: Reachability<SocketAddr>,
+    /// Endpoints that tolerate few rejections.
+    pub(crate) rejection_limits: RejectionLimits,
+    /// Differs between hosts and starts, so that they do not have their turns together.
+    turn_seed: u64,
     budgets: HashMap<PoolId, WindowBudget>,
     service_times: HashMap<PoolId, ServiceTimeEwma>,
     /// Endpoints whose prefixes spread over others, by pool.
@@ -160,6 +165,8 @@
             budget: config.budget,
             health: HashMap::new(),
             reachability: Reachability::default(),
+            rejection_limits: RejectionLimits::default(),
+            turn_seed: rand::random(),
             budgets: HashMap::new(),
             service_times: HashMap::new(),
             home_demand: HashMap::new(),
@@ -213,12 +220,20 @@
             recent.is_popular(part, holders.len(), now_ms)
         });
         let home_demand = self.home_demand.get(query.pool).filter(|_| is_popular);
+        let unreported_arrivals = self.unreported_arrivals(query.pool, &members);
+        let unreported_per_endpoint = unreported_arrivals / members.len().max(1) as f64;
         let candidates: Vec<Candidate> = untried
             .iter()
             .map(|member| {
                 let candidate = self.candidate(member, query, &holders, now_ms);
                 Candidate {
-                    is_closed: candidate.is_closed || !builds.admit(member),
+                    is_closed: candidate.is_closed
+                        || !builds.admit(member)
+                        || !self.is_within_rejection_limit(
+                            &candidate,
+                            unreported_per_endpoint,
+                            now_ms,
+                        ),
                     home_spread: home_demand.map_or(HomeSpread::NONE, |demand| {
                         demand.spread(member.hash.short())
                     }),
@@ -228,7 +243,7 @@
             .collect();
         let request = PlacementRequest {
             key,
-            unreported_arrivals: self.unreported_arrivals(query.pool, &members),
+            unreported_arrivals,
             draw: query.draw,
         };
         let placement = choose_endpoint(&candidates, &request, &self.spread)?;
--- a/crates/gateway/src/fleet/scheduling.rs
+++ b/crates/gateway/src/fleet/scheduling.rs
@@ -12,7 +12,7 @@
     /// Use of a pool's slots, by all endpoints that are live, also those that accept no
     /// requests now. `None` while a rollout of the pool decides which requests may use which
     /// endpoints.
-    pub(crate) fn pool_use(&self, pool: &PoolId) -> Option<PoolUse> {
+    pub(crate) fn pool_use(&self, pool: &PoolId, now_ms: u64) -> Option<PoolUse> {
         if self.is_rolling_out(pool) {
             return None;
         }
@@ -21,6 +21,7 @@
             in_progress: 0,
             hosts: self.load.known_host_count(),
             has_waiting: false,
+            is_brittle: self.is_brittle(pool, now_ms),
         };
         for member in self.endpoints.live(pool).iter() {
             let in_progress = self.load.in_progress(member.hash.short());
@@ -74,6 +75,7 @@
                 slots: member.endpoint.slots,
                 in_progress: self.load.in_progress(endpoint),
                 is_open: closure < CLOSED && Some(closure) == least_closed,
+                has_queue: !self.rejection_limits.is_limited(endpoint, now_ms),
             }
         });
         endpoints.collect()
--- a/crates/gateway/src/forward/next_hop.rs
+++ b/crates/gateway/src/forward/next_hop.rs
@@ -171,7 +171,7 @@
         let mut wants_chosen = true;
         for _ in 0..=MAX_UNREACHED {
             let chosen = std::mem::take(&mut wants_chosen)
-                .then(|| self.progress.accept_grant(head.endpoint))
+                .then(|| self.progress.accept_chosen(head.endpoint, head.is_granted))
                 .flatten();
             let choice = match chosen {
                 Some(choice) => choice,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -54,6 +54,7 @@
 mod progress;
 mod relay;
 mod rollouts;
+mod room_wait;
 mod run;
 mod shared;
 mod skipped_rows;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -30,6 +30,7 @@
     Slots,
     Work,
     Reachability,
+    RejectionLimits,
     /// Datagrams that this build can't decode.
     Unknown,
     /// State pulled from other hosts.
@@ -74,6 +75,7 @@
             Self::Slots => control_labels!("slots"),
             Self::Work => control_labels!("work"),
             Self::Reachability => control_labels!("reachability"),
+            Self::RejectionLimits => control_labels!("rejection-limits"),
             Self::Unknown => control_labels!("unknown"),
             Self::Pull => control_labels!("pull"),
             Self::Serve => control_labels!("serve"),
@@ -196,6 +198,10 @@
     metrics.gauge("cold_endpoints", "", cold as f64);
     let backing_off = fleet.backoffs.count(now_ms);
     metrics.gauge("endpoints_backing_off", "", backing_off as f64);
+    let brittle = fleet.rejection_limits.count();
+    metrics.gauge("endpoints_brittle", "", brittle as f64);
+    let unreachable = fleet.unreachable_endpoints(now_ms);
+    metrics.gauge("endpoints_unreachable", "", unreachable.len() as f64);
     let leaving = fleet.endpoints.leaving().len();
     metrics.gauge("endpoints_leaving", "", leaving as f64);
     let evacuated = fleet.evacuations.zones().len();
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 
 use chalkrock_routing::{
-    AggregatePath, CacheEntry, Evacuations, HostReport, PoisonRequest, PoisonUpdate, RulesVersion,
-    SlotAsk, SlotReply, StoreVersion, SubscriptionRole, WorkReport, ZoneAggregate,
+    AggregatePath, CacheEntry, Evacuations, HostReport, LimitReport, PoisonRequest, PoisonUpdate,
+    RulesVersion, SlotAsk, SlotReply, StoreVersion, SubscriptionRole, WorkReport, ZoneAggregate,
 };
 use serde::{Deserialize, Serialize};
 
@@ -53,6 +53,8 @@
     ReachAsk(ReachAsk),
     /// Which endpoints a host reaches.
     ReachReply(ReachReply),
+    /// Rejections that endpoints tolerate.
+    RejectionLimits(Vec<LimitReport>),
 }
 
 impl Datagram {
@@ -72,6 +74,7 @@
             Self::SlotAsk(_) | Self::SlotReply(_) | Self::SlotRedirect(_) => ControlKind::Slots,
             Self::Work(_) => ControlKind::Work,
             Self::ReachAsk(_) | Self::ReachReply(_) => ControlKind::Reachability,
+            Self::RejectionLimits(_) => ControlKind::RejectionLimits,
         }
     }
 }
--- a/crates/gateway/src/peers/publish.rs
+++ b/crates/gateway/src/peers/publish.rs
@@ -35,6 +35,8 @@
 /// Poison requests in each heartbeat, 14 bytes each, most recently repeated first. Others
 /// are sent once when found, and on request.
 const POISON_PER_DATAGRAM: usize = 16;
+/// Rejection limits in a datagram of about 1 KB.
+const LIMITS_PER_DATAGRAM: usize = 96;
 const POISON_UPDATES_PER_ROUND: usize = 60;
 const ENTRY_DATAGRAMS_PER_ROUND: usize = 3;
 /// Datagrams of an aggregate in a round; a larger aggregate is sent less often.
@@ -236,6 +238,7 @@
     fleet.load.expire(now_ms);
     fleet.expire_lapsed(now_ms);
     fleet.cold.expire(now_ms);
+    fleet.rejection_limits.expire(now_ms);
     fleet.prefixes.expire(now_ms);
     fleet.poison.expire(now_ms);
     let knowledge = StateDigest {
@@ -274,6 +277,13 @@
         datagrams.to_relays.push(update.clone());
         datagrams.to_zone.push(update);
     }
+    let limits = fleet.rejection_limits.reports(LIMITS_PER_DATAGRAM, now_ms);
+    if !limits.is_empty() {
+        let limits = Datagram::RejectionLimits(limits);
+        datagrams.to_peers.push(limits.clone());
+        datagrams.to_relays.push(limits.clone());
+        datagrams.to_zone.push(limits);
+    }
     let sender = UsageSender {
         zone: peers.zone,
         id: ReportId {
--- a/crates/gateway/src/peers/receive.rs
+++ b/crates/gateway/src/peers/receive.rs
@@ -88,6 +88,7 @@
                 shared.fleet().work.merge(address, &report, now_ms);
             }
             Datagram::ReachAsk(ask) => reply_to_ask(&shared, &peers, &socket, address, &ask),
+            Datagram::RejectionLimits(reports) => shared.merge_rejection_limits(&reports),
             Datagram::ReachReply(reply) => merge_reply(&shared, &peers, address, &reply),
         }
     }
--- a/crates/gateway/src/poison.rs
+++ b/crates/gateway/src/poison.rs
@@ -25,6 +25,10 @@
 /// Pause after a failed call of the store.
 const RETRY_PAUSE: Duration = Duration::from_secs(1);
 
+/// Time after a rejection by an endpoint that tolerates few in which its end is attributed to
+/// overload.
+const OVERLOAD_WINDOW_MS: u64 = 2_000;
+
 /// Calls of the store that are due.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 struct PendingCalls {
@@ -136,6 +140,15 @@
         {
             return false;
         }
+        let since_ms = self.clock.now_ms().saturating_sub(OVERLOAD_WINDOW_MS);
+        if self
+            .fleet()
+            .rejection_limits
+            .has_rejected_since(start, since_ms)
+        {
+            // It failed because it had to reject too many requests.
+            return false;
+        }
         if self.is_reached_by_others(start).await {
             self.metrics.count("path_failures_total", "", 1);
             return true;
--- a/crates/gateway/src/pool_queue/slot_wait.rs
+++ b/crates/gateway/src/pool_queue/slot_wait.rs
@@ -55,7 +55,7 @@
     let mut unusable = Vec::new();
     for _ in 0..=MAX_UNUSABLE_GRANTS {
         let now_ms = shared.clock.now_ms();
-        let pool_use = || shared.fleet().pool_use(&call.pool);
+        let pool_use = || shared.fleet().pool_use(&call.pool, now_ms);
         let (is_contended, change) = queues.is_contended(&call.pool, pool_use, now_ms);
         if let Some(change) = change {
             shared.event_log.emit(&Event::PoolContended {
--- a/crates/gateway/src/progress.rs
+++ b/crates/gateway/src/progress.rs
@@ -13,6 +13,7 @@
     over_share_return_ms,
 };
 use rand::RngExt;
+use tokio::time::Instant;
 
 use crate::access_log::record_disconnect;
 use crate::call::Call;
@@ -332,6 +333,15 @@
             hosts: host_count(&fleet, now_ms),
         };
         self.uses = fleet.rollouts.build_uses(&request, now_ms);
+        drop(fleet);
+        self.place()
+    }
+
+    /// Places the next attempt at an endpoint of the builds that it may use.
+    fn place(&mut self) -> Option<SelectedEndpoint> {
+        let shared = self.shared.clone();
+        let now_ms = shared.clock.now_ms();
+        let mut fleet = shared.fleet();
         if !self.call.shared_parts.is_empty() {
             fleet.update_home_demand(&self.call.pool, now_ms);
         }
@@ -345,6 +355,32 @@
         Some(choice)
     }
 
+    /// Waits for a free slot if the request's endpoints tolerate few rejections, for a part of
+    /// its objective.
+    pub(crate) async fn wait_for_room(&mut self) -> Option<SelectedEndpoint> {
+        const MAX_WAIT_DIVISOR: u32 = 4;
+        let now_ms = self.shared.clock.now_ms();
+        let objective = Duration::from_millis(self.call.route.objective_ms);
+        let until = self.call.entered_at + objective / MAX_WAIT_DIVISOR;
+        let until = until.min(self.call.deadline());
+        if Instant::now() >= until || !self.shared.fleet().is_brittle(&self.call.pool, now_ms) {
+            return None;
+        }
+        let order = WaitOrder {
+            rank: self.call.priority(),
+            entered_at_ms: now_ms,
+        };
+        let place = self.shared.room_lines.enter(&self.call.pool, order)?;
+        while Instant::now() < until {
+            if place.wait_step().await
+                && let Some(choice) = self.place()
+            {
+                return Some(choice);
+            }
+        }
+        None
+    }
+
     /// Keeps a granted slot that the request did not use until it waits again.
     pub(crate) fn keep_unused_lease(&mut self, lease: Option<Lease>) {
         self.unused_lease = lease;
@@ -455,6 +491,19 @@
         Some(choice)
     }
 
+    /// Selects the endpoint that the origin of a forwarded request chose, if this host may use
+    /// it. With a granted slot, only the scheduler's count of the endpoint's load matters.
+    pub(crate) fn accept_chosen(
+        &mut self,
+        endpoint: u32,
+        is_granted: bool,
+    ) -> Option<SelectedEndpoint> {
+        let choice = self.accept_grant(endpoint)?;
+        let now_ms = self.shared.clock.now_ms();
+        let fleet = self.shared.fleet();
+        (is_granted || fleet.accepts_forwarded(&choice, now_ms)).then_some(choice)
+    }
+
     /// Excludes endpoints from the next attempts.
     pub(crate) fn exclude(&mut self, endpoints: &[u32]) {
         self.tried.extend_from_slice(endpoints);
@@ -633,6 +682,12 @@
                 .record_broken_attempt(request, endpoint, broken)
                 .await;
         }
+        if matches!(end, AttemptOutcome::NotSent | AttemptOutcome::Broken) {
+            let now_ms = self.shared.clock.now_ms();
+            let failed = self.last_tried();
+            let mut fleet = self.shared.fleet();
+            fleet.rejection_limits.record_failure(failed, now_ms);
+        }
         self.record_health(end);
         if end == AttemptOutcome::Silent {
             self.count_silence();
@@ -641,6 +696,8 @@
         }
         if end == AttemptOutcome::Refused {
             let now_ms = self.shared.clock.now_ms();
+            let rejected_by = self.last_tried();
+            self.shared.fleet().record_rejection(rejected_by, now_ms);
             self.shared
                 .pool_queues
                 .record_refusal(&self.call.pool, now_ms);
@@ -782,6 +839,7 @@
         match self.worst_outcome {
             Outcome::NotRun => self
                 .backoff_refusal()
+                .or_else(|| self.no_room_refusal())
                 .unwrap_or_else(|| Refusal::new(Reason::NoEndpoint, DETAIL)),
             Outcome::Ran | Outcome::Unknown => Refusal::new(Reason::EndpointLost, DETAIL),
         }
@@ -828,6 +886,27 @@
         })
     }
 
+    /// The refusal if the endpoints tolerate few rejections and have no free slot. Callers
+    /// return after about a service time, with jitter against a burst of repeats.
+    fn no_room_refusal(&self) -> Option<Refusal> {
+        const MIN_RETURN_MS: f64 = 200.0;
+        const MAX_RETURN_MS: f64 = 3_000.0;
+        let now_ms = self.shared.clock.now_ms();
+        let fleet = self.shared.fleet();
+        if !fleet.is_brittle(&self.call.pool, now_ms) {
+            return None;
+        }
+        let service_ms = fleet.expected_service_ms(&self.call.pool);
+        drop(fleet);
+        let return_ms = service_ms.clamp(MIN_RETURN_MS, MAX_RETURN_MS);
+        let jitter = rand::rng().random_range(1.0..2.0);
+        let detail = "no slot is free, and endpoints tolerate few rejections";
+        Some(Refusal {
+            retry_after_ms: Some((return_ms * jitter) as u64),
+            ..Refusal::new(Reason::AtBound, detail)
+        })
+    }
+
     /// Takes the records of all attempts, for the access log. A request that is dropped
     /// before counts as left by its caller.
     pub(crate) fn take_attempts(&mut self) -> Vec<AttemptRecord> {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -29,6 +29,7 @@
 use crate::peers::BrokenPaths;
 use crate::poison::PoisonRecords;
 use crate::pool_queue::{Lease, PoolQueues};
+use crate::room_wait::RoomLines;
 use crate::skipped_rows::SkippedRows;
 use crate::source::Topic;
 use crate::subscription::{AnsweredHost, StoreSubscription};
@@ -66,6 +67,8 @@
     pub(crate) connection_permits: Arc<Semaphore>,
     /// Requests that wait for slots of contended pools.
     pub(crate) pool_queues: Arc<PoolQueues>,
+    /// Requests that wait for a free slot of endpoints that tolerate few rejections.
+    pub(crate) room_lines: Arc<RoomLines>,
     pub(crate) rules: ActiveRules,
     /// Wakes the task that asks about unreachable endpoints.
     pub(crate) unreachable_found: Notify,
@@ -122,6 +125,7 @@
             answers,
             connection_permits,
             pool_queues: Arc::default(),
+            room_lines: Arc::default(),
             rules: ActiveRules::default(),
             unreachable_found: Notify::new(),
             reach_reported: Notify::new(),
@@ -548,7 +552,10 @@
     fn drop(&mut self) {
         let mut fleet = self.shared.fleet();
         match self.target {
-            InFlightTarget::Endpoint(endpoint) => fleet.load.end(endpoint),
+            InFlightTarget::Endpoint(endpoint) => {
+                fleet.load.end(endpoint);
+                self.shared.room_lines.notify();
+            }
             InFlightTarget::NextHop(address) => fleet.reachability.end_forwarded(address),
         }
         if !self.was_rejected {
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod attempts;
 mod backlog;
+mod brittle;
 mod builds;
 mod calls;
 mod control_traffic;
--- a/crates/gateway/tests/gateway/support/crashing.rs
+++ b/crates/gateway/tests/gateway/support/crashing.rs
@@ -165,7 +165,7 @@
                 return std::future::pending().await;
             }
             tokio::time::sleep(ANSWER_DELAY).await;
-            if !send(&mut stream, &answer(&request)).await {
+            if !send(&mut stream, &answer(&request, "")).await {
                 return;
             }
         }
--- a/crates/gateway/tests/gateway/support/edge.rs
+++ b/crates/gateway/tests/gateway/support/edge.rs
@@ -80,6 +80,8 @@
                 Some(Ok(backoff_ms)) => RequestedBackoff::ForMs(backoff_ms),
                 Some(Err(_)) => RequestedBackoff::Unreadable("text".to_owned()),
             },
+            max_rejections_per_s: header_text(&head.headers, "brittle")
+                .and_then(|limit| limit.parse().ok()),
             load: header_text(&head.headers, "slowness-permille").map(|permille| EndpointLoad {
                 running: 1,
                 waiting: 0,
--- a/crates/gateway/tests/gateway/support/endpoint.rs
+++ b/crates/gateway/tests/gateway/support/endpoint.rs
@@ -433,12 +433,13 @@
     stream.write_all(bytes).await.is_ok()
 }
 
-/// Returns a complete 200 answer with the request's body.
-pub(super) fn answer(request: &Request) -> Vec<u8> {
+/// Returns a complete 200 answer with the request's body and further header lines.
+pub(super) fn answer(request: &Request, report: &str) -> Vec<u8> {
     let id = request.header("id").unwrap_or_default();
     let length = request.body.len();
-    let head =
-        format!("HTTP/1.1 200 OK\r\nid: {id}\r\nsignature: s\r\ncontent-length: {length}\r\n\r\n");
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nid: {id}\r\nsignature: s\r\n{report}content-length: {length}\r\n\r\n"
+    );
     [head.as_bytes(), &request.body].concat()
 }
 
--- a/crates/gateway/tests/gateway/support/slotted.rs
+++ b/crates/gateway/tests/gateway/support/slotted.rs
@@ -1,12 +1,13 @@
 //! An endpoint with few slots and a short queue that refuses requests when it is full.
 
-use std::collections::HashSet;
+use std::collections::{HashSet, VecDeque};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use chalkrock_core::{BuildVersion, Endpoint, EndpointKind, HostState, Incarnation};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
+use tokio::time::Instant;
 
 use super::TestSource;
 use super::endpoint::{answer, read_request, send};
@@ -23,6 +24,9 @@
     BackOff,
     /// Closes the connection without an answer.
     Close,
+    /// Holds no request beyond its slots, reports that it tolerates so many refusals a second,
+    /// and falls over for a while after more.
+    Brittle(usize),
 }
 
 #[derive(Default)]
@@ -31,6 +35,42 @@
     mode: SlottedMode,
     counts: SlottedCounts,
     ids: HashSet<String>,
+    /// When it refused requests in the last second.
+    refused_at: VecDeque<Instant>,
+    /// Until when it is down after too many refusals.
+    fallen_until: Option<Instant>,
+}
+
+impl State {
+    fn capacity(&self, slots: usize, queue: usize) -> usize {
+        match self.mode {
+            SlottedMode::Serve => slots + queue,
+            SlottedMode::Brittle(_) => slots,
+            SlottedMode::Refuse | SlottedMode::BackOff | SlottedMode::Close => 0,
+        }
+    }
+
+    fn is_fallen(&self) -> bool {
+        self.fallen_until
+            .is_some_and(|until| Instant::now() < until)
+    }
+
+    /// Counts a refusal; too many in a second make a brittle endpoint fall over.
+    fn record_refusal(&mut self) {
+        const FALL_TIME: Duration = Duration::from_secs(3);
+        self.counts.refused += 1;
+        let now = Instant::now();
+        self.refused_at.push_back(now);
+        self.refused_at
+            .retain(|at| now - *at < Duration::from_secs(1));
+        if let SlottedMode::Brittle(tolerated) = self.mode
+            && self.refused_at.len() > tolerated
+        {
+            self.counts.falls += 1;
+            self.refused_at.clear();
+            self.fallen_until = Some(now + FALL_TIME);
+        }
+    }
 }
 
 /// What an endpoint has seen.
@@ -39,12 +79,14 @@
     pub(crate) served: usize,
     pub(crate) refused: usize,
     pub(crate) max_in_progress: usize,
+    pub(crate) falls: usize,
 }
 
 /// An endpoint with few slots.
 #[derive(Clone)]
 pub(crate) struct SlottedEndpoint {
-    capacity: usize,
+    slot_count: usize,
+    queue: usize,
     work: Duration,
     slots: Arc<Semaphore>,
     state: Arc<Mutex<State>>,
@@ -73,7 +115,8 @@
             build: BuildVersion::default(),
         });
         let endpoint = Self {
-            capacity: slots as usize + queue,
+            slot_count: slots as usize,
+            queue,
             work,
             slots: Arc::new(Semaphore::new(slots as usize)),
             state: Arc::default(),
@@ -110,8 +153,8 @@
     fn begin(&self, id: &str) -> bool {
         let mut state = self.state();
         state.ids.insert(id.to_owned());
-        if state.mode != SlottedMode::Serve || state.in_progress >= self.capacity {
-            state.counts.refused += 1;
+        if state.in_progress >= state.capacity(self.slot_count, self.queue) {
+            state.record_refusal();
             return false;
         }
         state.in_progress += 1;
@@ -129,15 +172,22 @@
         let mut buffer = Vec::new();
         while let Some(request) = read_request(&mut stream, &mut buffer).await {
             let id = request.header("id").unwrap_or_default();
+            if self.state().is_fallen() {
+                return;
+            }
+            let report = match self.state().mode {
+                SlottedMode::Brittle(tolerated) => format!("brittle: {tolerated}\r\n"),
+                _ => String::new(),
+            };
             if !self.begin(id) {
                 let backoff = match self.state().mode {
                     SlottedMode::Close => return,
                     SlottedMode::BackOff => "back-off-ms: 60000\r\n",
-                    SlottedMode::Serve | SlottedMode::Refuse => "",
+                    _ => "",
                 };
                 let refusal = format!(
                     "HTTP/1.1 503 Service Unavailable\r\nid: {id}\r\nsignature: s\r\n\
-                     not-run: 1\r\n{backoff}content-length: 0\r\n\r\n"
+                     not-run: 1\r\n{backoff}{report}content-length: 0\r\n\r\n"
                 );
                 if !send(&mut stream, refusal.as_bytes()).await {
                     return;
@@ -148,7 +198,10 @@
             tokio::time::sleep(self.work).await;
             drop(permit);
             self.end();
-            if !send(&mut stream, &answer(&request)).await {
+            if self.state().is_fallen() {
+                return;
+            }
+            if !send(&mut stream, &answer(&request, &report)).await {
                 return;
             }
         }
--- a/crates/routing/src/pool_queue/contention.rs
+++ b/crates/routing/src/pool_queue/contention.rs
@@ -23,16 +23,20 @@
     pub hosts: usize,
     /// Whether requests wait for a slot on this host.
     pub has_waiting: bool,
+    /// Whether its endpoints tolerate few rejections, so that requests must not meet at a full
+    /// one.
+    pub is_brittle: bool,
 }
 
 impl PoolUse {
-    /// Whether there are fewer slots than hosts.
+    /// Whether there are fewer slots than hosts, or requests must be ordered anyway.
     pub fn is_scarce(&self) -> bool {
-        (self.slots as usize) < self.hosts
+        (self.slots as usize) < self.hosts || self.is_brittle
     }
 
+    /// A brittle pool counts as full: its requests meet when an endpoint returns.
     fn is_above(&self, utilisation: f64) -> bool {
-        f64::from(self.in_progress) >= utilisation * f64::from(self.slots)
+        self.is_brittle || f64::from(self.in_progress) >= utilisation * f64::from(self.slots)
     }
 }
 
@@ -43,7 +47,8 @@
 /// ```
 /// use chalkrock_routing::{Contention, PoolUse};
 ///
-/// let busy = PoolUse { slots: 18, in_progress: 12, hosts: 29, has_waiting: false };
+/// let busy = PoolUse { slots: 18, in_progress: 12, hosts: 29, has_waiting: false,
+///     is_brittle: false };
 /// let mut contention = Contention::default();
 /// assert!(contention.update(&busy, 0));
 /// let idle = PoolUse { in_progress: 0, ..busy };
--- a/crates/routing/src/pool_queue/endpoint_slots.rs
+++ b/crates/routing/src/pool_queue/endpoint_slots.rs
@@ -26,6 +26,7 @@
 pub(super) struct EndpointSlots {
     pub(super) slots: u32,
     pub(super) is_open: bool,
+    has_queue: bool,
     pub(super) leases: u32,
     /// Leases that another scheduler granted, now and at most.
     foreign_leases: u32,
@@ -41,6 +42,7 @@
         let mut endpoint = EndpointSlots {
             slots: 0,
             is_open: false,
+            has_queue: true,
             leases: 0,
             foreign_leases: 0,
             most_foreign_leases: 0,
@@ -55,6 +57,7 @@
     pub(super) fn update(&mut self, listed: &SchedulableEndpoint) {
         self.slots = listed.slots.clamp(1, MAX_SLOTS);
         self.is_open = listed.is_open;
+        self.has_queue = listed.has_queue;
         self.reported_in_progress = listed.in_progress;
     }
 
@@ -113,8 +116,8 @@
         self.leases + self.unexplained(now_ms, is_settling)
     }
 
-    /// Most slots that may be taken: those of the endpoint and, after settling, a queue that
-    /// lasts for the `round_trip_ms` until a freed slot is granted again.
+    /// Most slots that may be taken: those of the endpoint and, after settling, if it has a
+    /// queue, one that lasts for the `round_trip_ms` until a freed slot is granted again.
     pub(super) fn limit(
         &self,
         round_trip_ms: f64,
@@ -122,7 +125,7 @@
         now_ms: u64,
         is_settling: bool,
     ) -> u32 {
-        if is_settling {
+        if is_settling || !self.has_queue {
             return self.slots;
         }
         // Slots that leases free. Others are filled by those who use them.
--- a/crates/routing/src/pool_queue/scheduler/mod.rs
+++ b/crates/routing/src/pool_queue/scheduler/mod.rs
@@ -46,6 +46,8 @@
     pub in_progress: u32,
     /// Whether it may receive new requests.
     pub is_open: bool,
+    /// Whether it may hold requests that wait for a slot.
+    pub has_queue: bool,
 }
 
 /// Whether an ask counts.
@@ -71,7 +73,8 @@
 /// };
 ///
 /// let mut scheduler = PoolScheduler::new(1, 0);
-/// let endpoint = SchedulableEndpoint { endpoint: 7, slots: 6, in_progress: 0, is_open: true };
+/// let endpoint = SchedulableEndpoint { endpoint: 7, slots: 6, in_progress: 0, is_open: true,
+///     has_queue: true };
 /// scheduler.set_endpoints(&[endpoint], 0);
 /// let request = WaitingRequest {
 ///     ticket: TicketId(1),
--- a/crates/routing/tests/pool_queue.rs
+++ b/crates/routing/tests/pool_queue.rs
@@ -21,6 +21,7 @@
         slots: SLOTS,
         in_progress: 0,
         is_open: true,
+        has_queue: true,
     }
 }
 
@@ -563,13 +564,15 @@
         prop_oneof![0..8_u32, any::<u32>()],
         prop_oneof![0..8_u32, any::<u32>()],
         any::<bool>(),
+        any::<bool>(),
     )
         .prop_map(
-            |(endpoint, slots, in_progress, is_open)| SchedulableEndpoint {
+            |(endpoint, slots, in_progress, is_open, has_queue)| SchedulableEndpoint {
                 endpoint,
                 slots,
                 in_progress,
                 is_open,
+                has_queue,
             },
         );
     let waits = prop_oneof![0..20_u64, 0..2_000_u64, Just(86_400_000)];
--- a/crates/routing/tests/pool_queue_load.rs
+++ b/crates/routing/tests/pool_queue_load.rs
@@ -530,6 +530,7 @@
                 slots: SLOTS as u32,
                 in_progress: self.reported[endpoint],
                 is_open: true,
+                has_queue: true,
             })
             .collect();
         self.scheduler.set_endpoints(&listed, now_ms);
--- a/crates/routing/tests/scheduler_link.rs
+++ b/crates/routing/tests/scheduler_link.rs
@@ -15,6 +15,7 @@
         in_progress,
         hosts: 29,
         has_waiting: false,
+        is_brittle: false,
     }
 }
 
