Leave a stream at an endpoint that is silent for a second

A sound endpoint may send nothing for about a second and go on. A resumable stream left it after 1,000 ms, was read again elsewhere and ran twice.

The shortest silence after which a stream moves is 1,500 ms, so that the next endpoint can go on before callers give up after two seconds.

Measured: stream_stays_at_an_endpoint_that_is_silent_for_a_second ran a stream of a pause of 1,200 ms twice before, once now.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -287,9 +287,10 @@
     }
 }
 
-/// Silence after which an endpoint counts as failed.
+/// Silence after which an endpoint counts as failed. A sound one may be silent for a second, and
+/// callers wait for two.
 fn silence_timeout(call: &Call) -> Duration {
-    const MIN_SILENCE_TIMEOUT_MS: u64 = 1_000;
+    const MIN_SILENCE_TIMEOUT_MS: u64 = 1_500;
     const SILENCE_OBJECTIVES: u64 = 3;
     Duration::from_millis(MIN_SILENCE_TIMEOUT_MS.max(SILENCE_OBJECTIVES * call.route.objective_ms))
 }
--- a/crates/gateway/tests/gateway/streams.rs
+++ b/crates/gateway/tests/gateway/streams.rs
@@ -162,3 +162,20 @@
         }
     }
 }
+
+/// Guards against streams that leave a sound endpoint because it is silent for a second.
+#[tokio::test]
+async fn stream_stays_at_an_endpoint_that_is_silent_for_a_second() {
+    const PAUSE_MS: u64 = 1_200;
+    for path in ["/stream/", "/resumable/"] {
+        let gateway = TestGateway::with_endpoints(2, whole_stream()).await;
+        gateway.script.push([Behaviour::StreamWithPause {
+            last: LAST_EVENT,
+            pause_ms: PAUSE_MS,
+        }]);
+        let received = gateway.call(Call::post(path, b"x").id("r-1")).await;
+        assert_that!(received.events(), eq(&all_events()), "{path}");
+        assert_that!(received.is_complete, eq(true), "{path}");
+        assert_that!(gateway.run_count("r-1"), eq(1), "{path}");
+    }
+}
--- a/crates/gateway/tests/gateway/support/endpoint.rs
+++ b/crates/gateway/tests/gateway/support/endpoint.rs
@@ -58,6 +58,8 @@
     StreamUntilReset { last: u64 },
     /// Streams events up to `last` and keeps the connection open.
     StreamThenStall { last: u64 },
+    /// Streams events up to `last`, with a pause in milliseconds before the last one.
+    StreamWithPause { last: u64, pause_ms: u64 },
 }
 
 /// A request as the endpoint received it.
@@ -347,6 +349,17 @@
                 reset(stream);
                 false
             }
+            Behaviour::StreamWithPause { last, pause_ms } => {
+                send(stream, self.stream_head(&id).as_bytes()).await;
+                for number in first_event(request)..=last {
+                    let pause_ms = if number == last { pause_ms } else { 0 };
+                    if pause_ms > 0 && self.is_abandoned_within(stream, pause_ms).await {
+                        return false;
+                    }
+                    send(stream, &chunk(&event(number))).await;
+                }
+                send(stream, b"0\r\n\r\n").await
+            }
             Behaviour::StreamThenStall { last } => {
                 send(stream, self.stream_head(&id).as_bytes()).await;
                 for number in first_event(request)..=last {
