--- a/crates/gateway/src/fleet/rejection_limits.rs
+++ b/crates/gateway/src/fleet/rejection_limits.rs
@@ -3,7 +3,7 @@
 use chalkrock_core::PoolId;
 use chalkrock_routing::{Candidate, LimitedLoad};
 
-use crate::fleet::{Fleet, SelectedEndpoint};
+use crate::fleet::{EndpointQuery, Fleet, SelectedEndpoint};
 
 impl Fleet {
     /// Whether a request may be sent to an endpoint without the risk of a rejection that it
@@ -30,20 +30,14 @@
     }
 
     /// Whether an endpoint that another host has chosen is within its limit here.
-    pub(crate) fn accepts_forwarded(&self, choice: &SelectedEndpoint, now_ms: u64) -> bool {
-        if self.rejection_limits.is_empty() {
-            return true;
-        }
-        let endpoint = choice.member.hash.short();
-        let load = LimitedLoad {
-            load: choice.load,
-            local_load: self.load.local_in_progress(endpoint),
-            slots: choice.member.endpoint.slots,
-            unreported_arrivals: 0.0,
-            hosts: self.load.known_host_count(),
-            draw: self.turn_draw(endpoint, now_ms),
-        };
-        self.rejection_limits.accepts(endpoint, &load, now_ms)
+    pub(crate) fn accepts_forwarded(
+        &self,
+        query: &EndpointQuery<'_>,
+        choice: &SelectedEndpoint,
+        now_ms: u64,
+    ) -> bool {
+        let candidate = self.candidate(&choice.member, query, &[], now_ms);
+        self.is_within_rejection_limit(&candidate, 0.0, now_ms)
     }
 
     /// Whether an endpoint of the pool tolerates few rejections.
--- a/crates/gateway/src/progress.rs
+++ b/crates/gateway/src/progress.rs
@@ -501,7 +501,8 @@
         let choice = self.accept_grant(endpoint)?;
         let now_ms = self.shared.clock.now_ms();
         let fleet = self.shared.fleet();
-        (is_granted || fleet.accepts_forwarded(&choice, now_ms)).then_some(choice)
+        let query = self.endpoint_query();
+        (is_granted || fleet.accepts_forwarded(&query, &choice, now_ms)).then_some(choice)
     }
 
     /// Excludes endpoints from the next attempts.
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -13,6 +13,7 @@
 mod evacuations;
 mod fair_shares;
 mod large_rules;
+mod partition_plans;
 mod partitions;
 mod peers;
 mod pool_queue;
