Give each host slots of its own at brittle endpoints after a rejection

With fewer slots than hosts each host had turns that it drew for itself: turns of several hosts met, each refusal paused a host for two seconds, and slots stayed idle between turns.

All hosts now agree without a message on whose slots are whose: an equal part each, and the rest to the hosts that rank first for the endpoint. After a rejection a host keeps to its own slots for 1.5 s, after a failure for four.

Beside it: a next hop that serves forwarded requests counts as heard; it is forgotten only if it did not take the request or fell silent, not because an endpoint was slow; a host without others does not wait 100 ms for reports; what an ask finds has a type.

Ruled out: longer turns; a larger part of the limit on refusals.

--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -117,8 +117,8 @@
     pub(crate) reachability: Reachability<SocketAddr>,
     /// Endpoints that tolerate few rejections.
     pub(crate) rejection_limits: RejectionLimits,
-    /// Differs between hosts and starts, so that they do not have their turns together.
-    turn_seed: u64,
+    /// Slots that belong to this host at such endpoints, by the hash of their start.
+    own_slots: HashMap<u32, u32>,
     budgets: HashMap<PoolId, WindowBudget>,
     service_times: HashMap<PoolId, ServiceTimeEwma>,
     /// Endpoints whose prefixes spread over others, by pool.
@@ -166,7 +166,7 @@
             health: HashMap::new(),
             reachability: Reachability::default(),
             rejection_limits: RejectionLimits::default(),
-            turn_seed: rand::random(),
+            own_slots: HashMap::new(),
             budgets: HashMap::new(),
             service_times: HashMap::new(),
             home_demand: HashMap::new(),
--- a/crates/gateway/src/fleet/rejection_limits.rs
+++ b/crates/gateway/src/fleet/rejection_limits.rs
@@ -1,7 +1,8 @@
 //! Endpoints that tolerate few rejections.
 
 use chalkrock_core::PoolId;
-use chalkrock_routing::{Candidate, LimitedLoad};
+use chalkrock_core::rendezvous::MemberHash;
+use chalkrock_routing::{Candidate, LimitedLoad, own_slots};
 
 use crate::fleet::{EndpointQuery, Fleet, SelectedEndpoint};
 
@@ -24,7 +25,7 @@
             slots: candidate.slots,
             unreported_arrivals,
             hosts: self.load.known_host_count(),
-            draw: self.turn_draw(endpoint, now_ms),
+            own_slots: self.own_slots.get(&endpoint).copied().unwrap_or(0),
         };
         self.rejection_limits.accepts(endpoint, &load, now_ms)
     }
@@ -50,17 +51,18 @@
         starts.any(|start| self.rejection_limits.is_limited(start, now_ms))
     }
 
-    /// A number from 0 to 1 of this host at an endpoint, drawn anew at each interval. Drawn for
-    /// each request, the first of many that wait would always have a turn.
-    fn turn_draw(&self, endpoint: u32, now_ms: u64) -> f64 {
-        const TURN_MS: u64 = 100;
-        /// Spreads close values (Fibonacci hashing).
-        const MULTIPLIER: u64 = 0x9E37_79B9_7F4A_7C15;
-        let turn = now_ms / TURN_MS;
-        let key = self.turn_seed ^ u64::from(endpoint) << u32::BITS ^ turn;
-        let mixed = key.wrapping_mul(MULTIPLIER);
-        let mixed = (mixed ^ mixed >> u32::BITS).wrapping_mul(MULTIPLIER);
-        (mixed >> u32::BITS) as f64 / f64::from(u32::MAX)
+    /// Updates the slots that belong to this host at endpoints that tolerate few rejections.
+    pub(crate) fn update_own_slots(&mut self, local: MemberHash, others: &[MemberHash]) {
+        let listed = self.endpoints.listed().map(|member| {
+            let endpoint = member.hash.short();
+            (endpoint, member.endpoint.slots)
+        });
+        let limited = listed.filter(|(endpoint, _)| self.rejection_limits.has_limit(*endpoint));
+        let own = limited.map(|(endpoint, slots)| {
+            let own = own_slots(endpoint, slots, local, others);
+            (endpoint, own)
+        });
+        self.own_slots = own.collect();
     }
 
     /// Records that an endpoint rejected a request of this host.
--- a/crates/gateway/src/forward/origin.rs
+++ b/crates/gateway/src/forward/origin.rs
@@ -113,7 +113,9 @@
         Ok(sent) => sent,
         Err(end) => {
             count(shared, "lost");
-            shared.fleet().reachability.forget(address);
+            if matches!(end, AttemptOutcome::Withdrawn | AttemptOutcome::Broken) {
+                shared.fleet().reachability.forget(address);
+            }
             progress.record_next_hop_refusal(address);
             return Err(failure(in_flight, end));
         }
@@ -296,6 +298,9 @@
         let heard_at_ms = sent_at_ms.max(reported_at_ms.unwrap_or(0));
         let silent_ms = now_ms.saturating_sub(heard_at_ms);
         let is_silent = u128::from(silent_ms) >= NEXT_HOP_TIMEOUT.as_millis();
+        if is_silent {
+            shared.fleet().reachability.forget(address);
+        }
         let is_overdue = is_silent || sent_at.elapsed() >= max_wait;
         if is_overdue && progress.may_leave_endpoint() {
             return Err(AttemptOutcome::Silent);
--- a/crates/gateway/src/peers/membership.rs
+++ b/crates/gateway/src/peers/membership.rs
@@ -281,6 +281,17 @@
         candidates.chain([local]).collect()
     }
 
+    /// The hashes of the other hosts that are up or, in other zones, reported recently.
+    pub(super) fn other_hosts(&self) -> Vec<MemberHash> {
+        let now = Instant::now();
+        let peers = self.peers();
+        let others = peers.values().filter(|peer| {
+            let is_same_zone = peer.zone == Some(self.zone);
+            peer.is_up || !is_same_zone && peer.is_recent(now)
+        });
+        others.map(|peer| peer.hash).collect()
+    }
+
     /// Whether an address is that of a host of the fleet.
     pub(crate) fn knows(&self, address: SocketAddr) -> bool {
         self.peers().contains_key(&address)
--- a/crates/gateway/src/peers/publish.rs
+++ b/crates/gateway/src/peers/publish.rs
@@ -182,6 +182,10 @@
 fn apply_round(shared: &Shared, peers: &PeerTable, round: &GossipRound) {
     let senders = round.cold_senders.clone();
     let local = host_hash(&peers.local);
+    if !shared.fleet().rejection_limits.is_empty() {
+        let others = peers.other_hosts();
+        shared.fleet().update_own_slots(local, &others);
+    }
     shared
         .fleet()
         .cold
--- a/crates/gateway/src/peers/reachability.rs
+++ b/crates/gateway/src/peers/reachability.rs
@@ -65,6 +65,31 @@
     pub(crate) is_checked: bool,
 }
 
+/// What a host found out about endpoints that it was asked about.
+#[derive(Default)]
+struct Findings {
+    reached: Vec<u32>,
+    unreached: Vec<u32>,
+    is_checked: bool,
+}
+
+impl Findings {
+    /// The result of a check.
+    fn checked(start: u32, is_reached: bool) -> Self {
+        let mut findings = Self {
+            is_checked: true,
+            ..Self::default()
+        };
+        let of_kind = if is_reached {
+            &mut findings.reached
+        } else {
+            &mut findings.unreached
+        };
+        of_kind.push(start);
+        findings
+    }
+}
+
 /// The state of this host's paths to endpoints.
 struct Paths {
     unreachable: Vec<PoolMember>,
@@ -110,6 +135,8 @@
         if !broken.is_empty() {
             let hosts = ask(&shared, &peers, &socket, broken, true);
             shared.broken_paths.record_ask(shared.clock.now_ms(), hosts);
+            // Without other hosts, no reply ends the wait for reports.
+            shared.reach_reported.notify_waiters();
         }
         // With many endpoints, each has its turn.
         let mut chunks = paths.to_ask.chunks(MAX_ENDPOINTS_PER_ASK);
@@ -117,9 +144,10 @@
             ask(&shared, &peers, &socket, chunk.to_vec(), false);
         }
         number += 1;
-        let current: Vec<u32> = { paths.unreachable.iter() }
+        let mut current: Vec<u32> = { paths.unreachable.iter() }
             .map(|member| member.hash.short())
             .collect();
+        current.sort_unstable();
         spawn_checks(&shared, &paths.unreachable, paths.doubtful);
         if current != known {
             known = current;
@@ -214,22 +242,21 @@
         return;
     }
     let now_ms = shared.clock.now_ms();
-    let (mut reached, mut unreached, mut unknown) = (Vec::new(), Vec::new(), Vec::new());
+    let mut findings = Findings::default();
+    let mut unknown = Vec::new();
     let fleet = shared.fleet();
     for &start in ask.endpoints.iter().take(MAX_ENDPOINTS_PER_ASK) {
         if !ask.needs_check && fleet.has_recent_contact(start, now_ms) {
-            reached.push(start);
+            findings.reached.push(start);
         } else if !ask.needs_check && fleet.is_unreachable(start, now_ms) {
-            unreached.push(start);
+            findings.unreached.push(start);
         } else if let Some(member) = fleet.listed_member(start) {
             unknown.push(member.endpoint.clone());
         }
     }
     drop(fleet);
-    if !reached.is_empty() || !unreached.is_empty() {
-        let is_checked = false;
-        let report = (reached, unreached, is_checked);
-        reply(shared, peers, socket, from, report);
+    if !findings.reached.is_empty() || !findings.unreached.is_empty() {
+        reply(shared, peers, socket, from, findings);
     }
     if unknown.is_empty() {
         return;
@@ -251,12 +278,10 @@
         let mut checks: FuturesUnordered<_> = checks.collect();
         // Connections that are accepted or refused at once are not held up by others.
         while let Some((start, is_reached)) = checks.next().await {
-            let report = match is_reached {
-                Some(true) => (vec![start], Vec::new(), true),
-                Some(false) => (Vec::new(), vec![start], true),
-                None => continue,
-            };
-            reply(&shared, &peers, &socket, from, report);
+            if let Some(is_reached) = is_reached {
+                let findings = Findings::checked(start, is_reached);
+                reply(&shared, &peers, &socket, from, findings);
+            }
         }
     });
 }
@@ -266,7 +291,7 @@
     peers: &PeerTable,
     socket: &UdpSocket,
     to: SocketAddr,
-    (reached, unreached, is_checked): (Vec<u32>, Vec<u32>, bool),
+    findings: Findings,
 ) {
     let address = shared.forward_address();
     let reply = Datagram::ReachReply(ReachReply {
@@ -276,9 +301,9 @@
             capacity_millicores: peers.capacity_millicores,
             lag_ms: shared.lag.ms() as u32,
         }),
-        reached,
-        unreached,
-        is_checked,
+        reached: findings.reached,
+        unreached: findings.unreached,
+        is_checked: findings.is_checked,
     });
     send(shared, socket, &reply, to);
 }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -131,7 +131,7 @@
     HOST_TIMEOUT_MS, LastHeard, RELAYS_PER_ZONE, SubscriptionRole, ZonePeer, ZoneView,
     first_ranked, is_large_fleet, stale_poll_fraction, subscribers_needed,
 };
-pub use rejection_limit::{LimitReport, LimitedLoad, RejectionLimits};
+pub use rejection_limit::{LimitReport, LimitedLoad, RejectionLimits, own_slots};
 pub use returns::{
     MAX_EXPORTED_RETURNS, MAX_RESERVATIONS, RETURN_HORIZON_MS, RETURN_WINDOW_MS, ReservedReturn,
     ReturnSchedule,
--- a/crates/routing/src/reachability.rs
+++ b/crates/routing/src/reachability.rs
@@ -156,6 +156,7 @@
         };
         for view in self.hosts.values_mut() {
             if view.next_hop.is_some_and(|hop| hop.address == address) {
+                view.reported_at_ms = now_ms;
                 view.endpoints.insert(endpoint, seen);
             }
         }
@@ -174,7 +175,7 @@
             .any(|view| view.next_hop.is_some() && view.reaches(endpoint, now_ms))
     }
 
-    /// When the host with this address for forwarded requests last reported.
+    /// When the host with this address for forwarded requests last reported, or served one.
     pub fn reported_at_ms(&self, address: SocketAddr) -> Option<u64> {
         let mut views = self.hosts.values();
         let view = views.find(|view| view.next_hop.is_some_and(|hop| hop.address == address))?;
--- a/crates/routing/src/rejection_limit.rs
+++ b/crates/routing/src/rejection_limit.rs
@@ -3,8 +3,8 @@
 //! A brittle endpoint reports in each answer how many requests it may reject within a second
 //! before it fails. All hosts together have to stay below that. A host sends to such an
 //! endpoint only while a slot is free: other requests wait on their host, since the endpoint
-//! may hold none. After a rejection or a failure it uses its own share of the slots alone for
-//! a time, so that hosts that know each other's load late do not meet. Once its share of the
+//! may hold none. After a rejection or a failure it uses its own slots alone for a time, so
+//! that hosts that know each other's load late do not meet. Once its share of the
 //! limit is spent on rejections, it pauses at the endpoint.
 //!
 //! Limits are kept by endpoint start: an endpoint that restarts reports again. Hosts send each
@@ -13,6 +13,7 @@
 
 use std::collections::HashMap;
 
+use chalkrock_core::rendezvous::{KeyHash, MemberHash, score};
 use serde::{Deserialize, Serialize};
 
 /// Fraction of the limit that all hosts spend together. The rest covers hosts that count each
@@ -20,11 +21,10 @@
 const SPENT_FRACTION: f64 = 0.5;
 /// How long a limit holds without another answer of the endpoint.
 const LIMIT_RETENTION_MS: u64 = 10_000;
-/// Time after a rejection or failure in which a host uses its own share of the slots alone.
-const CAUTION_MS: u64 = 4_000;
-/// Fraction of its share with which a host below one slot has its turn: the number of hosts
-/// that have one at the same time varies.
-const DRAWN_FRACTION: f64 = 0.6;
+/// Time after a rejection in which a host uses its own slots alone.
+const REJECTION_CAUTION_MS: u64 = 1_500;
+/// The same after a failure, when all hosts return to the endpoint at once.
+const FAILURE_CAUTION_MS: u64 = 4_000;
 /// Largest fraction of the slots that is kept free for arrivals that are not known yet.
 const MAX_MARGIN_FRACTION: f64 = 0.25;
 
@@ -41,9 +41,8 @@
     pub unreported_arrivals: f64,
     /// Hosts that share the limit, this one included.
     pub hosts: usize,
-    /// Random number from 0 to 1 of this host at this time. It decides if the host's share is
-    /// below one slot.
-    pub draw: f64,
+    /// Slots of it that belong to this host, by [`own_slots`].
+    pub own_slots: u32,
 }
 
 impl LimitedLoad {
@@ -55,14 +54,26 @@
         f64::from(self.load) + margin < f64::from(self.slots)
     }
 
-    /// Whether this host's own share of the slots has room.
-    fn is_within_share(&self) -> bool {
-        let share = f64::from(self.slots) / self.hosts.max(1) as f64;
-        let is_within = f64::from(self.local_load) + 1.0 <= share;
-        is_within || self.local_load == 0 && self.draw < DRAWN_FRACTION * share
+    /// Whether this host's own slots have room.
+    fn has_own_slot(&self) -> bool {
+        self.local_load < self.own_slots
     }
 }
 
+/// The slots of an endpoint that belong to a host: an equal part each, and the rest to the
+/// hosts that rank first for the endpoint. All hosts that know each other agree.
+pub fn own_slots(endpoint: u32, slots: u32, local: MemberHash, others: &[MemberHash]) -> u32 {
+    let hosts = others.len() as u32 + 1;
+    let key = KeyHash(u64::from(endpoint));
+    let own_score = score(key, local, 1.0);
+    let before = others
+        .iter()
+        .filter(|other| score(key, **other, 1.0) > own_score)
+        .count();
+    let has_more = (before as u32) < slots % hosts;
+    slots / hosts + u32::from(has_more)
+}
+
 /// A limit as hosts send it to each other.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LimitReport {
@@ -82,7 +93,7 @@
     allowance: f64,
     refilled_at_ms: u64,
     rejected_at_ms: Option<u64>,
-    /// Until when this host uses its own share of the slots alone.
+    /// Until when this host uses its own slots alone.
     cautious_until_ms: u64,
 }
 
@@ -92,6 +103,10 @@
         SPENT_FRACTION * f64::from(self.per_s) / hosts.max(1) as f64
     }
 
+    fn extend_caution(&mut self, until_ms: u64) {
+        self.cautious_until_ms = self.cautious_until_ms.max(until_ms);
+    }
+
     fn allowance_at(&self, hosts: usize, now_ms: u64) -> f64 {
         const MS_PER_S: f64 = 1_000.0;
         let share = self.share_per_s(hosts);
@@ -115,7 +130,7 @@
 ///     slots: 6,
 ///     unreported_arrivals: 0.0,
 ///     hosts: 2,
-///     draw: 0.5,
+///     own_slots: 3,
 /// };
 /// assert!(limits.accepts(7, &load, 0));
 /// assert!(!limits.accepts(7, &LimitedLoad { load: 6, ..load }, 0));
@@ -193,14 +208,14 @@
             limit.allowance = limit.allowance_at(hosts, now_ms) - 1.0;
             limit.refilled_at_ms = now_ms;
             limit.rejected_at_ms = Some(now_ms);
-            limit.cautious_until_ms = now_ms + CAUTION_MS;
+            limit.extend_caution(now_ms + REJECTION_CAUTION_MS);
         }
     }
 
-    /// Records that the endpoint failed: all hosts return to it at once.
+    /// Records that the endpoint failed.
     pub fn record_failure(&mut self, endpoint: u32, now_ms: u64) {
         if let Some(limit) = self.by_start.get_mut(&endpoint) {
-            limit.cautious_until_ms = now_ms + CAUTION_MS;
+            limit.extend_caution(now_ms + FAILURE_CAUTION_MS);
         }
     }
 
@@ -209,6 +224,11 @@
         self.limit(endpoint, now_ms).is_some()
     }
 
+    /// Whether a limit of the endpoint is known, also one that expires.
+    pub fn has_limit(&self, endpoint: u32) -> bool {
+        self.by_start.contains_key(&endpoint)
+    }
+
     /// Whether none of the endpoints reported a limit.
     pub fn is_empty(&self) -> bool {
         self.by_start.is_empty()
@@ -227,7 +247,7 @@
         self.limit(endpoint, now_ms).is_none_or(|limit| {
             let is_cautious = now_ms < limit.cautious_until_ms;
             load.has_free_slot()
-                && (!is_cautious || load.is_within_share())
+                && (!is_cautious || load.has_own_slot())
                 && limit.allowance_at(load.hosts, now_ms) >= 1.0
         })
     }
--- a/crates/routing/tests/rejection_limit.rs
+++ b/crates/routing/tests/rejection_limit.rs
@@ -1,6 +1,7 @@
 //! Endpoints that report how many rejections a second they tolerate.
 
-use chalkrock_routing::{LimitReport, LimitedLoad, RejectionLimits};
+use chalkrock_core::rendezvous::MemberHash;
+use chalkrock_routing::{LimitReport, LimitedLoad, RejectionLimits, own_slots};
 use googletest::prelude::*;
 
 const ENDPOINT: u32 = 7;
@@ -18,7 +19,7 @@
         slots: 8,
         unreported_arrivals: 0.0,
         hosts,
-        draw: 0.0,
+        own_slots: 8,
     }
 }
 
@@ -111,37 +112,46 @@
 
 /// Guards against hosts that meet at an endpoint with free slots that each of them counts on.
 #[test]
-fn rejection_limit_leaves_each_host_its_share_after_a_failure() {
+fn rejection_limit_leaves_each_host_its_own_slots_after_a_failure() {
     let mut limits = limited(10);
-    let of_host = |local_load: u32, hosts: usize, draw: f64| LimitedLoad {
+    let of_host = |local_load: u32, own_slots: u32| LimitedLoad {
         local_load,
-        draw,
-        ..load(local_load, hosts)
+        own_slots,
+        ..load(local_load, 3)
     };
-    assert_that!(limits.accepts(ENDPOINT, &of_host(4, 3, 0.9), 0), eq(true));
+    assert_that!(limits.accepts(ENDPOINT, &of_host(4, 2), 0), eq(true));
     limits.record_failure(ENDPOINT, 0);
-    for (local_load, hosts, draw, accepts) in [
-        (0, 3, 0.9, true),
-        (1, 3, 0.9, true),
-        (2, 3, 0.0, false),
-        // Each of 16 hosts has half a slot.
-        (0, 16, 0.29, true),
-        (0, 16, 0.31, false),
-        (1, 16, 0.0, false),
-    ] {
-        let load = of_host(local_load, hosts, draw);
-        let message = format!("{local_load} of {hosts} hosts, {draw}");
+    for (local_load, own_slots, accepts) in
+        [(0, 0, false), (0, 1, true), (1, 1, false), (1, 2, true)]
+    {
+        let load = of_host(local_load, own_slots);
+        let message = format!("{local_load} on {own_slots}");
         assert_that!(
             limits.accepts(ENDPOINT, &load, 3_999),
             eq(accepts),
             "{message}"
         );
     }
+    assert_that!(limits.accepts(ENDPOINT, &of_host(4, 2), 4_000), eq(true));
+}
 
-    assert_that!(
-        limits.accepts(ENDPOINT, &of_host(4, 3, 0.9), 4_000),
-        eq(true)
-    );
+/// Guards against hosts that agree on more slots than there are, or leave some idle.
+#[test]
+fn own_slots_of_all_hosts_are_the_slots() {
+    for hosts in [1, 2, 3, 8, 62] {
+        let all: Vec<MemberHash> = (0..hosts)
+            .map(|host| MemberHash::of(&format!("host-{host}")))
+            .collect();
+        for (endpoint, slots) in [(1, 4), (2, 4), (3, 6), (4, 64)] {
+            let of_host = |local: &MemberHash| {
+                let others = all.iter().filter(|other| *other != local);
+                let others: Vec<MemberHash> = others.copied().collect();
+                own_slots(endpoint, slots, *local, &others)
+            };
+            let total: u32 = all.iter().map(of_host).sum();
+            assert_that!(total, eq(slots), "{hosts} hosts, {slots} slots");
+        }
+    }
 }
 
 /// Guards against hosts without requests at an endpoint that meet there unprepared, and
