--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,8 +7,8 @@
 //! implement the two traits and call [`start`].
 //!
 //! A request passes the modules in this order: `front` (sockets), `call` (parsed request),
-//! `progress` (deadline and attempts), `dispatch` and `attempt` (sending),
-//! `endpoint_connections`, `relay` (streams).
+//! `progress` (deadline and attempts), `dispatch` and `attempt` (sending), or `forward`
+//! (through another host), `endpoint_connections`, `relay` (streams).
 //!
 //! # Example
 //!
