Keep an endpoint whose connections get no answer closed while others are asked

Once a request took 504 ms where 200 are allowed. A request that asked other hosts recorded the endpoint as one that refuses connections, although its connections got no answer at all: the next request tried it, waited 400 ms, asked again, and so on until the next check. The kind of failure is now recorded only if none is known.

Once a request was served though all links were cut: the next hop's line shows an answer of an endpoint whose link did not listen at that time, on an address that all tests of the machine share, so that a stand-in of another test had taken the port. The links of each fleet have a loopback address of their own now.

The test sends ten requests instead of two and checks that none ran.

--- a/crates/gateway/src/fleet/reachability.rs
+++ b/crates/gateway/src/fleet/reachability.rs
@@ -15,7 +15,7 @@
 /// Fraction of a pool that is unreachable from which on the others are checked although some
 /// respond.
 const UNREACHABLE_FRACTION_DIVISOR: usize = 4;
-/// Age from which on contact with an endpoint no longer shows that it is reachable.
+/// Age up to which contact with an endpoint shows that it is reachable.
 const DOUBT_MS: u64 = 2_000;
 
 /// How much of a pool this host does not reach.
--- a/crates/gateway/src/peers/reachability.rs
+++ b/crates/gateway/src/peers/reachability.rs
@@ -461,10 +461,7 @@
             return false;
         }
         let since_ms = self.clock.now_ms();
-        let signal = HealthSignal::Unreachable { timed_out: false };
-        self.fleet().record_signal(endpoint, signal, since_ms);
-        self.broken_paths.add(endpoint);
-        self.unreachable_found.notify_one();
+        self.record_broken_path(endpoint, since_ms);
         let waiting = async {
             loop {
                 let reported = self.reach_reported.notified();
@@ -479,6 +476,18 @@
             .unwrap_or(false)
     }
 
+    fn record_broken_path(&self, endpoint: u32, now_ms: u64) {
+        let mut fleet = self.fleet();
+        // A connection that got no answer says more than one that broke.
+        if !fleet.is_unreachable(endpoint, now_ms) {
+            let signal = HealthSignal::Unreachable { timed_out: false };
+            fleet.record_signal(endpoint, signal, now_ms);
+        }
+        drop(fleet);
+        self.broken_paths.add(endpoint);
+        self.unreachable_found.notify_one();
+    }
+
     /// Whether a host has reached the endpoint since; `None` while more reports are due.
     fn checked_since(&self, endpoint: u32, since_ms: u64) -> Option<bool> {
         let reports = self.fleet().reachability.checks_since(endpoint, since_ms);
--- a/crates/gateway/tests/gateway/partitions.rs
+++ b/crates/gateway/tests/gateway/partitions.rs
@@ -100,6 +100,7 @@
 #[tokio::test]
 async fn partitions_of_all_hosts_are_refused_at_once() {
     const MAX_WAIT: Duration = Duration::from_millis(200);
+    const REQUESTS: usize = 10;
     for mode in [LinkMode::Refused, LinkMode::Unresponsive] {
         let fleet = PartitionFleet::start(rules(1), 2, 4).await;
         for host in 0..2 {
@@ -109,12 +110,14 @@
             fleet.load(0, "/safe/", CONTACT),
             fleet.load(1, "/safe/", CONTACT)
         );
-        for host in &fleet.hosts {
+        for (number, host) in fleet.hosts.iter().cycle().take(REQUESTS).enumerate() {
+            let id = format!("r-{number}");
             let sent_at = tokio::time::Instant::now();
-            let received = host.call(Call::post("/once/", b"x").id("r-1")).await;
-            assert_that!(received.status, eq(503), "{mode:?}");
+            let received = host.call(Call::post("/once/", b"x").id(&id)).await;
+            assert_that!(received.status, eq(503), "{mode:?} {id}");
+            assert_that!(fleet.run_count(&id), eq(0), "{mode:?} {id}");
             assert_that!(received.header("come-back"), some(anything()));
-            assert_that!(sent_at.elapsed(), lt(MAX_WAIT), "{mode:?}");
+            assert_that!(sent_at.elapsed(), lt(MAX_WAIT), "{mode:?} {id}");
         }
     }
 }
--- a/crates/gateway/tests/gateway/support/partition.rs
+++ b/crates/gateway/tests/gateway/support/partition.rs
@@ -1,6 +1,7 @@
 //! Hosts of one fleet with links of their own to its endpoints.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
 
 use chalkrock_routing::RulesDocument;
@@ -14,6 +15,17 @@
     pub(crate) endpoints: Vec<ScriptedEndpoint>,
     /// By host and endpoint.
     links: Vec<Vec<Proxy>>,
+    link_ip: IpAddr,
+}
+
+/// A loopback address of one fleet. A link that refuses connections does not listen, and on a
+/// shared address a stand-in of another test may take its port.
+fn next_link_ip() -> IpAddr {
+    const FIRST_BYTE: u8 = 100;
+    static NEXT: AtomicU8 = AtomicU8::new(1);
+    let number = NEXT.fetch_add(1, Ordering::Relaxed);
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    Ipv4Addr::new(127, FIRST_BYTE + high % FIRST_BYTE, low, number).into()
 }
 
 impl PartitionFleet {
@@ -25,6 +37,7 @@
             hosts: Vec::new(),
             endpoints: Vec::new(),
             links: Vec::new(),
+            link_ip: next_link_ip(),
         };
         for i in 0..endpoints {
             let name = format!("endpoint-{i}");
@@ -43,7 +56,7 @@
     }
 
     async fn add_host(&mut self, source: &TestSource, name: &str) {
-        let any_port: SocketAddr = "127.0.0.1:0".parse().expect("an address");
+        let any_port = SocketAddr::new(self.link_ip, 0);
         let mut links = Vec::new();
         let mut addresses = Vec::new();
         for scripted in &self.endpoints {
--- a/crates/routing/src/reachability.rs
+++ b/crates/routing/src/reachability.rs
@@ -287,7 +287,7 @@
         }
     }
 
-    /// Drops reports that no longer hold.
+    /// Drops expired reports.
     pub fn expire(&mut self, now_ms: u64) {
         for view in self.hosts.values_mut() {
             view.endpoints.retain(|_, seen| seen.is_valid(now_ms));
