Choose endpoints that were not reached again at most once for a request

A request whose next hops took nothing, while their reports still said that they reach its endpoints, tried the refusing endpoints and asked again until the reports expired: 1.9 s and as many connections as fit into that, found by reading the change.

Endpoints that failed before a report was known are chosen again once per request, as the comment said.

--- a/crates/gateway/src/progress/mod.rs
+++ b/crates/gateway/src/progress/mod.rs
@@ -64,6 +64,8 @@
     forwarding: Forwarding,
     /// Endpoints that were not reached before another host was known to reach them.
     unreached: Vec<u32>,
+    /// Whether these were chosen again.
+    has_reconsidered: bool,
     /// Whether the request was logged as completed.
     is_logged: bool,
 }
@@ -118,6 +120,7 @@
             is_forwarded: false,
             forwarding: Forwarding::default(),
             unreached: Vec::new(),
+            has_reconsidered: false,
             is_logged: false,
         }
     }
@@ -286,7 +289,11 @@
     /// may have failed within milliseconds of a partition's begin.
     pub(crate) async fn reconsider_unreached_endpoints(&mut self) -> bool {
         let unreached = std::mem::take(&mut self.unreached);
-        if unreached.is_empty() || !self.shared.is_any_reached_by_others(&unreached).await {
+        let may_reconsider = !std::mem::replace(&mut self.has_reconsidered, true);
+        if !may_reconsider
+            || unreached.is_empty()
+            || !self.shared.is_any_reached_by_others(&unreached).await
+        {
             return false;
         }
         self.tried.retain(|start| !unreached.contains(start));
--- a/crates/gateway/tests/gateway/partitions.rs
+++ b/crates/gateway/tests/gateway/partitions.rs
@@ -237,6 +237,29 @@
     last.running.ended().await;
 }
 
+/// Guards against a request that tries again and again while no next hop takes it.
+#[tokio::test]
+async fn partitions_refuse_requests_that_no_next_hop_takes() {
+    const MAX_WAIT: Duration = Duration::from_millis(300);
+    let fleet = PartitionFleet::start(rules(1), 2, 2).await;
+    cut_first_host(&fleet).await;
+    for endpoint in &fleet.endpoints {
+        endpoint.set_behaviour(Behaviour::Silent);
+    }
+    // A running request keeps the next hop from ending; it takes no further ones.
+    let next_hop = &fleet.hosts[1];
+    let held = Call::post("/patient/", b"x").id("held");
+    let _held = held.send(next_hop.running.front_address()).await;
+    until(async || fleet.run_count("held") == 1).await;
+    next_hop.stop.stop();
+    until(async || next_hop.ready_status().await == 503).await;
+    let sent_at = tokio::time::Instant::now();
+    let received = fleet.hosts[0].call(Call::post("/once/", b"x").id("r-1"));
+    assert_that!(received.await.status, eq(503));
+    assert_that!(sent_at.elapsed(), lt(MAX_WAIT));
+    assert_that!(fleet.run_count("r-1"), eq(0));
+}
+
 /// Guards against a stream that ends with its endpoint although others could continue it.
 #[tokio::test]
 async fn partitions_resume_streams_through_other_hosts() {
