Log what delimits a response and whether a stream ended inside an event

The lines of an answer that was framed as complete could not tell whether its endpoint had framed it so, or had only closed the connection, nor that its stream ended inside an event, which shows that it was broken off.

Each attempt's record has `framing` (`self-delimited`, `close-delimited`, `no-body`) and `ended_inside_event`; a counter has the latter. EventTracker finds the position in a stream without keeping its bytes. Events whose lines end with CR alone are split too.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -18,6 +18,7 @@
     Connection, ConnectionRequest, ConnectionTarget, NoConnection, SentBody,
 };
 use crate::fleet::SelectedEndpoint;
+use crate::framing::BodyFraming;
 use crate::pool_queue::Lease;
 use crate::progress::Progress;
 use crate::shared::{InFlightGuard, Shared};
@@ -151,6 +152,8 @@
     let id = progress.call().head.id.as_ref();
     shared.record_endpoint_answer(&choice.member, &answer, id);
     progress.record_head(&answer);
+    let method = &progress.call().method;
+    progress.record_framing(BodyFraming::of_response(method, &head));
     match invalid_head(progress.call(), &head, &answer) {
         Some(end) => Err(AttemptFailure::new(end)),
         None => Ok((connection, head, body, answer)),
--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -22,6 +22,7 @@
 use tokio::sync::mpsc;
 
 use crate::endpoint_connections::ConnectError;
+use crate::framing::BodyFraming;
 use crate::work::BacklogRecord;
 
 /// Maximum number of queued lines.
@@ -79,6 +80,12 @@
     /// The backoff that its response requested.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub(crate) backoff_ms: Option<u64>,
+    /// What delimits the body of its response, if that is known.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) framing: Option<BodyFraming>,
+    /// Whether its stream ended inside an event.
+    #[serde(skip_serializing_if = "std::ops::Not::not")]
+    pub(crate) ended_inside_event: bool,
     /// How it failed; `None` for a response that was relayed.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub(crate) end: Option<AttemptOutcome>,
--- a/crates/gateway/src/forward/next_hop.rs
+++ b/crates/gateway/src/forward/next_hop.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use chalkrock_core::HostId;
-use chalkrock_routing::{AttemptOutcome, HealthSignal, shed_probability};
+use chalkrock_routing::{AttemptOutcome, EventTracker, HealthSignal, shed_probability};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -274,6 +274,7 @@
         let relay = ChunkRelay {
             serving: self,
             stream: Some(stream),
+            position: EventTracker::default(),
             received_at: Instant::now(),
             first_byte_at: None,
         };
@@ -303,6 +304,8 @@
 struct ChunkRelay {
     serving: Serving,
     stream: Option<Box<OpenStream>>,
+    /// Whether the endpoint's bytes so far end inside an event.
+    position: EventTracker,
     received_at: Instant,
     first_byte_at: Option<Instant>,
 }
@@ -316,10 +319,14 @@
                 Ok(Some(Ok(frame))) => {
                     self.record_chunk();
                     if let Ok(bytes) = frame.into_data() {
+                        self.position.push(&bytes);
                         return Some(Ok(bytes));
                     }
                 }
                 Ok(None) => {
+                    if self.position.is_inside_event() {
+                        self.serving.progress.record_end_inside_event();
+                    }
                     self.complete();
                     return None;
                 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -43,6 +43,7 @@
 mod fleet;
 mod follow;
 mod forward;
+mod framing;
 mod front;
 mod lag;
 mod metrics;
--- a/crates/gateway/src/progress/mod.rs
+++ b/crates/gateway/src/progress/mod.rs
@@ -390,6 +390,8 @@
             at_ms: self.call.entered_at.elapsed().as_millis() as u64,
             says_leaving: false,
             backoff_ms: None,
+            framing: None,
+            ended_inside_event: false,
             end: None,
             connect_error: None,
         });
--- a/crates/gateway/src/progress/observations.rs
+++ b/crates/gateway/src/progress/observations.rs
@@ -9,6 +9,7 @@
 use crate::edge::{AnswerHead, RequestedBackoff};
 use crate::endpoint_connections::ConnectError;
 use crate::event_log::Event;
+use crate::framing::BodyFraming;
 use crate::poison::BrokenAttempt;
 use crate::progress::Progress;
 use crate::shared::Shared;
@@ -32,6 +33,23 @@
         }
     }
 
+    /// Records what delimits the body of the last attempt's response.
+    pub(crate) fn record_framing(&mut self, framing: Option<BodyFraming>) {
+        if let Some(record) = self.attempts.last_mut() {
+            record.framing = framing;
+        }
+    }
+
+    /// Records that the last attempt's stream ended inside an event.
+    pub(crate) fn record_end_inside_event(&mut self) {
+        if let Some(record) = self.attempts.last_mut() {
+            record.ended_inside_event = true;
+        }
+        self.shared
+            .metrics
+            .count("streams_ended_inside_event_total", "", 1);
+    }
+
     /// Records what an attempt that failed shows of its endpoint.
     pub(crate) async fn record_failed_attempt(&mut self, broken: BrokenAttempt) {
         let end = broken.end;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -10,7 +10,9 @@
 
 use bytes::{Bytes, BytesMut};
 use chalkrock_core::{Outcome, Reason};
-use chalkrock_routing::{AttemptOutcome, EventFrames, HealthSignal, Next, Repeatable};
+use chalkrock_routing::{
+    AttemptOutcome, EventFrames, EventTracker, HealthSignal, Next, Repeatable,
+};
 use http_body_util::BodyExt;
 use hyper::http;
 use tokio::time::Instant;
@@ -50,6 +52,8 @@
     progress: Progress,
     stream: Option<Box<OpenStream>>,
     frames: EventFrames,
+    /// Whether the endpoint's bytes so far end inside an event.
+    position: EventTracker,
     /// The last event that was relayed.
     last_id: Option<u64>,
     /// When the endpoint last sent something.
@@ -83,6 +87,7 @@
             progress,
             stream: Some(stream),
             frames: EventFrames::default(),
+            position: EventTracker::default(),
             received_at: Instant::now(),
             first_byte_at: None,
             chunk_count: 0,
@@ -158,6 +163,7 @@
                         self.progress.record_event_interval(interval);
                     }
                     if let Ok(bytes) = frame.into_data() {
+                        self.position.push(&bytes);
                         if !stream.is_forwarded {
                             let now_ms = self.shared.clock.now_ms();
                             let mut fleet = self.shared.fleet();
@@ -167,7 +173,12 @@
                     }
                 }
                 Ok(Some(Err(_))) => return Received::Broken,
-                Ok(None) => return Received::End,
+                Ok(None) => {
+                    if self.position.is_inside_event() {
+                        self.progress.record_end_inside_event();
+                    }
+                    return Received::End;
+                }
                 Err(_) if Instant::now() >= self.call.deadline() => return Received::Expired,
                 Err(_) => {
                     let is_silent = self.received_at.elapsed() >= silence_timeout(&self.call);
@@ -204,6 +215,7 @@
         };
         drop(failed_stream);
         let _partial_event = self.frames.take_remaining();
+        self.position = EventTracker::default();
         self.chunk_count = 0;
         self.event_intervals = EventIntervals::default();
         let run_time = self.first_byte_at.take().map(|at| at.elapsed());
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -95,7 +95,7 @@
 pub use drain_schedule::{DrainPhase, DrainSchedule};
 pub use endpoints::{EndpointState, EndpointTable, PoolMember};
 pub use evacuations::{EvacuationChange, EvacuationRow, Evacuations};
-pub use event_frames::{EventFrame, EventFrames};
+pub use event_frames::{EventFrame, EventFrames, EventTracker};
 pub use fair_share::{
     Demand, FleetUsage, MAX_LEDGER_ORGANISATIONS, MAX_ORGANISATIONS_PER_AGGREGATE,
     MAX_ORGANISATIONS_PER_HOST, OrganisationShare, OrganisationUse, SlotUse, USAGE_DECAY_MS,
--- a/crates/routing/tests/event_frames.rs
+++ b/crates/routing/tests/event_frames.rs
@@ -1,6 +1,6 @@
 //! Guards against lost or altered events, however their bytes arrive.
 
-use chalkrock_routing::EventFrames;
+use chalkrock_routing::{EventFrames, EventTracker};
 use googletest::prelude::*;
 use proptest::prelude::*;
 
@@ -50,6 +50,69 @@
     }
 }
 
+#[test]
+fn frames_accept_all_line_ends() {
+    for stream in [
+        &b"id: 1\ndata: a\n\nid: 2\n\n"[..],
+        b"id: 1\r\ndata: a\r\n\r\nid: 2\r\n\r\n",
+        b"id: 1\rdata: a\r\rid: 2\r\r",
+        b"id: 1\r\ndata: a\n\r\nid: 2\r\n\n",
+        b"\xef\xbb\xbfid: 1\n\nid: 2\n\n",
+        b": heartbeat\n\nid: 1\n: heartbeat\n\nid: 2\n\n",
+    ] {
+        let (events, remaining) = split(&[stream]);
+        let ids: Vec<u64> = events.iter().filter_map(|(_, id)| *id).collect();
+        let text = stream.escape_ascii();
+        assert_that!(ids, eq(&[1, 2]), "{text}");
+        assert_that!(remaining, is_empty(), "{text}");
+    }
+}
+
+#[test]
+fn frames_pass_on_events_that_end_with_a_lone_carriage_return_at_once() {
+    let (events, remaining) = split(&[b"id: 1\rdata: a\r\r"]);
+    assert_that!(events.len(), eq(1));
+    assert_that!(remaining, is_empty());
+}
+
+#[test]
+fn tracker_finds_ends_inside_events() {
+    for (stream, is_inside) in [
+        (&b""[..], false),
+        (b"i", true),
+        (b"id: 1", true),
+        (b"id: 1\n", true),
+        (b"id: 1\n\n", false),
+        (b"id: 1\r\n", true),
+        (b"id: 1\r\n\r", false),
+        (b"id: 1\r\n\r\n", false),
+        (b"id: 1\r", true),
+        (b"id: 1\r\r", false),
+        (b"id: 1\n\r\n", false),
+        (b"id: 1\r\n\n", false),
+        (b"id: 1\n\n\n\n", false),
+        (b"id: 1\n\n: heartb", false),
+        (b"id: 1\n\n: heartbeat\n", false),
+        (b"id: 1\n: heartbeat\n", true),
+        (b"id: 1\n\nd", true),
+        (b"\xef\xbb\xbf", false),
+        (b"\xef\xbb\xbfd", true),
+        (b"\xef\xbb\xbf: heartbeat", false),
+    ] {
+        let text = stream.escape_ascii();
+        let mut at_once = EventTracker::default();
+        at_once.push(stream);
+        assert_that!(at_once.is_inside_event(), eq(is_inside), "{text}");
+        let mut by_byte = EventTracker::default();
+        stream.chunks(1).for_each(|byte| by_byte.push(byte));
+        assert_that!(by_byte.is_inside_event(), eq(is_inside), "{text}");
+        let mut frames = EventFrames::default();
+        frames.push(stream);
+        while frames.next().is_some() {}
+        assert_that!(frames.is_inside_event(), eq(is_inside), "{text}");
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         rng_seed: proptest::test_runner::RngSeed::Fixed(3),
