Test the framing and the end of responses, and list the failures

Callers got responses that had been broken off as if they were complete. The tests take each framing of an endpoint (none, length, chunks, both) with each end (close, reset, silence), for calls and streams, callers of HTTP/1.0, forwarded requests, deadlines, stops and a killed host.

The tests' client took a response without a length for an empty one; it now reads up to the close, and a reset is not an end.

--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod attempts;
 mod backlog;
+mod body_framing;
 mod brittle;
 mod builds;
 mod calls;
--- a/crates/gateway/tests/gateway/support/endpoint.rs
+++ b/crates/gateway/tests/gateway/support/endpoint.rs
@@ -11,6 +11,8 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, watch};
 
+use super::framed::FramedAnswer;
+
 /// Slots of an endpoint.
 const SLOTS: u32 = 8;
 
@@ -47,6 +49,8 @@
     Silent,
     /// Answers without a length and closes the connection after the body.
     Unframed,
+    /// Answers with a framing and an end of its own.
+    Framed(FramedAnswer),
     /// Answers and closes the connection.
     AnswerThenClose,
     /// Streams the events after `after` up to `last`; closes the connection in
@@ -322,6 +326,10 @@
                 send(stream, &[head.as_bytes(), &body].concat()).await;
                 false
             }
+            Behaviour::Framed(answer) => {
+                answer.send(stream, &id, &report).await;
+                false
+            }
             Behaviour::AnswerThenClose => {
                 send(stream, &reply("200 OK", &id, SIGNED)).await;
                 false
@@ -435,7 +443,7 @@
     after.map_or(0, |after: u64| after + 1)
 }
 
-fn chunk(bytes: &[u8]) -> Vec<u8> {
+pub(super) fn chunk(bytes: &[u8]) -> Vec<u8> {
     let mut chunk = format!("{:x}\r\n", bytes.len()).into_bytes();
     chunk.extend_from_slice(bytes);
     chunk.extend_from_slice(b"\r\n");
@@ -456,7 +464,7 @@
     [head.as_bytes(), &request.body].concat()
 }
 
-fn reset(stream: &TcpStream) {
+pub(super) fn reset(stream: &TcpStream) {
     stream.set_zero_linger().expect("a socket");
 }
 
--- a/crates/gateway/tests/gateway/support/fleet.rs
+++ b/crates/gateway/tests/gateway/support/fleet.rs
@@ -295,6 +295,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Call {
     method: &'static str,
+    version: &'static str,
     path: String,
     headers: Vec<(String, String)>,
     body: Vec<u8>,
@@ -307,8 +308,11 @@
     pub(crate) status: u16,
     pub(crate) head: String,
     pub(crate) body: Vec<u8>,
-    /// Whether the body ends as its framing requires.
+    /// Whether the body ends as its framing requires. One that the connection's close
+    /// delimits must not end with a reset.
     pub(crate) is_complete: bool,
+    /// Whether neither a length nor chunks delimit the body.
+    pub(crate) is_close_delimited: bool,
 }
 
 impl Received {
@@ -334,6 +338,7 @@
     pub(crate) fn get(path: &str) -> Self {
         Self {
             method: "GET",
+            version: "HTTP/1.1",
             path: path.to_owned(),
             headers: vec![
                 ("host".to_owned(), "a.example".to_owned()),
@@ -366,9 +371,15 @@
         self
     }
 
+    /// Sends the request as one of HTTP/1.0.
+    pub(crate) fn http_1_0(mut self) -> Self {
+        self.version = "HTTP/1.0";
+        self
+    }
+
     /// Returns the request as it is sent.
     pub(crate) fn bytes(&self) -> Vec<u8> {
-        let mut text = format!("{} {} HTTP/1.1\r\n", self.method, self.path);
+        let mut text = format!("{} {} {}\r\n", self.method, self.path, self.version);
         for (name, value) in &self.headers {
             text.push_str(&format!("{name}: {value}\r\n"));
         }
@@ -395,20 +406,30 @@
 /// Receives one answer.
 pub(crate) async fn receive(stream: &mut TcpStream) -> Received {
     let mut bytes = Vec::new();
+    let mut was_reset = false;
     loop {
         if let Some(received) = parse(&bytes, false) {
             return received;
         }
         match stream.read_buf(&mut bytes).await {
-            Ok(0) | Err(_) => break,
+            Ok(0) => break,
+            Err(_) => {
+                was_reset = true;
+                break;
+            }
             Ok(_) => {}
         }
     }
-    parse(&bytes, true).unwrap_or(Received {
+    let received = parse(&bytes, true).map(|received| Received {
+        is_complete: received.is_complete && !(received.is_close_delimited && was_reset),
+        ..received
+    });
+    received.unwrap_or(Received {
         status: 0,
         head: String::new(),
         body: bytes,
         is_complete: false,
+        is_close_delimited: false,
     })
 }
 
@@ -423,9 +444,14 @@
         head,
         body: Vec::new(),
         is_complete: false,
+        is_close_delimited: false,
     };
     if received.header("transfer-encoding").is_some() {
         (received.body, received.is_complete) = dechunk(rest);
+    } else if received.header("content-length").is_none() && !matches!(status, 204 | 304) {
+        received.is_close_delimited = true;
+        received.is_complete = is_closed;
+        received.body = rest.to_vec();
     } else {
         let length = received.header("content-length");
         let length: usize = length.and_then(|length| length.parse().ok()).unwrap_or(0);
--- a/crates/gateway/tests/gateway/support/mod.rs
+++ b/crates/gateway/tests/gateway/support/mod.rs
@@ -4,6 +4,7 @@
 mod edge;
 mod endpoint;
 mod fleet;
+mod framed;
 mod link;
 mod many_hosts;
 mod partition;
@@ -17,6 +18,7 @@
 pub(crate) use fleet::{
     Call, KEY, Received, TestGateway, hosts_with, metric, receive, rules, rules_with_routes, until,
 };
+pub(crate) use framed::{FramedAnswer, Framing};
 pub(crate) use link::SlowLink;
 pub(crate) use many_hosts::{FleetHost, LimitedSource, peer_addresses, ready_times, start_fleet};
 pub(crate) use partition::PartitionFleet;
