End responses as their endpoint's framing allows, and break streams closed inside an event

Cause: the end of a connection was taken for the end of a message. A response that only the close of its connection ends has no end of its own; the host ended it in a framing that its HTTP library chose, and so claimed what nobody knows. Class: the loss of a negative fact at a boundary, here between two connections.

The framing of the endpoint's response now stays with it up to the caller, also through a next hop: what only a close ended ends with a close. The caller's socket is set to reset on close from the first byte until the whole body is written, so that an abort, a deadline, a stop and a killed process (whose sockets the system closes) all look like a break; HTTP/1.0 callers of chunked streams get the same. A stream that ends inside an event is broken whatever its framing, and counts against its endpoint, as for poison and rollouts. A response that only a close ended is no completed run. A resumed stream ends as complete only if the last endpoint's framing said so or the caller's framing says nothing. A response with both a length and chunks is an error.

Ruled out: that the relay lost a known break (resets and cut chunks were passed on, but not to callers of HTTP/1.0), and that the endpoint had framed it so. Not taken: chunks without the last one for all such answers, which would make every good one look broken.

The library writes close-delimited bodies under HTTP/1.0 only; the caller's stream replaces the version, as a server sends its own (RFC 9110, 2.5).

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -12,6 +12,7 @@
 
 use crate::byte_budget::HeldBytes;
 use crate::edge::{Edge, Refusal};
+use crate::framing::BodyFraming;
 
 /// The error of a response body that ends early. The HTTP server then closes the
 /// connection, so that a partial body does not look complete.
@@ -54,6 +55,18 @@
 pub(crate) enum ResponseBody {
     Buffered(BufferedResponseBody),
     Events(EventStream),
+    /// A body that nobody knows to be complete: only the close of the connection may end it.
+    CloseDelimited(Box<ResponseBody>),
+}
+
+impl ResponseBody {
+    /// The body in the framing of the endpoint's response.
+    pub(crate) fn framed(self, framing: BodyFraming) -> Self {
+        match framing {
+            BodyFraming::CloseDelimited => Self::CloseDelimited(Box::new(self)),
+            BodyFraming::NoBody | BodyFraming::SelfDelimited => self,
+        }
+    }
 }
 
 impl Body for ResponseBody {
@@ -73,20 +86,21 @@
                 .as_mut()
                 .poll_next(cx)
                 .map(|next| next.map(|event| event.map(Frame::data))),
+            ResponseBody::CloseDelimited(body) => Pin::new(body.as_mut()).poll_frame(cx),
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
             ResponseBody::Buffered(body) => SizeHint::with_exact(body.remaining.len() as u64),
-            ResponseBody::Events(_) => SizeHint::default(),
+            ResponseBody::Events(_) | ResponseBody::CloseDelimited(_) => SizeHint::default(),
         }
     }
 
     fn is_end_stream(&self) -> bool {
         match self {
             ResponseBody::Buffered(body) => body.remaining.is_empty(),
-            ResponseBody::Events(_) => false,
+            ResponseBody::Events(_) | ResponseBody::CloseDelimited(_) => false,
         }
     }
 }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -35,6 +35,7 @@
 pub(crate) struct BufferedResponse {
     pub(crate) head: http::response::Parts,
     pub(crate) body: BufferedResponseBody,
+    pub(crate) framing: BodyFraming,
 }
 
 /// A streamed response whose head has arrived.
@@ -49,9 +50,26 @@
     /// Counts the stream as in flight.
     pub(crate) _in_flight: InFlightGuard,
     pub(crate) answer: AnswerHead,
+    pub(crate) framing: BodyFraming,
     pub(crate) sent_at: Instant,
 }
 
+impl OpenStream {
+    /// Whether its connection can serve another request after the end of its body.
+    pub(crate) fn keeps_connection(&self) -> bool {
+        !self.answer.closes && (self.is_forwarded || self.framing != BodyFraming::CloseDelimited)
+    }
+}
+
+/// A valid response head, with the connection and the body that follow it.
+struct ReceivedHead {
+    connection: Connection,
+    head: http::response::Parts,
+    body: Incoming,
+    answer: AnswerHead,
+    framing: BodyFraming,
+}
+
 pub(crate) enum AttemptResponse {
     Buffered(BufferedResponse),
     Stream(Box<OpenStream>),
@@ -89,7 +107,13 @@
     let in_flight = InFlightGuard::begin(shared, call, progress.work(), start, lease);
     let started_at = Instant::now();
     let received = receive_head(shared, progress, choice, resume_after).await;
-    let (connection, head, body, answer) = match received {
+    let ReceivedHead {
+        connection,
+        head,
+        body,
+        answer,
+        framing,
+    } = match received {
         Ok(answered) => answered,
         Err(mut failure) => {
             // A connection that breaks before the response takes no service time either: an
@@ -115,13 +139,17 @@
             connection,
             _in_flight: in_flight,
             answer,
+            framing,
             sent_at: started_at,
         })));
     }
     progress.record_first_byte(started_at.elapsed());
-    let buffered = buffer_response(shared, call, head, body).await?;
-    shared.record_completed_run(call.fingerprint);
-    if !answer.closes {
+    let buffered = buffer_response(shared, call, head, body, framing).await?;
+    let is_close_delimited = framing == BodyFraming::CloseDelimited;
+    if !is_close_delimited {
+        shared.record_completed_run(call.fingerprint);
+    }
+    if !answer.closes && !is_close_delimited {
         shared
             .endpoint_connections
             .check_in(connection, answer.keep_alive_s);
@@ -143,7 +171,7 @@
     progress: &mut Progress,
     choice: &SelectedEndpoint,
     resume_after: Option<u64>,
-) -> Result<(Connection, http::response::Parts, Incoming, AnswerHead), AttemptFailure> {
+) -> Result<ReceivedHead, AttemptFailure> {
     let (connection, response) = send(shared, progress, choice, resume_after).await?;
     let (head, body) = response.into_parts();
     let answer = shared.edge.read_answer(&head);
@@ -152,12 +180,19 @@
     let id = progress.call().head.id.as_ref();
     shared.record_endpoint_answer(&choice.member, &answer, id);
     progress.record_head(&answer);
-    let method = &progress.call().method;
-    progress.record_framing(BodyFraming::of_response(method, &head));
-    match invalid_head(progress.call(), &head, &answer) {
-        Some(end) => Err(AttemptFailure::new(end)),
-        None => Ok((connection, head, body, answer)),
+    let framing = BodyFraming::of_response(&progress.call().method, &head);
+    progress.record_framing(framing);
+    if let Some(end) = invalid_head(progress.call(), &head, &answer) {
+        return Err(AttemptFailure::new(end));
     }
+    let framing = framing.ok_or_else(|| AttemptFailure::new(AttemptOutcome::Garbage))?;
+    Ok(ReceivedHead {
+        connection,
+        head,
+        body,
+        answer,
+        framing,
+    })
 }
 
 /// Returns why a response head is not valid for this request, if it is not.
@@ -340,16 +375,21 @@
     }
 }
 
-/// Reads a complete response before any of it is passed on.
+/// Reads a response to its end before any of it is passed on.
 pub(crate) async fn buffer_response(
     shared: &Shared,
     call: &Call,
     head: http::response::Parts,
     body: Incoming,
+    framing: BodyFraming,
 ) -> Result<BufferedResponse, AttemptFailure> {
     let reading = read_within_budget(shared, call.organisation(), body);
     match tokio::time::timeout_at(call.deadline(), reading).await {
-        Ok(Some(body)) => Ok(BufferedResponse { head, body }),
+        Ok(Some(body)) => Ok(BufferedResponse {
+            head,
+            body,
+            framing,
+        }),
         Ok(None) => Err(AttemptFailure::new(AttemptOutcome::Broken)),
         Err(_) => Err(AttemptFailure::new(AttemptOutcome::Silent)),
     }
--- a/crates/gateway/src/caller_stream.rs
+++ b/crates/gateway/src/caller_stream.rs
@@ -3,6 +3,11 @@
 //! The HTTP library's head timer also runs while a connection is idle, so its limit must
 //! allow for long idle times. This stream bounds a head from its first byte on, which
 //! keeps slow callers from holding connections.
+//!
+//! A response body may end with the connection alone. Then the connection is reset unless
+//! the whole body was written, so that neither an abort nor the end of this process, which
+//! closes its sockets, looks like the end of the body. Such a body follows a head of
+//! HTTP/1.0, since the library has no other; the stream writes the version of the caller.
 
 use std::io;
 use std::pin::Pin;
@@ -13,11 +18,20 @@
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
+use hyper::header::{CONNECTION, HeaderValue};
+use hyper::{Method, Response, Version};
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::{Instant, Sleep};
 
 use crate::answer::{ResponseAborted, ResponseBody};
+use crate::framing::may_have_body;
+
+/// The version that the library writes for a body that ends with the connection.
+const LIBRARY_VERSION: &[u8] = b"HTTP/1.0";
+/// The version that callers get instead, of the same length.
+const CALLER_VERSION: &[u8] = b"HTTP/1.1";
 
 /// Whether a connection waits for a request or serves one.
 #[derive(Debug, Default)]
@@ -27,6 +41,12 @@
     /// Whether a response is still due.
     is_serving: AtomicBool,
     head_timed_out: AtomicBool,
+    /// Whether the close of the connection ends the body of the response.
+    is_close_delimited: AtomicBool,
+    /// Whether that body was passed on to its end.
+    is_body_complete: AtomicBool,
+    /// Whether the head of that response has another version than the caller's request.
+    corrects_version: AtomicBool,
 }
 
 impl ConnectionState {
@@ -40,6 +60,10 @@
         self.received_heads.load(Ordering::Relaxed) > 0
     }
 
+    fn is_close_delimited(&self) -> bool {
+        self.is_close_delimited.load(Ordering::Relaxed)
+    }
+
     /// Records a received head. Its response is due until the guard is dropped.
     pub(crate) fn begin_serving(self: &Arc<Self>) -> ServingGuard {
         self.received_heads.fetch_add(1, Ordering::Relaxed);
@@ -58,10 +82,41 @@
     }
 }
 
+impl ServingGuard {
+    /// Prepares the response to a request with `method` and `version` for the connection.
+    pub(crate) fn respond(
+        self,
+        method: &Method,
+        version: Version,
+        mut response: Response<ResponseBody>,
+    ) -> Response<ServedBody> {
+        let body = response.body();
+        let has_no_framing = matches!(body, ResponseBody::CloseDelimited(_))
+            || version == Version::HTTP_10 && body.size_hint().exact().is_none();
+        let is_close_delimited = has_no_framing && may_have_body(method, response.status());
+        if is_close_delimited {
+            let corrects_version = version != Version::HTTP_10;
+            self.0
+                .corrects_version
+                .store(corrects_version, Ordering::Relaxed);
+            self.0.is_close_delimited.store(true, Ordering::Relaxed);
+            *response.version_mut() = Version::HTTP_10;
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(CONNECTION, close);
+        }
+        response.map(|body| ServedBody {
+            body,
+            is_close_delimited,
+            serving: self,
+        })
+    }
+}
+
 /// A response body that keeps its connection marked as serving.
 pub(crate) struct ServedBody {
-    pub(crate) body: ResponseBody,
-    pub(crate) _serving: ServingGuard,
+    body: ResponseBody,
+    is_close_delimited: bool,
+    serving: ServingGuard,
 }
 
 impl Body for ServedBody {
@@ -72,11 +127,17 @@
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, ResponseAborted>>> {
-        Pin::new(&mut self.get_mut().body).poll_frame(cx)
+        let this = self.get_mut();
+        let frame = Pin::new(&mut this.body).poll_frame(cx);
+        if this.is_close_delimited && matches!(frame, Poll::Ready(None)) {
+            let state = &this.serving.0;
+            state.is_body_complete.store(true, Ordering::Relaxed);
+        }
+        frame
     }
 
     fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
+        !self.is_close_delimited && self.body.is_end_stream()
     }
 
     fn size_hint(&self) -> SizeHint {
@@ -97,6 +158,12 @@
     write_timeout: Duration,
     /// Timer for the blocked write, if any.
     write_timer: Option<Pin<Box<Sleep>>>,
+    /// Whether all bytes of the library were written.
+    is_flushed: bool,
+    /// Whether a close resets the connection.
+    resets_on_close: bool,
+    /// The unwritten part of a version that replaces the library's.
+    version_left: &'static [u8],
 }
 
 impl CallerStream {
@@ -114,7 +181,45 @@
             head_deadline: Box::pin(tokio::time::sleep(head_timeout)),
             write_timeout,
             write_timer: None,
+            is_flushed: true,
+            resets_on_close: false,
+            version_left: &[],
+        }
+    }
+
+    /// Prepares the connection before the first bytes of a close-delimited response.
+    fn prepare_write(&mut self, bytes: &[u8]) -> io::Result<()> {
+        let was_flushed = std::mem::take(&mut self.is_flushed);
+        if self.resets_on_close || !self.state.is_close_delimited() {
+            return Ok(());
         }
+        SockRef::from(&self.stream).set_linger(Some(Duration::ZERO))?;
+        self.resets_on_close = true;
+        // After a flush the bytes begin with the head of this response. Behind bytes of an
+        // earlier one it keeps the library's version, which is valid too.
+        let begins_with_head = was_flushed && bytes.starts_with(LIBRARY_VERSION);
+        if begins_with_head && self.state.corrects_version.load(Ordering::Relaxed) {
+            self.version_left = CALLER_VERSION;
+        }
+        Ok(())
+    }
+
+    /// Writes the replacement of the version at the start of the library's bytes.
+    fn poll_write_version(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write(cx, self.version_left);
+        if let Poll::Ready(Ok(bytes)) = written {
+            self.version_left = &self.version_left[bytes..];
+        }
+        written
+    }
+
+    /// Lets a close end the body, if that is complete.
+    fn allow_close(&mut self) -> io::Result<()> {
+        if self.state.is_body_complete.load(Ordering::Relaxed) {
+            SockRef::from(&self.stream).set_linger(None)?;
+            self.resets_on_close = false;
+        }
+        Ok(())
     }
 
     /// The number of the awaited head, unless a request is being served.
@@ -192,16 +297,31 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         let this = self.get_mut();
-        let written = Pin::new(&mut this.stream).poll_write(cx, bytes);
+        this.prepare_write(bytes)?;
+        let written = if this.version_left.is_empty() {
+            Pin::new(&mut this.stream).poll_write(cx, bytes)
+        } else {
+            this.poll_write_version(cx)
+        };
         this.check_write_timeout(written, cx)
     }
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_flush(cx)
+        let this = self.get_mut();
+        this.is_flushed = true;
+        Pin::new(&mut this.stream).poll_flush(cx)
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_shutdown(cx)
+        let this = self.get_mut();
+        if this.resets_on_close {
+            this.allow_close()?;
+        }
+        if this.resets_on_close {
+            // A shutdown would end the body; the close that follows resets the connection.
+            return Poll::Ready(Ok(()));
+        }
+        Pin::new(&mut this.stream).poll_shutdown(cx)
     }
 
     fn poll_write_vectored(
@@ -210,7 +330,13 @@
         buffers: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let this = self.get_mut();
-        let written = Pin::new(&mut this.stream).poll_write_vectored(cx, buffers);
+        let first = buffers.iter().find(|buffer| !buffer.is_empty());
+        this.prepare_write(first.map_or(&[], |buffer| buffer))?;
+        let written = if this.version_left.is_empty() {
+            Pin::new(&mut this.stream).poll_write_vectored(cx, buffers)
+        } else {
+            this.poll_write_version(cx)
+        };
         this.check_write_timeout(written, cx)
     }
 
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -64,6 +64,10 @@
     /// Whether the endpoint's response follows although the attempt failed.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     has_response: bool,
+    /// Whether only the close of its connection ended the endpoint's response. The next hop
+    /// sends it with a framing of its own.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    is_close_delimited: bool,
 }
 
 /// An endpoint that received a forwarded request.
--- a/crates/gateway/src/forward/next_hop.rs
+++ b/crates/gateway/src/forward/next_hop.rs
@@ -24,11 +24,13 @@
 use crate::event_log::Event;
 use crate::fleet::SelectedEndpoint;
 use crate::forward::{FORWARD, ForwardHead, ForwardResult, UsedEndpoint, encode, take};
+use crate::framing::BodyFraming;
 use crate::front::caller_headers;
 use crate::outage_log::OutageLog;
 use crate::peers::PeerTable;
 use crate::poison::BrokenAttempt;
 use crate::progress::Progress;
+use crate::relay::has_events;
 use crate::shared::{RunningGuard, Shared};
 
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -207,6 +209,9 @@
                         unreached,
                         end: Some(end),
                         has_response: failure.response.is_some(),
+                        is_close_delimited: failure.response.as_ref().is_some_and(|response| {
+                            response.framing == BodyFraming::CloseDelimited
+                        }),
                     };
                     return Err((result, failure.response));
                 }
@@ -220,8 +225,13 @@
     }
 
     fn answer(mut self, used: UsedEndpoint, response: AttemptResponse) -> Response<ResponseBody> {
+        let framing = match &response {
+            AttemptResponse::Buffered(buffered) => buffered.framing,
+            AttemptResponse::Stream(stream) => stream.framing,
+        };
         let result = ForwardResult {
             endpoint: Some(used),
+            is_close_delimited: framing == BodyFraming::CloseDelimited,
             ..ForwardResult::default()
         };
         match response {
@@ -324,8 +334,9 @@
                     }
                 }
                 Ok(None) => {
-                    if self.position.is_inside_event() {
+                    if has_events(&stream.head) && self.position.is_inside_event() {
                         self.serving.progress.record_end_inside_event();
+                        return Some(self.abort(AttemptOutcome::Broken).await);
                     }
                     self.complete();
                     return None;
@@ -362,14 +373,16 @@
         serving.is_complete = true;
         serving.progress.record_response_end(None);
         let shared = &serving.shared;
-        shared.record_completed_run(serving.call.fingerprint);
+        if stream.framing != BodyFraming::CloseDelimited {
+            shared.record_completed_run(serving.call.fingerprint);
+        }
         let now_ms = shared.clock.now_ms();
         let signal = HealthSignal::Answer;
         shared.fleet().record_signal(stream.start, signal, now_ms);
-        let OpenStream {
-            connection, answer, ..
-        } = *stream;
-        if !answer.closes {
+        if stream.keeps_connection() {
+            let OpenStream {
+                connection, answer, ..
+            } = *stream;
             shared
                 .endpoint_connections
                 .check_in(connection, answer.keep_alive_s);
--- a/crates/gateway/src/forward/origin.rs
+++ b/crates/gateway/src/forward/origin.rs
@@ -20,6 +20,7 @@
 };
 use crate::fleet::SelectedEndpoint;
 use crate::forward::{FORWARD, ForwardHead, ForwardResult, encode, take};
+use crate::framing::BodyFraming;
 use crate::peers::zone_hash;
 use crate::pool_queue::Lease;
 use crate::progress::Progress;
@@ -145,6 +146,12 @@
     if let Some(end) = invalid_head(call, &head, &answer) {
         return Err(failure(in_flight, end));
     }
+    let framing = if result.is_close_delimited {
+        BodyFraming::CloseDelimited
+    } else {
+        BodyFraming::SelfDelimited
+    };
+    progress.record_framing(Some(framing));
     let is_stream = matches!(call.route.kind, RouteKind::Stream { .. }) && head.status.is_success();
     if is_stream {
         return Ok(AttemptResponse::Stream(Box::new(OpenStream {
@@ -155,17 +162,20 @@
             connection,
             _in_flight: in_flight,
             answer,
+            framing,
             sent_at: started_at,
         })));
     }
-    let buffered = buffer_response(shared, call, head, body).await?;
+    let buffered = buffer_response(shared, call, head, body, framing).await?;
     if !answer.closes {
         shared.endpoint_connections.check_in(connection, None);
     }
     if buffered.head.status.is_server_error() {
         return Err(server_failure(call, buffered));
     }
-    shared.record_completed_run(call.fingerprint);
+    if framing != BodyFraming::CloseDelimited {
+        shared.record_completed_run(call.fingerprint);
+    }
     Ok(AttemptResponse::Buffered(buffered))
 }
 
--- a/crates/gateway/src/framing.rs
+++ b/crates/gateway/src/framing.rs
@@ -21,11 +21,7 @@
     /// response has both a length and chunks, as in response splitting, or an unknown transfer
     /// coding. The HTTP library rejects lengths that differ.
     pub(crate) fn of_response(method: &Method, head: &http::response::Parts) -> Option<Self> {
-        let is_bodiless = matches!(
-            head.status,
-            StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
-        );
-        if is_bodiless || method == Method::HEAD {
+        if !may_have_body(method, head.status) {
             return Some(Self::NoBody);
         }
         let has_length = head.headers.contains_key(CONTENT_LENGTH);
@@ -41,6 +37,12 @@
     }
 }
 
+/// Whether a response with this status to a request with this method may have a body.
+pub(crate) fn may_have_body(method: &Method, status: StatusCode) -> bool {
+    let is_bodiless = matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+    !is_bodiless && method != Method::HEAD
+}
+
 /// Whether the only transfer coding is `chunked`.
 fn is_chunked(headers: &HeaderMap) -> bool {
     let mut codings = headers.get_all(TRANSFER_ENCODING).iter();
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -19,7 +19,7 @@
 use crate::answer::ResponseBody;
 use crate::attempt::{AttemptResponse, BufferedResponse};
 use crate::call::prepare_call;
-use crate::caller_stream::{CallerStream, ConnectionState, ServedBody};
+use crate::caller_stream::{CallerStream, ConnectionState};
 use crate::dispatch::dispatch;
 use crate::edge::{Refusal, remove_connection_headers};
 use crate::event_log::Event;
@@ -64,15 +64,13 @@
     let head_timeout = Duration::from_millis(limits.head_timeout_ms);
     let unread_timeout = Duration::from_millis(limits.idle_timeout_ms);
     let stream = CallerStream::new(stream, state.clone(), head_timeout, unread_timeout);
-    let service = service_fn(|request| {
+    let service = service_fn(|request: Request<Incoming>| {
         let shared = shared.clone();
         let serving = state.begin_serving();
         async move {
+            let (method, version) = (request.method().clone(), request.version());
             let response = serve(shared, request).await;
-            Ok::<_, Infallible>(response.map(|body| ServedBody {
-                body,
-                _serving: serving,
-            }))
+            Ok::<_, Infallible>(serving.respond(&method, version, response))
         }
     });
     let mut connection = std::pin::pin!(
@@ -158,7 +156,8 @@
 }
 
 fn buffered_response(shared: &Shared, buffered: BufferedResponse) -> Response<ResponseBody> {
-    let mut response = Response::new(ResponseBody::Buffered(buffered.body));
+    let body = ResponseBody::Buffered(buffered.body).framed(buffered.framing);
+    let mut response = Response::new(body);
     *response.status_mut() = buffered.head.status;
     *response.headers_mut() = caller_headers(shared, &buffered.head);
     response
@@ -169,7 +168,9 @@
         .head()
         .map(|head| (head.status, caller_headers(shared, head)))
         .unwrap_or_default();
-    let mut response = Response::new(ResponseBody::Events(relay.into_events()));
+    let framing = relay.framing();
+    let body = ResponseBody::Events(relay.into_events()).framed(framing);
+    let mut response = Response::new(body);
     *response.status_mut() = status;
     *response.headers_mut() = headers;
     response
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -4,6 +4,10 @@
 //! silent, another one continues after the last relayed event, under the first
 //! one's response head. A stream that can't be continued aborts the caller's
 //! connection, so that it never looks complete.
+//!
+//! A stream that ends inside an event has been broken off, whatever its framing. One that
+//! ends after an event, with nothing but the close of its connection, may have been: the
+//! caller's stream then ends in the same way, or is aborted if its framing is another.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,6 +18,7 @@
     AttemptOutcome, EventFrames, EventTracker, HealthSignal, Next, Repeatable,
 };
 use http_body_util::BodyExt;
+use hyper::header::CONTENT_TYPE;
 use hyper::http;
 use tokio::time::Instant;
 
@@ -23,6 +28,7 @@
 use crate::call::Call;
 use crate::dispatch::dispatch;
 use crate::event_log::Event;
+use crate::framing::BodyFraming;
 use crate::poison::BrokenAttempt;
 use crate::progress::Progress;
 use crate::shared::{RunningGuard, Shared};
@@ -67,6 +73,12 @@
     /// Whether the caller left this endpoint's stream unread for `UNREAD_TIMEOUT`.
     was_unread: bool,
     status: u16,
+    /// Framing of the first endpoint's response, in which the caller's began.
+    framing: BodyFraming,
+    /// Whether the response consists of events.
+    has_events: bool,
+    /// Whether the next event is the first one of an endpoint that continues the stream.
+    is_continuation: bool,
     has_ended: bool,
     _running: RunningGuard,
 }
@@ -82,6 +94,9 @@
         Self {
             last_id: call.head.resume_after,
             status: stream.head.status.as_u16(),
+            framing: stream.framing,
+            has_events: has_events(&stream.head),
+            is_continuation: false,
             shared,
             call,
             progress,
@@ -104,6 +119,11 @@
         self.stream.as_ref().map(|stream| &stream.head)
     }
 
+    /// The framing of the caller's response.
+    pub(crate) fn framing(&self) -> BodyFraming {
+        self.framing
+    }
+
     pub(crate) fn into_events(self) -> EventStream {
         Box::pin(futures::stream::unfold(self, |mut relay| async move {
             let next = relay.next().await?;
@@ -123,11 +143,8 @@
                         return Some(Ok(bytes));
                     }
                 }
-                Received::End if self.frames.remaining().is_empty() => {
-                    self.complete();
-                    return None;
-                }
-                Received::End | Received::Broken => {
+                Received::End => return self.end(),
+                Received::Broken => {
                     if !self.resume_elsewhere().await {
                         return Some(self.abort(Reason::EndpointLost));
                     }
@@ -173,12 +190,11 @@
                     }
                 }
                 Ok(Some(Err(_))) => return Received::Broken,
-                Ok(None) => {
-                    if self.position.is_inside_event() {
-                        self.progress.record_end_inside_event();
-                    }
-                    return Received::End;
+                Ok(None) if self.has_events && self.position.is_inside_event() => {
+                    self.progress.record_end_inside_event();
+                    return Received::Broken;
                 }
+                Ok(None) => return Received::End,
                 Err(_) if Instant::now() >= self.call.deadline() => return Received::Expired,
                 Err(_) => {
                     let is_silent = self.received_at.elapsed() >= silence_timeout(&self.call);
@@ -197,7 +213,10 @@
         }
         self.frames.push(&bytes);
         let mut events = BytesMut::new();
-        while let Some(frame) = self.frames.next() {
+        while let Some(mut frame) = self.frames.next() {
+            if std::mem::take(&mut self.is_continuation) {
+                frame.remove_byte_order_mark();
+            }
             let is_duplicate = frame.id.is_some() && frame.id <= self.last_id;
             if is_duplicate {
                 continue;
@@ -236,6 +255,7 @@
             Ok(AttemptResponse::Stream(stream)) => {
                 self.stream = Some(stream);
                 self.received_at = Instant::now();
+                self.is_continuation = true;
                 true
             }
             Ok(AttemptResponse::Buffered(_)) | Err(_) => false,
@@ -248,28 +268,43 @@
         went_on
     }
 
-    /// Records that the endpoint completed the stream.
-    fn complete(&mut self) {
+    /// Ends the caller's stream after the endpoint's, which did not end inside an event.
+    fn end(&mut self) -> Option<Result<Bytes, ResponseAborted>> {
+        let framing = self.stream.as_ref().map(|stream| stream.framing);
+        let is_close_delimited = framing == Some(BodyFraming::CloseDelimited);
+        self.record_stream_end(is_close_delimited);
+        if is_close_delimited && self.framing != BodyFraming::CloseDelimited {
+            return Some(self.abort(Reason::EndpointLost));
+        }
         self.has_ended = true;
+        self.record_completion(Completion::answered(self.status));
+        // Comments and line ends may follow the last event.
+        let rest = self.frames.take_remaining();
+        (!rest.is_empty()).then_some(Ok(rest))
+    }
+
+    /// Records that the endpoint ended the stream.
+    fn record_stream_end(&mut self, is_close_delimited: bool) {
         let Some(stream) = self.stream.take() else {
             return;
         };
-        self.shared.record_completed_run(self.call.fingerprint);
+        if !is_close_delimited {
+            self.shared.record_completed_run(self.call.fingerprint);
+        }
         self.progress.record_response_end(self.chunk_interval());
         if !stream.is_forwarded {
             let now_ms = self.shared.clock.now_ms();
             let mut fleet = self.shared.fleet();
             fleet.record_signal(stream.start, HealthSignal::Answer, now_ms);
         }
-        let OpenStream {
-            connection, answer, ..
-        } = *stream;
-        if !answer.closes {
+        if stream.keeps_connection() {
+            let OpenStream {
+                connection, answer, ..
+            } = *stream;
             self.shared
                 .endpoint_connections
                 .check_in(connection, answer.keep_alive_s);
         }
-        self.record_completion(Completion::answered(self.status));
     }
 
     /// The mean time between chunks, if enough have arrived.
@@ -299,6 +334,14 @@
     }
 }
 
+/// Whether a response consists of events, as those of streams do unless they say that they
+/// are documents.
+pub(crate) fn has_events(head: &http::response::Parts) -> bool {
+    const DOCUMENT_TYPE: &[u8] = b"application/json";
+    let content_type = head.headers.get(CONTENT_TYPE);
+    !content_type.is_some_and(|content_type| content_type.as_bytes().starts_with(DOCUMENT_TYPE))
+}
+
 /// Silence after which an endpoint counts as failed. A sound one may be silent for a second, and
 /// callers wait for two.
 fn silence_timeout(call: &Call) -> Duration {
--- a/crates/routing/src/event_frames.rs
+++ b/crates/routing/src/event_frames.rs
@@ -127,6 +127,16 @@
     pub id: Option<u64>,
 }
 
+impl EventFrame {
+    /// Removes a byte-order mark. It may only precede the first event of a stream, and this
+    /// one continues another.
+    pub fn remove_byte_order_mark(&mut self) {
+        if self.bytes.starts_with(&BYTE_ORDER_MARK) {
+            self.bytes.advance(BYTE_ORDER_MARK.len());
+        }
+    }
+}
+
 /// Splits bytes into events.
 ///
 /// # Example
