Log the build of each attempt and which stream a request resumes

The lines could not tell whether a stream that held events of two builds was resumed by its host or taken up by its caller, which stream that was, nor which build served.

An attempt has `build`; a request's line has `resume_after` and `resumes`, the id of the request that received the stream's first event, which the edge reads from `Resumes`. It decides nothing yet.

--- a/crates/gateway/src/access_log.rs
+++ b/crates/gateway/src/access_log.rs
@@ -24,6 +24,8 @@
             .map(|rules| rules.version())
             .unwrap_or_default(),
         fingerprint: None,
+        resume_after: None,
+        resumes: None,
         attempts: Vec::new(),
         status: Some(refusal.reason.status()),
         outcome: refusal.outcome(),
@@ -82,6 +84,8 @@
         organisation: call.organisation().cloned(),
         rules: call.rules_version,
         fingerprint: has_failed_attempt.then_some(Digits(call.fingerprint)),
+        resume_after: call.head.resume_after,
+        resumes: call.head.resumes.clone(),
         attempts,
         status: Some(status),
         outcome,
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -35,6 +35,9 @@
     pub prefix: Vec<PrefixPart>,
     /// The event after which a stream resumes.
     pub resume_after: Option<u64>,
+    /// The id of the caller's request that received the first event of the stream which this
+    /// one resumes.
+    pub resumes: Option<RequestId>,
 }
 
 /// The contents of a request head for an endpoint.
--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -34,6 +34,9 @@
 #[derive(Clone, Debug, Serialize)]
 pub(crate) struct AttemptRecord {
     pub(crate) endpoint: EndpointId,
+    /// Build of the endpoint, if it is known.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) build: Option<BuildVersion>,
     /// Requests in progress on it over the fleet when it was chosen.
     pub(crate) load: u32,
     /// Why it was chosen.
@@ -107,6 +110,12 @@
     /// Identical for all repeats of the request; set only if an attempt failed.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub(crate) fingerprint: Option<Digits>,
+    /// The event after which the caller resumes a stream, and the request that received the
+    /// first event of it.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) resume_after: Option<u64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) resumes: Option<RequestId>,
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub(crate) attempts: Vec<AttemptRecord>,
     #[serde(skip_serializing_if = "Option::is_none")]
--- a/crates/gateway/src/progress/mod.rs
+++ b/crates/gateway/src/progress/mod.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 
 use chalkrock_core::rendezvous::MemberHash;
-use chalkrock_core::{Endpoint, OrganisationId, Outcome};
+use chalkrock_core::{BuildVersion, Endpoint, OrganisationId, Outcome};
 use chalkrock_routing::{BuildRequest, BuildUse, Next, Repeatable, RouteKind, next_step};
 
 use crate::access_log::record_disconnect;
@@ -373,6 +373,7 @@
         drop(fleet);
         self.attempts.push(AttemptRecord {
             endpoint: choice.member.endpoint.name.clone(),
+            build: known_build(&choice.member.endpoint),
             load: choice.load,
             basis: choice.basis,
             work_basis: choice.work.and_then(|work| work.basis),
@@ -456,6 +457,11 @@
     }
 }
 
+fn known_build(endpoint: &Endpoint) -> Option<BuildVersion> {
+    let build = &endpoint.build;
+    build.is_known().then(|| build.clone())
+}
+
 /// The short hash of an organisation in messages; 0 means none.
 fn short_organisation_hash(name: &OrganisationId) -> u32 {
     MemberHash::of(name.as_str()).short().max(1)
--- a/crates/gateway/tests/gateway/support/edge.rs
+++ b/crates/gateway/tests/gateway/support/edge.rs
@@ -10,7 +10,7 @@
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::{Response, StatusCode, http};
 
-/// An edge with plain headers: `id`, `key`, `deadline`, `parts`, `after` and `endpoint`
+/// An edge with plain headers: `id`, `key`, `deadline`, `parts`, `after`, `resumes` and `endpoint`
 /// in requests, `leaving`, `back-off-ms` and `slowness-permille` in answers.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct TestEdge;
@@ -44,6 +44,7 @@
             deadline_ms: header_text(headers, "deadline").and_then(|ms| ms.parse().ok()),
             prefix: parts.filter_map(read_part).collect(),
             resume_after: header_text(headers, "after").and_then(|id| id.parse().ok()),
+            resumes: header_text(headers, "resumes").map(RequestId::from),
         })
     }
 
