--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -25,6 +25,7 @@
 mod silences;
 mod slow_readers;
 mod stops;
+mod stream_builds;
 mod streams;
 mod support;
 mod suspensions;
