Continue streams only at the build that began them

Cause: a host did not know which build began a stream that a caller takes up, and placed it like a new one; one that it resumed itself went to any endpoint of the pool. Class: a property of what was begun is looked up in the state of now.

The caller's host records the build, as listed when the request was sent, before it relays the first event, and sends copies to the three hosts that rank first for the stream, so that it is known after the loss of any three. A host that a caller returns to reads its own copy or asks up to 12 hosts, at most 250 ms. What it learns binds placement, also through a next hop, and the pool. A stream of unknown build is refused as not run with a short delay, so that another host may know it, unless the pool had no other build for as long as a stream may last; one whose build has no endpoint is refused at once. Keys hash organisation and id, so that nobody learns of another organisation's requests; an id under which two builds were recorded is unknown. Retries before the first event may go anywhere.

Ruled out: a stale list (requests name the endpoint's start, and others answer 421).

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
-use chalkrock_core::{OrganisationId, Outcome};
+use chalkrock_core::{BuildVersion, OrganisationId, Outcome};
 use chalkrock_routing::{AttemptOutcome, HealthSignal, Repeatable, RouteKind};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
@@ -43,6 +43,8 @@
     pub(crate) head: http::response::Parts,
     pub(crate) body: Incoming,
     pub(crate) start: u32,
+    /// Build of the endpoint, as listed when the request was sent.
+    pub(crate) build: BuildVersion,
     /// Whether it comes through another host.
     pub(crate) is_forwarded: bool,
     /// Dropping it closes the connection, so that the endpoint stops working.
@@ -135,6 +137,7 @@
             head,
             body,
             start,
+            build: choice.member.endpoint.build.clone(),
             is_forwarded: false,
             connection,
             _in_flight: in_flight,
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use chalkrock_core::{OrganisationId, PoolId, Reason};
+use chalkrock_core::{BuildVersion, OrganisationId, PoolId, Reason};
 use chalkrock_routing::{
     Caller, CallerLimits, DrainPhase, Repeatable, RequestContent, RequestFingerprint, Route,
     RulesVersion, shed_probability,
@@ -46,6 +46,8 @@
     pub(crate) draw: u64,
     /// Identical for all repeats of the request.
     pub(crate) fingerprint: RequestFingerprint,
+    /// The build that began the stream which the request takes up.
+    pub(crate) stream_build: Option<BuildVersion>,
 }
 
 /// A forwarded request as it was received.
@@ -87,6 +89,7 @@
             entered_at,
             draw: rand::random(),
             fingerprint: decision.fingerprint,
+            stream_build: decision.stream_build.clone(),
         })
     }
 
@@ -175,8 +178,12 @@
             "no organisation has this key",
         ));
     }
+    let organisation = caller.map(|caller| &caller.organisation);
+    let origin = shared.find_stream_origin(&head, &route, organisation);
+    let (origin_pool, stream_build) = origin.await?.unzip();
     let draw = rand::random();
-    let pool = choose_pool(shared, &route, draw)
+    let pool = origin_pool
+        .or_else(|| choose_pool(shared, &route, draw))
         .ok_or_else(|| Refusal::new(Reason::NoEndpoint, "the route has no pool"))?;
     let timeout_ms = head
         .deadline_ms
@@ -205,6 +212,7 @@
         entered_at,
         draw,
         fingerprint,
+        stream_build,
     })
 }
 
--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -23,6 +23,7 @@
 
 use crate::endpoint_connections::ConnectError;
 use crate::framing::BodyFraming;
+use crate::stream_origins::KnownFrom;
 use crate::work::BacklogRecord;
 
 /// Maximum number of queued lines.
@@ -416,6 +417,20 @@
     },
     /// A caller's connection was closed because a request head took too long.
     SlowHead { after_ms: u64 },
+    /// A caller took up the stream that began with the request `resumes`. It goes on at
+    /// `build`, or was refused because that is unknown or has no endpoint.
+    StreamTakenUp {
+        id: Option<&'a RequestId>,
+        #[serde(skip_serializing_if = "Option::is_none")]
+        resumes: Option<&'a RequestId>,
+        #[serde(skip_serializing_if = "Option::is_none")]
+        build: Option<&'a BuildVersion>,
+        #[serde(skip_serializing_if = "Option::is_none")]
+        known_from: Option<KnownFrom>,
+        #[serde(skip_serializing_if = "Option::is_none")]
+        age_ms: Option<u64>,
+        goes_on: bool,
+    },
     /// A stream resumed at another endpoint, or could not.
     Resume {
         id: Option<&'a RequestId>,
--- a/crates/gateway/src/fleet/builds.rs
+++ b/crates/gateway/src/fleet/builds.rs
@@ -9,6 +9,9 @@
 use crate::fleet::Fleet;
 use crate::peers::KnownBuilds;
 
+/// How long builds that left the list are remembered.
+const BUILD_MEMORY_MS: u64 = 120_000;
+
 pub(super) struct EligibleBuilds<'a> {
     filter: BuildFilter<'a>,
     /// The canaries; `None` if every endpoint that passes the filter is eligible.
@@ -123,6 +126,37 @@
         }
     }
 
+    /// Whether an endpoint of a build accepts requests of a pool.
+    pub(crate) fn has_build(&self, pool: &PoolId, build: &BuildVersion) -> bool {
+        let members = self.endpoints.live(pool);
+        members.iter().any(|member| member.endpoint.build == *build)
+    }
+
+    /// The build of a pool that had no other in the last `window_ms`.
+    pub(crate) fn only_build(
+        &self,
+        pool: &PoolId,
+        window_ms: u64,
+        now_ms: u64,
+    ) -> Option<BuildVersion> {
+        let members = self.endpoints.known_members();
+        let members = members.filter(|member| member.endpoint.pool == *pool);
+        let listed = members.map(|member| &member.endpoint.build);
+        let builds = &self.listed_builds;
+        builds.only_build(pool, listed, window_ms, now_ms).cloned()
+    }
+
+    /// Records the builds of the list before it changes.
+    pub(super) fn record_listed_builds(&mut self, now_ms: u64) {
+        self.listed_builds
+            .forget_before(now_ms.saturating_sub(BUILD_MEMORY_MS));
+        for member in self.endpoints.known_members() {
+            let endpoint = &member.endpoint;
+            self.listed_builds
+                .record(&endpoint.pool, &endpoint.build, now_ms);
+        }
+    }
+
     pub(super) fn record_builds(&mut self, now_ms: u64) {
         let mut by_pool: BTreeMap<&PoolId, BTreeSet<&BuildVersion>> = BTreeMap::new();
         for member in self.endpoints.listed() {
--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -12,12 +12,12 @@
 use std::sync::Arc;
 
 use chalkrock_core::rendezvous::{KeyHash, score};
-use chalkrock_core::{Endpoint, PoolId, ZoneId};
+use chalkrock_core::{BuildVersion, Endpoint, PoolId, ZoneId};
 use chalkrock_routing::{
     Backoffs, Basis, BudgetRules, BuildUse, Candidate, ColdEndpoints, ConnectionLimit,
     EndpointHealth, EndpointTable, Evacuations, Evidence, FleetLoad, HealthSignal, HomeDemand,
-    HomeSpread, MaxServiceTime, PlacementRequest, PoisonEvidence, PoolBacklog, PoolLoads,
-    PoolMember, PoolOccupancy, PoolRules, Reachability, RecentPrefixes, RejectionLimits,
+    HomeSpread, ListedBuilds, MaxServiceTime, PlacementRequest, PoisonEvidence, PoolBacklog,
+    PoolLoads, PoolMember, PoolOccupancy, PoolRules, Reachability, RecentPrefixes, RejectionLimits,
     Repeatable, Rollouts, ServiceTimeEwma, Shares, SpreadRules, StoreVersion, WindowBudget,
     choose_endpoint, connections_per_host,
 };
@@ -57,6 +57,8 @@
     pub(crate) has_attempt_left: bool,
     /// Build choices, in order of preference.
     pub(crate) uses: &'a [BuildUse],
+    /// The only build that may serve it, if it continues a stream.
+    pub(crate) build: Option<&'a BuildVersion>,
     pub(crate) draw: u64,
 }
 
@@ -134,6 +136,8 @@
     pub(crate) prefixes: Prefixes,
     pub(crate) poison: PoisonEvidence,
     pub(crate) rollouts: Rollouts<SocketAddr>,
+    /// Builds that were listed recently.
+    listed_builds: ListedBuilds,
     /// Work in hand at endpoints that read prompts.
     pub(crate) work: Work,
     /// Overruns of pools whose requests say what there is to read.
@@ -177,6 +181,7 @@
             prefixes: Prefixes::default(),
             poison: PoisonEvidence::default(),
             rollouts: Rollouts::new(config.exposure_bound),
+            listed_builds: ListedBuilds::default(),
             work: Work::default(),
             backlogs: Backlogs::default(),
         }
@@ -413,6 +418,9 @@
         // An endpoint that rejects requests has low load and would otherwise attract more
         // of them.
         let backs_off = self.backoffs.is_active(short, now_ms);
+        let is_other_build = query
+            .build
+            .is_some_and(|build| *build != member.endpoint.build);
         Candidate {
             hash: member.hash,
             load: self.load.in_progress(short),
@@ -421,6 +429,7 @@
             is_suspect: is_suspect || has_just_returned,
             holds_prefix: holders.contains(&short),
             is_closed: backs_off
+                || is_other_build
                 || member.is_evacuated
                 || is_unresponsive
                 || !self.may_send_if_cold(member, now_ms),
@@ -552,6 +561,7 @@
         version: StoreVersion,
         now_ms: u64,
     ) {
+        self.record_listed_builds(now_ms);
         for listed in &list {
             self.record_cold_report(listed, now_ms);
         }
@@ -583,6 +593,7 @@
     /// new.
     pub(crate) fn apply_changes(&mut self, rows: Vec<EndpointRow>, now_ms: u64) -> bool {
         let mut has_changed = false;
+        self.record_listed_builds(now_ms);
         for row in rows {
             if row.version <= self.endpoints_version {
                 continue;
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -14,7 +14,7 @@
 
 use std::sync::Arc;
 
-use chalkrock_core::{EndpointId, HostId, PoolId};
+use chalkrock_core::{BuildVersion, EndpointId, HostId, PoolId};
 use chalkrock_routing::{AttemptOutcome, Caller, RequestFingerprint, Route, RulesVersion};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use serde::de::DeserializeOwned;
@@ -47,6 +47,9 @@
     pub(crate) tried: Vec<u32>,
     /// How many of these received the request.
     pub(crate) delivered_attempts: u32,
+    /// The build at which the stream must go on, if it has begun.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) stream_build: Option<BuildVersion>,
 }
 
 /// How the attempt of the next hop ended.
@@ -76,6 +79,8 @@
     pub(crate) name: EndpointId,
     /// Hash of its start.
     pub(crate) start: u32,
+    #[serde(default)]
+    pub(crate) build: BuildVersion,
 }
 
 impl ForwardResult {
--- a/crates/gateway/src/forward/next_hop.rs
+++ b/crates/gateway/src/forward/next_hop.rs
@@ -408,6 +408,7 @@
         Self {
             name: choice.member.endpoint.name.clone(),
             start: choice.member.hash.short(),
+            build: choice.member.endpoint.build.clone(),
         }
     }
 }
--- a/crates/gateway/src/forward/origin.rs
+++ b/crates/gateway/src/forward/origin.rs
@@ -135,6 +135,15 @@
         }
         return Err(failure(in_flight, end));
     }
+    let used_build = result.endpoint.as_ref().map(|used| &used.build);
+    if progress
+        .stream_build()
+        .is_some_and(|build| Some(build) != used_build)
+    {
+        // A next hop of an older build may choose an endpoint of any.
+        count(shared, "other-build");
+        return Err(failure(in_flight, AttemptOutcome::Garbage));
+    }
     count(shared, "answered");
     let answer = shared.edge.read_answer(&head);
     progress.record_head(&answer);
@@ -158,6 +167,7 @@
             head,
             body,
             start: progress.last_tried(),
+            build: used_build.cloned().unwrap_or_default(),
             is_forwarded: true,
             connection,
             _in_flight: in_flight,
@@ -207,6 +217,7 @@
         is_granted,
         tried: progress.tried_before().to_vec(),
         delivered_attempts: progress.delivered_attempts(),
+        stream_build: progress.stream_build().cloned(),
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -61,6 +61,7 @@
 mod skipped_rows;
 mod source;
 mod status;
+mod stream_origins;
 mod subscription;
 mod suspension;
 mod termination_checks;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -31,6 +31,7 @@
     Work,
     Reachability,
     RejectionLimits,
+    StreamOrigins,
     /// Datagrams that this build can't decode.
     Unknown,
     /// State pulled from other hosts.
@@ -76,6 +77,7 @@
             Self::Work => control_labels!("work"),
             Self::Reachability => control_labels!("reachability"),
             Self::RejectionLimits => control_labels!("rejection-limits"),
+            Self::StreamOrigins => control_labels!("stream-origins"),
             Self::Unknown => control_labels!("unknown"),
             Self::Pull => control_labels!("pull"),
             Self::Serve => control_labels!("serve"),
@@ -208,6 +210,7 @@
     metrics.gauge("evacuated_zones", "", evacuated as f64);
     let poison = fleet.poison.poison_requests(usize::MAX, now_ms).len();
     metrics.gauge("poison_requests", "", poison as f64);
+    metrics.gauge("streams_remembered", "", shared.stream_origins.len() as f64);
     metrics.gauge("endpoints_version", "", fleet.endpoints_version.0 as f64);
     for (pool, count) in fleet.usage.over_share_counts() {
         let labels = format!("pool=\"{pool}\"");
--- a/crates/gateway/src/peers/membership.rs
+++ b/crates/gateway/src/peers/membership.rs
@@ -292,6 +292,26 @@
         others.map(|peer| peer.hash).collect()
     }
 
+    /// The other hosts that are up or, in other zones, reported recently.
+    pub(crate) fn other_candidates(&self) -> Vec<(SocketAddr, MemberHash)> {
+        let candidates = self.scheduler_candidates().into_iter();
+        let others = candidates.filter(|candidate| candidate.host != self.local);
+        others
+            .map(|candidate| (candidate.host, candidate.hash))
+            .collect()
+    }
+
+    /// The other hosts that may be asked for what a host of the fleet knows. While this host
+    /// warms up, hosts that it has not received anything from are among them.
+    pub(crate) fn hosts_to_ask(&self) -> Vec<(SocketAddr, MemberHash)> {
+        if !self.is_warming_up() {
+            return self.other_candidates();
+        }
+        let peers = self.peers();
+        let known = peers.iter().map(|(address, peer)| (*address, peer.hash));
+        known.collect()
+    }
+
     /// Whether an address is that of a host of the fleet.
     pub(crate) fn knows(&self, address: SocketAddr) -> bool {
         self.peers().contains_key(&address)
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -12,6 +12,7 @@
 use crate::metrics::ControlKind;
 use crate::peers::reachability::{ReachAsk, ReachReply};
 use crate::peers::rollouts::{RolloutPlans, RolloutTally, RolloutUpdate};
+use crate::stream_origins::{StreamAsk, StreamRecord, StreamReply};
 
 /// A datagram. Hosts of other builds decode it: existing variants and fields keep their
 /// positions, and new variants are appended, which older builds ignore.
@@ -55,6 +56,12 @@
     ReachReply(ReachReply),
     /// Rejections that endpoints tolerate.
     RejectionLimits(Vec<LimitReport>),
+    /// The build that began a stream.
+    StreamRecord(StreamRecord),
+    /// Asks which build began a stream.
+    StreamAsk(StreamAsk),
+    /// Which build began a stream.
+    StreamReply(StreamReply),
 }
 
 impl Datagram {
@@ -75,6 +82,9 @@
             Self::Work(_) => ControlKind::Work,
             Self::ReachAsk(_) | Self::ReachReply(_) => ControlKind::Reachability,
             Self::RejectionLimits(_) => ControlKind::RejectionLimits,
+            Self::StreamRecord(_) | Self::StreamAsk(_) | Self::StreamReply(_) => {
+                ControlKind::StreamOrigins
+            }
         }
     }
 }
--- a/crates/gateway/src/peers/receive.rs
+++ b/crates/gateway/src/peers/receive.rs
@@ -89,6 +89,9 @@
             }
             Datagram::ReachAsk(ask) => reply_to_ask(&shared, &peers, &socket, address, &ask),
             Datagram::RejectionLimits(reports) => shared.merge_rejection_limits(&reports),
+            Datagram::StreamRecord(record) => shared.keep_stream_record(record),
+            Datagram::StreamAsk(ask) => shared.reply_to_stream_ask(address, ask),
+            Datagram::StreamReply(reply) => shared.accept_stream_reply(address, reply),
             Datagram::ReachReply(reply) => merge_reply(&shared, &peers, address, &reply),
         }
     }
--- a/crates/gateway/src/progress/mod.rs
+++ b/crates/gateway/src/progress/mod.rs
@@ -51,6 +51,8 @@
     was_cold: bool,
     /// Endpoint of the last attempt.
     last_endpoint: Option<Arc<Endpoint>>,
+    /// The build at which the stream must go on, if it has begun.
+    stream_build: Option<BuildVersion>,
     /// Builds that the current attempt may use.
     uses: &'static [BuildUse],
     /// A granted slot that the request did not use.
@@ -105,7 +107,6 @@
             _organisation_guard: None,
             sent_at_ms: shared.clock.now_ms(),
             shared,
-            call,
             tried: Vec::new(),
             delivered_attempts: 0,
             worst_outcome: Outcome::NotRun,
@@ -114,6 +115,7 @@
             stalled_at_send_ms: 0,
             was_cold: false,
             last_endpoint: None,
+            stream_build: call.stream_build.clone(),
             uses: &[BuildUse::Any],
             unused_lease: None,
             reading: None,
@@ -122,6 +124,7 @@
             unreached: Vec::new(),
             has_reconsidered: false,
             is_logged: false,
+            call,
         }
     }
 
@@ -129,6 +132,16 @@
         &self.call
     }
 
+    /// The build at which the stream must go on, if it has begun.
+    pub(crate) fn stream_build(&self) -> Option<&BuildVersion> {
+        self.stream_build.as_ref()
+    }
+
+    /// Restricts further attempts to the build that began the stream.
+    pub(crate) fn set_stream_build(&mut self, build: BuildVersion) {
+        self.stream_build = Some(build);
+    }
+
     /// Its work, once admitted.
     pub(crate) fn work(&self) -> Option<Arc<RequestWork>> {
         self.work.clone()
@@ -146,7 +159,11 @@
             is_first,
             hosts: host_count(&fleet, now_ms),
         };
-        self.uses = fleet.rollouts.build_uses(&request, now_ms);
+        self.uses = if self.stream_build.is_some() {
+            &[BuildUse::Any]
+        } else {
+            fleet.rollouts.build_uses(&request, now_ms)
+        };
         drop(fleet);
         self.place()
     }
@@ -169,6 +186,15 @@
         Some(choice)
     }
 
+    /// The builds that the request may use where a scheduler or another host places it.
+    fn scheduled_uses(&self, fleet: &Fleet) -> &'static [BuildUse] {
+        if self.stream_build.is_some() {
+            &[BuildUse::Any]
+        } else {
+            fleet.scheduled_uses(&self.call.pool)
+        }
+    }
+
     /// Keeps a granted slot that the request did not use until it waits again.
     pub(crate) fn keep_unused_lease(&mut self, lease: Option<Lease>) {
         self.unused_lease = lease;
@@ -239,7 +265,7 @@
         let shared = self.shared.clone();
         let now_ms = shared.clock.now_ms();
         let mut fleet = shared.fleet();
-        self.uses = fleet.scheduled_uses(&self.call.pool);
+        self.uses = self.scheduled_uses(&fleet);
         let choice = fleet.place_granted(&self.endpoint_query(), endpoint, now_ms)?;
         fleet.cold.record_sent(endpoint, now_ms);
         fleet.backoffs.record_sent(endpoint, now_ms);
@@ -252,7 +278,7 @@
         let shared = self.shared.clone();
         let now_ms = shared.clock.now_ms();
         let mut fleet = shared.fleet();
-        self.uses = fleet.scheduled_uses(&self.call.pool);
+        self.uses = self.scheduled_uses(&fleet);
         let choice = fleet.place(&self.endpoint_query(), now_ms)?;
         let start = choice.member.hash.short();
         fleet.cold.record_sent(start, now_ms);
@@ -313,6 +339,7 @@
         }
         if let Some(record) = self.attempts.last_mut() {
             record.endpoint = used.name.clone();
+            record.build = used.build.is_known().then(|| used.build.clone());
         }
     }
 
@@ -340,6 +367,7 @@
             repeatable: self.call.repeatable(),
             has_attempt_left: self.has_attempt_left(),
             uses: self.uses,
+            build: self.stream_build.as_ref(),
             draw: self.call.draw,
         }
     }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -77,6 +77,9 @@
     framing: BodyFraming,
     /// Whether the response consists of events.
     has_events: bool,
+    /// Whether events of the stream were relayed, so that only the build that began it may
+    /// continue it.
+    has_begun: bool,
     /// Whether the next event is the first one of an endpoint that continues the stream.
     is_continuation: bool,
     has_ended: bool,
@@ -96,6 +99,7 @@
             status: stream.head.status.as_u16(),
             framing: stream.framing,
             has_events: has_events(&stream.head),
+            has_begun: false,
             is_continuation: false,
             shared,
             call,
@@ -139,6 +143,7 @@
                 Received::Bytes(bytes) => {
                     let bytes = self.relayable_bytes(bytes);
                     if !bytes.is_empty() {
+                        self.record_begin();
                         self.relayed_at = Instant::now();
                         return Some(Ok(bytes));
                     }
@@ -227,6 +232,21 @@
         events.freeze()
     }
 
+    /// Records the build of the endpoint before its first event is relayed.
+    fn record_begin(&mut self) {
+        if std::mem::replace(&mut self.has_begun, true)
+            || self.call.repeatable() == Repeatable::No
+            || self.call.stream_build.is_some()
+        {
+            return;
+        }
+        if let Some(stream) = &self.stream {
+            let build = stream.build.clone();
+            self.shared.record_stream_origin(&self.call, build.clone());
+            self.progress.set_stream_build(build);
+        }
+    }
+
     /// Resumes the stream at another endpoint after the last relayed event.
     async fn resume_elsewhere(&mut self) -> bool {
         let Some(failed_stream) = self.stream.take() else {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -211,6 +211,7 @@
     let peers = PeerTable::new(local, &shared.config, incarnation);
     let seeds = shared.config.peer_seeds.iter();
     peers.add(seeds.map(|address| (*address, None)));
+    shared.stream_origins.connect(peers.clone(), socket.clone());
     tasks.spawn(publish(shared.clone(), peers.clone(), socket.clone()));
     if let Some(address) = shared.config.forward_listen {
         let listener = listen(address).await?;
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -32,6 +32,7 @@
 use crate::room_wait::RoomLines;
 use crate::skipped_rows::SkippedRows;
 use crate::source::Topic;
+use crate::stream_origins::StreamOriginTable;
 use crate::subscription::{AnsweredHost, StoreSubscription};
 use crate::suspension::SuspensionMonitor;
 use crate::termination_checks::TerminationChecks;
@@ -76,6 +77,7 @@
     pub(crate) reach_reported: Notify,
     /// Endpoints about which other hosts have to be asked at once.
     pub(crate) broken_paths: BrokenPaths,
+    pub(crate) stream_origins: StreamOriginTable,
     /// Endpoints that are checked now, by the hash of their start.
     checks: Mutex<HashSet<u32>>,
     /// The address for forwarded requests.
@@ -130,6 +132,7 @@
             unreachable_found: Notify::new(),
             reach_reported: Notify::new(),
             broken_paths: BrokenPaths::default(),
+            stream_origins: StreamOriginTable::default(),
             checks: Mutex::default(),
             forward_address: OnceLock::new(),
             fleet: Mutex::new(fleet),
--- /dev/null
+++ b/crates/gateway/src/stream_origins.rs
@@ -0,0 +1,340 @@
+//! Finds the build at which a stream began that a caller takes up.
+//!
+//! The build is recorded here and at a few other hosts before the first event reaches the
+//! caller. A stream whose build is not known may not go on: it could only be continued at
+//! any build.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
+use std::time::Duration;
+
+use chalkrock_core::{BuildVersion, OrganisationId, PoolId, Reason};
+use chalkrock_routing::{Route, RouteKind, StreamKey, StreamOrigin, StreamOrigins};
+use serde::{Deserialize, Serialize, Serializer};
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+use crate::call::Call;
+use crate::edge::{CallHead, Refusal};
+use crate::event_log::Event;
+use crate::metrics::Direction;
+use crate::peers::{Datagram, PeerTable};
+use crate::shared::Shared;
+
+/// Other hosts that keep a copy. With this host's own record, a stream is known after the loss
+/// of any three hosts.
+const COPIES: usize = 3;
+/// Hosts that are asked. More than `COPIES`, since hosts that were lost rank among them.
+const MAX_ASKED: usize = 12;
+/// Time after which hosts that did not reply are asked again.
+const ASK_INTERVAL: Duration = Duration::from_millis(60);
+/// Time after which the build counts as unknown.
+const ASK_TIMEOUT: Duration = Duration::from_millis(250);
+/// Timeouts of the route for which callers may take a stream up: one for the request that
+/// began it, and one for the caller's tries.
+const RETENTION_TIMEOUTS: u64 = 2;
+const MAX_RETENTION_MS: u64 = 120_000;
+
+/// The record of a stream that began, for another host.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct StreamRecord {
+    pub(crate) key: StreamKey,
+    pub(crate) origin: StreamOrigin,
+    pub(crate) retention_ms: u32,
+}
+
+/// Asks whether a host knows a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct StreamAsk {
+    pub(crate) key: StreamKey,
+    /// Identifies the ask at the host that sends it.
+    pub(crate) number: u64,
+}
+
+/// The reply to a [`StreamAsk`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct StreamReply {
+    pub(crate) number: u64,
+    /// The origin and its age in milliseconds, if the host knows it.
+    pub(crate) origin: Option<(StreamOrigin, u32)>,
+}
+
+/// How this host knows the build at which a stream began.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum KnownFrom {
+    /// From its own record or a copy.
+    Own,
+    /// From another host.
+    Peer(SocketAddr),
+    /// The pool has had no other build for as long as the stream may last.
+    OnlyBuild,
+}
+
+impl Serialize for KnownFrom {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        match self {
+            Self::Own => serializer.serialize_str("own"),
+            Self::Peer(address) => serializer.collect_str(address),
+            Self::OnlyBuild => serializer.serialize_str("only-build"),
+        }
+    }
+}
+
+/// A reply and the host that sent it.
+type Reply = (SocketAddr, Option<(StreamOrigin, u32)>);
+
+/// Origins of streams that this host keeps, and its asks for others.
+#[derive(Default)]
+pub(crate) struct StreamOriginTable {
+    known: Mutex<StreamOrigins>,
+    asks: Mutex<HashMap<u64, mpsc::Sender<Reply>>>,
+    next_ask: AtomicU64,
+    /// The other hosts and the socket for them, once this host exchanges datagrams.
+    link: OnceLock<(Arc<PeerTable>, Arc<UdpSocket>)>,
+}
+
+impl StreamOriginTable {
+    /// Sets the other hosts and the socket for them.
+    pub(crate) fn connect(&self, peers: Arc<PeerTable>, socket: Arc<UdpSocket>) {
+        let _set_once_at_start = self.link.set((peers, socket));
+    }
+
+    /// The number of streams that it keeps.
+    pub(crate) fn len(&self) -> usize {
+        self.known().len()
+    }
+
+    fn known(&self) -> MutexGuard<'_, StreamOrigins> {
+        self.known.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn asks(&self) -> MutexGuard<'_, HashMap<u64, mpsc::Sender<Reply>>> {
+        self.asks.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The hosts that get copies for a stream. Those that are not known to be up are a last
+    /// resort.
+    fn copy_holders(&self, key: StreamKey) -> Vec<SocketAddr> {
+        let Some((peers, _)) = self.link.get() else {
+            return Vec::new();
+        };
+        let mut hosts = key.rank(peers.other_candidates());
+        if hosts.len() < COPIES {
+            let others = key.rank(peers.hosts_to_ask());
+            let unheard = others.into_iter().filter(|host| !hosts.contains(host));
+            let unheard: Vec<SocketAddr> = unheard.collect();
+            hosts.extend(unheard);
+        }
+        hosts.truncate(COPIES);
+        hosts
+    }
+
+    /// The hosts that are asked about a stream.
+    fn hosts_to_ask(&self, key: StreamKey) -> Vec<SocketAddr> {
+        let peers = self.link.get().map(|(peers, _)| peers);
+        let mut hosts = key.rank(peers.map(|peers| peers.hosts_to_ask()).unwrap_or_default());
+        hosts.truncate(MAX_ASKED);
+        hosts
+    }
+}
+
+/// An ask in progress, until dropped.
+struct PendingAsk<'a> {
+    table: &'a StreamOriginTable,
+    number: u64,
+}
+
+impl<'a> PendingAsk<'a> {
+    fn begin(table: &'a StreamOriginTable) -> (Self, mpsc::Receiver<Reply>) {
+        let number = table.next_ask.fetch_add(1, Ordering::Relaxed);
+        let (sender, receiver) = mpsc::channel(MAX_ASKED);
+        table.asks().insert(number, sender);
+        (Self { table, number }, receiver)
+    }
+}
+
+impl Drop for PendingAsk<'_> {
+    fn drop(&mut self) {
+        self.table.asks().remove(&self.number);
+    }
+}
+
+impl Shared {
+    /// Records the build at which the stream of a call began, here and at other hosts.
+    pub(crate) fn record_stream_origin(&self, call: &Call, build: BuildVersion) {
+        let Some(id) = &call.head.id else {
+            return;
+        };
+        let key = StreamKey::of(call.organisation(), id);
+        let origin = StreamOrigin::new(&call.pool, build);
+        let retention_ms = retention_ms(&call.route);
+        let now_ms = self.clock.now_ms();
+        let table = &self.stream_origins;
+        table
+            .known()
+            .record(key, origin.clone(), now_ms, retention_ms);
+        let record = StreamRecord {
+            key,
+            origin,
+            retention_ms: retention_ms as u32,
+        };
+        let hosts = table.copy_holders(key);
+        self.send_to_hosts(&Datagram::StreamRecord(record), &hosts);
+    }
+
+    /// Keeps the record of a stream that began at another host.
+    pub(crate) fn keep_stream_record(&self, record: StreamRecord) {
+        let now_ms = self.clock.now_ms();
+        let retention_ms = u64::from(record.retention_ms).min(MAX_RETENTION_MS);
+        let mut known = self.stream_origins.known();
+        known.record(record.key, record.origin, now_ms, retention_ms);
+    }
+
+    /// Replies to a host that takes a stream up.
+    pub(crate) fn reply_to_stream_ask(&self, from: SocketAddr, ask: StreamAsk) {
+        let now_ms = self.clock.now_ms();
+        let known = self.stream_origins.known();
+        let origin = known.find(ask.key, now_ms);
+        let origin = origin.map(|(origin, age_ms)| (origin.clone(), age_ms as u32));
+        drop(known);
+        let reply = StreamReply {
+            number: ask.number,
+            origin,
+        };
+        self.send_to_hosts(&Datagram::StreamReply(reply), &[from]);
+    }
+
+    /// Passes a reply to the request that waits for it.
+    pub(crate) fn accept_stream_reply(&self, from: SocketAddr, reply: StreamReply) {
+        if let Some(sender) = self.stream_origins.asks().get(&reply.number) {
+            let _repeated_replies_may_exceed_it = sender.try_send((from, reply.origin));
+        }
+    }
+
+    /// Finds where the stream that a caller takes up began. `None` if the request begins a
+    /// stream of its own.
+    ///
+    /// # Errors
+    ///
+    /// If the stream can't go on, because its build is unknown or has no endpoint.
+    pub(crate) async fn find_stream_origin(
+        &self,
+        head: &CallHead,
+        route: &Route,
+        organisation: Option<&OrganisationId>,
+    ) -> Result<Option<(PoolId, BuildVersion)>, Refusal> {
+        let is_resumable = matches!(route.kind, RouteKind::Stream { resumable: true });
+        if !is_resumable || head.resume_after.is_none() {
+            return Ok(None);
+        }
+        let found = match &head.resumes {
+            Some(id) => self.ask_for_stream(StreamKey::of(organisation, id)).await,
+            None => None,
+        };
+        let known = match found {
+            Some((origin, age_ms, from)) => {
+                // The rules may have moved the route to other pools.
+                let pools = route.backends.iter().map(|backend| &backend.pool);
+                let pool = pools.into_iter().find(|pool| origin.is_in(pool));
+                pool.map(|pool| (pool.clone(), origin.build, Some(age_ms), from))
+            }
+            None => self
+                .find_only_build(route)
+                .map(|(pool, build)| (pool, build, None, KnownFrom::OnlyBuild)),
+        };
+        let has_endpoint = known
+            .as_ref()
+            .is_some_and(|(pool, build, ..)| self.fleet().has_build(pool, build));
+        self.event_log.emit(&Event::StreamTakenUp {
+            id: head.id.as_ref(),
+            resumes: head.resumes.as_ref(),
+            build: known.as_ref().map(|(_, build, ..)| build),
+            known_from: known.as_ref().map(|(.., from)| *from),
+            age_ms: known.as_ref().and_then(|(_, _, age_ms, _)| *age_ms),
+            goes_on: has_endpoint,
+        });
+        let outcome = match &known {
+            None => "unknown",
+            Some(_) if !has_endpoint => "no-endpoint",
+            Some(_) => "goes-on",
+        };
+        let labels = format!("outcome=\"{outcome}\"");
+        self.metrics.count("streams_taken_up_total", &labels, 1);
+        match known {
+            None => Err(Refusal::with_short_retry(
+                Reason::NoEndpoint,
+                "the build that began the stream is unknown here",
+            )),
+            Some((_, build, ..)) if !has_endpoint => {
+                let detail = format!("no endpoint of build {build}, which began the stream");
+                Err(Refusal::new(Reason::NoEndpoint, detail))
+            }
+            Some((pool, build, ..)) => Ok(Some((pool, build))),
+        }
+    }
+
+    /// Looks a stream up here, then asks the hosts that rank first for it.
+    async fn ask_for_stream(&self, key: StreamKey) -> Option<(StreamOrigin, u64, KnownFrom)> {
+        let table = &self.stream_origins;
+        let now_ms = self.clock.now_ms();
+        if let Some((origin, age_ms)) = table.known().find(key, now_ms) {
+            return Some((origin.clone(), age_ms, KnownFrom::Own));
+        }
+        let mut hosts = table.hosts_to_ask(key);
+        let (pending, mut replies) = PendingAsk::begin(table);
+        let ask = StreamAsk {
+            key,
+            number: pending.number,
+        };
+        let give_up_at = Instant::now() + ASK_TIMEOUT;
+        while !hosts.is_empty() && Instant::now() < give_up_at {
+            self.send_to_hosts(&Datagram::StreamAsk(ask), &hosts);
+            let ask_again_at = give_up_at.min(Instant::now() + ASK_INTERVAL);
+            while !hosts.is_empty()
+                && let Ok(Some((from, origin))) =
+                    tokio::time::timeout_at(ask_again_at, replies.recv()).await
+            {
+                if let Some((origin, age_ms)) = origin {
+                    return Some((origin, u64::from(age_ms), KnownFrom::Peer(from)));
+                }
+                hosts.retain(|host| *host != from);
+            }
+        }
+        None
+    }
+
+    /// The pool of a route and its build, if it has had no other for as long as a stream may
+    /// last.
+    fn find_only_build(&self, route: &Route) -> Option<(PoolId, BuildVersion)> {
+        let [backend] = route.backends.as_slice() else {
+            return None;
+        };
+        let now_ms = self.clock.now_ms();
+        let fleet = self.fleet();
+        let build = fleet.only_build(&backend.pool, retention_ms(route), now_ms)?;
+        Some((backend.pool.clone(), build))
+    }
+
+    fn send_to_hosts(&self, datagram: &Datagram, hosts: &[SocketAddr]) {
+        let Some((_, socket)) = self.stream_origins.link.get() else {
+            return;
+        };
+        let Ok(bytes) = postcard::to_stdvec(datagram) else {
+            return;
+        };
+        self.record_datagram_size(bytes.len());
+        for host in hosts {
+            let _lost_datagrams_are_asked_for_again = socket.try_send_to(&bytes, *host);
+        }
+        let sent_bytes = (bytes.len() * hosts.len()) as u64;
+        self.count_control_bytes(datagram.kind(), Direction::Sent, sent_bytes);
+    }
+}
+
+/// How long callers may take up a stream of a route after it began.
+fn retention_ms(route: &Route) -> u64 {
+    (RETENTION_TIMEOUTS * route.timeout_ms).min(MAX_RETENTION_MS)
+}
--- a/crates/gateway/tests/gateway/stream_builds.rs
+++ b/crates/gateway/tests/gateway/stream_builds.rs
@@ -3,11 +3,12 @@
 use std::time::Duration;
 
 use crate::support::{
-    Behaviour, Call, Received, Script, ScriptedEndpoint, TestGateway, TestSource, event, metric,
-    rules, until,
+    Behaviour, Call, PartitionFleet, Received, Script, ScriptedEndpoint, TestGateway, TestSource,
+    event, metric, rules, until,
 };
 use chalkrock_core::Endpoint;
 use chalkrock_routing::OrganisationRules;
+use chalkrock_soak::LinkMode;
 use googletest::prelude::*;
 use tokio::io::AsyncReadExt;
 
@@ -297,3 +298,42 @@
     assert_that!(received.status, eq(200));
     assert_that!(received.events().len() as u64, eq(LAST_EVENT + 1));
 }
+
+/// Guards against a next hop that continues a stream at another build than its origin knows.
+#[tokio::test]
+async fn forwarded_streams_stay_at_their_build() {
+    const CALLS: usize = 16;
+    let fleet = PartitionFleet::start(rules(1), 2, 4).await;
+    let builds = [OLD, NEW, OLD, NEW];
+    for (endpoint, build) in fleet.endpoints.iter().zip(builds) {
+        endpoint.set_behaviour(Behaviour::AnswerByRoute { last: LAST_EVENT });
+        fleet.hosts[0].source.list(Endpoint {
+            build: build.into(),
+            ..endpoint.endpoint.clone()
+        });
+    }
+    for host in &fleet.hosts {
+        until(async || metric(host, "endpoints_version").await >= 9.0).await;
+    }
+    let build_of = |id: &str| {
+        let mut all = fleet.endpoints.iter().zip(builds);
+        let found = all.find(|(endpoint, _)| endpoint.run_count(id) == 1);
+        found.map(|(_, build)| build)
+    };
+    fleet.set_links(0, LinkMode::Refused);
+    until(async || {
+        let received = fleet.hosts[0].call(Call::post("/safe/", b"x").id("wait"));
+        received.await.status == 200
+    })
+    .await;
+    for number in 0..CALLS {
+        let (id, try_id) = (format!("r-{number}"), format!("r-{number}-1"));
+        let call = Call::post("/resumable/", b"x").id(&id);
+        let received = fleet.hosts[number % 2].call(call).await;
+        assert_that!(received.is_complete, eq(true), "{id}");
+        let call = take_up_call(&try_id, &id).header("after", &LAST_SEEN.to_string());
+        let received = fleet.hosts[(number + 1) % 2].call(call).await;
+        assert_that!(received.events(), eq(&rest()), "{try_id}");
+        assert_that!(build_of(&try_id), eq(build_of(&id)), "{try_id}");
+    }
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -75,6 +75,7 @@
 mod shares;
 mod spread;
 mod store_version;
+mod stream_builds;
 mod warm_start;
 mod work;
 mod zone_loads;
@@ -152,6 +153,7 @@
 pub use shares::Shares;
 pub use spread::{Basis, Candidate, Placement, PlacementRequest, SpreadRules, choose_endpoint};
 pub use store_version::StoreVersion;
+pub use stream_builds::{ListedBuilds, StreamKey, StreamOrigin, StreamOrigins};
 pub use warm_start::{LearnedState, PoolServiceTime};
 pub use work::{
     MAX_SLOWNESS_PERMILLE, MAX_WORK_POOLS, MAX_WORK_ROWS, MIN_SLOWNESS_PERMILLE, OutstandingWork,
