--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -113,6 +113,7 @@
         check_twice(journal),
         check_refused(journal),
         check_order(journal),
+        check_builds(journal),
         check_exposure(journal, bounds),
         check_route(journal),
         check_drain(journal, bounds),
@@ -173,14 +174,25 @@
 }
 
 /// ORDER: the events of a stream are not 1, 2, 3 and so on, or it ends as complete before its
-/// last event.
+/// last event. Where only the close of the connection ends it, a close after an event is not
+/// known to be early.
 pub fn check_order(journal: &Journal) -> Vec<Finding> {
     let broken = journal.tries.iter().filter_map(|attempt| {
-        let TryEnd::Stream { events, is_complete, expected } = &attempt.end else {
+        let TryEnd::Stream {
+            events,
+            is_complete,
+            expected,
+            after,
+            is_close_delimited,
+            ends_inside_event,
+            ..
+        } = &attempt.end
+        else {
             return None;
         };
-        let is_in_order = (1..).zip(events).all(|(id, event)| id == *event);
-        let is_cut = *is_complete && events.len() as u64 != *expected;
+        let is_in_order = (after + 1..).zip(events).all(|(id, event)| id == *event);
+        let is_early = !is_close_delimited && after + events.len() as u64 != *expected;
+        let is_cut = *is_complete && (is_early || *ends_inside_event);
         let text = || {
             let last = events.last().copied().unwrap_or_default();
             format!(
@@ -195,6 +207,34 @@
     broken.collect()
 }
 
+/// ORDER: a stream holds events of several builds, in one response or over the tries of a
+/// caller that takes it up.
+pub fn check_builds(journal: &Journal) -> Vec<Finding> {
+    let mut streams: BTreeMap<&str, (BTreeSet<&str>, u64)> = BTreeMap::new();
+    for attempt in &journal.tries {
+        let TryEnd::Stream { builds, .. } = &attempt.end else {
+            continue;
+        };
+        let first = attempt.resumes.as_ref().unwrap_or(&attempt.id);
+        let (known, ended_ms) = streams.entry(first).or_default();
+        known.extend(builds.iter().map(|build| &**build));
+        *ended_ms = attempt.ended_ms.max(*ended_ms);
+    }
+    let mixed = streams
+        .into_iter()
+        .filter(|(_, (builds, _))| builds.len() > 1);
+    let text = |first: &str, builds: BTreeSet<&str>| {
+        let builds: Vec<&str> = builds.into_iter().collect();
+        format!(
+            "the stream of {first} holds events of {}",
+            builds.join(", ")
+        )
+    };
+    mixed
+        .map(|(first, (builds, ended_ms))| finding(Check::Order, ended_ms, text(first, builds)))
+        .collect()
+}
+
 /// EXPOSURE: a bad build gets more requests than its share and slack from the order to the
 /// deadline, or a request later than `rollback_ms` after its 50th bad response since the store
 /// was last stable. The rule counts only hosts in touch with the store, so requests of a host
--- a/crates/soak/src/journal.rs
+++ b/crates/soak/src/journal.rs
@@ -17,6 +17,19 @@
         is_complete: bool,
         /// Number of events that the request asked for, with ids from 1.
         expected: u64,
+        /// The event after which the caller took the stream up, or 0.
+        #[serde(default)]
+        after: u64,
+        /// Builds that wrote the events, each once.
+        #[serde(default)]
+        builds: Vec<Arc<str>>,
+        /// Whether only the close of the connection ended it, so that it is not known to be
+        /// complete.
+        #[serde(default)]
+        is_close_delimited: bool,
+        /// Whether it ended inside an event.
+        #[serde(default)]
+        ends_inside_event: bool,
     },
     /// No connection, so that nothing was sent.
     NotSent,
@@ -33,6 +46,9 @@
     pub request: Arc<str>,
     /// Whether the request may run more than once.
     pub may_repeat: bool,
+    /// The try that received the first event of the stream which this one takes up.
+    #[serde(default)]
+    pub resumes: Option<Arc<str>>,
     /// Route of the request.
     pub route: Arc<str>,
     /// Host that it was sent to.
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -14,9 +14,9 @@
 mod proxy;
 
 pub use checks::{
-    Bounds, Check, Finding, check_all, check_budget, check_config, check_drain, check_exposure,
-    check_limit, check_lost, check_order, check_refused, check_returns, check_route, check_serves,
-    check_twice,
+    Bounds, Check, Finding, check_all, check_budget, check_builds, check_config, check_drain,
+    check_exposure, check_limit, check_lost, check_order, check_refused, check_returns,
+    check_route, check_serves, check_twice,
 };
 pub use journal::{
     Arrival, Disturbance, DisturbanceKind, EndpointSpan, HostStop, Journal, Leaving, RolloutOrder,
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -166,6 +166,10 @@
     /// Whether endpoints have names of three bytes. Hash functions treat short inputs apart,
     /// and two endpoints of such names were once mistaken for each other.
     pub has_short_names: bool,
+    /// Whether endpoints of the pool of streams have two builds without a rollout.
+    pub has_two_builds: bool,
+    /// Successful responses without a length and chunks, in thousandths.
+    pub close_delimited_permille: u32,
 }
 
 impl Plan {
@@ -175,6 +179,9 @@
         const MAX_FAULT_MS: u64 = 5_000;
         const MAX_GAP_MS: u64 = 1_500;
         const SHORT_NAMES_RATIO: f64 = 0.05;
+        const TWO_BUILDS_RATIO: f64 = 0.5;
+        const CLOSE_DELIMITED_RATIO: f64 = 0.5;
+        const CLOSE_DELIMITED_PERMILLE: u32 = 300;
         let mut random = ChaCha8Rng::seed_from_u64(seed);
         let hosts = random.random_range(3..=8);
         let endpoints = random.random_range(6..=13);
@@ -205,6 +212,10 @@
             .random_bool(0.7)
             .then(|| draw_rollout(&mut random, shape));
         let config_at_ms = random.random_range(shape.from_ms..shape.until_ms);
+        let has_short_names = random.random_bool(SHORT_NAMES_RATIO);
+        // Drawn last, so that seeds keep what they drew before.
+        let draws_two_builds = random.random_bool(TWO_BUILDS_RATIO);
+        let is_close_delimited = random.random_bool(CLOSE_DELIMITED_RATIO);
         Self {
             seed,
             hosts,
@@ -212,7 +223,13 @@
             faults,
             rollout,
             config_at_ms,
-            has_short_names: random.random_bool(SHORT_NAMES_RATIO),
+            has_short_names,
+            has_two_builds: draws_two_builds && !rollout.is_some_and(|order| order.is_of_streams),
+            close_delimited_permille: if is_close_delimited {
+                CLOSE_DELIMITED_PERMILLE
+            } else {
+                0
+            },
         }
     }
 }
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -28,6 +28,7 @@
         id: id.into(),
         request: id.split('.').next().unwrap_or_default().into(),
         may_repeat: false,
+        resumes: None,
         route: "pay".into(),
         host: 0,
         is_direct: true,
@@ -174,17 +175,114 @@
     ]);
 }
 
+fn stream_end(events: &[u64], is_complete: bool) -> TryEnd {
+    TryEnd::Stream {
+        events: events.to_vec(),
+        is_complete,
+        expected: 3,
+        after: 0,
+        builds: vec!["v1".into()],
+        is_close_delimited: false,
+        ends_inside_event: false,
+    }
+}
+
+#[gtest]
+fn check_builds_reads_all_tries_of_a_stream() {
+    let attempt_of = |id: &str, resumes: Option<&str>, builds: &[&str]| {
+        let mut end = stream_end(&[1, 2], false);
+        if let TryEnd::Stream { builds: wrote, .. } = &mut end {
+            *wrote = builds.iter().map(|build| (*build).into()).collect();
+        }
+        Try {
+            resumes: resumes.map(Into::into),
+            ..attempt(id, 100, end)
+        }
+    };
+    let tries = |second: Option<&str>, builds: &[&str]| {
+        let tries = vec![
+            attempt_of("r1.0", None, &["v1"]),
+            attempt_of("r1.1", second, builds),
+        ];
+        journal(tries, vec![])
+    };
+    run_cases(vec![
+        (
+            "one response",
+            Check::Order,
+            true,
+            tries(None, &["v1", "v2"]),
+        ),
+        (
+            "two tries",
+            Check::Order,
+            true,
+            tries(Some("r1.0"), &["v2"]),
+        ),
+        (
+            "same build",
+            Check::Order,
+            false,
+            tries(Some("r1.0"), &["v1"]),
+        ),
+        ("begun anew", Check::Order, false, tries(None, &["v2"])),
+        ("no event", Check::Order, false, tries(Some("r1.0"), &[])),
+    ]);
+}
+
 #[gtest]
 fn check_order_reads_the_ids_of_events() {
     let stream = |events: &[u64], is_complete| {
-        let end = TryEnd::Stream {
-            events: events.to_vec(),
-            is_complete,
-            expected: 3,
-        };
+        journal(
+            vec![attempt("r1.0", 100, stream_end(events, is_complete))],
+            vec![],
+        )
+    };
+    let close_delimited = |events: &[u64], is_complete, is_inside| {
+        let mut end = stream_end(events, is_complete);
+        if let TryEnd::Stream {
+            is_close_delimited,
+            ends_inside_event,
+            ..
+        } = &mut end
+        {
+            (*is_close_delimited, *ends_inside_event) = (true, is_inside);
+        }
+        journal(vec![attempt("r1.0", 100, end)], vec![])
+    };
+    let taken_up = |events: &[u64]| {
+        let mut end = stream_end(events, true);
+        if let TryEnd::Stream { after, .. } = &mut end {
+            *after = 1;
+        }
         journal(vec![attempt("r1.0", 100, end)], vec![])
     };
     run_cases(vec![
+        (
+            "closed after an event",
+            Check::Order,
+            false,
+            close_delimited(&[1, 2], true, false),
+        ),
+        (
+            "closed inside an event",
+            Check::Order,
+            true,
+            close_delimited(&[1, 2], true, true),
+        ),
+        (
+            "reset inside an event",
+            Check::Order,
+            false,
+            close_delimited(&[1, 2], false, true),
+        ),
+        ("taken up", Check::Order, false, taken_up(&[2, 3])),
+        (
+            "taken up too early",
+            Check::Order,
+            true,
+            taken_up(&[1, 2, 3]),
+        ),
         ("missing", Check::Order, true, stream(&[1, 3], false)),
         (
             "duplicated",
