--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -510,7 +510,11 @@
         });
         let lost = ended.filter(|attempt| match attempt.end {
             TryEnd::Lost => true,
-            TryEnd::Stream { is_complete, .. } => !is_complete,
+            TryEnd::Stream {
+                is_complete,
+                has_left,
+                ..
+            } => !is_complete && !has_left,
             TryEnd::Status(_) | TryEnd::NotSent => false,
         });
         lost.map(|attempt| {
@@ -602,7 +606,11 @@
 fn is_served(end: &TryEnd) -> bool {
     match end {
         TryEnd::Status(status) => (200..300).contains(status),
-        TryEnd::Stream { is_complete, .. } => *is_complete,
+        TryEnd::Stream {
+            is_complete,
+            has_left,
+            ..
+        } => *is_complete || *has_left,
         TryEnd::NotSent | TryEnd::Lost => false,
     }
 }
--- a/crates/soak/src/journal.rs
+++ b/crates/soak/src/journal.rs
@@ -30,6 +30,9 @@
         /// Whether it ended inside an event.
         #[serde(default)]
         ends_inside_event: bool,
+        /// Whether the caller closed the connection, to take the stream up elsewhere.
+        #[serde(default)]
+        has_left: bool,
     },
     /// No connection, so that nothing was sent.
     NotSent,
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -184,6 +184,7 @@
         builds: vec!["v1".into()],
         is_close_delimited: false,
         ends_inside_event: false,
+        has_left: false,
     }
 }
 
