--- a/crates/gateway/src/stream_origins.rs
+++ b/crates/gateway/src/stream_origins.rs
@@ -323,7 +323,7 @@
     }
 
     /// The only origin that a stream of a route can have: its pool had no other build for as
-    /// long as a stream may be taken up.
+    /// long as a stream may be taken up, as far as this host knows since it started.
     fn only_origin(&self, route: &Route) -> Option<KnownOrigin> {
         let [backend] = route.backends.as_slice() else {
             return None;
--- a/crates/gateway/tests/gateway/body_framing.rs
+++ b/crates/gateway/tests/gateway/body_framing.rs
@@ -58,7 +58,7 @@
     }
 }
 
-/// Guards against lost answers behind callers of HTTP/1.0.
+/// Guards against callers of HTTP/1.0 that see a reset behind a whole close-delimited response.
 #[tokio::test]
 async fn close_delimited_responses_reach_callers_of_http_1_0() {
     let answer = FramedAnswer::closed(Framing::Close, &events(0..=2));
@@ -140,8 +140,8 @@
     }
 }
 
-/// Guards against events that a stream loses, gets twice or gets with a mark between them as
-/// it goes on at an endpoint with another framing.
+/// Guards against a resumed stream that ends as complete although its last endpoint only closed
+/// the connection, and against byte-order marks between its events.
 #[tokio::test]
 async fn resumed_streams_end_as_the_weakest_framing_allows() {
     const MARK: &[u8] = b"\xef\xbb\xbf";
@@ -223,7 +223,7 @@
     }
 }
 
-/// Guards against a stream closed inside an event that counts as a completed run.
+/// Guards against a stream closed inside an event that is recorded as a success.
 #[tokio::test]
 async fn close_inside_an_event_counts_against_the_endpoint() {
     let gateway = gateway_with(FramedAnswer::closed(Framing::Close, &cut_events())).await;
@@ -276,7 +276,7 @@
     }
 }
 
-/// Guards against a kept connection to a caller that a close-delimited response would delay.
+/// Guards against closing callers' connections behind responses that have a length.
 #[tokio::test]
 async fn close_delimited_responses_cost_other_callers_no_connection() {
     let gateway = TestGateway::with_endpoints(2, Behaviour::Answer).await;
