--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -98,6 +98,13 @@
         Repeatable::of(self.route.kind)
     }
 
+    /// Short hashes of the prompt's parts that other requests share. The last part belongs to
+    /// the request or its session.
+    pub(crate) fn blamable_parts(&self) -> &[u32] {
+        let has_shared = self.head.prefix.len() > 1;
+        if has_shared { &self.shared_parts } else { &[] }
+    }
+
     /// The caller's organisation, if known.
     pub(crate) fn organisation(&self) -> Option<&OrganisationId> {
         self.caller.as_ref().map(|caller| &caller.organisation)
--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -141,6 +141,15 @@
     serializer.collect_str(value)
 }
 
+/// Prompt parts listed in one line.
+const MAX_LOGGED_PARTS: usize = 16;
+
+/// The first hashes of prompt parts in hexadecimal.
+fn as_part_digits<S: Serializer>(parts: &[u32], serializer: S) -> Result<S::Ok, S::Error> {
+    let parts = parts.iter().take(MAX_LOGGED_PARTS);
+    serializer.collect_seq(parts.map(|part| format!("{part:08x}")))
+}
+
 /// How a pull of missing state from another host ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -345,11 +354,18 @@
         found: &'a str,
     },
     /// An endpoint crashed while it ran a request of this host; `crashes` are known for
-    /// this request.
+    /// this request. `parts` are the hashes of the prompt's shareable parts, and `has_begun`
+    /// says whether the head of the response had arrived.
     EndpointEnded {
         endpoint: &'a EndpointId,
         #[serde(serialize_with = "as_digits")]
         fingerprint: RequestFingerprint,
+        #[serde(
+            skip_serializing_if = "<[_]>::is_empty",
+            serialize_with = "as_part_digits"
+        )]
+        parts: &'a [u32],
+        has_begun: bool,
         ran_ms: u64,
         crashes: usize,
     },
--- a/crates/gateway/src/poison.rs
+++ b/crates/gateway/src/poison.rs
@@ -16,6 +16,7 @@
 };
 use tokio::sync::Notify;
 
+use crate::call::Call;
 use crate::edge::Refusal;
 use crate::event_log::Event;
 use crate::outage_log::OutageLog;
@@ -119,14 +120,18 @@
     /// crash on, the other hosts are informed at once; the first waits for the next round,
     /// so that the loss of a zone doesn't cause a round for each of its requests.
     ///
+    /// `has_begun` says whether the head of the response had arrived.
+    ///
     /// Returns whether only this host's path to the endpoint failed: another host still
     /// reaches it.
     pub(crate) async fn record_broken_attempt(
         &self,
-        request: RequestFingerprint,
+        call: &Call,
         endpoint: &Endpoint,
         broken: BrokenAttempt,
+        has_begun: bool,
     ) -> bool {
+        let request = call.fingerprint;
         let BrokenAttempt { end, ran_ms } = broken;
         let is_leaving = endpoint.state == HostState::Leaving;
         if end != AttemptOutcome::Broken || is_leaving {
@@ -161,6 +166,8 @@
         self.event_log.emit(&Event::EndpointEnded {
             endpoint: &endpoint.name,
             fingerprint: request,
+            parts: call.blamable_parts(),
+            has_begun,
             ran_ms,
             crashes,
         });
--- a/crates/gateway/src/progress/observations.rs
+++ b/crates/gateway/src/progress/observations.rs
@@ -65,10 +65,11 @@
         }
         let mut is_path_failure = false;
         if let Some(endpoint) = &self.last_endpoint {
-            let request = self.call.fingerprint;
+            let last = self.attempts.last();
+            let has_begun = last.is_some_and(|last| last.framing.is_some());
             is_path_failure = self
                 .shared
-                .record_broken_attempt(request, endpoint, broken)
+                .record_broken_attempt(&self.call, endpoint, broken, has_begun)
                 .await;
         }
         if matches!(end, AttemptOutcome::NotSent | AttemptOutcome::Broken) {
