Refuse requests with a prompt part under which endpoints crash

Cause: crashes were counted by whole requests. A part of a prompt crashes each endpoint that begins an answer on it, whatever else the request holds, so that each new request had a fingerprint of its own and none came to three.

Change: hosts observe answers by the shared parts of their prompts and exchange which ones were in use at a crash and which ones go on. An answer that its connection's close ends is checked for a crash while it is short.

Ruled out: endpoints that are overrun or just started (the first five had run for long and had free slots); repeats of whole requests alone.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -19,6 +19,7 @@
 };
 use crate::fleet::SelectedEndpoint;
 use crate::framing::BodyFraming;
+use crate::poison_parts::AnswerObservation;
 use crate::pool_queue::Lease;
 use crate::progress::Progress;
 use crate::shared::{InFlightGuard, Shared};
@@ -54,6 +55,8 @@
     pub(crate) answer: AnswerHead,
     pub(crate) framing: BodyFraming,
     pub(crate) sent_at: Instant,
+    /// The answer of an endpoint that this host reaches itself, if its prompt has shared parts.
+    pub(crate) observation: Option<AnswerObservation>,
 }
 
 impl OpenStream {
@@ -127,7 +130,11 @@
             return Err(failure);
         }
     };
-    let is_stream = matches!(call.route.kind, RouteKind::Stream { .. }) && head.status.is_success();
+    let is_success = head.status.is_success();
+    let observation = is_success
+        .then(|| AnswerObservation::begin(shared, call, start))
+        .flatten();
+    let is_stream = matches!(call.route.kind, RouteKind::Stream { .. }) && is_success;
     if is_stream {
         let now_ms = shared.clock.now_ms();
         let mut fleet = shared.fleet();
@@ -144,11 +151,15 @@
             answer,
             framing,
             sent_at: started_at,
+            observation,
         })));
     }
     progress.record_first_byte(started_at.elapsed());
     let buffered = buffer_response(shared, call, head, body, framing).await?;
     let is_close_delimited = framing == BodyFraming::CloseDelimited;
+    if let Some(observation) = observation {
+        shared.end_observation(observation, &choice.member.endpoint, framing);
+    }
     if !is_close_delimited {
         shared.record_completed_run(call.fingerprint);
     }
@@ -257,7 +268,8 @@
         if !connection.is_reused {
             shared.metrics.count("endpoint_connections_total", "", 1);
         }
-        if !may_still_send(shared, choice) {
+        let is_poison = shared.is_poison(call, shared.clock.now_ms());
+        if is_poison || !may_still_send(shared, choice) {
             shared.endpoint_connections.return_unused(connection);
             return Err(AttemptFailure::new(AttemptOutcome::Withdrawn));
         }
@@ -350,7 +362,7 @@
             .min(Instant::now() + HEALTH_RECHECK_INTERVAL);
         let answered = tokio::select! {
             answered = tokio::time::timeout_at(recheck_at, &mut answer) => answered,
-            () = shared.wait_until_poison(call.fingerprint) => return Err(AttemptOutcome::Recalled),
+            () = shared.wait_until_poison(&call) => return Err(AttemptOutcome::Recalled),
         };
         match answered {
             Ok(Ok(response)) => return Ok(response),
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -23,6 +23,8 @@
 ) -> Result<AttemptResponse, Refusal> {
     loop {
         shared.wait_for_view().await;
+        // Before the request waits for a slot, and again after it did.
+        progress.check_poison()?;
         let slot = wait_for_slot(shared, progress).await?;
         if slot.is_none() {
             progress.admit().await?;
--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -150,6 +150,10 @@
     serializer.collect_seq(parts.map(|part| format!("{part:08x}")))
 }
 
+fn as_part<S: Serializer>(part: &u32, serializer: S) -> Result<S::Ok, S::Error> {
+    serializer.collect_str(&format_args!("{part:08x}"))
+}
+
 /// How a pull of missing state from another host ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -377,6 +381,14 @@
         crashes: usize,
         from: &'a str,
     },
+    /// Requests with a prompt part are refused, or allowed again since answers on it go on.
+    PoisonPart {
+        #[serde(serialize_with = "as_part")]
+        part: u32,
+        is_poison: bool,
+        crashes: usize,
+        from: &'a str,
+    },
     /// Requests of a pool began or ceased to wait for slots that its scheduler grants.
     PoolContended {
         pool: &'a PoolId,
--- a/crates/gateway/src/forward/next_hop.rs
+++ b/crates/gateway/src/forward/next_hop.rs
@@ -348,9 +348,12 @@
     }
 
     fn record_chunk(&mut self) {
-        let Some(stream) = &self.stream else {
+        let Some(stream) = &mut self.stream else {
             return;
         };
+        if let Some(observation) = &mut stream.observation {
+            observation.record_bytes();
+        }
         let pause = self.received_at.elapsed();
         self.received_at = Instant::now();
         let progress = &mut self.serving.progress;
@@ -366,11 +369,15 @@
     }
 
     fn complete(&mut self) {
-        let Some(stream) = self.stream.take() else {
+        let Some(mut stream) = self.stream.take() else {
             return;
         };
         let serving = &mut self.serving;
         serving.is_complete = true;
+        if let Some(observation) = stream.observation.take() {
+            let framing = stream.framing;
+            serving.progress.end_observation(observation, framing);
+        }
         serving.progress.record_response_end(None);
         let shared = &serving.shared;
         if stream.framing != BodyFraming::CloseDelimited {
--- a/crates/gateway/src/forward/origin.rs
+++ b/crates/gateway/src/forward/origin.rs
@@ -171,6 +171,7 @@
             answer,
             framing,
             sent_at: started_at,
+            observation: None,
         })));
     }
     let buffered = buffer_response(shared, call, head, body, framing).await?;
@@ -312,7 +313,7 @@
         let recheck_at = call.deadline().min(Instant::now() + RECHECK_INTERVAL);
         let received = tokio::select! {
             received = tokio::time::timeout_at(recheck_at, &mut response) => received,
-            () = shared.wait_until_poison(call.fingerprint) => return Err(AttemptOutcome::Recalled),
+            () = shared.wait_until_poison(call) => return Err(AttemptOutcome::Recalled),
         };
         match received {
             Ok(Ok(response)) => return Ok(response),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -50,6 +50,7 @@
 mod outage_log;
 mod peers;
 mod poison;
+mod poison_parts;
 mod pool_queue;
 mod prefixes;
 mod progress;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -208,8 +208,12 @@
     metrics.gauge("endpoints_leaving", "", leaving as f64);
     let evacuated = fleet.evacuations.zones().len();
     metrics.gauge("evacuated_zones", "", evacuated as f64);
-    let poison = fleet.poison.poison_requests(usize::MAX, now_ms).len();
-    metrics.gauge("poison_requests", "", poison as f64);
+    let poison = fleet.poison.poison_requests(usize::MAX, now_ms);
+    metrics.gauge("poison_requests", "", poison.len() as f64);
+    let parts = poison
+        .iter()
+        .filter(|poison| poison.request.part().is_some());
+    metrics.gauge("poison_parts", "", parts.count() as f64);
     metrics.gauge("streams_remembered", "", shared.stream_origins.len() as f64);
     metrics.gauge("endpoints_version", "", fleet.endpoints_version.0 as f64);
     for (pool, count) in fleet.usage.over_share_counts() {
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -3,8 +3,9 @@
 use std::net::SocketAddr;
 
 use chalkrock_routing::{
-    AggregatePath, CacheEntry, Evacuations, HostReport, LimitReport, PoisonRequest, PoisonUpdate,
-    RulesVersion, SlotAsk, SlotReply, StoreVersion, SubscriptionRole, WorkReport, ZoneAggregate,
+    AggregatePath, CacheEntry, Evacuations, HostReport, LimitReport, PartUpdate, PoisonRequest,
+    PoisonUpdate, RulesVersion, SlotAsk, SlotReply, StoreVersion, SubscriptionRole, WorkReport,
+    ZoneAggregate,
 };
 use serde::{Deserialize, Serialize};
 
@@ -62,6 +63,8 @@
     StreamAsk(StreamAsk),
     /// Which build began a stream.
     StreamReply(StreamReply),
+    /// Crashes and answers that went on, by parts of prompts.
+    PoisonParts(Vec<PartUpdate>),
 }
 
 impl Datagram {
@@ -72,7 +75,7 @@
             Self::ZoneSummary(_) => ControlKind::ZoneSummary,
             Self::FarSum(_) => ControlKind::FarSum,
             Self::CacheEntries(_) => ControlKind::CacheEntries,
-            Self::Poison(_) => ControlKind::Poison,
+            Self::Poison(_) | Self::PoisonParts(_) => ControlKind::Poison,
             Self::RelaySummary(_) => ControlKind::RelaySummary,
             Self::FleetSum(_) => ControlKind::FleetSum,
             Self::Rollouts(_) | Self::RolloutPlans(_) => ControlKind::Rollouts,
--- a/crates/gateway/src/peers/publish.rs
+++ b/crates/gateway/src/peers/publish.rs
@@ -38,6 +38,9 @@
 /// Rejection limits in a datagram of about 1 KB.
 const LIMITS_PER_DATAGRAM: usize = 96;
 const POISON_UPDATES_PER_ROUND: usize = 60;
+/// Size of the updates about parts of prompts in one datagram, and datagrams of them in a round.
+const PART_UPDATE_BYTES: usize = 1_100;
+const PART_DATAGRAMS_PER_ROUND: usize = 3;
 const ENTRY_DATAGRAMS_PER_ROUND: usize = 3;
 /// Datagrams of an aggregate in a round; a larger aggregate is sent less often.
 const AGGREGATE_DATAGRAMS_PER_ROUND: usize = 4;
@@ -227,6 +230,14 @@
     aggregate_chunks: Vec<Datagram>,
 }
 
+impl RoundDatagrams {
+    fn push_to_all(&mut self, datagram: &Datagram) {
+        for datagrams in [&mut self.to_peers, &mut self.to_relays, &mut self.to_zone] {
+            datagrams.push(datagram.clone());
+        }
+    }
+}
+
 fn build_datagrams(
     shared: &Shared,
     peers: &PeerTable,
@@ -236,6 +247,7 @@
     shared.expire_endpoint_reports();
     shared.expire_over_shares();
     shared.log_slowness_changes();
+    shared.review_poison_parts();
     let now_ms = shared.clock.now_ms();
     let rules = shared.rules.version();
     let mut fleet = shared.fleet();
@@ -276,17 +288,18 @@
     let relayed = || cache_entries(peers.zone, AggregatePath::Relayed, &pending.same_zone);
     datagrams.to_peers.extend(local_entries());
     if !poison_updates.is_empty() {
-        let update = Datagram::Poison(poison_updates);
-        datagrams.to_peers.push(update.clone());
-        datagrams.to_relays.push(update.clone());
-        datagrams.to_zone.push(update);
+        datagrams.push_to_all(&Datagram::Poison(poison_updates));
+    }
+    for _ in 0..PART_DATAGRAMS_PER_ROUND {
+        let updates = fleet.poison.take_part_updates(PART_UPDATE_BYTES, now_ms);
+        if updates.is_empty() {
+            break;
+        }
+        datagrams.push_to_all(&Datagram::PoisonParts(updates));
     }
     let limits = fleet.rejection_limits.reports(LIMITS_PER_DATAGRAM, now_ms);
     if !limits.is_empty() {
-        let limits = Datagram::RejectionLimits(limits);
-        datagrams.to_peers.push(limits.clone());
-        datagrams.to_relays.push(limits.clone());
-        datagrams.to_zone.push(limits);
+        datagrams.push_to_all(&Datagram::RejectionLimits(limits));
     }
     let sender = UsageSender {
         zone: peers.zone,
--- a/crates/gateway/src/peers/receive.rs
+++ b/crates/gateway/src/peers/receive.rs
@@ -60,6 +60,9 @@
             Datagram::FarSum(sum) => merge_remote_zone(&shared, &peers, address, sum),
             Datagram::CacheEntries(entries) => merge_cache_entries(&shared, &peers, &entries),
             Datagram::Poison(update) => shared.merge_poison_updates(&update, peers.is_relay()),
+            Datagram::PoisonParts(updates) => {
+                shared.merge_part_updates(&updates, peers.is_relay());
+            }
             Datagram::RelaySummary(summary) => {
                 merge_relay_summary(&shared, &peers, address, &summary)
             }
--- a/crates/gateway/src/poison.rs
+++ b/crates/gateway/src/poison.rs
@@ -11,8 +11,8 @@
 
 use chalkrock_core::{Endpoint, HostState, Reason};
 use chalkrock_routing::{
-    AttemptOutcome, POISON_RETENTION_MS, PoisonRequest, PoisonUpdate, PoisonVerdict,
-    RequestFingerprint,
+    AttemptOutcome, POISON_RETENTION_MS, PoisonEvidence, PoisonRequest, PoisonUpdate,
+    PoisonVerdict, RequestFingerprint,
 };
 use tokio::sync::Notify;
 
@@ -97,33 +97,75 @@
 }
 
 impl Shared {
-    /// Refuses a poison request.
-    pub(crate) fn refuse_poison(&self, request: RequestFingerprint) -> Result<(), Refusal> {
+    /// Refuses a poison request, and one whose prompt has a poison part.
+    pub(crate) fn refuse_poison(&self, call: &Call) -> Result<(), Refusal> {
         let now_ms = self.clock.now_ms();
         let mut fleet = self.fleet();
-        let Some(left_ms) = fleet.poison.remaining_ms(request, now_ms) else {
+        let poison = &mut fleet.poison;
+        let Some((request, left_ms)) = find_poison(poison, call, now_ms) else {
             return Ok(());
         };
-        fleet.poison.record_repeat(request, now_ms);
-        let crashes = fleet.poison.crashes(request);
+        poison.record_repeat(request, now_ms);
+        let crashes = poison.crashes(request);
         drop(fleet);
-        self.metrics.count("poison_refused_total", "", 1);
-        let detail = format!("{request}: endpoints ended under it, {crashes} known here");
+        let detail = match request.part() {
+            Some(part) => {
+                self.metrics.count("poison_parts_refused_total", "", 1);
+                let mut parts = call.blamable_parts().iter();
+                let position = parts.position(|other| *other == part).unwrap_or_default();
+                format!(
+                    "part {} of the prompt, {part:08x}: endpoints ended under requests with it, \
+                     {crashes} known here",
+                    position + 1
+                )
+            }
+            None => {
+                self.metrics.count("poison_refused_total", "", 1);
+                format!("{request}: endpoints ended under it, {crashes} known here")
+            }
+        };
         Err(Refusal {
             retry_after_ms: Some(left_ms),
             ..Refusal::new(Reason::PoisonRequest, detail)
         })
     }
 
-    /// Checks whether the endpoint of a broken attempt has crashed, and records that
-    /// against the request. A leaving endpoint is expected to terminate. From the second
-    /// crash on, the other hosts are informed at once; the first waits for the next round,
-    /// so that the loss of a zone doesn't cause a round for each of its requests.
+    /// Checks whether an endpoint has crashed after a connection to it broke; `None` if only
+    /// this host's path to it failed: another host still reaches it.
     ///
-    /// `has_begun` says whether the head of the response had arrived.
+    /// A leaving endpoint is expected to terminate, and one that had to reject too many
+    /// requests fails for that reason.
+    pub(crate) async fn has_crashed(&self, endpoint: &Endpoint) -> Option<bool> {
+        if endpoint.state == HostState::Leaving {
+            return Some(false);
+        }
+        let start = endpoint.start_hash().short();
+        let checks = &self.termination_checks;
+        if !checks.has_terminated(start, endpoint.address).await {
+            return Some(false);
+        }
+        let since_ms = self.clock.now_ms().saturating_sub(OVERLOAD_WINDOW_MS);
+        let is_overloaded = self
+            .fleet()
+            .rejection_limits
+            .has_rejected_since(start, since_ms);
+        if is_overloaded {
+            return Some(false);
+        }
+        if self.is_reached_by_others(start).await {
+            self.metrics.count("path_failures_total", "", 1);
+            return None;
+        }
+        Some(true)
+    }
+
+    /// Checks whether the endpoint of a broken attempt has crashed, and records that
+    /// against the request and the parts of its prompt. From the second crash on, the other
+    /// hosts are informed at once; the first waits for the next round, so that the loss of a
+    /// zone doesn't cause a round for each of its requests. `has_begun` says whether the head
+    /// of the response had arrived.
     ///
-    /// Returns whether only this host's path to the endpoint failed: another host still
-    /// reaches it.
+    /// Returns whether only this host's path to the endpoint failed.
     pub(crate) async fn record_broken_attempt(
         &self,
         call: &Call,
@@ -133,31 +175,16 @@
     ) -> bool {
         let request = call.fingerprint;
         let BrokenAttempt { end, ran_ms } = broken;
-        let is_leaving = endpoint.state == HostState::Leaving;
-        if end != AttemptOutcome::Broken || is_leaving {
+        if end != AttemptOutcome::Broken {
             return false;
         }
-        let start = endpoint.start_hash().short();
-        if !self
-            .termination_checks
-            .has_terminated(start, endpoint.address)
-            .await
-        {
-            return false;
-        }
-        let since_ms = self.clock.now_ms().saturating_sub(OVERLOAD_WINDOW_MS);
-        if self
-            .fleet()
-            .rejection_limits
-            .has_rejected_since(start, since_ms)
-        {
-            // It failed because it had to reject too many requests.
-            return false;
-        }
-        if self.is_reached_by_others(start).await {
-            self.metrics.count("path_failures_total", "", 1);
-            return true;
+        match self.has_crashed(endpoint).await {
+            Some(true) => {}
+            Some(false) => return false,
+            None => return true,
         }
+        let start = endpoint.start_hash().short();
+        self.record_endpoint_crash(start);
         let now_ms = self.clock.now_ms();
         let mut fleet = self.fleet();
         let verdict = fleet.poison.record_crash(request, start, ran_ms, now_ms);
@@ -180,17 +207,22 @@
 
     /// Waits until a request is confirmed as a poison request. The caller then withdraws it
     /// from an endpoint that has not begun to answer, which it would crash as well.
-    pub(crate) async fn wait_until_poison(&self, request: RequestFingerprint) {
+    pub(crate) async fn wait_until_poison(&self, call: &Call) {
         loop {
             let confirmed = self.poison_confirmed.notified();
             let now_ms = self.clock.now_ms();
-            if self.fleet().poison.is_poison(request, now_ms) {
+            if self.is_poison(call, now_ms) {
                 return;
             }
             confirmed.await;
         }
     }
 
+    /// Whether a request is refused as poison.
+    pub(crate) fn is_poison(&self, call: &Call, now_ms: u64) -> bool {
+        find_poison(&self.fleet().poison, call, now_ms).is_some()
+    }
+
     /// Records that a request completed.
     pub(crate) fn record_completed_run(&self, request: RequestFingerprint) {
         let now_ms = self.clock.now_ms();
@@ -229,7 +261,12 @@
         }
     }
 
-    fn apply_verdicts(&self, verdicts: impl IntoIterator<Item = PoisonVerdict>, from: &str) {
+    /// Logs changed verdicts, records them and wakes the requests that they concern.
+    pub(crate) fn apply_verdicts(
+        &self,
+        verdicts: impl IntoIterator<Item = PoisonVerdict>,
+        from: &str,
+    ) {
         for verdict in verdicts {
             let (fingerprint, is_poison) = match verdict {
                 PoisonVerdict::Poison { request, records } => {
@@ -247,6 +284,15 @@
                 }
             };
             let crashes = self.fleet().poison.crashes(fingerprint);
+            if let Some(part) = fingerprint.part() {
+                self.event_log.emit(&Event::PoisonPart {
+                    part,
+                    is_poison,
+                    crashes,
+                    from,
+                });
+                continue;
+            }
             self.event_log.emit(&Event::Poison {
                 fingerprint,
                 is_poison,
@@ -257,6 +303,18 @@
     }
 }
 
+/// What makes a request poison, and how much longer: its content or a part of its prompt.
+fn find_poison(
+    poison: &PoisonEvidence,
+    call: &Call,
+    now_ms: u64,
+) -> Option<(RequestFingerprint, u64)> {
+    let parts = call.blamable_parts().iter();
+    let by_part = parts.map(|part| RequestFingerprint::of_part(*part));
+    let mut all = std::iter::once(call.fingerprint).chain(by_part);
+    all.find_map(|request| Some((request, poison.remaining_ms(request, now_ms)?)))
+}
+
 /// Reads and writes records of poison requests in the store until the process ends.
 pub(crate) async fn sync_poison_records<S: Source>(shared: Arc<Shared>, source: Arc<S>) {
     let mut outage = OutageLog::new("platform-poison");
--- a/crates/gateway/src/progress/admission.rs
+++ b/crates/gateway/src/progress/admission.rs
@@ -193,7 +193,7 @@
     /// Refuses a poison request. The refusal reports it as not run only if it was
     /// not sent before.
     pub(crate) fn check_poison(&self) -> Result<(), Refusal> {
-        let poison = self.shared.refuse_poison(self.call.fingerprint);
+        let poison = self.shared.refuse_poison(&self.call);
         poison.map_err(|refusal| match self.worst_outcome {
             Outcome::NotRun => refusal,
             Outcome::Ran | Outcome::Unknown => Refusal::new(Reason::EndpointLost, refusal.detail),
--- a/crates/gateway/src/progress/observations.rs
+++ b/crates/gateway/src/progress/observations.rs
@@ -11,6 +11,7 @@
 use crate::event_log::Event;
 use crate::framing::BodyFraming;
 use crate::poison::BrokenAttempt;
+use crate::poison_parts::AnswerObservation;
 use crate::progress::Progress;
 use crate::shared::Shared;
 
@@ -111,6 +112,13 @@
         });
     }
 
+    /// Records the end of an answer that is observed by the parts of its prompt.
+    pub(crate) fn end_observation(&self, observation: AnswerObservation, framing: BodyFraming) {
+        if let Some(endpoint) = &self.last_endpoint {
+            self.shared.end_observation(observation, endpoint, framing);
+        }
+    }
+
     /// Records the time between two chunks of a stream.
     pub(crate) fn record_pause(&mut self, pause: Duration) {
         if let Some(record) = self.attempts.last_mut() {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -185,6 +185,9 @@
                         self.progress.record_event_interval(interval);
                     }
                     if let Ok(bytes) = frame.into_data() {
+                        if let Some(observation) = &mut stream.observation {
+                            observation.record_bytes();
+                        }
                         self.position.push(&bytes);
                         if !stream.is_forwarded {
                             let now_ms = self.shared.clock.now_ms();
@@ -305,9 +308,12 @@
 
     /// Records that the endpoint ended the stream.
     fn record_stream_end(&mut self, is_close_delimited: bool) {
-        let Some(stream) = self.stream.take() else {
+        let Some(mut stream) = self.stream.take() else {
             return;
         };
+        if let Some(observation) = stream.observation.take() {
+            self.progress.end_observation(observation, stream.framing);
+        }
         if !is_close_delimited {
             self.shared.record_completed_run(self.call.fingerprint);
         }
--- a/crates/gateway/src/suspension.rs
+++ b/crates/gateway/src/suspension.rs
@@ -94,6 +94,7 @@
         self.subscription
             .record_suspension(ms(suspension.duration_ms), ms(suspension.uncounted_ms));
         self.endpoint_connections.close_all();
+        self.fleet().poison.forget_runs();
         self.event_log.emit(&Event::Paused {
             length_ms: suspension.duration_ms,
             uncounted_ms: suspension.uncounted_ms,
--- a/crates/routing/src/fingerprint.rs
+++ b/crates/routing/src/fingerprint.rs
@@ -60,6 +60,27 @@
     }
 }
 
+/// Marks fingerprints that stand for a part of prompts.
+const PART_MARK: u64 = 0x7061_7274;
+
+impl RequestFingerprint {
+    /// The fingerprint that stands for all requests whose prompts hold a part, by the short
+    /// hash of the part. One request in 2^32 has a fingerprint of this form by chance.
+    pub fn of_part(part: u32) -> Self {
+        Self(PART_MARK << u32::BITS | u64::from(part))
+    }
+
+    /// The part that it stands for, if any.
+    pub fn part(&self) -> Option<u32> {
+        (self.0 >> u32::BITS == PART_MARK).then_some(self.0 as u32)
+    }
+
+    /// Its lower half, which tells requests apart in messages between hosts.
+    pub fn short(&self) -> u32 {
+        self.0 as u32
+    }
+}
+
 impl fmt::Display for RequestFingerprint {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:016x}", self.0)
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -114,8 +114,8 @@
 pub use in_flight::{EndpointCount, MAX_REPORT_AGE_MS, REPORT_INTERVAL_MS};
 pub use pause::{ClockReading, Suspension, detect_suspension};
 pub use poison::{
-    LONG_RUN_MS, MAX_CRASHES, POISON_RETENTION_MS, PoisonEvidence, PoisonRequest, PoisonUpdate,
-    PoisonVerdict,
+    LONG_RUN_MS, MAX_CRASHES, MAX_OBSERVED_PARTS, POISON_RETENTION_MS, PartUpdate, PartUse,
+    PoisonEvidence, PoisonRequest, PoisonUpdate, PoisonVerdict, RunId, SURVIVAL_MS,
 };
 pub use pool_queue::{
     AdmissionGate, AskOutcome, EndpointStatus, Grant, HeldLease, LEASE_MS, MAX_GATES_PER_REPLY,
--- a/crates/routing/src/poison.rs
+++ b/crates/routing/src/poison/mod.rs
@@ -8,11 +8,23 @@
 //! A completed run clears a request. This keeps requests whose fingerprint repeats
 //! often, such as calls without a body, from being rejected because they run at every
 //! crash.
+//!
+//! Requests that share nothing but a part of their prompts are counted by that part, see
+//! [`parts`]. A poison part is rejected, exchanged and recorded like a poison request, under
+//! [`RequestFingerprint::of_part`], and the crashes that it explains no longer count against
+//! the requests that were there.
+
+mod part_verdicts;
+mod parts;
+mod runs;
 
 use std::collections::{HashMap, HashSet, VecDeque};
 
 use serde::{Deserialize, Serialize};
 
+use self::parts::PartEvidence;
+pub use self::parts::{MAX_OBSERVED_PARTS, PartUpdate, PartUse, SURVIVAL_MS};
+pub use self::runs::RunId;
 use crate::fingerprint::RequestFingerprint;
 
 /// Crashes after which a request is rejected. Two would reject requests that were only
@@ -91,6 +103,9 @@
     /// Whether this host saw one of the crashes itself.
     is_local: bool,
     until_ms: u64,
+    /// Until when other hosts' verdicts are ignored: they may not know yet that a poison part
+    /// explains the crashes.
+    ignores_verdicts_until_ms: u64,
 }
 
 impl Suspect {
@@ -169,6 +184,7 @@
     /// Oldest first, for eviction.
     completion_order: VecDeque<RequestFingerprint>,
     pending: VecDeque<Pending>,
+    parts: PartEvidence,
 }
 
 impl PoisonEvidence {
@@ -261,6 +277,9 @@
         let mut verdicts = Vec::new();
         for poison in poison_requests {
             let request = poison.request;
+            if self.contradicts_part(request, now_ms) {
+                continue;
+            }
             if self.completed.contains(&request) {
                 // The sender has not received the completion.
                 self.queue_update(PoisonUpdate::RanWell(request), now_ms);
@@ -268,6 +287,9 @@
             }
             let until_ms = now_ms + u64::from(poison.left_ms);
             let suspect = self.suspect(request, now_ms);
+            if now_ms < suspect.ignores_verdicts_until_ms {
+                continue;
+            }
             let is_new = !suspect.is_poison;
             suspect.is_poison = true;
             suspect.until_ms = suspect.until_ms.max(until_ms);
@@ -289,8 +311,11 @@
         (suspect.is_poison && left_ms > 0).then_some(left_ms)
     }
 
-    /// Known crashes under a request.
+    /// Known crashes under a request, or under requests with a part.
     pub fn crashes(&self, request: RequestFingerprint) -> usize {
+        if let Some(part) = request.part() {
+            return self.parts.crashes(part);
+        }
         let suspect = self.suspects.get(&request);
         suspect.map_or(0, |suspect| suspect.starts.len())
     }
@@ -355,6 +380,9 @@
             self.queue_update(PoisonUpdate::RanWell(request), now_ms);
             return None;
         }
+        if self.parts.is_explained(crash.start) {
+            return None;
+        }
         let suspect = self.suspect(request, now_ms);
         suspect.is_local |= is_local;
         suspect.until_ms = now_ms + POISON_RETENTION_MS;
@@ -377,6 +405,7 @@
             is_poison: false,
             is_local: false,
             until_ms: now_ms,
+            ignores_verdicts_until_ms: 0,
         })
     }
 
--- /dev/null
+++ b/crates/routing/tests/poison_parts.rs
@@ -0,0 +1,459 @@
+//! Poison parts: which parts of prompts are blamed for the crashes of endpoints.
+
+use std::sync::Arc;
+
+use chalkrock_routing::{
+    MAX_OBSERVED_PARTS, PartUpdate, PartUse, PoisonEvidence, PoisonRequest, PoisonVerdict,
+    RequestFingerprint, SURVIVAL_MS,
+};
+use googletest::prelude::*;
+
+const POISON: u32 = 666;
+const SOUND: u32 = 1;
+/// Time between two crashes, unless a case says otherwise.
+const STEP_MS: u64 = 300;
+/// Size of the updates that a host takes at once.
+const UPDATE_BYTES: usize = 1_100;
+
+/// One host with a clock.
+#[derive(Default)]
+struct Host {
+    evidence: PoisonEvidence,
+    now_ms: u64,
+    next_start: u32,
+    next_request: u64,
+}
+
+impl Host {
+    fn new() -> Self {
+        Self {
+            now_ms: 100_000,
+            ..Self::default()
+        }
+    }
+
+    fn request(&mut self) -> RequestFingerprint {
+        self.next_request += 1;
+        RequestFingerprint(self.next_request)
+    }
+
+    /// Begins an answer at the endpoint that crashes next.
+    fn begin(&mut self, request: RequestFingerprint, parts: &[u32]) {
+        let run = { &mut self.evidence }.begin_run(self.next_start, request, Arc::from(parts));
+        assert_that!(run.is_some(), eq(true));
+    }
+
+    /// Begins an answer of a new request.
+    fn begin_new(&mut self, parts: &[u32]) {
+        let request = self.request();
+        self.begin(request, parts);
+    }
+
+    /// Crashes the endpoint of the answers begun last, and waits.
+    fn crash(&mut self) -> Vec<PoisonVerdict> {
+        self.evidence
+            .record_endpoint_crash(self.next_start, self.now_ms);
+        self.next_start += 1;
+        self.wait(STEP_MS)
+    }
+
+    /// Lets an answer of a new request on another endpoint go on.
+    fn survive(&mut self, parts: &[u32]) -> Vec<PoisonVerdict> {
+        const OTHER_START: u32 = u32::MAX;
+        let request = self.request();
+        let run = { &mut self.evidence }.begin_run(OTHER_START, request, Arc::from(parts));
+        self.now_ms += SURVIVAL_MS;
+        let run = run.expect("a run");
+        self.evidence.record_survival(run, self.now_ms)
+    }
+
+    fn wait(&mut self, time_ms: u64) -> Vec<PoisonVerdict> {
+        self.now_ms += time_ms;
+        self.evidence.review_parts(self.now_ms)
+    }
+
+    fn is_poison(&self, part: u32) -> bool {
+        let request = RequestFingerprint::of_part(part);
+        self.evidence.is_poison(request, self.now_ms)
+    }
+
+    /// Sends what this host has to send to another one.
+    fn send_to(&mut self, other: &mut Host, forwards: bool) -> Vec<PoisonVerdict> {
+        let updates = { &mut self.evidence }.take_part_updates(UPDATE_BYTES, self.now_ms);
+        other.evidence.merge_parts(&updates, forwards, other.now_ms)
+    }
+
+    fn verdict_on(&self, part: u32) -> Vec<PoisonRequest> {
+        let request = RequestFingerprint::of_part(part);
+        vec![PoisonRequest {
+            request,
+            left_ms: 600_000,
+        }]
+    }
+}
+
+/// What ran at an endpoint that crashed.
+#[derive(Clone, Copy)]
+enum Ran {
+    /// A new request for each list of parts.
+    New(&'static [&'static [u32]]),
+    /// The same request each time, with the poison part.
+    Repeat,
+    /// Nothing that had begun.
+    Nothing,
+}
+
+struct Case {
+    name: &'static str,
+    /// Parts on which an answer went on before the first crash.
+    sound: &'static [u32],
+    crashes: &'static [Ran],
+    /// Parts that are poison after the crashes.
+    poison: &'static [u32],
+}
+
+const BESIDE: Ran = Ran::New(&[&[SOUND, POISON], &[SOUND, 2], &[SOUND, 3]]);
+const ALONE: Ran = Ran::New(&[&[POISON]]);
+
+#[test]
+fn find_poison_table() {
+    let cases = [
+        Case {
+            name: "two crashes are too few",
+            sound: &[SOUND, 2, 3],
+            crashes: &[BESIDE; 2],
+            poison: &[],
+        },
+        Case {
+            name: "three crashes under different requests",
+            sound: &[SOUND, 2, 3],
+            crashes: &[BESIDE; 3],
+            poison: &[POISON],
+        },
+        Case {
+            name: "repeats of one request",
+            sound: &[],
+            crashes: &[Ran::Repeat; 8],
+            poison: &[],
+        },
+        Case {
+            name: "repeats count half beside another request",
+            sound: &[],
+            crashes: &[Ran::Repeat, Ran::Repeat, Ran::Repeat, ALONE],
+            poison: &[POISON],
+        },
+        Case {
+            name: "a part that is always there and sound",
+            sound: &[SOUND],
+            crashes: &[Ran::New(&[&[SOUND]]); 7],
+            poison: &[],
+        },
+        Case {
+            name: "a part that turned bad",
+            sound: &[POISON],
+            crashes: &[ALONE; 8],
+            poison: &[POISON],
+        },
+        Case {
+            name: "a new part beside the poison part, once missing",
+            sound: &[],
+            crashes: &[
+                Ran::New(&[&[4, POISON]]),
+                Ran::New(&[&[4, POISON]]),
+                ALONE,
+                ALONE,
+            ],
+            poison: &[POISON],
+        },
+        Case {
+            name: "parts that can't be told apart yet",
+            sound: &[],
+            crashes: &[Ran::New(&[&[4, POISON]]); 4],
+            poison: &[],
+        },
+        Case {
+            name: "two poison parts in turn",
+            sound: &[SOUND],
+            crashes: &[
+                ALONE,
+                Ran::New(&[&[SOUND, 667]]),
+                ALONE,
+                Ran::New(&[&[SOUND, 667]]),
+                ALONE,
+                Ran::New(&[&[SOUND, 667]]),
+                ALONE,
+                Ran::New(&[&[SOUND, 667]]),
+            ],
+            poison: &[POISON, 667],
+        },
+        Case {
+            name: "a part at a quarter of many crashes",
+            sound: &[],
+            crashes: &[
+                Ran::New(&[&[5]]),
+                Ran::Nothing,
+                Ran::Nothing,
+                Ran::Nothing,
+                Ran::New(&[&[5]]),
+                Ran::Nothing,
+                Ran::Nothing,
+                Ran::Nothing,
+                Ran::New(&[&[5]]),
+                Ran::Nothing,
+                Ran::Nothing,
+                Ran::Nothing,
+            ],
+            poison: &[],
+        },
+    ];
+    for case in cases {
+        let mut host = Host::new();
+        if !case.sound.is_empty() {
+            host.survive(case.sound);
+            host.wait(1);
+        }
+        let repeated = host.request();
+        for ran in case.crashes {
+            match ran {
+                Ran::New(requests) => requests.iter().for_each(|parts| host.begin_new(parts)),
+                Ran::Repeat => host.begin(repeated, &[POISON]),
+                Ran::Nothing => {}
+            }
+            host.crash();
+        }
+        host.wait(1_000);
+        let known = [SOUND, 2, 3, 4, 5, POISON, 667];
+        let found: Vec<u32> = { known.into_iter() }
+            .filter(|part| host.is_poison(*part))
+            .collect();
+        assert_that!(found, eq(case.poison), "{}", case.name);
+    }
+}
+
+/// Endpoints that crash at the same moment must not accuse what ran on all of them.
+#[test]
+fn find_poison_waits_for_answers_that_go_on() {
+    let mut host = Host::new();
+    let mut other = Host::new();
+    other.survive(&[SOUND]);
+    other.now_ms = host.now_ms;
+    for _ in 0..5 {
+        host.begin_new(&[SOUND]);
+        host.evidence
+            .record_endpoint_crash(host.next_start, host.now_ms);
+        host.next_start += 1;
+    }
+    assert_that!(host.wait(200), is_empty());
+    host.send_to(&mut other, false);
+    other.send_to(&mut host, false);
+    assert_that!(host.wait(2_000), is_empty());
+}
+
+/// Hosts that see two crashes each must find the part together.
+#[test]
+fn merge_parts_counts_over_hosts() {
+    let mut hosts = [Host::new(), Host::new()];
+    hosts[1].next_start = 100;
+    hosts[1].next_request = 100;
+    for host in &mut hosts {
+        for _ in 0..2 {
+            host.begin_new(&[POISON]);
+            assert_that!(host.crash(), is_empty());
+        }
+        host.wait(500);
+    }
+    let [first, second] = &mut hosts;
+    first.send_to(second, false);
+    second.wait(1_000);
+    assert_that!(second.is_poison(POISON), eq(true));
+    assert_that!(first.is_poison(POISON), eq(false));
+}
+
+/// One crash that two hosts report must count once.
+#[test]
+fn merge_parts_counts_a_crash_once() {
+    let mut host = Host::new();
+    for start in [1, 1, 2, 2] {
+        let used = PartUse {
+            part: POISON,
+            request: host.next_request as u32,
+        };
+        host.next_request += 1;
+        let uses = vec![used];
+        let update = PartUpdate::Crashed { start, uses };
+        host.evidence.merge_parts(&[update], false, host.now_ms);
+        host.wait(STEP_MS);
+    }
+    let request = RequestFingerprint::of_part(POISON);
+    assert_that!(host.evidence.crashes(request), eq(2));
+    assert_that!(host.is_poison(POISON), eq(false));
+}
+
+/// A host that sees no broken answer must still report what it had at the endpoint.
+#[test]
+fn merge_parts_adds_the_own_answers_at_a_crash() {
+    let mut host = Host::new();
+    host.begin_new(&[POISON]);
+    let update = PartUpdate::Crashed {
+        start: host.next_start,
+        uses: Vec::new(),
+    };
+    host.evidence.merge_parts(&[update], false, host.now_ms);
+    let updates = host.evidence.take_part_updates(UPDATE_BYTES, host.now_ms);
+    let used = PartUse {
+        part: POISON,
+        request: 1,
+    };
+    let expected = PartUpdate::Crashed {
+        start: host.next_start,
+        uses: vec![used],
+    };
+    assert_that!(updates, elements_are![eq(&expected)]);
+}
+
+/// A relay must pass on what it learns, and only once.
+#[test]
+fn merge_parts_forwards_new_uses() {
+    let mut relay = Host::new();
+    let used = PartUse {
+        part: POISON,
+        request: 9,
+    };
+    let update = PartUpdate::Crashed {
+        start: 7,
+        uses: vec![used],
+    };
+    let updates = [update.clone()];
+    relay.evidence.merge_parts(&updates, true, relay.now_ms);
+    relay.evidence.merge_parts(&updates, true, relay.now_ms);
+    let sent = { &mut relay.evidence }.take_part_updates(UPDATE_BYTES, relay.now_ms);
+    assert_that!(sent, elements_are![eq(&update)]);
+}
+
+/// Makes a part poison at a host.
+fn poison_host() -> Host {
+    let mut host = Host::new();
+    for _ in 0..4 {
+        host.begin_new(&[POISON]);
+        host.crash();
+    }
+    assert_that!(host.is_poison(POISON), eq(true));
+    host
+}
+
+/// A part that was blamed by mistake must not be refused once an answer on it goes on.
+#[test]
+fn record_survival_clears_a_poison_part() {
+    let mut host = poison_host();
+    let request = RequestFingerprint::of_part(POISON);
+    let records = true;
+    let cleared = PoisonVerdict::Cleared { request, records };
+    assert_that!(host.survive(&[POISON]), elements_are![eq(&cleared)]);
+    assert_that!(host.is_poison(POISON), eq(false));
+}
+
+/// A host that has not learned that a part is sound must not have it refused elsewhere again.
+#[test]
+fn merge_poison_ignores_a_verdict_on_a_cleared_part() {
+    let mut host = poison_host();
+    let mut outdated = poison_host();
+    host.survive(&[POISON]);
+    let verdict = outdated.verdict_on(POISON);
+    let now_ms = host.now_ms;
+    assert_that!(host.evidence.merge_poison(&verdict, now_ms), is_empty());
+    assert_that!(host.is_poison(POISON), eq(false));
+    outdated.now_ms = host.now_ms;
+    host.send_to(&mut outdated, false);
+    assert_that!(outdated.is_poison(POISON), eq(false));
+}
+
+/// Answers that were in use at crashes of a poison part must not be refused for them.
+#[test]
+fn review_parts_discounts_explained_crashes() {
+    const BYSTANDER: RequestFingerprint = RequestFingerprint(77);
+    let mut host = Host::new();
+    for _ in 0..3 {
+        host.begin_new(&[POISON]);
+        let (start, now_ms) = (host.next_start, host.now_ms);
+        host.evidence.record_crash(BYSTANDER, start, 40, now_ms);
+        host.crash();
+    }
+    assert_that!(host.is_poison(POISON), eq(true));
+    assert_that!(host.evidence.is_poison(BYSTANDER, host.now_ms), eq(false));
+    // A host that has not found the part yet.
+    let verdict = [PoisonRequest {
+        request: BYSTANDER,
+        left_ms: 600_000,
+    }];
+    assert_that!(
+        host.evidence.merge_poison(&verdict, host.now_ms),
+        is_empty()
+    );
+    // A late report of the same crash.
+    let now_ms = host.now_ms;
+    host.evidence.record_crash(BYSTANDER, 0, 40, now_ms);
+    assert_that!(host.evidence.crashes(BYSTANDER), eq(0));
+}
+
+/// Crashes of a deadly request must count although a poison part explains others.
+#[test]
+fn review_parts_keeps_crashes_without_the_part() {
+    const DEADLY: RequestFingerprint = RequestFingerprint(78);
+    let mut host = poison_host();
+    for start in [1_000, 1_001, 1_002] {
+        let now_ms = host.now_ms;
+        host.evidence.record_crash(DEADLY, start, 40, now_ms);
+        host.evidence.record_endpoint_crash(start, now_ms);
+        host.wait(STEP_MS);
+    }
+    assert_that!(host.evidence.is_poison(DEADLY, host.now_ms), eq(true));
+}
+
+/// Answers from before a suspension must neither accuse nor clear.
+#[test]
+fn forget_runs_drops_answers() {
+    let mut host = Host::new();
+    for _ in 0..4 {
+        host.begin_new(&[POISON]);
+        host.evidence.forget_runs();
+        host.crash();
+    }
+    assert_that!(host.is_poison(POISON), eq(false));
+}
+
+/// A complete answer must not clear a part if its endpoint crashes right after it.
+#[test]
+fn end_run_counts_a_crash_after_a_complete_answer() {
+    let mut host = Host::new();
+    for _ in 0..3 {
+        let request = host.request();
+        let (start, now_ms) = (host.next_start, host.now_ms);
+        let run = { &mut host.evidence }.begin_run(start, request, Arc::from([POISON]));
+        host.evidence.end_run(run.expect("a run"), true, now_ms);
+        host.crash();
+    }
+    assert_that!(host.is_poison(POISON), eq(true));
+}
+
+/// Invented parts must not hide the part that is in use at all crashes.
+#[test]
+fn record_endpoint_crash_reports_parts_of_other_crashes_first() {
+    const FLOOD: u32 = 40;
+    let mut host = Host::new();
+    for crash in 0..4 {
+        for request in 0..FLOOD {
+            let first = 10_000 + (crash * FLOOD + request) * MAX_OBSERVED_PARTS as u32;
+            let parts: Vec<u32> = (first..first + MAX_OBSERVED_PARTS as u32).collect();
+            host.begin_new(&parts);
+        }
+        host.begin_new(&[POISON]);
+        host.crash();
+    }
+    assert_that!(host.is_poison(POISON), eq(true));
+    let updates = host.evidence.take_part_updates(UPDATE_BYTES, host.now_ms);
+    let sizes = updates.iter().map(|update| match update {
+        PartUpdate::Crashed { uses, .. } => uses.len(),
+        PartUpdate::Survived { .. } => 0,
+    });
+    assert_that!(sizes.max(), some(le(64)));
+}
