--- a/crates/gateway/tests/gateway/poison_parts.rs
+++ b/crates/gateway/tests/gateway/poison_parts.rs
@@ -151,14 +151,16 @@
         arrivals.filter(|arrived_at| *arrived_at > moment).count()
     }
 
-    /// Waits until the bound after the fifth crash has passed. Returns that moment.
-    async fn wait_for_bound(&self) -> Instant {
+    /// Waits until the bound after the fifth crash of each kind of request has passed. Returns
+    /// that moment.
+    async fn wait_for_bound(&self, kinds: usize) -> Instant {
         const MAX_WAIT: Duration = Duration::from_secs(8);
-        let fifth = until(async || self.crashes().len() >= BOUNDED_CRASHES);
+        let bounded = BOUNDED_CRASHES * kinds;
+        let fifth = until(async || self.crashes().len() >= bounded);
         // With fewer crashes, the bound counts from the last one.
         let _fewer_are_better = tokio::time::timeout(MAX_WAIT, fifth).await;
         let crashes = self.crashes();
-        let crashed_at = crashes[crashes.len().min(BOUNDED_CRASHES) - 1];
+        let crashed_at = crashes[crashes.len().min(bounded) - 1];
         tokio::time::sleep_until(crashed_at + BOUND).await;
         crashed_at + BOUND
     }
@@ -168,7 +170,8 @@
 struct Traffic {
     path: &'static str,
     sound_parts: &'static [u64],
-    poison_parts: &'static [u64],
+    /// The parts of one request of each kind.
+    poison_parts: &'static [&'static [u64]],
     poison_interval: Duration,
 }
 
@@ -177,7 +180,7 @@
         Self {
             path: "/stream/",
             sound_parts: &[1, 2],
-            poison_parts: &[1, POISON_PART, 2],
+            poison_parts: &[&[1, POISON_PART, 2]],
             poison_interval: Duration::from_millis(125),
         }
     }
@@ -190,10 +193,14 @@
     let mut sound = fleet.send_sound(traffic.path, traffic.sound_parts);
     tokio::time::sleep(CALM).await;
     let storm_from = Instant::now();
-    let poison = fleet.send_poison(traffic.path, traffic.poison_parts, traffic.poison_interval);
-    let bound = fleet.wait_for_bound().await;
+    let kinds = traffic.poison_parts.iter();
+    let poison: Vec<JoinSet<()>> = kinds
+        .map(|parts| fleet.send_poison(traffic.path, parts, traffic.poison_interval))
+        .collect();
+    let bound = fleet.wait_for_bound(poison.len()).await;
     tokio::time::sleep_until(bound + OBSERVED).await;
     let late = fleet.poison_arrivals_after(bound);
+    let kinds = poison.len();
     drop(poison);
     let mut results = Vec::new();
     while let Some(result) = sound.try_join_next() {
@@ -213,7 +220,7 @@
         "{} crashes, {late} late arrivals, sound served {calm:.2} before and {later:.2} after",
         fleet.crashes().len()
     );
-    assert_that!(late, le(MAX_LATE_ARRIVALS), "{seen}");
+    assert_that!(late, le(MAX_LATE_ARRIVALS * kinds), "{seen}");
     assert_that!(later, ge(calm / 2.0), "{seen}");
 }
 
@@ -227,7 +234,7 @@
 #[tokio::test]
 async fn poison_parts_stop_reaching_endpoints_first_part() {
     let traffic = Traffic {
-        poison_parts: &[POISON_PART, 1, 2],
+        poison_parts: &[&[POISON_PART, 1, 2]],
         ..Traffic::default()
     };
     check_poison_part(PartCrashPlan::default(), traffic).await;
@@ -238,7 +245,7 @@
 async fn poison_parts_stop_reaching_endpoints_resumable_streams() {
     let traffic = Traffic {
         path: "/resumable/",
-        poison_parts: &[1, 2, POISON_PART],
+        poison_parts: &[&[1, 2, POISON_PART]],
         ..Traffic::default()
     };
     check_poison_part(PartCrashPlan::default(), traffic).await;
@@ -274,6 +281,21 @@
     check_poison_part(PartCrashPlan::default(), traffic).await;
 }
 
+/// Two parts that crash endpoints at once must not hide each other.
+#[tokio::test]
+async fn poison_parts_stop_reaching_endpoints_two_parts() {
+    let plan = PartCrashPlan {
+        poison_parts: vec![POISON_PART, 777],
+        ..PartCrashPlan::default()
+    };
+    let traffic = Traffic {
+        poison_parts: &[&[1, POISON_PART, 2], &[1, 777, 2]],
+        poison_interval: Duration::from_millis(200),
+        ..Traffic::default()
+    };
+    check_poison_part(plan, traffic).await;
+}
+
 /// Sends requests with the part until one is refused for it. Returns that refusal.
 async fn poison_refusal(fleet: &PartFleet) -> Received {
     const TRIES: usize = 40;
