--- a/crates/gateway/tests/gateway/poison_parts.rs
+++ b/crates/gateway/tests/gateway/poison_parts.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use crate::support::{
-    Call, EVENTS, PartCrashPlan, PartCrashingEndpoint, Received, TestGateway, TestSource, metric,
-    rules, until,
+    Call, EVENTS, PartCrashPlan, PartCrashingEndpoint, Received, TestGateway, TestSource,
+    hosts_with, metric, rules, until,
 };
 use googletest::prelude::*;
 use tokio::task::JoinSet;
@@ -371,3 +371,50 @@
         assert_that!(metric(host, "poison_parts").await, eq(0.0));
     }
 }
+
+/// Sends a stream with an id, a body and a last part of its own to one host.
+async fn stream(host: &TestGateway, number: u64, shared: &str) -> Received {
+    let call = Call::post("/stream/", format!("body {number}").as_bytes());
+    let parts = format!("{shared},{}", 1_000_000 + number);
+    let id = format!("r-{number}");
+    host.call(call.id(&id).header("parts", &parts)).await
+}
+
+/// Relays must pass on crashes and sound answers between the zones of a large fleet.
+#[tokio::test]
+async fn poison_parts_are_found_over_the_zones_of_a_large_fleet() {
+    const LOCAL_HOSTS: usize = 28;
+    const REMOTE_HOSTS: usize = 14;
+    const PROPAGATION_TIMEOUT: Duration = Duration::from_secs(3);
+    let source = TestSource::default();
+    source.set_rules(rules(1));
+    let plan = Arc::new(PartCrashPlan::default());
+    for number in 0..6 {
+        let name = format!("endpoint-{number}");
+        PartCrashingEndpoint::start(&name, source.clone(), plan.clone()).await;
+    }
+    let mut hosts = Vec::new();
+    for number in 0..LOCAL_HOSTS + REMOTE_HOSTS {
+        let is_local = number < LOCAL_HOSTS;
+        let zone = if is_local { "zone-a" } else { "zone-b" };
+        let host = format!("host-{number}");
+        hosts.push(TestGateway::in_zone(zone, source.clone(), &host, Vec::new()).await);
+    }
+    for host in &hosts {
+        host.ready().await;
+    }
+    until(async || hosts_with(&hosts, "goes_by_relay_sums", 1.0).await >= LOCAL_HOSTS - 2).await;
+    // Only this host knows that the first part is sound.
+    assert_that!(stream(&hosts[9], 0, "1").await.status, eq(200));
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let parts = format!("1,{POISON_PART}");
+    for (number, host) in [3, 20, LOCAL_HOSTS + 5].into_iter().enumerate() {
+        let received = stream(&hosts[host], 1 + number as u64, &parts).await;
+        assert_that!(received.is_complete, eq(false));
+    }
+    let found = until(async || hosts_with(&hosts, "poison_parts", 1.0).await == hosts.len());
+    let in_time = tokio::time::timeout(PROPAGATION_TIMEOUT, found).await;
+    assert_that!(in_time.is_ok(), eq(true));
+    let received = stream(&hosts[LOCAL_HOSTS], 9, "1").await;
+    assert_that!(received.status, eq(200));
+}
