Let the soak draw parts of prompts that crash endpoints

Callers of streams name prompts in four of ten plans, and other ones send requests with a poison part at drawn rates, positions and delays beside the drawn faults. New checks: more than three of them at endpoints from contact_ms after the fifth crash (BUDGET), and sound requests refused for crashes.

--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -8,7 +8,7 @@
 
 use serde::Serialize;
 
-use crate::journal::{Arrival, DisturbanceKind, EndpointSpan, HostStop, Journal, TryEnd};
+use crate::journal::{Arrival, DisturbanceKind, EndpointSpan, HostStop, Journal, Try, TryEnd};
 
 /// Bounds of the rules.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -65,6 +65,10 @@
     Returns,
     /// A host serves while only others are disturbed.
     Serves,
+    /// Requests with a part that crashes endpoints reach few of them.
+    PoisonPart,
+    /// No sound request is refused for the crashes of endpoints.
+    Blame,
 }
 
 impl fmt::Display for Check {
@@ -82,6 +86,8 @@
             Check::Lost => "LOST",
             Check::Returns => "RETURNS",
             Check::Serves => "SERVES",
+            Check::PoisonPart => "POISONPART",
+            Check::Blame => "BLAME",
         })
     }
 }
@@ -123,6 +129,8 @@
         check_lost(journal),
         check_returns(journal, bounds),
         check_serves(journal),
+        check_poison_part(journal, bounds),
+        check_blame(journal),
     ]
     .concat()
 }
@@ -603,6 +611,47 @@
 }
 
 /// Whether a try ended with a whole, good response.
+/// BUDGET: more than three requests with a part that crashes endpoints reach these, sent by
+/// hosts in touch later than `contact_ms` after the fifth crash, or the last if there are fewer.
+pub fn check_poison_part(journal: &Journal, bounds: &Bounds) -> Vec<Finding> {
+    const BOUNDED_CRASHES: usize = 5;
+    const MAX_LATE: usize = 3;
+    let mut crashes_ms = journal.part_crashes_ms.clone();
+    crashes_ms.sort_unstable();
+    crashes_ms.truncate(BOUNDED_CRASHES);
+    let Some(crashed_ms) = crashes_ms.last() else {
+        return Vec::new();
+    };
+    let until_ms = crashed_ms + bounds.contact_ms;
+    let late = journal.arrivals.iter().filter(|a| {
+        a.has_poison_part
+            && a.at_ms > until_ms
+            && !is_out_of_touch(journal, a.host, a.at_ms, bounds)
+    });
+    let late: Vec<&Arrival> = late.collect();
+    if late.len() <= MAX_LATE {
+        return Vec::new();
+    }
+    let text = format!(
+        "{} requests with the part after {until_ms} ms, {} crashes in all, the first is {} from host {}",
+        late.len(),
+        journal.part_crashes_ms.len(),
+        late[0].try_id,
+        late[0].host
+    );
+    vec![finding(Check::PoisonPart, late[0].at_ms, text)]
+}
+
+/// BLAME: a sound request is refused because endpoints crashed. Requests with a poison part are
+/// not among the tries.
+pub fn check_blame(journal: &Journal) -> Vec<Finding> {
+    let blamed = journal.tries.iter().filter(|attempt| attempt.is_blamed);
+    let text = |attempt: &Try| format!("{} of {}", attempt.id, attempt.route);
+    blamed
+        .map(|attempt| finding(Check::Blame, attempt.ended_ms, text(attempt)))
+        .collect()
+}
+
 fn is_served(end: &TryEnd) -> bool {
     match end {
         TryEnd::Status(status) => (200..300).contains(status),
--- a/crates/soak/src/journal.rs
+++ b/crates/soak/src/journal.rs
@@ -65,6 +65,9 @@
     pub ended_ms: u64,
     /// How it ended.
     pub end: TryEnd,
+    /// Whether it was refused because endpoints crashed under it or a part of its prompt.
+    #[serde(default)]
+    pub is_blamed: bool,
 }
 
 /// A request as it reached an endpoint.
@@ -96,6 +99,9 @@
     pub ended_ms: Option<u64>,
     /// Whether the endpoint was stopped under it as planned.
     pub was_stopped: bool,
+    /// Whether a part of its prompt crashes endpoints.
+    #[serde(default)]
+    pub has_poison_part: bool,
 }
 
 /// When an endpoint was listed as ready.
@@ -210,6 +216,9 @@
     pub stops: Vec<HostStop>,
     /// Disturbances.
     pub disturbances: Vec<Disturbance>,
+    /// When endpoints crashed under requests with a poison part.
+    #[serde(default)]
+    pub part_crashes_ms: Vec<u64>,
     /// When the play's load began and ended.
     pub load_ms: (u64, u64),
 }
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -139,6 +139,21 @@
     pub is_of_streams: bool,
 }
 
+/// Requests with a part of their prompts that crashes endpoints of the pool of streams.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PoisonPart {
+    /// When the first one is sent, in milliseconds.
+    pub at_ms: u64,
+    /// For how long they are sent, in milliseconds.
+    pub for_ms: u64,
+    /// Time between two of them, in milliseconds.
+    pub interval_ms: u64,
+    /// Time from the first event of an answer to the crash, in milliseconds.
+    pub crash_delay_ms: u64,
+    /// The position of the part, from 0. Another part follows it in any case.
+    pub position: usize,
+}
+
 /// Sizes and times that a plan is drawn within.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PlanShape {
@@ -170,6 +185,8 @@
     pub has_two_builds: bool,
     /// Successful responses without a length and chunks, in thousandths.
     pub close_delimited_permille: u32,
+    /// Requests that crash endpoints, if any are sent.
+    pub poison_part: Option<PoisonPart>,
 }
 
 impl Plan {
@@ -182,6 +199,7 @@
         const TWO_BUILDS_RATIO: f64 = 0.5;
         const CLOSE_DELIMITED_RATIO: f64 = 0.5;
         const CLOSE_DELIMITED_PERMILLE: u32 = 300;
+        const POISON_PART_RATIO: f64 = 0.4;
         let mut random = ChaCha8Rng::seed_from_u64(seed);
         let hosts = random.random_range(3..=8);
         let endpoints = random.random_range(6..=13);
@@ -216,6 +234,10 @@
         // Drawn last, so that seeds keep what they drew before.
         let draws_two_builds = random.random_bool(TWO_BUILDS_RATIO);
         let is_close_delimited = random.random_bool(CLOSE_DELIMITED_RATIO);
+        let poison_part = random
+            .random_bool(POISON_PART_RATIO)
+            .then(|| draw_poison_part(&mut random, shape))
+            .filter(|_| !rollout.is_some_and(|order| order.is_of_streams));
         Self {
             seed,
             hosts,
@@ -230,10 +252,23 @@
             } else {
                 0
             },
+            poison_part,
         }
     }
 }
 
+fn draw_poison_part(random: &mut ChaCha8Rng, shape: PlanShape) -> PoisonPart {
+    const MIN_MS: u64 = 8_000;
+    let at_ms = random.random_range(shape.from_ms..shape.until_ms - MIN_MS);
+    PoisonPart {
+        at_ms,
+        for_ms: random.random_range(MIN_MS..=shape.until_ms - at_ms),
+        interval_ms: random.random_range(80..1_000),
+        crash_delay_ms: random.random_range(10..100),
+        position: random.random_range(0..3),
+    }
+}
+
 fn draw_rollout(random: &mut ChaCha8Rng, shape: PlanShape) -> Rollout {
     const WITHIN_MS: u64 = 12_000;
     let latest_ms = shape.until_ms.saturating_sub(WITHIN_MS);
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -35,6 +35,7 @@
         sent_ms,
         ended_ms: sent_ms + 20,
         end,
+        is_blamed: false,
     }
 }
 
@@ -53,6 +54,7 @@
         is_bad: false,
         ended_ms: Some(at_ms + 20),
         was_stopped: false,
+        has_poison_part: false,
     }
 }
 
@@ -653,6 +655,48 @@
     ]);
 }
 
+#[gtest]
+fn check_poison_part_counts_from_the_fifth_crash() {
+    let late = |count: u64, crashes: u64| {
+        let arrivals = (0..count).map(|i| Arrival {
+            has_poison_part: true,
+            ..arrival(&format!("r{i}.0"), "e1", 20_000 + i)
+        });
+        Journal {
+            part_crashes_ms: (0..crashes).map(|i| 16_000 + 200 * i).collect(),
+            ..journal(vec![], arrivals.collect())
+        }
+    };
+    let out_of_touch = disturbed(late(4, 5), DisturbanceKind::Host(0), 17_000, 18_000);
+    run_cases(vec![
+        ("four late", Check::PoisonPart, true, late(4, 5)),
+        ("three late", Check::PoisonPart, false, late(3, 5)),
+        ("few crashes", Check::PoisonPart, true, late(4, 1)),
+        ("no crash", Check::PoisonPart, false, late(4, 0)),
+        (
+            "the sender was away",
+            Check::PoisonPart,
+            false,
+            out_of_touch,
+        ),
+    ]);
+}
+
+#[gtest]
+fn check_blame_finds_refused_tries() {
+    let blamed = |is_blamed| {
+        let refused = Try {
+            is_blamed,
+            ..attempt("r1.0", 20_000, TryEnd::Status(503))
+        };
+        journal(vec![refused], vec![])
+    };
+    run_cases(vec![
+        ("refused for crashes", Check::Blame, true, blamed(true)),
+        ("refused otherwise", Check::Blame, false, blamed(false)),
+    ]);
+}
+
 /// Guards against a display name that differs from the rule's name.
 #[test]
 fn check_names_are_those_of_the_rules() {
--- a/crates/soak/tests/faults.rs
+++ b/crates/soak/tests/faults.rs
@@ -33,6 +33,10 @@
             assert_that!(fault.at_ms, ge(SHAPE.from_ms));
             assert_that!(fault.end_ms(), le(SHAPE.until_ms));
         }
+        if let Some(part) = plan.poison_part {
+            assert_that!(part.at_ms, ge(SHAPE.from_ms));
+            assert_that!(part.at_ms + part.for_ms, le(SHAPE.until_ms));
+        }
         let pairs = plan.faults.windows(2);
         overlapping += usize::from(pairs.clone().any(|pair| pair[1].at_ms < pair[0].end_ms()));
     }
