--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -8,6 +8,7 @@
 mod calls;
 mod control_traffic;
 mod crashes;
+mod crowded_host;
 mod endpoint_connections;
 mod endpoint_reports;
 mod eras;
