Keep the connection that checks for a crash, and count suspects once

An answer that its connection's close ends is checked for a crash of its endpoint while it is short. The check opened a connection and closed it again, one for each such answer, where endpoints charge for new connections; it now takes the one that the next request needs, and confirms a refusal as for a broken attempt. What became of the endpoint is an enum instead of an optional flag.

After a storm each answer that went on scanned all parts of up to 256 crashes for a minute, and a crash did so for each part in use. Suspects are a set, and crashes are counted once. Computed from sizes, not measured.

Verdicts that follow from another host's observations are logged with from=peer.

--- a/crates/gateway/src/peers/reachability.rs
+++ b/crates/gateway/src/peers/reachability.rs
@@ -399,7 +399,7 @@
 
     /// Opens a connection to an endpoint and records whether it was accepted. Returns `None`
     /// if this host may have no more connections to it.
-    async fn check_connection(&self, endpoint: &Endpoint) -> Option<bool> {
+    pub(crate) async fn check_connection(&self, endpoint: &Endpoint) -> Option<bool> {
         let start = endpoint.start_hash().short();
         let max_open = self.fleet().max_connections(&endpoint.pool);
         let target = ConnectionTarget::Endpoint(start);
--- a/crates/gateway/src/poison.rs
+++ b/crates/gateway/src/poison.rs
@@ -96,6 +96,16 @@
     pub(crate) ran_ms: u64,
 }
 
+/// What became of an endpoint after a connection to it broke.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum CrashCheck {
+    Crashed,
+    /// It lives, or had another reason to terminate.
+    NotCrashed,
+    /// Only this host's path to it failed: another host still reaches it.
+    PathFailed,
+}
+
 impl Shared {
     /// Refuses a poison request, and one whose prompt has a poison part.
     pub(crate) fn refuse_poison(&self, call: &Call) -> Result<(), Refusal> {
@@ -130,19 +140,16 @@
         })
     }
 
-    /// Checks whether an endpoint has crashed after a connection to it broke; `None` if only
-    /// this host's path to it failed: another host still reaches it.
-    ///
-    /// A leaving endpoint is expected to terminate, and one that had to reject too many
+    /// Checks whether an endpoint has crashed after a connection to it broke. A leaving endpoint is expected to terminate, and one that had to reject too many
     /// requests fails for that reason.
-    pub(crate) async fn has_crashed(&self, endpoint: &Endpoint) -> Option<bool> {
+    pub(crate) async fn check_for_crash(&self, endpoint: &Endpoint) -> CrashCheck {
         if endpoint.state == HostState::Leaving {
-            return Some(false);
+            return CrashCheck::NotCrashed;
         }
         let start = endpoint.start_hash().short();
         let checks = &self.termination_checks;
         if !checks.has_terminated(start, endpoint.address).await {
-            return Some(false);
+            return CrashCheck::NotCrashed;
         }
         let since_ms = self.clock.now_ms().saturating_sub(OVERLOAD_WINDOW_MS);
         let is_overloaded = self
@@ -150,13 +157,13 @@
             .rejection_limits
             .has_rejected_since(start, since_ms);
         if is_overloaded {
-            return Some(false);
+            return CrashCheck::NotCrashed;
         }
         if self.is_reached_by_others(start).await {
             self.metrics.count("path_failures_total", "", 1);
-            return None;
+            return CrashCheck::PathFailed;
         }
-        Some(true)
+        CrashCheck::Crashed
     }
 
     /// Checks whether the endpoint of a broken attempt has crashed, and records that
@@ -178,10 +185,10 @@
         if end != AttemptOutcome::Broken {
             return false;
         }
-        match self.has_crashed(endpoint).await {
-            Some(true) => {}
-            Some(false) => return false,
-            None => return true,
+        match self.check_for_crash(endpoint).await {
+            CrashCheck::Crashed => {}
+            CrashCheck::NotCrashed => return false,
+            CrashCheck::PathFailed => return true,
         }
         let start = endpoint.start_hash().short();
         self.record_endpoint_crash(start);
--- a/crates/gateway/src/poison_parts.rs
+++ b/crates/gateway/src/poison_parts.rs
@@ -7,6 +7,7 @@
 
 use crate::call::Call;
 use crate::framing::BodyFraming;
+use crate::poison::CrashCheck;
 use crate::shared::Shared;
 
 /// An answer that has begun. Dropping it before it went on leaves open whether its endpoint
@@ -98,7 +99,7 @@
         }
         let (shared, endpoint) = (self.clone(), endpoint.clone());
         tokio::spawn(async move {
-            if shared.has_crashed(&endpoint).await == Some(true) {
+            if shared.has_crashed_at_close(&endpoint).await {
                 drop(observation);
                 shared.record_endpoint_crash(endpoint.start_hash().short());
             } else {
@@ -107,24 +108,31 @@
         });
     }
 
+    /// Whether an endpoint that has closed a connection has crashed. The connection that checks
+    /// this is kept for the next request, which needs a new one in any case.
+    async fn has_crashed_at_close(&self, endpoint: &Endpoint) -> bool {
+        self.check_connection(endpoint).await == Some(false)
+            && self.check_for_crash(endpoint).await == CrashCheck::Crashed
+    }
+
     /// Merges another host's observations of parts.
     pub(crate) fn merge_part_updates(&self, updates: &[PartUpdate], forwards: bool) {
         let now_ms = self.clock.now_ms();
         let verdicts = self.fleet().poison.merge_parts(updates, forwards, now_ms);
-        self.publish_part_verdicts(verdicts);
+        self.publish_part_verdicts(verdicts, "peer");
     }
 
     /// Draws conclusions from the observations of parts. Some only follow after a time.
     pub(crate) fn review_poison_parts(&self) {
         let now_ms = self.clock.now_ms();
         let verdicts = self.fleet().poison.review_parts(now_ms);
-        self.publish_part_verdicts(verdicts);
+        self.publish_part_verdicts(verdicts, "own");
     }
 
-    fn publish_part_verdicts(&self, verdicts: Vec<PoisonVerdict>) {
+    fn publish_part_verdicts(&self, verdicts: Vec<PoisonVerdict>, from: &str) {
         if !verdicts.is_empty() {
             self.publish_now.notify_one();
         }
-        self.apply_verdicts(verdicts, "own");
+        self.apply_verdicts(verdicts, from);
     }
 }
--- a/crates/routing/src/poison/parts.rs
+++ b/crates/routing/src/poison/parts.rs
@@ -150,6 +150,8 @@
     runs: RecentRuns,
     /// Oldest first.
     crashes: VecDeque<Crash>,
+    /// Parts in use at these crashes.
+    suspects: HashSet<u32>,
     survivals: HashMap<u32, Survival>,
     /// Until when the evidence may prove more than it did before.
     review_until_ms: u64,
@@ -233,11 +235,15 @@
         for parts in &settled {
             self.record_survivals(parts, now_ms);
         }
-        let is_recent = |at_ms: u64, retention_ms: u64| now_ms < at_ms + retention_ms;
+        let known_crashes = self.crashes.len();
         self.crashes
-            .retain(|crash| is_recent(crash.at_ms, CRASH_RETENTION_MS));
+            .retain(|crash| now_ms < crash.at_ms + CRASH_RETENTION_MS);
+        if self.crashes.len() < known_crashes {
+            let uses = self.crashes.iter().flat_map(|crash| &crash.uses);
+            self.suspects = uses.map(|used| used.part).collect();
+        }
         self.survivals
-            .retain(|_, survival| is_recent(survival.at_ms, SURVIVAL_RETENTION_MS));
+            .retain(|_, survival| now_ms < survival.at_ms + SURVIVAL_RETENTION_MS);
         settled.iter().flat_map(|parts| parts.to_vec()).collect()
     }
 
@@ -406,7 +412,7 @@
     fn record_survivals(&mut self, parts: &[u32], now_ms: u64) {
         for &part in parts {
             self.extend_survival(part, now_ms);
-            if self.crashes(part) > 0 {
+            if self.suspects.contains(&part) {
                 self.report_survival(part, now_ms);
             }
         }
@@ -462,7 +468,9 @@
         self.extend_review(now_ms);
         let crash = self.crash_mut(start, now_ms);
         let uses = uses.iter().take(MAX_REPORTED_PARTS).copied();
-        uses.filter(|used| crash.add(*used)).collect()
+        let added: Vec<PartUse> = uses.filter(|used| crash.add(*used)).collect();
+        self.suspects.extend(added.iter().map(|used| used.part));
+        added
     }
 
     /// Adds and reports the parts that this host used at a crashed endpoint. Of many, those
@@ -475,9 +483,14 @@
         }
         let mut seen = HashSet::new();
         uses.retain(|used| seen.insert(used.part));
+        let mut crashes: HashMap<u32, usize> = HashMap::new();
+        for used in self.crashes.iter().flat_map(|crash| &crash.uses) {
+            *crashes.entry(used.part).or_default() += 1;
+        }
         uses.sort_by_cached_key(|used| {
-            let crashes = std::cmp::Reverse(self.crashes(used.part));
-            (self.is_cleared(used.part, now_ms), crashes)
+            let is_sound = self.survived_at_ms(used.part, now_ms).is_some();
+            let crashes = crashes.get(&used.part).copied().unwrap_or_default();
+            (is_sound, std::cmp::Reverse(crashes))
         });
         uses.truncate(MAX_REPORTED_PARTS);
         self.add_uses(start, &uses, now_ms);
