Blame no part that more requests share than another part at the same crashes

The shared part had been in use at five crashes, the poison part was seen at four, and the tie of parts without survivors went to the one with more.

A part that many requests at a crash share is there whatever the cause. Up to four requests on a part are now told apart at each crash; a part with half as many or fewer at most of the same crashes keeps the other from being blamed, and is not held up by it.

--- a/crates/gateway/tests/gateway/poison_parts.rs
+++ b/crates/gateway/tests/gateway/poison_parts.rs
@@ -173,6 +173,8 @@
     /// The parts of one request of each kind.
     poison_parts: &'static [&'static [u64]],
     poison_interval: Duration,
+    /// Whether requests begin with the poison ones, so that no answer has gone on before.
+    is_cold: bool,
 }
 
 impl Default for Traffic {
@@ -182,6 +184,7 @@
             sound_parts: &[1, 2],
             poison_parts: &[&[1, POISON_PART, 2]],
             poison_interval: Duration::from_millis(125),
+            is_cold: false,
         }
     }
 }
@@ -191,7 +194,9 @@
 async fn check_poison_part(plan: PartCrashPlan, traffic: Traffic) {
     let fleet = PartFleet::start(plan).await;
     let mut sound = fleet.send_sound(traffic.path, traffic.sound_parts);
-    tokio::time::sleep(CALM).await;
+    if !traffic.is_cold {
+        tokio::time::sleep(CALM).await;
+    }
     let storm_from = Instant::now();
     let kinds = traffic.poison_parts.iter();
     let poison: Vec<JoinSet<()>> = kinds
@@ -214,7 +219,11 @@
         sent.iter().filter(|is_served| **is_served).count() as f64 / sent.len().max(1) as f64
     };
     let answer = EVENTS as u32 * Duration::from_millis(25);
-    let calm = served(storm_from - CALM + answer, storm_from - answer);
+    let calm = if traffic.is_cold {
+        1.0
+    } else {
+        served(storm_from - CALM + answer, storm_from - answer)
+    };
     let later = served(bound, bound + OBSERVED - answer);
     let seen = format!(
         "{} crashes, {late} late arrivals, sound served {calm:.2} before and {later:.2} after",
@@ -281,6 +290,16 @@
     check_poison_part(PartCrashPlan::default(), traffic).await;
 }
 
+/// A sound part of all requests must not be blamed where no answer has gone on yet.
+#[tokio::test]
+async fn poison_parts_stop_reaching_endpoints_cold_fleet() {
+    let traffic = Traffic {
+        is_cold: true,
+        ..Traffic::default()
+    };
+    check_poison_part(PartCrashPlan::default(), traffic).await;
+}
+
 /// Two parts that crash endpoints at once must not hide each other.
 #[tokio::test]
 async fn poison_parts_stop_reaching_endpoints_two_parts() {
--- a/crates/routing/src/poison/parts.rs
+++ b/crates/routing/src/poison/parts.rs
@@ -2,12 +2,14 @@
 //! request holds.
 //!
 //! Everything that runs on an endpoint ends with it, so a crash by itself accuses each part
-//! that was in use there. A poison part differs from the others in three ways:
+//! that was in use there. A poison part differs from the others in four ways:
 //!
 //! * An endpoint that begins an answer on it always crashes. An answer that goes on for
 //!   [`SURVIVAL_MS`], or ends well, clears its parts for a while.
 //! * Requests that have nothing else in common crash endpoints. Repeats of one request count
 //!   half, since any of its content may be the cause.
+//! * Few requests have it. A part that many of the requests at a crash share is there whatever
+//!   the cause, so that one which fewer share accounts better for the same crashes.
 //! * It accounts for the crashes. Those at which it was not in use raise the evidence that it
 //!   takes, and those that a known poison part explains accuse no other one.
 
@@ -36,10 +38,12 @@
 const CRASH_RETENTION_MS: u64 = 60_000;
 const MAX_KNOWN_CRASHES: usize = 256;
 const MAX_SURVIVALS: usize = 16_384;
-/// Parts in use at one crash, over all hosts.
-const MAX_PARTS_PER_CRASH: usize = 256;
-/// Parts in use at one crash that one host reports, in a datagram of about 650 bytes.
-const MAX_REPORTED_PARTS: usize = 64;
+/// Uses of parts at one crash, over all hosts.
+const MAX_USES_PER_CRASH: usize = 256;
+/// Those that one host reports, in a datagram of about 650 bytes.
+const MAX_REPORTED_USES: usize = 64;
+/// Requests that are told apart on one part at one crash.
+const MAX_REQUESTS_PER_PART: usize = 4;
 /// Shared parts of one prompt that are observed.
 pub const MAX_OBSERVED_PARTS: usize = 64;
 /// Shortest time between two reports that answers on a part go on.
@@ -100,15 +104,20 @@
 }
 
 impl Crash {
-    /// The request that used a part there.
-    fn request_on(&self, part: u32) -> Option<u32> {
-        let used = self.uses.iter().find(|used| used.part == part)?;
-        Some(used.request)
+    fn has_used(&self, part: u32) -> bool {
+        self.uses.iter().any(|used| used.part == part)
     }
 
-    /// Adds a use unless the part is known. Returns whether it was added.
+    /// Requests on a part, as far as they are told apart.
+    fn requests_on(&self, part: u32) -> usize {
+        self.uses.iter().filter(|used| used.part == part).count()
+    }
+
+    /// Adds a use unless it is known. Returns whether it was added.
     fn add(&mut self, used: PartUse) -> bool {
-        let is_new = self.uses.len() < MAX_PARTS_PER_CRASH && self.request_on(used.part).is_none();
+        let is_new = self.uses.len() < MAX_USES_PER_CRASH
+            && self.requests_on(used.part) < MAX_REQUESTS_PER_PART
+            && !self.uses.contains(&used);
         if is_new {
             self.uses.push(used);
         }
@@ -253,7 +262,7 @@
             return false;
         };
         let crashes = self.crashes.iter();
-        let since = crashes.filter(|crash| crash.at_ms > at_ms && crash.request_on(part).is_some());
+        let since = crashes.filter(|crash| crash.at_ms > at_ms && crash.has_used(part));
         since.count() < MIN_CRASHES_AFTER_SURVIVAL
     }
 
@@ -277,15 +286,13 @@
     /// Known crashes at which a part was in use.
     pub(super) fn crashes(&self, part: u32) -> usize {
         let crashes = self.crashes.iter();
-        crashes
-            .filter(|crash| crash.request_on(part).is_some())
-            .count()
+        crashes.filter(|crash| crash.has_used(part)).count()
     }
 
     /// Whether this host had answers at one of the crashes at which a part was in use.
     pub(super) fn is_local(&self, part: u32) -> bool {
         let mut crashes = self.crashes.iter();
-        crashes.any(|crash| crash.is_local && crash.request_on(part).is_some())
+        crashes.any(|crash| crash.is_local && crash.has_used(part))
     }
 
     /// Finds a part that is poison by the crashes that no known poison part explains.
@@ -363,7 +370,9 @@
                     continue;
                 }
                 let case = cases.entry(used.part).or_default();
-                case.crashes.push(index);
+                if case.crashes.last() != Some(&index) {
+                    case.crashes.push(index);
+                }
                 case.requests.insert(used.request);
             }
         }
@@ -395,10 +404,25 @@
         if !is_old_enough || case.requests.len() < MIN_REQUESTS || case.weight() < needed {
             return false;
         }
-        let is_tied = cases.iter().any(|(&other, other_case)| {
-            other != part && self.survived_at_ms(other, now_ms).is_none() && { case.crashes.iter() }
-                .all(|index| other_case.crashes.contains(index))
-        });
+        let mut is_tied = false;
+        for (&other, other_case) in cases {
+            if other == part || self.survived_at_ms(other, now_ms).is_some() {
+                continue;
+            }
+            let shared = case.crashes.iter().copied();
+            let shared = shared.filter(|index| other_case.crashes.contains(index));
+            let shared: Vec<&Crash> = shared.map(|index| crashes[index]).collect();
+            let requests_on = |part: u32| -> usize {
+                let requests = shared.iter().map(|crash| crash.requests_on(part));
+                requests.sum()
+            };
+            let (requests, others) = (requests_on(part), requests_on(other));
+            let is_mostly_shared = 2 * shared.len() >= case.crashes.len();
+            if is_mostly_shared && 2 * others <= requests {
+                return false;
+            }
+            is_tied |= shared.len() == case.crashes.len() && others < 2 * requests;
+        }
         !is_tied || case.weight() >= needed + WEIGHT_PER_CRASH * TIE_CRASHES
     }
 
@@ -467,7 +491,7 @@
     fn add_uses(&mut self, start: u32, uses: &[PartUse], now_ms: u64) -> Vec<PartUse> {
         self.extend_review(now_ms);
         let crash = self.crash_mut(start, now_ms);
-        let uses = uses.iter().take(MAX_REPORTED_PARTS).copied();
+        let uses = uses.iter().take(MAX_REPORTED_USES).copied();
         let added: Vec<PartUse> = uses.filter(|used| crash.add(*used)).collect();
         self.suspects.extend(added.iter().map(|used| used.part));
         added
@@ -481,8 +505,11 @@
         if uses.is_empty() {
             return false;
         }
-        let mut seen = HashSet::new();
-        uses.retain(|used| seen.insert(used.part));
+        let mut requests: HashMap<u32, HashSet<u32>> = HashMap::new();
+        uses.retain(|used| {
+            let requests = requests.entry(used.part).or_default();
+            requests.len() < MAX_REQUESTS_PER_PART && requests.insert(used.request)
+        });
         let mut crashes: HashMap<u32, usize> = HashMap::new();
         for used in self.crashes.iter().flat_map(|crash| &crash.uses) {
             *crashes.entry(used.part).or_default() += 1;
@@ -492,7 +519,7 @@
             let crashes = crashes.get(&used.part).copied().unwrap_or_default();
             (is_sound, std::cmp::Reverse(crashes))
         });
-        uses.truncate(MAX_REPORTED_PARTS);
+        uses.truncate(MAX_REPORTED_USES);
         self.add_uses(start, &uses, now_ms);
         self.crash_mut(start, now_ms).is_local = true;
         self.queue_update(PartUpdate::Crashed { start, uses }, now_ms);
--- a/crates/routing/tests/poison_parts.rs
+++ b/crates/routing/tests/poison_parts.rs
@@ -113,6 +113,8 @@
 }
 
 const BESIDE: Ran = Ran::New(&[&[SOUND, POISON], &[SOUND, 2], &[SOUND, 3]]);
+/// Requests of a fleet that just started, so that no answer has gone on.
+const COLD: Ran = Ran::New(&[&[SOUND, POISON], &[SOUND], &[SOUND]]);
 const ALONE: Ran = Ran::New(&[&[POISON]]);
 
 #[test]
@@ -165,6 +167,18 @@
             ],
             poison: &[POISON],
         },
+        Case {
+            name: "a new part of all requests beside the poison part",
+            sound: &[],
+            crashes: &[COLD; 4],
+            poison: &[POISON],
+        },
+        Case {
+            name: "a new part of all requests, and a crash without the poison part",
+            sound: &[],
+            crashes: &[Ran::New(&[&[SOUND], &[SOUND]]), COLD, COLD, COLD, COLD],
+            poison: &[POISON],
+        },
         Case {
             name: "parts that can't be told apart yet",
             sound: &[],
