Send each update about parts in three rounds, and report sound parts once

A round took up to three datagrams of updates, and an update that is sent three times could be in all of them: a lost round lost it. A round now takes each update once. After a crash every host that knew a part in use there as sound reported it, with up to 64 parts of each report: in a fleet of 300 hosts each of them to all others. A host drops its report as soon as another's arrives. Both were found by reading; the comparison of two parts is a function of its own.

Tests: take_part_updates_returns_each_once_a_round and merge_parts_cancels_a_report_that_another_host_sent (the first describes the calls of the new interface; the old one returned the update three times to the calls of one round).

--- a/crates/gateway/src/peers/publish.rs
+++ b/crates/gateway/src/peers/publish.rs
@@ -290,11 +290,11 @@
     if !poison_updates.is_empty() {
         datagrams.push_to_all(&Datagram::Poison(poison_updates));
     }
-    for _ in 0..PART_DATAGRAMS_PER_ROUND {
-        let updates = fleet.poison.take_part_updates(PART_UPDATE_BYTES, now_ms);
-        if updates.is_empty() {
-            break;
-        }
+    let part_updates =
+        fleet
+            .poison
+            .take_part_updates(PART_DATAGRAMS_PER_ROUND, PART_UPDATE_BYTES, now_ms);
+    for updates in part_updates {
         datagrams.push_to_all(&Datagram::PoisonParts(updates));
     }
     let limits = fleet.rejection_limits.reports(LIMITS_PER_DATAGRAM, now_ms);
--- a/crates/routing/src/poison/part_verdicts.rs
+++ b/crates/routing/src/poison/part_verdicts.rs
@@ -78,10 +78,15 @@
         verdicts
     }
 
-    /// Takes updates about parts of up to `max_bytes` to send to other hosts. Each is returned
-    /// several times.
-    pub fn take_part_updates(&mut self, max_bytes: usize, now_ms: u64) -> Vec<PartUpdate> {
-        self.parts.take_updates(max_bytes, now_ms)
+    /// Takes updates about parts to send to other hosts, in up to `max_datagrams` of up to
+    /// `max_bytes`. Each is returned by several calls, so that a lost round does not lose it.
+    pub fn take_part_updates(
+        &mut self,
+        max_datagrams: usize,
+        max_bytes: usize,
+        now_ms: u64,
+    ) -> Vec<Vec<PartUpdate>> {
+        self.parts.take_updates(max_datagrams, max_bytes, now_ms)
     }
 
     /// Whether a verdict on a part is outdated: answers on it go on. The other hosts are
--- a/crates/routing/src/poison/parts.rs
+++ b/crates/routing/src/poison/parts.rs
@@ -153,6 +153,34 @@
     }
 }
 
+/// How well another part accounts for the crashes at which a part was in use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Rivalry {
+    Worse,
+    /// It was in use at all of them, and not by many more requests.
+    Tied,
+    /// It was in use at most of them, by half as many requests or fewer.
+    Better,
+}
+
+fn rivalry((part, case): (u32, &Case), (other, rival): (u32, &Case), all: &[&Crash]) -> Rivalry {
+    let shared = case.crashes.iter().copied();
+    let shared = shared.filter(|index| rival.crashes.contains(index));
+    let shared: Vec<&Crash> = shared.map(|index| all[index]).collect();
+    let requests_on = |part: u32| -> usize {
+        let requests = shared.iter().map(|crash| crash.requests_on(part));
+        requests.sum()
+    };
+    let (requests, rival_requests) = (requests_on(part), requests_on(other));
+    if 2 * shared.len() >= case.crashes.len() && 2 * rival_requests <= requests {
+        Rivalry::Better
+    } else if shared.len() == case.crashes.len() && rival_requests < 2 * requests {
+        Rivalry::Tied
+    } else {
+        Rivalry::Worse
+    }
+}
+
 /// Crashes and answers that went on, by the parts of their prompts, as one host knows them.
 #[derive(Clone, Debug, Default)]
 pub(super) struct PartEvidence {
@@ -225,11 +253,13 @@
                 }
                 PartUpdate::Survived { part, ago_ms } => {
                     let at_ms = now_ms.saturating_sub(u64::from(*ago_ms));
-                    if self.extend_survival(*part, at_ms) {
+                    let is_later = self.extend_survival(*part, at_ms);
+                    self.cancel_report(*part, now_ms);
+                    if is_later {
                         survived.push(*part);
-                        if forwards {
-                            self.report_survival(*part, now_ms);
-                        }
+                    }
+                    if is_later && forwards {
+                        self.queue_update(update.clone(), now_ms);
                     }
                 }
             }
@@ -283,6 +313,17 @@
         self.queue_update(PartUpdate::Survived { part, ago_ms }, now_ms);
     }
 
+    /// Drops this host's own report that answers on a part go on: another host has just sent one.
+    /// Otherwise each host of a large fleet would report each hot part after a crash.
+    fn cancel_report(&mut self, part: u32, now_ms: u64) {
+        self.pending.retain(
+            |pending| !matches!(pending.update, PartUpdate::Survived { part: other, .. } if other == part),
+        );
+        if let Some(survival) = self.survivals.get_mut(&part) {
+            survival.reported_at_ms = Some(now_ms);
+        }
+    }
+
     /// Known crashes at which a part was in use.
     pub(super) fn crashes(&self, part: u32) -> usize {
         let crashes = self.crashes.iter();
@@ -335,30 +376,41 @@
         explained
     }
 
-    /// Takes updates of up to `max_bytes` to send to other hosts. Each is returned several
-    /// times.
-    pub(super) fn take_updates(&mut self, max_bytes: usize, now_ms: u64) -> Vec<PartUpdate> {
+    /// Takes updates to send to other hosts, in up to `max_datagrams` of up to `max_bytes`. Each
+    /// is returned by several calls.
+    pub(super) fn take_updates(
+        &mut self,
+        max_datagrams: usize,
+        max_bytes: usize,
+        now_ms: u64,
+    ) -> Vec<Vec<PartUpdate>> {
         self.pending
             .retain(|pending| now_ms.saturating_sub(pending.queued_at_ms) <= MAX_UPDATE_AGE_MS);
-        let mut updates = Vec::new();
-        let mut bytes_left = max_bytes;
+        let mut datagrams: Vec<Vec<PartUpdate>> = Vec::new();
+        let mut bytes_left = 0;
         for _ in 0..self.pending.len() {
-            let Some(mut pending) = self.pending.pop_front() else {
+            let Some(bytes) = self.pending.front().map(|next| next.update.max_bytes()) else {
                 break;
             };
-            let bytes = pending.update.max_bytes();
             if bytes > bytes_left {
-                self.pending.push_front(pending);
-                break;
+                if datagrams.len() == max_datagrams {
+                    break;
+                }
+                datagrams.push(Vec::new());
+                bytes_left = max_bytes;
             }
-            bytes_left -= bytes;
-            updates.push(pending.current_update(now_ms));
+            let (Some(mut pending), Some(last)) = (self.pending.pop_front(), datagrams.last_mut())
+            else {
+                break;
+            };
+            bytes_left = bytes_left.saturating_sub(bytes);
+            last.push(pending.current_update(now_ms));
             pending.sends_left -= 1;
             if pending.sends_left > 0 {
                 self.pending.push_back(pending);
             }
         }
-        updates
+        datagrams
     }
 
     fn cases(&self, crashes: &[&Crash], now_ms: u64) -> HashMap<u32, Case> {
@@ -404,25 +456,16 @@
         if !is_old_enough || case.requests.len() < MIN_REQUESTS || case.weight() < needed {
             return false;
         }
-        let mut is_tied = false;
-        for (&other, other_case) in cases {
-            if other == part || self.survived_at_ms(other, now_ms).is_some() {
-                continue;
-            }
-            let shared = case.crashes.iter().copied();
-            let shared = shared.filter(|index| other_case.crashes.contains(index));
-            let shared: Vec<&Crash> = shared.map(|index| crashes[index]).collect();
-            let requests_on = |part: u32| -> usize {
-                let requests = shared.iter().map(|crash| crash.requests_on(part));
-                requests.sum()
-            };
-            let (requests, others) = (requests_on(part), requests_on(other));
-            let is_mostly_shared = 2 * shared.len() >= case.crashes.len();
-            if is_mostly_shared && 2 * others <= requests {
-                return false;
-            }
-            is_tied |= shared.len() == case.crashes.len() && others < 2 * requests;
+        let rivals = cases
+            .iter()
+            .filter(|(other, _)| **other != part && self.survived_at_ms(**other, now_ms).is_none());
+        let rivalries: Vec<Rivalry> = rivals
+            .map(|(other, rival)| rivalry((part, case), (*other, rival), crashes))
+            .collect();
+        if rivalries.contains(&Rivalry::Better) {
+            return false;
         }
+        let is_tied = rivalries.contains(&Rivalry::Tied);
         !is_tied || case.weight() >= needed + WEIGHT_PER_CRASH * TIE_CRASHES
     }
 
--- a/crates/routing/tests/poison_parts.rs
+++ b/crates/routing/tests/poison_parts.rs
@@ -77,9 +77,17 @@
         self.evidence.is_poison(request, self.now_ms)
     }
 
+    /// Takes what this host sends in one round.
+    fn take_updates(&mut self) -> Vec<PartUpdate> {
+        const DATAGRAMS: usize = 3;
+        let evidence = &mut self.evidence;
+        let datagrams = evidence.take_part_updates(DATAGRAMS, UPDATE_BYTES, self.now_ms);
+        datagrams.into_iter().flatten().collect()
+    }
+
     /// Sends what this host has to send to another one.
     fn send_to(&mut self, other: &mut Host, forwards: bool) -> Vec<PoisonVerdict> {
-        let updates = { &mut self.evidence }.take_part_updates(UPDATE_BYTES, self.now_ms);
+        let updates = self.take_updates();
         other.evidence.merge_parts(&updates, forwards, other.now_ms)
     }
 
@@ -313,7 +321,7 @@
         uses: Vec::new(),
     };
     host.evidence.merge_parts(&[update], false, host.now_ms);
-    let updates = host.evidence.take_part_updates(UPDATE_BYTES, host.now_ms);
+    let updates = host.take_updates();
     let used = PartUse {
         part: POISON,
         request: 1,
@@ -340,7 +348,7 @@
     let updates = [update.clone()];
     relay.evidence.merge_parts(&updates, true, relay.now_ms);
     relay.evidence.merge_parts(&updates, true, relay.now_ms);
-    let sent = { &mut relay.evidence }.take_part_updates(UPDATE_BYTES, relay.now_ms);
+    let sent = relay.take_updates();
     assert_that!(sent, elements_are![eq(&update)]);
 }
 
@@ -464,10 +472,48 @@
         host.crash();
     }
     assert_that!(host.is_poison(POISON), eq(true));
-    let updates = host.evidence.take_part_updates(UPDATE_BYTES, host.now_ms);
+    let updates = host.take_updates();
     let sizes = updates.iter().map(|update| match update {
         PartUpdate::Crashed { uses, .. } => uses.len(),
         PartUpdate::Survived { .. } => 0,
     });
     assert_that!(sizes.max(), some(le(64)));
 }
+
+/// Updates must be sent in several rounds, not several times in one that may be lost.
+#[test]
+fn take_part_updates_returns_each_once_a_round() {
+    const SENDS: usize = 3;
+    let mut host = Host::new();
+    host.begin_new(&[POISON]);
+    host.crash();
+    for _ in 0..SENDS {
+        assert_that!(host.take_updates().len(), eq(1));
+    }
+    assert_that!(host.take_updates(), is_empty());
+}
+
+/// Hosts of a large fleet must not all report the same hot part after a crash.
+#[test]
+fn merge_parts_cancels_a_report_that_another_host_sent() {
+    let mut host = Host::new();
+    host.survive(&[SOUND]);
+    let used = PartUse {
+        part: SOUND,
+        request: 9,
+    };
+    let uses = vec![used];
+    let crashed = [PartUpdate::Crashed { start: 7, uses }];
+    let ago_ms = 100;
+    let survived = PartUpdate::Survived {
+        part: SOUND,
+        ago_ms,
+    };
+    let now_ms = host.now_ms;
+    host.evidence.merge_parts(&crashed, false, now_ms);
+    let is_report = |update: &PartUpdate| matches!(update, PartUpdate::Survived { .. });
+    assert_that!(host.take_updates().iter().any(is_report), eq(true));
+    host.evidence.merge_parts(&[survived], false, now_ms);
+    host.evidence.merge_parts(&crashed, false, now_ms);
+    assert_that!(host.take_updates().iter().any(is_report), eq(false));
+}
