Blame no part for endpoints that are lost together

Crashes of one moment counted singly, and hosts that had not learned yet that answers on the part go on blamed it; the verdict was taken back within seconds.

The crashes that prove a part now span 0.6 s at least. Crashes count against a part on which an answer went on lately only after two seconds without another one.

--- a/crates/routing/src/poison/parts.rs
+++ b/crates/routing/src/poison/parts.rs
@@ -29,12 +29,18 @@
 const MIN_CRASHES: usize = 3;
 /// The same for a part on which an answer went on lately.
 const MIN_CRASHES_AFTER_SURVIVAL: usize = 8;
+/// Time without such an answer from which these count. Many endpoints may crash at once, and
+/// answers on a sound part go on at others within this time.
+const MIN_SILENCE_MS: u64 = 2_000;
 /// Other unexplained crashes that raise the needed crashes by one.
 const OTHERS_PER_CRASH: usize = 4;
 /// Further crashes that decide between parts that were always in use together.
 const TIE_CRASHES: usize = 2;
 /// Time from the first crash in which the other hosts may report answers that went on.
 const MIN_EVIDENCE_AGE_MS: u64 = 500;
+/// Least time between the first and the last crash: endpoints that are lost together crash
+/// within less.
+const MIN_CRASH_SPAN_MS: u64 = 600;
 const CRASH_RETENTION_MS: u64 = 60_000;
 const MAX_KNOWN_CRASHES: usize = 256;
 const MAX_SURVIVALS: usize = 16_384;
@@ -293,7 +299,7 @@
         };
         let crashes = self.crashes.iter();
         let since = crashes.filter(|crash| crash.at_ms > at_ms && crash.has_used(part));
-        since.count() < MIN_CRASHES_AFTER_SURVIVAL
+        now_ms < at_ms + MIN_SILENCE_MS || since.count() < MIN_CRASHES_AFTER_SURVIVAL
     }
 
     /// Reports to the other hosts that answers on a part go on, if they do.
@@ -441,11 +447,17 @@
     ) -> bool {
         const WEIGHT_PER_CRASH: usize = 2;
         const MIN_REQUESTS: usize = 2;
-        let Some(&first) = case.crashes.first() else {
+        let (Some(&first), Some(&last)) = (case.crashes.first(), case.crashes.last()) else {
             return false;
         };
-        let has_survived = self.survived_at_ms(part, now_ms).is_some();
-        let min_crashes = if has_survived {
+        if crashes[last].at_ms < crashes[first].at_ms + MIN_CRASH_SPAN_MS {
+            return false;
+        }
+        let survived_at_ms = self.survived_at_ms(part, now_ms);
+        if survived_at_ms.is_some_and(|at_ms| now_ms < at_ms + MIN_SILENCE_MS) {
+            return false;
+        }
+        let min_crashes = if survived_at_ms.is_some() {
             MIN_CRASHES_AFTER_SURVIVAL
         } else {
             MIN_CRASHES
@@ -509,7 +521,7 @@
     }
 
     fn extend_review(&mut self, now_ms: u64) {
-        self.review_until_ms = now_ms + 2 * MIN_EVIDENCE_AGE_MS;
+        self.review_until_ms = now_ms + MIN_EVIDENCE_AGE_MS + MIN_SILENCE_MS;
     }
 
     fn crash_mut(&mut self, start: u32, now_ms: u64) -> &mut Crash {
--- a/crates/routing/tests/poison_parts.rs
+++ b/crates/routing/tests/poison_parts.rs
@@ -517,3 +517,36 @@
     host.evidence.merge_parts(&crashed, false, now_ms);
     assert_that!(host.take_updates().iter().any(is_report), eq(false));
 }
+
+/// The loss of many endpoints at once must not have a part of most requests refused.
+#[test]
+fn find_poison_blames_no_part_that_went_on_just_before() {
+    const ENDPOINTS: usize = 12;
+    let mut host = Host::new();
+    host.survive(&[SOUND]);
+    host.wait(1);
+    for _ in 0..ENDPOINTS {
+        host.begin_new(&[SOUND]);
+        host.evidence
+            .record_endpoint_crash(host.next_start, host.now_ms);
+        host.next_start += 1;
+    }
+    assert_that!(host.wait(800), is_empty());
+    host.survive(&[SOUND]);
+    assert_that!(host.wait(1_500), is_empty());
+}
+
+/// Endpoints that are lost together must not have a part refused that is new.
+#[test]
+fn find_poison_blames_no_part_for_endpoints_lost_together() {
+    const ENDPOINTS: usize = 11;
+    let mut host = Host::new();
+    for _ in 0..ENDPOINTS {
+        host.begin_new(&[SOUND]);
+        host.evidence
+            .record_endpoint_crash(host.next_start, host.now_ms);
+        host.next_start += 1;
+        host.now_ms += 30;
+    }
+    assert_that!(host.wait(2_500), is_empty());
+}
