Let relays pass on that answers on a part go on

A relay that knew a part as sound dropped its own report for another host's, and passed that one on only if it was later than what it knew: hosts of its zone never learned it, and refused the part after two racks of endpoints had crashed (listed).

--- a/crates/routing/src/poison/parts.rs
+++ b/crates/routing/src/poison/parts.rs
@@ -260,7 +260,10 @@
                 PartUpdate::Survived { part, ago_ms } => {
                     let at_ms = now_ms.saturating_sub(u64::from(*ago_ms));
                     let is_later = self.extend_survival(*part, at_ms);
-                    self.cancel_report(*part, now_ms);
+                    // The hosts that a relay sends to may not have received it.
+                    if !forwards {
+                        self.cancel_report(*part, now_ms);
+                    }
                     if is_later {
                         survived.push(*part);
                     }
