--- a/crates/gateway/tests/gateway/poison_parts.rs
+++ b/crates/gateway/tests/gateway/poison_parts.rs
@@ -430,6 +430,7 @@
     for (number, host) in [3, 20, LOCAL_HOSTS + 5].into_iter().enumerate() {
         let received = stream(&hosts[host], 1 + number as u64, &parts).await;
         assert_that!(received.is_complete, eq(false));
+        tokio::time::sleep(Duration::from_millis(400)).await;
     }
     let found = until(async || hosts_with(&hosts, "poison_parts", 1.0).await == hosts.len());
     let in_time = tokio::time::timeout(PROPAGATION_TIMEOUT, found).await;
