--- a/crates/routing/src/fingerprint.rs
+++ b/crates/routing/src/fingerprint.rs
@@ -75,7 +75,7 @@
         (self.0 >> u32::BITS == PART_MARK).then_some(self.0 as u32)
     }
 
-    /// Its lower half, which tells requests apart in messages between hosts.
+    /// Its lower half, which identifies requests in messages between hosts.
     pub fn short(&self) -> u32 {
         self.0 as u32
     }
--- a/crates/routing/src/poison/mod.rs
+++ b/crates/routing/src/poison/mod.rs
@@ -11,7 +11,7 @@
 //!
 //! Requests that share nothing but a part of their prompts are counted by that part, see
 //! [`parts`]. A poison part is rejected, exchanged and recorded like a poison request, under
-//! [`RequestFingerprint::of_part`], and the crashes that it explains no longer count against
+//! [`RequestFingerprint::of_part`], and the crashes that it explains are not counted against
 //! the requests that were there.
 
 mod part_verdicts;
--- a/crates/routing/src/poison/parts.rs
+++ b/crates/routing/src/poison/parts.rs
@@ -23,7 +23,7 @@
 /// Time from the first bytes of an answer after which the endpoint is not expected to crash
 /// under it, in milliseconds.
 pub const SURVIVAL_MS: u64 = 500;
-/// How long an answer that went on speaks for its parts, in milliseconds.
+/// How long an answer that went on clears its parts, in milliseconds.
 const SURVIVAL_RETENTION_MS: u64 = 30_000;
 /// Crashes under different requests after which a part is poison.
 const MIN_CRASHES: usize = 3;
@@ -48,7 +48,7 @@
 const MAX_USES_PER_CRASH: usize = 256;
 /// Those that one host reports, in a datagram of about 650 bytes.
 const MAX_REPORTED_USES: usize = 64;
-/// Requests that are told apart on one part at one crash.
+/// Requests that are counted on one part at one crash.
 const MAX_REQUESTS_PER_PART: usize = 4;
 /// Shared parts of one prompt that are observed.
 pub const MAX_OBSERVED_PARTS: usize = 64;
@@ -114,7 +114,7 @@
         self.uses.iter().any(|used| used.part == part)
     }
 
-    /// Requests on a part, as far as they are told apart.
+    /// Requests counted on a part.
     fn requests_on(&self, part: u32) -> usize {
         self.uses.iter().filter(|used| used.part == part).count()
     }
