Lose the hosts in the test of streams that go on after their loss

streams_go_on_after_the_loss_of_three_hosts_of_eight dropped the handles of three gateways, which ran on and answered for their streams: the test could not fail for the loss. Hosts of these tests now have a runtime of their own that ends with the handle, so that their sockets close and their memory is gone.

--- a/crates/gateway/tests/gateway/stream_builds.rs
+++ b/crates/gateway/tests/gateway/stream_builds.rs
@@ -12,25 +12,25 @@
 use googletest::prelude::*;
 use tokio::io::AsyncReadExt;
 
-const OLD: &str = "v1";
-const NEW: &str = "v2";
+pub(crate) const OLD: &str = "v1";
+pub(crate) const NEW: &str = "v2";
 const LAST_EVENT: u64 = 9;
 /// The last event that a caller has before it takes its stream up.
 const LAST_SEEN: u64 = 2;
 const STREAMS: usize = 24;
 const OTHER_KEY: &str = "key-2";
-const NAMES_PER_BUILD: usize = 2;
+pub(crate) const NAMES_PER_BUILD: usize = 2;
 
 /// Hosts before endpoints of several builds.
-struct BuildFleet {
-    source: TestSource,
-    hosts: Vec<TestGateway>,
-    endpoints: Vec<(&'static str, ScriptedEndpoint)>,
+pub(crate) struct BuildFleet {
+    pub(crate) source: TestSource,
+    pub(crate) hosts: Vec<TestGateway>,
+    pub(crate) endpoints: Vec<(&'static str, ScriptedEndpoint)>,
     script: Script,
 }
 
 impl BuildFleet {
-    async fn start(hosts: usize, builds: &[&'static str]) -> Self {
+    pub(crate) async fn start(hosts: usize, builds: &[&'static str]) -> Self {
         let source = TestSource::default();
         let mut document = rules(1);
         document.organisations.push(OrganisationRules {
@@ -46,17 +46,7 @@
             script: Script::default(),
         };
         for build in builds {
-            for i in 0..NAMES_PER_BUILD {
-                let name = format!("endpoint-{build}-{i}");
-                let behaviour = Behaviour::Stream {
-                    last: LAST_EVENT,
-                    cut_at: None,
-                };
-                let script = fleet.script.clone();
-                let endpoint = ScriptedEndpoint::start(&name, "pool", behaviour, script).await;
-                fleet.list(&endpoint, build);
-                fleet.endpoints.push((build, endpoint));
-            }
+            fleet.add_endpoints(build, build).await;
         }
         for i in 0..hosts {
             fleet.add_host(&format!("host-{i}")).await;
@@ -67,9 +57,24 @@
         fleet
     }
 
-    async fn add_host(&mut self, name: &str) {
+    /// Starts endpoints of a build, whose names begin with `prefix`.
+    pub(crate) async fn add_endpoints(&mut self, prefix: &str, build: &'static str) {
+        for i in 0..NAMES_PER_BUILD {
+            let name = format!("endpoint-{prefix}-{i}");
+            let behaviour = Behaviour::Stream {
+                last: LAST_EVENT,
+                cut_at: None,
+            };
+            let script = self.script.clone();
+            let endpoint = ScriptedEndpoint::start(&name, "pool", behaviour, script).await;
+            self.list(&endpoint, build);
+            self.endpoints.push((build, endpoint));
+        }
+    }
+
+    pub(crate) async fn add_host(&mut self, name: &str) {
         let seeds = self.hosts.iter().map(TestGateway::peer_address).collect();
-        let host = TestGateway::start(self.source.clone(), name, seeds).await;
+        let host = TestGateway::killable(self.source.clone(), name, seeds).await;
         host.ready().await;
         self.hosts.push(host);
     }
@@ -82,7 +87,7 @@
     }
 
     /// Returns the builds at which a request arrived, by attempt at each endpoint.
-    fn builds_of(&self, id: &str) -> Vec<&'static str> {
+    pub(crate) fn builds_of(&self, id: &str) -> Vec<&'static str> {
         let endpoints = self.endpoints.iter();
         endpoints
             .flat_map(|(build, endpoint)| std::iter::repeat_n(*build, endpoint.run_count(id)))
@@ -91,7 +96,7 @@
 
     /// Begins a stream at a host and loses the connection after `LAST_SEEN`. Returns the build
     /// that began it.
-    async fn begin(&self, host: usize, id: &str) -> &'static str {
+    pub(crate) async fn begin(&self, host: usize, id: &str) -> &'static str {
         self.script
             .push([Behaviour::StreamThenStall { last: LAST_SEEN }]);
         let call = Call::post("/resumable/", b"x").id(id);
@@ -108,13 +113,13 @@
         builds[0]
     }
 
-    async fn take_up(&self, host: usize, call: Call) -> Received {
+    pub(crate) async fn take_up(&self, host: usize, call: Call) -> Received {
         let call = call.header("after", &LAST_SEEN.to_string());
         self.hosts[host].call(call).await
     }
 }
 
-fn take_up_call(id: &str, resumes: &str) -> Call {
+pub(crate) fn take_up_call(id: &str, resumes: &str) -> Call {
     Call::post("/resumable/", b"x")
         .id(id)
         .header("resumes", resumes)
--- a/crates/gateway/tests/gateway/support/fleet.rs
+++ b/crates/gateway/tests/gateway/support/fleet.rs
@@ -13,6 +13,7 @@
 };
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::runtime::Runtime;
 use tokio::sync::mpsc;
 
 use super::{Behaviour, Script, ScriptedEndpoint, TestEdge, TestSource};
@@ -98,6 +99,18 @@
     pub(crate) endpoints: Vec<ScriptedEndpoint>,
     /// Behaviours for the next requests at its endpoints.
     pub(crate) script: Script,
+    pub(super) _runtime: Option<OwnRuntime>,
+}
+
+/// The runtime of a gateway that ends with it.
+pub(super) struct OwnRuntime(Option<Runtime>);
+
+impl Drop for OwnRuntime {
+    fn drop(&mut self) {
+        if let Some(runtime) = self.0.take() {
+            runtime.shutdown_background();
+        }
+    }
 }
 
 impl TestGateway {
@@ -128,6 +141,22 @@
         Self::in_zone("zone-a", source, host, seeds).await
     }
 
+    /// Starts a gateway that is lost, as by SIGKILL, when this is dropped.
+    pub(crate) async fn killable(source: TestSource, host: &str, seeds: Vec<SocketAddr>) -> Self {
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(1)
+            .enable_all()
+            .build()
+            .expect("a runtime");
+        let config = config("zone-a", host, seeds).build();
+        let started = runtime.spawn(Self::from_config(config, source));
+        let gateway = started.await.expect("the gateway starts");
+        Self {
+            _runtime: Some(OwnRuntime(Some(runtime))),
+            ..gateway
+        }
+    }
+
     /// Starts a gateway whose retry budget has no slack.
     pub(crate) async fn with_budget(source: TestSource, ratio: f64) -> Self {
         let config = config("zone-a", "host-1", Vec::new());
@@ -240,6 +269,7 @@
             source,
             endpoints: Vec::new(),
             script: Script::default(),
+            _runtime: None,
         }
     }
 
--- a/crates/gateway/tests/gateway/support/suspendable.rs
+++ b/crates/gateway/tests/gateway/support/suspendable.rs
@@ -76,6 +76,7 @@
             source,
             endpoints: Vec::new(),
             script: Script::default(),
+            _runtime: None,
         };
         Self {
             gateway,
