--- /dev/null
+++ b/crates/gateway/tests/gateway/listed_builds.rs
@@ -0,0 +1,135 @@
+//! Hosts list every endpoint under the build that it registered, and claim of a pool's past
+//! only what they know.
+
+use std::time::Duration;
+
+use crate::stream_builds::{BuildFleet, NAMES_PER_BUILD, NEW, OLD, take_up_call};
+use crate::support::{HeldCalls, TestGateway, TestSource, hosts_with, metric, rules, until};
+use googletest::prelude::*;
+
+const STREAMS: usize = 24;
+
+/// Guards against rows that take the usual build of their pool because their own travels in
+/// another call.
+#[tokio::test]
+async fn listed_builds_are_right_while_a_call_of_a_pull_is_held() {
+    const MAX_WAIT: Duration = Duration::from_millis(150);
+    let mut fleet = BuildFleet::start(1, &[OLD]).await;
+    let mut link = HeldCalls::start(fleet.hosts[0].peer_address()).await;
+    let pulling = TestGateway::without_store("host-pulling", vec![link.address]).await;
+    let _one_call_may_do = tokio::time::timeout(MAX_WAIT, link.wait_until_held()).await;
+    fleet.add_endpoints(NEW, NEW).await;
+    let all = (2 * NAMES_PER_BUILD) as f64;
+    until(async || metric(&fleet.hosts[0], "endpoints_live").await == all).await;
+    link.open();
+    pulling.ready().await;
+    until(async || metric(&pulling, "endpoints_live").await == all).await;
+    fleet.hosts.push(pulling);
+    for number in 0..STREAMS {
+        let id = format!("r-{number}");
+        let build = fleet.begin(0, &id).await;
+        let try_id = format!("{id}-1");
+        let received = fleet.take_up(1, take_up_call(&try_id, &id)).await;
+        assert_that!(received.status, eq(200), "{try_id}");
+        assert_that!(fleet.builds_of(&try_id), eq(&[build]), "{try_id}");
+    }
+}
+
+/// Guards against a host that takes the only build of an old list for the only one there was.
+#[tokio::test]
+async fn streams_at_a_host_with_an_old_list_are_refused_as_not_run() {
+    const OLD_AFTER: Duration = Duration::from_millis(6_000);
+    let mut fleet = BuildFleet::start(1, &[OLD]).await;
+    let old_source = TestSource::default();
+    old_source.set_rules(rules(1));
+    for (_, endpoint) in &fleet.endpoints {
+        old_source.list(endpoint.endpoint.clone());
+    }
+    let outdated = TestGateway::start(old_source.clone(), "host-outdated", Vec::new()).await;
+    outdated.ready().await;
+    old_source.isolate();
+    fleet.add_endpoints(NEW, NEW).await;
+    let all = (2 * NAMES_PER_BUILD) as f64;
+    until(async || metric(&fleet.hosts[0], "endpoints_live").await == all).await;
+    fleet.hosts.push(outdated);
+    tokio::time::sleep(OLD_AFTER).await;
+    for number in 0..STREAMS {
+        let id = format!("r-{number}");
+        fleet.begin(0, &id).await;
+        let try_id = format!("{id}-1");
+        let received = fleet.take_up(1, take_up_call(&try_id, &id)).await;
+        assert_that!(received.status, eq(503), "{try_id}");
+        assert_that!(fleet.builds_of(&try_id), is_empty(), "{try_id}");
+    }
+}
+
+/// Guards against hosts that start anew and take the only build listed then for the one that
+/// began a stream.
+#[tokio::test]
+async fn streams_after_the_loss_of_all_hosts_and_of_a_build_are_refused() {
+    const HOSTS: usize = 2;
+    let mut fleet = BuildFleet::start(HOSTS, &[OLD, NEW]).await;
+    let begun = begin_streams(&fleet).await;
+    fleet.hosts.clear();
+    for (_, endpoint) in fleet.endpoints.iter().filter(|(build, _)| *build == NEW) {
+        fleet.source.unlist(&endpoint.endpoint.name);
+    }
+    fleet.add_endpoints("again", OLD).await;
+    add_hosts(&mut fleet, HOSTS).await;
+    for (id, _) in begun.iter().filter(|(_, build)| *build == NEW) {
+        let try_id = format!("{id}-1");
+        let received = fleet.take_up(0, take_up_call(&try_id, id)).await;
+        assert_that!(received.status, eq(503), "{try_id}");
+        assert_that!(fleet.builds_of(&try_id), is_empty(), "{try_id}");
+    }
+}
+
+/// Guards against the loss of all hosts after which no stream goes on, although its build
+/// serves.
+#[tokio::test]
+async fn streams_of_two_builds_go_on_after_the_loss_of_all_hosts() {
+    const HOSTS: usize = 2;
+    const MIN_RATIO: f64 = 0.5;
+    /// Time for which a caller has read when its stream breaks.
+    const READ_FOR: Duration = Duration::from_millis(1_000);
+    let mut fleet = BuildFleet::start(HOSTS, &[OLD, NEW]).await;
+    let begun = begin_streams(&fleet).await;
+    tokio::time::sleep(READ_FOR).await;
+    fleet.hosts.clear();
+    add_hosts(&mut fleet, HOSTS).await;
+    let mut went_on = 0;
+    for (number, (id, build)) in begun.iter().enumerate() {
+        let try_id = format!("{id}-1");
+        let received = fleet
+            .take_up(number % HOSTS, take_up_call(&try_id, id))
+            .await;
+        let builds = fleet.builds_of(&try_id);
+        assert_that!(
+            builds.iter().all(|other| other == build),
+            eq(true),
+            "{try_id}"
+        );
+        went_on += usize::from(received.status == 200);
+    }
+    assert_that!(went_on as f64, ge(MIN_RATIO * begun.len() as f64));
+}
+
+/// Begins streams at all hosts in turn. Returns their ids and builds.
+async fn begin_streams(fleet: &BuildFleet) -> Vec<(String, &'static str)> {
+    let mut begun = Vec::new();
+    for number in 0..STREAMS {
+        let id = format!("r-{number}");
+        let build = fleet.begin(number % fleet.hosts.len(), &id).await;
+        begun.push((id, build));
+    }
+    begun
+}
+
+/// Starts hosts that know each other and nothing of the earlier ones.
+async fn add_hosts(fleet: &mut BuildFleet, count: usize) {
+    for number in 0..count {
+        fleet.add_host(&format!("host-again-{number}")).await;
+    }
+    let others = (count - 1) as f64;
+    until(async || hosts_with(&fleet.hosts, "peers_heard", others).await == count).await;
+}
--- a/crates/gateway/tests/gateway/support/mod.rs
+++ b/crates/gateway/tests/gateway/support/mod.rs
@@ -5,6 +5,7 @@
 mod endpoint;
 mod fleet;
 mod framed;
+mod held_calls;
 mod link;
 mod many_hosts;
 mod part_crashing;
@@ -20,6 +21,7 @@
     Call, KEY, Received, TestGateway, hosts_with, metric, receive, rules, rules_with_routes, until,
 };
 pub(crate) use framed::{FramedAnswer, Framing};
+pub(crate) use held_calls::HeldCalls;
 pub(crate) use link::SlowLink;
 pub(crate) use many_hosts::{FleetHost, LimitedSource, peer_addresses, ready_times, start_fleet};
 pub(crate) use part_crashing::{EVENTS, PartCrashPlan, PartCrashingEndpoint};
