Log a digest of the list of endpoints, and pulls of its changes

Streams of throttled hosts go on at another build, and no line tells where a host's list first differs from the store's: pulls of changes had no line, and lines did not name builds. Hosts with the same list now log the same digest, so that the first one with another digest and its source are found.

--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -137,6 +137,10 @@
 #[serde(transparent)]
 pub(crate) struct Digits(#[serde(serialize_with = "as_digits")] pub(crate) RequestFingerprint);
 
+fn as_hex<S: Serializer>(digest: &u64, serializer: S) -> Result<S::Ok, S::Error> {
+    serializer.collect_str(&format_args!("{digest:016x}"))
+}
+
 fn as_digits<S: Serializer>(value: &impl fmt::Display, serializer: S) -> Result<S::Ok, S::Error> {
     serializer.collect_str(value)
 }
@@ -162,6 +166,8 @@
     Rules,
     /// A whole list of endpoints was received.
     Endpoints,
+    /// Changes of the list of endpoints were received.
+    Changes,
     /// The host serves too many other pulls.
     Busy,
     /// The connection was refused or closed early.
@@ -191,11 +197,13 @@
         is_slow: bool,
         slowness: f64,
     },
-    /// The list of endpoints changed.
+    /// The list of endpoints changed. Hosts with the same list log the same `digest`.
     Endpoints {
         version: u64,
         live: usize,
         leaving: usize,
+        #[serde(serialize_with = "as_hex")]
+        digest: u64,
         from: &'a str,
     },
     /// A row of the store can't be parsed and is skipped.
@@ -258,7 +266,7 @@
         endpoints: &'a [&'a EndpointId],
         longest_ms: u64,
     },
-    /// A pull of missing state from another host failed, or returned rules or a whole list.
+    /// A pull of missing state from another host failed, or returned rules or endpoints.
     Pull {
         from: SocketAddr,
         outcome: PullOutcome,
--- a/crates/gateway/src/peers/pull.rs
+++ b/crates/gateway/src/peers/pull.rs
@@ -263,7 +263,8 @@
                 (Some(_), ..) => Some(PullOutcome::Busy),
                 (None, Some(_), _) => Some(PullOutcome::Rules),
                 (None, None, Some(EndpointUpdate::Entire { .. })) => Some(PullOutcome::Endpoints),
-                (None, None, _) => None,
+                (None, None, Some(EndpointUpdate::Changes(_))) => Some(PullOutcome::Changes),
+                (None, None, None) => None,
             };
             (outcome, Some(response))
         }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -628,11 +628,13 @@
         let leaving = fleet.endpoints.leaving().len();
         let live = fleet.endpoints.live_count();
         let version = fleet.endpoints_version.0;
+        let digest = fleet.endpoints.digest();
         drop(fleet);
         self.event_log.emit(&Event::Endpoints {
             version,
             live,
             leaving,
+            digest,
             from,
         });
         if let Some(longest_ms) = longest_ms {
--- a/crates/routing/src/endpoints.rs
+++ b/crates/routing/src/endpoints.rs
@@ -316,6 +316,15 @@
         self.listed().count()
     }
 
+    /// A digest of the listed starts and their builds. Hosts with the same list have the same.
+    pub fn digest(&self) -> u64 {
+        let starts = self.listed().map(|member| {
+            let build = &member.endpoint.build;
+            MemberHash::of_start(build.as_str(), member.hash.0).0
+        });
+        starts.fold(0, |digest, start| digest ^ start)
+    }
+
     /// Short hashes of the listed endpoints.
     pub fn listed_hashes(&self) -> HashSet<u32> {
         let listed = self.entries.values().filter(|known| known.is_listed);
--- a/crates/routing/tests/endpoints.rs
+++ b/crates/routing/tests/endpoints.rs
@@ -51,6 +51,31 @@
     }
 }
 
+/// Guards against lists that differ in one start or one build and have the same digest.
+#[test]
+fn table_digest_tells_starts_and_builds_apart() {
+    let with_build = |name: &str, incarnation: u64, build: &str| Endpoint {
+        build: build.into(),
+        ..start(name, incarnation, HostState::Live)
+    };
+    let digest = |endpoints: Vec<Endpoint>| {
+        let mut table = EndpointTable::default();
+        table.replace(endpoints, 0);
+        table.digest()
+    };
+    let (a, b) = (with_build("a", 5, "v1"), with_build("b", 5, "v1"));
+    let listed = digest(vec![a.clone(), b.clone()]);
+    assert_that!(digest(vec![b.clone(), a.clone()]), eq(listed));
+    for other in [
+        vec![a.clone()],
+        vec![a.clone(), with_build("b", 6, "v1")],
+        vec![a.clone(), with_build("b", 5, "v2")],
+        vec![with_build("a", 5, "v2"), with_build("b", 5, "v2")],
+    ] {
+        assert_that!(digest(other), not(eq(listed)));
+    }
+}
+
 /// Guards against excluding a restarted endpoint by reports about an earlier start.
 #[test]
 fn table_treats_a_later_start_as_another_endpoint() {
