Take builds out of use that a rollout's plan names late

A host that starts gets a pool's record in a pull, whose format has no room for the builds of earlier rollouts that were not done; these travel in the plan, in a datagram that comes later. The plan then reached the stored record and not the run that selects endpoints, so that the host sent the old build's requests to a build that had been rolled back, and as the writer left these builds out of the next record.

merge_plan applies them to the run, and keeps those that a later message of the same order adds. merge_plan_after_its_record_takes_unproven_builds_out_of_use failed before (v0 was admitted as old).

--- a/crates/routing/src/rollout/record.rs
+++ b/crates/routing/src/rollout/record.rs
@@ -85,6 +85,17 @@
     pub era: u64,
 }
 
+impl RolloutPlan {
+    /// Adds what this plan lacks of another one of the same order.
+    pub(super) fn add(&mut self, other: &RolloutPlan) {
+        if self.planned_ms.is_empty() {
+            self.planned_ms.clone_from(&other.planned_ms);
+        }
+        self.unproven.extend(other.unproven.iter().cloned());
+        self.ordered_at_store_ms = self.ordered_at_store_ms.or(other.ordered_at_store_ms);
+    }
+}
+
 impl RolloutRecord {
     /// Age of the order by the store's clock, in milliseconds, or `None` if the clock is not
     /// the one by which the order was timed. A clock that ran backwards gives a lower age, so
@@ -110,11 +121,17 @@
         if plan.order != self.order {
             return;
         }
-        if self.planned_ms.is_empty() {
-            self.planned_ms.clone_from(&plan.planned_ms);
-        }
-        self.unproven.extend(plan.unproven.iter().cloned());
-        self.ordered_at_store_ms = self.ordered_at_store_ms.or(plan.ordered_at_store_ms);
+        let mut all = self.plan();
+        all.add(plan);
+        let RolloutPlan {
+            order: _,
+            planned_ms,
+            ordered_at_store_ms,
+            unproven,
+        } = all;
+        self.planned_ms = planned_ms;
+        self.ordered_at_store_ms = ordered_at_store_ms;
+        self.unproven = unproven;
     }
 
     /// Whether the requests of a route have moved at this age of the order.
--- a/crates/routing/src/rollout/runs.rs
+++ b/crates/routing/src/rollout/runs.rs
@@ -381,11 +381,19 @@
             return;
         }
         let stored_record = self.stored_records.get_mut(pool);
-        if let Some(record) = stored_record.and_then(|stored| stored.record.as_mut()) {
+        let record = stored_record.and_then(|stored| stored.record.as_mut());
+        if let Some(record) = record.filter(|record| record.order == plan.order) {
             record.add_plan(&plan);
+            if let Some(run) = self.runs.get_mut(pool) {
+                for build in &plan.unproven {
+                    run.mark_unproven(build, None);
+                }
+            }
         }
-        if plan.order > known.order || known.planned_ms.is_empty() {
+        if plan.order > known.order {
             *known = plan;
+        } else {
+            known.add(&plan);
         }
     }
 
--- a/crates/routing/tests/rollout_execution.rs
+++ b/crates/routing/tests/rollout_execution.rs
@@ -163,6 +163,30 @@
     );
 }
 
+/// Guards against sending the old build's requests to an unproven build that a plan names after
+/// its record has arrived.
+#[test]
+fn merge_plan_after_its_record_takes_unproven_builds_out_of_use() {
+    let pool = PoolId::from("pool");
+    for stage in [RolloutStage::Canary, RolloutStage::RolledBack] {
+        let mut rollouts = rollouts(stage);
+        let plan = RolloutPlan {
+            unproven: ["v0".into()].into(),
+            ..record(stage).plan()
+        };
+        rollouts.merge_plan(&pool, plan);
+        let filter = rollouts.filter(&pool, BuildUse::Old, 0);
+        let admitted = ["v0", "v1", "v2"].map(|build| filter.admits(&build.into()));
+        assert_that!(admitted, eq([false, true, false]), "{stage}");
+        let unproven = rollouts.unproven(&pool);
+        assert_that!(
+            unproven,
+            eq(&[BuildVersion::from("v0")].into()),
+            "for the next record"
+        );
+    }
+}
+
 /// All routes have moved at an age of 8 s; requests run for at most 3 s.
 fn view(age_ms: u64, counted_hosts: usize, hosts: &[HeardHost]) -> QuiescenceView<'_> {
     QuiescenceView {
