Send no request to a build that it was not placed at

A request is placed at an endpoint and then waits for a connection, for up to 400 ms. If the endpoint's entry changes its build meanwhile under the same start, as when a wrong entry is corrected or an endpoint without an incarnation is replaced under its name, the request was sent all the same, and its stream was recorded under the build of the earlier entry.

EndpointTable::accepts_work compares the build too, so that the request is withdrawn and placed anew. accepts_work_only_at_the_build_that_was_chosen failed before.

--- a/crates/routing/src/endpoints.rs
+++ b/crates/routing/src/endpoints.rs
@@ -262,12 +262,13 @@
         serving.filter(move |member| member.endpoint.zone == *zone)
     }
 
-    /// Whether this start of an endpoint accepts new work.
+    /// Whether this start of an endpoint accepts new work, at the build that it was chosen for.
     pub fn accepts_work(&self, endpoint: &Endpoint) -> bool {
         let known = self.entries.get(&endpoint.name);
         known.is_some_and(|known| {
-            let is_same_start = known.member.endpoint.incarnation == endpoint.incarnation;
-            is_same_start && known.accepts_work()
+            let listed = &known.member.endpoint;
+            let is_same_start = listed.incarnation == endpoint.incarnation;
+            is_same_start && listed.build == endpoint.build && known.accepts_work()
         })
     }
 
--- a/crates/routing/tests/endpoints.rs
+++ b/crates/routing/tests/endpoints.rs
@@ -108,6 +108,23 @@
     assert_that!(table.accepts_work(&first), eq(false));
 }
 
+/// Guards against a request that is sent to a build other than the one that it was placed at.
+#[test]
+fn accepts_work_only_at_the_build_that_was_chosen() {
+    let with_build = |incarnation, build: &str| Endpoint {
+        build: build.into(),
+        ..start("a", incarnation, HostState::Live)
+    };
+    for incarnation in [0, 5] {
+        let mut table = EndpointTable::default();
+        let chosen = with_build(incarnation, "v1");
+        table.upsert(chosen.clone());
+        assert_that!(table.accepts_work(&chosen), eq(true), "{incarnation}");
+        table.upsert(with_build(incarnation, "v2"));
+        assert_that!(table.accepts_work(&chosen), eq(false), "{incarnation}");
+    }
+}
+
 #[test]
 fn table_prefers_the_later_start_to_an_older_list() {
     let mut table = EndpointTable::default();
