Take over no build from another start of a name

An entry that comes from a host of an earlier build has no build, and took that of the entry before, if their incarnations are the same. Endpoints of platforms that state no start have none, so that an endpoint that was replaced under its name took the build of its predecessor, and streams went on there.

Only entries with an incarnation take a build over. merge_of_another_start_ does_not_take_over_its_build failed before.

--- a/crates/routing/src/endpoints.rs
+++ b/crates/routing/src/endpoints.rs
@@ -20,7 +20,7 @@
 use std::sync::Arc;
 
 use chalkrock_core::rendezvous::MemberHash;
-use chalkrock_core::{Endpoint, EndpointId, HostState, PoolId, ZoneId};
+use chalkrock_core::{Endpoint, EndpointId, HostState, Incarnation, PoolId, ZoneId};
 
 /// How long an endpoint that left is remembered; a late update can't revive it.
 const RETENTION_MS: u64 = 120_000;
@@ -337,7 +337,9 @@
         let known = known.map(|known| &*known.member.endpoint);
         if let Some(known) = known.filter(|known| known.incarnation == endpoint.incarnation) {
             endpoint.state = endpoint.state.max(known.state);
-            if !endpoint.build.is_known() {
+            // Without an incarnation, the entry may be of another start.
+            let is_same_start = endpoint.incarnation != Incarnation(0);
+            if is_same_start && !endpoint.build.is_known() {
                 endpoint.build = known.build.clone();
             }
         }
--- a/crates/routing/tests/endpoints.rs
+++ b/crates/routing/tests/endpoints.rs
@@ -125,6 +125,25 @@
     }
 }
 
+/// Guards against an entry without a build that takes the build of another start of its name.
+#[test]
+fn merge_of_another_start_does_not_take_over_its_build() {
+    let with_build = |incarnation, build: &str| Endpoint {
+        build: build.into(),
+        ..start("a", incarnation, HostState::Live)
+    };
+    // Without an incarnation, an entry of a name may be of another start.
+    for (first, second, expected) in [(5, 5, "v1"), (5, 9, ""), (0, 0, ""), (0, 9, "")] {
+        let mut table = EndpointTable::default();
+        table.upsert(with_build(first, "v1"));
+        table.upsert(with_build(second, ""));
+        let builds: Vec<String> = { table.listed() }
+            .map(|member| member.endpoint.build.to_string())
+            .collect();
+        assert_that!(builds, elements_are![eq(expected)], "{first} and {second}");
+    }
+}
+
 #[test]
 fn table_prefers_the_later_start_to_an_older_list() {
     let mut table = EndpointTable::default();
