Count builds as stable that follow a list without builds

A host that gets its first list from a host of an earlier build knows no builds, and took those of the next list for new ones: no endpoint of a pool got requests for the second in which an order may still come.

Builds count as stable if they are in the first list that names any. record_listed_builds_takes_no_build_for_new_after_a_list_without_builds failed before (v1 was not admitted).

--- a/crates/routing/src/rollout/runs.rs
+++ b/crates/routing/src/rollout/runs.rs
@@ -483,16 +483,16 @@
         Some(self.record(pool)?.0.stage)
     }
 
-    /// Records the listed builds of a pool's endpoints. Those of the first list count
-    /// as stable.
+    /// Records the listed builds of a pool's endpoints. Those of the first list that names
+    /// any count as stable.
     pub fn record_listed_builds<'a>(
         &mut self,
         pool: &PoolId,
         builds: impl IntoIterator<Item = &'a BuildVersion>,
         now_ms: u64,
     ) {
-        let is_first_list = !self.known_builds.contains_key(pool);
         let known = self.known_builds.entry(pool.clone()).or_default();
+        let is_first_list = !known.iter().any(BuildVersion::is_known);
         for build in builds {
             if known.insert(build.clone()) && !is_first_list {
                 let listed_ms = self.new_builds.entry(pool.clone()).or_default();
--- a/crates/routing/tests/rollout.rs
+++ b/crates/routing/tests/rollout.rs
@@ -777,6 +777,26 @@
     assert_that!(admits(&rollouts, &v2, 6_000), eq(true), "no order arrived");
 }
 
+/// Guards against taking a build for new whose name a list without builds left out.
+#[test]
+fn record_listed_builds_takes_no_build_for_new_after_a_list_without_builds() {
+    let (unknown, v1) = (BuildVersion::default(), BuildVersion::from("v1"));
+    let v2 = BuildVersion::from("v2");
+    let lists: [(&[&BuildVersion], bool, bool); 3] = [
+        (&[&unknown], true, true),
+        (&[&unknown, &v1], true, false),
+        (&[&v1], true, false),
+    ];
+    for (first, admits_v1, admits_v2) in lists {
+        let mut rollouts = rollouts();
+        rollouts.record_listed_builds(&pool(), first.iter().copied(), 0);
+        rollouts.record_listed_builds(&pool(), [&v1, &v2], 100);
+        let filter = rollouts.filter(&pool(), BuildUse::Any, 100);
+        assert_that!(filter.admits(&v1), eq(admits_v1), "{first:?}");
+        assert_that!(filter.admits(&v2), eq(admits_v2), "{first:?}");
+    }
+}
+
 #[test]
 fn repeated_order_restarts_the_rollout() {
     let mut rollouts = ordered(Some(RolloutStage::RolledBack));
