Take an entry without a build at its word

An entry of a known start that states no build kept the build that an earlier entry, or another host's default, had stated: nothing could take a wrong build back, and hosts with the same list could hold different builds.

Test: table_entry_without_build_states_none, which failed before.

--- a/crates/routing/src/endpoints.rs
+++ b/crates/routing/src/endpoints.rs
@@ -336,9 +336,6 @@
         let known = known.map(|known| &*known.member.endpoint);
         if let Some(known) = known.filter(|known| known.incarnation == endpoint.incarnation) {
             endpoint.state = endpoint.state.max(known.state);
-            if !endpoint.build.is_known() {
-                endpoint.build = known.build.clone();
-            }
         }
         let hash = endpoint.start_hash();
         let leaving = self.leaving_starts.get_mut(&hash.short());
--- a/crates/routing/tests/endpoints.rs
+++ b/crates/routing/tests/endpoints.rs
@@ -76,6 +76,20 @@
     }
 }
 
+/// Guards against an endpoint that keeps a build that its entry does not state.
+#[test]
+fn table_entry_without_build_states_none() {
+    let with_build = Endpoint {
+        build: "v1".into(),
+        ..live("a")
+    };
+    let mut table = EndpointTable::default();
+    table.upsert(with_build);
+    table.upsert(live("a"));
+    let builds: Vec<BuildVersion> = table.listed().map(|m| m.endpoint.build.clone()).collect();
+    assert_that!(builds, eq(&[BuildVersion::default()]));
+}
+
 /// Guards against excluding a restarted endpoint by reports about an earlier start.
 #[test]
 fn table_treats_a_later_start_as_another_endpoint() {
