--- a/crates/gateway/src/fleet/builds.rs
+++ b/crates/gateway/src/fleet/builds.rs
@@ -3,11 +3,12 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use chalkrock_core::rendezvous::MemberHash;
-use chalkrock_core::{BuildVersion, PoolId};
+use chalkrock_core::{BuildVersion, Endpoint, PoolId};
 use chalkrock_routing::{BuildFilter, BuildUse, PoolBuilds, PoolMember};
 
 use crate::fleet::Fleet;
 use crate::peers::KnownBuilds;
+use crate::source::EndpointChange;
 
 /// How long builds that left the list are remembered.
 const BUILD_MEMORY_MS: u64 = 120_000;
@@ -97,27 +98,24 @@
         builds.filter(|build| build != to).collect()
     }
 
-    /// The builds of all endpoints, to send to another host.
+    /// The builds of all endpoints that this host lists, and of those that its retained
+    /// changes list, to send to another host.
     pub(crate) fn known_builds(&self) -> KnownBuilds {
-        if let Some(usual) = self.rollouts.stable_builds() {
-            // Avoids a lookup for each endpoint.
-            return KnownBuilds {
-                usual,
-                others: Vec::new(),
-            };
-        }
         let mut usual: BTreeMap<PoolId, BuildVersion> = BTreeMap::new();
         let mut others = Vec::new();
-        for member in self.endpoints.listed() {
-            let endpoint = &*member.endpoint;
-            if !endpoint.build.is_known() {
-                continue;
-            }
+        let listed = self.endpoints.listed();
+        let listed = listed.map(|member| (member.hash.short(), &*member.endpoint));
+        let changed = self.changed_endpoints();
+        let unlisted_now = {
+            let listed = self.endpoints.listed_hashes();
+            changed.filter(move |(start, _)| !listed.contains(start))
+        };
+        for (start, endpoint) in listed.chain(unlisted_now) {
             let usual_build = usual
                 .entry(endpoint.pool.clone())
                 .or_insert_with(|| endpoint.build.clone());
             if *usual_build != endpoint.build {
-                others.push((member.hash.short(), endpoint.build.clone()));
+                others.push((start, endpoint.build.clone()));
             }
         }
         KnownBuilds {
@@ -126,6 +124,18 @@
         }
     }
 
+    /// The endpoints that the retained changes list, by the hash of their start.
+    fn changed_endpoints(&self) -> impl Iterator<Item = (u32, &Endpoint)> {
+        let changes = self.changes.iter().map(|row| &row.change);
+        changes.filter_map(|change| match change {
+            EndpointChange::Listed(listed) => {
+                let endpoint = &listed.endpoint;
+                Some((endpoint.start_hash().short(), endpoint))
+            }
+            EndpointChange::Gone(_) | EndpointChange::Unreadable(_) => None,
+        })
+    }
+
     /// Whether an endpoint of a build accepts requests of a pool.
     pub(crate) fn has_build(&self, pool: &PoolId, build: &BuildVersion) -> bool {
         let members = self.endpoints.live(pool);
--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -86,6 +86,9 @@
     pub(crate) endpoints: EndpointTable,
     /// Latest known version of the endpoint list.
     pub(crate) endpoints_version: StoreVersion,
+    /// Counts the changes that were applied to the list, unlike its version also those that
+    /// replace it at the same version.
+    list_revision: u64,
     /// Whether a full list was ever applied.
     has_full_list: bool,
     /// Store era of the last full read.
@@ -149,6 +152,7 @@
         Self {
             endpoints: EndpointTable::default(),
             endpoints_version: StoreVersion::default(),
+            list_revision: 0,
             has_full_list: false,
             store_era: None,
             lapsed_until_ms: None,
@@ -581,6 +585,7 @@
         });
         let endpoints = endpoints.collect();
         self.endpoints.replace(endpoints, now_ms);
+        self.list_revision += 1;
         self.endpoints_version = self.endpoints_version.max(version);
         self.has_full_list = true;
         self.changes.clear();
@@ -625,11 +630,16 @@
             }
         }
         if has_changed {
+            self.list_revision += 1;
             self.prune_health();
         }
         has_changed
     }
 
+    pub(crate) fn list_revision(&self) -> u64 {
+        self.list_revision
+    }
+
     pub(crate) fn listed(&self, now_ms: u64) -> Vec<ListedEndpoint> {
         let listed = self.endpoints.listed().map(|member| ListedEndpoint {
             endpoint: (*member.endpoint).clone(),
--- a/crates/gateway/src/peers/api.rs
+++ b/crates/gateway/src/peers/api.rs
@@ -1,15 +1,16 @@
 //! RPC interface between hosts.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 
-use chalkrock_core::{BuildVersion, PoolId};
+use chalkrock_core::{BuildVersion, Endpoint, PoolId};
 use chalkrock_routing::{Evacuations, LearnedState, PoisonRequest, RulesVersion, StoreVersion};
 use serde::{Deserialize, Serialize};
 
 use crate::active_rules::RulesUpdate;
 use crate::peers::message::HostContact;
 use crate::peers::rollouts::RolloutUpdate;
-use crate::source::{EndpointRow, ListedEndpoint};
+use crate::source::{EndpointChange, EndpointRow, ListedEndpoint};
 
 /// Versions that the requesting host already knows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -43,6 +44,103 @@
             Self::Changes(rows) => rows.len(),
         }
     }
+
+    /// The endpoints that the update lists, in order.
+    fn listed(&self) -> Vec<&Endpoint> {
+        match self {
+            Self::Entire { endpoints, .. } => {
+                let listed = endpoints.iter();
+                listed.map(|listed| &listed.endpoint).collect()
+            }
+            Self::Changes(rows) => {
+                let changes = rows.iter().map(|row| &row.change);
+                let listed = changes.filter_map(|change| match change {
+                    EndpointChange::Listed(listed) => Some(&listed.endpoint),
+                    EndpointChange::Gone(_) | EndpointChange::Unreadable(_) => None,
+                });
+                listed.collect()
+            }
+        }
+    }
+
+    /// The endpoints that the update lists, in order.
+    pub(crate) fn listed_mut(&mut self) -> Vec<&mut Endpoint> {
+        match self {
+            Self::Entire { endpoints, .. } => {
+                let listed = endpoints.iter_mut();
+                listed.map(|listed| &mut listed.endpoint).collect()
+            }
+            Self::Changes(rows) => {
+                let changes = rows.iter_mut().map(|row| &mut row.change);
+                let listed = changes.filter_map(|change| match change {
+                    EndpointChange::Listed(listed) => Some(&mut listed.endpoint),
+                    EndpointChange::Gone(_) | EndpointChange::Unreadable(_) => None,
+                });
+                listed.collect()
+            }
+        }
+    }
+
+    /// The version of the list that has the update applied; `None` without changes.
+    pub(crate) fn version(&self) -> Option<StoreVersion> {
+        match self {
+            Self::Entire { version, .. } => Some(*version),
+            Self::Changes(rows) => rows.last().map(|row| row.version),
+        }
+    }
+}
+
+/// Builds of the endpoints that an update lists, which the update itself does not carry.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct RowBuilds {
+    /// The builds, once each; `None` for endpoints that registered none.
+    builds: Vec<Option<BuildVersion>>,
+    /// For each listed endpoint, in order, the position of its build.
+    positions: Vec<u32>,
+}
+
+/// The builds of a response do not belong to its rows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{listed} endpoints are listed with {positions} positions in {builds} builds")]
+pub(crate) struct RowBuildsError {
+    listed: usize,
+    positions: usize,
+    builds: usize,
+}
+
+impl RowBuilds {
+    /// The builds of the endpoints that an update lists.
+    pub(crate) fn of(update: Option<&EndpointUpdate>) -> Self {
+        let mut row_builds = Self::default();
+        let mut known = HashMap::new();
+        for endpoint in update.map(EndpointUpdate::listed).unwrap_or_default() {
+            let position = *known.entry(&endpoint.build).or_insert_with(|| {
+                let build = endpoint.build.is_known().then(|| endpoint.build.clone());
+                row_builds.builds.push(build);
+                (row_builds.builds.len() - 1) as u32
+            });
+            row_builds.positions.push(position);
+        }
+        row_builds
+    }
+
+    /// Sets the builds of the endpoints that an update lists, if there is one for each.
+    pub(crate) fn set(&self, update: Option<&mut EndpointUpdate>) -> Result<(), RowBuildsError> {
+        let listed = update.map(EndpointUpdate::listed_mut).unwrap_or_default();
+        let error = RowBuildsError {
+            listed: listed.len(),
+            positions: self.positions.len(),
+            builds: self.builds.len(),
+        };
+        if listed.len() != self.positions.len() {
+            return Err(error);
+        }
+        for (endpoint, position) in listed.into_iter().zip(&self.positions) {
+            let build = self.builds.get(*position as usize).ok_or(error)?;
+            endpoint.build = build.clone().unwrap_or_default();
+        }
+        Ok(())
+    }
 }
 
 /// Returned instead of state while all transfer slots are in use.
@@ -82,6 +180,17 @@
     pub(crate) rollouts: Option<RolloutUpdate>,
 }
 
+/// State that the requesting host is missing, as of one moment. Its format is final, as that
+/// of all calls: what later builds send is returned by calls of their own.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub(crate) struct Snapshot {
+    pub(crate) missing: MissingState,
+    /// Builds of the endpoints in `missing`.
+    pub(crate) row_builds: RowBuilds,
+    /// Rollout orders and progress.
+    pub(crate) rollouts: Option<RolloutUpdate>,
+}
+
 /// Builds that endpoints run: one for each pool, and the exceptions.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub(crate) struct KnownBuilds {
@@ -94,7 +203,8 @@
 /// are appended, at which older builds close the connection.
 #[tarpc::service]
 pub(crate) trait PeerApi {
-    /// Returns state beyond `have`.
+    /// Returns state beyond `have`. For older builds, which call [`PeerApi::besides`] first on
+    /// the same connection: endpoints are left out if these have changed since.
     async fn missing(have: KnownVersions) -> MissingState;
 
     /// Returns known builds and rollouts.
@@ -102,4 +212,7 @@
 
     /// Returns what the host has learned from requests.
     async fn learned() -> LearnedState;
+
+    /// Returns state beyond `have` with the builds of its endpoints.
+    async fn snapshot(have: KnownVersions) -> Snapshot;
 }
--- a/crates/gateway/src/peers/pull.rs
+++ b/crates/gateway/src/peers/pull.rs
@@ -1,6 +1,6 @@
 //! Pulls missing state from other hosts.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::ops::RangeInclusive;
 use std::sync::Arc;
@@ -8,11 +8,12 @@
 
 use chalkrock_core::{BuildVersion, PoolId};
 use chalkrock_proto::{ByteCounter, transport};
-use chalkrock_routing::LearnedState;
+use chalkrock_routing::{LearnedState, RulesVersion};
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use rand::RngExt;
 use rand::seq::{IteratorRandom, SliceRandom};
+use tarpc::client::RpcError;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
@@ -23,12 +24,12 @@
 use crate::peers::PeerTable;
 use crate::peers::api::{
     BusyResponse, EndpointUpdate, KnownBuilds, KnownVersions, MissingState, PeerApiClient,
-    SupplementaryState,
+    RowBuildsError,
 };
 use crate::peers::pull_turns::PullTurn;
-use crate::peers::rollouts::merge_rollout_update;
+use crate::peers::rollouts::{RolloutUpdate, merge_rollout_update};
 use crate::shared::Shared;
-use crate::source::{EndpointChange, ListedEndpoint};
+use crate::source::EndpointRow;
 
 /// Delay before a pull, in which a host of the same zone may become a source.
 const NEWER_PEER_DELAY: Duration = Duration::from_millis(80);
@@ -254,10 +255,10 @@
         between_bytes: ms(shared.config.follow.stall_ms),
     };
     let has_learned = shared.fleet().has_learned();
-    let response = request_missing(from, known, has_learned, count.clone());
+    let response = request_state(from, known, has_learned, count.clone());
     let response = while_arriving(response, || count.read_bytes(), idle_limits).await;
     let (outcome, response) = match response {
-        Some(Some(response)) => {
+        Some(Ok(response)) => {
             let missing = &response.missing;
             let outcome = match (&missing.busy, &missing.rules, &missing.endpoints) {
                 (Some(_), ..) => Some(PullOutcome::Busy),
@@ -268,7 +269,7 @@
             };
             (outcome, Some(response))
         }
-        Some(None) => (Some(PullOutcome::Broken), None),
+        Some(Err(_broken)) => (Some(PullOutcome::Broken), None),
         None => (Some(PullOutcome::GivenUp), None),
     };
     let read_bytes = count.read_bytes();
@@ -295,10 +296,21 @@
 /// State of another host.
 struct PullResponse {
     missing: MissingState,
-    besides: SupplementaryState,
+    rollouts: Option<RolloutUpdate>,
     learned: LearnedState,
 }
 
+/// A pull without a response to apply.
+#[derive(Debug, thiserror::Error)]
+enum PullError {
+    #[error("the host is unreachable: {0}")]
+    Connect(#[from] std::io::Error),
+    #[error("the call failed: {0}")]
+    Call(#[from] RpcError),
+    #[error("the response contradicts itself: {0}")]
+    Builds(#[from] RowBuildsError),
+}
+
 /// Requests what a host has learned. A host that stalls does not keep back what it has sent
 /// before.
 async fn request_learned(client: &PeerApiClient) -> Option<LearnedState> {
@@ -309,58 +321,88 @@
         .ok()
 }
 
-/// Requests supplementary state first, so that a received list is complete, and once more if
-/// the other host got its list in between: without builds, the endpoints of the store's list
-/// would count as a new build. An older build closes the connection on that call and is asked
-/// for the rest alone.
-async fn request_missing(
+/// Requests state beyond `known`. A host of an older build closes the connection on the call.
+async fn request_state(
     address: SocketAddr,
     known: KnownVersions,
     has_learned: bool,
     count: Arc<ByteCounter>,
-) -> Option<PullResponse> {
+) -> Result<PullResponse, PullError> {
     let client = connect(address, count.clone()).await?;
-    if let Ok(besides) = client.besides(tarpc::context::current()).await {
-        let missing = client
-            .missing(tarpc::context::current(), known)
-            .await
-            .ok()?;
-        let lacks_builds = { missing.endpoints.as_ref() }
-            .is_some_and(|update| lacks_builds(update, &besides.builds));
-        let besides = if lacks_builds {
-            client.besides(tarpc::context::current()).await.ok()?
-        } else {
-            besides
+    let snapshot = client.snapshot(tarpc::context::current(), known).await;
+    let (client, mut response) = match snapshot {
+        Ok(mut snapshot) => {
+            let endpoints = snapshot.missing.endpoints.as_mut();
+            snapshot.row_builds.set(endpoints)?;
+            let response = PullResponse {
+                missing: snapshot.missing,
+                rollouts: snapshot.rollouts,
+                learned: LearnedState::default(),
+            };
+            (client, response)
+        }
+        Err(error @ RpcError::DeadlineExceeded) => return Err(error.into()),
+        Err(_closed) => {
+            let client = connect(address, count).await?;
+            let response = request_parts(&client, known).await?;
+            (client, response)
+        }
+    };
+    // Connection limits belong to the rules.
+    let wants_learned = !has_learned || response.missing.rules.is_some();
+    if wants_learned && response.missing.busy.is_none() {
+        response.learned = request_learned(&client).await.unwrap_or_default();
+    }
+    Ok(response)
+}
+
+/// Requests the parts of a snapshot from a host of an older build, which sends rows and builds
+/// in two calls. Leaves the rows out, and has them asked for again, unless the host's list was
+/// the same at both.
+async fn request_parts(
+    client: &PeerApiClient,
+    known: KnownVersions,
+) -> Result<PullResponse, PullError> {
+    let context = tarpc::context::current;
+    let mut missing = client.missing(context(), known).await?;
+    let besides = client.besides(context()).await?;
+    if let Some(mut update) = missing.endpoints.take() {
+        let version = update.version().or(known.endpoints);
+        let since_rows = KnownVersions {
+            endpoints: version,
+            // Asks for neither rules nor hosts.
+            rules: RulesVersion(u64::MAX),
+            hosts: usize::MAX,
+            ..known
         };
-        // Connection limits belong to the rules. An older build closes the connection.
-        let wants_learned = !has_learned || missing.rules.is_some();
-        let learned = if wants_learned && missing.busy.is_none() {
-            request_learned(&client).await
+        let after = client.missing(context(), since_rows).await?;
+        let has_changed = after.endpoints.is_some() || after.busy.is_some();
+        if has_changed {
+            let newer = after.endpoints.as_ref().and_then(EndpointUpdate::version);
+            missing.busy.get_or_insert(BusyResponse {
+                rules: known.rules,
+                endpoints: newer.or(version).unwrap_or_default(),
+                ask: Vec::new(),
+            });
         } else {
-            None
-        };
-        return Some(PullResponse {
-            missing,
-            besides,
-            learned: learned.unwrap_or_default(),
-        });
+            set_builds(&mut update, &besides.builds);
+            missing.endpoints = Some(update);
+        }
     }
-    let client = connect(address, count).await?;
-    let missing = client
-        .missing(tarpc::context::current(), known)
-        .await
-        .ok()?;
-    Some(PullResponse {
+    Ok(PullResponse {
         missing,
-        besides: SupplementaryState::default(),
+        rollouts: besides.rollouts,
         learned: LearnedState::default(),
     })
 }
 
-async fn connect(address: SocketAddr, count: Arc<ByteCounter>) -> Option<PeerApiClient> {
-    let stream = TcpStream::connect(address).await.ok()?;
+async fn connect(
+    address: SocketAddr,
+    count: Arc<ByteCounter>,
+) -> Result<PeerApiClient, std::io::Error> {
+    let stream = TcpStream::connect(address).await?;
     let framed = transport(stream, count);
-    Some(PeerApiClient::new(tarpc::client::Config::default(), framed).spawn())
+    Ok(PeerApiClient::new(tarpc::client::Config::default(), framed).spawn())
 }
 
 /// Applies a response. Returns the busy response if it was incomplete.
@@ -369,7 +411,7 @@
     let Pulled { response, turn } = pulled;
     let PullResponse {
         missing,
-        besides,
+        rollouts,
         learned,
     } = response;
     let now_ms = shared.clock.now_ms();
@@ -382,14 +424,14 @@
     // Evacuations come before endpoints, so that no evacuated endpoint receives requests.
     let mut has_changed = shared.merge_evacuations(&missing.evacuations, SOURCE);
     has_changed |= shared.merge_poison(&missing.poison, SOURCE);
-    if let Some(rollouts) = besides.rollouts {
+    if let Some(rollouts) = rollouts {
         merge_rollout_update(shared, rollouts, false);
     }
     if let Some(rules) = missing.rules {
         has_changed |= shared.apply_rules_update(rules, SOURCE);
     }
     if let Some(update) = missing.endpoints {
-        if apply_endpoints(shared, with_builds(update, &besides.builds)) {
+        if apply_endpoints(shared, update) {
             has_changed = true;
             shared.log_endpoints(SOURCE);
         }
@@ -403,56 +445,32 @@
     missing.busy
 }
 
-/// Whether an update lists an endpoint whose build is not known.
-fn lacks_builds(update: &EndpointUpdate, builds: &KnownBuilds) -> bool {
-    let is_known = |listed: &ListedEndpoint| {
-        let start = listed.endpoint.start_hash().short();
-        let mut others = builds.others.iter();
-        let mut usual = builds.usual.iter();
-        usual.any(|(pool, _)| *pool == listed.endpoint.pool)
-            || others.any(|(other, _)| *other == start)
-    };
-    match update {
-        EndpointUpdate::Entire { endpoints, .. } => !endpoints.iter().all(is_known),
-        EndpointUpdate::Changes(rows) => rows.iter().any(|row| match &row.change {
-            EndpointChange::Listed(listed) => !is_known(listed),
-            EndpointChange::Gone(_) | EndpointChange::Unreadable(_) => false,
-        }),
+/// Sets the builds that an older host sent after the rows while its list was the same. Those of
+/// pools that it does not name have none. It knows only the builds of what it still lists, so
+/// that earlier rows of the same endpoint are dropped.
+fn set_builds(update: &mut EndpointUpdate, builds: &KnownBuilds) {
+    let others = builds.others.iter().map(|(start, build)| (*start, build));
+    let others: HashMap<u32, &BuildVersion> = others.collect();
+    let usual = builds.usual.iter().map(|(pool, build)| (pool, build));
+    let usual: HashMap<&PoolId, &BuildVersion> = usual.collect();
+    if let EndpointUpdate::Changes(rows) = update {
+        keep_latest_rows(rows);
     }
-}
-
-fn with_builds(mut update: EndpointUpdate, builds: &KnownBuilds) -> EndpointUpdate {
-    let others: HashMap<u32, &BuildVersion> = builds
-        .others
-        .iter()
-        .map(|(start, build)| (*start, build))
-        .collect();
-    let usual: HashMap<&PoolId, &BuildVersion> = builds
-        .usual
-        .iter()
-        .map(|(pool, build)| (pool, build))
-        .collect();
-    let set_build = |listed: &mut ListedEndpoint| {
-        let endpoint = &mut listed.endpoint;
+    for endpoint in update.listed_mut() {
         let start = endpoint.start_hash().short();
         let build = others.get(&start).or_else(|| usual.get(&endpoint.pool));
         if let Some(build) = build {
             endpoint.build = BuildVersion::clone(build);
         }
-    };
-    match &mut update {
-        EndpointUpdate::Entire { endpoints, .. } => endpoints.iter_mut().for_each(set_build),
-        EndpointUpdate::Changes(rows) => {
-            let changes = rows.iter_mut().map(|row| &mut row.change);
-            changes
-                .filter_map(|change| match change {
-                    EndpointChange::Listed(listed) => Some(listed),
-                    EndpointChange::Gone(_) | EndpointChange::Unreadable(_) => None,
-                })
-                .for_each(set_build);
-        }
     }
-    update
+}
+
+/// Keeps the last row of each endpoint.
+fn keep_latest_rows(rows: &mut Vec<EndpointRow>) {
+    let mut seen = HashSet::new();
+    rows.reverse();
+    rows.retain(|row| seen.insert(row.change.name().clone()));
+    rows.reverse();
 }
 
 fn apply_endpoints(shared: &Shared, update: EndpointUpdate) -> bool {
--- a/crates/gateway/src/peers/serve.rs
+++ b/crates/gateway/src/peers/serve.rs
@@ -1,7 +1,7 @@
 //! Answers pull requests of other hosts, over tarpc.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use chalkrock_proto::{ByteCounter, transport};
@@ -13,13 +13,15 @@
 use crate::active_rules::RulesUpdate;
 use crate::arrival::{IdleLimits, while_arriving};
 use crate::clock::ms;
+use crate::fleet::Fleet;
 use crate::metrics::{ConnectionBytes, ControlKind};
 use crate::outage_log::OutageLog;
 use crate::peers::PeerTable;
 use crate::peers::api::{
-    BusyResponse, EndpointUpdate, KnownVersions, MissingState, PeerApi, SupplementaryState,
+    BusyResponse, EndpointUpdate, KnownVersions, MissingState, PeerApi, RowBuilds, Snapshot,
+    SupplementaryState,
 };
-use crate::peers::rollouts::rollout_update;
+use crate::peers::rollouts::{RolloutUpdate, rollout_update};
 use crate::peers::uploads::{Upload, Uploads};
 use crate::shared::Shared;
 
@@ -47,6 +49,7 @@
             peers: peers.clone(),
             uploads: uploads.clone(),
             upload: Arc::default(),
+            builds_revision: Arc::default(),
         };
         tokio::spawn(serve_connection(server, stream));
     }
@@ -83,36 +86,29 @@
     uploads: Arc<Uploads>,
     /// The transfer of a large response, until the connection ends.
     upload: Arc<Mutex<Option<Upload>>>,
+    builds_revision: Arc<Mutex<Option<u64>>>,
 }
 
 impl PeerApi for PeerServer {
     async fn missing(self, _: tarpc::context::Context, have: KnownVersions) -> MissingState {
-        let mut hosts = self.peers.recent();
-        if have.hosts > hosts.len() / FEW_HOSTS_DIVISOR {
-            hosts.clear();
+        let state = self.state_beyond(have);
+        let has_rows = state.missing.endpoints.is_some();
+        if has_rows && *self.builds_revision() != Some(state.list_revision) {
+            let busy = self.busy_response(Vec::new());
+            return MissingState {
+                endpoints: None,
+                busy: Some(busy),
+                ..state.missing
+            };
         }
-        self.shared.detect_suspension();
-        let now_ms = self.shared.clock.now_ms();
-        let poison = self
-            .shared
-            .fleet()
-            .poison
-            .poison_requests(MAX_POISON_REQUESTS, now_ms);
-        let missing = MissingState {
-            rules: self.shared.rules.update_since(have.rules),
-            endpoints: endpoint_update(&self.shared, have.endpoints),
-            evacuations: self.shared.fleet().evacuations.clone(),
-            poison,
-            is_fresh: self.shared.has_view(),
-            hosts,
-            busy: None,
-        };
-        self.limit_uploads(missing, have.address)
+        self.limit_uploads(state.missing, have.address)
     }
 
     async fn besides(self, _: tarpc::context::Context) -> SupplementaryState {
         let now_ms = self.shared.clock.now_ms();
         let fleet = self.shared.fleet();
+        let mut revision = self.builds_revision();
+        *revision = Some(fleet.list_revision());
         SupplementaryState {
             builds: fleet.known_builds(),
             rollouts: rollout_update(&fleet, now_ms),
@@ -123,9 +119,69 @@
         let now_ms = self.shared.clock.now_ms();
         self.shared.fleet().learned(now_ms)
     }
+
+    async fn snapshot(self, _: tarpc::context::Context, have: KnownVersions) -> Snapshot {
+        let state = self.state_beyond(have);
+        let missing = self.limit_uploads(state.missing, have.address);
+        Snapshot {
+            row_builds: RowBuilds::of(missing.endpoints.as_ref()),
+            missing,
+            rollouts: state.rollouts,
+        }
+    }
+}
+
+/// State beyond what a requester has. Its endpoints, evacuations, poison requests and rollouts
+/// are of one moment; its rules have a version of their own and may be older.
+struct StateBeyond {
+    missing: MissingState,
+    /// Revision of the list of endpoints.
+    list_revision: u64,
+    rollouts: Option<RolloutUpdate>,
 }
 
 impl PeerServer {
+    fn state_beyond(&self, have: KnownVersions) -> StateBeyond {
+        let mut hosts = self.peers.recent();
+        if have.hosts > hosts.len() / FEW_HOSTS_DIVISOR {
+            hosts.clear();
+        }
+        self.shared.detect_suspension();
+        let is_fresh = self.shared.has_view();
+        let knows_endpoints = self.shared.knows_endpoints();
+        let rules = self.shared.rules.update_since(have.rules);
+        let now_ms = self.shared.clock.now_ms();
+        let fleet = self.shared.fleet();
+        let endpoints = knows_endpoints.then(|| endpoint_update(&fleet, have.endpoints, now_ms));
+        StateBeyond {
+            missing: MissingState {
+                rules,
+                endpoints: endpoints.flatten(),
+                evacuations: fleet.evacuations.clone(),
+                poison: fleet.poison.poison_requests(MAX_POISON_REQUESTS, now_ms),
+                is_fresh,
+                hosts,
+                busy: None,
+            },
+            list_revision: fleet.list_revision(),
+            rollouts: rollout_update(&fleet, now_ms),
+        }
+    }
+
+    /// Revision of the list whose builds this connection has sent.
+    fn builds_revision(&self) -> MutexGuard<'_, Option<u64>> {
+        let revision = self.builds_revision.lock();
+        revision.unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn busy_response(&self, ask: Vec<SocketAddr>) -> BusyResponse {
+        BusyResponse {
+            rules: self.shared.rules.version(),
+            endpoints: self.shared.fleet().endpoints_version,
+            ask,
+        }
+    }
+
     /// Limits concurrent large responses: without a free slot, returns only small parts and
     /// a busy response.
     fn limit_uploads(&self, missing: MissingState, to: SocketAddr) -> MissingState {
@@ -142,11 +198,7 @@
             .uploads
             .begin(version, to, (rules + endpoints) * ENTRY_BYTES)
         else {
-            let busy = BusyResponse {
-                rules: version,
-                endpoints: self.shared.fleet().endpoints_version,
-                ask: self.uploads.recipients(version),
-            };
+            let busy = self.busy_response(self.uploads.recipients(version));
             return MissingState {
                 rules: missing.rules.filter(|_| rules <= MAX_UNLIMITED_ENTRIES),
                 endpoints: missing
@@ -162,12 +214,11 @@
     }
 }
 
-fn endpoint_update(shared: &Shared, have: Option<StoreVersion>) -> Option<EndpointUpdate> {
-    if !shared.knows_endpoints() {
-        return None;
-    }
-    let now_ms = shared.clock.now_ms();
-    let fleet = shared.fleet();
+fn endpoint_update(
+    fleet: &Fleet,
+    have: Option<StoreVersion>,
+    now_ms: u64,
+) -> Option<EndpointUpdate> {
     let full_list = || EndpointUpdate::Entire {
         version: fleet.endpoints_version,
         endpoints: fleet.listed(now_ms),
--- a/crates/gateway/src/source.rs
+++ b/crates/gateway/src/source.rs
@@ -100,6 +100,16 @@
     Unreadable(EndpointId),
 }
 
+impl EndpointChange {
+    /// The endpoint's name.
+    pub fn name(&self) -> &EndpointId {
+        match self {
+            Self::Listed(listed) => &listed.endpoint.name,
+            Self::Gone(name) | Self::Unreadable(name) => name,
+        }
+    }
+}
+
 /// A change of the list of endpoints.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct EndpointRow {
--- a/crates/gateway/tests/gateway/listed_builds.rs
+++ b/crates/gateway/tests/gateway/listed_builds.rs
@@ -14,6 +14,8 @@
 #[tokio::test]
 async fn listed_builds_are_right_while_a_call_of_a_pull_is_held() {
     const MAX_WAIT: Duration = Duration::from_millis(150);
+    /// Time for which hosts send nothing to a build that is new to them.
+    const NEW_BUILD_DELAY: Duration = Duration::from_millis(1_200);
     let mut fleet = BuildFleet::start(1, &[OLD]).await;
     let mut link = HeldCalls::start(fleet.hosts[0].peer_address()).await;
     let pulling = TestGateway::without_store("host-pulling", vec![link.address]).await;
@@ -25,6 +27,10 @@
     pulling.ready().await;
     until(async || metric(&pulling, "endpoints_live").await == all).await;
     fleet.hosts.push(pulling);
+    // Passes on the addresses of the two others, whose link carries calls alone.
+    fleet.add_host("host-between").await;
+    until(async || hosts_with(&fleet.hosts, "peers_heard", 2.0).await == 3).await;
+    tokio::time::sleep(NEW_BUILD_DELAY).await;
     for number in 0..STREAMS {
         let id = format!("r-{number}");
         let build = fleet.begin(0, &id).await;
--- a/crates/routing/src/rollout/runs.rs
+++ b/crates/routing/src/rollout/runs.rs
@@ -493,16 +493,6 @@
         }
     }
 
-    /// The build of each pool, if each has only ever had a single, known build.
-    pub fn stable_builds(&self) -> Option<Vec<(PoolId, BuildVersion)>> {
-        let pools = self.known_builds.iter();
-        let only = pools.map(|(pool, builds)| {
-            let build = builds.first().filter(|build| build.is_known())?;
-            (builds.len() == 1).then(|| (pool.clone(), build.clone()))
-        });
-        only.collect()
-    }
-
     /// The build uses that a request tries in turn before it is rejected.
     pub fn build_uses(&mut self, request: &BuildRequest<'_>, now_ms: u64) -> &'static [BuildUse] {
         let age_ms = self.age_ms(request.pool, now_ms);
