Test the calls of a pull between this build and the one before it

A stand-in speaks the calls of the build before, as responder whose list changes between the rows and the builds and as requester, or sends too few positions. Further tests: a busy response, a host that passes on changes that it pulled, endpoints without a build, and the bytes of a list.

--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -18,6 +18,7 @@
 mod listed_builds;
 mod partition_plans;
 mod partitions;
+mod peer_calls;
 mod peers;
 mod poison_parts;
 mod pool_queue;
--- a/crates/gateway/tests/gateway/support/mod.rs
+++ b/crates/gateway/tests/gateway/support/mod.rs
@@ -10,6 +10,7 @@
 mod many_hosts;
 mod part_crashing;
 mod partition;
+mod peer_calls;
 mod slotted;
 mod source;
 mod suspendable;
@@ -26,6 +27,10 @@
 pub(crate) use many_hosts::{FleetHost, LimitedSource, peer_addresses, ready_times, start_fleet};
 pub(crate) use part_crashing::{EVENTS, PartCrashPlan, PartCrashingEndpoint};
 pub(crate) use partition::PartitionFleet;
+pub(crate) use peer_calls::{
+    BuildsByName, KnownVersions, OldRequester, PeerBuild, PeerStandIn, Requester, builds_for_old,
+    listed_builds,
+};
 pub(crate) use slotted::{SlottedCounts, SlottedEndpoint, SlottedMode};
 pub(crate) use source::TestSource;
 pub(crate) use suspendable::SuspendableGateway;
