Decide which host reads its list again when lists differ

A wrong entry of a host's list stayed until the entry changed. Hosts that report a digest of their list find any such difference as of the same version, whatever its cause. The decision is pure: a host reads again when it differs from at least as many hosts as it agrees with, where those that read the store decide against those that did not.

--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -60,6 +60,7 @@
 mod home_demand;
 mod host_capacity;
 mod in_flight;
+mod list_comparison;
 mod pause;
 mod poison;
 mod pool_queue;
@@ -112,6 +113,7 @@
     FleetWork, HostCapacity, LargestRoom, LinkBudget, WorkRank, is_clearly_weaker,
 };
 pub use in_flight::{EndpointCount, MAX_REPORT_AGE_MS, REPORT_INTERVAL_MS};
+pub use list_comparison::{ListComparisons, ListMatch, ListReport, ListSource, ListStep};
 pub use pause::{ClockReading, Suspension, detect_suspension};
 pub use poison::{
     LONG_RUN_MS, MAX_CRASHES, MAX_OBSERVED_PARTS, POISON_RETENTION_MS, PartUpdate, PartUse,
