Tell hosts which builds stay out of use after a rollout

The builds of earlier rollouts that were not done travel in a rollout's plan, which hosts sent until the rollout ended. A host that started after it got the final record without them and sent requests to a build that had been rolled back before.

Plans that name such builds are sent after the end too. rollouts_that_ended_ leave_earlier_builds_out_of_use_at_a_new_host failed before (a request got 500 from v2); it passes 3 of 3, and the 28 tests of chalkrock-gateway that 'rollout' selects pass. Left: a host that starts serves by the record until the first round of messages brings the plan, since a pull has no room for it.

--- a/crates/gateway/src/peers/rollouts.rs
+++ b/crates/gateway/src/peers/rollouts.rs
@@ -177,7 +177,9 @@
     let rollouts = &fleet.rollouts;
     let plans = rollouts.pools().filter_map(|(pool, _)| {
         let (record, _) = rollouts.record(pool)?;
-        (!record.stage.is_final()).then(|| (pool.clone(), record.plan()))
+        // After the end, a plan only tells which builds stay out of use.
+        let is_needed = !record.stage.is_final() || !record.unproven.is_empty();
+        is_needed.then(|| (pool.clone(), record.plan()))
     });
     let plans: RolloutPlans = plans.collect();
     // Plans come first, so that a record is complete when it arrives.
--- a/crates/gateway/tests/gateway/rollouts.rs
+++ b/crates/gateway/tests/gateway/rollouts.rs
@@ -609,6 +609,45 @@
     stop_load(load);
 }
 
+/// Guards against a host that starts after a rollout has ended and sends requests to a build
+/// that was rolled back before.
+#[tokio::test]
+async fn rollouts_that_ended_leave_earlier_builds_out_of_use_at_a_new_host() {
+    const THIRD: &str = "v3";
+    const REQUESTS: usize = 40;
+    /// Several rounds of messages.
+    const MAX_NEWS_DELAY: Duration = Duration::from_millis(1_000);
+    let mut fleet = RolloutFleet::start().await;
+    let load = fleet.load();
+    fleet.order(Behaviour::Fail).await;
+    fleet.until_stage(RolloutStage::RolledBack).await;
+    fleet.source.order_rollout(THIRD, DEADLINE_MS);
+    let third = endpoints(THIRD, fleet.old.len(), Behaviour::Fail).await;
+    for endpoint in &third {
+        fleet.source.list(entry(endpoint, THIRD));
+    }
+    until(async || {
+        let record = fleet.source.rollout();
+        record.is_some_and(|record| {
+            record.build == THIRD.into() && record.stage == RolloutStage::RolledBack
+        })
+    })
+    .await;
+    stop_load(load);
+    let seeds = vec![fleet.hosts[0].peer_address()];
+    let new_host = TestGateway::without_store("host-new", seeds).await;
+    new_host.ready().await;
+    tokio::time::sleep(MAX_NEWS_DELAY).await;
+    let (second, before) = (fleet.new_arrivals(), fleet.old_arrivals());
+    for number in 0..REQUESTS {
+        let id = format!("new-{number}");
+        let received = new_host.call(Call::get("/safe/").id(&id)).await;
+        assert_that!(received.status, eq(200), "{id}");
+    }
+    assert_that!(fleet.new_arrivals(), eq(second), "at the second build");
+    assert_that!(fleet.old_arrivals(), ge(before + REQUESTS));
+}
+
 #[tokio::test]
 async fn rollouts_of_two_pools_end_independently() {
     const OTHER: &str = "other";
