Read no page of endpoints as newer than all of them

A read of the store takes several pages beyond 500 rows, each as of its own moment, and counted as complete up to its newest row. A change between two pages to an endpoint of the first one has a lower version than the newest row, so that it was skipped when the store sent it: an endpoint that left, or got another build, stayed listed as it was until its row changed again.

--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -271,7 +271,9 @@
             }
         }
         let in_era = StoreVersion::in_era(version.era(), 0);
-        fleet.replace(listed, newest.unwrap_or(in_era), now_ms);
+        // Rows of later pages may be newer than the version up to which all pages are complete.
+        let newest = newest.unwrap_or(in_era).min(version);
+        fleet.replace(listed, newest, now_ms);
         unreadable
             .iter()
             .for_each(|name| fleet.endpoints.discard(name, now_ms));
--- a/crates/gateway/tests/gateway/support/source.rs
+++ b/crates/gateway/tests/gateway/support/source.rs
@@ -77,6 +77,16 @@
     }
 }
 
+fn listed_name(row: &Row) -> Option<EndpointId> {
+    match row {
+        Row::Endpoint(EndpointRow {
+            change: EndpointChange::Listed(listed),
+            ..
+        }) => Some(listed.endpoint.name.clone()),
+        _ => None,
+    }
+}
+
 /// A copy of the content of a store.
 pub(crate) struct Snapshot {
     version: u64,
@@ -95,17 +105,29 @@
     changed: Arc<watch::Sender<u64>>,
     /// Whether calls through this handle are never answered.
     is_isolated: Arc<AtomicBool>,
+    /// Whole reads of endpoints through this handle that wait.
+    held_reads: Arc<watch::Sender<Option<HeldRead>>>,
     /// Addresses at which the host of this handle reaches endpoints, if not at their own.
     links: Arc<HashMap<EndpointId, SocketAddr>>,
     started_at: Instant,
 }
 
+/// Whole reads of endpoints that wait.
+#[derive(Clone)]
+pub(crate) struct HeldRead {
+    /// What was listed when the first of them began.
+    first_page: Option<SourceUpdate>,
+    /// Whether another page follows, which is read when the wait ends.
+    has_second_page: bool,
+}
+
 impl Default for TestSource {
     fn default() -> Self {
         Self {
             state: Arc::default(),
             changed: Arc::new(watch::channel(0).0),
             is_isolated: Arc::default(),
+            held_reads: Arc::new(watch::channel(None).0),
             links: Arc::default(),
             started_at: Instant::now(),
         }
@@ -169,6 +191,7 @@
     pub(crate) fn another_handle(&self) -> Self {
         Self {
             is_isolated: Arc::default(),
+            held_reads: Arc::new(watch::channel(None).0),
             ..self.clone()
         }
     }
@@ -194,6 +217,43 @@
         self.is_isolated.store(true, Ordering::Relaxed);
     }
 
+    /// Holds the answers of whole reads of endpoints through this handle. They list what is
+    /// listed when the first one begins, and as another page what follows it at their end.
+    pub(crate) fn hold_reads(&self, has_second_page: bool) {
+        self.held_reads.send_replace(Some(HeldRead {
+            first_page: None,
+            has_second_page,
+        }));
+    }
+
+    /// Answers whole reads again, and those that are held.
+    pub(crate) fn release_reads(&self) {
+        self.held_reads.send_replace(None);
+    }
+
+    /// Waits while whole reads are held. Returns the answer.
+    async fn read_endpoints(&self) -> Result<SourceUpdate, SourceError> {
+        let mut update = self.rows(Topic::Endpoints, None)?;
+        let mut has_second_page = false;
+        self.held_reads.send_if_modified(|held| {
+            if let Some(held) = held {
+                update = held.first_page.get_or_insert(update.clone()).clone();
+                has_second_page = held.has_second_page;
+            }
+            false
+        });
+        let mut held_reads = self.held_reads.subscribe();
+        let _ends_with_the_test = held_reads.wait_for(Option::is_none).await;
+        if has_second_page {
+            let last = update.rows.iter().filter_map(listed_name).max();
+            let rows = self.rows(Topic::Endpoints, None)?.rows.into_iter();
+            update
+                .rows
+                .extend(rows.filter(|row| listed_name(row) > last));
+        }
+        Ok(update)
+    }
+
     /// Orders a rollout of a build to the pool `pool`.
     pub(crate) fn order_rollout(&self, build: &str, within_ms: u64) {
         self.order_rollout_of("pool", build, within_ms);
@@ -504,8 +564,13 @@
         arrival: &ReceivedBytes,
     ) -> Result<SourceUpdate, SourceError> {
         self.begin_call().await;
-        let update = self.rows(topic, None)?;
-        Ok(self.delay_transfer(update, arrival).await)
+        match topic {
+            Topic::Rules => {
+                let update = self.rows(topic, None)?;
+                Ok(self.delay_transfer(update, arrival).await)
+            }
+            Topic::Endpoints => self.read_endpoints().await,
+        }
     }
 
     async fn changes(
