Take back no change of endpoints by a read that began before it

What callers would see: requests at an endpoint that left the list, none at one that registered, or streams at another build than the listed one, at one host and at those that pull its list, until that row changes again.

A whole read of the store may take longer than a change takes to come from another host. The read then replaced the list by its earlier one, while the list's version stayed at the later change, so that the change was skipped when the store sent it: version and content of the list came in two messages.

Ruled out: the pull of a whole list, which is only applied if its version is later.

--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -12,7 +12,7 @@
 use std::sync::Arc;
 
 use chalkrock_core::rendezvous::{KeyHash, score};
-use chalkrock_core::{BuildVersion, Endpoint, PoolId, ZoneId};
+use chalkrock_core::{BuildVersion, Endpoint, EndpointId, PoolId, ZoneId};
 use chalkrock_routing::{
     Backoffs, Basis, BudgetRules, BuildUse, Candidate, ColdEndpoints, ConnectionLimit,
     EndpointHealth, EndpointTable, Evacuations, Evidence, FleetLoad, HealthSignal, HomeDemand,
@@ -80,6 +80,18 @@
     selected_at_ms: u64,
 }
 
+/// A whole read of the endpoints in the store.
+#[derive(Debug)]
+pub(crate) struct WholeRead {
+    pub(crate) listed: Vec<ListedEndpoint>,
+    /// Endpoints whose entries can't be read.
+    pub(crate) unreadable: Vec<EndpointId>,
+    /// The version of its newest row.
+    pub(crate) newest: StoreVersion,
+    /// The version up to which no row is missing.
+    pub(crate) complete_to: StoreVersion,
+}
+
 /// The fleet as one host knows it.
 #[derive(Debug)]
 pub(crate) struct Fleet {
@@ -554,6 +566,36 @@
         route_max.record(service_ms, now_ms);
     }
 
+    /// Replaces the endpoint list by a whole read of the store, which is complete up to a
+    /// version. Changes of later versions that other hosts have sent stay. Returns whether the
+    /// read was applied.
+    pub(crate) fn replace_by_read(&mut self, read: WholeRead, now_ms: u64) -> bool {
+        let WholeRead {
+            listed,
+            unreadable,
+            newest,
+            complete_to,
+        } = read;
+        let is_outdated = self.has_full_list && complete_to < self.endpoints_version;
+        let later = if is_outdated {
+            let Some(later) = self.changes_after(complete_to, now_ms) else {
+                // The known list is of a later version.
+                return false;
+            };
+            self.endpoints_version = complete_to;
+            later
+        } else {
+            Vec::new()
+        };
+        self.replace_list(listed, newest, now_ms);
+        for name in &unreadable {
+            self.endpoints.discard(name, now_ms);
+        }
+        self.apply_changes(later, now_ms);
+        self.prune_health();
+        true
+    }
+
     /// Replaces the endpoint list with a full one as of a version.
     pub(crate) fn replace(
         &mut self,
@@ -561,6 +603,11 @@
         version: StoreVersion,
         now_ms: u64,
     ) {
+        self.replace_list(list, version, now_ms);
+        self.prune_health();
+    }
+
+    fn replace_list(&mut self, list: Vec<ListedEndpoint>, version: StoreVersion, now_ms: u64) {
         self.record_listed_builds(now_ms);
         for listed in &list {
             self.record_cold_report(listed, now_ms);
@@ -586,7 +633,6 @@
         self.changes.clear();
         self.changes_since = self.endpoints_version;
         self.record_builds(now_ms);
-        self.prune_health();
     }
 
     /// Applies list changes, oldest first, and skips known ones. Returns whether any was
--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -21,6 +21,7 @@
 use tokio::time::Instant;
 
 use crate::clock::ms;
+use crate::fleet::WholeRead;
 use crate::follow::calls::{hedged, long_poll, poll};
 use crate::follow::failures::Failures;
 use crate::metrics::StoreBytes;
@@ -273,11 +274,13 @@
         let in_era = StoreVersion::in_era(version.era(), 0);
         // Rows of later pages may be newer than the version up to which all pages are complete.
         let newest = newest.unwrap_or(in_era).min(version);
-        fleet.replace(listed, newest, now_ms);
-        unreadable
-            .iter()
-            .for_each(|name| fleet.endpoints.discard(name, now_ms));
-        true
+        let read = WholeRead {
+            listed,
+            unreadable,
+            newest,
+            complete_to: version,
+        };
+        fleet.replace_by_read(read, now_ms)
     } else {
         fleet.apply_changes(changes, now_ms)
     };
--- a/crates/gateway/tests/gateway/support/source.rs
+++ b/crates/gateway/tests/gateway/support/source.rs
@@ -231,6 +231,11 @@
         self.held_reads.send_replace(None);
     }
 
+    /// Forgets the history of changes so far, so that hosts read all topics whole.
+    pub(crate) fn drop_history(&self) {
+        self.change(|state, version| state.dropped_until = version);
+    }
+
     /// Waits while whole reads are held. Returns the answer.
     async fn read_endpoints(&self) -> Result<SourceUpdate, SourceError> {
         let mut update = self.rows(Topic::Endpoints, None)?;
