Let the soak register endpoints of another build late, and check the hosts' lists

The soak had no endpoint that registers without a rollout, no host with little processor time and no look at the builds that hosts list, so that it could not find streams that go on at another build for this reason. In a fifth of the plans two to six endpoints of another build register one by one, mostly while hosts get a quarter of a core. LISTS compares the builds that hosts log with the registered ones, and LOST also counts streams that are taken up and refused although their build serves.

--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -8,7 +8,9 @@
 
 use serde::Serialize;
 
-use crate::journal::{Arrival, DisturbanceKind, EndpointSpan, HostStop, Journal, Try, TryEnd};
+use crate::journal::{
+    Arrival, DisturbanceKind, EndpointSpan, HostStop, Journal, ListedBuild, Try, TryEnd,
+};
 
 /// Bounds of the rules.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -69,6 +71,8 @@
     PoisonPart,
     /// No sound request is refused for the crashes of endpoints.
     Blame,
+    /// Hosts list endpoints under the builds that these registered.
+    Lists,
 }
 
 impl fmt::Display for Check {
@@ -88,6 +92,7 @@
             Check::Serves => "SERVES",
             Check::PoisonPart => "POISONPART",
             Check::Blame => "BLAME",
+            Check::Lists => "LISTS",
         })
     }
 }
@@ -131,6 +136,8 @@
         check_serves(journal),
         check_poison_part(journal, bounds),
         check_blame(journal),
+        check_lists(journal),
+        check_continued(journal, bounds),
     ]
     .concat()
 }
@@ -712,3 +719,86 @@
         _ => false,
     })
 }
+
+/// LOST: of 12 or more streams that callers take up at hosts in touch, while two endpoints of
+/// their build serve, the share that goes on is under half of the share of new streams that begin.
+pub fn check_continued(journal: &Journal, bounds: &Bounds) -> Vec<Finding> {
+    const MIN_TAKE_UPS: usize = 12;
+    const MIN_ENDPOINTS: usize = 2;
+    const MIN_RATIO: f64 = 0.5;
+    let mut build_of: BTreeMap<&str, &str> = BTreeMap::new();
+    for attempt in &journal.tries {
+        if let (None, TryEnd::Stream { builds, .. }) = (&attempt.resumes, &attempt.end)
+            && let [build] = &builds[..]
+        {
+            build_of.insert(&attempt.id, build);
+        }
+    }
+    let endpoint_builds: BTreeMap<&str, &str> = { journal.arrivals.iter() }
+        .map(|arrival| (&*arrival.endpoint, &*arrival.build))
+        .collect();
+    let serving = |build: &str, attempt: &Try| {
+        let spans = journal.ready.iter().filter(|span| {
+            endpoint_builds.get(&*span.endpoint) == Some(&build)
+                && span.from_ms <= attempt.sent_ms
+                && span.to_ms.is_none_or(|to_ms| to_ms >= attempt.ended_ms)
+        });
+        spans.count()
+    };
+    let in_touch = |attempt: &&Try| {
+        !is_out_of_touch(journal, attempt.host, attempt.sent_ms, bounds)
+            && !is_out_of_touch(journal, attempt.host, attempt.ended_ms, bounds)
+    };
+    let begins = |attempt: &&Try| matches!(attempt.end, TryEnd::Stream { .. });
+    let ratio = |tries: &[&Try]| {
+        let begun = tries.iter().copied().filter(begins).count();
+        begun as f64 / tries.len().max(1) as f64
+    };
+    let taken_up: Vec<&Try> = { journal.tries.iter() }
+        .filter(in_touch)
+        .filter(|attempt| {
+            let first = attempt.resumes.as_ref();
+            let build = first.and_then(|first| build_of.get(&**first));
+            build.is_some_and(|build| serving(build, attempt) >= MIN_ENDPOINTS)
+        })
+        .collect();
+    let routes: BTreeSet<&str> = taken_up.iter().map(|attempt| &*attempt.route).collect();
+    let new: Vec<&Try> = { journal.tries.iter() }
+        .filter(in_touch)
+        .filter(|attempt| attempt.resumes.is_none() && routes.contains(&*attempt.route))
+        .collect();
+    let (went_on, began) = (ratio(&taken_up), ratio(&new));
+    let is_broken = taken_up.len() >= MIN_TAKE_UPS && went_on < MIN_RATIO * began;
+    let text = || {
+        format!(
+            "of {} streams that were taken up {:.2} went on, of {} new ones {:.2} began",
+            taken_up.len(),
+            went_on,
+            new.len(),
+            began
+        )
+    };
+    is_broken
+        .then(|| finding(Check::Lost, journal.load_ms.1, text()))
+        .into_iter()
+        .collect()
+}
+
+/// LISTS: a host sends a request to an endpoint that it lists under another build than the
+/// endpoint registered.
+pub fn check_lists(journal: &Journal) -> Vec<Finding> {
+    let listed = journal.listed_builds.iter();
+    let wrong = listed.filter(|entry| entry.listed.as_ref() != Some(&entry.registered));
+    let text = |entry: &ListedBuild| {
+        format!(
+            "host {} lists {} under {} instead of {}",
+            entry.host,
+            entry.endpoint,
+            entry.listed.as_deref().unwrap_or("no build"),
+            entry.registered
+        )
+    };
+    wrong
+        .map(|entry| finding(Check::Lists, journal.load_ms.1, text(entry)))
+        .collect()
+}
--- a/crates/soak/src/journal.rs
+++ b/crates/soak/src/journal.rs
@@ -197,6 +197,19 @@
     pub to_ms: u64,
 }
 
+/// The build under which a host listed an endpoint when it sent a request there.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct ListedBuild {
+    /// The host.
+    pub host: usize,
+    /// The endpoint.
+    pub endpoint: Arc<str>,
+    /// The build according to the host, if it listed any.
+    pub listed: Option<Arc<str>>,
+    /// The build that the endpoint registered.
+    pub registered: Arc<str>,
+}
+
 /// All that was seen in one play.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Journal {
@@ -219,6 +232,9 @@
     /// When endpoints crashed under requests with a poison part.
     #[serde(default)]
     pub part_crashes_ms: Vec<u64>,
+    /// Builds under which hosts listed endpoints, each once.
+    #[serde(default)]
+    pub listed_builds: Vec<ListedBuild>,
     /// When the play's load began and ended.
     pub load_ms: (u64, u64),
 }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -15,13 +15,14 @@
 
 pub use checks::{
     Bounds, Check, Finding, check_all, check_blame, check_budget, check_builds, check_config,
-    check_drain, check_exposure, check_limit, check_lost, check_order, check_poison_part,
-    check_refused, check_returns, check_route, check_serves, check_twice,
+    check_continued, check_drain, check_exposure, check_limit, check_lists, check_lost,
+    check_order, check_poison_part, check_refused, check_returns, check_route, check_serves,
+    check_twice,
 };
 pub use journal::{
-    Arrival, Disturbance, DisturbanceKind, EndpointSpan, HostStop, Journal, Leaving, RolloutOrder,
-    RouteRule, Try, TryEnd,
+    Arrival, Disturbance, DisturbanceKind, EndpointSpan, HostStop, Journal, Leaving, ListedBuild,
+    RolloutOrder, RouteRule, Try, TryEnd,
 };
-pub use plan::{Fault, Plan, PlanShape, PlannedFault, PoisonPart, Rollout, RolloutKind};
+pub use plan::{Fault, LateBuild, Plan, PlanShape, PlannedFault, PoisonPart, Rollout, RolloutKind};
 pub use process::Process;
 pub use proxy::{LinkMode, Proxy};
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -154,6 +154,19 @@
     pub position: usize,
 }
 
+/// Endpoints of another build that register one by one in the pool of streams, without a rollout.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LateBuild {
+    /// When the first one registers, in milliseconds.
+    pub at_ms: u64,
+    /// Number of endpoints.
+    pub endpoints: usize,
+    /// Time between two registrations, in milliseconds.
+    pub interval_ms: u64,
+    /// Whether all hosts get a quarter of a core meanwhile.
+    pub throttles_hosts: bool,
+}
+
 /// Sizes and times that a plan is drawn within.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PlanShape {
@@ -187,6 +200,8 @@
     pub close_delimited_permille: u32,
     /// Requests that crash endpoints, if any are sent.
     pub poison_part: Option<PoisonPart>,
+    /// Endpoints that register late, if any do.
+    pub late_build: Option<LateBuild>,
 }
 
 impl Plan {
@@ -200,6 +215,7 @@
         const CLOSE_DELIMITED_RATIO: f64 = 0.5;
         const CLOSE_DELIMITED_PERMILLE: u32 = 300;
         const POISON_PART_RATIO: f64 = 0.4;
+        const LATE_BUILD_RATIO: f64 = 0.4;
         let mut random = ChaCha8Rng::seed_from_u64(seed);
         let hosts = random.random_range(3..=8);
         let endpoints = random.random_range(6..=13);
@@ -238,6 +254,11 @@
             .random_bool(POISON_PART_RATIO)
             .then(|| draw_poison_part(&mut random, shape))
             .filter(|_| !rollout.is_some_and(|order| order.is_of_streams));
+        let late_build = random
+            .random_bool(LATE_BUILD_RATIO)
+            .then(|| draw_late_build(&mut random, shape))
+            .filter(|_| poison_part.is_none());
+        let late_build = late_build.filter(|_| !rollout.is_some_and(|order| order.is_of_streams));
         Self {
             seed,
             hosts,
@@ -253,10 +274,21 @@
                 0
             },
             poison_part,
+            late_build,
         }
     }
 }
 
+fn draw_late_build(random: &mut ChaCha8Rng, shape: PlanShape) -> LateBuild {
+    const MAX_MS: u64 = 5_000;
+    LateBuild {
+        at_ms: random.random_range(shape.from_ms..shape.until_ms - MAX_MS),
+        endpoints: random.random_range(2..=6),
+        interval_ms: random.random_range(50..400),
+        throttles_hosts: random.random_bool(0.7),
+    }
+}
+
 fn draw_poison_part(random: &mut ChaCha8Rng, shape: PlanShape) -> PoisonPart {
     const MIN_MS: u64 = 8_000;
     let at_ms = random.random_range(shape.from_ms..shape.until_ms - MIN_MS);
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -2,7 +2,7 @@
 
 use chalkrock_soak::{
     Arrival, Bounds, Check, Disturbance, DisturbanceKind, EndpointSpan, HostStop, Journal, Leaving,
-    RolloutOrder, RouteRule, Try, TryEnd, check_all,
+    ListedBuild, RolloutOrder, RouteRule, Try, TryEnd, check_all,
 };
 use googletest::prelude::*;
 
@@ -233,6 +233,84 @@
     ]);
 }
 
+/// Guards against streams that are refused although their build serves.
+#[gtest]
+fn check_continued_compares_taken_up_streams_with_new_ones() {
+    const STREAMS: usize = 20;
+    let mut left = stream_end(&[1], false);
+    if let TryEnd::Stream { has_left, .. } = &mut left {
+        *has_left = true;
+    }
+    let mut rest = stream_end(&[2, 3], true);
+    if let TryEnd::Stream { after, .. } = &mut rest {
+        *after = 1;
+    }
+    let played = |endpoints: usize, streams: usize, went_on: usize| {
+        let mut tries = Vec::new();
+        for number in 0..streams {
+            let first = format!("r{number}.0");
+            tries.push(Try {
+                route: "chat".into(),
+                ..attempt(&first, 100, left.clone())
+            });
+            let end = if number < went_on {
+                rest.clone()
+            } else {
+                TryEnd::Status(503)
+            };
+            tries.push(Try {
+                resumes: Some(first.into()),
+                route: "chat".into(),
+                ..attempt(&format!("r{number}.1"), 110, end)
+            });
+        }
+        let names = (0..endpoints).map(|number| format!("e{number}"));
+        let arrivals = names.clone().map(|name| Arrival {
+            build: "v1".into(),
+            ..arrival(&format!("x-{name}.0"), &name, 100)
+        });
+        let ready = names.map(|name| EndpointSpan {
+            endpoint: name.into(),
+            service: "pool".into(),
+            from_ms: 0,
+            to_ms: None,
+        });
+        Journal {
+            ready: ready.collect(),
+            ..journal(tries, arrivals.collect())
+        }
+    };
+    run_cases(vec![
+        ("none", Check::Lost, true, played(2, STREAMS, 0)),
+        ("under half", Check::Lost, true, played(2, STREAMS, 9)),
+        ("half", Check::Lost, false, played(2, STREAMS, 10)),
+        ("one endpoint", Check::Lost, false, played(1, STREAMS, 0)),
+        ("few", Check::Lost, false, played(2, 11, 0)),
+    ]);
+}
+
+/// Guards against lists that name another build than the registered one, or none.
+#[gtest]
+fn check_lists_compares_builds_with_registered_ones() {
+    let listed = |listed: Option<&str>| {
+        let entry = ListedBuild {
+            host: 0,
+            endpoint: "endpoint-1".into(),
+            listed: listed.map(Into::into),
+            registered: "v2".into(),
+        };
+        Journal {
+            listed_builds: vec![entry],
+            ..journal(vec![], vec![])
+        }
+    };
+    run_cases(vec![
+        ("registered", Check::Lists, false, listed(Some("v2"))),
+        ("another", Check::Lists, true, listed(Some("v1"))),
+        ("none", Check::Lists, true, listed(None)),
+    ]);
+}
+
 #[gtest]
 fn check_order_reads_the_ids_of_events() {
     let stream = |events: &[u64], is_complete| {
