Find lists that differ, and read the wrong one again

A wrong entry of a host's list stayed until the entry changed, whatever had caused it. Each second a host now sends one random other host the version and digest of its list, in an appended datagram of 14 bytes, and a host with the same version and another digest replies with its own. A host that is likely wrong reads its list from the store again, and takes the whole list of another host if the store does not answer within a second. Either replaces the list as of the same version. Endpoints that said that they leave stay leaving; leaving, lapsed and evacuated ones do not change the digest.

Line `lists-differ` (one in ten seconds, and one for each read), metrics `lists_differ_total` and `list_rereads_total`, control traffic `list-digest`.

With 986 hosts of which 8 read the store, by tests/list_comparison.rs: one wrong puller reads alone; one wrong reader causes 20 reads, at most 5 a second; 978 wrong ones heal in 30 s with 1,210 reads, at most 99 a second; halves that differ for good read at most 92 times a second, and once in 300 s each after ten minutes.

--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -14,8 +14,8 @@
     RequestId, ZoneId,
 };
 use chalkrock_routing::{
-    AttemptOutcome, Basis, BuildAssessment, RequestFingerprint, RolloutReason, RolloutStage,
-    RulesVersion, StoreVersion, WorkBasis,
+    AttemptOutcome, Basis, BuildAssessment, ListSource, RequestFingerprint, RolloutReason,
+    RolloutStage, RulesVersion, StoreVersion, WorkBasis,
 };
 use serde::{Serialize, Serializer};
 use tokio::io::AsyncWriteExt;
@@ -176,6 +176,18 @@
     GivenUp,
 }
 
+/// What a host does about a list that differs from another one's.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub(crate) enum ListAction {
+    /// It compares with further hosts.
+    Compare,
+    /// It reads its list from the store again.
+    ReadStore,
+    /// It gets the whole list of the other host, as the store has not answered.
+    PullList,
+}
+
 /// An event to log.
 #[derive(Debug, Serialize)]
 #[serde(tag = "event", rename_all = "kebab-case")]
@@ -206,6 +218,18 @@
         digest: u64,
         from: &'a str,
     },
+    /// Another host lists other endpoints or builds as of the same version.
+    ListsDiffer {
+        other: SocketAddr,
+        version: StoreVersion,
+        #[serde(serialize_with = "as_hex")]
+        digest: u64,
+        #[serde(serialize_with = "as_hex")]
+        other_digest: u64,
+        source: ListSource,
+        other_source: ListSource,
+        action: ListAction,
+    },
     /// A row of the store can't be parsed and is skipped.
     RowPassedOver {
         topic: &'a str,
--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -16,10 +16,10 @@
 use chalkrock_routing::{
     Backoffs, Basis, BudgetRules, BuildUse, Candidate, ColdEndpoints, ConnectionLimit,
     EndpointHealth, EndpointTable, Evacuations, Evidence, FleetLoad, HealthSignal, HomeDemand,
-    HomeSpread, ListedBuilds, MaxServiceTime, PlacementRequest, PoisonEvidence, PoolBacklog,
-    PoolLoads, PoolMember, PoolOccupancy, PoolRules, Reachability, RecentPrefixes, RejectionLimits,
-    Repeatable, Rollouts, ServiceTimeEwma, Shares, SpreadRules, StoreVersion, WindowBudget,
-    choose_endpoint, connections_per_host,
+    HomeSpread, ListReport, ListSource, ListedBuilds, MaxServiceTime, PlacementRequest,
+    PoisonEvidence, PoolBacklog, PoolLoads, PoolMember, PoolOccupancy, PoolRules, Reachability,
+    RecentPrefixes, RejectionLimits, Repeatable, Rollouts, ServiceTimeEwma, Shares, SpreadRules,
+    StoreVersion, WindowBudget, choose_endpoint, connections_per_host,
 };
 
 pub(crate) use self::reachability::PoolReach;
@@ -86,9 +86,10 @@
     pub(crate) endpoints: EndpointTable,
     /// Latest known version of the endpoint list.
     pub(crate) endpoints_version: StoreVersion,
-    /// Counts the changes that were applied to the list, unlike its version also those that
-    /// replace it at the same version.
-    list_revision: u64,
+    /// Where the list came from.
+    list_source: ListSource,
+    /// Digest of the list, and the revision of which it is.
+    list_digest: Option<(u64, u64)>,
     /// Whether a full list was ever applied.
     has_full_list: bool,
     /// Store era of the last full read.
@@ -152,7 +153,8 @@
         Self {
             endpoints: EndpointTable::default(),
             endpoints_version: StoreVersion::default(),
-            list_revision: 0,
+            list_source: ListSource::Peer,
+            list_digest: None,
             has_full_list: false,
             store_era: None,
             lapsed_until_ms: None,
@@ -585,7 +587,6 @@
         });
         let endpoints = endpoints.collect();
         self.endpoints.replace(endpoints, now_ms);
-        self.list_revision += 1;
         self.endpoints_version = self.endpoints_version.max(version);
         self.has_full_list = true;
         self.changes.clear();
@@ -630,14 +631,31 @@
             }
         }
         if has_changed {
-            self.list_revision += 1;
             self.prune_health();
         }
         has_changed
     }
 
+    /// Counts changes of the list, also of entries as of the same version.
     pub(crate) fn list_revision(&self) -> u64 {
-        self.list_revision
+        self.endpoints.revision()
+    }
+
+    pub(crate) fn set_list_source(&mut self, source: ListSource) {
+        self.list_source = source;
+    }
+
+    /// What this host reports about its list.
+    pub(crate) fn list_report(&mut self) -> ListReport {
+        let revision = self.list_revision();
+        let known = self.list_digest.filter(|(of, _)| *of == revision);
+        let digest = known.map_or_else(|| self.endpoints.digest(), |(_, digest)| digest);
+        self.list_digest = Some((revision, digest));
+        ListReport {
+            version: self.endpoints_version,
+            digest,
+            source: self.list_source,
+        }
     }
 
     pub(crate) fn listed(&self, now_ms: u64) -> Vec<ListedEndpoint> {
--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -16,7 +16,7 @@
 use std::time::Duration;
 
 use chalkrock_core::EndpointId;
-use chalkrock_routing::{Evacuations, RolloutOrders, StoreVersion};
+use chalkrock_routing::{Evacuations, ListSource, RolloutOrders, StoreVersion};
 use rand::RngExt;
 use tokio::time::Instant;
 
@@ -272,6 +272,7 @@
         }
         let in_era = StoreVersion::in_era(version.era(), 0);
         fleet.replace(listed, newest.unwrap_or(in_era), now_ms);
+        fleet.set_list_source(ListSource::Store);
         unreadable
             .iter()
             .for_each(|name| fleet.endpoints.discard(name, now_ms));
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -32,6 +32,7 @@
     Reachability,
     RejectionLimits,
     StreamOrigins,
+    ListDigest,
     /// Datagrams that this build can't decode.
     Unknown,
     /// State pulled from other hosts.
@@ -78,6 +79,7 @@
             Self::Reachability => control_labels!("reachability"),
             Self::RejectionLimits => control_labels!("rejection-limits"),
             Self::StreamOrigins => control_labels!("stream-origins"),
+            Self::ListDigest => control_labels!("list-digest"),
             Self::Unknown => control_labels!("unknown"),
             Self::Pull => control_labels!("pull"),
             Self::Serve => control_labels!("serve"),
--- a/crates/gateway/src/peers/membership.rs
+++ b/crates/gateway/src/peers/membership.rs
@@ -14,6 +14,7 @@
 use tokio::time::Instant;
 
 use crate::config::GatewayConfig;
+use crate::peers::list_check::ListCheck;
 use crate::peers::message::{Heartbeat, HostContact, RelaySummary, ZoneMember};
 use crate::peers::pull_turns::PullTurns;
 
@@ -162,6 +163,7 @@
     pub(crate) newer_peer_found: Notify,
     /// Pulls of this host from others.
     pub(crate) pull_turns: PullTurns,
+    pub(super) list_check: ListCheck,
 }
 
 impl PeerTable {
@@ -180,6 +182,7 @@
             newer: Mutex::default(),
             newer_peer_found: Notify::new(),
             pull_turns: PullTurns::default(),
+            list_check: ListCheck::default(),
         })
     }
 
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -3,9 +3,9 @@
 use std::net::SocketAddr;
 
 use chalkrock_routing::{
-    AggregatePath, CacheEntry, Evacuations, HostReport, LimitReport, PartUpdate, PoisonRequest,
-    PoisonUpdate, RulesVersion, SlotAsk, SlotReply, StoreVersion, SubscriptionRole, WorkReport,
-    ZoneAggregate,
+    AggregatePath, CacheEntry, Evacuations, HostReport, LimitReport, ListReport, PartUpdate,
+    PoisonRequest, PoisonUpdate, RulesVersion, SlotAsk, SlotReply, StoreVersion, SubscriptionRole,
+    WorkReport, ZoneAggregate,
 };
 use serde::{Deserialize, Serialize};
 
@@ -65,6 +65,8 @@
     StreamReply(StreamReply),
     /// Crashes and answers that went on, by parts of prompts.
     PoisonParts(Vec<PartUpdate>),
+    /// Digest of the list of endpoints.
+    ListDigest(ListDigest),
 }
 
 impl Datagram {
@@ -88,10 +90,19 @@
             Self::StreamRecord(_) | Self::StreamAsk(_) | Self::StreamReply(_) => {
                 ControlKind::StreamOrigins
             }
+            Self::ListDigest(_) => ControlKind::ListDigest,
         }
     }
 }
 
+/// What a host reports about its list of endpoints.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct ListDigest {
+    pub(crate) report: ListReport,
+    /// Whether it replies to a report that differs, which is not replied to again.
+    pub(crate) is_reply: bool,
+}
+
 /// Names the host that schedules a pool.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct SlotRedirect {
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -13,6 +13,7 @@
 //! is sufficient.
 
 mod api;
+mod list_check;
 mod membership;
 mod message;
 mod publish;
@@ -26,6 +27,7 @@
 mod uploads;
 
 pub(crate) use api::KnownBuilds;
+pub(crate) use list_check::check_list;
 pub(crate) use membership::{PeerTable, zone_hash};
 pub(crate) use message::{Datagram, SlotRedirect};
 pub(crate) use publish::publish;
--- a/crates/gateway/src/peers/publish.rs
+++ b/crates/gateway/src/peers/publish.rs
@@ -149,7 +149,7 @@
     rounds.min(MAX_ROUNDS_PER_AGGREGATE)
 }
 
-fn send(shared: &Shared, socket: &UdpSocket, datagram: &Datagram, to: &[SocketAddr]) {
+pub(super) fn send(shared: &Shared, socket: &UdpSocket, datagram: &Datagram, to: &[SocketAddr]) {
     let Ok(bytes) = postcard::to_stdvec(datagram) else {
         return;
     };
--- a/crates/gateway/src/peers/pull.rs
+++ b/crates/gateway/src/peers/pull.rs
@@ -8,7 +8,7 @@
 
 use chalkrock_core::{BuildVersion, PoolId};
 use chalkrock_proto::{ByteCounter, transport};
-use chalkrock_routing::{LearnedState, RulesVersion};
+use chalkrock_routing::{LearnedState, ListSource, RulesVersion};
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use rand::RngExt;
@@ -113,7 +113,7 @@
     hosts: impl IntoIterator<Item = &SocketAddr>,
 ) {
     let pulls = hosts.into_iter();
-    let pulls = pulls.map(|host| pull(shared, peers, *host, SEED_TIMEOUT));
+    let pulls = pulls.map(|host| pull(shared, peers, *host, SEED_TIMEOUT, Wanted::Missing));
     let mut pulls: FuturesUnordered<_> = pulls.collect();
     let mut alternative = None;
     while let Some(pulled) = pulls.next().await {
@@ -126,7 +126,7 @@
             .or(alternative);
     }
     if let Some(alternative) = alternative {
-        let pulled = pull(shared, peers, alternative, SEED_TIMEOUT).await;
+        let pulled = pull(shared, peers, alternative, SEED_TIMEOUT, Wanted::Missing).await;
         pulled.and_then(|pulled| apply(shared, peers, pulled));
     }
 }
@@ -193,7 +193,7 @@
     let timeout = ms(shared.config.follow.pull_timeout_ms);
     let mut from = first;
     for _ in 0..MAX_BUSY_ATTEMPTS {
-        let Some(pulled) = pull(shared, peers, from, timeout).await else {
+        let Some(pulled) = pull(shared, peers, from, timeout, Wanted::Missing).await else {
             if from == first {
                 return CatchUp::Failed;
             }
@@ -244,9 +244,13 @@
     peers: &PeerTable,
     from: SocketAddr,
     first_byte_timeout: Duration,
+    wanted: Wanted,
 ) -> Option<Pulled> {
     let turn = peers.pull_turns.wait(from).await;
-    let known = known_versions(shared, peers);
+    let mut known = known_versions(shared, peers);
+    if wanted == Wanted::WholeList {
+        known.endpoints = None;
+    }
     let started_at = Instant::now();
     let count = Arc::new(ByteCounter::default());
     let _counts_when_dropped = ConnectionBytes::new(shared, ControlKind::Pull, count.clone());
@@ -284,12 +288,34 @@
             took_ms: started_at.elapsed().as_millis() as u64,
         });
     }
-    response.map(|response| Pulled { response, turn })
+    response.map(|response| Pulled {
+        response,
+        wanted,
+        turn,
+    })
+}
+
+/// What a pull is to bring.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Wanted {
+    /// State that this host is missing.
+    Missing,
+    /// A list of endpoints to replace this host's as of the same version.
+    WholeList,
+}
+
+/// Replaces this host's list of endpoints by that of another host, unless that is older.
+pub(super) async fn pull_whole_list(shared: &Shared, peers: &PeerTable, from: SocketAddr) {
+    let timeout = ms(shared.config.follow.pull_timeout_ms);
+    let pulled = pull(shared, peers, from, timeout, Wanted::WholeList).await;
+    let _later_differences_ask_a_busy_host_again =
+        pulled.map(|pulled| apply(shared, peers, pulled));
 }
 
 /// The response of another host. The next pull from it starts once this one is applied.
 struct Pulled {
     response: PullResponse,
+    wanted: Wanted,
     turn: PullTurn,
 }
 
@@ -408,7 +434,11 @@
 /// Applies a response. Returns the busy response if it was incomplete.
 fn apply(shared: &Shared, peers: &PeerTable, pulled: Pulled) -> Option<BusyResponse> {
     const SOURCE: &str = "peer";
-    let Pulled { response, turn } = pulled;
+    let Pulled {
+        response,
+        wanted,
+        turn,
+    } = pulled;
     let PullResponse {
         missing,
         rollouts,
@@ -431,7 +461,7 @@
         has_changed |= shared.apply_rules_update(rules, SOURCE);
     }
     if let Some(update) = missing.endpoints {
-        if apply_endpoints(shared, update) {
+        if apply_endpoints(shared, update, wanted) {
             has_changed = true;
             shared.log_endpoints(SOURCE);
         }
@@ -473,18 +503,25 @@
     rows.reverse();
 }
 
-fn apply_endpoints(shared: &Shared, update: EndpointUpdate) -> bool {
+fn apply_endpoints(shared: &Shared, update: EndpointUpdate, wanted: Wanted) -> bool {
     let now_ms = shared.clock.now_ms();
     let had_list = shared.knows_endpoints();
     let mut fleet = shared.fleet();
-    match update {
+    let has_changed = match update {
         EndpointUpdate::Entire { version, endpoints } => {
-            let has_changed = version > fleet.endpoints_version || !had_list;
+            let is_as_new = version == fleet.endpoints_version;
+            let has_changed = version > fleet.endpoints_version
+                || is_as_new && wanted == Wanted::WholeList
+                || !had_list;
             if has_changed {
                 fleet.replace(endpoints, version, now_ms);
             }
             has_changed
         }
         EndpointUpdate::Changes(rows) => fleet.apply_changes(rows, now_ms),
+    };
+    if has_changed {
+        fleet.set_list_source(ListSource::Peer);
     }
+    has_changed
 }
--- a/crates/gateway/src/peers/receive.rs
+++ b/crates/gateway/src/peers/receive.rs
@@ -11,6 +11,7 @@
 use crate::fair_share::{PoolUsage, merge_usage};
 use crate::metrics::{ControlKind, Direction};
 use crate::outage_log::OutageLog;
+use crate::peers::list_check::compare_list;
 use crate::peers::membership::PeerTable;
 use crate::peers::message::{
     CacheEntries, Datagram, Heartbeat, RelaySummary, StateDigest, ZoneSummary,
@@ -95,6 +96,9 @@
             Datagram::StreamRecord(record) => shared.keep_stream_record(record),
             Datagram::StreamAsk(ask) => shared.reply_to_stream_ask(address, ask),
             Datagram::StreamReply(reply) => shared.accept_stream_reply(address, reply),
+            Datagram::ListDigest(received) => {
+                compare_list(&shared, &peers, &socket, address, received);
+            }
             Datagram::ReachReply(reply) => merge_reply(&shared, &peers, address, &reply),
         }
     }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -21,8 +21,8 @@
 use crate::lag::measure_lag;
 use crate::outage_log::OutageLog;
 use crate::peers::{
-    PeerTable, exchange_reachability, publish, pull_at_start, pull_when_outdated, receive,
-    serve_pulls, zone_hash,
+    PeerTable, check_list, exchange_reachability, publish, pull_at_start, pull_when_outdated,
+    receive, serve_pulls, zone_hash,
 };
 use crate::poison::sync_poison_records;
 use crate::pool_queue::exchange_slots;
@@ -220,6 +220,7 @@
     }
     let exchange = exchange_reachability(shared.clone(), peers.clone(), socket.clone());
     tasks.spawn(exchange);
+    tasks.spawn(check_list(shared.clone(), peers.clone(), socket.clone()));
     let (slot_sender, slot_messages) = mpsc::channel(MAX_SLOT_MESSAGES);
     let receiving = receive(shared.clone(), peers.clone(), socket.clone(), slot_sender);
     tasks.spawn(receiving);
--- a/crates/gateway/src/subscription.rs
+++ b/crates/gateway/src/subscription.rs
@@ -219,6 +219,11 @@
         self.endpoints.reread.notify_one();
     }
 
+    /// Requests a full read of the list of endpoints.
+    pub(crate) fn request_list_reread(&self) {
+        self.endpoints.reread.notify_one();
+    }
+
     pub(crate) fn record_answer(&self, topic: Topic) {
         self.topic(topic).is_answered.store(true, Ordering::Relaxed);
     }
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -15,6 +15,7 @@
 mod evacuations;
 mod fair_shares;
 mod large_rules;
+mod list_checks;
 mod listed_builds;
 mod partition_plans;
 mod partitions;
--- a/crates/gateway/tests/gateway/support/source.rs
+++ b/crates/gateway/tests/gateway/support/source.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use chalkrock_core::{Endpoint, EndpointId, PoolId, ZoneId};
+use chalkrock_core::{BuildVersion, Endpoint, EndpointId, PoolId, ZoneId};
 use chalkrock_gateway::{
     EndpointChange, EndpointRow, HostRow, ListedEndpoint, PoisonRow, ReceivedBytes, RolloutWrite,
     Row, Source, SourceError, SourceUpdate, Topic, UnreadableRow,
@@ -97,6 +97,8 @@
     is_isolated: Arc<AtomicBool>,
     /// Addresses at which the host of this handle reaches endpoints, if not at their own.
     links: Arc<HashMap<EndpointId, SocketAddr>>,
+    /// The build that the host of this handle reads for all endpoints, if not their own.
+    misread_build: Arc<Mutex<Option<BuildVersion>>>,
     started_at: Instant,
 }
 
@@ -107,6 +109,7 @@
             changed: Arc::new(watch::channel(0).0),
             is_isolated: Arc::default(),
             links: Arc::default(),
+            misread_build: Arc::default(),
             started_at: Instant::now(),
         }
     }
@@ -169,10 +172,20 @@
     pub(crate) fn another_handle(&self) -> Self {
         Self {
             is_isolated: Arc::default(),
+            misread_build: Arc::default(),
             ..self.clone()
         }
     }
 
+    /// Sets the build that this handle reads for all endpoints, or stops that.
+    pub(crate) fn misread_builds(&self, build: Option<&str>) {
+        let mut misread = self
+            .misread_build
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        *misread = build.map(BuildVersion::from);
+    }
+
     /// Returns a handle to the same store that lists endpoints at other addresses.
     pub(crate) fn with_links(&self, links: HashMap<EndpointId, SocketAddr>) -> Self {
         Self {
@@ -186,6 +199,13 @@
         if let Some(link) = self.links.get(&listed.endpoint.name) {
             listed.endpoint.address = *link;
         }
+        let misread = self
+            .misread_build
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        if let Some(build) = &*misread {
+            listed.endpoint.build = build.clone();
+        }
         listed
     }
 
--- a/crates/routing/src/endpoints.rs
+++ b/crates/routing/src/endpoints.rs
@@ -115,6 +115,7 @@
     evacuated: BTreeSet<ZoneId>,
     /// Starts that reported that they leave, by short hash.
     leaving_starts: HashMap<u32, LeavingStart>,
+    revision: u64,
 }
 
 /// A start that reported that it leaves, other than by its entry.
@@ -316,6 +317,12 @@
         self.listed().count()
     }
 
+    /// Counts changes of the table. Unlike the store's version, it also counts a list that
+    /// replaces another one as of the same version.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
     /// A digest of the listed starts and their builds. Hosts with the same list have the same.
     pub fn digest(&self) -> u64 {
         let starts = self.listed().map(|member| {
@@ -368,6 +375,7 @@
     }
 
     fn rebuild(&mut self) {
+        self.revision += 1;
         self.live = self.by_pool(KnownEndpoint::accepts_work);
         self.serving = if self.evacuated.is_empty() {
             self.live.clone()
--- a/crates/routing/src/list_comparison.rs
+++ b/crates/routing/src/list_comparison.rs
@@ -16,14 +16,14 @@
 use crate::StoreVersion;
 
 /// How long the report of another host counts.
-const MAX_REPORT_AGE_MS: u64 = 5_000;
+const MAX_REPORT_AGE_MS: u64 = 10_000;
 /// Reports of other hosts that a decision needs, if there are as many hosts.
 const MIN_REPORTS: usize = 3;
 /// Time for which lists have to differ, since a change may be under way.
 const MIN_DIFFERENCE_MS: u64 = 1_000;
 /// Further time for a host that read its list from the store itself, in which others correct
 /// theirs.
-const STORE_READER_DELAY_MS: u64 = 4_000;
+const STORE_READER_DELAY_MS: u64 = 2_000;
 /// Reads of different hosts are spread over at least this time, and over
 /// [`SPREAD_PER_HOST_MS`] for each host.
 const MIN_SPREAD_MS: u64 = 500;
@@ -34,6 +34,7 @@
 
 /// Where a host got its list of endpoints.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum ListSource {
     /// The store, all of it.
     Store,
@@ -191,6 +192,11 @@
         ListStep::Reread(right)
     }
 
+    /// The latest report of another host with the same version.
+    pub fn report(&self, host: &H) -> Option<ListReport> {
+        self.by_host.get(host).map(|other| other.report)
+    }
+
     /// Forgets what was compared with a list that has been replaced as of the same version.
     fn set_own(&mut self, own: ListReport) {
         let before = self.own.replace(own);
--- a/crates/routing/tests/list_comparison.rs
+++ b/crates/routing/tests/list_comparison.rs
@@ -63,7 +63,7 @@
             store_r,
             vec![w],
             1,
-            Some((5_000, 0)),
+            Some((3_000, 0)),
         ),
         (
             "two pullers without a majority",
@@ -100,7 +100,7 @@
             store_r,
             vec![w, w, w],
             9,
-            Some((5_000, 2)),
+            Some((3_000, 2)),
         ),
         (
             "right reader, wrong puller",
