--- a/crates/gateway/tests/gateway/support/source.rs
+++ b/crates/gateway/tests/gateway/support/source.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use chalkrock_core::{Endpoint, EndpointId, PoolId, ZoneId};
+use chalkrock_core::{BuildVersion, Endpoint, EndpointId, PoolId, ZoneId};
 use chalkrock_gateway::{
     EndpointChange, EndpointRow, HostRow, ListedEndpoint, PoisonRow, ReceivedBytes, RolloutWrite,
     Row, Source, SourceError, SourceUpdate, Topic, UnreadableRow,
@@ -109,6 +109,8 @@
     held_reads: Arc<watch::Sender<Option<HeldRead>>>,
     /// Addresses at which the host of this handle reaches endpoints, if not at their own.
     links: Arc<HashMap<EndpointId, SocketAddr>>,
+    /// The build that the host of this handle reads for all endpoints, if not their own.
+    misread_build: Arc<Mutex<Option<BuildVersion>>>,
     started_at: Instant,
 }
 
@@ -129,6 +131,7 @@
             is_isolated: Arc::default(),
             held_reads: Arc::new(watch::channel(None).0),
             links: Arc::default(),
+            misread_build: Arc::default(),
             started_at: Instant::now(),
         }
     }
@@ -192,10 +195,20 @@
         Self {
             is_isolated: Arc::default(),
             held_reads: Arc::new(watch::channel(None).0),
+            misread_build: Arc::default(),
             ..self.clone()
         }
     }
 
+    /// Sets the build that this handle reads for all endpoints, or stops that.
+    pub(crate) fn misread_builds(&self, build: Option<&str>) {
+        let mut misread = self
+            .misread_build
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        *misread = build.map(BuildVersion::from);
+    }
+
     /// Returns a handle to the same store that lists endpoints at other addresses.
     pub(crate) fn with_links(&self, links: HashMap<EndpointId, SocketAddr>) -> Self {
         Self {
@@ -209,6 +222,13 @@
         if let Some(link) = self.links.get(&listed.endpoint.name) {
             listed.endpoint.address = *link;
         }
+        let misread = self
+            .misread_build
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        if let Some(build) = &*misread {
+            listed.endpoint.build = build.clone();
+        }
         listed
     }
 
