--- a/crates/routing/tests/endpoints.rs
+++ b/crates/routing/tests/endpoints.rs
@@ -76,6 +76,31 @@
     }
 }
 
+/// Guards against a list that is read again as of the same version and revives endpoints that
+/// leave, and against digests that differ with what hosts learn apart from the list.
+#[test]
+fn table_read_again_corrects_builds_and_keeps_leaving() {
+    let with_build = |name: &str, build: &str| Endpoint {
+        build: build.into(),
+        ..start(name, 5, HostState::Live)
+    };
+    let right = || vec![with_build("a", "v1"), with_build("b", "v2")];
+    let mut table = EndpointTable::default();
+    table.replace(right(), 0);
+    let digest = table.digest();
+    table.replace(vec![with_build("a", "v1"), with_build("b", "v1")], 0);
+    assert_that!(table.digest(), not(eq(digest)));
+    table.mark_leaving(&[with_build("a", "v1").start_hash().short()], 0);
+    table.keep_lapsed(true);
+    let revision = table.revision();
+    table.replace(right(), 0);
+    assert_that!(table.revision(), gt(revision));
+    assert_that!(table.digest(), eq(digest));
+    assert_that!(live_names(&table), elements_are![eq("b")]);
+    table.set_evacuated(BTreeSet::from(["zone-a".into()]));
+    assert_that!(table.digest(), eq(digest));
+}
+
 /// Guards against an endpoint that keeps a build that its entry does not state.
 #[test]
 fn table_entry_without_build_states_none() {
