Do not replace a list by a late read that is older

A host could lose endpoints that it listed: a full read of the store that was slow, while other hosts sent newer rows, replaced the list by the older one under the newer version. The rows in between were then skipped as known when they came from the store, so that these endpoints got nothing until their entries changed. Reads for lists that differ make such reads more frequent.

A read whose version is below that of the list is dropped. One that is not takes the version of the list, which may be that of a removal.

--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -258,7 +258,12 @@
     is_whole: bool,
 ) -> bool {
     let now_ms = shared.clock.now_ms();
+    let knows_endpoints = shared.knows_endpoints();
     let mut fleet = shared.fleet();
+    if is_whole && knows_endpoints && version < fleet.endpoints_version {
+        // A slow read lacks what other hosts have sent since, which is not sent again.
+        return false;
+    }
     let is_new = if is_whole {
         let newest = changes.iter().map(|row| row.version).max();
         let mut listed = Vec::with_capacity(changes.len());
@@ -271,7 +276,9 @@
             }
         }
         let in_era = StoreVersion::in_era(version.era(), 0);
-        fleet.replace(listed, newest.unwrap_or(in_era), now_ms);
+        // The latest change may be a removal, which a full list does not show.
+        let newest = newest.unwrap_or(in_era).max(fleet.endpoints_version);
+        fleet.replace(listed, newest, now_ms);
         fleet.set_list_source(ListSource::Store);
         unreadable
             .iter()
--- a/crates/gateway/tests/gateway/list_checks.rs
+++ b/crates/gateway/tests/gateway/list_checks.rs
@@ -68,6 +68,33 @@
     }
 }
 
+/// Guards against a late read that drops endpoints that other hosts have named meanwhile.
+#[tokio::test]
+async fn list_that_arrives_late_does_not_replace_a_newer_one() {
+    const SETTLE_TIME: Duration = Duration::from_millis(500);
+    let mut fleet = BuildFleet::start(2, &[OLD, NEW]).await;
+    let mut expected = listed_builds(&fleet.hosts[0]).await;
+    let misreading = fleet.source.another_handle();
+    misreading.misread_builds(Some(OLD));
+    let late = TestGateway::start(misreading.clone(), "host-late", Vec::new()).await;
+    late.ready().await;
+    misreading.misread_builds(None);
+    misreading.hold_lists(true);
+    fleet.hosts.push(late);
+    // Puts the others in touch.
+    fleet.add_host("host-between").await;
+    let late = &fleet.hosts[2];
+    until(async || metric(late, "list_rereads_total").await == 1.0).await;
+    fleet.source.list(endpoint("later", NEW));
+    expected.insert("later".to_owned(), NEW.to_owned());
+    until_listed(late, &expected).await;
+    misreading.hold_lists(false);
+    let settled_at = tokio::time::Instant::now() + SETTLE_TIME;
+    while tokio::time::Instant::now() < settled_at {
+        assert_that!(listed_builds(late).await, eq(&expected));
+    }
+}
+
 /// Guards against hosts with the same list that read it again, and against costly reports.
 #[tokio::test]
 async fn hosts_with_the_same_list_read_it_once() {
--- a/crates/gateway/tests/gateway/support/source.rs
+++ b/crates/gateway/tests/gateway/support/source.rs
@@ -61,6 +61,10 @@
     }
 }
 
+/// Steps in which a transfer arrives.
+const STEP_MS: u64 = 10;
+const STEP_BYTES: usize = 1_000;
+
 /// Counts of transfers of rules, which share one link evenly.
 #[derive(Default)]
 struct Transfers {
@@ -99,6 +103,8 @@
     links: Arc<HashMap<EndpointId, SocketAddr>>,
     /// The build that the host of this handle reads for all endpoints, if not their own.
     misread_build: Arc<Mutex<Option<BuildVersion>>>,
+    /// Whether whole lists of endpoints that this handle reads arrive late.
+    are_lists_held: Arc<watch::Sender<bool>>,
     started_at: Instant,
 }
 
@@ -110,6 +116,7 @@
             is_isolated: Arc::default(),
             links: Arc::default(),
             misread_build: Arc::default(),
+            are_lists_held: Arc::new(watch::channel(false).0),
             started_at: Instant::now(),
         }
     }
@@ -173,10 +180,16 @@
         Self {
             is_isolated: Arc::default(),
             misread_build: Arc::default(),
+            are_lists_held: Arc::new(watch::channel(false).0),
             ..self.clone()
         }
     }
 
+    /// Holds whole lists that this handle reads from now on, or lets all arrive.
+    pub(crate) fn hold_lists(&self, are_held: bool) {
+        self.are_lists_held.send_replace(are_held);
+    }
+
     /// Sets the build that this handle reads for all endpoints, or stops that.
     pub(crate) fn misread_builds(&self, build: Option<&str>) {
         let mut misread = self
@@ -275,8 +288,6 @@
 
     /// Delays an answer that contains rules and records its arrival in steps.
     async fn delay_transfer(&self, update: SourceUpdate, arrival: &ReceivedBytes) -> SourceUpdate {
-        const STEP_MS: u64 = 10;
-        const STEP_BYTES: usize = 1_000;
         let holds_rules = update.rows.iter().any(|row| matches!(row, Row::Rules(_)));
         let transfer_ms = self.lock().rules_transfer_ms;
         if !holds_rules || transfer_ms == 0 {
@@ -525,6 +536,10 @@
     ) -> Result<SourceUpdate, SourceError> {
         self.begin_call().await;
         let update = self.rows(topic, None)?;
+        while topic == Topic::Endpoints && *self.are_lists_held.borrow() {
+            tokio::time::sleep(std::time::Duration::from_millis(STEP_MS)).await;
+            arrival.record(STEP_BYTES);
+        }
         Ok(self.delay_transfer(update, arrival).await)
     }
 
