Test lists that differ as of the same version

A removal that no host saw as a change is not in the list of hosts that pull, while versions agree (5 and 5, digests differ). A row of the store is skipped at a host that reads it since another host sent a wrong row as of the same version first.

--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -16,6 +16,7 @@
 mod fair_shares;
 mod large_rules;
 mod list_checks;
+mod list_versions;
 mod listed_builds;
 mod lists;
 mod partition_plans;
