--- a/crates/routing/tests/list_comparison.rs
+++ b/crates/routing/tests/list_comparison.rs
@@ -338,3 +338,67 @@
     assert_that!(most, some(le(150)));
     assert_that!(settled, le(2 * HOSTS));
 }
+
+/// Guards against a read for lists that differed as of an earlier version and agree now.
+#[test]
+fn host_reads_nothing_for_a_difference_of_an_earlier_version() {
+    const OTHERS: usize = 985;
+    let mut comparisons = ListComparisons::default();
+    let wrong = puller(WRONG);
+    for host in 0..3 {
+        comparisons.record(host, wrong, reader(RIGHT), 0);
+    }
+    let later = |report: ListReport| ListReport {
+        version: StoreVersion(8),
+        ..report
+    };
+    for second in 1..=9 {
+        let now_ms = second * 1_000;
+        let own = later(puller(RIGHT));
+        comparisons.record(10 + second, own, later(reader(RIGHT)), now_ms);
+        let step = comparisons.next_step(own, OTHERS, 0.0, now_ms);
+        assert_that!(matches!(step, ListStep::Reread(_)), eq(false), "{second}");
+    }
+}
+
+/// Guards against a second read after one that corrected the list and brought a later version.
+#[test]
+fn host_reads_once_if_the_read_brings_a_later_version() {
+    const OTHERS: usize = 985;
+    /// Time that the read takes, in which reports still arrive.
+    const READ_MS: u64 = 900;
+    let mut comparisons = ListComparisons::default();
+    let wrong = puller(WRONG);
+    let mut reread_ms = None;
+    for step in 0..300 {
+        let now_ms = step * 100;
+        let is_read = reread_ms.is_some_and(|at_ms| now_ms >= at_ms + READ_MS);
+        let own = if is_read {
+            ListReport {
+                version: StoreVersion(8),
+                ..reader(RIGHT)
+            }
+        } else {
+            wrong
+        };
+        if !is_read {
+            comparisons.record(step, own, reader(RIGHT), now_ms);
+        }
+        if step % 10 == 0 {
+            let step = comparisons.next_step(own, OTHERS, 0.0, now_ms);
+            if let ListStep::Reread(_) = step {
+                assert_that!(reread_ms, none(), "again at {now_ms}");
+                reread_ms = Some(now_ms);
+            }
+        }
+    }
+    assert_that!(reread_ms, some(anything()));
+}
+
+/// Guards against a wrong list of most hosts that stays since those that read the store have
+/// also got a change from another host.
+#[test]
+fn wrong_majority_reads_again() {
+    let (r, w) = (puller(RIGHT), puller(WRONG));
+    assert_that!(reread(w, &[w, w, w, w, r, r, r], 7, 0.0), some(anything()));
+}
