Let rows of the store replace those of other hosts as of the same version

A host that follows the store skipped a row of a version that it already had from another host, also if the other host's row was wrong or if the other host lacked it: the wrong build or the missing row stayed at the host and was passed on.

--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -100,6 +100,8 @@
     pub(crate) endpoints_version: StoreVersion,
     /// Where the list came from.
     list_source: ListSource,
+    /// Whether the list is that of a whole read of the store and of changes after it.
+    is_from_store: bool,
     /// Digest of the list, and the revision of which it is.
     list_digest: Option<(u64, u64)>,
     /// Whether a full list was ever applied.
@@ -166,6 +168,7 @@
             endpoints: EndpointTable::default(),
             endpoints_version: StoreVersion::default(),
             list_source: ListSource::Peer,
+            is_from_store: false,
             list_digest: None,
             has_full_list: false,
             store_era: None,
@@ -602,12 +605,13 @@
         } else {
             ListSource::Peer
         };
+        self.is_from_store = true;
         self.apply_changes(later, now_ms);
         self.prune_health();
         true
     }
 
-    /// Replaces the endpoint list with a full one as of a version.
+    /// Replaces the endpoint list with a full one of another host, as of a version.
     pub(crate) fn replace(
         &mut self,
         list: Vec<ListedEndpoint>,
@@ -615,9 +619,15 @@
         now_ms: u64,
     ) {
         self.replace_list(list, version, now_ms);
+        self.is_from_store = false;
         self.prune_health();
     }
 
+    /// Whether a full list was ever applied.
+    pub(crate) fn has_full_list(&self) -> bool {
+        self.has_full_list
+    }
+
     fn replace_list(&mut self, list: Vec<ListedEndpoint>, version: StoreVersion, now_ms: u64) {
         self.record_listed_builds(now_ms);
         for listed in &list {
@@ -657,18 +667,7 @@
             }
             has_changed = true;
             self.endpoints_version = row.version;
-            match &row.change {
-                EndpointChange::Listed(listed) => {
-                    self.record_cold_report(listed, now_ms);
-                    let endpoint = &listed.endpoint;
-                    let builds = [&endpoint.build];
-                    self.rollouts
-                        .record_listed_builds(&endpoint.pool, builds, now_ms);
-                    self.endpoints.upsert(endpoint.clone());
-                }
-                EndpointChange::Gone(name) => self.endpoints.remove(name, now_ms),
-                EndpointChange::Unreadable(name) => self.endpoints.discard(name, now_ms),
-            }
+            self.apply_change(&row.change, now_ms);
             self.changes.push_back(row);
         }
         let max_retained = if self.changes.len() > MIN_RETAINED_CHANGES {
@@ -687,6 +686,72 @@
         has_changed
     }
 
+    /// Applies changes that the store sent, which are complete up to a version. Unlike those of
+    /// other hosts, they also replace what another host sent before as of the same version, or
+    /// without them. Returns whether any was new.
+    pub(crate) fn apply_store_changes(
+        &mut self,
+        rows: Vec<EndpointRow>,
+        complete_to: StoreVersion,
+        now_ms: u64,
+    ) -> bool {
+        let known_to = self.endpoints_version;
+        let (late, later): (Vec<EndpointRow>, Vec<EndpointRow>) =
+            rows.into_iter().partition(|row| row.version <= known_to);
+        let mut has_changed = false;
+        for row in late {
+            has_changed |= self.apply_late_change(row, now_ms);
+        }
+        has_changed |= self.apply_changes(later, now_ms);
+        if self.is_from_store && complete_to >= self.endpoints_version {
+            self.list_source = ListSource::Store;
+        }
+        has_changed
+    }
+
+    /// Applies a change of a version that the list already has, unless its endpoint's entry is
+    /// the same or newer. Returns whether it was new.
+    fn apply_late_change(&mut self, row: EndpointRow, now_ms: u64) -> bool {
+        if row.version <= self.changes_since {
+            return false;
+        }
+        let name = row.change.name();
+        let position = self
+            .changes
+            .iter()
+            .rposition(|known| known.change.name() == name);
+        let known = position.and_then(|position| self.changes.get(position));
+        if known.is_some_and(|known| known.version > row.version || known.states_same(&row)) {
+            return false;
+        }
+        if known.is_some_and(|known| known.version == row.version) {
+            position.map(|position| self.changes.remove(position));
+        }
+        self.record_listed_builds(now_ms);
+        self.apply_change(&row.change, now_ms);
+        let position = self
+            .changes
+            .partition_point(|known| known.version < row.version);
+        self.changes.insert(position, row);
+        self.prune_health();
+        true
+    }
+
+    fn apply_change(&mut self, change: &EndpointChange, now_ms: u64) {
+        match change {
+            EndpointChange::Listed(listed) => {
+                self.record_cold_report(listed, now_ms);
+                let endpoint = &listed.endpoint;
+                let builds = [&endpoint.build];
+                self.rollouts
+                    .record_listed_builds(&endpoint.pool, builds, now_ms);
+                self.endpoints.upsert(endpoint.clone());
+            }
+            EndpointChange::Gone(name) => self.endpoints.remove(name, now_ms),
+            EndpointChange::Unreadable(name) => self.endpoints.discard(name, now_ms),
+        }
+    }
+
     /// Counts changes of the list, also of entries as of the same version.
     pub(crate) fn list_revision(&self) -> u64 {
         self.endpoints.revision()
--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -282,7 +282,7 @@
         };
         fleet.replace_by_read(read, now_ms)
     } else {
-        fleet.apply_changes(changes, now_ms)
+        fleet.apply_store_changes(changes, version, now_ms)
     };
     drop(fleet);
     if is_new {
--- a/crates/gateway/src/source.rs
+++ b/crates/gateway/src/source.rs
@@ -119,6 +119,17 @@
     pub change: EndpointChange,
 }
 
+impl EndpointRow {
+    /// Whether both are the same change, apart from the time for which its endpoint is cold.
+    pub(crate) fn states_same(&self, other: &Self) -> bool {
+        let is_same = match (&self.change, &other.change) {
+            (EndpointChange::Listed(a), EndpointChange::Listed(b)) => a.endpoint == b.endpoint,
+            (a, b) => a == b,
+        };
+        is_same && self.version == other.version
+    }
+}
+
 /// Rows of a topic that were read.
 #[derive(Clone, Debug, PartialEq)]
 pub struct SourceUpdate {
