Decide under the lock whether a pulled list is the first

A pull that found no list waited for the fleet's lock, while a read of the store put a newer list there, and then replaced it by its older one, whose later changes were skipped as known. Found in review; no play has shown it, and no test holds the lock in between.

--- a/crates/gateway/src/peers/pull.rs
+++ b/crates/gateway/src/peers/pull.rs
@@ -505,14 +505,13 @@
 
 fn apply_endpoints(shared: &Shared, update: EndpointUpdate, wanted: Wanted) -> bool {
     let now_ms = shared.clock.now_ms();
-    let had_list = shared.knows_endpoints();
     let mut fleet = shared.fleet();
     let has_changed = match update {
         EndpointUpdate::Entire { version, endpoints } => {
             let is_as_new = version == fleet.endpoints_version;
             let has_changed = version > fleet.endpoints_version
                 || is_as_new && wanted == Wanted::WholeList
-                || !had_list;
+                || !fleet.has_full_list();
             if has_changed {
                 fleet.replace(endpoints, version, now_ms);
             }
