Encode records of where streams began in rows of the store

Callers whose streams began on a pool with several builds are refused after the loss of all hosts, although the builds serve: where a stream began is known only to four hosts.

This adds the decisions of a remedy, without I/O: rows that hold the records of many streams (keys, ages, and each build's name once), bounds on what waits, on a row and on the rate of writes, groups of streams in fleets of 64 hosts and more, keys of rows that are never used twice, and the merge of rows by the store's clock and era into what a host remembers. A stream with different origins in two rows, or in a row and in memory, is ambiguous. A row of an earlier era proves nothing, as the restored store may lack the row that contradicts it.

--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -76,6 +76,7 @@
 mod spread;
 mod store_version;
 mod stream_builds;
+mod stream_records;
 mod warm_start;
 mod work;
 mod zone_loads;
@@ -154,6 +155,9 @@
 pub use spread::{Basis, Candidate, Placement, PlacementRequest, SpreadRules, choose_endpoint};
 pub use store_version::StoreVersion;
 pub use stream_builds::{ListedBuilds, StreamKey, StreamOrigin, StreamOrigins};
+pub use stream_records::{
+    BegunStream, PendingStreams, StreamGroup, StreamRow, WritePace, WrittenRows,
+};
 pub use warm_start::{LearnedState, PoolServiceTime};
 pub use work::{
     MAX_SLOWNESS_PERMILLE, MAX_WORK_POOLS, MAX_WORK_ROWS, MIN_SLOWNESS_PERMILLE, OutstandingWork,
--- a/crates/routing/src/stream_builds.rs
+++ b/crates/routing/src/stream_builds.rs
@@ -29,15 +29,36 @@
 
     /// The hosts that keep copies for the stream, or are asked for one, first ones first.
     pub fn rank<H: Copy>(self, hosts: impl IntoIterator<Item = (H, MemberHash)>) -> Vec<H> {
-        let scored = hosts.into_iter();
-        let mut scored: Vec<(f64, H)> = scored
-            .map(|(host, hash)| (score(KeyHash(self.0), hash, 1.0), host))
-            .collect();
-        scored.sort_by(|a, b| b.0.total_cmp(&a.0));
-        scored.into_iter().map(|(_, host)| host).collect()
+        rank_for(KeyHash(self.0), hosts)
+    }
+
+    /// The part of all streams to which it belongs, below `parts`.
+    pub(crate) fn part(self, parts: u8) -> u8 {
+        (self.0 % u64::from(parts)) as u8
+    }
+
+    pub(crate) fn to_bytes(self) -> [u8; 8] {
+        self.0.to_le_bytes()
+    }
+
+    pub(crate) fn from_bytes(bytes: [u8; 8]) -> Self {
+        Self(u64::from_le_bytes(bytes))
     }
 }
 
+/// Ranks hosts for a key, the one with the highest score first.
+pub(crate) fn rank_for<H: Copy>(
+    key: KeyHash,
+    hosts: impl IntoIterator<Item = (H, MemberHash)>,
+) -> Vec<H> {
+    let scored = hosts.into_iter();
+    let mut scored: Vec<(f64, H)> = scored
+        .map(|(host, hash)| (score(key, hash, 1.0), host))
+        .collect();
+    scored.sort_by(|a, b| b.0.total_cmp(&a.0));
+    scored.into_iter().map(|(_, host)| host).collect()
+}
+
 /// Where a stream began.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StreamOrigin {
@@ -66,8 +87,11 @@
 struct KnownStream {
     /// `None` after streams of different origins had the same key.
     origin: Option<StreamOrigin>,
-    began_ms: u64,
+    /// When this host learned of it, and its age then.
+    learned_ms: u64,
+    learned_age_ms: u64,
     expires_ms: u64,
+    is_stored: bool,
 }
 
 /// The origins of recent streams.
@@ -95,13 +119,43 @@
 impl StreamOrigins {
     /// Records a stream that began at `now_ms` and may be taken up for `retention_ms`.
     pub fn record(&mut self, key: StreamKey, origin: StreamOrigin, now_ms: u64, retention_ms: u64) {
+        let known = KnownStream {
+            origin: Some(origin),
+            learned_ms: now_ms,
+            learned_age_ms: 0,
+            expires_ms: now_ms.saturating_add(retention_ms),
+            is_stored: false,
+        };
+        self.insert(key, known, now_ms);
+    }
+
+    /// Records a stream of `age_ms`, read from the store, that may be taken up for another
+    /// `left_ms`.
+    pub fn record_stored(
+        &mut self,
+        key: StreamKey,
+        origin: StreamOrigin,
+        age_ms: u64,
+        now_ms: u64,
+        left_ms: u64,
+    ) {
+        let known = KnownStream {
+            origin: Some(origin),
+            learned_ms: now_ms,
+            learned_age_ms: age_ms,
+            expires_ms: now_ms.saturating_add(left_ms),
+            is_stored: true,
+        };
+        self.insert(key, known, now_ms);
+    }
+
+    fn insert(&mut self, key: StreamKey, stream: KnownStream, now_ms: u64) {
         self.remove_expired(now_ms);
-        let expires_ms = now_ms.saturating_add(retention_ms);
         if let Some(known) = self.streams.get_mut(&key) {
-            if known.origin.as_ref() != Some(&origin) {
+            if known.origin != stream.origin {
                 known.origin = None;
             }
-            known.expires_ms = known.expires_ms.max(expires_ms);
+            known.expires_ms = known.expires_ms.max(stream.expires_ms);
             return;
         }
         if self.streams.len() >= MAX_STREAMS
@@ -109,22 +163,30 @@
         {
             self.streams.remove(&oldest);
         }
-        let known = KnownStream {
-            origin: Some(origin),
-            began_ms: now_ms,
-            expires_ms,
-        };
-        self.streams.insert(key, known);
+        self.streams.insert(key, stream);
         self.order.push_back(key);
     }
 
+    /// Whether a stream is known only from the store.
+    pub fn is_stored(&self, key: StreamKey) -> bool {
+        let known = self.streams.get(&key);
+        known.is_some_and(|known| known.is_stored)
+    }
+
+    /// Whether anything is known of a stream, be it that its origin is ambiguous.
+    pub fn contains(&self, key: StreamKey, now_ms: u64) -> bool {
+        let known = self.streams.get(&key);
+        known.is_some_and(|known| now_ms < known.expires_ms)
+    }
+
     /// The origin of a stream and its age in milliseconds; `None` if it is unknown or
     /// ambiguous.
     pub fn find(&self, key: StreamKey, now_ms: u64) -> Option<(&StreamOrigin, u64)> {
         let known = self.streams.get(&key)?;
         let origin = known.origin.as_ref()?;
         let is_valid = now_ms < known.expires_ms;
-        is_valid.then(|| (origin, now_ms.saturating_sub(known.began_ms)))
+        let age_ms = known.learned_age_ms + now_ms.saturating_sub(known.learned_ms);
+        is_valid.then_some((origin, age_ms))
     }
 
     /// The number of remembered streams.
