Continue streams of several builds after the loss of all hosts

The records of where streams began are in the memory of four hosts only.

The host that records a stream of such a pool now also tells the host that writes the stream's group, which collects records and writes them to the store together. A host that started within 120 s reads them when a caller takes up a stream that it does not remember; the first two hosts of a group read for the others, one read at a time. Streams that can have begun at one build only cause no call. An origin that is ambiguous here is no longer asked for elsewhere, where it may be known as one of the two.

Ruled out (decision 0034): builds computed from ids, a row a stream, asks of endpoints, a row a host. Rows that can't be read, of a later time or of another era prove nothing.

Found by the tests on the way: a writer started before its host knew its own address, so that all writers had the same keys and replaced each other's rows; hosts of a large fleet that start together and know few others all read, so that they wait 1.5 s first.

--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -467,6 +467,17 @@
         age_ms: Option<u64>,
         goes_on: bool,
     },
+    /// Records of where streams began were read from the store, from rows whose keys begin
+    /// with `prefix`.
+    StreamRecordsRead {
+        prefix: &'a str,
+        rows: usize,
+        /// Rows that can't be read.
+        unreadable: usize,
+        /// Records that are valid.
+        streams: usize,
+        took_ms: u64,
+    },
     /// A stream resumed at another endpoint, or could not.
     Resume {
         id: Option<&'a RequestId>,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -63,6 +63,7 @@
 mod source;
 mod status;
 mod stream_origins;
+mod stream_records;
 mod subscription;
 mod suspension;
 mod termination_checks;
@@ -76,6 +77,6 @@
 pub use run::{RunningGateway, start};
 pub use source::{
     EndpointChange, EndpointRow, HostRow, ListedEndpoint, PoisonRow, RolloutWrite, Row, Source,
-    SourceError, SourceUpdate, Topic, UnreadableRow,
+    SourceError, SourceUpdate, StreamRecordRow, Topic, UnreadableRow,
 };
 pub use suspension::HostClock;
--- a/crates/gateway/src/peers/membership.rs
+++ b/crates/gateway/src/peers/membership.rs
@@ -322,6 +322,15 @@
         self.peers().keys().any(|address| address.ip() == ip)
     }
 
+    /// Whether this host knows nearly all others: those of a small fleet once it has heard one,
+    /// those of a large one some time after its start.
+    pub(crate) fn knows_fleet(&self) -> bool {
+        const MAX_SMALL_FLEET: usize = 12;
+        let has_waited = self.started_at.elapsed() >= COLD_SENDER_DELAY;
+        let is_small = self.peers().len() < MAX_SMALL_FLEET;
+        has_waited || !self.has_other_seeds || is_small && self.any_up().is_some()
+    }
+
     /// Whether this host started too recently to know all others.
     pub(crate) fn is_warming_up(&self) -> bool {
         self.started_at.elapsed() < WARM_UP
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -65,6 +65,10 @@
     StreamReply(StreamReply),
     /// Crashes and answers that went on, by parts of prompts.
     PoisonParts(Vec<PartUpdate>),
+    /// To the host that writes the stream's group to the store: the build that began it.
+    StreamRecordToStore(StreamRecord),
+    /// Asks which build began a stream, also by the store's records.
+    StreamStoreAsk(StreamAsk),
 }
 
 impl Datagram {
@@ -85,9 +89,11 @@
             Self::Work(_) => ControlKind::Work,
             Self::ReachAsk(_) | Self::ReachReply(_) => ControlKind::Reachability,
             Self::RejectionLimits(_) => ControlKind::RejectionLimits,
-            Self::StreamRecord(_) | Self::StreamAsk(_) | Self::StreamReply(_) => {
-                ControlKind::StreamOrigins
-            }
+            Self::StreamRecord(_)
+            | Self::StreamAsk(_)
+            | Self::StreamReply(_)
+            | Self::StreamRecordToStore(_)
+            | Self::StreamStoreAsk(_) => ControlKind::StreamOrigins,
         }
     }
 }
--- a/crates/gateway/src/peers/receive.rs
+++ b/crates/gateway/src/peers/receive.rs
@@ -20,6 +20,7 @@
 use crate::peers::rollouts::{merge_plans, merge_rollout_update, merge_tally};
 use crate::pool_queue::Inbound;
 use crate::shared::Shared;
+use crate::stream_records::reply_by_store;
 use crate::subscription::AnsweredHost;
 
 const MAX_DATAGRAM_BYTES: usize = 60 * 1024;
@@ -95,6 +96,8 @@
             Datagram::StreamRecord(record) => shared.keep_stream_record(record),
             Datagram::StreamAsk(ask) => shared.reply_to_stream_ask(address, ask),
             Datagram::StreamReply(reply) => shared.accept_stream_reply(address, reply),
+            Datagram::StreamRecordToStore(record) => shared.write_stream_record(record),
+            Datagram::StreamStoreAsk(ask) => reply_by_store(&shared, address, ask),
             Datagram::ReachReply(reply) => merge_reply(&shared, &peers, address, &reply),
         }
     }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -30,6 +30,7 @@
 use crate::shared::Shared;
 use crate::source::{HostRow, Source, Topic};
 use crate::status::serve_status;
+use crate::stream_records::sync_stream_records;
 use crate::suspension::refresh_after_suspensions;
 
 /// Interval between sweeps of the pooled connections.
@@ -212,6 +213,7 @@
     let seeds = shared.config.peer_seeds.iter();
     peers.add(seeds.map(|address| (*address, None)));
     shared.stream_origins.connect(peers.clone(), socket.clone());
+    tasks.spawn(sync_stream_records(shared.clone(), source.clone()));
     tasks.spawn(publish(shared.clone(), peers.clone(), socket.clone()));
     if let Some(address) = shared.config.forward_listen {
         let listener = listen(address).await?;
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -33,6 +33,7 @@
 use crate::skipped_rows::SkippedRows;
 use crate::source::Topic;
 use crate::stream_origins::StreamOriginTable;
+use crate::stream_records::StreamRecords;
 use crate::subscription::{AnsweredHost, StoreSubscription};
 use crate::suspension::SuspensionMonitor;
 use crate::termination_checks::TerminationChecks;
@@ -78,6 +79,7 @@
     /// Endpoints about which other hosts have to be asked at once.
     pub(crate) broken_paths: BrokenPaths,
     pub(crate) stream_origins: StreamOriginTable,
+    pub(crate) stream_records: StreamRecords,
     /// Endpoints that are checked now, by the hash of their start.
     checks: Mutex<HashSet<u32>>,
     /// The address for forwarded requests.
@@ -133,6 +135,7 @@
             reach_reported: Notify::new(),
             broken_paths: BrokenPaths::default(),
             stream_origins: StreamOriginTable::default(),
+            stream_records: StreamRecords::default(),
             checks: Mutex::default(),
             forward_address: OnceLock::new(),
             fleet: Mutex::new(fleet),
--- a/crates/gateway/src/source.rs
+++ b/crates/gateway/src/source.rs
@@ -41,6 +41,15 @@
     pub until_unix_ms: u64,
 }
 
+/// A row with records of where streams began.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StreamRecordRow {
+    /// Its key, which no other row ever has.
+    pub key: String,
+    /// Its content, empty if it can't be read.
+    pub value: Vec<u8>,
+}
+
 /// A row of a topic.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Row {
@@ -199,4 +208,18 @@
         record: &RolloutRecord,
         replaces: StoreVersion,
     ) -> impl Future<Output = Result<RolloutWrite, SourceError>> + Send;
+
+    /// Reads the rows of stream records whose keys begin with a prefix.
+    fn stream_rows(
+        &self,
+        prefix: &str,
+    ) -> impl Future<Output = Result<Vec<StreamRecordRow>, SourceError>> + Send;
+
+    /// Adds rows of stream records, and removes those under the keys `remove`, which may be
+    /// gone.
+    fn write_stream_rows(
+        &self,
+        add: &[StreamRecordRow],
+        remove: &[String],
+    ) -> impl Future<Output = Result<(), SourceError>> + Send;
 }
--- a/crates/gateway/src/stream_origins.rs
+++ b/crates/gateway/src/stream_origins.rs
@@ -32,11 +32,11 @@
 /// Time after which hosts that did not reply are asked again.
 const ASK_INTERVAL: Duration = Duration::from_millis(60);
 /// Time after which the build counts as unknown.
-const ASK_TIMEOUT: Duration = Duration::from_millis(250);
+pub(crate) const ASK_TIMEOUT: Duration = Duration::from_millis(250);
 /// Timeouts of the route for which callers may take a stream up: one for the request that
 /// began it, and one for the caller's tries.
 const RETENTION_TIMEOUTS: u64 = 2;
-const MAX_RETENTION_MS: u64 = 120_000;
+pub(crate) const MAX_RETENTION_MS: u64 = 120_000;
 
 /// The record of a stream that began, for another host.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -67,6 +67,8 @@
 pub(crate) enum KnownFrom {
     /// From its own record or a copy.
     Own,
+    /// From the store.
+    Store,
     /// From another host.
     Peer(SocketAddr),
     /// The pool has had no other build for as long as the stream may last.
@@ -77,6 +79,7 @@
     fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
         match self {
             Self::Own => serializer.serialize_str("own"),
+            Self::Store => serializer.serialize_str("store"),
             Self::Peer(address) => serializer.collect_str(address),
             Self::OnlyBuild => serializer.serialize_str("only-build"),
         }
@@ -92,14 +95,28 @@
     from: KnownFrom,
 }
 
+/// What hosts are asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum AskKind {
+    /// What they remember.
+    Memory,
+    /// What they remember or find in the store.
+    Store,
+}
+
 /// A reply and the host that sent it.
-type Reply = (SocketAddr, Option<(StreamOrigin, u32)>);
+#[derive(Debug)]
+struct Reply {
+    from: SocketAddr,
+    kind: AskKind,
+    origin: Option<(StreamOrigin, u32)>,
+}
 
 /// Origins of streams that this host keeps, and its asks for others.
 #[derive(Default)]
 pub(crate) struct StreamOriginTable {
     known: Mutex<StreamOrigins>,
-    asks: Mutex<HashMap<u64, mpsc::Sender<Reply>>>,
+    asks: Mutex<HashMap<u64, (AskKind, mpsc::Sender<Reply>)>>,
     next_ask: AtomicU64,
     /// The other hosts and the socket for them, once this host exchanges datagrams.
     link: OnceLock<(Arc<PeerTable>, Arc<UdpSocket>)>,
@@ -116,14 +133,23 @@
         self.known().len()
     }
 
-    fn known(&self) -> MutexGuard<'_, StreamOrigins> {
+    /// The other hosts, once this host exchanges datagrams.
+    pub(crate) fn peers(&self) -> Option<&PeerTable> {
+        self.link.get().map(|(peers, _)| &**peers)
+    }
+
+    pub(crate) fn known(&self) -> MutexGuard<'_, StreamOrigins> {
         self.known.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn asks(&self) -> MutexGuard<'_, HashMap<u64, mpsc::Sender<Reply>>> {
+    fn asks(&self) -> MutexGuard<'_, HashMap<u64, (AskKind, mpsc::Sender<Reply>)>> {
         self.asks.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn is_other_host(&self, address: SocketAddr) -> bool {
+        self.peers().is_some_and(|peers| peers.local != address)
+    }
+
     /// The hosts that get copies for a stream. Those that are not known to be up are a last
     /// resort.
     fn copy_holders(&self, key: StreamKey) -> Vec<SocketAddr> {
@@ -143,8 +169,8 @@
 
     /// The hosts that are asked about a stream.
     fn hosts_to_ask(&self, key: StreamKey) -> Vec<SocketAddr> {
-        let peers = self.link.get().map(|(peers, _)| peers);
-        let mut hosts = key.rank(peers.map(|peers| peers.hosts_to_ask()).unwrap_or_default());
+        let hosts = self.peers().map(PeerTable::hosts_to_ask);
+        let mut hosts = key.rank(hosts.unwrap_or_default());
         hosts.truncate(MAX_ASKED);
         hosts
     }
@@ -157,11 +183,10 @@
 }
 
 impl<'a> PendingAsk<'a> {
-    fn begin(table: &'a StreamOriginTable) -> (Self, mpsc::Receiver<Reply>) {
+    fn begin(table: &'a StreamOriginTable, kind: AskKind, replies: &mpsc::Sender<Reply>) -> Self {
         let number = table.next_ask.fetch_add(1, Ordering::Relaxed);
-        let (sender, receiver) = mpsc::channel(MAX_ASKED);
-        table.asks().insert(number, sender);
-        (Self { table, number }, receiver)
+        table.asks().insert(number, (kind, replies.clone()));
+        Self { table, number }
     }
 }
 
@@ -191,7 +216,19 @@
             retention_ms: retention_ms as u32,
         };
         let hosts = table.copy_holders(key);
-        self.send_to_hosts(&Datagram::StreamRecord(record), &hosts);
+        self.send_to_hosts(&Datagram::StreamRecord(record.clone()), &hosts);
+        if !self.has_one_origin(&call.route, retention_ms, now_ms) {
+            self.record_stream_in_store(record);
+        }
+    }
+
+    /// Whether all streams of a route in the last `window_ms` began at one build of one pool.
+    fn has_one_origin(&self, route: &Route, window_ms: u64, now_ms: u64) -> bool {
+        let [backend] = route.backends.as_slice() else {
+            return false;
+        };
+        let fleet = self.fleet();
+        fleet.only_build(&backend.pool, window_ms, now_ms).is_some()
     }
 
     /// Keeps the record of a stream that began at another host.
@@ -218,8 +255,13 @@
 
     /// Passes a reply to the request that waits for it.
     pub(crate) fn accept_stream_reply(&self, from: SocketAddr, reply: StreamReply) {
-        if let Some(sender) = self.stream_origins.asks().get(&reply.number) {
-            let _repeated_replies_may_exceed_it = sender.try_send((from, reply.origin));
+        if let Some((kind, sender)) = self.stream_origins.asks().get(&reply.number) {
+            let reply = Reply {
+                from,
+                kind: *kind,
+                origin: reply.origin,
+            };
+            let _repeated_replies_may_exceed_it = sender.try_send(reply);
         }
     }
 
@@ -275,7 +317,11 @@
         organisation: Option<&OrganisationId>,
     ) -> Option<KnownOrigin> {
         let found = match &head.resumes {
-            Some(id) => self.ask_for_stream(StreamKey::of(organisation, id)).await,
+            Some(id) => {
+                let key = StreamKey::of(organisation, id);
+                let needs_store = self.only_origin(route).is_none();
+                self.ask_for_stream(key, needs_store).await
+            }
             None => None,
         };
         let Some((origin, age_ms, from)) = found else {
@@ -292,36 +338,84 @@
         })
     }
 
-    /// Looks a stream up here, then asks the hosts that rank first for it.
-    async fn ask_for_stream(&self, key: StreamKey) -> Option<(StreamOrigin, u64, KnownFrom)> {
+    /// Looks a stream up here, then asks the hosts that rank first for it, and, if
+    /// `needs_store`, those that read the store's records.
+    async fn ask_for_stream(
+        &self,
+        key: StreamKey,
+        needs_store: bool,
+    ) -> Option<(StreamOrigin, u64, KnownFrom)> {
         let table = &self.stream_origins;
         let now_ms = self.clock.now_ms();
-        if let Some((origin, age_ms)) = table.known().find(key, now_ms) {
-            return Some((origin.clone(), age_ms, KnownFrom::Own));
+        if table.known().contains(key, now_ms) {
+            // Others may not know that an ambiguous one is.
+            return self.remembered_stream(key);
         }
         let mut hosts = table.hosts_to_ask(key);
-        let (pending, mut replies) = PendingAsk::begin(table);
-        let ask = StreamAsk {
-            key,
-            number: pending.number,
+        let mut readers = if needs_store {
+            self.stream_record_readers(key)
+        } else {
+            Vec::new()
         };
+        let others = readers.extract_if(.., |reader| table.is_other_host(*reader));
+        let mut other_readers: Vec<SocketAddr> = others.collect();
+        let mut is_reading = !readers.is_empty();
+        let mut reading = std::pin::pin!(self.read_stream_records(key));
+        let (sender, mut replies) = mpsc::channel(2 * MAX_ASKED);
+        let from_memory = PendingAsk::begin(table, AskKind::Memory, &sender);
+        let from_store = PendingAsk::begin(table, AskKind::Store, &sender);
         let give_up_at = Instant::now() + ASK_TIMEOUT;
-        while !hosts.is_empty() && Instant::now() < give_up_at {
-            self.send_to_hosts(&Datagram::StreamAsk(ask), &hosts);
-            let ask_again_at = give_up_at.min(Instant::now() + ASK_INTERVAL);
-            while !hosts.is_empty()
-                && let Ok(Some((from, origin))) =
-                    tokio::time::timeout_at(ask_again_at, replies.recv()).await
-            {
-                if let Some((origin, age_ms)) = origin {
-                    return Some((origin, u64::from(age_ms), KnownFrom::Peer(from)));
+        let mut ask_at = Instant::now();
+        while !hosts.is_empty() || !other_readers.is_empty() || is_reading {
+            let now = Instant::now();
+            if now >= give_up_at {
+                return None;
+            }
+            if now >= ask_at {
+                let ask = |pending: &PendingAsk<'_>| StreamAsk {
+                    key,
+                    number: pending.number,
+                };
+                self.send_to_hosts(&Datagram::StreamAsk(ask(&from_memory)), &hosts);
+                let ask = Datagram::StreamStoreAsk(ask(&from_store));
+                self.send_to_hosts(&ask, &other_readers);
+                ask_at = give_up_at.min(now + ASK_INTERVAL);
+            }
+            let reply = tokio::select! {
+                reply = replies.recv() => reply?,
+                () = &mut reading, if is_reading => {
+                    is_reading = false;
+                    if let Some(known) = self.remembered_stream(key) {
+                        return Some(known);
+                    }
+                    continue;
                 }
-                hosts.retain(|host| *host != from);
+                () = tokio::time::sleep_until(ask_at) => continue,
+            };
+            if let Some((origin, age_ms)) = reply.origin {
+                return Some((origin, u64::from(age_ms), KnownFrom::Peer(reply.from)));
             }
+            let waiting = match reply.kind {
+                AskKind::Memory => &mut hosts,
+                AskKind::Store => &mut other_readers,
+            };
+            waiting.retain(|host| *host != reply.from);
         }
         None
     }
 
+    /// What this host remembers of a stream.
+    fn remembered_stream(&self, key: StreamKey) -> Option<(StreamOrigin, u64, KnownFrom)> {
+        let known = self.stream_origins.known();
+        let (origin, age_ms) = known.find(key, self.clock.now_ms())?;
+        let from = if known.is_stored(key) {
+            KnownFrom::Store
+        } else {
+            KnownFrom::Own
+        };
+        Some((origin.clone(), age_ms, from))
+    }
+
     /// The only origin that a stream of a route can have: its pool had no other build for as
     /// long as a stream may be taken up, as far as this host knows since it started.
     fn only_origin(&self, route: &Route) -> Option<KnownOrigin> {
@@ -339,7 +433,7 @@
         })
     }
 
-    fn send_to_hosts(&self, datagram: &Datagram, hosts: &[SocketAddr]) {
+    pub(crate) fn send_to_hosts(&self, datagram: &Datagram, hosts: &[SocketAddr]) {
         let Some((_, socket)) = self.stream_origins.link.get() else {
             return;
         };
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -29,6 +29,7 @@
 mod slow_readers;
 mod stops;
 mod stream_builds;
+mod stream_records;
 mod streams;
 mod support;
 mod suspensions;
--- a/crates/gateway/tests/gateway/support/many_hosts.rs
+++ b/crates/gateway/tests/gateway/support/many_hosts.rs
@@ -8,10 +8,10 @@
 use chalkrock_core::PoolId;
 use chalkrock_gateway::{
     GatewayConfig, GatewayConfigBuilder, HostRow, PoisonRow, ReceivedBytes, RolloutWrite,
-    RunningGateway, Source, SourceError, SourceUpdate, Topic, start,
+    RunningGateway, Source, SourceError, SourceUpdate, StreamRecordRow, Topic, start,
 };
 use chalkrock_process::{StopHandle, stop_pair};
-use chalkrock_routing::{RequestFingerprint, RolloutRecord, StoreVersion};
+use chalkrock_routing::{RequestFingerprint, RolloutRecord, StoreClock, StoreVersion};
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
@@ -128,6 +128,10 @@
         self.store.record_poison(add, remove).await
     }
 
+    fn clock(&self) -> Option<StoreClock> {
+        self.store.clock()
+    }
+
     async fn write_rollout(
         &self,
         pool: &PoolId,
@@ -137,6 +141,20 @@
         self.admit()?;
         self.store.write_rollout(pool, record, replaces).await
     }
+
+    async fn stream_rows(&self, prefix: &str) -> Result<Vec<StreamRecordRow>, SourceError> {
+        self.admit()?;
+        self.store.stream_rows(prefix).await
+    }
+
+    async fn write_stream_rows(
+        &self,
+        add: &[StreamRecordRow],
+        remove: &[String],
+    ) -> Result<(), SourceError> {
+        self.admit()?;
+        self.store.write_stream_rows(add, remove).await
+    }
 }
 
 /// One gateway of the fleet.
--- a/crates/gateway/tests/gateway/support/source.rs
+++ b/crates/gateway/tests/gateway/support/source.rs
@@ -8,7 +8,7 @@
 use chalkrock_core::{Endpoint, EndpointId, PoolId, ZoneId};
 use chalkrock_gateway::{
     EndpointChange, EndpointRow, HostRow, ListedEndpoint, PoisonRow, ReceivedBytes, RolloutWrite,
-    Row, Source, SourceError, SourceUpdate, Topic, UnreadableRow,
+    Row, Source, SourceError, SourceUpdate, StreamRecordRow, Topic, UnreadableRow,
 };
 use chalkrock_routing::{
     EvacuationRow, RequestFingerprint, RolloutOrder, RolloutOrderRow, RolloutRecord, RolloutStage,
@@ -48,6 +48,9 @@
     /// Rollout records with their versions, and every stage that was written.
     records: BTreeMap<PoolId, (u64, RolloutRecord)>,
     stages: Vec<RolloutStage>,
+    /// Records of where streams began, and calls that read and write them.
+    stream_rows: BTreeMap<String, Vec<u8>>,
+    stream_row_calls: u32,
     /// Highest version after which a host asked for changes of the rules.
     rules_fetched: u64,
 }
@@ -401,6 +404,21 @@
         self.lock().poison.len()
     }
 
+    /// Returns the records of where streams began.
+    pub(crate) fn kept_stream_rows(&self) -> BTreeMap<String, Vec<u8>> {
+        self.lock().stream_rows.clone()
+    }
+
+    /// Replaces the records of where streams began.
+    pub(crate) fn set_stream_rows(&self, rows: BTreeMap<String, Vec<u8>>) {
+        self.lock().stream_rows = rows;
+    }
+
+    /// Returns the number of answered calls that read or write such records.
+    pub(crate) fn stream_row_calls(&self) -> u32 {
+        self.lock().stream_row_calls
+    }
+
     /// Returns the number of calls, answered or not.
     pub(crate) fn calls(&self) -> u32 {
         let state = self.lock();
@@ -595,4 +613,31 @@
         }
         Ok(RolloutWrite::Written(StoreVersion(version)))
     }
+
+    async fn stream_rows(&self, prefix: &str) -> Result<Vec<StreamRecordRow>, SourceError> {
+        self.begin_call().await;
+        let mut state = self.available_state()?;
+        state.stream_row_calls += 1;
+        let rows = state.stream_rows.iter();
+        let rows = rows.filter(|(key, _)| key.starts_with(prefix));
+        let rows = rows.map(|(key, value)| StreamRecordRow {
+            key: key.clone(),
+            value: value.clone(),
+        });
+        Ok(rows.collect())
+    }
+
+    async fn write_stream_rows(
+        &self,
+        add: &[StreamRecordRow],
+        remove: &[String],
+    ) -> Result<(), SourceError> {
+        self.begin_call().await;
+        let mut state = self.available_state()?;
+        state.stream_row_calls += 1;
+        state.stream_rows.retain(|key, _| !remove.contains(key));
+        let add = add.iter().map(|row| (row.key.clone(), row.value.clone()));
+        state.stream_rows.extend(add);
+        Ok(())
+    }
 }
