--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -67,6 +67,10 @@
     PoisonParts(Vec<PartUpdate>),
     /// Digest of the list of endpoints.
     ListDigest(ListDigest),
+    /// To the host that writes the stream's group to the store: the build that began it.
+    StreamRecordToStore(StreamRecord),
+    /// Asks which build began a stream, also by the store's records.
+    StreamStoreAsk(StreamAsk),
 }
 
 impl Datagram {
@@ -87,10 +91,12 @@
             Self::Work(_) => ControlKind::Work,
             Self::ReachAsk(_) | Self::ReachReply(_) => ControlKind::Reachability,
             Self::RejectionLimits(_) => ControlKind::RejectionLimits,
-            Self::StreamRecord(_) | Self::StreamAsk(_) | Self::StreamReply(_) => {
-                ControlKind::StreamOrigins
-            }
             Self::ListDigest(_) => ControlKind::ListDigest,
+            Self::StreamRecord(_)
+            | Self::StreamAsk(_)
+            | Self::StreamReply(_)
+            | Self::StreamRecordToStore(_)
+            | Self::StreamStoreAsk(_) => ControlKind::StreamOrigins,
         }
     }
 }
--- a/crates/gateway/src/peers/receive.rs
+++ b/crates/gateway/src/peers/receive.rs
@@ -21,6 +21,7 @@
 use crate::peers::rollouts::{merge_plans, merge_rollout_update, merge_tally};
 use crate::pool_queue::Inbound;
 use crate::shared::Shared;
+use crate::stream_records::reply_by_store;
 use crate::subscription::AnsweredHost;
 
 const MAX_DATAGRAM_BYTES: usize = 60 * 1024;
@@ -99,6 +100,8 @@
             Datagram::ListDigest(received) => {
                 compare_list(&shared, &peers, &socket, address, received);
             }
+            Datagram::StreamRecordToStore(record) => shared.write_stream_record(record),
+            Datagram::StreamStoreAsk(ask) => reply_by_store(&shared, address, ask),
             Datagram::ReachReply(reply) => merge_reply(&shared, &peers, address, &reply),
         }
     }
