Describe which builds a pool had

A host that takes the only listed build of a pool for the one that began a stream makes a claim about the past. `BuildHistory` holds what such a claim needs: a list that was confirmed within a bound, and the past before the list was followed without a gap, from a record of each pool or from another host.

`BuildRecord` is the record as the store keeps it, by the store's clock and era: a record of an earlier era, an unreadable one, and after a restore an absent one prove nothing until a window has passed.

Nothing uses it yet.

--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -63,6 +63,7 @@
 mod list_comparison;
 mod pause;
 mod poison;
+mod pool_builds;
 mod pool_queue;
 mod prefix_directory;
 mod reachability;
@@ -119,6 +120,10 @@
     LONG_RUN_MS, MAX_CRASHES, MAX_OBSERVED_PARTS, POISON_RETENTION_MS, PartUpdate, PartUse,
     PoisonEvidence, PoisonRequest, PoisonUpdate, PoisonVerdict, RunId, SURVIVAL_MS,
 };
+pub use pool_builds::{
+    BUILD_RETENTION_MS, BuildHistory, BuildRecord, FleetPast, PoolPast, RecordChange, StoredBuilds,
+    UnknownBuild,
+};
 pub use pool_queue::{
     AdmissionGate, AskOutcome, EndpointStatus, Grant, HeldLease, LEASE_MS, MAX_GATES_PER_REPLY,
     MAX_LEASES_PER_ASK, MAX_WAITING_PER_ASK, PoolScheduler, QueueStatus, Rejection, RejectionCause,
--- a/crates/routing/src/stream_builds.rs
+++ b/crates/routing/src/stream_builds.rs
@@ -5,7 +5,7 @@
 //! build, and sends copies to the hosts that rank first for the stream. Any host finds one
 //! of them by the same ranking, also after the first host is gone.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeSet, HashMap, VecDeque};
 
 use chalkrock_core::rendezvous::{KeyHash, MemberHash, score};
 use chalkrock_core::{BuildVersion, OrganisationId, PoolId, RequestId};
@@ -162,6 +162,41 @@
         builds.insert(build.clone(), now_ms);
     }
 
+    /// Records that a build was listed at `listed_ms`, unless it was later.
+    pub(crate) fn record_later(&mut self, pool: &PoolId, build: &BuildVersion, listed_ms: u64) {
+        let builds = self.last_listed_ms.entry(pool.clone()).or_default();
+        let known_ms = builds.entry(build.clone()).or_insert(listed_ms);
+        *known_ms = listed_ms.max(*known_ms);
+    }
+
+    /// The recorded builds of a pool, and when they were last listed.
+    pub(crate) fn of_pool(
+        &self,
+        pool: &PoolId,
+    ) -> impl Iterator<Item = (&BuildVersion, &u64)> + Clone {
+        self.last_listed_ms.get(pool).into_iter().flatten()
+    }
+
+    /// The recorded builds of all pools.
+    pub(crate) fn by_pool(&self) -> impl Iterator<Item = (&PoolId, &HashMap<BuildVersion, u64>)> {
+        self.last_listed_ms.iter()
+    }
+
+    /// The builds of a pool that are among `listed` or were listed in the last `window_ms`.
+    pub(crate) fn builds_within<'a>(
+        &'a self,
+        pool: &PoolId,
+        listed: impl IntoIterator<Item = &'a BuildVersion>,
+        window_ms: u64,
+        now_ms: u64,
+    ) -> BTreeSet<&'a BuildVersion> {
+        let earlier = self
+            .of_pool(pool)
+            .filter(|(_, listed_ms)| now_ms.saturating_sub(**listed_ms) <= window_ms)
+            .map(|(build, _)| build);
+        listed.into_iter().chain(earlier).collect()
+    }
+
     /// The only build of a pool that is among `listed` or was listed in the last `window_ms`.
     pub fn only_build<'a>(
         &'a self,
@@ -170,13 +205,9 @@
         window_ms: u64,
         now_ms: u64,
     ) -> Option<&'a BuildVersion> {
-        let earlier = self.last_listed_ms.get(pool).into_iter().flatten();
-        let earlier = earlier
-            .filter(|(_, listed_ms)| now_ms.saturating_sub(**listed_ms) <= window_ms)
-            .map(|(build, _)| build);
-        let mut builds = listed.into_iter().chain(earlier);
-        let first = builds.next()?;
-        builds.all(|build| build == first).then_some(first)
+        let builds = self.builds_within(pool, listed, window_ms, now_ms);
+        let mut builds = builds.into_iter();
+        builds.next().filter(|_| builds.next().is_none())
     }
 
     /// Forgets builds that were last listed before `before_ms`.
