Keep records of pools' builds in the store

`Source` reads all records of pools' builds and writes one under the condition that the record that it replaces is still there. A write that finds another record returns it, and rows that can't be read are replaced like those of rollouts.

Nothing uses them yet.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -75,7 +75,7 @@
 };
 pub use run::{RunningGateway, start};
 pub use source::{
-    EndpointChange, EndpointRow, HostRow, ListedEndpoint, PoisonRow, RolloutWrite, Row, Source,
-    SourceError, SourceUpdate, Topic, UnreadableRow,
+    BuildRecordWrite, BuildRecords, EndpointChange, EndpointRow, HostRow, ListedEndpoint,
+    PoisonRow, RolloutWrite, Row, Source, SourceError, SourceUpdate, Topic, UnreadableRow,
 };
 pub use suspension::HostClock;
--- a/crates/gateway/src/source.rs
+++ b/crates/gateway/src/source.rs
@@ -5,8 +5,8 @@
 
 use chalkrock_core::{Endpoint, EndpointId, HostId, PoolId, ZoneId};
 use chalkrock_routing::{
-    EvacuationRow, RequestFingerprint, RolloutOrderRow, RolloutRecord, RulesDocument, StoreClock,
-    StoreVersion,
+    BuildRecord, EvacuationRow, RequestFingerprint, RolloutOrderRow, RolloutRecord, RulesDocument,
+    StoreClock, StoreVersion, StoredBuilds,
 };
 use serde::{Deserialize, Serialize};
 
@@ -142,6 +142,29 @@
     },
 }
 
+/// The records of the builds that pools had.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BuildRecords {
+    /// The store's clock at the read.
+    pub clock: StoreClock,
+    /// The record of each pool that has one.
+    pub records: Vec<StoredBuilds>,
+}
+
+/// The result of writing the record of a pool's builds.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum BuildRecordWrite {
+    /// The record was written, at this version.
+    Written(StoreVersion),
+    /// Another record was there, so nothing was written.
+    Conflict {
+        /// The version of the other record, 0 if there is none.
+        version: StoreVersion,
+        /// The other record, `None` if it can't be read.
+        record: Option<BuildRecord>,
+    },
+}
+
 /// A failed call of a [`Source`].
 #[derive(Debug, thiserror::Error)]
 pub enum SourceError {
@@ -193,6 +216,18 @@
         remove: &[RequestFingerprint],
     ) -> impl Future<Output = Result<(), SourceError>> + Send;
 
+    /// Reads the records of the builds that pools had.
+    fn builds(&self) -> impl Future<Output = Result<BuildRecords, SourceError>> + Send;
+
+    /// Writes the record of a pool's builds if the record it replaces still has the version
+    /// `replaces` (0: no record). Without an answer, it may be written later.
+    fn write_builds(
+        &self,
+        pool: &PoolId,
+        record: &BuildRecord,
+        replaces: StoreVersion,
+    ) -> impl Future<Output = Result<BuildRecordWrite, SourceError>> + Send;
+
     /// The store's clock, by its last response; `None` if it is not known.
     fn clock(&self) -> Option<StoreClock> {
         None
--- a/crates/gateway/tests/gateway/support/many_hosts.rs
+++ b/crates/gateway/tests/gateway/support/many_hosts.rs
@@ -7,11 +7,11 @@
 
 use chalkrock_core::PoolId;
 use chalkrock_gateway::{
-    GatewayConfig, GatewayConfigBuilder, HostRow, PoisonRow, ReceivedBytes, RolloutWrite,
-    RunningGateway, Source, SourceError, SourceUpdate, Topic, start,
+    BuildRecordWrite, BuildRecords, GatewayConfig, GatewayConfigBuilder, HostRow, PoisonRow,
+    ReceivedBytes, RolloutWrite, RunningGateway, Source, SourceError, SourceUpdate, Topic, start,
 };
 use chalkrock_process::{StopHandle, stop_pair};
-use chalkrock_routing::{RequestFingerprint, RolloutRecord, StoreVersion};
+use chalkrock_routing::{BuildRecord, RequestFingerprint, RolloutRecord, StoreVersion};
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
@@ -128,6 +128,21 @@
         self.store.record_poison(add, remove).await
     }
 
+    async fn builds(&self) -> Result<BuildRecords, SourceError> {
+        self.admit()?;
+        self.store.builds().await
+    }
+
+    async fn write_builds(
+        &self,
+        pool: &PoolId,
+        record: &BuildRecord,
+        replaces: StoreVersion,
+    ) -> Result<BuildRecordWrite, SourceError> {
+        self.admit()?;
+        self.store.write_builds(pool, record, replaces).await
+    }
+
     async fn write_rollout(
         &self,
         pool: &PoolId,
--- a/crates/gateway/tests/gateway/support/source.rs
+++ b/crates/gateway/tests/gateway/support/source.rs
@@ -7,12 +7,13 @@
 
 use chalkrock_core::{BuildVersion, Endpoint, EndpointId, PoolId, ZoneId};
 use chalkrock_gateway::{
-    EndpointChange, EndpointRow, HostRow, ListedEndpoint, PoisonRow, ReceivedBytes, RolloutWrite,
-    Row, Source, SourceError, SourceUpdate, Topic, UnreadableRow,
+    BuildRecordWrite, BuildRecords, EndpointChange, EndpointRow, HostRow, ListedEndpoint,
+    PoisonRow, ReceivedBytes, RolloutWrite, Row, Source, SourceError, SourceUpdate, Topic,
+    UnreadableRow,
 };
 use chalkrock_routing::{
-    EvacuationRow, RequestFingerprint, RolloutOrder, RolloutOrderRow, RolloutRecord, RolloutStage,
-    RulesDocument, StoreClock, StoreVersion,
+    BuildRecord, EvacuationRow, RequestFingerprint, RolloutOrder, RolloutOrderRow, RolloutRecord,
+    RolloutStage, RulesDocument, StoreClock, StoreVersion, StoredBuilds,
 };
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -48,6 +49,8 @@
     /// Rollout records with their versions, and every stage that was written.
     records: BTreeMap<PoolId, (u64, RolloutRecord)>,
     stages: Vec<RolloutStage>,
+    /// Records of pools' builds with their versions; `None` for an unreadable one.
+    builds: BTreeMap<PoolId, (u64, Option<BuildRecord>)>,
     /// Highest version after which a host asked for changes of the rules.
     rules_fetched: u64,
 }
@@ -90,6 +93,7 @@
     poison: Vec<PoisonRow>,
     orders: Vec<RolloutOrderRow>,
     records: BTreeMap<PoolId, (u64, RolloutRecord)>,
+    builds: BTreeMap<PoolId, (u64, Option<BuildRecord>)>,
 }
 
 /// A store that several gateways can share.
@@ -155,6 +159,10 @@
         state.records = records
             .map(|(pool, (version, record))| (pool, (in_era(version), record)))
             .collect();
+        let builds = snapshot.builds.into_iter();
+        state.builds = builds
+            .map(|(pool, (version, record))| (pool, (in_era(version), record)))
+            .collect();
         state.version = in_era(snapshot.version);
         let version = state.version;
         drop(state);
@@ -172,6 +180,7 @@
             poison: state.poison.clone(),
             orders: state.orders.clone(),
             records: state.records.clone(),
+            builds: state.builds.clone(),
         }
     }
 
@@ -469,6 +478,13 @@
         }
     }
 
+    fn clock_in(&self, state: &State) -> StoreClock {
+        StoreClock {
+            now_ms: self.started_at.elapsed().as_millis() as u64,
+            era: StoreVersion(state.version).era(),
+        }
+    }
+
     /// Returns the content, or an error while the store is unavailable.
     fn available_state(&self) -> Result<MutexGuard<'_, State>, SourceError> {
         let state = self.lock();
@@ -595,13 +611,52 @@
         Ok(())
     }
 
+    async fn builds(&self) -> Result<BuildRecords, SourceError> {
+        let silences = self.begin_call().await;
+        self.finish_call(silences).await;
+        let state = self.available_state()?;
+        let builds = state.builds.iter();
+        Ok(BuildRecords {
+            clock: self.clock_in(&state),
+            records: builds
+                .map(|(pool, (version, record))| StoredBuilds {
+                    pool: pool.clone(),
+                    version: StoreVersion(*version),
+                    record: record.clone(),
+                })
+                .collect(),
+        })
+    }
+
+    async fn write_builds(
+        &self,
+        pool: &PoolId,
+        record: &BuildRecord,
+        replaces: StoreVersion,
+    ) -> Result<BuildRecordWrite, SourceError> {
+        let silences = self.begin_call().await;
+        self.finish_call(silences).await;
+        let mut state = self.available_state()?;
+        let stored = state.builds.get(pool).cloned();
+        let version = stored.as_ref().map_or(0, |(version, _)| *version);
+        if version != replaces.0 {
+            return Ok(BuildRecordWrite::Conflict {
+                version: StoreVersion(version),
+                record: stored.and_then(|(_, record)| record),
+            });
+        }
+        state.version += 1;
+        let version = state.version;
+        state
+            .builds
+            .insert(pool.clone(), (version, Some(record.clone())));
+        Ok(BuildRecordWrite::Written(StoreVersion(version)))
+    }
+
     fn clock(&self) -> Option<StoreClock> {
         let state = self.lock();
         let is_known = !state.is_unavailable && !self.is_isolated.load(Ordering::Relaxed);
-        is_known.then(|| StoreClock {
-            now_ms: self.started_at.elapsed().as_millis() as u64,
-            era: StoreVersion(state.version).era(),
-        })
+        is_known.then(|| self.clock_in(&state))
     }
 
     async fn write_rollout(
