Claim the only build of a pool by a current list and a record

Callers saw streams that held events of two builds. A stream that no host knows goes on at the only build of its pool. A host took that from its list, however old, and from what it had seen since its start, however young.

Cause: nothing told a host what it had not seen. `only_build` looked at the list and at the builds that left it while the host ran; both are empty of the past after a start, after a gap, and while the host is cut off.

Change: a claim needs a list that was confirmed within the follow bound, and the past before the list was followed. That comes from a record of each pool in the store, read once by hosts that read the list, or from another host by an appended call; after a gap longer than the bound it is learned again. Records are written under a condition, by the rank of writers of rollouts. Builds of one batch of changes are noted row by row. Without either, the stream is refused as not run with a short delay. `stream-taken-up` says the list's age and why there is no claim; `only_build_claims_total` counts it.

An unlisted endpoint no longer counts as listed for the two minutes for which its entry is kept: the history has the time at which it left.

Evidence: `streams_at_a_host_with_an_old_list_are_refused_as_not_run` and `streams_after_the_loss_of_all_hosts_and_of_a_build_are_refused` failed before and pass.

Ruled out: wrong builds in the lists; these scenarios count no wrong entry, before or after.

Measured (`release_costs_a_few_writes_of_records`, 8 hosts, 8 endpoints replaced by 8): 1 read and 1 write at the start, 2 writes for the release.

The stand-in of the store counts versions of these records apart, since tests name the versions of other rows.

--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -4,6 +4,7 @@
 //! appenders that write in the caller's task would do. Lines that exceed the queue are
 //! dropped and counted.
 
+use std::collections::BTreeSet;
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -15,7 +16,7 @@
 };
 use chalkrock_routing::{
     AttemptOutcome, Basis, BuildAssessment, ListSource, RequestFingerprint, RolloutReason,
-    RolloutStage, RulesVersion, StoreVersion, WorkBasis,
+    RolloutStage, RulesVersion, StoreVersion, UnknownBuild, WorkBasis,
 };
 use serde::{Serialize, Serializer};
 use tokio::io::AsyncWriteExt;
@@ -477,8 +478,19 @@
     },
     /// A caller's connection was closed because a request head took too long.
     SlowHead { after_ms: u64 },
+    /// This host learned which builds pools had before it followed the list.
+    PastLearned { pools: usize, from: &'a str },
+    /// The store's record of the builds of a pool changed.
+    BuildsRecorded {
+        pool: &'a PoolId,
+        listed: &'a BTreeSet<BuildVersion>,
+        version: StoreVersion,
+        from: &'a str,
+    },
     /// A caller took up the stream that began with the request `resumes`. It goes on at
-    /// `build`, or was refused because that is unknown or has no endpoint.
+    /// `build`, or was refused because that is unknown or has no endpoint. If no host knows
+    /// the stream, `list_age_ms` is the time since the list was the store's, and
+    /// `only_build` says why its only build may not be the one that began the stream.
     StreamTakenUp {
         id: Option<&'a RequestId>,
         #[serde(skip_serializing_if = "Option::is_none")]
@@ -489,6 +501,10 @@
         known_from: Option<KnownFrom>,
         #[serde(skip_serializing_if = "Option::is_none")]
         age_ms: Option<u64>,
+        #[serde(skip_serializing_if = "Option::is_none")]
+        list_age_ms: Option<u64>,
+        #[serde(skip_serializing_if = "Option::is_none")]
+        only_build: Option<UnknownBuild>,
         goes_on: bool,
     },
     /// A stream resumed at another endpoint, or could not.
--- a/crates/gateway/src/fleet/builds.rs
+++ b/crates/gateway/src/fleet/builds.rs
@@ -4,15 +4,12 @@
 
 use chalkrock_core::rendezvous::MemberHash;
 use chalkrock_core::{BuildVersion, Endpoint, PoolId};
-use chalkrock_routing::{BuildFilter, BuildUse, PoolBuilds, PoolMember};
+use chalkrock_routing::{BuildFilter, BuildUse, PoolBuilds, PoolMember, UnknownBuild};
 
 use crate::fleet::Fleet;
-use crate::peers::KnownBuilds;
+use crate::peers::{BuildsUpdate, KnownBuilds};
 use crate::source::EndpointChange;
 
-/// How long builds that left the list are remembered.
-const BUILD_MEMORY_MS: u64 = 120_000;
-
 pub(super) struct EligibleBuilds<'a> {
     filter: BuildFilter<'a>,
     /// The canaries; `None` if every endpoint that passes the filter is eligible.
@@ -143,27 +140,58 @@
     }
 
     /// The build of a pool that had no other in the last `window_ms`.
+    ///
+    /// # Errors
+    ///
+    /// If the pool had several, or this host can't know.
     pub(crate) fn only_build(
         &self,
         pool: &PoolId,
         window_ms: u64,
         now_ms: u64,
-    ) -> Option<BuildVersion> {
-        let members = self.endpoints.known_members();
+    ) -> Result<BuildVersion, UnknownBuild> {
+        let members = self.endpoints.listed_or_lapsed();
         let members = members.filter(|member| member.endpoint.pool == *pool);
         let listed = members.map(|member| &member.endpoint.build);
-        let builds = &self.listed_builds;
-        builds.only_build(pool, listed, window_ms, now_ms).cloned()
+        let history = &self.build_history;
+        history.only_build(pool, listed, window_ms, now_ms).cloned()
+    }
+
+    /// The builds of the endpoints that are listed or in use, by pool.
+    pub(crate) fn listed_builds(&self) -> BTreeMap<PoolId, BTreeSet<BuildVersion>> {
+        let mut by_pool: BTreeMap<PoolId, BTreeSet<BuildVersion>> = BTreeMap::new();
+        for member in self.endpoints.listed_or_lapsed() {
+            let Endpoint { pool, build, .. } = &*member.endpoint;
+            let is_listed = |builds: &BTreeSet<BuildVersion>| builds.contains(build);
+            if !by_pool.get(pool).is_some_and(is_listed) {
+                by_pool
+                    .entry(pool.clone())
+                    .or_default()
+                    .insert(build.clone());
+            }
+        }
+        by_pool
+    }
+
+    /// What this host knows of the builds that pools had, for another host; `None` if it
+    /// could not make claims by it itself.
+    pub(crate) fn builds_update(&mut self, now_ms: u64) -> Option<BuildsUpdate> {
+        self.record_listed_builds(now_ms);
+        Some(BuildsUpdate {
+            past: self.build_history.past(now_ms)?,
+            endpoints: self.endpoints_version,
+            confirmed_ago_ms: self.build_history.list_age_ms(now_ms)?,
+            records: self.build_history.records().collect(),
+        })
     }
 
     /// Records the builds of the list before it changes.
-    pub(super) fn record_listed_builds(&mut self, now_ms: u64) {
-        self.listed_builds
-            .forget_before(now_ms.saturating_sub(BUILD_MEMORY_MS));
-        for member in self.endpoints.known_members() {
+    pub(crate) fn record_listed_builds(&mut self, now_ms: u64) {
+        self.build_history.expire(now_ms);
+        for member in self.endpoints.listed_or_lapsed() {
             let endpoint = &member.endpoint;
-            self.listed_builds
-                .record(&endpoint.pool, &endpoint.build, now_ms);
+            self.build_history
+                .record_listed(&endpoint.pool, &endpoint.build, now_ms);
         }
     }
 
--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -14,9 +14,9 @@
 use chalkrock_core::rendezvous::{KeyHash, score};
 use chalkrock_core::{BuildVersion, Endpoint, PoolId, ZoneId};
 use chalkrock_routing::{
-    Backoffs, Basis, BudgetRules, BuildUse, Candidate, ColdEndpoints, ConnectionLimit,
-    EndpointHealth, EndpointTable, Evacuations, Evidence, FleetLoad, HealthSignal, HomeDemand,
-    HomeSpread, ListReport, ListSource, ListedBuilds, MaxServiceTime, PlacementRequest,
+    Backoffs, Basis, BudgetRules, BuildHistory, BuildUse, Candidate, ColdEndpoints,
+    ConnectionLimit, EndpointHealth, EndpointTable, Evacuations, Evidence, FleetLoad, HealthSignal,
+    HomeDemand, HomeSpread, ListReport, ListSource, MaxServiceTime, PlacementRequest,
     PoisonEvidence, PoolBacklog, PoolLoads, PoolMember, PoolOccupancy, PoolRules, Reachability,
     RecentPrefixes, RejectionLimits, Repeatable, Rollouts, ServiceTimeEwma, Shares, SpreadRules,
     StoreVersion, WindowBudget, choose_endpoint, connections_per_host,
@@ -140,8 +140,8 @@
     pub(crate) prefixes: Prefixes,
     pub(crate) poison: PoisonEvidence,
     pub(crate) rollouts: Rollouts<SocketAddr>,
-    /// Builds that were listed recently.
-    listed_builds: ListedBuilds,
+    /// Builds that pools had.
+    pub(crate) build_history: BuildHistory,
     /// Work in hand at endpoints that read prompts.
     pub(crate) work: Work,
     /// Overruns of pools whose requests say what there is to read.
@@ -187,7 +187,7 @@
             prefixes: Prefixes::default(),
             poison: PoisonEvidence::default(),
             rollouts: Rollouts::new(config.exposure_bound),
-            listed_builds: ListedBuilds::default(),
+            build_history: BuildHistory::new(config.follow.bound_ms),
             work: Work::default(),
             backlogs: Backlogs::default(),
         }
@@ -610,6 +610,9 @@
                 EndpointChange::Listed(listed) => {
                     self.record_cold_report(listed, now_ms);
                     let endpoint = &listed.endpoint;
+                    // A later row of this batch may replace it.
+                    self.build_history
+                        .record_listed(&endpoint.pool, &endpoint.build, now_ms);
                     let builds = [&endpoint.build];
                     self.rollouts
                         .record_listed_builds(&endpoint.pool, builds, now_ms);
--- a/crates/gateway/src/follow/calls.rs
+++ b/crates/gateway/src/follow/calls.rs
@@ -9,6 +9,7 @@
 
 use crate::arrival::{IdleLimits, ReceivedBytes, while_arriving};
 use crate::clock::ms;
+use crate::follow::confirm_list;
 use crate::metrics::StoreBytes;
 use crate::shared::Shared;
 use crate::source::{Source, SourceError, SourceUpdate, Topic};
@@ -51,6 +52,7 @@
             return Ok(update);
         }
         record_answer(shared, topic);
+        confirm_list(shared);
     }
 }
 
--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -168,6 +168,7 @@
         let next = Step::LongPoll(update.version, self.wait_ms);
         self.wait_ms = LONG_POLL_MS;
         apply_update(shared, self.topic, update, matches!(step, Step::ReadWhole));
+        confirm_list(shared);
         let timings = &shared.config.follow;
         let batch_window = if self.is_first {
             FIRST_ANSWER_PAUSE
@@ -196,6 +197,14 @@
     }
 }
 
+/// Records an answer of the store. A wait for changes of the list that is lost ends before
+/// the list is too old, since polls run beside it once no topic is answered.
+fn confirm_list(shared: &Shared) {
+    if shared.subscription.is_answered(Topic::Endpoints) {
+        shared.confirm_list(0);
+    }
+}
+
 fn apply_update(shared: &Shared, topic: Topic, update: SourceUpdate, is_whole: bool) {
     let mut changes = Vec::new();
     let mut evacuations = Vec::new();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -28,6 +28,7 @@
 mod answer;
 mod arrival;
 mod attempt;
+mod build_records;
 mod byte_budget;
 mod call;
 mod caller_body;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -33,6 +33,7 @@
     RejectionLimits,
     StreamOrigins,
     ListDigest,
+    BuildRecords,
     /// Datagrams that this build can't decode.
     Unknown,
     /// State pulled from other hosts.
@@ -80,6 +81,7 @@
             Self::RejectionLimits => control_labels!("rejection-limits"),
             Self::StreamOrigins => control_labels!("stream-origins"),
             Self::ListDigest => control_labels!("list-digest"),
+            Self::BuildRecords => control_labels!("build-records"),
             Self::Unknown => control_labels!("unknown"),
             Self::Pull => control_labels!("pull"),
             Self::Serve => control_labels!("serve"),
--- a/crates/gateway/src/peers/api.rs
+++ b/crates/gateway/src/peers/api.rs
@@ -4,7 +4,9 @@
 use std::net::SocketAddr;
 
 use chalkrock_core::{BuildVersion, Endpoint, PoolId};
-use chalkrock_routing::{Evacuations, LearnedState, PoisonRequest, RulesVersion, StoreVersion};
+use chalkrock_routing::{
+    Evacuations, FleetPast, LearnedState, PoisonRequest, RulesVersion, StoreVersion, StoredBuilds,
+};
 use serde::{Deserialize, Serialize};
 
 use crate::active_rules::RulesUpdate;
@@ -199,6 +201,17 @@
     pub(crate) others: Vec<(u32, BuildVersion)>,
 }
 
+/// What a host knows of the builds that pools had.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct BuildsUpdate {
+    pub(crate) past: FleetPast,
+    /// Version of the list that it follows, and the time since that was the store's.
+    pub(crate) endpoints: StoreVersion,
+    pub(crate) confirmed_ago_ms: u64,
+    /// The records in the store, as far as it has seen them.
+    pub(crate) records: Vec<StoredBuilds>,
+}
+
 /// Calls between hosts of any build. Existing calls keep their order and format; new ones
 /// are appended, at which older builds close the connection.
 #[tarpc::service]
@@ -215,4 +228,7 @@
 
     /// Returns state beyond `have` with the builds of its endpoints.
     async fn snapshot(have: KnownVersions) -> Snapshot;
+
+    /// Returns what the host knows of the builds that pools had; `None` if it can't tell.
+    async fn builds() -> Option<BuildsUpdate>;
 }
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -4,8 +4,8 @@
 
 use chalkrock_routing::{
     AggregatePath, CacheEntry, Evacuations, HostReport, LimitReport, ListReport, PartUpdate,
-    PoisonRequest, PoisonUpdate, RulesVersion, SlotAsk, SlotReply, StoreVersion, SubscriptionRole,
-    WorkReport, ZoneAggregate,
+    PoisonRequest, PoisonUpdate, RulesVersion, SlotAsk, SlotReply, StoreVersion, StoredBuilds,
+    SubscriptionRole, WorkReport, ZoneAggregate,
 };
 use serde::{Deserialize, Serialize};
 
@@ -67,6 +67,8 @@
     PoisonParts(Vec<PartUpdate>),
     /// Digest of the list of endpoints.
     ListDigest(ListDigest),
+    /// Records of the builds that pools had, as the store holds them.
+    BuildRecords(Vec<StoredBuilds>),
 }
 
 impl Datagram {
@@ -91,6 +93,7 @@
                 ControlKind::StreamOrigins
             }
             Self::ListDigest(_) => ControlKind::ListDigest,
+            Self::BuildRecords(_) => ControlKind::BuildRecords,
         }
     }
 }
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -26,12 +26,12 @@
 mod serve;
 mod uploads;
 
-pub(crate) use api::KnownBuilds;
+pub(crate) use api::{BuildsUpdate, KnownBuilds};
 pub(crate) use list_check::check_list;
 pub(crate) use membership::{PeerTable, zone_hash};
 pub(crate) use message::{Datagram, SlotRedirect};
 pub(crate) use publish::publish;
-pub(crate) use pull::{catch_up_with_any, pull_at_start, pull_when_outdated};
+pub(crate) use pull::{ask_for_builds, catch_up_with_any, pull_at_start, pull_when_outdated};
 pub(crate) use reachability::{BrokenPaths, exchange_reachability};
 pub(crate) use receive::receive;
 pub(crate) use serve::serve_pulls;
--- a/crates/gateway/src/peers/pull.rs
+++ b/crates/gateway/src/peers/pull.rs
@@ -23,8 +23,8 @@
 use crate::metrics::{ConnectionBytes, ControlKind};
 use crate::peers::PeerTable;
 use crate::peers::api::{
-    BusyResponse, EndpointUpdate, KnownBuilds, KnownVersions, MissingState, PeerApiClient,
-    RowBuildsError,
+    BuildsUpdate, BusyResponse, EndpointUpdate, KnownBuilds, KnownVersions, MissingState,
+    PeerApiClient, RowBuildsError,
 };
 use crate::peers::pull_turns::PullTurn;
 use crate::peers::rollouts::{RolloutUpdate, merge_rollout_update};
@@ -422,6 +422,23 @@
     })
 }
 
+/// Asks a host which builds pools had. `None` if it can't tell, or closes the connection like
+/// an older build.
+pub(crate) async fn ask_for_builds(shared: &Shared, address: SocketAddr) -> Option<BuildsUpdate> {
+    let count = Arc::new(ByteCounter::default());
+    let _counts_when_dropped = ConnectionBytes::new(shared, ControlKind::Pull, count.clone());
+    let idle_limits = IdleLimits {
+        first_byte: ms(shared.config.follow.pull_timeout_ms),
+        between_bytes: ms(shared.config.follow.stall_ms),
+    };
+    let read_count = count.clone();
+    let response = async {
+        let client = connect(address, count).await.ok()?;
+        client.builds(tarpc::context::current()).await.ok()?
+    };
+    while_arriving(response, || read_count.read_bytes(), idle_limits).await?
+}
+
 async fn connect(
     address: SocketAddr,
     count: Arc<ByteCounter>,
--- a/crates/gateway/src/peers/receive.rs
+++ b/crates/gateway/src/peers/receive.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use chalkrock_routing::{AggregatePath, MergeOutcome, ReportId, ZoneAggregate};
+use chalkrock_routing::{AggregatePath, MergeOutcome, ReportId, SubscriptionRole, ZoneAggregate};
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 
@@ -99,6 +99,7 @@
             Datagram::ListDigest(received) => {
                 compare_list(&shared, &peers, &socket, address, received);
             }
+            Datagram::BuildRecords(records) => shared.keep_build_records(records),
             Datagram::ReachReply(reply) => merge_reply(&shared, &peers, address, &reply),
         }
     }
@@ -136,6 +137,8 @@
         );
     }
     merge_digest(shared, peers, relay, summary.zone, &summary.knowledge);
+    let confirmed_ago_ms = summary.answered_ago_ms;
+    confirm_list(shared, &summary.knowledge, confirmed_ago_ms);
 }
 
 /// Merges a fleet aggregate from a relay of this zone; `remaining` encodes the ID of this host's
@@ -186,6 +189,10 @@
     }
     drop(fleet);
     merge_digest(shared, peers, address, heartbeat.zone, &heartbeat.knowledge);
+    // A host that the store answers on one topic alone may have an old list.
+    let is_answered = heartbeat.reading == SubscriptionRole::Answered;
+    let confirmed_ago_ms = heartbeat.answered_ago_ms.filter(|_| is_answered);
+    confirm_list(shared, &heartbeat.knowledge, confirmed_ago_ms);
 }
 
 fn merge_zone_summary(
@@ -208,6 +215,15 @@
         .merge_zone_aggregate(address, sum, AggregatePath::Direct, now_ms);
     drop(fleet);
     merge_digest(shared, peers, address, zone, &summary.knowledge);
+    confirm_list(shared, &summary.knowledge, summary.answered_ago_ms);
+}
+
+/// Confirms this host's list if it has all that another host knew when the store answered.
+fn confirm_list(shared: &Shared, digest: &StateDigest, answered_ago_ms: Option<u32>) {
+    let has_all = digest.endpoints <= shared.fleet().endpoints_version;
+    if let Some(ago_ms) = answered_ago_ms.filter(|_| has_all) {
+        shared.confirm_list(u64::from(ago_ms));
+    }
 }
 
 /// Merges a report of the store's last answer.
--- a/crates/gateway/src/peers/serve.rs
+++ b/crates/gateway/src/peers/serve.rs
@@ -18,8 +18,8 @@
 use crate::outage_log::OutageLog;
 use crate::peers::PeerTable;
 use crate::peers::api::{
-    BusyResponse, EndpointUpdate, KnownVersions, MissingState, PeerApi, RowBuilds, Snapshot,
-    SupplementaryState,
+    BuildsUpdate, BusyResponse, EndpointUpdate, KnownVersions, MissingState, PeerApi, RowBuilds,
+    Snapshot, SupplementaryState,
 };
 use crate::peers::rollouts::{RolloutUpdate, rollout_update};
 use crate::peers::uploads::{Upload, Uploads};
@@ -129,6 +129,15 @@
             rollouts: state.rollouts,
         }
     }
+
+    async fn builds(self, _: tarpc::context::Context) -> Option<BuildsUpdate> {
+        self.shared.detect_suspension();
+        if !self.shared.has_view() {
+            return None;
+        }
+        let now_ms = self.shared.clock.now_ms();
+        self.shared.fleet().builds_update(now_ms)
+    }
 }
 
 /// State beyond what a requester has. Its endpoints, evacuations, poison requests and rollouts
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -12,6 +12,7 @@
 use tokio::sync::mpsc;
 use tokio::task::{AbortHandle, JoinHandle};
 
+use crate::build_records::keep_build_records;
 use crate::config::GatewayConfig;
 use crate::edge::Edge;
 use crate::event_log::{Event, EventLog, write_lines};
@@ -116,7 +117,8 @@
         tasks.spawn(follow(shared.clone(), source.clone(), topic));
     }
     tasks.spawn(sync_poison_records(shared.clone(), source.clone()));
-    let peer = start_peers(&mut tasks, &shared, &source).await?;
+    let (peer, peers) = start_peers(&mut tasks, &shared, &source).await?.unzip();
+    tasks.spawn(keep_build_records(shared.clone(), source.clone(), peers));
     let mut status = Vec::new();
     let addresses = [shared.config.ready_listen, shared.config.metrics_listen];
     for address in addresses.into_iter().flatten() {
@@ -199,7 +201,7 @@
     tasks: &mut Tasks,
     shared: &Arc<Shared>,
     source: &Arc<S>,
-) -> eyre::Result<Option<SocketAddr>> {
+) -> eyre::Result<Option<(SocketAddr, Arc<PeerTable>)>> {
     let Some(address) = shared.config.peer_listen else {
         return Ok(None);
     };
@@ -237,8 +239,9 @@
         zone: shared.config.zone.clone(),
         peer_address: local,
     };
-    tasks.spawn(join_when_needed(shared.clone(), source.clone(), row, peers));
-    Ok(Some(local))
+    let joining = join_when_needed(shared.clone(), source.clone(), row, peers.clone());
+    tasks.spawn(joining);
+    Ok(Some((local, peers)))
 }
 
 /// Records the host in the store if it receives no messages or is a subscriber. Seeds
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -78,6 +78,10 @@
     /// Endpoints about which other hosts have to be asked at once.
     pub(crate) broken_paths: BrokenPaths,
     pub(crate) stream_origins: StreamOriginTable,
+    /// Wakes the task that learns which builds pools had.
+    pub(crate) past_wanted: Notify,
+    /// Wakes requests that wait for that.
+    pub(crate) past_learned: Notify,
     /// Endpoints that are checked now, by the hash of their start.
     checks: Mutex<HashSet<u32>>,
     /// The address for forwarded requests.
@@ -133,6 +137,8 @@
             reach_reported: Notify::new(),
             broken_paths: BrokenPaths::default(),
             stream_origins: StreamOriginTable::default(),
+            past_wanted: Notify::new(),
+            past_learned: Notify::new(),
             checks: Mutex::default(),
             forward_address: OnceLock::new(),
             fleet: Mutex::new(fleet),
@@ -240,7 +246,9 @@
 
     /// Records that the list of endpoints is known.
     pub(crate) fn record_endpoints_known(&self) {
-        self.knows_endpoints.store(true, Ordering::Relaxed);
+        if !self.knows_endpoints.swap(true, Ordering::Relaxed) {
+            self.past_wanted.notify_one();
+        }
         self.update_view();
     }
 
--- a/crates/gateway/src/stream_origins.rs
+++ b/crates/gateway/src/stream_origins.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use chalkrock_core::{BuildVersion, OrganisationId, PoolId, Reason};
-use chalkrock_routing::{Route, RouteKind, StreamKey, StreamOrigin, StreamOrigins};
+use chalkrock_routing::{Route, RouteKind, StreamKey, StreamOrigin, StreamOrigins, UnknownBuild};
 use serde::{Deserialize, Serialize, Serializer};
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
@@ -33,6 +33,9 @@
 const ASK_INTERVAL: Duration = Duration::from_millis(60);
 /// Time after which the build counts as unknown.
 const ASK_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time for which a take-up waits until this host has learned which builds the pool had. A
+/// host that starts learns it just after the list.
+const PAST_WAIT: Duration = Duration::from_millis(400);
 /// Timeouts of the route for which callers may take a stream up: one for the request that
 /// began it, and one for the caller's tries.
 const RETENTION_TIMEOUTS: u64 = 2;
@@ -240,6 +243,12 @@
             return Ok(None);
         }
         let known = self.known_origin(head, route, organisation).await;
+        let only_build = known.as_ref().err().copied().flatten();
+        let known = known.ok();
+        let is_from_list = |known: &KnownOrigin| known.from == KnownFrom::OnlyBuild;
+        let needs_list = known.as_ref().is_none_or(is_from_list);
+        let now_ms = self.clock.now_ms();
+        let list_age_ms = self.fleet().build_history.list_age_ms(now_ms);
         let has_endpoint = |known: &KnownOrigin| self.fleet().has_build(&known.pool, &known.build);
         let goes_on = known.as_ref().is_some_and(has_endpoint);
         self.event_log.emit(&Event::StreamTakenUp {
@@ -248,6 +257,8 @@
             build: known.as_ref().map(|known| &known.build),
             known_from: known.as_ref().map(|known| known.from),
             age_ms: known.as_ref().and_then(|known| known.age_ms),
+            list_age_ms: list_age_ms.filter(|_| needs_list),
+            only_build,
             goes_on,
         });
         let (outcome, result) = match known {
@@ -268,23 +279,27 @@
     }
 
     /// What this host or another knows of the stream that a caller takes up.
+    ///
+    /// # Errors
+    ///
+    /// If the origin is unknown; with the reason if the only build of its pool is.
     async fn known_origin(
         &self,
         head: &CallHead,
         route: &Route,
         organisation: Option<&OrganisationId>,
-    ) -> Option<KnownOrigin> {
+    ) -> Result<KnownOrigin, Option<UnknownBuild>> {
         let found = match &head.resumes {
             Some(id) => self.ask_for_stream(StreamKey::of(organisation, id)).await,
             None => None,
         };
         let Some((origin, age_ms, from)) = found else {
-            return self.only_origin(route);
+            return self.only_origin(route).await;
         };
         // The rules may have moved the route to other pools.
         let mut pools = route.backends.iter().map(|backend| &backend.pool);
-        let pool = pools.find(|pool| origin.is_in(pool))?;
-        Some(KnownOrigin {
+        let pool = pools.find(|pool| origin.is_in(pool)).ok_or(None)?;
+        Ok(KnownOrigin {
             pool: pool.clone(),
             build: origin.build,
             age_ms: Some(age_ms),
@@ -323,23 +338,36 @@
     }
 
     /// The only origin that a stream of a route can have: its pool had no other build for as
-    /// long as a stream may be taken up, as far as this host knows since it started.
-    fn only_origin(&self, route: &Route) -> Option<KnownOrigin> {
+    /// long as a stream may be taken up.
+    async fn only_origin(&self, route: &Route) -> Result<KnownOrigin, Option<UnknownBuild>> {
         let [backend] = route.backends.as_slice() else {
-            return None;
+            return Err(None);
         };
-        let now_ms = self.clock.now_ms();
-        let fleet = self.fleet();
-        let build = fleet.only_build(&backend.pool, retention_ms(route), now_ms)?;
-        Some(KnownOrigin {
+        let give_up_at = Instant::now() + PAST_WAIT;
+        let claim = loop {
+            let learned = self.past_learned.notified();
+            self.detect_suspension();
+            let now_ms = self.clock.now_ms();
+            let claim = { self.fleet() }.only_build(&backend.pool, retention_ms(route), now_ms);
+            let is_past_missing = claim == Err(UnknownBuild::NoRecord);
+            if !is_past_missing || tokio::time::timeout_at(give_up_at, learned).await.is_err() {
+                break claim;
+            }
+        };
+        let outcome = claim
+            .as_ref()
+            .map_or_else(|unknown| unknown.name(), |_| "holds");
+        let labels = format!("outcome=\"{outcome}\"");
+        self.metrics.count("only_build_claims_total", &labels, 1);
+        Ok(KnownOrigin {
             pool: backend.pool.clone(),
-            build,
+            build: claim?,
             age_ms: None,
             from: KnownFrom::OnlyBuild,
         })
     }
 
-    fn send_to_hosts(&self, datagram: &Datagram, hosts: &[SocketAddr]) {
+    pub(crate) fn send_to_hosts(&self, datagram: &Datagram, hosts: &[SocketAddr]) {
         let Some((_, socket)) = self.stream_origins.link.get() else {
             return;
         };
--- a/crates/gateway/src/subscription.rs
+++ b/crates/gateway/src/subscription.rs
@@ -178,6 +178,11 @@
         let _never_closed = is_preferred.wait_for(|is_preferred| *is_preferred).await;
     }
 
+    /// Whether the last call of a topic was answered.
+    pub(crate) fn is_answered(&self, topic: Topic) -> bool {
+        self.topic(topic).is_answered.load(Ordering::Relaxed)
+    }
+
     /// Records that the configured seeds were queried.
     pub(crate) fn mark_seeds_queried(&self) {
         self.are_seeds_queried.send_replace(true);
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod backlog;
 mod body_framing;
 mod brittle;
+mod build_records;
 mod builds;
 mod calls;
 mod control_traffic;
--- a/crates/gateway/tests/gateway/support/source.rs
+++ b/crates/gateway/tests/gateway/support/source.rs
@@ -51,6 +51,10 @@
     stages: Vec<RolloutStage>,
     /// Records of pools' builds with their versions; `None` for an unreadable one.
     builds: BTreeMap<PoolId, (u64, Option<BuildRecord>)>,
+    build_calls: BuildCalls,
+    /// Writes of such records. Their versions are counted apart, so that tests can name those
+    /// of other rows.
+    build_writes: u64,
     /// Highest version after which a host asked for changes of the rules.
     rules_fetched: u64,
 }
@@ -68,6 +72,15 @@
 const STEP_MS: u64 = 10;
 const STEP_BYTES: usize = 1_000;
 
+/// Calls about the builds that pools had, answered or not.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct BuildCalls {
+    pub(crate) reads: u32,
+    pub(crate) writes: u32,
+    /// Writes that found another record.
+    pub(crate) conflicts: u32,
+}
+
 /// Counts of transfers of rules, which share one link evenly.
 #[derive(Default)]
 struct Transfers {
@@ -184,6 +197,26 @@
         }
     }
 
+    /// Returns the record of the builds of the pool `pool`.
+    pub(crate) fn build_record(&self) -> Option<BuildRecord> {
+        let state = self.lock();
+        let (_, record) = state.builds.get(&PoolId::from("pool"))?;
+        record.clone()
+    }
+
+    /// Makes the record of the builds of the pool `pool` unreadable.
+    pub(crate) fn garble_build_record(&self) {
+        let mut state = self.lock();
+        state.build_writes += 1;
+        let version = state.build_writes;
+        state.builds.insert("pool".into(), (version, None));
+    }
+
+    /// Returns the calls about the builds that pools had.
+    pub(crate) fn build_calls(&self) -> BuildCalls {
+        self.lock().build_calls
+    }
+
     /// Returns a handle to the same store that can be isolated separately.
     pub(crate) fn another_handle(&self) -> Self {
         Self {
@@ -612,6 +645,7 @@
     }
 
     async fn builds(&self) -> Result<BuildRecords, SourceError> {
+        self.lock().build_calls.reads += 1;
         let silences = self.begin_call().await;
         self.finish_call(silences).await;
         let state = self.available_state()?;
@@ -634,19 +668,22 @@
         record: &BuildRecord,
         replaces: StoreVersion,
     ) -> Result<BuildRecordWrite, SourceError> {
+        self.lock().build_calls.writes += 1;
         let silences = self.begin_call().await;
         self.finish_call(silences).await;
         let mut state = self.available_state()?;
         let stored = state.builds.get(pool).cloned();
         let version = stored.as_ref().map_or(0, |(version, _)| *version);
         if version != replaces.0 {
+            state.build_calls.conflicts += 1;
             return Ok(BuildRecordWrite::Conflict {
                 version: StoreVersion(version),
                 record: stored.and_then(|(_, record)| record),
             });
         }
-        state.version += 1;
-        let version = state.version;
+        state.build_writes += 1;
+        let era = StoreVersion(state.version).era();
+        let version = StoreVersion::in_era(era, state.build_writes).0;
         state
             .builds
             .insert(pool.clone(), (version, Some(record.clone())));
--- a/crates/routing/src/endpoints.rs
+++ b/crates/routing/src/endpoints.rs
@@ -312,6 +312,13 @@
         listed.map(|known| &known.member)
     }
 
+    /// Endpoints that are listed, or unlisted and still in use.
+    pub fn listed_or_lapsed(&self) -> impl Iterator<Item = &PoolMember> {
+        let known = self.entries.values();
+        let in_use = known.filter(|known| known.is_listed || known.is_lapsed);
+        in_use.map(|known| &known.member)
+    }
+
     /// Number of listed endpoints.
     pub fn listed_count(&self) -> usize {
         self.listed().count()
--- a/crates/routing/src/pool_builds.rs
+++ b/crates/routing/src/pool_builds.rs
@@ -8,7 +8,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use chalkrock_core::{BuildVersion, PoolId};
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Serialize, Serializer};
 
 use crate::rollout::StoreClock;
 use crate::store_version::StoreVersion;
@@ -110,8 +110,7 @@
 }
 
 /// Why the only build of a pool is not known.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
-#[serde(rename_all = "kebab-case")]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum UnknownBuild {
     /// The pool has, or had within the window, several builds.
     SeveralBuilds,
@@ -125,6 +124,25 @@
     ShortRecord,
 }
 
+impl UnknownBuild {
+    /// Its name in log lines and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::SeveralBuilds => "several-builds",
+            Self::NoBuild => "no-build",
+            Self::OldList => "old-list",
+            Self::NoRecord => "no-record",
+            Self::ShortRecord => "short-record",
+        }
+    }
+}
+
+impl Serialize for UnknownBuild {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_str(self.name())
+    }
+}
+
 /// A change of a pool's builds that its record lacks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RecordChange {
@@ -163,7 +181,7 @@
 ///
 /// let (pool, build) = (PoolId::from("pool"), BuildVersion::from("v1"));
 /// let mut history = BuildHistory::new(3_000);
-/// history.confirm(1_000);
+/// history.confirm(1_000, 0);
 /// let claim = history.only_build(&pool, [&build], 20_000, 1_100);
 /// assert_eq!(claim, Err(UnknownBuild::NoRecord));
 ///
@@ -182,7 +200,7 @@
     bound_ms: u64,
     /// By [`shifted_ms`].
     listed: ListedBuilds,
-    /// When the list was last known to be that of the store.
+    /// When the list was last known to be that of the store, by [`shifted_ms`].
     confirmed_ms: Option<u64>,
     /// Number of times at which the list was confirmed after longer than the bound. Builds
     /// may have come and gone before.
@@ -215,8 +233,9 @@
         self.listed.forget_before(now_ms);
     }
 
-    /// Records that the list was that of the store at `at_ms`.
-    pub fn confirm(&mut self, at_ms: u64) {
+    /// Records that the list was that of the store `ago_ms` before `now_ms`.
+    pub fn confirm(&mut self, now_ms: u64, ago_ms: u64) {
+        let at_ms = shifted_ms(now_ms).saturating_sub(ago_ms);
         let confirmed_ms = self.confirmed_ms.unwrap_or_default();
         if self.confirmed_ms.is_none() || at_ms.saturating_sub(confirmed_ms) > self.bound_ms {
             self.gap += 1;
@@ -226,7 +245,7 @@
 
     /// The time since the list was confirmed; `None` if it never was.
     pub fn list_age_ms(&self, now_ms: u64) -> Option<u64> {
-        Some(now_ms.saturating_sub(self.confirmed_ms?))
+        Some(shifted_ms(now_ms).saturating_sub(self.confirmed_ms?))
     }
 
     /// Identifies the time since which the list is followed.
@@ -240,17 +259,23 @@
         learned.is_none_or(|learned| learned.gap != self.gap)
     }
 
+    /// Adds builds that a pool had, as known at `now_ms`.
+    pub fn add_builds(&mut self, pool: &PoolId, past: &PoolPast, now_ms: u64) {
+        for (build, ago_ms) in &past.builds {
+            let listed_ms = shifted_ms(now_ms).saturating_sub(*ago_ms);
+            self.listed.record_later(pool, build, listed_ms);
+        }
+    }
+
     /// Adds a past that was requested after the gap `gap` and arrived at `now_ms`. Returns
-    /// whether it closes the last gap.
+    /// whether it closes the last gap. A past that is known since then stays, as it may be
+    /// longer.
     pub fn learn(&mut self, past: &FleetPast, gap: u64, now_ms: u64) -> bool {
         for (pool, past) in &past.pools {
-            for (build, ago_ms) in &past.builds {
-                let listed_ms = shifted_ms(now_ms).saturating_sub(*ago_ms);
-                self.listed.record_later(pool, build, listed_ms);
-            }
+            self.add_builds(pool, past, now_ms);
         }
         let is_current = gap == self.gap && self.confirmed_ms.is_some();
-        if !is_current {
+        if !is_current || !self.lacks_past() {
             return false;
         }
         let pools = past.pools.iter();
@@ -265,6 +290,11 @@
         true
     }
 
+    /// Whether this host follows a list that is not old and knows what was listed before.
+    pub fn is_current(&self, now_ms: u64) -> bool {
+        self.followed_past(now_ms).is_ok()
+    }
+
     /// The past as this host knows it, for another host; `None` if it could not make claims
     /// by it itself. The listed builds have to be recorded before.
     pub fn past(&self, now_ms: u64) -> Option<FleetPast> {
--- a/crates/routing/tests/pool_builds.rs
+++ b/crates/routing/tests/pool_builds.rs
@@ -48,7 +48,7 @@
 /// A host that read `records` at `clock`, at 1,000 ms of its own clock.
 fn history_of(records: &[StoredBuilds], clock: StoreClock) -> BuildHistory {
     let mut history = BuildHistory::new(BOUND_MS);
-    history.confirm(1_000);
+    history.confirm(1_000, 0);
     let past = FleetPast::from_records(records, clock);
     assert_that!(history.learn(&past, history.gap(), 1_000), eq(true));
     history.replace_records(records.to_vec());
@@ -58,7 +58,7 @@
 /// The claim of a host that lists `v1`, with a list that was confirmed now.
 fn claim(history: &mut BuildHistory, now_ms: u64) -> std::result::Result<(), UnknownBuild> {
     for at_ms in (history.list_age_ms(0).map_or(0, |_| 1_000)..=now_ms).step_by(1_000) {
-        history.confirm(at_ms);
+        history.confirm(at_ms, 0);
     }
     let build = BuildVersion::from("v1");
     let claim = history.only_build(&pool(), [&build], WINDOW_MS, now_ms);
@@ -242,7 +242,7 @@
     assert_that!(history.list_age_ms(500), none());
     assert_that!(claim(&history, 500), eq(Err(UnknownBuild::NoRecord)));
     assert_that!(history.learn(&past, history.gap(), 600), eq(false));
-    history.confirm(1_000);
+    history.confirm(1_000, 0);
     assert_that!(history.lacks_past(), eq(true));
     assert_that!(claim(&history, 1_000), eq(Err(UnknownBuild::NoRecord)));
     assert_that!(history.learn(&past, history.gap(), 1_100), eq(true));
@@ -250,13 +250,13 @@
     assert_that!(claim(&history, 4_000), eq(Ok(())));
     assert_that!(claim(&history, 4_001), eq(Err(UnknownBuild::OldList)));
     assert_that!(history.past(4_001), none());
-    history.confirm(4_000);
+    history.confirm(4_100, 100);
     // A report that arrives late does not make the list older.
-    history.confirm(2_000);
+    history.confirm(4_200, 2_200);
     assert_that!(history.list_age_ms(5_000), some(eq(1_000)));
     assert_that!(claim(&history, 5_000), eq(Ok(())));
     let gap = history.gap();
-    history.confirm(7_001);
+    history.confirm(7_001, 0);
     assert_that!(history.lacks_past(), eq(true));
     assert_that!(claim(&history, 7_001), eq(Err(UnknownBuild::NoRecord)));
     assert_that!(history.past(7_001), none());
@@ -265,6 +265,22 @@
     assert_that!(claim(&history, 7_002), eq(Err(UnknownBuild::NoRecord)));
     assert_that!(history.learn(&past, history.gap(), 7_003), eq(true));
     assert_that!(claim(&history, 7_003), eq(Ok(())));
+    // A restored store has lost its records.
+    let past = FleetPast::from_records(&[], CLOCK_AFTER_RESTORE);
+    assert_that!(history.learn(&past, history.gap(), 7_004), eq(false));
+    assert_that!(claim(&history, 7_004), eq(Ok(())));
+}
+
+/// Guards against a host that starts and knows no age of a list that was confirmed before.
+#[test]
+fn list_may_be_confirmed_before_the_host_started() {
+    let mut history = BuildHistory::new(BOUND_MS);
+    history.confirm(10, 250);
+    assert_that!(history.list_age_ms(60), some(eq(300)));
+    let past = FleetPast::from_records(&[], CLOCK);
+    assert_that!(history.learn(&past, history.gap(), 60), eq(true));
+    assert_that!(history.is_current(2_760), eq(true));
+    assert_that!(history.is_current(2_761), eq(false));
 }
 
 #[test]
@@ -283,7 +299,7 @@
     first.record_listed(&"other".into(), &"v3".into(), 2_500);
     let past = first.past(3_000).expect("a past");
     let mut second = BuildHistory::new(BOUND_MS);
-    second.confirm(90_000);
+    second.confirm(90_000, 0);
     assert_that!(second.learn(&past, second.gap(), 90_000), eq(true));
     let pool_past = second.past(91_000).expect("a past");
     let mut pools = pool_past.pools.iter();
