--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -28,6 +28,7 @@
 mod answer;
 mod arrival;
 mod attempt;
+mod build_records;
 mod byte_budget;
 mod call;
 mod caller_body;
@@ -76,7 +77,8 @@
 };
 pub use run::{RunningGateway, start};
 pub use source::{
-    EndpointChange, EndpointRow, HostRow, ListedEndpoint, PoisonRow, RolloutWrite, Row, Source,
-    SourceError, SourceUpdate, StreamRecordRow, Topic, UnreadableRow,
+    BuildRecordWrite, BuildRecords, EndpointChange, EndpointRow, HostRow, ListedEndpoint,
+    PoisonRow, RolloutWrite, Row, Source, SourceError, SourceUpdate, StreamRecordRow, Topic,
+    UnreadableRow,
 };
 pub use suspension::HostClock;
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -4,8 +4,8 @@
 
 use chalkrock_routing::{
     AggregatePath, CacheEntry, Evacuations, HostReport, LimitReport, ListReport, PartUpdate,
-    PoisonRequest, PoisonUpdate, RulesVersion, SlotAsk, SlotReply, StoreVersion, SubscriptionRole,
-    WorkReport, ZoneAggregate,
+    PoisonRequest, PoisonUpdate, RulesVersion, SlotAsk, SlotReply, StoreVersion, StoredBuilds,
+    SubscriptionRole, WorkReport, ZoneAggregate,
 };
 use serde::{Deserialize, Serialize};
 
@@ -71,6 +71,8 @@
     StreamRecordToStore(StreamRecord),
     /// Asks which build began a stream, also by the store's records.
     StreamStoreAsk(StreamAsk),
+    /// Records of the builds that pools had, as the store holds them.
+    BuildRecords(Vec<StoredBuilds>),
 }
 
 impl Datagram {
@@ -97,6 +99,7 @@
             | Self::StreamReply(_)
             | Self::StreamRecordToStore(_)
             | Self::StreamStoreAsk(_) => ControlKind::StreamOrigins,
+            Self::BuildRecords(_) => ControlKind::BuildRecords,
         }
     }
 }
--- a/crates/gateway/tests/gateway/support/many_hosts.rs
+++ b/crates/gateway/tests/gateway/support/many_hosts.rs
@@ -7,11 +7,12 @@
 
 use chalkrock_core::PoolId;
 use chalkrock_gateway::{
-    GatewayConfig, GatewayConfigBuilder, HostRow, PoisonRow, ReceivedBytes, RolloutWrite,
-    RunningGateway, Source, SourceError, SourceUpdate, StreamRecordRow, Topic, start,
+    BuildRecordWrite, BuildRecords, GatewayConfig, GatewayConfigBuilder, HostRow, PoisonRow,
+    ReceivedBytes, RolloutWrite, RunningGateway, Source, SourceError, SourceUpdate,
+    StreamRecordRow, Topic, start,
 };
 use chalkrock_process::{StopHandle, stop_pair};
-use chalkrock_routing::{RequestFingerprint, RolloutRecord, StoreClock, StoreVersion};
+use chalkrock_routing::{BuildRecord, RequestFingerprint, RolloutRecord, StoreClock, StoreVersion};
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
@@ -132,6 +133,21 @@
         self.store.clock()
     }
 
+    async fn builds(&self) -> Result<BuildRecords, SourceError> {
+        self.admit()?;
+        self.store.builds().await
+    }
+
+    async fn write_builds(
+        &self,
+        pool: &PoolId,
+        record: &BuildRecord,
+        replaces: StoreVersion,
+    ) -> Result<BuildRecordWrite, SourceError> {
+        self.admit()?;
+        self.store.write_builds(pool, record, replaces).await
+    }
+
     async fn write_rollout(
         &self,
         pool: &PoolId,
--- a/crates/gateway/tests/gateway/support/source.rs
+++ b/crates/gateway/tests/gateway/support/source.rs
@@ -7,12 +7,13 @@
 
 use chalkrock_core::{BuildVersion, Endpoint, EndpointId, PoolId, ZoneId};
 use chalkrock_gateway::{
-    EndpointChange, EndpointRow, HostRow, ListedEndpoint, PoisonRow, ReceivedBytes, RolloutWrite,
-    Row, Source, SourceError, SourceUpdate, StreamRecordRow, Topic, UnreadableRow,
+    BuildRecordWrite, BuildRecords, EndpointChange, EndpointRow, HostRow, ListedEndpoint,
+    PoisonRow, ReceivedBytes, RolloutWrite, Row, Source, SourceError, SourceUpdate,
+    StreamRecordRow, Topic, UnreadableRow,
 };
 use chalkrock_routing::{
-    EvacuationRow, RequestFingerprint, RolloutOrder, RolloutOrderRow, RolloutRecord, RolloutStage,
-    RulesDocument, StoreClock, StoreVersion,
+    BuildRecord, EvacuationRow, RequestFingerprint, RolloutOrder, RolloutOrderRow, RolloutRecord,
+    RolloutStage, RulesDocument, StoreClock, StoreVersion, StoredBuilds,
 };
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -51,6 +52,12 @@
     /// Records of where streams began, and calls that read and write them.
     stream_rows: BTreeMap<String, Vec<u8>>,
     stream_row_calls: u32,
+    /// Records of pools' builds with their versions; `None` for an unreadable one.
+    builds: BTreeMap<PoolId, (u64, Option<BuildRecord>)>,
+    build_calls: BuildCalls,
+    /// Writes of such records. Their versions are counted apart, so that tests can name those
+    /// of other rows.
+    build_writes: u64,
     /// Highest version after which a host asked for changes of the rules.
     rules_fetched: u64,
 }
@@ -68,6 +75,15 @@
 const STEP_MS: u64 = 10;
 const STEP_BYTES: usize = 1_000;
 
+/// Calls about the builds that pools had, answered or not.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct BuildCalls {
+    pub(crate) reads: u32,
+    pub(crate) writes: u32,
+    /// Writes that found another record.
+    pub(crate) conflicts: u32,
+}
+
 /// Counts of transfers of rules, which share one link evenly.
 #[derive(Default)]
 struct Transfers {
@@ -103,6 +119,7 @@
     poison: Vec<PoisonRow>,
     orders: Vec<RolloutOrderRow>,
     records: BTreeMap<PoolId, (u64, RolloutRecord)>,
+    builds: BTreeMap<PoolId, (u64, Option<BuildRecord>)>,
 }
 
 /// A store that several gateways can share.
@@ -180,6 +197,10 @@
         state.records = records
             .map(|(pool, (version, record))| (pool, (in_era(version), record)))
             .collect();
+        let builds = snapshot.builds.into_iter();
+        state.builds = builds
+            .map(|(pool, (version, record))| (pool, (in_era(version), record)))
+            .collect();
         state.version = in_era(snapshot.version);
         let version = state.version;
         drop(state);
@@ -197,9 +218,30 @@
             poison: state.poison.clone(),
             orders: state.orders.clone(),
             records: state.records.clone(),
+            builds: state.builds.clone(),
         }
     }
 
+    /// Returns the record of the builds of the pool `pool`.
+    pub(crate) fn build_record(&self) -> Option<BuildRecord> {
+        let state = self.lock();
+        let (_, record) = state.builds.get(&PoolId::from("pool"))?;
+        record.clone()
+    }
+
+    /// Makes the record of the builds of the pool `pool` unreadable.
+    pub(crate) fn garble_build_record(&self) {
+        let mut state = self.lock();
+        state.build_writes += 1;
+        let version = state.build_writes;
+        state.builds.insert("pool".into(), (version, None));
+    }
+
+    /// Returns the calls about the builds that pools had.
+    pub(crate) fn build_calls(&self) -> BuildCalls {
+        self.lock().build_calls
+    }
+
     /// Returns a handle to the same store that can be isolated separately.
     pub(crate) fn another_handle(&self) -> Self {
         Self {
@@ -552,6 +594,13 @@
         }
     }
 
+    fn clock_in(&self, state: &State) -> StoreClock {
+        StoreClock {
+            now_ms: self.started_at.elapsed().as_millis() as u64,
+            era: StoreVersion(state.version).era(),
+        }
+    }
+
     /// Returns the content, or an error while the store is unavailable.
     fn available_state(&self) -> Result<MutexGuard<'_, State>, SourceError> {
         let state = self.lock();
@@ -686,13 +735,56 @@
         Ok(())
     }
 
+    async fn builds(&self) -> Result<BuildRecords, SourceError> {
+        self.lock().build_calls.reads += 1;
+        let silences = self.begin_call().await;
+        self.finish_call(silences).await;
+        let state = self.available_state()?;
+        let builds = state.builds.iter();
+        Ok(BuildRecords {
+            clock: self.clock_in(&state),
+            records: builds
+                .map(|(pool, (version, record))| StoredBuilds {
+                    pool: pool.clone(),
+                    version: StoreVersion(*version),
+                    record: record.clone(),
+                })
+                .collect(),
+        })
+    }
+
+    async fn write_builds(
+        &self,
+        pool: &PoolId,
+        record: &BuildRecord,
+        replaces: StoreVersion,
+    ) -> Result<BuildRecordWrite, SourceError> {
+        self.lock().build_calls.writes += 1;
+        let silences = self.begin_call().await;
+        self.finish_call(silences).await;
+        let mut state = self.available_state()?;
+        let stored = state.builds.get(pool).cloned();
+        let version = stored.as_ref().map_or(0, |(version, _)| *version);
+        if version != replaces.0 {
+            state.build_calls.conflicts += 1;
+            return Ok(BuildRecordWrite::Conflict {
+                version: StoreVersion(version),
+                record: stored.and_then(|(_, record)| record),
+            });
+        }
+        state.build_writes += 1;
+        let era = StoreVersion(state.version).era();
+        let version = StoreVersion::in_era(era, state.build_writes).0;
+        state
+            .builds
+            .insert(pool.clone(), (version, Some(record.clone())));
+        Ok(BuildRecordWrite::Written(StoreVersion(version)))
+    }
+
     fn clock(&self) -> Option<StoreClock> {
         let state = self.lock();
         let is_known = !state.is_unavailable && !self.is_isolated.load(Ordering::Relaxed);
-        is_known.then(|| StoreClock {
-            now_ms: self.started_at.elapsed().as_millis() as u64,
-            era: StoreVersion(state.version).era(),
-        })
+        is_known.then(|| self.clock_in(&state))
     }
 
     async fn write_rollout(
