Test the past of pools beside an older host and a quiet store

A host beside a host of an older build, which closes the connection on the call, reads the records itself. A store without changes leaves no gap in which claims would be refused: one gap, that of the start, at one host and at three over 14 s.

--- a/crates/gateway/tests/gateway/build_records.rs
+++ b/crates/gateway/tests/gateway/build_records.rs
@@ -4,7 +4,11 @@
 use std::time::Duration;
 
 use crate::stream_builds::{BuildFleet, NAMES_PER_BUILD, NEW, OLD, take_up_call};
-use crate::support::{SuspendableGateway, TestGateway, TestSource, hosts_with, metric, until};
+use crate::support::{
+    PeerBuild, PeerStandIn, SuspendableGateway, TestGateway, TestSource, hosts_with, metric, rules,
+    until,
+};
+use chalkrock_core::Endpoint;
 use googletest::prelude::*;
 
 /// Starts hosts before endpoints of a build and waits until its record is in the store.
@@ -203,3 +207,41 @@
     assert_that!(calls.writes - at_start.writes, le(MAX_WRITES));
     assert_that!(calls.reads, eq(at_start.reads));
 }
+
+/// Guards against hosts of the build before this one, which close the connection on the call,
+/// beside which a host never learns the past.
+#[tokio::test]
+async fn host_beside_an_older_one_reads_the_records() {
+    let mut fleet = BuildFleet::start(0, &[OLD]).await;
+    let peer = PeerStandIn::start(PeerBuild::Old, rules(1)).await;
+    let listed = fleet.endpoints.iter().map(|(build, endpoint)| Endpoint {
+        build: (*build).into(),
+        ..endpoint.endpoint.clone()
+    });
+    peer.set_list(3, listed.collect());
+    let seeds = vec![peer.address];
+    let host = TestGateway::start(fleet.source.clone(), "host-1", seeds).await;
+    host.ready().await;
+    fleet.hosts.push(host);
+    let mut number = 0;
+    until(async || {
+        number += 1;
+        take_up_unknown(&fleet, 0, &format!("try-{number}")).await == 200
+    })
+    .await;
+    assert_that!(fleet.source.build_calls().reads, ge(1));
+}
+
+/// Guards against a store without changes that passes for one that is away, so that claims
+/// are refused and the past is learned again and again.
+#[tokio::test]
+async fn quiet_store_leaves_no_gaps() {
+    const QUIET: Duration = Duration::from_millis(14_000);
+    let fleets = [1, 3].map(|hosts| async move {
+        let fleet = start_recorded(hosts, &[OLD]).await;
+        tokio::time::sleep(QUIET).await;
+        let gaps = hosts_with(&fleet.hosts, "endpoint_list_gaps_total", 1.0).await;
+        assert_that!(gaps, eq(hosts));
+    });
+    futures::future::join_all(fleets).await;
+}
