--- a/crates/gateway/tests/gateway/endpoint_connections.rs
+++ b/crates/gateway/tests/gateway/endpoint_connections.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use crate::support::{
-    Behaviour, Call, Script, ScriptedEndpoint, TestGateway, TestSource, metric, rules, until,
+    Behaviour, Call, HeldCalls, Script, ScriptedEndpoint, TestGateway, TestSource, hosts_with,
+    metric, rules, until,
 };
 use chalkrock_core::PoolId;
 use chalkrock_routing::{ConnectionLimit, RulesDocument};
@@ -149,3 +150,56 @@
     assert_that!(second, each(any![eq(&200), eq(&503)]));
     assert_that!(endpoint.connections(), le(4));
 }
+
+/// Guards against a limit that outlasts the rules that set it, at a host that gets its rules
+/// from another one.
+#[tokio::test]
+async fn connection_limits_end_with_their_rules_at_all_hosts() {
+    const CALLS: usize = 12;
+    let source = TestSource::default();
+    source.set_rules(rules_with_limit(MAX_CONNECTIONS));
+    let _endpoint = endpoint("endpoint", &Script::default(), 64, &source).await;
+    let first = start(source.clone()).await;
+    assert_that!(statuses(&first, "/once/", 1).await, each(eq(&200)));
+    let second = TestGateway::without_store("host-2", vec![first.peer_address()]).await;
+    second.ready().await;
+    for host in [&first, &second] {
+        until(async || metric(host, "peers_heard").await == 1.0).await;
+    }
+    let limited = statuses(&second, "/once/", CALLS).await;
+    assert_that!(limited, contains(eq(&503)));
+    source.set_rules(rules(2));
+    for host in [&first, &second] {
+        until(async || host.has_rules(2).await).await;
+        let unlimited = statuses(host, "/once/", CALLS).await;
+        assert_that!(unlimited, each(eq(&200)));
+    }
+}
+
+/// Guards against a host that lacks the limits of its rules for as long as these are in force,
+/// since the call that brings the limits got no answer once.
+#[tokio::test]
+async fn connection_limits_that_got_lost_are_asked_for_again() {
+    const CALLS: usize = 12;
+    let source = TestSource::default();
+    source.set_rules(rules_with_limit(MAX_CONNECTIONS));
+    let endpoint = endpoint("endpoint", &Script::default(), 64, &source).await;
+    endpoint.set_max_connections(MAX_CONNECTIONS as usize);
+    let first = start(source.clone()).await;
+    let mut link = HeldCalls::start(first.peer_address()).await;
+    let second = TestGateway::without_store("host-2", vec![link.address]).await;
+    link.wait_until_held().await;
+    second.ready().await;
+    assert_that!(statuses(&second, "/once/", 1).await, each(eq(&200)));
+    // Passes on the addresses of the two others, whose link carries calls alone.
+    let seeds = vec![first.peer_address(), second.peer_address()];
+    let between = TestGateway::without_store("host-3", seeds).await;
+    between.ready().await;
+    let hosts = [first, second, between];
+    until(async || hosts_with(&hosts, "peers_heard", 2.0).await == hosts.len()).await;
+    let version = metric(&hosts[1], "endpoints_version").await;
+    source.list(endpoint.endpoint.clone());
+    until(async || metric(&hosts[1], "endpoints_version").await > version).await;
+    statuses(&hosts[1], "/once/", CALLS).await;
+    assert_that!(endpoint.resets(), eq(0));
+}
