Measure rollouts during which the load rises

The policy WithinOldLoad leaves out times of the new build at endpoints that were busier than nine tenths of those at which the same host saw the old build.

--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -4,7 +4,7 @@
 
 use chalkrock_measure::live::{self, Load};
 use chalkrock_measure::rollouts::{
-    DetectionPolicy, EvidencePolicy, ExposurePolicy, FAULTS, Policies, PoolTraffic, Stalls,
+    DetectionPolicy, EvidencePolicy, ExposurePolicy, FAULTS, Policies, PoolTraffic, Rise, Stalls,
     evaluate,
 };
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
@@ -39,6 +39,12 @@
                         .value_parser(["none", "weak", "simultaneous"])
                         .help("Which hosts stall"),
                 )
+                .arg(
+                    Arg::new("rise")
+                        .long("rise")
+                        .value_parser(["never", "once"])
+                        .help("Endpoints are slower under load, which may rise"),
+                )
                 .arg(
                     Arg::new("unmeasured")
                         .long("unmeasured")
@@ -129,6 +135,7 @@
     };
     let policies = [
         Policies::KEPT,
+        with_evidence(EvidencePolicy::WithinOldLoad),
         with_evidence(EvidencePolicy::Matched),
         with_evidence(EvidencePolicy::LeftOut),
         with_evidence(EvidencePolicy::Clusters),
@@ -141,6 +148,8 @@
     ];
     let compared = if matches.get_flag("kept") {
         1
+    } else if matches.contains_id("rise") {
+        2
     } else {
         policies.len()
     };
@@ -156,6 +165,11 @@
         Some("simultaneous") => Stalls::Simultaneous { are_measured },
         _ => Stalls::None,
     };
+    let rise = match matches.get_one::<String>("rise").map(String::as_str) {
+        Some("never") => Rise::Never,
+        Some("once") => Rise::Once,
+        _ => Rise::None,
+    };
     println!(
         "| pool | build | way | exposed, mean | p99 | over bound | left | after s | left late | done in time | done | after s |"
     );
@@ -163,6 +177,7 @@
     for (name, pool) in &pools {
         let pool = PoolTraffic {
             stalls,
+            rise,
             move_ms,
             ..pool.clone()
         };
--- a/crates/measure/src/rollouts/mod.rs
+++ b/crates/measure/src/rollouts/mod.rs
@@ -3,6 +3,7 @@
 //! The simulation runs in virtual time with delayed reports between hosts and takes
 //! its decisions from `chalkrock-routing`; the alternative policies are defined here.
 
+mod load;
 mod stalls;
 
 use std::collections::{BTreeMap, VecDeque};
@@ -17,6 +18,8 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
+pub use self::load::Rise;
+use self::load::{DrawnRise, EndpointLoads};
 pub use self::stalls::Stalls;
 use self::stalls::{HostStalls, draw_stalls};
 
@@ -102,6 +105,9 @@
     /// Matched clusters, without times that the host itself delayed, as in
     /// `chalkrock-routing`.
     MatchedLeftOut,
+    /// The same without times at endpoints that were busier than the old build's were at the
+    /// same host.
+    WithinOldLoad,
 }
 
 /// Policies of a simulated fleet.
@@ -140,6 +146,8 @@
     pub deadline_ms: u64,
     /// Stalls of the hosts.
     pub stalls: Stalls,
+    /// A rise of the load.
+    pub rise: Rise,
     /// Longest time that a request in progress needs to leave an old endpoint, in
     /// milliseconds; `None` if requests can't move and have to end.
     pub move_ms: Option<u64>,
@@ -159,6 +167,7 @@
             slots: 64,
             deadline_ms: 12_000,
             stalls: Stalls::None,
+            rise: Rise::None,
             move_ms: None,
         }
     }
@@ -172,6 +181,7 @@
             slots: 6,
             deadline_ms: 12_000,
             stalls: Stalls::None,
+            rise: Rise::None,
             move_ms: None,
         }
     }
@@ -261,6 +271,8 @@
     side: BuildSide,
     event: ObservedResponse,
     at: ObservationTime,
+    /// Requests at its endpoint for each slot when it was sent.
+    occupancy: f64,
 }
 
 struct Simulation<'a> {
@@ -286,6 +298,10 @@
     /// Requests that wait for the end of their host's stall.
     held_requests: BTreeMap<u64, Vec<(usize, usize)>>,
     host_stalls: Vec<HostStalls>,
+    rise: Option<DrawnRise>,
+    endpoint_loads: EndpointLoads,
+    /// Occupancies at which each host observed the old build.
+    old_occupancies: Vec<Vec<f64>>,
     /// Requests sent to the new build, by when the deciding host knows of them.
     exposed_reports: VecDeque<u64>,
     known_exposed: u32,
@@ -327,7 +343,11 @@
         SIMULATED_DEADLINES * pool.deadline_ms,
         &mut rng,
     );
+    let rise = pool.rise.draw(pool.deadline_ms, &mut rng);
     let mut simulation = Simulation {
+        rise,
+        endpoint_loads: EndpointLoads::new(pool.endpoints),
+        old_occupancies: vec![Vec::new(); pool.hosts],
         bound,
         pool,
         fault,
@@ -427,7 +447,8 @@
     }
 
     fn simulate_arrivals(&mut self, now_ms: u64, result: &mut RolloutResult) {
-        let mean = self.pool.rate_per_s() * STEP_MS as f64 / 1_000.0;
+        let factor = self.rise.map_or(1.0, |rise| rise.factor_at(now_ms));
+        let mean = factor * self.pool.rate_per_s() * STEP_MS as f64 / 1_000.0;
         let mut count = mean.floor() as u32;
         count += u32::from(self.rng.random::<f64>() < mean.fract());
         let mut requests = Vec::new();
@@ -455,8 +476,23 @@
 
     fn send(&mut self, host: usize, route: usize, now_ms: u64, result: &mut RolloutResult) {
         let side = self.choose_build(host, route, now_ms);
-        let (answer, duration_ms) = self.draw_answer(route, side, now_ms);
-        let first_byte_ms = duration_ms as f64 * FIRST_BYTE_FRACTION;
+        let (answer, mut duration_ms) = self.draw_answer(route, side, now_ms);
+        let mut first_byte_ms = duration_ms as f64 * FIRST_BYTE_FRACTION;
+        let mut occupancy = 0.0;
+        if let Some(rise) = self.rise {
+            let endpoints = self.serving_endpoints(side, now_ms);
+            let loads = &mut self.endpoint_loads;
+            let (endpoint, load) = loads.choose(side, endpoints, now_ms, &mut self.rng);
+            occupancy = f64::from(load) / f64::from(self.pool.slots);
+            let Some(delay) = rise.delay(load, self.pool.slots, self.mean_duration_ms()) else {
+                // The endpoint rejects it as not run.
+                return;
+            };
+            duration_ms = (duration_ms as f64 * delay.factor + delay.wait_ms) as u64;
+            first_byte_ms = first_byte_ms * delay.factor + delay.wait_ms;
+            self.endpoint_loads
+                .begin(side, endpoint, now_ms + duration_ms);
+        }
         let began = self.seen(host, now_ms, now_ms + first_byte_ms as u64);
         let ended = self.seen(host, now_ms, now_ms + duration_ms);
         if side == BuildSide::New {
@@ -488,6 +524,7 @@
                 side,
                 event,
                 at,
+                occupancy,
             };
             self.report_count += 1;
             let due = (at.now_ms + REPORT_DELAY_MS, self.report_count);
@@ -508,6 +545,24 @@
         }
     }
 
+    /// How many endpoints of a build get requests.
+    fn serving_endpoints(&self, side: BuildSide, now_ms: u64) -> u32 {
+        if side == BuildSide::Old || self.announced_stage(now_ms) != RolloutStage::Canary {
+            return self.pool.endpoints;
+        }
+        let share = self.exposures[0].share() * f64::from(self.pool.endpoints);
+        share.ceil().max(1.0) as u32
+    }
+
+    /// The mean duration of requests, over all routes.
+    fn mean_duration_ms(&self) -> f64 {
+        let routes = self.pool.routes.iter();
+        let total: f64 = routes
+            .map(|(rate, _, duration_ms)| rate * duration_ms)
+            .sum();
+        total / self.pool.rate_per_s()
+    }
+
     fn draw_route(&mut self) -> usize {
         let mut drawn = self.rng.random::<f64>() * self.pool.rate_per_s();
         let found = self.pool.routes.iter().position(|(rate_per_s, ..)| {
@@ -607,9 +662,22 @@
             host,
             route,
             side,
-            event,
+            mut event,
             mut at,
+            occupancy,
         } = report;
+        if self.policies.evidence == EvidencePolicy::WithinOldLoad {
+            let old = &mut self.old_occupancies[host];
+            if side == BuildSide::Old {
+                old.push(occupancy);
+            } else if !load::is_within(old, occupancy) {
+                event = match event {
+                    ObservedResponse::Began { .. } => return,
+                    ObservedResponse::Ended { .. } => ObservedResponse::Ended { pace_ms: None },
+                    ObservedResponse::Failed => ObservedResponse::Failed,
+                };
+            }
+        }
         let route = &self.route_names[route];
         let (leaves_out, matches) = match self.policies.evidence {
             EvidencePolicy::EachAnswer => {
@@ -619,7 +687,7 @@
             EvidencePolicy::Clusters => (false, false),
             EvidencePolicy::LeftOut => (true, false),
             EvidencePolicy::Matched => (false, true),
-            EvidencePolicy::MatchedLeftOut => (true, true),
+            EvidencePolicy::MatchedLeftOut | EvidencePolicy::WithinOldLoad => (true, true),
         };
         if !leaves_out {
             at.stalled_ms = 0;
