--- a/crates/gateway/tests/gateway/listed_builds.rs
+++ b/crates/gateway/tests/gateway/listed_builds.rs
@@ -69,6 +69,46 @@
     }
 }
 
+/// Guards against a claim by a list that is not old yet, while streams begin at a build that it
+/// lacks.
+#[tokio::test]
+async fn streams_at_a_host_that_has_just_lost_touch_are_refused_as_not_run() {
+    /// Time for which hosts send nothing to a build that is new to them, and the store's time.
+    const NEW_BUILD_DELAY: Duration = Duration::from_millis(1_100);
+    let mut fleet = BuildFleet::start(1, &[OLD]).await;
+    let old_source = TestSource::default();
+    old_source.set_rules(rules(1));
+    for (_, endpoint) in &fleet.endpoints {
+        old_source.list(endpoint.endpoint.clone());
+    }
+    let outdated = TestGateway::start(old_source.clone(), "host-outdated", Vec::new()).await;
+    outdated.ready().await;
+    tokio::time::sleep(NEW_BUILD_DELAY).await;
+    fleet.add_endpoints(NEW, NEW).await;
+    let all = (2 * NAMES_PER_BUILD) as f64;
+    old_source.isolate();
+    until(async || metric(&fleet.hosts[0], "endpoints_live").await == all).await;
+    fleet.hosts.push(outdated);
+    tokio::time::sleep(NEW_BUILD_DELAY).await;
+    let mut begun = Vec::new();
+    for number in 0..STREAMS {
+        let id = format!("r-{number}");
+        let build = fleet.begin(0, &id).await;
+        begun.push((id, build));
+    }
+    for (id, build) in begun {
+        let try_id = format!("{id}-1");
+        let received = fleet.take_up(1, take_up_call(&try_id, &id)).await;
+        println!("{try_id} began at {build}, status {}", received.status);
+        let builds = fleet.builds_of(&try_id);
+        assert_that!(
+            builds.iter().all(|other| *other == build),
+            eq(true),
+            "{try_id}"
+        );
+    }
+}
+
 /// Guards against hosts that start anew and take the only build listed then for the one that
 /// began a stream.
 #[tokio::test]
