--- a/crates/gateway/tests/gateway/listed_builds.rs
+++ b/crates/gateway/tests/gateway/listed_builds.rs
@@ -109,6 +109,34 @@
     }
 }
 
+/// Guards against a record that lacks a build at which streams have begun.
+#[tokio::test]
+async fn streams_of_a_build_that_no_record_names_are_refused_after_the_loss_of_all_hosts() {
+    const HOSTS: usize = 2;
+    /// Time for which hosts send nothing to a build that is new to them.
+    const NEW_BUILD_DELAY: Duration = Duration::from_millis(1_200);
+    let mut fleet = BuildFleet::start(HOSTS, &[OLD]).await;
+    until(async || fleet.source.build_record().is_some()).await;
+    fleet.source.refuse_build_writes(true);
+    fleet.add_endpoints(NEW, NEW).await;
+    let all = (2 * NAMES_PER_BUILD) as f64;
+    until(async || hosts_with(&fleet.hosts, "endpoints_live", all).await == HOSTS).await;
+    tokio::time::sleep(NEW_BUILD_DELAY).await;
+    let begun = begin_streams(&fleet).await;
+    fleet.hosts.clear();
+    for (_, endpoint) in fleet.endpoints.iter().filter(|(build, _)| *build == NEW) {
+        fleet.source.unlist(&endpoint.endpoint.name);
+    }
+    fleet.source.refuse_build_writes(false);
+    add_hosts(&mut fleet, HOSTS).await;
+    assert_that!(begun.iter().any(|(_, build)| *build == NEW), eq(true));
+    for (id, _) in begun.iter().filter(|(_, build)| *build == NEW) {
+        let try_id = format!("{id}-1");
+        let received = fleet.take_up(0, take_up_call(&try_id, id)).await;
+        assert_that!(received.status, eq(503), "{try_id}");
+    }
+}
+
 /// Guards against hosts that start anew and take the only build listed then for the one that
 /// began a stream.
 #[tokio::test]
--- a/crates/gateway/tests/gateway/support/source.rs
+++ b/crates/gateway/tests/gateway/support/source.rs
@@ -21,6 +21,7 @@
 #[derive(Default)]
 struct State {
     is_unavailable: bool,
+    refuses_build_writes: bool,
     /// Whether writes of rollout records take effect without a response.
     loses_responses: bool,
     /// Versions up to which the history of changes is dropped.
@@ -520,6 +521,11 @@
         });
     }
 
+    /// Answers writes of records of builds with an error, or answers them again.
+    pub(crate) fn refuse_build_writes(&self, refuses: bool) {
+        self.lock().refuses_build_writes = refuses;
+    }
+
     /// Answers all calls with an error, or answers again.
     pub(crate) fn set_unavailable(&self, is_unavailable: bool) {
         self.change(|state, _| state.is_unavailable = is_unavailable);
@@ -763,6 +769,9 @@
         replaces: StoreVersion,
     ) -> Result<BuildRecordWrite, SourceError> {
         self.lock().build_calls.writes += 1;
+        if self.lock().refuses_build_writes {
+            return Err(SourceError::Unavailable("switched off".to_owned()));
+        }
         let silences = self.begin_call().await;
         self.finish_call(silences).await;
         let mut state = self.available_state()?;
