--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -716,16 +716,15 @@
             return false;
         }
         let name = row.change.name();
-        let position = self
-            .changes
-            .iter()
-            .rposition(|known| known.change.name() == name);
-        let known = position.and_then(|position| self.changes.get(position));
-        if known.is_some_and(|known| known.version > row.version || known.states_same(&row)) {
-            return false;
-        }
-        if known.is_some_and(|known| known.version == row.version) {
-            position.map(|position| self.changes.remove(position));
+        let position = { self.changes.iter() }.rposition(|known| known.change.name() == name);
+        if let Some(position) = position {
+            let known = &self.changes[position];
+            if known.version > row.version || known.states_same(&row) {
+                return false;
+            }
+            if known.version == row.version {
+                self.changes.remove(position);
+            }
         }
         self.record_listed_builds(now_ms);
         self.apply_change(&row.change, now_ms);
