Keep the addresses of lost hosts from the fleets of other tests

Hosts of tests that lose them freed their addresses at the test's end, while others of their fleet still sent there, and a gateway of the next test took them for its own. Such an address now stays bound until the process ends; this was so only within one test.

--- a/crates/gateway/tests/gateway/stream_builds.rs
+++ b/crates/gateway/tests/gateway/stream_builds.rs
@@ -1,6 +1,5 @@
 //! Streams go on at the build that began them, within one response and over a caller's tries.
 
-use std::net::UdpSocket;
 use std::ops::RangeBounds;
 use std::time::Duration;
 
@@ -29,9 +28,6 @@
     pub(crate) hosts: Vec<TestGateway>,
     pub(crate) endpoints: Vec<(&'static str, ScriptedEndpoint)>,
     script: Script,
-    /// Sockets at the addresses of lost hosts, which other tests would use again: the two
-    /// fleets would become one.
-    lost: Vec<UdpSocket>,
 }
 
 impl BuildFleet {
@@ -62,7 +58,6 @@
             hosts: Vec::new(),
             endpoints: Vec::new(),
             script: Script::default(),
-            lost: Vec::new(),
         };
         for build in builds {
             fleet.add_endpoints(build, build).await;
@@ -100,23 +95,7 @@
 
     /// Loses hosts, as by SIGKILL.
     pub(crate) fn lose_hosts(&mut self, hosts: impl RangeBounds<usize>) {
-        const MAX_BINDS: usize = 250;
-        const BIND_PAUSE: Duration = Duration::from_millis(2);
-        for host in self.hosts.drain(hosts) {
-            let address = host.peer_address();
-            drop(host);
-            // Its runtime closes the socket in the background.
-            let mut socket = UdpSocket::bind(address);
-            for _ in 0..MAX_BINDS {
-                if socket.is_ok() {
-                    break;
-                }
-                std::thread::sleep(BIND_PAUSE);
-                socket = UdpSocket::bind(address);
-            }
-            self.lost
-                .push(socket.expect("the address of the lost host"));
-        }
+        self.hosts.drain(hosts);
     }
 
     fn list(&self, endpoint: &ScriptedEndpoint, build: &str) {
--- a/crates/gateway/tests/gateway/support/fleet.rs
+++ b/crates/gateway/tests/gateway/support/fleet.rs
@@ -103,13 +103,28 @@
 }
 
 /// The runtime of a gateway that ends with it.
-pub(super) struct OwnRuntime(Option<Runtime>);
+pub(super) struct OwnRuntime {
+    runtime: Option<Runtime>,
+    peer_address: SocketAddr,
+}
 
 impl Drop for OwnRuntime {
+    /// Keeps the address for peers until the process ends: others still send there, which a
+    /// host of another test would take for its own fleet.
     fn drop(&mut self) {
-        if let Some(runtime) = self.0.take() {
+        const MAX_BINDS: usize = 250;
+        const BIND_PAUSE: Duration = Duration::from_millis(2);
+        if let Some(runtime) = self.runtime.take() {
             runtime.shutdown_background();
         }
+        for _ in 0..MAX_BINDS {
+            // The runtime closes the socket in the background.
+            if let Ok(socket) = std::net::UdpSocket::bind(self.peer_address) {
+                std::mem::forget(socket);
+                return;
+            }
+            std::thread::sleep(BIND_PAUSE);
+        }
     }
 }
 
@@ -151,8 +166,12 @@
         let config = config("zone-a", host, seeds).build();
         let started = runtime.spawn(Self::from_config(config, source));
         let gateway = started.await.expect("the gateway starts");
+        let own = OwnRuntime {
+            runtime: Some(runtime),
+            peer_address: gateway.peer_address(),
+        };
         Self {
-            _runtime: Some(OwnRuntime(Some(runtime))),
+            _runtime: Some(own),
             ..gateway
         }
     }
