--- a/review/standins.rs
+++ b/review/standins.rs
@@ -769,7 +769,10 @@
         let common = format!("Request-Id: {id}\r\nServer-Signature: {}.{id}\r\n{connection}", self.id);
         if !target.starts_with("/s/") {
             sleep_ms(20);
-            let body = format!("{} of {}", id, self.id);
+            let mut body = format!("{} of {}", id, self.id);
+            if let Some(bytes) = target.strip_prefix("/o/bytes/").and_then(|bytes| bytes.parse().ok()) {
+                body.extend(std::iter::repeat_n('.', bytes));
+            }
             let head = format!("HTTP/1.1 200 OK\r\n{common}Content-Length: {}\r\n\r\n", body.len());
             writer.write_all((head + &body).as_bytes())?;
             return Ok(!is_leaving);
@@ -969,6 +972,8 @@
     /// Whether the answer is whole.
     pub is_whole: bool,
     pub events: Vec<u64>,
+    /// Bytes read of a body with a length.
+    pub bytes: usize,
     pub body: String,
 }
 
@@ -982,6 +987,54 @@
     pub extra: &'a str,
 }
 
+/// Connects as over an ordinary link: with segments of 1,460 bytes and a receive buffer of 64 KB.
+/// The system's own defaults for loopback hide that a client is slow behind megabytes of buffers.
+fn connect_over_link(to: SocketAddr) -> io::Result<TcpStream> {
+    use std::os::fd::FromRawFd;
+    #[repr(C)]
+    struct Address {
+        family: u16,
+        port: [u8; 2],
+        ip: [u8; 4],
+        zero: [u8; 8],
+    }
+    unsafe extern "C" {
+        fn socket(domain: i32, kind: i32, protocol: i32) -> i32;
+        fn setsockopt(socket: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
+        fn connect(socket: i32, address: *const Address, length: u32) -> i32;
+    }
+    const AF_INET: u16 = 2;
+    const SOCK_STREAM: i32 = 1;
+    const OPTIONS: [(i32, i32, i32); 2] = [(1, 8, 64 * 1024), (6, 2, 1_460)];
+    let SocketAddr::V4(to) = to else {
+        return Err(io::ErrorKind::Unsupported.into());
+    };
+    let address = Address {
+        family: AF_INET,
+        port: to.port().to_be_bytes(),
+        ip: to.ip().octets(),
+        zero: [0; 8],
+    };
+    // SAFETY: the calls get an open socket and values that live through them; the stream owns the
+    // socket from then on.
+    unsafe {
+        let fd = socket(i32::from(AF_INET), SOCK_STREAM, 0);
+        if fd < 0 {
+            return Err(io::Error::last_os_error());
+        }
+        let stream = TcpStream::from_raw_fd(fd);
+        for (level, name, value) in OPTIONS {
+            if setsockopt(fd, level, name, &value, 4) != 0 {
+                return Err(io::Error::last_os_error());
+            }
+        }
+        if connect(fd, &address, 16) != 0 {
+            return Err(io::Error::last_os_error());
+        }
+        Ok(stream)
+    }
+}
+
 static NEXT_REQUEST: AtomicU64 = AtomicU64::new(1);
 
 pub fn next_id() -> String {
@@ -990,6 +1043,16 @@
 
 /// Sends a request over a new connection and reads its answer to the end.
 pub fn send(record: &Record, front: SocketAddr, request: &Request<'_>) -> Ended {
+    send_and_read(record, front, request, None)
+}
+
+/// The same; `bytes_per_s` is how fast the client reads.
+pub fn send_and_read(
+    record: &Record,
+    front: SocketAddr,
+    request: &Request<'_>,
+    bytes_per_s: Option<usize>,
+) -> Ended {
     let id = next_id();
     let mut ended = Ended {
         sent_ms: record.now_ms(),
@@ -1000,27 +1063,38 @@
         signature: None,
         is_whole: false,
         events: Vec::new(),
+        bytes: 0,
         body: String::new(),
     };
-    let result = exchange(front, request, &id, &mut ended);
+    let result = exchange(front, request, &id, bytes_per_s, &mut ended);
     ended.is_whole = result.is_ok() && ended.status != 0;
     ended.ended_ms = record.now_ms();
     let Request { method, path, .. } = request;
     record.line(format!(
-        "client sent {method} {path} {id} to host {} at {} ms: status {}, signed by {}, {}, {} events",
+        "client sent {method} {path} {id} to host {} at {} ms: status {}, signed by {}, {}, {} events, {} bytes",
         ended.host,
         ended.sent_ms,
         ended.status,
         ended.signature.as_deref().unwrap_or("nobody"),
         if ended.is_whole { "whole" } else { "cut" },
-        ended.events.len()
+        ended.events.len(),
+        ended.bytes
     ));
     ended
 }
 
-fn exchange(front: SocketAddr, request: &Request<'_>, id: &str, ended: &mut Ended) -> io::Result<()> {
+fn exchange(
+    front: SocketAddr,
+    request: &Request<'_>,
+    id: &str,
+    bytes_per_s: Option<usize>,
+    ended: &mut Ended,
+) -> io::Result<()> {
     let deadline = Duration::from_millis(request.deadline_ms);
-    let mut stream = TcpStream::connect_timeout(&front, Duration::from_secs(1))?;
+    let mut stream = match bytes_per_s {
+        Some(_) => connect_over_link(front)?,
+        None => TcpStream::connect_timeout(&front, Duration::from_secs(1))?,
+    };
     stream.set_nodelay(true)?;
     stream.set_read_timeout(Some(deadline))?;
     let Request { method, path, host, key, deadline_ms, body, extra } = request;
@@ -1047,8 +1121,21 @@
             body.extend_from_slice(&chunk);
         }
     } else if let Some(length) = head.header("content-length") {
-        body = vec![0; length.parse().map_err(|_| io::ErrorKind::InvalidData)?];
-        reader.read_exact(&mut body)?;
+        let length: usize = length.parse().map_err(|_| io::ErrorKind::InvalidData)?;
+        let began = Instant::now();
+        while body.len() < length {
+            let mut piece = vec![0; (length - body.len()).min(32 * 1024)];
+            let read = reader.read(&mut piece)?;
+            if read == 0 {
+                return Err(io::ErrorKind::UnexpectedEof.into());
+            }
+            body.extend_from_slice(&piece[..read]);
+            ended.bytes = body.len();
+            if let Some(bytes_per_s) = bytes_per_s {
+                let due = Duration::from_secs_f64(body.len() as f64 / bytes_per_s as f64);
+                std::thread::sleep(due.saturating_sub(began.elapsed()));
+            }
+        }
     } else {
         reader.read_to_end(&mut body)?;
     }
