Show how long a topic of the store has not been answered

Adds the gauge store_answer_age_ms and the counter store_stale_polls_total by topic, and a line lost-poll when a poll beside a long poll brings changes. Decisions are the same.

--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -311,6 +311,13 @@
     /// The store recovered from a long outage. Endpoints with lapsed entries are kept
     /// for `keeps_lapsed_ms`.
     StoreIsBack { away_ms: u64, keeps_lapsed_ms: u64 },
+    /// A poll beside a long poll brought changes that the long poll had not, so that its answer
+    /// was lost or is late. The store had answered no host on the topic for `age_ms`.
+    LostPoll {
+        topic: &'a str,
+        age_ms: u64,
+        rows: usize,
+    },
     /// The TCP port that the system assigned is taken for UDP; another one is tried.
     PortTaken { address: SocketAddr },
     /// The store was restored from a backup: later writes are lost and versions are
--- a/crates/gateway/src/follow/calls.rs
+++ b/crates/gateway/src/follow/calls.rs
@@ -9,6 +9,7 @@
 
 use crate::arrival::{IdleLimits, ReceivedBytes, while_arriving};
 use crate::clock::ms;
+use crate::event_log::Event;
 use crate::follow::confirm_list;
 use crate::metrics::StoreBytes;
 use crate::shared::Shared;
@@ -47,8 +48,17 @@
             record_answer(shared, topic);
             continue;
         }
+        let age = shared.subscription.topic_age(topic);
+        shared
+            .metrics
+            .count("store_stale_polls_total", topic.label(), 1);
         let update = poll(shared, source, topic, since, &Hedging::initial(timings)).await?;
         if !update.rows.is_empty() {
+            shared.event_log.emit(&Event::LostPoll {
+                topic: topic.name(),
+                age_ms: age.as_millis() as u64,
+                rows: update.rows.len(),
+            });
             return Ok(update);
         }
         record_answer(shared, topic);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -63,6 +63,7 @@
 mod skipped_rows;
 mod source;
 mod status;
+mod store_answers;
 mod stream_origins;
 mod stream_records;
 mod subscription;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -11,6 +11,7 @@
 
 use crate::arrival::ReceivedBytes;
 use crate::shared::Shared;
+use crate::source::Topic;
 
 const CONTROL_BYTES: &str = "control_bytes_total";
 
@@ -191,6 +192,10 @@
     metrics.gauge("fleet_requests", "", f64::from(fleet.load.total()));
     let is_subscriber = shared.subscription.is_subscriber();
     metrics.gauge("reads_platform", "", f64::from(u8::from(is_subscriber)));
+    for topic in [Topic::Rules, Topic::Endpoints] {
+        let age_ms = shared.subscription.topic_age(topic).as_millis() as f64;
+        metrics.gauge("store_answer_age_ms", topic.label(), age_ms);
+    }
     let free = shared.connection_permits.available_permits();
     metrics.gauge("caller_places_free", "", free as f64);
     let bodies = shared.bodies.held_bytes();
--- a/crates/gateway/src/peers/publish.rs
+++ b/crates/gateway/src/peers/publish.rs
@@ -18,7 +18,7 @@
 use crate::peers::rollouts::rollout_datagrams;
 use crate::peers::round::{GossipRound, RoundInput};
 use crate::shared::Shared;
-use crate::subscription::AnsweredHost;
+use crate::store_answers::AnsweredHost;
 
 const ROUND_INTERVAL: Duration = Duration::from_millis(REPORT_INTERVAL_MS);
 /// Interval while many endpoints are closed: the open ones then receive more requests
--- a/crates/gateway/src/peers/receive.rs
+++ b/crates/gateway/src/peers/receive.rs
@@ -21,8 +21,8 @@
 use crate::peers::rollouts::{merge_plans, merge_rollout_update, merge_tally};
 use crate::pool_queue::Inbound;
 use crate::shared::Shared;
+use crate::store_answers::{AnswerScope, AnsweredHost};
 use crate::stream_records::reply_by_store;
-use crate::subscription::AnsweredHost;
 
 const MAX_DATAGRAM_BYTES: usize = 60 * 1024;
 const RECEIVE_RETRY_DELAY: Duration = Duration::from_millis(200);
@@ -231,7 +231,7 @@
 
 /// Merges a report of the store's last answer.
 fn merge_answer(shared: &Shared, host: AnsweredHost, ago_ms: Option<u32>) {
-    let gap = shared.record_any_store_answer(host, ago_ms);
+    let gap = shared.record_any_store_answer(AnswerScope::SomeTopic, host, ago_ms);
     if shared
         .subscription
         .should_relay_answer(gap, &shared.config.follow)
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -32,9 +32,10 @@
 use crate::room_wait::RoomLines;
 use crate::skipped_rows::SkippedRows;
 use crate::source::Topic;
+use crate::store_answers::{AnswerScope, AnsweredHost};
 use crate::stream_origins::StreamOriginTable;
 use crate::stream_records::StreamRecords;
-use crate::subscription::{AnsweredHost, StoreSubscription};
+use crate::subscription::StoreSubscription;
 use crate::suspension::SuspensionMonitor;
 use crate::termination_checks::TerminationChecks;
 
@@ -299,7 +300,7 @@
     /// Records that the store answered this host.
     pub(crate) fn record_store_answer(&self, topic: Topic) {
         self.subscription.record_answer(topic);
-        self.record_any_store_answer(AnsweredHost::Local, Some(0));
+        self.record_any_store_answer(AnswerScope::Topic(topic), AnsweredHost::Local, Some(0));
     }
 
     /// Records that the store answered a host `ago_ms` ago and returns the time since the
@@ -310,11 +311,12 @@
     /// as unavailability and keep endpoints that are gone.
     pub(crate) fn record_any_store_answer(
         &self,
+        scope: AnswerScope,
         host: AnsweredHost,
         ago_ms: Option<u32>,
     ) -> Duration {
         self.detect_suspension();
-        let gap = self.subscription.record_peer_answer(host, ago_ms);
+        let gap = self.subscription.record_peer_answer(scope, host, ago_ms);
         let timings = &self.config.follow;
         if gap < ms(timings.bound_ms) {
             return gap;
--- a/crates/gateway/src/skipped_rows.rs
+++ b/crates/gateway/src/skipped_rows.rs
@@ -33,10 +33,7 @@
             return;
         }
         self.event_log.emit(&Event::RowPassedOver {
-            topic: match topic {
-                Topic::Rules => "rules",
-                Topic::Endpoints => "endpoints",
-            },
+            topic: topic.name(),
             key: &row.key,
             version: row.version,
             field: &row.field,
--- a/crates/gateway/src/source.rs
+++ b/crates/gateway/src/source.rs
@@ -21,6 +21,24 @@
     Endpoints,
 }
 
+impl Topic {
+    /// Its name in log lines.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Self::Rules => "rules",
+            Self::Endpoints => "endpoints",
+        }
+    }
+
+    /// Its label in metrics.
+    pub(crate) fn label(self) -> &'static str {
+        match self {
+            Self::Rules => "topic=\"rules\"",
+            Self::Endpoints => "topic=\"endpoints\"",
+        }
+    }
+}
+
 /// A host's own record in the store.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HostRow {
--- a/crates/gateway/src/subscription.rs
+++ b/crates/gateway/src/subscription.rs
@@ -14,6 +14,7 @@
 
 use crate::clock::ms;
 use crate::source::Topic;
+use crate::store_answers::{AnswerScope, AnsweredHost, StoreAnswers};
 
 #[derive(Debug, Default)]
 struct TopicState {
@@ -54,42 +55,6 @@
     }
 }
 
-/// The host that the store answered.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum AnsweredHost {
-    Local,
-    /// A host that reported it directly.
-    SameZone,
-    /// A host of another zone, as reported by relays.
-    RemoteZone,
-}
-
-/// When the store last answered, by host.
-#[derive(Clone, Copy, Debug)]
-struct AnsweredAt {
-    local: Option<Instant>,
-    same_zone: Option<Instant>,
-    remote_zone: Option<Instant>,
-    started: Instant,
-}
-
-impl AnsweredAt {
-    fn instant_mut(&mut self, host: AnsweredHost) -> &mut Option<Instant> {
-        match host {
-            AnsweredHost::Local => &mut self.local,
-            AnsweredHost::SameZone => &mut self.same_zone,
-            AnsweredHost::RemoteZone => &mut self.remote_zone,
-        }
-    }
-
-    /// The latest answer to any host, or else this host's start.
-    fn latest(&self) -> Instant {
-        let all = [self.local, self.same_zone, self.remote_zone];
-        let newest = all.into_iter().flatten().max();
-        newest.unwrap_or(self.started)
-    }
-}
-
 /// Why a topic is read now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum ReadReason {
@@ -110,7 +75,7 @@
     is_preferred: watch::Sender<bool>,
     /// Whether the configured seeds were queried for their full state.
     are_seeds_queried: watch::Sender<bool>,
-    answered_at: watch::Sender<AnsweredAt>,
+    answers: watch::Sender<StoreAnswers>,
     suspensions: Mutex<Suspensions>,
     /// Incremented when this host polls because its view is stale.
     stale_polls: watch::Sender<u64>,
@@ -127,17 +92,11 @@
 impl Default for StoreSubscription {
     /// A host is a subscriber until it knows of others.
     fn default() -> Self {
-        let answered_at = AnsweredAt {
-            local: None,
-            same_zone: None,
-            remote_zone: None,
-            started: Instant::now(),
-        };
         Self {
             is_subscriber: watch::channel(true).0,
             is_preferred: watch::channel(false).0,
             are_seeds_queried: watch::channel(false).0,
-            answered_at: watch::channel(answered_at).0,
+            answers: watch::channel(StoreAnswers::new(Instant::now())).0,
             suspensions: Mutex::default(),
             stale_polls: watch::channel(0).0,
             subscriber_count: AtomicUsize::new(0),
@@ -254,40 +213,36 @@
     }
 
     fn age(&self, by: Duration) {
-        self.answered_at.send_modify(|at| {
-            for answered_at in [&mut at.local, &mut at.same_zone, &mut at.remote_zone] {
-                *answered_at = answered_at.and_then(|at| at.checked_sub(by));
-            }
-        });
+        self.answers.send_modify(|answers| answers.age(by));
     }
 
-    /// Time since the store last answered, as reported to peers; `SameZone` includes this host.
+    /// Time since the store last answered on either topic, as reported to peers; `SameZone`
+    /// includes this host.
     pub(crate) fn answered_ago_ms(&self, host: AnsweredHost) -> Option<u32> {
-        let answered_at = *self.answered_at.borrow();
-        let at = match host {
-            AnsweredHost::Local => answered_at.local,
-            AnsweredHost::SameZone => answered_at.local.max(answered_at.same_zone),
-            AnsweredHost::RemoteZone => answered_at.remote_zone,
-        };
-        u32::try_from(at?.elapsed().as_millis()).ok()
+        self.answers.borrow().age_ms(host)
+    }
+
+    /// Time since the store last answered any host on a topic, or since this host's start.
+    pub(crate) fn topic_age(&self, topic: Topic) -> Duration {
+        let latest = self.answers.borrow().latest(AnswerScope::Topic(topic));
+        latest.elapsed()
     }
 
     /// Records an answer `ago_ms` ago. Returns the gap since the previous answer to any
     /// host, excluding this host's suspensions; zero if the answer is not newer.
-    pub(crate) fn record_peer_answer(&self, host: AnsweredHost, ago_ms: Option<u32>) -> Duration {
+    pub(crate) fn record_peer_answer(
+        &self,
+        scope: AnswerScope,
+        host: AnsweredHost,
+        ago_ms: Option<u32>,
+    ) -> Duration {
         let ago = ago_ms.map(|ago_ms| ms(u64::from(ago_ms)));
         let Some(at) = ago.and_then(|ago| Instant::now().checked_sub(ago)) else {
             return Duration::ZERO;
         };
-        let before = self.answered_at.borrow().latest();
-        self.answered_at.send_if_modified(|answered_at| {
-            let known = answered_at.instant_mut(host);
-            let is_newer = known.is_none_or(|known| at > known);
-            if is_newer {
-                *known = Some(at);
-            }
-            is_newer
-        });
+        let before = self.answers.borrow().latest(AnswerScope::SomeTopic);
+        self.answers
+            .send_if_modified(|answers| answers.record(scope, host, at));
         let suspended = self.suspensions().overlap(before, at);
         at.saturating_duration_since(before)
             .saturating_sub(suspended)
@@ -306,14 +261,14 @@
 
     /// Whether the store answered any host after an instant.
     pub(crate) fn answered_since(&self, since: Instant) -> bool {
-        self.answered_at.borrow().latest() > since
+        self.answers.borrow().latest(AnswerScope::SomeTopic) > since
     }
 
     /// Waits until the store has answered any host after an instant.
     pub(crate) async fn wait_answered_after(&self, since: Instant) {
-        let mut answered_at = self.answered_at.subscribe();
-        let is_newer = |answered_at: &AnsweredAt| answered_at.latest() > since;
-        let _never_closed = answered_at.wait_for(is_newer).await;
+        let mut answers = self.answers.subscribe();
+        let is_newer = |answers: &StoreAnswers| answers.latest(AnswerScope::SomeTopic) > since;
+        let _never_closed = answers.wait_for(is_newer).await;
     }
 
     /// Sets the number of subscribers, the number of known hosts and whether this host is a
@@ -364,7 +319,7 @@
         let mut drawn_at = None;
         let mut stale_polls = self.stale_polls.subscribe();
         loop {
-            let stale_at = self.answered_at.borrow().latest() + staleness_timeout;
+            let stale_at = self.answers.borrow().latest(AnswerScope::SomeTopic) + staleness_timeout;
             let due_at = stale_at.max(drawn_at.map_or(stale_at, |at| at + redraw_interval));
             if Instant::now() >= due_at {
                 if self.polls_while_stale() {
