Poll a topic of the store that was not answered, whatever the other answers

Cause: whether a long poll is lost was judged by the store's latest answer to any host on any topic. While one topic is answered more often than each 0.9 s, no host polls the other one, and a long poll that a silence has lost is waited for up to 11 s. The same answers confirmed the age of the list of endpoints, by which hosts claim which builds a pool had.

Fix: hosts keep, report and judge the store's answers by topic. A topic that no host was answered on for the staleness timeout is polled, so that the age of each view is bounded by construction; an answer on the other topic wakes repeats but proves nothing. Topics that are quiet together are still polled together. A host's list is confirmed by its own answers on the list, and by another host's list only as of when that was the store's and if this host has all of it. The ages are the last fields of three datagrams, which builds before this one leave undecoded; reports without them confirm nothing.

The stand-in of the store ended long polls at changes of other topics, which hid the fault; it now waits for its own topic.

--- a/crates/gateway/src/follow/calls.rs
+++ b/crates/gateway/src/follow/calls.rs
@@ -20,7 +20,7 @@
 /// Time after a long poll's end in which its answer may still arrive.
 const ANSWER_GRACE: Duration = Duration::from_millis(1_000);
 
-/// Waits for changes, with polls beside it while the view is stale.
+/// Waits for changes, with polls beside it while the view of the topic is stale.
 pub(super) async fn long_poll<S: Source>(
     shared: &Shared,
     source: &S,
@@ -41,7 +41,7 @@
         let seen = arrival.bytes();
         tokio::select! {
             answer = &mut waiting => return answer.unwrap_or_else(|| Err(no_answer())),
-            () = shared.subscription.wait_until_stale(timings) => {}
+            () = shared.subscription.wait_until_stale(topic, timings) => {}
         }
         if arrival.bytes() > seen {
             // The answer is arriving: a poll would fetch the same again.
@@ -62,7 +62,7 @@
             return Ok(update);
         }
         record_answer(shared, topic);
-        confirm_list(shared);
+        confirm_list(shared, topic);
     }
 }
 
--- a/crates/gateway/src/follow/failures.rs
+++ b/crates/gateway/src/follow/failures.rs
@@ -10,6 +10,7 @@
 use crate::outage_log::OutageLog;
 use crate::shared::Shared;
 use crate::source::{SourceError, Topic};
+use crate::store_answers::AnswerScope;
 
 /// The first retry pause; later ones double.
 const FIRST_PAUSE_MS: u64 = 100;
@@ -72,7 +73,8 @@
     pub(super) async fn pause(&mut self, shared: &Shared, error: &SourceError, began_at: Instant) {
         self.outage.failed(shared, error);
         let subscription = &shared.subscription;
-        let are_others_answered = subscription.answered_since(began_at);
+        let are_others_answered =
+            subscription.answered_since(AnswerScope::Topic(self.topic), began_at);
         let max_pause_ms = if are_others_answered {
             MAX_REJECTED_PAUSE_MS
         } else if began_at.elapsed() >= ms(self.timings.max_retry_pause_ms) {
--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -5,8 +5,8 @@
 //! hosts first, and reads nothing until it is a subscriber if they supply a view.
 //!
 //! A long poll lost in an outage of the store looks like one without changes. So while the
-//! view is stale, short polls run beside the long poll, and after a failure short polls
-//! run until the store answers.
+//! view of a topic is stale, short polls run beside its long poll, and after a failure short
+//! polls run until the store answers.
 
 mod calls;
 mod failures;
@@ -169,7 +169,7 @@
         let next = Step::LongPoll(update.version, self.wait_ms);
         self.wait_ms = LONG_POLL_MS;
         apply_update(shared, self.topic, update, matches!(step, Step::ReadWhole));
-        confirm_list(shared);
+        confirm_list(shared, self.topic);
         let timings = &shared.config.follow;
         let batch_window = if self.is_first {
             FIRST_ANSWER_PAUSE
@@ -198,10 +198,10 @@
     }
 }
 
-/// Records an answer of the store. A wait for changes of the list that is lost ends before
-/// the list is too old, since polls run beside it once no topic is answered.
-fn confirm_list(shared: &Shared) {
-    if shared.subscription.is_answered(Topic::Endpoints) {
+/// Records an answer of the store that leaves the list complete. An answer on the rules says
+/// nothing of the list.
+fn confirm_list(shared: &Shared, topic: Topic) {
+    if topic == Topic::Endpoints {
         shared.confirm_list(0);
     }
 }
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -7,12 +7,13 @@
     PoisonRequest, PoisonUpdate, RulesVersion, SlotAsk, SlotReply, StoreVersion, StoredBuilds,
     SubscriptionRole, WorkReport, ZoneAggregate,
 };
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize};
 
 use crate::fair_share::PoolUsage;
 use crate::metrics::ControlKind;
 use crate::peers::reachability::{ReachAsk, ReachReply};
 use crate::peers::rollouts::{RolloutPlans, RolloutTally, RolloutUpdate};
+use crate::store_answers::AnswerAges;
 use crate::stream_origins::{StreamAsk, StreamRecord, StreamReply};
 
 /// A datagram. Hosts of other builds decode it: existing variants and fields keep their
@@ -138,6 +139,9 @@
     pub(crate) knowledge: StateDigest,
     /// Some of the zone's hosts; successive summaries cover all.
     pub(crate) members: Vec<ZoneMember>,
+    pub(crate) view: Appended<ViewAges>,
+    /// Times since the store last answered a host of a remote zone.
+    pub(crate) far_answers: Appended<AnswerAges>,
 }
 
 /// A host that reports to a relay.
@@ -202,6 +206,9 @@
     pub(crate) knowledge: StateDigest,
     /// A sample of the hosts that are up.
     pub(crate) hosts: Vec<HostContact>,
+    pub(crate) view: Appended<ViewAges>,
+    /// Times since the store last answered a host of a remote zone, from a relay.
+    pub(crate) far_answers: Appended<AnswerAges>,
 }
 
 /// State that a relay reports to other zones.
@@ -211,4 +218,26 @@
     /// Time since the store last answered a host of the zone.
     pub(crate) answered_ago_ms: Option<u32>,
     pub(crate) knowledge: StateDigest,
+    pub(crate) view: Appended<ViewAges>,
+}
+
+/// How old a host's view is, beside the versions in its [`StateDigest`].
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct ViewAges {
+    /// Times since the store last answered the sender or, from a relay, a host that reports to
+    /// it.
+    pub(crate) answers: AnswerAges,
+    /// Time since the sender's list of endpoints was the store's.
+    pub(crate) list_ago_ms: Option<u32>,
+}
+
+/// Fields that earlier builds neither send nor decode. They are the last ones of a datagram:
+/// an earlier build leaves them undecoded, and their absence decodes as the default.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub(crate) struct Appended<T>(pub(crate) T);
+
+impl<'de, T: Default + Deserialize<'de>> Deserialize<'de> for Appended<T> {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        Ok(Self(T::deserialize(deserializer).unwrap_or_default()))
+    }
 }
--- a/crates/gateway/src/peers/publish.rs
+++ b/crates/gateway/src/peers/publish.rs
@@ -13,7 +13,7 @@
 use crate::metrics::Direction;
 use crate::peers::membership::{PeerChange, PeerTable, host_hash};
 use crate::peers::message::{
-    CacheEntries, Datagram, Heartbeat, RelaySummary, StateDigest, ZoneSummary,
+    Appended, CacheEntries, Datagram, Heartbeat, RelaySummary, StateDigest, ViewAges, ZoneSummary,
 };
 use crate::peers::rollouts::rollout_datagrams;
 use crate::peers::round::{GossipRound, RoundInput};
@@ -266,6 +266,17 @@
     };
     let poison_updates = fleet.poison.take_updates(POISON_UPDATES_PER_ROUND, now_ms);
     let answered_ago_ms = |host| shared.subscription.answered_ago_ms(host);
+    let list_age_ms = fleet.build_history.list_age_ms(now_ms);
+    let list_ago_ms = list_age_ms.and_then(|age_ms| u32::try_from(age_ms).ok());
+    let view = |host| {
+        let answers = shared.subscription.answer_ages(host);
+        Appended(ViewAges {
+            answers,
+            list_ago_ms,
+        })
+    };
+    let far_answers = shared.subscription.answer_ages(AnsweredHost::RemoteZone);
+    let far_answers = Appended(far_answers);
     let reading = shared.subscription.role();
     let heartbeat = Heartbeat {
         zone: peers.zone,
@@ -276,6 +287,12 @@
         report: fleet.load.report(peers.incarnation, sequence),
         knowledge: knowledge.clone(),
         hosts: round.contacts.clone(),
+        view: view(AnsweredHost::Local),
+        far_answers: if round.is_relay {
+            far_answers
+        } else {
+            Appended::default()
+        },
     };
     let pending = fleet
         .prefixes
@@ -337,6 +354,7 @@
                 sum,
                 answered_ago_ms: answered_ago_ms(AnsweredHost::SameZone),
                 knowledge: knowledge.clone(),
+                view: view(AnsweredHost::SameZone),
             })
         }));
         datagrams.to_relays.extend(cache_entries(
@@ -354,6 +372,8 @@
             far_answered_ago_ms: answered_ago_ms(AnsweredHost::RemoteZone),
             knowledge,
             members: round.zone_members.clone(),
+            view: view(AnsweredHost::SameZone),
+            far_answers,
         }));
         datagrams.to_zone.extend(local_entries());
         datagrams.to_zone.extend(relayed());
--- a/crates/gateway/src/peers/receive.rs
+++ b/crates/gateway/src/peers/receive.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use chalkrock_routing::{AggregatePath, MergeOutcome, ReportId, SubscriptionRole, ZoneAggregate};
+use chalkrock_routing::{AggregatePath, MergeOutcome, ReportId, ZoneAggregate};
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 
@@ -14,14 +14,15 @@
 use crate::peers::list_check::compare_list;
 use crate::peers::membership::PeerTable;
 use crate::peers::message::{
-    CacheEntries, Datagram, Heartbeat, RelaySummary, StateDigest, ZoneSummary,
+    CacheEntries, Datagram, Heartbeat, RelaySummary, StateDigest, ViewAges, ZoneSummary,
 };
 use crate::peers::publish::log_peer_change;
 use crate::peers::reachability::{merge_reply, reply_to_ask};
 use crate::peers::rollouts::{merge_plans, merge_rollout_update, merge_tally};
 use crate::pool_queue::Inbound;
 use crate::shared::Shared;
-use crate::store_answers::{AnswerScope, AnsweredHost};
+use crate::source::Topic;
+use crate::store_answers::{AnswerAges, AnswerScope, AnsweredHost};
 use crate::stream_records::reply_by_store;
 
 const MAX_DATAGRAM_BYTES: usize = 60 * 1024;
@@ -132,16 +133,23 @@
     if !peers.aggregates() {
         // Relays receive these reports directly; taking them from each other would keep
         // outdated ones alive.
-        merge_answer(shared, AnsweredHost::SameZone, summary.answered_ago_ms);
-        merge_answer(
+        let answers = &summary.view.0.answers;
+        merge_answers(
+            shared,
+            AnsweredHost::SameZone,
+            summary.answered_ago_ms,
+            answers,
+        );
+        let far_answers = &summary.far_answers.0;
+        merge_answers(
             shared,
             AnsweredHost::RemoteZone,
             summary.far_answered_ago_ms,
+            far_answers,
         );
     }
     merge_digest(shared, peers, relay, summary.zone, &summary.knowledge);
-    let confirmed_ago_ms = summary.answered_ago_ms;
-    confirm_list(shared, &summary.knowledge, confirmed_ago_ms);
+    confirm_list(shared, &summary.knowledge, &summary.view.0);
 }
 
 /// Merges a fleet aggregate from a relay of this zone; `remaining` encodes the ID of this host's
@@ -177,11 +185,18 @@
         .iter()
         .map(|host| (host.address, Some(host.zone)));
     peers.add(named);
-    merge_answer(shared, AnsweredHost::SameZone, heartbeat.answered_ago_ms);
-    merge_answer(
+    let answers = &heartbeat.view.0.answers;
+    merge_answers(
+        shared,
+        AnsweredHost::SameZone,
+        heartbeat.answered_ago_ms,
+        answers,
+    );
+    merge_answers(
         shared,
         AnsweredHost::RemoteZone,
         heartbeat.far_answered_ago_ms,
+        &heartbeat.far_answers.0,
     );
     let now_ms = shared.clock.now_ms();
     let mut fleet = shared.fleet();
@@ -192,10 +207,7 @@
     }
     drop(fleet);
     merge_digest(shared, peers, address, heartbeat.zone, &heartbeat.knowledge);
-    // A host that the store answers on one topic alone may have an old list.
-    let is_answered = heartbeat.reading == SubscriptionRole::Answered;
-    let confirmed_ago_ms = heartbeat.answered_ago_ms.filter(|_| is_answered);
-    confirm_list(shared, &heartbeat.knowledge, confirmed_ago_ms);
+    confirm_list(shared, &heartbeat.knowledge, &heartbeat.view.0);
 }
 
 fn merge_zone_summary(
@@ -209,7 +221,12 @@
         return;
     }
     peers.record_zone_relay(address, zone);
-    merge_answer(shared, AnsweredHost::RemoteZone, summary.answered_ago_ms);
+    merge_answers(
+        shared,
+        AnsweredHost::RemoteZone,
+        summary.answered_ago_ms,
+        &summary.view.0.answers,
+    );
     let now_ms = shared.clock.now_ms();
     let mut fleet = shared.fleet();
     let sum: ZoneAggregate = summary.sum;
@@ -218,20 +235,28 @@
         .merge_zone_aggregate(address, sum, AggregatePath::Direct, now_ms);
     drop(fleet);
     merge_digest(shared, peers, address, zone, &summary.knowledge);
-    confirm_list(shared, &summary.knowledge, summary.answered_ago_ms);
+    confirm_list(shared, &summary.knowledge, &summary.view.0);
 }
 
-/// Confirms this host's list if it has all that another host knew when the store answered.
-fn confirm_list(shared: &Shared, digest: &StateDigest, answered_ago_ms: Option<u32>) {
+/// Confirms this host's list if it has all of another host's, as of when that was the store's.
+/// Without that age, as from an earlier build, a report proves nothing of the list.
+fn confirm_list(shared: &Shared, digest: &StateDigest, view: &ViewAges) {
     let has_all = digest.endpoints <= shared.fleet().endpoints_version;
-    if let Some(ago_ms) = answered_ago_ms.filter(|_| has_all) {
+    if let Some(ago_ms) = view.list_ago_ms.filter(|_| has_all) {
         shared.confirm_list(u64::from(ago_ms));
     }
 }
 
-/// Merges a report of the store's last answer.
-fn merge_answer(shared: &Shared, host: AnsweredHost, ago_ms: Option<u32>) {
-    let gap = shared.record_any_store_answer(AnswerScope::SomeTopic, host, ago_ms);
+/// Merges a report of the store's last answers, on either topic and on each.
+fn merge_answers(shared: &Shared, host: AnsweredHost, ago_ms: Option<u32>, by_topic: &AnswerAges) {
+    let mut gap = shared.record_any_store_answer(host, ago_ms);
+    for topic in [Topic::Rules, Topic::Endpoints] {
+        let scope = AnswerScope::Topic(topic);
+        let topic_gap = shared
+            .subscription
+            .record_peer_answer(scope, host, by_topic.of(topic));
+        gap = gap.max(topic_gap);
+    }
     if shared
         .subscription
         .should_relay_answer(gap, &shared.config.follow)
--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -24,6 +24,7 @@
 use crate::peers::PeerTable;
 use crate::shared::Shared;
 use crate::source::{RolloutWrite, Source};
+use crate::store_answers::AnswerScope;
 
 /// Interval at which a host checks whether a rollout's next stage is due.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -214,7 +215,7 @@
         let bound = ms(self.shared.config.follow.bound_ms);
         let has_store_news = now.checked_sub(bound).is_none_or(|since| {
             let subscription = &self.shared.subscription;
-            subscription.answered_since(since)
+            subscription.answered_since(AnswerScope::AnyTopic, since)
         });
         let now_ms = self.shared.clock.now_ms();
         let heard_hosts = 1 + self.shared.fleet().load.recent_host_count(now_ms);
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -300,22 +300,25 @@
     /// Records that the store answered this host.
     pub(crate) fn record_store_answer(&self, topic: Topic) {
         self.subscription.record_answer(topic);
-        self.record_any_store_answer(AnswerScope::Topic(topic), AnsweredHost::Local, Some(0));
+        self.record_any_store_answer(AnsweredHost::Local, Some(0));
+        let scope = AnswerScope::Topic(topic);
+        self.subscription
+            .record_peer_answer(scope, AnsweredHost::Local, Some(0));
     }
 
-    /// Records that the store answered a host `ago_ms` ago and returns the time since the
-    /// previous answer. If that exceeds the bound, the store was unavailable, and entries
+    /// Records that the store answered a host `ago_ms` ago, on either topic, and returns the
+    /// time since the previous answer. If that exceeds the bound, the store was unavailable, and entries
     /// that lapsed meanwhile are kept for a while.
     ///
     /// Checks for a suspension first: time in which this host received nothing would count
     /// as unavailability and keep endpoints that are gone.
     pub(crate) fn record_any_store_answer(
         &self,
-        scope: AnswerScope,
         host: AnsweredHost,
         ago_ms: Option<u32>,
     ) -> Duration {
         self.detect_suspension();
+        let scope = AnswerScope::AnyTopic;
         let gap = self.subscription.record_peer_answer(scope, host, ago_ms);
         let timings = &self.config.follow;
         if gap < ms(timings.bound_ms) {
--- a/crates/gateway/src/store_answers.rs
+++ b/crates/gateway/src/store_answers.rs
@@ -5,6 +5,7 @@
 
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
 use crate::source::Topic;
@@ -57,12 +58,28 @@
     }
 }
 
-/// What an answer of the store was about.
+/// Times since the latest answers on each topic, as reported to other hosts.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct AnswerAges {
+    pub(crate) rules_ms: Option<u32>,
+    pub(crate) endpoints_ms: Option<u32>,
+}
+
+impl AnswerAges {
+    pub(crate) fn of(&self, topic: Topic) -> Option<u32> {
+        match topic {
+            Topic::Rules => self.rules_ms,
+            Topic::Endpoints => self.endpoints_ms,
+        }
+    }
+}
+
+/// The topics that an answer is evidence for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum AnswerScope {
+    /// The store answers, on whichever topic. This is no evidence for the view of a topic.
+    AnyTopic,
     Topic(Topic),
-    /// A topic that the report does not name.
-    SomeTopic,
 }
 
 /// The latest answers of the store to this host and, as reported, to others.
@@ -70,8 +87,7 @@
 pub(crate) struct StoreAnswers {
     rules: AnsweredAt,
     endpoints: AnsweredAt,
-    /// Answers on either topic.
-    on_any: AnsweredAt,
+    any_topic: AnsweredAt,
     started: Instant,
 }
 
@@ -80,32 +96,22 @@
         Self {
             rules: AnsweredAt::default(),
             endpoints: AnsweredAt::default(),
-            on_any: AnsweredAt::default(),
+            any_topic: AnsweredAt::default(),
             started,
         }
     }
 
-    fn topic(&self, topic: Topic) -> &AnsweredAt {
-        match topic {
-            Topic::Rules => &self.rules,
-            Topic::Endpoints => &self.endpoints,
-        }
-    }
-
     /// Records an answer. Returns whether it is newer than what is known.
     pub(crate) fn record(&mut self, scope: AnswerScope, host: AnsweredHost, at: Instant) -> bool {
-        let of_topic = match scope {
-            AnswerScope::Topic(Topic::Rules) => Some(&mut self.rules),
-            AnswerScope::Topic(Topic::Endpoints) => Some(&mut self.endpoints),
-            AnswerScope::SomeTopic => None,
+        let answered_at = match scope {
+            AnswerScope::AnyTopic => &mut self.any_topic,
+            AnswerScope::Topic(Topic::Rules) => &mut self.rules,
+            AnswerScope::Topic(Topic::Endpoints) => &mut self.endpoints,
         };
-        let mut is_newer = false;
-        for answered_at in of_topic.into_iter().chain([&mut self.on_any]) {
-            let known = answered_at.instant_mut(host);
-            if known.is_none_or(|known| at > known) {
-                *known = Some(at);
-                is_newer = true;
-            }
+        let known = answered_at.instant_mut(host);
+        let is_newer = known.is_none_or(|known| at > known);
+        if is_newer {
+            *known = Some(at);
         }
         is_newer
     }
@@ -113,20 +119,29 @@
     /// The latest answer to any host, or else this host's start.
     pub(crate) fn latest(&self, scope: AnswerScope) -> Instant {
         let answered_at = match scope {
-            AnswerScope::Topic(topic) => self.topic(topic),
-            AnswerScope::SomeTopic => &self.on_any,
+            AnswerScope::AnyTopic => &self.any_topic,
+            AnswerScope::Topic(Topic::Rules) => &self.rules,
+            AnswerScope::Topic(Topic::Endpoints) => &self.endpoints,
         };
         answered_at.latest().unwrap_or(self.started)
     }
 
     /// Time since the latest answer to a host on either topic.
     pub(crate) fn age_ms(&self, host: AnsweredHost) -> Option<u32> {
-        elapsed_ms(self.on_any.latest_to(host))
+        elapsed_ms(self.any_topic.latest_to(host))
+    }
+
+    /// Times since the latest answers to a host on each topic.
+    pub(crate) fn ages(&self, host: AnsweredHost) -> AnswerAges {
+        AnswerAges {
+            rules_ms: elapsed_ms(self.rules.latest_to(host)),
+            endpoints_ms: elapsed_ms(self.endpoints.latest_to(host)),
+        }
     }
 
     /// Shifts all answers back by time that the runtime's clock did not count.
     pub(crate) fn age(&mut self, by: Duration) {
-        for answered_at in [&mut self.rules, &mut self.endpoints, &mut self.on_any] {
+        for answered_at in [&mut self.rules, &mut self.endpoints, &mut self.any_topic] {
             answered_at.age(by);
         }
     }
--- a/crates/gateway/src/subscription.rs
+++ b/crates/gateway/src/subscription.rs
@@ -14,7 +14,7 @@
 
 use crate::clock::ms;
 use crate::source::Topic;
-use crate::store_answers::{AnswerScope, AnsweredHost, StoreAnswers};
+use crate::store_answers::{AnswerAges, AnswerScope, AnsweredHost, StoreAnswers};
 
 #[derive(Debug, Default)]
 struct TopicState {
@@ -62,7 +62,7 @@
     Subscriber,
     /// Peers know more than this host: a full read is needed.
     Reread,
-    /// No host was answered within the staleness timeout.
+    /// No host was answered on the topic within the staleness timeout.
     StaleView,
 }
 
@@ -77,7 +77,7 @@
     are_seeds_queried: watch::Sender<bool>,
     answers: watch::Sender<StoreAnswers>,
     suspensions: Mutex<Suspensions>,
-    /// Incremented when this host polls because its view is stale.
+    /// Incremented when this host polls because its view of a topic is stale.
     stale_polls: watch::Sender<u64>,
     subscriber_count: AtomicUsize,
     host_count: AtomicUsize,
@@ -137,11 +137,6 @@
         let _never_closed = is_preferred.wait_for(|is_preferred| *is_preferred).await;
     }
 
-    /// Whether the last call of a topic was answered.
-    pub(crate) fn is_answered(&self, topic: Topic) -> bool {
-        self.topic(topic).is_answered.load(Ordering::Relaxed)
-    }
-
     /// Records that the configured seeds were queried.
     pub(crate) fn mark_seeds_queried(&self) {
         self.are_seeds_queried.send_replace(true);
@@ -168,7 +163,7 @@
         tokio::select! {
             _never_closed = is_subscriber.wait_for(|is_subscriber| *is_subscriber) => ReadReason::Subscriber,
             () = self.wait_for_reread(topic) => ReadReason::Reread,
-            () = self.wait_until_stale(times) => ReadReason::StaleView,
+            () = self.wait_until_stale(topic, times) => ReadReason::StaleView,
         }
     }
 
@@ -222,14 +217,19 @@
         self.answers.borrow().age_ms(host)
     }
 
+    /// Times since the store last answered on each topic, as reported to peers.
+    pub(crate) fn answer_ages(&self, host: AnsweredHost) -> AnswerAges {
+        self.answers.borrow().ages(host)
+    }
+
     /// Time since the store last answered any host on a topic, or since this host's start.
     pub(crate) fn topic_age(&self, topic: Topic) -> Duration {
         let latest = self.answers.borrow().latest(AnswerScope::Topic(topic));
         latest.elapsed()
     }
 
-    /// Records an answer `ago_ms` ago. Returns the gap since the previous answer to any
-    /// host, excluding this host's suspensions; zero if the answer is not newer.
+    /// Records an answer `ago_ms` ago. Returns the gap since the previous answer to any host
+    /// in its scope, excluding this host's suspensions; zero if the answer is not newer.
     pub(crate) fn record_peer_answer(
         &self,
         scope: AnswerScope,
@@ -240,7 +240,7 @@
         let Some(at) = ago.and_then(|ago| Instant::now().checked_sub(ago)) else {
             return Duration::ZERO;
         };
-        let before = self.answers.borrow().latest(AnswerScope::SomeTopic);
+        let before = self.answers.borrow().latest(scope);
         self.answers
             .send_if_modified(|answers| answers.record(scope, host, at));
         let suspended = self.suspensions().overlap(before, at);
@@ -260,14 +260,15 @@
     }
 
     /// Whether the store answered any host after an instant.
-    pub(crate) fn answered_since(&self, since: Instant) -> bool {
-        self.answers.borrow().latest(AnswerScope::SomeTopic) > since
+    pub(crate) fn answered_since(&self, scope: AnswerScope, since: Instant) -> bool {
+        self.answers.borrow().latest(scope) > since
     }
 
-    /// Waits until the store has answered any host after an instant.
+    /// Waits until the store has answered any host on either topic after an instant. Such an
+    /// answer is a reason to repeat a call, and no evidence for the topic of that call.
     pub(crate) async fn wait_answered_after(&self, since: Instant) {
         let mut answers = self.answers.subscribe();
-        let is_newer = |answers: &StoreAnswers| answers.latest(AnswerScope::SomeTopic) > since;
+        let is_newer = |answers: &StoreAnswers| answers.latest(AnswerScope::AnyTopic) > since;
         let _never_closed = answers.wait_for(is_newer).await;
     }
 
@@ -306,20 +307,26 @@
         self.is_subscriber() || rand::random::<f64>() < stale_poll_fraction(host_count)
     }
 
-    /// Waits until the store has answered no host for so long that this one should poll it,
-    /// on both topics, since a wait for one topic may be lost. The first answer ends the
-    /// wait on all hosts. Hosts that are not selected draw again periodically.
-    pub(crate) async fn wait_until_stale(&self, times: &SubscriptionTimings) {
+    /// Waits until the store has answered no host on a topic for so long that this one should
+    /// poll it. The first answer on the topic ends the wait on all hosts. Hosts that are not
+    /// selected draw again periodically.
+    ///
+    /// This bounds the age of the fleet's view of each topic: an answer on one topic is no
+    /// evidence for the other, whose long polls may be lost. `lost_polls_are_noticed_while_the_other_topic_changes` proves it.
+    pub(crate) async fn wait_until_stale(&self, topic: Topic, times: &SubscriptionTimings) {
         // Subscribers poll first, which mostly spares the others.
         let half_ms = times.staleness_jitter_ms / 2;
         let min_delay_ms = if self.is_subscriber() { 0 } else { half_ms };
         let delay_ms = min_delay_ms + rand::rng().random_range(0..=half_ms);
         let staleness_timeout = ms(times.staleness_timeout_ms + delay_ms);
+        // Topics that are quiet at the same time are polled together, and reported together.
+        let min_joint_age = staleness_timeout / 2;
         let redraw_interval = ms(times.staleness_jitter_ms.max(1));
         let mut drawn_at = None;
         let mut stale_polls = self.stale_polls.subscribe();
         loop {
-            let stale_at = self.answers.borrow().latest(AnswerScope::SomeTopic) + staleness_timeout;
+            let stale_at =
+                self.answers.borrow().latest(AnswerScope::Topic(topic)) + staleness_timeout;
             let due_at = stale_at.max(drawn_at.map_or(stale_at, |at| at + redraw_interval));
             if Instant::now() >= due_at {
                 if self.polls_while_stale() {
@@ -331,7 +338,11 @@
             }
             tokio::select! {
                 () = tokio::time::sleep_until(due_at) => {}
-                _never_closed = stale_polls.changed() => return,
+                _never_closed = stale_polls.changed() => {
+                    if self.topic_age(topic) >= min_joint_age {
+                        return;
+                    }
+                }
             }
         }
     }
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -20,6 +20,7 @@
 mod list_versions;
 mod listed_builds;
 mod lists;
+mod lost_polls;
 mod partition_plans;
 mod partitions;
 mod peer_calls;
--- a/crates/gateway/tests/gateway/support/fleet.rs
+++ b/crates/gateway/tests/gateway/support/fleet.rs
@@ -216,7 +216,18 @@
         seeds: Vec<SocketAddr>,
         bound_ms: u64,
     ) -> Self {
-        let config = config("zone-a", host, seeds).follow_bound_ms(bound_ms);
+        Self::in_zone_with_bound("zone-a", source, host, seeds, bound_ms).await
+    }
+
+    /// The same in a zone.
+    pub(crate) async fn in_zone_with_bound(
+        zone: &str,
+        source: TestSource,
+        host: &str,
+        seeds: Vec<SocketAddr>,
+        bound_ms: u64,
+    ) -> Self {
+        let config = config(zone, host, seeds).follow_bound_ms(bound_ms);
         Self::from_config(config.build(), source).await
     }
 
--- a/crates/gateway/tests/gateway/support/source.rs
+++ b/crates/gateway/tests/gateway/support/source.rs
@@ -34,6 +34,10 @@
     transfers: Transfers,
     /// Number of silences so far. A call that one interrupts is never answered.
     silences: u32,
+    /// Number of losses of each topic's waiting calls, which are never answered.
+    lost_waits: [u32; 2],
+    /// The topic whose calls are not answered.
+    silent_topic: Option<Topic>,
     calls: u32,
     version: u64,
     rules: Option<(u64, RulesDocument)>,
@@ -538,6 +542,50 @@
         state.silences += u32::from(is_silent);
     }
 
+    /// Loses the answers to the calls that wait for changes of a topic, and answers new ones.
+    pub(crate) fn lose_waiting_calls(&self, topic: Topic) {
+        self.lock().lost_waits[topic as usize] += 1;
+    }
+
+    /// Leaves the waiting and new calls of one topic unanswered, or answers new ones again.
+    pub(crate) fn set_silent_topic(&self, topic: Option<Topic>) {
+        let mut state = self.lock();
+        if let Some(topic) = topic {
+            state.lost_waits[topic as usize] += 1;
+        }
+        state.silent_topic = topic;
+    }
+
+    /// Never returns while a topic's calls are not answered.
+    async fn begin_call_of(&self, topic: Topic) -> (u32, u32) {
+        let silences = self.begin_call().await;
+        let (is_silent, lost_waits) = {
+            let state = self.lock();
+            let is_silent = state.silent_topic == Some(topic);
+            (is_silent, state.lost_waits[topic as usize])
+        };
+        if is_silent {
+            std::future::pending::<()>().await;
+        }
+        (silences, lost_waits)
+    }
+
+    /// Waits for a change of a topic. A change of another topic ends no wait.
+    async fn changed_rows(
+        &self,
+        topic: Topic,
+        since: StoreVersion,
+    ) -> Result<SourceUpdate, SourceError> {
+        let mut changed = self.changed.subscribe();
+        loop {
+            let update = self.rows(topic, Some(since.0))?;
+            if !update.rows.is_empty() {
+                return Ok(update);
+            }
+            let _never_closed = changed.changed().await;
+        }
+    }
+
     /// Delays each answer.
     pub(crate) fn set_answer_delay_ms(&self, answer_delay_ms: u64) {
         let mut state = self.lock();
@@ -675,7 +723,7 @@
         topic: Topic,
         arrival: &ReceivedBytes,
     ) -> Result<SourceUpdate, SourceError> {
-        self.begin_call().await;
+        self.begin_call_of(topic).await;
         match topic {
             Topic::Rules => {
                 let update = self.rows(topic, None)?;
@@ -699,20 +747,21 @@
         wait_ms: u64,
         arrival: &ReceivedBytes,
     ) -> Result<SourceUpdate, SourceError> {
-        let silences = self.begin_call().await;
+        let (silences, lost_waits) = self.begin_call_of(topic).await;
         if topic == Topic::Rules {
             let mut state = self.lock();
             state.rules_fetched = state.rules_fetched.max(since.0);
         }
-        let mut changed = self.changed.subscribe();
-        let update = self.rows(topic, Some(since.0))?;
-        if !update.rows.is_empty() {
-            return Ok(self.delay_transfer(update, arrival).await);
-        }
         let wait = std::time::Duration::from_millis(wait_ms);
-        let _may_time_out = tokio::time::timeout(wait, changed.changed()).await;
+        let changed = tokio::time::timeout(wait, self.changed_rows(topic, since)).await;
         self.finish_call(silences).await;
-        let update = self.rows(topic, Some(since.0))?;
+        if self.lock().lost_waits[topic as usize] != lost_waits {
+            std::future::pending::<()>().await;
+        }
+        let update = match changed {
+            Ok(changed) => changed?,
+            Err(_no_change) => self.rows(topic, Some(since.0))?,
+        };
         Ok(self.delay_transfer(update, arrival).await)
     }
 
