Close a connection on which an endpoint sends no part of an answer

What callers saw: an endpoint that sends interim responses, or a chunk's size of zeros, again and again kept its caller to the deadline (504), and sound requests beside took 10 to 60 ms in place of 2.

Cause: the HTTP library skips both without end, and nothing else counted what it skips.

Fix: a connection to an endpoint counts the bytes received since the last part of an answer, and its interim responses. Past 128 KiB or 16 it fails, so that the request fails at once (502, or elsewhere if it may be repeated) and the connection is closed. A head that the library itself limits (32 KiB) is found as before.

Tests (endless_answers): endless_heads_fail_before_the_deadline, endless_heads_at_a_slow_pace_fail_before_the_deadline and endless_bodies_fail_before_the_deadline failed before (504 in place of 502); the other three describe what held already, in debug builds.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -17,6 +17,7 @@
 use crate::endpoint_connections::{
     Connection, ConnectionRequest, ConnectionTarget, NoConnection, SentBody,
 };
+use crate::endpoint_stream::Unproductive;
 use crate::fleet::SelectedEndpoint;
 use crate::framing::BodyFraming;
 use crate::poison_parts::AnswerObservation;
@@ -155,7 +156,13 @@
         })));
     }
     progress.record_first_byte(started_at.elapsed());
-    let buffered = buffer_response(shared, call, head, body, framing).await?;
+    let reading = ResponseReading {
+        head,
+        body,
+        framing,
+        unproductive: &connection.unproductive,
+    };
+    let buffered = reading.finish(shared, call).await?;
     let is_close_delimited = framing == BodyFraming::CloseDelimited;
     if let Some(observation) = observation {
         shared.end_observation(observation, &choice.member.endpoint, framing);
@@ -349,9 +356,11 @@
     progress: &mut Progress,
     start: u32,
     connection: &mut Connection,
-    request: Request<SentBody>,
+    mut request: Request<SentBody>,
 ) -> Result<Response<Incoming>, AttemptOutcome> {
     let call = progress.call().clone();
+    connection.limit_answer(&mut request);
+    let unproductive = connection.unproductive.clone();
     let sent_at = Instant::now();
     let sent_at_ms = shared.clock.now_ms();
     let max_wait = max_head_wait(&call);
@@ -365,11 +374,15 @@
             () = shared.wait_until_poison(&call) => return Err(AttemptOutcome::Recalled),
         };
         match answered {
-            Ok(Ok(response)) => return Ok(response),
+            Ok(Ok(response)) => {
+                unproductive.reset();
+                return Ok(response);
+            }
             Ok(Err(mut error)) => {
+                let is_garbage = error.error().is_parse() || unproductive.is_exceeded();
                 return Err(match error.take_message() {
                     Some(_unsent) => AttemptOutcome::NotSent,
-                    None if error.error().is_parse() => AttemptOutcome::Garbage,
+                    None if is_garbage => AttemptOutcome::Garbage,
                     None => AttemptOutcome::Broken,
                 });
             }
@@ -390,23 +403,30 @@
     }
 }
 
-/// Reads a response to its end before any of it is passed on.
-pub(crate) async fn buffer_response(
-    shared: &Shared,
-    call: &Call,
-    head: http::response::Parts,
-    body: Incoming,
-    framing: BodyFraming,
-) -> Result<BufferedResponse, AttemptFailure> {
-    let reading = read_within_budget(shared, call.organisation(), body);
-    match tokio::time::timeout_at(call.deadline(), reading).await {
-        Ok(Some(body)) => Ok(BufferedResponse {
-            head,
-            body,
-            framing,
-        }),
-        Ok(None) => Err(AttemptFailure::new(AttemptOutcome::Broken)),
-        Err(_) => Err(AttemptFailure::new(AttemptOutcome::Silent)),
+/// A response that is read to its end before any of it is passed on.
+pub(crate) struct ResponseReading<'a> {
+    pub(crate) head: http::response::Parts,
+    pub(crate) body: Incoming,
+    pub(crate) framing: BodyFraming,
+    pub(crate) unproductive: &'a Unproductive,
+}
+
+impl ResponseReading<'_> {
+    pub(crate) async fn finish(
+        self,
+        shared: &Shared,
+        call: &Call,
+    ) -> Result<BufferedResponse, AttemptFailure> {
+        let reading = read_within_budget(shared, call.organisation(), self.body, self.unproductive);
+        match tokio::time::timeout_at(call.deadline(), reading).await {
+            Ok(Some(body)) => Ok(BufferedResponse {
+                head: self.head,
+                body,
+                framing: self.framing,
+            }),
+            Ok(None) => Err(AttemptFailure::new(AttemptOutcome::Broken)),
+            Err(_) => Err(AttemptFailure::new(AttemptOutcome::Silent)),
+        }
     }
 }
 
@@ -416,6 +436,7 @@
     shared: &Shared,
     organisation: Option<&OrganisationId>,
     body: Incoming,
+    unproductive: &Unproductive,
 ) -> Option<BufferedResponseBody> {
     let announced_bytes = body.size_hint().lower() as usize;
     if announced_bytes > MAX_RESPONSE_BYTES {
@@ -429,6 +450,7 @@
     let mut bytes = BytesMut::with_capacity(announced_bytes);
     let mut frames = Limited::new(body, MAX_RESPONSE_BYTES);
     while let Some(frame) = frames.frame().await {
+        unproductive.reset();
         let Ok(data) = frame.ok()?.into_data() else {
             continue;
         };
--- a/crates/gateway/src/endpoint_connections.rs
+++ b/crates/gateway/src/endpoint_connections.rs
@@ -23,6 +23,7 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
+use hyper::Request;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use serde::Serialize;
@@ -32,6 +33,8 @@
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
+use crate::endpoint_stream::{EndpointStream, Unproductive};
+
 /// Timeout for connecting. An unreachable endpoint may never respond.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Fraction of an endpoint's keep-alive timeout for which a connection is reused.
@@ -42,7 +45,7 @@
 const MAX_NON_REPEATABLE_IDLE: Duration = Duration::from_millis(1_500);
 /// Read-ahead of a stream with a slow caller, and largest response head. The library's
 /// default would exhaust memory with many slow callers.
-const MAX_BUFFER_BYTES: usize = 32 * 1024;
+pub(crate) const MAX_BUFFER_BYTES: usize = 32 * 1024;
 /// Maximum number of idle connections to one target.
 const MAX_IDLE_PER_TARGET: usize = 16;
 
@@ -91,11 +94,22 @@
     pub(crate) sender: SendRequest<SentBody>,
     /// Whether it has served a request before.
     pub(crate) is_reused: bool,
+    /// What it received since the last part of an answer.
+    pub(crate) unproductive: Arc<Unproductive>,
     _task: AbortOnDrop,
     /// Dropped last, after the socket began to close.
     _slot: ConnectionSlot,
 }
 
+impl Connection {
+    /// Prepares to send a request, whose answer has limits of its own.
+    pub(crate) fn limit_answer(&self, request: &mut Request<SentBody>) {
+        self.unproductive.reset();
+        let unproductive = self.unproductive.clone();
+        hyper::ext::on_informational(request, move |_| unproductive.record_interim_response());
+    }
+}
+
 /// Open connections of this host to one target, idle ones included.
 #[derive(Debug, Default)]
 struct OpenConnections {
@@ -329,6 +343,8 @@
             .await
             .map_err(|_| ConnectError::Refused)?;
         set_options(&stream).map_err(|_| ConnectError::Reset)?;
+        let unproductive = Arc::new(Unproductive::default());
+        let stream = EndpointStream::new(stream, unproductive.clone());
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
@@ -341,6 +357,7 @@
             target,
             sender,
             is_reused: false,
+            unproductive,
             _task: AbortOnDrop(task.abort_handle()),
             _slot: slot,
         })
--- a/crates/gateway/src/forward/next_hop.rs
+++ b/crates/gateway/src/forward/next_hop.rs
@@ -327,6 +327,7 @@
             let deadline = self.serving.call.deadline();
             match tokio::time::timeout_at(deadline, stream.body.frame()).await {
                 Ok(Some(Ok(frame))) => {
+                    stream.connection.unproductive.reset();
                     self.record_chunk();
                     if let Ok(bytes) = frame.into_data() {
                         self.position.push(&bytes);
--- a/crates/gateway/src/forward/origin.rs
+++ b/crates/gateway/src/forward/origin.rs
@@ -12,7 +12,7 @@
 use tokio::time::Instant;
 
 use crate::attempt::{
-    AttemptFailure, AttemptResponse, OpenStream, buffer_response, invalid_head, max_head_wait,
+    AttemptFailure, AttemptResponse, OpenStream, ResponseReading, invalid_head, max_head_wait,
     server_failure,
 };
 use crate::endpoint_connections::{
@@ -174,7 +174,13 @@
             observation: None,
         })));
     }
-    let buffered = buffer_response(shared, call, head, body, framing).await?;
+    let reading = ResponseReading {
+        head,
+        body,
+        framing,
+        unproductive: &connection.unproductive,
+    };
+    let buffered = reading.finish(shared, call).await?;
     if !answer.closes {
         shared.endpoint_connections.check_in(connection, None);
     }
@@ -302,9 +308,11 @@
     progress: &Progress,
     address: SocketAddr,
     connection: &mut Connection,
-    request: Request<SentBody>,
+    mut request: Request<SentBody>,
 ) -> Result<Response<Incoming>, AttemptOutcome> {
     let call = progress.call();
+    connection.limit_answer(&mut request);
+    let unproductive = connection.unproductive.clone();
     let sent_at = Instant::now();
     let sent_at_ms = shared.clock.now_ms();
     let max_wait = max_head_wait(call) + REPORT_ALLOWANCE;
@@ -316,7 +324,10 @@
             () = shared.wait_until_poison(call) => return Err(AttemptOutcome::Recalled),
         };
         match received {
-            Ok(Ok(response)) => return Ok(response),
+            Ok(Ok(response)) => {
+                unproductive.reset();
+                return Ok(response);
+            }
             Ok(Err(mut error)) => {
                 return Err(match error.take_message() {
                     Some(_unsent) => AttemptOutcome::NotSent,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -39,6 +39,7 @@
 mod edge;
 mod endpoint_connections;
 mod endpoint_reports;
+mod endpoint_stream;
 mod event_log;
 mod fair_share;
 mod fleet;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -184,6 +184,7 @@
                     if let Some(interval) = self.event_intervals.record(self.received_at) {
                         self.progress.record_event_interval(interval);
                     }
+                    stream.connection.unproductive.reset();
                     if let Ok(bytes) = frame.into_data() {
                         if let Some(observation) = &mut stream.observation {
                             observation.record_bytes();
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -10,6 +10,7 @@
 mod control_traffic;
 mod crashes;
 mod crowded_host;
+mod endless_answers;
 mod endpoint_connections;
 mod endpoint_reports;
 mod eras;
--- a/crates/gateway/tests/gateway/support/endpoint.rs
+++ b/crates/gateway/tests/gateway/support/endpoint.rs
@@ -11,6 +11,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, watch};
 
+use super::endless::EndlessAnswer;
 use super::framed::FramedAnswer;
 
 /// Slots of an endpoint.
@@ -51,6 +52,8 @@
     Unframed,
     /// Answers with a framing and an end of its own.
     Framed(FramedAnswer),
+    /// Sends bytes without end until the peer closes.
+    Endless(EndlessAnswer),
     /// Answers and closes the connection.
     AnswerThenClose,
     /// Streams the events after `after` up to `last`; closes the connection in
@@ -122,6 +125,8 @@
     /// Connections that it holds at once; it resets any more.
     max_connections: Arc<AtomicUsize>,
     resets: Arc<AtomicUsize>,
+    /// Bytes of endless answers that peers took.
+    endless_bytes: Arc<AtomicUsize>,
 }
 
 impl ScriptedEndpoint {
@@ -148,6 +153,7 @@
             slots: Arc::new(Semaphore::new(SLOTS as usize)),
             max_connections: Arc::new(AtomicUsize::new(usize::MAX)),
             resets: Arc::default(),
+            endless_bytes: Arc::default(),
         };
         let acceptor = scripted.clone();
         tokio::spawn(async move {
@@ -220,6 +226,16 @@
         *self.connections.borrow()
     }
 
+    /// Returns the bytes of endless answers that peers took.
+    pub(crate) fn endless_bytes(&self) -> usize {
+        self.endless_bytes.load(Ordering::Relaxed)
+    }
+
+    /// Returns the number of connections that a peer closed during a request.
+    pub(crate) fn abandoned(&self) -> usize {
+        *self.abandoned.borrow()
+    }
+
     /// Waits until a peer has closed its connection during a request.
     pub(crate) async fn wait_until_abandoned(&self) {
         let mut abandoned = self.abandoned.subscribe();
@@ -330,6 +346,11 @@
                 answer.send(stream, &id, &report).await;
                 false
             }
+            Behaviour::Endless(answer) => {
+                answer.send(stream, &id, &self.endless_bytes).await;
+                self.abandoned.send_modify(|count| *count += 1);
+                false
+            }
             Behaviour::AnswerThenClose => {
                 send(stream, &reply("200 OK", &id, SIGNED)).await;
                 false
--- a/crates/gateway/tests/gateway/support/mod.rs
+++ b/crates/gateway/tests/gateway/support/mod.rs
@@ -2,6 +2,7 @@
 
 mod crashing;
 mod edge;
+mod endless;
 mod endpoint;
 mod fleet;
 mod framed;
@@ -17,6 +18,7 @@
 
 pub(crate) use crashing::{CrashingEndpoint, POISON_BODY};
 pub(crate) use edge::TestEdge;
+pub(crate) use endless::{EndlessAnswer, Pace};
 pub(crate) use endpoint::{Behaviour, Script, ScriptedEndpoint, event};
 pub(crate) use fleet::{
     Call, KEY, Received, TestGateway, hosts_with, metric, receive, rules, rules_with_routes, until,
