Fail one of the bodies that wait for each other's memory

What callers saw: answers without a length that together take the whole memory for answers were held at their limit until the deadline (504), though nothing could come of them, and other answers of the host waited as long.

Cause: a body whose size is not announced reserves memory as it grows. Several of them hold all of the budget and each waits for another's to be released.

Fix: holders that wait for more are registered. If the bytes would not fit even when all others have released theirs, the holder of the organisation with the most bytes fails, and the rest go on. Bodies that wait for callers to read others still wait.

Test: endless_bodies_leave_the_budget_to_others failed before (eight 504 at the deadline, now eight 502 before it).

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -455,8 +455,8 @@
             continue;
         };
         if data.len() > unused_bytes {
-            let more = shared.answers.hold(data.len() - unused_bytes, organisation);
-            reservation.merge(more.await);
+            let more_bytes = data.len() - unused_bytes;
+            reservation.grow(more_bytes).await.ok()?;
         }
         unused_bytes = unused_bytes.saturating_sub(data.len());
         bytes.extend_from_slice(&data);
--- a/crates/gateway/src/byte_budget.rs
+++ b/crates/gateway/src/byte_budget.rs
@@ -3,7 +3,7 @@
 //! An organisation above its fraction of the budget leaves a reserve to the others, so
 //! that its slow callers can't block them.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use chalkrock_core::OrganisationId;
@@ -23,6 +23,7 @@
 struct BudgetState {
     capacity_bytes: usize,
     usage: Mutex<Usage>,
+    growing: Mutex<GrowingHolders>,
     /// Notified when bytes are released.
     freed: Notify,
 }
@@ -34,6 +35,19 @@
     by_organisation: HashMap<OrganisationId, usize>,
 }
 
+/// Holders that wait for more bytes. They release what they have only if they fail.
+#[derive(Debug, Default)]
+struct GrowingHolders {
+    next_id: u64,
+    waiting: BTreeMap<u64, GrowingHolder>,
+}
+
+#[derive(Clone, Debug)]
+struct GrowingHolder {
+    organisation: Option<OrganisationId>,
+    held_bytes: usize,
+}
+
 /// Bytes of a budget, released on drop.
 #[derive(Debug)]
 pub(crate) struct HeldBytes {
@@ -48,6 +62,7 @@
         Self(Arc::new(BudgetState {
             capacity_bytes,
             usage: Mutex::default(),
+            growing: Mutex::default(),
             freed: Notify::new(),
         }))
     }
@@ -62,13 +77,7 @@
         if !usage.has_capacity(bytes, organisation, self.0.capacity_bytes) {
             return None;
         }
-        usage.bytes += bytes;
-        if let Some(organisation) = organisation {
-            *usage
-                .by_organisation
-                .entry(organisation.clone())
-                .or_default() += bytes;
-        }
+        usage.add(bytes, organisation);
         Some(HeldBytes {
             budget: self.0.clone(),
             organisation: organisation.cloned(),
@@ -106,6 +115,29 @@
     fn usage(&self) -> MutexGuard<'_, Usage> {
         self.usage.lock().unwrap_or_else(PoisonError::into_inner)
     }
+
+    fn growing(&self) -> MutexGuard<'_, GrowingHolders> {
+        self.growing.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether a waiting holder has to fail: its bytes would not fit if all holders that do not
+    /// wait released theirs, and no waiting holder of its organisation has more.
+    fn is_deadlocked(&self, id: u64, more_bytes: usize) -> bool {
+        let growing = self.growing();
+        let Some(holder) = growing.waiting.get(&id) else {
+            return false;
+        };
+        let mut usage = Usage::default();
+        let mut is_largest = true;
+        for (other_id, other) in &growing.waiting {
+            usage.add(other.held_bytes, other.organisation.as_ref());
+            if other.organisation == holder.organisation {
+                is_largest &= (other.held_bytes, *other_id) <= (holder.held_bytes, id);
+            }
+        }
+        let organisation = holder.organisation.as_ref();
+        is_largest && !usage.has_capacity(more_bytes, organisation, self.capacity_bytes)
+    }
 }
 
 impl Usage {
@@ -129,6 +161,16 @@
         self.bytes + bytes + reserve_bytes <= capacity_bytes
     }
 
+    fn add(&mut self, bytes: usize, organisation: Option<&OrganisationId>) {
+        self.bytes += bytes;
+        if let Some(organisation) = organisation {
+            *self
+                .by_organisation
+                .entry(organisation.clone())
+                .or_default() += bytes;
+        }
+    }
+
     fn release(&mut self, bytes: usize, organisation: Option<&OrganisationId>) {
         self.bytes -= bytes;
         let Some(organisation) = organisation else {
@@ -143,11 +185,74 @@
     }
 }
 
+/// Holders that wait for more bytes hold all that could be released.
+#[derive(Clone, Copy, Debug, thiserror::Error)]
+#[error("bodies that wait for each other hold the whole budget")]
+pub(crate) struct BudgetDeadlock;
+
 impl HeldBytes {
     /// Takes over bytes of the same organisation and budget.
     pub(crate) fn merge(&mut self, mut other: Self) {
         self.bytes += std::mem::take(&mut other.bytes);
     }
+
+    /// Holds more bytes, once the budget allows it. Where it never will, since holders that
+    /// wait likewise have all of it, the one with the most bytes fails and the others go on.
+    ///
+    /// # Errors
+    ///
+    /// [`BudgetDeadlock`] if this is the one that fails.
+    pub(crate) async fn grow(&mut self, more_bytes: usize) -> Result<(), BudgetDeadlock> {
+        let budget = ByteBudget(self.budget.clone());
+        let organisation = self.organisation.clone();
+        let mut waiting = None;
+        loop {
+            let freed = budget.0.freed.notified();
+            let mut freed = std::pin::pin!(freed);
+            freed.as_mut().enable();
+            if let Some(more) = budget.try_hold(more_bytes, organisation.as_ref()) {
+                self.merge(more);
+                return Ok(());
+            }
+            let waiting = waiting.get_or_insert_with(|| WaitingHolder::begin(self));
+            if budget.0.is_deadlocked(waiting.id, more_bytes) {
+                return Err(BudgetDeadlock);
+            }
+            freed.await;
+        }
+    }
+}
+
+/// Registers a holder as waiting until dropped.
+struct WaitingHolder {
+    budget: Arc<BudgetState>,
+    id: u64,
+}
+
+impl WaitingHolder {
+    fn begin(held: &HeldBytes) -> Self {
+        let mut growing = held.budget.growing();
+        let id = growing.next_id;
+        growing.next_id += 1;
+        let holder = GrowingHolder {
+            organisation: held.organisation.clone(),
+            held_bytes: held.bytes,
+        };
+        growing.waiting.insert(id, holder);
+        drop(growing);
+        // The others check whether this was the last one that could have released bytes.
+        held.budget.freed.notify_waiters();
+        Self {
+            budget: held.budget.clone(),
+            id,
+        }
+    }
+}
+
+impl Drop for WaitingHolder {
+    fn drop(&mut self) {
+        self.budget.growing().waiting.remove(&self.id);
+    }
 }
 
 impl Drop for HeldBytes {
--- a/crates/gateway/tests/gateway/endless_answers.rs
+++ b/crates/gateway/tests/gateway/endless_answers.rs
@@ -2,11 +2,16 @@
 
 use std::time::Duration;
 
-use crate::support::{Behaviour, Call, EndlessAnswer, Pace, Received, TestGateway, until};
+use crate::support::{
+    Behaviour, Call, EndlessAnswer, Pace, Received, Script, ScriptedEndpoint, TestGateway,
+    TestSource, rules, until,
+};
 use googletest::prelude::*;
 use tokio::time::Instant;
 
 const ENDPOINTS: usize = 2;
+/// Deadline of the routes.
+const DEADLINE: Duration = Duration::from_millis(3_000);
 /// Time in which a request with up to three attempts fails once no answer can come.
 const FAILURE_TIME: Duration = Duration::from_millis(1_500);
 /// Bytes that an attempt may take: what the systems of both sides buffer, and what the host
@@ -174,6 +179,30 @@
     }
 }
 
+/// Guards against bodies that take the whole budget between them and then wait for each other
+/// until their deadlines, as do all other answers.
+#[tokio::test]
+async fn endless_bodies_leave_the_budget_to_others() {
+    const BUDGET_BYTES: usize = 10 * 1024 * 1024;
+    const AT_ONCE: usize = 8;
+    let source = TestSource::default();
+    source.set_rules(rules(1));
+    let behaviour = endless(BODIES[0], Pace::Full);
+    let endpoint = ScriptedEndpoint::start("endpoint", "pool", behaviour, Script::default()).await;
+    source.list(endpoint.endpoint.clone());
+    let gateway = TestGateway::with_max_answer_bytes(source, BUDGET_BYTES).await;
+    gateway.ready().await;
+    let sent_at = Instant::now();
+    let calls = (0..AT_ONCE).map(|i| {
+        let call = Call::post("/unsafe/", b"x").id(&format!("r-{i}"));
+        gateway.call(call)
+    });
+    let received = futures::future::join_all(calls).await;
+    let statuses: Vec<u16> = received.iter().map(|one| one.status).collect();
+    assert_that!(statuses, each(eq(&502)));
+    assert_that!(sent_at.elapsed(), lt(DEADLINE));
+}
+
 /// Guards against endless answers that take the processor from sound requests on the same host.
 #[tokio::test]
 async fn endless_answers_leave_the_processor_to_sound_requests() {
