Limit the event that a resumable stream keeps until it is whole

What callers saw: four resumable streams whose event never ends cost a host 408 to 420 MB within 3 s and ended at their deadline; streams that may not be resumed went on for up to 0.9 s past it.

Cause: bytes without a blank line are kept until the event is whole, with no limit. A stream with bytes ready never looks at its deadline, since the wait prefers the bytes.

Fix: an event of more than 256 KiB breaks its attempt as garbage, and the stream goes on elsewhere after the last whole event, or is aborted. After the deadline, 8 MiB at most are relayed, here and at a next hop, so that what was ready before is still delivered.

Tests: endless_events_of_resumable_streams_are_not_kept and endless_answers_at_a_next_hop_fail_before_the_deadline failed before, each at the deadline. endless_streams_end_with_their_deadline passed before in a debug build, and so did the one of a caller that leaves; they keep what held.

--- a/crates/gateway/src/forward/next_hop.rs
+++ b/crates/gateway/src/forward/next_hop.rs
@@ -30,7 +30,7 @@
 use crate::peers::PeerTable;
 use crate::poison::BrokenAttempt;
 use crate::progress::Progress;
-use crate::relay::has_events;
+use crate::relay::{MAX_LATE_BYTES, has_events};
 use crate::shared::{RunningGuard, Shared};
 
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -287,6 +287,7 @@
             position: EventTracker::default(),
             received_at: Instant::now(),
             first_byte_at: None,
+            late_bytes: 0,
         };
         Box::pin(futures::stream::unfold(relay, |mut relay| async move {
             let next = relay.next().await?;
@@ -318,6 +319,8 @@
     position: EventTracker,
     received_at: Instant,
     first_byte_at: Option<Instant>,
+    /// Bytes that arrived after the deadline.
+    late_bytes: usize,
 }
 
 impl ChunkRelay {
@@ -325,11 +328,17 @@
         loop {
             let stream = self.stream.as_mut()?;
             let deadline = self.serving.call.deadline();
+            if self.late_bytes > MAX_LATE_BYTES {
+                return Some(self.abort(AttemptOutcome::Silent).await);
+            }
             match tokio::time::timeout_at(deadline, stream.body.frame()).await {
                 Ok(Some(Ok(frame))) => {
                     stream.connection.unproductive.reset();
                     self.record_chunk();
                     if let Ok(bytes) = frame.into_data() {
+                        if self.received_at >= deadline {
+                            self.late_bytes += bytes.len();
+                        }
                         self.position.push(&bytes);
                         return Some(Ok(bytes));
                     }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -41,11 +41,21 @@
 /// caller: endpoints abort streams that stay unread for seconds.
 const UNREAD_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// Largest event of a resumable stream, which is kept until it is whole. Comments between two
+/// events count as part of the later one.
+const MAX_EVENT_BYTES: usize = 256 * 1024;
+
+/// Most bytes that are relayed after the deadline. An endpoint has sent no more before it, since
+/// its system and this host's hold less.
+pub(crate) const MAX_LATE_BYTES: usize = 8 * 1024 * 1024;
+
 /// Result of a wait for the endpoint.
 enum Received {
     Bytes(Bytes),
     End,
     Broken,
+    /// The endpoint sent more than an event may have.
+    Endless,
     /// The deadline has passed.
     Expired,
 }
@@ -83,6 +93,8 @@
     /// Whether the next event is the first one of an endpoint that continues the stream.
     is_continuation: bool,
     has_ended: bool,
+    /// Bytes that arrived after the deadline.
+    late_bytes: usize,
     _running: RunningGuard,
 }
 
@@ -114,6 +126,7 @@
             relayed_at: Instant::now(),
             was_unread: false,
             has_ended: false,
+            late_bytes: 0,
             _running: running,
         }
     }
@@ -150,10 +163,15 @@
                 }
                 Received::End => return self.end(),
                 Received::Broken => {
-                    if !self.resume_elsewhere().await {
+                    if !self.resume_elsewhere(AttemptOutcome::Broken).await {
                         return Some(self.abort(Reason::EndpointLost));
                     }
                 }
+                Received::Endless => {
+                    if !self.resume_elsewhere(AttemptOutcome::Garbage).await {
+                        return Some(self.abort(Reason::EndpointGarbage));
+                    }
+                }
                 Received::Expired => return Some(self.abort(Reason::DeadlinePassed)),
             }
         }
@@ -165,7 +183,13 @@
         let Some(stream) = &mut self.stream else {
             return Received::Broken;
         };
+        if self.frames.remaining().len() > MAX_EVENT_BYTES {
+            return Received::Endless;
+        }
         loop {
+            if self.late_bytes > MAX_LATE_BYTES {
+                return Received::Expired;
+            }
             let recheck_at = self
                 .call
                 .deadline()
@@ -189,6 +213,9 @@
                         if let Some(observation) = &mut stream.observation {
                             observation.record_bytes();
                         }
+                        if self.received_at >= self.call.deadline() {
+                            self.late_bytes += bytes.len();
+                        }
                         self.position.push(&bytes);
                         if !stream.is_forwarded {
                             let now_ms = self.shared.clock.now_ms();
@@ -252,7 +279,7 @@
     }
 
     /// Resumes the stream at another endpoint after the last relayed event.
-    async fn resume_elsewhere(&mut self) -> bool {
+    async fn resume_elsewhere(&mut self, end: AttemptOutcome) -> bool {
         let Some(failed_stream) = self.stream.take() else {
             return false;
         };
@@ -265,7 +292,7 @@
         let end = if std::mem::take(&mut self.was_unread) {
             AttemptOutcome::Unread
         } else {
-            AttemptOutcome::Broken
+            end
         };
         let broken = BrokenAttempt {
             end,
