Count a request as running until its answer is written

Cause: the guard that counts a request was dropped when a buffered answer was handed to the HTTP library, and for a stream when the library had its last bytes. A stop ends once nothing is counted.

Fix: the guard goes with the response's body, and from its end to the connection's next flush, which the library makes only when the system has taken all its bytes. The same for forwarded requests, whose connections are now served like those of callers, with their limits on a slow head and an unread answer. A caller that never reads holds a stop up to the end of the grace period, as a test shows.

--- a/crates/gateway/src/caller_stream.rs
+++ b/crates/gateway/src/caller_stream.rs
@@ -8,11 +8,14 @@
 //! the whole body was written, so that neither an abort nor the end of this process, which
 //! closes its sockets, looks like the end of the body. Such a body follows a head of
 //! HTTP/1.0, since the library has no other; the stream writes the version of the caller.
+//!
+//! A request counts as running until the system has taken the last byte of its response, so
+//! that a stop does not end the process before.
 
 use std::io;
 use std::pin::Pin;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -27,6 +30,7 @@
 
 use crate::answer::{ResponseAborted, ResponseBody};
 use crate::framing::may_have_body;
+use crate::shared::RunningGuard;
 
 /// The version that the library writes for a body that ends with the connection.
 const LIBRARY_VERSION: &[u8] = b"HTTP/1.0";
@@ -34,7 +38,7 @@
 const CALLER_VERSION: &[u8] = b"HTTP/1.1";
 
 /// Whether a connection waits for a request or serves one.
-#[derive(Debug, Default)]
+#[derive(Default)]
 pub(crate) struct ConnectionState {
     /// Request heads received.
     received_heads: AtomicU64,
@@ -47,6 +51,8 @@
     is_body_complete: AtomicBool,
     /// Whether the head of that response has another version than the caller's request.
     corrects_version: AtomicBool,
+    /// Requests whose response was passed to the library, which may not have written all of it.
+    unflushed: Mutex<Vec<RunningGuard>>,
 }
 
 impl ConnectionState {
@@ -64,6 +70,12 @@
         self.is_close_delimited.load(Ordering::Relaxed)
     }
 
+    fn unflushed(&self) -> MutexGuard<'_, Vec<RunningGuard>> {
+        self.unflushed
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Records a received head. Its response is due until the guard is dropped.
     pub(crate) fn begin_serving(self: &Arc<Self>) -> ServingGuard {
         self.received_heads.fetch_add(1, Ordering::Relaxed);
@@ -73,7 +85,6 @@
 }
 
 /// Marks a connection as serving a request until dropped.
-#[derive(Debug)]
 pub(crate) struct ServingGuard(Arc<ConnectionState>);
 
 impl Drop for ServingGuard {
@@ -83,12 +94,14 @@
 }
 
 impl ServingGuard {
-    /// Prepares the response to a request with `method` and `version` for the connection.
+    /// Prepares the response to a request with `method` and `version` for the connection. The
+    /// request counts as running until the response is written.
     pub(crate) fn respond(
         self,
         method: &Method,
         version: Version,
         mut response: Response<ResponseBody>,
+        running: RunningGuard,
     ) -> Response<ServedBody> {
         let body = response.body();
         let has_no_framing = matches!(body, ResponseBody::CloseDelimited(_))
@@ -108,6 +121,7 @@
             body,
             is_close_delimited,
             serving: self,
+            running: Some(running),
         })
     }
 }
@@ -117,6 +131,15 @@
     body: ResponseBody,
     is_close_delimited: bool,
     serving: ServingGuard,
+    running: Option<RunningGuard>,
+}
+
+impl Drop for ServedBody {
+    /// The library drops the body once it has all of it, before all of it is written.
+    fn drop(&mut self) {
+        let state = &self.serving.0;
+        state.unflushed().extend(self.running.take());
+    }
 }
 
 impl Body for ServedBody {
@@ -145,7 +168,6 @@
     }
 }
 
-#[derive(Debug)]
 pub(crate) struct CallerStream {
     stream: TcpStream,
     state: Arc<ConnectionState>,
@@ -309,6 +331,8 @@
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         let this = self.get_mut();
         this.is_flushed = true;
+        // The library flushes once it has written all that it has.
+        this.state.unflushed().clear();
         Pin::new(&mut this.stream).poll_flush(cx)
     }
 
--- a/crates/gateway/src/forward/next_hop.rs
+++ b/crates/gateway/src/forward/next_hop.rs
@@ -21,6 +21,7 @@
 use crate::attempt::{AttemptResponse, BufferedResponse, OpenStream, attempt};
 use crate::call::{Call, ReceivedCall};
 use crate::caller_body::read_body;
+use crate::caller_stream::{CallerStream, ConnectionState};
 use crate::event_log::Event;
 use crate::fleet::SelectedEndpoint;
 use crate::forward::{FORWARD, ForwardHead, ForwardResult, UsedEndpoint, encode, take};
@@ -31,7 +32,7 @@
 use crate::poison::BrokenAttempt;
 use crate::progress::Progress;
 use crate::relay::{MAX_LATE_BYTES, has_events};
-use crate::shared::{RunningGuard, Shared};
+use crate::shared::Shared;
 
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Most connections of other hosts.
@@ -78,10 +79,21 @@
         return;
     }
     let limits = shared.rules().map(|rules| *rules.limits());
-    let head_max_bytes = limits.unwrap_or_default().head_max_bytes + HEAD_ALLOWANCE_BYTES;
-    let service = service_fn(|request| {
+    let limits = limits.unwrap_or_default();
+    let head_max_bytes = limits.head_max_bytes + HEAD_ALLOWANCE_BYTES;
+    let head_timeout = Duration::from_millis(limits.head_timeout_ms);
+    let unread_timeout = Duration::from_millis(limits.idle_timeout_ms);
+    let state = Arc::new(ConnectionState::default());
+    let stream = CallerStream::new(stream, state.clone(), head_timeout, unread_timeout);
+    let service = service_fn(|request: Request<Incoming>| {
         let shared = shared.clone();
-        async move { Ok::<_, Infallible>(serve(&shared, request).await) }
+        let serving = state.begin_serving();
+        async move {
+            let (method, version) = (request.method().clone(), request.version());
+            let running = shared.begin_request();
+            let response = serve(&shared, request).await;
+            Ok::<_, Infallible>(serving.respond(&method, version, response, running))
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -94,7 +106,6 @@
 /// Makes one attempt for an origin.
 async fn serve(shared: &Arc<Shared>, request: Request<Incoming>) -> Response<ResponseBody> {
     let entered_at = Instant::now();
-    let running = shared.begin_request();
     let (mut parts, body) = request.into_parts();
     let Some(head) = take::<ForwardHead>(&mut parts.headers) else {
         shared.metrics.count("forwarded_garbage_total", "", 1);
@@ -117,7 +128,6 @@
         status: None,
         end: None,
         is_complete: false,
-        _running: running,
     };
     match serving.attempt(&head).await {
         Ok((used, response)) => serving.answer(used, response),
@@ -157,7 +167,6 @@
     end: Option<AttemptOutcome>,
     /// Whether its response is complete.
     is_complete: bool,
-    _running: RunningGuard,
 }
 
 impl Serving {
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -69,8 +69,9 @@
         let serving = state.begin_serving();
         async move {
             let (method, version) = (request.method().clone(), request.version());
+            let running = shared.begin_request();
             let response = serve(shared, request).await;
-            Ok::<_, Infallible>(serving.respond(&method, version, response))
+            Ok::<_, Infallible>(serving.respond(&method, version, response, running))
         }
     });
     let mut connection = std::pin::pin!(
@@ -107,7 +108,6 @@
 
 async fn serve(shared: Arc<Shared>, request: Request<Incoming>) -> Response<ResponseBody> {
     let entered_at = Instant::now();
-    let running = shared.begin_request();
     let (parts, body) = request.into_parts();
     let head_result = shared.edge.read_call(&parts);
     let request = Request::from_parts(parts, body);
@@ -135,7 +135,7 @@
             buffered_response(&shared, buffered)
         }
         Ok(AttemptResponse::Stream(stream)) => {
-            let relay = StreamRelay::new(shared.clone(), progress, stream, running);
+            let relay = StreamRelay::new(shared.clone(), progress, stream);
             stream_response(&shared, relay)
         }
         Err(refusal) => {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -31,7 +31,7 @@
 use crate::framing::BodyFraming;
 use crate::poison::BrokenAttempt;
 use crate::progress::Progress;
-use crate::shared::{RunningGuard, Shared};
+use crate::shared::Shared;
 use crate::work::EventIntervals;
 
 /// How often a silent stream is checked.
@@ -95,16 +95,10 @@
     has_ended: bool,
     /// Bytes that arrived after the deadline.
     late_bytes: usize,
-    _running: RunningGuard,
 }
 
 impl StreamRelay {
-    pub(crate) fn new(
-        shared: Arc<Shared>,
-        progress: Progress,
-        stream: Box<OpenStream>,
-        running: RunningGuard,
-    ) -> Self {
+    pub(crate) fn new(shared: Arc<Shared>, progress: Progress, stream: Box<OpenStream>) -> Self {
         let call = progress.call().clone();
         Self {
             last_id: call.head.resume_after,
@@ -127,7 +121,6 @@
             was_unread: false,
             has_ended: false,
             late_bytes: 0,
-            _running: running,
         }
     }
 
--- a/crates/gateway/tests/gateway/stops.rs
+++ b/crates/gateway/tests/gateway/stops.rs
@@ -2,10 +2,14 @@
 
 use std::time::Duration;
 
-use crate::support::{Behaviour, Call, TestGateway, receive};
+use crate::support::{
+    Behaviour, Call, FramedAnswer, Framing, Script, ScriptedEndpoint, TestGateway, TestSource,
+    metric, receive, rules, until,
+};
 use googletest::prelude::*;
 use tokio::io::AsyncWriteExt;
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
+use tokio::time::Instant;
 
 #[tokio::test]
 async fn stop_lets_running_requests_complete() {
@@ -92,3 +96,74 @@
         assert_that!(receive(&mut stream).await.status, eq(503), "{number}");
     }
 }
+
+/// Bytes of an answer that the systems of both sides do not hold.
+const LARGE_BYTES: usize = 7 * 1024 * 1024;
+/// Buffer of a caller on an ordinary link.
+const CALLER_BUFFER_BYTES: u32 = 64 * 1024;
+const LONG_GRACE_MS: u64 = 12_000;
+/// When a host without running requests ends.
+const UNTIL_IDLE_END: Duration = Duration::from_millis(2_700);
+
+/// Starts an endpoint that gives its whole large answer at once.
+async fn large_endpoint() -> ScriptedEndpoint {
+    let framing = Framing::Length(LARGE_BYTES);
+    let answer = FramedAnswer::closed(framing, &vec![b'a'; LARGE_BYTES]);
+    let behaviour = Behaviour::Framed(answer);
+    ScriptedEndpoint::start("endpoint", "pool", behaviour, Script::default()).await
+}
+
+/// Sends a request on a connection that takes few bytes unread.
+async fn send_small(gateway: &TestGateway, call: &Call) -> TcpStream {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket
+        .set_recv_buffer_size(CALLER_BUFFER_BYTES)
+        .expect("a buffer");
+    let address = gateway.running.front_address();
+    let mut stream = socket.connect(address).await.expect("a connection");
+    stream.write_all(&call.bytes()).await.expect("a request");
+    stream
+}
+
+/// Guards against a stop that ends the process while it writes an answer which its caller still
+/// reads: the request has run, and its answer is lost.
+#[tokio::test]
+async fn stop_waits_until_answers_are_written() {
+    let source = TestSource::default();
+    source.set_rules(rules(1));
+    let endpoint = large_endpoint().await;
+    source.list(endpoint.endpoint.clone());
+    let gateway = TestGateway::with_grace(source, LONG_GRACE_MS).await;
+    gateway.ready().await;
+    let call = Call::post("/patient/", b"x").id("r-1");
+    let mut caller = send_small(&gateway, &call).await;
+    until(async || endpoint.run_count("r-1") > 0).await;
+    gateway.stop.stop();
+    tokio::time::sleep(UNTIL_IDLE_END).await;
+    assert_that!(metric(&gateway, "requests_running").await, eq(1.0));
+    let received = receive(&mut caller).await;
+    assert_that!(received.status, eq(200));
+    assert_that!(received.body.len(), eq(LARGE_BYTES));
+    let read_at = Instant::now();
+    gateway.running.ended().await;
+    assert_that!(read_at.elapsed(), lt(Duration::from_millis(1_000)));
+}
+
+/// Guards against a stop that a caller which never reads holds for longer than the grace period.
+#[tokio::test]
+async fn stop_ends_within_the_grace_period_beside_a_caller_that_never_reads() {
+    const GRACE: Duration = Duration::from_millis(4_000);
+    let source = TestSource::default();
+    source.set_rules(rules(1));
+    let endpoint = large_endpoint().await;
+    source.list(endpoint.endpoint.clone());
+    let gateway = TestGateway::with_grace(source, GRACE.as_millis() as u64).await;
+    gateway.ready().await;
+    let call = Call::post("/patient/", b"x").id("r-1");
+    let _unread = send_small(&gateway, &call).await;
+    until(async || endpoint.run_count("r-1") > 0).await;
+    gateway.stop.stop();
+    let stopped_at = Instant::now();
+    gateway.running.ended().await;
+    assert_that!(stopped_at.elapsed(), lt(GRACE));
+}
--- a/crates/gateway/tests/gateway/support/fleet.rs
+++ b/crates/gateway/tests/gateway/support/fleet.rs
@@ -209,6 +209,12 @@
         Self::from_config(config.answers_max_bytes(answers_max_bytes).build(), source).await
     }
 
+    /// Starts a gateway with a grace period for stops.
+    pub(crate) async fn with_grace(source: TestSource, grace_ms: u64) -> Self {
+        let config = config("zone-a", "host-1", Vec::new()).grace_ms(grace_ms);
+        Self::from_config(config.build(), source).await
+    }
+
     /// Starts a gateway with a bound on how late it learns of changes in the store.
     pub(crate) async fn with_follow_bound(
         source: TestSource,
