Count an answer that is arriving once, and only while it arrives

An answer of the store of which a byte arrives now and then, and which never ends, counted as an answer at each byte, at its host and, reported, at all others, so that nobody polled the topic.

What is taken for evidence (bytes) proves that the store sends, and not that a view is complete.

Fix: an answer counts once, when it begins to arrive. It suppresses other calls of its host while at least 4 KiB arrive between two checks and for 30 s at most; after that a poll runs beside it. A slow transfer of large rules is as before.

Test: lost_polls_whose_answers_never_end_are_noticed failed before (4 of 4 hosts late).

--- a/crates/gateway/src/follow/calls.rs
+++ b/crates/gateway/src/follow/calls.rs
@@ -20,6 +20,36 @@
 /// Time after a long poll's end in which its answer may still arrive.
 const ANSWER_GRACE: Duration = Duration::from_millis(1_000);
 
+/// Least bytes between two checks of an answer that is arriving. Less is no transfer to wait
+/// for, however long it goes on.
+const MIN_ARRIVING_BYTES: u64 = 4 * 1024;
+/// Longest time in which an answer that is arriving suppresses other calls.
+const MAX_ARRIVING_TIME: Duration = Duration::from_secs(30);
+
+/// Tells whether an answer is arriving, so that another call would only fetch the same again.
+#[derive(Debug, Default)]
+struct ArrivingAnswer {
+    bytes: u64,
+    since: Option<Instant>,
+}
+
+impl ArrivingAnswer {
+    /// Whether it has been arriving since the last check. The first time counts as an answer of
+    /// the store; later ones do not, as the answer may never end.
+    fn check(&mut self, shared: &Shared, topic: Topic, bytes: u64) -> bool {
+        let new_bytes = bytes - self.bytes;
+        self.bytes = bytes;
+        if new_bytes < MIN_ARRIVING_BYTES {
+            return false;
+        }
+        if self.since.is_none() {
+            record_answer(shared, topic);
+        }
+        let since = *self.since.get_or_insert_with(Instant::now);
+        since.elapsed() < MAX_ARRIVING_TIME
+    }
+}
+
 /// Waits for changes, with polls beside it while the view of the topic is stale.
 pub(super) async fn long_poll<S: Source>(
     shared: &Shared,
@@ -37,15 +67,16 @@
     let answer = source.changes(topic, since, wait_ms, &arrival);
     let waiting = while_arriving(answer, || arrival.bytes(), idle_limits);
     let mut waiting = std::pin::pin!(waiting);
+    let mut arriving = ArrivingAnswer::default();
+    let mut is_arriving = false;
     loop {
-        let seen = arrival.bytes();
         tokio::select! {
             answer = &mut waiting => return answer.unwrap_or_else(|| Err(no_answer())),
-            () = shared.subscription.wait_until_stale(topic, timings) => {}
+            () = tokio::time::sleep(ms(timings.staleness_timeout_ms)), if is_arriving => {}
+            () = shared.subscription.wait_until_stale(topic, timings), if !is_arriving => {}
         }
-        if arrival.bytes() > seen {
-            // The answer is arriving: a poll would fetch the same again.
-            record_answer(shared, topic);
+        is_arriving = arriving.check(shared, topic, arrival.bytes());
+        if is_arriving {
             continue;
         }
         let age = shared.subscription.topic_age(topic);
@@ -120,12 +151,12 @@
     F: Future<Output = Result<SourceUpdate, SourceError>>,
 {
     let mut calls = FuturesUnordered::new();
+    let mut arriving = ArrivingAnswer::default();
     for _ in 0..hedging.calls {
         let sent_at = Instant::now();
         calls.push(call());
         let mut is_arriving = false;
         loop {
-            let seen = arrival.bytes();
             let timeout = if is_arriving {
                 ms(shared.config.follow.stall_ms)
             } else {
@@ -137,11 +168,10 @@
                 () = shared.subscription.wait_answered_after(sent_at), if wakes_on_answer => {}
                 () = tokio::time::sleep(timeout) => {}
             }
-            is_arriving = arrival.bytes() > seen;
+            is_arriving = arriving.check(shared, topic, arrival.bytes());
             if !is_arriving {
                 break;
             }
-            record_answer(shared, topic);
         }
     }
     Err(no_answer())
--- a/crates/gateway/tests/gateway/lost_polls.rs
+++ b/crates/gateway/tests/gateway/lost_polls.rs
@@ -213,6 +213,22 @@
     }
 }
 
+/// Guards against an answer that begins and never ends, and that hides from all hosts that
+/// nobody has read the topic.
+#[tokio::test(start_paused = true)]
+async fn lost_polls_whose_answers_never_end_are_noticed() {
+    for size in [SMALL, FleetSize { hosts: 2, zones: 1 }] {
+        for quiet in [Topic::Rules, Topic::Endpoints] {
+            let fleet = BusyFleet::start(size, BOUND_MS, other(quiet)).await;
+            sleep(Duration::from_secs(2)).await;
+            fleet.source.answer_waiting_calls_without_end(quiet);
+            sleep(Duration::from_millis(3_000)).await;
+            let late = fleet.late_hosts(quiet, BOUND_MS).await;
+            assert_that!(late, eq(0), "{size:?} {quiet:?}");
+        }
+    }
+}
+
 /// Guards against claims by a list that nobody has read for longer than the bound, since the
 /// rules were answered.
 #[tokio::test]
--- a/crates/gateway/tests/gateway/support/source.rs
+++ b/crates/gateway/tests/gateway/support/source.rs
@@ -36,6 +36,8 @@
     silences: u32,
     /// Number of losses of each topic's waiting calls, which are never answered.
     lost_waits: [u32; 2],
+    /// Whether answers that are lost arrive in part, and on and on.
+    are_lost_waits_endless: bool,
     /// The topic whose calls are not answered.
     silent_topic: Option<Topic>,
     calls: u32,
@@ -547,6 +549,14 @@
         self.lock().lost_waits[topic as usize] += 1;
     }
 
+    /// Answers the calls that wait for changes of a topic with bytes without end, and new ones
+    /// as usual.
+    pub(crate) fn answer_waiting_calls_without_end(&self, topic: Topic) {
+        let mut state = self.lock();
+        state.are_lost_waits_endless = true;
+        state.lost_waits[topic as usize] += 1;
+    }
+
     /// Leaves the waiting and new calls of one topic unanswered, or answers new ones again.
     pub(crate) fn set_silent_topic(&self, topic: Option<Topic>) {
         let mut state = self.lock();
@@ -586,6 +596,24 @@
         }
     }
 
+    /// Sends bytes without end once a call is lost so; never returns.
+    async fn send_without_end<T>(
+        &self,
+        topic: Topic,
+        lost_waits: u32,
+        arrival: &ReceivedBytes,
+    ) -> T {
+        const INTERVAL: std::time::Duration = std::time::Duration::from_millis(100);
+        loop {
+            tokio::time::sleep(INTERVAL).await;
+            let state = self.lock();
+            let is_lost = state.lost_waits[topic as usize] != lost_waits;
+            if is_lost && state.are_lost_waits_endless {
+                arrival.record(1);
+            }
+        }
+    }
+
     /// Delays each answer.
     pub(crate) fn set_answer_delay_ms(&self, answer_delay_ms: u64) {
         let mut state = self.lock();
@@ -753,14 +781,19 @@
             state.rules_fetched = state.rules_fetched.max(since.0);
         }
         let wait = std::time::Duration::from_millis(wait_ms);
-        let changed = tokio::time::timeout(wait, self.changed_rows(topic, since)).await;
+        let changed = self.changed_rows(topic, since);
+        let changed = tokio::select! {
+            changed = tokio::time::timeout(wait, changed) => changed.ok(),
+            never = self.send_without_end(topic, lost_waits, arrival) => never,
+        };
         self.finish_call(silences).await;
         if self.lock().lost_waits[topic as usize] != lost_waits {
-            std::future::pending::<()>().await;
+            self.send_without_end::<()>(topic, lost_waits, arrival)
+                .await;
         }
         let update = match changed {
-            Ok(changed) => changed?,
-            Err(_no_change) => self.rows(topic, Some(since.0))?,
+            Some(changed) => changed?,
+            None => self.rows(topic, Some(since.0))?,
         };
         Ok(self.delay_transfer(update, arrival).await)
     }
