--- a/crates/gateway/src/subscription.rs
+++ b/crates/gateway/src/subscription.rs
@@ -312,7 +312,7 @@
     /// selected draw again periodically.
     ///
     /// This bounds the age of the fleet's view of each topic: an answer on one topic is no
-    /// evidence for the other, whose long polls may be lost. `lost_polls_are_noticed_while_the_other_topic_changes` proves it.
+    /// evidence for the other, whose long polls may be lost. The tests `lost_polls` prove it.
     pub(crate) async fn wait_until_stale(&self, topic: Topic, times: &SubscriptionTimings) {
         // Subscribers poll first, which mostly spares the others.
         let half_ms = times.staleness_jitter_ms / 2;
--- a/crates/routing/src/follow_times.rs
+++ b/crates/routing/src/follow_times.rs
@@ -2,9 +2,9 @@
 //! that a deployment configures.
 //!
 //! An idle store and a store that stopped answering look alike: both leave a long poll
-//! open. Hosts therefore report how long ago the store last answered them. If no host
-//! was answered for [`staleness_timeout_ms`], hosts poll with calls that return at once,
-//! each after a random delay. The first answer ends the polling of all hosts.
+//! open. Hosts therefore report how long ago the store last answered them on each topic. If
+//! no host was answered on a topic for [`staleness_timeout_ms`], hosts poll it with calls that
+//! return at once, each after a random delay. The first answer ends the polling of all hosts.
 //!
 //! [`staleness_timeout_ms`]: SubscriptionTimings::staleness_timeout_ms
 
@@ -43,7 +43,7 @@
     /// How long entries that lapsed while the store was unavailable are kept after its
     /// return, so that live endpoints can renew them.
     pub lapse_grace_ms: u64,
-    /// Time without an answer to any host after which hosts poll the store.
+    /// Time without an answer to any host on a topic after which hosts poll that topic.
     pub staleness_timeout_ms: u64,
     /// Maximum random delay before a host polls, so that few do.
     pub staleness_jitter_ms: u64,
