--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -17,7 +17,7 @@
 use crate::endpoint_connections::{
     Connection, ConnectionRequest, ConnectionTarget, NoConnection, SentBody,
 };
-use crate::endpoint_stream::Unproductive;
+use crate::endpoint_stream::UnproductiveInput;
 use crate::fleet::SelectedEndpoint;
 use crate::framing::BodyFraming;
 use crate::poison_parts::AnswerObservation;
@@ -408,7 +408,7 @@
     pub(crate) head: http::response::Parts,
     pub(crate) body: Incoming,
     pub(crate) framing: BodyFraming,
-    pub(crate) unproductive: &'a Unproductive,
+    pub(crate) unproductive: &'a UnproductiveInput,
 }
 
 impl ResponseReading<'_> {
@@ -436,7 +436,7 @@
     shared: &Shared,
     organisation: Option<&OrganisationId>,
     body: Incoming,
-    unproductive: &Unproductive,
+    unproductive: &UnproductiveInput,
 ) -> Option<BufferedResponseBody> {
     let announced_bytes = body.size_hint().lower() as usize;
     if announced_bytes > MAX_RESPONSE_BYTES {
--- a/crates/gateway/src/byte_budget.rs
+++ b/crates/gateway/src/byte_budget.rs
@@ -42,7 +42,7 @@
     waiting: BTreeMap<u64, GrowingHolder>,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 struct GrowingHolder {
     organisation: Option<OrganisationId>,
     held_bytes: usize,
--- a/crates/gateway/src/endpoint_connections.rs
+++ b/crates/gateway/src/endpoint_connections.rs
@@ -33,7 +33,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
-use crate::endpoint_stream::{EndpointStream, Unproductive};
+use crate::endpoint_stream::{EndpointStream, UnproductiveInput};
 
 /// Timeout for connecting. An unreachable endpoint may never respond.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -95,7 +95,7 @@
     /// Whether it has served a request before.
     pub(crate) is_reused: bool,
     /// What it received since the last part of an answer.
-    pub(crate) unproductive: Arc<Unproductive>,
+    pub(crate) unproductive: Arc<UnproductiveInput>,
     _task: AbortOnDrop,
     /// Dropped last, after the socket began to close.
     _slot: ConnectionSlot,
@@ -343,7 +343,7 @@
             .await
             .map_err(|_| ConnectError::Refused)?;
         set_options(&stream).map_err(|_| ConnectError::Reset)?;
-        let unproductive = Arc::new(Unproductive::default());
+        let unproductive = Arc::new(UnproductiveInput::default());
         let stream = EndpointStream::new(stream, unproductive.clone());
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
--- a/crates/gateway/src/endpoint_stream.rs
+++ b/crates/gateway/src/endpoint_stream.rs
@@ -14,23 +14,23 @@
 
 /// Most interim responses before a final one.
 const MAX_INTERIM_RESPONSES: usize = 16;
-/// Most bytes between two parts of an answer: a head, a frame of its body, its end. The library
-/// reads ahead of its consumer by up to two buffers and a frame, each of
+/// Most bytes between two parts of an answer: a head, a frame of its body, its end. More than
+/// the library reads ahead of its consumer: two buffers and a frame, each of
 /// [`MAX_BUFFER_BYTES`](crate::endpoint_connections::MAX_BUFFER_BYTES).
 const MAX_UNPRODUCTIVE_BYTES: usize = 128 * 1024;
 
 /// Counts what was received since the last part of an answer.
 #[derive(Debug, Default)]
-pub(crate) struct Unproductive {
-    bytes: AtomicUsize,
+pub(crate) struct UnproductiveInput {
+    received_bytes: AtomicUsize,
     interim_responses: AtomicUsize,
     is_exceeded: AtomicBool,
 }
 
-impl Unproductive {
+impl UnproductiveInput {
     /// Records that a request was sent, or that a part of its answer arrived.
     pub(crate) fn reset(&self) {
-        self.bytes.store(0, Ordering::Relaxed);
+        self.received_bytes.store(0, Ordering::Relaxed);
         self.interim_responses.store(0, Ordering::Relaxed);
     }
 
@@ -47,7 +47,7 @@
     }
 
     fn record_bytes(&self, bytes: usize) {
-        let before = self.bytes.fetch_add(bytes, Ordering::Relaxed);
+        let before = self.received_bytes.fetch_add(bytes, Ordering::Relaxed);
         if before + bytes > MAX_UNPRODUCTIVE_BYTES {
             self.is_exceeded.store(true, Ordering::Relaxed);
         }
@@ -57,11 +57,11 @@
 #[derive(Debug)]
 pub(crate) struct EndpointStream {
     stream: TcpStream,
-    unproductive: Arc<Unproductive>,
+    unproductive: Arc<UnproductiveInput>,
 }
 
 impl EndpointStream {
-    pub(crate) fn new(stream: TcpStream, unproductive: Arc<Unproductive>) -> Self {
+    pub(crate) fn new(stream: TcpStream, unproductive: Arc<UnproductiveInput>) -> Self {
         Self {
             stream,
             unproductive,
--- a/crates/gateway/src/follow/calls.rs
+++ b/crates/gateway/src/follow/calls.rs
@@ -20,8 +20,8 @@
 /// Time after a long poll's end in which its answer may still arrive.
 const ANSWER_GRACE: Duration = Duration::from_millis(1_000);
 
-/// Least bytes between two checks of an answer that is arriving. Less is no transfer to wait
-/// for, however long it goes on.
+/// Least bytes between two checks of an answer that is arriving. With less, another call brings
+/// the same sooner.
 const MIN_ARRIVING_BYTES: u64 = 4 * 1024;
 /// Longest time in which an answer that is arriving suppresses other calls.
 const MAX_ARRIVING_TIME: Duration = Duration::from_secs(30);
@@ -29,7 +29,7 @@
 /// Tells whether an answer is arriving, so that another call would only fetch the same again.
 #[derive(Debug, Default)]
 struct ArrivingAnswer {
-    bytes: u64,
+    seen_bytes: u64,
     since: Option<Instant>,
 }
 
@@ -37,8 +37,8 @@
     /// Whether it has been arriving since the last check. The first time counts as an answer of
     /// the store; later ones do not, as the answer may never end.
     fn check(&mut self, shared: &Shared, topic: Topic, bytes: u64) -> bool {
-        let new_bytes = bytes - self.bytes;
-        self.bytes = bytes;
+        let new_bytes = bytes - self.seen_bytes;
+        self.seen_bytes = bytes;
         if new_bytes < MIN_ARRIVING_BYTES {
             return false;
         }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -45,8 +45,8 @@
 /// events count as part of the later one.
 const MAX_EVENT_BYTES: usize = 256 * 1024;
 
-/// Most bytes that are relayed after the deadline. An endpoint has sent no more before it, since
-/// its system and this host's hold less.
+/// Most bytes that are relayed after the deadline: what was ready before it is delivered, and a
+/// stream that goes on ends.
 pub(crate) const MAX_LATE_BYTES: usize = 8 * 1024 * 1024;
 
 /// Result of a wait for the endpoint.
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -307,8 +307,8 @@
     }
 
     /// Records that the store answered a host `ago_ms` ago, on either topic, and returns the
-    /// time since the previous answer. If that exceeds the bound, the store was unavailable, and entries
-    /// that lapsed meanwhile are kept for a while.
+    /// time since the previous answer. If that exceeds the bound, the store was unavailable, and
+    /// entries that lapsed meanwhile are kept for a while.
     ///
     /// Checks for a suspension first: time in which this host received nothing would count
     /// as unavailability and keep endpoints that are gone.
