Play retries while hosts start, end and stall

Scenarios of chalkrock-soak play eight hosts before endpoints that fail every call, and compare the arrivals beyond the first of each call with what the rule allows in any window: the ratio of the calls sent in the window, in the one before it or the one half a window before it, whichever has most, and the slack.

No logic is changed.

--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -12,6 +12,7 @@
 mod plan;
 mod process;
 mod proxy;
+mod retry_use;
 
 pub use checks::{
     Bounds, Check, Finding, check_all, check_blame, check_budget, check_builds, check_config,
@@ -26,3 +27,4 @@
 pub use plan::{Fault, LateBuild, Plan, PlanShape, PlannedFault, PoisonPart, Rollout, RolloutKind};
 pub use process::Process;
 pub use proxy::{LinkMode, Proxy};
+pub use retry_use::{RetryUse, worst_retry_use};
