Show by whom the slack of the retry budget is shared, and when a retry was paid

A retry-budget line, the attempts' paid_ago_ms and retries_total by pool and outcome say so. No logic is changed.

--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -79,6 +79,9 @@
     pub(crate) scheduler_epoch: Option<u64>,
     /// When it was chosen, relative to the request's entry.
     pub(crate) at_ms: u64,
+    /// Time since it was paid from the retry budget, if it is a retry that was.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) paid_ago_ms: Option<u64>,
     /// Whether its response reported that the endpoint is leaving.
     #[serde(skip_serializing_if = "std::ops::Not::not")]
     pub(crate) says_leaving: bool,
@@ -318,6 +321,15 @@
         age_ms: u64,
         rows: usize,
     },
+    /// A retry was paid while the slack was shared by another number of hosts than before.
+    /// `requests` and `retries` are those of this host in the window.
+    RetryBudget {
+        pool: &'a PoolId,
+        hosts: usize,
+        previous_hosts: Option<usize>,
+        requests: u32,
+        retries: u32,
+    },
     /// The TCP port that the system assigned is taken for UDP; another one is tried.
     PortTaken { address: SocketAddr },
     /// The store was restored from a backup: later writes are lost and versions are
--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -140,6 +140,8 @@
     /// Slots that belong to this host at such endpoints, by the hash of their start.
     own_slots: HashMap<u32, u32>,
     budgets: HashMap<PoolId, WindowBudget>,
+    /// Hosts that shared the slack when a retry was last paid, by pool.
+    budget_hosts: HashMap<PoolId, usize>,
     service_times: HashMap<PoolId, ServiceTimeEwma>,
     /// Endpoints whose prefixes spread over others, by pool.
     home_demand: HashMap<PoolId, HomeDemand>,
@@ -193,6 +195,7 @@
             rejection_limits: RejectionLimits::default(),
             own_slots: HashMap::new(),
             budgets: HashMap::new(),
+            budget_hosts: HashMap::new(),
             service_times: HashMap::new(),
             home_demand: HashMap::new(),
             recent_prefixes: RecentPrefixes::default(),
@@ -490,6 +493,17 @@
         budget.or_insert_with(|| WindowBudget::new(rules))
     }
 
+    /// Records the hosts that share the slack at the payment of a retry. Returns the number at
+    /// the one before if it was another.
+    pub(crate) fn record_budget_hosts(
+        &mut self,
+        pool: &PoolId,
+        hosts: usize,
+    ) -> Option<Option<usize>> {
+        let previous = self.budget_hosts.insert(pool.clone(), hosts);
+        (previous != Some(hosts)).then_some(previous)
+    }
+
     /// Occupancy of a pool without endpoints that are suspect or back off: requests queued
     /// for their slots would not be served.
     pub(crate) fn occupancy(&self, pool: &PoolId, now_ms: u64) -> PoolOccupancy {
--- a/crates/gateway/src/progress/mod.rs
+++ b/crates/gateway/src/progress/mod.rs
@@ -13,7 +13,7 @@
 
 use crate::access_log::record_disconnect;
 use crate::call::Call;
-use crate::event_log::AttemptRecord;
+use crate::event_log::{AttemptRecord, Event};
 use crate::fair_share::RequestWork;
 use crate::fleet::{EndpointQuery, Fleet, SelectedEndpoint};
 use crate::forward::{ForwardHead, Forwarding, Path, UsedEndpoint};
@@ -68,6 +68,8 @@
     unreached: Vec<u32>,
     /// Whether these were chosen again.
     has_reconsidered: bool,
+    /// When the upcoming attempt was paid from the retry budget.
+    paid_at_ms: Option<u64>,
     /// Whether the request was logged as completed.
     is_logged: bool,
 }
@@ -123,6 +125,7 @@
             forwarding: Forwarding::default(),
             unreached: Vec::new(),
             has_reconsidered: false,
+            paid_at_ms: None,
             is_logged: false,
             call,
         }
@@ -417,6 +420,7 @@
             waited_ms: granted.map(|granted| granted.waited_ms),
             scheduler_epoch: granted.map(|granted| granted.epoch),
             at_ms: self.call.entered_at.elapsed().as_millis() as u64,
+            paid_ago_ms: self.paid_at_ms.take().map(|at_ms| self.sent_at_ms - at_ms),
             says_leaving: false,
             backoff_ms: None,
             framing: None,
@@ -434,14 +438,20 @@
         if end.counts_as_attempt() {
             self.delivered_attempts += 1;
         }
+        let mut paid_at_ms = None;
         let next = next_step(
             end,
             self.worst_outcome,
             self.call.repeatable(),
             self.delivered_attempts,
             self.call.route.attempts_max,
-            || self.try_spend_retry(),
+            || {
+                let is_paid = self.try_spend_retry();
+                paid_at_ms = is_paid.then(|| self.shared.clock.now_ms());
+                is_paid
+            },
         );
+        self.paid_at_ms = paid_at_ms;
         if end.outcome() != Outcome::NotRun {
             self.worst_outcome = Outcome::Unknown;
         }
@@ -470,10 +480,28 @@
     }
 
     fn try_spend_retry(&self) -> bool {
+        let pool = &self.call.pool;
         let now_ms = self.shared.clock.now_ms();
         let mut fleet = self.shared.fleet();
         let hosts = host_count(&fleet, now_ms);
-        fleet.budget(&self.call.pool).try_spend(now_ms, hosts)
+        let budget = fleet.budget(pool);
+        let is_paid = budget.try_spend(now_ms, hosts);
+        let (requests, retries) = budget.counts();
+        let changed = is_paid.then(|| fleet.record_budget_hosts(pool, hosts));
+        drop(fleet);
+        if let Some(previous_hosts) = changed.flatten() {
+            self.shared.event_log.emit(&Event::RetryBudget {
+                pool,
+                hosts,
+                previous_hosts,
+                requests,
+                retries,
+            });
+        }
+        let outcome = if is_paid { "paid" } else { "refused" };
+        let labels = format!("pool=\"{pool}\",outcome=\"{outcome}\"");
+        self.shared.metrics.count("retries_total", &labels, 1);
+        is_paid
     }
 }
 
--- a/crates/routing/src/budget.rs
+++ b/crates/routing/src/budget.rs
@@ -72,13 +72,18 @@
         true
     }
 
+    /// The requests and retries of the window.
+    pub fn counts(&self) -> (u32, u32) {
+        let sum = |count: fn(&Bucket) -> u32| self.buckets.iter().map(count).sum();
+        (sum(|bucket| bucket.requests), sum(|bucket| bucket.retries))
+    }
+
     /// Whether a retry remains.
     pub fn has_remaining(&mut self, now_ms: u64, hosts: usize) -> bool {
         let slack = USABLE_FRACTION * self.rules.slack / hosts.max(1) as f64;
         let ratio = USABLE_FRACTION * self.rules.ratio;
         self.current_bucket(now_ms);
-        let requests: u32 = self.buckets.iter().map(|bucket| bucket.requests).sum();
-        let retries: u32 = self.buckets.iter().map(|bucket| bucket.retries).sum();
+        let (requests, retries) = self.counts();
         f64::from(retries + 1) <= ratio * f64::from(requests) + slack
     }
 
