--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -30,6 +30,7 @@
 mod pool_queue;
 mod recovery;
 mod restarts;
+mod retry_budget;
 mod rollouts;
 mod rows;
 mod silences;
--- a/crates/gateway/tests/gateway/support/fleet.rs
+++ b/crates/gateway/tests/gateway/support/fleet.rs
@@ -178,12 +178,21 @@
 
     /// Starts a gateway whose retry budget has no slack.
     pub(crate) async fn with_budget(source: TestSource, ratio: f64) -> Self {
-        let config = config("zone-a", "host-1", Vec::new());
         let budget = BudgetRules {
             ratio,
             slack: 0.0,
             window_ms: 10_000,
         };
+        Self::with_budget_rules(source, "host-1", budget).await
+    }
+
+    /// Starts a gateway with a retry budget.
+    pub(crate) async fn with_budget_rules(
+        source: TestSource,
+        host: &str,
+        budget: BudgetRules,
+    ) -> Self {
+        let config = config("zone-a", host, Vec::new());
         Self::from_config(config.retry_budget(budget).build(), source).await
     }
 
--- a/crates/routing/tests/budget.rs
+++ b/crates/routing/tests/budget.rs
@@ -70,3 +70,45 @@
     (0..100).for_each(|_| budget.record_request(0));
     assert_that!(spend_all(&mut budget, 0, 8, 100), eq(16));
 }
+
+/// Whether in all windows the retries stay within the ratio of the requests of the window, of
+/// the one before it or of the one half a window before it, whichever has most, and the slack.
+fn is_within_rules(requests_at_ms: &[u64], retries_at_ms: &[u64], rules: &BudgetRules) -> bool {
+    let window_ms = rules.window_ms;
+    let count = |times: &[u64], end_ms: u64| {
+        let is_in = |at: &&u64| **at <= end_ms && **at + window_ms > end_ms;
+        times.iter().filter(is_in).count() as f64
+    };
+    retries_at_ms.iter().all(|&end_ms| {
+        let ends_ms = [0, window_ms / 2, window_ms].map(|ago_ms| end_ms.checked_sub(ago_ms));
+        let requests = ends_ms.into_iter().flatten();
+        let requests = requests.map(|end_ms| count(requests_at_ms, end_ms));
+        let requests = requests.fold(0.0, f64::max);
+        count(retries_at_ms, end_ms) <= rules.ratio * requests + rules.slack
+    })
+}
+
+/// Guards against requests that back retries again at the hosts to which their callers move.
+#[test]
+fn budget_of_hosts_whose_callers_move_stays_within_the_fleet_budget() {
+    const REQUEST_INTERVAL_MS: usize = 5;
+    const FAILURE_MS: u64 = 20_000;
+    let rules = BudgetRules {
+        slack: 0.0,
+        ..RULES
+    };
+    for move_delay_ms in [500, 1_000, 2_000, 5_000, 9_000] {
+        let mut hosts = [WindowBudget::new(rules), WindowBudget::new(rules)];
+        let (mut requests, mut retries) = (Vec::new(), Vec::new());
+        for now_ms in (0..40_000).step_by(REQUEST_INTERVAL_MS) {
+            let host = &mut hosts[usize::from(now_ms >= FAILURE_MS + move_delay_ms)];
+            host.record_request(now_ms);
+            requests.push(now_ms);
+            if now_ms >= FAILURE_MS && host.try_spend(now_ms, 2) {
+                retries.push(now_ms);
+            }
+        }
+        let is_within = is_within_rules(&requests, &retries, &rules);
+        assert_that!(is_within, eq(true), "moved after {move_delay_ms} ms");
+    }
+}
