Let each request back its part of a retry once, for a quarter of the window

What callers saw: none of them, but endpoints that fail got 644 retries in ten seconds where 456 are allowed, when callers left half of the hosts for the other half.

Cause: a host may spend the ratio of all its requests of the last window, and only that host counts what they backed. Where its callers or its process go, the requests that arrive elsewhere back as many again within the window.

Fix: a request earns its part of a retry once, and what it earned expires after a quarter of the window, so that the retries of any window over all hosts are backed by the requests of one and a quarter windows, of which 0.8 is usable. Hosts make whole retries; each begins with a random fraction, so that those with few requests get their part on average. The slack is counted apart and rounded in the same way. A test that expects exact retries sets these fractions to 0.

--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -5,7 +5,8 @@
 
 use chalkrock_core::{HostId, ZoneId};
 use chalkrock_routing::{
-    BudgetRules, ColdBound, ExposureBound, HostCapacity, SpreadRules, SubscriptionTimings,
+    BudgetPhases, BudgetRules, ColdBound, ExposureBound, HostCapacity, SpreadRules,
+    SubscriptionTimings,
 };
 
 use crate::suspension::HostClock;
@@ -44,6 +45,7 @@
     pub(crate) grace_ms: u64,
     pub(crate) spread: SpreadRules,
     pub(crate) budget: BudgetRules,
+    pub(crate) budget_phases: Option<BudgetPhases>,
     pub(crate) connections_max: usize,
     pub(crate) follow: SubscriptionTimings,
     pub(crate) evacuation_copy_ms: u64,
@@ -76,6 +78,7 @@
             peer_seeds: Vec::new(),
             grace_ms: 8_000,
             spread: SpreadRules::default(),
+            budget_phases: None,
             budget: BudgetRules {
                 ratio: 0.1,
                 slack: 20.0,
@@ -161,6 +164,13 @@
         self
     }
 
+    /// Sets the fractions with which retry budgets begin. They are drawn at random by default;
+    /// fixed ones make a single host's retries repeatable.
+    pub fn retry_budget_phases(mut self, phases: BudgetPhases) -> Self {
+        self.0.budget_phases = Some(phases);
+        self
+    }
+
     /// Most concurrent connections of callers.
     pub fn connections_max(mut self, limit: usize) -> Self {
         self.0.connections_max = limit;
--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -322,13 +322,14 @@
         rows: usize,
     },
     /// A retry was paid while the slack was shared by another number of hosts than before.
-    /// `requests` and `retries` are those of this host in the window.
+    /// `credits` are the retries that this host's requests still back, and `slack_spent` those
+    /// that it paid from the slack in the window.
     RetryBudget {
         pool: &'a PoolId,
         hosts: usize,
         previous_hosts: Option<usize>,
-        requests: u32,
-        retries: u32,
+        credits: u32,
+        slack_spent: u32,
     },
     /// The TCP port that the system assigned is taken for UDP; another one is tried.
     PortTaken { address: SocketAddr },
--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -14,7 +14,7 @@
 use chalkrock_core::rendezvous::{KeyHash, score};
 use chalkrock_core::{BuildVersion, Endpoint, EndpointId, PoolId, ZoneId};
 use chalkrock_routing::{
-    Backoffs, Basis, BudgetRules, BuildHistory, BuildUse, Candidate, ColdEndpoints,
+    Backoffs, Basis, BudgetPhases, BudgetRules, BuildHistory, BuildUse, Candidate, ColdEndpoints,
     ConnectionLimit, EndpointHealth, EndpointTable, Evacuations, Evidence, FleetLoad, HealthSignal,
     HomeDemand, HomeSpread, ListReport, ListSource, MaxServiceTime, PlacementRequest,
     PoisonEvidence, PoolBacklog, PoolLoads, PoolMember, PoolOccupancy, PoolRules, Reachability,
@@ -132,6 +132,8 @@
     zone: ZoneId,
     spread: SpreadRules,
     budget: BudgetRules,
+    /// The fractions with which budgets begin, unless drawn.
+    budget_phases: Option<BudgetPhases>,
     health: HashMap<u32, EndpointHealth>,
     /// Which endpoints the other hosts reach.
     pub(crate) reachability: Reachability<SocketAddr>,
@@ -190,6 +192,7 @@
             zone: config.zone.clone(),
             spread: config.spread,
             budget: config.budget,
+            budget_phases: config.budget_phases,
             health: HashMap::new(),
             reachability: Reachability::default(),
             rejection_limits: RejectionLimits::default(),
@@ -490,7 +493,14 @@
     pub(crate) fn budget(&mut self, pool: &PoolId) -> &mut WindowBudget {
         let rules = self.budget;
         let budget = self.budgets.entry(pool.clone());
-        budget.or_insert_with(|| WindowBudget::new(rules))
+        let phases = self.budget_phases;
+        budget.or_insert_with(|| {
+            let phases = phases.unwrap_or_else(|| BudgetPhases {
+                credit: rand::random(),
+                slack: rand::random(),
+            });
+            WindowBudget::with_phases(rules, phases)
+        })
     }
 
     /// Records the hosts that share the slack at the payment of a retry. Returns the number at
--- a/crates/gateway/src/progress/mod.rs
+++ b/crates/gateway/src/progress/mod.rs
@@ -486,7 +486,7 @@
         let hosts = host_count(&fleet, now_ms);
         let budget = fleet.budget(pool);
         let is_paid = budget.try_spend(now_ms, hosts);
-        let (requests, retries) = budget.counts();
+        let (credits, slack_spent) = budget.counts();
         let changed = is_paid.then(|| fleet.record_budget_hosts(pool, hosts));
         drop(fleet);
         if let Some(previous_hosts) = changed.flatten() {
@@ -494,8 +494,8 @@
                 pool,
                 hosts,
                 previous_hosts,
-                requests,
-                retries,
+                credits,
+                slack_spent,
             });
         }
         let outcome = if is_paid { "paid" } else { "refused" };
--- a/crates/gateway/tests/gateway/support/fleet.rs
+++ b/crates/gateway/tests/gateway/support/fleet.rs
@@ -8,8 +8,8 @@
 use chalkrock_gateway::{GatewayConfig, GatewayConfigBuilder, RunningGateway, start};
 use chalkrock_process::{StopHandle, stop_pair};
 use chalkrock_routing::{
-    BudgetRules, ColdBound, OrganisationRules, Route, RouteKind, RulesDocument, RulesVersion,
-    WeightedPool,
+    BudgetPhases, BudgetRules, ColdBound, OrganisationRules, Route, RouteKind, RulesDocument,
+    RulesVersion, WeightedPool,
 };
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -192,8 +192,10 @@
         host: &str,
         budget: BudgetRules,
     ) -> Self {
-        let config = config("zone-a", host, Vec::new());
-        Self::from_config(config.retry_budget(budget).build(), source).await
+        let config = config("zone-a", host, Vec::new())
+            .retry_budget(budget)
+            .retry_budget_phases(BudgetPhases::default());
+        Self::from_config(config.build(), source).await
     }
 
     /// Starts a gateway with a limit on callers' connections.
--- a/crates/routing/src/budget.rs
+++ b/crates/routing/src/budget.rs
@@ -1,15 +1,25 @@
-//! A host's share of the fleet's retry budget, over a sliding window.
+//! A host's part of the fleet's retry budget.
 //!
-//! The operator limits retries over all hosts to a ratio of the requests plus a
-//! slack. Each host spends the ratio of its own requests and an equal share of the
-//! slack.
+//! The operator limits retries over all hosts, in any window, to a ratio of the requests
+//! plus a slack. Hosts do not ask each other before a retry, so that each keeps to a part
+//! that is safe whatever the others do:
+//!
+//! - Each request backs its ratio of a retry once, at the host that received it, and for a
+//!   short time. Wherever callers go, and whatever a host forgets when it ends, the retries
+//!   of a window are backed by the requests of that window and of that time before it.
+//! - Each host has an equal part of the slack, which it spends once in a window.
 
 use std::collections::VecDeque;
 
-/// Buckets per window.
-const BUCKETS: u64 = 10;
-/// Fraction of the limit that is spent; hosts may disagree on how many are live.
+/// Fraction of the limit that is spent. With requests at a constant rate, the fraction of
+/// the requests that can back the retries of a window is within the ratio.
 const USABLE_FRACTION: f64 = 0.8;
+/// Time for which a request backs a retry, as a part of the window.
+const CREDIT_LIFE: f64 = 1.0 / USABLE_FRACTION - 1.0;
+/// Entries per window of a log of times.
+const LOG_RESOLUTION: u64 = 40;
+/// Allows for rounding of sums of fractions.
+const EPSILON: f64 = 1e-9;
 
 /// The operator's limit on retries.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -22,11 +32,67 @@
     pub window_ms: u64,
 }
 
-#[derive(Clone, Copy, Debug, Default)]
-struct Bucket {
-    number: u64,
-    requests: u32,
-    retries: u32,
+/// The fractions of a retry, each at least 0 and less than 1, with which a host begins.
+///
+/// A host makes whole retries only. Drawn at random for each host, the fractions let the
+/// hosts of a fleet together make as many as their parts add up to.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct BudgetPhases {
+    /// Of the retries that requests back.
+    pub credit: f64,
+    /// Of the part of the slack.
+    pub slack: f64,
+}
+
+/// Times of equal events, the oldest first. Events close to each other share an entry.
+#[derive(Clone, Debug, Default)]
+struct TimeLog {
+    entries: VecDeque<LogEntry>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct LogEntry {
+    first_ms: u64,
+    last_ms: u64,
+    count: u32,
+}
+
+impl TimeLog {
+    fn push(&mut self, now_ms: u64, resolution_ms: u64) {
+        match self.entries.back_mut() {
+            Some(last) if now_ms < last.first_ms + resolution_ms => {
+                last.last_ms = last.last_ms.max(now_ms);
+                last.count += 1;
+            }
+            _ => self.entries.push_back(LogEntry {
+                first_ms: now_ms,
+                last_ms: now_ms,
+                count: 1,
+            }),
+        }
+    }
+
+    fn pop_oldest(&mut self) -> bool {
+        let Some(oldest) = self.entries.front_mut() else {
+            return false;
+        };
+        oldest.count -= 1;
+        if oldest.count == 0 {
+            self.entries.pop_front();
+        }
+        true
+    }
+
+    /// Drops the entries at the front to which a condition applies.
+    fn drop_while(&mut self, condition: impl Fn(&LogEntry) -> bool) {
+        while self.entries.front().is_some_and(&condition) {
+            self.entries.pop_front();
+        }
+    }
+
+    fn len(&self) -> u32 {
+        self.entries.iter().map(|entry| entry.count).sum()
+    }
 }
 
 /// Retry budget of one pool on this host.
@@ -45,21 +111,37 @@
 #[derive(Clone, Debug)]
 pub struct WindowBudget {
     rules: BudgetRules,
-    buckets: VecDeque<Bucket>,
+    phases: BudgetPhases,
+    /// Retries that requests back.
+    credits: TimeLog,
+    /// Retries that were paid from the slack.
+    slack_spent: TimeLog,
 }
 
 impl WindowBudget {
-    /// Creates a budget without recorded requests.
+    /// Creates a budget without recorded requests, whose fractions are 0.
     pub fn new(rules: BudgetRules) -> Self {
+        Self::with_phases(rules, BudgetPhases::default())
+    }
+
+    /// Creates a budget without recorded requests.
+    pub fn with_phases(rules: BudgetRules, phases: BudgetPhases) -> Self {
         Self {
             rules,
-            buckets: VecDeque::new(),
+            phases,
+            credits: TimeLog::default(),
+            slack_spent: TimeLog::default(),
         }
     }
 
     /// Records the first send of a request.
     pub fn record_request(&mut self, now_ms: u64) {
-        self.current_bucket(now_ms).requests += 1;
+        self.drop_expired(now_ms);
+        self.phases.credit += USABLE_FRACTION * self.rules.ratio;
+        while self.phases.credit + EPSILON >= 1.0 {
+            self.phases.credit -= 1.0;
+            self.credits.push(now_ms, self.resolution_ms());
+        }
     }
 
     /// Spends one retry if one remains. `hosts` is the number of hosts that share the
@@ -68,43 +150,39 @@
         if !self.has_remaining(now_ms, hosts) {
             return false;
         }
-        self.current_bucket(now_ms).retries += 1;
+        if !self.credits.pop_oldest() {
+            self.slack_spent.push(now_ms, self.resolution_ms());
+        }
         true
     }
 
-    /// The requests and retries of the window.
+    /// Whether a retry remains.
+    pub fn has_remaining(&mut self, now_ms: u64, hosts: usize) -> bool {
+        self.drop_expired(now_ms);
+        self.credits.len() > 0 || self.slack_spent.len() < self.slack_part(hosts)
+    }
+
+    /// Retries that requests back now, and those paid from the slack in the window.
     pub fn counts(&self) -> (u32, u32) {
-        let sum = |count: fn(&Bucket) -> u32| self.buckets.iter().map(count).sum();
-        (sum(|bucket| bucket.requests), sum(|bucket| bucket.retries))
+        (self.credits.len(), self.slack_spent.len())
     }
 
-    /// Whether a retry remains.
-    pub fn has_remaining(&mut self, now_ms: u64, hosts: usize) -> bool {
-        let slack = USABLE_FRACTION * self.rules.slack / hosts.max(1) as f64;
-        let ratio = USABLE_FRACTION * self.rules.ratio;
-        self.current_bucket(now_ms);
-        let (requests, retries) = self.counts();
-        f64::from(retries + 1) <= ratio * f64::from(requests) + slack
+    /// This host's part of the slack.
+    fn slack_part(&self, hosts: usize) -> u32 {
+        let part = USABLE_FRACTION * self.rules.slack / hosts.max(1) as f64;
+        (part + self.phases.slack + EPSILON) as u32
     }
 
-    /// Returns the current bucket and drops those that have left the window.
-    fn current_bucket(&mut self, now_ms: u64) -> &mut Bucket {
-        let length_ms = (self.rules.window_ms / BUCKETS).max(1);
-        let number = now_ms / length_ms;
-        while self
-            .buckets
-            .front()
-            .is_some_and(|bucket| bucket.number + BUCKETS < number)
-        {
-            self.buckets.pop_front();
-        }
-        if self.buckets.back().is_none_or(|last| last.number < number) {
-            self.buckets.push_back(Bucket {
-                number,
-                ..Bucket::default()
-            });
-        }
-        let last = self.buckets.len() - 1;
-        &mut self.buckets[last]
+    fn resolution_ms(&self) -> u64 {
+        (self.rules.window_ms / LOG_RESOLUTION).max(1)
+    }
+
+    fn drop_expired(&mut self, now_ms: u64) {
+        let window_ms = self.rules.window_ms;
+        let life_ms = (CREDIT_LIFE * window_ms as f64) as u64;
+        self.credits
+            .drop_while(|entry| entry.first_ms + life_ms <= now_ms);
+        self.slack_spent
+            .drop_while(|entry| entry.last_ms + window_ms <= now_ms);
     }
 }
