Divide the slack of the retry budget by all hosts that may spend it

What callers saw: nothing themselves; endpoints that fail got 535 and 640 retries in ten seconds where 456 are allowed, when hosts were lost one after the other or all together, and a host that restarts or hears nobody spent the whole slack each time (24 of 8).

Cause: the slack was divided by the hosts heard within 1.5 s. A host that starts hears few, and forgets what it spent before; beside suspended hosts or in a partition each takes the others' part.

Fix: FleetSize counts every host that is known, heard or not, and every one that was heard for half an hour or longer. A host has no part in the slack until a window and 3 s after its start, or after it first met another host, since until then its predecessor may have spent the part and others may not count it. So each host that spends in a window knew of every other one that spends in it. After a pause of over 3 s in its rounds, a host waits 3 s for what it missed.

--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -321,13 +321,14 @@
         age_ms: u64,
         rows: usize,
     },
-    /// A retry was paid while the slack was shared by another number of hosts than before.
+    /// A retry was to be paid while another number of hosts shared the slack than before; none
+    /// if this host has no part in it.
     /// `credits` are the retries that this host's requests still back, and `slack_spent` those
     /// that it paid from the slack in the window.
     RetryBudget {
         pool: &'a PoolId,
-        hosts: usize,
-        previous_hosts: Option<usize>,
+        sharers: Option<usize>,
+        previous_sharers: Option<usize>,
         credits: u32,
         slack_spent: u32,
     },
--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -15,8 +15,8 @@
 use chalkrock_core::{BuildVersion, Endpoint, EndpointId, PoolId, ZoneId};
 use chalkrock_routing::{
     Backoffs, Basis, BudgetPhases, BudgetRules, BuildHistory, BuildUse, Candidate, ColdEndpoints,
-    ConnectionLimit, EndpointHealth, EndpointTable, Evacuations, Evidence, FleetLoad, HealthSignal,
-    HomeDemand, HomeSpread, ListReport, ListSource, MaxServiceTime, PlacementRequest,
+    ConnectionLimit, EndpointHealth, EndpointTable, Evacuations, Evidence, FleetLoad, FleetSize,
+    HealthSignal, HomeDemand, HomeSpread, ListReport, ListSource, MaxServiceTime, PlacementRequest,
     PoisonEvidence, PoolBacklog, PoolLoads, PoolMember, PoolOccupancy, PoolRules, Reachability,
     RecentPrefixes, RejectionLimits, Repeatable, Rollouts, ServiceTimeEwma, Shares, SpreadRules,
     StoreVersion, WindowBudget, choose_endpoint, connections_per_host,
@@ -142,8 +142,10 @@
     /// Slots that belong to this host at such endpoints, by the hash of their start.
     own_slots: HashMap<u32, u32>,
     budgets: HashMap<PoolId, WindowBudget>,
-    /// Hosts that shared the slack when a retry was last paid, by pool.
-    budget_hosts: HashMap<PoolId, usize>,
+    /// The hosts that share the slack of the retry budget.
+    pub(crate) size: FleetSize,
+    /// Their number at the last payment.
+    paid_sharers: Option<usize>,
     service_times: HashMap<PoolId, ServiceTimeEwma>,
     /// Endpoints whose prefixes spread over others, by pool.
     home_demand: HashMap<PoolId, HomeDemand>,
@@ -198,7 +200,8 @@
             rejection_limits: RejectionLimits::default(),
             own_slots: HashMap::new(),
             budgets: HashMap::new(),
-            budget_hosts: HashMap::new(),
+            size: FleetSize::default(),
+            paid_sharers: None,
             service_times: HashMap::new(),
             home_demand: HashMap::new(),
             recent_prefixes: RecentPrefixes::default(),
@@ -503,15 +506,17 @@
         })
     }
 
-    /// Records the hosts that share the slack at the payment of a retry. Returns the number at
-    /// the one before if it was another.
-    pub(crate) fn record_budget_hosts(
-        &mut self,
-        pool: &PoolId,
-        hosts: usize,
-    ) -> Option<Option<usize>> {
-        let previous = self.budget_hosts.insert(pool.clone(), hosts);
-        (previous != Some(hosts)).then_some(previous)
+    /// Records the number of hosts that share the slack at a payment, and returns the one
+    /// before.
+    pub(crate) fn replace_paid_sharers(&mut self, sharers: Option<usize>) -> Option<usize> {
+        std::mem::replace(&mut self.paid_sharers, sharers)
+    }
+
+    /// Records the hosts that this one has heard and those that it knows, itself included.
+    pub(crate) fn record_hosts(&mut self, heard: usize, known: usize, now_ms: u64) {
+        let heard = heard.max(1 + self.load.recent_host_count(now_ms));
+        let window_ms = self.budget.window_ms;
+        self.size.record(heard, known.max(heard), window_ms, now_ms);
     }
 
     /// Occupancy of a pool without endpoints that are suspect or back off: requests queued
--- a/crates/gateway/src/peers/membership.rs
+++ b/crates/gateway/src/peers/membership.rs
@@ -84,6 +84,11 @@
         self.received_at.is_some_and(|at| now - at <= HOST_TIMEOUT)
     }
 
+    /// Whether anything was received from it, or a relay listed it.
+    fn was_heard(&self) -> bool {
+        self.received_at.or(self.listed_at).is_some()
+    }
+
     /// Whether it recently sent its zone's aggregate.
     pub(super) fn is_active_relay(&self, now: Instant) -> bool {
         self.zone_aggregate_at
@@ -315,6 +320,14 @@
         known.collect()
     }
 
+    /// The number of hosts that were heard, directly or by a relay, and of those that are known.
+    /// This host is included in both.
+    pub(crate) fn host_counts(&self) -> (usize, usize) {
+        let peers = self.peers();
+        let heard = peers.values().filter(|peer| peer.was_heard()).count();
+        (1 + heard, 1 + peers.len())
+    }
+
     /// Whether an address is that of a host of the fleet.
     pub(crate) fn knows(&self, address: SocketAddr) -> bool {
         self.peers().contains_key(&address)
@@ -343,15 +356,14 @@
     /// those silent for up to two minutes. Empty while this host and the others may not
     /// know of each other.
     pub(super) fn cold_senders(&self, peers: &HashMap<SocketAddr, Peer>) -> Vec<MemberHash> {
-        let has_reported = |peer: &Peer| peer.received_at.or(peer.listed_at).is_some();
-        let knows_any = peers.values().any(has_reported);
+        let knows_any = peers.values().any(Peer::was_heard);
         let is_alone = self.has_other_seeds && !knows_any;
         if self.started_at.elapsed() < COLD_SENDER_DELAY || is_alone {
             return Vec::new();
         }
         let same_zone = peers.iter().filter(|(_, peer)| {
             let is_same_zone = peer.zone == Some(self.zone);
-            is_same_zone && has_reported(peer)
+            is_same_zone && peer.was_heard()
         });
         let hashes = same_zone.map(|(_, peer)| peer.hash);
         hashes.chain([host_hash(&self.local)]).collect()
--- a/crates/gateway/src/peers/publish.rs
+++ b/crates/gateway/src/peers/publish.rs
@@ -197,6 +197,9 @@
         .lost_peers
         .iter()
         .for_each(|change| log_peer_change(shared, *change));
+    let (heard, known) = peers.host_counts();
+    let now_ms = shared.clock.now_ms();
+    shared.fleet().record_hosts(heard, known, now_ms);
     shared
         .subscription
         .set_round(round.subscriber_count, round.host_count, round.is_relay);
--- a/crates/gateway/src/progress/mod.rs
+++ b/crates/gateway/src/progress/mod.rs
@@ -468,8 +468,8 @@
         if fleet.place(&self.endpoint_query(), now_ms).is_none() {
             return false;
         }
-        let hosts = host_count(&fleet, now_ms);
-        fleet.budget(&self.call.pool).has_remaining(now_ms, hosts)
+        let sharers = fleet.size.sharers(now_ms);
+        fleet.budget(&self.call.pool).has_remaining(now_ms, sharers)
     }
 
     /// Takes the records of all attempts, for the access log. A request that is dropped
@@ -483,17 +483,17 @@
         let pool = &self.call.pool;
         let now_ms = self.shared.clock.now_ms();
         let mut fleet = self.shared.fleet();
-        let hosts = host_count(&fleet, now_ms);
+        let sharers = fleet.size.sharers(now_ms);
         let budget = fleet.budget(pool);
-        let is_paid = budget.try_spend(now_ms, hosts);
+        let is_paid = budget.try_spend(now_ms, sharers);
         let (credits, slack_spent) = budget.counts();
-        let changed = is_paid.then(|| fleet.record_budget_hosts(pool, hosts));
+        let previous_sharers = fleet.replace_paid_sharers(sharers);
         drop(fleet);
-        if let Some(previous_hosts) = changed.flatten() {
+        if sharers != previous_sharers {
             self.shared.event_log.emit(&Event::RetryBudget {
                 pool,
-                hosts,
-                previous_hosts,
+                sharers,
+                previous_sharers,
                 credits,
                 slack_spent,
             });
@@ -523,7 +523,7 @@
     MemberHash::of(name.as_str()).short().max(1)
 }
 
-/// Number of hosts that share the fixed part of the retry budget.
+/// Number of hosts that are heard, this one included.
 fn host_count(fleet: &Fleet, now_ms: u64) -> usize {
     1 + fleet.load.recent_host_count(now_ms)
 }
--- a/crates/routing/src/budget.rs
+++ b/crates/routing/src/budget.rs
@@ -7,7 +7,8 @@
 //! - Each request backs its ratio of a retry once, at the host that received it, and for a
 //!   short time. Wherever callers go, and whatever a host forgets when it ends, the retries
 //!   of a window are backed by the requests of that window and of that time before it.
-//! - Each host has an equal part of the slack, which it spends once in a window.
+//! - Each host has an equal part of the slack, which it spends once in a window. It divides
+//!   by every host that may spend in that window, see [`FleetSize`](crate::FleetSize).
 
 use std::collections::VecDeque;
 
@@ -105,8 +106,8 @@
 /// let rules = BudgetRules { ratio: 0.2, slack: 0.0, window_ms: 10_000 };
 /// let mut budget = WindowBudget::new(rules);
 /// (0..10).for_each(|_| budget.record_request(0));
-/// assert!(budget.try_spend(0, 1));
-/// assert!(!budget.try_spend(0, 1));
+/// assert!(budget.try_spend(0, None));
+/// assert!(!budget.try_spend(0, None));
 /// ```
 #[derive(Clone, Debug)]
 pub struct WindowBudget {
@@ -144,10 +145,10 @@
         }
     }
 
-    /// Spends one retry if one remains. `hosts` is the number of hosts that share the
-    /// slack, this one included.
-    pub fn try_spend(&mut self, now_ms: u64, hosts: usize) -> bool {
-        if !self.has_remaining(now_ms, hosts) {
+    /// Spends one retry if one remains. `sharers` is the number of hosts that share the
+    /// slack, this one included, or `None` if this host has no part in it.
+    pub fn try_spend(&mut self, now_ms: u64, sharers: Option<usize>) -> bool {
+        if !self.has_remaining(now_ms, sharers) {
             return false;
         }
         if !self.credits.pop_oldest() {
@@ -157,9 +158,10 @@
     }
 
     /// Whether a retry remains.
-    pub fn has_remaining(&mut self, now_ms: u64, hosts: usize) -> bool {
+    pub fn has_remaining(&mut self, now_ms: u64, sharers: Option<usize>) -> bool {
         self.drop_expired(now_ms);
-        self.credits.len() > 0 || self.slack_spent.len() < self.slack_part(hosts)
+        let slack_part = sharers.map_or(0, |sharers| self.slack_part(sharers));
+        self.credits.len() > 0 || self.slack_spent.len() < slack_part
     }
 
     /// Retries that requests back now, and those paid from the slack in the window.
@@ -168,8 +170,8 @@
     }
 
     /// This host's part of the slack.
-    fn slack_part(&self, hosts: usize) -> u32 {
-        let part = USABLE_FRACTION * self.rules.slack / hosts.max(1) as f64;
+    fn slack_part(&self, sharers: usize) -> u32 {
+        let part = USABLE_FRACTION * self.rules.slack / sharers.max(1) as f64;
         (part + self.phases.slack + EPSILON) as u32
     }
 
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -54,6 +54,7 @@
 mod fair_share;
 mod fingerprint;
 mod fleet_load;
+mod fleet_size;
 mod fleet_totals;
 mod follow_times;
 mod health;
@@ -107,6 +108,7 @@
 };
 pub use fingerprint::{RequestContent, RequestFingerprint};
 pub use fleet_load::{FleetLoad, HostReport, MergeOutcome};
+pub use fleet_size::FleetSize;
 pub use fleet_totals::ReportId;
 pub use follow_times::SubscriptionTimings;
 pub use health::{EndpointHealth, HealthSignal};
