Keep what was spent from the retry budget when its rules change

What callers saw: nothing themselves; endpoints got 12 retries in a window where 8 are allowed, when the settings were reloaded with another ratio. A change of settings comes to all hosts.

With another window or a smaller ratio, what requests backed under the old rules lapses; with a longer window, the slack may be spent a window later, since older retries are not known.

--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -218,12 +218,14 @@
     }
 
     /// Applies reloaded limits.
-    pub(crate) fn set_bounds(&mut self, config: &GatewayConfig) {
+    pub(crate) fn set_bounds(&mut self, config: &GatewayConfig, now_ms: u64) {
         self.spread = config.spread;
         self.cold.set_bound(config.cold_bound);
         if self.budget != config.budget {
             self.budget = config.budget;
-            self.budgets.clear();
+            for budget in self.budgets.values_mut() {
+                budget.set_rules(config.budget, now_ms);
+            }
         }
     }
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -181,6 +181,8 @@
         "",
         fleet.load.recent_host_count(now_ms) as f64,
     );
+    let sharers = fleet.size.sharers(now_ms).unwrap_or_default();
+    metrics.gauge("retry_budget_sharers", "", sharers as f64);
     let remote_host_count = fleet.load.remote_host_count();
     metrics.gauge("hosts_known_by_sums", "", remote_host_count as f64);
     let uses_fleet_aggregate = fleet.load.uses_fleet_aggregate();
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -311,7 +311,8 @@
 
 async fn apply_reloads(shared: Arc<Shared>, mut reloads: mpsc::Receiver<GatewayConfig>) {
     while let Some(config) = reloads.recv().await {
-        shared.fleet().set_bounds(&config);
+        let now_ms = shared.clock.now_ms();
+        shared.fleet().set_bounds(&config, now_ms);
         shared.event_log.emit(&Event::Reload);
     }
 }
--- a/crates/gateway/tests/gateway/support/fleet.rs
+++ b/crates/gateway/tests/gateway/support/fleet.rs
@@ -92,6 +92,14 @@
         })
 }
 
+/// Returns settings of a host with a retry budget.
+pub(crate) fn config_with_budget(host: &str, budget: BudgetRules) -> GatewayConfig {
+    config("zone-a", host, Vec::new())
+        .retry_budget(budget)
+        .retry_budget_phases(BudgetPhases::default())
+        .build()
+}
+
 /// A running gateway with its store and endpoints.
 pub(crate) struct TestGateway {
     pub(crate) running: RunningGateway,
@@ -159,12 +167,26 @@
 
     /// Starts a gateway that is lost, as by SIGKILL, when this is dropped.
     pub(crate) async fn killable(source: TestSource, host: &str, seeds: Vec<SocketAddr>) -> Self {
+        Self::killable_from_config(config("zone-a", host, seeds).build(), source).await
+    }
+
+    /// The same with a retry budget.
+    pub(crate) async fn killable_with_budget(
+        source: &TestSource,
+        host: &str,
+        seeds: Vec<SocketAddr>,
+        budget: BudgetRules,
+    ) -> Self {
+        let config = config("zone-a", host, seeds).retry_budget(budget);
+        Self::killable_from_config(config.build(), source.clone()).await
+    }
+
+    async fn killable_from_config(config: GatewayConfig, source: TestSource) -> Self {
         let runtime = tokio::runtime::Builder::new_multi_thread()
             .worker_threads(1)
             .enable_all()
             .build()
             .expect("a runtime");
-        let config = config("zone-a", host, seeds).build();
         let started = runtime.spawn(Self::from_config(config, source));
         let gateway = started.await.expect("the gateway starts");
         let own = OwnRuntime {
@@ -193,10 +215,17 @@
         host: &str,
         budget: BudgetRules,
     ) -> Self {
-        let config = config("zone-a", host, Vec::new())
-            .retry_budget(budget)
-            .retry_budget_phases(BudgetPhases::default());
-        Self::from_config(config.build(), source).await
+        Self::from_config(config_with_budget(host, budget), source).await
+    }
+
+    /// Starts a gateway with a retry budget that reloads may change.
+    pub(crate) async fn with_reloads(
+        source: TestSource,
+        budget: BudgetRules,
+    ) -> (Self, mpsc::Sender<GatewayConfig>) {
+        let (sender, reloads) = mpsc::channel(1);
+        let config = config_with_budget("host-1", budget);
+        (Self::run(config, source, reloads).await, sender)
     }
 
     /// Starts a gateway with a limit on callers' connections.
@@ -300,8 +329,16 @@
     }
 
     async fn from_config(config: GatewayConfig, source: TestSource) -> Self {
-        let (stop, stop_signal) = stop_pair();
         let (_, reloads) = mpsc::channel(1);
+        Self::run(config, source, reloads).await
+    }
+
+    async fn run(
+        config: GatewayConfig,
+        source: TestSource,
+        reloads: mpsc::Receiver<GatewayConfig>,
+    ) -> Self {
+        let (stop, stop_signal) = stop_pair();
         let running = start(
             config,
             Box::new(TestEdge),
--- a/crates/gateway/tests/gateway/support/mod.rs
+++ b/crates/gateway/tests/gateway/support/mod.rs
@@ -21,7 +21,8 @@
 pub(crate) use endless::{EndlessAnswer, Pace};
 pub(crate) use endpoint::{Behaviour, Script, ScriptedEndpoint, event};
 pub(crate) use fleet::{
-    Call, KEY, Received, TestGateway, hosts_with, metric, receive, rules, rules_with_routes, until,
+    Call, KEY, Received, TestGateway, config_with_budget, hosts_with, metric, receive, rules,
+    rules_with_routes, until,
 };
 pub(crate) use framed::{FramedAnswer, Framing};
 pub(crate) use held_calls::HeldCalls;
--- a/crates/routing/src/budget.rs
+++ b/crates/routing/src/budget.rs
@@ -117,6 +117,8 @@
     credits: TimeLog,
     /// Retries that were paid from the slack.
     slack_spent: TimeLog,
+    /// When the slack may be spent, after a change of the window.
+    slack_from_ms: u64,
 }
 
 impl WindowBudget {
@@ -132,6 +134,19 @@
             phases,
             credits: TimeLog::default(),
             slack_spent: TimeLog::default(),
+            slack_from_ms: 0,
+        }
+    }
+
+    /// Replaces the rules. What was spent in the window still counts.
+    pub fn set_rules(&mut self, rules: BudgetRules, now_ms: u64) {
+        let previous = std::mem::replace(&mut self.rules, rules);
+        if rules.ratio < previous.ratio || rules.window_ms != previous.window_ms {
+            self.credits = TimeLog::default();
+        }
+        if rules.window_ms > previous.window_ms {
+            // What was spent before the previous window is forgotten.
+            self.slack_from_ms = now_ms + rules.window_ms;
         }
     }
 
@@ -160,6 +175,7 @@
     /// Whether a retry remains.
     pub fn has_remaining(&mut self, now_ms: u64, sharers: Option<usize>) -> bool {
         self.drop_expired(now_ms);
+        let sharers = sharers.filter(|_| now_ms >= self.slack_from_ms);
         let slack_part = sharers.map_or(0, |sharers| self.slack_part(sharers));
         self.credits.len() > 0 || self.slack_spent.len() < slack_part
     }
--- a/crates/routing/tests/budget.rs
+++ b/crates/routing/tests/budget.rs
@@ -112,3 +112,49 @@
         assert_that!(is_within, eq(true), "moved after {move_delay_ms} ms");
     }
 }
+
+/// Guards against changes of the rules after which a host forgets what it spent.
+#[test]
+fn budget_whose_rules_change_counts_what_was_spent() {
+    let changes = [
+        (
+            "ratio",
+            BudgetRules {
+                ratio: 0.1,
+                ..RULES
+            },
+        ),
+        (
+            "slack",
+            BudgetRules {
+                slack: 48.0,
+                ..RULES
+            },
+        ),
+        (
+            "shorter window",
+            BudgetRules {
+                window_ms: 9_000,
+                ..RULES
+            },
+        ),
+        (
+            "longer window",
+            BudgetRules {
+                window_ms: 20_000,
+                ..RULES
+            },
+        ),
+    ];
+    for (name, rules) in changes {
+        let mut budget = WindowBudget::new(RULES);
+        (0..50).for_each(|_| budget.record_request(0));
+        assert_that!(spend_all(&mut budget, 0, 8, 100), gt(0), "{name}");
+        budget.set_rules(rules, 1_000);
+        for now_ms in [1_000, 8_900] {
+            assert_that!(spend_all(&mut budget, now_ms, 8, 100), eq(0), "{name}");
+        }
+        let restored = spend_all(&mut budget, 21_000, 8, 100);
+        assert_that!(restored, gt(0), "{name}");
+    }
+}
