Return the payment of a retry that is not sent

What callers saw: a request failed at the only endpoint of its pool, its retry was paid and found no other, and the next failed request was refused a retry that the rule allows.

Cause: a retry is paid when the attempt before it fails, and what was paid was kept whether an endpoint was found or not, also where the deadline passed or the caller left.

Fix: try_spend returns a payment. One whose attempt was not begun, or ended before anything was written, pays for the next one, and is refunded when the request ends; a credit expires as if it had not been spent.

Test: retries_that_find_no_endpoint_are_not_paid failed before (500 in place of 200).

--- a/crates/gateway/src/progress/mod.rs
+++ b/crates/gateway/src/progress/mod.rs
@@ -9,7 +9,7 @@
 
 use chalkrock_core::rendezvous::MemberHash;
 use chalkrock_core::{BuildVersion, Endpoint, OrganisationId, Outcome};
-use chalkrock_routing::{BuildRequest, BuildUse, Next, Repeatable, RouteKind, next_step};
+use chalkrock_routing::{BuildRequest, BuildUse, Next, Payment, Repeatable, RouteKind, next_step};
 
 use crate::access_log::record_disconnect;
 use crate::call::Call;
@@ -68,8 +68,11 @@
     unreached: Vec<u32>,
     /// Whether these were chosen again.
     has_reconsidered: bool,
-    /// When the upcoming attempt was paid from the retry budget.
-    paid_at_ms: Option<u64>,
+    /// The payment of the upcoming attempt and when it was made. It is returned if the attempt
+    /// is not made.
+    payment: Option<(Payment, u64)>,
+    /// The payment of the attempt in progress.
+    sent_payment: Option<(Payment, u64)>,
     /// Whether the request was logged as completed.
     is_logged: bool,
 }
@@ -125,7 +128,8 @@
             forwarding: Forwarding::default(),
             unreached: Vec::new(),
             has_reconsidered: false,
-            paid_at_ms: None,
+            payment: None,
+            sent_payment: None,
             is_logged: false,
             call,
         }
@@ -391,6 +395,8 @@
         self.is_forwarded = next_hop.is_some();
         self.sent_at_ms = self.shared.clock.now_ms();
         self.stalled_at_send_ms = self.shared.lag.stalled_ms();
+        self.sent_payment = self.payment.take();
+        let paid_at_ms = self.sent_payment.map(|(_, at_ms)| at_ms);
         self.tried.push(choice.member.hash.short());
         self.last_endpoint = Some(choice.member.endpoint.clone());
         let fleet = self.shared.fleet();
@@ -420,7 +426,7 @@
             waited_ms: granted.map(|granted| granted.waited_ms),
             scheduler_epoch: granted.map(|granted| granted.epoch),
             at_ms: self.call.entered_at.elapsed().as_millis() as u64,
-            paid_ago_ms: self.paid_at_ms.take().map(|at_ms| self.sent_at_ms - at_ms),
+            paid_ago_ms: paid_at_ms.map(|at_ms| self.sent_at_ms - at_ms),
             says_leaving: false,
             backoff_ms: None,
             framing: None,
@@ -438,7 +444,11 @@
         if end.counts_as_attempt() {
             self.delivered_attempts += 1;
         }
-        let mut paid_at_ms = None;
+        let sent_payment = self.sent_payment.take();
+        if !end.counts_against_budget() {
+            self.payment = sent_payment;
+        }
+        let mut payment = None;
         let next = next_step(
             end,
             self.worst_outcome,
@@ -446,12 +456,11 @@
             self.delivered_attempts,
             self.call.route.attempts_max,
             || {
-                let is_paid = self.try_spend_retry();
-                paid_at_ms = is_paid.then(|| self.shared.clock.now_ms());
-                is_paid
+                payment = self.try_pay_retry();
+                payment.is_some()
             },
         );
-        self.paid_at_ms = paid_at_ms;
+        self.payment = self.payment.or(payment);
         if end.outcome() != Outcome::NotRun {
             self.worst_outcome = Outcome::Unknown;
         }
@@ -479,13 +488,13 @@
         std::mem::take(&mut self.attempts)
     }
 
-    fn try_spend_retry(&self) -> bool {
+    fn try_pay_retry(&self) -> Option<(Payment, u64)> {
         let pool = &self.call.pool;
         let now_ms = self.shared.clock.now_ms();
         let mut fleet = self.shared.fleet();
         let sharers = fleet.size.sharers(now_ms);
         let budget = fleet.budget(pool);
-        let is_paid = budget.try_spend(now_ms, sharers);
+        let payment = budget.try_spend(now_ms, sharers);
         let (credits, slack_spent) = budget.counts();
         let previous_sharers = fleet.replace_paid_sharers(sharers);
         drop(fleet);
@@ -498,15 +507,34 @@
                 slack_spent,
             });
         }
-        let outcome = if is_paid { "paid" } else { "refused" };
+        self.count_retry(match payment {
+            Some(_) => "paid",
+            None => "refused",
+        });
+        payment.map(|payment| (payment, now_ms))
+    }
+
+    /// Returns the payment of an attempt that was not made.
+    fn refund_retry(&mut self) {
+        if let Some((payment, _)) = self.payment.take() {
+            let now_ms = self.shared.clock.now_ms();
+            let mut fleet = self.shared.fleet();
+            fleet.budget(&self.call.pool).refund(payment, now_ms);
+            drop(fleet);
+            self.count_retry("refunded");
+        }
+    }
+
+    fn count_retry(&self, outcome: &str) {
+        let pool = &self.call.pool;
         let labels = format!("pool=\"{pool}\",outcome=\"{outcome}\"");
         self.shared.metrics.count("retries_total", &labels, 1);
-        is_paid
     }
 }
 
 impl Drop for Progress {
     fn drop(&mut self) {
+        self.refund_retry();
         if !self.is_logged {
             record_disconnect(&self.shared, &self.call, &self.attempts);
         }
--- a/crates/gateway/tests/gateway/retry_budget.rs
+++ b/crates/gateway/tests/gateway/retry_budget.rs
@@ -181,3 +181,37 @@
     println!("all have a part after {:?}", began_at.elapsed());
     assert_that!(with_part, eq(hosts));
 }
+
+/// Guards against retries that are paid and reach no endpoint.
+#[tokio::test]
+async fn retries_that_find_no_endpoint_are_not_paid() {
+    // Each seventh request backs a retry, for 15 s.
+    const REQUESTS: usize = 7;
+    let budget = BudgetRules {
+        ratio: 0.18,
+        slack: 0.0,
+        ..BUDGET
+    };
+    let source = TestSource::default();
+    source.set_rules(rules(1));
+    let script = Script::default();
+    let start =
+        async |name| ScriptedEndpoint::start(name, "pool", Behaviour::Answer, script.clone()).await;
+    source.list(start("endpoint-1").await.endpoint.clone());
+    let gateway = TestGateway::with_budget_rules(source, "host-1", budget).await;
+    gateway.ready().await;
+    for i in 1..REQUESTS {
+        let call = Call::get("/safe/").id(&format!("r-{i}"));
+        assert_that!(gateway.call(call).await.status, eq(200));
+    }
+    script.push([Behaviour::Fail]);
+    let alone = gateway.call(Call::get("/safe/").id("alone")).await;
+    assert_that!(alone.status, ge(500));
+    gateway
+        .source
+        .list(start("endpoint-2").await.endpoint.clone());
+    until(async || metric(&gateway, "endpoints_live").await == 2.0).await;
+    script.push([Behaviour::Fail]);
+    let retried = gateway.call(Call::get("/safe/").id("retried")).await;
+    assert_that!(retried.status, eq(200));
+}
--- a/crates/routing/src/budget.rs
+++ b/crates/routing/src/budget.rs
@@ -45,6 +45,21 @@
     pub slack: f64,
 }
 
+/// A retry that was paid from the budget.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[must_use]
+pub struct Payment {
+    source: PaidFrom,
+    /// When the request that backs it arrived, or when the slack was spent.
+    entry_ms: u64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum PaidFrom {
+    Credit,
+    Slack,
+}
+
 /// Times of equal events, the oldest first. Events close to each other share an entry.
 #[derive(Clone, Debug, Default)]
 struct TimeLog {
@@ -59,29 +74,63 @@
 }
 
 impl TimeLog {
-    fn push(&mut self, now_ms: u64, resolution_ms: u64) {
+    /// Adds an event and returns the first time of its entry.
+    fn push(&mut self, now_ms: u64, resolution_ms: u64) -> u64 {
         match self.entries.back_mut() {
             Some(last) if now_ms < last.first_ms + resolution_ms => {
                 last.last_ms = last.last_ms.max(now_ms);
                 last.count += 1;
+                last.first_ms
+            }
+            _ => {
+                self.entries.push_back(LogEntry {
+                    first_ms: now_ms,
+                    last_ms: now_ms,
+                    count: 1,
+                });
+                now_ms
             }
-            _ => self.entries.push_back(LogEntry {
-                first_ms: now_ms,
-                last_ms: now_ms,
-                count: 1,
-            }),
         }
     }
 
-    fn pop_oldest(&mut self) -> bool {
-        let Some(oldest) = self.entries.front_mut() else {
-            return false;
-        };
+    /// Removes the oldest event and returns the first time of its entry.
+    fn pop_oldest(&mut self) -> Option<u64> {
+        let oldest = self.entries.front_mut()?;
         oldest.count -= 1;
+        let first_ms = oldest.first_ms;
         if oldest.count == 0 {
             self.entries.pop_front();
         }
-        true
+        Some(first_ms)
+    }
+
+    /// Returns an event that was removed to an entry that began then.
+    fn put_back(&mut self, first_ms: u64) {
+        let at = self
+            .entries
+            .partition_point(|entry| entry.first_ms < first_ms);
+        match self.entries.get_mut(at) {
+            Some(entry) if entry.first_ms == first_ms => entry.count += 1,
+            _ => self.entries.insert(
+                at,
+                LogEntry {
+                    first_ms,
+                    last_ms: first_ms,
+                    count: 1,
+                },
+            ),
+        }
+    }
+
+    /// Removes an event of the entry that began then, if it is there.
+    fn remove(&mut self, first_ms: u64) {
+        let begins = |entry: &LogEntry| entry.first_ms == first_ms;
+        if let Some(at) = self.entries.iter().position(begins) {
+            self.entries[at].count -= 1;
+            if self.entries[at].count == 0 {
+                self.entries.remove(at);
+            }
+        }
     }
 
     /// Drops the entries at the front to which a condition applies.
@@ -106,8 +155,9 @@
 /// let rules = BudgetRules { ratio: 0.2, slack: 0.0, window_ms: 10_000 };
 /// let mut budget = WindowBudget::new(rules);
 /// (0..10).for_each(|_| budget.record_request(0));
-/// assert!(budget.try_spend(0, None));
-/// assert!(!budget.try_spend(0, None));
+/// let payment = budget.try_spend(0, None);
+/// assert!(payment.is_some());
+/// assert!(budget.try_spend(0, None).is_none());
 /// ```
 #[derive(Clone, Debug)]
 pub struct WindowBudget {
@@ -162,14 +212,31 @@
 
     /// Spends one retry if one remains. `sharers` is the number of hosts that share the
     /// slack, this one included, or `None` if this host has no part in it.
-    pub fn try_spend(&mut self, now_ms: u64, sharers: Option<usize>) -> bool {
+    pub fn try_spend(&mut self, now_ms: u64, sharers: Option<usize>) -> Option<Payment> {
         if !self.has_remaining(now_ms, sharers) {
-            return false;
+            return None;
         }
-        if !self.credits.pop_oldest() {
-            self.slack_spent.push(now_ms, self.resolution_ms());
+        let payment = match self.credits.pop_oldest() {
+            Some(entry_ms) => Payment {
+                source: PaidFrom::Credit,
+                entry_ms,
+            },
+            None => Payment {
+                source: PaidFrom::Slack,
+                entry_ms: self.slack_spent.push(now_ms, self.resolution_ms()),
+            },
+        };
+        Some(payment)
+    }
+
+    /// Returns the payment of a retry that was not sent. What backed it expires as if it had
+    /// not been spent.
+    pub fn refund(&mut self, payment: Payment, now_ms: u64) {
+        match payment.source {
+            PaidFrom::Credit => self.credits.put_back(payment.entry_ms),
+            PaidFrom::Slack => self.slack_spent.remove(payment.entry_ms),
         }
-        true
+        self.drop_expired(now_ms);
     }
 
     /// Whether a retry remains.
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -94,7 +94,7 @@
     WaitOrder, admit_fraction, choose_in_overrun, decide, return_ms,
 };
 pub use backoff::{BackoffChange, Backoffs, MAX_BACKOFF_MS};
-pub use budget::{BudgetPhases, BudgetRules, WindowBudget};
+pub use budget::{BudgetPhases, BudgetRules, Payment, WindowBudget};
 pub use cold::{ColdBound, ColdEndpoints, ColdShare};
 pub use connection_budget::{ConnectionLimit, connections_per_host};
 pub use drain_schedule::{DrainPhase, DrainSchedule};
--- a/crates/routing/tests/budget.rs
+++ b/crates/routing/tests/budget.rs
@@ -1,6 +1,6 @@
 //! The fleet's retry budget, enforced by each host independently.
 
-use chalkrock_routing::{BudgetRules, WindowBudget};
+use chalkrock_routing::{BudgetRules, Payment, WindowBudget};
 use googletest::prelude::*;
 
 const RULES: BudgetRules = BudgetRules {
@@ -11,7 +11,7 @@
 
 fn spend_all(budget: &mut WindowBudget, now_ms: u64, hosts: usize, attempts: usize) -> usize {
     (0..attempts)
-        .filter(|_| budget.try_spend(now_ms, Some(hosts)))
+        .filter(|_| budget.try_spend(now_ms, Some(hosts)).is_some())
         .count()
 }
 
@@ -37,7 +37,7 @@
         if now_ms % 1_000 == 0 {
             budget.record_request(now_ms);
         }
-        while budget.try_spend(now_ms, Some(8)) {
+        while budget.try_spend(now_ms, Some(8)).is_some() {
             spent_at_ms.push(now_ms);
         }
     }
@@ -104,7 +104,7 @@
             let host = &mut hosts[usize::from(now_ms >= FAILURE_MS + move_delay_ms)];
             host.record_request(now_ms);
             requests.push(now_ms);
-            if now_ms >= FAILURE_MS && host.try_spend(now_ms, Some(2)) {
+            if now_ms >= FAILURE_MS && host.try_spend(now_ms, Some(2)).is_some() {
                 retries.push(now_ms);
             }
         }
@@ -158,3 +158,22 @@
         assert_that!(restored, gt(0), "{name}");
     }
 }
+
+#[test]
+fn budget_that_is_refunded_expires_as_before() {
+    // Ten requests back one retry, and the part of the slack is five.
+    let mut budget = WindowBudget::new(RULES);
+    (0..10).for_each(|_| budget.record_request(0));
+    let payments = (0..6).filter_map(|_| budget.try_spend(1_000, Some(8)));
+    let payments: Vec<Payment> = payments.collect();
+    assert_that!(payments.len(), eq(6));
+    assert_that!(budget.has_remaining(1_000, Some(8)), eq(false));
+    for payment in payments {
+        budget.refund(payment, 1_000);
+    }
+    assert_that!(budget.counts(), eq((1, 0)));
+    assert_that!(spend_all(&mut budget, 1_000, 8, 100), eq(6));
+    let payment = budget.try_spend(11_000, Some(8)).expect("the slack");
+    budget.refund(payment, 25_000);
+    assert_that!(budget.counts(), eq((0, 0)));
+}
