--- a/crates/gateway/tests/gateway/endless_answers.rs
+++ b/crates/gateway/tests/gateway/endless_answers.rs
@@ -353,3 +353,62 @@
         futures::future::join_all(endless_calls).await;
     }
 }
+
+/// Guards against streams without end that a host buffers for callers that do not read them.
+#[tokio::test]
+async fn endless_streams_to_callers_that_do_not_read_take_little() {
+    const AT_ONCE: usize = 8;
+    /// The time after the deadline until an unread answer is given up.
+    const UNREAD_TIME: Duration = Duration::from_secs(30);
+    for (case, path) in [
+        (BODIES[0], "/stream/"),
+        (BODIES[1], "/stream/"),
+        (EVENTS[2], "/resumable/"),
+    ] {
+        let gateway = TestGateway::with_endpoints(ENDPOINTS, endless(case, Pace::Full)).await;
+        let mut callers = Vec::new();
+        for i in 0..AT_ONCE {
+            let request = Call::post(path, b"x").id(&format!("r-{i}"));
+            callers.push(request.send(gateway.running.front_address()).await);
+        }
+        let sent_at = Instant::now();
+        let bytes = closed_bytes(&gateway).await;
+        let attempts: usize = gateway
+            .endpoints
+            .iter()
+            .map(ScriptedEndpoint::arrivals)
+            .sum();
+        assert_that!(
+            sent_at.elapsed(),
+            lt(STREAM_DEADLINE + UNREAD_TIME),
+            "{}",
+            case.0
+        );
+        assert_that!(bytes, lt(attempts * MAX_SMALL_BYTES), "{}", case.0);
+    }
+}
+
+/// Guards against endless answers that keep a host from ending within its grace period.
+#[tokio::test]
+async fn endless_answers_end_with_the_grace_period_of_a_stop() {
+    const GRACE: Duration = Duration::from_millis(2_000);
+    const END_TIME: Duration = Duration::from_millis(1_000);
+    let cases = [
+        (HEADS[1], Pace::Slow, "/unsafe/"),
+        (BODIES[0], Pace::Slow, "/unsafe/"),
+        (BODIES[0], Pace::Full, "/stream/"),
+        (EVENTS[2], Pace::Slow, "/resumable/"),
+    ];
+    for (case, pace, path) in cases {
+        let gateway = gateway_with(case, pace).await;
+        let front = gateway.running.front_address();
+        let request = Call::post(path, b"x").id("r-1");
+        let _caller = tokio::spawn(async move { request.exchange(front).await });
+        until(async || gateway.run_count("r-1") > 0).await;
+        gateway.stop.stop();
+        let stopped_at = Instant::now();
+        let ended = tokio::time::timeout(GRACE + END_TIME, gateway.running.ended()).await;
+        let took = stopped_at.elapsed();
+        assert_that!(ended.is_ok(), eq(true), "{} {path} after {took:?}", case.0);
+    }
+}
