--- a/crates/gateway/src/active_rules.rs
+++ b/crates/gateway/src/active_rules.rs
@@ -15,6 +15,16 @@
 }
 
 impl RulesUpdate {
+    /// The version to which it leads; version 0 without changes.
+    pub(crate) fn version(&self) -> RulesVersion {
+        match self {
+            Self::Entire(document) => document.version,
+            Self::Changes(changes) => changes
+                .last()
+                .map_or_else(RulesVersion::default, |change| change.to()),
+        }
+    }
+
     /// Number of routes and organisations that the update names.
     pub(crate) fn entry_count(&self) -> usize {
         match self {
--- a/crates/gateway/src/fleet/learned.rs
+++ b/crates/gateway/src/fleet/learned.rs
@@ -16,7 +16,7 @@
             service_ms: mean.ms().ceil() as u32,
         });
         LearnedState {
-            connection_limits: self.connection_limits.clone(),
+            connection_limits: self.connection_limits.limits.clone(),
             service_times: service_times.collect(),
             prefixes: self.prefixes.directory().most_recent(MAX_PREFIXES, now_ms),
         }
@@ -28,19 +28,10 @@
         !self.service_times.is_empty()
     }
 
-    /// Takes over what another host has learned. Samples of this host come first, and so
-    /// do its connection limits, unless the other host has newer rules.
-    pub(crate) fn merge_learned(
-        &mut self,
-        learned: LearnedState,
-        has_newer_rules: bool,
-        now_ms: u64,
-    ) {
+    /// Takes over what another host has learned, apart from connection limits. Samples of this
+    /// host come first.
+    pub(crate) fn merge_learned(&mut self, learned: LearnedState, now_ms: u64) {
         let learned = learned.bounded();
-        let takes_limits = has_newer_rules || self.connection_limits.is_empty();
-        if takes_limits && !learned.connection_limits.is_empty() {
-            self.connection_limits = learned.connection_limits;
-        }
         for time in learned.service_times {
             let mean = self.service_times.entry(time.pool).or_default();
             mean.start_from(f64::from(time.service_ms));
--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -15,7 +15,7 @@
 use chalkrock_core::{BuildVersion, Endpoint, EndpointId, PoolId, ZoneId};
 use chalkrock_routing::{
     Backoffs, Basis, BudgetPhases, BudgetRules, BuildHistory, BuildUse, Candidate, ColdEndpoints,
-    ConnectionLimit, EndpointHealth, EndpointTable, Evacuations, Evidence, FleetLoad, FleetSize,
+    ConnectionLimits, EndpointHealth, EndpointTable, Evacuations, Evidence, FleetLoad, FleetSize,
     HealthSignal, HomeDemand, HomeSpread, ListReport, ListSource, MaxServiceTime, PlacementRequest,
     PoisonEvidence, PoolBacklog, PoolLoads, PoolMember, PoolOccupancy, PoolRules, Reachability,
     RecentPrefixes, RejectionLimits, Repeatable, Rollouts, ServiceTimeEwma, Shares, SpreadRules,
@@ -127,7 +127,7 @@
     /// Pool settings, with the rates that cold endpoints sustain.
     pools: HashMap<PoolId, PoolRules>,
     /// Connections that an endpoint accepts from all hosts, by pool.
-    connection_limits: Vec<ConnectionLimit>,
+    connection_limits: ConnectionLimits,
     pub(crate) load: FleetLoad<SocketAddr>,
     zone: ZoneId,
     spread: SpreadRules,
@@ -189,7 +189,7 @@
             newly_cold: Vec::new(),
             entry_delay_ms: config.entry_delay_ms,
             pools: HashMap::new(),
-            connection_limits: Vec::new(),
+            connection_limits: ConnectionLimits::default(),
             load: FleetLoad::default(),
             zone: config.zone.clone(),
             spread: config.spread,
@@ -316,13 +316,20 @@
         })
     }
 
-    pub(crate) fn set_connection_limits(&mut self, limits: Vec<ConnectionLimit>) {
-        self.connection_limits = limits;
+    pub(crate) fn connection_limits(&self) -> &ConnectionLimits {
+        &self.connection_limits
+    }
+
+    /// Replaces the connection limits unless they are of newer rules.
+    pub(crate) fn merge_connection_limits(&mut self, limits: ConnectionLimits) {
+        if limits.rules >= self.connection_limits.rules {
+            self.connection_limits = limits;
+        }
     }
 
     /// Most connections of this host to an endpoint of a pool; `None` without a limit.
     pub(crate) fn max_connections(&self, pool: &PoolId) -> Option<u32> {
-        let limits = &mut self.connection_limits.iter();
+        let limits = &mut self.connection_limits.limits.iter();
         let limit = limits.find(|limit| limit.pool == *pool)?;
         let hosts = self.load.known_host_count();
         Some(connections_per_host(limit.max_connections, hosts))
--- a/crates/gateway/src/peers/api.rs
+++ b/crates/gateway/src/peers/api.rs
@@ -5,7 +5,8 @@
 
 use chalkrock_core::{BuildVersion, Endpoint, PoolId};
 use chalkrock_routing::{
-    Evacuations, FleetPast, LearnedState, PoisonRequest, RulesVersion, StoreVersion, StoredBuilds,
+    ConnectionLimits, Evacuations, FleetPast, LearnedState, PoisonRequest, RulesVersion,
+    StoreVersion, StoredBuilds,
 };
 use serde::{Deserialize, Serialize};
 
@@ -231,4 +232,7 @@
 
     /// Returns what the host knows of the builds that pools had; `None` if it can't tell.
     async fn builds() -> Option<BuildsUpdate>;
+
+    /// Returns the connection limits of the newest rules whose limits the host knows.
+    async fn connection_limits() -> ConnectionLimits;
 }
--- a/crates/gateway/src/peers/pull.rs
+++ b/crates/gateway/src/peers/pull.rs
@@ -8,7 +8,7 @@
 
 use chalkrock_core::{BuildVersion, PoolId};
 use chalkrock_proto::{ByteCounter, transport};
-use chalkrock_routing::{LearnedState, ListSource, RulesVersion};
+use chalkrock_routing::{ConnectionLimits, LearnedState, ListSource, RulesVersion};
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use rand::RngExt;
@@ -17,6 +17,7 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
+use crate::active_rules::RulesUpdate;
 use crate::arrival::{IdleLimits, while_arriving};
 use crate::clock::ms;
 use crate::event_log::{Event, PullOutcome};
@@ -145,7 +146,7 @@
                 (true, false) => NEWER_PEER_DELAY,
             };
             tokio::time::sleep(pause).await;
-        } else if shared.has_view() {
+        } else if shared.has_view() && !lacks_connection_limits(&shared) {
             continue;
         }
         let Some(first) = peers.take_newer_peer().or_else(|| peers.any_up()) else {
@@ -238,6 +239,21 @@
     }
 }
 
+fn held(shared: &Shared, known: KnownVersions) -> Held {
+    let fleet = shared.fleet();
+    Held {
+        known,
+        has_learned: fleet.has_learned(),
+        limits: fleet.connection_limits().rules,
+    }
+}
+
+/// Whether the connection limits of the rules in force got lost on their way.
+fn lacks_connection_limits(shared: &Shared) -> bool {
+    let rules = shared.rules.version();
+    shared.fleet().connection_limits().rules < rules
+}
+
 /// Pulls from another host, once no other pull from it is in progress, and logs the outcome.
 async fn pull(
     shared: &Shared,
@@ -258,8 +274,8 @@
         first_byte: first_byte_timeout,
         between_bytes: ms(shared.config.follow.stall_ms),
     };
-    let has_learned = shared.fleet().has_learned();
-    let response = request_state(from, known, has_learned, count.clone());
+    let held = held(shared, known);
+    let response = request_state(from, held, count.clone());
     let response = while_arriving(response, || count.read_bytes(), idle_limits).await;
     let (outcome, response) = match response {
         Some(Ok(response)) => {
@@ -324,6 +340,7 @@
     missing: MissingState,
     rollouts: Option<RolloutUpdate>,
     learned: LearnedState,
+    limits: Option<ConnectionLimits>,
 }
 
 /// A pull without a response to apply.
@@ -347,13 +364,46 @@
         .ok()
 }
 
-/// Requests state beyond `known`. A host of an older build closes the connection on the call.
-async fn request_state(
+/// Requests connection limits; `None` without an answer. A host of an older build closes the
+/// connection on the call, and sends limits among what it has learned, for the rules `of_older`.
+async fn request_limits(
+    client: &PeerApiClient,
     address: SocketAddr,
+    of_older: RulesVersion,
+    count: Arc<ByteCounter>,
+) -> Option<ConnectionLimits> {
+    let limits = client.connection_limits(tarpc::context::current());
+    match tokio::time::timeout(LEARNED_TIMEOUT, limits).await.ok()? {
+        Ok(limits) => Some(limits),
+        Err(RpcError::DeadlineExceeded) => None,
+        Err(_closed) => {
+            let client = connect(address, count).await.ok()?;
+            let learned = request_learned(&client).await?;
+            Some(ConnectionLimits {
+                rules: of_older,
+                limits: learned.connection_limits,
+            })
+        }
+    }
+}
+
+/// What the requesting host need not ask for.
+#[derive(Clone, Copy, Debug)]
+struct Held {
     known: KnownVersions,
     has_learned: bool,
+    /// Version of the rules whose connection limits it knows.
+    limits: RulesVersion,
+}
+
+/// Requests state beyond what is held. A host of an older build closes the connection on the
+/// call.
+async fn request_state(
+    address: SocketAddr,
+    held: Held,
     count: Arc<ByteCounter>,
 ) -> Result<PullResponse, PullError> {
+    let known = held.known;
     let client = connect(address, count.clone()).await?;
     let snapshot = client.snapshot(tarpc::context::current(), known).await;
     let (client, mut response) = match snapshot {
@@ -364,21 +414,28 @@
                 missing: snapshot.missing,
                 rollouts: snapshot.rollouts,
                 learned: LearnedState::default(),
+                limits: None,
             };
             (client, response)
         }
         Err(error @ RpcError::DeadlineExceeded) => return Err(error.into()),
         Err(_closed) => {
-            let client = connect(address, count).await?;
+            let client = connect(address, count.clone()).await?;
             let response = request_parts(&client, known).await?;
             (client, response)
         }
     };
-    // Connection limits belong to the rules.
-    let wants_learned = !has_learned || response.missing.rules.is_some();
-    if wants_learned && response.missing.busy.is_none() {
+    if response.missing.busy.is_some() {
+        return Ok(response);
+    }
+    if !held.has_learned {
         response.learned = request_learned(&client).await.unwrap_or_default();
     }
+    let newer = response.missing.rules.as_ref().map(RulesUpdate::version);
+    let rules = newer.unwrap_or(known.rules);
+    if held.limits < rules {
+        response.limits = request_limits(&client, address, rules, count).await;
+    }
     Ok(response)
 }
 
@@ -419,6 +476,7 @@
         missing,
         rollouts: besides.rollouts,
         learned: LearnedState::default(),
+        limits: None,
     })
 }
 
@@ -460,12 +518,13 @@
         missing,
         rollouts,
         learned,
+        limits,
     } = response;
     let now_ms = shared.clock.now_ms();
-    let has_newer_rules = missing.rules.is_some();
-    shared
-        .fleet()
-        .merge_learned(learned, has_newer_rules, now_ms);
+    shared.fleet().merge_learned(learned, now_ms);
+    if let Some(limits) = limits {
+        shared.fleet().merge_connection_limits(limits.bounded());
+    }
     let hosts = missing.hosts.iter();
     peers.add(hosts.map(|host| (host.address, Some(host.zone))));
     // Evacuations come before endpoints, so that no evacuated endpoint receives requests.
--- a/crates/gateway/src/peers/serve.rs
+++ b/crates/gateway/src/peers/serve.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use chalkrock_proto::{ByteCounter, transport};
-use chalkrock_routing::{LearnedState, StoreVersion};
+use chalkrock_routing::{ConnectionLimits, LearnedState, StoreVersion};
 use futures::{Stream, StreamExt};
 use tarpc::server::{BaseChannel, Channel};
 use tokio::net::{TcpListener, TcpStream};
@@ -130,6 +130,10 @@
         }
     }
 
+    async fn connection_limits(self, _: tarpc::context::Context) -> ConnectionLimits {
+        self.shared.fleet().connection_limits().clone()
+    }
+
     async fn builds(self, _: tarpc::context::Context) -> Option<BuildsUpdate> {
         self.shared.detect_suspension();
         if !self.shared.has_view() {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -9,8 +9,8 @@
 use chalkrock_core::{Endpoint, EndpointId, OrganisationId, PoolId};
 use chalkrock_process::Metrics;
 use chalkrock_routing::{
-    DrainPhase, DrainSchedule, EvacuationChange, EvacuationRow, Evacuations, Rules, RulesDocument,
-    StoreVersion,
+    ConnectionLimits, DrainPhase, DrainSchedule, EvacuationChange, EvacuationRow, Evacuations,
+    Rules, RulesDocument, StoreVersion,
 };
 use tokio::sync::{Notify, Semaphore, watch};
 use tokio::time::Instant;
@@ -171,8 +171,10 @@
     /// Puts rules into force unless newer ones are. Returns whether they are new.
     pub(crate) fn replace_rules(&self, document: RulesDocument, from: &str) -> bool {
         if document.version >= self.rules.version() {
-            let limits = document.connection_limits.clone();
-            self.fleet().set_connection_limits(limits);
+            self.fleet().merge_connection_limits(ConnectionLimits {
+                rules: document.version,
+                limits: document.connection_limits.clone(),
+            });
         }
         let is_new = self.rules.activate(document);
         self.handle_rules(is_new, from);
--- a/crates/routing/src/connection_budget.rs
+++ b/crates/routing/src/connection_budget.rs
@@ -7,10 +7,15 @@
 use chalkrock_core::PoolId;
 use serde::{Deserialize, Serialize};
 
+use crate::rules::RulesVersion;
+
 /// Part of the limit that no host uses: hosts that just started count in no other host's
 /// view yet, and closed connections count at the endpoint for some time.
 const RESERVED_RATIO: f64 = 0.2;
 
+/// Most pools in a message.
+pub(crate) const MAX_POOLS: usize = 256;
+
 /// Most connections that an endpoint of a pool accepts from all hosts together.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ConnectionLimit {
@@ -20,6 +25,29 @@
     pub max_connections: u32,
 }
 
+/// Drops limits that a peer can't mean, and those beyond a number of pools.
+pub(crate) fn bound_limits(limits: &mut Vec<ConnectionLimit>, max_pools: usize) {
+    limits.retain(|limit| limit.max_connections > 0);
+    limits.truncate(max_pools);
+}
+
+/// The connection limits of all pools, and the version of the rules that set them.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConnectionLimits {
+    /// The version; 0 if no rules are known.
+    pub rules: RulesVersion,
+    /// The limits; pools without one are not named.
+    pub limits: Vec<ConnectionLimit>,
+}
+
+impl ConnectionLimits {
+    /// Drops what exceeds the bounds: a peer may send anything.
+    pub fn bounded(mut self) -> Self {
+        bound_limits(&mut self.limits, MAX_POOLS);
+        self
+    }
+}
+
 /// Most connections that each of `hosts` keeps to one endpoint. At least one: hosts that
 /// outnumber the connections would otherwise be cut off.
 ///
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -96,7 +96,7 @@
 pub use backoff::{BackoffChange, Backoffs, MAX_BACKOFF_MS};
 pub use budget::{BudgetPhases, BudgetRules, Payment, WindowBudget};
 pub use cold::{ColdBound, ColdEndpoints, ColdShare};
-pub use connection_budget::{ConnectionLimit, connections_per_host};
+pub use connection_budget::{ConnectionLimit, ConnectionLimits, connections_per_host};
 pub use drain_schedule::{DrainPhase, DrainSchedule};
 pub use endpoints::{EndpointState, EndpointTable, PoolMember};
 pub use evacuations::{EvacuationChange, EvacuationRow, Evacuations};
--- a/crates/routing/src/rules_change.rs
+++ b/crates/routing/src/rules_change.rs
@@ -66,6 +66,11 @@
         })
     }
 
+    /// The version to which it leads.
+    pub fn to(&self) -> RulesVersion {
+        self.to
+    }
+
     /// Number of changed entries.
     pub fn entry_count(&self) -> usize {
         self.routes.entry_count() + self.organisations.entry_count()
--- a/crates/routing/src/warm_start/mod.rs
+++ b/crates/routing/src/warm_start/mod.rs
@@ -7,11 +7,9 @@
 use chalkrock_core::PoolId;
 use serde::{Deserialize, Serialize};
 
-use crate::connection_budget::ConnectionLimit;
+use crate::connection_budget::{ConnectionLimit, MAX_POOLS, bound_limits};
 use crate::prefix_directory::CacheEntry;
 
-/// Most pools in a message.
-const MAX_POOLS: usize = 256;
 /// Most prefix places in a message, about 8 KB.
 const MAX_PREFIXES: usize = 1_024;
 /// Longest mean service time that is taken over.
@@ -40,7 +38,7 @@
 /// ```
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LearnedState {
-    /// Connection limits of pools.
+    /// Connection limits of pools, for hosts of older builds.
     pub connection_limits: Vec<ConnectionLimit>,
     /// Service times of pools.
     pub service_times: Vec<PoolServiceTime>,
@@ -52,9 +50,7 @@
     /// Drops what exceeds the bounds. Applied when it is sent and when it is received: a
     /// peer may send anything.
     pub fn bounded(mut self) -> Self {
-        self.connection_limits
-            .retain(|limit| limit.max_connections > 0);
-        self.connection_limits.truncate(MAX_POOLS);
+        bound_limits(&mut self.connection_limits, MAX_POOLS);
         let is_plausible = |time: &PoolServiceTime| (1..=MAX_SERVICE_MS).contains(&time.service_ms);
         self.service_times.retain(is_plausible);
         self.service_times.truncate(MAX_POOLS);
