--- a/crates/gateway/src/progress/mod.rs
+++ b/crates/gateway/src/progress/mod.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod observations;
+mod payments;
 mod refusals;
 
 use std::net::SocketAddr;
@@ -9,16 +10,17 @@
 
 use chalkrock_core::rendezvous::MemberHash;
 use chalkrock_core::{BuildVersion, Endpoint, OrganisationId, Outcome};
-use chalkrock_routing::{BuildRequest, BuildUse, Next, Payment, Repeatable, RouteKind, next_step};
+use chalkrock_routing::{BuildRequest, BuildUse, Next, Repeatable, RouteKind, next_step};
 
 use crate::access_log::record_disconnect;
 use crate::call::Call;
-use crate::event_log::{AttemptRecord, Event};
+use crate::event_log::AttemptRecord;
 use crate::fair_share::RequestWork;
 use crate::fleet::{EndpointQuery, Fleet, SelectedEndpoint};
 use crate::forward::{ForwardHead, Forwarding, Path, UsedEndpoint};
 use crate::poison::BrokenAttempt;
 use crate::pool_queue::{Lease, NewRequest};
+use crate::progress::payments::PaidRetry;
 use crate::shared::{OrganisationGuard, Shared};
 use crate::work::{Prompt, ReadGuard};
 
@@ -68,11 +70,10 @@
     unreached: Vec<u32>,
     /// Whether these were chosen again.
     has_reconsidered: bool,
-    /// The payment of the upcoming attempt and when it was made. It is returned if the attempt
-    /// is not made.
-    payment: Option<(Payment, u64)>,
+    /// The payment of the upcoming attempt, which is refunded if the attempt is not made.
+    unsent_retry: Option<PaidRetry>,
     /// The payment of the attempt in progress.
-    sent_payment: Option<(Payment, u64)>,
+    sent_retry: Option<PaidRetry>,
     /// Whether the request was logged as completed.
     is_logged: bool,
 }
@@ -128,8 +129,8 @@
             forwarding: Forwarding::default(),
             unreached: Vec::new(),
             has_reconsidered: false,
-            payment: None,
-            sent_payment: None,
+            unsent_retry: None,
+            sent_retry: None,
             is_logged: false,
             call,
         }
@@ -395,8 +396,8 @@
         self.is_forwarded = next_hop.is_some();
         self.sent_at_ms = self.shared.clock.now_ms();
         self.stalled_at_send_ms = self.shared.lag.stalled_ms();
-        self.sent_payment = self.payment.take();
-        let paid_at_ms = self.sent_payment.map(|(_, at_ms)| at_ms);
+        self.sent_retry = self.unsent_retry.take();
+        let paid_at_ms = self.sent_retry.map(|retry| retry.paid_at_ms);
         self.tried.push(choice.member.hash.short());
         self.last_endpoint = Some(choice.member.endpoint.clone());
         let fleet = self.shared.fleet();
@@ -444,11 +445,11 @@
         if end.counts_as_attempt() {
             self.delivered_attempts += 1;
         }
-        let sent_payment = self.sent_payment.take();
+        let sent_retry = self.sent_retry.take();
         if !end.counts_against_budget() {
-            self.payment = sent_payment;
+            self.unsent_retry = sent_retry;
         }
-        let mut payment = None;
+        let mut paid_retry = None;
         let next = next_step(
             end,
             self.worst_outcome,
@@ -456,11 +457,11 @@
             self.delivered_attempts,
             self.call.route.attempts_max,
             || {
-                payment = self.try_pay_retry();
-                payment.is_some()
+                paid_retry = self.try_pay_retry();
+                paid_retry.is_some()
             },
         );
-        self.payment = self.payment.or(payment);
+        self.unsent_retry = self.unsent_retry.or(paid_retry);
         if end.outcome() != Outcome::NotRun {
             self.worst_outcome = Outcome::Unknown;
         }
@@ -487,49 +488,6 @@
         self.is_logged = true;
         std::mem::take(&mut self.attempts)
     }
-
-    fn try_pay_retry(&self) -> Option<(Payment, u64)> {
-        let pool = &self.call.pool;
-        let now_ms = self.shared.clock.now_ms();
-        let mut fleet = self.shared.fleet();
-        let sharers = fleet.size.sharers(now_ms);
-        let budget = fleet.budget(pool);
-        let payment = budget.try_spend(now_ms, sharers);
-        let (credits, slack_spent) = budget.counts();
-        let previous_sharers = fleet.replace_paid_sharers(sharers);
-        drop(fleet);
-        if sharers != previous_sharers {
-            self.shared.event_log.emit(&Event::RetryBudget {
-                pool,
-                sharers,
-                previous_sharers,
-                credits,
-                slack_spent,
-            });
-        }
-        self.count_retry(match payment {
-            Some(_) => "paid",
-            None => "refused",
-        });
-        payment.map(|payment| (payment, now_ms))
-    }
-
-    /// Returns the payment of an attempt that was not made.
-    fn refund_retry(&mut self) {
-        if let Some((payment, _)) = self.payment.take() {
-            let now_ms = self.shared.clock.now_ms();
-            let mut fleet = self.shared.fleet();
-            fleet.budget(&self.call.pool).refund(payment, now_ms);
-            drop(fleet);
-            self.count_retry("refunded");
-        }
-    }
-
-    fn count_retry(&self, outcome: &str) {
-        let pool = &self.call.pool;
-        let labels = format!("pool=\"{pool}\",outcome=\"{outcome}\"");
-        self.shared.metrics.count("retries_total", &labels, 1);
-    }
 }
 
 impl Drop for Progress {
