--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -321,10 +321,9 @@
         age_ms: u64,
         rows: usize,
     },
-    /// A retry was to be paid while another number of hosts shared the slack than before; none
-    /// if this host has no part in it.
-    /// `credits` are the retries that this host's requests still back, and `slack_spent` those
-    /// that it paid from the slack in the window.
+    /// The hosts that share the slack changed between two retries that were to be paid. `None`
+    /// means that this host has no part in it. `credits` are the retries that its requests still
+    /// back, and `slack_spent` those that it paid from the slack in the window.
     RetryBudget {
         pool: &'a PoolId,
         sharers: Option<usize>,
--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -144,7 +144,7 @@
     budgets: HashMap<PoolId, WindowBudget>,
     /// The hosts that share the slack of the retry budget.
     pub(crate) size: FleetSize,
-    /// Their number at the last payment.
+    /// Their number when a retry was last to be paid.
     paid_sharers: Option<usize>,
     service_times: HashMap<PoolId, ServiceTimeEwma>,
     /// Endpoints whose prefixes spread over others, by pool.
@@ -515,8 +515,8 @@
         })
     }
 
-    /// Records the number of hosts that share the slack at a payment, and returns the one
-    /// before.
+    /// Records the number of hosts that share the slack when a retry is to be paid, and returns
+    /// the one before.
     pub(crate) fn replace_paid_sharers(&mut self, sharers: Option<usize>) -> Option<usize> {
         std::mem::replace(&mut self.paid_sharers, sharers)
     }
--- a/tools/retry_ways.py
+++ b/tools/retry_ways.py
@@ -23,6 +23,7 @@
         self.way, self.born = way, now
         self.phase, self.slack_phase = random.random(), random.random()
         self.calls, self.spent, self.credits = deque(), deque(), deque()
+        self.slack_spent = []
 
     def forget_old(self, now, keep):
         for log in (self.calls, self.spent):
@@ -66,17 +67,11 @@
             if need > 1e-9 and not fleet.lease(now, need):
                 return False
         elif need > 1e-9:
-            if sum(self.amounts) + need > share:
+            if sum(amount for _, amount in self.slack_spent) + need > share:
                 return False
         self.pay(now, credit, need)
         return True
 
-    @property
-    def amounts(self):
-        return [amount for _, amount in self.slack_log]
-
-    slack_log = ()
-
     def pay(self, now, credit, need):
         while credit > 1e-9:
             entry = self.credits[0]
@@ -85,8 +80,9 @@
             credit -= used
             if entry[1] <= 1e-9:
                 self.credits.popleft()
-        log = [e for e in self.slack_log if e[0] > now - WINDOW]
-        self.slack_log = log + ([(now, need)] if need > 1e-9 else [])
+        self.slack_spent = [entry for entry in self.slack_spent if entry[0] > now - WINDOW]
+        if need > 1e-9:
+            self.slack_spent.append((now, need))
 
 
 class Fleet:
