Bound the retries that one request backs

What callers would see: a host with an infinite retry ratio, which the check of the settings lets through, hangs at its first request.

Cause: since requests back whole retries, these are made one by one while a whole one is left, and an infinite sum never gets smaller.

Fix: a request backs 100 retries at most, more than any request has attempts.

--- a/crates/routing/src/budget.rs
+++ b/crates/routing/src/budget.rs
@@ -17,6 +17,8 @@
 const USABLE_FRACTION: f64 = 0.8;
 /// Time for which a request backs a retry, as a part of the window.
 const CREDIT_LIFE: f64 = 1.0 / USABLE_FRACTION - 1.0;
+/// Most retries that one request backs, under a ratio that sets no limit.
+const MAX_CREDITS_PER_REQUEST: f64 = 100.0;
 /// Entries per window of a log of times.
 const LOG_RESOLUTION: u64 = 40;
 /// Allows for rounding of sums of fractions.
@@ -203,7 +205,8 @@
     /// Records the first send of a request.
     pub fn record_request(&mut self, now_ms: u64) {
         self.drop_expired(now_ms);
-        self.phases.credit += USABLE_FRACTION * self.rules.ratio;
+        let earned = USABLE_FRACTION * self.rules.ratio;
+        self.phases.credit += earned.min(MAX_CREDITS_PER_REQUEST);
         while self.phases.credit + EPSILON >= 1.0 {
             self.phases.credit -= 1.0;
             self.credits.push(now_ms, self.resolution_ms());
--- a/crates/routing/tests/budget.rs
+++ b/crates/routing/tests/budget.rs
@@ -177,3 +177,15 @@
     budget.refund(payment, 25_000);
     assert_that!(budget.counts(), eq((0, 0)));
 }
+
+/// Guards against a host that hangs under a ratio that sets no limit.
+#[test]
+fn budget_without_a_limit_records_requests_at_once() {
+    let rules = BudgetRules {
+        ratio: f64::INFINITY,
+        ..RULES
+    };
+    let mut budget = WindowBudget::new(rules);
+    budget.record_request(0);
+    assert_that!(spend_all(&mut budget, 0, 8, 10), eq(10));
+}
