--- a/review/5/case.py
+++ b/review/5/case.py
@@ -9,7 +9,7 @@
 
 sys.dont_write_bytecode = True
 HERE = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.join(HERE, "..", "standins-2"))
+sys.path.insert(0, os.path.join(HERE, "..", "4"))
 from standins import Host, Record, Replica, Store, call, config, free_ports, route  # noqa: E402
 
 HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
