Show retries that are backed by requests of another window

What callers' operators would see: BUDGET, more retries of a service in a window than the ratio of its requests and the slack allow.

Cause (not fixed here): a request backs a retry for a quarter of the window after it, so that the retries of a window are backed by the requests of one and a quarter windows. The spared fifth of the ratio covers these at a constant rate alone.

--- a/crates/routing/tests/budget.rs
+++ b/crates/routing/tests/budget.rs
@@ -1,5 +1,7 @@
 //! The fleet's retry budget, enforced by each host independently.
 
+use std::collections::VecDeque;
+
 use chalkrock_routing::{BudgetRules, Payment, WindowBudget};
 use googletest::prelude::*;
 
@@ -113,6 +115,39 @@
     }
 }
 
+/// Guards against requests that back retries in a window that counts other requests.
+#[test]
+fn budget_of_requests_in_bursts_stays_within_the_fleet_budget() {
+    const HOSTS: usize = 8;
+    const BURST_PER_HOST: usize = 80;
+    const STEP_MS: usize = 25;
+    /// Time for which calls run before they fail.
+    const CALL_MS: u64 = 100;
+    for (interval_ms, call_interval_ms) in [(9_800, 100), (9_900, 1_000), (5_000, 100), (4_900, 50)]
+    {
+        let mut hosts = vec![WindowBudget::new(RULES); HOSTS];
+        let (mut requests, mut retries) = (Vec::new(), Vec::new());
+        let mut failing = VecDeque::new();
+        for now_ms in (0..60_000).step_by(STEP_MS) {
+            let is_burst = now_ms % interval_ms == 0;
+            let calls = if is_burst { BURST_PER_HOST } else { 0 }
+                + usize::from(now_ms % call_interval_ms == 0);
+            for host in (0..HOSTS).flat_map(|host| vec![host; calls]) {
+                hosts[host].record_request(now_ms);
+                requests.push(now_ms);
+                failing.push_back((now_ms + CALL_MS, host));
+            }
+            while let Some((_, host)) = failing.pop_front_if(|(fails_ms, _)| *fails_ms <= now_ms) {
+                if hosts[host].try_spend(now_ms, Some(HOSTS)).is_some() {
+                    retries.push(now_ms);
+                }
+            }
+        }
+        let is_within = is_within_rules(&requests, &retries, &RULES);
+        assert_that!(is_within, eq(true), "bursts every {interval_ms} ms");
+    }
+}
+
 /// Guards against changes of the rules after which a host forgets what it spent.
 #[test]
 fn budget_whose_rules_change_counts_what_was_spent() {
