Limit the stock of retries by the requests of the last window

What callers' operators saw: BUDGET, more retries of a service in a window than the ratio of its requests and the slack allow.

Cause: a request backed a retry for a quarter of the window, so that the retries of a window were backed by the requests of one and a quarter windows. At a constant rate the spared fifth of the ratio covers these; bursts a little less than a window apart put the requests of two windows behind the retries of one.

Fix: what requests earn is a stock, limited to a part of what the host's own requests of the last window may earn and an equal part of the slack. A payment counts as stock until its retry is sent.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -283,6 +283,7 @@
         let request = endpoint_request(shared, call, choice, resume_after);
         let now_ms = shared.clock.now_ms();
         shared.fleet().health(start).record_sent(now_ms);
+        progress.record_retry_sent();
         match wait_for_head(shared, progress, start, &mut connection, request).await {
             Ok(response) => {
                 let now_ms = shared.clock.now_ms();
--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -509,6 +509,7 @@
         budget.or_insert_with(|| {
             let phases = phases.unwrap_or_else(|| BudgetPhases {
                 credit: rand::random(),
+                stock: rand::random(),
                 slack: rand::random(),
             });
             WindowBudget::with_phases(rules, phases)
--- a/crates/gateway/src/forward/origin.rs
+++ b/crates/gateway/src/forward/origin.rs
@@ -268,11 +268,11 @@
 /// there is no response.
 async fn send(
     shared: &Shared,
-    progress: &Progress,
+    progress: &mut Progress,
     address: SocketAddr,
     head: &ForwardHead,
 ) -> Result<(Connection, Response<Incoming>), AttemptOutcome> {
-    let call = progress.call();
+    let call = progress.call().clone();
     let encoded = encode(head).ok_or(AttemptOutcome::Withdrawn)?;
     loop {
         let request = ConnectionRequest {
@@ -294,6 +294,7 @@
         *request.uri_mut() = call.target.clone();
         *request.headers_mut() = call.headers.clone();
         request.headers_mut().insert(FORWARD, encoded.clone());
+        progress.record_retry_sent();
         match wait_for_head(shared, progress, address, &mut connection, request).await {
             Ok(response) => return Ok((connection, response)),
             Err(AttemptOutcome::NotSent) if connection.is_reused => {}
--- a/crates/gateway/src/progress/mod.rs
+++ b/crates/gateway/src/progress/mod.rs
@@ -91,7 +91,10 @@
     /// Tracks a new request. The retry budget counts it once, however often it is sent.
     pub(crate) fn new(shared: Arc<Shared>, call: Arc<Call>) -> Self {
         let now_ms = shared.clock.now_ms();
-        shared.fleet().budget(&call.pool).record_request(now_ms);
+        let mut fleet = shared.fleet();
+        let sharers = fleet.size.sharers(now_ms);
+        fleet.budget(&call.pool).record_request(now_ms, sharers);
+        drop(fleet);
         let organisation = call.organisation();
         let guard = organisation.map(|name| OrganisationGuard::begin(&shared, name));
         let mut progress = Self::without_counts(shared, call);
@@ -445,9 +448,11 @@
         if end.counts_as_attempt() {
             self.delivered_attempts += 1;
         }
-        let sent_retry = self.sent_retry.take();
-        if !end.counts_against_budget() {
-            self.unsent_retry = sent_retry;
+        if end.counts_against_budget() {
+            self.record_retry_sent();
+            self.sent_retry = None;
+        } else {
+            self.keep_payment();
         }
         let mut paid_retry = None;
         let next = next_step(
--- a/crates/gateway/src/progress/payments.rs
+++ b/crates/gateway/src/progress/payments.rs
@@ -43,12 +43,31 @@
         })
     }
 
-    /// Returns the payment of an attempt that was not made.
-    pub(super) fn refund_retry(&mut self) {
-        if let Some(PaidRetry { payment, .. }) = self.unsent_retry.take() {
+    /// Records that the attempt in progress is about to be written to a connection.
+    pub(crate) fn record_retry_sent(&mut self) {
+        if let Some(PaidRetry { payment, .. }) = &mut self.sent_retry {
             let now_ms = self.shared.clock.now_ms();
             let mut fleet = self.shared.fleet();
-            fleet.budget(&self.call.pool).refund(payment, now_ms);
+            fleet.budget(&self.call.pool).record_sent(payment, now_ms);
+        }
+    }
+
+    /// Keeps the payment of an attempt that reached no endpoint for the next one.
+    pub(super) fn keep_payment(&mut self) {
+        self.unsent_retry = self.sent_retry.take();
+        if let Some(PaidRetry { payment, .. }) = &mut self.unsent_retry {
+            let mut fleet = self.shared.fleet();
+            fleet.budget(&self.call.pool).record_unsent(payment);
+        }
+    }
+
+    /// Returns the payment of an attempt that was not sent.
+    pub(super) fn refund_retry(&mut self) {
+        let begun = self.sent_retry.take();
+        let begun = begun.filter(|retry| !retry.payment.is_sent());
+        if let Some(PaidRetry { payment, .. }) = self.unsent_retry.take().or(begun) {
+            let mut fleet = self.shared.fleet();
+            fleet.budget(&self.call.pool).refund(payment);
             drop(fleet);
             self.count_retry("refunded");
         }
--- a/crates/routing/src/budget.rs
+++ b/crates/routing/src/budget.rs
@@ -4,21 +4,31 @@
 //! plus a slack. Hosts do not ask each other before a retry, so that each keeps to a part
 //! that is safe whatever the others do:
 //!
-//! - Each request backs its ratio of a retry once, at the host that received it, and for a
-//!   short time. Wherever callers go, and whatever a host forgets when it ends, the retries
-//!   of a window are backed by the requests of that window and of that time before it.
-//! - Each host has an equal part of the slack, which it spends once in a window. It divides
-//!   by every host that may spend in that window, see [`FleetSize`](crate::FleetSize).
+//! - Each request earns its part of a retry once, at the host that received it. What a host
+//!   has earned and not spent is its stock. The stock is limited to a part of what the host's
+//!   own requests of the last window may earn, so that the retries of a window are backed by
+//!   its requests and by a part of those of the window before it, whatever the order in which
+//!   requests come, wherever callers go and whatever a host forgets when it ends.
+//! - Each host has an equal part of the slack. It spends most of it once in a window, and the
+//!   rest adds to the limit of its stock. It divides by every host that may spend in that
+//!   window, see [`FleetSize`](crate::FleetSize).
+//! - A retry that was paid counts as stock until it is sent.
 
 use std::collections::VecDeque;
 
-/// Fraction of the limit that is spent. With requests at a constant rate, the fraction of
-/// the requests that can back the retries of a window is within the ratio.
-const USABLE_FRACTION: f64 = 0.8;
-/// Time for which a request backs a retry, as a part of the window.
-const CREDIT_LIFE: f64 = 1.0 / USABLE_FRACTION - 1.0;
-/// Most retries that one request backs, under a ratio that sets no limit.
-const MAX_CREDITS_PER_REQUEST: f64 = 100.0;
+/// Fraction of the ratio that requests earn.
+const EARNED_FRACTION: f64 = 0.7;
+/// Fraction of the ratio by which the requests of a window limit the stock.
+const STOCK_FRACTION: f64 = 0.23;
+/// Longest time from sending a retry to its arrival that the budget allows for, as a fraction
+/// of the window. Requests at a constant rate earn the rest of the ratio in it.
+const DELIVERY_FRACTION: f64 = (1.0 - EARNED_FRACTION - STOCK_FRACTION) / EARNED_FRACTION;
+/// Fraction of the slack that is spent once in a window.
+const SLACK_FRACTION: f64 = 0.6;
+/// Fraction of the slack that adds to the limits of all stocks.
+const SLACK_STOCK_FRACTION: f64 = 1.0 - SLACK_FRACTION;
+/// Most retries that one request earns, under a ratio that sets no limit.
+const MAX_EARNED_PER_REQUEST: f64 = 100.0;
 /// Entries per window of a log of times.
 const LOG_RESOLUTION: u64 = 40;
 /// Allows for rounding of sums of fractions.
@@ -41,8 +51,10 @@
 /// hosts of a fleet together make as many as their parts add up to.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct BudgetPhases {
-    /// Of the retries that requests back.
+    /// Of the retries that requests earn.
     pub credit: f64,
+    /// Of the limit of the stock.
+    pub stock: f64,
     /// Of the part of the slack.
     pub slack: f64,
 }
@@ -52,13 +64,27 @@
 #[must_use]
 pub struct Payment {
     source: PaidFrom,
-    /// When the request that backs it arrived, or when the slack was spent.
-    entry_ms: u64,
+    /// The entry of the log to which it was added when it was sent.
+    sent_entry_ms: Option<u64>,
+}
+
+impl Payment {
+    fn new(source: PaidFrom) -> Self {
+        Self {
+            source,
+            sent_entry_ms: None,
+        }
+    }
+
+    /// Whether the retry was sent.
+    pub fn is_sent(&self) -> bool {
+        self.sent_entry_ms.is_some()
+    }
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum PaidFrom {
-    Credit,
+    Stock,
     Slack,
 }
 
@@ -95,35 +121,6 @@
         }
     }
 
-    /// Removes the oldest event and returns the first time of its entry.
-    fn pop_oldest(&mut self) -> Option<u64> {
-        let oldest = self.entries.front_mut()?;
-        oldest.count -= 1;
-        let first_ms = oldest.first_ms;
-        if oldest.count == 0 {
-            self.entries.pop_front();
-        }
-        Some(first_ms)
-    }
-
-    /// Returns an event that was removed to an entry that began then.
-    fn put_back(&mut self, first_ms: u64) {
-        let at = self
-            .entries
-            .partition_point(|entry| entry.first_ms < first_ms);
-        match self.entries.get_mut(at) {
-            Some(entry) if entry.first_ms == first_ms => entry.count += 1,
-            _ => self.entries.insert(
-                at,
-                LogEntry {
-                    first_ms,
-                    last_ms: first_ms,
-                    count: 1,
-                },
-            ),
-        }
-    }
-
     /// Removes an event of the entry that began then, if it is there.
     fn remove(&mut self, first_ms: u64) {
         let begins = |entry: &LogEntry| entry.first_ms == first_ms;
@@ -149,6 +146,9 @@
 
 /// Retry budget of one pool on this host.
 ///
+/// `sharers` is the number of hosts that share the slack, this one included, or `None` while
+/// this host has no part in it.
+///
 /// # Example
 ///
 /// ```
@@ -156,19 +156,25 @@
 ///
 /// let rules = BudgetRules { ratio: 0.2, slack: 0.0, window_ms: 10_000 };
 /// let mut budget = WindowBudget::new(rules);
-/// (0..10).for_each(|_| budget.record_request(0));
-/// let payment = budget.try_spend(0, None);
-/// assert!(payment.is_some());
+/// (0..25).for_each(|_| budget.record_request(0, None));
+/// let mut payment = budget.try_spend(0, None).expect("25 requests back a retry");
+/// budget.record_sent(&mut payment, 0);
 /// assert!(budget.try_spend(0, None).is_none());
 /// ```
 #[derive(Clone, Debug)]
 pub struct WindowBudget {
     rules: BudgetRules,
     phases: BudgetPhases,
-    /// Retries that requests back.
-    credits: TimeLog,
-    /// Retries that were paid from the slack.
-    slack_spent: TimeLog,
+    /// Requests of the last window.
+    requests: TimeLog,
+    /// Retries that were earned and not paid.
+    credits: u32,
+    /// Retries that were paid from the stock and not sent.
+    unsent_credits: u32,
+    /// Retries that were paid from the slack and sent.
+    slack_sent: TimeLog,
+    /// Retries that were paid from the slack and not sent.
+    unsent_slack: u32,
     /// When the slack may be spent, after a change of the window.
     slack_from_ms: u64,
 }
@@ -184,8 +190,11 @@
         Self {
             rules,
             phases,
-            credits: TimeLog::default(),
-            slack_spent: TimeLog::default(),
+            requests: TimeLog::default(),
+            credits: 0,
+            unsent_credits: 0,
+            slack_sent: TimeLog::default(),
+            unsent_slack: 0,
             slack_from_ms: 0,
         }
     }
@@ -194,7 +203,7 @@
     pub fn set_rules(&mut self, rules: BudgetRules, now_ms: u64) {
         let previous = std::mem::replace(&mut self.rules, rules);
         if rules.ratio < previous.ratio || rules.window_ms != previous.window_ms {
-            self.credits = TimeLog::default();
+            self.credits = 0;
         }
         if rules.window_ms > previous.window_ms {
             // What was spent before the previous window is forgotten.
@@ -203,74 +212,118 @@
     }
 
     /// Records the first send of a request.
-    pub fn record_request(&mut self, now_ms: u64) {
-        self.drop_expired(now_ms);
-        let earned = USABLE_FRACTION * self.rules.ratio;
-        self.phases.credit += earned.min(MAX_CREDITS_PER_REQUEST);
-        while self.phases.credit + EPSILON >= 1.0 {
-            self.phases.credit -= 1.0;
-            self.credits.push(now_ms, self.resolution_ms());
-        }
+    pub fn record_request(&mut self, now_ms: u64, sharers: Option<usize>) {
+        self.update(now_ms, sharers);
+        self.requests.push(now_ms, self.resolution_ms());
+        let earned = EARNED_FRACTION * self.rules.ratio;
+        self.phases.credit += earned.min(MAX_EARNED_PER_REQUEST);
+        let whole = (self.phases.credit + EPSILON).floor();
+        self.phases.credit -= whole;
+        self.credits += whole as u32;
+        self.limit_stock(sharers);
     }
 
-    /// Spends one retry if one remains. `sharers` is the number of hosts that share the
-    /// slack, this one included, or `None` if this host has no part in it.
+    /// Pays one retry if one remains.
     pub fn try_spend(&mut self, now_ms: u64, sharers: Option<usize>) -> Option<Payment> {
         if !self.has_remaining(now_ms, sharers) {
             return None;
         }
-        let payment = match self.credits.pop_oldest() {
-            Some(entry_ms) => Payment {
-                source: PaidFrom::Credit,
-                entry_ms,
-            },
-            None => Payment {
-                source: PaidFrom::Slack,
-                entry_ms: self.slack_spent.push(now_ms, self.resolution_ms()),
-            },
+        if self.credits > 0 {
+            self.credits -= 1;
+            self.unsent_credits += 1;
+            return Some(Payment::new(PaidFrom::Stock));
+        }
+        self.unsent_slack += 1;
+        Some(Payment::new(PaidFrom::Slack))
+    }
+
+    /// Records that a retry is sent. Until then its payment counts as unspent.
+    pub fn record_sent(&mut self, payment: &mut Payment, now_ms: u64) {
+        if payment.is_sent() {
+            return;
+        }
+        let entry_ms = match payment.source {
+            PaidFrom::Stock => {
+                self.unsent_credits -= 1;
+                now_ms
+            }
+            PaidFrom::Slack => {
+                self.unsent_slack -= 1;
+                self.slack_sent.push(now_ms, self.resolution_ms())
+            }
+        };
+        payment.sent_entry_ms = Some(entry_ms);
+    }
+
+    /// Records that a retry was not sent after all, so that its payment can serve another
+    /// attempt.
+    pub fn record_unsent(&mut self, payment: &mut Payment) {
+        let Some(entry_ms) = payment.sent_entry_ms.take() else {
+            return;
         };
-        Some(payment)
+        match payment.source {
+            PaidFrom::Stock => self.unsent_credits += 1,
+            PaidFrom::Slack => {
+                self.unsent_slack += 1;
+                self.slack_sent.remove(entry_ms);
+            }
+        }
     }
 
-    /// Returns the payment of a retry that was not sent. What backed it expires as if it had
-    /// not been spent.
-    pub fn refund(&mut self, payment: Payment, now_ms: u64) {
+    /// Returns the payment of a retry that was not sent.
+    pub fn refund(&mut self, mut payment: Payment) {
+        self.record_unsent(&mut payment);
         match payment.source {
-            PaidFrom::Credit => self.credits.put_back(payment.entry_ms),
-            PaidFrom::Slack => self.slack_spent.remove(payment.entry_ms),
+            PaidFrom::Stock => {
+                self.unsent_credits -= 1;
+                self.credits += 1;
+            }
+            PaidFrom::Slack => self.unsent_slack -= 1,
         }
-        self.drop_expired(now_ms);
     }
 
     /// Whether a retry remains.
     pub fn has_remaining(&mut self, now_ms: u64, sharers: Option<usize>) -> bool {
-        self.drop_expired(now_ms);
+        self.update(now_ms, sharers);
         let sharers = sharers.filter(|_| now_ms >= self.slack_from_ms);
-        let slack_part = sharers.map_or(0, |sharers| self.slack_part(sharers));
-        self.credits.len() > 0 || self.slack_spent.len() < slack_part
+        let slack_part = sharers.map_or(0, |sharers| {
+            let part = SLACK_FRACTION * self.slack_part(sharers);
+            (part + self.phases.slack + EPSILON) as u32
+        });
+        self.credits > 0 || self.slack_sent.len() + self.unsent_slack < slack_part
     }
 
-    /// Retries that requests back now, and those paid from the slack in the window.
+    /// Retries in stock, and those paid from the slack in the window.
     pub fn counts(&self) -> (u32, u32) {
-        (self.credits.len(), self.slack_spent.len())
+        (self.credits, self.slack_sent.len() + self.unsent_slack)
     }
 
     /// This host's part of the slack.
-    fn slack_part(&self, sharers: usize) -> u32 {
-        let part = USABLE_FRACTION * self.rules.slack / sharers.max(1) as f64;
-        (part + self.phases.slack + EPSILON) as u32
+    fn slack_part(&self, sharers: usize) -> f64 {
+        self.rules.slack / sharers.max(1) as f64
     }
 
     fn resolution_ms(&self) -> u64 {
         (self.rules.window_ms / LOG_RESOLUTION).max(1)
     }
 
-    fn drop_expired(&mut self, now_ms: u64) {
+    /// Forgets what is older than the window. Since the limit of the stock only falls between
+    /// two requests, it is enough to apply it at each call.
+    fn update(&mut self, now_ms: u64, sharers: Option<usize>) {
         let window_ms = self.rules.window_ms;
-        let life_ms = (CREDIT_LIFE * window_ms as f64) as u64;
-        self.credits
-            .drop_while(|entry| entry.first_ms + life_ms <= now_ms);
-        self.slack_spent
-            .drop_while(|entry| entry.last_ms + window_ms <= now_ms);
+        let delivery_ms = (DELIVERY_FRACTION * window_ms as f64) as u64;
+        self.requests
+            .drop_while(|entry| entry.first_ms + window_ms <= now_ms);
+        self.slack_sent
+            .drop_while(|entry| entry.last_ms + window_ms + delivery_ms <= now_ms);
+        self.limit_stock(sharers);
+    }
+
+    fn limit_stock(&mut self, sharers: Option<usize>) {
+        let by_requests = STOCK_FRACTION * self.rules.ratio * f64::from(self.requests.len());
+        let by_slack = sharers.map_or(0.0, |sharers| self.slack_part(sharers));
+        let limit = by_requests + SLACK_STOCK_FRACTION * by_slack + self.phases.stock + EPSILON;
+        let left = (limit as u32).saturating_sub(self.unsent_credits);
+        self.credits = self.credits.min(left);
     }
 }
