Pass on no status that callers take for a promise

What callers saw: a 429 or 408 for a payment that an endpoint had run, which they take for a promise that it did not; they pay again.

Cause: only 5xx counted as failures of an endpoint, and of these only 503 was held back from requests that must not be repeated. A status of its own proves nothing: only an answer that says so, or the 421 of another endpoint, does.

Fix: one place decides for direct and forwarded attempts which statuses callers take for a promise (408, 421, 429, 503). Without the proof they are failures of the endpoint: tried elsewhere where the request may be repeated, held back where not.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -175,8 +175,8 @@
             .endpoint_connections
             .check_in(connection, answer.keep_alive_s);
     }
-    if buffered.head.status.is_server_error() {
-        return Err(server_failure(call, buffered));
+    if is_endpoint_failure(buffered.head.status) {
+        return Err(endpoint_failure(call, buffered));
     }
     progress.record_response_end(Some(started_at.elapsed()));
     let now_ms = shared.clock.now_ms();
@@ -235,14 +235,30 @@
     is_unsigned_success.then_some(AttemptOutcome::Garbage)
 }
 
-/// A server error of the endpoint. A status 503 is not passed on for a request that
-/// must not be repeated: the caller would take it as proof that the request did not run.
-pub(crate) fn server_failure(call: &Call, buffered: BufferedResponse) -> AttemptFailure {
-    let implies_not_run = buffered.head.status == StatusCode::SERVICE_UNAVAILABLE;
-    let response = (!implies_not_run || call.repeatable() == Repeatable::Yes).then_some(buffered);
+/// Whether callers take a status for proof that their request did not run.
+fn implies_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
+/// Whether a status is a failure of the endpoint, in a response that does not prove that the
+/// request did not run.
+pub(crate) fn is_endpoint_failure(status: StatusCode) -> bool {
+    status.is_server_error() || implies_not_run(status)
+}
+
+/// A failure of the endpoint. For a request that must not be repeated, it is not passed on if
+/// the caller would take it as proof that the request did not run.
+pub(crate) fn endpoint_failure(call: &Call, buffered: BufferedResponse) -> AttemptFailure {
+    let may_pass = call.repeatable() == Repeatable::Yes || !implies_not_run(buffered.head.status);
     AttemptFailure {
         end: AttemptOutcome::Failed,
-        response,
+        response: may_pass.then_some(buffered),
         unused_lease: None,
     }
 }
--- a/crates/gateway/src/forward/origin.rs
+++ b/crates/gateway/src/forward/origin.rs
@@ -12,8 +12,8 @@
 use tokio::time::Instant;
 
 use crate::attempt::{
-    AttemptFailure, AttemptResponse, OpenStream, ResponseReading, invalid_head, max_head_wait,
-    server_failure,
+    AttemptFailure, AttemptResponse, OpenStream, ResponseReading, endpoint_failure, invalid_head,
+    is_endpoint_failure, max_head_wait,
 };
 use crate::endpoint_connections::{
     Connection, ConnectionRequest, ConnectionTarget, NoConnection, SentBody,
@@ -184,8 +184,8 @@
     if !answer.closes {
         shared.endpoint_connections.check_in(connection, None);
     }
-    if buffered.head.status.is_server_error() {
-        return Err(server_failure(call, buffered));
+    if is_endpoint_failure(buffered.head.status) {
+        return Err(endpoint_failure(call, buffered));
     }
     if framing != BodyFraming::CloseDelimited {
         shared.record_completed_run(call.fingerprint);
--- a/crates/gateway/tests/gateway/endpoint_reports.rs
+++ b/crates/gateway/tests/gateway/endpoint_reports.rs
@@ -12,7 +12,7 @@
     ("/safe/", Behaviour::Answer),
     ("/unsafe/", Behaviour::Answer),
     ("/safe/", Behaviour::Fail),
-    ("/unsafe/", Behaviour::FailBusy),
+    ("/unsafe/", Behaviour::FailAs("503 Busy")),
     ("/safe/", Behaviour::Shed),
     ("/once/", Behaviour::Shed),
     ("/safe/", Behaviour::WrongId),
--- a/crates/gateway/tests/gateway/partitions.rs
+++ b/crates/gateway/tests/gateway/partitions.rs
@@ -298,6 +298,12 @@
         assert_that!(received.status, eq(status), "{path}");
         assert_that!(fleet.run_count(path), eq(attempts), "{path}");
     }
+    for endpoint in &fleet.endpoints {
+        endpoint.set_behaviour(Behaviour::FailAs("429 Busy"));
+    }
+    let received = fleet.hosts[0].call(Call::post("/unsafe/", b"x").id("busy"));
+    assert_that!(received.await.status, eq(502));
+    assert_that!(fleet.run_count("busy"), eq(1));
     for endpoint in &fleet.endpoints {
         endpoint.set_behaviour(Behaviour::Shed);
     }
--- a/crates/gateway/tests/gateway/support/endpoint.rs
+++ b/crates/gateway/tests/gateway/support/endpoint.rs
@@ -28,8 +28,9 @@
     AnswerInTurn(u64),
     /// Answers 500.
     Fail,
-    /// Answers 503 without reporting whether the request ran.
-    FailBusy,
+    /// Answers with a status of which callers conclude that the request did not run, without
+    /// reporting so.
+    FailAs(&'static str),
     /// Answers 503 and reports that the request did not run.
     Shed,
     /// Answers 421: another endpoint uses this address.
@@ -310,7 +311,7 @@
                 send(stream, &reply("200 OK", &id, SIGNED)).await
             }
             Behaviour::Fail => send(stream, &reply("500 Failed", &id, SIGNED)).await,
-            Behaviour::FailBusy => send(stream, &reply("503 Busy", &id, SIGNED)).await,
+            Behaviour::FailAs(status) => send(stream, &reply(status, &id, SIGNED)).await,
             Behaviour::Shed => send(stream, &reply("503 Full", &id, "not-run: 1\r\n")).await,
             Behaviour::Misdirected => send(stream, &reply("421 Other", &id, "")).await,
             Behaviour::Reset => {
