Tell other hosts of removals that a whole read shows

What callers saw: hosts in touch send payments to a replica for 2 to 8 s after its entry was removed from the store, and those are cut when it ends, if the hosts that follow the store were killed just before the removal.

Cause: a whole read shows no removal. The list of the host that takes over got the version of its newest row, which other hosts have as well, so that they don't ask for changes; the comparison of digests is slower than the 2 s that are allowed.

Fix: a host that has a list compares it with the whole read. What is missing becomes removals as of the version of the read, kept with the rows that are newer than its list, so that other hosts pull them as changes. apply_changes takes several rows of one version; it skipped all but the first.

Ruled out: the version of the read for every whole read, which would make all hosts ask for the list after each.

--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -7,7 +7,7 @@
 mod rejection_limits;
 mod scheduling;
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -85,15 +85,21 @@
 /// A whole read of the endpoints in the store.
 #[derive(Debug)]
 pub(crate) struct WholeRead {
-    pub(crate) listed: Vec<ListedEndpoint>,
-    /// Endpoints whose entries can't be read.
-    pub(crate) unreadable: Vec<EndpointId>,
-    /// The version of its newest row.
-    pub(crate) newest: StoreVersion,
-    /// The version up to which no row is missing.
+    /// Its rows, of endpoints that are listed or whose entries can't be read.
+    pub(crate) rows: Vec<EndpointRow>,
+    /// The version up to which no row is missing. Rows of later pages may be newer.
     pub(crate) complete_to: StoreVersion,
 }
 
+impl WholeRead {
+    /// The version of its newest row.
+    fn newest(&self) -> StoreVersion {
+        let newest = self.rows.iter().map(|row| row.version).max();
+        let in_era = StoreVersion::in_era(self.complete_to.era(), 0);
+        newest.unwrap_or(in_era).min(self.complete_to)
+    }
+}
+
 /// The fleet as one host knows it.
 #[derive(Debug)]
 pub(crate) struct Fleet {
@@ -620,12 +626,7 @@
     /// version. Changes of later versions that other hosts have sent stay. Returns whether the
     /// read was applied.
     pub(crate) fn replace_by_read(&mut self, read: WholeRead, now_ms: u64) -> bool {
-        let WholeRead {
-            listed,
-            unreadable,
-            newest,
-            complete_to,
-        } = read;
+        let complete_to = read.complete_to;
         let is_outdated = self.has_full_list && complete_to < self.endpoints_version;
         let later = if is_outdated {
             let Some(later) = self.changes_after(complete_to, now_ms) else {
@@ -637,10 +638,36 @@
         } else {
             Vec::new()
         };
-        self.replace_list(listed, newest, now_ms);
+        let known_to = self.endpoints_version;
+        let removals = self.removals_by(&read);
+        let version = match removals.last() {
+            Some(removal) => removal.version,
+            None => read.newest(),
+        };
+        let mut listed = Vec::with_capacity(read.rows.len());
+        let mut unreadable = Vec::new();
+        let mut changes = Vec::new();
+        for row in read.rows {
+            if row.version > known_to && row.version <= complete_to {
+                changes.push(row.clone());
+            }
+            match row.change {
+                EndpointChange::Listed(endpoint) => listed.push(endpoint),
+                EndpointChange::Unreadable(name) => unreadable.push(name),
+                EndpointChange::Gone(_) => {}
+            }
+        }
+        self.replace_list(listed, version, now_ms);
         for name in &unreadable {
             self.endpoints.discard(name, now_ms);
         }
+        if !removals.is_empty() {
+            // Other hosts have the list up to `known_to` and need what led from there to here.
+            changes.sort_by_key(|row| row.version);
+            self.changes.extend(changes);
+            self.changes.extend(removals);
+            self.changes_since = known_to;
+        }
         self.list_source = if later.is_empty() {
             ListSource::Store
         } else {
@@ -652,6 +679,22 @@
         true
     }
 
+    /// The removals that a whole read shows: endpoints that are listed here and not in the read,
+    /// as of the version of the read. The store's row of a removal is not among those read.
+    fn removals_by(&self, read: &WholeRead) -> Vec<EndpointRow> {
+        let is_later_read =
+            self.has_full_list && read.complete_to.era() == self.endpoints_version.era();
+        let known: HashSet<&EndpointId> = read.rows.iter().map(|row| row.change.name()).collect();
+        let listed = self.endpoints.listed().filter(|_| is_later_read);
+        let names = listed.map(|member| &member.endpoint.name);
+        let removed = names.filter(|name| !known.contains(name));
+        let removals = removed.map(|name| EndpointRow {
+            version: read.complete_to,
+            change: EndpointChange::Gone(name.clone()),
+        });
+        removals.collect()
+    }
+
     /// Replaces the endpoint list with a full one of another host, as of a version.
     pub(crate) fn replace(
         &mut self,
@@ -697,13 +740,14 @@
         self.record_builds(now_ms);
     }
 
-    /// Applies list changes, oldest first, and skips known ones. Returns whether any was
-    /// new.
+    /// Applies list changes, oldest first, and skips known ones. Several may have the same
+    /// version. Returns whether any was new.
     pub(crate) fn apply_changes(&mut self, rows: Vec<EndpointRow>, now_ms: u64) -> bool {
         let mut has_changed = false;
         self.record_listed_builds(now_ms);
+        let known_to = self.endpoints_version;
         for row in rows {
-            if row.version <= self.endpoints_version {
+            if row.version <= known_to {
                 continue;
             }
             has_changed = true;
--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -270,23 +270,8 @@
     let now_ms = shared.clock.now_ms();
     let mut fleet = shared.fleet();
     let is_new = if is_whole {
-        let newest = changes.iter().map(|row| row.version).max();
-        let mut listed = Vec::with_capacity(changes.len());
-        let mut unreadable = Vec::new();
-        for row in changes {
-            match row.change {
-                EndpointChange::Listed(endpoint) => listed.push(endpoint),
-                EndpointChange::Unreadable(name) => unreadable.push(name),
-                EndpointChange::Gone(_) => {}
-            }
-        }
-        let in_era = StoreVersion::in_era(version.era(), 0);
-        // Rows of later pages may be newer than the version up to which all pages are complete.
-        let newest = newest.unwrap_or(in_era).min(version);
         let read = WholeRead {
-            listed,
-            unreadable,
-            newest,
+            rows: changes,
             complete_to: version,
         };
         fleet.replace_by_read(read, now_ms)
--- a/crates/gateway/tests/gateway/list_versions.rs
+++ b/crates/gateway/tests/gateway/list_versions.rs
@@ -53,6 +53,45 @@
     );
 }
 
+/// Guards against removals that a whole read shows and that other hosts learn of too late.
+#[tokio::test]
+async fn lists_lose_endpoints_in_time_after_another_host_began_to_read() {
+    /// Time that hosts have to stop sending to an endpoint.
+    const DRAIN_TIME: Duration = Duration::from_millis(2_000);
+    let source = TestSource::default();
+    source.set_rules(rules(1));
+    let mut endpoints = Vec::new();
+    for number in 0..4 {
+        endpoints.push(endpoint(&format!("endpoint-{number}")).await);
+        source.list(endpoints[number].endpoint.clone());
+    }
+    let all = endpoints.len() as f64;
+    let first = TestGateway::killable(source.another_handle(), "host-1", Vec::new()).await;
+    first.ready().await;
+    let seeds = vec![first.peer_address()];
+    let handle = source.another_handle();
+    handle.isolate();
+    let second = TestGateway::start(handle.clone(), "host-2", seeds.clone()).await;
+    second.ready().await;
+    let seeds = vec![seeds[0], second.peer_address()];
+    let pulling = TestGateway::without_store("host-pulling", seeds).await;
+    pulling.ready().await;
+    for host in [&second, &pulling] {
+        until(async || metric(host, "endpoints_live").await == all).await;
+    }
+    drop(first);
+    let (leaving, staying) = endpoints.split_at(2);
+    for endpoint in leaving {
+        source.unlist(&endpoint.endpoint.name);
+    }
+    handle.rejoin();
+    let left = staying.len() as f64;
+    until(async || metric(&second, "endpoints_live").await == left).await;
+    let is_current = until(async || metric(&pulling, "endpoints_live").await == left);
+    let is_current = tokio::time::timeout(DRAIN_TIME, is_current).await;
+    assert_that!(is_current, ok(anything()));
+}
+
 /// Guards against a row of the store that is skipped since another host sent a wrong one as of
 /// its version.
 #[tokio::test]
--- a/crates/gateway/tests/gateway/support/source.rs
+++ b/crates/gateway/tests/gateway/support/source.rs
@@ -303,6 +303,11 @@
         self.is_isolated.store(true, Ordering::Relaxed);
     }
 
+    /// Answers further calls through this handle again.
+    pub(crate) fn rejoin(&self) {
+        self.is_isolated.store(false, Ordering::Relaxed);
+    }
+
     /// Holds the answers of whole reads of endpoints through this handle. They list what is
     /// listed when the first one begins, and as another page what follows it at their end.
     pub(crate) fn hold_reads(&self, has_second_page: bool) {
