Restrict streams by readable records only

What callers would see: resumable streams of a pool whose record can't be read are refused until a host has replaced it. Since the restriction came, an unreadable record counted as one that names no build.

Cause: a pool was added to the records known by their builds also where there was no record to read. Found on reading the change again.

--- a/crates/routing/src/budget.rs
+++ b/crates/routing/src/budget.rs
@@ -64,7 +64,7 @@
 #[must_use]
 pub struct Payment {
     source: PaidFrom,
-    /// The entry of the log to which it was added when it was sent.
+    /// When it was sent; the first time of its entry in the log if it was paid from the slack.
     sent_entry_ms: Option<u64>,
 }
 
--- a/crates/routing/src/pool_builds.rs
+++ b/crates/routing/src/pool_builds.rs
@@ -427,17 +427,16 @@
 
     /// Keeps since when the builds that the record of a pool lists were recorded.
     fn update_recorded(&mut self, pool: &PoolId, now_ms: u64) {
-        let record = self
-            .stored
-            .get(pool)
-            .and_then(|(_, record)| record.as_ref());
-        let listed = record.map(|record| record.listed.iter());
         let mut before = self.recorded_since_ms.remove(pool).unwrap_or_default();
-        let since_ms = listed.into_iter().flatten().map(|build| {
+        let stored = self.stored.get(pool);
+        let Some(record) = stored.and_then(|(_, record)| record.as_ref()) else {
+            return;
+        };
+        let since_ms = record.listed.iter().map(|build| {
             let since_ms = before.remove(build).unwrap_or(now_ms);
             (build.clone(), since_ms)
         });
-        let since_ms: BTreeMap<BuildVersion, u64> = since_ms.collect();
+        let since_ms = since_ms.collect();
         self.recorded_since_ms.insert(pool.clone(), since_ms);
     }
 
--- a/crates/routing/tests/pool_builds.rs
+++ b/crates/routing/tests/pool_builds.rs
@@ -498,4 +498,10 @@
     assert_that!(eligible(&history, 19_500), eq(&vec!["v2", "v3"]));
     history.set_record(stored(10, &["v4"]), 20_000);
     assert_that!(eligible(&history, 30_000), is_empty());
+    let unreadable = StoredBuilds {
+        record: None,
+        ..stored(11, &[])
+    };
+    history.set_record(unreadable, 31_000);
+    assert_that!(eligible(&history, 31_000), eq(&vec!["v1", "v2", "v3"]));
 }
