Take removals from whole reads of later versions alone

A whole read that is older than the list lacks endpoints that were added since. They came back with the changes that follow the read, and nothing was sent to other hosts, but in between they were kept as removals of the read's version. No caller could notice.

--- a/crates/gateway/src/fleet/list.rs
+++ b/crates/gateway/src/fleet/list.rs
@@ -94,14 +94,15 @@
     /// The removals that a whole read shows: endpoints that are listed here and not in the read,
     /// as of the version of the read. The store's row of a removal is not among those read.
     fn removals_by(&self, read: &WholeRead) -> Vec<EndpointRow> {
+        let (known_to, complete_to) = (self.endpoints_version, read.complete_to);
         let is_later_read =
-            self.has_full_list && read.complete_to.era() == self.endpoints_version.era();
+            self.has_full_list && complete_to.era() == known_to.era() && complete_to > known_to;
         let known: HashSet<&EndpointId> = read.rows.iter().map(|row| row.change.name()).collect();
         let listed = self.endpoints.listed().filter(|_| is_later_read);
         let names = listed.map(|member| &member.endpoint.name);
         let removed = names.filter(|name| !known.contains(name));
         let removals = removed.map(|name| EndpointRow {
-            version: read.complete_to,
+            version: complete_to,
             change: EndpointChange::Gone(name.clone()),
         });
         removals.collect()
