Take a 421 for another endpoint's only if it says that nothing ran

What callers would see: a payment that an endpoint ran and then failed with a bare 421 was sent to another endpoint and made twice.

Cause: is_other_endpoint was read from the status. The platform's page: only an answer with `Not-Executed` says that the replica did not run the request, and it names 421 among them. Now both are needed; a bare 421 is a failure of the endpoint as a bare 429 or 503 is, on direct and forwarded attempts, which share `invalid_head`.

Test: four rows of attempts_match_the_case_table; failed before on `/unsafe/` (200 after two runs where 502 after one is due). The test's endpoint that stands for another one says that it did not run the request, as the page has it: its rows are unchanged.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -225,7 +225,8 @@
     if answer.id != call.head.id {
         return Some(AttemptOutcome::Garbage);
     }
-    if answer.is_other_endpoint {
+    // A status alone is no proof: an endpoint that fails may send any.
+    if answer.says_not_run && answer.is_other_endpoint {
         return Some(AttemptOutcome::NotTheEndpoint);
     }
     if answer.says_not_run && !head.status.is_success() {
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -66,7 +66,8 @@
     pub is_signed: bool,
     /// Whether the endpoint reports that it did not run the request.
     pub says_not_run: bool,
-    /// Whether another endpoint than the intended one responded.
+    /// Whether the response is one of another endpoint than the intended one, which also says
+    /// that it did not run the request.
     pub is_other_endpoint: bool,
     /// Keep-alive timeout of the connection in seconds.
     pub keep_alive_s: Option<u64>,
--- a/crates/gateway/tests/gateway/attempts.rs
+++ b/crates/gateway/tests/gateway/attempts.rs
@@ -33,7 +33,7 @@
 }
 
 /// Routes `safe` and `unsafe` allow two attempts, `once` allows one.
-const CASES: [Case; 38] = [
+const CASES: [Case; 42] = [
     case("sound", Behaviour::Answer, "/safe/", 200, 1),
     case("sound", Behaviour::Answer, "/unsafe/", 200, 1),
     case("unframed", Behaviour::Unframed, "/unsafe/", 200, 1),
@@ -123,6 +123,34 @@
         502,
         1,
     ),
+    case(
+        "failed as 421",
+        Behaviour::FailAs("421 Other"),
+        "/safe/",
+        200,
+        2,
+    ),
+    case(
+        "failed as 421",
+        Behaviour::FailAs("421 Other"),
+        "/unsafe/",
+        502,
+        1,
+    ),
+    case(
+        "failed as 421",
+        Behaviour::FailAs("421 Other"),
+        "/once/",
+        502,
+        1,
+    ),
+    case(
+        "failed as 421",
+        Behaviour::FailAs("421 Other"),
+        "/stream/",
+        502,
+        1,
+    ),
     case("shed", Behaviour::Shed, "/safe/", 200, 2),
     case("shed", Behaviour::Shed, "/unsafe/", 200, 2),
     case("shed", Behaviour::Shed, "/once/", 503, 1),
--- a/crates/gateway/tests/gateway/support/endpoint.rs
+++ b/crates/gateway/tests/gateway/support/endpoint.rs
@@ -33,7 +33,7 @@
     FailAs(&'static str),
     /// Answers 503 and reports that the request did not run.
     Shed,
-    /// Answers 421: another endpoint uses this address.
+    /// Answers 421 and that it did not run the request: another endpoint uses this address.
     Misdirected,
     /// Reads the request and resets the connection.
     Reset,
@@ -313,7 +313,9 @@
             Behaviour::Fail => send(stream, &reply("500 Failed", &id, SIGNED)).await,
             Behaviour::FailAs(status) => send(stream, &reply(status, &id, SIGNED)).await,
             Behaviour::Shed => send(stream, &reply("503 Full", &id, "not-run: 1\r\n")).await,
-            Behaviour::Misdirected => send(stream, &reply("421 Other", &id, "")).await,
+            Behaviour::Misdirected => {
+                send(stream, &reply("421 Other", &id, "not-run: 1\r\n")).await
+            }
             Behaviour::Reset => {
                 reset(stream);
                 false
