Take a 421 that names another endpoint for proof, too

The platform's example of such an answer holds no `Not-Executed` but `Replica-Id`, the name of the replica that answers. Since every other replica than the expected one does not run the request, a 421 that names another one proves that, and one that names the expected replica or none proves nothing. Without this an unsafe request at an address that was used again would have been failed (502) where it can be sent elsewhere.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
-use chalkrock_core::{BuildVersion, OrganisationId, Outcome};
+use chalkrock_core::{BuildVersion, EndpointId, OrganisationId, Outcome};
 use chalkrock_routing::{AttemptOutcome, HealthSignal, Repeatable, RouteKind};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
@@ -203,7 +203,8 @@
     progress.record_head(&answer);
     let framing = BodyFraming::of_response(&progress.call().method, &head);
     progress.record_framing(framing);
-    if let Some(end) = invalid_head(progress.call(), &head, &answer) {
+    let intended = &choice.member.endpoint.name;
+    if let Some(end) = invalid_head(progress.call(), &head, &answer, Some(intended)) {
         return Err(AttemptFailure::new(end));
     }
     let framing = framing.ok_or_else(|| AttemptFailure::new(AttemptOutcome::Garbage))?;
@@ -221,12 +222,12 @@
     call: &Call,
     head: &http::response::Parts,
     answer: &AnswerHead,
+    intended: Option<&EndpointId>,
 ) -> Option<AttemptOutcome> {
     if answer.id != call.head.id {
         return Some(AttemptOutcome::Garbage);
     }
-    // A status alone is no proof: an endpoint that fails may send any.
-    if answer.says_not_run && answer.is_other_endpoint {
+    if answer.is_of_another(intended) {
         return Some(AttemptOutcome::NotTheEndpoint);
     }
     if answer.says_not_run && !head.status.is_success() {
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -66,9 +66,11 @@
     pub is_signed: bool,
     /// Whether the endpoint reports that it did not run the request.
     pub says_not_run: bool,
-    /// Whether the response is one of another endpoint than the intended one, which also says
-    /// that it did not run the request.
+    /// Whether the status is that of another endpoint than the intended one. No proof by itself,
+    /// since an endpoint that fails may send any status.
     pub is_other_endpoint: bool,
+    /// The endpoint that the response names as its own.
+    pub endpoint: Option<EndpointId>,
     /// Keep-alive timeout of the connection in seconds.
     pub keep_alive_s: Option<u64>,
     /// Whether the connection closes after this response.
@@ -84,6 +86,19 @@
     pub max_rejections_per_s: Option<u32>,
 }
 
+impl AnswerHead {
+    /// Whether the response proves that it is of another endpoint than the intended one, which
+    /// did not run the request.
+    pub(crate) fn is_of_another(&self, intended: Option<&EndpointId>) -> bool {
+        let names_another = self
+            .endpoint
+            .as_ref()
+            .zip(intended)
+            .is_some_and(|(named, intended)| named != intended);
+        self.is_other_endpoint && (self.says_not_run || names_another)
+    }
+}
+
 /// The load that an endpoint reports of itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct EndpointLoad {
--- a/crates/gateway/src/forward/origin.rs
+++ b/crates/gateway/src/forward/origin.rs
@@ -145,11 +145,12 @@
     let answer = shared.edge.read_answer(&head);
     progress.record_head(&answer);
     let member = shared.fleet().listed_member(progress.last_tried()).cloned();
-    if let Some(member) = member {
+    if let Some(member) = &member {
         // What an endpoint reports of itself binds the host that passes the response on.
-        shared.record_endpoint_answer(&member, &answer, call.head.id.as_ref());
+        shared.record_endpoint_answer(member, &answer, call.head.id.as_ref());
     }
-    if let Some(end) = invalid_head(call, &head, &answer) {
+    let intended = member.as_ref().map(|member| &member.endpoint.name);
+    if let Some(end) = invalid_head(call, &head, &answer, intended) {
         return Err(failure(in_flight, end));
     }
     let framing = if result.is_close_delimited {
--- a/crates/gateway/tests/gateway/attempts.rs
+++ b/crates/gateway/tests/gateway/attempts.rs
@@ -33,7 +33,7 @@
 }
 
 /// Routes `safe` and `unsafe` allow two attempts, `once` allows one.
-const CASES: [Case; 42] = [
+const CASES: [Case; 44] = [
     case("sound", Behaviour::Answer, "/safe/", 200, 1),
     case("sound", Behaviour::Answer, "/unsafe/", 200, 1),
     case("unframed", Behaviour::Unframed, "/unsafe/", 200, 1),
@@ -156,6 +156,20 @@
     case("shed", Behaviour::Shed, "/once/", 503, 1),
     case("other endpoint", Behaviour::Misdirected, "/safe/", 200, 2),
     case("other endpoint", Behaviour::Misdirected, "/once/", 200, 2),
+    case(
+        "other endpoint by name",
+        Behaviour::MisdirectedByName,
+        "/safe/",
+        200,
+        2,
+    ),
+    case(
+        "other endpoint by name",
+        Behaviour::MisdirectedByName,
+        "/once/",
+        200,
+        2,
+    ),
     case("reset", Behaviour::Reset, "/safe/", 200, 2),
     case("reset", Behaviour::Reset, "/unsafe/", 502, 1),
     case("reset", Behaviour::Reset, "/once/", 502, 1),
--- a/crates/gateway/tests/gateway/support/edge.rs
+++ b/crates/gateway/tests/gateway/support/edge.rs
@@ -73,6 +73,7 @@
             is_signed: head.headers.contains_key("signature"),
             says_not_run: head.headers.contains_key("not-run"),
             is_other_endpoint: head.status == StatusCode::MISDIRECTED_REQUEST,
+            endpoint: header_text(&head.headers, "endpoint").map(Into::into),
             keep_alive_s: None,
             closes: head.headers.contains_key("connection"),
             is_leaving: head.headers.contains_key("leaving"),
--- a/crates/gateway/tests/gateway/support/endpoint.rs
+++ b/crates/gateway/tests/gateway/support/endpoint.rs
@@ -35,6 +35,8 @@
     Shed,
     /// Answers 421 and that it did not run the request: another endpoint uses this address.
     Misdirected,
+    /// Answers 421 with the name of the other endpoint that uses this address.
+    MisdirectedByName,
     /// Reads the request and resets the connection.
     Reset,
     /// Sends bytes that are not HTTP.
@@ -316,6 +318,9 @@
             Behaviour::Misdirected => {
                 send(stream, &reply("421 Other", &id, "not-run: 1\r\n")).await
             }
+            Behaviour::MisdirectedByName => {
+                send(stream, &reply("421 Other", &id, "endpoint: other\r\n")).await
+            }
             Behaviour::Reset => {
                 reset(stream);
                 false
