Show that a close after a planned stop discards an answer under way

Not mended here. A close that waits for the caller's end holds stops for callers that notice a close only at their next request, so that it needs what the system has not delivered yet, or a bound of its own.

--- a/crates/gateway/tests/gateway/stops.rs
+++ b/crates/gateway/tests/gateway/stops.rs
@@ -107,8 +107,12 @@
 
 /// Starts an endpoint that gives its whole large answer at once.
 async fn large_endpoint() -> ScriptedEndpoint {
-    let framing = Framing::Length(LARGE_BYTES);
-    let answer = FramedAnswer::closed(framing, &vec![b'a'; LARGE_BYTES]);
+    endpoint_with_answer(LARGE_BYTES).await
+}
+
+async fn endpoint_with_answer(bytes: usize) -> ScriptedEndpoint {
+    let framing = Framing::Length(bytes);
+    let answer = FramedAnswer::closed(framing, &vec![b'a'; bytes]);
     let behaviour = Behaviour::Framed(answer);
     ScriptedEndpoint::start("endpoint", "pool", behaviour, Script::default()).await
 }
@@ -167,3 +171,30 @@
     gateway.running.ended().await;
     assert_that!(stopped_at.elapsed(), lt(GRACE));
 }
+
+/// Guards against a close that resets the connection, and so discards the rest of an answer that
+/// the system still delivers, since the caller has sent its next request.
+#[tokio::test]
+async fn stop_delivers_an_answer_whose_caller_sends_more() {
+    /// More than the caller's system holds, and less than that of the host.
+    const BYTES: usize = 1024 * 1024;
+    /// Time for the request to arrive.
+    const REQUEST_TIME: Duration = Duration::from_millis(200);
+    let source = TestSource::default();
+    source.set_rules(rules(1));
+    let endpoint = endpoint_with_answer(BYTES).await;
+    source.list(endpoint.endpoint.clone());
+    let gateway = TestGateway::with_grace(source, LONG_GRACE_MS).await;
+    gateway.ready().await;
+    let call = Call::post("/patient/", b"x").id("r-1");
+    let mut caller = send_small(&gateway, &call).await;
+    until(async || endpoint.run_count("r-1") > 0).await;
+    gateway.stop.stop();
+    gateway.running.ended().await;
+    let next = Call::post("/patient/", b"x").id("r-2");
+    caller.write_all(&next.bytes()).await.expect("a request");
+    tokio::time::sleep(REQUEST_TIME).await;
+    let received = receive(&mut caller).await;
+    assert_that!(received.status, eq(200));
+    assert_that!(received.body.len(), eq(BYTES));
+}
