--- a/crates/gateway/src/fleet/list.rs
+++ b/crates/gateway/src/fleet/list.rs
@@ -48,8 +48,8 @@
         } else {
             Vec::new()
         };
-        // The newest row tells nothing of what was removed after it: only an earlier list
-        // without any change leaves its version to the read.
+        // The newest row does not show removals after it. Only a read that leaves a known list
+        // unchanged keeps the version of that list.
         let version = if is_comparable && changes.is_empty() {
             known_to
         } else {
@@ -141,10 +141,10 @@
         self.is_from_store && version <= self.complete_to
     }
 
-    /// Restates what this host lists of the endpoints in rows of another host. Rows that agree
-    /// with the list give it their version. Others show that it differs from what the store had
-    /// then, so that what is restated has the version of the store's latest answer. Returns
-    /// whether any row was new.
+    /// Restates this host's entries of the endpoints in rows of another host. If all agree, the
+    /// list takes the version of the newest row. Otherwise it takes that of the store's latest
+    /// answer, so that the other host applies the restated entries. Returns whether any row was
+    /// new.
     fn restate_rows(&mut self, mut rows: Vec<EndpointRow>, now_ms: u64) -> bool {
         let known_to = self.endpoints_version;
         rows.retain(|row| row.version > known_to);
@@ -212,8 +212,8 @@
         }
     }
 
-    /// A row that gives the version of this list to one with the same content: it restates an
-    /// entry. `None` without entries.
+    /// An entry restated as of the list's version, for a host with the same entries as of an
+    /// earlier version. `None` if the list is empty.
     pub(crate) fn version_row(&self, now_ms: u64) -> Option<EndpointRow> {
         let member = self.endpoints.listed().next()?;
         Some(EndpointRow {
--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -87,8 +87,8 @@
     list_source: ListSource,
     /// Whether the list is that of a whole read of the store and of changes after it.
     is_from_store: bool,
-    /// Version up to which the store's answers leave the list complete, if it is from the store.
-    /// Later than the version of the list where no entry has changed since.
+    /// Version up to which the store has answered this host, for a list from the store. It is
+    /// later than the version of the list if no entry has changed since.
     complete_to: StoreVersion,
     /// Digest of the list, and the revision of which it is.
     list_digest: Option<(u64, u64)>,
