--- a/crates/gateway/src/poison.rs
+++ b/crates/gateway/src/poison.rs
@@ -12,13 +12,13 @@
 use chalkrock_core::{Endpoint, HostState, Reason};
 use chalkrock_routing::{
     AttemptOutcome, POISON_RETENTION_MS, PoisonEvidence, PoisonRequest, PoisonUpdate,
-    PoisonVerdict, RequestFingerprint,
+    PoisonVerdict, RequestFingerprint, SURVIVAL_MS,
 };
 use tokio::sync::Notify;
 
 use crate::call::Call;
 use crate::edge::Refusal;
-use crate::event_log::Event;
+use crate::event_log::{Accusation, CrashNotice, Event};
 use crate::outage_log::OutageLog;
 use crate::shared::Shared;
 use crate::source::{PoisonRow, Source};
@@ -191,7 +191,7 @@
             CrashCheck::PathFailed => return true,
         }
         let start = endpoint.start_hash().short();
-        self.record_endpoint_crash(start);
+        self.record_endpoint_crash(endpoint, CrashNotice::BrokenAttempt);
         let now_ms = self.clock.now_ms();
         let mut fleet = self.fleet();
         let verdict = fleet.poison.record_crash(request, start, ran_ms, now_ms);
@@ -202,6 +202,13 @@
             fingerprint: request,
             parts: call.blamable_parts(),
             has_begun,
+            accuses: if !has_begun {
+                Accusation::NoHead
+            } else if ran_ms >= SURVIVAL_MS {
+                Accusation::WentOn
+            } else {
+                Accusation::Recent
+            },
             ran_ms,
             crashes,
         });
--- a/crates/gateway/src/poison_parts.rs
+++ b/crates/gateway/src/poison_parts.rs
@@ -3,9 +3,12 @@
 use std::sync::Arc;
 
 use chalkrock_core::Endpoint;
-use chalkrock_routing::{MAX_OBSERVED_PARTS, PartUpdate, PoisonVerdict, RunId, SURVIVAL_MS};
+use chalkrock_routing::{
+    CrashedAnswers, MAX_OBSERVED_PARTS, PartUpdate, PoisonVerdict, RunId, SURVIVAL_MS,
+};
 
 use crate::call::Call;
+use crate::event_log::{CrashNotice, Event};
 use crate::framing::BodyFraming;
 use crate::poison::CrashCheck;
 use crate::shared::Shared;
@@ -75,12 +78,20 @@
 }
 
 impl Shared {
-    /// Records the parts that were in use at a crashed endpoint. The other hosts are informed
+    /// Records a crash and the parts that were in use there. The other hosts are informed
     /// at once if this host used any, so that they can report which ones are sound.
-    pub(crate) fn record_endpoint_crash(&self, start: u32) {
+    pub(crate) fn record_endpoint_crash(&self, endpoint: &Endpoint, noticed_by: CrashNotice) {
         let now_ms = self.clock.now_ms();
-        let had_answers = self.fleet().poison.record_endpoint_crash(start, now_ms);
-        if had_answers {
+        let start = endpoint.start_hash().short();
+        let CrashedAnswers { all, complete } =
+            self.fleet().poison.record_endpoint_crash(start, now_ms);
+        self.event_log.emit(&Event::EndpointCrashed {
+            endpoint: &endpoint.name,
+            noticed_by,
+            uses: all,
+            complete,
+        });
+        if all > 0 {
             self.publish_now.notify_one();
         }
     }
@@ -101,7 +112,7 @@
         tokio::spawn(async move {
             if shared.has_crashed_at_close(&endpoint).await {
                 drop(observation);
-                shared.record_endpoint_crash(endpoint.start_hash().short());
+                shared.record_endpoint_crash(&endpoint, CrashNotice::ClosedAnswer);
             } else {
                 observation.complete();
             }
--- a/crates/routing/src/poison/mod.rs
+++ b/crates/routing/src/poison/mod.rs
@@ -24,7 +24,7 @@
 
 use self::parts::PartEvidence;
 pub use self::parts::{MAX_OBSERVED_PARTS, PartUpdate, PartUse, SURVIVAL_MS};
-pub use self::runs::RunId;
+pub use self::runs::{CrashedAnswers, RunId};
 use crate::fingerprint::RequestFingerprint;
 
 /// Crashes after which a request is rejected. Two would reject requests that were only
--- a/crates/routing/src/poison/part_verdicts.rs
+++ b/crates/routing/src/poison/part_verdicts.rs
@@ -5,7 +5,7 @@
 
 use crate::fingerprint::RequestFingerprint;
 use crate::poison::parts::PartUpdate;
-use crate::poison::runs::RunId;
+use crate::poison::runs::{CrashedAnswers, RunId};
 use crate::poison::{POISON_RETENTION_MS, POISON_WEIGHT, PoisonEvidence, PoisonVerdict, Suspect};
 
 /// Time in which all hosts learn of a poison part.
@@ -41,9 +41,9 @@
         self.parts.forget_runs();
     }
 
-    /// Records a crash that this host confirmed. Returns whether answers of this host had
-    /// begun there shortly before.
-    pub fn record_endpoint_crash(&mut self, start: u32, now_ms: u64) -> bool {
+    /// Records a crash that this host confirmed. Returns its answers that had begun there
+    /// shortly before.
+    pub fn record_endpoint_crash(&mut self, start: u32, now_ms: u64) -> CrashedAnswers {
         self.parts.record_crash(start, now_ms)
     }
 
--- a/crates/routing/src/poison/parts.rs
+++ b/crates/routing/src/poison/parts.rs
@@ -18,7 +18,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::poison::runs::{RecentRuns, RunId};
+use crate::poison::runs::{CrashedAnswers, RecentRuns, RunId};
 
 /// Time from the first bytes of an answer after which the endpoint is not expected to crash
 /// under it, in milliseconds.
@@ -229,8 +229,8 @@
         self.runs.clear();
     }
 
-    /// Records a crash that this host confirmed. Returns whether it had answers there.
-    pub(super) fn record_crash(&mut self, start: u32, now_ms: u64) -> bool {
+    /// Records a crash that this host confirmed. Returns its recent answers there.
+    pub(super) fn record_crash(&mut self, start: u32, now_ms: u64) -> CrashedAnswers {
         self.crash_mut(start, now_ms);
         self.report_own_uses(start, now_ms)
     }
@@ -558,10 +558,10 @@
     /// Adds and reports the parts that this host used at a crashed endpoint. Of many, those
     /// on which no answers go on and those in use at other crashes come first, and then those
     /// of the latest answers: an endpoint crashes soon after it begins one on a poison part.
-    fn report_own_uses(&mut self, start: u32, now_ms: u64) -> bool {
-        let mut uses = self.runs.take_crashed(start);
+    fn report_own_uses(&mut self, start: u32, now_ms: u64) -> CrashedAnswers {
+        let (answers, mut uses) = self.runs.take_crashed(start);
         if uses.is_empty() {
-            return false;
+            return answers;
         }
         let mut requests: HashMap<u32, HashSet<u32>> = HashMap::new();
         uses.retain(|used| {
@@ -581,7 +581,7 @@
         self.add_uses(start, &uses, now_ms);
         self.crash_mut(start, now_ms).is_local = true;
         self.queue_update(PartUpdate::Crashed { start, uses }, now_ms);
-        true
+        answers
     }
 
     fn queue_update(&mut self, update: PartUpdate, now_ms: u64) {
--- a/crates/routing/src/poison/runs.rs
+++ b/crates/routing/src/poison/runs.rs
@@ -15,6 +15,15 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct RunId(u64);
 
+/// Recent answers of this host at an endpoint that crashed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct CrashedAnswers {
+    /// All of them.
+    pub all: usize,
+    /// Those that were complete.
+    pub complete: usize,
+}
+
 #[derive(Clone, Debug)]
 struct Run {
     /// Hash of the endpoint's start.
@@ -67,20 +76,23 @@
         }
     }
 
-    /// Removes the answers of a crashed endpoint. Returns the parts that were in use, those of
-    /// the latest answer first.
-    pub(super) fn take_crashed(&mut self, start: u32) -> Vec<PartUse> {
+    /// Removes the answers of a crashed endpoint. Returns how many these were and the parts that
+    /// were in use, those of the latest answer first.
+    pub(super) fn take_crashed(&mut self, start: u32) -> (CrashedAnswers, Vec<PartUse>) {
+        let mut answers = CrashedAnswers::default();
         let mut uses = Vec::new();
         self.runs.retain(|_, run| {
             if run.start != start {
                 return true;
             }
+            answers.all += 1;
+            answers.complete += usize::from(run.end.is_some_and(|end| end.is_complete));
             let request = run.request;
             uses.extend(run.parts.iter().map(|&part| PartUse { part, request }));
             false
         });
         uses.reverse();
-        uses
+        (answers, uses)
     }
 
     /// Removes answers that ended and whose endpoint did not crash in time. Returns the parts
