Show that parts which crash endpoints before or after their answers go on

Callers' requests with one part in their prompts reach endpoints long after the fifth crash. Endpoints of the tests now crash before or inside the head, after the whole answer, while events go on, and with open connections that stay silent.

--- a/crates/gateway/tests/gateway/poison_parts.rs
+++ b/crates/gateway/tests/gateway/poison_parts.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use crate::support::{
-    Call, EVENTS, PartCrashPlan, PartCrashingEndpoint, Received, TestGateway, TestSource,
-    hosts_with, metric, rules, until,
+    Call, CrashPoint, EVENTS, PartCrashPlan, PartCrashingEndpoint, Received, TestGateway,
+    TestSource, hosts_with, metric, rules, until,
 };
 use googletest::prelude::*;
 use tokio::task::JoinSet;
@@ -19,7 +19,7 @@
 const POISON_PART: u64 = 666;
 /// The body of a refusal.
 const REFUSAL: &[u8] = b"poison-request";
-/// Time between two sound requests.
+/// Time between two sound requests, unless a case says otherwise.
 const SOUND_INTERVAL: Duration = Duration::from_millis(25);
 /// Time after the fifth crash from which few requests with the part may reach endpoints.
 const BOUND: Duration = Duration::from_secs(2);
@@ -93,15 +93,16 @@
         self: &Arc<Self>,
         path: &'static str,
         parts: &'static [u64],
+        interval: Duration,
     ) -> JoinSet<SoundResult> {
         let mut calls = JoinSet::new();
         let duration = CALM + Duration::from_secs(20);
-        let count = (duration.as_millis() / SOUND_INTERVAL.as_millis()) as u32;
+        let count = (duration.as_millis() / interval.as_millis()) as u32;
         let start = Instant::now();
         for number in 0..count {
             let fleet = self.clone();
             calls.spawn(async move {
-                tokio::time::sleep_until(start + SOUND_INTERVAL * number).await;
+                tokio::time::sleep_until(start + interval * number).await;
                 let sent_at = Instant::now();
                 let received = fleet.call(path, parts).await;
                 SoundResult {
@@ -173,6 +174,7 @@
     /// The parts of one request of each kind.
     poison_parts: &'static [&'static [u64]],
     poison_interval: Duration,
+    sound_interval: Duration,
     /// Whether requests begin with the poison ones, so that no answer has gone on before.
     is_cold: bool,
 }
@@ -184,6 +186,7 @@
             sound_parts: &[1, 2],
             poison_parts: &[&[1, POISON_PART, 2]],
             poison_interval: Duration::from_millis(125),
+            sound_interval: SOUND_INTERVAL,
             is_cold: false,
         }
     }
@@ -193,7 +196,7 @@
 /// after the bound, and sound ones must be served at half of the usual rate or more.
 async fn check_poison_part(plan: PartCrashPlan, traffic: Traffic) {
     let fleet = PartFleet::start(plan).await;
-    let mut sound = fleet.send_sound(traffic.path, traffic.sound_parts);
+    let mut sound = fleet.send_sound(traffic.path, traffic.sound_parts, traffic.sound_interval);
     if !traffic.is_cold {
         tokio::time::sleep(CALM).await;
     }
@@ -315,6 +318,107 @@
     check_poison_part(plan, traffic).await;
 }
 
+/// Endpoints that crash before they send a byte of the answer.
+fn crashes_before_head() -> PartCrashPlan {
+    PartCrashPlan {
+        crash_point: CrashPoint::BeforeHead,
+        ..PartCrashPlan::default()
+    }
+}
+
+/// A crash that resets all connections must not hide which request caused it.
+#[tokio::test]
+async fn poison_parts_stop_reaching_endpoints_before_head() {
+    check_poison_part(crashes_before_head(), Traffic::default()).await;
+}
+
+/// Attempts of one request that all end without a byte must count for its parts.
+#[tokio::test]
+async fn poison_parts_stop_reaching_endpoints_before_head_resumable() {
+    let traffic = Traffic {
+        path: "/resumable/",
+        ..Traffic::default()
+    };
+    check_poison_part(crashes_before_head(), traffic).await;
+}
+
+/// Seldom crashes without a byte of an answer must be counted together as well.
+#[tokio::test]
+async fn poison_parts_stop_reaching_endpoints_before_head_seldom() {
+    let traffic = Traffic {
+        poison_interval: Duration::from_millis(900),
+        ..Traffic::default()
+    };
+    check_poison_part(crashes_before_head(), traffic).await;
+}
+
+/// Crashes without a byte must not blame the part of all where no answer has gone on yet.
+#[tokio::test]
+async fn poison_parts_stop_reaching_endpoints_before_head_cold_fleet() {
+    let traffic = Traffic {
+        is_cold: true,
+        ..Traffic::default()
+    };
+    check_poison_part(crashes_before_head(), traffic).await;
+}
+
+/// A head that is cut short must not count as a request that still waited.
+#[tokio::test]
+async fn poison_parts_stop_reaching_endpoints_inside_head() {
+    let plan = PartCrashPlan {
+        crash_point: CrashPoint::InsideHead,
+        ..PartCrashPlan::default()
+    };
+    check_poison_part(plan, Traffic::default()).await;
+}
+
+/// Endpoints that crash just after they sent the whole answer.
+fn crashes_after_answer() -> PartCrashPlan {
+    PartCrashPlan {
+        crash_point: CrashPoint::AfterAnswer,
+        crash_delay: Duration::from_millis(5),
+        ..PartCrashPlan::default()
+    }
+}
+
+/// A crash just after a whole answer must count for the parts of that answer.
+#[tokio::test]
+async fn poison_parts_stop_reaching_endpoints_after_answer() {
+    check_poison_part(crashes_after_answer(), Traffic::default()).await;
+}
+
+/// A crash just after a whole answer must not go unnoticed because no attempt breaks.
+#[tokio::test]
+async fn poison_parts_stop_reaching_endpoints_after_answer_when_idle() {
+    let traffic = Traffic {
+        poison_interval: Duration::from_millis(600),
+        sound_interval: Duration::from_millis(400),
+        ..Traffic::default()
+    };
+    check_poison_part(crashes_after_answer(), traffic).await;
+}
+
+/// An answer that went on for half a second must not clear a part that crashes later.
+#[tokio::test]
+async fn poison_parts_stop_reaching_endpoints_late_crash() {
+    let plan = PartCrashPlan {
+        crash_point: CrashPoint::WhileStreaming,
+        crash_delay: Duration::from_millis(700),
+        ..PartCrashPlan::default()
+    };
+    check_poison_part(plan, Traffic::default()).await;
+}
+
+/// Connections that stay open and silent must not hide that their endpoint has crashed.
+#[tokio::test]
+async fn poison_parts_stop_reaching_endpoints_silent_connections() {
+    let plan = PartCrashPlan {
+        leaves_connections: true,
+        ..PartCrashPlan::default()
+    };
+    check_poison_part(plan, Traffic::default()).await;
+}
+
 /// Sends requests with the part until one is refused for it. Returns that refusal.
 async fn poison_refusal(fleet: &PartFleet) -> Received {
     const TRIES: usize = 40;
@@ -332,7 +436,7 @@
 #[tokio::test]
 async fn poison_parts_are_refused_at_once_with_a_retry_delay() {
     let fleet = PartFleet::start(PartCrashPlan::default()).await;
-    let _sound = fleet.send_sound("/stream/", &[1, 2]);
+    let _sound = fleet.send_sound("/stream/", &[1, 2], SOUND_INTERVAL);
     tokio::time::sleep(CALM).await;
     poison_refusal(&fleet).await;
     let sent_at = Instant::now();
@@ -352,7 +456,7 @@
 #[tokio::test]
 async fn poison_parts_are_known_after_all_hosts_were_lost() {
     let fleet = PartFleet::start(PartCrashPlan::default()).await;
-    let sound = fleet.send_sound("/stream/", &[1, 2]);
+    let sound = fleet.send_sound("/stream/", &[1, 2], SOUND_INTERVAL);
     tokio::time::sleep(CALM).await;
     poison_refusal(&fleet).await;
     drop(sound);
@@ -373,7 +477,7 @@
 async fn poison_parts_are_not_found_in_crashes_without_a_cause() {
     const CRASHES: usize = 12;
     let fleet = PartFleet::start(PartCrashPlan::default()).await;
-    let mut sound = fleet.send_sound("/resumable/", &[1, 2]);
+    let mut sound = fleet.send_sound("/resumable/", &[1, 2], SOUND_INTERVAL);
     tokio::time::sleep(CALM).await;
     for number in 0..CRASHES {
         fleet.endpoints[number % ENDPOINTS].crash();
--- a/crates/gateway/tests/gateway/support/mod.rs
+++ b/crates/gateway/tests/gateway/support/mod.rs
@@ -28,7 +28,7 @@
 pub(crate) use held_calls::HeldCalls;
 pub(crate) use link::SlowLink;
 pub(crate) use many_hosts::{FleetHost, LimitedSource, peer_addresses, ready_times, start_fleet};
-pub(crate) use part_crashing::{EVENTS, PartCrashPlan, PartCrashingEndpoint};
+pub(crate) use part_crashing::{CrashPoint, EVENTS, PartCrashPlan, PartCrashingEndpoint};
 pub(crate) use partition::PartitionFleet;
 pub(crate) use peer_calls::{
     BuildsByName, KnownVersions, OldRequester, PeerBuild, PeerStandIn, Requester, builds_for_old,
--- a/crates/gateway/tests/gateway/support/part_crashing.rs
+++ b/crates/gateway/tests/gateway/support/part_crashing.rs
@@ -6,9 +6,10 @@
 use std::time::Duration;
 
 use chalkrock_core::{BuildVersion, Endpoint, EndpointKind, HostState, Incarnation};
+use socket2::SockRef;
 use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
@@ -20,14 +21,34 @@
 /// Events of a whole answer.
 pub(crate) const EVENTS: u64 = 15;
 const SLOTS: u32 = 32;
+/// Time for which connections stay open and silent after a crash that does not close them.
+const SILENCE: Duration = Duration::from_secs(30);
+
+/// How far an answer on a poison part gets before its endpoint crashes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum CrashPoint {
+    /// No byte of it is sent; the crash resets all connections.
+    BeforeHead,
+    /// A part of the head is sent.
+    InsideHead,
+    /// The first event is sent.
+    AfterFirstEvent,
+    /// The first event is sent, and others follow until the crash.
+    WhileStreaming,
+    /// All of it is sent.
+    AfterAnswer,
+}
 
 /// How the endpoints of a test behave.
 #[derive(Clone, Debug)]
 pub(crate) struct PartCrashPlan {
     /// Parts that crash an endpoint which begins to answer.
     pub(crate) poison_parts: Vec<u64>,
-    /// Time from the first event to the crash.
+    pub(crate) crash_point: CrashPoint,
+    /// Time from that point to the crash.
     pub(crate) crash_delay: Duration,
+    /// Whether a crash leaves open connections silent. New ones are refused.
+    pub(crate) leaves_connections: bool,
     /// Time from the head of an answer to its first event.
     pub(crate) first_event_delay: Duration,
     /// Whether answers end with their connection alone.
@@ -40,7 +61,9 @@
     fn default() -> Self {
         Self {
             poison_parts: vec![666],
+            crash_point: CrashPoint::AfterFirstEvent,
             crash_delay: Duration::from_millis(40),
+            leaves_connections: false,
             first_event_delay: Duration::from_millis(10),
             is_close_delimited: false,
             downtime: Duration::from_millis(1_500),
@@ -131,33 +154,67 @@
     }
 
     async fn serve_until_crash(&self, listener: &TcpListener) {
-        // Returning drops the set and closes all connections.
+        // Dropping the set closes all connections.
         let mut connections = JoinSet::new();
+        let (crashed, _) = watch::channel(false);
         loop {
             tokio::select! {
-                () = self.crash_signal.notified() => return,
+                () = self.crash_signal.notified() => break,
                 accepted = listener.accept() => {
                     let (stream, _) = accepted.expect("a connection");
-                    connections.spawn(self.clone().serve(stream));
+                    if self.plan.crash_point == CrashPoint::BeforeHead {
+                        let linger = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+                        linger.expect("a socket");
+                    }
+                    connections.spawn(self.clone().serve_until(stream, crashed.subscribe()));
                 }
             }
         }
+        if self.plan.leaves_connections {
+            crashed.send_replace(true);
+            tokio::spawn(async move {
+                tokio::time::sleep(SILENCE).await;
+                drop(connections);
+            });
+        }
     }
 
-    async fn serve(self, mut stream: TcpStream) {
+    /// Serves a connection; it stays open and silent after a crash.
+    async fn serve_until(self, mut stream: TcpStream, mut crashed: watch::Receiver<bool>) {
+        tokio::select! {
+            () = self.serve(&mut stream) => return,
+            _ = crashed.wait_for(|has_crashed| *has_crashed) => {}
+        }
+        std::future::pending().await
+    }
+
+    async fn serve(&self, stream: &mut TcpStream) {
         let mut buffer = Vec::new();
-        while let Some(request) = read_request(&mut stream, &mut buffer).await {
+        while let Some(request) = read_request(stream, &mut buffer).await {
             let is_poison = self.is_poison(&request);
             if is_poison {
                 self.state().poison_arrivals.push(Instant::now());
             }
-            let keeps = self.answer(&mut stream, &request, is_poison).await;
+            let keeps = self.answer(stream, &request, is_poison).await;
+            if is_poison && keeps.is_some() && self.plan.crash_point == CrashPoint::AfterAnswer {
+                return self.crash_after_delay().await;
+            }
             if keeps.is_none() || self.plan.is_close_delimited {
                 return;
             }
         }
     }
 
+    async fn crash_after_delay(&self) {
+        self.crash_later().await;
+        std::future::pending().await
+    }
+
+    async fn crash_later(&self) {
+        tokio::time::sleep(self.plan.crash_delay).await;
+        self.crash();
+    }
+
     /// Streams an answer; `None` if the peer has closed the connection.
     async fn answer(
         &self,
@@ -182,8 +239,23 @@
         if waiting.await.is_ok() {
             return None;
         }
+        let crash_point = is_poison.then_some(self.plan.crash_point);
+        if matches!(
+            crash_point,
+            Some(CrashPoint::BeforeHead | CrashPoint::InsideHead)
+        ) {
+            if crash_point == Some(CrashPoint::InsideHead) {
+                send(stream, &head.as_bytes()[..head.len() / 2]).await;
+            }
+            self.crash_after_delay().await;
+        }
         let is_sent = send(stream, head.as_bytes()).await;
-        for number in first..EVENTS {
+        let events = if crash_point == Some(CrashPoint::WhileStreaming) {
+            u64::MAX
+        } else {
+            EVENTS
+        };
+        for number in first..events {
             let event = event(number);
             let event = if self.plan.is_close_delimited {
                 event
@@ -193,10 +265,13 @@
             if !is_sent || !send(stream, &event).await {
                 return None;
             }
-            if is_poison {
-                tokio::time::sleep(self.plan.crash_delay).await;
-                self.crash();
-                return std::future::pending().await;
+            match crash_point {
+                Some(CrashPoint::AfterFirstEvent) => self.crash_after_delay().await,
+                Some(CrashPoint::WhileStreaming) if number == first => {
+                    let crashing = self.clone();
+                    tokio::spawn(async move { crashing.crash_later().await });
+                }
+                _ => {}
             }
             tokio::time::sleep(EVENT_INTERVAL).await;
         }
