--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -20,7 +20,7 @@
 use crate::endpoint_stream::UnproductiveInput;
 use crate::fleet::SelectedEndpoint;
 use crate::framing::BodyFraming;
-use crate::poison_parts::AnswerObservation;
+use crate::poison_parts::RunObservation;
 use crate::pool_queue::Lease;
 use crate::progress::Progress;
 use crate::shared::{InFlightGuard, Shared};
@@ -56,8 +56,8 @@
     pub(crate) answer: AnswerHead,
     pub(crate) framing: BodyFraming,
     pub(crate) sent_at: Instant,
-    /// The answer of an endpoint that this host reaches itself, if its prompt has shared parts.
-    pub(crate) observation: Option<AnswerObservation>,
+    /// The run at an endpoint that this host reaches itself, if its prompt has shared parts.
+    pub(crate) observation: Option<RunObservation>,
 }
 
 impl OpenStream {
@@ -74,6 +74,14 @@
     body: Incoming,
     answer: AnswerHead,
     framing: BodyFraming,
+    observation: Option<RunObservation>,
+}
+
+/// A request that was sent, and the response head that followed.
+struct SentRequest {
+    connection: Connection,
+    response: Response<Incoming>,
+    observation: Option<RunObservation>,
 }
 
 pub(crate) enum AttemptResponse {
@@ -119,6 +127,7 @@
         body,
         answer,
         framing,
+        observation,
     } = match received {
         Ok(answered) => answered,
         Err(mut failure) => {
@@ -132,9 +141,6 @@
         }
     };
     let is_success = head.status.is_success();
-    let observation = is_success
-        .then(|| AnswerObservation::begin(shared, call, start))
-        .flatten();
     let is_stream = matches!(call.route.kind, RouteKind::Stream { .. }) && is_success;
     if is_stream {
         let now_ms = shared.clock.now_ms();
@@ -164,7 +170,7 @@
     };
     let buffered = reading.finish(shared, call).await?;
     let is_close_delimited = framing == BodyFraming::CloseDelimited;
-    if let Some(observation) = observation {
+    if let Some(observation) = observation.filter(|_| is_success) {
         shared.end_observation(observation, &choice.member.endpoint, framing);
     }
     if !is_close_delimited {
@@ -193,7 +199,11 @@
     choice: &SelectedEndpoint,
     resume_after: Option<u64>,
 ) -> Result<ReceivedHead, AttemptFailure> {
-    let (connection, response) = send(shared, progress, choice, resume_after).await?;
+    let SentRequest {
+        connection,
+        response,
+        observation,
+    } = send(shared, progress, choice, resume_after).await?;
     let (head, body) = response.into_parts();
     let answer = shared.edge.read_answer(&head);
     // Recorded before the head is validated: the state that an endpoint reports also
@@ -205,8 +215,17 @@
     progress.record_framing(framing);
     let intended = &choice.member.endpoint.name;
     if let Some(end) = invalid_head(progress.call(), &head, &answer, Some(intended)) {
+        if let Some(observation) = observation.filter(|_| end.outcome() == Outcome::NotRun) {
+            observation.withdraw();
+        }
         return Err(AttemptFailure::new(end));
     }
+    let start = choice.member.hash.short();
+    let now_ms = shared.clock.now_ms();
+    shared.fleet().poison.record_alive(start, now_ms);
+    if let Some(observation) = &observation {
+        observation.record_head();
+    }
     let framing = framing.ok_or_else(|| AttemptFailure::new(AttemptOutcome::Garbage))?;
     Ok(ReceivedHead {
         connection,
@@ -214,6 +233,7 @@
         body,
         answer,
         framing,
+        observation,
     })
 }
 
@@ -272,7 +292,7 @@
     progress: &mut Progress,
     choice: &SelectedEndpoint,
     resume_after: Option<u64>,
-) -> Result<(Connection, Response<Incoming>), AttemptFailure> {
+) -> Result<SentRequest, AttemptFailure> {
     let call = &*progress.call().clone();
     let start = choice.member.hash.short();
     loop {
@@ -302,14 +322,24 @@
         let now_ms = shared.clock.now_ms();
         shared.fleet().health(start).record_sent(now_ms);
         progress.record_retry_sent();
-        match wait_for_head(shared, progress, start, &mut connection, request).await {
+        let observation = RunObservation::begin(shared, call, start);
+        let end = match wait_for_head(shared, progress, start, &mut connection, request).await {
             Ok(response) => {
                 let now_ms = shared.clock.now_ms();
                 shared.fleet().health(start).record_received(now_ms);
-                return Ok((connection, response));
+                return Ok(SentRequest {
+                    connection,
+                    response,
+                    observation,
+                });
             }
-            Err(AttemptOutcome::NotSent) if connection.is_reused => {}
-            Err(end) => return Err(AttemptFailure::new(end)),
+            Err(end) => end,
+        };
+        if let Some(observation) = observation.filter(|_| end == AttemptOutcome::NotSent) {
+            observation.withdraw();
+        }
+        if end != AttemptOutcome::NotSent || !connection.is_reused {
+            return Err(AttemptFailure::new(end));
         }
     }
 }
@@ -410,6 +440,9 @@
         if Instant::now() >= call.deadline() {
             return Err(AttemptOutcome::Silent);
         }
+        if shared.crash_checks.is_silent(start) {
+            return Err(AttemptOutcome::Broken);
+        }
         let now_ms = shared.clock.now_ms();
         let is_silent = shared.fleet().health(start).is_silent(sent_at_ms, now_ms);
         if is_silent {
--- a/crates/gateway/src/endpoint_connections.rs
+++ b/crates/gateway/src/endpoint_connections.rs
@@ -15,10 +15,11 @@
 //! This module uses hyper connections directly, since clients such as reqwest
 //! repeat requests on their own.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::io;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -96,6 +97,9 @@
     pub(crate) is_reused: bool,
     /// What it received since the last part of an answer.
     pub(crate) unproductive: Arc<UnproductiveInput>,
+    opened_at: Instant,
+    /// Whether it is kept for reuse.
+    is_idle: Arc<AtomicBool>,
     _task: AbortOnDrop,
     /// Dropped last, after the socket began to close.
     _slot: ConnectionSlot,
@@ -119,7 +123,7 @@
 }
 
 impl OpenConnections {
-    fn count(&self) -> std::sync::MutexGuard<'_, u32> {
+    fn count(&self) -> MutexGuard<'_, u32> {
         self.count.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -188,9 +192,30 @@
     idle_timeout: Duration,
 }
 
+/// Endpoints that closed connections which were kept for reuse.
+#[derive(Debug, Default)]
+struct ClosedTargets {
+    starts: Mutex<BTreeSet<u32>>,
+    added: Notify,
+}
+
+impl ClosedTargets {
+    fn starts(&self) -> MutexGuard<'_, BTreeSet<u32>> {
+        self.starts.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn add(&self, target: ConnectionTarget) {
+        if let ConnectionTarget::Endpoint(start) = target {
+            self.starts().insert(start);
+            self.added.notify_one();
+        }
+    }
+}
+
 /// Connections by their target.
 #[derive(Debug, Default)]
 pub(crate) struct EndpointConnections {
+    closed: Arc<ClosedTargets>,
     idle: Mutex<HashMap<ConnectionTarget, Vec<IdleConnection>>>,
     open: Mutex<HashMap<ConnectionTarget, Arc<OpenConnections>>>,
 }
@@ -221,7 +246,7 @@
             Ok(Err(slot)) => slot,
             Err(_) => return Err(NoConnection::AllInUse),
         };
-        let opened = connect(request.target, request.address, slot).await;
+        let opened = self.connect(request.target, request.address, slot).await;
         let connection = opened.map_err(NoConnection::Failed)?;
         if request.may_be_reset {
             tokio::time::sleep(RESET_ARRIVAL_TIME).await;
@@ -241,7 +266,7 @@
         max_open: Option<u32>,
     ) -> Option<Result<(), ConnectError>> {
         let slot = self.open(target).try_open(max_open)?;
-        let opened = connect(target, address, slot).await;
+        let opened = self.connect(target, address, slot).await;
         Some(opened.map(|connection| {
             if !self.has_idle(target) {
                 self.check_in(connection, None);
@@ -271,6 +296,7 @@
             };
             let is_usable = last.since.elapsed() <= limit && last.connection.sender.is_ready();
             if is_usable {
+                last.connection.is_idle.store(false, Ordering::Relaxed);
                 return Some(last.connection);
             }
         }
@@ -281,6 +307,12 @@
     pub(crate) fn check_in(&self, connection: Connection, keep_alive_s: Option<u64>) {
         let allowed = keep_alive_s.map(|s| Duration::from_secs(s).mul_f64(IDLE_TIMEOUT_FRACTION));
         let target = connection.target;
+        connection.is_idle.store(true, Ordering::Release);
+        if connection.sender.is_closed() {
+            // Its task may have ended before it was marked as idle.
+            self.closed.add(target);
+            return;
+        }
         let idle = IdleConnection {
             connection: Connection {
                 is_reused: true,
@@ -307,6 +339,21 @@
         }
     }
 
+    /// When the oldest of the open connections to an endpoint that are kept for reuse was opened.
+    pub(crate) fn oldest_open(&self, start: u32) -> Option<Instant> {
+        let idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let idle = idle.get(&ConnectionTarget::Endpoint(start))?.iter();
+        let open = idle.filter(|idle| !idle.connection.sender.is_closed());
+        open.map(|idle| idle.connection.opened_at).min()
+    }
+
+    /// Waits until endpoints have closed connections that were kept for reuse, and returns the
+    /// hashes of their starts.
+    pub(crate) async fn closed_targets(&self) -> BTreeSet<u32> {
+        self.closed.added.notified().await;
+        std::mem::take(&mut *self.closed.starts())
+    }
+
     /// Closes the idle connections to a target.
     pub(crate) fn close(&self, target: ConnectionTarget) {
         let mut all = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
@@ -319,6 +366,49 @@
         all.clear();
     }
 
+    /// Opens a connection.
+    async fn connect(
+        &self,
+        target: ConnectionTarget,
+        address: SocketAddr,
+        slot: ConnectionSlot,
+    ) -> Result<Connection, ConnectError> {
+        let opening = async {
+            let stream = TcpStream::connect(address)
+                .await
+                .map_err(|_| ConnectError::Refused)?;
+            set_options(&stream).map_err(|_| ConnectError::Reset)?;
+            let unproductive = Arc::new(UnproductiveInput::default());
+            let stream = EndpointStream::new(stream, unproductive.clone());
+            let (sender, connection) = http1::Builder::new()
+                .max_buf_size(MAX_BUFFER_BYTES)
+                .handshake(TokioIo::new(stream))
+                .await
+                .map_err(|_| ConnectError::Reset)?;
+            let is_idle = Arc::new(AtomicBool::new(false));
+            let (closed, was_idle) = (self.closed.clone(), is_idle.clone());
+            let task = tokio::spawn(async move {
+                let _requests_report_broken_connections = connection.await;
+                if was_idle.load(Ordering::Acquire) {
+                    closed.add(target);
+                }
+            });
+            Ok(Connection {
+                target,
+                sender,
+                is_reused: false,
+                unproductive,
+                opened_at: Instant::now(),
+                is_idle,
+                _task: AbortOnDrop(task.abort_handle()),
+                _slot: slot,
+            })
+        };
+        tokio::time::timeout(CONNECT_TIMEOUT, opening)
+            .await
+            .unwrap_or(Err(ConnectError::TimedOut))
+    }
+
     /// Closes expired idle connections.
     pub(crate) fn close_expired(&self) {
         let mut all = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
@@ -332,41 +422,6 @@
     }
 }
 
-/// Opens a connection.
-async fn connect(
-    target: ConnectionTarget,
-    address: SocketAddr,
-    slot: ConnectionSlot,
-) -> Result<Connection, ConnectError> {
-    let opening = async {
-        let stream = TcpStream::connect(address)
-            .await
-            .map_err(|_| ConnectError::Refused)?;
-        set_options(&stream).map_err(|_| ConnectError::Reset)?;
-        let unproductive = Arc::new(UnproductiveInput::default());
-        let stream = EndpointStream::new(stream, unproductive.clone());
-        let (sender, connection) = http1::Builder::new()
-            .max_buf_size(MAX_BUFFER_BYTES)
-            .handshake(TokioIo::new(stream))
-            .await
-            .map_err(|_| ConnectError::Reset)?;
-        let task = tokio::spawn(async move {
-            let _requests_report_broken_connections = connection.await;
-        });
-        Ok(Connection {
-            target,
-            sender,
-            is_reused: false,
-            unproductive,
-            _task: AbortOnDrop(task.abort_handle()),
-            _slot: slot,
-        })
-    };
-    tokio::time::timeout(CONNECT_TIMEOUT, opening)
-        .await
-        .unwrap_or(Err(ConnectError::TimedOut))
-}
-
 fn set_options(stream: &TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -162,18 +162,6 @@
     serializer.collect_str(&format_args!("{part:08x}"))
 }
 
-/// Whether a crash under a request counts against the parts of its prompt.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
-#[serde(rename_all = "kebab-case")]
-pub(crate) enum Accusation {
-    /// Its answer had begun shortly before.
-    Recent,
-    /// The head of its answer had not arrived.
-    NoHead,
-    /// Its answer had gone on for long.
-    WentOn,
-}
-
 /// How a host noticed that an endpoint crashed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -182,6 +170,16 @@
     BrokenAttempt,
     /// A connection closed at the end of an answer that has no other end.
     ClosedAnswer,
+    /// A connection that was kept for reuse closed.
+    ClosedConnection,
+    /// A request could not be sent since new connections are refused.
+    RefusedConnection,
+    /// Another start is listed at its address.
+    Replaced,
+    /// Its entry was removed although it had not reported that it leaves.
+    Unlisted,
+    /// Another host reported it.
+    Peer,
 }
 
 /// How a pull of missing state from another host ended.
@@ -445,18 +443,18 @@
         )]
         parts: &'a [u32],
         has_begun: bool,
-        /// Whether it counts against these parts, or why not.
-        accuses: Accusation,
         ran_ms: u64,
         crashes: usize,
     },
-    /// This host confirmed that an endpoint crashed. `uses` are its own answers there that
-    /// count against the parts of their prompts, in all and complete ones.
+    /// This host confirmed that an endpoint crashed, and had requests there that count against
+    /// the parts of their prompts, by how far they had come.
     EndpointCrashed {
         endpoint: &'a EndpointId,
         noticed_by: CrashNotice,
-        uses: usize,
-        complete: usize,
+        unanswered: usize,
+        recent: usize,
+        lasting: usize,
+        past: usize,
     },
     /// A request is refused as a poison request, or allowed again after it completed.
     Poison {
--- /dev/null
+++ b/crates/gateway/src/fleet/crash_signs.rs
@@ -0,0 +1,69 @@
+//! What the list of endpoints shows of their crashes.
+
+use std::collections::HashSet;
+use std::sync::Arc;
+
+use chalkrock_core::Endpoint;
+use chalkrock_routing::EndpointState;
+
+use crate::event_log::CrashNotice;
+use crate::fleet::Fleet;
+
+impl Fleet {
+    /// Live endpoints at which requests of this host ended lately or are in progress.
+    pub(crate) fn endpoints_in_use(&self) -> Vec<Arc<Endpoint>> {
+        let starts = self.poison.recent_endpoints();
+        if starts.is_empty() {
+            return Vec::new();
+        }
+        let members = self.endpoints.listed_or_lapsed();
+        let in_use = members.filter(|member| {
+            let state = self.endpoints.state(&member.endpoint.name);
+            starts.contains(&member.hash.short()) && state != Some(EndpointState::Leaving)
+        });
+        in_use.map(|member| member.endpoint.clone()).collect()
+    }
+
+    /// Signs of crashes of endpoints that were live before the list changed. An endpoint that
+    /// leaves is unlisted or marked before another one uses its address.
+    pub(crate) fn crash_signs(
+        &self,
+        before: Vec<Arc<Endpoint>>,
+    ) -> Vec<(Arc<Endpoint>, CrashNotice)> {
+        let signs = before.into_iter().filter_map(|endpoint| {
+            let notice = self.crash_sign(&endpoint)?;
+            Some((endpoint, notice))
+        });
+        signs.collect()
+    }
+
+    fn crash_sign(&self, endpoint: &Endpoint) -> Option<CrashNotice> {
+        let state = self.endpoints.state(&endpoint.name);
+        if state == Some(EndpointState::Unlisted) {
+            return Some(CrashNotice::Unlisted);
+        }
+        let start = endpoint.start_hash();
+        let mut listed = self.endpoints.listed();
+        let is_replaced = listed.any(|member| {
+            let other = &member.endpoint;
+            let is_successor = other.address == endpoint.address || other.name == endpoint.name;
+            is_successor && member.hash != start
+        });
+        let is_leaving = state == Some(EndpointState::Leaving);
+        (is_replaced && !is_leaving).then_some(CrashNotice::Replaced)
+    }
+
+    /// Records some endpoints as alive if they were still listed when the list was last
+    /// confirmed: the entry of one that has crashed lapses within a time.
+    pub(crate) fn record_listed_alive(&mut self, starts: &HashSet<u32>, now_ms: u64) {
+        let Some(list_age_ms) = self.build_history.list_age_ms(now_ms) else {
+            return;
+        };
+        let alive_at_ms = now_ms.saturating_sub(list_age_ms + self.entry_delay_ms);
+        let listed = self.endpoints.listed().map(|member| member.hash.short());
+        let listed: Vec<u32> = listed.filter(|start| starts.contains(start)).collect();
+        for start in listed {
+            self.poison.record_alive(start, alive_at_ms);
+        }
+    }
+}
--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -2,6 +2,7 @@
 
 mod builds;
 mod closed;
+mod crash_signs;
 mod learned;
 mod list;
 mod reachability;
@@ -485,6 +486,12 @@
         self.health.entry(endpoint).or_default()
     }
 
+    /// Records that bytes of an answer arrived from an endpoint.
+    pub(crate) fn record_received(&mut self, endpoint: u32, now_ms: u64) {
+        self.health(endpoint).record_received(now_ms);
+        self.poison.record_alive(endpoint, now_ms);
+    }
+
     /// Records a health signal. Returns whether the endpoint has just become suspect.
     pub(crate) fn record_signal(
         &mut self,
--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -269,6 +269,7 @@
 ) -> bool {
     let now_ms = shared.clock.now_ms();
     let mut fleet = shared.fleet();
+    let in_use = fleet.endpoints_in_use();
     let is_new = if is_whole {
         let read = WholeRead {
             rows: changes,
@@ -278,7 +279,9 @@
     } else {
         fleet.apply_store_changes(changes, version, now_ms)
     };
+    let crash_signs = fleet.crash_signs(in_use);
     drop(fleet);
+    shared.record_crash_signs(crash_signs);
     if is_new {
         shared.log_endpoints(FROM);
     }
--- a/crates/gateway/src/forward/next_hop.rs
+++ b/crates/gateway/src/forward/next_hop.rs
@@ -384,7 +384,7 @@
         }
         let shared = &self.serving.shared;
         let now_ms = shared.clock.now_ms();
-        shared.fleet().health(stream.start).record_received(now_ms);
+        shared.fleet().record_received(stream.start, now_ms);
     }
 
     fn complete(&mut self) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -35,6 +35,7 @@
 mod caller_stream;
 mod clock;
 mod config;
+mod crash_checks;
 mod dispatch;
 mod edge;
 mod endpoint_connections;
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -4,8 +4,8 @@
 
 use chalkrock_routing::{
     AggregatePath, CacheEntry, Evacuations, HostReport, LimitReport, ListReport, PartUpdate,
-    PoisonRequest, PoisonUpdate, RulesVersion, SlotAsk, SlotReply, StoreVersion, StoredBuilds,
-    SubscriptionRole, WorkReport, ZoneAggregate,
+    PartUse, PoisonRequest, PoisonUpdate, RulesVersion, RunStage, SlotAsk, SlotReply, StoreVersion,
+    StoredBuilds, SubscriptionRole, Survival, WorkReport, ZoneAggregate,
 };
 use serde::{Deserialize, Deserializer, Serialize};
 
@@ -64,8 +64,8 @@
     StreamAsk(StreamAsk),
     /// Which build began a stream.
     StreamReply(StreamReply),
-    /// Crashes and answers that went on, by parts of prompts.
-    PoisonParts(Vec<PartUpdate>),
+    /// From hosts of earlier builds: crashes and answers that went on, by parts of prompts.
+    PoisonParts(Vec<EarlierPartUpdate>),
     /// Digest of the list of endpoints.
     ListDigest(ListDigest),
     /// To the host that writes the stream's group to the store: the build that began it.
@@ -74,6 +74,8 @@
     StreamStoreAsk(StreamAsk),
     /// Records of the builds that pools had, as the store holds them.
     BuildRecords(Vec<StoredBuilds>),
+    /// Crashes and answers that went on, by parts of prompts.
+    PartEvidence(Vec<PartUpdate>),
 }
 
 impl Datagram {
@@ -84,7 +86,7 @@
             Self::ZoneSummary(_) => ControlKind::ZoneSummary,
             Self::FarSum(_) => ControlKind::FarSum,
             Self::CacheEntries(_) => ControlKind::CacheEntries,
-            Self::Poison(_) | Self::PoisonParts(_) => ControlKind::Poison,
+            Self::Poison(_) | Self::PoisonParts(_) | Self::PartEvidence(_) => ControlKind::Poison,
             Self::RelaySummary(_) => ControlKind::RelaySummary,
             Self::FleetSum(_) => ControlKind::FleetSum,
             Self::Rollouts(_) | Self::RolloutPlans(_) => ControlKind::Rollouts,
@@ -105,6 +107,37 @@
     }
 }
 
+/// An observation of parts as earlier builds send it. Of requests at a crash, these send only
+/// those whose answer had begun shortly before.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum EarlierPartUpdate {
+    Crashed { start: u32, uses: Vec<(u32, u32)> },
+    Survived { part: u32, ago_ms: u32 },
+}
+
+impl From<EarlierPartUpdate> for PartUpdate {
+    fn from(update: EarlierPartUpdate) -> Self {
+        match update {
+            EarlierPartUpdate::Crashed { start, uses } => {
+                let uses = uses.into_iter().map(|(part, request)| PartUse {
+                    part,
+                    request,
+                    stage: RunStage::Answered { age_ms: 0 },
+                });
+                Self::Crashed {
+                    start,
+                    uses: uses.collect(),
+                }
+            }
+            EarlierPartUpdate::Survived { part, ago_ms } => Self::Survived {
+                part,
+                survival: Survival::SHORTEST,
+                ago_ms,
+            },
+        }
+    }
+}
+
 /// What a host reports about its list of endpoints.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct ListDigest {
--- a/crates/gateway/src/peers/publish.rs
+++ b/crates/gateway/src/peers/publish.rs
@@ -315,7 +315,7 @@
             .poison
             .take_part_updates(PART_DATAGRAMS_PER_ROUND, PART_UPDATE_BYTES, now_ms);
     for updates in part_updates {
-        datagrams.push_to_all(&Datagram::PoisonParts(updates));
+        datagrams.push_to_all(&Datagram::PartEvidence(updates));
     }
     let limits = fleet.rejection_limits.reports(LIMITS_PER_DATAGRAM, now_ms);
     if !limits.is_empty() {
--- a/crates/gateway/src/peers/pull.rs
+++ b/crates/gateway/src/peers/pull.rs
@@ -373,7 +373,8 @@
 fn apply_endpoints(shared: &Shared, update: EndpointUpdate, wanted: Wanted) -> bool {
     let now_ms = shared.clock.now_ms();
     let mut fleet = shared.fleet();
-    match update {
+    let in_use = fleet.endpoints_in_use();
+    let has_changed = match update {
         EndpointUpdate::Entire { version, endpoints } => {
             let is_as_new = version == fleet.endpoints_version;
             let has_changed = version > fleet.endpoints_version
@@ -385,5 +386,9 @@
             has_changed
         }
         EndpointUpdate::Changes(rows) => fleet.apply_peer_changes(rows, now_ms),
-    }
+    };
+    let crash_signs = fleet.crash_signs(in_use);
+    drop(fleet);
+    shared.record_crash_signs(crash_signs);
+    has_changed
 }
--- a/crates/gateway/src/peers/receive.rs
+++ b/crates/gateway/src/peers/receive.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use chalkrock_routing::{AggregatePath, MergeOutcome, ReportId, ZoneAggregate};
+use chalkrock_routing::{AggregatePath, MergeOutcome, PartUpdate, ReportId, ZoneAggregate};
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 
@@ -64,6 +64,10 @@
             Datagram::CacheEntries(entries) => merge_cache_entries(&shared, &peers, &entries),
             Datagram::Poison(update) => shared.merge_poison_updates(&update, peers.is_relay()),
             Datagram::PoisonParts(updates) => {
+                let updates: Vec<PartUpdate> = updates.into_iter().map(PartUpdate::from).collect();
+                shared.merge_part_updates(&updates, peers.is_relay());
+            }
+            Datagram::PartEvidence(updates) => {
                 shared.merge_part_updates(&updates, peers.is_relay());
             }
             Datagram::RelaySummary(summary) => {
--- a/crates/gateway/src/poison.rs
+++ b/crates/gateway/src/poison.rs
@@ -12,13 +12,13 @@
 use chalkrock_core::{Endpoint, HostState, Reason};
 use chalkrock_routing::{
     AttemptOutcome, POISON_RETENTION_MS, PoisonEvidence, PoisonRequest, PoisonUpdate,
-    PoisonVerdict, RequestFingerprint, SURVIVAL_MS,
+    PoisonVerdict, RequestFingerprint,
 };
 use tokio::sync::Notify;
 
 use crate::call::Call;
 use crate::edge::Refusal;
-use crate::event_log::{Accusation, CrashNotice, Event};
+use crate::event_log::{CrashNotice, Event};
 use crate::outage_log::OutageLog;
 use crate::shared::Shared;
 use crate::source::{PoisonRow, Source};
@@ -182,7 +182,7 @@
     ) -> bool {
         let request = call.fingerprint;
         let BrokenAttempt { end, ran_ms } = broken;
-        if end != AttemptOutcome::Broken {
+        if end != AttemptOutcome::Broken || self.has_left(endpoint) {
             return false;
         }
         match self.check_for_crash(endpoint).await {
@@ -202,13 +202,6 @@
             fingerprint: request,
             parts: call.blamable_parts(),
             has_begun,
-            accuses: if !has_begun {
-                Accusation::NoHead
-            } else if ran_ms >= SURVIVAL_MS {
-                Accusation::WentOn
-            } else {
-                Accusation::Recent
-            },
             ran_ms,
             crashes,
         });
--- a/crates/gateway/src/poison_parts.rs
+++ b/crates/gateway/src/poison_parts.rs
@@ -1,11 +1,9 @@
-//! Observes answers by the parts of their prompts, for the detection of poison parts.
+//! Observes requests by the parts of their prompts, for the detection of poison parts.
 
 use std::sync::Arc;
 
 use chalkrock_core::Endpoint;
-use chalkrock_routing::{
-    CrashedAnswers, MAX_OBSERVED_PARTS, PartUpdate, PoisonVerdict, RunId, SURVIVAL_MS,
-};
+use chalkrock_routing::{MAX_OBSERVED_PARTS, PartUpdate, PoisonVerdict, RunId, SURVIVAL_MS};
 
 use crate::call::Call;
 use crate::event_log::{CrashNotice, Event};
@@ -13,17 +11,19 @@
 use crate::poison::CrashCheck;
 use crate::shared::Shared;
 
-/// An answer that has begun. Dropping it before it went on leaves open whether its endpoint
-/// crashed.
-pub(crate) struct AnswerObservation {
+/// A request that was sent to an endpoint. Dropping it leaves open what it did there.
+pub(crate) struct RunObservation {
     shared: Arc<Shared>,
-    /// `None` once the answer went on or ended.
+    /// `None` once the request ended.
     id: Option<RunId>,
     first_bytes_at_ms: Option<u64>,
+    last_bytes_at_ms: u64,
+    /// When the answer has gone on for long enough to be recorded again.
+    next_record_at_ms: u64,
 }
 
-impl AnswerObservation {
-    /// Begins to observe an answer; `None` if its prompt has no shared parts.
+impl RunObservation {
+    /// Begins to observe a request; `None` if its prompt has no shared parts.
     pub(crate) fn begin(shared: &Arc<Shared>, call: &Call, start: u32) -> Option<Self> {
         let parts = call.blamable_parts();
         if parts.is_empty() {
@@ -37,33 +37,66 @@
             shared: shared.clone(),
             id: Some(run),
             first_bytes_at_ms: None,
+            last_bytes_at_ms: 0,
+            next_record_at_ms: 0,
         })
     }
 
+    /// Records that the head of the answer arrived.
+    pub(crate) fn record_head(&self) {
+        if let Some(id) = self.id {
+            self.shared.fleet().poison.record_run_head(id);
+        }
+    }
+
     /// Records that bytes of the answer arrived.
     pub(crate) fn record_bytes(&mut self) {
         let now_ms = self.shared.clock.now_ms();
-        let first_at_ms = *self.first_bytes_at_ms.get_or_insert(now_ms);
-        if now_ms < first_at_ms + SURVIVAL_MS {
+        self.last_bytes_at_ms = now_ms;
+        if self.first_bytes_at_ms.is_none() {
+            self.first_bytes_at_ms = Some(now_ms);
+            self.next_record_at_ms = now_ms + SURVIVAL_MS;
+        }
+        if now_ms < self.next_record_at_ms {
             return;
         }
+        self.record_age();
+        self.next_record_at_ms = now_ms + self.age_ms();
+    }
+
+    /// Records that the answer is complete.
+    pub(crate) fn complete(mut self) {
+        self.end(true);
+    }
+
+    /// Records that the endpoint did not run the request.
+    pub(crate) fn withdraw(mut self) {
         if let Some(id) = self.id.take() {
-            let verdicts = self.shared.fleet().poison.record_survival(id, now_ms);
-            self.shared.apply_verdicts(verdicts, "own");
+            self.shared.fleet().poison.withdraw_run(id);
         }
     }
 
-    /// Whether the answer has not gone on for long.
-    fn is_recent(&self) -> bool {
-        self.id.is_some()
+    /// Time between the first and the last bytes.
+    fn age_ms(&self) -> u64 {
+        let first_at_ms = self.first_bytes_at_ms.unwrap_or(self.last_bytes_at_ms);
+        self.last_bytes_at_ms.saturating_sub(first_at_ms)
     }
 
-    /// Records that the answer is complete.
-    pub(crate) fn complete(mut self) {
-        self.end(true);
+    fn record_age(&self) {
+        let Some(id) = self.id else {
+            return;
+        };
+        let (age_ms, now_ms) = (self.age_ms(), self.shared.clock.now_ms());
+        let mut fleet = self.shared.fleet();
+        let verdicts = fleet.poison.record_run_age(id, age_ms, now_ms);
+        drop(fleet);
+        self.shared.apply_verdicts(verdicts, "own");
     }
 
     fn end(&mut self, is_complete: bool) {
+        if self.age_ms() > 0 {
+            self.record_age();
+        }
         if let Some(id) = self.id.take() {
             let now_ms = self.shared.clock.now_ms();
             self.shared.fleet().poison.end_run(id, is_complete, now_ms);
@@ -71,7 +104,7 @@
     }
 }
 
-impl Drop for AnswerObservation {
+impl Drop for RunObservation {
     fn drop(&mut self) {
         self.end(false);
     }
@@ -83,28 +116,32 @@
     pub(crate) fn record_endpoint_crash(&self, endpoint: &Endpoint, noticed_by: CrashNotice) {
         let now_ms = self.clock.now_ms();
         let start = endpoint.start_hash().short();
-        let CrashedAnswers { all, complete } =
-            self.fleet().poison.record_endpoint_crash(start, now_ms);
+        let mut fleet = self.fleet();
+        let runs = fleet.poison.record_endpoint_crash(start, now_ms);
+        drop(fleet);
+        if runs.total() == 0 {
+            return;
+        }
         self.event_log.emit(&Event::EndpointCrashed {
             endpoint: &endpoint.name,
             noticed_by,
-            uses: all,
-            complete,
+            unanswered: runs.unanswered,
+            recent: runs.recent,
+            lasting: runs.lasting,
+            past: runs.past,
         });
-        if all > 0 {
-            self.publish_now.notify_one();
-        }
+        self.publish_now.notify_one();
     }
 
     /// Records the end of an observed answer. If only the close of its connection ended it,
-    /// a crash of the endpoint may have closed that, unless the answer went on for long before.
+    /// a crash of the endpoint may have closed that.
     pub(crate) fn end_observation(
         self: &Arc<Self>,
-        observation: AnswerObservation,
+        observation: RunObservation,
         endpoint: &Arc<Endpoint>,
         framing: BodyFraming,
     ) {
-        if framing != BodyFraming::CloseDelimited || !observation.is_recent() {
+        if framing != BodyFraming::CloseDelimited || observation.age_ms() >= SURVIVAL_MS {
             observation.complete();
             return;
         }
@@ -126,20 +163,44 @@
             && self.check_for_crash(endpoint).await == CrashCheck::Crashed
     }
 
-    /// Merges another host's observations of parts.
+    /// Merges another host's observations of parts. Requests of this host at an endpoint that
+    /// has crashed may wait on a connection that stays open.
     pub(crate) fn merge_part_updates(&self, updates: &[PartUpdate], forwards: bool) {
         let now_ms = self.clock.now_ms();
         let verdicts = self.fleet().poison.merge_parts(updates, forwards, now_ms);
         self.publish_part_verdicts(verdicts, "peer");
+        for update in updates {
+            if let PartUpdate::Crashed { start, .. } = update {
+                self.add_crash_sign(*start, CrashNotice::Peer);
+            }
+        }
     }
 
     /// Draws conclusions from the observations of parts. Some only follow after a time.
     pub(crate) fn review_poison_parts(&self) {
         let now_ms = self.clock.now_ms();
+        self.record_live_endpoints(now_ms);
         let verdicts = self.fleet().poison.review_parts(now_ms);
         self.publish_part_verdicts(verdicts, "own");
     }
 
+    /// Records which endpoints live on after requests that ended there: those whose connections
+    /// of that time are still open, and those that are still listed.
+    fn record_live_endpoints(&self, now_ms: u64) {
+        let mut fleet = self.fleet();
+        let unproven = fleet.poison.unproven_endpoints(now_ms);
+        if unproven.is_empty() {
+            return;
+        }
+        fleet.record_listed_alive(&unproven, now_ms);
+        for start in unproven {
+            if let Some(opened_at) = self.endpoint_connections.oldest_open(start) {
+                let opened_at_ms = now_ms.saturating_sub(opened_at.elapsed().as_millis() as u64);
+                fleet.poison.record_alive_since(start, opened_at_ms, now_ms);
+            }
+        }
+    }
+
     fn publish_part_verdicts(&self, verdicts: Vec<PoisonVerdict>, from: &str) {
         if !verdicts.is_empty() {
             self.publish_now.notify_one();
--- a/crates/gateway/src/progress/observations.rs
+++ b/crates/gateway/src/progress/observations.rs
@@ -8,10 +8,10 @@
 use crate::call::Call;
 use crate::edge::{AnswerHead, RequestedBackoff};
 use crate::endpoint_connections::ConnectError;
-use crate::event_log::Event;
+use crate::event_log::{CrashNotice, Event};
 use crate::framing::BodyFraming;
 use crate::poison::BrokenAttempt;
-use crate::poison_parts::AnswerObservation;
+use crate::poison_parts::RunObservation;
 use crate::progress::Progress;
 use crate::shared::Shared;
 
@@ -66,6 +66,11 @@
         }
         let mut is_path_failure = false;
         if let Some(endpoint) = &self.last_endpoint {
+            let connect_error = self.attempts.last().and_then(|last| last.connect_error);
+            if connect_error == Some(ConnectError::Refused) {
+                let checks = &self.shared.crash_checks;
+                checks.add_sign(endpoint.clone(), CrashNotice::RefusedConnection);
+            }
             let last = self.attempts.last();
             let has_begun = last.is_some_and(|last| last.framing.is_some());
             is_path_failure = self
@@ -113,7 +118,7 @@
     }
 
     /// Records the end of an answer that is observed by the parts of its prompt.
-    pub(crate) fn end_observation(&self, observation: AnswerObservation, framing: BodyFraming) {
+    pub(crate) fn end_observation(&self, observation: RunObservation, framing: BodyFraming) {
         if let Some(endpoint) = &self.last_endpoint {
             self.shared.end_observation(observation, endpoint, framing);
         }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -212,8 +212,7 @@
                         self.position.push(&bytes);
                         if !stream.is_forwarded {
                             let now_ms = self.shared.clock.now_ms();
-                            let mut fleet = self.shared.fleet();
-                            fleet.health(stream.start).record_received(now_ms);
+                            self.shared.fleet().record_received(stream.start, now_ms);
                         }
                         return Received::Bytes(bytes);
                     }
@@ -225,6 +224,11 @@
                 }
                 Ok(None) => return Received::End,
                 Err(_) if Instant::now() >= self.call.deadline() => return Received::Expired,
+                Err(_)
+                    if !stream.is_forwarded && self.shared.crash_checks.is_silent(stream.start) =>
+                {
+                    return Received::Broken;
+                }
                 Err(_) => {
                     let is_silent = self.received_at.elapsed() >= silence_timeout(&self.call);
                     if is_silent && self.progress.may_leave_endpoint() {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -14,6 +14,7 @@
 
 use crate::build_records::keep_build_records;
 use crate::config::GatewayConfig;
+use crate::crash_checks::check_crash_signs;
 use crate::edge::Edge;
 use crate::event_log::{Event, EventLog, write_lines};
 use crate::follow::follow;
@@ -131,6 +132,7 @@
     let front = listener.local_addr()?;
     tasks.spawn(accept(shared.clone(), listener));
     tasks.spawn(sweep_connections(shared.clone()));
+    tasks.spawn(check_crash_signs(shared.clone()));
     tasks.spawn(measure_lag(shared.clone()));
     tasks.spawn(apply_reloads(shared.clone(), reloads));
     let forward = shared.forward_listen_address();
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -20,6 +20,7 @@
 use crate::call::Call;
 use crate::clock::{Clock, ms};
 use crate::config::GatewayConfig;
+use crate::crash_checks::CrashChecks;
 use crate::edge::Edge;
 use crate::endpoint_connections::EndpointConnections;
 use crate::event_log::{Event, EventLog};
@@ -54,6 +55,7 @@
     pub(crate) metrics: Metrics,
     pub(crate) endpoint_connections: EndpointConnections,
     pub(crate) termination_checks: TerminationChecks,
+    pub(crate) crash_checks: CrashChecks,
     pub(crate) poison_records: PoisonRecords,
     pub(crate) skipped_rows: SkippedRows,
     pub(crate) suspensions: SuspensionMonitor,
@@ -124,6 +126,7 @@
             metrics: Metrics::default(),
             endpoint_connections: EndpointConnections::default(),
             termination_checks: TerminationChecks::default(),
+            crash_checks: CrashChecks::default(),
             poison_records: PoisonRecords::default(),
             skipped_rows: SkippedRows::default(),
             suspensions: SuspensionMonitor::default(),
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -120,8 +120,9 @@
 pub use list_comparison::{ListComparisons, ListMatch, ListReport, ListSource, ListStep};
 pub use pause::{ClockReading, Suspension, detect_suspension};
 pub use poison::{
-    CrashedAnswers, LONG_RUN_MS, MAX_CRASHES, MAX_OBSERVED_PARTS, POISON_RETENTION_MS, PartUpdate,
-    PartUse, PoisonEvidence, PoisonRequest, PoisonUpdate, PoisonVerdict, RunId, SURVIVAL_MS,
+    CrashedRuns, LONG_RUN_MS, MAX_CRASHES, MAX_OBSERVED_PARTS, POISON_RETENTION_MS, PartUpdate,
+    PartUse, PoisonEvidence, PoisonRequest, PoisonUpdate, PoisonVerdict, RunId, RunStage,
+    SURVIVAL_MS, Survival,
 };
 pub use pool_builds::{
     BUILD_RETENTION_MS, BuildHistory, BuildRecord, FleetPast, PoolPast, RecordChange, StoredBuilds,
--- a/crates/routing/src/poison/mod.rs
+++ b/crates/routing/src/poison/mod.rs
@@ -14,9 +14,12 @@
 //! [`RequestFingerprint::of_part`], and the crashes that it explains are not counted against
 //! the requests that were there.
 
+mod crashes;
 mod part_verdicts;
 mod parts;
+mod proof;
 mod runs;
+mod survivals;
 
 use std::collections::{HashMap, HashSet, VecDeque};
 
@@ -24,7 +27,8 @@
 
 use self::parts::PartEvidence;
 pub use self::parts::{MAX_OBSERVED_PARTS, PartUpdate, PartUse, SURVIVAL_MS};
-pub use self::runs::{CrashedAnswers, RunId};
+pub use self::runs::{CrashedRuns, RunId, RunStage};
+pub use self::survivals::Survival;
 use crate::fingerprint::RequestFingerprint;
 
 /// Crashes after which a request is rejected. Two would reject requests that were only
--- a/crates/routing/src/poison/part_verdicts.rs
+++ b/crates/routing/src/poison/part_verdicts.rs
@@ -1,49 +1,92 @@
 //! Verdicts on parts of prompts.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 
 use crate::fingerprint::RequestFingerprint;
 use crate::poison::parts::PartUpdate;
-use crate::poison::runs::{CrashedAnswers, RunId};
+use crate::poison::runs::{CrashedRuns, RunId};
 use crate::poison::{POISON_RETENTION_MS, POISON_WEIGHT, PoisonEvidence, PoisonVerdict, Suspect};
 
 /// Time in which all hosts learn of a poison part.
 const PROPAGATION_MS: u64 = 5_000;
 
 impl PoisonEvidence {
-    /// Records that an endpoint begins to answer a request of this host. Returns `None` if
-    /// too many answers are observed already.
+    /// Records that this host sends a request to an endpoint. Returns `None` if too many are in
+    /// progress.
     pub fn begin_run(
         &mut self,
         start: u32,
         request: RequestFingerprint,
         parts: Arc<[u32]>,
     ) -> Option<RunId> {
-        self.parts.begin_run(start, request.short(), parts)
+        self.parts.runs.begin(start, request.short(), parts)
     }
 
-    /// Records that an answer went on for [`SURVIVAL_MS`](crate::SURVIVAL_MS) after its
-    /// first bytes.
-    pub fn record_survival(&mut self, id: RunId, now_ms: u64) -> Vec<PoisonVerdict> {
-        let survived = self.parts.record_survival(id, now_ms);
+    /// Records that the head of an answer arrived.
+    pub fn record_run_head(&mut self, id: RunId) {
+        self.parts.runs.record_head(id);
+    }
+
+    /// Records for how long an answer has gone on since its first bytes.
+    pub fn record_run_age(&mut self, id: RunId, age_ms: u64, now_ms: u64) -> Vec<PoisonVerdict> {
+        let survived = self.parts.record_age(id, age_ms, now_ms);
         self.clear_parts(&survived, true, now_ms)
     }
 
-    /// Records that an answer ended before that. A complete one counts once its endpoint has
-    /// not crashed for a while.
+    /// Records the end of a request. A complete answer speaks for its parts once its endpoint is
+    /// known to have lived on.
     pub fn end_run(&mut self, id: RunId, is_complete: bool, now_ms: u64) {
-        self.parts.end_run(id, is_complete, now_ms);
+        self.parts.runs.end(id, is_complete, now_ms);
     }
 
-    /// Drops answers that this host observes, after a suspension.
+    /// Drops a request that its endpoint did not run.
+    pub fn withdraw_run(&mut self, id: RunId) {
+        self.parts.runs.withdraw(id);
+    }
+
+    /// Drops requests that this host observes, after a suspension.
     pub fn forget_runs(&mut self) {
-        self.parts.forget_runs();
+        self.parts.runs.clear();
+    }
+
+    /// Records that an endpoint was alive at a time.
+    pub fn record_alive(&mut self, start: u32, at_ms: u64) {
+        self.parts.runs.record_alive(start, at_ms);
+    }
+
+    /// Records that one process served an endpoint's address from a time until now.
+    pub fn record_alive_since(&mut self, start: u32, since_ms: u64, now_ms: u64) {
+        self.parts.runs.record_alive_since(start, since_ms, now_ms);
+    }
+
+    /// Whether this host has had requests at an endpoint lately whose end a crash may explain.
+    pub fn has_recent_runs(&self, start: u32) -> bool {
+        self.parts.runs.has_any(start)
+    }
+
+    /// Whether this host has requests in progress at an endpoint.
+    pub fn has_open_runs(&self, start: u32) -> bool {
+        self.parts.runs.has_open(start)
+    }
+
+    /// When an endpoint with recent requests was last known to live.
+    pub fn alive_at_ms(&self, start: u32) -> Option<u64> {
+        self.parts.runs.alive_at_ms(start)
+    }
+
+    /// Endpoints at which this host has had requests lately.
+    pub fn recent_endpoints(&self) -> HashSet<u32> {
+        self.parts.runs.endpoints()
+    }
+
+    /// Endpoints at which requests ended, with nothing to show that they lived on.
+    pub fn unproven_endpoints(&self, now_ms: u64) -> HashSet<u32> {
+        self.parts.runs.unproven(now_ms)
     }
 
-    /// Records a crash that this host confirmed. Returns its answers that had begun there
-    /// shortly before.
-    pub fn record_endpoint_crash(&mut self, start: u32, now_ms: u64) -> CrashedAnswers {
+    /// Records a crash that this host confirmed. Returns its recent requests there.
+    pub fn record_endpoint_crash(&mut self, start: u32, now_ms: u64) -> CrashedRuns {
         self.parts.record_crash(start, now_ms)
     }
 
--- a/crates/routing/tests/poison_parts.rs
+++ b/crates/routing/tests/poison_parts.rs
@@ -4,7 +4,7 @@
 
 use chalkrock_routing::{
     MAX_OBSERVED_PARTS, PartUpdate, PartUse, PoisonEvidence, PoisonRequest, PoisonVerdict,
-    RequestFingerprint, SURVIVAL_MS,
+    RequestFingerprint, RunId, RunStage, SURVIVAL_MS, Survival,
 };
 use googletest::prelude::*;
 
@@ -12,6 +12,8 @@
 const SOUND: u32 = 1;
 /// Time between two crashes, unless a case says otherwise.
 const STEP_MS: u64 = 300;
+/// An answer that had just begun.
+const RECENT: RunStage = RunStage::Answered { age_ms: 0 };
 /// Size of the updates that a host takes at once.
 const UPDATE_BYTES: usize = 1_100;
 
@@ -39,8 +41,21 @@
 
     /// Begins an answer at the endpoint that crashes next.
     fn begin(&mut self, request: RequestFingerprint, parts: &[u32]) {
-        let run = { &mut self.evidence }.begin_run(self.next_start, request, Arc::from(parts));
-        assert_that!(run.is_some(), eq(true));
+        let run = self.send(self.next_start, request, parts);
+        self.evidence.record_run_head(run);
+    }
+
+    /// Sends a request to an endpoint.
+    fn send(&mut self, start: u32, request: RequestFingerprint, parts: &[u32]) -> RunId {
+        let run = { &mut self.evidence }.begin_run(start, request, Arc::from(parts));
+        run.expect("a run")
+    }
+
+    /// Lets an answer go on for a time.
+    fn answer_for(&mut self, run: RunId, time_ms: u64) -> Vec<PoisonVerdict> {
+        self.evidence.record_run_head(run);
+        self.now_ms += time_ms;
+        self.evidence.record_run_age(run, time_ms, self.now_ms)
     }
 
     /// Begins an answer of a new request.
@@ -61,10 +76,8 @@
     fn survive(&mut self, parts: &[u32]) -> Vec<PoisonVerdict> {
         const OTHER_START: u32 = u32::MAX;
         let request = self.request();
-        let run = { &mut self.evidence }.begin_run(OTHER_START, request, Arc::from(parts));
-        self.now_ms += SURVIVAL_MS;
-        let run = run.expect("a run");
-        self.evidence.record_survival(run, self.now_ms)
+        let run = self.send(OTHER_START, request, parts);
+        self.answer_for(run, SURVIVAL_MS)
     }
 
     fn wait(&mut self, time_ms: u64) -> Vec<PoisonVerdict> {
@@ -299,6 +312,7 @@
         let used = PartUse {
             part: POISON,
             request: host.next_request as u32,
+            stage: RECENT,
         };
         host.next_request += 1;
         let uses = vec![used];
@@ -325,6 +339,7 @@
     let used = PartUse {
         part: POISON,
         request: 1,
+        stage: RECENT,
     };
     let expected = PartUpdate::Crashed {
         start: host.next_start,
@@ -340,6 +355,7 @@
     let used = PartUse {
         part: POISON,
         request: 9,
+        stage: RECENT,
     };
     let update = PartUpdate::Crashed {
         start: 7,
@@ -450,8 +466,9 @@
     for _ in 0..3 {
         let request = host.request();
         let (start, now_ms) = (host.next_start, host.now_ms);
-        let run = { &mut host.evidence }.begin_run(start, request, Arc::from([POISON]));
-        host.evidence.end_run(run.expect("a run"), true, now_ms);
+        let run = host.send(start, request, &[POISON]);
+        host.evidence.record_run_head(run);
+        host.evidence.end_run(run, true, now_ms);
         host.crash();
     }
     assert_that!(host.is_poison(POISON), eq(true));
@@ -501,12 +518,14 @@
     let used = PartUse {
         part: SOUND,
         request: 9,
+        stage: RECENT,
     };
     let uses = vec![used];
     let crashed = [PartUpdate::Crashed { start: 7, uses }];
     let ago_ms = 100;
     let survived = PartUpdate::Survived {
         part: SOUND,
+        survival: Survival::SHORTEST,
         ago_ms,
     };
     let now_ms = host.now_ms;
@@ -550,3 +569,270 @@
     }
     assert_that!(host.wait(2_500), is_empty());
 }
+
+/// How far the requests of a case had come when their endpoint crashed.
+#[derive(Clone, Copy)]
+enum At {
+    /// The head of the answer had not arrived.
+    Unanswered,
+    /// The answer had gone on for this long, in milliseconds.
+    Answered(u64),
+}
+
+/// A request at each of several crashes.
+struct Present {
+    at: At,
+    parts: &'static [u32],
+    /// It is at one of as many crashes.
+    every: u32,
+}
+
+const fn always(at: At, parts: &'static [u32]) -> Present {
+    Present {
+        at,
+        parts,
+        every: 1,
+    }
+}
+
+/// Requests whose answer has not begun must be told from sound ones beside them.
+#[test]
+fn find_poison_by_presence_table() {
+    struct Case {
+        name: &'static str,
+        /// Parts on which an answer went on before the first crash.
+        sound: &'static [u32],
+        present: &'static [Present],
+        crashes: u32,
+        poison: &'static [u32],
+    }
+    const BEGUN_SOUND: Present = always(At::Answered(100), &[SOUND]);
+    const WAITING_POISON: Present = always(At::Unanswered, &[SOUND, POISON]);
+    const WAITING_POISON_ALONE: Present = always(At::Unanswered, &[POISON]);
+    const LATE_POISON: Present = always(At::Answered(700), &[POISON]);
+    const WAITING_SOUND: Present = always(At::Unanswered, &[SOUND]);
+    let cases = [
+        Case {
+            name: "five crashes before the head are too few",
+            sound: &[SOUND],
+            present: &[BEGUN_SOUND, WAITING_POISON],
+            crashes: 5,
+            poison: &[],
+        },
+        Case {
+            name: "six crashes before the head",
+            sound: &[SOUND],
+            present: &[BEGUN_SOUND, WAITING_POISON],
+            crashes: 6,
+            poison: &[POISON],
+        },
+        Case {
+            name: "answers on a new sound part that all had begun, beside a poison part",
+            sound: &[],
+            present: &[BEGUN_SOUND, BEGUN_SOUND, BEGUN_SOUND, WAITING_POISON_ALONE],
+            crashes: 6,
+            poison: &[POISON],
+        },
+        Case {
+            name: "a new part that waits at every other crash, beside a poison part",
+            sound: &[SOUND],
+            present: &[
+                Present {
+                    at: At::Unanswered,
+                    parts: &[2],
+                    every: 2,
+                },
+                WAITING_POISON,
+            ],
+            crashes: 10,
+            poison: &[POISON],
+        },
+        Case {
+            name: "a new part that waits at half of the crashes without a cause",
+            sound: &[],
+            present: &[Present {
+                at: At::Unanswered,
+                parts: &[2],
+                every: 2,
+            }],
+            crashes: 10,
+            poison: &[],
+        },
+        Case {
+            name: "answers that go on for long before the crash",
+            sound: &[SOUND],
+            present: &[BEGUN_SOUND, LATE_POISON],
+            crashes: 6,
+            poison: &[POISON],
+        },
+        Case {
+            name: "a part on which answers went on just before",
+            sound: &[SOUND],
+            present: &[WAITING_SOUND],
+            crashes: 12,
+            poison: &[],
+        },
+    ];
+    for case in cases {
+        let mut host = Host::new();
+        if !case.sound.is_empty() {
+            host.survive(case.sound);
+            host.wait(1);
+        }
+        for crash in 0..case.crashes {
+            for present in case.present {
+                if crash % present.every != 0 {
+                    continue;
+                }
+                let request = host.request();
+                let run = host.send(host.next_start, request, present.parts);
+                if let At::Answered(age_ms) = present.at {
+                    host.evidence.record_run_head(run);
+                    let now_ms = host.now_ms;
+                    host.evidence.record_run_age(run, age_ms, now_ms);
+                }
+            }
+            host.crash();
+        }
+        host.wait(1_000);
+        let known = [SOUND, 2, POISON];
+        let found: Vec<u32> = { known.into_iter() }
+            .filter(|part| host.is_poison(*part))
+            .collect();
+        assert_that!(found, eq(case.poison), "{}", case.name);
+    }
+}
+
+/// Answers that go on for less time than those at the crashes must not clear their part.
+#[test]
+fn record_run_age_clears_only_beyond_the_crashes_table() {
+    // Time before the crashes, time of another answer, whether that clears the part.
+    let cases = [
+        (0, 500, true),
+        (499, 500, true),
+        (700, 500, false),
+        (700, 1_000, false),
+        (700, 2_000, true),
+        (2_500, 4_000, false),
+        (2_500, 8_000, true),
+        (9_000, 20_000, false),
+    ];
+    for (crash_age_ms, age_ms, clears) in cases {
+        let mut host = Host::new();
+        for _ in 0..6 {
+            let request = host.request();
+            let run = host.send(host.next_start, request, &[POISON]);
+            host.answer_for(run, crash_age_ms);
+            host.crash();
+        }
+        host.wait(600);
+        let seen = format!("{crash_age_ms} ms, {age_ms} ms");
+        assert_that!(host.is_poison(POISON), eq(true), "{seen}");
+        let request = host.request();
+        let run = host.send(u32::MAX, request, &[POISON]);
+        host.answer_for(run, age_ms);
+        assert_that!(host.is_poison(POISON), eq(!clears), "{seen}");
+    }
+}
+
+/// A time without news of an endpoint must not pass for proof that it lives.
+#[test]
+fn review_parts_counts_an_answer_once_its_endpoint_is_known_to_live() {
+    let mut host = poison_host();
+    let start = host.next_start;
+    let request = host.request();
+    let run = host.send(start, request, &[POISON]);
+    host.evidence.record_run_head(run);
+    let ended_at_ms = host.now_ms;
+    host.evidence.end_run(run, true, ended_at_ms);
+    host.wait(5_000);
+    assert_that!(host.is_poison(POISON), eq(true));
+    host.evidence.record_alive(start, ended_at_ms + 400);
+    host.wait(1);
+    assert_that!(host.is_poison(POISON), eq(true));
+    host.evidence.record_alive(start, ended_at_ms + 500);
+    host.wait(1);
+    assert_that!(host.is_poison(POISON), eq(false));
+}
+
+/// A connection to a later process at the same address must not prove that the former one lives.
+#[test]
+fn record_alive_since_proves_only_answers_of_that_time() {
+    // Time from the end of the answer to the opening of the connection, whether that clears.
+    for (opened_after_ms, clears) in [(0, true), (5, false), (900, false)] {
+        let mut host = poison_host();
+        let start = host.next_start;
+        let request = host.request();
+        let run = host.send(start, request, &[POISON]);
+        host.evidence.record_run_head(run);
+        let ended_at_ms = host.now_ms;
+        host.evidence.end_run(run, true, ended_at_ms);
+        host.wait(1_000);
+        let (since_ms, now_ms) = (ended_at_ms + opened_after_ms, host.now_ms);
+        host.evidence.record_alive_since(start, since_ms, now_ms);
+        host.wait(1);
+        assert_that!(host.is_poison(POISON), eq(!clears), "{opened_after_ms}");
+    }
+}
+
+/// Crashes that are minutes apart must be counted together.
+#[test]
+fn find_poison_counts_crashes_that_are_far_apart() {
+    let mut host = Host::new();
+    for _ in 0..3 {
+        host.begin_new(&[POISON]);
+        host.crash();
+        host.wait(70_000);
+    }
+    assert_that!(host.is_poison(POISON), eq(true));
+}
+
+/// A sound part must not be blamed for crashes before an answer on it went on.
+#[test]
+fn record_survival_discharges_earlier_crashes_for_good() {
+    let mut host = Host::new();
+    for _ in 0..6 {
+        host.begin_new(&[SOUND]);
+        host.crash();
+        host.survive(&[SOUND]);
+        host.wait(70_000);
+    }
+    assert_that!(host.is_poison(SOUND), eq(false));
+}
+
+/// Requests that an endpoint refused to run must not be blamed for its crash.
+#[test]
+fn withdraw_run_accuses_nothing() {
+    let mut host = Host::new();
+    for _ in 0..8 {
+        let request = host.request();
+        let run = host.send(host.next_start, request, &[POISON]);
+        host.evidence.withdraw_run(run);
+        host.crash();
+    }
+    host.wait(1_000);
+    assert_that!(host.is_poison(POISON), eq(false));
+}
+
+/// Endpoints that are lost together in two racks must not blame a part that waited at most.
+#[test]
+fn find_poison_by_presence_blames_no_part_of_two_racks() {
+    const ENDPOINTS: u32 = 8;
+    let mut host = Host::new();
+    host.survive(&[SOUND]);
+    host.wait(1);
+    for _ in 0..2 {
+        for _ in 0..ENDPOINTS {
+            let request = host.request();
+            host.send(host.next_start, request, &[SOUND]);
+            let (start, now_ms) = (host.next_start, host.now_ms);
+            host.evidence.record_endpoint_crash(start, now_ms);
+            host.next_start += 1;
+            host.now_ms += 20;
+        }
+        assert_that!(host.wait(700), is_empty());
+        host.survive(&[SOUND]);
+        assert_that!(host.wait(1_500), is_empty());
+    }
+    assert_that!(host.wait(2_500), is_empty());
+}
