Let the soak draw where answers on a poison part end

They now also crash before the head, while events go on for 550 to 1,200 ms, and after the whole answer. Drawn last, so that seeds keep what they drew before.

--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -24,7 +24,9 @@
     Arrival, Disturbance, DisturbanceKind, EndpointSpan, HostStop, Journal, Leaving, ListedBuild,
     RolloutOrder, RouteRule, Try, TryEnd,
 };
-pub use plan::{Fault, LateBuild, Plan, PlanShape, PlannedFault, PoisonPart, Rollout, RolloutKind};
+pub use plan::{
+    CrashPoint, Fault, LateBuild, Plan, PlanShape, PlannedFault, PoisonPart, Rollout, RolloutKind,
+};
 pub use process::Process;
 pub use proxy::{LinkMode, Proxy};
 pub use retry_use::{RetryUse, worst_retry_use};
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -139,6 +139,19 @@
     pub is_of_streams: bool,
 }
 
+/// How far an answer on a poison part gets before its endpoint crashes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CrashPoint {
+    /// Nothing of it is sent.
+    BeforeHead,
+    /// The first event is sent.
+    AfterFirstEvent,
+    /// The first event is sent, and others follow until the crash.
+    WhileStreaming,
+    /// All of it is sent.
+    AfterAnswer,
+}
+
 /// Requests with a part of their prompts that crashes endpoints of the pool of streams.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PoisonPart {
@@ -148,7 +161,9 @@
     pub for_ms: u64,
     /// Time between two of them, in milliseconds.
     pub interval_ms: u64,
-    /// Time from the first event of an answer to the crash, in milliseconds.
+    /// How far answers get.
+    pub crash_point: CrashPoint,
+    /// Time from there to the crash, in milliseconds.
     pub crash_delay_ms: u64,
     /// The position of the part, from 0. Another part follows it in any case.
     pub position: usize,
@@ -250,7 +265,7 @@
         // Drawn last, so that seeds keep what they drew before.
         let draws_two_builds = random.random_bool(TWO_BUILDS_RATIO);
         let is_close_delimited = random.random_bool(CLOSE_DELIMITED_RATIO);
-        let poison_part = random
+        let mut poison_part = random
             .random_bool(POISON_PART_RATIO)
             .then(|| draw_poison_part(&mut random, shape))
             .filter(|_| !rollout.is_some_and(|order| order.is_of_streams));
@@ -259,6 +274,9 @@
             .then(|| draw_late_build(&mut random, shape))
             .filter(|_| poison_part.is_none());
         let late_build = late_build.filter(|_| !rollout.is_some_and(|order| order.is_of_streams));
+        if let Some(part) = &mut poison_part {
+            draw_crash_point(&mut random, part);
+        }
         Self {
             seed,
             hosts,
@@ -296,11 +314,28 @@
         at_ms,
         for_ms: random.random_range(MIN_MS..=shape.until_ms - at_ms),
         interval_ms: random.random_range(80..1_000),
+        crash_point: CrashPoint::AfterFirstEvent,
         crash_delay_ms: random.random_range(10..100),
         position: random.random_range(0..3),
     }
 }
 
+/// Draws where answers end. Those that go on do so for long.
+fn draw_crash_point(random: &mut ChaCha8Rng, part: &mut PoisonPart) {
+    const MIN_LATE_MS: u64 = 550;
+    const MAX_LATE_MS: u64 = 1_200;
+    let late_ms = random.random_range(MIN_LATE_MS..MAX_LATE_MS);
+    part.crash_point = match random.random_range(0..4) {
+        0 => CrashPoint::BeforeHead,
+        1 => CrashPoint::AfterFirstEvent,
+        2 => CrashPoint::WhileStreaming,
+        _ => CrashPoint::AfterAnswer,
+    };
+    if part.crash_point == CrashPoint::WhileStreaming {
+        part.crash_delay_ms = late_ms;
+    }
+}
+
 fn draw_rollout(random: &mut ChaCha8Rng, shape: PlanShape) -> Rollout {
     const WITHIN_MS: u64 = 12_000;
     let latest_ms = shape.until_ms.saturating_sub(WITHIN_MS);
