Bound the numbers that other writers put into rows

An entry of another writer with numbers that fit their type but no sum ended the list (cold_left_ms of 1e300 or of the largest integer: add with overflow) or each request (slots of); builds without checks wrapped, so that a cold endpoint counted as warm.

Sums over endpoints saturate, since a host of an earlier build may send such an entry, and so does a cold time.

Before: record_report_takes_any_time and rows_with_large_numbers_hide_no_other_ endpoint panicked with an overflow.

--- a/crates/gateway/src/fleet/builds.rs
+++ b/crates/gateway/src/fleet/builds.rs
@@ -115,9 +115,9 @@
         for member in self.endpoints.live(pool).iter() {
             let slots = member.endpoint.slots;
             if member.endpoint.build == order.build {
-                builds.new_slots += slots;
+                builds.new_slots = builds.new_slots.saturating_add(slots);
             } else {
-                builds.old_slots += slots;
+                builds.old_slots = builds.old_slots.saturating_add(slots);
             }
         }
         let known = self.endpoints.known_members();
--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -543,12 +543,12 @@
         });
         let service_ms = self.mean_service_ms(pool);
         let cold_slots = slots_while_cold(self.cold_per_s(pool), service_ms);
-        let (slots, in_progress) = accepting.fold((0, 0), |(slots, in_progress), member| {
+        let (slots, in_progress) = accepting.fold((0u32, 0), |(slots, in_progress), member| {
             let short = member.hash.short();
             let endpoint_slots = member.endpoint.slots;
             let cold_slots = cold_slots.filter(|_| self.is_bounded(member, now_ms));
             (
-                slots + cold_slots.map_or(endpoint_slots, |cold| endpoint_slots.min(cold)),
+                slots.saturating_add(endpoint_slots.min(cold_slots.unwrap_or(u32::MAX))),
                 self.load.in_progress(short).saturating_add(in_progress),
             )
         });
--- a/crates/gateway/tests/gateway/rows.rs
+++ b/crates/gateway/tests/gateway/rows.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use chalkrock_core::Endpoint;
+
 use crate::support::{
     Behaviour, Call, Script, ScriptedEndpoint, TestGateway, TestSource, metric, rules, until,
 };
@@ -75,3 +77,26 @@
     let has_newer_rules = tokio::time::timeout(Duration::from_secs(5), has_newer_rules).await;
     assert_that!(has_newer_rules.is_ok(), eq(true));
 }
+
+/// An entry with numbers that sums can't hold must not stop the list or fail requests.
+#[tokio::test]
+async fn rows_with_large_numbers_hide_no_other_endpoint() {
+    for (slots, cold_left_ms) in [(u32::MAX, 0), (8, u64::MAX)] {
+        let source = TestSource::default();
+        source.set_rules(rules(1));
+        let large = endpoint("endpoint-0", &source).await;
+        let gateway = TestGateway::start(source.clone(), "host-1", Vec::new()).await;
+        gateway.ready().await;
+        let entry = Endpoint {
+            slots,
+            ..large.endpoint.clone()
+        };
+        source.list_cold(entry, cold_left_ms);
+        let later = endpoint("endpoint-1", &source).await;
+        until(async || metric(&gateway, "endpoints_live").await == 2.0).await;
+        for _ in 0..8 {
+            assert_that!(serves(&gateway).await, eq(true));
+        }
+        assert_that!(later.arrivals(), ge(1));
+    }
+}
--- a/crates/routing/src/cold.rs
+++ b/crates/routing/src/cold.rs
@@ -113,7 +113,8 @@
     }
 
     fn was_reported_recently(&self, now_ms: u64) -> bool {
-        self.reported_until_ms > 0 && now_ms < self.reported_until_ms + REPORT_RETENTION_MS
+        let retained_until_ms = self.reported_until_ms.saturating_add(REPORT_RETENTION_MS);
+        self.reported_until_ms > 0 && now_ms < retained_until_ms
     }
 }
 
@@ -179,7 +180,7 @@
         }
         let is_newly_cold = !self.is_cold(endpoint, now_ms);
         let cold = self.endpoints.entry(endpoint).or_default();
-        cold.reported_until_ms = now_ms + remaining_ms;
+        cold.reported_until_ms = now_ms.saturating_add(remaining_ms);
         cold.presumed_until_ms = 0;
         is_newly_cold
     }
@@ -190,7 +191,7 @@
         let has_reported = known.is_some_and(|cold| cold.was_reported_recently(now_ms));
         if remaining_ms > 0 && !has_reported {
             let cold = self.endpoints.entry(endpoint).or_default();
-            cold.presumed_until_ms = now_ms + remaining_ms;
+            cold.presumed_until_ms = now_ms.saturating_add(remaining_ms);
         }
     }
 
--- a/crates/routing/src/poison/survivals.rs
+++ b/crates/routing/src/poison/survivals.rs
@@ -16,8 +16,22 @@
 
 /// For how long an answer went on without a crash. Later ones are longer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(from = "u8", into = "u8")]
 pub struct Survival(u8);
 
+impl From<u8> for Survival {
+    /// Times that only a later build knows count as the longest known.
+    fn from(level: u8) -> Self {
+        Self(level).min(Self::SETTLED)
+    }
+}
+
+impl From<Survival> for u8 {
+    fn from(survival: Survival) -> Self {
+        survival.0
+    }
+}
+
 impl Survival {
     /// It ended well, and its endpoint lived on.
     pub const SETTLED: Self = Self(LEVELS as u8 - 1);
@@ -47,7 +61,7 @@
     }
 
     fn index(self) -> usize {
-        usize::from(self.0.min(Self::SETTLED.0))
+        usize::from(self.0)
     }
 }
 
--- a/crates/routing/tests/cold.rs
+++ b/crates/routing/tests/cold.rs
@@ -264,3 +264,13 @@
         );
     }
 }
+
+/// A report of a time that no clock reaches must not overflow.
+#[test]
+fn record_report_takes_any_time() {
+    let mut cold = ColdEndpoints::new(None);
+    cold.record_report(7, u64::MAX, 1_000);
+    cold.presume_cold(8, u64::MAX, 1_000);
+    cold.expire(2_000);
+    assert_that!(cold.is_cold(7, 2_000) && cold.is_cold(8, 2_000), eq(true));
+}
