Show that answers which stop inside their head reach no caller as whole

Another operator saw a 200 with an empty or short body where a replica had stopped in the middle of its answer's head. Nine such heads, one behind a 103, on all four kinds of route: as the first answer, on a kept connection, after a 421 and behind a next hop. All are 502, and an unsafe request is sent once; the code needed no change.

--- a/crates/gateway/tests/gateway/body_framing.rs
+++ b/crates/gateway/tests/gateway/body_framing.rs
@@ -303,3 +303,84 @@
     let received = received.expect("an end").expect("an answer");
     assert_that!(received.is_complete, eq(false));
 }
+
+/// Beginnings of answers that stop inside the head.
+const CUT_HEADS: [&str; 9] = [
+    "HTTP/1.1 20",
+    "HTTP/1.1 200 OK\r\n",
+    "HTTP/1.1 200 OK\r\nid: {id}\r\nsigna",
+    "HTTP/1.1 200 OK\r\nid: {id}\r\nsignature: s\r\ncontent-length: 1",
+    "HTTP/1.1 200 OK\r\nid: {id}\r\nsignature: s\r\ncontent-length: 3\r\n",
+    "HTTP/1.1 200 OK\r\nid: {id}\r\nsignature: s\r\ntransfer-encoding: chunked\r\n",
+    "HTTP/1.1 200 OK\r\nid: {id}\r\nsignature: s\r\ncontent-length: 0\r\n\r",
+    "HTTP/1.1 103 Early Hints\r\nid: {id}\r\n\r\nHTTP/1.1 200 OK\r\nsignature: s\r\n",
+    "HTTP/1.1 503 Service Unavailable\r\nid: {id}\r\nnot-run: 1\r\n",
+];
+
+/// Checks that a caller gets a failure that promises nothing.
+async fn check_cut_head(gateway: &TestGateway, id: &str, path: &str, case: &str) {
+    let received = gateway.call(Call::post(path, b"x").id(id)).await;
+    assert_that!(received.status, eq(502), "{case}");
+}
+
+/// An answer that stops inside its head must not reach callers as a whole one.
+#[tokio::test]
+async fn cut_heads_are_failures() {
+    for head in CUT_HEADS {
+        for path in PATHS {
+            let case = format!("{path} {head:?}");
+            let gateway = TestGateway::with_endpoints(2, Behaviour::Beginning(head)).await;
+            check_cut_head(&gateway, "r-1", path, &case).await;
+            let runs = if matches!(path, "/safe/" | "/resumable/") {
+                2
+            } else {
+                1
+            };
+            assert_that!(gateway.run_count("r-1"), eq(runs), "{case}");
+        }
+    }
+}
+
+/// The same on a connection that has carried an answer before.
+#[tokio::test]
+async fn cut_heads_on_kept_connections_are_failures() {
+    for head in CUT_HEADS {
+        for path in PATHS {
+            let case = format!("{path} {head:?}");
+            let gateway = TestGateway::with_endpoints(1, Behaviour::Beginning(head)).await;
+            gateway.script.push([Behaviour::Answer]);
+            let first = gateway.call(Call::post("/unsafe/", b"x").id("r-0")).await;
+            assert_that!(first.status, eq(200), "{case}");
+            check_cut_head(&gateway, "r-1", path, &case).await;
+            assert_that!(gateway.run_count("r-1"), eq(1), "{case}");
+        }
+    }
+}
+
+/// The same after another endpoint has said that it is not the one asked for.
+#[tokio::test]
+async fn cut_heads_after_a_421_are_failures() {
+    for head in CUT_HEADS {
+        for path in PATHS {
+            let case = format!("{path} {head:?}");
+            let gateway = TestGateway::with_endpoints(3, Behaviour::Beginning(head)).await;
+            gateway.script.push([Behaviour::Misdirected]);
+            check_cut_head(&gateway, "r-1", path, &case).await;
+        }
+    }
+}
+
+/// The same through a next hop.
+#[tokio::test]
+async fn cut_heads_behind_a_next_hop_are_failures() {
+    let fleet = forwarding_fleet(FramedAnswer::closed(CHUNKS, &events(0..=2))).await;
+    for head in CUT_HEADS {
+        for endpoint in &fleet.endpoints {
+            endpoint.set_behaviour(Behaviour::Beginning(head));
+        }
+        for path in PATHS {
+            let case = format!("{path} {head:?}");
+            check_cut_head(&fleet.hosts[0], "r-1", path, &case).await;
+        }
+    }
+}
--- a/crates/gateway/tests/gateway/support/endpoint.rs
+++ b/crates/gateway/tests/gateway/support/endpoint.rs
@@ -55,6 +55,9 @@
     Unframed,
     /// Answers with a framing and an end of its own.
     Framed(FramedAnswer),
+    /// Sends the beginning of an answer, with the request's id for `{id}`, and closes the
+    /// connection.
+    Beginning(&'static str),
     /// Sends bytes without end until the peer closes.
     Endless(EndlessAnswer),
     /// Answers and closes the connection.
@@ -354,6 +357,10 @@
                 answer.send(stream, &id, &report).await;
                 false
             }
+            Behaviour::Beginning(text) => {
+                send(stream, text.replace("{id}", &id).as_bytes()).await;
+                false
+            }
             Behaviour::Endless(answer) => {
                 answer.send(stream, &id, &self.endless_bytes).await;
                 self.abandoned.send_modify(|count| *count += 1);
