Let a later crash show that endpoints were not lost together

Where requests of a resumable route crash ten endpoints within 0.6 s, the part was found only after they had all crashed again: the span of its crashes counted from those that the other hosts had had the time to answer to, so that the first crash of the second series did not count for half a second. Now it shows the span at once. Crashes at which a part only waited no longer count as others.

--- a/crates/routing/src/poison/proof.rs
+++ b/crates/routing/src/poison/proof.rs
@@ -152,7 +152,10 @@
 
     fn is_proved(&self, part: u32, case: &Case, basis: Basis) -> bool {
         const WEIGHT_PER_CRASH: usize = 2;
-        let (Some(&first), Some(&last)) = (case.crashes.first(), case.crashes.last()) else {
+        // A later crash shows that the endpoints were not lost together, also before the other
+        // hosts have answered to it.
+        let last = self.present.get(&part).and_then(|case| case.crashes.last());
+        let (Some(&first), Some(&last)) = (case.crashes.first(), last) else {
             return false;
         };
         let (first_ms, last_ms) = (self.crashes[first].at_ms, self.crashes[last].at_ms);
@@ -164,7 +167,7 @@
             return false;
         }
         let min_crashes = basis.min_crashes(survived_at_ms.is_some());
-        let others = self.crashes.len() - first - case.crashes.len();
+        let others = self.others(part, first);
         let needed = WEIGHT_PER_CRASH * min_crashes + WEIGHT_PER_CRASH * others / OTHERS_PER_CRASH;
         if case.requests.len() < MIN_REQUESTS || case.weight() < needed {
             return false;
@@ -181,6 +184,16 @@
         !is_tied || case.weight() >= needed + WEIGHT_PER_CRASH * TIE_CRASHES
     }
 
+    /// Crashes from the first one on at which a part was not in use.
+    fn others(&self, part: u32, first: usize) -> usize {
+        let present = self.present.get(&part);
+        let in_use = present.map_or(0, |case| {
+            let from = case.crashes.partition_point(|crash| *crash < first);
+            case.crashes.len() - from
+        });
+        self.crashes.len() - first - in_use
+    }
+
     fn rivalry(&self, (part, case): (u32, &Case), (other, rival): (u32, &Case)) -> Rivalry {
         let shared = case.crashes.iter().copied();
         let shared = shared.filter(|index| rival.crashes.binary_search(index).is_ok());
