Let the verdict on a request wait for that on a part that was there

Cause: each request at a crash is counted alike, whether something else there accounts for the crash or not. Now a request with three crashes is judged up to three seconds later if a part that it does not have was in use by others at all of them and no answer on that part went on. Parts are sent before requests, so that the other hosts wait as well.

Before, the first row of record_crash_waits_for_the_verdict_on_a_part_table is refused.

--- a/crates/gateway/src/peers/publish.rs
+++ b/crates/gateway/src/peers/publish.rs
@@ -307,9 +307,6 @@
     let local_entries = || cache_entries(peers.zone, AggregatePath::Direct, &pending.local);
     let relayed = || cache_entries(peers.zone, AggregatePath::Relayed, &pending.same_zone);
     datagrams.to_peers.extend(local_entries());
-    if !poison_updates.is_empty() {
-        datagrams.push_to_all(&Datagram::Poison(poison_updates));
-    }
     let part_updates =
         fleet
             .poison
@@ -317,6 +314,10 @@
     for updates in part_updates {
         datagrams.push_to_all(&Datagram::PartEvidence(updates));
     }
+    // After the parts, which the verdict on a request may wait for.
+    if !poison_updates.is_empty() {
+        datagrams.push_to_all(&Datagram::Poison(poison_updates));
+    }
     let limits = fleet.rejection_limits.reports(LIMITS_PER_DATAGRAM, now_ms);
     if !limits.is_empty() {
         datagrams.push_to_all(&Datagram::RejectionLimits(limits));
--- a/crates/routing/src/poison/mod.rs
+++ b/crates/routing/src/poison/mod.rs
@@ -107,6 +107,8 @@
     /// Whether this host saw one of the crashes itself.
     is_local: bool,
     until_ms: u64,
+    /// Since when the verdict waits for that on a part which may explain the crashes.
+    deferred_at_ms: Option<u64>,
     /// Until when other hosts' verdicts are ignored: they may not know yet that a poison part
     /// explains the crashes.
     ignores_verdicts_until_ms: u64,
@@ -289,6 +291,9 @@
                 self.queue_update(PoisonUpdate::RanWell(request), now_ms);
                 continue;
             }
+            if self.defers_verdict(request, now_ms) {
+                continue;
+            }
             let until_ms = now_ms + u64::from(poison.left_ms);
             let suspect = self.suspect(request, now_ms);
             if now_ms < suspect.ignores_verdicts_until_ms {
@@ -391,9 +396,20 @@
         suspect.is_local |= is_local;
         suspect.until_ms = now_ms + POISON_RETENTION_MS;
         suspect.count_crash(crash.start, crash.ran_long);
+        self.judge(request, now_ms)
+    }
+
+    /// Declares a request poison if enough crashes accuse it and no part that was there may
+    /// explain them.
+    fn judge(&mut self, request: RequestFingerprint, now_ms: u64) -> Option<PoisonVerdict> {
+        let suspect = self.suspects.get(&request)?;
         if suspect.is_poison || suspect.weight() < POISON_WEIGHT {
             return None;
         }
+        if self.defers_verdict(request, now_ms) {
+            return None;
+        }
+        let suspect = self.suspects.get_mut(&request)?;
         suspect.is_poison = true;
         let records = suspect.is_local;
         Some(PoisonVerdict::Poison { request, records })
@@ -409,6 +425,7 @@
             is_poison: false,
             is_local: false,
             until_ms: now_ms,
+            deferred_at_ms: None,
             ignores_verdicts_until_ms: 0,
         })
     }
--- a/crates/routing/src/poison/part_verdicts.rs
+++ b/crates/routing/src/poison/part_verdicts.rs
@@ -8,6 +8,8 @@
 use crate::poison::runs::{CrashedRuns, RunId};
 use crate::poison::{POISON_RETENTION_MS, POISON_WEIGHT, PoisonEvidence, PoisonVerdict, Suspect};
 
+/// Longest time for which the verdict on a request waits for that on a part.
+const MAX_DEFERRAL_MS: u64 = 3_000;
 /// Time in which all hosts learn of a poison part.
 const PROPAGATION_MS: u64 = 5_000;
 
@@ -118,9 +120,39 @@
             verdicts.push(PoisonVerdict::Poison { request, records });
         }
         verdicts.extend(self.discount_explained_crashes(now_ms));
+        verdicts.extend(self.judge_deferred(now_ms));
         verdicts
     }
 
+    /// Whether the verdict on a request waits: a part that it does not have was in use by others
+    /// at all of its crashes, and may be found to explain them.
+    pub(super) fn defers_verdict(&mut self, request: RequestFingerprint, now_ms: u64) -> bool {
+        let Some(suspect) = self.suspects.get_mut(&request) else {
+            return false;
+        };
+        let deferred_at_ms = suspect.deferred_at_ms.unwrap_or(now_ms);
+        let starts = suspect.starts.iter().map(|(start, _)| *start);
+        let starts: Vec<u32> = starts.collect();
+        let is_deferred = now_ms < deferred_at_ms + MAX_DEFERRAL_MS
+            && !suspect.is_poison
+            && self.parts.may_explain(request.short(), &starts, now_ms);
+        if is_deferred {
+            suspect.deferred_at_ms = Some(deferred_at_ms);
+        }
+        is_deferred
+    }
+
+    /// Judges requests whose verdict waits no more.
+    fn judge_deferred(&mut self, now_ms: u64) -> Vec<PoisonVerdict> {
+        let deferred = self.suspects.iter();
+        let deferred = deferred.filter(|(_, suspect)| suspect.deferred_at_ms.is_some());
+        let deferred: Vec<RequestFingerprint> = deferred.map(|(request, _)| *request).collect();
+        let verdicts = deferred.into_iter();
+        verdicts
+            .filter_map(|request| self.judge(request, now_ms))
+            .collect()
+    }
+
     /// Takes updates about parts to send to other hosts, in up to `max_datagrams` of up to
     /// `max_bytes`. Each is returned by several calls, so that a lost round does not lose it.
     pub fn take_part_updates(
--- a/crates/routing/src/poison/parts.rs
+++ b/crates/routing/src/poison/parts.rs
@@ -228,6 +228,32 @@
         Proof::new(unexplained, survived_at_ms, now_ms).find()
     }
 
+    /// Whether a part that a request does not have may explain crashes at which it was: requests
+    /// of others had it in use at each, and no answer on it went on.
+    pub(super) fn may_explain(&self, request: u32, starts: &[u32], now_ms: u64) -> bool {
+        const MIN_REQUESTS: usize = 2;
+        let crash = |start: &u32| self.crashes.iter().find(|crash| crash.start == *start);
+        let crashes: Option<Vec<&Crash>> = starts.iter().map(crash).collect();
+        let Some((first, others)) = crashes.as_deref().and_then(<[_]>::split_first) else {
+            return false;
+        };
+        let own = |part: u32| {
+            let mut uses = first.uses.iter();
+            uses.any(|used| used.part == part && used.request == request)
+        };
+        let mut parts = first.uses.iter().map(|used| used.part);
+        parts.any(|part| {
+            let is_at_all = others.iter().all(|crash| crash.has_used(part));
+            if !is_at_all || own(part) || self.survived_at_ms(part, now_ms).is_some() {
+                return false;
+            }
+            let uses = others.iter().chain([first]).flat_map(|crash| &crash.uses);
+            let uses = uses.filter(|used| used.part == part);
+            let requests: HashSet<u32> = uses.map(|used| used.request).collect();
+            requests.len() >= MIN_REQUESTS && !requests.contains(&request)
+        })
+    }
+
     /// Whether a poison part explains a crash.
     pub(super) fn is_explained(&self, start: u32) -> bool {
         let mut crashes = self.crashes.iter();
--- a/crates/routing/tests/poison_parts.rs
+++ b/crates/routing/tests/poison_parts.rs
@@ -836,3 +836,57 @@
     }
     assert_that!(host.wait(2_500), is_empty());
 }
+
+/// A bystander of three crashes must not be refused before a part that was there is judged, and
+/// a request under which endpoints crash by itself must be.
+#[test]
+fn record_crash_waits_for_the_verdict_on_a_part_table() {
+    struct Case {
+        name: &'static str,
+        /// Parts of another request at each crash.
+        beside: &'static [u32],
+        sound: &'static [u32],
+        is_refused: bool,
+    }
+    const BYSTANDER: RequestFingerprint = RequestFingerprint(77);
+    let cases = [
+        Case {
+            name: "a part that is not judged yet",
+            beside: &[POISON],
+            sound: &[],
+            is_refused: false,
+        },
+        Case {
+            name: "a part on which answers go on",
+            beside: &[SOUND],
+            sound: &[SOUND],
+            is_refused: true,
+        },
+        Case {
+            name: "no part",
+            beside: &[],
+            sound: &[],
+            is_refused: true,
+        },
+    ];
+    for case in cases {
+        let mut host = Host::new();
+        if !case.sound.is_empty() {
+            host.survive(case.sound);
+            host.wait(1);
+        }
+        for _ in 0..3 {
+            let request = host.request();
+            host.send(host.next_start, request, case.beside);
+            let (start, now_ms) = (host.next_start, host.now_ms);
+            host.evidence.record_endpoint_crash(start, now_ms);
+            host.evidence.record_crash(BYSTANDER, start, 40, now_ms);
+            host.crash();
+        }
+        let is_refused = host.evidence.is_poison(BYSTANDER, host.now_ms);
+        assert_that!(is_refused, eq(case.is_refused), "{}", case.name);
+        host.wait(3_000);
+        let is_refused = host.evidence.is_poison(BYSTANDER, host.now_ms);
+        assert_that!(is_refused, eq(true), "{}: not judged in time", case.name);
+    }
+}
