Take no full endpoint for one that has crashed

An endpoint that is full refuses connections and keeps requests waiting without a byte, as one does that has crashed and left its connections open. Silence counts only while the fleet has fewer requests at the endpoint than it has slots.

Also a test that a host learns of a part from the others while the store is silent.

--- a/crates/gateway/src/crash_checks.rs
+++ b/crates/gateway/src/crash_checks.rs
@@ -147,10 +147,9 @@
         {
             return;
         }
-        // One that is full refuses connections, too.
         let has_open_runs = self.fleet().poison.has_open_runs(start);
         let may_be_full = has_open_runs || *notice == CrashNotice::RefusedConnection;
-        if may_be_full && !self.stays_silent(endpoint).await {
+        if may_be_full && !(self.has_free_slots(endpoint) && self.stays_silent(endpoint).await) {
             return;
         }
         if self.fleet().poison.has_open_runs(start) {
@@ -159,6 +158,13 @@
         self.record_endpoint_crash(endpoint, *notice);
     }
 
+    /// Whether requests at an endpoint need not wait for a slot. One that is full refuses
+    /// connections and keeps requests waiting although it lives.
+    fn has_free_slots(&self, endpoint: &Endpoint) -> bool {
+        let start = endpoint.start_hash().short();
+        self.fleet().load.in_progress(start) < endpoint.slots
+    }
+
     /// Whether an endpoint that refuses connections sends nothing more on those that are open.
     async fn stays_silent(&self, endpoint: &Endpoint) -> bool {
         let start = endpoint.start_hash().short();
--- a/crates/gateway/tests/gateway/poison_parts.rs
+++ b/crates/gateway/tests/gateway/poison_parts.rs
@@ -472,6 +472,24 @@
     .await;
 }
 
+/// A host that starts while the store is silent must learn of a part from the others.
+#[tokio::test]
+async fn poison_parts_are_known_to_hosts_that_start_without_the_store() {
+    let fleet = PartFleet::start(crashes_before_head()).await;
+    let _sound = fleet.send_sound("/stream/", &[1, 2], SOUND_INTERVAL);
+    tokio::time::sleep(CALM).await;
+    poison_refusal(&fleet).await;
+    let crashes = fleet.crashes().len();
+    let seeds = vec![fleet.hosts[0].peer_address()];
+    let next = TestGateway::without_store("next", seeds).await;
+    next.ready().await;
+    let parts = format!("1,{POISON_PART},2,7");
+    let call = Call::post("/stream/", b"after").id("after");
+    let received = next.call(call.header("parts", &parts)).await;
+    assert_that!(received.body, eq(REFUSAL));
+    assert_that!(fleet.crashes().len(), eq(crashes));
+}
+
 /// Endpoints that crash by themselves must not have any part of prompts refused.
 #[tokio::test]
 async fn poison_parts_are_not_found_in_crashes_without_a_cause() {
