--- a/crates/gateway/src/fleet/crash_signs.rs
+++ b/crates/gateway/src/fleet/crash_signs.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use chalkrock_core::Endpoint;
-use chalkrock_routing::EndpointState;
+use chalkrock_routing::{CrashedRuns, EndpointState};
 
 use crate::event_log::CrashNotice;
 use crate::fleet::Fleet;
@@ -53,6 +53,14 @@
         (is_replaced && !is_leaving).then_some(CrashNotice::Replaced)
     }
 
+    /// Records a crash that this host confirmed. What it and other hosts have had of the endpoint
+    /// before does not show that it can be reached. Returns this host's recent requests there.
+    pub(crate) fn record_endpoint_crash(&mut self, start: u32, now_ms: u64) -> CrashedRuns {
+        self.reachability.forget_endpoint(start);
+        self.health(start).record_crash();
+        self.poison.record_endpoint_crash(start, now_ms)
+    }
+
     /// Records some endpoints as alive if they were still listed when the list was last
     /// confirmed: the entry of one that has crashed lapses within a time.
     pub(crate) fn record_listed_alive(&mut self, starts: &HashSet<u32>, now_ms: u64) {
--- a/crates/gateway/src/poison_parts.rs
+++ b/crates/gateway/src/poison_parts.rs
@@ -116,9 +116,7 @@
     pub(crate) fn record_endpoint_crash(&self, endpoint: &Endpoint, noticed_by: CrashNotice) {
         let now_ms = self.clock.now_ms();
         let start = endpoint.start_hash().short();
-        let mut fleet = self.fleet();
-        let runs = fleet.poison.record_endpoint_crash(start, now_ms);
-        drop(fleet);
+        let runs = self.fleet().record_endpoint_crash(start, now_ms);
         if runs.total() == 0 {
             return;
         }
--- a/crates/routing/src/health.rs
+++ b/crates/routing/src/health.rs
@@ -151,6 +151,11 @@
         }
     }
 
+    /// Records that it crashed: earlier contact shows nothing any more.
+    pub fn record_crash(&mut self) {
+        self.contact_at_ms = None;
+    }
+
     /// Records that a byte of an answer arrived.
     pub fn record_received(&mut self, now_ms: u64) {
         self.received_at_ms = now_ms;
--- a/crates/routing/src/reachability.rs
+++ b/crates/routing/src/reachability.rs
@@ -168,6 +168,13 @@
             .retain(|_, view| view.next_hop.is_none_or(|hop| hop.address != address));
     }
 
+    /// Forgets all reports of an endpoint that has crashed since.
+    pub fn forget_endpoint(&mut self, endpoint: u32) {
+        for view in self.hosts.values_mut() {
+            view.endpoints.remove(&endpoint);
+        }
+    }
+
     /// Whether another host reaches the endpoint.
     pub fn is_reached(&self, endpoint: u32, now_ms: u64) -> bool {
         self.hosts
--- a/crates/routing/tests/reachability.rs
+++ b/crates/routing/tests/reachability.rs
@@ -159,3 +159,15 @@
     assert_that!(reachability.checks_since(ENDPOINT, 100), eq(counts(0, 1)));
     assert_that!(reachability.checks_since(ENDPOINT, 101), eq(counts(0, 0)));
 }
+
+/// Reports from before a crash must not have requests forwarded to hosts that reach the endpoint
+/// as little.
+#[test]
+fn forget_endpoint_drops_reports_from_before_a_crash() {
+    let mut reachability = reached_by(&[hop(2, ZONE)]);
+    reachability.merge(address(2), &report(Some(hop(2, ZONE)), &[8], &[]), 0);
+    reachability.forget_endpoint(ENDPOINT);
+    assert_that!(reachability.is_reached(ENDPOINT, 100), eq(false));
+    assert_that!(choose(&reachability, 0.0, 100), none());
+    assert_that!(reachability.is_reached(8, 100), eq(true));
+}
