Date a survival by the end of its answer, and weigh parts that survived alike

Where a part turns bad and endpoints crash before the head, the sound part of all requests was found in its place after eight crashes, or beside it, and sound requests were refused: both had answers that went on within the last 30 s, so that neither stood against the other, and an answer that ended before the part turned bad counted from the moment at which its endpoint was known to have lived on, up to seconds later.

Now an answer speaks from its end, and a part on which answers went on as long ago, within a second, stands against the blame of another. A part that turned bad takes ten crashes by presence in place of sixteen, so that it is found within the bound.

Ruled out: fewer crashes by recent answers (eight), which racks of endpoints have needed.

--- a/crates/gateway/tests/gateway/poison_parts.rs
+++ b/crates/gateway/tests/gateway/poison_parts.rs
@@ -177,6 +177,8 @@
     sound_interval: Duration,
     /// Whether requests begin with the poison ones, so that no answer has gone on before.
     is_cold: bool,
+    /// Whether answers on the part go on before it crashes endpoints.
+    turns_bad: bool,
 }
 
 impl Default for Traffic {
@@ -188,6 +190,7 @@
             poison_interval: Duration::from_millis(125),
             sound_interval: SOUND_INTERVAL,
             is_cold: false,
+            turns_bad: false,
         }
     }
 }
@@ -195,16 +198,28 @@
 /// Plays sound requests beside ones with the poison part. Few of these may reach endpoints
 /// after the bound, and sound ones must be served at half of the usual rate or more.
 async fn check_poison_part(plan: PartCrashPlan, traffic: Traffic) {
+    let is_armed = plan.is_armed.clone();
+    is_armed.store(!traffic.turns_bad, Ordering::Relaxed);
     let fleet = PartFleet::start(plan).await;
     let mut sound = fleet.send_sound(traffic.path, traffic.sound_parts, traffic.sound_interval);
+    let send_poison = || -> Vec<JoinSet<()>> {
+        let kinds = traffic.poison_parts.iter();
+        kinds
+            .map(|parts| fleet.send_poison(traffic.path, parts, traffic.poison_interval))
+            .collect()
+    };
+    let mut poison = Vec::new();
+    if traffic.turns_bad {
+        poison = send_poison();
+    }
     if !traffic.is_cold {
         tokio::time::sleep(CALM).await;
     }
     let storm_from = Instant::now();
-    let kinds = traffic.poison_parts.iter();
-    let poison: Vec<JoinSet<()>> = kinds
-        .map(|parts| fleet.send_poison(traffic.path, parts, traffic.poison_interval))
-        .collect();
+    is_armed.store(true, Ordering::Relaxed);
+    if !traffic.turns_bad {
+        poison = send_poison();
+    }
     let bound = fleet.wait_for_bound(poison.len()).await;
     tokio::time::sleep_until(bound + OBSERVED).await;
     let late = fleet.poison_arrivals_after(bound);
@@ -409,6 +424,36 @@
     check_poison_part(plan, Traffic::default()).await;
 }
 
+/// Answers that went on before a part turned bad must not keep it in use.
+#[tokio::test]
+async fn poison_parts_stop_reaching_endpoints_turned_bad() {
+    let traffic = Traffic {
+        turns_bad: true,
+        ..Traffic::default()
+    };
+    check_poison_part(PartCrashPlan::default(), traffic).await;
+}
+
+/// The same where endpoints crash before the head.
+#[tokio::test]
+async fn poison_parts_stop_reaching_endpoints_turned_bad_before_head() {
+    let traffic = Traffic {
+        turns_bad: true,
+        ..Traffic::default()
+    };
+    check_poison_part(crashes_before_head(), traffic).await;
+}
+
+/// The same where endpoints crash after the answer.
+#[tokio::test]
+async fn poison_parts_stop_reaching_endpoints_turned_bad_after_answer() {
+    let traffic = Traffic {
+        turns_bad: true,
+        ..Traffic::default()
+    };
+    check_poison_part(crashes_after_answer(), traffic).await;
+}
+
 /// Connections that stay open and silent must not hide that their endpoint has crashed.
 #[tokio::test]
 async fn poison_parts_stop_reaching_endpoints_silent_connections() {
--- a/crates/gateway/tests/gateway/support/part_crashing.rs
+++ b/crates/gateway/tests/gateway/support/part_crashing.rs
@@ -2,6 +2,7 @@
 //! connections, and restarts later under a new name.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -44,6 +45,8 @@
 pub(crate) struct PartCrashPlan {
     /// Parts that crash an endpoint which begins to answer.
     pub(crate) poison_parts: Vec<u64>,
+    /// Whether they do so by now.
+    pub(crate) is_armed: Arc<AtomicBool>,
     pub(crate) crash_point: CrashPoint,
     /// Time from that point to the crash.
     pub(crate) crash_delay: Duration,
@@ -61,6 +64,7 @@
     fn default() -> Self {
         Self {
             poison_parts: vec![666],
+            is_armed: Arc::new(AtomicBool::new(true)),
             crash_point: CrashPoint::AfterFirstEvent,
             crash_delay: Duration::from_millis(40),
             leaves_connections: false,
@@ -283,8 +287,11 @@
         send(stream, end).await.then_some(())
     }
 
-    /// Whether a part other than the last is a poison part.
+    /// Whether a part other than the last crashes the endpoint.
     fn is_poison(&self, request: &Request) -> bool {
+        if !self.plan.is_armed.load(Ordering::Relaxed) {
+            return false;
+        }
         let parts = request.header("parts").unwrap_or_default();
         let Some((shared, _last)) = parts.rsplit_once(',') else {
             return false;
--- a/crates/routing/src/poison/parts.rs
+++ b/crates/routing/src/poison/parts.rs
@@ -104,7 +104,7 @@
         let Some((parts, survival)) = self.runs.record_age(id, age_ms) else {
             return Vec::new();
         };
-        self.record_survivals(&parts, survival, now_ms);
+        self.record_survivals(&parts, survival, now_ms, now_ms);
         parts.to_vec()
     }
 
@@ -163,12 +163,13 @@
     /// Returns the parts of these answers.
     pub(super) fn settle(&mut self, now_ms: u64) -> Vec<u32> {
         let settled = self.runs.settle(now_ms);
-        for parts in &settled {
-            self.record_survivals(parts, Survival::SETTLED, now_ms);
+        for (parts, ended_at_ms) in &settled {
+            self.record_survivals(parts, Survival::SETTLED, *ended_at_ms, now_ms);
         }
         self.crashes.expire(now_ms);
         self.survivals.expire(now_ms);
-        settled.iter().flat_map(|parts| parts.to_vec()).collect()
+        let parts = settled.iter().flat_map(|(parts, _)| parts.iter().copied());
+        parts.collect()
     }
 
     /// Whether answers on a part went on, and few endpoints crashed since.
@@ -321,9 +322,9 @@
 
     /// Records that answers on parts of this host go on, and reports it for parts that were
     /// in use at crashes.
-    fn record_survivals(&mut self, parts: &[u32], survival: Survival, now_ms: u64) {
+    fn record_survivals(&mut self, parts: &[u32], survival: Survival, at_ms: u64, now_ms: u64) {
         for &part in parts {
-            self.record_survival(part, survival, now_ms, now_ms);
+            self.record_survival(part, survival, at_ms, now_ms);
             if self.crashes.age_ms(part).is_some() {
                 self.report_survival(part, now_ms);
             }
--- a/crates/routing/src/poison/proof.rs
+++ b/crates/routing/src/poison/proof.rs
@@ -26,6 +26,8 @@
 /// Least time between the first and the last crash: endpoints that are lost together crash
 /// within less.
 const MIN_CRASH_SPAN_MS: u64 = 600;
+/// Time by which one host may know of an answer that went on later than another.
+const REPORT_DELAY_MS: u64 = 1_000;
 /// Least number of different requests.
 const MIN_REQUESTS: usize = 2;
 
@@ -45,7 +47,7 @@
             (Self::RecentAnswers, false) => 3,
             (Self::RecentAnswers, true) => MIN_CRASHES_AFTER_SURVIVAL,
             (Self::Presence, false) => 6,
-            (Self::Presence, true) => 2 * MIN_CRASHES_AFTER_SURVIVAL,
+            (Self::Presence, true) => 10,
         }
     }
 }
@@ -172,8 +174,11 @@
         if case.requests.len() < MIN_REQUESTS || case.weight() < needed {
             return false;
         }
-        let rivals = { self.present.iter() }
-            .filter(|(other, _)| **other != part && (self.survived_at_ms)(**other).is_none());
+        // Answers on a sound part go on for longer than those on one that has turned bad.
+        let rival_until_ms = survived_at_ms.map(|at_ms| at_ms + REPORT_DELAY_MS);
+        let rivals = { self.present.iter() }.filter(|(other, _)| {
+            **other != part && (self.survived_at_ms)(**other) <= rival_until_ms
+        });
         let rivalries: Vec<Rivalry> = rivals
             .map(|(other, rival)| self.rivalry((part, case), (*other, rival)))
             .collect();
--- a/crates/routing/src/poison/runs.rs
+++ b/crates/routing/src/poison/runs.rs
@@ -259,8 +259,8 @@
     }
 
     /// Removes requests that ended. Returns the parts of those that were complete and whose
-    /// endpoint is known to have lived on.
-    pub(super) fn settle(&mut self, now_ms: u64) -> Vec<Arc<[u32]>> {
+    /// endpoint is known to have lived on, and when they ended.
+    pub(super) fn settle(&mut self, now_ms: u64) -> Vec<(Arc<[u32]>, u64)> {
         let alive_at_ms = &self.alive_at_ms;
         let mut survived = Vec::new();
         self.runs.retain(|_, run| {
@@ -272,7 +272,7 @@
                 return now_ms < end.at_ms + UNPROVEN_RETENTION_MS;
             }
             if end.is_complete && !run.has_crashed {
-                survived.push(run.parts.clone());
+                survived.push((run.parts.clone(), end.at_ms));
             }
             false
         });
--- a/crates/routing/tests/poison_parts.rs
+++ b/crates/routing/tests/poison_parts.rs
@@ -666,12 +666,19 @@
             poison: &[POISON],
         },
         Case {
-            name: "a part on which answers went on just before",
+            name: "a part that waits and on which answers went on just before",
             sound: &[SOUND],
             present: &[WAITING_SOUND],
-            crashes: 12,
+            crashes: 9,
             poison: &[],
         },
+        Case {
+            name: "a part that turned bad beside answers that had begun",
+            sound: &[SOUND, POISON],
+            present: &[BEGUN_SOUND, BEGUN_SOUND, WAITING_POISON],
+            crashes: 10,
+            poison: &[POISON],
+        },
     ];
     for case in cases {
         let mut host = Host::new();
