Break only requests that were sent before an endpoint fell silent

An endpoint that was found to have crashed with its connections open broke every later request there after 150 ms, for a minute, also if the finding was wrong. Found on reading. Now it breaks requests without a byte since the finding alone.

Signs of crashes in the list take one pass over it, and the numbers of crashes in the proof have names. Gateway poison_parts, crashes, restarts: passed.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -440,7 +440,7 @@
         if Instant::now() >= call.deadline() {
             return Err(AttemptOutcome::Silent);
         }
-        if shared.crash_checks.is_silent(start) {
+        if shared.crash_checks.has_fallen_silent_since(start, sent_at) {
             return Err(AttemptOutcome::Broken);
         }
         let now_ms = shared.clock.now_ms();
--- a/crates/gateway/src/crash_checks.rs
+++ b/crates/gateway/src/crash_checks.rs
@@ -72,9 +72,13 @@
         }
     }
 
-    /// Whether an endpoint has crashed and left its connections open.
-    pub(crate) fn is_silent(&self, start: u32) -> bool {
-        lock(&self.silent).contains_key(&start)
+    /// Whether an endpoint was found to have crashed, with its connections open, after a request
+    /// was sent there or its last byte arrived.
+    pub(crate) fn has_fallen_silent_since(&self, start: u32, contact_at: Instant) -> bool {
+        let silent = lock(&self.silent);
+        silent
+            .get(&start)
+            .is_some_and(|found_at| *found_at > contact_at)
     }
 }
 
--- a/crates/gateway/src/fleet/crash_signs.rs
+++ b/crates/gateway/src/fleet/crash_signs.rs
@@ -1,9 +1,11 @@
 //! What the list of endpoints shows of their crashes.
 
 use std::collections::HashSet;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
-use chalkrock_core::Endpoint;
+use chalkrock_core::rendezvous::MemberHash;
+use chalkrock_core::{Endpoint, EndpointId};
 use chalkrock_routing::{CrashedRuns, EndpointState};
 
 use crate::event_log::CrashNotice;
@@ -24,35 +26,36 @@
         in_use.map(|member| member.endpoint.clone()).collect()
     }
 
-    /// Signs of crashes of endpoints that were live before the list changed. An endpoint that
+    /// Signs of crashes of endpoints that were in use before the list changed. An endpoint that
     /// leaves is unlisted or marked before another one uses its address.
     pub(crate) fn crash_signs(
         &self,
-        before: Vec<Arc<Endpoint>>,
+        in_use: Vec<Arc<Endpoint>>,
     ) -> Vec<(Arc<Endpoint>, CrashNotice)> {
-        let signs = before.into_iter().filter_map(|endpoint| {
-            let notice = self.crash_sign(&endpoint)?;
+        if in_use.is_empty() {
+            return Vec::new();
+        }
+        let starts = in_use.iter().map(|endpoint| endpoint.start_hash());
+        let starts: HashSet<MemberHash> = starts.collect();
+        let listed = self.endpoints.listed();
+        let others = listed.filter(|member| !starts.contains(&member.hash));
+        let (addresses, names): (HashSet<SocketAddr>, HashSet<&EndpointId>) = others
+            .map(|member| (member.endpoint.address, &member.endpoint.name))
+            .unzip();
+        let signs = in_use.into_iter().filter_map(|endpoint| {
+            let is_replaced =
+                addresses.contains(&endpoint.address) || names.contains(&endpoint.name);
+            let notice = match self.endpoints.state(&endpoint.name) {
+                Some(EndpointState::Unlisted) => CrashNotice::Unlisted,
+                Some(EndpointState::Leaving) => return None,
+                _ if is_replaced => CrashNotice::Replaced,
+                _ => return None,
+            };
             Some((endpoint, notice))
         });
         signs.collect()
     }
 
-    fn crash_sign(&self, endpoint: &Endpoint) -> Option<CrashNotice> {
-        let state = self.endpoints.state(&endpoint.name);
-        if state == Some(EndpointState::Unlisted) {
-            return Some(CrashNotice::Unlisted);
-        }
-        let start = endpoint.start_hash();
-        let mut listed = self.endpoints.listed();
-        let is_replaced = listed.any(|member| {
-            let other = &member.endpoint;
-            let is_successor = other.address == endpoint.address || other.name == endpoint.name;
-            is_successor && member.hash != start
-        });
-        let is_leaving = state == Some(EndpointState::Leaving);
-        (is_replaced && !is_leaving).then_some(CrashNotice::Replaced)
-    }
-
     /// Records a crash that this host confirmed. What it and other hosts have had of the endpoint
     /// before does not show that it can be reached. Returns this host's recent requests there.
     pub(crate) fn record_endpoint_crash(&mut self, start: u32, now_ms: u64) -> CrashedRuns {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -225,7 +225,8 @@
                 Ok(None) => return Received::End,
                 Err(_) if Instant::now() >= self.call.deadline() => return Received::Expired,
                 Err(_)
-                    if !stream.is_forwarded && self.shared.crash_checks.is_silent(stream.start) =>
+                    if !stream.is_forwarded && { &self.shared.crash_checks }
+                        .has_fallen_silent_since(stream.start, self.received_at) =>
                 {
                     return Received::Broken;
                 }
--- a/crates/routing/src/poison/proof.rs
+++ b/crates/routing/src/poison/proof.rs
@@ -7,13 +7,22 @@
 //!
 //! * Answers on it had begun shortly before each crash. Few requests at an endpoint have.
 //! * It was in use at each crash, however far its requests had come. All requests that wait at
-//!   an endpoint are, so that this takes twice as many crashes, which all hosts have had the
-//!   time to answer to.
+//!   an endpoint are, so that this takes more crashes, each of which the other hosts have had the
+//!   time to report sound parts for.
 
 use std::collections::{HashMap, HashSet};
 
 use crate::poison::crashes::Crash;
 
+/// Crashes under different requests after which a part is poison, if answers on it had begun
+/// shortly before.
+const MIN_CRASHES: usize = 3;
+/// The same for a part on which an answer went on lately.
+pub(super) const MIN_CRASHES_AFTER_SURVIVAL: usize = 8;
+/// The same for a part that was in use at the crashes.
+const MIN_CRASHES_BY_PRESENCE: usize = 6;
+/// The same for a part that was in use and on which an answer went on lately.
+const MIN_CRASHES_BY_PRESENCE_AFTER_SURVIVAL: usize = 10;
 /// Time without an answer that went on from which crashes count. Many endpoints may crash at
 /// once, and answers on a sound part go on at others within this time.
 pub(super) const MIN_SILENCE_MS: u64 = 2_000;
@@ -41,21 +50,16 @@
 }
 
 impl Basis {
-    /// Crashes under different requests after which a part is poison.
     fn min_crashes(self, has_survived: bool) -> usize {
         match (self, has_survived) {
-            (Self::RecentAnswers, false) => 3,
+            (Self::RecentAnswers, false) => MIN_CRASHES,
             (Self::RecentAnswers, true) => MIN_CRASHES_AFTER_SURVIVAL,
-            (Self::Presence, false) => 6,
-            (Self::Presence, true) => 10,
+            (Self::Presence, false) => MIN_CRASHES_BY_PRESENCE,
+            (Self::Presence, true) => MIN_CRASHES_BY_PRESENCE_AFTER_SURVIVAL,
         }
     }
 }
 
-/// Crashes after which a part is poison although an answer on it went on lately, if answers on it
-/// had begun shortly before them.
-pub(super) const MIN_CRASHES_AFTER_SURVIVAL: usize = 8;
-
 /// Evidence against one part.
 #[derive(Clone, Debug, Default)]
 struct Case {
@@ -93,8 +97,9 @@
     crashes: Vec<&'a Crash>,
     /// By requests whose answer had begun shortly before.
     recent: HashMap<u32, Case>,
-    /// By all requests, at crashes that the other hosts have had the time to answer to.
-    answered: HashMap<u32, Case>,
+    /// By all requests, at crashes for which the other hosts have had the time to report sound
+    /// parts.
+    reviewed: HashMap<u32, Case>,
     /// By all requests.
     present: HashMap<u32, Case>,
     survived_at_ms: S,
@@ -106,7 +111,7 @@
     pub(super) fn new(crashes: Vec<&'a Crash>, survived_at_ms: S, now_ms: u64) -> Self {
         let mut proof = Self {
             recent: HashMap::new(),
-            answered: HashMap::new(),
+            reviewed: HashMap::new(),
             present: HashMap::new(),
             survived_at_ms,
             now_ms,
@@ -124,7 +129,7 @@
                 };
                 add(&mut proof.present);
                 if now_ms >= crash.at_ms + MIN_EVIDENCE_AGE_MS {
-                    add(&mut proof.answered);
+                    add(&mut proof.reviewed);
                 }
                 if used.stage.is_recent() {
                     add(&mut proof.recent);
@@ -143,7 +148,7 @@
     fn find_by(&self, basis: Basis) -> Option<u32> {
         let cases = match basis {
             Basis::RecentAnswers => &self.recent,
-            Basis::Presence => &self.answered,
+            Basis::Presence => &self.reviewed,
         };
         let mut ranked: Vec<(&u32, &Case)> = cases.iter().collect();
         ranked.sort_unstable_by_key(|(part, case)| (std::cmp::Reverse(case.weight()), **part));
@@ -154,8 +159,8 @@
 
     fn is_proved(&self, part: u32, case: &Case, basis: Basis) -> bool {
         const WEIGHT_PER_CRASH: usize = 2;
-        // A later crash shows that the endpoints were not lost together, also before the other
-        // hosts have answered to it.
+        // A later crash shows that the endpoints were not lost together, also before it was
+        // reviewed.
         let last = self.present.get(&part).and_then(|case| case.crashes.last());
         let (Some(&first), Some(&last)) = (case.crashes.first(), last) else {
             return false;
