--- a/crates/routing/src/poison/crashes.rs
+++ b/crates/routing/src/poison/crashes.rs
@@ -130,7 +130,7 @@
     }
 
     /// Removes a part from the crashes up to a time: an answer on it has gone on since.
-    pub(super) fn discharge(&mut self, part: u32, at_ms: u64) {
+    pub(super) fn forget_uses(&mut self, part: u32, at_ms: u64) {
         if !self.ages_ms.contains_key(&part) {
             return;
         }
--- a/crates/routing/src/poison/parts.rs
+++ b/crates/routing/src/poison/parts.rs
@@ -335,7 +335,7 @@
     fn record_survival(&mut self, part: u32, survival: Survival, at_ms: u64, now_ms: u64) -> bool {
         let is_later = self.survivals.record(part, survival, at_ms);
         if let Some(at_ms) = self.survived_at_ms(part, now_ms) {
-            self.crashes.discharge(part, at_ms);
+            self.crashes.forget_uses(part, at_ms);
         }
         is_later
     }
--- a/crates/routing/tests/poison_parts.rs
+++ b/crates/routing/tests/poison_parts.rs
@@ -90,6 +90,12 @@
         self.evidence.is_poison(request, self.now_ms)
     }
 
+    /// Those of some parts that are poison.
+    fn poison_among(&self, parts: &[u32]) -> Vec<u32> {
+        let parts = parts.iter().copied();
+        parts.filter(|part| self.is_poison(*part)).collect()
+    }
+
     /// Takes what this host sends in one round.
     fn take_updates(&mut self) -> Vec<PartUpdate> {
         const DATAGRAMS: usize = 3;
@@ -257,10 +263,7 @@
             host.crash();
         }
         host.wait(1_000);
-        let known = [SOUND, 2, 3, 4, 5, POISON, 667];
-        let found: Vec<u32> = { known.into_iter() }
-            .filter(|part| host.is_poison(*part))
-            .collect();
+        let found = host.poison_among(&[SOUND, 2, 3, 4, 5, POISON, 667]);
         assert_that!(found, eq(case.poison), "{}", case.name);
     }
 }
@@ -702,10 +705,7 @@
             host.crash();
         }
         host.wait(1_000);
-        let known = [SOUND, 2, POISON];
-        let found: Vec<u32> = { known.into_iter() }
-            .filter(|part| host.is_poison(*part))
-            .collect();
+        let found = host.poison_among(&[SOUND, 2, POISON]);
         assert_that!(found, eq(case.poison), "{}", case.name);
     }
 }
