Count crashes that are noticed after the entry was removed

Now a broken attempt accuses nothing only if the endpoint has reported by then that it leaves; other signs of a crash count up to a second after the entry went.

Gateway poison_parts and crashes: 36 passed.

--- a/crates/gateway/src/crash_checks.rs
+++ b/crates/gateway/src/crash_checks.rs
@@ -20,6 +20,8 @@
 /// Silence of open connections, while new ones are refused, after which an endpoint counts as
 /// crashed. A sound one may be silent for a second, but accepts connections meanwhile.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Time for which an endpoint serves on at least after its entry was removed as planned.
+const MIN_SERVICE_AFTER_REMOVAL_MS: u64 = 1_000;
 /// Interval of looks at such an endpoint.
 const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Signs that wait to be checked.
@@ -144,9 +146,7 @@
     async fn check_crash_sign(&self, sign: &CrashSign) {
         let CrashSign { endpoint, notice } = sign;
         let start = endpoint.start_hash().short();
-        // One that was unlisted without a report that it leaves may serve on, or have crashed.
-        let may_be_unlisted = *notice == CrashNotice::Unlisted;
-        if !may_be_unlisted && self.has_left(endpoint)
+        if self.may_end_as_planned(endpoint)
             || self.check_for_crash(endpoint).await != CrashCheck::Crashed
         {
             return;
@@ -194,12 +194,19 @@
         alive_at_ms.is_some_and(|alive_at_ms| alive_at_ms > since_ms)
     }
 
-    /// Whether an endpoint has reported that it leaves, or is unlisted.
-    pub(crate) fn has_left(&self, endpoint: &Endpoint) -> bool {
-        let state = self.fleet().endpoints.state(&endpoint.name);
-        matches!(
-            state,
-            Some(EndpointState::Leaving | EndpointState::Unlisted)
-        )
+    /// Whether an endpoint may end as planned: it has reported that it leaves, or was unlisted
+    /// some time ago. Just after a crash its entry may be removed before the crash is noticed.
+    fn may_end_as_planned(&self, endpoint: &Endpoint) -> bool {
+        let now_ms = self.clock.now_ms();
+        let fleet = self.fleet();
+        let unlisted_for_ms = fleet.endpoints.unlisted_for_ms(&endpoint.name, now_ms);
+        drop(fleet);
+        let is_unlisted = unlisted_for_ms.is_some_and(|ms| ms >= MIN_SERVICE_AFTER_REMOVAL_MS);
+        is_unlisted || self.has_reported_leaving(endpoint)
+    }
+
+    /// Whether an endpoint has reported that it leaves by now.
+    pub(crate) fn has_reported_leaving(&self, endpoint: &Endpoint) -> bool {
+        self.fleet().endpoints.state(&endpoint.name) == Some(EndpointState::Leaving)
     }
 }
--- a/crates/gateway/src/poison.rs
+++ b/crates/gateway/src/poison.rs
@@ -182,7 +182,7 @@
     ) -> bool {
         let request = call.fingerprint;
         let BrokenAttempt { end, ran_ms } = broken;
-        if end != AttemptOutcome::Broken || self.has_left(endpoint) {
+        if end != AttemptOutcome::Broken || self.has_reported_leaving(endpoint) {
             return false;
         }
         match self.check_for_crash(endpoint).await {
--- a/crates/routing/src/endpoints.rs
+++ b/crates/routing/src/endpoints.rs
@@ -325,6 +325,13 @@
         self.entries.get(name).map(KnownEndpoint::state)
     }
 
+    /// For how long an endpoint has been unlisted, in milliseconds; `None` if it is not.
+    pub fn unlisted_for_ms(&self, name: &EndpointId, now_ms: u64) -> Option<u64> {
+        let known = self.entries.get(name);
+        let unlisted = known.filter(|known| known.state() == EndpointState::Unlisted);
+        unlisted.map(|known| now_ms.saturating_sub(known.unlisted_at_ms))
+    }
+
     /// Short hashes of leaving endpoints that are listed or lapsed.
     pub fn leaving(&self) -> Vec<u32> {
         let leaving = self.entries.values().filter(|known| {
